--- /dev/null
+++ b/crates/base/src/id.rs
@@ -0,0 +1,215 @@
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name, in bytes.
+const NAME_MAX_BYTES: usize = 128;
+
+/// Says why a text is no valid name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct IdError {
+    kind: &'static str,
+    cause: Cause,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Cause {
+    Empty,
+    TooLong(usize),
+    Character(char),
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.cause {
+            Cause::Empty => write!(f, "a {} cannot be empty", self.kind),
+            Cause::TooLong(bytes) => write!(
+                f,
+                "a {} of {bytes} bytes is over the limit of {}",
+                self.kind, NAME_MAX_BYTES
+            ),
+            Cause::Character(found) => write!(
+                f,
+                "a {} takes letters, digits and - _ . only, not {found:?}",
+                self.kind
+            ),
+        }
+    }
+}
+
+impl std::error::Error for IdError {}
+
+fn check(kind: &'static str, text: &str) -> Result<(), IdError> {
+    let fail = |cause| Err(IdError { kind, cause });
+    if text.is_empty() {
+        return fail(Cause::Empty);
+    }
+    if text.len() > NAME_MAX_BYTES {
+        return fail(Cause::TooLong(text.len()));
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    match text.chars().find(|c| !allowed(*c)) {
+        Some(found) => fail(Cause::Character(found)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        ///
+        /// It holds 1 to 128 letters, digits, `-`, `_` and `.`, checked when
+        /// it is parsed. Clones share one allocation.
+        ///
+        /// # Example
+        ///
+        /// ```
+        #[doc = concat!("use pomeloslip_base::", stringify!($name), ";")]
+        ///
+        #[doc = concat!("let name: ", stringify!($name), " = \"a-1\".parse()?;")]
+        /// assert_eq!(name.as_str(), "a-1");
+        #[doc = concat!("assert!(\"a b\".parse::<", stringify!($name), ">().is_err());")]
+        /// # Ok::<(), pomeloslip_base::IdError>(())
+        /// ```
+        #[derive(
+            Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash,
+            Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            #[inline]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check($kind, text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name!(
+    /// Names one customer whose calls are limited and measured together.
+    Tenant,
+    "tenant"
+);
+name!(
+    /// Names a model as callers write it.
+    Model,
+    "model"
+);
+name!(
+    /// Names a plain service that is routed to beside the model engines.
+    Service,
+    "service"
+);
+name!(
+    /// Names one endpoint: an engine replica or one instance of a service.
+    EndpointName,
+    "endpoint"
+);
+name!(
+    /// Names a group of machines that can be lost together.
+    FailureDomain,
+    "failure domain"
+);
+name!(
+    /// Names a virtual machine of the platform.
+    VmId,
+    "vm"
+);
+name!(
+    /// Names a batch job.
+    JobId,
+    "job id"
+);
+name!(
+    /// Names an uploaded or produced file.
+    FileId,
+    "file id"
+);
+name!(
+    /// Names one call of a caller, in logs and on every message.
+    RequestId,
+    "request id"
+);
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd,
+            Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Wraps a number.
+            #[inline]
+            pub const fn new(number: u64) -> Self {
+                Self(number)
+            }
+
+            /// Returns the number.
+            #[inline]
+            pub const fn get(self) -> u64 {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+number!(
+    /// Tells two lives of a process at one address apart.
+    ///
+    /// It is drawn at random at each start. A counter would need a disk or
+    /// the key-value service to survive a restart; most processes have
+    /// neither at that moment.
+    Incarnation
+);
+number!(
+    /// Numbers the accepted configurations, newest highest.
+    Revision
+);
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,38 @@
+//! Domain types, time, timers and snapshots that every other crate uses.
+//!
+//! Nothing here does I/O. A decision takes the time ([`Millis`]), its
+//! randomness and identities as arguments, so that a run can be replayed
+//! from a seed:
+//!
+//! ```
+//! use pomeloslip_base::{Class, Millis, Tenant};
+//!
+//! let tenant: Tenant = "taevakorv".parse()?;
+//! let now = Millis::new(1_000);
+//! assert_eq!(now.saturating_add_ms(500).as_ms(), 1_500);
+//! assert_eq!(tenant.as_str(), "taevakorv");
+//! assert_eq!(Class::Online.as_str(), "online");
+//! # Ok::<(), pomeloslip_base::IdError>(())
+//! ```
+//!
+//! Names are checked once, when they are parsed; code inside the system can
+//! then rely on them ([`Tenant`], [`Model`], [`EndpointName`], [`VmId`],
+//! [`FailureDomain`], [`JobId`], [`RequestId`]). The alternative, plain
+//! strings checked where they are used, leaves each use to remember the
+//! check.
+
+mod class;
+mod id;
+pub mod snapshot;
+pub mod time;
+pub mod timer;
+
+pub use crate::{
+    class::Class,
+    id::{
+        EndpointName, FailureDomain, FileId, IdError, Incarnation, JobId,
+        Model, RequestId, Revision, Service, Tenant, VmId,
+    },
+    snapshot::Snapshot,
+    time::{Clock, Millis, SteppedClock, SystemClock, UnixMillis},
+};
--- /dev/null
+++ b/crates/base/src/time.rs
@@ -0,0 +1,143 @@
+//! Time as an argument: monotonic and calendar milliseconds, and clocks.
+//!
+//! Decisions take [`Millis`] and never read a clock. Only the daemons own a
+//! [`Clock`]; tests hand in a [`SteppedClock`] instead.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! millis {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd,
+            Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Wraps a number of milliseconds.
+            #[inline]
+            pub const fn new(ms: u64) -> Self {
+                Self(ms)
+            }
+
+            /// Returns the milliseconds since the origin of this scale.
+            #[inline]
+            pub const fn as_ms(self) -> u64 {
+                self.0
+            }
+
+            /// Adds milliseconds and stays at the largest value instead of
+            /// wrapping.
+            #[inline]
+            pub const fn saturating_add_ms(self, ms: u64) -> Self {
+                Self(self.0.saturating_add(ms))
+            }
+
+            /// Returns the milliseconds since `earlier`, or 0 if it is
+            /// later.
+            ///
+            /// # Example
+            ///
+            /// ```
+            #[doc = concat!("use pomeloslip_base::", stringify!($name), ";")]
+            ///
+            #[doc = concat!("let early = ", stringify!($name), "::new(5);")]
+            #[doc = concat!("let late = ", stringify!($name), "::new(9);")]
+            /// assert_eq!(late.saturating_ms_since(early), 4);
+            /// assert_eq!(early.saturating_ms_since(late), 0);
+            /// ```
+            #[inline]
+            pub const fn saturating_ms_since(self, earlier: Self) -> u64 {
+                self.0.saturating_sub(earlier.0)
+            }
+        }
+    };
+}
+
+millis!(
+    /// Monotonic milliseconds since the process started.
+    ///
+    /// Values of two processes cannot be compared; messages carry spans of
+    /// time, or [`UnixMillis`] where a calendar time is meant.
+    Millis
+);
+millis!(
+    /// Calendar milliseconds since 1970-01-01 UTC.
+    UnixMillis
+);
+
+/// Reads the time for a daemon.
+pub trait Clock: Send + Sync + 'static {
+    /// Returns monotonic time.
+    fn now(&self) -> Millis;
+
+    /// Returns calendar time.
+    fn unix(&self) -> UnixMillis;
+}
+
+/// Reads the machine's clocks.
+#[derive(Debug)]
+pub struct SystemClock {
+    start: Instant,
+}
+
+impl SystemClock {
+    /// Starts a clock whose monotonic time begins at 0.
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Millis {
+        Millis::new(self.start.elapsed().as_millis() as u64)
+    }
+
+    fn unix(&self) -> UnixMillis {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        UnixMillis::new(since.map_or(0, |d| d.as_millis() as u64))
+    }
+}
+
+/// Stands still until it is stepped.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_base::{Clock, SteppedClock};
+///
+/// let clock = SteppedClock::default();
+/// clock.step_ms(20);
+/// assert_eq!(clock.now().as_ms(), 20);
+/// ```
+#[derive(Debug, Default)]
+pub struct SteppedClock {
+    now_ms: AtomicU64,
+}
+
+impl SteppedClock {
+    /// Moves both scales on by `ms`.
+    pub fn step_ms(&self, ms: u64) {
+        self.now_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+}
+
+impl Clock for SteppedClock {
+    fn now(&self) -> Millis {
+        Millis::new(self.now_ms.load(Ordering::SeqCst))
+    }
+
+    fn unix(&self) -> UnixMillis {
+        UnixMillis::new(self.now_ms.load(Ordering::SeqCst))
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the whole system.
--- /dev/null
+++ b/crates/cli/src/bin/pomeloslip/main.rs
@@ -0,0 +1,3 @@
+//! The `pomeloslip` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -0,0 +1,3 @@
+//! The `pomeloslipd` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/companion/src/lib.rs
@@ -0,0 +1,1 @@
+//! The companion role: the admission gate beside one endpoint.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: caller API, routing and batch partitions.
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Companion admission as a state machine without I/O.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fenced batch ledger as a state machine without I/O.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tenant rate and concurrency limits and retry budgets without I/O.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator that verifies every answer.
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ordered operator rules: parse, compile once per revision, decide, explain.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bulk store of a data VM: checksummed write-once blobs.
