--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,10 @@
 //! Small stand-ins of the platform and the endpoints, for tests and the demo.
+//!
+//! Each is a real server on a loopback socket that speaks the published
+//! protocol of what it stands for, with faults that can be switched on.
+
+pub mod engine;
+pub mod kv;
+pub mod service;
+pub mod vms;
+pub mod weights;
--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,1 @@
+//! Stand-in: vms.
