Launch the stand-ins' servers from one place

Cause: every stand-in needs the same quiet rocket server with its real address and a clean stop, several times within one process. Change: serve::launch replaces rocket's configuration, reports the bound address at liftoff and stops on drop; Cut closes a connection unanswered. Conclusion: the five stand-ins can build on it.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,11 @@
 //! protocol of what it stands for, with faults that can be switched on.
 
 pub mod engine;
+mod error;
 pub mod kv;
+mod serve;
 pub mod service;
 pub mod vms;
 pub mod weights;
+
+pub use crate::error::StandinError;
