--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -124,7 +124,7 @@
   config @3 (have :UInt64) -> (revision :UInt64, bytes :Data);
 }
 
-interface Data {
+interface Storage {
   put @0 (id :Text, bytes :Data, crc :UInt32) -> (stored :Bool, refusal :Refusal);
   get @1 (id :Text) -> (found :Bool, bytes :Data, crc :UInt32, refusal :Refusal);
   remove @2 (id :Text) -> ();
@@ -137,5 +137,7 @@
   hello @0 (hello :Hello) -> (hello :Hello);
   companion @1 () -> (companion :Companion);
   entry @2 () -> (entry :Entry);
-  data @3 () -> (data :Data);
+  storage @3 () -> (storage :Storage);
+  prove @4 (proof :Data) -> ();
+  ping @5 () -> ();
 }
--- /dev/null
+++ b/crates/wire/src/auth.rs
@@ -0,0 +1,108 @@
+use std::{fmt, sync::Arc};
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Shortest accepted secret, in bytes.
+const SECRET_MIN_BYTES: usize = 16;
+
+/// Says why a text is no usable secret.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SecretError;
+
+impl fmt::Display for SecretError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a peer secret needs at least {SECRET_MIN_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for SecretError {}
+
+/// A secret that the system's processes share.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret(Arc<[u8]>);
+
+impl Secret {
+    /// Checks and wraps a secret.
+    ///
+    /// # Errors
+    ///
+    /// [`SecretError`] if it is too short to withstand guessing.
+    pub fn try_new(text: &str) -> Result<Self, SecretError> {
+        if text.len() < SECRET_MIN_BYTES {
+            return Err(SecretError);
+        }
+        Ok(Self(text.as_bytes().into()))
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// The secrets in force: the first signs, all are accepted.
+///
+/// To rotate without a stop, add the new secret behind the old one
+/// everywhere, then swap the two everywhere, then remove the old one.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_wire::{Secret, Secrets};
+///
+/// let old = Secret::try_new("old-0123456789abcdef")?;
+/// let new = Secret::try_new("new-0123456789abcdef")?;
+/// let here = Secrets::new(vec![old.clone(), new.clone()]);
+/// let there = Secrets::new(vec![new, old]);
+/// let proof = here.sign(&[b"nonce"]);
+/// assert!(there.accepts(&[b"nonce"], &proof));
+/// assert!(!there.accepts(&[b"other"], &proof));
+/// # Ok::<(), pomeloslip_wire::SecretError>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Secrets(Vec<Secret>);
+
+impl Secrets {
+    /// Wraps the secrets in force. With none, proofs are empty and any peer
+    /// is accepted; the settings allow that on loopback addresses only.
+    pub fn new(secrets: Vec<Secret>) -> Self {
+        Self(secrets)
+    }
+
+    /// Signs the parts with the first secret.
+    pub fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
+        self.0
+            .first()
+            .map_or_else(Vec::new, |secret| mac(secret, parts))
+    }
+
+    /// Tells whether one of the secrets made this proof over the parts.
+    pub fn accepts(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        if self.0.is_empty() {
+            return true;
+        }
+        self.0.iter().any(|secret| verifies(secret, parts, proof))
+    }
+}
+
+fn keyed(secret: &Secret, parts: &[&[u8]]) -> Option<Hmac<Sha256>> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&secret.0).ok()?;
+    for part in parts {
+        // The length goes first: without it, moving a byte from one part to
+        // the next would give the same proof.
+        mac.update(&(part.len() as u64).to_le_bytes());
+        mac.update(part);
+    }
+    Some(mac)
+}
+
+fn mac(secret: &Secret, parts: &[&[u8]]) -> Vec<u8> {
+    keyed(secret, parts)
+        .map_or_else(Vec::new, |mac| mac.finalize().into_bytes().to_vec())
+}
+
+fn verifies(secret: &Secret, parts: &[&[u8]], proof: &[u8]) -> bool {
+    keyed(secret, parts).is_some_and(|mac| mac.verify_slice(proof).is_ok())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,27 @@
 //! Messages between the system's own processes over capnp-rpc.
+//!
+//! [`message`] holds the messages as plain types; [`Links`] calls other
+//! processes and [`serve`] answers them. The objects of capnp-rpc stay on
+//! the one thread that made them, so both sides own a thread and talk to the
+//! rest of the process through channels; everything public here may be used
+//! from any thread.
+//!
+//! # Versions
+//!
+//! Both sides say the highest protocol version that they speak in their
+//! first message, and fields are only ever added to the schema, so that old
+//! and new processes work together during a roll-out.
+//!
+//! # Errors
+//!
+//! A failed call says whether the other side may have seen it
+//! ([`LinkError::NotSent`] against [`LinkError::Unknown`]); only the first
+//! is safe to try again elsewhere for a call that may not be repeated.
 
+mod auth;
+mod convert;
+mod link;
+pub mod message;
 #[allow(
     clippy::all,
     missing_docs,
@@ -14,4 +36,21 @@
     rustdoc::all
 )]
 #[rustfmt::skip]
-pub mod schema_capnp;
+mod schema_capnp;
+mod peer;
+mod server;
+
+pub use crate::{
+    auth::{Secret, SecretError, Secrets},
+    link::{LinkError, LinkOptions, Links, Run, RunReply},
+    server::{
+        Answer, AnswerClosed, CompanionHandler, ConfigReply, DataHandler,
+        EntryHandler, Handlers, ServeError, Server, serve,
+    },
+};
+
+/// Highest protocol version that this build speaks.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Oldest protocol version that this build still understands.
+pub const PROTOCOL_OLDEST: u32 = 1;
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,687 @@
+use std::{
+    cell::RefCell, collections::HashMap, fmt, future::Future, net::SocketAddr,
+    rc::Rc, thread, time::Duration,
+};
+
+use base::Revision;
+use bytes::Bytes;
+use capnp::capability::{Promise, Response};
+use error_stack::{Report, ResultExt};
+use futures::future::{FutureExt, LocalBoxFuture, Shared};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::{LocalSet, spawn_local},
+    time::timeout,
+};
+
+use crate::{
+    Secrets, convert,
+    message::{
+        ConfigText, Frame, Identity, ItemResult, Load, Order, Pull, PullReply,
+        Refusal, RefusalKind, Request, StoreStat, StoredBlob,
+    },
+    peer::{FrameSink, Peer},
+    schema_capnp as schema,
+};
+
+/// Frames that wait between the link and the reader of an answer.
+const FRAMES_QUEUED_MAX: usize = 64;
+
+/// Says what became of a call to another process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkError {
+    /// The other side certainly saw nothing of the call.
+    NotSent,
+    /// The call was sent and its answer is lost.
+    Unknown,
+    /// The other side refused the call; it had no effect.
+    Refused(RefusalKind),
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::NotSent => f.write_str("the call was not sent"),
+            LinkError::Unknown => f.write_str("the answer is lost"),
+            LinkError::Refused(kind) => write!(f, "refused: {kind:?}"),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+/// Options of the links of one process.
+#[derive(Clone, Debug)]
+pub struct LinkOptions {
+    pub(crate) identity: Identity,
+    pub(crate) secrets: Secrets,
+    pub(crate) connect_timeout_ms: u64,
+    pub(crate) call_timeout_ms: u64,
+    pub(crate) heartbeat_ms: u64,
+    pub(crate) silence_ms: u64,
+}
+
+impl LinkOptions {
+    /// Starts with safe defaults: 1 s to connect, 5 s for a call, a
+    /// heartbeat each second and 2 s of silence.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            secrets: Secrets::default(),
+            connect_timeout_ms: 1_000,
+            call_timeout_ms: 5_000,
+            heartbeat_ms: 1_000,
+            silence_ms: 2_000,
+        }
+    }
+
+    /// Sets the shared secrets.
+    pub fn secrets(mut self, secrets: Secrets) -> Self {
+        self.secrets = secrets;
+        self
+    }
+
+    /// Sets how long connecting and authenticating may take.
+    pub fn connect_timeout_ms(mut self, ms: u64) -> Self {
+        self.connect_timeout_ms = ms;
+        self
+    }
+
+    /// Sets how long a call other than [`Links::run`] may take.
+    pub fn call_timeout_ms(mut self, ms: u64) -> Self {
+        self.call_timeout_ms = ms;
+        self
+    }
+
+    /// Sets the pause between heartbeats and the silence after which a
+    /// connection is given up.
+    pub fn heartbeat_ms(mut self, pause_ms: u64, silence_ms: u64) -> Self {
+        self.heartbeat_ms = pause_ms;
+        self.silence_ms = silence_ms;
+        self
+    }
+}
+
+type Connecting = Shared<LocalBoxFuture<'static, Result<Rc<Peer>, Rc<str>>>>;
+
+/// The connections of the thread, at most one for each address.
+struct Pool {
+    options: LinkOptions,
+    peers: RefCell<HashMap<SocketAddr, Connecting>>,
+}
+
+impl Pool {
+    async fn peer(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Rc<Peer>, Report<LinkError>> {
+        let connecting = self.connecting(address);
+        match connecting.clone().await {
+            Ok(peer) if !peer.is_closed() => Ok(peer),
+            Ok(_) => {
+                self.forget(address, &connecting);
+                self.connecting(address).await.map_err(not_sent)
+            }
+            Err(reason) => {
+                self.forget(address, &connecting);
+                Err(not_sent(reason))
+            }
+        }
+    }
+
+    fn connecting(&self, address: SocketAddr) -> Connecting {
+        let mut peers = self.peers.borrow_mut();
+        let options = &self.options;
+        peers
+            .entry(address)
+            .or_insert_with(|| {
+                let options = options.clone();
+                async move {
+                    Peer::connect(address, &options)
+                        .await
+                        .map_err(|report| Rc::from(format!("{report:?}")))
+                }
+                .boxed_local()
+                .shared()
+            })
+            .clone()
+    }
+
+    /// Removes a connection unless a newer one has taken its place.
+    fn forget(&self, address: SocketAddr, stale: &Connecting) {
+        let mut peers = self.peers.borrow_mut();
+        if peers.get(&address).is_some_and(|now| now.ptr_eq(stale)) {
+            peers.remove(&address);
+        }
+    }
+}
+
+fn not_sent(reason: Rc<str>) -> Report<LinkError> {
+    Report::new(LinkError::NotSent).attach(reason.to_string())
+}
+
+type Job = Box<dyn FnOnce(Rc<Pool>) -> LocalBoxFuture<'static, ()> + Send>;
+
+/// Calls other processes; clones share the connections.
+///
+/// Connections are opened on first use, kept, watched by heartbeats and
+/// replaced when they break or go silent.
+#[derive(Clone)]
+pub struct Links {
+    jobs: mpsc::UnboundedSender<Job>,
+    call_timeout: Duration,
+}
+
+impl Links {
+    /// Starts the thread of the links. It ends when the last clone is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error if the machine has no thread left.
+    pub fn start(options: LinkOptions) -> std::io::Result<Self> {
+        let (jobs, receiver) = mpsc::unbounded_channel();
+        let call_timeout = Duration::from_millis(options.call_timeout_ms);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        thread::Builder::new()
+            .name("links".to_owned())
+            .spawn(move || {
+                LocalSet::new().block_on(&runtime, work(options, receiver));
+            })?;
+        Ok(Self { jobs, call_timeout })
+    }
+
+    /// Sends a call to a companion and returns its answer as it comes.
+    ///
+    /// Dropping the [`Run`] cancels the call at the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::NotSent`] if the companion certainly saw nothing.
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        request: Request,
+    ) -> Result<RunReply, Report<LinkError>> {
+        let limit = self.call_timeout;
+        self.submit(move |pool| async move {
+            let peer = pool.peer(address).await?;
+            run(peer, request, limit).await
+        })
+        .await
+    }
+
+    /// Asks a companion for the load of its endpoint.
+    ///
+    /// # Errors
+    ///
+    /// See [`LinkError`]; asking has no effect in any case.
+    pub async fn load(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Load, Report<LinkError>> {
+        self.call(
+            address,
+            |peer| peer.companion.load_request().send().promise,
+            |reply: Response<schema::companion::load_results::Owned>| {
+                Ok(convert::read_load(reply.get()?.get_load()?))
+            },
+        )
+        .await
+    }
+
+    /// Gives an endpoint an order through its companion.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Refused`] if the order is stale.
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        order: Order,
+    ) -> Result<(), Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.companion.order_request();
+                let mut params = call.get();
+                params.set_fence(order.fence);
+                params.set_kind(&order.kind);
+                params.set_body(&order.body);
+                call.send().promise
+            },
+            |reply: Response<schema::companion::order_results::Owned>| {
+                let reply = reply.get()?;
+                Ok(match reply.get_accepted() {
+                    true => Ok(()),
+                    false => Err(convert::read_refusal(reply.get_refusal()?)?),
+                })
+            },
+        )
+        .await?
+        .map_err(refused)
+    }
+
+    /// Asks an entry for batch items.
+    ///
+    /// # Errors
+    ///
+    /// After [`LinkError::Unknown`] items may have been granted; they come
+    /// back when their loans end.
+    pub async fn pull(
+        &self,
+        address: SocketAddr,
+        pull: Pull,
+    ) -> Result<PullReply, Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.entry.pull_request();
+                convert::write_pull(&pull, call.get().init_pull());
+                call.send().promise
+            },
+            |reply: Response<schema::entry::pull_results::Owned>| {
+                convert::read_pull_reply(reply.get()?.get_reply()?)
+            },
+        )
+        .await
+    }
+
+    /// Gives an entry the results of items and returns how many it took.
+    ///
+    /// # Errors
+    ///
+    /// After [`LinkError::Unknown`] it is safe to send them again.
+    pub async fn results(
+        &self,
+        address: SocketAddr,
+        results: Vec<ItemResult>,
+    ) -> Result<u32, Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.entry.results_request();
+                let count = results.len() as u32;
+                let mut list = call.get().init_results(count);
+                for (at, result) in results.iter().enumerate() {
+                    let slot = list.reborrow().get(at as u32);
+                    convert::write_result(result, slot);
+                }
+                call.send().promise
+            },
+            |reply: Response<schema::entry::results_results::Owned>| {
+                Ok(reply.get()?.get_taken())
+            },
+        )
+        .await
+    }
+
+    /// Tells an entry that this process's endpoint leaves.
+    ///
+    /// # Errors
+    ///
+    /// See [`LinkError`]; telling twice does no harm.
+    pub async fn leaving(
+        &self,
+        address: SocketAddr,
+        me: Identity,
+    ) -> Result<(), Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.entry.leaving_request();
+                let mut params = call.get();
+                params.set_vm(me.vm.as_str());
+                params.set_incarnation(me.incarnation.get());
+                call.send().promise
+            },
+            |reply: Response<schema::entry::leaving_results::Owned>| {
+                reply.get().map(|_| ())
+            },
+        )
+        .await
+    }
+
+    /// Asks an entry for a newer configuration than `have`.
+    ///
+    /// # Errors
+    ///
+    /// See [`LinkError`].
+    pub async fn config(
+        &self,
+        address: SocketAddr,
+        have: Revision,
+    ) -> Result<Option<ConfigText>, Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.entry.config_request();
+                call.get().set_have(have.get());
+                call.send().promise
+            },
+            move |reply: Response<schema::entry::config_results::Owned>| {
+                let reply = reply.get()?;
+                let revision = Revision::new(reply.get_revision());
+                if revision <= have {
+                    return Ok(None);
+                }
+                let bytes = Bytes::copy_from_slice(reply.get_bytes()?);
+                Ok(Some(ConfigText { revision, bytes }))
+            },
+        )
+        .await
+    }
+
+    /// Stores a blob on a data VM; it is on its disk when this returns.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Refused`] if it certainly stored nothing.
+    pub async fn put_blob(
+        &self,
+        address: SocketAddr,
+        id: String,
+        blob: StoredBlob,
+    ) -> Result<(), Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.storage.put_request();
+                let mut params = call.get();
+                params.set_id(&id);
+                params.set_bytes(&blob.bytes);
+                params.set_crc(blob.crc);
+                call.send().promise
+            },
+            |reply: Response<schema::storage::put_results::Owned>| {
+                let reply = reply.get()?;
+                Ok(match reply.get_stored() {
+                    true => Ok(()),
+                    false => Err(convert::read_refusal(reply.get_refusal()?)?),
+                })
+            },
+        )
+        .await?
+        .map_err(refused)
+    }
+
+    /// Reads a blob from a data VM, `None` if it does not have it.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Refused`] with [`RefusalKind::Conflict`] if its copy is
+    /// damaged.
+    pub async fn get_blob(
+        &self,
+        address: SocketAddr,
+        id: String,
+    ) -> Result<Option<StoredBlob>, Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.storage.get_request();
+                call.get().set_id(&id);
+                call.send().promise
+            },
+            |reply: Response<schema::storage::get_results::Owned>| {
+                let reply = reply.get()?;
+                if reply.has_refusal() {
+                    let refusal = reply.get_refusal()?;
+                    return Ok(Err(convert::read_refusal(refusal)?));
+                }
+                if !reply.get_found() {
+                    return Ok(Ok(None));
+                }
+                let bytes = Bytes::copy_from_slice(reply.get_bytes()?);
+                let crc = reply.get_crc();
+                Ok(Ok(Some(StoredBlob { bytes, crc })))
+            },
+        )
+        .await?
+        .map_err(refused)
+    }
+
+    /// Removes a blob from a data VM.
+    ///
+    /// # Errors
+    ///
+    /// See [`LinkError`]; removing twice does no harm.
+    pub async fn remove_blob(
+        &self,
+        address: SocketAddr,
+        id: String,
+    ) -> Result<(), Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.storage.remove_request();
+                call.get().set_id(&id);
+                call.send().promise
+            },
+            |reply: Response<schema::storage::remove_results::Owned>| {
+                reply.get().map(|_| ())
+            },
+        )
+        .await
+    }
+
+    /// Asks a data VM how much it holds.
+    ///
+    /// # Errors
+    ///
+    /// See [`LinkError`].
+    pub async fn store_stat(
+        &self,
+        address: SocketAddr,
+    ) -> Result<StoreStat, Report<LinkError>> {
+        self.call(
+            address,
+            |peer| peer.storage.stat_request().send().promise,
+            |reply: Response<schema::storage::stat_results::Owned>| {
+                let reply = reply.get()?;
+                Ok(StoreStat {
+                    blobs: reply.get_blobs(),
+                    bytes: reply.get_bytes(),
+                    quota_bytes: reply.get_quota_bytes(),
+                })
+            },
+        )
+        .await
+    }
+
+    /// Lists the ids of a data VM's blobs in order.
+    ///
+    /// # Errors
+    ///
+    /// See [`LinkError`].
+    pub async fn list_blobs(
+        &self,
+        address: SocketAddr,
+        after: String,
+        limit: u32,
+    ) -> Result<Vec<String>, Report<LinkError>> {
+        self.call(
+            address,
+            move |peer| {
+                let mut call = peer.storage.list_request();
+                let mut params = call.get();
+                params.set_after(&after);
+                params.set_limit(limit);
+                call.send().promise
+            },
+            |reply: Response<schema::storage::list_results::Owned>| {
+                let ids = reply.get()?.get_ids()?;
+                convert::bounded(ids.len())?;
+                ids.iter().map(convert::string).collect()
+            },
+        )
+        .await
+    }
+
+    async fn call<P, R, T>(
+        &self,
+        address: SocketAddr,
+        send: impl FnOnce(&Peer) -> Promise<P, capnp::Error> + Send + 'static,
+        read: R,
+    ) -> Result<T, Report<LinkError>>
+    where
+        P: 'static,
+        R: FnOnce(P) -> capnp::Result<T> + Send + 'static,
+        T: Send + 'static,
+    {
+        let limit = self.call_timeout;
+        self.submit(move |pool| async move {
+            let peer = pool.peer(address).await?;
+            let promise = send(&peer);
+            let reply = watched(&peer, limit, promise).await?;
+            read(reply).map_err(lost)
+        })
+        .await
+    }
+
+    async fn submit<T, F, Fut>(&self, job: F) -> Result<T, Report<LinkError>>
+    where
+        T: Send + 'static,
+        F: FnOnce(Rc<Pool>) -> Fut + Send + 'static,
+        Fut: Future<Output = Result<T, Report<LinkError>>> + 'static,
+    {
+        let (reply, answer) = oneshot::channel();
+        let job: Job = Box::new(move |pool| {
+            async move {
+                let done = job(pool).await;
+                // The asker may have left; then nobody wants the answer.
+                let _ = reply.send(done);
+            }
+            .boxed_local()
+        });
+        self.jobs
+            .send(job)
+            .ok()
+            .ok_or_else(|| Report::new(LinkError::NotSent))?;
+        answer.await.change_context(LinkError::Unknown)?
+    }
+}
+
+async fn work(options: LinkOptions, mut jobs: mpsc::UnboundedReceiver<Job>) {
+    let pool = Rc::new(Pool {
+        options,
+        peers: RefCell::default(),
+    });
+    while let Some(job) = jobs.recv().await {
+        spawn_local(job(pool.clone()));
+    }
+}
+
+/// Waits for a reply, but no longer than the connection or the limit lasts.
+async fn watched<T>(
+    peer: &Peer,
+    limit: Duration,
+    promise: Promise<T, capnp::Error>,
+) -> Result<T, Report<LinkError>> {
+    tokio::select! {
+        biased;
+        reply = timeout(limit, promise) => reply
+            .change_context(LinkError::Unknown)
+            .attach("no reply in time")?
+            .map_err(lost),
+        () = peer.until_closed() => {
+            Err(Report::new(LinkError::Unknown).attach("the link broke"))
+        }
+    }
+}
+
+fn lost(error: capnp::Error) -> Report<LinkError> {
+    // An older process that does not know the method has done nothing.
+    let context = match error.kind {
+        capnp::ErrorKind::Unimplemented => LinkError::NotSent,
+        _ => LinkError::Unknown,
+    };
+    Report::new(error).change_context(context)
+}
+
+fn refused(refusal: Refusal) -> Report<LinkError> {
+    Report::new(LinkError::Refused(refusal.kind)).attach(refusal.detail)
+}
+
+async fn run(
+    peer: Rc<Peer>,
+    request: Request,
+    limit: Duration,
+) -> Result<RunReply, Report<LinkError>> {
+    let (frames, receiver) = mpsc::channel(FRAMES_QUEUED_MAX);
+    let mut call = peer.companion.run_request();
+    let mut params = call.get();
+    convert::write_request(&request, params.reborrow().init_request());
+    params.set_sink(FrameSink::client(
+        request.request_id,
+        request.attempt,
+        frames.clone(),
+    ));
+    let reply = watched(&peer, limit, call.send().promise).await?;
+    let reply = reply.get().map_err(lost)?;
+    let load = convert::read_load(reply.get_load().map_err(lost)?);
+    if !reply.get_accepted() {
+        let refusal = reply.get_refusal().map_err(lost)?;
+        let refusal = convert::read_refusal(refusal).map_err(lost)?;
+        return Ok(RunReply::Refused { refusal, load });
+    }
+    let held = reply.get_call().map_err(lost)?;
+    let (cancel, cancelled) = oneshot::channel::<()>();
+    spawn_local(async move {
+        // Holding `held` keeps the call alive at the companion. When the
+        // connection breaks, `None` tells the reader that the rest of the
+        // answer is lost; without it, the reader would wait for frames that
+        // nobody sends any more.
+        tokio::select! {
+            _ = cancelled => {}
+            () = peer.until_closed() => {
+                // The reader may have left meanwhile.
+                let _ = frames.send(None).await;
+            }
+        }
+        drop(held);
+    });
+    Ok(RunReply::Accepted {
+        run: Run {
+            frames: receiver,
+            _cancel: cancel,
+        },
+        load,
+    })
+}
+
+/// What a companion says to a call.
+#[derive(Debug)]
+pub enum RunReply {
+    /// It took the call; the answer comes in frames.
+    Accepted {
+        /// The answer.
+        run: Run,
+        /// Load of its endpoint.
+        load: Load,
+    },
+    /// It did not take the call, which therefore did not run.
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// Load of its endpoint.
+        load: Load,
+    },
+}
+
+/// An answer that is under way. Dropping it cancels the call.
+#[derive(Debug)]
+pub struct Run {
+    frames: mpsc::Receiver<Option<Frame>>,
+    _cancel: oneshot::Sender<()>,
+}
+
+impl Run {
+    /// Waits for the next frame; `None` before a [`Frame::End`] means that
+    /// the connection broke and the rest of the answer is lost.
+    pub async fn next(&mut self) -> Option<Frame> {
+        self.frames.recv().await.flatten()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,278 @@
+//! One connection to another process, on the thread of the links.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use base::RequestId;
+use capnp_rpc::{
+    RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork,
+};
+use error_stack::{Report, ResultExt};
+use futures::io::{BufReader, BufWriter};
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, watch},
+    task::{AbortHandle, spawn_local},
+    time::timeout,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::{
+    PROTOCOL_OLDEST, PROTOCOL_VERSION, convert,
+    link::{LinkError, LinkOptions},
+    message::Frame,
+    schema_capnp as schema,
+};
+
+/// Parts of the proofs, so that one side's proof is never good for the
+/// other's.
+pub(crate) const CLIENT_PROOF: &[u8] = b"pomeloslip client 1";
+pub(crate) const SERVER_PROOF: &[u8] = b"pomeloslip server 1";
+
+/// An authenticated connection with the capabilities that it gave.
+pub(crate) struct Peer {
+    pub(crate) node: schema::node::Client,
+    pub(crate) companion: schema::companion::Client,
+    pub(crate) entry: schema::entry::Client,
+    pub(crate) storage: schema::storage::Client,
+    closed: watch::Sender<bool>,
+    rpc: Cell<Option<AbortHandle>>,
+}
+
+impl Peer {
+    /// Connects and authenticates.
+    ///
+    /// Any failure here is [`LinkError::NotSent`]: no call was made yet.
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        options: &LinkOptions,
+    ) -> Result<Rc<Self>, Report<LinkError>> {
+        let limit = Duration::from_millis(options.connect_timeout_ms);
+        let opened = timeout(limit, Self::open(address, options)).await;
+        opened
+            .change_context(LinkError::NotSent)
+            .attach_with(|| format!("no link to {address} in time"))?
+    }
+
+    async fn open(
+        address: SocketAddr,
+        options: &LinkOptions,
+    ) -> Result<Rc<Self>, Report<LinkError>> {
+        let stream = TcpStream::connect(address)
+            .await
+            .change_context(LinkError::NotSent)
+            .attach_with(|| format!("connecting to {address}"))?;
+        stream
+            .set_nodelay(true)
+            .change_context(LinkError::NotSent)?;
+        let (read, write) = stream.into_split();
+        let network = Box::new(VatNetwork::new(
+            BufReader::new(read.compat()),
+            BufWriter::new(write.compat_write()),
+            Side::Client,
+            Default::default(),
+        ));
+        let mut rpc = RpcSystem::new(network, None);
+        let node: schema::node::Client = rpc.bootstrap(Side::Server);
+        let (closed, _) = watch::channel(false);
+        let ended = closed.clone();
+        let task = spawn_local(async move {
+            // The reason is seen by the calls that fail with it.
+            let _ = rpc.await;
+            ended.send_replace(true);
+        });
+        let guard = AbortOnDrop(Some(task.abort_handle()));
+        authenticate(&node, options)
+            .await
+            .change_context(LinkError::NotSent)
+            .attach_with(|| format!("authenticating with {address}"))?;
+        // Asked for without waiting: the capabilities are usable at once
+        // and each role refuses what it does not have.
+        let companion = node.companion_request().send().pipeline;
+        let entry = node.entry_request().send().pipeline;
+        let storage = node.storage_request().send().pipeline;
+        let peer = Rc::new(Self {
+            companion: companion.get_companion(),
+            entry: entry.get_entry(),
+            storage: storage.get_storage(),
+            node,
+            closed,
+            rpc: Cell::new(guard.disarm()),
+        });
+        spawn_local(heartbeat(peer.clone(), options.clone()));
+        Ok(peer)
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    /// Resolves once the connection is known to be of no use.
+    pub(crate) async fn until_closed(&self) {
+        let mut closed = self.closed.subscribe();
+        // The sender lives in self, so waiting cannot fail.
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+
+    pub(crate) fn close(&self) {
+        self.closed.send_replace(true);
+        if let Some(rpc) = self.rpc.take() {
+            rpc.abort();
+        }
+    }
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+struct AbortOnDrop(Option<AbortHandle>);
+
+impl AbortOnDrop {
+    fn disarm(mut self) -> Option<AbortHandle> {
+        self.0.take()
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        if let Some(task) = self.0.take() {
+            task.abort();
+        }
+    }
+}
+
+async fn authenticate(
+    node: &schema::node::Client,
+    options: &LinkOptions,
+) -> Result<(), capnp::Error> {
+    let nonce: [u8; 32] = rand::random();
+    let mut request = node.hello_request();
+    let mut hello = request.get().init_hello();
+    let me = &options.identity;
+    hello.set_protocol(PROTOCOL_VERSION);
+    hello.set_role(&me.role);
+    hello.set_vm(me.vm.as_str());
+    hello.set_incarnation(me.incarnation.get());
+    hello.set_failure_domain(me.failure_domain.as_str());
+    hello.set_nonce(&nonce);
+    let reply = request.send().promise.await?;
+    let theirs = reply.get()?.get_hello()?;
+    if theirs.get_protocol() < PROTOCOL_OLDEST {
+        return Err(capnp::Error::failed(format!(
+            "the peer speaks protocol {}, the oldest known here is {}",
+            theirs.get_protocol(),
+            PROTOCOL_OLDEST
+        )));
+    }
+    let their_nonce = theirs.get_nonce()?;
+    let parts = [SERVER_PROOF, &nonce, their_nonce];
+    if !options.secrets.accepts(&parts, theirs.get_proof()?) {
+        return Err(capnp::Error::failed(
+            "the peer does not know the shared secret".to_owned(),
+        ));
+    }
+    let parts = [CLIENT_PROOF, &nonce, their_nonce];
+    let proof = options.secrets.sign(&parts);
+    let mut request = node.prove_request();
+    request.get().set_proof(&proof);
+    request.send().promise.await?;
+    Ok(())
+}
+
+/// Calls the peer now and then and gives the connection up when it goes
+/// silent.
+///
+/// A device between the two ends can lose track of an open connection: all
+/// that is sent on it disappears without an error while new connections
+/// work. Without this, calls on it would wait for good; with it, they fail
+/// after `silence_ms` and the next call opens a new connection.
+async fn heartbeat(peer: Rc<Peer>, options: LinkOptions) {
+    let pause = Duration::from_millis(options.heartbeat_ms);
+    let silence = Duration::from_millis(options.silence_ms);
+    let weak = Rc::downgrade(&peer);
+    drop(peer);
+    loop {
+        tokio::time::sleep(pause).await;
+        let Some(peer) = weak.upgrade() else { return };
+        if peer.is_closed() {
+            return;
+        }
+        let ping = peer.node.ping_request().send().promise;
+        if !matches!(timeout(silence, ping).await, Ok(Ok(_))) {
+            log::warn!("a link went silent; dropping it");
+            peer.close();
+            return;
+        }
+    }
+}
+
+/// Receives the frames of one answer and passes them on.
+pub(crate) struct FrameSink {
+    request_id: RequestId,
+    attempt: u32,
+    frames: mpsc::Sender<Option<Frame>>,
+}
+
+impl FrameSink {
+    pub(crate) fn client(
+        request_id: RequestId,
+        attempt: u32,
+        frames: mpsc::Sender<Option<Frame>>,
+    ) -> schema::sink::Client {
+        new_client(Self {
+            request_id,
+            attempt,
+            frames,
+        })
+    }
+
+    async fn pass(&self, frame: Frame) -> Result<(), capnp::Error> {
+        self.frames
+            .send(Some(frame))
+            .await
+            .map_err(|_| capnp::Error::failed("the caller is gone".to_owned()))
+    }
+}
+
+impl schema::sink::Server for FrameSink {
+    async fn head(
+        self: Rc<Self>,
+        params: schema::sink::HeadParams,
+        _: schema::sink::HeadResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let id: RequestId = convert::name(params.get_request_id())?;
+        // A late answer of an earlier attempt must never reach another
+        // call; the ids on the message would show it.
+        if id != self.request_id || params.get_attempt() != self.attempt {
+            return Err(capnp::Error::failed(
+                "the answer belongs to another call".to_owned(),
+            ));
+        }
+        let status = params.get_status();
+        let headers = convert::read_headers(params.get_headers()?)?;
+        self.pass(Frame::Head { status, headers }).await
+    }
+
+    async fn chunk(
+        self: Rc<Self>,
+        params: schema::sink::ChunkParams,
+        _: schema::sink::ChunkResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let seq = params.get_seq();
+        let bytes = bytes::Bytes::copy_from_slice(params.get_bytes()?);
+        self.pass(Frame::Chunk { seq, bytes }).await
+    }
+
+    async fn end(
+        self: Rc<Self>,
+        params: schema::sink::EndParams,
+        _: schema::sink::EndResults,
+    ) -> Result<(), capnp::Error> {
+        let outcome = convert::read_outcome(params.get()?.get_outcome()?)?;
+        self.pass(Frame::End(outcome)).await
+    }
+}
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -103,16 +103,16 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_proof(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.reader.get_pointer_field(3).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_proof(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_proof(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_nonce(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.reader.get_pointer_field(4).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_nonce(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_nonce(&self) -> bool {
@@ -245,24 +245,32 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_proof(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.builder.get_pointer_field(3).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_proof(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_proof(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
         }
         #[inline]
-        pub fn set_proof(&mut self, value: crate::schema_capnp::data::Client)  {
-            self.builder.reborrow().get_pointer_field(3).set_capability(value.client.hook);
+        pub fn init_proof(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
         }
         #[inline]
         pub fn has_proof(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_nonce(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.builder.get_pointer_field(4).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_nonce(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_nonce(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(4).set_data(value);
         }
         #[inline]
-        pub fn set_nonce(&mut self, value: crate::schema_capnp::data::Client)  {
-            self.builder.reborrow().get_pointer_field(4).set_capability(value.client.hook);
+        pub fn init_nonce(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(4).init_data(size)
         }
         #[inline]
         pub fn has_nonce(&self) -> bool {
@@ -277,12 +285,6 @@
         }
     }
     impl Pipeline  {
-        pub fn get_proof(&self) -> crate::schema_capnp::data::Client {
-            ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(3).as_cap())
-        }
-        pub fn get_nonce(&self) -> crate::schema_capnp::data::Client {
-            ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(4).as_cap())
-        }
     }
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 141] = [
@@ -412,19 +414,19 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 114, 111, 111, 102, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -436,8 +438,8 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -815,8 +817,8 @@
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.reader.get_pointer_field(5).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
@@ -993,12 +995,16 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.builder.get_pointer_field(5).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_body(&mut self, value: crate::schema_capnp::data::Client)  {
-            self.builder.reborrow().get_pointer_field(5).set_capability(value.client.hook);
+        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(5).set_data(value);
+        }
+        #[inline]
+        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(5).init_data(size)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
@@ -1053,9 +1059,6 @@
         }
     }
     impl Pipeline  {
-        pub fn get_body(&self) -> crate::schema_capnp::data::Client {
-            ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(5).as_cap())
-        }
     }
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 205] = [
@@ -1222,11 +1225,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 101, 97, 100, 108, 105, 110, 101),
@@ -1274,7 +1277,7 @@
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::schema_capnp::header::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
@@ -2504,8 +2507,8 @@
                 self.reader.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -2574,12 +2577,16 @@
                 self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_bytes(&mut self, value: crate::schema_capnp::data::Client)  {
-                self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+            pub fn set_bytes(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_bytes(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -2594,9 +2601,6 @@
             }
         }
         impl Pipeline  {
-            pub fn get_bytes(&self) -> crate::schema_capnp::data::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
-            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
@@ -2640,18 +2644,18 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5168,8 +5172,8 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_body(&self) -> bool {
@@ -5254,12 +5258,16 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_body(&mut self, value: crate::schema_capnp::data::Client)  {
-                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(1).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(1).init_data(size)
             }
             #[inline]
             pub fn has_body(&self) -> bool {
@@ -5274,9 +5282,6 @@
             }
         }
         impl Pipeline  {
-            pub fn get_body(&self) -> crate::schema_capnp::data::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
-            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
@@ -5336,11 +5341,11 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
@@ -5348,7 +5353,7 @@
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5716,8 +5721,8 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.reader.get_pointer_field(3).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
@@ -5874,12 +5879,16 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.builder.get_pointer_field(3).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
         }
         #[inline]
-        pub fn set_body(&mut self, value: crate::schema_capnp::data::Client)  {
-            self.builder.reborrow().get_pointer_field(3).set_capability(value.client.hook);
+        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
@@ -5910,9 +5919,6 @@
         }
     }
     impl Pipeline  {
-        pub fn get_body(&self) -> crate::schema_capnp::data::Client {
-            ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(3).as_cap())
-        }
     }
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 185] = [
@@ -6076,11 +6082,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 112, 105, 114, 101, 115, 73),
@@ -6112,7 +6118,7 @@
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                8 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -6233,8 +6239,8 @@
             self.reader.get_data_field::<u16>(15)
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
@@ -6367,12 +6373,16 @@
             self.builder.set_data_field::<u16>(15, value);
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-            match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
         }
         #[inline]
-        pub fn set_body(&mut self, value: crate::schema_capnp::data::Client)  {
-            self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
@@ -6387,9 +6397,6 @@
         }
     }
     impl Pipeline  {
-        pub fn get_body(&self) -> crate::schema_capnp::data::Client {
-            ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
-        }
     }
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
@@ -6539,11 +6546,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -6557,7 +6564,7 @@
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                8 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8825,8 +8832,8 @@
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -8895,12 +8902,16 @@
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_bytes(&mut self, value: crate::schema_capnp::data::Client)  {
-                self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+            pub fn set_bytes(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_bytes(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -8915,9 +8926,6 @@
             }
         }
         impl Pipeline  {
-            pub fn get_bytes(&self) -> crate::schema_capnp::data::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
-            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
@@ -8963,18 +8971,18 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8997,18 +9005,18 @@
 }
 
 
-pub mod data {
+pub mod storage {
     #![allow(unused_variables)]
-    pub type PutParams<> = ::capnp::capability::Params<crate::schema_capnp::data::put_params::Owned>;
-    pub type PutResults<> = ::capnp::capability::Results<crate::schema_capnp::data::put_results::Owned>;
-    pub type GetParams<> = ::capnp::capability::Params<crate::schema_capnp::data::get_params::Owned>;
-    pub type GetResults<> = ::capnp::capability::Results<crate::schema_capnp::data::get_results::Owned>;
-    pub type RemoveParams<> = ::capnp::capability::Params<crate::schema_capnp::data::remove_params::Owned>;
-    pub type RemoveResults<> = ::capnp::capability::Results<crate::schema_capnp::data::remove_results::Owned>;
-    pub type StatParams<> = ::capnp::capability::Params<crate::schema_capnp::data::stat_params::Owned>;
-    pub type StatResults<> = ::capnp::capability::Results<crate::schema_capnp::data::stat_results::Owned>;
-    pub type ListParams<> = ::capnp::capability::Params<crate::schema_capnp::data::list_params::Owned>;
-    pub type ListResults<> = ::capnp::capability::Results<crate::schema_capnp::data::list_results::Owned>;
+    pub type PutParams<> = ::capnp::capability::Params<crate::schema_capnp::storage::put_params::Owned>;
+    pub type PutResults<> = ::capnp::capability::Results<crate::schema_capnp::storage::put_results::Owned>;
+    pub type GetParams<> = ::capnp::capability::Params<crate::schema_capnp::storage::get_params::Owned>;
+    pub type GetResults<> = ::capnp::capability::Results<crate::schema_capnp::storage::get_results::Owned>;
+    pub type RemoveParams<> = ::capnp::capability::Params<crate::schema_capnp::storage::remove_params::Owned>;
+    pub type RemoveResults<> = ::capnp::capability::Results<crate::schema_capnp::storage::remove_results::Owned>;
+    pub type StatParams<> = ::capnp::capability::Params<crate::schema_capnp::storage::stat_params::Owned>;
+    pub type StatResults<> = ::capnp::capability::Results<crate::schema_capnp::storage::stat_results::Owned>;
+    pub type ListParams<> = ::capnp::capability::Params<crate::schema_capnp::storage::list_params::Owned>;
+    pub type ListResults<> = ::capnp::capability::Results<crate::schema_capnp::storage::list_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -9058,28 +9066,28 @@
         }
     }
     impl  Client {
-        pub fn put_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::data::put_params::Owned,crate::schema_capnp::data::put_results::Owned> {
+        pub fn put_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::storage::put_params::Owned,crate::schema_capnp::storage::put_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
-        pub fn get_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::data::get_params::Owned,crate::schema_capnp::data::get_results::Owned> {
+        pub fn get_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::storage::get_params::Owned,crate::schema_capnp::storage::get_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
-        pub fn remove_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::data::remove_params::Owned,crate::schema_capnp::data::remove_results::Owned> {
+        pub fn remove_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::storage::remove_params::Owned,crate::schema_capnp::storage::remove_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
-        pub fn stat_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::data::stat_params::Owned,crate::schema_capnp::data::stat_results::Owned> {
+        pub fn stat_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::storage::stat_params::Owned,crate::schema_capnp::storage::stat_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
-        pub fn list_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::data::list_params::Owned,crate::schema_capnp::data::list_results::Owned> {
+        pub fn list_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::storage::list_params::Owned,crate::schema_capnp::storage::list_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
     }
     pub trait Server<> : 'static  {
-        fn put(self: ::capnp::capability::Rc<Self>, _: PutParams<>, _: PutResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method data::Server::put not implemented".to_string()))) }
-        fn get(self: ::capnp::capability::Rc<Self>, _: GetParams<>, _: GetResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method data::Server::get not implemented".to_string()))) }
-        fn remove(self: ::capnp::capability::Rc<Self>, _: RemoveParams<>, _: RemoveResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method data::Server::remove not implemented".to_string()))) }
-        fn stat(self: ::capnp::capability::Rc<Self>, _: StatParams<>, _: StatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method data::Server::stat not implemented".to_string()))) }
-        fn list(self: ::capnp::capability::Rc<Self>, _: ListParams<>, _: ListResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method data::Server::list not implemented".to_string()))) }
+        fn put(self: ::capnp::capability::Rc<Self>, _: PutParams<>, _: PutResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method storage::Server::put not implemented".to_string()))) }
+        fn get(self: ::capnp::capability::Rc<Self>, _: GetParams<>, _: GetResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method storage::Server::get not implemented".to_string()))) }
+        fn remove(self: ::capnp::capability::Rc<Self>, _: RemoveParams<>, _: RemoveResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method storage::Server::remove not implemented".to_string()))) }
+        fn stat(self: ::capnp::capability::Rc<Self>, _: StatParams<>, _: StatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method storage::Server::stat not implemented".to_string()))) }
+        fn list(self: ::capnp::capability::Rc<Self>, _: ListParams<>, _: ListResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method storage::Server::list not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -9119,7 +9127,7 @@
         }
     }
     pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xa3d4_a158_985e_8944;
+        pub(crate) const TYPE_ID: u64 = 0xdfe3_819f_2fba_6082;
     }
 
     pub mod put_params {
@@ -9192,8 +9200,8 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -9274,12 +9282,16 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_bytes(&mut self, value: crate::schema_capnp::data::Client)  {
-                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            pub fn set_bytes(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(1).set_data(value);
+            }
+            #[inline]
+            pub fn init_bytes(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(1).init_data(size)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -9302,28 +9314,25 @@
             }
         }
         impl Pipeline  {
-            pub fn get_bytes(&self) -> crate::schema_capnp::data::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
-            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(147, 173, 62, 195, 12, 233, 208, 145),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(179, 109, 218, 37, 49, 52, 255, 249),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 112, 117, 116, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 112, 117, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
                 ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -9355,11 +9364,11 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 114, 99, 0, 0, 0, 0, 0),
@@ -9374,7 +9383,7 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
@@ -9392,7 +9401,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
-            pub(crate) const TYPE_ID: u64 = 0x91d0_e90c_c33e_ad93;
+            pub(crate) const TYPE_ID: u64 = 0xf9ff_3431_25da_6db3;
         }
     }
 
@@ -9561,23 +9570,24 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(128, 114, 160, 63, 183, 53, 128, 220),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(192, 132, 161, 58, 73, 71, 208, 236),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 112, 117, 116, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 112, 117, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -9630,7 +9640,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-            pub(crate) const TYPE_ID: u64 = 0xdc80_35b7_3fa0_7280;
+            pub(crate) const TYPE_ID: u64 = 0xecd0_4749_3aa1_84c0;
         }
     }
 
@@ -9786,21 +9796,21 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(132, 151, 116, 85, 253, 152, 48, 194),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(74, 212, 198, 64, 90, 188, 200, 213),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 103, 101, 116, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 103, 101, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -9837,7 +9847,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xc230_98fd_5574_9784;
+            pub(crate) const TYPE_ID: u64 = 0xd5c8_bc5a_40c6_d44a;
         }
     }
 
@@ -9907,8 +9917,8 @@
                 self.reader.get_bool_field(0)
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -9989,12 +9999,16 @@
                 self.builder.set_bool_field(0, value);
             }
             #[inline]
-            pub fn get_bytes(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
-                match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_bytes(&mut self, value: crate::schema_capnp::data::Client)  {
-                self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+            pub fn set_bytes(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_bytes(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
             pub fn has_bytes(&self) -> bool {
@@ -10033,31 +10047,29 @@
             }
         }
         impl Pipeline  {
-            pub fn get_bytes(&self) -> crate::schema_capnp::data::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
-            }
             pub fn get_refusal(&self) -> crate::schema_capnp::refusal::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(63, 5, 96, 31, 10, 154, 157, 228),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(71, 245, 19, 30, 2, 188, 131, 230),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 103, 101, 116, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 103, 101, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -10096,11 +10108,11 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 114, 99, 0, 0, 0, 0, 0),
@@ -10123,7 +10135,7 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::schema_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -10142,7 +10154,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3];
-            pub(crate) const TYPE_ID: u64 = 0xe49d_9a0a_1f60_053f;
+            pub(crate) const TYPE_ID: u64 = 0xe683_bc02_1e13_f547;
         }
     }
 
@@ -10296,23 +10308,24 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(187, 247, 85, 225, 145, 129, 189, 209),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(254, 222, 86, 251, 211, 161, 51, 228),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 114, 101, 109, 111, 118, 101),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 114, 101, 109),
+                ::capnp::word(111, 118, 101, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -10349,7 +10362,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xd1bd_8191_e155_f7bb;
+            pub(crate) const TYPE_ID: u64 = 0xe433_a1d3_fb56_defe;
         }
     }
 
@@ -10481,22 +10494,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(233, 255, 198, 191, 82, 10, 182, 186),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(71, 243, 46, 229, 255, 178, 93, 221),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 114, 101, 109, 111, 118, 101),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 114, 101, 109),
+                ::capnp::word(111, 118, 101, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -10514,7 +10527,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xbab6_0a52_bfc6_ffe9;
+            pub(crate) const TYPE_ID: u64 = 0xdd5d_b2ff_e52e_f347;
         }
     }
 
@@ -10644,23 +10657,24 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(142, 181, 95, 204, 108, 163, 174, 183),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(254, 104, 27, 127, 88, 171, 59, 226),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 115, 116, 97, 116, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 115, 116, 97),
+                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -10678,7 +10692,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xb7ae_a36c_cc5f_b58e;
+            pub(crate) const TYPE_ID: u64 = 0xe23b_ab58_7f1b_68fe;
         }
     }
 
@@ -10844,23 +10858,24 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(218, 235, 186, 114, 178, 241, 61, 183),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(44, 51, 129, 11, 232, 53, 131, 147),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 115, 116, 97, 116, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 115, 116, 97),
+                ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -10930,7 +10945,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
-            pub(crate) const TYPE_ID: u64 = 0xb73d_f1b2_72ba_ebda;
+            pub(crate) const TYPE_ID: u64 = 0x9383_35e8_0b81_332c;
         }
     }
 
@@ -11096,23 +11111,24 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(211, 229, 1, 139, 252, 158, 170, 241),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(231, 9, 144, 76, 210, 187, 167, 220),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 108, 105, 115, 116, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 108, 105, 115),
+                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -11165,7 +11181,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xf1aa_9efc_8b01_e5d3;
+            pub(crate) const TYPE_ID: u64 = 0xdca7_bbd2_4c90_09e7;
         }
     }
 
@@ -11319,23 +11335,24 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(161, 175, 94, 71, 30, 155, 208, 254),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(196, 198, 159, 175, 244, 227, 117, 176),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
-                ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-                ::capnp::word(97, 46, 108, 105, 115, 116, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(97, 112, 110, 112, 58, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 46, 108, 105, 115),
+                ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -11376,7 +11393,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xfed0_9b1e_475e_afa1;
+            pub(crate) const TYPE_ID: u64 = 0xb075_e3f4_af9f_c6c4;
         }
     }
 }
@@ -11390,8 +11407,12 @@
     pub type CompanionResults<> = ::capnp::capability::Results<crate::schema_capnp::node::companion_results::Owned>;
     pub type EntryParams<> = ::capnp::capability::Params<crate::schema_capnp::node::entry_params::Owned>;
     pub type EntryResults<> = ::capnp::capability::Results<crate::schema_capnp::node::entry_results::Owned>;
-    pub type DataParams<> = ::capnp::capability::Params<crate::schema_capnp::node::data_params::Owned>;
-    pub type DataResults<> = ::capnp::capability::Results<crate::schema_capnp::node::data_results::Owned>;
+    pub type StorageParams<> = ::capnp::capability::Params<crate::schema_capnp::node::storage_params::Owned>;
+    pub type StorageResults<> = ::capnp::capability::Results<crate::schema_capnp::node::storage_results::Owned>;
+    pub type ProveParams<> = ::capnp::capability::Params<crate::schema_capnp::node::prove_params::Owned>;
+    pub type ProveResults<> = ::capnp::capability::Results<crate::schema_capnp::node::prove_results::Owned>;
+    pub type PingParams<> = ::capnp::capability::Params<crate::schema_capnp::node::ping_params::Owned>;
+    pub type PingResults<> = ::capnp::capability::Results<crate::schema_capnp::node::ping_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -11450,15 +11471,23 @@
         pub fn entry_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::node::entry_params::Owned,crate::schema_capnp::node::entry_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
-        pub fn data_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::node::data_params::Owned,crate::schema_capnp::node::data_results::Owned> {
+        pub fn storage_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::node::storage_params::Owned,crate::schema_capnp::node::storage_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
+        pub fn prove_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::node::prove_params::Owned,crate::schema_capnp::node::prove_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
+        pub fn ping_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::node::ping_params::Owned,crate::schema_capnp::node::ping_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::hello not implemented".to_string()))) }
         fn companion(self: ::capnp::capability::Rc<Self>, _: CompanionParams<>, _: CompanionResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::companion not implemented".to_string()))) }
         fn entry(self: ::capnp::capability::Rc<Self>, _: EntryParams<>, _: EntryResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::entry not implemented".to_string()))) }
-        fn data(self: ::capnp::capability::Rc<Self>, _: DataParams<>, _: DataResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::data not implemented".to_string()))) }
+        fn storage(self: ::capnp::capability::Rc<Self>, _: StorageParams<>, _: StorageResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::storage not implemented".to_string()))) }
+        fn prove(self: ::capnp::capability::Rc<Self>, _: ProveParams<>, _: ProveResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::prove not implemented".to_string()))) }
+        fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::ping not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -11491,7 +11520,9 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hello(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::companion(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::entry(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::data(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::storage(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::prove(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -12663,7 +12694,7 @@
         }
     }
 
-    pub mod data_params {
+    pub mod storage_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -12789,14 +12820,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(142, 10, 143, 134, 217, 147, 225, 207),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12804,8 +12835,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
                 ::capnp::word(97, 112, 110, 112, 58, 78, 111, 100),
-                ::capnp::word(101, 46, 100, 97, 116, 97, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(101, 46, 115, 116, 111, 114, 97, 103),
+                ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -12827,7 +12859,7 @@
         }
     }
 
-    pub mod data_results {
+    pub mod storage_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -12889,11 +12921,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_data(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
+            pub fn get_storage(self) -> ::capnp::Result<crate::schema_capnp::storage::Client> {
                 match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
             }
             #[inline]
-            pub fn has_data(&self) -> bool {
+            pub fn has_storage(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -12951,15 +12983,15 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_data(self) -> ::capnp::Result<crate::schema_capnp::data::Client> {
+            pub fn get_storage(self) -> ::capnp::Result<crate::schema_capnp::storage::Client> {
                 match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
             }
             #[inline]
-            pub fn set_data(&mut self, value: crate::schema_capnp::data::Client)  {
+            pub fn set_storage(&mut self, value: crate::schema_capnp::storage::Client)  {
                 self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
             }
             #[inline]
-            pub fn has_data(&self) -> bool {
+            pub fn has_storage(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -12971,39 +13003,40 @@
             }
         }
         impl Pipeline  {
-            pub fn get_data(&self) -> crate::schema_capnp::data::Client {
+            pub fn get_storage(&self) -> crate::schema_capnp::storage::Client {
                 ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(188, 195, 237, 52, 20, 65, 63, 252),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
                 ::capnp::word(97, 112, 110, 112, 58, 78, 111, 100),
-                ::capnp::word(101, 46, 100, 97, 116, 97, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(101, 46, 115, 116, 111, 114, 97, 103),
+                ::capnp::word(101, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 97, 116, 97, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 111, 114, 97, 103, 101, 0),
                 ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 137, 94, 152, 88, 161, 212, 163),
+                ::capnp::word(130, 96, 186, 47, 159, 129, 227, 223),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
@@ -13012,7 +13045,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::schema_capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::schema_capnp::storage::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13032,4 +13065,703 @@
             pub(crate) const TYPE_ID: u64 = 0xfc3f_4114_34ed_c3bc;
         }
     }
+
+    pub mod prove_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_proof(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_proof(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_proof(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_proof(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_proof(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_proof(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(252, 138, 142, 235, 220, 58, 184, 132),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 78, 111, 100),
+                ::capnp::word(101, 46, 112, 114, 111, 118, 101, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 114, 111, 111, 102, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x84b8_3adc_eb8e_8afc;
+        }
+    }
+
+    pub mod prove_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(35, 1, 157, 162, 147, 169, 48, 242),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 78, 111, 100),
+                ::capnp::word(101, 46, 112, 114, 111, 118, 101, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xf230_a993_a29d_0123;
+        }
+    }
+
+    pub mod ping_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(20, 11, 164, 125, 222, 141, 146, 216),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 78, 111, 100),
+                ::capnp::word(101, 46, 112, 105, 110, 103, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xd892_8dde_7da4_0b14;
+        }
+    }
+
+    pub mod ping_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(240, 70, 6, 34, 122, 184, 84, 225),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 78, 111, 100),
+                ::capnp::word(101, 46, 112, 105, 110, 103, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe154_b87a_2206_46f0;
+        }
+    }
 }
