--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is a real server on a loopback socket that speaks the published
 //! protocol of what it stands for, with faults that can be switched on.
 
+pub mod answer;
 pub mod engine;
 mod error;
 pub mod kv;
