Serve the companion role, thin: admission, endpoint calls, batch pull

Cause: nothing stood before an endpoint. Change: a companion takes online calls from entries through a bounded queue, splits event streams into whole events, says whether the endpoint may have seen a lost call, pulls batch items into free room, and drains. A web crate launches the server library alike for all roles and defines the problem documents. Measured: nothing yet, the entry is missing. Conclusion: next the entry.

--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -1,1 +1,18 @@
 //! The companion role: the admission gate beside one endpoint.
+//!
+//! Online calls are pushed to a companion by entries; batch items are pulled
+//! by it while its endpoint has room. Engines know no priorities and admit
+//! all that arrives, so the companion is where an online call goes before a
+//! batch item.
+
+mod admission;
+mod call;
+mod error;
+mod events;
+mod handler;
+mod node;
+mod probe;
+mod pull;
+mod status;
+
+pub use crate::{error::CompanionError, node::Companion};
--- /dev/null
+++ b/crates/companion/src/node.rs
@@ -0,0 +1,203 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use base::{Incarnation, SystemClock, timer::Timer};
+use conf::settings::Settings;
+use error_stack::{Report, ResultExt};
+use obs::Metrics;
+use tokio::task::JoinHandle;
+use web::{LaunchOptions, Phase, Served, ServiceState};
+use wire::{
+    Handlers, LinkOptions, Links, Secret, Secrets, Server, message::Identity,
+};
+
+use crate::{
+    CompanionError,
+    admission::Admission,
+    call::EndpointClient,
+    handler::{Handler, Shared},
+    probe,
+    pull::Puller,
+    status,
+};
+
+/// A running companion.
+pub struct Companion {
+    shared: Arc<Shared>,
+    puller: Arc<Puller>,
+    state: ServiceState,
+    links: Links,
+    identity: Identity,
+    entries: Vec<SocketAddr>,
+    drain_ms: u64,
+    peer: Server,
+    http: Served,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Companion {
+    /// Starts a companion and returns once it listens.
+    ///
+    /// # Errors
+    ///
+    /// [`CompanionError::Settings`] without an `endpoint` section,
+    /// [`CompanionError::Start`] if an address cannot be listened on.
+    pub async fn start(
+        settings: &Settings,
+        metrics: Metrics,
+    ) -> Result<Self, Report<CompanionError>> {
+        let start = CompanionError::Start;
+        let endpoint = settings.endpoint.clone().ok_or_else(|| {
+            Report::new(CompanionError::Settings)
+                .attach("the section `endpoint` is missing")
+        })?;
+        let timer = Timer::new(Arc::new(SystemClock::new()));
+        let client = EndpointClient::try_new(
+            endpoint.address.clone(),
+            &settings.timeouts,
+        )?;
+        let incarnation = Incarnation::new(rand::random());
+        let shared = Arc::new(Shared {
+            admission: Admission::new(&endpoint),
+            endpoint,
+            incarnation,
+            client,
+            metrics,
+            timer: timer.clone(),
+            leaving: AtomicBool::new(false),
+            endpoint_up: AtomicBool::new(false),
+            last_fence: Mutex::new(0),
+        });
+        let identity = Identity {
+            role: "companion".to_owned(),
+            vm: settings.vm.clone(),
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let secrets = secrets(settings)?;
+        let options = LinkOptions::new(identity.clone())
+            .secrets(secrets.clone())
+            .connect_timeout_ms(settings.timeouts.connect_ms);
+        let links = Links::start(options).change_context(start)?;
+        let handlers = Handlers {
+            companion: Some(Arc::new(Handler(shared.clone()))),
+            ..Handlers::default()
+        };
+        let listen = settings.peer_listen;
+        let peer = wire::serve(listen, identity.clone(), secrets, handlers)
+            .await
+            .change_context(start)?;
+        let state = ServiceState::default();
+        let rocket = rocket::build()
+            .manage(shared.clone())
+            .manage(state.clone())
+            .mount("/", web::health_routes())
+            .mount("/", status::routes())
+            .register("/", web::catchers());
+        let http = web::launch(rocket, LaunchOptions::new(settings.listen))
+            .await
+            .change_context(start)?;
+        let puller = Puller::new(
+            shared.clone(),
+            links.clone(),
+            identity.clone(),
+            settings.entries.clone(),
+        );
+        let tasks = vec![
+            tokio::spawn(timer.drive()),
+            tokio::spawn(probe::watch(shared.clone())),
+            tokio::spawn(puller.clone().work()),
+        ];
+        state.set(Phase::Ready);
+        log::info!(
+            endpoint = shared.endpoint.name.as_str(),
+            peer = peer.address().to_string().as_str();
+            "the companion is up"
+        );
+        Ok(Self {
+            shared,
+            puller,
+            state,
+            links,
+            identity,
+            entries: settings.entries.clone(),
+            drain_ms: settings.timeouts.drain_ms,
+            peer,
+            http,
+            tasks,
+        })
+    }
+
+    /// Returns the address for other processes.
+    #[inline]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer.address()
+    }
+
+    /// Returns the address of `/status`.
+    #[inline]
+    pub fn http_address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Stops as planned: takes nothing new, tells the entries, lets what
+    /// runs end and then ends.
+    pub async fn drain(self) {
+        self.state.set(Phase::Draining);
+        self.shared.leaving.store(true, Ordering::Release);
+        self.tell_entries().await;
+        let timer = &self.shared.timer;
+        let limit = timer.now().saturating_add_ms(self.drain_ms);
+        while self.is_busy() && timer.now() < limit {
+            timer.subscribe_in_ms(DRAIN_LOOK_MS).await;
+        }
+        self.stop().await;
+    }
+
+    /// Stops at once; what runs is cut.
+    pub async fn stop(self) {
+        self.puller.give_back_all();
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.peer.stop().await;
+        self.http.stop().await;
+    }
+
+    fn is_busy(&self) -> bool {
+        let admission = &self.shared.admission;
+        admission.running() + admission.waiting() > 0
+    }
+
+    /// The platform's list lags by up to a minute, so the entries hear of
+    /// the leaving from the companion itself.
+    async fn tell_entries(&self) {
+        let told = self
+            .entries
+            .iter()
+            .map(|entry| self.links.leaving(*entry, self.identity.clone()));
+        for told in futures::future::join_all(told).await {
+            if let Err(error) = told {
+                log::debug!(error:?; "cannot tell an entry of the leaving");
+            }
+        }
+    }
+}
+
+/// Pause between looks at what still runs, in milliseconds.
+const DRAIN_LOOK_MS: u64 = 20;
+
+fn secrets(settings: &Settings) -> Result<Secrets, Report<CompanionError>> {
+    settings
+        .peer_secrets
+        .iter()
+        .map(|secret| Secret::try_new(secret.expose()))
+        .collect::<Result<Vec<_>, _>>()
+        .map(Secrets::new)
+        .change_context(CompanionError::Settings)
+}
--- /dev/null
+++ b/crates/data/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data role: bulk storage for other processes.
--- /dev/null
+++ b/crates/web/src/problem.rs
@@ -0,0 +1,259 @@
+use std::{fmt, io::Cursor};
+
+use rocket::{
+    Catcher, Request, Response, catch, catchers,
+    http::{ContentType, Header, Status},
+    response::{Responder, Result as RocketResult},
+};
+use serde::Serialize;
+
+/// Start of the `type` of each problem document.
+const TYPE_PREFIX: &str = "urn:pomeloslip:problem:";
+
+/// Says whether a refused or lost request ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// It certainly did not run.
+    No,
+    /// It may have run.
+    Unknown,
+}
+
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $name:ident, $slug:literal, $status:literal,
+        $title:literal;)*) => {
+        /// Names what is wrong; each has a stable `type`.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq, Hash)]
+        pub enum ProblemKind {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl ProblemKind {
+            /// Every kind, in the order of the API page.
+            pub const ALL: &'static [ProblemKind] =
+                &[$(ProblemKind::$name),*];
+
+            /// Returns the last part of the `type`.
+            #[inline]
+            pub fn slug(self) -> &'static str {
+                match self { $(ProblemKind::$name => $slug,)* }
+            }
+
+            /// Returns the HTTP status.
+            #[inline]
+            pub fn status(self) -> u16 {
+                match self { $(ProblemKind::$name => $status,)* }
+            }
+
+            /// Returns the title for people.
+            #[inline]
+            pub fn title(self) -> &'static str {
+                match self { $(ProblemKind::$name => $title,)* }
+            }
+        }
+    };
+}
+
+kinds! {
+    /// The request cannot be understood.
+    BadRequest, "bad-request", 400, "The request is malformed";
+    /// No key, or one that is not known.
+    Unauthorized, "unauthorized", 401, "The key is missing or unknown";
+    /// The tenant may not do this.
+    Forbidden, "forbidden", 403, "This key may not do that";
+    /// Nothing is there, or it is another tenant's.
+    NotFound, "not-found", 404, "There is no such thing";
+    /// The same key was used for other content.
+    KeyReused, "idempotency-key-reused", 409,
+        "The key was used for another request";
+    /// The first call with this key still runs.
+    StillRunning, "still-running", 409,
+        "The first request with this key still runs";
+    /// Somebody else's change came first.
+    Conflict, "conflict", 409, "Another change came first";
+    /// The body is over a limit.
+    TooLarge, "too-large", 413, "The request is over a limit";
+    /// The content breaks a rule of the API.
+    Invalid, "invalid", 422, "The content is not valid";
+    /// Headers are over a limit.
+    HeadersTooLarge, "headers-too-large", 431,
+        "The headers are over a limit";
+    /// The tenant is over its limit.
+    RateLimited, "rate-limited", 429, "The tenant is over its limit";
+    /// The operators' rules refuse the request.
+    RefusedByRule, "refused-by-rule", 403, "A rule refuses this request";
+    /// No rule matches.
+    NoRule, "no-rule", 404, "No rule matches this request";
+    /// There is no room now.
+    Overloaded, "overloaded", 503, "There is no room at the moment";
+    /// The process is stopping.
+    Stopping, "stopping", 503, "This process is stopping";
+    /// What must be recorded cannot be.
+    PlatformDown, "platform-down", 503,
+        "The platform cannot record this now";
+    /// No endpoint took the request.
+    NoEndpoint, "no-endpoint", 503, "No endpoint took the request";
+    /// The endpoint's answer was lost.
+    AnswerLost, "answer-lost", 502, "The answer was lost";
+    /// The deadline passed.
+    TimedOut, "timed-out", 504, "The deadline has passed";
+    /// A fault of this system.
+    Internal, "internal", 500, "Something failed inside";
+}
+
+/// An error answer as RFC 9457 describes it.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_web::{Problem, ProblemKind, Ran};
+///
+/// let problem = Problem::new(ProblemKind::Overloaded, "all are busy")
+///     .ran(Ran::No)
+///     .retry_after_ms(1_200);
+/// let json = problem.to_json();
+/// assert_eq!(json["type"], "urn:pomeloslip:problem:overloaded");
+/// assert_eq!(json["ran"], "no");
+/// assert_eq!(json["retry_after_ms"], 1_200);
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    kind: ProblemKind,
+    status: u16,
+    detail: String,
+    ran: Option<Ran>,
+    retry_after_ms: Option<u64>,
+    extra: serde_json::Map<String, serde_json::Value>,
+}
+
+impl Problem {
+    /// Makes a problem with the status of its kind.
+    pub fn new(kind: ProblemKind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            status: kind.status(),
+            detail: detail.into(),
+            ran: None,
+            retry_after_ms: None,
+            extra: serde_json::Map::new(),
+        }
+    }
+
+    /// Sets another status, for a rule that chooses it.
+    pub fn status(mut self, status: u16) -> Self {
+        self.status = status;
+        self
+    }
+
+    /// Says whether the request ran.
+    pub fn ran(mut self, ran: Ran) -> Self {
+        self.ran = Some(ran);
+        self
+    }
+
+    /// Says when to come back.
+    pub fn retry_after_ms(mut self, ms: u64) -> Self {
+        self.retry_after_ms = Some(ms);
+        self
+    }
+
+    /// Adds a member of the document.
+    pub fn with(
+        mut self,
+        name: &str,
+        value: impl Into<serde_json::Value>,
+    ) -> Self {
+        self.extra.insert(name.to_owned(), value.into());
+        self
+    }
+
+    /// Returns what is wrong.
+    #[inline]
+    pub fn kind(&self) -> ProblemKind {
+        self.kind
+    }
+
+    /// Returns whether the request ran, where that is said.
+    #[inline]
+    pub fn ran_said(&self) -> Option<Ran> {
+        self.ran
+    }
+
+    /// Returns the document.
+    pub fn to_json(&self) -> serde_json::Value {
+        let mut json = serde_json::json!({
+            "type": format!("{TYPE_PREFIX}{}", self.kind.slug()),
+            "title": self.kind.title(),
+            "status": self.status,
+            "detail": self.detail,
+        });
+        if let Some(ran) = self.ran {
+            json["ran"] = serde_json::json!(ran);
+        }
+        if let Some(ms) = self.retry_after_ms {
+            json["retry_after_ms"] = ms.into();
+        }
+        for (name, value) in &self.extra {
+            json[name] = value.clone();
+        }
+        json
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind.title(), self.detail)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+impl<'r> Responder<'r, 'static> for Problem {
+    fn respond_to(self, _: &'r Request<'_>) -> RocketResult<'static> {
+        let body = self.to_json().to_string();
+        let mut response = Response::build();
+        response
+            .status(Status::new(self.status))
+            .header(ContentType::new("application", "problem+json"))
+            .sized_body(body.len(), Cursor::new(body));
+        if let Some(ms) = self.retry_after_ms {
+            // Whole seconds, rounded up: a client that comes back a little
+            // early would be refused again.
+            let seconds = ms.div_ceil(1_000).max(1).to_string();
+            response.header(Header::new("Retry-After", seconds));
+        }
+        if self.kind == ProblemKind::Unauthorized {
+            response.header(Header::new("WWW-Authenticate", "Bearer"));
+        }
+        response.ok()
+    }
+}
+
+/// Returns catchers that turn the server library's own errors into problem
+/// documents. Such a request never reached a handler, so it did not run.
+pub fn catchers() -> Vec<Catcher> {
+    catchers![uncaught]
+}
+
+#[catch(default)]
+fn uncaught(status: Status, request: &Request<'_>) -> Problem {
+    let uri = request.uri().path();
+    let (kind, detail) = match status.code {
+        401 => (ProblemKind::Unauthorized, "send a bearer key".to_owned()),
+        404 => (ProblemKind::NotFound, format!("nothing is at {uri}")),
+        413 => (ProblemKind::TooLarge, "the body is too large".to_owned()),
+        422 => (ProblemKind::Invalid, "the body is not valid".to_owned()),
+        431 => {
+            let detail = "the headers are too large".to_owned();
+            (ProblemKind::HeadersTooLarge, detail)
+        }
+        code if code >= 500 => {
+            let detail = "the request failed inside".to_owned();
+            return Problem::new(ProblemKind::Internal, detail)
+                .ran(Ran::Unknown);
+        }
+        _ => (ProblemKind::BadRequest, format!("cannot serve {uri}")),
+    };
+    Problem::new(kind, detail).status(status.code).ran(Ran::No)
+}
