--- a/crates/kv/src/json.rs
+++ b/crates/kv/src/json.rs
@@ -136,6 +136,7 @@
 
 messages! {
     /// Head of every answer.
+    #[derive(Copy)]
     Header {
         /// Names the cluster.
         cluster_id: Int,
