Add the bulk store: a segment log with a disposable redb index

Cause: data VMs must keep inputs and results so that nothing acknowledged is lost and no damaged byte is served. Change: the store crate with put by group commit, verified get, removal, listing, scrub, reclaiming and recovery, a simulated disk, first tests, and a bench of three layouts.

--- /dev/null
+++ b/crates/store/benches/layouts.rs
@@ -0,0 +1,243 @@
+//! Compares ways to lay out write-once blobs on a disk.
+//!
+//! `cargo bench -p pomeloslip-store --bench layouts [-- --small]` prints the
+//! synced puts per second of each layout for 1, 8 and 64 writers, and each
+//! figure as a ratio to plain files with rename in the same run.
+
+use std::{
+    collections::VecDeque,
+    error::Error,
+    fs::{self, File},
+    io::Write,
+    os::unix::fs::FileExt,
+    path::{Path, PathBuf},
+    sync::{
+        Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use redb::{Database, Durability, TableDefinition};
+
+const VALUES: TableDefinition<&str, &[u8]> = TableDefinition::new("values");
+const INDEX: TableDefinition<&str, (u64, u32, u32)> =
+    TableDefinition::new("index");
+const WRITERS: [usize; 3] = [1, 8, 64];
+const SIZES: [usize; 2] = [4 << 10, 256 << 10];
+const CACHE_BYTES: usize = 4 << 20;
+
+type Outcome<T> = Result<T, Box<dyn Error + Send + Sync>>;
+type Batch = Vec<(String, Vec<u8>)>;
+
+/// A way to keep blobs.
+trait Layout: Sync {
+    fn put(&self, id: String, bytes: Vec<u8>) -> Outcome<()>;
+}
+
+/// One file per blob: write, sync, rename, sync the directory.
+struct Files {
+    dir: PathBuf,
+    handle: File,
+}
+
+impl Layout for Files {
+    fn put(&self, id: String, bytes: Vec<u8>) -> Outcome<()> {
+        let temporary = self.dir.join(format!("{id}.tmp"));
+        let mut file = File::create(&temporary)?;
+        file.write_all(&bytes)?;
+        file.sync_data()?;
+        fs::rename(&temporary, self.dir.join(id))?;
+        self.handle.sync_all()?;
+        Ok(())
+    }
+}
+
+/// Commits the puts of concurrent writers together.
+struct Group<C> {
+    commit: C,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    waiting: VecDeque<(String, Vec<u8>)>,
+    queued: u64,
+    done: u64,
+    leading: bool,
+}
+
+impl<C> Group<C> {
+    fn new(commit: C) -> Self {
+        Self {
+            commit,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<C: Fn(Batch) -> Outcome<()> + Sync> Layout for Group<C> {
+    fn put(&self, id: String, bytes: Vec<u8>) -> Outcome<()> {
+        let mut state = self.state();
+        state.waiting.push_back((id, bytes));
+        state.queued += 1;
+        let ticket = state.queued;
+        while state.done < ticket {
+            if state.leading {
+                state = self
+                    .changed
+                    .wait(state)
+                    .unwrap_or_else(PoisonError::into_inner);
+                continue;
+            }
+            state.leading = true;
+            let batch: Batch = state.waiting.drain(..).collect();
+            let count = batch.len() as u64;
+            drop(state);
+            (self.commit)(batch)?;
+            state = self.state();
+            state.leading = false;
+            state.done += count;
+            self.changed.notify_all();
+        }
+        Ok(())
+    }
+}
+
+fn files(dir: &Path) -> Outcome<Box<dyn Layout>> {
+    Ok(Box::new(Files {
+        dir: dir.to_owned(),
+        handle: File::open(dir)?,
+    }))
+}
+
+/// Blobs as values of one redb table.
+fn redb_values(dir: &Path) -> Outcome<Box<dyn Layout>> {
+    let db = Database::builder()
+        .set_cache_size(CACHE_BYTES)
+        .create(dir.join("values.redb"))?;
+    Ok(Box::new(Group::new(move |batch: Batch| {
+        let txn = db.begin_write()?;
+        let mut table = txn.open_table(VALUES)?;
+        for (id, bytes) in &batch {
+            table.insert(id.as_str(), bytes.as_slice())?;
+        }
+        drop(table);
+        txn.commit()?;
+        Ok(())
+    })))
+}
+
+/// Blobs appended to one log, their places in an unsynced redb table.
+fn segment_log(dir: &Path) -> Outcome<Box<dyn Layout>> {
+    let db = Database::builder()
+        .set_cache_size(CACHE_BYTES)
+        .create(dir.join("index.redb"))?;
+    let log = File::create(dir.join("segment.log"))?;
+    let end = AtomicU64::new(0);
+    Ok(Box::new(Group::new(move |batch: Batch| {
+        let mut buffer = Vec::new();
+        let mut places = Vec::new();
+        let start = end.load(Ordering::Relaxed);
+        for (id, bytes) in &batch {
+            let crc = crc32fast::hash(bytes);
+            buffer.extend_from_slice(&crc.to_le_bytes());
+            buffer.extend_from_slice(id.as_bytes());
+            let offset = start + buffer.len() as u64;
+            buffer.extend_from_slice(bytes);
+            places.push((id, (offset, bytes.len() as u32, crc)));
+        }
+        log.write_all_at(&buffer, start)?;
+        log.sync_data()?;
+        end.store(start + buffer.len() as u64, Ordering::Relaxed);
+        let mut txn = db.begin_write()?;
+        txn.set_durability(Durability::None)?;
+        let mut table = txn.open_table(INDEX)?;
+        for (id, place) in places {
+            table.insert(id.as_str(), place)?;
+        }
+        drop(table);
+        txn.commit()?;
+        Ok(())
+    })))
+}
+
+/// Returns the puts per second and the bytes on disk per byte put.
+fn measure(
+    layout: &dyn Layout,
+    dir: &Path,
+    writers: usize,
+    size: usize,
+    span: Duration,
+) -> Outcome<(f64, f64)> {
+    let puts = AtomicU64::new(0);
+    let payload: Vec<u8> = (0..size).map(|i| ((i * 31) >> 3) as u8).collect();
+    let start = Instant::now();
+    thread::scope(|scope| -> Outcome<()> {
+        let work = |writer: usize| {
+            let (puts, payload) = (&puts, &payload);
+            scope.spawn(move || -> Outcome<()> {
+                for n in 0.. {
+                    if start.elapsed() >= span {
+                        break;
+                    }
+                    let id = format!("job-{writer:03}-{n:08}");
+                    layout.put(id, payload.clone())?;
+                    puts.fetch_add(1, Ordering::Relaxed);
+                }
+                Ok(())
+            })
+        };
+        let threads: Vec<_> = (0..writers).map(work).collect();
+        for thread in threads {
+            thread.join().map_err(|_| "a writer panicked")??;
+        }
+        Ok(())
+    })?;
+    let rate =
+        puts.load(Ordering::Relaxed) as f64 / start.elapsed().as_secs_f64();
+    let mut disk = 0;
+    for entry in fs::read_dir(dir)? {
+        disk += entry?.metadata()?.len();
+    }
+    let put_bytes = puts.load(Ordering::Relaxed) * size as u64;
+    Ok((rate, disk as f64 / put_bytes as f64))
+}
+
+type Open = fn(&Path) -> Outcome<Box<dyn Layout>>;
+
+fn main() -> Outcome<()> {
+    let small = std::env::args().any(|arg| arg == "--small");
+    let span = Duration::from_millis(if small { 300 } else { 3_000 });
+    let layouts: [(&str, Open); 3] = [
+        ("files", files),
+        ("redb values", redb_values),
+        ("segment log", segment_log),
+    ];
+    println!("layout        KiB writers   puts/s  ratio  disk/put");
+    for size in SIZES {
+        for writers in WRITERS {
+            let mut base = None;
+            for (name, open) in layouts {
+                let dir = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR"))?;
+                let layout = open(dir.path())?;
+                let (rate, disk) =
+                    measure(layout.as_ref(), dir.path(), writers, size, span)?;
+                let ratio = rate / *base.get_or_insert(rate);
+                let kib = size >> 10;
+                println!(
+                    "{name:12} {kib:4} {writers:7} {rate:8.0} {ratio:6.2} \
+                     {disk:9.2}"
+                );
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/record.rs
@@ -0,0 +1,151 @@
+//! One record of a segment: a header with its own checksum, the id and the
+//! bytes of the blob.
+//!
+//! ```text
+//!  0 magic u32 | 4 kind u8 | 5 id length u8 | 6 zero u16
+//!  8 payload length u32 | 12 payload crc32 u32
+//! 16 seq u64 | 24 batch u64 | 32 stored at, ms since 1970 u64
+//! 40 crc32 of salt, bytes 0..40 and id u32
+//! 44 id, then payload
+//! ```
+//!
+//! All numbers are little-endian. The salt is random per segment and stands
+//! in the file's name only. Without it a caller could put a blob whose bytes
+//! look like records; after damage before it, the search for the next record
+//! would take these for the store's own.
+
+use base::UnixMillis;
+use bytes::Bytes;
+use crc32fast::Hasher;
+
+use crate::{BlobId, id::ID_MAX_BYTES, store::BLOB_MAX_BYTES};
+
+/// First bytes of each record.
+pub(crate) const MAGIC: [u8; 4] = *b"pBr1";
+/// Bytes before the id.
+pub(crate) const HEADER_BYTES: usize = 44;
+/// Bytes that certainly hold a whole header with its id.
+pub(crate) const HEADER_MAX_BYTES: usize = HEADER_BYTES + ID_MAX_BYTES;
+
+const HEADER_CRC_AT: usize = 40;
+
+/// What a record does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    /// Stores a blob.
+    Put,
+    /// Removes the blobs of this id that were stored before.
+    Removal,
+}
+
+impl Kind {
+    fn to_byte(self) -> u8 {
+        match self {
+            Kind::Put => 1,
+            Kind::Removal => 2,
+        }
+    }
+
+    fn from_byte(byte: u8) -> Option<Self> {
+        match byte {
+            1 => Some(Kind::Put),
+            2 => Some(Kind::Removal),
+            _ => None,
+        }
+    }
+}
+
+/// A record without its payload.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Header {
+    pub(crate) kind: Kind,
+    pub(crate) id: BlobId,
+    pub(crate) payload_bytes: u32,
+    pub(crate) payload_crc: u32,
+    /// Order of puts and removals; kept when a record is copied.
+    pub(crate) seq: u64,
+    /// Group commit that wrote the record; new when it is copied.
+    pub(crate) batch: u64,
+    pub(crate) stored_at: UnixMillis,
+}
+
+impl Header {
+    /// Returns the bytes from the start of the record to its payload.
+    pub(crate) fn prefix_bytes(&self) -> usize {
+        HEADER_BYTES + self.id.as_str().len()
+    }
+
+    /// Returns the bytes of the whole record.
+    pub(crate) fn record_bytes(&self) -> u64 {
+        record_bytes(&self.id, self.payload_bytes)
+    }
+
+    /// Appends header and id to a buffer.
+    pub(crate) fn encode(&self, salt: u64, out: &mut Vec<u8>) {
+        let start = out.len();
+        let id = self.id.as_str().as_bytes();
+        out.extend_from_slice(&MAGIC);
+        // The id's length is checked by its type and fits a byte.
+        out.extend_from_slice(&[self.kind.to_byte(), id.len() as u8, 0, 0]);
+        out.extend_from_slice(&self.payload_bytes.to_le_bytes());
+        out.extend_from_slice(&self.payload_crc.to_le_bytes());
+        out.extend_from_slice(&self.seq.to_le_bytes());
+        out.extend_from_slice(&self.batch.to_le_bytes());
+        out.extend_from_slice(&self.stored_at.as_ms().to_le_bytes());
+        let crc = header_crc(salt, &out[start..], id);
+        out.extend_from_slice(&crc.to_le_bytes());
+        out.extend_from_slice(id);
+    }
+
+    /// Decodes the record that starts the bytes, if it is whole and right.
+    pub(crate) fn decode(salt: u64, bytes: &[u8]) -> Option<Self> {
+        let (head, rest) = bytes.split_at_checked(HEADER_BYTES)?;
+        let (fields, crc) = head.split_at_checked(HEADER_CRC_AT)?;
+        let id = rest.get(..usize::from(fields[5]))?;
+        let crc = u32::from_le_bytes(crc.try_into().ok()?);
+        if fields[..4] != MAGIC || crc != header_crc(salt, fields, id) {
+            return None;
+        }
+        let header = Self {
+            kind: Kind::from_byte(fields[4])?,
+            id: std::str::from_utf8(id).ok()?.parse().ok()?,
+            payload_bytes: u32_at(fields, 8)?,
+            payload_crc: u32_at(fields, 12)?,
+            seq: u64_at(fields, 16)?,
+            batch: u64_at(fields, 24)?,
+            stored_at: UnixMillis::new(u64_at(fields, 32)?),
+        };
+        let sound = header.payload_bytes as usize <= BLOB_MAX_BYTES;
+        sound.then_some(header)
+    }
+}
+
+/// Returns the bytes of a whole record.
+pub(crate) fn record_bytes(id: &BlobId, payload_bytes: u32) -> u64 {
+    (HEADER_BYTES + id.as_str().len()) as u64 + u64::from(payload_bytes)
+}
+
+fn header_crc(salt: u64, fields: &[u8], id: &[u8]) -> u32 {
+    let mut hasher = Hasher::new();
+    hasher.update(&salt.to_le_bytes());
+    hasher.update(fields);
+    hasher.update(id);
+    hasher.finalize()
+}
+
+fn u32_at(bytes: &[u8], at: usize) -> Option<u32> {
+    let field = bytes.get(at..at + 4)?;
+    field.try_into().ok().map(u32::from_le_bytes)
+}
+
+fn u64_at(bytes: &[u8], at: usize) -> Option<u64> {
+    let field = bytes.get(at..at + 8)?;
+    field.try_into().ok().map(u64::from_le_bytes)
+}
+
+/// A record to be written.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) header: Header,
+    pub(crate) payload: Bytes,
+}
--- /dev/null
+++ b/crates/store/src/recover.rs
@@ -0,0 +1,279 @@
+//! Starts a store on whatever is in its folder.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
+    io,
+    sync::Arc,
+};
+
+use error_stack::{Report, ResultExt};
+
+use crate::{
+    OpenReport, StoreError, StoreOptions,
+    apply::Change,
+    index::{INDEX_NAME, Index, IndexError, SegmentStat, Totals},
+    layer::{DirLayer, FileLayer},
+    options::{Limits, Place},
+    replay::{Mode, Replayed, discard_index, replay},
+    report::{Damage, IndexOrigin},
+    segment::{SegmentNumber, Segments, parse_segment_name, segment_name},
+    writer::{Core, Writer},
+};
+
+/// End of the name of a file that was set aside.
+const ASIDE_END: &str = ".broken";
+
+/// The last checkpoint can lie this many times its distance back.
+const VERIFY_CHECKPOINTS: u64 = 2;
+
+/// Opens the folder, takes its lock and recovers what it holds.
+pub(crate) fn open(
+    options: StoreOptions,
+) -> Result<(Arc<Core>, OpenReport), Report<StoreError>> {
+    let layer = open_layer(options.place)?;
+    let lock = layer.lock().map_err(|error| {
+        let context = match error.kind() {
+            io::ErrorKind::WouldBlock => StoreError::Locked,
+            _ => StoreError::Folder,
+        };
+        Report::new(error).change_context(context)
+    })?;
+    let mut report = OpenReport::default();
+    let names = layer.list().change_context(StoreError::Folder)?;
+    let salts = find_segments(layer.as_ref(), &names, &mut report);
+    let segments = Segments::new(layer, salts);
+    let has_index = names.iter().any(|name| name == INDEX_NAME);
+    let (index, replayed) =
+        open_index(&segments, options.limits, has_index, &mut report)
+            .change_context(StoreError::Folder)
+            .attach("building the index")?;
+    let mut writer = shorten(&segments, &index, &replayed, &mut report)?;
+    writer.next_seq = writer.next_seq.max(replayed.next_seq);
+    report.replayed_records = replayed.records;
+    report.torn_bytes = replayed.torn_bytes;
+    report.torn = replayed.torn;
+    report.corrupt = replayed.corrupt;
+    let core = Core::new(
+        segments,
+        index,
+        writer,
+        options.limits,
+        options.clock,
+        lock,
+    );
+    core.writer().commit(&core, replayed.rescued)?;
+    let totals = core.with_index(Index::totals)?;
+    report.blobs = totals.blobs;
+    report.bytes = totals.payload_bytes;
+    Ok((Arc::new(core), report))
+}
+
+fn open_layer(place: Place) -> Result<Arc<dyn FileLayer>, Report<StoreError>> {
+    match place {
+        Place::Layer(layer) => Ok(layer),
+        Place::Dir(dir) => {
+            let layer =
+                DirLayer::new(dir).change_context(StoreError::Folder)?;
+            Ok(Arc::new(layer))
+        }
+    }
+}
+
+/// Returns the segments among the files; a second one of the same number is
+/// set aside.
+fn find_segments(
+    layer: &dyn FileLayer,
+    names: &[String],
+    report: &mut OpenReport,
+) -> BTreeMap<SegmentNumber, u64> {
+    let mut salts = BTreeMap::new();
+    for name in names {
+        let Some((number, salt)) = parse_segment_name(name) else {
+            continue;
+        };
+        match salts.entry(number) {
+            Entry::Vacant(entry) => {
+                entry.insert(salt);
+            }
+            Entry::Occupied(_) => set_aside(layer, name, report),
+        }
+    }
+    salts
+}
+
+fn set_aside(layer: &dyn FileLayer, name: &str, report: &mut OpenReport) {
+    let aside = format!("{name}{ASIDE_END}");
+    match layer.rename(name, &aside) {
+        Ok(()) => log::error!("{name} is unusable, renamed to {aside}"),
+        Err(error) => log::error!("{name} is unusable: {error}"),
+    }
+    report.set_aside.push(name.to_owned());
+}
+
+fn open_index(
+    segments: &Segments,
+    limits: Limits,
+    has_index: bool,
+    report: &mut OpenReport,
+) -> Result<(Index, Replayed), Report<IndexError>> {
+    let layer = segments.layer().as_ref();
+    let cache_bytes = limits.index_cache_bytes;
+    if has_index {
+        let opened = Index::open(layer, cache_bytes).and_then(|index| {
+            let replayed = catch_up(segments, &index, limits, report)?;
+            Ok((index, replayed))
+        });
+        match opened {
+            Ok(opened) => {
+                report.index = IndexOrigin::Intact;
+                return Ok(opened);
+            }
+            Err(error) => {
+                log::error!("the index is built again: {error:?}");
+                report.damaged.clear();
+                report.index = IndexOrigin::Rebuilt {
+                    reason: format!("{error:?}"),
+                };
+            }
+        }
+        discard_index(layer);
+    } else if !segments.all().is_empty() {
+        report.index = IndexOrigin::Rebuilt {
+            reason: "the index is missing".to_owned(),
+        };
+    }
+    let index = Index::create(layer, cache_bytes)?;
+    let mode = Mode::Start { verify_bytes: 0 };
+    let replayed = replay(segments, &index, (0, 0), mode)?;
+    Ok((index, replayed))
+}
+
+/// Brings an index that is whole up to the end of the log.
+fn catch_up(
+    segments: &Segments,
+    index: &Index,
+    limits: Limits,
+    report: &mut OpenReport,
+) -> Result<Replayed, Report<IndexError>> {
+    let totals = index.totals()?;
+    let known = index.segments()?;
+    forget_deleted(segments, &totals, &known);
+    for (number, stat) in &known {
+        check_length(segments, *number, stat, report);
+    }
+    let from = (totals.covered_segment, totals.covered_offset);
+    let verify_bytes = limits
+        .checkpoint_bytes
+        .saturating_mul(VERIFY_CHECKPOINTS)
+        .max(limits.segment_bytes);
+    replay(segments, index, from, Mode::Start { verify_bytes })
+}
+
+/// Deletes segments that the index has already dropped.
+///
+/// A crash may bring a deleted file back. Its removed blobs would come back
+/// with it, should the index be built again later.
+fn forget_deleted(
+    segments: &Segments,
+    totals: &Totals,
+    known: &[(SegmentNumber, SegmentStat)],
+) {
+    for (number, _) in segments.all() {
+        let dropped = number <= totals.covered_segment
+            && known.iter().all(|(other, _)| *other != number);
+        if dropped && let Err(error) = segments.delete(number) {
+            log::warn!("segment {number}: {error}");
+        }
+    }
+}
+
+/// Reports a segment that is missing or shorter than the index knows.
+///
+/// Its blobs stay in the index, so that reads and scrubs can name them.
+fn check_length(
+    segments: &Segments,
+    number: SegmentNumber,
+    stat: &SegmentStat,
+    report: &mut OpenReport,
+) {
+    let opened = segments.open(number).ok();
+    let len = opened.and_then(|(file, _)| file.len().ok()).unwrap_or(0);
+    if len < stat.file_bytes {
+        let salt = segments.salt(number).unwrap_or(0);
+        report.damaged.push(Damage {
+            file: segment_name(number, salt),
+            from: len,
+            bytes: stat.file_bytes - len,
+        });
+    }
+}
+
+/// Cuts the torn batch off, takes useless files away and returns the writer
+/// for what stays.
+fn shorten(
+    segments: &Segments,
+    index: &Index,
+    replayed: &Replayed,
+    report: &mut OpenReport,
+) -> Result<Writer, Report<StoreError>> {
+    for (number, cut) in &replayed.cuts {
+        let Ok((file, _)) = segments.open(*number) else {
+            continue;
+        };
+        file.set_len(*cut).change_context(StoreError::Folder)?;
+        file.sync().change_context(StoreError::Folder)?;
+    }
+    for (number, from, to) in &replayed.damaged {
+        let salt = segments.salt(*number).unwrap_or(0);
+        report.damaged.push(Damage {
+            file: segment_name(*number, salt),
+            from: *from,
+            bytes: to - from,
+        });
+    }
+    let mut drops = Vec::new();
+    for (number, scanned) in &replayed.scanned {
+        if !scanned.is_open {
+            continue;
+        }
+        if scanned.bytes == 0 {
+            segments
+                .delete(*number)
+                .change_context(StoreError::Folder)?;
+            drops.push(Change::Drop { segment: *number });
+        } else if !scanned.has_records {
+            let salt = segments.salt(*number).unwrap_or(0);
+            let name = segment_name(*number, salt);
+            set_aside(segments.layer().as_ref(), &name, report);
+            segments.forget(*number);
+            drops.push(Change::Drop { segment: *number });
+        }
+    }
+    index
+        .apply(&drops, true)
+        .change_context(StoreError::Folder)?;
+    new_writer(segments, index).change_context(StoreError::Folder)
+}
+
+fn new_writer(
+    segments: &Segments,
+    index: &Index,
+) -> Result<Writer, Report<IndexError>> {
+    let totals = index.totals()?;
+    let known = index.segments()?;
+    let disk_bytes = known.iter().map(|(_, stat)| stat.file_bytes).sum();
+    let numbers = known.iter().map(|(number, _)| *number);
+    let files = segments.all().into_iter().map(|(number, _)| number);
+    let last = numbers.chain(files).max().unwrap_or(0);
+    let last = last.max(totals.covered_segment);
+    Ok(Writer {
+        active: None,
+        next_segment: last + 1,
+        next_seq: totals.next_seq.max(1),
+        disk_bytes,
+        copying: None,
+        unreadable: BTreeSet::new(),
+        unsaved_bytes: 0,
+        unsaved_records: 0,
+    })
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,395 @@
+use std::{fmt, sync::Arc};
+
+use base::UnixMillis;
+use bytes::Bytes;
+use error_stack::Report;
+
+use crate::{
+    Blob, BlobId, BlobInfo, OpenReport, Put, Reclaimed, ScrubReport,
+    StoreError, StoreOptions, StoreStat,
+    apply::Change,
+    group::Group,
+    index::{Entry, Index, Lookup},
+    put::{BATCH_MAX_BLOBS, BATCH_MAX_BYTES, PutRequest, PutResult},
+    reclaim::Worth,
+    record::Record,
+    recover,
+    segment::ReadFault,
+    writer::Core,
+};
+
+/// Longest blob, in bytes.
+pub const BLOB_MAX_BYTES: usize = 4 << 20;
+
+/// How often a read looks again for a blob that is being moved.
+const READ_ATTEMPTS: usize = 3;
+
+/// Keeps write-once blobs in one folder.
+///
+/// All calls block on the disk; from async code use `spawn_blocking`. Clones
+/// share one store, whose folder is free again once the last is dropped.
+///
+/// # Example
+///
+/// ```
+/// use bytes::Bytes;
+/// use pomeloslip_store::{Put, Store, StoreOptions, sim::SimDisk};
+///
+/// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let options = StoreOptions::with_layer(SimDisk::new(1));
+/// let (store, report) = Store::open(options)?;
+/// assert_eq!(report.blobs, 0);
+///
+/// let id = "job-1/in/0".parse()?;
+/// let lines = Bytes::from_static(b"{}\n");
+/// let crc32 = crc32fast::hash(&lines);
+/// assert_eq!(store.put(&id, lines.clone(), crc32)?, Put::Stored);
+/// assert_eq!(store.put(&id, lines.clone(), crc32)?, Put::AlreadySame);
+/// assert_eq!(store.get(&id)?.map(|blob| blob.bytes), Some(lines));
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone)]
+pub struct Store(Arc<Shared>);
+
+struct Shared {
+    core: Arc<Core>,
+    puts: Group<PutRequest, PutResult>,
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        self.core.close();
+    }
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store").finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Opens the folder and recovers what it holds.
+    ///
+    /// A damaged folder opens too, with what can be read; the report says
+    /// what cannot.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Locked`] if another store has the folder, and
+    /// [`StoreError::Folder`] if it cannot be read or written at all.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_store::{Store, StoreError, StoreOptions, sim::SimDisk};
+    ///
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// let disk = SimDisk::new(1);
+    /// let (_first, _) = Store::open(StoreOptions::with_layer(disk.clone()))?;
+    /// let second = Store::open(StoreOptions::with_layer(disk));
+    /// let error = second.unwrap_err();
+    /// assert_eq!(*error.current_context(), StoreError::Locked);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn open(
+        options: StoreOptions,
+    ) -> Result<(Self, OpenReport), Report<StoreError>> {
+        let (core, report) = recover::open(options)?;
+        let puts = Group::new(BATCH_MAX_BYTES, BATCH_MAX_BLOBS);
+        Ok((Self(Arc::new(Shared { core, puts })), report))
+    }
+
+    pub(crate) fn core(&self) -> &Core {
+        &self.0.core
+    }
+
+    /// Stores a blob and returns once it is synced to the disk.
+    ///
+    /// Puts that wait at the same time share a sync. A repeated put of the
+    /// same bytes is answered after reading and comparing them; if the copy
+    /// on the disk turns out damaged, it is replaced.
+    ///
+    /// # Errors
+    ///
+    /// After [`StoreError::Unknown`] the blob may be stored or not; repeat
+    /// the put. After any other error this put stored nothing.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreError, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// let id = "job-1/in/0".parse()?;
+    /// let error = store.put(&id, "abc".into(), 7).unwrap_err();
+    /// assert_eq!(*error.current_context(), StoreError::WrongCrc);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn put(
+        &self,
+        id: &BlobId,
+        bytes: Bytes,
+        crc32: u32,
+    ) -> Result<Put, Report<StoreError>> {
+        if bytes.len() > BLOB_MAX_BYTES {
+            let size = format!("{} bytes", bytes.len());
+            return Err(Report::new(StoreError::TooLarge).attach(size));
+        }
+        if crc32fast::hash(&bytes) != crc32 {
+            return Err(Report::new(StoreError::WrongCrc));
+        }
+        let size = bytes.len();
+        let request = PutRequest {
+            id: id.clone(),
+            bytes,
+            crc32,
+        };
+        let core = self.core();
+        self.0
+            .puts
+            .run(request, size, |batch| core.put_batch(batch))
+            .unwrap_or_else(|| Err(Report::new(StoreError::Unknown)))
+    }
+
+    /// Reads a blob and verifies it; `None` if there is none of that name.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Corrupt`] if the copy is damaged. It is quarantined:
+    /// all reads say the same until it is put again or removed.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// assert_eq!(store.get(&"job-1/in/9".parse()?)?, None);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn get(
+        &self,
+        id: &BlobId,
+    ) -> Result<Option<Blob>, Report<StoreError>> {
+        let mut last: Option<Entry> = None;
+        for _ in 0..READ_ATTEMPTS {
+            let found = self.core().with_index(|index| index.get(id))?;
+            let entry = match found {
+                Lookup::Absent => return Ok(None),
+                Lookup::Quarantined => return Err(corrupt(id)),
+                Lookup::Present(entry) => entry,
+            };
+            // The same place twice: the blob was not being moved.
+            if last.is_some_and(|last| last.same_place(&entry)) {
+                self.quarantine(id, entry)?;
+                return Err(corrupt(id));
+            }
+            last = Some(entry);
+            match self.core().segments.read(id, &entry) {
+                Ok(record) => return Ok(Some(blob(record))),
+                Err(ReadFault::Failed(error)) => {
+                    let report = Report::new(error);
+                    return Err(report.change_context(StoreError::Read));
+                }
+                Err(ReadFault::Gone | ReadFault::Damaged) => {}
+            }
+        }
+        Err(Report::new(StoreError::Read).attach("the blob keeps moving"))
+    }
+
+    fn quarantine(
+        &self,
+        id: &BlobId,
+        entry: Entry,
+    ) -> Result<(), Report<StoreError>> {
+        log::error!("blob {id} is damaged and quarantined");
+        let change = Change::Quarantine {
+            id: id.clone(),
+            entry,
+        };
+        let mut writer = self.core().writer();
+        self.core().apply(&mut writer, &[change], false)
+    }
+
+    /// Lists at most `limit` blobs whose ids begin with a prefix and come
+    /// after an id, in order. Quarantined blobs are not among them.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Read`] if the index cannot be read.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// store.put(&"a/0".parse()?, "".into(), 0)?;
+    /// store.put(&"a/1".parse()?, "".into(), 0)?;
+    /// let page = store.list("a/", Some(&"a/0".parse()?), 10)?;
+    /// assert_eq!(page.len(), 1);
+    /// assert_eq!(page[0].id.as_str(), "a/1");
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn list(
+        &self,
+        prefix: &str,
+        after: Option<&BlobId>,
+        limit: usize,
+    ) -> Result<Vec<BlobInfo>, Report<StoreError>> {
+        let after = after.map(BlobId::as_str);
+        let page = self
+            .core()
+            .with_index(|index| index.list(prefix, after, limit))?;
+        Ok(page.into_iter().map(info).collect())
+    }
+
+    /// Lists at most `limit` quarantined ids that come after an id.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Read`] if the index cannot be read.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// assert!(store.quarantined(None, 10)?.is_empty());
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn quarantined(
+        &self,
+        after: Option<&BlobId>,
+        limit: usize,
+    ) -> Result<Vec<BlobId>, Report<StoreError>> {
+        let after = after.map(BlobId::as_str);
+        let page = self
+            .core()
+            .with_index(|index| index.quarantined("", after, limit))?;
+        Ok(page.into_iter().map(|(id, _)| id).collect())
+    }
+
+    /// Returns sums over the store.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Read`] if the index cannot be read.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// store.put(&"a/0".parse()?, "".into(), 0)?;
+    /// assert_eq!(store.stat()?.blobs, 1);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn stat(&self) -> Result<StoreStat, Report<StoreError>> {
+        let core = self.core();
+        let totals = core.with_index(Index::totals)?;
+        Ok(StoreStat {
+            blobs: totals.blobs,
+            bytes: totals.payload_bytes,
+            quarantined: totals.quarantined,
+            disk_bytes: core.writer().disk_bytes,
+            quota_bytes: core.limits.quota_bytes,
+        })
+    }
+
+    /// Verifies blobs of at least `budget_bytes`, from where the last call
+    /// stopped; after the last blob also the index.
+    ///
+    /// Damaged blobs are quarantined; fetch their other copies and put them
+    /// again. The place is kept over a restart.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Read`] if the disk fails otherwise.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// store.put(&"a/0".parse()?, "".into(), 0)?;
+    /// let report = store.scrub(1 << 20)?;
+    /// assert!(report.complete);
+    /// assert_eq!(report.blobs, 1);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn scrub(
+        &self,
+        budget_bytes: u64,
+    ) -> Result<ScrubReport, Report<StoreError>> {
+        crate::scrub::scrub(self, self.core(), budget_bytes)
+    }
+
+    /// Reclaims space of removed blobs until about `budget_bytes` of others
+    /// are copied.
+    ///
+    /// Files without any blob are deleted without this call.
+    ///
+    /// # Errors
+    ///
+    /// The blobs stay readable whatever the error is.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use pomeloslip_store::{Store, StoreOptions, sim::SimDisk};
+    /// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let options = StoreOptions::with_layer(SimDisk::new(1));
+    /// # let (store, _) = Store::open(options)?;
+    /// let reclaimed = store.reclaim(1 << 20)?;
+    /// assert!(!reclaimed.more);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn reclaim(
+        &self,
+        budget_bytes: u64,
+    ) -> Result<Reclaimed, Report<StoreError>> {
+        let mut writer = self.core().writer();
+        self.core().reclaim(&mut writer, budget_bytes, Worth::Half)
+    }
+}
+
+fn corrupt(id: &BlobId) -> Report<StoreError> {
+    Report::new(StoreError::Corrupt).attach(id.to_string())
+}
+
+fn blob(record: Record) -> Blob {
+    Blob {
+        bytes: record.payload,
+        crc32: record.header.payload_crc,
+        stored_at: record.header.stored_at,
+    }
+}
+
+fn info((id, entry): (BlobId, Entry)) -> BlobInfo {
+    BlobInfo {
+        id,
+        bytes: u64::from(entry.payload_bytes),
+        crc32: entry.payload_crc,
+        stored_at: UnixMillis::new(entry.stored_at_ms),
+    }
+}
--- /dev/null
+++ b/crates/store/tests/common/mod.rs
@@ -0,0 +1,63 @@
+//! Helpers of the store's tests.
+
+// Not every test file uses every helper.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use pomeloslip_store::{
+    BlobId, OpenReport, Put, Store, StoreError, StoreOptions, sim::SimDisk,
+};
+
+/// Small, so that tests have many segments.
+pub(crate) const SEGMENT_BYTES: u64 = 4096;
+
+pub(crate) fn id(text: &str) -> BlobId {
+    text.parse().expect("a valid id")
+}
+
+pub(crate) fn options(disk: &SimDisk) -> StoreOptions {
+    StoreOptions::with_layer(disk.clone())
+        .segment_bytes(SEGMENT_BYTES)
+        .checkpoint_bytes(3 * SEGMENT_BYTES)
+}
+
+pub(crate) fn reopen(disk: &SimDisk) -> (Store, OpenReport) {
+    Store::open(options(disk)).expect("the store opens")
+}
+
+pub(crate) fn open(disk: &SimDisk) -> Store {
+    reopen(disk).0
+}
+
+pub(crate) fn put(
+    store: &Store,
+    name: &str,
+    bytes: &[u8],
+) -> Result<Put, StoreError> {
+    let crc32 = crc32fast::hash(bytes);
+    store
+        .put(&id(name), Bytes::copy_from_slice(bytes), crc32)
+        .map_err(|error| *error.current_context())
+}
+
+pub(crate) fn get(
+    store: &Store,
+    name: &str,
+) -> Result<Option<Vec<u8>>, StoreError> {
+    match store.get(&id(name)) {
+        Ok(blob) => Ok(blob.map(|blob| blob.bytes.to_vec())),
+        Err(error) => Err(*error.current_context()),
+    }
+}
+
+/// Content that follows from the name, so that any mix-up shows.
+pub(crate) fn body(name: &str, bytes: usize) -> Vec<u8> {
+    let lines = format!("{{\"id\":\"{name}\"}}\n");
+    lines.bytes().cycle().take(bytes).collect()
+}
+
+/// Names of the log's files, oldest first.
+pub(crate) fn segments(disk: &SimDisk) -> Vec<String> {
+    let is_segment = |name: &String| name.ends_with(".log");
+    disk.names().into_iter().filter(is_segment).collect()
+}
