Serve the data role; call endpoints from one crate

Cause: data VMs could not be reached, and an entry that calls a plain service needs the same client as a companion. Change: the data role answers from the store, the endpoint client moved to a crate of its own, key digests and a hash that all builds share.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -169,6 +169,23 @@
     "request id"
 );
 
+impl RequestId {
+    /// Makes an id from a random number, which the caller draws.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_base::RequestId;
+    ///
+    /// let id = RequestId::from_random(255);
+    /// assert!(id.as_str().ends_with("00ff"));
+    /// assert!(id.as_str().parse::<RequestId>().is_ok());
+    /// ```
+    pub fn from_random(random: u128) -> Self {
+        Self(format!("r-{random:032x}").into())
+    }
+}
+
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -22,6 +22,8 @@
 //! check.
 
 mod class;
+mod digest;
+mod hash;
 mod id;
 pub mod snapshot;
 pub mod time;
@@ -29,6 +31,8 @@
 
 pub use crate::{
     class::Class,
+    digest::{KeyDigest, KeyDigestError},
+    hash::stable_hash,
     id::{
         EndpointName, FailureDomain, FileId, IdError, Incarnation, JobId,
         Model, RequestId, Revision, Service, Tenant, VmId,
--- a/crates/companion/src/handler.rs
+++ b/crates/companion/src/handler.rs
@@ -7,15 +7,13 @@
 use conf::settings::EndpointSettings;
 use futures::future::{BoxFuture, FutureExt};
 use obs::{Counter, Metrics, Series};
+use upstream::EndpointClient;
 use wire::{
     Answer, CompanionHandler,
-    message::{Load, Order, Refusal, RefusalKind, Request},
+    message::{Load, Order, OutcomeKind, Refusal, RefusalKind, Request},
 };
 
-use crate::{
-    admission::{Admission, Queued},
-    call::EndpointClient,
-};
+use crate::admission::{Admission, Queued};
 
 /// When a refused caller may come back to a full endpoint, in milliseconds.
 const FULL_RETRY_AFTER_MS: u32 = 500;
@@ -137,8 +135,8 @@
     };
     let outcome = shared.client.run(request, &answer, on_first).await;
     let counter = match outcome.kind {
-        wire::message::OutcomeKind::Complete => Counter::Completed,
-        wire::message::OutcomeKind::Cancelled => Counter::Cancelled,
+        OutcomeKind::Complete => Counter::Completed,
+        OutcomeKind::Cancelled => Counter::Cancelled,
         _ => Counter::Failed,
     };
     tenant.count(counter, class, 1);
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -6,9 +6,7 @@
 //! batch item.
 
 mod admission;
-mod call;
 mod error;
-mod events;
 mod handler;
 mod node;
 mod probe;
--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -11,6 +11,7 @@
 use error_stack::{Report, ResultExt};
 use obs::Metrics;
 use tokio::task::JoinHandle;
+use upstream::EndpointClient;
 use web::{LaunchOptions, Phase, Served, ServiceState};
 use wire::{
     Handlers, LinkOptions, Links, Secret, Secrets, Server, message::Identity,
@@ -19,7 +20,6 @@
 use crate::{
     CompanionError,
     admission::Admission,
-    call::EndpointClient,
     handler::{Handler, Shared},
     probe,
     pull::Puller,
@@ -60,7 +60,8 @@
         let client = EndpointClient::try_new(
             endpoint.address.clone(),
             &settings.timeouts,
-        )?;
+        )
+        .change_context(start)?;
         let incarnation = Incarnation::new(rand::random());
         let shared = Arc::new(Shared {
             admission: Admission::new(&endpoint),
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 use std::net::SocketAddr;
 
-use base::{FailureDomain, VmId};
+use base::{FailureDomain, KeyDigest, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::address;
@@ -87,6 +87,9 @@
     /// Metrics.
     #[serde(default)]
     pub metrics: MetricsSettings,
+    /// Digests of the keys that operators call an entry with.
+    #[serde(default)]
+    pub admin_keys_sha256: Vec<KeyDigest>,
     /// Secrets of the system's own processes: the first is shown to others,
     /// all are accepted, so that they can be changed one process at a time.
     /// Left out of what is serialized.
--- /dev/null
+++ b/crates/data/src/node.rs
@@ -0,0 +1,98 @@
+use std::net::SocketAddr;
+
+use base::Incarnation;
+use conf::settings::Settings;
+use error_stack::{Report, ResultExt};
+use obs::Metrics;
+use web::{LaunchOptions, Phase, Served, ServiceState};
+use wire::{Handlers, Secret, Secrets, Server, message::Identity};
+
+use crate::{
+    DataError,
+    role::{DataRole, handler},
+    status,
+};
+
+/// A running process of the data role.
+pub struct DataNode {
+    state: ServiceState,
+    peer: Server,
+    http: Served,
+}
+
+impl DataNode {
+    /// Starts the process and returns once it listens.
+    ///
+    /// # Errors
+    ///
+    /// [`DataError::Settings`] without a `data` section, and see
+    /// [`DataRole::open`].
+    pub async fn start(
+        settings: &Settings,
+        metrics: Metrics,
+    ) -> Result<Self, Report<DataError>> {
+        let start = DataError::Start;
+        let data = settings.data.as_ref().ok_or_else(|| {
+            Report::new(DataError::Settings)
+                .attach("the section `data` is missing")
+        })?;
+        let role = DataRole::open(data)?;
+        let identity = Identity {
+            role: "data".to_owned(),
+            vm: settings.vm.clone(),
+            incarnation: Incarnation::new(rand::random()),
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let secrets = settings
+            .peer_secrets
+            .iter()
+            .map(|secret| Secret::try_new(secret.expose()))
+            .collect::<Result<Vec<_>, _>>()
+            .change_context(DataError::Settings)?;
+        let handlers = Handlers {
+            data: Some(handler(&role)),
+            ..Handlers::default()
+        };
+        let listen = settings.peer_listen;
+        let secrets = Secrets::new(secrets);
+        let peer = wire::serve(listen, identity, secrets, handlers)
+            .await
+            .change_context(start)?;
+        let state = ServiceState::default();
+        let rocket = rocket::build()
+            .manage(role)
+            .manage(metrics)
+            .manage(state.clone())
+            .mount("/", web::health_routes())
+            .mount("/", status::routes())
+            .register("/", web::catchers());
+        let http = web::launch(rocket, LaunchOptions::new(settings.listen))
+            .await
+            .change_context(start)?;
+        state.set(Phase::Ready);
+        log::info!(
+            peer = peer.address().to_string().as_str();
+            "the data role is up"
+        );
+        Ok(Self { state, peer, http })
+    }
+
+    /// Returns the address for other processes.
+    #[inline]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer.address()
+    }
+
+    /// Returns the address of `/status`.
+    #[inline]
+    pub fn http_address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Stops as planned. What was acknowledged is on disk already.
+    pub async fn drain(self) {
+        self.state.set(Phase::Draining);
+        self.peer.stop().await;
+        self.http.stop().await;
+    }
+}
--- a/crates/companion/src/call.rs
+++ b/crates/upstream/src/client.rs
@@ -1,6 +1,4 @@
-//! One call at the endpoint.
-
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use conf::{HttpAddress, settings::TimeoutSettings};
@@ -12,10 +10,13 @@
 use tokio::time::{Instant, timeout};
 use wire::{
     Answer,
-    message::{Frame, Header, Outcome, OutcomeKind, Request},
+    message::{
+        Frame, Header, Order, Outcome, OutcomeKind, Refusal, RefusalKind,
+        Request,
+    },
 };
 
-use crate::{CompanionError, events::EventSplitter};
+use crate::events::EventSplitter;
 
 /// Headers of one hop, which are never passed on.
 const HOP_HEADERS: [&str; 9] = [
@@ -30,9 +31,21 @@
     "content-length",
 ];
 
-/// Calls one endpoint.
-#[derive(Clone)]
-pub(crate) struct EndpointClient {
+/// Says that a client could not be made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EndpointError;
+
+impl fmt::Display for EndpointError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("cannot make a client for the endpoint")
+    }
+}
+
+impl std::error::Error for EndpointError {}
+
+/// Calls one endpoint; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct EndpointClient {
     address: HttpAddress,
     kept: Client,
     fresh: Client,
@@ -68,13 +81,18 @@
 }
 
 impl EndpointClient {
-    pub(crate) fn try_new(
+    /// Makes a client for the endpoint at an address.
+    ///
+    /// # Errors
+    ///
+    /// [`EndpointError`] if the HTTP library cannot start.
+    pub fn try_new(
         address: HttpAddress,
         timeouts: &TimeoutSettings,
-    ) -> Result<Self, Report<CompanionError>> {
+    ) -> Result<Self, Report<EndpointError>> {
         let connect = Duration::from_millis(timeouts.connect_ms);
         let builder = || Client::builder().connect_timeout(connect);
-        let start = CompanionError::Start;
+        let start = EndpointError;
         Ok(Self {
             address,
             kept: builder().build().change_context(start)?,
@@ -90,10 +108,16 @@
         })
     }
 
+    /// Returns the address of the endpoint.
+    #[inline]
+    pub fn address(&self) -> &HttpAddress {
+        &self.address
+    }
+
     /// Runs a call to its end and sends its frames.
     ///
     /// `on_first` learns when the first byte of the body came.
-    pub(crate) async fn run(
+    pub async fn run(
         &self,
         request: Request,
         answer: &Answer,
@@ -151,11 +175,13 @@
             let mut on_first = Some(on_first);
             while let Some(bytes) = self.next_bytes(&mut response).await? {
                 events.push(&bytes);
-                while let Some(event) = events.next().map_err(|_| {
+                while let Some(event) = events.next_event().map_err(|_| {
                     let detail = "an event is too large";
                     Ended::new(OutcomeKind::Broken, true, detail)
                 })? {
-                    if let Some(on_first) = on_first.take() {
+                    if !EventSplitter::is_comment(&event)
+                        && let Some(on_first) = on_first.take()
+                    {
                         on_first();
                     }
                     pass(answer, progress, event).await?;
@@ -189,7 +215,7 @@
                 let detail = "the method is not valid";
                 Ended::new(OutcomeKind::NotSent, false, detail)
             })?;
-        let url = format!("{}{}", self.address, request.path);
+        let url = self.address.join(&request.path);
         let mut call = client.request(method, url);
         for header in &request.headers {
             call = call.header(&header.name, &header.value);
@@ -286,18 +312,14 @@
     ///
     /// A refusal with the endpoint's reason; one that timed out is not
     /// known to have been obeyed, and orders are repeatable.
-    pub(crate) async fn order(
-        &self,
-        order: &wire::message::Order,
-    ) -> Result<(), wire::message::Refusal> {
-        use wire::message::{Refusal, RefusalKind};
+    pub async fn order(&self, order: &Order) -> Result<(), Refusal> {
         let mut body: serde_json::Value = serde_json::from_slice(&order.body)
             .map_err(|error| {
                 Refusal::new(RefusalKind::Invalid, error.to_string())
             })?;
         body["fence"] = order.fence.into();
         body["kind"] = order.kind.clone().into();
-        let url = format!("{}/orders", self.address);
+        let url = self.address.join("/orders");
         let call = self.fresh.post(url).json(&body).send();
         let failed =
             |detail: String| Refusal::new(RefusalKind::Failed, detail);
@@ -314,8 +336,8 @@
     }
 
     /// Asks the endpoint whether it lives.
-    pub(crate) async fn is_healthy(&self, limit: Duration) -> bool {
-        let url = format!("{}/health", self.address);
+    pub async fn is_healthy(&self, limit: Duration) -> bool {
+        let url = self.address.join("/health");
         let call = self.fresh.get(url).send();
         matches!(
             timeout(limit, call).await,
--- a/crates/companion/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Largest event that is passed on, in bytes.
@@ -8,7 +10,15 @@
 
 /// Says that an event is over the limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct EventTooLarge;
+pub struct EventTooLarge;
+
+impl fmt::Display for EventTooLarge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event is over {EVENT_MAX_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for EventTooLarge {}
 
 /// Cuts an event stream into whole events.
 ///
@@ -16,20 +26,39 @@
 /// pieces on would let a broken stream end in half an event, and a resumed
 /// one go on in the middle; whole events are the unit in which an answer is
 /// counted, compared and resumed.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_upstream::EventSplitter;
+///
+/// let mut events = EventSplitter::default();
+/// events.push(b"data: 1\n\nda");
+/// assert_eq!(events.next_event()?.as_deref(), Some(&b"data: 1\n\n"[..]));
+/// assert_eq!(events.next_event()?, None);
+/// events.push(b"ta: [DONE]\n\n");
+/// events.next_event()?;
+/// assert!(events.ended());
+/// # Ok::<(), pomeloslip_upstream::EventTooLarge>(())
+/// ```
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     buffer: BytesMut,
     ended: bool,
 }
 
 impl EventSplitter {
     /// Adds bytes of the connection.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Takes the next whole event with its blank line.
-    pub(crate) fn next(&mut self) -> Result<Option<Bytes>, EventTooLarge> {
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLarge`] if none ends within 4 MiB.
+    pub fn next_event(&mut self) -> Result<Option<Bytes>, EventTooLarge> {
         while self
             .buffer
             .first()
@@ -50,10 +79,17 @@
         Ok(Some(event))
     }
 
+    /// Tells whether an event is a comment, by which an engine shows that it
+    /// lives.
+    #[inline]
+    pub fn is_comment(event: &[u8]) -> bool {
+        event.first() == Some(&b':')
+    }
+
     /// Tells whether the end mark was seen. A stream that ends without it
     /// is not an answer.
     #[inline]
-    pub(crate) fn ended(&self) -> bool {
+    pub fn ended(&self) -> bool {
         self.ended
     }
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -645,8 +645,10 @@
     });
     Ok(RunReply::Accepted {
         run: Run {
-            frames: receiver,
-            _cancel: cancel,
+            frames: Frames::Link {
+                frames: receiver,
+                _cancel: cancel,
+            },
         },
         load,
     })
@@ -674,14 +676,33 @@
 /// An answer that is under way. Dropping it cancels the call.
 #[derive(Debug)]
 pub struct Run {
-    frames: mpsc::Receiver<Option<Frame>>,
-    _cancel: oneshot::Sender<()>,
+    frames: Frames,
+}
+
+#[derive(Debug)]
+enum Frames {
+    Link {
+        frames: mpsc::Receiver<Option<Frame>>,
+        _cancel: oneshot::Sender<()>,
+    },
+    Local(mpsc::Receiver<Frame>),
 }
 
 impl Run {
+    /// Wraps frames that are made in this process, the other half of
+    /// [`Answer::channel`](crate::Answer::channel).
+    pub fn local(frames: mpsc::Receiver<Frame>) -> Self {
+        Self {
+            frames: Frames::Local(frames),
+        }
+    }
+
     /// Waits for the next frame; `None` before a [`Frame::End`] means that
     /// the connection broke and the rest of the answer is lost.
     pub async fn next(&mut self) -> Option<Frame> {
-        self.frames.recv().await.flatten()
+        match &mut self.frames {
+            Frames::Link { frames, .. } => frames.recv().await.flatten(),
+            Frames::Local(frames) => frames.recv().await,
+        }
     }
 }
