Drive the system by a command line

Cause: operators have no way to change rules, to start, cancel and follow jobs, to stop a VM or to see the status. Change: the binary pomeloslip with rules, job, vm, status, stand-in and load; typed arguments with the nearest right word, a client whose refusals are typed problems, rendering apart.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,5 @@
 //! Command line of pomeloslip, as a library for its two binaries.
+
+pub mod args;
+pub mod client;
+pub mod render;
