Test the key-value client, its fake and the platform's stand-ins

Cause: callers rely on the difference between not done and unknown, and the fake and the server must behave alike. Counts tell the changes that a watch dropped.

--- /dev/null
+++ b/crates/kv/tests/ops.rs
@@ -0,0 +1,132 @@
+//! Writes whose answer was lost, and the pauses between attempts.
+
+use std::sync::Arc;
+
+use base::{Clock, Millis, SystemClock, timer::Timer};
+use error_stack::Report;
+use pomeloslip_kv::{
+    Backoff, Compare, GetReply, Kv, KvError, Memory, Op, Txn,
+    WriteFault::{self, LostAfter, LostBefore, None as Fine, Refused},
+    ops::{Outcome, Verdict, Writer},
+};
+use yare::parameterized;
+
+const KEY: &str = "job/1";
+
+fn guarded(operation: &str) -> Txn {
+    Txn {
+        compares: vec![Compare::ModRevision {
+            key: KEY.into(),
+            equals: 0,
+        }],
+        success: vec![Op::Put {
+            key: KEY.into(),
+            value: operation.into(),
+            lease: None,
+        }],
+        failure: vec![],
+    }
+}
+
+fn decide(found: &GetReply) -> Verdict<()> {
+    match found.kvs.first() {
+        Some(kv) if kv.value == b"mine" => Verdict::Done(()),
+        Some(_) => Verdict::Superseded,
+        None => Verdict::Open,
+    }
+}
+
+async fn write(
+    kv: &Memory,
+    give_up_ms: u64,
+) -> Result<Outcome<()>, Report<KvError>> {
+    let timer = Timer::new(Arc::new(SystemClock::new()));
+    let driver = tokio::spawn(timer.clone().drive());
+    let read = Op::Get { key: KEY.into() };
+    let outcome = Writer::new(timer, give_up_ms)
+        .commit(kv, guarded("mine"), read, |_| (), decide, || 0)
+        .await;
+    driver.abort();
+    outcome
+}
+
+/// Symptom: a write is done twice, or reported as failed though it is there.
+/// Events: the answer is lost before or after the effect, once or more.
+/// Cause: an unknown write was taken for a failure or repeated unguarded.
+#[parameterized(
+    answered = { vec![Fine], 1 },
+    refused_first = { vec![Refused, Fine], 2 },
+    lost_after = { vec![LostAfter], 1 },
+    lost_before = { vec![LostBefore, Fine], 2 },
+    lost_before_then_after = { vec![LostBefore, Refused, LostAfter], 3 },
+)]
+#[test_macro(tokio::test)]
+async fn a_lost_answer_is_read_back(faults: Vec<WriteFault>, attempts: u64) {
+    let kv = Memory::default();
+    kv.script_writes(faults);
+    let outcome = write(&kv, 600_000).await.unwrap();
+    assert_eq!(outcome, Outcome::Done(()));
+    assert_eq!(kv.revision(), 2, "one write took effect");
+    assert_eq!(kv.counts().writes, attempts);
+}
+
+#[tokio::test]
+async fn a_rival_supersedes_a_write_that_was_lost() {
+    let kv = Memory::default();
+    kv.txn(guarded("rival")).await.unwrap();
+    kv.script_writes([LostBefore]);
+    assert_eq!(write(&kv, 600_000).await.unwrap(), Outcome::Superseded);
+    assert_eq!(write(&kv, 600_000).await.unwrap(), Outcome::Superseded);
+}
+
+#[parameterized(
+    never_sent = { vec![Refused, Refused], KvError::NotDone },
+    perhaps_done = { vec![LostBefore, Refused], KvError::Unknown },
+)]
+#[test_macro(tokio::test)]
+async fn giving_up_tells_what_is_certain(
+    faults: Vec<WriteFault>,
+    error: KvError,
+) {
+    let kv = Memory::default();
+    kv.script_writes(faults);
+    let report = write(&kv, 0).await.unwrap_err();
+    assert_eq!(*report.current_context(), error);
+}
+
+#[tokio::test]
+async fn a_refusal_by_the_service_is_final() {
+    let kv = Memory::default();
+    let lease = kv.lease_grant(1).await.unwrap();
+    kv.step_ms(1_000);
+    let mut txn = guarded("mine");
+    txn.success = vec![Op::Put {
+        key: KEY.into(),
+        value: b"mine".to_vec(),
+        lease: Some(lease),
+    }];
+    let timer = Timer::new(kv.clock().clone());
+    let read = Op::Get { key: KEY.into() };
+    let report = Writer::new(timer, 1_000)
+        .commit(&kv, txn, read, |_| (), decide, || 0)
+        .await
+        .unwrap_err();
+    assert_eq!(*report.current_context(), KvError::LeaseGone);
+}
+
+#[test]
+fn the_ceiling_doubles_up_to_the_cap() {
+    let now = SystemClock::new().now();
+    let mut backoff = Backoff::new(100, 350);
+    let mut ceilings = Vec::new();
+    for _ in 0..80 {
+        ceilings.push(backoff.ceiling_ms());
+        let again = backoff.fail(now, 99);
+        assert_eq!(again, now.saturating_add_ms(100));
+        assert!(backoff.is_ready(again) && !backoff.is_ready(now));
+    }
+    assert_eq!(ceilings[..4], [100, 200, 350, 350]);
+    assert_eq!(ceilings[79], 350);
+    backoff.succeed();
+    assert!(backoff.is_ready(Millis::new(0)));
+}
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -1,6 +1,6 @@
 //! Key-value service that speaks the etcd v3 JSON gateway.
 //!
-//! It runs on the state machine of [`kv::mvcc`](::kv::mvcc), in memory, and
+//! It runs on the state machine of [`::kv::mvcc`], in memory, and
 //! serves `/v3/kv/{range,put,deleterange,txn,compaction}`,
 //! `/v3/lease/{grant,keepalive,revoke}` and `/v3/watch`. Beyond etcd:
 //!
--- a/crates/standin/src/kv/core.rs
+++ b/crates/standin/src/kv/core.rs
@@ -212,15 +212,14 @@
         range: &KeyRange,
         from_revision: u64,
     ) -> Result<(u64, Vec<Change>), StoreError> {
-        let state = self.state();
+        let mut state = self.state();
         let reached = state.store.revision();
-        match state.faults.settings().watch {
-            WatchFault::Drop => Ok((reached, Vec::new())),
-            WatchFault::None | WatchFault::Break => {
-                let changes = state.store.changes(range, from_revision)?;
-                Ok((reached, changes))
-            }
+        let mut changes = state.store.changes(range, from_revision)?;
+        if state.faults.settings().watch == WatchFault::Drop {
+            state.counts.dropped_changes += changes.len() as u64;
+            changes.clear();
         }
+        Ok((reached, changes))
     }
 
     pub(super) fn compacted_revision(&self) -> u64 {
--- a/crates/standin/src/kv/counts.rs
+++ b/crates/standin/src/kv/counts.rs
@@ -52,6 +52,8 @@
     pub refused: u64,
     /// Writes done whose answer was withheld.
     pub lost_answers: u64,
+    /// Changes that a watch passed over because of its fault.
+    pub dropped_changes: u64,
     /// Watches that wait at the moment. One whose caller has gone is
     /// noticed at the next change to its keys.
     pub watches_open: u64,
