Check YAML with places for every problem

Cause: settings and rules are edited by hand; an error without line and column, or one error at a time, costs operators time when it counts. Change: conf::parse, read and their checked forms, on the events of saphyr-parser with a tree and a deserializer of our own. Tried and rejected: serde_yaml_ng, serde-saphyr, marked-yaml (reasons in load.rs).

--- /dev/null
+++ b/crates/conf/src/de.rs
@@ -0,0 +1,560 @@
+//! Deserializes a tree by serde and finds every problem, not only the first.
+//!
+//! Serde's visitors stop at their first error. So a value that fails is
+//! recorded, the pass is run again without it, and so on until a pass gets
+//! through or the document itself fails. Unknown keys are found here, from
+//! the list of fields that serde hands over, so that a type that forgets
+//! `deny_unknown_fields` is checked as well.
+
+use std::{
+    cell::RefCell,
+    collections::HashSet,
+    fmt::{self, Display},
+};
+
+use serde::de::{
+    self, Deserialize, DeserializeOwned, DeserializeSeed, Deserializer,
+    EnumAccess, Expected, IntoDeserializer, MapAccess, SeqAccess, Unexpected,
+    VariantAccess, Visitor,
+};
+
+use crate::{
+    PROBLEMS_MAX, Problem,
+    nearest::nearest,
+    node::{Entry, Kind, Node, Value},
+    one_or_many,
+};
+
+/// What deserializing found, and what it had to leave out.
+#[derive(Default)]
+pub(crate) struct Outcome {
+    pub(crate) problems: Vec<Problem>,
+    /// Paths of the values that were left out.
+    pub(crate) dropped: HashSet<String>,
+}
+
+/// Deserializes a tree; without a value if the document itself fails.
+pub(crate) fn deserialize<T: DeserializeOwned>(
+    file: &str,
+    root: &Node,
+) -> (Option<T>, Outcome) {
+    let sink = Sink {
+        file,
+        outcome: RefCell::default(),
+    };
+    let mut value = None;
+    // Each pass but the last drops one value more, and a problem may take
+    // the values around it along, up to the root.
+    while value.is_none() && !sink.is_full() && !sink.is_dropped(root) {
+        let before = sink.outcome.borrow().dropped.len();
+        value = T::deserialize(Reader {
+            node: root,
+            sink: &sink,
+        })
+        .ok();
+        let after = sink.outcome.borrow().dropped.len();
+        if value.is_none() && before == after {
+            break;
+        }
+    }
+    (value, sink.outcome.into_inner())
+}
+
+/// Collects problems during a pass.
+struct Sink<'a> {
+    file: &'a str,
+    outcome: RefCell<Outcome>,
+}
+
+impl Sink<'_> {
+    fn is_full(&self) -> bool {
+        self.outcome.borrow().problems.len() >= PROBLEMS_MAX
+    }
+
+    fn is_dropped(&self, node: &Node) -> bool {
+        let outcome = self.outcome.borrow();
+        !outcome.dropped.is_empty() && outcome.dropped.contains(&node.path)
+    }
+
+    fn drop_value(&self, node: &Node) {
+        self.outcome.borrow_mut().dropped.insert(node.path.clone());
+    }
+
+    fn add(&self, problem: Problem) {
+        let problems = &mut self.outcome.borrow_mut().problems;
+        if problems.len() < PROBLEMS_MAX && !problems.contains(&problem) {
+            problems.push(problem);
+        }
+    }
+
+    fn unknown_key(&self, entry: &Entry, fields: &[&str]) {
+        let near = nearest(&entry.key, fields.iter().copied());
+        let mut message = "unknown key".to_owned();
+        if near.is_none() {
+            message = format!("{message}; one of {}", fields.join(", "));
+        }
+        let path = &entry.value.path;
+        let problem =
+            Problem::new(self.file, entry.key_location, path, message);
+        self.add(problem.with_nearest(near.map(str::to_owned)));
+    }
+}
+
+/// An error on its way from a visitor to the value that it is about.
+#[derive(Debug)]
+enum Fault {
+    /// It is in the sink already.
+    Recorded,
+    /// A key is missing in a mapping.
+    Missing(&'static str),
+    /// Something else is wrong with a value.
+    Value {
+        message: String,
+        nearest: Option<String>,
+    },
+}
+
+impl Fault {
+    fn value(message: String) -> Self {
+        let nearest = None;
+        Fault::Value { message, nearest }
+    }
+
+    fn word(kind: &str, wrong: &str, right: &[&str]) -> Self {
+        let near = nearest(wrong, right.iter().copied());
+        let list = right.join(", ");
+        Fault::Value {
+            message: format!("unknown {kind} {wrong:?}; one of {list}"),
+            nearest: near.map(str::to_owned),
+        }
+    }
+}
+
+impl Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Recorded => f.write_str("wrong value"),
+            Fault::Missing(field) => write!(f, "missing key `{field}`"),
+            Fault::Value { message, .. } => f.write_str(message),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl de::Error for Fault {
+    fn custom<T: Display>(message: T) -> Self {
+        Fault::value(message.to_string())
+    }
+
+    fn invalid_type(found: Unexpected<'_>, expected: &dyn Expected) -> Self {
+        Fault::value(format!("expected {expected}, found {found}"))
+    }
+
+    fn invalid_value(found: Unexpected<'_>, expected: &dyn Expected) -> Self {
+        Fault::value(format!("expected {expected}, found {found}"))
+    }
+
+    fn unknown_variant(wrong: &str, right: &'static [&'static str]) -> Self {
+        Fault::word("value", wrong, right)
+    }
+
+    fn unknown_field(wrong: &str, right: &'static [&'static str]) -> Self {
+        Fault::word("key", wrong, right)
+    }
+
+    fn missing_field(field: &'static str) -> Self {
+        Fault::Missing(field)
+    }
+}
+
+/// Deserializer of one value.
+#[derive(Clone, Copy)]
+struct Reader<'a> {
+    node: &'a Node,
+    sink: &'a Sink<'a>,
+}
+
+impl<'a> Reader<'a> {
+    fn with(self, node: &'a Node) -> Self {
+        Reader { node, ..self }
+    }
+
+    /// Records an error at this value and leaves the value out from now on.
+    fn record<T>(self, result: Result<T, Fault>) -> Result<T, Fault> {
+        let fault = match result {
+            Ok(value) => return Ok(value),
+            Err(fault) => fault,
+        };
+        match fault {
+            Fault::Recorded => {}
+            Fault::Missing(field) => self.record_missing(field),
+            Fault::Value { message, nearest } => {
+                self.sink.drop_value(self.node);
+                let Node { location, path, .. } = self.node;
+                let problem =
+                    Problem::new(self.sink.file, *location, path, message);
+                self.sink.add(problem.with_nearest(nearest));
+            }
+        }
+        Err(Fault::Recorded)
+    }
+
+    /// A key that stands there but was left out is no problem of its own.
+    fn record_missing(self, field: &str) {
+        self.sink.drop_value(self.node);
+        let left_out = match &self.node.kind {
+            Kind::Mapping(entries) => entries.iter().any(|entry| {
+                entry.key == field && self.sink.is_dropped(&entry.value)
+            }),
+            _ => false,
+        };
+        if !left_out {
+            let Node { location, path, .. } = self.node;
+            let message = format!("missing key `{field}`");
+            let problem =
+                Problem::new(self.sink.file, *location, path, message);
+            self.sink.add(problem);
+        }
+    }
+
+    fn visit_scalar<V: Visitor<'a>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        let Kind::Scalar(scalar) = &self.node.kind else {
+            return Err(self.mismatch(&visitor));
+        };
+        match scalar.value() {
+            Value::Null => visitor.visit_unit(),
+            Value::Bool(value) => visitor.visit_bool(value),
+            Value::Unsigned(value) => visitor.visit_u64(value),
+            Value::Signed(value) => visitor.visit_i64(value),
+            Value::Float(value) => visitor.visit_f64(value),
+            Value::Text(text) => visitor.visit_borrowed_str(text),
+        }
+    }
+
+    /// Numbers count as text where text is wanted, so that a name such as
+    /// `7b` or `3` needs no quotes; null and booleans do not.
+    fn visit_text<V: Visitor<'a>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        let Kind::Scalar(scalar) = &self.node.kind else {
+            return Err(self.mismatch(&visitor));
+        };
+        match scalar.value() {
+            Value::Null | Value::Bool(_) => self.visit_scalar(visitor),
+            _ => visitor.visit_borrowed_str(&scalar.text),
+        }
+    }
+
+    fn visit_sequence<V: Visitor<'a>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        let Kind::Sequence(nodes) = &self.node.kind else {
+            return self.visit_mismatch(visitor);
+        };
+        visitor.visit_seq(Items {
+            reader: self,
+            nodes,
+        })
+    }
+
+    fn visit_mapping<V: Visitor<'a>>(
+        self,
+        fields: Option<&'static [&'static str]>,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        let Kind::Mapping(entries) = &self.node.kind else {
+            return self.visit_mismatch(visitor);
+        };
+        visitor.visit_map(Entries {
+            reader: self,
+            entries,
+            fields,
+            value: None,
+        })
+    }
+
+    fn visit_mismatch<V: Visitor<'a>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        match &self.node.kind {
+            Kind::Scalar(_) => self.visit_scalar(visitor),
+            _ => Err(self.mismatch(&visitor)),
+        }
+    }
+
+    fn mismatch(self, expected: &dyn Expected) -> Fault {
+        let found = match &self.node.kind {
+            Kind::Scalar(_) => Unexpected::Other("a scalar"),
+            Kind::Sequence(_) => Unexpected::Other("a list"),
+            Kind::Mapping(_) => Unexpected::Other("a mapping"),
+        };
+        de::Error::invalid_type(found, expected)
+    }
+}
+
+macro_rules! forward {
+    ($inner:ident: $($method:ident)*) => {
+        $(fn $method<V: Visitor<'de>>(
+            self,
+            visitor: V,
+        ) -> Result<V::Value, Fault> {
+            self.record(self.$inner(visitor))
+        })*
+    };
+}
+
+impl<'de> Deserializer<'de> for Reader<'de> {
+    type Error = Fault;
+
+    forward! { visit_scalar:
+        deserialize_bool deserialize_i8 deserialize_i16 deserialize_i32
+        deserialize_i64 deserialize_u8 deserialize_u16 deserialize_u32
+        deserialize_u64 deserialize_f32 deserialize_f64 deserialize_bytes
+        deserialize_byte_buf deserialize_unit
+    }
+
+    forward! { visit_text:
+        deserialize_char deserialize_str deserialize_string
+        deserialize_identifier
+    }
+
+    forward! { visit_sequence: deserialize_seq }
+
+    fn deserialize_any<V: Visitor<'de>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.record(match &self.node.kind {
+            Kind::Scalar(_) => self.visit_scalar(visitor),
+            Kind::Sequence(_) => self.visit_sequence(visitor),
+            Kind::Mapping(_) => self.visit_mapping(None, visitor),
+        })
+    }
+
+    fn deserialize_ignored_any<V: Visitor<'de>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        visitor.visit_unit()
+    }
+
+    fn deserialize_option<V: Visitor<'de>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        if self.node.is_null() {
+            return self.record(visitor.visit_none());
+        }
+        self.record(visitor.visit_some(self))
+    }
+
+    fn deserialize_unit_struct<V: Visitor<'de>>(
+        self,
+        _name: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.deserialize_unit(visitor)
+    }
+
+    fn deserialize_newtype_struct<V: Visitor<'de>>(
+        self,
+        name: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        if name != one_or_many::MARK {
+            return self.record(visitor.visit_newtype_struct(self));
+        }
+        let nodes = match &self.node.kind {
+            Kind::Sequence(nodes) => nodes.as_slice(),
+            _ => std::slice::from_ref(self.node),
+        };
+        self.record(visitor.visit_seq(Items {
+            reader: self,
+            nodes,
+        }))
+    }
+
+    fn deserialize_tuple<V: Visitor<'de>>(
+        self,
+        _len: usize,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.deserialize_seq(visitor)
+    }
+
+    fn deserialize_tuple_struct<V: Visitor<'de>>(
+        self,
+        _name: &'static str,
+        _len: usize,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.deserialize_seq(visitor)
+    }
+
+    fn deserialize_map<V: Visitor<'de>>(
+        self,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.record(self.visit_mapping(None, visitor))
+    }
+
+    fn deserialize_struct<V: Visitor<'de>>(
+        self,
+        _name: &'static str,
+        fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.record(self.visit_mapping(Some(fields), visitor))
+    }
+
+    fn deserialize_enum<V: Visitor<'de>>(
+        self,
+        _name: &'static str,
+        _variants: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        let expected = "a word or a mapping with one key";
+        self.record(match &self.node.kind {
+            Kind::Scalar(scalar) if !self.node.is_null() => {
+                visitor.visit_enum(scalar.text.as_str().into_deserializer())
+            }
+            Kind::Mapping(entries) if entries.len() == 1 => visitor
+                .visit_enum(Variant {
+                    reader: self,
+                    entry: &entries[0],
+                }),
+            _ => Err(self.mismatch(&expected)),
+        })
+    }
+}
+
+/// The items of a sequence that were not left out.
+struct Items<'a> {
+    reader: Reader<'a>,
+    nodes: &'a [Node],
+}
+
+impl<'de> SeqAccess<'de> for Items<'de> {
+    type Error = Fault;
+
+    fn next_element_seed<T: DeserializeSeed<'de>>(
+        &mut self,
+        seed: T,
+    ) -> Result<Option<T::Value>, Fault> {
+        while let Some((node, rest)) = self.nodes.split_first() {
+            self.nodes = rest;
+            if !self.reader.sink.is_dropped(node) {
+                return seed.deserialize(self.reader.with(node)).map(Some);
+            }
+        }
+        Ok(None)
+    }
+
+    fn size_hint(&self) -> Option<usize> {
+        Some(self.nodes.len())
+    }
+}
+
+/// The known keys of a mapping whose values were not left out.
+struct Entries<'a> {
+    reader: Reader<'a>,
+    entries: &'a [Entry],
+    fields: Option<&'static [&'static str]>,
+    value: Option<&'a Node>,
+}
+
+impl<'de> MapAccess<'de> for Entries<'de> {
+    type Error = Fault;
+
+    fn next_key_seed<K: DeserializeSeed<'de>>(
+        &mut self,
+        seed: K,
+    ) -> Result<Option<K::Value>, Fault> {
+        let sink = self.reader.sink;
+        while let Some((entry, rest)) = self.entries.split_first() {
+            self.entries = rest;
+            let key = entry.key.as_str();
+            if let Some(fields) = self.fields
+                && !fields.contains(&key)
+            {
+                sink.unknown_key(entry, fields);
+                continue;
+            }
+            if sink.is_dropped(&entry.value) {
+                continue;
+            }
+            self.value = Some(&entry.value);
+            let result = seed.deserialize(key.into_deserializer());
+            return self.reader.with(&entry.value).record(result).map(Some);
+        }
+        Ok(None)
+    }
+
+    fn next_value_seed<V: DeserializeSeed<'de>>(
+        &mut self,
+        seed: V,
+    ) -> Result<V::Value, Fault> {
+        match self.value.take() {
+            Some(node) => seed.deserialize(self.reader.with(node)),
+            None => Err(de::Error::custom("a value without a key")),
+        }
+    }
+}
+
+/// An enum variant written as a mapping with one key.
+struct Variant<'a> {
+    reader: Reader<'a>,
+    entry: &'a Entry,
+}
+
+impl<'de> EnumAccess<'de> for Variant<'de> {
+    type Error = Fault;
+    type Variant = Reader<'de>;
+
+    fn variant_seed<V: DeserializeSeed<'de>>(
+        self,
+        seed: V,
+    ) -> Result<(V::Value, Reader<'de>), Fault> {
+        let key = self.entry.key.as_str();
+        let value = seed.deserialize(key.into_deserializer())?;
+        Ok((value, self.reader.with(&self.entry.value)))
+    }
+}
+
+impl<'de> VariantAccess<'de> for Reader<'de> {
+    type Error = Fault;
+
+    fn unit_variant(self) -> Result<(), Fault> {
+        <()>::deserialize(self)
+    }
+
+    fn newtype_variant_seed<T: DeserializeSeed<'de>>(
+        self,
+        seed: T,
+    ) -> Result<T::Value, Fault> {
+        seed.deserialize(self)
+    }
+
+    fn tuple_variant<V: Visitor<'de>>(
+        self,
+        _len: usize,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.deserialize_seq(visitor)
+    }
+
+    fn struct_variant<V: Visitor<'de>>(
+        self,
+        fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.record(self.visit_mapping(Some(fields), visitor))
+    }
+}
--- /dev/null
+++ b/crates/conf/src/error.rs
@@ -0,0 +1,243 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Key shown for a problem of the document as a whole.
+const WHOLE_DOCUMENT: &str = "(document)";
+
+/// Place in a text, both counted from 1; 0 if there is none.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+pub struct Location {
+    /// Line.
+    pub line: u32,
+    /// Column in characters, not bytes.
+    pub column: u32,
+}
+
+impl Location {
+    /// The first character.
+    pub(crate) const START: Location = Location { line: 1, column: 1 };
+
+    /// Returns the place just behind `text`.
+    pub(crate) fn after(text: &str) -> Self {
+        let line = 1 + text.matches('\n').count();
+        let tail = text.rsplit('\n').next().unwrap_or_default();
+        Self::clamped(line, 1 + tail.chars().count())
+    }
+
+    pub(crate) fn clamped(line: usize, column: usize) -> Self {
+        Self {
+            line: u32::try_from(line).unwrap_or(u32::MAX),
+            column: u32::try_from(column).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// One thing that is wrong in a document.
+///
+/// Displays as `FILE:LINE:COLUMN: KEY: message; did you mean "x"?`.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Problem {
+    file: String,
+    #[serde(flatten)]
+    location: Location,
+    key: String,
+    message: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    nearest: Option<String>,
+}
+
+impl Problem {
+    pub(crate) fn new(
+        file: &str,
+        location: Location,
+        key: &str,
+        message: impl Into<String>,
+    ) -> Self {
+        let key = if key.is_empty() { WHOLE_DOCUMENT } else { key };
+        Self {
+            file: file.to_owned(),
+            location,
+            key: key.to_owned(),
+            message: message.into(),
+            nearest: None,
+        }
+    }
+
+    pub(crate) fn with_nearest(mut self, nearest: Option<String>) -> Self {
+        self.nearest = nearest;
+        self
+    }
+
+    /// Returns the name of the file or other source.
+    #[inline]
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
+    /// Returns the line, counted from 1; 0 if the file could not be read.
+    #[inline]
+    pub fn line(&self) -> u32 {
+        self.location.line
+    }
+
+    /// Returns the column in characters, counted from 1; 0 if the file
+    /// could not be read.
+    #[inline]
+    pub fn column(&self) -> u32 {
+        self.location.column
+    }
+
+    /// Returns the path of the key, such as `pools[1].models`.
+    #[inline]
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// Returns what is wrong.
+    #[inline]
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns the nearest right word, if one is near.
+    #[inline]
+    pub fn nearest(&self) -> Option<&str> {
+        self.nearest.as_deref()
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Location { line, column } = self.location;
+        f.write_str(&self.file)?;
+        if line > 0 {
+            write!(f, ":{line}:{column}")?;
+        }
+        write!(f, ": {}: {}", self.key, self.message)?;
+        match &self.nearest {
+            Some(word) => write!(f, "; did you mean {word:?}?"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Says what is wrong in a document: at least one [`Problem`], in the order
+/// of the text.
+///
+/// Displays one line for each. Serializes as a list of problems, each with
+/// `file`, `line`, `column`, `key`, `message` and perhaps `nearest`. The
+/// getters other than [`ConfError::problems`] are those of the first one.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_conf::settings::Settings;
+///
+/// let report = Settings::parse("a.yaml", "roll: entry\n").unwrap_err();
+/// let error = report.current_context();
+/// assert_eq!((error.line(), error.column()), (1, 1));
+/// assert_eq!(error.key(), "roll");
+/// assert_eq!(error.nearest(), Some("role"));
+/// assert!(error.to_string().starts_with(
+///     "a.yaml:1:1: roll: unknown key; did you mean \"role\"?"
+/// ));
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(into = "Vec<Problem>")]
+pub struct ConfError {
+    first: Problem,
+    others: Vec<Problem>,
+}
+
+impl ConfError {
+    /// Makes an error of problems found elsewhere, in the order of the text,
+    /// or nothing if there is none.
+    pub fn from_problems(mut problems: Vec<Problem>) -> Option<Self> {
+        problems.sort_by_key(|problem| problem.location);
+        let mut rest = problems.into_iter();
+        let first = rest.next()?;
+        let others = rest.collect();
+        Some(Self { first, others })
+    }
+
+    /// Returns all problems in the order of the text.
+    pub fn problems(&self) -> impl Iterator<Item = &Problem> {
+        std::iter::once(&self.first).chain(&self.others)
+    }
+
+    /// Returns the name of the file or other source.
+    #[inline]
+    pub fn file(&self) -> &str {
+        self.first.file()
+    }
+
+    /// Returns the line, counted from 1; 0 if the file could not be read.
+    #[inline]
+    pub fn line(&self) -> u32 {
+        self.first.line()
+    }
+
+    /// Returns the column in characters, counted from 1.
+    #[inline]
+    pub fn column(&self) -> u32 {
+        self.first.column()
+    }
+
+    /// Returns the path of the key, such as `pools[1].models`.
+    #[inline]
+    pub fn key(&self) -> &str {
+        self.first.key()
+    }
+
+    /// Returns what is wrong.
+    #[inline]
+    pub fn message(&self) -> &str {
+        self.first.message()
+    }
+
+    /// Returns the nearest right word, if one is near.
+    #[inline]
+    pub fn nearest(&self) -> Option<&str> {
+        self.first.nearest()
+    }
+}
+
+impl From<Problem> for ConfError {
+    fn from(first: Problem) -> Self {
+        let others = Vec::new();
+        Self { first, others }
+    }
+}
+
+impl From<ConfError> for Vec<Problem> {
+    fn from(error: ConfError) -> Self {
+        let mut problems = vec![error.first];
+        problems.extend(error.others);
+        problems
+    }
+}
+
+impl fmt::Display for ConfError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.first.fmt(f)?;
+        for problem in &self.others {
+            write!(f, "\n{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for ConfError {}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,6 +1,55 @@
-//! Checked YAML settings with errors that name file, line, column and key.
+//! Checked YAML: errors that name file, line, column, key and nearest word.
+//!
+//! [`parse`] and [`read`] take any serde type and refuse unknown, missing
+//! and duplicate keys, wrong types, a second document, aliases and tags.
+//! They report every problem at once (up to 20), each as one line
+//! `FILE:LINE:COLUMN: KEY: message; did you mean "x"?`:
+//!
+//! ```
+//! use pomeloslip_conf::parse;
+//! use serde::Deserialize;
+//!
+//! #[derive(Debug, Deserialize)]
+//! struct Timeouts {
+//!     connect_ms: u64,
+//!     drain_ms: u64,
+//! }
+//!
+//! let text = "conect_ms: 5\ndrain_ms: soon\nconnect_ms: 5\n";
+//! let report = parse::<Timeouts>("a.yaml", text).unwrap_err();
+//! let lines = report.current_context().to_string();
+//! assert_eq!(
+//!     lines,
+//!     "a.yaml:1:1: conect_ms: unknown key; \
+//!      did you mean \"connect_ms\"?\n\
+//!      a.yaml:2:11: drain_ms: expected u64, found string \"soon\"",
+//! );
+//! ```
+//!
+//! [`parse_checked`] and [`read_checked`] go on with what a type knows of
+//! its meaning ([`Check`]): ranges, names that must be defined, names that
+//! must be unique. Their problems carry places as well.
 
 mod address;
+mod de;
+mod document;
+mod error;
+mod load;
+mod nearest;
+mod node;
+mod one_or_many;
 pub mod settings;
 
-pub use crate::address::{AddressError, HttpAddress, parse_socket};
+/// Most problems that are reported of one document.
+pub const PROBLEMS_MAX: usize = 20;
+
+pub use crate::{
+    address::{AddressError, HttpAddress, parse_socket},
+    document::{
+        Check, DOCUMENT_MAX_BYTES, Findings, parse, parse_checked, read,
+        read_checked,
+    },
+    error::{ConfError, Location, Problem},
+    nearest::nearest,
+    one_or_many::OneOrMany,
+};
--- /dev/null
+++ b/crates/conf/src/settings/check.rs
@@ -0,0 +1,292 @@
+use std::{collections::HashMap, net::SocketAddr, path::Path};
+
+use error_stack::Report;
+
+use super::{
+    BatchSettings, DataSettings, EndpointKind, EndpointSettings,
+    KeyValueSettings, LimitSettings, Role, Settings, TimeoutSettings,
+};
+use crate::{Check, ConfError, Findings, parse_checked, read_checked};
+
+const DAY_MS: u64 = 86_400_000;
+const MINUTE_MS: u64 = 60_000;
+const MIB: u64 = 1 << 20;
+const TIB: u64 = 1 << 40;
+
+/// Shortest secret, in bytes; a shorter one can be guessed.
+const SECRET_MIN_BYTES: usize = 16;
+
+/// Largest value of the key-value service leaves room for this many items'
+/// records in one commit.
+const COMMIT_ITEMS_MAX: u32 = 20_000;
+
+impl Settings {
+    /// Reads and checks the settings of a process.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the file with its place; see [`crate::read`].
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, Report<ConfError>> {
+        read_checked(path)
+    }
+
+    /// Parses and checks the settings of a process.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the text with its place; see [`crate::parse`].
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_conf::settings::Settings;
+    ///
+    /// let text = "
+    /// role: data
+    /// vm: vm-7
+    /// failure_domain: maardu
+    /// listen: 127.0.0.1:18021
+    /// peer_listen: 127.0.0.1:18022
+    /// data: {folder: /var/lib/pomeloslip}
+    /// peer_secrets: [0123456789abcdef]
+    /// ";
+    /// let settings = Settings::parse("data-1.yaml", text)?;
+    /// assert_eq!(settings.timeouts.connect_ms, 1_000);
+    /// # Ok::<(), error_stack::Report<pomeloslip_conf::ConfError>>(())
+    /// ```
+    pub fn parse(
+        source_name: &str,
+        text: &str,
+    ) -> Result<Self, Report<ConfError>> {
+        parse_checked(source_name, text)
+    }
+
+    fn check_role(&self, findings: &mut Findings<'_>) {
+        let mut needs = |section: &str, found: bool| {
+            if !found {
+                let role = self.role.as_str();
+                let message = format!("missing; role {role} needs it");
+                findings.report(section, message);
+            }
+        };
+        match self.role {
+            Role::Entry => {
+                needs("key_value", self.key_value.is_some());
+            }
+            Role::Companion => {
+                needs("endpoint", self.endpoint.is_some());
+                // Only engines run batch items.
+                let kind = self.endpoint.as_ref().map(|one| one.kind);
+                let pulls = kind == Some(EndpointKind::Engine);
+                needs("entries", !pulls || !self.entries.is_empty());
+            }
+            Role::Data => needs("data", self.data.is_some()),
+        }
+        if self.role != Role::Companion && self.endpoint.is_some() {
+            let message = "only role companion has an endpoint of its own";
+            findings.report("endpoint", message);
+        }
+        if self.role == Role::Companion && self.data.is_some() {
+            let message = "role companion keeps nothing";
+            findings.report("data", message);
+        }
+        if self.role != Role::Entry && !self.endpoints.is_empty() {
+            findings.report("endpoints", "only role entry uses it");
+        }
+    }
+
+    fn check_addresses(&self, findings: &mut Findings<'_>) {
+        let same = self.listen == self.peer_listen;
+        if same && self.listen.port() != 0 {
+            findings.report("peer_listen", "is the same as `listen`");
+        }
+        for (index, entry) in self.entries.iter().enumerate() {
+            let path = findings.item("entries", index);
+            check_target(&path, *entry, findings);
+        }
+        if let Some(statsd) = self.metrics.statsd {
+            check_target("metrics.statsd", statsd, findings);
+        }
+    }
+
+    fn check_data_vms(&self, findings: &mut Findings<'_>) {
+        let mut names = Names::default();
+        for (index, data_vm) in self.data_vms.iter().enumerate() {
+            let path = findings.item("data_vms", index);
+            let address = format!("{path}.address");
+            check_target(&address, data_vm.address, findings);
+            let vm = format!("{path}.vm");
+            names.add(&vm, data_vm.vm.as_str(), findings);
+        }
+    }
+
+    fn check_endpoints(&self, findings: &mut Findings<'_>) {
+        let mut names = Names::default();
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            let path = findings.item("endpoints", index);
+            if endpoint.peer.is_some() == endpoint.http.is_some() {
+                findings.report(&path, "takes one of `peer` and `http`");
+            }
+            check_name(&format!("{path}.pool"), &endpoint.pool, findings);
+            let name = format!("{path}.endpoint");
+            names.add(&name, endpoint.endpoint.as_str(), findings);
+        }
+    }
+
+    fn check_secrets(&self, findings: &mut Findings<'_>) {
+        for (index, secret) in self.peer_secrets.iter().enumerate() {
+            if secret.expose().len() < SECRET_MIN_BYTES {
+                let path = findings.item("peer_secrets", index);
+                let message =
+                    format!("has fewer than {SECRET_MIN_BYTES} bytes");
+                findings.report(&path, message);
+            }
+        }
+    }
+}
+
+impl Check for Settings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        self.check_role(findings);
+        self.check_addresses(findings);
+        self.check_data_vms(findings);
+        self.check_endpoints(findings);
+        self.check_secrets(findings);
+        if let Some(key_value) = &self.key_value {
+            key_value.check(findings);
+        }
+        if let Some(vm_list) = &self.vm_list {
+            let poll_ms = vm_list.poll_ms;
+            findings.range("vm_list.poll_ms", poll_ms, 100, MINUTE_MS);
+        }
+        if let Some(endpoint) = &self.endpoint {
+            endpoint.check(findings);
+        }
+        if let Some(data) = &self.data {
+            data.check(findings);
+        }
+        self.limits.check(findings);
+        self.batch.check(findings);
+        self.timeouts.check(findings);
+        check_name("metrics.prefix", &self.metrics.prefix, findings);
+    }
+}
+
+impl Check for KeyValueSettings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        if self.addresses.is_empty() {
+            findings.report("key_value.addresses", "is empty");
+        }
+        let timeout_ms = self.timeout_ms;
+        findings.range("key_value.timeout_ms", timeout_ms, 10, MINUTE_MS);
+        if self.prefix.is_empty() {
+            findings.report("key_value.prefix", "is empty");
+        }
+    }
+}
+
+impl Check for EndpointSettings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        check_name("endpoint.pool", &self.pool, findings);
+        let most = self.max_running;
+        findings.range("endpoint.max_running", most, 1, 4_096);
+        let batch = self.batch_max_running;
+        findings.range("endpoint.batch_max_running", batch, 0, most);
+        let path = "endpoint.first_token_target_ms";
+        findings.range(path, self.first_token_target_ms, 1, 10 * MINUTE_MS);
+        let path = "endpoint.between_tokens_target_ms";
+        findings.range(path, self.between_tokens_target_ms, 1, MINUTE_MS);
+    }
+}
+
+impl Check for DataSettings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        if self.folder.as_os_str().is_empty() {
+            findings.report("data.folder", "is empty");
+        }
+        let quota = self.quota_bytes;
+        findings.range("data.quota_bytes", quota, MIB, 1_024 * TIB);
+        let days = self.retention_days;
+        findings.range("data.retention_days", days, 1, 3_650);
+    }
+}
+
+impl Check for LimitSettings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        let body = self.body_max_bytes;
+        findings.range("limits.body_max_bytes", body, 1_024, 1_024 * MIB);
+        let file = self.file_max_bytes;
+        findings.range("limits.file_max_bytes", file, 1_024, TIB);
+        let header = self.header_max_bytes;
+        findings.range("limits.header_max_bytes", header, 256, MIB);
+        findings.range("limits.headers_max", self.headers_max, 8, 1_024);
+        findings.range("limits.items_max", self.items_max, 1, 10_000_000);
+        let item = self.item_max_bytes;
+        findings.range("limits.item_max_bytes", item, 64, file.max(64));
+        let jobs = self.open_jobs_max;
+        findings.range("limits.open_jobs_max", jobs, 1, 100_000);
+        let streams = self.streams_max;
+        findings.range("limits.streams_max", streams, 1, 100_000);
+    }
+}
+
+impl Check for BatchSettings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        findings.range("batch.partitions", self.partitions, 1, 4_096);
+        findings.range("batch.lease_ttl_s", self.lease_ttl_s, 2, 300);
+        let interval = self.commit_interval_ms;
+        findings.range("batch.commit_interval_ms", interval, 1, MINUTE_MS);
+        let items = self.commit_items_max;
+        let path = "batch.commit_items_max";
+        findings.range(path, items, 1, COMMIT_ITEMS_MAX);
+        let grant = self.grant_items_max;
+        findings.range("batch.grant_items_max", grant, 1, 1_024);
+        let ttl = self.grant_ttl_ms;
+        findings.range("batch.grant_ttl_ms", ttl, 100, DAY_MS);
+        findings.range("batch.attempts_max", self.attempts_max, 1, 100);
+    }
+}
+
+impl Check for TimeoutSettings {
+    fn check(&self, findings: &mut Findings<'_>) {
+        let connect = self.connect_ms;
+        findings.range("timeouts.connect_ms", connect, 1, MINUTE_MS);
+        let first = self.first_byte_ms;
+        findings.range("timeouts.first_byte_ms", first, 1, DAY_MS);
+        let between = self.between_bytes_ms;
+        findings.range("timeouts.between_bytes_ms", between, 1, DAY_MS);
+        findings.range("timeouts.drain_ms", self.drain_ms, 0, DAY_MS);
+    }
+}
+
+/// Refuses what cannot be connected to.
+fn check_target(path: &str, to: SocketAddr, findings: &mut Findings<'_>) {
+    if to.port() == 0 {
+        findings.report(path, "port 0 cannot be reached");
+    } else if to.ip().is_unspecified() {
+        findings.report(path, "is no address of one machine");
+    }
+}
+
+fn check_name(path: &str, name: &str, findings: &mut Findings<'_>) {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.is_empty() || !name.chars().all(allowed) {
+        let message = "takes letters, digits and - _ . only, at least one";
+        findings.report(path, message);
+    }
+}
+
+/// Finds names that stand twice.
+#[derive(Default)]
+struct Names(HashMap<String, String>);
+
+impl Names {
+    fn add(&mut self, path: &str, name: &str, findings: &mut Findings<'_>) {
+        let first = self.0.get(name);
+        if let Some(first) = first {
+            findings.report(path, format!("{name:?} is also in {first}"));
+            return;
+        }
+        self.0.insert(name.to_owned(), path.to_owned());
+    }
+}
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -6,6 +6,7 @@
 //! carries its unit in its name. `docs/SETTINGS.md` lists them with the
 //! reasons for the defaults.
 
+mod check;
 mod parts;
 
 use std::net::SocketAddr;
@@ -33,6 +34,26 @@
     Data,
 }
 
+impl Role {
+    /// Returns the name used in settings and logs.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_conf::settings::Role;
+    ///
+    /// assert_eq!(Role::Companion.as_str(), "companion");
+    /// ```
+    #[inline]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Role::Entry => "entry",
+            Role::Companion => "companion",
+            Role::Data => "data",
+        }
+    }
+}
+
 /// All settings of one process.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
