Ask again for every answer that is unknown, show the history by time

Cause: the entry answers 503 with ran unknown when the key-value service loses an answer; the command line took that for a failure, and the list of revisions would have shown their whole texts. Change: one place decides when a call with an identity is made again, for lost connections and for refusals that may have run; the history shows revision and time only. Timings not measured.

--- a/crates/cli/src/bin/pomeloslip/job/start.rs
+++ b/crates/cli/src/bin/pomeloslip/job/start.rs
@@ -17,9 +17,6 @@
     error::{CommandError, CommandResult, UsageExt},
 };
 
-/// Attempts to start a job whose answer is lost each time.
-const START_ATTEMPTS: u32 = 3;
-
 const ENDPOINT: &str = "/v1/chat/completions";
 const WINDOW: &str = "24h";
 const DUE_AT: &str = "due_at";
@@ -92,19 +89,5 @@
     mut job: JobRequest,
 ) -> Result<Batch, Report<ClientError>> {
     job.input_file_id = client.upload(path).await?.id;
-    let mut attempt = 1;
-    loop {
-        match client.start_job(&job).await {
-            // A resend of a job returns the first one, so that a lost
-            // answer can be asked for again.
-            Err(report) if attempt < START_ATTEMPTS && is_lost(&report) => {
-                attempt += 1;
-            }
-            result => return result,
-        }
-    }
-}
-
-fn is_lost(report: &Report<ClientError>) -> bool {
-    matches!(report.current_context(), ClientError::Lost { .. })
+    client.start_job(&job).await
 }
--- a/crates/cli/src/bin/pomeloslip/rules/apply.rs
+++ b/crates/cli/src/bin/pomeloslip/rules/apply.rs
@@ -5,7 +5,7 @@
 use error_stack::ResultExt;
 use pomeloslip::{
     args::Args,
-    client::{ClientError, NewConfig, Problem},
+    client::{NewConfig, Problem},
     render,
 };
 use serde::Serialize;
@@ -67,7 +67,7 @@
         if let Some(problem) = error::problem(report) {
             explain(context, &file, problem);
         }
-        if matches!(report.current_context(), ClientError::Lost { .. }) {
+        if report.current_context().may_have_run() {
             context.note(&format!("operation id {}", new.operation_id));
         }
     }
--- a/crates/cli/src/bin/pomeloslip/rules/show.rs
+++ b/crates/cli/src/bin/pomeloslip/rules/show.rs
@@ -1,7 +1,7 @@
 //! `rules show`: the configuration in force, an earlier one, or the list.
 
 use error_stack::ResultExt;
-use pomeloslip::{args::Args, client::HistoryItem, render::Table};
+use pomeloslip::{args::Args, render};
 
 use super::source;
 use crate::{
@@ -46,22 +46,5 @@
     let items = context
         .block_on(client.config_history(limit))?
         .change_context(CommandError::Failed("cannot list the revisions"))?;
-    context.show(&items, || history_table(&items))
-}
-
-fn history_table(items: &[HistoryItem]) -> String {
-    let mut table = Table::new(["revision", ""]).right([0]);
-    for item in items {
-        let others: Vec<String> = item
-            .other
-            .iter()
-            .filter(|(_, value)| !value.is_null())
-            .map(|(name, value)| match value.as_str() {
-                Some(text) => format!("{name}={text}"),
-                None => format!("{name}={value}"),
-            })
-            .collect();
-        table.row([item.revision.to_string(), others.join(" ")]);
-    }
-    table.to_string()
+    context.show(&items, || render::history(&items))
 }
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -8,6 +8,7 @@
 mod http;
 mod jobs;
 mod problem;
+mod retry;
 
 pub use self::{
     admin::{ConfigText, HistoryItem, NewConfig},
--- a/crates/cli/src/client/admin.rs
+++ b/crates/cli/src/client/admin.rs
@@ -1,10 +1,8 @@
 use error_stack::Report;
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Client, ClientError};
-
-/// Attempts to learn what became of an apply whose answer was lost.
-const APPLY_ATTEMPTS: u32 = 3;
+use super::{Client, ClientError, retry::until_known};
 
 /// A revision of the configuration with its text.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -20,9 +18,12 @@
 pub struct HistoryItem {
     /// The revision.
     pub revision: u64,
-    /// All other members, for example when and by whom.
+    /// When it was accepted.
+    #[serde(default)]
+    pub accepted_unix_ms: Option<i64>,
+    /// All other members, for example the text.
     #[serde(flatten)]
-    pub other: indexmap::IndexMap<String, serde_json::Value>,
+    pub other: IndexMap<String, serde_json::Value>,
 }
 
 /// A configuration that is to replace an expected revision.
@@ -87,31 +88,23 @@
 
     /// Replaces the configuration and returns the new revision.
     ///
-    /// An apply whose answer is lost is neither done nor not done. It is
-    /// sent again with the same operation id, by which the entry finds out
-    /// whether the first took effect; it never takes effect twice.
+    /// An apply whose answer is lost, here or between the entry and the
+    /// key-value service, is neither done nor not done. It is sent again
+    /// with the same operation id, by which the entry finds out whether the
+    /// first took effect; it never takes effect twice.
     ///
     /// # Errors
     ///
     /// [`ClientError::Refused`]: status 409 if another revision is in
-    /// force, 422 if the text has faults. [`ClientError::Lost`] if it is
-    /// still unknown after the last attempt.
+    /// force, 422 if the text has faults. An error for which
+    /// [`ClientError::may_have_run`] holds if it is still unknown after the
+    /// last attempt.
     pub async fn apply_config(
         &self,
         new: &NewConfig,
     ) -> Result<u64, Report<ClientError>> {
-        let mut attempt = 1;
-        loop {
-            match self.post::<Applied>("/admin/config", new).await {
-                Ok(applied) => return Ok(applied.revision),
-                Err(report)
-                    if attempt < APPLY_ATTEMPTS && is_lost(&report) =>
-                {
-                    attempt += 1;
-                }
-                Err(report) => return Err(report),
-            }
-        }
+        let call = async || self.post::<Applied>("/admin/config", new).await;
+        until_known(call).await.map(|applied| applied.revision)
     }
 
     /// Asks for the planned stop of the endpoint on a VM.
@@ -138,7 +131,3 @@
         self.get("/status").await
     }
 }
-
-fn is_lost(report: &Report<ClientError>) -> bool {
-    matches!(report.current_context(), ClientError::Lost { .. })
-}
--- a/crates/cli/src/client/error.rs
+++ b/crates/cli/src/client/error.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use super::Problem;
+use super::{Problem, Ran};
 
 /// Says why a call of an entry failed.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +35,27 @@
     },
 }
 
+impl ClientError {
+    /// Tells whether the call may have taken effect all the same.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip::client::ClientError;
+    ///
+    /// let server = "http://127.0.0.1:8080".to_owned();
+    /// assert!(ClientError::Lost { server: server.clone() }.may_have_run());
+    /// assert!(!ClientError::Unreachable { server }.may_have_run());
+    /// ```
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            ClientError::Lost { .. } => true,
+            ClientError::Refused(problem) => problem.ran == Some(Ran::Unknown),
+            _ => false,
+        }
+    }
+}
+
 impl fmt::Display for ClientError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/cli/src/client/jobs.rs
+++ b/crates/cli/src/client/jobs.rs
@@ -12,7 +12,7 @@
     io::{AsyncWrite, AsyncWriteExt},
 };
 
-use super::{Client, ClientError};
+use super::{Client, ClientError, retry::until_known};
 
 const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
 const JSON_LINES: &str = "application/jsonl";
@@ -137,21 +137,28 @@
 
     /// Starts a job.
     ///
+    /// A call whose answer is lost is made again: a resend returns the
+    /// first job.
+    ///
     /// # Errors
     ///
-    /// [`ClientError::Refused`] if it is not accepted. After
-    /// [`ClientError::Lost`] the same call may be made again: a resend
-    /// returns the first job.
+    /// [`ClientError::Refused`] if it is not accepted. An error for which
+    /// [`ClientError::may_have_run`] holds if that is still unknown after
+    /// the last attempt.
     pub async fn start_job(
         &self,
         job: &JobRequest,
     ) -> Result<Batch, Report<ClientError>> {
         let path = "/v1/batches";
-        let mut request = self.request(Method::POST, path).json(&job.body());
-        if let Some(key) = &job.idempotency_key {
-            request = request.header(IDEMPOTENCY_KEY, key);
-        }
-        self.json(path, request).await
+        let call = async || {
+            let mut request =
+                self.request(Method::POST, path).json(&job.body());
+            if let Some(key) = &job.idempotency_key {
+                request = request.header(IDEMPOTENCY_KEY, key);
+            }
+            self.json(path, request).await
+        };
+        until_known(call).await
     }
 
     /// Returns one page of jobs.
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -4,6 +4,7 @@
 //! and written to any output.
 
 mod diff;
+mod history;
 mod job;
 mod report;
 mod status;
@@ -11,6 +12,7 @@
 
 pub use self::{
     diff::diff_lines,
+    history::history,
     job::{job, jobs},
     report::{chain, fault, one_line},
     status::status,
--- a/crates/cli/src/render/job.rs
+++ b/crates/cli/src/render/job.rs
@@ -1,6 +1,6 @@
 use jiff::Timestamp;
 
-use super::Table;
+use super::{Table, table::time_or_dash};
 use crate::client::Batch;
 
 /// Shows jobs as a table.
@@ -53,7 +53,5 @@
 }
 
 fn time(unix_s: Option<i64>) -> String {
-    unix_s
-        .and_then(|s| Timestamp::from_second(s).ok())
-        .map_or_else(|| "-".to_owned(), |time| time.to_string())
+    time_or_dash(unix_s.and_then(|s| Timestamp::from_second(s).ok()))
 }
--- a/crates/cli/src/render/table.rs
+++ b/crates/cli/src/render/table.rs
@@ -1,5 +1,7 @@
 use std::fmt;
 
+use jiff::Timestamp;
+
 /// Rows of cells in columns as wide as their widest cell.
 ///
 /// # Example
@@ -80,3 +82,8 @@
         Ok(())
     }
 }
+
+/// Writes a time as RFC 3339, and a dash without one.
+pub(super) fn time_or_dash(time: Option<Timestamp>) -> String {
+    time.map_or_else(|| "-".to_owned(), |time| time.to_string())
+}
--- a/crates/cli/tests/cli_client.rs
+++ b/crates/cli/tests/cli_client.rs
@@ -49,6 +49,22 @@
     assert_eq!(server.received()[1].path, "/admin/config/7");
 }
 
+#[test]
+fn history_shows_times_and_no_texts() {
+    let server = Server::start(|_| {
+        let item = value!({
+            "revision": 9, "text": RULES,
+            "accepted_unix_ms": 1_700_000_000_000_i64,
+        });
+        json(200, value!([item]))
+    });
+    let ran = server.run(&["rules", "show", "--history", "5"]);
+    let expected = "revision  accepted\n       9  2023-11-14T22:13:20Z\n";
+    assert_eq!((ran.status, ran.stdout.as_str()), (0, expected));
+    let path = &server.received()[0].path;
+    assert_eq!(path, "/admin/config/history?limit=5");
+}
+
 #[test]
 fn diff_compares_with_the_revision_in_force() {
     let (_dir, path) = file("a: 2\n");
@@ -135,10 +151,10 @@
     let mut calls = 0;
     let server = Server::start(move |_| {
         calls += 1;
-        if calls < 3 {
-            Reply::Cut
-        } else {
-            json(200, value!({"revision": 42}))
+        match calls {
+            1 => Reply::Cut,
+            2 => json(503, value!({"title": "lost", "ran": "unknown"})),
+            _ => json(200, value!({"revision": 42})),
         }
     });
     let ran = apply(&server);
