End key-value writes at their time limit and watches with their caller

Cause: ops::Writer waited for the client's timeout beyond its own limit, and a watch of the stand-in outlived its caller until a key changed. Change: Writer bounds each call by its limit and tells what is certain then; watches ask for progress messages, which the stand-in sends after a silence, so that a dead caller is noticed and a renewal starts from a newer revision.

--- a/crates/kv/src/etcd/convert.rs
+++ b/crates/kv/src/etcd/convert.rs
@@ -31,6 +31,7 @@
         key: Blob(range.start().to_vec()),
         range_end: Blob(range.range_end().to_vec()),
         start_revision: from_revision.into(),
+        progress_notify: true,
         ..WatchCreateRequest::default()
     }
 }
--- a/crates/kv/src/etcd/watch.rs
+++ b/crates/kv/src/etcd/watch.rs
@@ -52,8 +52,16 @@
             match self.messages.next(idle).await? {
                 Some(message) => {
                     check(&message)?;
-                    if !message.created {
-                        return Ok(self.take(message));
+                    if message.created {
+                        continue;
+                    }
+                    let batch = convert::watch_batch(message);
+                    // A message without changes tells progress; a renewal
+                    // from there is less likely to be compacted.
+                    let reached = batch.revision + 1;
+                    self.next_revision = self.next_revision.max(reached);
+                    if !batch.events.is_empty() {
+                        return Ok(batch);
                     }
                 }
                 None => self.renew().await?,
@@ -69,12 +77,6 @@
         self.messages = messages;
         Ok(())
     }
-
-    fn take(&mut self, message: WatchResponse) -> WatchBatch {
-        let batch = convert::watch_batch(message);
-        self.next_revision = self.next_revision.max(batch.revision + 1);
-        batch
-    }
 }
 
 impl Watcher for EtcdWatcher {
--- a/crates/kv/src/json.rs
+++ b/crates/kv/src/json.rs
@@ -374,6 +374,10 @@
         /// Asks for the record before each change.
         #[serde(alias = "prevKv")]
         prev_kv: bool,
+        /// Asks for messages without changes now and then, whose header
+        /// tells the revision that the watch has reached.
+        #[serde(alias = "progressNotify")]
+        progress_notify: bool,
     }
 
     /// A change.
--- a/crates/kv/src/ops.rs
+++ b/crates/kv/src/ops.rs
@@ -3,7 +3,7 @@
 use base::{Millis, timer::Timer};
 use error_stack::Report;
 
-use crate::{Backoff, GetReply, Kv, KvError, Op, Txn, TxnReply};
+use crate::{Backoff, GetReply, Kv, KvError, KvFuture, Op, Txn, TxnReply};
 
 /// Shortest ceiling of the pause between attempts.
 const PAUSE_BASE_MS: u64 = 20;
@@ -127,7 +127,8 @@
             failure: String::new(),
         };
         loop {
-            match kv.txn(txn.clone()).await {
+            let call = kv.txn(txn.clone());
+            match self.limit(&attempt, call, KvError::Unknown).await {
                 Ok(reply) if reply.succeeded => {
                     return Ok(Outcome::Done(answered(&reply)));
                 }
@@ -160,14 +161,15 @@
         random: &mut (impl FnMut() -> u64 + Send),
     ) -> Result<GetReply, Report<KvError>> {
         loop {
-            let found = match read {
+            let call = match read {
                 Op::GetPrefix { prefix, limit } => {
-                    kv.get_prefix(prefix, *limit).await
+                    kv.get_prefix(prefix, *limit)
                 }
                 Op::Get { key } | Op::Put { key, .. } | Op::Delete { key } => {
-                    kv.get(key).await
+                    kv.get(key)
                 }
             };
+            let found = self.limit(attempt, call, KvError::NotDone).await;
             match found {
                 Ok(found) => return Ok(found),
                 Err(report) => {
@@ -178,6 +180,23 @@
         }
     }
 
+    /// Ends a call when the time is up, so that the caller's answer does
+    /// not wait for the client's own timeout.
+    async fn limit<T>(
+        &self,
+        attempt: &Attempt,
+        call: KvFuture<'_, T>,
+        error: KvError,
+    ) -> Result<T, Report<KvError>> {
+        tokio::select! {
+            biased;
+            result = call => result,
+            () = self.timer.subscribe_at(attempt.give_up_at) => {
+                Err(Report::new(error).attach("the time is up"))
+            }
+        }
+    }
+
     async fn pause(
         &self,
         attempt: &mut Attempt,
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -76,6 +76,9 @@
     pub value_max_bytes: usize,
     /// Changes kept for watches; older ones are compacted.
     pub history_max_changes: usize,
+    /// Silence after which a watch tells its progress; it also bounds how
+    /// long a watch outlives its caller.
+    pub progress_notify_ms: u64,
     /// Faults from the start.
     pub faults: KvFaults,
 }
@@ -87,6 +90,7 @@
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             value_max_bytes: limits.value_max_bytes,
             history_max_changes: limits.history_max_changes,
+            progress_notify_ms: 10_000,
             faults: KvFaults::default(),
         }
     }
--- a/crates/standin/src/kv/core.rs
+++ b/crates/standin/src/kv/core.rs
@@ -23,6 +23,7 @@
 /// The service without HTTP: the store, the faults and the counts.
 pub(super) struct Core {
     clock: Arc<dyn Clock>,
+    progress_every: Duration,
     state: Mutex<State>,
     signal: watch::Sender<Signal>,
 }
@@ -64,6 +65,9 @@
         let faults = ActiveFaults::new(settings.faults, clock.now());
         Self {
             clock,
+            progress_every: Duration::from_millis(
+                settings.progress_notify_ms.max(1),
+            ),
             state: Mutex::new(State {
                 store: Store::new(limits),
                 faults,
@@ -222,6 +226,10 @@
         Ok((reached, changes))
     }
 
+    pub(super) fn progress_every(&self) -> Duration {
+        self.progress_every
+    }
+
     pub(super) fn compacted_revision(&self) -> u64 {
         self.state().store.compacted_revision()
     }
--- a/crates/standin/src/kv/counts.rs
+++ b/crates/standin/src/kv/counts.rs
@@ -55,7 +55,7 @@
     /// Changes that a watch passed over because of its fault.
     pub dropped_changes: u64,
     /// Watches that wait at the moment. One whose caller has gone is
-    /// noticed at the next change to its keys.
+    /// noticed at its next message.
     pub watches_open: u64,
 }
 
--- a/crates/standin/tests/kv.rs
+++ b/crates/standin/tests/kv.rs
@@ -265,6 +265,30 @@
     assert_eq!(batch.unwrap().revision, 2);
 }
 
+#[tokio::test]
+async fn a_watch_ends_with_its_caller() {
+    let settings = KvServiceSettings {
+        progress_notify_ms: 5,
+        ..KvServiceSettings::default()
+    };
+    let service = KvService::start(settings).await.unwrap();
+    let client = EtcdJsonOptions::new([service.url()]).build().unwrap();
+    let mut watch = client.watch("a", 2).await.unwrap();
+    let write = async {
+        // Messages of progress are not taken for changes.
+        while service.counts().bytes_out < 400 {
+            tokio::task::yield_now().await;
+        }
+        client.txn(run([put("a", "1", None)])).await.unwrap();
+    };
+    let (batch, ()) = tokio::join!(watch.next(), write);
+    assert_eq!(batch.unwrap().events.len(), 1);
+    drop(watch);
+    while service.counts().watches_open > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[tokio::test]
 async fn the_json_is_that_of_the_gateway() {
     let setup = start().await;
