--- a/crates/conf/src/de.rs
+++ b/crates/conf/src/de.rs
@@ -6,11 +6,7 @@
 //! the list of fields that serde hands over, so that a type that forgets
 //! `deny_unknown_fields` is checked as well.
 
-use std::{
-    cell::RefCell,
-    collections::HashSet,
-    fmt::{self, Display},
-};
+use std::{cell::RefCell, collections::HashSet};
 
 use serde::de::{
     self, Deserialize, DeserializeOwned, DeserializeSeed, Deserializer,
@@ -20,6 +16,7 @@
 
 use crate::{
     PROBLEMS_MAX, Problem,
+    fault::Fault,
     nearest::nearest,
     node::{Entry, Kind, Node, Value},
     one_or_many,
@@ -100,74 +97,6 @@
     }
 }
 
-/// An error on its way from a visitor to the value that it is about.
-#[derive(Debug)]
-enum Fault {
-    /// It is in the sink already.
-    Recorded,
-    /// A key is missing in a mapping.
-    Missing(&'static str),
-    /// Something else is wrong with a value.
-    Value {
-        message: String,
-        nearest: Option<String>,
-    },
-}
-
-impl Fault {
-    fn value(message: String) -> Self {
-        let nearest = None;
-        Fault::Value { message, nearest }
-    }
-
-    fn word(kind: &str, wrong: &str, right: &[&str]) -> Self {
-        let near = nearest(wrong, right.iter().copied());
-        let list = right.join(", ");
-        Fault::Value {
-            message: format!("unknown {kind} {wrong:?}; one of {list}"),
-            nearest: near.map(str::to_owned),
-        }
-    }
-}
-
-impl Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Fault::Recorded => f.write_str("wrong value"),
-            Fault::Missing(field) => write!(f, "missing key `{field}`"),
-            Fault::Value { message, .. } => f.write_str(message),
-        }
-    }
-}
-
-impl std::error::Error for Fault {}
-
-impl de::Error for Fault {
-    fn custom<T: Display>(message: T) -> Self {
-        Fault::value(message.to_string())
-    }
-
-    fn invalid_type(found: Unexpected<'_>, expected: &dyn Expected) -> Self {
-        Fault::value(format!("expected {expected}, found {found}"))
-    }
-
-    fn invalid_value(found: Unexpected<'_>, expected: &dyn Expected) -> Self {
-        Fault::value(format!("expected {expected}, found {found}"))
-    }
-
-    fn unknown_variant(wrong: &str, right: &'static [&'static str]) -> Self {
-        Fault::word("value", wrong, right)
-    }
-
-    fn unknown_field(wrong: &str, right: &'static [&'static str]) -> Self {
-        Fault::word("key", wrong, right)
-    }
-
-    fn missing_field(field: &'static str) -> Self {
-        Fault::Missing(field)
-    }
-}
-
 /// Deserializer of one value.
 #[derive(Clone, Copy)]
 struct Reader<'a> {
--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -1,6 +1,4 @@
 use std::{
-    collections::{HashMap, HashSet},
-    fmt::Display,
     fs::File,
     io::{self, Read},
     path::Path,
@@ -10,21 +8,12 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    ConfError, Location, PROBLEMS_MAX, Problem, de, load,
-    nearest::nearest,
-    node::{Node, join_index},
+    Check, ConfError, Findings, Location, PROBLEMS_MAX, Problem, de, load,
 };
 
 /// Longest document, in bytes: what the key-value service holds in a value.
 pub const DOCUMENT_MAX_BYTES: usize = 1 << 20;
 
-/// A type whose values can be wrong in ways that its fields cannot say, such
-/// as a range or a name that nothing defines.
-pub trait Check {
-    /// Reports what is wrong.
-    fn check(&self, findings: &mut Findings<'_>);
-}
-
 /// Parses a document.
 ///
 /// # Errors
@@ -141,13 +130,10 @@
     let (value, outcome) = de::deserialize::<T>(file, &root);
     problems.extend(outcome.problems);
     if let Some(value) = &value {
-        let mut findings = Findings {
-            file,
-            locations: locations(&root),
-            dropped: outcome.dropped,
-            problems: &mut problems,
-        };
+        let dropped = outcome.dropped;
+        let mut findings = Findings::new(file, &root, dropped);
         check(value, &mut findings);
+        problems.extend(findings.into_problems());
     }
     problems.truncate(PROBLEMS_MAX);
     match (ConfError::from_problems(problems), value) {
@@ -170,115 +156,3 @@
     let message = format!("is longer than {DOCUMENT_MAX_BYTES} bytes");
     Err(Problem::new(file, location, "", message))
 }
-
-fn locations(root: &Node) -> HashMap<&str, Location> {
-    let mut found = HashMap::new();
-    root.walk(&mut |node| {
-        found.insert(node.path.as_str(), node.location);
-    });
-    found
-}
-
-/// Takes what a [`Check`] finds and gives it a place in the text.
-///
-/// Values are named by their path, such as `pools[1].models`. For a value
-/// that was left out, the place is that of the nearest one around it.
-///
-/// A check also runs if some values could not be read, so that an operator
-/// sees all problems at once. Those values are missing then: a list may be
-/// shorter than in the text ([`Findings::item`] numbers its items right),
-/// and a name may lack its definition ([`Findings::is_partial`]).
-#[derive(Debug)]
-pub struct Findings<'a> {
-    file: &'a str,
-    locations: HashMap<&'a str, Location>,
-    dropped: HashSet<String>,
-    problems: &'a mut Vec<Problem>,
-}
-
-impl Findings<'_> {
-    /// Reports a problem of a value.
-    ///
-    /// It is passed over if something inside the value could not be read,
-    /// since it may follow from that.
-    pub fn report(&mut self, path: &str, message: impl Into<String>) {
-        self.add(path, message.into(), None);
-    }
-
-    /// Reports a name that is not defined, with the nearest that is.
-    pub fn report_unknown<'c>(
-        &mut self,
-        path: &str,
-        kind: &str,
-        wrong: &str,
-        right: impl IntoIterator<Item = &'c str>,
-    ) {
-        let near = nearest(wrong, right).map(str::to_owned);
-        self.add(path, format!("unknown {kind} {wrong:?}"), near);
-    }
-
-    /// Reports a number outside of a range, both ends included.
-    pub fn range<N>(&mut self, path: &str, value: N, least: N, most: N)
-    where
-        N: PartialOrd + Display,
-    {
-        if value < least || value > most {
-            let message = format!("{value} is not in {least} to {most}");
-            self.report(path, message);
-        }
-    }
-
-    /// Returns the path of the item that is now number `index` of a list.
-    pub fn item(&self, list: &str, index: usize) -> String {
-        let mut kept = 0;
-        for number in 0.. {
-            let path = join_index(list, number);
-            if self.dropped.contains(&path) {
-                continue;
-            }
-            if kept == index {
-                return path;
-            }
-            kept += 1;
-        }
-        join_index(list, index)
-    }
-
-    /// Tells whether something in a value could not be read.
-    pub fn is_partial(&self, path: &str) -> bool {
-        self.dropped.iter().any(|dropped| is_within(dropped, path))
-    }
-
-    fn add(&mut self, path: &str, message: String, near: Option<String>) {
-        if self.is_partial(path) {
-            return;
-        }
-        let location = self.location(path);
-        let problem = Problem::new(self.file, location, path, message);
-        self.problems.push(problem.with_nearest(near));
-    }
-
-    fn location(&self, path: &str) -> Location {
-        let mut path = path;
-        loop {
-            if let Some(location) = self.locations.get(path) {
-                return *location;
-            }
-            let end = path.rfind(['.', '[']).unwrap_or(0);
-            path = &path[..end];
-            if path.is_empty() {
-                let root = self.locations.get("");
-                return root.copied().unwrap_or(Location::START);
-            }
-        }
-    }
-}
-
-fn is_within(inner: &str, outer: &str) -> bool {
-    match inner.strip_prefix(outer) {
-        Some(rest) => {
-            outer.is_empty() || rest.is_empty() || rest.starts_with(['.', '['])
-        }
-        None => false,
-    }
-}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -34,6 +34,8 @@
 mod de;
 mod document;
 mod error;
+mod fault;
+mod findings;
 mod load;
 mod nearest;
 mod node;
@@ -45,11 +47,9 @@
 
 pub use crate::{
     address::{AddressError, HttpAddress, parse_socket},
-    document::{
-        Check, DOCUMENT_MAX_BYTES, Findings, parse, parse_checked, read,
-        read_checked,
-    },
+    document::{DOCUMENT_MAX_BYTES, parse, parse_checked, read, read_checked},
     error::{ConfError, Location, Problem},
+    findings::{Check, Findings, UniqueNames},
     nearest::nearest,
     one_or_many::OneOrMany,
 };
--- a/crates/conf/src/settings/check.rs
+++ b/crates/conf/src/settings/check.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, net::SocketAddr, path::Path};
+use std::{net::SocketAddr, path::Path};
 
 use error_stack::Report;
 
@@ -6,7 +6,9 @@
     BatchSettings, DataSettings, EndpointKind, EndpointSettings,
     KeyValueSettings, LimitSettings, Role, Settings, TimeoutSettings,
 };
-use crate::{Check, ConfError, Findings, parse_checked, read_checked};
+use crate::{
+    Check, ConfError, Findings, UniqueNames, parse_checked, read_checked,
+};
 
 const DAY_MS: u64 = 86_400_000;
 const MINUTE_MS: u64 = 60_000;
@@ -110,7 +112,7 @@
     }
 
     fn check_data_vms(&self, findings: &mut Findings<'_>) {
-        let mut names = Names::default();
+        let mut names = UniqueNames::default();
         for (index, data_vm) in self.data_vms.iter().enumerate() {
             let path = findings.item("data_vms", index);
             let address = format!("{path}.address");
@@ -121,13 +123,13 @@
     }
 
     fn check_endpoints(&self, findings: &mut Findings<'_>) {
-        let mut names = Names::default();
+        let mut names = UniqueNames::default();
         for (index, endpoint) in self.endpoints.iter().enumerate() {
             let path = findings.item("endpoints", index);
             if endpoint.peer.is_some() == endpoint.http.is_some() {
                 findings.report(&path, "takes one of `peer` and `http`");
             }
-            check_name(&format!("{path}.pool"), &endpoint.pool, findings);
+            findings.name(&format!("{path}.pool"), &endpoint.pool);
             let name = format!("{path}.endpoint");
             names.add(&name, endpoint.endpoint.as_str(), findings);
         }
@@ -168,7 +170,7 @@
         self.limits.check(findings);
         self.batch.check(findings);
         self.timeouts.check(findings);
-        check_name("metrics.prefix", &self.metrics.prefix, findings);
+        findings.name("metrics.prefix", &self.metrics.prefix);
     }
 }
 
@@ -187,7 +189,7 @@
 
 impl Check for EndpointSettings {
     fn check(&self, findings: &mut Findings<'_>) {
-        check_name("endpoint.pool", &self.pool, findings);
+        findings.name("endpoint.pool", &self.pool);
         let most = self.max_running;
         findings.range("endpoint.max_running", most, 1, 4_096);
         let batch = self.batch_max_running;
@@ -267,26 +269,3 @@
         findings.report(path, "is no address of one machine");
     }
 }
-
-fn check_name(path: &str, name: &str, findings: &mut Findings<'_>) {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    if name.is_empty() || !name.chars().all(allowed) {
-        let message = "takes letters, digits and - _ . only, at least one";
-        findings.report(path, message);
-    }
-}
-
-/// Finds names that stand twice.
-#[derive(Default)]
-struct Names(HashMap<String, String>);
-
-impl Names {
-    fn add(&mut self, path: &str, name: &str, findings: &mut Findings<'_>) {
-        let first = self.0.get(name);
-        if let Some(first) = first {
-            findings.report(path, format!("{name:?} is also in {first}"));
-            return;
-        }
-        self.0.insert(name.to_owned(), path.to_owned());
-    }
-}
--- /dev/null
+++ b/crates/rules/src/check.rs
@@ -0,0 +1,386 @@
+//! What a configuration must mean beyond its shape.
+
+use conf::{Check, Findings, OneOrMany, UniqueNames, settings::EndpointKind};
+
+use crate::{
+    Config, PoolConfig, Refuse, Rule, TenantConfig, TenantLimits, Then, When,
+};
+
+const DAY_MS: u64 = 86_400_000;
+const RATE_MAX: f64 = 1e9;
+const WEIGHT_MAX: u32 = 1_000;
+const RETRIES_MAX: u32 = 10;
+
+impl Check for Config {
+    fn check(&self, findings: &mut Findings<'_>) {
+        let mut checker = Checker {
+            config: self,
+            findings,
+        };
+        checker.tenants();
+        checker.pools();
+        checker.rules();
+    }
+}
+
+struct Checker<'c, 'f, 't> {
+    config: &'c Config,
+    findings: &'f mut Findings<'t>,
+}
+
+impl<'c> Checker<'c, '_, '_> {
+    fn tenants(&mut self) {
+        let mut names = UniqueNames::default();
+        let mut digests = UniqueNames::default();
+        for (index, tenant) in self.config.tenants.iter().enumerate() {
+            let path = self.findings.item("tenants", index);
+            let name = format!("{path}.tenant");
+            names.add(&name, tenant.tenant.as_str(), self.findings);
+            let keys = format!("{path}.key_sha256");
+            for (index, digest) in tenant.key_sha256.iter().enumerate() {
+                let path = self.findings.item(&keys, index);
+                let digest = digest.to_string();
+                digests.add(&path, &digest, self.findings);
+            }
+            self.tenant(&path, tenant);
+        }
+    }
+
+    fn tenant(&mut self, path: &str, tenant: &TenantConfig) {
+        let weight = format!("{path}.weight");
+        self.findings.range(&weight, tenant.weight, 1, WEIGHT_MAX);
+        let TenantLimits {
+            requests_per_s,
+            burst,
+            concurrent,
+            batch_items_open: _,
+        } = tenant.limits;
+        let key = |key: &str| format!("{path}.limits.{key}");
+        self.rate(&key("requests_per_s"), requests_per_s);
+        self.at_least_one(&key("burst"), burst);
+        self.at_least_one(&key("concurrent"), concurrent);
+        if burst.is_some() && requests_per_s.is_none() {
+            let message = "has no effect without `requests_per_s`";
+            self.findings.report(&key("burst"), message);
+        }
+    }
+
+    fn pools(&mut self) {
+        let mut names = UniqueNames::default();
+        for (index, pool) in self.config.pools.iter().enumerate() {
+            let path = self.findings.item("pools", index);
+            let name = format!("{path}.pool");
+            names.add(&name, &pool.pool, self.findings);
+            self.findings.name(&name, &pool.pool);
+            self.pool(&path, pool);
+        }
+    }
+
+    fn pool(&mut self, path: &str, pool: &PoolConfig) {
+        let models = format!("{path}.models");
+        let service = format!("{path}.service");
+        let repeatable = format!("{path}.repeatable");
+        let misplaced = "is only for kind";
+        match pool.kind {
+            EndpointKind::Engine => {
+                let none = pool.models.as_ref().is_none_or(|m| m.is_empty());
+                if none {
+                    let message = "missing; an engine pool needs one";
+                    self.findings.report(&models, message);
+                }
+                if pool.service.is_some() {
+                    let message = format!("{misplaced} service");
+                    self.findings.report(&service, message);
+                }
+                if pool.repeatable.is_some() {
+                    let message = format!("{misplaced} service");
+                    self.findings.report(&repeatable, message);
+                }
+            }
+            EndpointKind::Service => {
+                if pool.service.is_none() {
+                    let message = "missing; a service pool needs it";
+                    self.findings.report(&service, message);
+                }
+                if pool.models.is_some() {
+                    let message = format!("{misplaced} engine");
+                    self.findings.report(&models, message);
+                }
+            }
+        }
+    }
+
+    fn rules(&mut self) {
+        let mut names = UniqueNames::default();
+        for (index, rule) in self.config.rules.iter().enumerate() {
+            let path = self.findings.item("rules", index);
+            if let Some(name) = &rule.name {
+                let path = format!("{path}.name");
+                names.add(&path, name, self.findings);
+            }
+            self.when(&format!("{path}.when"), &rule.when);
+            self.then(&format!("{path}.then"), &rule.then);
+            self.served(&path, rule);
+        }
+    }
+
+    fn when(&mut self, path: &str, when: &When) {
+        let key = |key: &str| format!("{path}.{key}");
+        self.not_empty(&key("class"), when.class.as_ref());
+        self.not_empty(&key("path"), when.path.as_ref());
+        self.not_empty(&key("method"), when.method.as_ref());
+        self.not_empty(&key("header"), when.header.as_ref());
+        self.not_empty(&key("time_of_day"), when.time_of_day.as_ref());
+        self.not_empty(&key("dates"), when.dates.as_ref());
+        self.not_empty(&key("pool_load"), when.pool_load.as_ref());
+        let config = self.config;
+        let tenants = config.tenants.iter().map(|one| one.tenant.as_str());
+        let tenants: Vec<&str> = tenants.collect();
+        let wanted = when.tenant.as_ref();
+        self.defined(&key("tenant"), "tenant", wanted, &tenants);
+        let models = config.pools.iter().flat_map(models);
+        let models: Vec<&str> = models.collect();
+        let wanted = when.model.as_ref();
+        self.defined(&key("model"), "model", wanted, &models);
+        let services = config.pools.iter().flat_map(|one| &one.service);
+        let services: Vec<&str> = services.map(|one| one.as_str()).collect();
+        let wanted = when.service.as_ref();
+        self.defined(&key("service"), "service", wanted, &services);
+        if when.model.is_some() && when.service.is_some() {
+            let message = "no request asks for a model and a service";
+            self.findings.report(&key("service"), message);
+        }
+        self.ranges(path, when);
+    }
+
+    fn ranges(&mut self, path: &str, when: &When) {
+        if let Some(range) = when.prompt_bytes {
+            let path = format!("{path}.prompt_bytes");
+            match (range.min, range.max) {
+                (None, None) => {
+                    self.findings.report(&path, "takes `min` or `max`");
+                }
+                (Some(min), Some(max)) if min > max => {
+                    let message = format!("min {min} is over max {max}");
+                    self.findings.report(&path, message);
+                }
+                _ => {}
+            }
+        }
+        for (path, part) in self.each(path, "time_of_day", &when.time_of_day) {
+            if part.from == part.to {
+                let message = "`from` and `to` are the same";
+                self.findings.report(&path, message);
+            }
+        }
+        for (path, dates) in self.each(path, "dates", &when.dates) {
+            if dates.from > dates.to {
+                self.findings.report(&path, "`from` is after `to`");
+            }
+        }
+        for (path, load) in self.each(path, "pool_load", &when.pool_load) {
+            self.pool_name(&format!("{path}.pool"), &load.pool);
+            let above = format!("{path}.above");
+            self.findings.range(&above, load.above, 0.0, 1_000.0);
+        }
+        for (path, header) in self.each(path, "header", &when.header) {
+            if header.name.is_empty() {
+                self.findings.report(&format!("{path}.name"), "is empty");
+            }
+            if header.equals.is_some() && header.prefix.is_some() {
+                let message = "takes one of `equals` and `prefix`";
+                self.findings.report(&path, message);
+            }
+        }
+    }
+
+    fn then(&mut self, path: &str, then: &Then) {
+        let key = |key: &str| format!("{path}.{key}");
+        let ways = [then.pool.is_some(), then.refuse.is_some(), then.shed];
+        if ways.into_iter().filter(|way| *way).count() != 1 {
+            let message = "takes exactly one of `pool`, `refuse`, `shed`";
+            self.findings.report(path, message);
+        }
+        if let Some(pool) = &then.pool {
+            self.pool_name(&key("pool"), pool);
+        }
+        let each = self.each(path, "fallback_pools", &then.fallback_pools);
+        for (path, pool) in each {
+            self.pool_name(&path, pool);
+        }
+        if then.pool.is_none() {
+            self.no_route(path, then);
+        }
+        self.milliseconds(&key("deadline_ms"), then.deadline_ms);
+        self.milliseconds(&key("first_token_ms"), then.first_token_ms);
+        self.milliseconds(&key("hedge_ms"), then.hedge_ms);
+        if let (Some(first), Some(all)) =
+            (then.first_token_ms, then.deadline_ms)
+            && first > all
+        {
+            let message = format!("{first} is over deadline_ms {all}");
+            self.findings.report(&key("first_token_ms"), message);
+        }
+        if let Some(retries) = then.retries {
+            self.findings
+                .range(&key("retries"), retries, 0, RETRIES_MAX);
+        }
+        if then.hedge_ms.is_some() && then.repeatable == Some(false) {
+            let message = "runs a request twice, which `repeatable` forbids";
+            self.findings.report(&key("hedge_ms"), message);
+        }
+        self.rate(&key("rate_per_s"), then.rate_per_s);
+        self.at_least_one(&key("concurrent"), then.concurrent);
+        self.shares(path, then);
+        if let Some(refuse) = &then.refuse {
+            self.refuse(&key("refuse"), refuse);
+        }
+    }
+
+    /// Refuses keys that say how to send a request that is not sent.
+    fn no_route(&mut self, path: &str, then: &Then) {
+        let given = [
+            ("fallback_pools", then.fallback_pools.is_some()),
+            ("deadline_ms", then.deadline_ms.is_some()),
+            ("first_token_ms", then.first_token_ms.is_some()),
+            ("retries", then.retries.is_some()),
+            ("hedge_ms", then.hedge_ms.is_some()),
+            ("repeatable", then.repeatable.is_some()),
+            ("rate_per_s", then.rate_per_s.is_some()),
+            ("concurrent", then.concurrent.is_some()),
+            ("batch_share", then.batch_share.is_some()),
+            ("batch_floor", then.batch_floor.is_some()),
+        ];
+        for (key, _) in given.iter().filter(|(_, given)| *given) {
+            let path = format!("{path}.{key}");
+            self.findings.report(&path, "has no effect without `pool`");
+        }
+    }
+
+    fn shares(&mut self, path: &str, then: &Then) {
+        let share = then.batch_share.unwrap_or(1.0);
+        let floor = then.batch_floor.unwrap_or(0.0);
+        let floor_path = format!("{path}.batch_floor");
+        let share_path = format!("{path}.batch_share");
+        self.findings.range(&share_path, share, 0.0, 1.0);
+        self.findings.range(&floor_path, floor, 0.0, 1.0);
+        if floor > share {
+            let message = format!("{floor} is over batch_share {share}");
+            self.findings.report(&floor_path, message);
+        }
+    }
+
+    fn refuse(&mut self, path: &str, refuse: &Refuse) {
+        let status = format!("{path}.status");
+        self.findings.range(&status, refuse.status, 400, 599);
+        if refuse.detail.is_empty() {
+            self.findings.report(&format!("{path}.detail"), "is empty");
+        }
+        if let Some(seconds) = refuse.retry_after_s {
+            let path = format!("{path}.retry_after_s");
+            self.findings.range(&path, seconds, 1, 86_400);
+        }
+    }
+
+    /// Refuses a rule that sends requests for a model or a service to a pool
+    /// that does not serve it; each such request would fail.
+    fn served(&mut self, path: &str, rule: &Rule) {
+        let Some(name) = &rule.then.pool else { return };
+        let mut pools = self.config.pools.iter();
+        let Some(pool) = pools.find(|pool| pool.pool == *name) else {
+            return;
+        };
+        let served: Vec<&str> = models(pool).collect();
+        let path = format!("{path}.then.pool");
+        for model in rule.when.model.iter().flat_map(|any| any.iter()) {
+            if !served.contains(&model.as_str()) {
+                let message = format!("{name:?} has no model {model}");
+                self.findings.report(&path, message);
+            }
+        }
+        for service in rule.when.service.iter().flat_map(|any| any.iter()) {
+            if pool.service.as_ref() != Some(service) {
+                let message = format!("{name:?} is not service {service}");
+                self.findings.report(&path, message);
+            }
+        }
+    }
+
+    fn pool_name(&mut self, path: &str, name: &str) {
+        let pools = self.config.pools.iter().map(|pool| pool.pool.as_str());
+        let names: Vec<&str> = pools.collect();
+        self.known(path, "pool", name, &names);
+    }
+
+    fn defined<T: AsRef<str>>(
+        &mut self,
+        path: &str,
+        kind: &str,
+        wanted: Option<&OneOrMany<T>>,
+        names: &[&str],
+    ) {
+        self.not_empty(path, wanted);
+        let Some(wanted) = wanted else { return };
+        for (index, one) in wanted.iter().enumerate() {
+            let item = self.findings.item(path, index);
+            self.known(&item, kind, one.as_ref(), names);
+        }
+    }
+
+    /// A name may lack its definition only because that could not be read.
+    fn known(&mut self, path: &str, kind: &str, name: &str, names: &[&str]) {
+        let section = if kind == "tenant" { "tenants" } else { "pools" };
+        if names.contains(&name) || self.findings.is_partial(section) {
+            return;
+        }
+        let right = names.iter().copied();
+        self.findings.report_unknown(path, kind, name, right);
+    }
+
+    /// Returns the items of a list in a mapping with their paths.
+    fn each<'v, T>(
+        &self,
+        path: &str,
+        key: &str,
+        list: &'v Option<OneOrMany<T>>,
+    ) -> Vec<(String, &'v T)> {
+        let path = format!("{path}.{key}");
+        let items = list.iter().flat_map(|list| list.iter()).enumerate();
+        items
+            .map(|(index, item)| (self.findings.item(&path, index), item))
+            .collect()
+    }
+
+    fn not_empty<T>(&mut self, path: &str, list: Option<&OneOrMany<T>>) {
+        if list.is_some_and(|list| list.is_empty()) {
+            let message = "an empty list never holds; leave the key out";
+            self.findings.report(path, message);
+        }
+    }
+
+    fn at_least_one(&mut self, path: &str, number: Option<u32>) {
+        if let Some(number) = number {
+            self.findings.range(path, number, 1, u32::MAX);
+        }
+    }
+
+    fn milliseconds(&mut self, path: &str, ms: Option<u64>) {
+        if let Some(ms) = ms {
+            self.findings.range(path, ms, 1, DAY_MS);
+        }
+    }
+
+    fn rate(&mut self, path: &str, rate: Option<f64>) {
+        if let Some(rate) = rate
+            && !(rate > 0.0 && rate <= RATE_MAX)
+        {
+            let message = format!("{rate} is not over 0 and up to 1e9");
+            self.findings.report(path, message);
+        }
+    }
+}
+
+fn models(pool: &PoolConfig) -> impl Iterator<Item = &str> {
+    let lists = pool.models.iter();
+    lists.flat_map(|list| list.iter()).map(|one| one.as_str())
+}
--- /dev/null
+++ b/crates/rules/src/compiled.rs
@@ -0,0 +1,327 @@
+use std::collections::{BTreeSet, HashMap};
+
+use base::{Revision, Tenant, UnixMillis};
+use conf::settings::EndpointKind;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    Action, Config, Decision, Explanation, OrderFencing, PoolConfig, Route,
+    RuleExplanation, Sample, TenantConfig, TenantLimits, calendar::Moment,
+    condition::Condition, decision::Outcome, index::RuleIndex, when::Method,
+};
+
+new_key_type! {
+    /// Names a tenant within one compiled configuration.
+    pub struct TenantKey;
+
+    /// Names a pool within one compiled configuration.
+    pub struct PoolKey;
+}
+
+/// A tenant of a compiled configuration.
+#[derive(Clone, Debug)]
+pub struct TenantEntry {
+    key: TenantKey,
+    config: TenantConfig,
+}
+
+impl TenantEntry {
+    /// Returns the tenant's key in this configuration.
+    #[inline]
+    pub fn key(&self) -> TenantKey {
+        self.key
+    }
+
+    /// Returns the tenant's name.
+    #[inline]
+    pub fn tenant(&self) -> &Tenant {
+        &self.config.tenant
+    }
+
+    /// Returns the tenant's limits over the whole fleet.
+    #[inline]
+    pub fn limits(&self) -> &TenantLimits {
+        &self.config.limits
+    }
+
+    /// Returns the tenant's share of contended capacity, relative to others.
+    #[inline]
+    pub fn weight(&self) -> u32 {
+        self.config.weight
+    }
+}
+
+/// A pool of a compiled configuration.
+#[derive(Clone, Debug)]
+pub struct PoolEntry {
+    key: PoolKey,
+    config: PoolConfig,
+}
+
+impl PoolEntry {
+    /// Returns the pool's key in this configuration.
+    #[inline]
+    pub fn key(&self) -> PoolKey {
+        self.key
+    }
+
+    /// Returns the pool's name.
+    #[inline]
+    pub fn name(&self) -> &str {
+        &self.config.pool
+    }
+
+    /// Returns what the configuration says of the pool.
+    #[inline]
+    pub fn config(&self) -> &PoolConfig {
+        &self.config
+    }
+
+    /// Tells whether the pool's endpoints refuse old orders by themselves.
+    #[inline]
+    pub fn checks_fence(&self) -> bool {
+        self.config.order_fencing == OrderFencing::Checked
+    }
+
+    /// Tells whether a call of this method may run twice.
+    ///
+    /// Engines only compute, so theirs may. A service's call may do
+    /// something in the world; without word from the operators only the
+    /// methods that HTTP calls safe are repeated.
+    pub fn is_repeatable(&self, method: &str) -> bool {
+        const SAFE: [Method; 3] = [Method::Get, Method::Head, Method::Options];
+        if self.config.kind == EndpointKind::Engine {
+            return true;
+        }
+        let listed = self.config.repeatable.as_deref();
+        let methods = listed.unwrap_or(&SAFE);
+        methods.iter().any(|one| one.as_str() == method)
+    }
+}
+
+/// A rule of a compiled configuration.
+#[derive(Clone, Debug)]
+struct CompiledRule {
+    name: Option<String>,
+    /// Those that the index does not cover.
+    tests: Vec<Condition>,
+    outcome: Outcome,
+}
+
+/// A configuration that is indexed for decisions; it never changes.
+///
+/// # Example
+///
+/// ```
+/// use base::{Class, Revision, UnixMillis};
+/// use pomeloslip_rules::{Action, Config, Sample};
+///
+/// let text = "
+/// pools:
+///   - {pool: korv-lm, kind: engine, models: korv-lm}
+/// rules:
+///   - name: chat
+///     when: {class: online, model: korv-lm}
+///     then: {pool: korv-lm, retries: 1}
+/// ";
+/// let config = Config::parse("rules.yaml", text)?;
+/// let compiled = config.compile(Revision::new(7));
+/// let sample = Sample {
+///     model: Some("korv-lm"),
+///     ..Sample::new(Class::Online, "taevakorv")
+/// };
+/// let decision = compiled.decide(&sample, UnixMillis::new(0));
+/// let Action::Route { route, repeatable } = decision.action() else {
+///     panic!("not routed");
+/// };
+/// assert_eq!(compiled.pool(route.pool()).unwrap().name(), "korv-lm");
+/// assert!(repeatable);
+/// assert_eq!(decision.rule_name(), Some("chat"));
+/// # Ok::<(), error_stack::Report<pomeloslip_rules::RulesError>>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Compiled {
+    revision: Revision,
+    tenants: SlotMap<TenantKey, TenantEntry>,
+    tenant_keys: HashMap<Tenant, TenantKey>,
+    digests: HashMap<[u8; 32], TenantKey>,
+    pools: SlotMap<PoolKey, PoolEntry>,
+    pool_keys: HashMap<String, PoolKey>,
+    rules: Vec<CompiledRule>,
+    /// All conditions of each rule, for explanations.
+    conditions: Vec<Vec<Condition>>,
+    index: RuleIndex,
+}
+
+impl Compiled {
+    pub(crate) fn new(config: Config, revision: Revision) -> Self {
+        let mut tenants = SlotMap::with_key();
+        let mut tenant_keys = HashMap::new();
+        let mut digests = HashMap::new();
+        for config in config.tenants {
+            let name = config.tenant.clone();
+            let key_digests = config.key_sha256.clone();
+            let key =
+                tenants.insert_with_key(|key| TenantEntry { key, config });
+            tenant_keys.insert(name, key);
+            for digest in key_digests.iter() {
+                digests.insert(*digest.as_bytes(), key);
+            }
+        }
+        let mut pools = SlotMap::with_key();
+        let mut pool_keys = HashMap::new();
+        for config in config.pools {
+            let name = config.pool.clone();
+            let key = pools.insert_with_key(|key| PoolEntry { key, config });
+            pool_keys.insert(name, key);
+        }
+        let mut rules = Vec::new();
+        let mut conditions = Vec::new();
+        for rule in config.rules {
+            let all = Condition::list(rule.when);
+            let tests = all.iter().filter(|one| !one.is_indexed());
+            rules.push(CompiledRule {
+                name: rule.name,
+                tests: tests.cloned().collect(),
+                outcome: Outcome::new(rule.then, &pool_keys),
+            });
+            conditions.push(all);
+        }
+        Self {
+            revision,
+            tenants,
+            tenant_keys,
+            digests,
+            pools,
+            pool_keys,
+            rules,
+            index: RuleIndex::new(&conditions),
+            conditions,
+        }
+    }
+
+    /// Returns the revision of the configuration.
+    #[inline]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the tenant whose key has this SHA-256 digest.
+    ///
+    /// The time of the search tells nothing about keys: an attacker who
+    /// guesses keys cannot choose their digests.
+    #[inline]
+    pub fn tenant_by_key_digest(
+        &self,
+        digest: &[u8; 32],
+    ) -> Option<&TenantEntry> {
+        self.tenant(*self.digests.get(digest)?)
+    }
+
+    /// Returns a tenant by its key.
+    #[inline]
+    pub fn tenant(&self, key: TenantKey) -> Option<&TenantEntry> {
+        self.tenants.get(key)
+    }
+
+    /// Returns a tenant by its name.
+    pub fn tenant_by_name(&self, name: &Tenant) -> Option<&TenantEntry> {
+        self.tenant(*self.tenant_keys.get(name)?)
+    }
+
+    /// Returns all tenants.
+    pub fn tenants(&self) -> impl Iterator<Item = &TenantEntry> {
+        self.tenants.values()
+    }
+
+    /// Returns a pool by its key.
+    #[inline]
+    pub fn pool(&self, key: PoolKey) -> Option<&PoolEntry> {
+        self.pools.get(key)
+    }
+
+    /// Returns a pool by its name.
+    pub fn pool_by_name(&self, name: &str) -> Option<&PoolEntry> {
+        self.pool(*self.pool_keys.get(name)?)
+    }
+
+    /// Returns all pools.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolEntry> {
+        self.pools.values()
+    }
+
+    /// Returns the names of all models that some pool serves, sorted.
+    pub fn models(&self) -> Vec<&str> {
+        let lists = self.pools.values().map(|pool| &pool.config.models);
+        let models = lists.flatten().flat_map(|list| list.iter());
+        let sorted: BTreeSet<&str> =
+            models.map(|model| model.as_str()).collect();
+        sorted.into_iter().collect()
+    }
+
+    /// Returns what the first rule that holds says.
+    pub fn decide(
+        &self,
+        sample: &Sample<'_>,
+        now: UnixMillis,
+    ) -> Decision<'_> {
+        let moment = Moment::new(now);
+        let holds = |rule: &usize| {
+            let tests = &self.rules[*rule].tests;
+            tests.iter().all(|test| test.holds(sample, &moment))
+        };
+        match self.index.candidates(sample).find(holds) {
+            Some(rule) => self.decision(rule, sample.method),
+            None => Decision::new(None, None, Action::NoRule),
+        }
+    }
+
+    fn decision(&self, index: usize, method: &str) -> Decision<'_> {
+        let rule = &self.rules[index];
+        let action = match &rule.outcome {
+            Outcome::Route(route) => Action::Route {
+                route,
+                repeatable: self.is_repeatable(route, method),
+            },
+            Outcome::Refuse(refusal) => Action::Refuse(refusal),
+            Outcome::Shed => Action::Shed,
+        };
+        Decision::new(Some(index), rule.name.as_deref(), action)
+    }
+
+    fn is_repeatable(&self, route: &Route, method: &str) -> bool {
+        let by_pool = |key| {
+            let pool = self.pool(key);
+            pool.is_some_and(|pool| pool.is_repeatable(method))
+        };
+        // A retry may go to any of the pools.
+        let all = || route.pools().all(by_pool);
+        route.repeatable().unwrap_or_else(all)
+    }
+
+    /// Tells for each rule whether it holds, and if not, which conditions
+    /// fail.
+    pub fn explain(
+        &self,
+        sample: &Sample<'_>,
+        now: UnixMillis,
+    ) -> Explanation {
+        let moment = Moment::new(now);
+        let decider = self.decide(sample, now).rule();
+        let rules = self.conditions.iter().enumerate().map(|(at, all)| {
+            let name = self.rules[at].name.clone();
+            let failures = all
+                .iter()
+                .filter(|one| !one.holds(sample, &moment))
+                .map(|one| one.failure(sample, &moment))
+                .collect();
+            RuleExplanation::new(at, name, failures, decider)
+        });
+        let rules = rules.collect();
+        let action = match decider {
+            Some(rule) => self.rules[rule].outcome.describe(&self.pools),
+            None => "refused: no rule holds".to_owned(),
+        };
+        Explanation::new(self.revision, decider, action, rules)
+    }
+}
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,1 +1,39 @@
 //! Ordered operator rules: parse, compile once per revision, decide, explain.
+//!
+//! Operators drive the system by one YAML document ([`Config`]): tenants,
+//! pools and an ordered list of rules. The first rule whose conditions hold
+//! decides; a request that no rule covers is refused as such.
+//!
+//! A process parses a document once for each revision, compiles it
+//! ([`Compiled`]) and then decides each request ([`Compiled::decide`])
+//! without a lock or an allocation. The time is an argument.
+
+mod calendar;
+mod check;
+mod compiled;
+mod condition;
+mod config;
+mod decision;
+mod diff;
+mod error;
+mod explain;
+mod index;
+mod sample;
+mod when;
+
+pub use crate::{
+    calendar::{Clock, DateRange, Day, TimeOfDay, Zone},
+    compiled::{Compiled, PoolEntry, PoolKey, TenantEntry, TenantKey},
+    config::{
+        Config, OrderFencing, PoolConfig, Refuse, Rule, TenantConfig,
+        TenantLimits, Then,
+    },
+    decision::{Action, Decision, Refusal, Route},
+    diff::diff,
+    error::{RulesError, error_list},
+    explain::{Explanation, Failure, RuleExplanation, Verdict},
+    sample::{Facts, Sample, SampleBuf, SampleError},
+    when::{
+        ByteRange, DueIn, HeaderMatch, Method, PathPattern, PoolLoad, When,
+    },
+};
