Check, compare and explain rules without a server

Cause: rules check and rules explain waited for the crate rules; the entry answers a lost race with a list of lines, which the client did not read; the search for the nearest word stood twice. Timings not measured.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -4,10 +4,9 @@
 
 use std::{ffi::OsString, fmt, str::FromStr};
 
-pub use self::overrides::{Pair, override_settings};
+use conf::nearest;
 
-/// Least likeness of a word that is offered as the one that was meant.
-const LIKENESS_MIN: f64 = 0.7;
+pub use self::overrides::{Pair, override_settings};
 
 /// Says what is wrong with a command line.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -85,7 +84,7 @@
             } => {
                 write!(f, "unknown {kind} {found:?}")?;
                 match nearest {
-                    Some(nearest) => write!(f, ", did you mean {nearest:?}?"),
+                    Some(nearest) => write!(f, "; did you mean {nearest:?}?"),
                     None => Ok(()),
                 }
             }
@@ -102,29 +101,6 @@
 
 impl std::error::Error for ArgsError {}
 
-/// Finds the word that was most likely meant.
-///
-/// # Example
-///
-/// ```
-/// use pomeloslip::args::nearest;
-///
-/// let words = ["show", "apply"];
-/// assert_eq!(nearest("aply", words), Some("apply"));
-/// assert_eq!(nearest("xyz", words), None);
-/// ```
-pub fn nearest<'a>(
-    found: &str,
-    words: impl IntoIterator<Item = &'a str>,
-) -> Option<&'a str> {
-    words
-        .into_iter()
-        .map(|word| (strsim::jaro_winkler(found, word), word))
-        .filter(|(likeness, _)| *likeness >= LIKENESS_MIN)
-        .max_by(|(a, _), (b, _)| a.total_cmp(b))
-        .map(|(_, word)| word)
-}
-
 /// A command line that is read piece by piece.
 ///
 /// Options are taken first, by name and from anywhere; then the remaining
--- a/crates/cli/src/bin/pomeloslip/demo.rs
+++ b/crates/cli/src/bin/pomeloslip/demo.rs
@@ -1,14 +1,21 @@
 //! `demo`: the whole system in one process on an embedded platform.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
-use error_stack::Report;
-use pomeloslip::args::Args;
+use error_stack::{Report, ResultExt};
+use pomeloslip::{
+    args::Args,
+    demo::{self, Demo},
+};
 
 use crate::{
     command::Command,
     context::Context,
     error::{CommandError, CommandResult, UsageExt},
+    signal,
 };
 
 pub(crate) const COMMAND: Command = Command {
@@ -36,19 +43,56 @@
 
 /// What to run and for how long.
 #[derive(Clone, Copy, Debug)]
-#[expect(dead_code, reason = "read once the library has a demo")]
 struct DemoArgs {
     listen: SocketAddr,
     for_s: Option<u64>,
     selftest: bool,
 }
 
-fn run(mut args: Args, _context: &Context) -> CommandResult {
-    let _demo = take(&mut args)?;
+/// What a failed demo means for the command.
+const CANNOT_RUN: CommandError = CommandError::Failed("the demo cannot run");
+
+fn run(mut args: Args, context: &Context) -> CommandResult {
+    let demo = take(&mut args)?;
     args.finish().usage()?;
-    Err(Report::new(CommandError::Failed(
-        "this build has no demo yet",
-    )))
+    match demo.selftest {
+        true => test(demo, context),
+        false => serve(demo, context),
+    }
+}
+
+fn test(args: DemoArgs, context: &Context) -> CommandResult {
+    let found = context
+        .block_on(demo::selftest(args.listen))?
+        .change_context(CANNOT_RUN)?;
+    context.show(&found, || found.to_string())?;
+    match found.held() {
+        true => Ok(()),
+        false => {
+            let what = CommandError::Failed("the self-test found a fault");
+            Err(Report::new(what))
+        }
+    }
+}
+
+fn serve(args: DemoArgs, context: &Context) -> CommandResult {
+    context.block_on(async {
+        let demo = Demo::start(args.listen).await;
+        let demo = demo.change_context(CANNOT_RUN)?;
+        context.print(&demo.instructions())?;
+        let end = async {
+            match args.for_s {
+                Some(s) => tokio::time::sleep(Duration::from_secs(s)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = end => {}
+            stopped = signal::stopped() => stopped?,
+        }
+        demo.stop().await;
+        Ok(())
+    })?
 }
 
 fn take(args: &mut Args) -> Result<DemoArgs, Report<CommandError>> {
--- a/crates/cli/src/bin/pomeloslip/main.rs
+++ b/crates/cli/src/bin/pomeloslip/main.rs
@@ -9,6 +9,7 @@
 mod job;
 mod load;
 mod rules;
+mod signal;
 mod stand_in;
 mod status;
 mod vm;
--- a/crates/cli/src/bin/pomeloslip/rules/apply.rs
+++ b/crates/cli/src/bin/pomeloslip/rules/apply.rs
@@ -54,7 +54,7 @@
     args.finish().usage()?;
     let text = source::read(&path)?;
     let file = path.display().to_string();
-    check::check(context, &file, &text)?;
+    check::parse(context, &file, &text)?;
 
     let new = NewConfig {
         expect_revision,
@@ -84,8 +84,8 @@
     for fault in &problem.errors {
         context.note(&render::fault(file, fault));
     }
-    if let Some(diff) = &problem.diff {
-        context.note(diff.trim_end());
+    for line in &problem.diff {
+        context.note(line);
     }
 }
 
--- a/crates/cli/src/bin/pomeloslip/stand_in/serve.rs
+++ b/crates/cli/src/bin/pomeloslip/stand_in/serve.rs
@@ -6,11 +6,11 @@
 use pomeloslip::args::{Args, Pair, override_settings};
 use serde::{Serialize, de::DeserializeOwned};
 use standin::StandinError;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     context::Context,
     error::{CommandError, CommandResult, UsageExt},
+    signal,
 };
 
 /// A stand-in with its name, start and address.
@@ -54,7 +54,7 @@
             };
             print_ready(context, &ready)?;
             // The handle stops the server when it is dropped.
-            stop_signal().await
+            signal::stopped().await
         })?
     }
 }
@@ -90,16 +90,3 @@
         .change_context(CommandError::Failed("cannot print"))?;
     context.print(&format!("{json}\n"))
 }
-
-async fn stop_signal() -> CommandResult {
-    let failed = CommandError::Failed("cannot wait for signals");
-    let mut terminate = signal(SignalKind::terminate())
-        .change_context_lazy(|| failed.clone())?;
-    let mut interrupt =
-        signal(SignalKind::interrupt()).change_context(failed)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/crates/cli/src/client/problem.rs
+++ b/crates/cli/src/client/problem.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Longest part of a body that is no problem document and is shown.
 const SHOWN_BODY_CHARS: usize = 200;
@@ -75,8 +75,9 @@
     pub retry_after_s: Option<u64>,
     /// Revision in force, where another was expected.
     pub current_revision: Option<u64>,
-    /// From the revision in force to the text that was sent.
-    pub diff: Option<String>,
+    /// From the revision in force to the text that was sent, by lines.
+    #[serde(deserialize_with = "lines")]
+    pub diff: Vec<String>,
     /// Faults of the configuration that was sent.
     pub errors: Vec<ConfigFault>,
     /// All other members.
@@ -124,6 +125,22 @@
     }
 }
 
+/// Reads a list of lines or one text.
+fn lines<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<String>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Lines {
+        List(Vec<String>),
+        Text(String),
+    }
+    Ok(match Lines::deserialize(deserializer)? {
+        Lines::List(lines) => lines,
+        Lines::Text(text) => text.lines().map(str::to_owned).collect(),
+    })
+}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let title = if self.title.is_empty() {
--- a/crates/cli/src/render/report.rs
+++ b/crates/cli/src/render/report.rs
@@ -61,7 +61,7 @@
     }
     text.push_str(message);
     if let Some(nearest) = nearest {
-        let _ = write!(text, ", did you mean {nearest:?}?");
+        let _ = write!(text, "; did you mean {nearest:?}?");
     }
     text
 }
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -8,7 +8,7 @@
 use yare::parameterized;
 
 #[parameterized(
-    subcommand = { &["ruls"], "unknown subcommand \"ruls\", did you mean \"rules\"?" },
+    subcommand = { &["ruls"], "unknown subcommand \"ruls\"; did you mean \"rules\"?" },
     nested = { &["rules", "aply", "f"], "did you mean \"apply\"?" },
     far_off = { &["xyzzy"], "error: unknown subcommand \"xyzzy\"\n" },
     option = { &["rules", "apply", "f", "--expet", "1"], "--expect is missing" },
--- a/crates/cli/tests/cli_client.rs
+++ b/crates/cli/tests/cli_client.rs
@@ -68,9 +68,23 @@
 #[test]
 fn diff_compares_with_the_revision_in_force() {
     let (_dir, path) = file("a: 2\n");
-    let ran = config_server().run(&["rules", "diff", &path]);
+    let args = ["rules", "diff", &path, "--text"];
+    let ran = config_server().run(&args);
     assert_eq!((ran.status, ran.stdout.as_str()), (0, "-a: 1\n+a: 2\n"));
     assert_eq!(ran.stderr, "changes revision 41\n");
+
+    let server =
+        Server::start(|_| json(200, value!({"revision": 41, "text": RULES})));
+    let (_dir, path) = file("# A comment.\nrules: [then: {shed: true}]\n");
+    let ran = server.run(&["rules", "diff", &path]);
+    assert_eq!(ran.status, 0, "{ran:?}");
+    assert!(ran.stdout.starts_with("+ rule "), "{}", ran.stdout);
+    let (_dir, path) = file("# A comment.\nrules: []\n");
+    let ran = server.run(&["rules", "diff", &path]);
+    assert_eq!(
+        (ran.stdout.as_str(), &*ran.stderr),
+        ("", "same as revision 41\n")
+    );
 }
 
 #[test]
@@ -137,7 +151,7 @@
     });
     let ran = apply(&server);
     assert_eq!(ran.status, 1);
-    let place = ":3:5: rules[0].whne: unknown key, did you mean \"when\"?";
+    let place = ":3:5: rules[0].whne: unknown key; did you mean \"when\"?";
     assert!(ran.stderr.contains(place), "{}", ran.stderr);
 }
 
