--- /dev/null
+++ b/crates/limits/src/table.rs
@@ -0,0 +1,187 @@
+use std::collections::HashMap;
+
+use base::{Millis, Tenant};
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{ConcurrencyLimit, LimitShare, OverLimit, Permit, TokenBucket};
+
+new_key_type! {
+    /// Names a tenant in a [`LimitTable`]; it stays the same over
+    /// configuration changes.
+    pub struct LimitKey;
+}
+
+/// Limits of a tenant over the whole fleet; what is left out is not limited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetLimits {
+    /// Requests a second.
+    pub requests_per_s: Option<f64>,
+    /// Requests at once after a pause; those of one second if left out.
+    pub burst: Option<u32>,
+    /// Requests that run at once.
+    pub concurrent: Option<u32>,
+}
+
+impl FleetLimits {
+    fn burst(&self, rate_per_s: f64) -> u32 {
+        self.burst.unwrap_or(rate_per_s.ceil().max(1.0) as u32)
+    }
+}
+
+#[derive(Debug)]
+struct Row {
+    bucket: Option<TokenBucket>,
+    concurrent: Option<ConcurrencyLimit>,
+}
+
+/// Limits of all tenants at one entry.
+///
+/// Each tenant has a row in an arena; a request holds its small key. A row
+/// lives on while its tenant is configured, so that a configuration change
+/// neither refills buckets nor forgets what runs.
+///
+/// # Example
+///
+/// ```
+/// use base::Millis;
+/// use pomeloslip_limits::{FleetLimits, LimitShare, LimitTable};
+///
+/// let now = Millis::new(0);
+/// let tenant = "taevakorv".parse()?;
+/// let limits = FleetLimits { concurrent: Some(1), ..Default::default() };
+/// let mut table = LimitTable::new(LimitShare::new(1));
+/// table.configure([(&tenant, limits)], now);
+/// let key = table.key(&tenant).unwrap();
+/// let permit = table.try_admit(key, now).unwrap();
+/// assert!(table.try_admit(key, now).is_err());
+/// drop(permit);
+/// assert!(table.try_admit(key, now).is_ok());
+/// # Ok::<(), base::IdError>(())
+/// ```
+#[derive(Debug)]
+pub struct LimitTable {
+    share: LimitShare,
+    rows: SlotMap<LimitKey, Row>,
+    keys: HashMap<Tenant, (LimitKey, FleetLimits)>,
+}
+
+/// Lets a request run; its place is free again when this is dropped.
+#[derive(Debug)]
+#[must_use = "the place is free again when the admission is dropped"]
+pub struct Admission {
+    _permit: Option<Permit>,
+}
+
+impl LimitTable {
+    /// Makes an empty table.
+    pub fn new(share: LimitShare) -> Self {
+        Self {
+            share,
+            rows: SlotMap::with_key(),
+            keys: HashMap::new(),
+        }
+    }
+
+    /// Takes the tenants of a configuration; those that are not in it are
+    /// forgotten.
+    pub fn configure<'a>(
+        &mut self,
+        tenants: impl IntoIterator<Item = (&'a Tenant, FleetLimits)>,
+        now: Millis,
+    ) {
+        let mut keys = HashMap::new();
+        for (tenant, limits) in tenants {
+            let key = match self.keys.remove(tenant) {
+                Some((key, _)) => key,
+                None => self.rows.insert(Row {
+                    bucket: None,
+                    concurrent: None,
+                }),
+            };
+            keys.insert(tenant.clone(), (key, limits));
+        }
+        for (key, _) in self.keys.values() {
+            self.rows.remove(*key);
+        }
+        self.keys = keys;
+        self.apply(now);
+    }
+
+    /// Takes a new number of live entries.
+    pub fn set_share(&mut self, share: LimitShare, now: Millis) {
+        if share != self.share {
+            self.share = share;
+            self.apply(now);
+        }
+    }
+
+    /// Returns the key of a tenant.
+    pub fn key(&self, tenant: &Tenant) -> Option<LimitKey> {
+        self.keys.get(tenant).map(|(key, _)| *key)
+    }
+
+    /// Returns how many requests of a tenant run here, if that is limited.
+    pub fn running(&self, key: LimitKey) -> Option<u32> {
+        let limit = self.rows.get(key)?.concurrent.as_ref()?;
+        Some(limit.running())
+    }
+
+    /// Lets a request run, or not at once.
+    ///
+    /// # Errors
+    ///
+    /// [`OverLimit`] if a limit is reached, or the tenant is no longer
+    /// configured; nothing is taken then.
+    pub fn try_admit(
+        &mut self,
+        key: LimitKey,
+        now: Millis,
+    ) -> Result<Admission, OverLimit> {
+        // A tenant that was just removed: its next call is refused by key.
+        let row = self.rows.get_mut(key).ok_or(OverLimit::new(1_000))?;
+        // The place comes first: dropping it undoes it, while a token that
+        // was taken for nothing would be a request less.
+        let limit = row.concurrent.as_ref();
+        let permit = limit.map(ConcurrencyLimit::try_acquire).transpose()?;
+        if let Some(bucket) = &mut row.bucket {
+            bucket.try_take(now)?;
+        }
+        Ok(Admission { _permit: permit })
+    }
+
+    fn apply(&mut self, now: Millis) {
+        for (key, limits) in self.keys.values() {
+            if let Some(row) = self.rows.get_mut(*key) {
+                row.apply(limits, self.share, now);
+            }
+        }
+    }
+}
+
+impl Row {
+    fn apply(&mut self, limits: &FleetLimits, share: LimitShare, now: Millis) {
+        match limits.requests_per_s {
+            None => self.bucket = None,
+            Some(whole) => {
+                let rate = share.rate(whole);
+                let burst = share.count(limits.burst(whole));
+                match &mut self.bucket {
+                    Some(bucket) => bucket.set(rate, burst, now),
+                    None => {
+                        let bucket = TokenBucket::new(rate, burst, now);
+                        self.bucket = Some(bucket);
+                    }
+                }
+            }
+        }
+        match limits.concurrent.map(|whole| share.count(whole)) {
+            None => self.concurrent = None,
+            Some(limit) => match &self.concurrent {
+                Some(concurrent) => concurrent.set(limit),
+                None => self.concurrent = Some(ConcurrencyLimit::new(limit)),
+            },
+        }
+    }
+}
