--- a/crates/conf/src/findings.rs
+++ b/crates/conf/src/findings.rs
@@ -98,19 +98,18 @@
     }
 
     /// Returns the path of the item that is now number `index` of a list.
+    ///
+    /// It is the path of the list itself if one value stands in its place
+    /// ([`OneOrMany`](crate::OneOrMany)).
     pub fn item(&self, list: &str, index: usize) -> String {
-        let mut kept = 0;
-        for number in 0.. {
-            let path = join_index(list, number);
-            if self.dropped.contains(&path) {
-                continue;
-            }
-            if kept == index {
-                return path;
-            }
-            kept += 1;
+        let numbers = (0..).map(|number| join_index(list, number));
+        let mut kept = numbers.filter(|path| !self.dropped.contains(path));
+        let path = kept.nth(index).unwrap_or_default();
+        let is_written = |path: &str| self.locations.contains_key(path);
+        if is_written(list) && !is_written(&path) {
+            return list.to_owned();
         }
-        join_index(list, index)
+        path
     }
 
     /// Tells whether something in a value could not be read.
