--- a/crates/conf/src/findings.rs
+++ b/crates/conf/src/findings.rs
@@ -102,9 +102,7 @@
     /// It is the path of the list itself if one value stands in its place
     /// ([`OneOrMany`](crate::OneOrMany)).
     pub fn item(&self, list: &str, index: usize) -> String {
-        let numbers = (0..).map(|number| join_index(list, number));
-        let mut kept = numbers.filter(|path| !self.dropped.contains(path));
-        let path = kept.nth(index).unwrap_or_default();
+        let path = self.written_item(list, index);
         let is_written = |path: &str| self.locations.contains_key(path);
         if is_written(list) && !is_written(&path) {
             return list.to_owned();
@@ -112,6 +110,17 @@
         path
     }
 
+    fn written_item(&self, list: &str, index: usize) -> String {
+        // Counting from the start for each item of a long list takes a
+        // time that grows with its square.
+        if self.dropped.is_empty() {
+            return join_index(list, index);
+        }
+        let paths = (0..).map(|number| join_index(list, number));
+        let mut kept = paths.filter(|path| !self.dropped.contains(path));
+        kept.nth(index).unwrap_or_default()
+    }
+
     /// Tells whether something in a value could not be read.
     pub fn is_partial(&self, path: &str) -> bool {
         self.dropped.iter().any(|dropped| is_within(dropped, path))
