Generate load in an open loop and verify every answer

Cause: promises such as whole answers and exactly one completion can only be claimed after a run that compares every answer with the right one. Change: load::run sends online streams at Poisson arrivals, with latencies from the intended moment of sending, and batch jobs through the files and batches API; load::direct sends the same at an engine as a baseline. Wrong, missing, duplicated, refused (by type and ran), broken, timed out and lost answers are counted apart; the report is JSON and a table.

--- /dev/null
+++ b/crates/load/src/direct.rs
@@ -0,0 +1,126 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use error_stack::Report;
+use tokio::{task::JoinSet, time::Instant};
+
+use crate::{
+    LoadError, LoadReport, Plan, Progress, Verdict,
+    online::Sender,
+    prompt::{Ask, Place},
+    run::Load,
+    tally::Outcome,
+};
+
+/// Sends the load of a plan straight at an engine, as a baseline.
+///
+/// The online requests are the same as in [`run`](crate::run). The batch
+/// items go to the engine beside them, over
+/// [`direct_batch_streams`](Plan::direct_batch_streams) streams that pay no
+/// regard to the online requests: what callers do who have no serving
+/// system.
+///
+/// # Errors
+///
+/// As [`run`](crate::run).
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_load::{Plan, direct};
+/// use standin::engine::{Engine, EngineSettings};
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let engine = Engine::start(EngineSettings::instant()).await.unwrap();
+/// let plan = Plan::new("http://unused", "korv-lm").batch(2, 20);
+/// let report = direct(&plan, &engine.url(), |_| {}).await.unwrap();
+/// assert_eq!(report.batch.right, 40);
+/// # });
+/// ```
+pub async fn direct(
+    plan: &Plan,
+    engine: &str,
+    progress: impl FnMut(Progress),
+) -> Result<LoadReport, Report<LoadError>> {
+    let load = Load::new(&plan.clone().target(engine))?;
+    let items = Items {
+        sender: Sender {
+            plan: load.plan.clone(),
+            client: load.client.clone(),
+            tally: load.online.clone(),
+        },
+        load_start: load.start,
+        batch: load.batch.clone(),
+        next: Arc::default(),
+    };
+    load.finish(items.send_all(), progress).await
+}
+
+#[derive(Clone)]
+struct Items {
+    sender: Sender,
+    load_start: Instant,
+    batch: Arc<crate::tally::BatchTally>,
+    next: Arc<AtomicU64>,
+}
+
+impl Items {
+    async fn send_all(self) {
+        let plan = self.sender.plan.clone();
+        if plan.items() == 0 {
+            return;
+        }
+        let mut streams = JoinSet::new();
+        for _ in 0..plan.direct_batch_streams.max(1) {
+            streams.spawn(self.clone().send_some());
+        }
+        while streams.join_next().await.is_some() {}
+        for _ in 0..plan.jobs {
+            self.batch.end_job(true, self.load_start.elapsed());
+        }
+    }
+
+    async fn send_some(self) {
+        let plan = &self.sender.plan;
+        let per_job = u64::from(plan.items_per_job);
+        loop {
+            let number = self.next.fetch_add(1, Ordering::Relaxed);
+            if number >= plan.items() {
+                return;
+            }
+            let place = Place::Item {
+                job: (number / per_job) as u32,
+                item: (number % per_job) as u32,
+            };
+            let ask = Ask::new(plan, place);
+            let measured = self.sender.measure(&ask, Instant::now()).await;
+            self.count(&ask, measured.outcome);
+        }
+    }
+
+    fn count(&self, ask: &Ask, outcome: Outcome) {
+        self.batch.count(|report| match &outcome {
+            _ if ask.fails && matches!(outcome, Outcome::Refused(_)) => {
+                report.failed_as_asked += 1;
+            }
+            Outcome::Answered(_) if ask.fails => report.wrong += 1,
+            Outcome::Answered(Verdict::Right) => report.right += 1,
+            Outcome::Answered(Verdict::Duplicated) => {
+                report.duplicated += 1;
+            }
+            Outcome::Answered(Verdict::Wrong) => report.wrong += 1,
+            Outcome::Answered(Verdict::Missing) => report.missing += 1,
+            Outcome::Lost | Outcome::TimedOut => report.missing += 1,
+            Outcome::Refused(_) | Outcome::Broken(_) => {}
+        });
+        match outcome {
+            Outcome::Refused(refusal) if !ask.fails => {
+                self.batch.fail_item(refusal);
+            }
+            Outcome::Broken(refusal) => self.batch.fail_item(refusal),
+            _ => {}
+        }
+    }
+}
