--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -33,7 +33,15 @@
 /// assert!("demo-key".parse::<KeyDigest>().is_err());
 /// ```
 #[derive(
-    Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Hash,
+    Serialize,
     Deserialize,
 )]
 #[serde(try_from = "String", into = "String")]
--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -21,5 +21,7 @@
         digest.update(part);
     }
     let bytes = digest.finalize();
-    bytes[..8].iter().fold(0, |hash, byte| (hash << 8) | u64::from(*byte))
+    bytes[..8]
+        .iter()
+        .fold(0, |hash, byte| (hash << 8) | u64::from(*byte))
 }
--- a/crates/cli/src/bin/pomeloslip/demo.rs
+++ b/crates/cli/src/bin/pomeloslip/demo.rs
@@ -6,6 +6,7 @@
 };
 
 use error_stack::{Report, ResultExt};
+use obs::{LogLevel, LogSettings};
 use pomeloslip::{
     args::Args,
     demo::{self, Demo},
@@ -55,6 +56,12 @@
 fn run(mut args: Args, context: &Context) -> CommandResult {
     let demo = take(&mut args)?;
     args.finish().usage()?;
+    // The server library takes the process's logger if nobody else has it.
+    let logs = LogSettings {
+        level: LogLevel::Error,
+        ..LogSettings::default()
+    };
+    let _logs = obs::logs::start(&logs).change_context(CANNOT_RUN)?;
     match demo.selftest {
         true => test(demo, context),
         false => serve(demo, context),
--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -1,3 +1,212 @@
-//! The `pomeloslipd` binary.
+//! The daemon `pomeloslipd`: one process of any role.
 
-fn main() {}
+use std::{
+    io::{self, Write},
+    path::PathBuf,
+    process::ExitCode,
+};
+
+use conf::settings::Settings;
+use error_stack::{Report, ResultExt};
+use obs::{LogSettings, Metrics, MetricsSettings};
+use pomeloslip::daemon::{Daemon, DaemonError};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+const USAGE: u8 = 2;
+
+const HELP: &str = "\
+The daemon of pomeloslip: an entry, a companion or a data VM.
+
+Usage: pomeloslipd --settings FILE [--check]
+       pomeloslipd --help | --version
+
+  --settings FILE  the settings of this process (YAML, docs/SETTINGS.md)
+  --check          read and check the settings, start nothing
+
+SIGTERM and SIGINT are a planned stop: nothing new is taken and what runs
+ends. A second one ends the process at once.
+
+Exit status: 0 done, 1 failed, 2 wrong usage or settings.
+
+Example: pomeloslipd --settings examples/settings/entry-1.yaml --check
+";
+
+/// What the command line asks for.
+enum Command {
+    Help,
+    Version,
+    Check(PathBuf),
+    Run(PathBuf),
+}
+
+fn main() -> ExitCode {
+    let command = match parse(pico_args::Arguments::from_env()) {
+        Ok(command) => command,
+        Err(why) => {
+            say(io::stderr(), &format!("pomeloslipd: {why}; see --help\n"));
+            return ExitCode::from(USAGE);
+        }
+    };
+    match command {
+        Command::Help => say(io::stdout(), HELP),
+        Command::Version => {
+            let version = env!("CARGO_PKG_VERSION");
+            say(io::stdout(), &format!("pomeloslipd {version}\n"));
+        }
+        Command::Check(path) => return check(&path),
+        Command::Run(path) => return run(&path),
+    }
+    ExitCode::SUCCESS
+}
+
+/// Writes for a person; a reader that has gone away is no fault of ours.
+fn say(mut to: impl Write, text: &str) {
+    let _ = to.write_all(text.as_bytes());
+}
+
+fn parse(mut args: pico_args::Arguments) -> Result<Command, String> {
+    if args.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    if args.contains("--version") {
+        return Ok(Command::Version);
+    }
+    let check = args.contains("--check");
+    let path: PathBuf = args
+        .opt_value_from_str("--settings")
+        .map_err(|error| error.to_string())?
+        .ok_or("--settings FILE is missing")?;
+    let rest = args.finish();
+    if let Some(unknown) = rest.first() {
+        return Err(format!("{} is unknown", unknown.to_string_lossy()));
+    }
+    Ok(match check {
+        true => Command::Check(path),
+        false => Command::Run(path),
+    })
+}
+
+fn check(path: &std::path::Path) -> ExitCode {
+    match Settings::read(path) {
+        Ok(_) => {
+            say(io::stdout(), &format!("{}: ok\n", path.display()));
+            ExitCode::SUCCESS
+        }
+        Err(report) => {
+            say(io::stderr(), &format!("{}\n", report.current_context()));
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn run(path: &std::path::Path) -> ExitCode {
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            say(io::stderr(), &format!("{}\n", report.current_context()));
+            return ExitCode::from(USAGE);
+        }
+    };
+    match serve(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            say(io::stderr(), &format!("pomeloslipd: {report:?}\n"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(settings: &Settings) -> Result<(), Report<DaemonError>> {
+    let _logs = obs::logs::start(&log_settings(settings))
+        .change_context(DaemonError)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+        .change_context(DaemonError)?;
+    runtime.block_on(live(settings))
+}
+
+/// Threads for requests. Two keep a small VM busy without the memory and
+/// the switching of one for each core of a large host.
+const WORKERS: usize = 2;
+
+async fn live(settings: &Settings) -> Result<(), Report<DaemonError>> {
+    let mut signals = Signals::listen().change_context(DaemonError)?;
+    let metrics = metrics(settings)?;
+    let daemon = Daemon::start(settings, metrics).await?;
+    announce(&daemon, settings);
+    signals.next().await;
+    log::info!("planned stop");
+    tokio::select! {
+        () = daemon.drain() => {}
+        () = signals.next() => log::warn!("stopped at once"),
+    }
+    Ok(())
+}
+
+/// Prints the addresses, which port 0 in the settings leaves open.
+fn announce(daemon: &Daemon, settings: &Settings) {
+    let ready = serde_json::json!({
+        "ready": settings.vm,
+        "http": daemon.http_address(),
+        "peer": daemon.peer_address(),
+    });
+    say(io::stdout(), &format!("{ready}\n"));
+}
+
+struct Signals {
+    term: Signal,
+    int: Signal,
+}
+
+impl Signals {
+    fn listen() -> io::Result<Self> {
+        let term = signal(SignalKind::terminate())?;
+        let int = signal(SignalKind::interrupt())?;
+        Ok(Self { term, int })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
+        }
+    }
+}
+
+fn log_settings(settings: &Settings) -> LogSettings {
+    let mut log = LogSettings::default();
+    log.level = level(settings.log.level);
+    for (module, level_of) in &settings.log.modules {
+        log.targets.insert(module.clone(), level(*level_of));
+    }
+    let role = serde_json::json!(settings.role);
+    let role = role.as_str().unwrap_or_default().to_owned();
+    log.fields.insert("vm".to_owned(), settings.vm.to_string());
+    log.fields.insert("role".to_owned(), role);
+    log
+}
+
+fn level(level: conf::settings::LogLevel) -> obs::LogLevel {
+    use conf::settings::LogLevel as Set;
+    match level {
+        Set::Off => obs::LogLevel::Off,
+        Set::Error => obs::LogLevel::Error,
+        Set::Warn => obs::LogLevel::Warn,
+        Set::Info => obs::LogLevel::Info,
+        Set::Debug => obs::LogLevel::Debug,
+        Set::Trace => obs::LogLevel::Trace,
+    }
+}
+
+fn metrics(settings: &Settings) -> Result<Metrics, Report<DaemonError>> {
+    let mut metrics = MetricsSettings {
+        statsd_addr: settings.metrics.statsd,
+        prefix: settings.metrics.prefix.clone(),
+        ..MetricsSettings::default()
+    };
+    let vm = settings.vm.to_string();
+    metrics.tags.insert("vm".to_owned(), vm);
+    Metrics::try_new(metrics).change_context(DaemonError)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod args;
 pub mod client;
+pub mod daemon;
+pub mod demo;
 pub mod render;
--- a/crates/conf/src/settings/parts.rs
+++ b/crates/conf/src/settings/parts.rs
@@ -306,7 +306,7 @@
             commit_interval_ms: 250,
             commit_items_max: 2_000,
             grant_items_max: 8,
-            grant_ttl_ms: 60_000,
+            grant_ttl_ms: 10_000,
             attempts_max: 5,
         }
     }
--- /dev/null
+++ b/crates/entry/src/api/batches.rs
@@ -0,0 +1,255 @@
+//! `/v1/batches` in the OpenAI shapes.
+
+use std::sync::Arc;
+
+use base::{FileId, JobId, UnixMillis};
+use rocket::{
+    Route, State, get,
+    http::Status,
+    post,
+    request::{FromRequest, Outcome, Request},
+    routes,
+    serde::json::Json,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use web::{Problem, ProblemKind, Ran};
+
+use super::{admin::failed, guard::Authenticated};
+use crate::{
+    batch::{
+        Chunk, ERRORS_PREFIX, JOB_PREFIX, JobError, JobRecord, JobState,
+        NewJob, OUTPUT_PREFIX,
+    },
+    shared::Shared,
+};
+
+const MS_PER_HOUR: u64 = 3_600_000;
+const MS_PER_MINUTE: u64 = 60_000;
+
+/// Longest window that is accepted, in hours.
+const WINDOW_MAX_HOURS: u64 = 24 * 31;
+
+/// Paths that items may be sent to.
+const PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+pub(crate) fn routes() -> Vec<Route> {
+    routes![create, list, show, cancel]
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Create {
+    input_file_id: String,
+    endpoint: String,
+    #[serde(default = "default_window")]
+    completion_window: String,
+    #[serde(default)]
+    metadata: Value,
+}
+
+fn default_window() -> String {
+    "24h".to_owned()
+}
+
+/// The header `Idempotency-Key`, if the caller sent one.
+struct IdempotencyKey(Option<String>);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for IdempotencyKey {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(
+        request: &'r Request<'_>,
+    ) -> Outcome<Self, Self::Error> {
+        let key = request.headers().get_one("idempotency-key");
+        Outcome::Success(Self(key.map(str::to_owned)))
+    }
+}
+
+#[post("/v1/batches", data = "<body>")]
+async fn create(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    key: IdempotencyKey,
+    body: Result<Json<Create>, rocket::serde::json::Error<'_>>,
+) -> Result<Json<Value>, Problem> {
+    let body = body.map_err(|error| invalid(error.to_string()))?;
+    let create = body.into_inner();
+    let input: FileId =
+        create.input_file_id.parse().map_err(|_| no_input())?;
+    if !PATHS.contains(&create.endpoint.as_str()) {
+        let why = format!("endpoint must be one of {}", PATHS.join(", "));
+        return Err(invalid(why));
+    }
+    let window_ms = window_ms(&create.completion_window).ok_or_else(|| {
+        invalid("completion_window must be like 24h or 90m".to_owned())
+    })?;
+    let due = due_at(&create.metadata)?;
+    let job = NewJob {
+        tenant: caller.caller.tenant.clone(),
+        idempotency_key: key.0,
+        input,
+        path: create.endpoint,
+        window: create.completion_window,
+        window_ms,
+        due,
+        metadata: create.metadata,
+    };
+    let record = shared.batch.create(job).await.map_err(refused)?;
+    Ok(Json(job_json(&record)))
+}
+
+fn invalid(why: String) -> Problem {
+    Problem::new(ProblemKind::Invalid, why).ran(Ran::No)
+}
+
+fn no_input() -> Problem {
+    let why = "there is no such input file";
+    Problem::new(ProblemKind::NotFound, why).ran(Ran::No)
+}
+
+fn refused(error: JobError) -> Problem {
+    match error {
+        JobError::NoInput => no_input(),
+        JobError::KeyReused(id) => {
+            let why = "the Idempotency-Key came with another job before";
+            Problem::new(ProblemKind::KeyReused, why)
+                .ran(Ran::No)
+                .with("batch", id.as_str())
+        }
+        JobError::Failed(report) => failed(report),
+    }
+}
+
+fn window_ms(text: &str) -> Option<u64> {
+    let (number, unit_ms) = match text.strip_suffix('h') {
+        Some(number) => (number, MS_PER_HOUR),
+        None => (text.strip_suffix('m')?, MS_PER_MINUTE),
+    };
+    let ms = number.parse::<u64>().ok()?.checked_mul(unit_ms)?;
+    (ms > 0 && ms <= WINDOW_MAX_HOURS * MS_PER_HOUR).then_some(ms)
+}
+
+/// Reads `due_at` from the metadata: RFC 3339 or seconds since 1970.
+fn due_at(metadata: &Value) -> Result<Option<UnixMillis>, Problem> {
+    let wrong = || {
+        let why = "metadata.due_at must be a time like \
+                   2026-12-24T06:00:00Z or seconds since 1970";
+        invalid(why.to_owned())
+    };
+    match metadata.get("due_at") {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::Number(seconds)) => {
+            let seconds = seconds.as_u64().ok_or_else(wrong)?;
+            Ok(Some(UnixMillis::new(seconds.saturating_mul(1_000))))
+        }
+        Some(Value::String(text)) => {
+            let time: jiff::Timestamp = text.parse().map_err(|_| wrong())?;
+            let ms = u64::try_from(time.as_millisecond());
+            Ok(Some(UnixMillis::new(ms.map_err(|_| wrong())?)))
+        }
+        Some(_) => Err(wrong()),
+    }
+}
+
+fn parse_id(id: &str) -> Result<JobId, Problem> {
+    id.parse().map_err(|_| no_job())
+}
+
+fn no_job() -> Problem {
+    Problem::new(ProblemKind::NotFound, "there is no such batch")
+}
+
+#[get("/v1/batches/<id>")]
+async fn show(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    id: &str,
+) -> Result<Json<Value>, Problem> {
+    let id = parse_id(id)?;
+    let found = shared.batch.job(&caller.caller.tenant, &id).await;
+    let job = found.map_err(failed)?.ok_or_else(no_job)?;
+    Ok(Json(job_json(&job)))
+}
+
+#[get("/v1/batches?<limit>&<after>")]
+async fn list(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    limit: Option<usize>,
+    after: Option<&str>,
+) -> Result<Json<Value>, Problem> {
+    let jobs = shared
+        .batch
+        .list(&caller.caller.tenant)
+        .await
+        .map_err(failed)?;
+    let start = match after {
+        None => 0,
+        Some(after) => jobs
+            .iter()
+            .position(|job| job.id.as_str() == after)
+            .map_or(jobs.len(), |at| at + 1),
+    };
+    let limit = limit.unwrap_or(20).clamp(1, 100);
+    let page: Vec<_> = jobs.iter().skip(start).take(limit).collect();
+    Ok(Json(json!({
+        "object": "list",
+        "data": page.iter().map(|job| job_json(job)).collect::<Vec<_>>(),
+        "has_more": start + page.len() < jobs.len(),
+        "first_id": page.first().map(|job| &job.id),
+        "last_id": page.last().map(|job| &job.id),
+    })))
+}
+
+#[post("/v1/batches/<id>/cancel")]
+async fn cancel(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    id: &str,
+) -> Result<(Status, Json<Value>), Problem> {
+    let id = parse_id(id)?;
+    let found = shared.batch.cancel(&caller.caller.tenant, &id).await;
+    let job = found.map_err(failed)?.ok_or_else(no_job)?;
+    Ok((Status::Ok, Json(job_json(&job))))
+}
+
+fn job_json(job: &JobRecord) -> Value {
+    let seconds = |time: UnixMillis| time.as_ms() / 1_000;
+    let ended = job.ended.map(seconds);
+    let ended_as = |state| ended.filter(|_| job.state == state);
+    let file = |chunks: &[Chunk], prefix: &str| {
+        let rest = job.id.as_str().trim_start_matches(JOB_PREFIX);
+        (!chunks.is_empty()).then(|| format!("{prefix}{rest}"))
+    };
+    let status = match job.state {
+        JobState::InProgress => "in_progress",
+        JobState::Cancelling => "cancelling",
+        JobState::Cancelled => "cancelled",
+        JobState::Completed => "completed",
+    };
+    json!({
+        "id": job.id,
+        "object": "batch",
+        "endpoint": job.path,
+        "errors": null,
+        "input_file_id": job.input,
+        "completion_window": job.window,
+        "status": status,
+        "output_file_id": file(&job.output, OUTPUT_PREFIX),
+        "error_file_id": file(&job.errors, ERRORS_PREFIX),
+        "created_at": seconds(job.created),
+        "in_progress_at": seconds(job.created),
+        "expires_at": seconds(job.due),
+        "due_at": seconds(job.due),
+        "completed_at": ended_as(JobState::Completed),
+        "cancelled_at": ended_as(JobState::Cancelled),
+        "request_counts": {
+            "total": job.items,
+            "completed": job.done_count(),
+            "failed": job.failed_count(),
+        },
+        "metadata": job.metadata,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/api/files.rs
@@ -0,0 +1,199 @@
+//! `/v1/files` in the OpenAI shapes.
+
+use std::{io, sync::Arc};
+
+use base::{FileId, Tenant};
+use bytes::Bytes;
+use futures::stream::{self, BoxStream, StreamExt};
+use multer::{Field, Multipart};
+use rocket::{
+    Data, Request, Response, Route, State,
+    data::ByteUnit,
+    get,
+    http::ContentType,
+    post,
+    response::{self, Responder},
+    routes,
+    serde::json::Json,
+};
+use serde_json::{Value, json};
+use tokio_util::io::{ReaderStream, StreamReader};
+use web::{Active, Problem, ProblemKind, Ran};
+
+use super::{admin::failed, guard::Authenticated};
+use crate::{
+    batch::{Chunk, FileRecord, UploadError},
+    shared::Shared,
+};
+
+pub(crate) fn routes() -> Vec<Route> {
+    routes![upload, show, content]
+}
+
+/// The one purpose that an upload may have.
+const PURPOSE: &str = "batch";
+
+#[post("/v1/files", data = "<data>")]
+async fn upload(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    content_type: &ContentType,
+    data: Data<'_>,
+) -> Result<Json<Value>, Problem> {
+    let boundary = content_type.param("boundary").ok_or_else(|| {
+        bad("send multipart/form-data with the fields purpose and file")
+    })?;
+    let limit = shared.limits.file_max_bytes;
+    let stream = ReaderStream::new(data.open(ByteUnit::Byte(limit + 1)));
+    let mut form = Multipart::new(stream, boundary);
+    let mut record = None;
+    let mut purpose = None;
+    while let Some(field) = form.next_field().await.map_err(broken)? {
+        match field.name() {
+            Some("purpose") => {
+                purpose = Some(field.text().await.map_err(broken)?);
+            }
+            Some("file") => {
+                let tenant = caller.caller.tenant.clone();
+                record = Some(store(shared, tenant, field, limit).await?);
+            }
+            _ => {}
+        }
+    }
+    if purpose.as_deref() != Some(PURPOSE) {
+        return Err(bad("the field purpose must be `batch`"));
+    }
+    let record = record.ok_or_else(|| bad("the field file is missing"))?;
+    Ok(Json(file_json(&record)))
+}
+
+async fn store(
+    shared: &Shared,
+    tenant: Tenant,
+    mut field: Field<'_>,
+    limit: u64,
+) -> Result<FileRecord, Problem> {
+    let filename = field.file_name().unwrap_or("input.jsonl").to_owned();
+    let mut upload = shared.batch.begin_upload(tenant);
+    let mut bytes = 0;
+    while let Some(chunk) = field.chunk().await.map_err(broken)? {
+        bytes += chunk.len() as u64;
+        if bytes > limit {
+            let why = format!("the file is over {limit} bytes");
+            let problem = Problem::new(ProblemKind::TooLarge, why);
+            return Err(problem.ran(Ran::No));
+        }
+        upload.push(&chunk).await.map_err(refused)?;
+    }
+    upload.finish(filename).await.map_err(refused)
+}
+
+fn bad(why: &str) -> Problem {
+    Problem::new(ProblemKind::BadRequest, why).ran(Ran::No)
+}
+
+fn broken(error: multer::Error) -> Problem {
+    bad(&format!("the form is broken: {error}"))
+}
+
+fn refused(error: UploadError) -> Problem {
+    match error {
+        UploadError::Input(error) => {
+            Problem::new(ProblemKind::Invalid, error.to_string())
+                .ran(Ran::No)
+                .with("line", error.line)
+        }
+        UploadError::Failed(report) => failed(report),
+    }
+}
+
+fn file_json(record: &FileRecord) -> Value {
+    json!({
+        "id": record.id,
+        "object": "file",
+        "bytes": record.bytes,
+        "created_at": record.created.as_ms() / 1_000,
+        "filename": record.filename,
+        "purpose": record.purpose,
+        "status": "processed",
+    })
+}
+
+#[get("/v1/files/<id>")]
+async fn show(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    id: &str,
+) -> Result<Json<Value>, Problem> {
+    let id: FileId = id.parse().map_err(|_| no_file())?;
+    let found = shared.batch.file(&caller.caller.tenant, &id).await;
+    let record = found.map_err(failed)?.ok_or_else(no_file)?;
+    Ok(Json(file_json(&record)))
+}
+
+pub(crate) fn no_file() -> Problem {
+    Problem::new(ProblemKind::NotFound, "there is no such file")
+}
+
+#[get("/v1/files/<id>/content")]
+async fn content(
+    shared: &State<Arc<Shared>>,
+    caller: Authenticated,
+    id: &str,
+) -> Result<FileBody, Problem> {
+    let id: FileId = id.parse().map_err(|_| no_file())?;
+    let found = shared.batch.content(&caller.caller.tenant, &id).await;
+    let chunks = found.map_err(failed)?.ok_or_else(no_file)?;
+    let bytes = chunks.iter().map(|chunk| chunk.bytes).sum();
+    let mut chunks = chunks.into_iter();
+    // The first piece is read before the status goes out, so that a file
+    // that cannot be read is an error and not an empty answer.
+    let first = match chunks.next() {
+        Some(chunk) => shared.batch.blobs().get(&chunk).await,
+        None => Ok(Bytes::new()),
+    }
+    .map_err(failed)?;
+    let shared = Arc::clone(shared);
+    let rest = stream::iter(chunks).then(move |chunk: Chunk| {
+        let shared = shared.clone();
+        async move { read_piece(&shared, chunk).await }
+    });
+    let all = stream::once(async { Ok(first) }).chain(rest);
+    Ok(FileBody {
+        bytes,
+        pieces: Box::pin(all),
+        active: caller.active,
+    })
+}
+
+async fn read_piece(shared: &Shared, chunk: Chunk) -> io::Result<Bytes> {
+    shared.batch.blobs().get(&chunk).await.map_err(|report| {
+        log::warn!(error:? = report; "a file breaks off");
+        io::Error::other(report.to_string())
+    })
+}
+
+/// The pieces of a file, sent as they are read.
+///
+/// The length goes first, so that a piece that cannot be read cuts the
+/// connection: a clean end would make a part of a file look like the whole.
+struct FileBody {
+    bytes: u64,
+    pieces: BoxStream<'static, io::Result<Bytes>>,
+    active: Active,
+}
+
+impl<'r> Responder<'r, 'static> for FileBody {
+    fn respond_to(self, _: &'r Request<'_>) -> response::Result<'static> {
+        let active = self.active;
+        let pieces = self.pieces.inspect(move |_| {
+            // Moved in, so that it lives as long as the pieces.
+            let _ = &active;
+        });
+        Response::build()
+            .header(ContentType::new("application", "jsonl"))
+            .raw_header("Content-Length", self.bytes.to_string())
+            .streamed_body(StreamReader::new(pieces))
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api/gateway.rs
@@ -0,0 +1,179 @@
+//! Calls that are forwarded to an endpoint.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use obs::Counter;
+use rocket::{
+    Data, Request, Route,
+    data::ByteUnit,
+    get,
+    http::{Header as HttpHeader, Method, Status},
+    response::Response,
+    route::{Handler, Outcome},
+    routes,
+    serde::json::Json,
+};
+use serde_json::json;
+use web::{Problem, ProblemKind, Ran};
+
+use super::guard::Authenticated;
+use crate::{
+    filter::{self, Incoming},
+    forward::{self, Started},
+    shared::Shared,
+};
+
+/// Headers of an endpoint's answer that the entry sets itself.
+const REPLACED_HEADERS: [&str; 3] = ["x-request-id", "server", "date"];
+
+/// Methods that a plain service may be called with.
+const SERVICE_METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Head,
+    Method::Post,
+    Method::Put,
+    Method::Patch,
+    Method::Delete,
+    Method::Options,
+];
+
+pub(crate) fn routes() -> Vec<Route> {
+    let mut routes = routes![models];
+    for path in ["/v1/chat/completions", "/v1/completions"] {
+        routes.push(Route::new(Method::Post, path, Gateway));
+    }
+    for method in SERVICE_METHODS {
+        routes.push(Route::new(method, "/svc/<service>/<path..>", Gateway));
+    }
+    routes
+}
+
+/// Lists the models that some pool serves, in the OpenAI shape.
+#[get("/v1/models")]
+fn models(caller: Authenticated) -> Json<serde_json::Value> {
+    let in_force = &caller.caller.in_force;
+    let models: Vec<_> = in_force
+        .compiled
+        .models()
+        .into_iter()
+        .map(|id| json!({"id": id, "object": "model", "owned_by": "fleet"}))
+        .collect();
+    Json(json!({"object": "list", "data": models}))
+}
+
+/// Forwards a call through the filters to an endpoint.
+#[derive(Clone)]
+struct Gateway;
+
+#[rocket::async_trait]
+impl Handler for Gateway {
+    async fn handle<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+    ) -> Outcome<'r> {
+        let Some(shared) = request.rocket().state::<Arc<Shared>>() else {
+            return Outcome::Error(Status::InternalServerError);
+        };
+        let id = filter::request_id(request.headers());
+        match serve(shared, &id, request, data).await {
+            Ok(started) => Outcome::Success(respond(id.as_str(), started)),
+            Err(problem) => {
+                log::info!(request_id = id.as_str(); "{problem}");
+                Outcome::from(request, WithId { id, problem })
+            }
+        }
+    }
+}
+
+struct WithId {
+    id: base::RequestId,
+    problem: Problem,
+}
+
+impl<'r> rocket::response::Responder<'r, 'static> for WithId {
+    fn respond_to(
+        self,
+        request: &'r Request<'_>,
+    ) -> rocket::response::Result<'static> {
+        let mut response = self.problem.respond_to(request)?;
+        response.set_raw_header("x-request-id", self.id.to_string());
+        Ok(response)
+    }
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    id: &base::RequestId,
+    request: &Request<'_>,
+    data: Data<'_>,
+) -> Result<Started, Problem> {
+    let received = shared.timer.now();
+    if !shared.state.is_ready() {
+        return Err(stopping());
+    }
+    let caller = filter::authenticate(shared, request.headers())?;
+    let headers = filter::check_headers(shared, request.headers())?;
+    let body = read_body(shared, data).await?;
+    let incoming = Incoming {
+        request_id: id.clone(),
+        received,
+        method: request.method().as_str().to_owned(),
+        target: request.uri().to_string(),
+        headers,
+        body,
+    };
+    let exchange = filter::route(shared, caller, incoming)?;
+    let metrics = exchange.metrics.clone();
+    let class = exchange.class;
+    metrics.count(Counter::Arrived, class, 1);
+    let admitted = shared.admit()?;
+    let served = forward::forward(shared, &exchange, admitted).await;
+    if let Err(problem) = &served {
+        let counter = match problem.ran_said() {
+            Some(Ran::No) => Counter::Refused,
+            _ => Counter::Failed,
+        };
+        metrics.count(counter, class, 1);
+    }
+    served
+}
+
+fn stopping() -> Problem {
+    let why = "this process is stopping; try again";
+    Problem::new(ProblemKind::Stopping, why)
+        .ran(Ran::No)
+        .retry_after_ms(1_000)
+}
+
+async fn read_body(shared: &Shared, data: Data<'_>) -> Result<Bytes, Problem> {
+    let limit = shared.limits.body_max_bytes;
+    let read = data
+        .open(ByteUnit::Byte(limit))
+        .into_bytes()
+        .await
+        .map_err(|error| {
+            let why = format!("the body broke off: {error}");
+            Problem::new(ProblemKind::BadRequest, why).ran(Ran::No)
+        })?;
+    if !read.is_complete() {
+        let why = format!("the body is over {limit} bytes");
+        return Err(Problem::new(ProblemKind::TooLarge, why).ran(Ran::No));
+    }
+    Ok(read.into_inner().into())
+}
+
+fn respond<'r>(id: &str, started: Started) -> Response<'r> {
+    let mut response = Response::build();
+    response.status(Status::new(started.status));
+    for header in started.headers {
+        if !REPLACED_HEADERS.contains(&header.name.as_str()) {
+            response.header_adjoin(HttpHeader::new(header.name, header.value));
+        }
+    }
+    response
+        .header(HttpHeader::new("x-request-id", id.to_owned()))
+        .streamed_body(started.body);
+    response.finalize()
+}
--- /dev/null
+++ b/crates/entry/src/api/status.rs
@@ -0,0 +1,66 @@
+//! `GET /status`: what a person or a tool needs to see.
+
+use std::sync::Arc;
+
+use obs::HistogramTable;
+use rocket::{Route, State, get, routes, serde::json::Json};
+use serde::Serialize;
+
+use crate::shared::Shared;
+
+pub(crate) fn routes() -> Vec<Route> {
+    routes![status]
+}
+
+#[derive(Serialize)]
+struct Status {
+    role: &'static str,
+    incarnation: u64,
+    phase: String,
+    revision: u64,
+    in_force_for_ms: Option<u64>,
+    endpoints: Vec<EndpointRow>,
+    partitions: Vec<u32>,
+    open_jobs: usize,
+    metrics: HistogramTable,
+}
+
+#[derive(Serialize)]
+struct EndpointRow {
+    endpoint: String,
+    pool: String,
+    failure_domain: String,
+    in_flight: u32,
+    paused: bool,
+}
+
+#[get("/status")]
+fn status(shared: &State<Arc<Shared>>) -> Json<Status> {
+    let now = shared.timer.now();
+    let endpoints = shared
+        .fleet
+        .all()
+        .iter()
+        .map(|endpoint| EndpointRow {
+            endpoint: endpoint.name.to_string(),
+            pool: endpoint.pool.clone(),
+            failure_domain: endpoint.failure_domain.to_string(),
+            in_flight: endpoint.in_flight(),
+            paused: endpoint.is_paused(now),
+        })
+        .collect();
+    let in_force = shared.config.current();
+    let owner = shared.batch.owner();
+    Json(Status {
+        role: "entry",
+        incarnation: shared.incarnation.get(),
+        phase: format!("{:?}", shared.state.phase()).to_lowercase(),
+        revision: shared.config.revision().get(),
+        in_force_for_ms: in_force
+            .map(|config| now.saturating_ms_since(config.since)),
+        endpoints,
+        partitions: owner.partitions(),
+        open_jobs: owner.open_jobs(),
+        metrics: shared.metrics.snapshot(),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/batch/blobs.rs
@@ -0,0 +1,132 @@
+//! Blobs on the data VMs: two copies in different failure domains.
+
+use base::stable_hash;
+use bytes::Bytes;
+use conf::settings::DataVm;
+use error_stack::{Report, ResultExt};
+use futures::future::join_all;
+use wire::{Links, message::StoredBlob};
+
+use crate::{EntryError, batch::record::Chunk};
+
+/// Copies that must be on disk before anything is acknowledged.
+const COPIES: usize = 2;
+
+/// Writes and reads blobs.
+pub(crate) struct Blobs {
+    links: Links,
+    data_vms: Vec<DataVm>,
+}
+
+impl Blobs {
+    pub(crate) fn new(links: Links, data_vms: Vec<DataVm>) -> Self {
+        Self { links, data_vms }
+    }
+
+    /// Stores a blob on two data VMs in different failure domains.
+    ///
+    /// One copy would be lost with its VM right after the acknowledgement;
+    /// two in one failure domain would be lost with the domain.
+    pub(crate) async fn put(
+        &self,
+        id: String,
+        bytes: Bytes,
+        items: u32,
+    ) -> Result<Chunk, Report<EntryError>> {
+        let crc = crc32fast::hash(&bytes);
+        let order = self.order(&id);
+        let mut homes: Vec<&DataVm> = Vec::new();
+        let mut next = order.iter();
+        let mut last = None;
+        while homes.len() < COPIES {
+            // Both copies are written at once; a failed one goes to the
+            // next data VM of another failure domain.
+            let mut round: Vec<&DataVm> = Vec::new();
+            while homes.len() + round.len() < COPIES {
+                let taken = |vm: &DataVm| {
+                    homes
+                        .iter()
+                        .chain(&round)
+                        .any(|home| home.failure_domain == vm.failure_domain)
+                };
+                match next.by_ref().find(|vm| !taken(vm)) {
+                    Some(vm) => round.push(vm),
+                    None => break,
+                }
+            }
+            if round.is_empty() {
+                let report = Report::new(EntryError::Storage)
+                    .attach("too few data VMs store this");
+                return Err(match last {
+                    Some(why) => report.attach(format!("{why:?}")),
+                    None => report,
+                });
+            }
+            let puts = round.iter().map(|vm| {
+                let blob = StoredBlob {
+                    bytes: bytes.clone(),
+                    crc,
+                };
+                self.links.put_blob(vm.address, id.clone(), blob)
+            });
+            for (vm, stored) in round.iter().zip(join_all(puts).await) {
+                match stored {
+                    Ok(()) => homes.push(vm),
+                    Err(report) => last = Some(report),
+                }
+            }
+        }
+        let length = bytes.len() as u64;
+        Ok(Chunk {
+            blob: id,
+            bytes: length,
+            crc,
+            items,
+        })
+    }
+
+    /// Reads a blob from the first data VM that has it whole.
+    pub(crate) async fn get(
+        &self,
+        chunk: &Chunk,
+    ) -> Result<Bytes, Report<EntryError>> {
+        let mut last = None;
+        for vm in self.order(&chunk.blob) {
+            let read = self.links.get_blob(vm.address, chunk.blob.clone());
+            match read.await {
+                Ok(Some(blob)) if is_whole(chunk, &blob) => {
+                    return Ok(blob.bytes);
+                }
+                Ok(_) => {}
+                Err(report) => last = Some(report),
+            }
+        }
+        let missing = || format!("no whole copy of {}", chunk.blob);
+        match last {
+            Some(report) => Err(report),
+            None => {
+                return Err(Report::new(EntryError::Storage))
+                    .attach_with(missing);
+            }
+        }
+        .change_context(EntryError::Storage)
+        .attach_with(missing)
+    }
+
+    /// Orders the data VMs by rendezvous hashing, so that all entries look
+    /// for a blob where it was put without asking anybody.
+    fn order(&self, id: &str) -> Vec<&DataVm> {
+        let mut order: Vec<&DataVm> = self.data_vms.iter().collect();
+        order.sort_by_key(|vm| weight(id, vm));
+        order
+    }
+}
+
+fn weight(id: &str, vm: &DataVm) -> u64 {
+    stable_hash(&[id, vm.vm.as_str()])
+}
+
+fn is_whole(chunk: &Chunk, blob: &StoredBlob) -> bool {
+    blob.bytes.len() as u64 == chunk.bytes
+        && crc32fast::hash(&blob.bytes) == chunk.crc
+}
--- /dev/null
+++ b/crates/entry/src/batch/files.rs
@@ -0,0 +1,238 @@
+//! Uploaded files.
+
+use base::{FileId, Tenant};
+use error_stack::{Report, ResultExt};
+use kv::{
+    Compare, KvError, Op, Txn,
+    ops::{Outcome, Verdict},
+};
+use sha2::{Digest, Sha256};
+
+use super::{
+    Batch, Chunk, ERRORS_PREFIX, FileRecord, JOB_PREFIX, JobRecord,
+    OUTPUT_PREFIX,
+    input::{Cutter, InputError, Piece},
+};
+use crate::EntryError;
+
+/// Digits of a digest that an id keeps.
+const ID_DIGITS: usize = 32;
+
+/// Why a file was not stored.
+#[derive(Debug)]
+pub(crate) enum UploadError {
+    /// Its content is wrong.
+    Input(InputError),
+    /// It could not be stored for good.
+    Failed(Report<EntryError>),
+}
+
+impl From<Report<EntryError>> for UploadError {
+    fn from(report: Report<EntryError>) -> Self {
+        UploadError::Failed(report)
+    }
+}
+
+impl From<InputError> for UploadError {
+    fn from(error: InputError) -> Self {
+        UploadError::Input(error)
+    }
+}
+
+/// A batch input on its way in.
+///
+/// Pieces are stored as they fill, under a digest of their content: a client
+/// that resends the file stores nothing twice, and an upload that breaks off
+/// leaves only pieces that nothing refers to.
+pub(crate) struct Upload<'a> {
+    batch: &'a Batch,
+    tenant: Tenant,
+    cutter: Cutter<'a>,
+    digest: Sha256,
+    bytes: u64,
+    chunks: Vec<Chunk>,
+}
+
+impl<'a> Upload<'a> {
+    /// Takes bytes of the file.
+    pub(crate) async fn push(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<(), UploadError> {
+        self.bytes += bytes.len() as u64;
+        self.digest.update(bytes);
+        for piece in self.cutter.push(bytes)? {
+            self.store(piece).await?;
+        }
+        Ok(())
+    }
+
+    /// Stores the rest and then the record that makes the file known.
+    pub(crate) async fn finish(
+        mut self,
+        filename: String,
+    ) -> Result<FileRecord, UploadError> {
+        let limits = &self.batch.limits;
+        let cutter = std::mem::replace(&mut self.cutter, Cutter::new(limits));
+        for piece in cutter.finish()? {
+            self.store(piece).await?;
+        }
+        self.digest.update([0]);
+        self.digest.update(self.tenant.as_str());
+        let hex = hex(&self.digest.clone().finalize());
+        let id: FileId = format!("file-{}", &hex[..ID_DIGITS])
+            .parse()
+            .change_context(EntryError::Storage)?;
+        if let Some(known) = self.batch.file(&self.tenant, &id).await? {
+            return Ok(known);
+        }
+        let record = FileRecord {
+            id,
+            tenant: self.tenant,
+            filename,
+            purpose: "batch".to_owned(),
+            bytes: self.bytes,
+            items: self.chunks.iter().map(|chunk| chunk.items).sum(),
+            created: self.batch.timer.clock().unix(),
+            chunks: self.chunks,
+        };
+        self.batch.record_file(&record).await?;
+        Ok(record)
+    }
+
+    async fn store(&mut self, piece: Piece) -> Result<(), UploadError> {
+        let hex = hex(&Sha256::digest(&piece.bytes));
+        let blob = format!("in/{}/{}", self.tenant, &hex[..ID_DIGITS]);
+        let blobs = &self.batch.blobs;
+        let chunk = blobs.put(blob, piece.bytes, piece.items).await?;
+        self.chunks.push(chunk);
+        Ok(())
+    }
+}
+
+impl Batch {
+    /// Starts to take a batch input.
+    pub(crate) fn begin_upload(&self, tenant: Tenant) -> Upload<'_> {
+        Upload {
+            batch: self,
+            tenant,
+            cutter: Cutter::new(&self.limits),
+            digest: Sha256::new(),
+            bytes: 0,
+            chunks: vec![],
+        }
+    }
+
+    /// Returns the pieces of a tenant's file, or of the output or error file
+    /// of one of its jobs.
+    pub(crate) async fn content(
+        &self,
+        tenant: &Tenant,
+        id: &FileId,
+    ) -> Result<Option<Vec<Chunk>>, Report<EntryError>> {
+        let name = id.as_str();
+        if let Some(job) = name.strip_prefix(OUTPUT_PREFIX) {
+            let job = self.job_named(tenant, job).await?;
+            return Ok(job.map(|job| job.output));
+        }
+        if let Some(job) = name.strip_prefix(ERRORS_PREFIX) {
+            let job = self.job_named(tenant, job).await?;
+            return Ok(job.map(|job| job.errors));
+        }
+        Ok(self.file(tenant, id).await?.map(|file| file.chunks))
+    }
+
+    async fn job_named(
+        &self,
+        tenant: &Tenant,
+        rest: &str,
+    ) -> Result<Option<JobRecord>, Report<EntryError>> {
+        match format!("{JOB_PREFIX}{rest}").parse() {
+            Ok(id) => self.job(tenant, &id).await,
+            Err(_) => Ok(None),
+        }
+    }
+
+    /// Returns a tenant's file; another tenant's reads as absent.
+    pub(crate) async fn file(
+        &self,
+        tenant: &Tenant,
+        id: &FileId,
+    ) -> Result<Option<FileRecord>, Report<EntryError>> {
+        let key = self.file_key(tenant, id);
+        let reply = self
+            .kv
+            .get(&key)
+            .await
+            .change_context(EntryError::Platform)
+            .attach("reading a file's record")?;
+        let Some(found) = reply.kvs.first() else {
+            return Ok(None);
+        };
+        serde_json::from_slice(&found.value)
+            .change_context(EntryError::Platform)
+            .attach_with(|| format!("the record at {key} is broken"))
+            .map(Some)
+    }
+
+    async fn record_file(
+        &self,
+        record: &FileRecord,
+    ) -> Result<(), Report<EntryError>> {
+        let key = self.file_key(&record.tenant, &record.id);
+        let value =
+            serde_json::to_vec(record).change_context(EntryError::Platform)?;
+        let txn = Txn {
+            compares: vec![Compare::ModRevision {
+                key: key.clone(),
+                equals: 0,
+            }],
+            success: vec![Op::Put {
+                key: key.clone(),
+                value,
+                lease: None,
+            }],
+            failure: vec![],
+        };
+        let outcome = self
+            .writer
+            .commit(
+                self.kv.as_ref(),
+                txn,
+                Op::Get { key },
+                |_| (),
+                |found| match found.kvs.is_empty() {
+                    true => Verdict::Open,
+                    false => Verdict::Done(()),
+                },
+                rand::random,
+            )
+            .await
+            .map_err(platform)
+            .attach("recording a file")?;
+        match outcome {
+            // Another upload of the same content came first; its record
+            // names the same blobs.
+            Outcome::Done(()) | Outcome::Superseded => Ok(()),
+        }
+    }
+
+    fn file_key(&self, tenant: &Tenant, id: &FileId) -> String {
+        format!("{}files/{tenant}/{id}", self.prefix)
+    }
+}
+
+/// Turns an error of the key-value service into one of the entry, which
+/// keeps whether a write may have taken effect.
+pub(crate) fn platform(report: Report<KvError>) -> Report<EntryError> {
+    let context = match report.current_context() {
+        KvError::Unknown => EntryError::Unknown,
+        _ => EntryError::Platform,
+    };
+    report.change_context(context)
+}
+
+/// Writes bytes as hexadecimal digits.
+pub(super) fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/entry/src/batch/input.rs
@@ -0,0 +1,166 @@
+//! Checks an uploaded batch input and cuts it into pieces of whole lines.
+
+use std::{collections::HashSet, fmt};
+
+use bytes::{Bytes, BytesMut};
+use conf::settings::LimitSettings;
+use serde::Deserialize;
+
+/// Size from which a piece is closed, in bytes.
+const PIECE_BYTES: usize = 1 << 20;
+
+/// One line of a batch input.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct InputLine {
+    pub(crate) custom_id: String,
+    #[serde(default)]
+    pub(crate) method: Option<String>,
+    pub(crate) url: String,
+    pub(crate) body: Box<serde_json::value::RawValue>,
+}
+
+/// Says which line of an input is wrong.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct InputError {
+    /// Number of the line, from 1.
+    pub(crate) line: u32,
+    pub(crate) why: String,
+}
+
+impl fmt::Display for InputError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.why)
+    }
+}
+
+/// A piece of whole lines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Piece {
+    pub(crate) bytes: Bytes,
+    pub(crate) items: u32,
+}
+
+/// Checks an input line by line as it arrives and cuts it into pieces.
+///
+/// An entry is thin: it never holds a whole input, only the piece that
+/// grows and the ids seen. Blank lines are left out, so that the pieces hold
+/// one item a line.
+pub(crate) struct Cutter<'a> {
+    limits: &'a LimitSettings,
+    ids: HashSet<String>,
+    rest: BytesMut,
+    open: BytesMut,
+    open_items: u32,
+    line: u32,
+    total: u32,
+}
+
+impl<'a> Cutter<'a> {
+    pub(crate) fn new(limits: &'a LimitSettings) -> Self {
+        Self {
+            limits,
+            ids: HashSet::new(),
+            rest: BytesMut::new(),
+            open: BytesMut::new(),
+            open_items: 0,
+            line: 0,
+            total: 0,
+        }
+    }
+
+    /// Takes bytes of the input and returns the pieces that are full.
+    pub(crate) fn push(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<Vec<Piece>, InputError> {
+        self.rest.extend_from_slice(bytes);
+        let mut full = Vec::new();
+        while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
+            let line = self.rest.split_to(end + 1);
+            full.extend(self.take(&line)?);
+        }
+        let limit = self.limits.item_max_bytes;
+        if self.rest.len() as u64 > limit {
+            self.line += 1;
+            return Err(self.fail(format!("over {limit} bytes")));
+        }
+        Ok(full)
+    }
+
+    /// Takes the last line, which may lack its end, and returns what is
+    /// left.
+    pub(crate) fn finish(mut self) -> Result<Vec<Piece>, InputError> {
+        let line = self.rest.split();
+        let mut last: Vec<Piece> = self.take(&line)?.into_iter().collect();
+        last.extend(self.close());
+        Ok(last)
+    }
+
+    fn take(&mut self, line: &[u8]) -> Result<Option<Piece>, InputError> {
+        self.line += 1;
+        let line = line.trim_ascii();
+        if line.is_empty() {
+            return Ok(None);
+        }
+        let id = check(line, self.limits).map_err(|why| self.fail(why))?;
+        if self.ids.contains(&id) {
+            return Err(self.fail(format!("custom_id {id:?} is used before")));
+        }
+        self.ids.insert(id);
+        self.total += 1;
+        if self.total > self.limits.items_max {
+            let limit = self.limits.items_max;
+            return Err(self.fail(format!("more than {limit} items")));
+        }
+        self.open.extend_from_slice(line);
+        self.open.extend_from_slice(b"\n");
+        self.open_items += 1;
+        if self.open.len() >= PIECE_BYTES {
+            return Ok(self.close());
+        }
+        Ok(None)
+    }
+
+    fn close(&mut self) -> Option<Piece> {
+        if self.open_items == 0 {
+            return None;
+        }
+        let items = std::mem::take(&mut self.open_items);
+        Some(Piece {
+            bytes: self.open.split().freeze(),
+            items,
+        })
+    }
+
+    fn fail(&self, why: String) -> InputError {
+        InputError {
+            line: self.line,
+            why,
+        }
+    }
+}
+
+fn check(line: &[u8], limits: &LimitSettings) -> Result<String, String> {
+    if line.len() as u64 > limits.item_max_bytes {
+        return Err(format!("over {} bytes", limits.item_max_bytes));
+    }
+    let parsed: InputLine =
+        serde_json::from_slice(line).map_err(|error| error.to_string())?;
+    if parsed.custom_id.is_empty() {
+        return Err("custom_id is empty".to_owned());
+    }
+    if parsed
+        .method
+        .as_deref()
+        .is_some_and(|method| method != "POST")
+    {
+        return Err("method is not POST".to_owned());
+    }
+    if !parsed.url.starts_with("/v1/") {
+        return Err(format!("url {:?} does not start with /v1/", parsed.url));
+    }
+    if !parsed.body.get().starts_with('{') {
+        return Err("body is not an object".to_owned());
+    }
+    Ok(parsed.custom_id)
+}
--- /dev/null
+++ b/crates/entry/src/batch/mod.rs
@@ -0,0 +1,88 @@
+//! Files and batch jobs.
+
+mod blobs;
+mod files;
+mod input;
+mod jobs;
+mod owner;
+mod record;
+
+use std::sync::Arc;
+
+use base::timer::Timer;
+use conf::settings::{BatchSettings, LimitSettings};
+use kv::{Kv, ops::Writer};
+
+pub(crate) use self::{
+    blobs::Blobs,
+    files::{UploadError, platform},
+    jobs::{JobError, NewJob},
+    owner::Owner,
+    record::{Chunk, FileRecord, JobRecord, JobState},
+};
+
+/// Start of each job's id.
+pub(crate) const JOB_PREFIX: &str = "batch_";
+
+/// Start of the id of a job's output file, before the rest of the job's id.
+pub(crate) const OUTPUT_PREFIX: &str = "file-out-";
+
+/// Start of the id of a job's error file.
+pub(crate) const ERRORS_PREFIX: &str = "file-err-";
+
+/// How long a write whose answer was lost is followed up, in milliseconds.
+const FOLLOW_UP_MS: u64 = 10_000;
+
+/// Files and jobs of this entry.
+pub(crate) struct Batch {
+    kv: Arc<dyn Kv>,
+    prefix: String,
+    writer: Writer,
+    timer: Timer,
+    blobs: Arc<Blobs>,
+    settings: BatchSettings,
+    limits: LimitSettings,
+    owner: Arc<Owner>,
+}
+
+impl Batch {
+    pub(crate) fn new(
+        kv: Arc<dyn Kv>,
+        prefix: String,
+        timer: Timer,
+        blobs: Blobs,
+        settings: BatchSettings,
+        limits: LimitSettings,
+    ) -> Self {
+        let blobs = Arc::new(blobs);
+        let writer = Writer::new(timer.clone(), FOLLOW_UP_MS);
+        let owner = Owner::new(
+            kv.clone(),
+            prefix.clone(),
+            timer.clone(),
+            blobs.clone(),
+            settings.clone(),
+        );
+        let owner = Arc::new(owner);
+        Self {
+            kv,
+            prefix,
+            writer,
+            timer,
+            blobs,
+            settings,
+            limits,
+            owner,
+        }
+    }
+
+    /// Returns the part that runs the jobs of owned partitions.
+    pub(crate) fn owner(&self) -> &Arc<Owner> {
+        &self.owner
+    }
+
+    /// Returns the blobs.
+    pub(crate) fn blobs(&self) -> &Blobs {
+        &self.blobs
+    }
+}
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,33 @@
+use std::fmt;
+
+/// Says why an entry cannot run or do something.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryError {
+    /// The settings lack something that this role needs.
+    Settings,
+    /// A listener, client or thread could not be started.
+    Start,
+    /// The configuration cannot be read or is not valid.
+    Config,
+    /// The key-value service did not do what was asked.
+    Platform,
+    /// The platform may or may not have done what was asked.
+    Unknown,
+    /// The data VMs did not store or give what was asked.
+    Storage,
+}
+
+impl fmt::Display for EntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            EntryError::Settings => "the settings do not fit an entry",
+            EntryError::Start => "the entry cannot start",
+            EntryError::Config => "the configuration is of no use",
+            EntryError::Platform => "the platform did not do it",
+            EntryError::Unknown => "the platform may have done it",
+            EntryError::Storage => "the data VMs did not do it",
+        })
+    }
+}
+
+impl std::error::Error for EntryError {}
--- /dev/null
+++ b/crates/entry/src/filter/head.rs
@@ -0,0 +1,110 @@
+//! What is checked before the body is read.
+
+use std::sync::Arc;
+
+use base::{KeyDigest, RequestId, Tenant};
+use obs::TenantMetrics;
+use rocket::http::HeaderMap;
+use web::{Problem, ProblemKind, Ran};
+use wire::message::Header;
+
+use crate::{config::InForce, shared::Shared};
+
+const BEARER: &str = "Bearer ";
+
+/// Headers that are the entry's own business and go no further.
+const OWN_HEADERS: [&str; 8] = [
+    "authorization",
+    "host",
+    "connection",
+    "content-length",
+    "transfer-encoding",
+    "expect",
+    "x-request-id",
+    "accept-encoding",
+];
+
+/// A caller whose key is known.
+pub(crate) struct Caller {
+    pub(crate) tenant: Tenant,
+    pub(crate) metrics: TenantMetrics,
+    pub(crate) in_force: Arc<InForce>,
+}
+
+/// Finds the tenant of the bearer key.
+pub(crate) fn authenticate(
+    shared: &Shared,
+    headers: &HeaderMap<'_>,
+) -> Result<Caller, Problem> {
+    let in_force = shared.config.current().ok_or_else(|| {
+        let why = "no configuration was found yet";
+        Problem::new(ProblemKind::PlatformDown, why)
+            .ran(Ran::No)
+            .retry_after_ms(1_000)
+    })?;
+    let unknown =
+        |why: &str| Problem::new(ProblemKind::Unauthorized, why).ran(Ran::No);
+    let header = headers
+        .get_one("authorization")
+        .ok_or_else(|| unknown("send `Authorization: Bearer KEY`"))?;
+    let key = header
+        .strip_prefix(BEARER)
+        .ok_or_else(|| unknown("the scheme must be Bearer"))?;
+    let digest = KeyDigest::of_key(key.trim());
+    let tenant = in_force
+        .compiled
+        .tenant_by_key_digest(digest.as_bytes())
+        .map(|entry| entry.tenant().clone())
+        .ok_or_else(|| unknown("the key is not known"))?;
+    let metrics = shared.metrics.tenant(&tenant);
+    Ok(Caller {
+        tenant,
+        metrics,
+        in_force,
+    })
+}
+
+/// Checks the headers against the limits and returns those for the endpoint.
+pub(crate) fn check_headers(
+    shared: &Shared,
+    headers: &HeaderMap<'_>,
+) -> Result<Vec<Header>, Problem> {
+    let limits = &shared.limits;
+    let too_large = |why: String| {
+        Problem::new(ProblemKind::HeadersTooLarge, why).ran(Ran::No)
+    };
+    if headers.len() > limits.headers_max as usize {
+        let why = format!("more than {} headers", limits.headers_max);
+        return Err(too_large(why));
+    }
+    let mut onward = Vec::with_capacity(headers.len());
+    for header in headers.iter() {
+        let bytes = header.name().as_str().len() + header.value().len();
+        if bytes as u64 > limits.header_max_bytes {
+            let why = format!(
+                "header {} is over {} bytes",
+                header.name(),
+                limits.header_max_bytes
+            );
+            return Err(too_large(why));
+        }
+        let name = header.name().as_str().to_ascii_lowercase();
+        if !OWN_HEADERS.contains(&name.as_str()) {
+            let value = header.value().to_owned();
+            onward.push(Header { name, value });
+        }
+    }
+    Ok(onward)
+}
+
+/// Takes the caller's request id if it is well formed, else draws one.
+pub(crate) fn request_id(headers: &HeaderMap<'_>) -> RequestId {
+    let given = headers.get_one("x-request-id");
+    given
+        .and_then(|id| id.parse().ok())
+        .unwrap_or_else(new_request_id)
+}
+
+fn new_request_id() -> RequestId {
+    RequestId::from_random(rand::random())
+}
--- /dev/null
+++ b/crates/entry/src/filter/mod.rs
@@ -0,0 +1,14 @@
+//! The filters that a request passes before it is forwarded.
+//!
+//! Each looks at one matter and refuses with a problem document; a request
+//! that a filter refuses did not run. The order is part of the contract: a
+//! caller without a key learns nothing of rules or models, and a body is
+//! read only after the caller is known.
+
+mod head;
+mod route;
+
+pub(crate) use self::{
+    head::{Caller, authenticate, check_headers, request_id},
+    route::{Incoming, route},
+};
--- /dev/null
+++ b/crates/entry/src/filter/route.rs
@@ -0,0 +1,165 @@
+//! What is decided once the body is known.
+
+use base::{Class, Millis, RequestId, UnixMillis};
+use bytes::Bytes;
+use rules::{Action, Compiled, Facts, Route, Sample};
+use serde::Deserialize;
+use web::{Problem, ProblemKind, Ran};
+use wire::message::Header;
+
+use crate::{
+    exchange::{Exchange, Plan, Subject},
+    filter::Caller,
+    shared::Shared,
+};
+
+/// Start of the paths of plain services.
+const SERVICE_PREFIX: &str = "/svc/";
+
+/// Header by which a caller marks work that nobody waits for.
+const CLASS_HEADER: &str = "x-pomeloslip-class";
+
+/// A request whose body has been read.
+pub(crate) struct Incoming {
+    pub(crate) request_id: RequestId,
+    pub(crate) received: Millis,
+    pub(crate) method: String,
+    /// Path and query as they came.
+    pub(crate) target: String,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+}
+
+/// What the entry needs to know of an OpenAI body.
+#[derive(Deserialize)]
+struct ModelBody {
+    model: String,
+}
+
+/// Finds out what a request asks for and lets the rules decide on it.
+pub(crate) fn route(
+    shared: &Shared,
+    caller: Caller,
+    incoming: Incoming,
+) -> Result<Exchange, Problem> {
+    let (subject, path) = subject(&incoming)?;
+    let class = class(&incoming.headers)?;
+    let now = shared.timer.clock().unix();
+    let plan = decide(&caller, &incoming, &subject, class, now)?;
+    Ok(Exchange {
+        request_id: incoming.request_id,
+        received: incoming.received,
+        tenant: caller.tenant,
+        metrics: caller.metrics,
+        class,
+        method: incoming.method,
+        path,
+        headers: incoming.headers,
+        body: incoming.body,
+        plan,
+    })
+}
+
+fn bad(why: impl Into<String>) -> Problem {
+    Problem::new(ProblemKind::BadRequest, why).ran(Ran::No)
+}
+
+fn subject(incoming: &Incoming) -> Result<(Subject, String), Problem> {
+    if let Some(rest) = incoming.target.strip_prefix(SERVICE_PREFIX) {
+        let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let service = Subject::Service(service.to_owned());
+        return Ok((service, format!("/{path}")));
+    }
+    let body: ModelBody = serde_json::from_slice(&incoming.body)
+        .map_err(|error| bad(format!("the body: {error}")))?;
+    Ok((Subject::Model(body.model), incoming.target.clone()))
+}
+
+fn header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|header| header.name == name);
+    found.map(|header| header.value.as_str())
+}
+
+fn class(headers: &[Header]) -> Result<Class, Problem> {
+    match header(headers, CLASS_HEADER) {
+        None | Some("online") => Ok(Class::Online),
+        Some("batch") => Ok(Class::Batch),
+        Some(other) => {
+            let why = format!("{CLASS_HEADER}: {other:?} is no class");
+            Err(bad(why))
+        }
+    }
+}
+
+/// Headers of a request as the rules look them up.
+struct HeaderFacts<'a>(&'a [Header]);
+
+impl Facts for HeaderFacts<'_> {
+    fn header(&self, name: &str) -> Option<&str> {
+        header(self.0, name)
+    }
+}
+
+fn decide(
+    caller: &Caller,
+    incoming: &Incoming,
+    subject: &Subject,
+    class: Class,
+    now: UnixMillis,
+) -> Result<Plan, Problem> {
+    let compiled = &caller.in_force.compiled;
+    let path = incoming.target.split('?').next().unwrap_or_default();
+    let (model, service) = match subject {
+        Subject::Model(name) => (Some(name.as_str()), None),
+        Subject::Service(name) => (None, Some(name.as_str())),
+    };
+    let sample = Sample {
+        model,
+        service,
+        path,
+        method: &incoming.method,
+        prompt_bytes: incoming.body.len() as u64,
+        facts: &HeaderFacts(&incoming.headers),
+        ..Sample::new(class, caller.tenant.as_str())
+    };
+    let decision = compiled.decide(&sample, now);
+    match decision.action() {
+        Action::Route { route, repeatable } => {
+            Ok(plan(compiled, route, repeatable))
+        }
+        action => Err(refused(&action)),
+    }
+}
+
+fn plan(compiled: &Compiled, route: &Route, repeatable: bool) -> Plan {
+    let pools = route.pools().filter_map(|key| compiled.pool(key));
+    Plan {
+        pools: pools.map(|pool| pool.name().to_owned()).collect(),
+        deadline_ms: route.deadline_ms().unwrap_or(0),
+        first_token_ms: route.first_token_ms().unwrap_or(0),
+        retries: route.retries(),
+        repeatable,
+    }
+}
+
+fn refused(action: &Action<'_>) -> Problem {
+    let problem = match action {
+        Action::Refuse(refusal) => {
+            Problem::new(ProblemKind::RefusedByRule, refusal.detail())
+                .status(refusal.status())
+        }
+        Action::Shed => {
+            let why = "a rule sheds this load for now";
+            Problem::new(ProblemKind::Overloaded, why)
+        }
+        _ => {
+            let why = "no rule covers this request";
+            Problem::new(ProblemKind::NoRule, why)
+        }
+    };
+    let problem = problem.ran(Ran::No);
+    match action.retry_after_s() {
+        Some(seconds) => problem.retry_after_ms(u64::from(seconds) * 1_000),
+        None => problem,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,25 @@
 //! The entry role: caller API, routing and batch partitions.
+//!
+//! Requests pass a chain of filters ([`filter`](self)) and are forwarded to
+//! an endpoint; controllers keep the configuration, the endpoints and the
+//! batch partitions up to date. What a request reads on its way is a
+//! snapshot, replaced whole by the controllers.
+
+mod api;
+mod batch;
+mod body;
+mod config;
+mod error;
+mod exchange;
+mod filter;
+mod fleet;
+mod forward;
+mod node;
+mod peers;
+mod shared;
+
+pub use crate::{
+    config::{configuration_keys, first_configuration},
+    error::EntryError,
+    node::Entry,
+};
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,205 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use base::{Incarnation, SystemClock, timer::Timer};
+use conf::settings::Settings;
+use error_stack::{Report, ResultExt};
+use kv::{EtcdJsonOptions, Kv};
+use obs::Metrics;
+use tokio::{sync::Semaphore, task::JoinHandle};
+use web::{LaunchOptions, Phase, Served, ServiceState};
+use wire::{
+    DataHandler, Handlers, LinkOptions, Links, Secret, Secrets, Server,
+    message::Identity,
+};
+
+use crate::{
+    EntryError, api,
+    batch::{Batch, Blobs},
+    config::ConfigStore,
+    fleet::Fleet,
+    peers::Peers,
+    shared::Shared,
+};
+
+/// Pause between looks for the first configuration, in milliseconds.
+const READY_LOOK_MS: u64 = 50;
+
+/// A running entry.
+pub struct Entry {
+    shared: Arc<Shared>,
+    peer: Server,
+    http: Served,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Entry {
+    /// Starts an entry and returns once it listens. It is ready as soon as
+    /// it has found a configuration.
+    ///
+    /// `data` is the data role of the same process, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// [`EntryError::Settings`] without a `key_value` section,
+    /// [`EntryError::Start`] if an address cannot be listened on.
+    pub async fn start(
+        settings: &Settings,
+        metrics: Metrics,
+        data: Option<Arc<dyn DataHandler>>,
+    ) -> Result<Self, Report<EntryError>> {
+        let start = EntryError::Start;
+        let timer = Timer::new(Arc::new(SystemClock::new()));
+        let key_value = settings.key_value.as_ref().ok_or_else(|| {
+            Report::new(EntryError::Settings)
+                .attach("the section `key_value` is missing")
+        })?;
+        let addresses = key_value.addresses.iter().map(|a| a.as_str());
+        let kv: Arc<dyn Kv> = Arc::new(
+            EtcdJsonOptions::new(addresses)
+                .timeout_ms(key_value.timeout_ms)
+                .build()
+                .change_context(start)?,
+        );
+        let identity = identity(settings);
+        let secrets = secrets(settings)?;
+        let options = LinkOptions::new(identity.clone())
+            .secrets(secrets.clone())
+            .connect_timeout_ms(settings.timeouts.connect_ms);
+        let links = Links::start(options).change_context(start)?;
+        let prefix = key_value.prefix.clone();
+        let batch = Batch::new(
+            kv.clone(),
+            prefix.clone(),
+            timer.clone(),
+            Blobs::new(links.clone(), settings.data_vms.clone()),
+            settings.batch.clone(),
+            settings.limits.clone(),
+        );
+        let shared = Arc::new(Shared {
+            failure_domain: settings.failure_domain.clone(),
+            incarnation: identity.incarnation,
+            timer: timer.clone(),
+            links,
+            fleet: Fleet::try_new(&settings.endpoints, &settings.timeouts)?,
+            config: ConfigStore::new(kv, &prefix, timer.clone()),
+            batch,
+            metrics,
+            state: ServiceState::default(),
+            limits: settings.limits.clone(),
+            timeouts: settings.timeouts.clone(),
+            admin_keys: settings.admin_keys_sha256.clone(),
+            streams: Arc::new(Semaphore::new(
+                settings.limits.streams_max as usize,
+            )),
+        });
+        let handlers = Handlers {
+            entry: Some(Arc::new(Peers(shared.clone()))),
+            data,
+            companion: None,
+        };
+        let listen = settings.peer_listen;
+        let peer = wire::serve(listen, identity, secrets, handlers)
+            .await
+            .change_context(start)?;
+        let http = launch(settings, &shared).await?;
+        let tasks = spawn(&shared, timer);
+        log::info!(
+            http = http.address().to_string().as_str(),
+            peer = peer.address().to_string().as_str();
+            "the entry is up"
+        );
+        Ok(Self {
+            shared,
+            peer,
+            http,
+            tasks,
+        })
+    }
+
+    /// Returns the address for callers.
+    #[inline]
+    pub fn http_address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Returns the address for other processes.
+    #[inline]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer.address()
+    }
+
+    /// Waits until the entry takes work.
+    pub async fn ready(&self) {
+        while !self.shared.state.is_ready() {
+            self.shared.timer.subscribe_in_ms(READY_LOOK_MS).await;
+        }
+    }
+
+    /// Stops as planned: `/readyz` turns first, new calls are refused as not
+    /// run, running ones end.
+    pub async fn drain(self) {
+        let state = &self.shared.state;
+        state.set(Phase::Draining);
+        if !state.idle(self.shared.timeouts.drain_ms).await {
+            let cut = state.active();
+            log::warn!(cut; "the drain time is over; cutting what runs");
+        }
+        self.http.stop().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.peer.stop().await;
+    }
+}
+
+fn identity(settings: &Settings) -> Identity {
+    Identity {
+        role: "entry".to_owned(),
+        vm: settings.vm.clone(),
+        incarnation: Incarnation::new(rand::random()),
+        failure_domain: settings.failure_domain.clone(),
+    }
+}
+
+async fn launch(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+) -> Result<Served, Report<EntryError>> {
+    let rocket = rocket::build()
+        .manage(shared.clone())
+        .manage(shared.state.clone())
+        .mount("/", api::routes())
+        .register("/", web::catchers());
+    let options = LaunchOptions::new(settings.listen)
+        .body_max_bytes(settings.limits.body_max_bytes)
+        .file_max_bytes(settings.limits.file_max_bytes);
+    web::launch(rocket, options)
+        .await
+        .change_context(EntryError::Start)
+}
+
+fn spawn(shared: &Arc<Shared>, timer: Timer) -> Vec<JoinHandle<()>> {
+    let follow = shared.clone();
+    let ready = shared.clone();
+    vec![
+        tokio::spawn(timer.drive()),
+        tokio::spawn(async move { follow.config.follow().await }),
+        tokio::spawn(shared.batch.owner().clone().work()),
+        tokio::spawn(async move {
+            while ready.config.current().is_none() {
+                ready.timer.subscribe_in_ms(READY_LOOK_MS).await;
+            }
+            ready.state.set(Phase::Ready);
+        }),
+    ]
+}
+
+fn secrets(settings: &Settings) -> Result<Secrets, Report<EntryError>> {
+    settings
+        .peer_secrets
+        .iter()
+        .map(|secret| Secret::try_new(secret.expose()))
+        .collect::<Result<Vec<_>, _>>()
+        .map(Secrets::new)
+        .change_context(EntryError::Settings)
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,43 @@
+//! What an entry does for other processes.
+
+use std::sync::Arc;
+
+use base::{Incarnation, Revision, VmId};
+use bytes::Bytes;
+use futures::future::{BoxFuture, FutureExt};
+use wire::{
+    ConfigReply, EntryHandler,
+    message::{ConfigText, ItemResult, Pull, PullReply},
+};
+
+use crate::shared::Shared;
+
+/// Answers companions and other entries.
+pub(crate) struct Peers(pub(crate) Arc<Shared>);
+
+impl EntryHandler for Peers {
+    fn pull(&self, pull: Pull) -> BoxFuture<'static, PullReply> {
+        let shared = self.0.clone();
+        async move { shared.batch.owner().pull(pull).await }.boxed()
+    }
+
+    fn results(&self, results: Vec<ItemResult>) -> BoxFuture<'static, u32> {
+        let shared = self.0.clone();
+        async move { shared.batch.owner().results(results).await }.boxed()
+    }
+
+    fn leaving(&self, vm: VmId, incarnation: Incarnation) {
+        log::info!(vm = vm.as_str(); "an endpoint leaves");
+        self.0.fleet.note_leaving(incarnation, self.0.timer.now());
+    }
+
+    fn config(&self, have: Revision) -> ConfigReply {
+        let now = self.0.config.current()?;
+        let revision = now.accepted.revision;
+        if revision <= have {
+            return None;
+        }
+        let bytes = Bytes::copy_from_slice(now.accepted.text.as_bytes());
+        Some(ConfigText { revision, bytes })
+    }
+}
--- a/crates/obs/src/settings.rs
+++ b/crates/obs/src/settings.rs
@@ -90,9 +90,15 @@
 
 /// Keeps the HTTP libraries from writing several lines for each request.
 fn quiet_targets() -> IndexMap<String, LogLevel> {
-    ["rocket", "hyper", "hyper_util", "reqwest", "_"]
+    // The server library warns of each ordinary launch and of each caller
+    // that leaves early.
+    let server = ["rocket", "_"].map(|target| (target, LogLevel::Error));
+    let client = ["hyper", "hyper_util", "reqwest"]
+        .map(|target| (target, LogLevel::Warn));
+    server
         .into_iter()
-        .map(|target| (target.to_owned(), LogLevel::Warn))
+        .chain(client)
+        .map(|(target, level)| (target.to_owned(), level))
         .collect()
 }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -19,7 +19,7 @@
 use crate::events::EventSplitter;
 
 /// Headers of one hop, which are never passed on.
-const HOP_HEADERS: [&str; 9] = [
+const HOP_HEADERS: [&str; 8] = [
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -28,7 +28,6 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
-    "content-length",
 ];
 
 /// Says that a client could not be made.
--- a/crates/web/src/launch.rs
+++ b/crates/web/src/launch.rs
@@ -6,11 +6,17 @@
     config::{Ident, LogLevel, Shutdown as ShutdownConfig},
     data::{ByteUnit, Limits},
     fairing::AdHoc,
+    shield::Shield,
 };
 use tokio::{sync::oneshot, task::JoinHandle};
 
-/// Seconds that open connections get after a stop when none is set.
-const GRACE_DEFAULT_S: u32 = 120;
+/// Seconds that open connections get after a stop. What runs has ended
+/// before (see [`ServiceState::idle`](crate::ServiceState::idle)); the server
+/// library waits all of this out if any connection is open.
+const GRACE_S: u32 = 1;
+
+/// Seconds that the server library then gives connections to close.
+const MERCY_S: u32 = 0;
 
 /// Says that a server could not be started.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,18 +36,15 @@
     listen: SocketAddr,
     body_max_bytes: u64,
     file_max_bytes: u64,
-    grace_ms: u64,
 }
 
 impl LaunchOptions {
-    /// Starts with bodies of 1 MiB, files of 16 MiB and two minutes for open
-    /// connections at a stop.
+    /// Starts with bodies of 1 MiB and files of 16 MiB.
     pub fn new(listen: SocketAddr) -> Self {
         Self {
             listen,
             body_max_bytes: 1 << 20,
             file_max_bytes: 16 << 20,
-            grace_ms: u64::from(GRACE_DEFAULT_S) * 1_000,
         }
     }
 
@@ -56,12 +59,6 @@
         self.file_max_bytes = bytes;
         self
     }
-
-    /// Sets how long open connections may go on after a stop.
-    pub fn grace_ms(mut self, ms: u64) -> Self {
-        self.grace_ms = ms;
-        self
-    }
 }
 
 /// A running server.
@@ -79,8 +76,7 @@
         self.address
     }
 
-    /// Closes the listener, lets running answers end within the grace time
-    /// and waits for that.
+    /// Closes the listener and the connections and waits for that.
     pub async fn stop(self) {
         self.shutdown.notify();
         // A task that failed has ended as well.
@@ -105,6 +101,9 @@
     let (report_failed, failed) = oneshot::channel();
     let rocket = rocket
         .configure(config(options))
+        // The default headers are meant for pages in a browser; here they
+        // would overwrite those of the endpoint's answer.
+        .attach(Shield::new())
         .attach(announce(report_ready));
     let task = tokio::spawn(async move {
         if let Err(error) = rocket.launch().await {
@@ -148,7 +147,6 @@
         .limit("form", body)
         .limit("data-form", file)
         .limit("file", file);
-    let grace_s = options.grace_ms.div_ceil(1_000).min(u64::from(u32::MAX));
     Config {
         address: options.listen.ip(),
         port: options.listen.port(),
@@ -159,8 +157,8 @@
         shutdown: ShutdownConfig {
             ctrlc: false,
             signals: HashSet::new(),
-            grace: grace_s as u32,
-            mercy: 1,
+            grace: GRACE_S,
+            mercy: MERCY_S,
             force: false,
             ..ShutdownConfig::default()
         },
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,5 +11,5 @@
 pub use crate::{
     launch::{LaunchError, LaunchOptions, Served, launch},
     problem::{Problem, ProblemKind, Ran, catchers},
-    status::{Phase, ServiceState, health_routes},
+    status::{Active, Phase, ServiceState, health_routes},
 };
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -1,4 +1,5 @@
 //! Links and their server over loopback sockets.
+#![allow(clippy::unwrap_used)]
 
 use std::{
     net::SocketAddr,
