--- a/crates/store/src/layer.rs
+++ b/crates/store/src/layer.rs
@@ -83,7 +83,16 @@
 impl DirLayer {
     /// Opens a folder, creating it with its parents if it is missing.
     pub(crate) fn new(dir: PathBuf) -> io::Result<Self> {
-        fs::create_dir_all(&dir)?;
+        if !dir.is_dir() {
+            fs::create_dir_all(&dir)?;
+            // A power failure could otherwise take the new folder away with
+            // all that was acknowledged in it.
+            for parent in dir.ancestors().skip(1) {
+                if let Ok(parent) = File::open(parent) {
+                    parent.sync_all()?;
+                }
+            }
+        }
         Ok(Self { dir })
     }
 }
--- a/crates/store/src/put.rs
+++ b/crates/store/src/put.rs
@@ -79,7 +79,7 @@
         let all_bytes = requests.iter().map(PutRequest::record_bytes).sum();
         // Before the lookups, as this moves blobs.
         if let Err(error) = self.make_room(writer, all_bytes) {
-            log::warn!("no space could be reclaimed: {error:?}");
+            log::warn!("no space could be reclaimed: {error:#}");
         }
         let ids: Vec<&BlobId> = requests.iter().map(|r| &r.id).collect();
         let found = self
@@ -185,5 +185,5 @@
 
 /// Reports cannot be cloned; the others of a batch get the outer part.
 fn copy_of(error: &Report<StoreError>) -> Report<StoreError> {
-    Report::new(*error.current_context()).attach(format!("{error:?}"))
+    Report::new(*error.current_context()).attach(format!("{error:#}"))
 }
--- a/crates/store/src/recover.rs
+++ b/crates/store/src/recover.rs
@@ -129,10 +129,10 @@
                 return Ok(opened);
             }
             Err(error) => {
-                log::error!("the index is built again: {error:?}");
+                log::error!("the index is built again: {error:#}");
                 report.damaged.clear();
                 report.index = IndexOrigin::Rebuilt {
-                    reason: format!("{error:?}"),
+                    reason: format!("{error:#}"),
                 };
             }
         }
--- a/crates/store/src/remove.rs
+++ b/crates/store/src/remove.rs
@@ -185,7 +185,7 @@
             writer.commit(core, records)?;
             // The blobs are removed also if their space is not yet free.
             if let Err(error) = core.delete_dead(writer) {
-                log::warn!("deleting unneeded segments: {error:?}");
+                log::warn!("deleting unneeded segments: {error:#}");
             }
         }
         Ok(removed)
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -100,7 +100,7 @@
         if let Some(index) = &tried {
             match work(index) {
                 Ok(value) => return Ok(value),
-                Err(error) => log::warn!("index: {error:?}"),
+                Err(error) => log::warn!("index: {error:#}"),
             }
         }
         let index = self.usable_index(&mut self.writer(), tried)?;
@@ -117,7 +117,7 @@
         if let Some(index) = &tried {
             match work(index) {
                 Ok(value) => return Ok(value),
-                Err(error) => log::warn!("index: {error:?}"),
+                Err(error) => log::warn!("index: {error:#}"),
             }
         }
         let index = self.usable_index(writer, tried)?;
@@ -179,7 +179,7 @@
         };
         match index.apply(&[], true) {
             Ok(()) => writer.saved(),
-            Err(error) => log::warn!("closing the index: {error:?}"),
+            Err(error) => log::warn!("closing the index: {error:#}"),
         }
     }
 }
@@ -313,7 +313,7 @@
             }
             return Ok(());
         };
-        log::warn!("index: {error:?}");
+        log::warn!("index: {error:#}");
         // The batch is in the log, and a new index will have it. Without an
         // index nobody could read it, so the batch is taken back.
         match core.usable_index(self, tried) {
--- a/crates/store/tests/basics.rs
+++ b/crates/store/tests/basics.rs
@@ -2,7 +2,13 @@
 
 mod common;
 
-use std::{sync::Arc, thread};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+};
 
 use base::{SteppedClock, UnixMillis};
 use pomeloslip_store::{
@@ -11,7 +17,7 @@
 };
 use yare::parameterized;
 
-use crate::common::{get, id, open, put};
+use crate::common::{body, get, id, open, put};
 
 #[parameterized(
     empty = { "", BlobIdError::EmptySegment },
@@ -187,3 +193,34 @@
         assert_eq!(get(&store, &name).unwrap().unwrap(), body.as_bytes());
     }
 }
+
+/// Symptom: a read fails or finds nothing while space is reclaimed. Sequence:
+/// the reader looks a blob up; its segment is copied and deleted; the reader
+/// opens the file. Cause, if it fails: the reader does not look again.
+#[test]
+fn blobs_stay_readable_while_they_are_moved() {
+    let store = open(&SimDisk::new(1));
+    let names: Vec<_> = (0..120).map(|n| format!("{}/{n}", n % 4)).collect();
+    for name in &names {
+        put(&store, name, &body(name, 300)).unwrap();
+    }
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(|| {
+                while !done.load(Ordering::Relaxed) {
+                    for name in names.iter().skip(3).step_by(4) {
+                        let found = get(&store, name).unwrap();
+                        assert_eq!(found, Some(body(name, 300)));
+                    }
+                }
+            });
+        }
+        for prefix in ["0/", "1/", "2/"] {
+            store.remove_prefix(prefix).unwrap();
+            while store.reclaim(1).unwrap().more {}
+        }
+        done.store(true, Ordering::Relaxed);
+    });
+    assert_eq!(store.quarantined(None, 9).unwrap(), []);
+}
