Keep latencies above 2 ms and find callers that left an event stream

Cause: a trial run reported 2.0 ms as the longest answer of an engine that takes seconds: a histogram that grows by itself clips in saturating_record. A follower of cache events that had left was not found while the cache stood still. Panics in a request's task were swallowed. Change: histograms have bounds of an hour, with a test that failed before; followers get an empty line each second; panics end the run with an error; token rates count until the last online request. The module's page states the formats of metrics, events, orders and faults. Before: all latencies clipped at 2.0 ms.

--- a/crates/load/src/batch.rs
+++ b/crates/load/src/batch.rs
@@ -29,7 +29,7 @@
         let job = job.clone();
         jobs.spawn(async move { job.run(number).await });
     }
-    while jobs.join_next().await.is_some() {}
+    jobs.join_all().await;
 }
 
 /// What the jobs of a run share.
--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -76,7 +76,7 @@
         for _ in 0..plan.direct_batch_streams.max(1) {
             streams.spawn(self.clone().send_some());
         }
-        while streams.join_next().await.is_some() {}
+        streams.join_all().await;
         for _ in 0..plan.jobs {
             self.batch.end_job(true, self.load_start.elapsed());
         }
--- a/crates/load/src/online.rs
+++ b/crates/load/src/online.rs
@@ -66,7 +66,7 @@
                 sender.send(number, intended).await;
             });
         }
-        while requests.join_next().await.is_some() {}
+        requests.join_all().await;
     }
 
     async fn closed_loop(self, streams: u32) {
@@ -86,7 +86,7 @@
                 }
             });
         }
-        while loops.join_next().await.is_some() {}
+        loops.join_all().await;
     }
 
     async fn send(&self, number: u64, intended: Instant) {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -80,7 +80,8 @@
     pub broken: Vec<RefusalCount>,
     /// Tokens of right answers.
     pub tokens: u64,
-    /// Tokens of right answers for each second of the run.
+    /// Tokens of right answers for each second until the last request
+    /// ended.
     pub tokens_per_s: f64,
     /// From the intended moment of sending to the first token.
     pub first_token: Quantiles,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -144,7 +144,7 @@
         LoadReport {
             seed: self.plan.seed,
             elapsed_ms: elapsed.as_millis() as u64,
-            online: self.online.report(elapsed),
+            online: self.online.report(self.start),
             batch: self.batch.report(jobs, self.plan.items()),
         }
     }
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -11,12 +11,16 @@
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 use serde_json::Value;
+use tokio::time::Instant;
 
 use crate::{BatchReport, OnlineReport, Quantiles, RefusalCount, Verdict};
 
 /// Significant digits of a latency.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
+/// Longest latency that is told apart from longer ones: an hour.
+const LATENCY_MAX_US: u64 = 3_600_000_000;
+
 /// Longest text that is kept of an answer without a type.
 const KIND_BYTES: usize = 80;
 
@@ -26,8 +30,11 @@
 
 impl Default for Latency {
     fn default() -> Self {
-        let made = Histogram::new(SIGNIFICANT_DIGITS);
-        Self(made.expect("three significant digits are allowed"))
+        // The bounds are given, because a histogram that grows by itself
+        // does not grow in `saturating_record`: it clips at its first 2 ms.
+        let made =
+            Histogram::new_with_bounds(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS);
+        Self(made.expect("the constants are valid bounds"))
     }
 }
 
@@ -122,6 +129,7 @@
     between: Latency,
     whole: Latency,
     send_delay: Latency,
+    last_end: Option<Instant>,
 }
 
 /// Counts of the online requests.
@@ -159,6 +167,7 @@
     pub(crate) fn add(&self, measured: Measured) {
         self.ended.fetch_add(1, Ordering::Relaxed);
         let mut online = self.lock();
+        online.last_end = Some(Instant::now());
         online.send_delay.record(measured.send_delay);
         if let Some(first) = measured.first_token {
             online.first_token.record(first);
@@ -192,10 +201,14 @@
         }
     }
 
-    /// Returns the report of a run that has lasted so long.
-    pub(crate) fn report(&self, elapsed: Duration) -> OnlineReport {
+    /// Returns the report of a run that began at `start`.
+    ///
+    /// Rates are over the time until the last request ended; batch jobs may
+    /// go on for long after it.
+    pub(crate) fn report(&self, start: Instant) -> OnlineReport {
         let online = self.lock();
         let tokens = online.report.tokens as f64;
+        let elapsed = online.last_end.unwrap_or(start) - start;
         OnlineReport {
             sent: self.sent(),
             not_sent: self.not_sent.load(Ordering::Relaxed),
--- a/crates/load/tests/online.rs
+++ b/crates/load/tests/online.rs
@@ -51,6 +51,27 @@
     assert_eq!(engine.counters().calls, online.sent);
 }
 
+#[tokio::test]
+async fn latencies_are_as_long_as_the_engine_takes() {
+    // Symptom: all latencies of a report are about 2 ms.
+    // Events: the engine takes 20 ms a token.
+    // Cause: a histogram that clips instead of growing.
+    let engine = engine(EngineSettings {
+        base_step_ms: 20.0,
+        ..EngineSettings::default()
+    })
+    .await;
+    let plan = Plan::new(&engine.url(), "korv-lm")
+        .arrivals(Arrivals::Streams(1))
+        .duration_ms(1)
+        .max_tokens(5);
+    let report = run(&plan, |_| {}).await.expect("the load runs");
+    let online = &report.online;
+    assert!(online.first_token.max_ms >= 20.0);
+    assert!(online.between_tokens.mean_ms >= 5.0);
+    assert!(online.whole_answer.max_ms >= 100.0);
+}
+
 #[tokio::test]
 async fn arrivals_depend_on_the_seed_only() {
     let engine = engine(EngineSettings::instant()).await;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,6 +23,28 @@
 //! token, and `[[drop]]` ends the first answer to that prompt early, without
 //! its end mark.
 //!
+//! # Formats
+//!
+//! `/metrics` has the names that vLLM publishes: the gauges
+//! `vllm:num_requests_running`, `vllm:num_requests_waiting` and
+//! `vllm:kv_cache_usage_perc` (0 to 1), and the counters
+//! `vllm:prompt_tokens_total`, `vllm:generation_tokens_total` and
+//! `vllm:prefix_cache_hits_total`.
+//!
+//! A cache event is a line such as
+//! `{"seq":7,"kind":"stored","block":"00c0ffee00c0ffee","tokens":16}`;
+//! the kind is `stored` or `removed` and the block is one of
+//! [`block_hashes`](cache::block_hashes) in hexadecimal. `seq` skips the
+//! events that were lost. With `follow=true` the stream stays open and sends
+//! an empty line now and then.
+//!
+//! An order is
+//! `{"fence":3,"kind":"load_model","model":"korv-lm","version":"2"}`; see
+//! [`Order`]. A model that is loaded again is away until it is loaded.
+//! Faults are [`EngineFaults`] as JSON; fields left out are off.
+//!
+//! Errors have the API's shape, `{"error": {"message", "type", "code"}}`.
+//!
 //! # Limits
 //!
 //! Rocket tells that a caller has left only when something is sent. An answer
--- a/crates/standin/src/engine/status.rs
+++ b/crates/standin/src/engine/status.rs
@@ -17,6 +17,12 @@
 /// Pause between two looks for new cache events.
 const FOLLOW_PAUSE_MS: u64 = 20;
 
+/// Looks without an event after which an empty line is sent.
+///
+/// Without it, the stream of a caller that has left would stay for as long
+/// as the cache does not change, because only sending shows that it left.
+const LOOKS_PER_BLANK: u32 = 50;
+
 pub(super) fn all() -> Vec<Route> {
     routes![
         models,
@@ -140,7 +146,7 @@
 ) -> impl Stream<Item = Bytes> + Send + 'static {
     stream::unfold(Some((core, after)), move |state| async move {
         let (core, mut after) = state?;
-        loop {
+        for _ in 0..LOOKS_PER_BLANK {
             let events = core.cache_events(after);
             if let Some(last) = events.last() {
                 after = last.sequence;
@@ -153,6 +159,7 @@
             let pause = Duration::from_millis(FOLLOW_PAUSE_MS);
             tokio::time::sleep(pause).await;
         }
+        Some((Bytes::from_static(b"\n"), Some((core, after))))
     })
 }
 
