Split the links and their server into modules with one job each

Change: handler, host, pump, options and run are files of their own; no behaviour changes. Conclusion: the next change of one of them touches one file.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,6 +20,8 @@
 
 mod auth;
 mod convert;
+mod handler;
+mod host;
 mod link;
 pub mod message;
 #[allow(
@@ -37,16 +39,22 @@
 )]
 #[rustfmt::skip]
 mod schema_capnp;
+mod options;
 mod peer;
+mod pump;
+mod run;
 mod server;
 
 pub use crate::{
     auth::{Secret, SecretError, Secrets},
-    link::{LinkError, LinkOptions, Links, Run, RunReply},
-    server::{
+    handler::{
         Answer, AnswerClosed, CompanionHandler, ConfigReply, DataHandler,
-        EntryHandler, Handlers, ServeError, Server, serve,
+        EntryHandler, Handlers,
     },
+    link::Links,
+    options::{LinkError, LinkOptions},
+    run::{Run, RunReply},
+    server::{ServeError, Server, serve},
 };
 
 /// Highest protocol version that this build speaks.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::RefCell, collections::HashMap, fmt, future::Future, net::SocketAddr,
+    cell::RefCell, collections::HashMap, future::Future, net::SocketAddr,
     rc::Rc, thread, time::Duration,
 };
 
@@ -15,93 +15,17 @@
 };
 
 use crate::{
-    Secrets, convert,
+    convert,
     message::{
-        ConfigText, Frame, Identity, ItemResult, Load, Order, Pull, PullReply,
-        Refusal, RefusalKind, Request, StoreStat, StoredBlob,
+        ConfigText, Identity, ItemResult, Load, Order, Pull, PullReply,
+        Refusal, Request, StoreStat, StoredBlob,
     },
-    peer::{FrameSink, Peer},
+    options::{LinkError, LinkOptions},
+    peer::Peer,
+    run::{RunReply, run},
     schema_capnp as schema,
 };
 
-/// Frames that wait between the link and the reader of an answer.
-const FRAMES_QUEUED_MAX: usize = 64;
-
-/// Says what became of a call to another process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LinkError {
-    /// The other side certainly saw nothing of the call.
-    NotSent,
-    /// The call was sent and its answer is lost.
-    Unknown,
-    /// The other side refused the call; it had no effect.
-    Refused(RefusalKind),
-}
-
-impl fmt::Display for LinkError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            LinkError::NotSent => f.write_str("the call was not sent"),
-            LinkError::Unknown => f.write_str("the answer is lost"),
-            LinkError::Refused(kind) => write!(f, "refused: {kind:?}"),
-        }
-    }
-}
-
-impl std::error::Error for LinkError {}
-
-/// Options of the links of one process.
-#[derive(Clone, Debug)]
-pub struct LinkOptions {
-    pub(crate) identity: Identity,
-    pub(crate) secrets: Secrets,
-    pub(crate) connect_timeout_ms: u64,
-    pub(crate) call_timeout_ms: u64,
-    pub(crate) heartbeat_ms: u64,
-    pub(crate) silence_ms: u64,
-}
-
-impl LinkOptions {
-    /// Starts with safe defaults: 1 s to connect, 5 s for a call, a
-    /// heartbeat each second and 2 s of silence.
-    pub fn new(identity: Identity) -> Self {
-        Self {
-            identity,
-            secrets: Secrets::default(),
-            connect_timeout_ms: 1_000,
-            call_timeout_ms: 5_000,
-            heartbeat_ms: 1_000,
-            silence_ms: 2_000,
-        }
-    }
-
-    /// Sets the shared secrets.
-    pub fn secrets(mut self, secrets: Secrets) -> Self {
-        self.secrets = secrets;
-        self
-    }
-
-    /// Sets how long connecting and authenticating may take.
-    pub fn connect_timeout_ms(mut self, ms: u64) -> Self {
-        self.connect_timeout_ms = ms;
-        self
-    }
-
-    /// Sets how long a call other than [`Links::run`] may take.
-    pub fn call_timeout_ms(mut self, ms: u64) -> Self {
-        self.call_timeout_ms = ms;
-        self
-    }
-
-    /// Sets the pause between heartbeats and the silence after which a
-    /// connection is given up.
-    pub fn heartbeat_ms(mut self, pause_ms: u64, silence_ms: u64) -> Self {
-        self.heartbeat_ms = pause_ms;
-        self.silence_ms = silence_ms;
-        self
-    }
-}
-
 type Connecting = Shared<LocalBoxFuture<'static, Result<Rc<Peer>, Rc<str>>>>;
 
 /// The connections of the thread, at most one for each address.
@@ -575,7 +499,7 @@
 }
 
 /// Waits for a reply, but no longer than the connection or the limit lasts.
-async fn watched<T>(
+pub(crate) async fn watched<T>(
     peer: &Peer,
     limit: Duration,
     promise: Promise<T, capnp::Error>,
@@ -592,7 +516,7 @@
     }
 }
 
-fn lost(error: capnp::Error) -> Report<LinkError> {
+pub(crate) fn lost(error: capnp::Error) -> Report<LinkError> {
     // An older process that does not know the method has done nothing.
     let context = match error.kind {
         capnp::ErrorKind::Unimplemented => LinkError::NotSent,
@@ -604,105 +528,3 @@
 fn refused(refusal: Refusal) -> Report<LinkError> {
     Report::new(LinkError::Refused(refusal.kind)).attach(refusal.detail)
 }
-
-async fn run(
-    peer: Rc<Peer>,
-    request: Request,
-    limit: Duration,
-) -> Result<RunReply, Report<LinkError>> {
-    let (frames, receiver) = mpsc::channel(FRAMES_QUEUED_MAX);
-    let mut call = peer.companion.run_request();
-    let mut params = call.get();
-    convert::write_request(&request, params.reborrow().init_request());
-    params.set_sink(FrameSink::client(
-        request.request_id,
-        request.attempt,
-        frames.clone(),
-    ));
-    let reply = watched(&peer, limit, call.send().promise).await?;
-    let reply = reply.get().map_err(lost)?;
-    let load = convert::read_load(reply.get_load().map_err(lost)?);
-    if !reply.get_accepted() {
-        let refusal = reply.get_refusal().map_err(lost)?;
-        let refusal = convert::read_refusal(refusal).map_err(lost)?;
-        return Ok(RunReply::Refused { refusal, load });
-    }
-    let held = reply.get_call().map_err(lost)?;
-    let (cancel, cancelled) = oneshot::channel::<()>();
-    spawn_local(async move {
-        // Holding `held` keeps the call alive at the companion. When the
-        // connection breaks, `None` tells the reader that the rest of the
-        // answer is lost; without it, the reader would wait for frames that
-        // nobody sends any more.
-        tokio::select! {
-            _ = cancelled => {}
-            () = peer.until_closed() => {
-                // The reader may have left meanwhile.
-                let _ = frames.send(None).await;
-            }
-        }
-        drop(held);
-    });
-    Ok(RunReply::Accepted {
-        run: Run {
-            frames: Frames::Link {
-                frames: receiver,
-                _cancel: cancel,
-            },
-        },
-        load,
-    })
-}
-
-/// What a companion says to a call.
-#[derive(Debug)]
-pub enum RunReply {
-    /// It took the call; the answer comes in frames.
-    Accepted {
-        /// The answer.
-        run: Run,
-        /// Load of its endpoint.
-        load: Load,
-    },
-    /// It did not take the call, which therefore did not run.
-    Refused {
-        /// Why.
-        refusal: Refusal,
-        /// Load of its endpoint.
-        load: Load,
-    },
-}
-
-/// An answer that is under way. Dropping it cancels the call.
-#[derive(Debug)]
-pub struct Run {
-    frames: Frames,
-}
-
-#[derive(Debug)]
-enum Frames {
-    Link {
-        frames: mpsc::Receiver<Option<Frame>>,
-        _cancel: oneshot::Sender<()>,
-    },
-    Local(mpsc::Receiver<Frame>),
-}
-
-impl Run {
-    /// Wraps frames that are made in this process, the other half of
-    /// [`Answer::channel`](crate::Answer::channel).
-    pub fn local(frames: mpsc::Receiver<Frame>) -> Self {
-        Self {
-            frames: Frames::Local(frames),
-        }
-    }
-
-    /// Waits for the next frame; `None` before a [`Frame::End`] means that
-    /// the connection broke and the rest of the answer is lost.
-    pub async fn next(&mut self) -> Option<Frame> {
-        match &mut self.frames {
-            Frames::Link { frames, .. } => frames.recv().await.flatten(),
-            Frames::Local(frames) => frames.recv().await,
-        }
-    }
-}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -18,8 +18,8 @@
 
 use crate::{
     PROTOCOL_OLDEST, PROTOCOL_VERSION, convert,
-    link::{LinkError, LinkOptions},
     message::Frame,
+    options::{LinkError, LinkOptions},
     schema_capnp as schema,
 };
 
