--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -4,8 +4,10 @@
     io::{self, Write},
     path::PathBuf,
     process::ExitCode,
+    sync::Arc,
 };
 
+use base::{SystemClock, timer::Timer};
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
 use obs::{LogSettings, Metrics, MetricsSettings};
@@ -119,6 +121,7 @@
 fn serve(settings: &Settings) -> Result<(), Report<DaemonError>> {
     let _logs = obs::logs::start(&log_settings(settings))
         .change_context(DaemonError)?;
+    obs::logs::log_panics();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .enable_all()
@@ -134,6 +137,9 @@
 async fn live(settings: &Settings) -> Result<(), Report<DaemonError>> {
     let mut signals = Signals::listen().change_context(DaemonError)?;
     let metrics = metrics(settings)?;
+    let timer = Timer::new(Arc::new(SystemClock::new()));
+    tokio::spawn(timer.clone().drive());
+    tokio::spawn(metrics.clone().drive(timer));
     let daemon = Daemon::start(settings, metrics).await?;
     announce(&daemon, settings);
     signals.next().await;
