Choose endpoints and judge their health without I/O

The entry chose by its own in-flight counts alone and passed over an endpoint for a fixed second after a failure, mixed the lives of a restarted companion, and had no bound on retries. This adds the decisions as a state machine: five policies behind values, a subset per entry by rendezvous hashing with the own failure domain first, spill-over by need, health by ejection or by a health value, recovery by probe, one key for each life of an endpoint, and a retry budget for each pool.

--- /dev/null
+++ b/crates/router/src/health.rs
@@ -0,0 +1,176 @@
+use base::Millis;
+
+use crate::options::{Ejection, HealthPolicy};
+
+/// Highest health value, at which an endpoint starts.
+const VALUE_MAX: u32 = 1_000;
+
+/// Weight of the latest call in the share of failures.
+const SHARE_WEIGHT: f64 = 0.1;
+
+/// Answered calls after which earlier times out are forgotten.
+const FORGIVEN_AFTER: u32 = 50;
+
+/// Most doublings of the time out.
+const DOUBLINGS_MAX: u32 = 10;
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash)]
+pub enum Failure {
+    /// There is no connection or nobody answers on it: the endpoint takes
+    /// nothing now.
+    Unreachable,
+    /// The call or its answer was lost after it had been sent.
+    Lost,
+}
+
+/// Why an endpoint did not take a call; the call did not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash)]
+pub enum Refused {
+    /// It has no room; this says nothing against its health.
+    Full,
+    /// It takes no new work in this life.
+    Leaving,
+    /// Its companion cannot reach it.
+    Down,
+    /// Another endpoint lives at its address.
+    WrongTarget,
+    /// For another reason.
+    Other,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Open,
+    /// Out until a time, and then until a probe succeeds.
+    Ejected(Millis),
+    /// Back for one call at a time.
+    Trial,
+}
+
+/// What an entry's own calls say of an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Health {
+    state: State,
+    failures_in_row: u32,
+    failure_share: f64,
+    ejections: u32,
+    answered_in_row: u32,
+    value: u32,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            state: State::Open,
+            failures_in_row: 0,
+            failure_share: 0.0,
+            ejections: 0,
+            answered_in_row: 0,
+            value: VALUE_MAX,
+        }
+    }
+}
+
+impl Health {
+    /// Tells whether the endpoint may be chosen.
+    pub(crate) fn is_open(&self, in_flight: u32) -> bool {
+        match self.state {
+            State::Open => true,
+            State::Ejected(_) => false,
+            State::Trial => in_flight == 0,
+        }
+    }
+
+    pub(crate) fn is_out(&self) -> bool {
+        matches!(self.state, State::Ejected(_))
+    }
+
+    /// Returns the health value; the same for all unless values are used.
+    pub(crate) fn value(&self) -> u32 {
+        self.value
+    }
+
+    pub(crate) fn answered(&mut self) {
+        self.failures_in_row = 0;
+        self.failure_share *= 1.0 - SHARE_WEIGHT;
+        self.answered_in_row += 1;
+        if self.answered_in_row >= FORGIVEN_AFTER {
+            self.ejections = 0;
+        }
+        if self.state == State::Trial {
+            self.state = State::Open;
+        }
+    }
+
+    /// Notes a failure; `may_eject` is false when too many are out already.
+    pub(crate) fn failed(
+        &mut self,
+        policy: &HealthPolicy,
+        failure: Failure,
+        may_eject: bool,
+        now: Millis,
+    ) {
+        self.failures_in_row += 1;
+        self.answered_in_row = 0;
+        self.failure_share += SHARE_WEIGHT * (1.0 - self.failure_share);
+        match policy {
+            HealthPolicy::Off => {}
+            HealthPolicy::Value { sensitivity } => {
+                self.value = self.value.saturating_sub(*sensitivity);
+            }
+            HealthPolicy::Ejection(options) => {
+                let unreachable = failure == Failure::Unreachable;
+                let outlier = may_eject && self.is_outlier(options);
+                if unreachable || outlier {
+                    self.eject(options, now);
+                }
+            }
+        }
+    }
+
+    fn is_outlier(&self, options: &Ejection) -> bool {
+        self.state == State::Trial
+            || self.failures_in_row >= options.failures_in_row
+            || self.failure_share >= options.failure_share
+    }
+
+    fn eject(&mut self, options: &Ejection, now: Millis) {
+        if self.is_out() {
+            return;
+        }
+        let doublings = self.ejections.min(DOUBLINGS_MAX);
+        let out_ms = (options.base_ms << doublings).min(options.max_ms);
+        self.state = State::Ejected(now.saturating_add_ms(out_ms));
+        self.ejections += 1;
+        self.failures_in_row = 0;
+        self.failure_share = 0.0;
+    }
+
+    /// Tells whether a probe could bring the endpoint back or nearer to it.
+    pub(crate) fn wants_probe(&self, now: Millis) -> bool {
+        match self.state {
+            State::Ejected(until) => now >= until,
+            _ => self.value < VALUE_MAX,
+        }
+    }
+
+    /// Notes a successful probe. One that comes before the time out is over
+    /// changes nothing: an endpoint that fails each call may still answer
+    /// probes.
+    pub(crate) fn probed(&mut self, now: Millis) {
+        if let State::Ejected(until) = self.state
+            && now >= until
+        {
+            self.state = State::Trial;
+        }
+        self.value = (self.value + 1).min(VALUE_MAX);
+    }
+
+    /// Notes a probe that failed.
+    pub(crate) fn probe_failed(&mut self, policy: &HealthPolicy) {
+        if let HealthPolicy::Value { sensitivity } = policy {
+            self.value = self.value.saturating_sub(*sensitivity);
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,49 @@
 //! Endpoint selection and health as a state machine without I/O.
+//!
+//! A [`Router`] holds what one entry knows of the endpoints of its pools.
+//! The entry tells it what happened (listed, sent, reported, refused,
+//! answered, failed, tick) and asks it where a request goes; time and random
+//! numbers are arguments, so that a run can be replayed from a seed. Each
+//! life of an endpoint has a key of its own: what an earlier life still does
+//! cannot change what is known of the next.
+//!
+//! Policies are values ([`Policy`], [`HealthPolicy`], [`Affinity`]), so that
+//! one bench compares them; `docs/design/routing.md` has the comparison and
+//! the reasons for the defaults.
+//!
+//! ```
+//! use base::Millis;
+//! use pomeloslip_router::{Listed, Query, Router, RouterOptions};
+//!
+//! let mut router = Router::new("entry-1", RouterOptions::default());
+//! let now = Millis::new(0);
+//! let names = ["korv-lm-1", "korv-lm-2"];
+//! let listed = names.map(|name| {
+//!     let name = name.parse().expect("a valid name");
+//!     Listed::new(name, true, "127.0.0.1:7000")
+//! });
+//! let pool = router.pool("korv-lm");
+//! router.list(pool, &listed);
+//! let first = router.choose(pool, &Query::default(), now, 7).unwrap();
+//! router.sent(first.endpoint, now);
+//! router.failed(first.endpoint, pomeloslip_router::Failure::Unreachable, now);
+//! let second = router.choose(pool, &Query::default(), now, 7).unwrap();
+//! assert_ne!(first.endpoint, second.endpoint);
+//! ```
+
+mod endpoint;
+mod health;
+mod options;
+mod router;
+mod select;
+mod subset;
+
+pub use crate::{
+    endpoint::{EndpointKey, EndpointView, Listed, Report},
+    health::{Failure, Refused},
+    options::{
+        Affinity, Ejection, HealthPolicy, Policy, Probing, RouterOptions,
+    },
+    router::{Listing, PoolKey, Router},
+    select::{Choice, Query},
+};
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,382 @@
+use std::collections::VecDeque;
+
+use base::{Incarnation, Millis};
+use indexmap::IndexMap;
+use limits::RetryBudget;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    endpoint::{Endpoint, EndpointKey, EndpointView, Listed, Report},
+    health::{Failure, Refused},
+    options::{Policy, RouterOptions},
+    select::{Choice, Draw, Query, Selection},
+    subset,
+};
+
+new_key_type! {
+    /// Names a pool of a router.
+    pub struct PoolKey;
+}
+
+/// Lives that are remembered as leaving. A life that is older than so many
+/// later ones has long ended.
+const LEAVING_KEPT: usize = 1_024;
+
+/// Probes that one tick asks for at most, so that a long outage ends in no
+/// burst.
+const PROBES_PER_TICK: usize = 32;
+
+#[derive(Clone, Debug)]
+struct Pool {
+    members: Vec<EndpointKey>,
+    turn: usize,
+    budget: RetryBudget,
+}
+
+/// How a new list changed what a router knows.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Listing {
+    /// New endpoints, with their places in the list.
+    pub added: Vec<(EndpointKey, usize)>,
+    /// Endpoints that are not used any more.
+    pub removed: Vec<EndpointKey>,
+}
+
+/// What one entry knows of the endpoints of its pools, and its choices.
+#[derive(Clone, Debug)]
+pub struct Router {
+    entry: String,
+    options: RouterOptions,
+    pools: SlotMap<PoolKey, Pool>,
+    names: IndexMap<String, PoolKey>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    leaving: VecDeque<Incarnation>,
+}
+
+impl Router {
+    /// Makes a router that knows no endpoint; `entry` is the name of the
+    /// entry, by which entries use different parts of large pools.
+    pub fn new(entry: &str, options: RouterOptions) -> Self {
+        Self {
+            entry: entry.to_owned(),
+            options,
+            pools: SlotMap::with_key(),
+            names: IndexMap::new(),
+            endpoints: SlotMap::with_key(),
+            leaving: VecDeque::new(),
+        }
+    }
+
+    /// Returns the key of a pool, which is made if it is new.
+    pub fn pool(&mut self, name: &str) -> PoolKey {
+        if let Some(key) = self.names.get(name) {
+            return *key;
+        }
+        let options = &self.options;
+        let key = self.pools.insert(Pool {
+            members: Vec::new(),
+            turn: 0,
+            budget: RetryBudget::new(
+                options.retry_ratio,
+                options.retry_minimum,
+                options.retry_window_ms,
+            ),
+        });
+        self.names.insert(name.to_owned(), key);
+        key
+    }
+
+    /// Returns the key of a pool that is known.
+    pub fn find_pool(&self, name: &str) -> Option<PoolKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Replaces the list of a pool; endpoints that stay keep what is known
+    /// of them. Those that leave and are still listed stay known without
+    /// counting, so that the lagging list cannot bring them back.
+    pub fn list(&mut self, pool: PoolKey, listed: &[Listed]) -> Listing {
+        let Some(known) = self.pools.get(pool) else {
+            return Listing::default();
+        };
+        let old = known.members.clone();
+        let find = |one: &Listed| {
+            old.iter()
+                .copied()
+                .find(|key| self.endpoints[*key].listed == *one)
+        };
+        let known: Vec<Option<EndpointKey>> =
+            listed.iter().map(find).collect();
+        let is_leaving = |at: usize| {
+            known[at].is_some_and(|key| self.endpoints[key].leaving)
+        };
+        let (leaving, staying): (Vec<usize>, Vec<usize>) =
+            (0..listed.len()).partition(|at| is_leaving(*at));
+        let offered: Vec<Listed> =
+            staying.iter().map(|at| listed[*at].clone()).collect();
+        let size = self.options.subset;
+        let chosen = subset::choose(&self.entry, &offered, size);
+        let places = chosen.into_iter().map(|at| staying[at]).chain(leaving);
+        let mut listing = Listing::default();
+        let mut members = Vec::new();
+        for at in places {
+            let key = known[at].unwrap_or_else(|| {
+                let endpoint = Endpoint::new(listed[at].clone(), pool);
+                let key = self.endpoints.insert(endpoint);
+                listing.added.push((key, at));
+                key
+            });
+            members.push(key);
+        }
+        for key in old.into_iter().filter(|key| !members.contains(key)) {
+            self.endpoints.remove(key);
+            listing.removed.push(key);
+        }
+        self.pools[pool].members = members;
+        listing
+    }
+
+    /// Chooses where a request goes; `None` if all were tried or leave.
+    pub fn choose(
+        &mut self,
+        pool: PoolKey,
+        query: &Query<'_>,
+        now: Millis,
+        random: u64,
+    ) -> Option<Choice> {
+        let known = self.pools.get_mut(pool)?;
+        known.turn = known.turn.wrapping_add(1);
+        let known = &self.pools[pool];
+        let mut draw = Draw::new(random);
+        let selection = Selection {
+            options: &self.options,
+            endpoints: &self.endpoints,
+            now,
+            turn: known.turn,
+        };
+        let endpoint = selection.choose(&known.members, query, &mut draw)?;
+        if let Some(seen) = &mut self.endpoints[endpoint].seen {
+            seen.uses += 1;
+        }
+        let probes = self.probes(pool, &mut draw);
+        Some(Choice { endpoint, probes })
+    }
+
+    fn probes(&self, pool: PoolKey, draw: &mut Draw) -> Vec<EndpointKey> {
+        let Policy::Probing(probing) = &self.options.policy else {
+            return Vec::new();
+        };
+        let members = &self.pools[pool].members;
+        let mut probes = Vec::new();
+        for _ in 0..probing.probes.min(members.len() as u32) {
+            let key = members[draw.below(members.len())];
+            if self.endpoints[key].is_open() && !probes.contains(&key) {
+                probes.push(key);
+            }
+        }
+        probes
+    }
+
+    /// Notes that a request goes to an endpoint.
+    pub fn sent(&mut self, key: EndpointKey, now: Millis) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.in_flight += 1;
+        if let Some(seen) = &mut endpoint.seen {
+            seen.sent_since += 1;
+        }
+        self.pools[endpoint.pool].budget.record_request(now);
+    }
+
+    /// Notes that a request is no longer at an endpoint, however it ended.
+    pub fn ended(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            if let Some(seen) = &mut endpoint.seen {
+                seen.sent_since = seen.sent_since.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Notes what a companion says and returns the key under which its
+    /// endpoint is known now: a new life of the companion is a new endpoint.
+    ///
+    /// A load that describes the old life, calls in flight there and its
+    /// failures say nothing of the new one; one would notice the mixture by
+    /// a restarted endpoint that nobody chooses, or by in-flight counts
+    /// below zero. The keys keep the two apart.
+    pub fn reported(
+        &mut self,
+        key: EndpointKey,
+        report: &Report,
+        now: Millis,
+    ) -> EndpointKey {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return key;
+        };
+        let is_other = endpoint
+            .incarnation
+            .is_some_and(|known| known != report.incarnation);
+        let key = if is_other { self.renew(key) } else { key };
+        let left = self.leaving.contains(&report.incarnation);
+        let endpoint = &mut self.endpoints[key];
+        endpoint.incarnation = Some(report.incarnation);
+        endpoint.leaving |= report.leaving || left;
+        endpoint.note(report, now);
+        key
+    }
+
+    fn renew(&mut self, old: EndpointKey) -> EndpointKey {
+        let Some(before) = self.endpoints.remove(old) else {
+            return old;
+        };
+        let pool = before.pool;
+        let after = Endpoint::new(before.listed, pool);
+        let key = self.endpoints.insert(after);
+        for member in &mut self.pools[pool].members {
+            if *member == old {
+                *member = key;
+            }
+        }
+        key
+    }
+
+    /// Notes a whole answer and, if known, its time to the first token.
+    pub fn answered(&mut self, key: EndpointKey, first_token_ms: Option<u64>) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.health.answered();
+            if let Some(ms) = first_token_ms {
+                endpoint.note_latency(ms);
+            }
+        }
+    }
+
+    /// Notes a call that failed.
+    pub fn failed(&mut self, key: EndpointKey, failure: Failure, now: Millis) {
+        let may_eject = self.may_eject(key);
+        let policy = self.options.health;
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.health.failed(&policy, failure, may_eject, now);
+        }
+    }
+
+    /// At most half of a pool is taken out for calls that were lost: when
+    /// all fail, the cause is not the endpoint, and the rest would be
+    /// overloaded by what is left.
+    fn may_eject(&self, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        let members = &self.pools[endpoint.pool].members;
+        let is_out =
+            |key: &&EndpointKey| self.endpoints[**key].health.is_out();
+        (members.iter().filter(is_out).count() + 1) * 2 <= members.len()
+    }
+
+    /// Notes that an endpoint did not take a call.
+    pub fn refused(&mut self, key: EndpointKey, why: Refused, now: Millis) {
+        let policy = self.options.health;
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        match why {
+            Refused::Leaving => endpoint.leaving = true,
+            Refused::Down | Refused::WrongTarget => {
+                let failure = Failure::Unreachable;
+                endpoint.health.failed(&policy, failure, true, now);
+            }
+            Refused::Full | Refused::Other => {}
+        }
+    }
+
+    /// Notes that a life takes no new work, also if it is not known yet
+    /// which endpoint it is.
+    pub fn leaving(&mut self, incarnation: Incarnation) {
+        if !self.leaving.contains(&incarnation) {
+            if self.leaving.len() >= LEAVING_KEPT {
+                self.leaving.pop_front();
+            }
+            self.leaving.push_back(incarnation);
+        }
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.incarnation == Some(incarnation) {
+                endpoint.leaving = true;
+            }
+        }
+    }
+
+    /// Notes the answer to a probe, as [`Router::reported`] does.
+    pub fn probed(
+        &mut self,
+        key: EndpointKey,
+        report: &Report,
+        now: Millis,
+    ) -> EndpointKey {
+        let policy = self.options.health;
+        let key = self.reported(key, report, now);
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            match report.up {
+                true => endpoint.health.probed(now),
+                false => endpoint.health.probe_failed(&policy),
+            }
+        }
+        key
+    }
+
+    /// Notes a probe without an answer.
+    pub fn probe_failed(&mut self, key: EndpointKey) {
+        let policy = self.options.health;
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.health.probe_failed(&policy);
+        }
+    }
+
+    /// Brings an endpoint that cannot be probed back for one call.
+    pub fn try_again(&mut self, key: EndpointKey, now: Millis) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.health.probed(now);
+        }
+    }
+
+    /// Returns the endpoints to probe now: those that are out and could come
+    /// back, and those that leave, where a new process may live.
+    pub fn tick(&mut self, now: Millis) -> Vec<EndpointKey> {
+        let options = &self.options;
+        let mut probes = Vec::new();
+        for (key, endpoint) in &mut self.endpoints {
+            let pause_ms = match endpoint.leaving {
+                true => options.leaving_probe_ms,
+                false => options.recovery_probe_ms,
+            };
+            let last = endpoint.probed;
+            let is_due = last
+                .is_none_or(|last| now.saturating_ms_since(last) >= pause_ms);
+            let wanted = endpoint.leaving
+                || endpoint.incarnation.is_none()
+                || endpoint.health.wants_probe(now);
+            if is_due && wanted && probes.len() < PROBES_PER_TICK {
+                endpoint.probed = Some(now);
+                probes.push(key);
+            }
+        }
+        probes
+    }
+
+    /// Takes a retry out of a pool's budget and tells whether there was one.
+    /// Refusals that cost the endpoint nothing need none.
+    pub fn try_retry(&mut self, pool: PoolKey, now: Millis) -> bool {
+        let pool = self.pools.get_mut(pool);
+        pool.is_some_and(|pool| pool.budget.try_retry(now))
+    }
+
+    /// Returns what is known of all endpoints in use.
+    pub fn endpoints(&self) -> impl Iterator<Item = EndpointView> + '_ {
+        self.endpoints.iter().map(|(key, endpoint)| EndpointView {
+            key,
+            name: endpoint.listed.name.clone(),
+            in_flight: endpoint.in_flight,
+            open: endpoint.is_open(),
+            leaving: endpoint.leaving,
+        })
+    }
+}
--- /dev/null
+++ b/crates/router/src/select.rs
@@ -0,0 +1,254 @@
+//! The choice among the endpoints of a pool.
+
+use base::Millis;
+use slotmap::SlotMap;
+
+use crate::{
+    endpoint::{Endpoint, EndpointKey},
+    options::{Affinity, HealthPolicy, Policy, Probing, RouterOptions},
+};
+
+/// What a request asks of the choice.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_router::Query;
+///
+/// let query = Query::default().prefix(Some(17));
+/// assert!(query.tried.is_empty());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Query<'a> {
+    /// Hash of how the prompt starts.
+    pub prefix: Option<u64>,
+    /// Endpoints that are not to be chosen again.
+    pub tried: &'a [EndpointKey],
+}
+
+impl<'a> Query<'a> {
+    /// Sets the hash of how the prompt starts.
+    pub fn prefix(self, prefix: Option<u64>) -> Self {
+        Self { prefix, ..self }
+    }
+
+    /// Sets the endpoints that are not to be chosen again.
+    pub fn tried(self, tried: &'a [EndpointKey]) -> Self {
+        Self { tried, ..self }
+    }
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Endpoints to probe beside the request.
+    pub probes: Vec<EndpointKey>,
+}
+
+/// Draws numbers from one random number (SplitMix64).
+pub(crate) struct Draw(u64);
+
+impl Draw {
+    pub(crate) fn new(random: u64) -> Self {
+        Self(random)
+    }
+
+    pub(crate) fn below(&mut self, count: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        ((u128::from(mix(self.0)) * count as u128) >> 64) as usize
+    }
+}
+
+/// Spreads neighbouring numbers over all bits.
+fn mix(number: u64) -> u64 {
+    let z = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// The members of a pool at one moment.
+pub(crate) struct Selection<'a> {
+    pub(crate) options: &'a RouterOptions,
+    pub(crate) endpoints: &'a SlotMap<EndpointKey, Endpoint>,
+    pub(crate) now: Millis,
+    /// Requests that were chosen for before; decides turns.
+    pub(crate) turn: usize,
+}
+
+impl Selection<'_> {
+    /// Chooses among all that take work; if none does, among those that are
+    /// out: better one that failed a moment ago than none.
+    pub(crate) fn choose(
+        &self,
+        members: &[EndpointKey],
+        query: &Query<'_>,
+        draw: &mut Draw,
+    ) -> Option<EndpointKey> {
+        let untried = || {
+            let tried = |key: &EndpointKey| query.tried.contains(key);
+            members.iter().copied().filter(move |key| !tried(key))
+        };
+        let open: Vec<EndpointKey> =
+            untried().filter(|key| self.at(*key).is_open()).collect();
+        if let Some(key) = self.among(&open, query, draw) {
+            return Some(key);
+        }
+        let out: Vec<EndpointKey> =
+            untried().filter(|key| !self.at(*key).leaving).collect();
+        self.among(&out, query, draw)
+    }
+
+    fn among(
+        &self,
+        open: &[EndpointKey],
+        query: &Query<'_>,
+        draw: &mut Draw,
+    ) -> Option<EndpointKey> {
+        let best = self.best_values(open);
+        let (near, far): (Vec<_>, Vec<_>) =
+            best.into_iter().partition(|key| self.at(*key).listed.near);
+        let near = self.pick(&near, query, draw);
+        let far = self.pick(&far, query, draw);
+        match (near, far) {
+            (Some(near), Some(far)) => Some(self.nearer(near, far)),
+            (near, far) => near.or(far),
+        }
+    }
+
+    /// Own failure domain first; others by need, when it is more loaded.
+    fn nearer(&self, near: EndpointKey, far: EndpointKey) -> EndpointKey {
+        let penalty = self.options.far_penalty;
+        let spills = self.load(far) + penalty < self.load(near);
+        if spills { far } else { near }
+    }
+
+    fn best_values(&self, open: &[EndpointKey]) -> Vec<EndpointKey> {
+        if !matches!(self.options.health, HealthPolicy::Value { .. }) {
+            return open.to_vec();
+        }
+        let value = |key: &EndpointKey| self.at(*key).health.value();
+        let best = open.iter().map(value).max();
+        open.iter()
+            .copied()
+            .filter(|key| Some(value(key)) == best)
+            .collect()
+    }
+
+    fn pick(
+        &self,
+        set: &[EndpointKey],
+        query: &Query<'_>,
+        draw: &mut Draw,
+    ) -> Option<EndpointKey> {
+        if set.is_empty() {
+            return None;
+        }
+        if let (Some(affinity), Some(prefix)) =
+            (&self.options.affinity, query.prefix)
+            && let Some(key) = self.by_prefix(set, affinity, prefix)
+        {
+            return Some(key);
+        }
+        match &self.options.policy {
+            Policy::Random => Some(set[draw.below(set.len())]),
+            Policy::RoundRobin => Some(set[self.turn % set.len()]),
+            Policy::LeastOfTwo => Some(self.least_of_two(set, draw)),
+            Policy::Probing(probing) => self
+                .by_reports(set, probing)
+                .or_else(|| Some(self.least_of_two(set, draw))),
+        }
+    }
+
+    fn least_of_two(
+        &self,
+        set: &[EndpointKey],
+        draw: &mut Draw,
+    ) -> EndpointKey {
+        let first = draw.below(set.len());
+        if set.len() == 1 {
+            return set[first];
+        }
+        let other = draw.below(set.len() - 1);
+        let second = if other >= first { other + 1 } else { other };
+        let (first, second) = (set[first], set[second]);
+        if self.load(second) < self.load(first) {
+            second
+        } else {
+            first
+        }
+    }
+
+    /// Returns the first endpoint in the prefix's order that is not too
+    /// loaded (bounded loads).
+    fn by_prefix(
+        &self,
+        set: &[EndpointKey],
+        affinity: &Affinity,
+        prefix: u64,
+    ) -> Option<EndpointKey> {
+        let sum: u32 = set.iter().map(|key| self.load(*key)).sum();
+        let mean = f64::from(sum + 1) / set.len() as f64;
+        let limit = (mean * affinity.bound).ceil();
+        set.iter()
+            .copied()
+            .filter(|key| f64::from(self.load(*key) + 1) <= limit)
+            .max_by_key(|key| mix(self.at(*key).name_hash ^ prefix))
+    }
+
+    fn by_reports(
+        &self,
+        set: &[EndpointKey],
+        probing: &Probing,
+    ) -> Option<EndpointKey> {
+        let fresh: Vec<EndpointKey> = set
+            .iter()
+            .copied()
+            .filter(|key| self.is_fresh(*key, probing))
+            .collect();
+        if fresh.len() < 2 {
+            return None;
+        }
+        let mut loads: Vec<u32> =
+            fresh.iter().map(|key| self.load(*key)).collect();
+        loads.sort_unstable();
+        let last = (loads.len() - 1) as f64;
+        let hot = loads[(last * probing.hot_quantile) as usize];
+        let cold = fresh.iter().copied().filter(|k| self.load(*k) <= hot);
+        cold.min_by(|a, b| {
+            let of = |key: &EndpointKey| {
+                let load = f64::from(self.load(*key));
+                (self.latency_ms(*key), load)
+            };
+            let (a, b) = (of(a), of(b));
+            a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+    }
+
+    fn is_fresh(&self, key: EndpointKey, probing: &Probing) -> bool {
+        self.at(key).seen.as_ref().is_some_and(|seen| {
+            let age_ms = self.now.saturating_ms_since(seen.at);
+            seen.uses < probing.uses && age_ms <= probing.max_age_ms
+        })
+    }
+
+    fn latency_ms(&self, key: EndpointKey) -> f64 {
+        let endpoint = self.at(key);
+        match &endpoint.seen {
+            Some(seen) if seen.first_token_ms > 0 => {
+                f64::from(seen.first_token_ms)
+            }
+            _ => endpoint.latency_ms,
+        }
+    }
+
+    fn load(&self, key: EndpointKey) -> u32 {
+        let max_age_ms = self.options.report_max_age_ms;
+        self.at(key).load(self.now, max_age_ms)
+    }
+
+    fn at(&self, key: EndpointKey) -> &Endpoint {
+        &self.endpoints[key]
+    }
+}
--- /dev/null
+++ b/crates/router/src/subset.rs
@@ -0,0 +1,43 @@
+//! Which endpoints of a large pool an entry uses.
+//!
+//! With 340 entries and 2,200 endpoints an entry sends six requests a second
+//! and cannot know all. Each takes a few by rendezvous hashing of its own
+//! name with theirs, so that the choice stays when the list changes and
+//! differs between entries.
+
+use base::stable_hash;
+
+use crate::endpoint::Listed;
+
+/// Least share of the subset that is left for other failure domains, so
+/// that an entry whose own domain is lost still knows somebody.
+const FAR_SHARE: usize = 4;
+
+/// Returns the places in `listed` of those to use, own domain first.
+pub(crate) fn choose(
+    entry: &str,
+    listed: &[Listed],
+    size: usize,
+) -> Vec<usize> {
+    if listed.len() <= size {
+        return (0..listed.len()).collect();
+    }
+    let mut ranked: Vec<(u64, usize)> = listed
+        .iter()
+        .enumerate()
+        .map(|(at, one)| (stable_hash(&[entry, one.name.as_str()]), at))
+        .collect();
+    ranked.sort_unstable();
+    let of = |near: bool| {
+        ranked
+            .iter()
+            .map(|(_, at)| *at)
+            .filter(move |at| listed[*at].near == near)
+    };
+    let far_count = of(false).count();
+    let far_kept = (size / FAR_SHARE).min(far_count);
+    let mut chosen: Vec<usize> = of(true).take(size - far_kept).collect();
+    let rest = size - chosen.len();
+    chosen.extend(of(false).take(rest));
+    chosen
+}
