Decide batch ownership, grants and commits in a state machine

The batch owner kept its decisions inside one mutex beside the calls, so that losses could not be replayed. The ledger crate now decides them without I/O: lease and fence, spread, grants, attempts, group commits, unknown outcomes.

--- /dev/null
+++ b/crates/ledger/src/commit.rs
@@ -0,0 +1,465 @@
+//! Commits of several jobs in one transaction.
+
+use std::collections::BTreeSet;
+
+use base::{JobId, Millis};
+use bytes::BytesMut;
+
+use crate::{
+    Action, Chunk, CommitId, JobState, Ledger, Moment, NextRecord, Part,
+    PlantedFault, RecordSeen, Sink, WriteAction, WriteOutcome,
+    job::{Job, JobKey},
+};
+
+/// What a commit waits for.
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    /// Its parts are being stored.
+    Storing,
+    /// They are to be stored again.
+    StoreAt(Millis),
+    /// Its transaction is on its way.
+    Writing,
+    /// The transaction is to be sent, or sent again.
+    WriteAt(Millis),
+    /// The records are being read back.
+    Reading,
+    /// They are to be read back.
+    ReadAt(Millis),
+}
+
+/// The part of one job in a commit.
+#[derive(Debug)]
+struct JobShare {
+    key: JobKey,
+    id: JobId,
+    completed: BTreeSet<u32>,
+    failed: BTreeSet<u32>,
+    /// Nothing else waited when the commit began.
+    is_all: bool,
+}
+
+/// A commit under way.
+#[derive(Debug)]
+pub(crate) struct Commit {
+    id: CommitId,
+    operation: u64,
+    shares: Vec<JobShare>,
+    parts: Vec<Part>,
+    chunks: Vec<Chunk>,
+    /// The transaction as it was sent.
+    records: Vec<NextRecord>,
+    stage: Stage,
+    failures: u32,
+    /// A copy of the transaction may have taken effect.
+    may_be_done: bool,
+}
+
+impl Commit {
+    pub(crate) fn has(&self, key: JobKey) -> bool {
+        self.shares.iter().any(|share| share.key == key)
+    }
+}
+
+impl Ledger {
+    /// Begins a commit when it is time, or takes one further.
+    pub(crate) fn step_commit(&mut self, moment: Moment, number: u32) {
+        let now = moment.now;
+        let Some(fence) = self.partition(number).tenure.commits() else {
+            return;
+        };
+        // Sending is fenced anyway; not to send spares the service useless
+        // calls of an owner whose lease has ended.
+        if !self.is_safe(now) {
+            return;
+        }
+        let partition = self.partition(number);
+        let Some(commit) = &partition.commit else {
+            if now >= partition.commit_at {
+                self.begin_commit(moment, number, fence);
+            }
+            return;
+        };
+        match commit.stage {
+            Stage::StoreAt(at) if now >= at => self.store(number),
+            Stage::WriteAt(at) if now >= at => {
+                self.write(moment, number, fence);
+            }
+            Stage::ReadAt(at) if now >= at => self.read_back(number),
+            _ => {}
+        }
+    }
+
+    fn begin_commit(&mut self, moment: Moment, number: u32, fence: u64) {
+        let interval_ms = self.options.commit_interval_ms;
+        self.partition(number).commit_at =
+            self.around(moment.now, interval_ms);
+        let operation = self.draw();
+        let mut room = self.options.commit_items_max;
+        let mut shares = Vec::new();
+        let mut parts = Vec::new();
+        for (_, key) in &self.by_due {
+            if shares.len() >= self.options.commit_jobs_max || room == 0 {
+                break;
+            }
+            let Some(job) = self.jobs.get(*key) else {
+                continue;
+            };
+            let is_ready = job.partition == number && job.fence == fence;
+            if is_ready && job.needs_commit() {
+                let share = share_of(*key, job, &mut room);
+                parts.extend(parts_of(job, &share, operation));
+                shares.push(share);
+            }
+        }
+        if shares.is_empty() {
+            return;
+        }
+        self.commits += 1;
+        let has_parts = !parts.is_empty();
+        self.partition(number).commit = Some(Commit {
+            id: CommitId(self.commits),
+            operation,
+            shares,
+            parts,
+            chunks: Vec::new(),
+            records: Vec::new(),
+            stage: Stage::Storing,
+            failures: 0,
+            may_be_done: false,
+        });
+        match has_parts {
+            true => self.store(number),
+            false => self.write(moment, number, fence),
+        }
+    }
+
+    fn store(&mut self, number: u32) {
+        if let Some(commit) = &mut self.partition(number).commit {
+            commit.stage = Stage::Storing;
+            let action = Action::Store {
+                commit: commit.id,
+                parts: commit.parts.clone(),
+            };
+            self.actions.push(action);
+        }
+    }
+
+    pub(crate) fn on_stored(
+        &mut self,
+        moment: Moment,
+        id: CommitId,
+        chunks: Option<Vec<Chunk>>,
+    ) {
+        let Some((number, commit)) = self.commit_of(id) else {
+            return;
+        };
+        if !matches!(commit.stage, Stage::Storing) {
+            return;
+        }
+        match chunks.filter(|chunks| chunks.len() == commit.parts.len()) {
+            Some(chunks) => {
+                commit.chunks = chunks;
+                commit.failures = 0;
+                commit.stage = Stage::WriteAt(moment.now);
+                self.step_commit(moment, number);
+            }
+            None => self.again(moment, number, Stage::StoreAt),
+        }
+    }
+
+    /// Sends the transaction. A copy that may be on its way is sent again
+    /// unchanged; only one of them can take effect, since each changes what
+    /// it compares.
+    fn write(&mut self, moment: Moment, number: u32, fence: u64) {
+        let Some(mut commit) = self.partition(number).commit.take() else {
+            return;
+        };
+        if !commit.may_be_done {
+            match self.next_records(moment, &commit) {
+                Some(records) => commit.records = records,
+                // A job is gone; the others' results wait for another commit.
+                None => return,
+            }
+        }
+        commit.stage = Stage::Writing;
+        let no_fence = self.options.planted == Some(PlantedFault::NoFence);
+        self.actions.push(Action::Write(WriteAction {
+            commit: commit.id,
+            partition: number,
+            fence: (!no_fence).then_some(fence),
+            records: commit.records.clone(),
+        }));
+        self.partition(number).commit = Some(commit);
+    }
+
+    fn next_records(
+        &self,
+        moment: Moment,
+        commit: &Commit,
+    ) -> Option<Vec<NextRecord>> {
+        let next = |share: &JobShare| {
+            let job = self.jobs.get(share.key)?;
+            let parts = commit.parts.iter().zip(&commit.chunks);
+            let own = parts.filter(|(part, _)| part.job == share.id);
+            Some(next_record(moment, job, share, own, commit.operation))
+        };
+        commit.shares.iter().map(next).collect()
+    }
+
+    pub(crate) fn on_written(
+        &mut self,
+        moment: Moment,
+        id: CommitId,
+        outcome: WriteOutcome,
+    ) {
+        let Some((number, commit)) = self.commit_of(id) else {
+            return;
+        };
+        if !matches!(commit.stage, Stage::Writing) {
+            return;
+        }
+        match outcome {
+            WriteOutcome::Done(revision) => {
+                self.finish(moment, number, revision);
+            }
+            // An earlier copy may be what changed the records.
+            WriteOutcome::Refused if commit.may_be_done => {
+                self.again(moment, number, Stage::ReadAt);
+            }
+            WriteOutcome::Refused => self.supersede(moment, number),
+            WriteOutcome::NotDone => {
+                self.again(moment, number, Stage::WriteAt);
+            }
+            WriteOutcome::Unknown => {
+                commit.may_be_done = true;
+                self.again(moment, number, Stage::ReadAt);
+            }
+        }
+    }
+
+    fn read_back(&mut self, number: u32) {
+        if let Some(commit) = &mut self.partition(number).commit {
+            commit.stage = Stage::Reading;
+            let ids = commit.shares.iter().map(|share| share.id.clone());
+            let action = Action::ReadBack {
+                commit: commit.id,
+                partition: number,
+                jobs: ids.collect(),
+            };
+            self.actions.push(action);
+        }
+    }
+
+    pub(crate) fn on_read_back(
+        &mut self,
+        moment: Moment,
+        id: CommitId,
+        found: Option<Vec<RecordSeen>>,
+    ) {
+        let Some((number, commit)) = self.commit_of(id) else {
+            return;
+        };
+        if !matches!(commit.stage, Stage::Reading) {
+            return;
+        }
+        let Some(found) = found else {
+            return self.again(moment, number, Stage::ReadAt);
+        };
+        let operation = commit.operation;
+        let is_open = found.len() == commit.records.len()
+            && commit.records.iter().all(|next| {
+                found.iter().any(|seen| {
+                    seen.record.id == next.record.id
+                        && seen.revision == next.revision
+                })
+            });
+        let done = found
+            .iter()
+            .find(|seen| seen.record.operation == operation)
+            .map(|seen| seen.revision);
+        if self.options.planted == Some(PlantedFault::NoReadBack) {
+            return self.take_as_failed(number, &found);
+        }
+        match done {
+            Some(revision) => {
+                self.finish(moment, number, revision);
+                self.adopt_found(found);
+            }
+            None if is_open => self.again(moment, number, Stage::WriteAt),
+            None => {
+                self.supersede(moment, number);
+                self.adopt_found(found);
+            }
+        }
+    }
+
+    /// The planted fault: goes on as if the write had failed.
+    fn take_as_failed(&mut self, number: u32, found: &[RecordSeen]) {
+        self.partition(number).commit = None;
+        for seen in found {
+            let key = self.by_id.get(&seen.record.id);
+            let job = key.and_then(|key| self.jobs.get_mut(*key));
+            if let Some(job) = job {
+                job.revision = seen.revision;
+            }
+        }
+    }
+
+    fn adopt_found(&mut self, found: Vec<RecordSeen>) {
+        for RecordSeen { record, revision } in found {
+            let Some(key) = self.by_id.get(&record.id).copied() else {
+                continue;
+            };
+            if !record.is_open() {
+                self.drop_job(key);
+            } else if let Some(job) = self.jobs.get_mut(key) {
+                job.adopt(record, revision);
+            }
+        }
+    }
+
+    /// Takes note that a commit took effect.
+    fn finish(&mut self, moment: Moment, number: u32, revision: u64) {
+        let Some(commit) = self.partition(number).commit.take() else {
+            return;
+        };
+        let interval_ms = self.options.commit_interval_ms;
+        self.partition(number).commit_at =
+            self.around(moment.now, interval_ms);
+        for (share, next) in commit.shares.iter().zip(commit.records) {
+            let Some(job) = self.jobs.get_mut(share.key) else {
+                continue;
+            };
+            job.committed(&share.completed);
+            job.committed(&share.failed);
+            let is_open = next.record.is_open();
+            job.adopt(next.record, revision);
+            if !is_open {
+                self.drop_job(share.key);
+            }
+        }
+    }
+
+    /// Gives a commit up whose compares do not hold: a job was cancelled,
+    /// or the partition has another owner. Its jobs are read anew; what is
+    /// still open then is committed again.
+    fn supersede(&mut self, moment: Moment, number: u32) {
+        let Some(commit) = self.partition(number).commit.take() else {
+            return;
+        };
+        let Some(fence) = self.partition(number).tenure.commits() else {
+            return;
+        };
+        for share in commit.shares {
+            let Some(job) = self.jobs.get_mut(share.key) else {
+                continue;
+            };
+            job.fence = 0;
+            let mark = job.mark;
+            self.load(number, fence, share.id, mark);
+        }
+        self.look_at = moment.now;
+    }
+
+    fn again(
+        &mut self,
+        moment: Moment,
+        number: u32,
+        stage: impl FnOnce(Millis) -> Stage,
+    ) {
+        let failures = match &mut self.partition(number).commit {
+            Some(commit) => {
+                commit.failures += 1;
+                commit.failures
+            }
+            None => return,
+        };
+        let at = self.backoff(moment.now, failures);
+        if let Some(commit) = &mut self.partition(number).commit {
+            commit.stage = stage(at);
+        }
+    }
+
+    fn commit_of(&mut self, id: CommitId) -> Option<(u32, &mut Commit)> {
+        let partitions = (0..).zip(&mut self.partitions);
+        partitions
+            .filter_map(|(number, p)| Some((number, p.commit.as_mut()?)))
+            .find(|(_, commit)| commit.id == id)
+    }
+}
+
+fn share_of(key: JobKey, job: &Job, room: &mut usize) -> JobShare {
+    let taken = job.pending.iter().take(*room);
+    let of = |sink: Sink| {
+        let items = taken.clone().filter(move |(_, s)| s.sink == sink);
+        items.map(|(index, _)| *index).collect::<BTreeSet<u32>>()
+    };
+    let (completed, failed) = (of(Sink::Output), of(Sink::Errors));
+    let count = completed.len() + failed.len();
+    *room -= count;
+    JobShare {
+        key,
+        id: job.record.id.clone(),
+        completed,
+        failed,
+        is_all: count == job.pending.len(),
+    }
+}
+
+fn parts_of(job: &Job, share: &JobShare, operation: u64) -> Vec<Part> {
+    let sinks = [
+        (Sink::Output, &share.completed),
+        (Sink::Errors, &share.failed),
+    ];
+    let part = |(sink, items): (Sink, &BTreeSet<u32>)| {
+        let mut bytes = BytesMut::new();
+        for index in items {
+            bytes.extend_from_slice(&job.pending[index].line);
+        }
+        let name = sink.as_str();
+        (!items.is_empty()).then(|| Part {
+            job: share.id.clone(),
+            sink,
+            blob: format!("{name}/{}/{operation:016x}", share.id),
+            items: items.len() as u32,
+            bytes: bytes.freeze(),
+        })
+    };
+    sinks.into_iter().filter_map(part).collect()
+}
+
+fn next_record<'a>(
+    moment: Moment,
+    job: &Job,
+    share: &JobShare,
+    own: impl Iterator<Item = (&'a Part, &'a Chunk)>,
+    operation: u64,
+) -> NextRecord {
+    let mut record = job.record.clone();
+    let mut pages = Vec::new();
+    for index in &share.completed {
+        record.done.insert(*index);
+    }
+    for index in &share.failed {
+        record.failed.insert(*index);
+    }
+    for (part, chunk) in own {
+        pages.extend(record.push(part.sink, chunk.clone()));
+    }
+    if record.left() == 0 {
+        record.state = JobState::Completed;
+    } else if record.state == JobState::Cancelling && share.is_all {
+        record.state = JobState::Cancelled;
+    }
+    record.at_risk = job.wants_risk && record.is_open();
+    if !record.is_open() {
+        record.ended = Some(moment.unix);
+    }
+    record.operation = operation;
+    NextRecord {
+        record,
+        revision: job.revision,
+        pages,
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/machine.rs
@@ -0,0 +1,273 @@
+use std::collections::{BTreeSet, HashMap};
+
+use base::{JobId, Millis, Tenant, UnixMillis, VmId};
+use indexmap::IndexMap;
+use slotmap::SlotMap;
+
+use crate::{
+    Action, Event, LedgerStatus, Moment, Options,
+    commit::Commit,
+    job::{Grant, GrantKey, Job, JobKey},
+    risk::Pace,
+    tenure::{Lease, Tenure},
+};
+
+/// One partition of the jobs.
+#[derive(Debug, Default)]
+pub(crate) struct Partition {
+    pub(crate) tenure: Tenure,
+    pub(crate) list_at: Millis,
+    pub(crate) listing: bool,
+    /// The marks were read once in this tenure.
+    pub(crate) listed: bool,
+    /// Jobs whose record is being read.
+    pub(crate) loading: BTreeSet<JobId>,
+    pub(crate) commit: Option<Commit>,
+    pub(crate) commit_at: Millis,
+}
+
+/// Partitions, jobs, grants and commits of one process.
+///
+/// See the [crate](crate) for an example.
+#[derive(Debug)]
+pub struct Ledger {
+    pub(crate) member: String,
+    pub(crate) options: Options,
+    pub(crate) lease: Option<Lease>,
+    pub(crate) joining: bool,
+    pub(crate) join_at: Millis,
+    pub(crate) renew_at: Millis,
+    pub(crate) looking: bool,
+    pub(crate) look_at: Millis,
+    pub(crate) seen_revision: u64,
+    pub(crate) members: Vec<String>,
+    /// Place in `members` of the one that each partition belongs to.
+    pub(crate) assigned: Vec<usize>,
+    pub(crate) partitions: Vec<Partition>,
+    pub(crate) jobs: SlotMap<JobKey, Job>,
+    pub(crate) by_id: HashMap<JobId, JobKey>,
+    pub(crate) by_due: BTreeSet<(UnixMillis, JobKey)>,
+    pub(crate) grants: SlotMap<GrantKey, Grant>,
+    /// Makes the numbers of grants of two processes differ.
+    pub(crate) salt: u64,
+    /// Lives of the companions, by machine.
+    pub(crate) vms: IndexMap<VmId, u64>,
+    /// Service that each tenant got, in items.
+    pub(crate) shares: HashMap<Tenant, u64>,
+    pub(crate) virtual_time: u64,
+    pub(crate) waiting_bytes: usize,
+    pub(crate) pace: Pace,
+    pub(crate) commits: u64,
+    pub(crate) actions: Vec<Action>,
+    last_tick: Millis,
+    random: u64,
+}
+
+impl Ledger {
+    /// Makes the ledger of one life of a process. `member` names that life;
+    /// `salt` is a random number that no other life has drawn.
+    pub fn new(
+        member: impl Into<String>,
+        salt: u64,
+        options: Options,
+    ) -> Self {
+        let partitions = (0..options.partitions)
+            .map(|_| Partition::default())
+            .collect();
+        Self {
+            member: member.into(),
+            options,
+            lease: None,
+            joining: false,
+            join_at: Millis::new(0),
+            renew_at: Millis::new(0),
+            looking: false,
+            look_at: Millis::new(0),
+            seen_revision: 0,
+            members: Vec::new(),
+            assigned: Vec::new(),
+            partitions,
+            jobs: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_due: BTreeSet::new(),
+            grants: SlotMap::with_key(),
+            salt,
+            vms: IndexMap::new(),
+            shares: HashMap::new(),
+            virtual_time: 0,
+            waiting_bytes: 0,
+            pace: Pace::default(),
+            commits: 0,
+            actions: Vec::new(),
+            last_tick: Millis::new(0),
+            random: salt,
+        }
+    }
+
+    /// Takes note of an event and returns what to do, in order.
+    pub fn handle(&mut self, moment: Moment, event: Event) -> Vec<Action> {
+        self.random ^= moment.random;
+        match event {
+            Event::Tick => self.tick(moment),
+            Event::Joined { sent_at, lease } => {
+                self.on_joined(moment, sent_at, lease);
+            }
+            Event::Renewed {
+                sent_at,
+                lease,
+                alive,
+            } => self.on_renewed(moment, sent_at, lease, alive),
+            Event::Looked {
+                revision,
+                members,
+                owners,
+            } => self.on_looked(moment, revision, members, &owners),
+            Event::Claimed {
+                partition,
+                lease,
+                fence,
+            } => self.on_claimed(moment, partition, lease, fence),
+            Event::Released { partition, fence } => {
+                self.on_released(partition, fence);
+            }
+            Event::Listed {
+                partition,
+                fence,
+                marks,
+            } => self.on_listed(moment, partition, fence, marks),
+            Event::Loaded {
+                partition,
+                fence,
+                job,
+                mark,
+                found,
+            } => self.on_loaded(partition, fence, &job, mark, found),
+            Event::Stored { commit, chunks } => {
+                self.on_stored(moment, commit, chunks);
+            }
+            Event::Written { commit, outcome } => {
+                self.on_written(moment, commit, outcome);
+            }
+            Event::ReadBack { commit, found } => {
+                self.on_read_back(moment, commit, found);
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the partitions that are owned.
+    pub fn partitions(&self) -> Vec<u32> {
+        let owned = |partition: &Partition| partition.tenure.fence().is_some();
+        (0..self.options.partitions)
+            .filter(|number| owned(&self.partitions[*number as usize]))
+            .collect()
+    }
+
+    /// Returns what a person needs to see.
+    pub fn status(&self) -> LedgerStatus {
+        let jobs = || self.jobs.values().filter(|job| self.is_owned(job));
+        LedgerStatus {
+            partitions: self.partitions().len(),
+            open_jobs: jobs().count(),
+            jobs_at_risk: jobs().filter(|job| job.wants_risk).count(),
+            grants: self.grants.len(),
+            results_waiting: jobs().map(|job| job.pending.len()).sum(),
+        }
+    }
+
+    /// Returns the record of an open job of an owned partition, as last
+    /// read or committed.
+    pub fn job(&self, id: &JobId) -> Option<&crate::JobRecord> {
+        let job = self.jobs.get(*self.by_id.get(id)?)?;
+        Some(&job.record)
+    }
+
+    /// Makes the ledger read marks and owners at the next tick.
+    pub fn poke(&mut self) {
+        for partition in &mut self.partitions {
+            partition.list_at = Millis::new(0);
+        }
+    }
+
+    fn tick(&mut self, moment: Moment) {
+        let now = moment.now;
+        self.forgive_pause(now);
+        self.keep_lease(now);
+        self.look(now);
+        self.expire_grants(now);
+        self.assess(moment);
+        for number in 0..self.options.partitions {
+            self.keep_partition(now, number);
+            self.step_commit(moment, number);
+        }
+        let lines = self.jobs.values().flat_map(|job| job.pending.values());
+        self.waiting_bytes = lines.map(|settled| settled.line.len()).sum();
+    }
+
+    /// Puts off the end of all grants after a pause of this process: it was
+    /// the owner that did not listen, not the companions that were silent.
+    fn forgive_pause(&mut self, now: Millis) {
+        let gap_ms = now.saturating_ms_since(self.last_tick);
+        self.last_tick = now;
+        if gap_ms <= self.options.grant_ttl_ms / 4 {
+            return;
+        }
+        for grant in self.grants.values_mut() {
+            grant.ends = grant.ends.saturating_add_ms(gap_ms);
+        }
+    }
+
+    /// Tells whether the lease surely holds. What is sent meanwhile is
+    /// fenced all the same.
+    pub(crate) fn is_safe(&self, now: Millis) -> bool {
+        let margin_ms = self.options.lease_margin_ms;
+        self.lease
+            .is_some_and(|lease| lease.is_safe(now, margin_ms))
+    }
+
+    /// Tells whether a job was read under the present tenure.
+    pub(crate) fn is_owned(&self, job: &Job) -> bool {
+        let tenure = self.partitions[job.partition as usize].tenure;
+        tenure.fence() == Some(job.fence)
+    }
+
+    pub(crate) fn partition(&mut self, number: u32) -> &mut Partition {
+        &mut self.partitions[number as usize]
+    }
+
+    /// Forgets a job and its grants.
+    pub(crate) fn drop_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&job.record.id);
+        self.by_due.remove(&(job.record.due, key));
+        for grant in job.held().values() {
+            self.grants.remove(*grant);
+        }
+    }
+
+    /// Draws a random number (SplitMix64 over the callers' numbers).
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// Returns a moment between three and five quarters of a span from now.
+    pub(crate) fn around(&mut self, now: Millis, span_ms: u64) -> Millis {
+        let spread = self.draw() % (span_ms / 2).max(1);
+        now.saturating_add_ms(span_ms - span_ms / 4 + spread)
+    }
+
+    /// Returns when to try again after some failures: drawn evenly below a
+    /// ceiling that doubles, so that owners do not come back together.
+    pub(crate) fn backoff(&mut self, now: Millis, failures: u32) -> Millis {
+        const BASE_MS: u64 = 20;
+        const CAP_MS: u64 = 2_000;
+        let ceiling_ms = (BASE_MS << failures.min(10)).min(CAP_MS);
+        now.saturating_add_ms(1 + self.draw() % ceiling_ms)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/spread.rs
@@ -0,0 +1,55 @@
+use base::stable_hash;
+
+/// Assigns partitions to members and returns each partition's place in
+/// `members`.
+///
+/// Rendezvous hashing with caps: each partition goes to the member with the
+/// highest weight that has room, and the loads of two members differ by one
+/// at most. All entries that know the same members agree without asking
+/// anybody. Plain rendezvous hashing moves a little less but leaves some
+/// members with twice the load of others; a ring needs many points per member
+/// to be as even.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_ledger::assign;
+///
+/// let of = assign(32, &["a", "b", "c"]);
+/// let load = |member| of.iter().filter(|m| **m == member).count();
+/// assert!((0..3).all(|member| (10..=11).contains(&load(member))));
+/// assert!(assign(32, &[]).is_empty());
+/// ```
+pub fn assign(partitions: u32, members: &[&str]) -> Vec<usize> {
+    if members.is_empty() {
+        return Vec::new();
+    }
+    let floor = partitions as usize / members.len();
+    // So many members carry one more than the others.
+    let mut extra = partitions as usize % members.len();
+    let mut load = vec![0; members.len()];
+    (0..partitions)
+        .map(|partition| {
+            let chosen = by_weight(partition, members)
+                .into_iter()
+                .find(|m| load[*m] < floor || (load[*m] == floor && extra > 0))
+                .unwrap_or(0);
+            if load[chosen] == floor {
+                extra = extra.saturating_sub(1);
+            }
+            load[chosen] += 1;
+            chosen
+        })
+        .collect()
+}
+
+fn by_weight(partition: u32, members: &[&str]) -> Vec<usize> {
+    let number = partition.to_string();
+    let mut order: Vec<(u64, usize)> = members
+        .iter()
+        .enumerate()
+        .map(|(at, member)| (stable_hash(&[&number, member]), at))
+        .collect();
+    order.sort_by(|a, b| b.cmp(a));
+    order.into_iter().map(|(_, at)| at).collect()
+}
