Round reported figures and name unanswered items of the baseline

Change: figures carry three decimals, which any reader returns unchanged; the test stays as it was. Unanswered items of the baseline are listed as failed, by kind. Conclusion: the report survives being stored and read back.

--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -11,7 +11,7 @@
     online::Sender,
     prompt::{Ask, Place},
     run::Load,
-    tally::Outcome,
+    tally::{Outcome, Refusal},
 };
 
 /// Sends the load of a plan straight at an engine, as a baseline.
@@ -112,14 +112,22 @@
             }
             Outcome::Answered(Verdict::Wrong) => report.wrong += 1,
             Outcome::Answered(Verdict::Missing) => report.missing += 1,
-            Outcome::Lost | Outcome::TimedOut => report.missing += 1,
-            Outcome::Refused(_) | Outcome::Broken(_) => {}
+            Outcome::Refused(_)
+            | Outcome::Broken(_)
+            | Outcome::Lost
+            | Outcome::TimedOut => {}
         });
         match outcome {
             Outcome::Refused(refusal) if !ask.fails => {
                 self.batch.fail_item(refusal);
             }
             Outcome::Broken(refusal) => self.batch.fail_item(refusal),
+            Outcome::Lost => {
+                self.batch.fail_item(Refusal::unanswered("lost"));
+            }
+            Outcome::TimedOut => {
+                self.batch.fail_item(Refusal::unanswered("timed out"));
+            }
             _ => {}
         }
     }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -28,7 +28,7 @@
         let at = |quantile| ms(histogram_us.value_at_quantile(quantile));
         Self {
             count: histogram_us.len(),
-            mean_ms: histogram_us.mean() / 1_000.0,
+            mean_ms: rounded(histogram_us.mean() / 1_000.0),
             p50_ms: at(0.5),
             p95_ms: at(0.95),
             p99_ms: at(0.99),
@@ -38,10 +38,19 @@
     }
 }
 
+/// Rounds a figure to three decimals.
+///
+/// Further digits mean nothing, and JSON readers that are fast rather than
+/// exact return such figures unchanged, but not those of full length.
+pub(crate) fn rounded(figure: f64) -> f64 {
+    (figure * 1_000.0).round() / 1_000.0
+}
+
 /// Requests that the target refused or failed alike.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct RefusalCount {
-    /// Status of the answer; 200 if a stream told it after its start.
+    /// Status of the answer; 200 if a stream told it after its start, 0 if
+    /// there was no answer.
     pub status: u16,
     /// Type of the problem, or what else the body says.
     pub kind: String,
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -13,7 +13,10 @@
 use serde_json::Value;
 use tokio::time::Instant;
 
-use crate::{BatchReport, OnlineReport, Quantiles, RefusalCount, Verdict};
+use crate::{
+    BatchReport, OnlineReport, Quantiles, RefusalCount, Verdict,
+    report::rounded,
+};
 
 /// Significant digits of a latency.
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -57,6 +60,15 @@
 }
 
 impl Refusal {
+    /// Names a request that got no answer at all.
+    pub(crate) fn unanswered(kind: &str) -> Self {
+        Self {
+            status: 0,
+            kind: kind.to_owned(),
+            ran: "unsaid".to_owned(),
+        }
+    }
+
     /// Reads problem details (RFC 9457) or an OpenAI error.
     pub(crate) fn of(status: u16, body: &Value) -> Self {
         let error = &body["error"];
@@ -214,7 +226,7 @@
             not_sent: self.not_sent.load(Ordering::Relaxed),
             refused: online.refused.counts(),
             broken: online.broken.counts(),
-            tokens_per_s: tokens / elapsed.as_secs_f64().max(1e-9),
+            tokens_per_s: rounded(tokens / elapsed.as_secs_f64().max(1e-9)),
             first_token: online.first_token.quantiles(),
             between_tokens: online.between.quantiles(),
             whole_answer: online.whole.quantiles(),
@@ -299,7 +311,7 @@
             failed: batch.failed.counts(),
             refused: batch.refused.counts(),
             job: batch.job.quantiles(),
-            items_per_s: right / seconds,
+            items_per_s: rounded(right / seconds),
             ..batch.report.clone()
         }
     }
