Test serving: phases, problem documents, limits, waiting for what runs

Cause: the crate that every role serves HTTP with had no tests of its own. Change: six tests over loopback. Conclusion: the stop by own count of requests is covered by its symptom.

--- /dev/null
+++ b/crates/web/tests/serving.rs
@@ -0,0 +1,118 @@
+//! Launch, health and problem documents over loopback sockets.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use pomeloslip_web::{
+    LaunchOptions, Phase, Problem, ProblemKind, Ran, Served, ServiceState,
+    catchers, health_routes, launch,
+};
+use reqwest::StatusCode;
+use rocket::{get, post, routes, serde::json::Json};
+
+#[get("/full")]
+fn full() -> Problem {
+    Problem::new(ProblemKind::Overloaded, "all are busy")
+        .ran(Ran::No)
+        .retry_after_ms(1_200)
+}
+
+#[post("/echo", data = "<body>")]
+fn echo(body: Json<String>) -> String {
+    body.into_inner()
+}
+
+async fn serve(state: &ServiceState) -> Served {
+    let listen: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let rocket = rocket::build()
+        .manage(state.clone())
+        .mount("/", health_routes())
+        .mount("/", routes![full, echo])
+        .register("/", catchers());
+    let options = LaunchOptions::new(listen).body_max_bytes(16);
+    launch(rocket, options).await.unwrap()
+}
+
+async fn get(served: &Served, path: &str) -> reqwest::Response {
+    let url = format!("http://{}{path}", served.address());
+    reqwest::get(url).await.unwrap()
+}
+
+#[tokio::test]
+async fn readiness_follows_the_phase_and_health_does_not() {
+    let state = ServiceState::default();
+    let served = serve(&state).await;
+    let ready = get(&served, "/readyz").await.status();
+    assert_eq!(ready, StatusCode::SERVICE_UNAVAILABLE);
+    state.set(Phase::Ready);
+    assert_eq!(get(&served, "/readyz").await.status(), StatusCode::OK);
+    state.set(Phase::Draining);
+    let ready = get(&served, "/readyz").await.status();
+    assert_eq!(ready, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(get(&served, "/healthz").await.status(), StatusCode::OK);
+    state.set(Phase::Ready);
+    assert_eq!(state.phase(), Phase::Draining);
+}
+
+#[tokio::test]
+async fn a_problem_carries_its_type_and_when_to_come_back() {
+    let served = serve(&ServiceState::default()).await;
+    let reply = get(&served, "/full").await;
+    assert_eq!(reply.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(reply.headers()["retry-after"], "2");
+    assert_eq!(reply.headers()["content-type"], "application/problem+json");
+    let body: serde_json::Value = reply.json().await.unwrap();
+    assert_eq!(body["type"], "urn:pomeloslip:problem:overloaded");
+    assert_eq!(body["ran"], "no");
+}
+
+#[tokio::test]
+async fn errors_of_the_server_library_are_problems_too() {
+    let served = serve(&ServiceState::default()).await;
+    let reply = get(&served, "/nothing").await;
+    assert_eq!(reply.status(), StatusCode::NOT_FOUND);
+    let body: serde_json::Value = reply.json().await.unwrap();
+    assert_eq!(body["type"], "urn:pomeloslip:problem:not-found");
+    assert_eq!(body["ran"], "no");
+    let url = format!("http://{}/echo", served.address());
+    let call = reqwest::Client::new().post(url).json(&"x".repeat(17));
+    let reply = call.send().await.unwrap();
+    assert_eq!(reply.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    let body: serde_json::Value = reply.json().await.unwrap();
+    assert_eq!(body["type"], "urn:pomeloslip:problem:too-large");
+}
+
+#[tokio::test]
+async fn an_address_in_use_is_named() {
+    let served = serve(&ServiceState::default()).await;
+    let options = LaunchOptions::new(served.address());
+    let error = launch(rocket::build(), options).await.unwrap_err();
+    let text = format!("{error:?}");
+    assert!(text.contains(&served.address().to_string()), "{text}");
+}
+
+/// Symptom: a planned stop takes two minutes, or cuts an answer. Sequence:
+/// the process is told to stop while an answer runs. Cause: the server
+/// library either waits out its whole grace time or cuts what runs, since
+/// it does not count requests.
+#[tokio::test]
+async fn idle_waits_for_what_runs_and_no_longer() {
+    let state = ServiceState::default();
+    let active = state.begin();
+    assert!(!state.idle(20).await);
+    let waiting = state.idle(60_000);
+    drop(active);
+    assert!(waiting.await);
+    assert_eq!(state.active(), 0);
+}
+
+#[test]
+fn every_kind_has_a_type_of_its_own() {
+    let mut slugs: Vec<_> =
+        ProblemKind::ALL.iter().map(|kind| kind.slug()).collect();
+    slugs.sort_unstable();
+    slugs.dedup();
+    assert_eq!(slugs.len(), ProblemKind::ALL.len());
+    assert!(ProblemKind::ALL.iter().all(|kind| kind.status() >= 400));
+}
