--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -52,9 +52,9 @@
         EntryHandler, Handlers,
     },
     link::Links,
-    options::{LinkError, LinkOptions},
+    options::{LinkError, LinkOptions, ServeOptions},
     run::{Run, RunReply},
-    server::{ServeError, Server, serve},
+    server::{ServeError, Server, serve, serve_with},
 };
 
 /// Highest protocol version that this build speaks.
--- a/crates/wire/src/options.rs
+++ b/crates/wire/src/options.rs
@@ -1,4 +1,4 @@
-use std::fmt;
+use std::{fmt, net::SocketAddr};
 
 use crate::{
     Secrets,
@@ -65,7 +65,7 @@
         self
     }
 
-    /// Sets how long a call other than [`Links::run`] may take.
+    /// Sets how long a call other than [`Links::run`](crate::Links::run) may take.
     pub fn call_timeout_ms(mut self, ms: u64) -> Self {
         self.call_timeout_ms = ms;
         self
@@ -79,3 +79,61 @@
         self
     }
 }
+
+/// Options of the server for other processes.
+///
+/// # Example
+///
+/// ```
+/// use base::Incarnation;
+/// use pomeloslip_wire::{ServeOptions, message::Identity};
+///
+/// let identity = Identity {
+///     role: "companion".to_owned(),
+///     vm: "korv-1".parse()?,
+///     incarnation: Incarnation::new(7),
+///     failure_domain: "tallinn-a".parse()?,
+/// };
+/// let listen = ([127, 0, 0, 1], 0).into();
+/// let options = ServeOptions::new(listen, identity).silence_ms(9_000);
+/// assert_eq!(options.listen(), listen);
+/// # Ok::<(), base::IdError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct ServeOptions {
+    pub(crate) listen: SocketAddr,
+    pub(crate) identity: Identity,
+    pub(crate) secrets: Secrets,
+    pub(crate) silence_ms: u64,
+}
+
+impl ServeOptions {
+    /// Starts with safe defaults: no secrets and 6 s of silence.
+    pub fn new(listen: SocketAddr, identity: Identity) -> Self {
+        Self {
+            listen,
+            identity,
+            secrets: Secrets::default(),
+            silence_ms: 6_000,
+        }
+    }
+
+    /// Returns the address to listen on.
+    #[inline]
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Sets the shared secrets.
+    pub fn secrets(mut self, secrets: Secrets) -> Self {
+        self.secrets = secrets;
+        self
+    }
+
+    /// Sets the silence of a peer, which pings each second, after which its
+    /// connection is closed and its calls are cancelled.
+    pub fn silence_ms(mut self, ms: u64) -> Self {
+        self.silence_ms = ms;
+        self
+    }
+}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -18,7 +18,7 @@
     runtime::Handle,
     sync::{oneshot, watch},
     task::{LocalSet, spawn_local},
-    time::Instant,
+    time::{Instant, timeout},
 };
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
@@ -27,16 +27,16 @@
     handler::Handlers,
     host::Host,
     message::Identity,
+    options::ServeOptions,
     peer::{CLIENT_PROOF, SERVER_PROOF},
     schema_capnp as schema,
 };
 
-/// Silence of a peer, which pings each second, after which its connection
-/// is closed and its calls are cancelled.
-const PEER_SILENCE: Duration = Duration::from_secs(6);
+/// Looks at the silence of a peer in the time after which it is given up.
+const SILENCE_CHECKS: u32 = 6;
 
-/// Pause between looks at the silence.
-const SILENCE_CHECK: Duration = Duration::from_secs(1);
+/// Limit for closing a connection whose peer may not hear it any more.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Says that the process cannot answer other processes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -85,6 +85,20 @@
     secrets: Secrets,
     handlers: Handlers,
 ) -> Result<Server, Report<ServeError>> {
+    let options = ServeOptions::new(listen, identity).secrets(secrets);
+    serve_with(options, handlers).await
+}
+
+/// Listens as [`serve`] does, with options.
+///
+/// # Errors
+///
+/// [`ServeError`] if the address cannot be listened on.
+pub async fn serve_with(
+    options: ServeOptions,
+    handlers: Handlers,
+) -> Result<Server, Report<ServeError>> {
+    let listen = options.listen;
     let listener = std::net::TcpListener::bind(listen)
         .change_context(ServeError)
         .attach_with(|| format!("listening on {listen}"))?;
@@ -97,8 +111,9 @@
     let (stop, stopped) = oneshot::channel();
     let (ended, ended_receiver) = watch::channel(false);
     let shared = Shared {
-        identity,
-        secrets,
+        identity: options.identity,
+        secrets: options.secrets,
+        silence: Duration::from_millis(options.silence_ms),
         handlers,
         workers: Handle::current(),
     };
@@ -125,6 +140,7 @@
 pub(crate) struct Shared {
     identity: Identity,
     secrets: Secrets,
+    silence: Duration,
     pub(crate) handlers: Handlers,
     pub(crate) workers: Handle,
 }
@@ -164,30 +180,37 @@
         Default::default(),
     ));
     let heard = Rc::new(Cell::new(Instant::now()));
+    let silence = silence(heard.clone(), shared.silence);
     let node: schema::node::Client = new_client(Node {
         shared,
-        heard: heard.clone(),
+        heard,
         nonces: RefCell::default(),
         proved: Cell::new(false),
     });
     let rpc = RpcSystem::new(network, Some(node.client));
+    let disconnect = rpc.get_disconnector();
     tokio::select! {
         ended = rpc => {
             if let Err(error) = ended {
                 log::debug!(error:%; "a connection ended");
             }
         }
-        () = silence(heard) => {
+        () = silence => {
             // The other end lost power or a device between lost track of
             // the connection: nothing would ever end its calls.
             log::warn!("a peer went silent; closing its connection");
+            // Dropping the system alone ends nothing: a running call keeps
+            // the capability that its answer goes to, which keeps the state
+            // of the connection, which keeps the call. The first poll breaks
+            // this; what follows is only politeness to a deaf peer.
+            let _ = timeout(CLOSE_TIMEOUT, disconnect).await;
         }
     }
 }
 
-async fn silence(heard: Rc<Cell<Instant>>) {
-    while heard.get().elapsed() < PEER_SILENCE {
-        tokio::time::sleep(SILENCE_CHECK).await;
+async fn silence(heard: Rc<Cell<Instant>>, limit: Duration) {
+    while heard.get().elapsed() < limit {
+        tokio::time::sleep(limit / SILENCE_CHECKS).await;
     }
 }
 
