Find the configuration at a neighbour; go on from the newest after a restore

Cause: an entry that started while the key-value service was down found no configuration and served nobody; and after the service's data was restored from an old copy, the old value was rightly not applied, but every edit was then refused, since the expected revision never matched the restored one. Change: entries ask a neighbour each second for anything newer; an edit goes on from the newer of what is held and what is in force, which heals the service. Ruled out: writing the newer value back without an edit, which would race an operator's own repair. Conclusion: a configuration in force survives the service. Also in this commit, as it stands in the same files: the beginnings of claims and tenant limits.

--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -1,6 +1,6 @@
 //! Calls that are forwarded to an endpoint.
 
-use std::sync::Arc;
+use std::{io::Cursor, sync::Arc};
 
 use bytes::Bytes;
 use obs::Counter;
@@ -9,19 +9,22 @@
     data::ByteUnit,
     get,
     http::{Header as HttpHeader, Method, Status},
-    response::Response,
+    response::{Builder, Response},
     route::{Handler, Outcome},
     routes,
     serde::json::Json,
 };
 use serde_json::json;
 use web::{Problem, ProblemKind, Ran};
+use wire::message::Header;
 
 use super::guard::Authenticated;
 use crate::{
-    filter::{self, Incoming},
+    claim::{self, Served, WholeAnswer},
+    exchange::Exchange,
+    filter::{self, Incoming, Routed},
     forward::{self, Started},
-    shared::Shared,
+    shared::{Admitted, Shared},
 };
 
 /// Headers of an endpoint's answer that the entry sets itself.
@@ -78,7 +81,7 @@
         };
         let id = filter::request_id(request.headers());
         match serve(shared, &id, request, data).await {
-            Ok(started) => Outcome::Success(respond(id.as_str(), started)),
+            Ok(served) => Outcome::Success(respond(id.as_str(), served)),
             Err(problem) => {
                 log::info!(request_id = id.as_str(); "{problem}");
                 Outcome::from(request, WithId { id, problem })
@@ -108,7 +111,7 @@
     id: &base::RequestId,
     request: &Request<'_>,
     data: Data<'_>,
-) -> Result<Started, Problem> {
+) -> Result<Served, Problem> {
     let received = shared.timer.now();
     if !shared.state.is_ready() {
         return Err(stopping());
@@ -124,12 +127,19 @@
         headers,
         body,
     };
-    let exchange = filter::route(shared, caller, incoming)?;
+    let in_force = caller.in_force.clone();
+    let Routed { exchange, limits } = filter::route(shared, caller, incoming)?;
     let metrics = exchange.metrics.clone();
     let class = exchange.class;
     metrics.count(Counter::Arrived, class, 1);
     let admitted = shared.admit()?;
-    let served = forward::forward(shared, &exchange, admitted).await;
+    let now = shared.timer.now();
+    let (compiled, tenant) = (&in_force.compiled, &exchange.tenant);
+    let places = shared.tenants.admit(compiled, tenant, &limits, now);
+    let served = match places {
+        Ok(places) => send(shared, exchange, admitted.under(places)).await,
+        Err(problem) => Err(problem),
+    };
     if let Err(problem) = &served {
         let counter = match problem.ran_said() {
             Some(Ran::No) => Counter::Refused,
@@ -140,6 +150,19 @@
     served
 }
 
+async fn send(
+    shared: &Arc<Shared>,
+    exchange: Exchange,
+    admitted: Admitted,
+) -> Result<Served, Problem> {
+    match filter::idempotency_key(&exchange)? {
+        Some(key) => claim::serve(shared, key, exchange, admitted).await,
+        None => forward::forward(shared, &exchange, admitted)
+            .await
+            .map(Served::Started),
+    }
+}
+
 fn stopping() -> Problem {
     let why = "this process is stopping; try again";
     Problem::new(ProblemKind::Stopping, why)
@@ -164,16 +187,37 @@
     Ok(read.into_inner().into())
 }
 
-fn respond<'r>(id: &str, started: Started) -> Response<'r> {
+fn respond<'r>(id: &str, served: Served) -> Response<'r> {
+    match served {
+        Served::Started(started) => respond_streamed(id, started),
+        Served::Whole(whole) => respond_whole(id, whole),
+    }
+}
+
+/// Starts a response with the status and headers of an endpoint.
+fn head<'r>(id: &str, status: u16, headers: Vec<Header>) -> Builder<'r> {
     let mut response = Response::build();
-    response.status(Status::new(started.status));
-    for header in started.headers {
+    response.status(Status::new(status));
+    for header in headers {
         if !REPLACED_HEADERS.contains(&header.name.as_str()) {
             response.header_adjoin(HttpHeader::new(header.name, header.value));
         }
     }
+    response.header(HttpHeader::new("x-request-id", id.to_owned()));
     response
-        .header(HttpHeader::new("x-request-id", id.to_owned()))
-        .streamed_body(started.body);
-    response.finalize()
+}
+
+fn respond_whole<'r>(id: &str, whole: WholeAnswer) -> Response<'r> {
+    let mut response = head(id, whole.status, whole.headers);
+    if whole.replayed {
+        response.raw_header("idempotency-replayed", "true");
+    }
+    response
+        .sized_body(whole.body.len(), Cursor::new(whole.body))
+        .finalize()
+}
+
+fn respond_streamed<'r>(id: &str, started: Started) -> Response<'r> {
+    let mut response = head(id, started.status, started.headers);
+    response.streamed_body(started.body).finalize()
 }
--- a/crates/entry/src/batch/blobs.rs
+++ b/crates/entry/src/batch/blobs.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use wire::{Links, message::StoredBlob};
 
-use crate::{EntryError, batch::record::Chunk};
+use crate::{EntryError, batch::Chunk};
 
 /// Copies that must be on disk before anything is acknowledged.
 const COPIES: usize = 2;
--- a/crates/entry/src/batch/files.rs
+++ b/crates/entry/src/batch/files.rs
@@ -6,6 +6,7 @@
     Compare, KvError, Op, Txn,
     ops::{Outcome, Verdict},
 };
+use ledger::Sink;
 use sha2::{Digest, Sha256};
 
 use super::{
@@ -74,7 +75,8 @@
     ) -> Result<FileRecord, UploadError> {
         let limits = &self.batch.limits;
         let cutter = std::mem::replace(&mut self.cutter, Cutter::new(limits));
-        for piece in cutter.finish()? {
+        let rest = cutter.finish()?;
+        for piece in rest.pieces {
             self.store(piece).await?;
         }
         self.digest.update([0]);
@@ -93,6 +95,7 @@
             purpose: "batch".to_owned(),
             bytes: self.bytes,
             items: self.chunks.iter().map(|chunk| chunk.items).sum(),
+            models: rest.models,
             created: self.batch.timer.clock().unix(),
             chunks: self.chunks,
         };
@@ -133,15 +136,44 @@
         let name = id.as_str();
         if let Some(job) = name.strip_prefix(OUTPUT_PREFIX) {
             let job = self.job_named(tenant, job).await?;
-            return Ok(job.map(|job| job.output));
+            return self.pieces_of(job, Sink::Output).await;
         }
         if let Some(job) = name.strip_prefix(ERRORS_PREFIX) {
             let job = self.job_named(tenant, job).await?;
-            return Ok(job.map(|job| job.errors));
+            return self.pieces_of(job, Sink::Errors).await;
         }
         Ok(self.file(tenant, id).await?.map(|file| file.chunks))
     }
 
+    /// Returns the pieces of one file of a job, older pages first.
+    async fn pieces_of(
+        &self,
+        job: Option<JobRecord>,
+        sink: Sink,
+    ) -> Result<Option<Vec<Chunk>>, Report<EntryError>> {
+        let Some(job) = job else {
+            return Ok(None);
+        };
+        let (pages, newest) = match sink {
+            Sink::Output => (job.output_pages, job.output),
+            Sink::Errors => (job.error_pages, job.errors),
+        };
+        let mut chunks = Vec::new();
+        for number in 0..pages {
+            let key = self.keys.page(&job.id, sink, number);
+            let reply = self.kv.get(&key).await.map_err(platform)?;
+            let found = reply.kvs.first().ok_or_else(|| {
+                Report::new(EntryError::Platform)
+                    .attach(format!("{key} is missing"))
+            })?;
+            let page: Vec<Chunk> = serde_json::from_slice(&found.value)
+                .change_context(EntryError::Platform)?;
+            chunks.extend(page);
+        }
+        chunks.extend(newest);
+        Ok(Some(chunks))
+    }
+
     async fn job_named(
         &self,
         tenant: &Tenant,
@@ -159,7 +191,7 @@
         tenant: &Tenant,
         id: &FileId,
     ) -> Result<Option<FileRecord>, Report<EntryError>> {
-        let key = self.file_key(tenant, id);
+        let key = self.keys.file(tenant, id);
         let reply = self
             .kv
             .get(&key)
@@ -179,7 +211,7 @@
         &self,
         record: &FileRecord,
     ) -> Result<(), Report<EntryError>> {
-        let key = self.file_key(&record.tenant, &record.id);
+        let key = self.keys.file(&record.tenant, &record.id);
         let value =
             serde_json::to_vec(record).change_context(EntryError::Platform)?;
         let txn = Txn {
@@ -216,10 +248,6 @@
             Outcome::Done(()) | Outcome::Superseded => Ok(()),
         }
     }
-
-    fn file_key(&self, tenant: &Tenant, id: &FileId) -> String {
-        format!("{}files/{tenant}/{id}", self.prefix)
-    }
 }
 
 /// Turns an error of the key-value service into one of the entry, which
--- a/crates/entry/src/batch/input.rs
+++ b/crates/entry/src/batch/input.rs
@@ -1,6 +1,9 @@
 //! Checks an uploaded batch input and cuts it into pieces of whole lines.
 
-use std::{collections::HashSet, fmt};
+use std::{
+    collections::{BTreeSet, HashSet},
+    fmt,
+};
 
 use bytes::{Bytes, BytesMut};
 use conf::settings::LimitSettings;
@@ -40,6 +43,29 @@
     pub(crate) items: u32,
 }
 
+/// What is left of an input when all of it has arrived.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Rest {
+    pub(crate) pieces: Vec<Piece>,
+    /// Models that the items name; empty if there are too many to list.
+    pub(crate) models: Vec<String>,
+}
+
+/// Most models of an input that are listed. They say which companions its
+/// items may be granted to.
+const MODELS_MAX: usize = 8;
+
+#[derive(Deserialize)]
+struct ModelOf {
+    model: Option<String>,
+}
+
+/// What a line says of its item.
+struct Checked {
+    custom_id: String,
+    model: Option<String>,
+}
+
 /// Checks an input line by line as it arrives and cuts it into pieces.
 ///
 /// An entry is thin: it never holds a whole input, only the piece that
@@ -48,6 +74,7 @@
 pub(crate) struct Cutter<'a> {
     limits: &'a LimitSettings,
     ids: HashSet<String>,
+    models: BTreeSet<Option<String>>,
     rest: BytesMut,
     open: BytesMut,
     open_items: u32,
@@ -60,6 +87,7 @@
         Self {
             limits,
             ids: HashSet::new(),
+            models: BTreeSet::new(),
             rest: BytesMut::new(),
             open: BytesMut::new(),
             open_items: 0,
@@ -89,11 +117,17 @@
 
     /// Takes the last line, which may lack its end, and returns what is
     /// left.
-    pub(crate) fn finish(mut self) -> Result<Vec<Piece>, InputError> {
+    pub(crate) fn finish(mut self) -> Result<Rest, InputError> {
         let line = self.rest.split();
-        let mut last: Vec<Piece> = self.take(&line)?.into_iter().collect();
-        last.extend(self.close());
-        Ok(last)
+        let mut pieces: Vec<Piece> = self.take(&line)?.into_iter().collect();
+        pieces.extend(self.close());
+        // An item without a model may go anywhere, and so may its job.
+        let models = match self.models.len() > MODELS_MAX {
+            true => None,
+            false => self.models.into_iter().collect(),
+        };
+        let models = models.unwrap_or_default();
+        Ok(Rest { pieces, models })
     }
 
     fn take(&mut self, line: &[u8]) -> Result<Option<Piece>, InputError> {
@@ -102,11 +136,16 @@
         if line.is_empty() {
             return Ok(None);
         }
-        let id = check(line, self.limits).map_err(|why| self.fail(why))?;
+        let checked = check(line, self.limits);
+        let checked = checked.map_err(|why| self.fail(why))?;
+        let id = checked.custom_id;
         if self.ids.contains(&id) {
             return Err(self.fail(format!("custom_id {id:?} is used before")));
         }
         self.ids.insert(id);
+        if self.models.len() <= MODELS_MAX {
+            self.models.insert(checked.model);
+        }
         self.total += 1;
         if self.total > self.limits.items_max {
             let limit = self.limits.items_max;
@@ -140,7 +179,7 @@
     }
 }
 
-fn check(line: &[u8], limits: &LimitSettings) -> Result<String, String> {
+fn check(line: &[u8], limits: &LimitSettings) -> Result<Checked, String> {
     if line.len() as u64 > limits.item_max_bytes {
         return Err(format!("over {} bytes", limits.item_max_bytes));
     }
@@ -162,5 +201,10 @@
     if !parsed.body.get().starts_with('{') {
         return Err("body is not an object".to_owned());
     }
-    Ok(parsed.custom_id)
+    let body: ModelOf = serde_json::from_str(parsed.body.get())
+        .map_err(|error| format!("body: {error}"))?;
+    Ok(Checked {
+        custom_id: parsed.custom_id,
+        model: body.model,
+    })
 }
--- /dev/null
+++ b/crates/entry/src/batch/keys.rs
@@ -0,0 +1,83 @@
+//! Keys of batch work in the key-value service.
+
+use base::{FileId, JobId, Tenant, UnixMillis};
+use ledger::{Sink, partition_of};
+
+/// Names the keys of batch work.
+#[derive(Clone, Debug)]
+pub(crate) struct Keys {
+    prefix: String,
+    partitions: u32,
+}
+
+impl Keys {
+    pub(crate) fn new(prefix: String, partitions: u32) -> Self {
+        Self { prefix, partitions }
+    }
+
+    /// Entries that share the partitions.
+    pub(crate) fn members(&self) -> String {
+        format!("{}entries/", self.prefix)
+    }
+
+    pub(crate) fn member(&self, name: &str) -> String {
+        format!("{}entries/{name}", self.prefix)
+    }
+
+    /// Owners of partitions.
+    pub(crate) fn owners(&self) -> String {
+        format!("{}owners/", self.prefix)
+    }
+
+    pub(crate) fn owner(&self, partition: u32) -> String {
+        format!("{}owners/{partition:05}", self.prefix)
+    }
+
+    /// A job's record.
+    pub(crate) fn job(&self, id: &JobId) -> String {
+        let partition = partition_of(id, self.partitions);
+        format!("{}jobs/{partition:05}/{id}", self.prefix)
+    }
+
+    /// Marks of a partition's open jobs.
+    pub(crate) fn marks(&self, partition: u32) -> String {
+        format!("{}open/{partition:05}/", self.prefix)
+    }
+
+    /// Exists while the job is open.
+    pub(crate) fn mark(&self, id: &JobId) -> String {
+        let partition = partition_of(id, self.partitions);
+        format!("{}{id}", self.marks(partition))
+    }
+
+    /// A page of pieces that no longer fit into a job's record.
+    pub(crate) fn page(&self, id: &JobId, sink: Sink, number: u32) -> String {
+        let sink = sink.as_str();
+        format!("{}pages/{id}/{sink}/{number:05}", self.prefix)
+    }
+
+    /// A tenant's jobs, newest first.
+    pub(crate) fn jobs_of(&self, tenant: &Tenant) -> String {
+        format!("{}tenants/{tenant}/jobs/", self.prefix)
+    }
+
+    /// One entry of that list; the age in the key orders it.
+    pub(crate) fn job_of(
+        &self,
+        tenant: &Tenant,
+        created: UnixMillis,
+        id: &JobId,
+    ) -> String {
+        let age = u64::MAX - created.as_ms();
+        format!("{}{age:016x}-{id}", self.jobs_of(tenant))
+    }
+
+    pub(crate) fn file(&self, tenant: &Tenant, id: &FileId) -> String {
+        format!("{}files/{tenant}/{id}", self.prefix)
+    }
+}
+
+/// Returns the last part of a key.
+pub(crate) fn last(key: &str) -> &str {
+    key.rsplit('/').next().unwrap_or_default()
+}
--- a/crates/entry/src/batch/mod.rs
+++ b/crates/entry/src/batch/mod.rs
@@ -4,6 +4,7 @@
 mod files;
 mod input;
 mod jobs;
+mod keys;
 mod owner;
 mod record;
 
@@ -12,13 +13,15 @@
 use base::timer::Timer;
 use conf::settings::{BatchSettings, LimitSettings};
 use kv::{Kv, ops::Writer};
+pub(crate) use ledger::{Chunk, JobRecord, JobState};
 
+use self::keys::Keys;
 pub(crate) use self::{
     blobs::Blobs,
     files::{UploadError, platform},
-    jobs::{JobError, NewJob},
+    jobs::{JobError, JobPage, NewJob},
     owner::Owner,
-    record::{Chunk, FileRecord, JobRecord, JobState},
+    record::FileRecord,
 };
 
 /// Start of each job's id.
@@ -36,11 +39,10 @@
 /// Files and jobs of this entry.
 pub(crate) struct Batch {
     kv: Arc<dyn Kv>,
-    prefix: String,
+    keys: Keys,
     writer: Writer,
     timer: Timer,
     blobs: Arc<Blobs>,
-    settings: BatchSettings,
     limits: LimitSettings,
     owner: Arc<Owner>,
 }
@@ -54,23 +56,23 @@
         settings: BatchSettings,
         limits: LimitSettings,
     ) -> Self {
+        let keys = Keys::new(prefix, settings.partitions);
         let blobs = Arc::new(blobs);
         let writer = Writer::new(timer.clone(), FOLLOW_UP_MS);
         let owner = Owner::new(
             kv.clone(),
-            prefix.clone(),
+            keys.clone(),
             timer.clone(),
             blobs.clone(),
-            settings.clone(),
+            &settings,
         );
         let owner = Arc::new(owner);
         Self {
             kv,
-            prefix,
+            keys,
             writer,
             timer,
             blobs,
-            settings,
             limits,
             owner,
         }
--- /dev/null
+++ b/crates/entry/src/batch/owner/calls.rs
@@ -0,0 +1,311 @@
+//! The ledger's calls to the key-value service.
+
+use std::sync::Arc;
+
+use base::{JobId, timer::Timer};
+use kv::{
+    Compare, KeyValue, Kv, KvError, LeaseId, Op, OpReply, Txn, TxnReply,
+};
+use ledger::{
+    Event, MarkSeen, OwnerSeen, Page, RecordSeen, WriteAction, WriteOutcome,
+};
+
+use crate::batch::{
+    jobs::parse,
+    keys::{Keys, last},
+};
+
+/// Carries out the ledger's calls, each into the event that answers it.
+pub(super) struct Calls {
+    kv: Arc<dyn Kv>,
+    keys: Keys,
+    timer: Timer,
+    member: String,
+}
+
+impl Calls {
+    pub(super) fn new(
+        kv: Arc<dyn Kv>,
+        keys: Keys,
+        timer: Timer,
+        member: String,
+    ) -> Self {
+        Self {
+            kv,
+            keys,
+            timer,
+            member,
+        }
+    }
+
+    pub(super) async fn join(&self, ttl_s: u32) -> Event {
+        let sent_at = self.timer.now();
+        let lease = self.join_under(ttl_s).await;
+        Event::Joined { sent_at, lease }
+    }
+
+    async fn join_under(&self, ttl_s: u32) -> Option<i64> {
+        let lease = self.kv.lease_grant(ttl_s).await.ok()?;
+        let put = Op::Put {
+            key: self.keys.member(&self.member),
+            value: Vec::new(),
+            lease: Some(lease),
+        };
+        let txn = Txn {
+            success: vec![put],
+            ..Txn::default()
+        };
+        // A lease that is of no use ends by itself.
+        self.kv.txn(txn).await.ok()?;
+        Some(lease.0)
+    }
+
+    pub(super) async fn renew(&self, lease: i64) -> Event {
+        // Counted from before the send: the service may have renewed it
+        // that early.
+        let sent_at = self.timer.now();
+        let renewed = self.kv.lease_keep_alive(LeaseId(lease)).await;
+        let alive = match renewed {
+            Ok(()) => Some(true),
+            Err(report) => match report.current_context() {
+                KvError::LeaseGone => Some(false),
+                _ => None,
+            },
+        };
+        Event::Renewed {
+            sent_at,
+            lease,
+            alive,
+        }
+    }
+
+    /// Ends a lease at a planned stop, so that others need not wait for it.
+    pub(super) async fn revoke(&self, lease: i64) {
+        if let Err(report) = self.kv.lease_revoke(LeaseId(lease)).await {
+            log::debug!(error:? = report; "a lease ends by itself");
+        }
+    }
+
+    pub(super) async fn look(&self) -> Event {
+        let prefixes = [self.keys.members(), self.keys.owners()];
+        let gets = prefixes.map(|prefix| Op::GetPrefix { prefix, limit: 0 });
+        let txn = Txn {
+            success: gets.into(),
+            ..Txn::default()
+        };
+        let reply = match self.kv.txn(txn).await {
+            Ok(reply) => reply,
+            Err(report) => {
+                log::debug!(error:? = report; "cannot look for owners");
+                return Event::Looked {
+                    revision: None,
+                    members: vec![],
+                    owners: vec![],
+                };
+            }
+        };
+        let revision = Some(reply.revision);
+        let mut got = got(reply).into_iter();
+        let members = got.next().unwrap_or_default();
+        let owners = got.next().unwrap_or_default();
+        Event::Looked {
+            revision,
+            members: members.iter().map(|kv| last(&kv.key).into()).collect(),
+            owners: owners.iter().filter_map(owner_seen).collect(),
+        }
+    }
+
+    pub(super) async fn claim(&self, partition: u32, lease: i64) -> Event {
+        let key = self.keys.owner(partition);
+        let txn = Txn {
+            compares: vec![Compare::CreateRevision {
+                key: key.clone(),
+                equals: 0,
+            }],
+            success: vec![Op::Put {
+                key,
+                value: self.member.clone().into_bytes(),
+                lease: Some(LeaseId(lease)),
+            }],
+            failure: vec![],
+        };
+        // If the answer is lost, the next look shows who owns it.
+        let reply = self.kv.txn(txn).await.ok();
+        let fence = reply.filter(|r| r.succeeded).map(|r| r.revision);
+        Event::Claimed {
+            partition,
+            lease,
+            fence,
+        }
+    }
+
+    pub(super) async fn release(&self, partition: u32, fence: u64) -> Event {
+        let key = self.keys.owner(partition);
+        let txn = Txn {
+            compares: vec![Compare::CreateRevision {
+                key: key.clone(),
+                equals: fence,
+            }],
+            success: vec![Op::Delete { key }],
+            failure: vec![],
+        };
+        if let Err(report) = self.kv.txn(txn).await {
+            log::debug!(partition, error:? = report; "cannot hand over");
+        }
+        Event::Released { partition, fence }
+    }
+
+    pub(super) async fn list(&self, partition: u32, fence: u64) -> Event {
+        let prefix = self.keys.marks(partition);
+        let found = self.kv.get_prefix(&prefix, 0).await.ok();
+        let mark = |kv: &KeyValue| {
+            Some(MarkSeen {
+                job: last(&kv.key).parse().ok()?,
+                revision: kv.mod_revision,
+            })
+        };
+        let marks = found.map(|f| f.kvs.iter().filter_map(mark).collect());
+        Event::Listed {
+            partition,
+            fence,
+            marks,
+        }
+    }
+
+    pub(super) async fn load(
+        &self,
+        partition: u32,
+        fence: u64,
+        job: JobId,
+        mark: u64,
+    ) -> Event {
+        let read = self.kv.get(&self.keys.job(&job)).await;
+        let found = match read {
+            Ok(reply) => match reply.kvs.first().map(seen) {
+                None => Ok(None),
+                Some(Some(seen)) => Ok(Some(Box::new(seen))),
+                Some(None) => Err(()),
+            },
+            Err(_) => Err(()),
+        };
+        Event::Loaded {
+            partition,
+            fence,
+            job,
+            mark,
+            found,
+        }
+    }
+
+    pub(super) async fn write(&self, write: WriteAction) -> Event {
+        let commit = write.commit;
+        let Some(txn) = self.transaction(write) else {
+            let outcome = WriteOutcome::NotDone;
+            return Event::Written { commit, outcome };
+        };
+        let outcome = match self.kv.txn(txn).await {
+            Ok(reply) if reply.succeeded => WriteOutcome::Done(reply.revision),
+            Ok(_) => WriteOutcome::Refused,
+            Err(report) => {
+                log::info!(error:? = report; "a commit was not answered");
+                match report.current_context() {
+                    KvError::Unknown => WriteOutcome::Unknown,
+                    _ => WriteOutcome::NotDone,
+                }
+            }
+        };
+        Event::Written { commit, outcome }
+    }
+
+    /// Builds the transaction of a commit.
+    ///
+    /// An owner that was paused past its lease finds its key gone or
+    /// another's in its place, and commits nothing. The revisions of the
+    /// records keep a cancel from being overwritten.
+    fn transaction(&self, write: WriteAction) -> Option<Txn> {
+        let mut txn = Txn::default();
+        if let Some(equals) = write.fence {
+            let key = self.keys.owner(write.partition);
+            txn.compares.push(Compare::CreateRevision { key, equals });
+        }
+        for next in &write.records {
+            let id = &next.record.id;
+            let key = self.keys.job(id);
+            txn.compares.push(Compare::ModRevision {
+                key: key.clone(),
+                equals: next.revision,
+            });
+            txn.success.push(put(key, &next.record)?);
+            if !next.record.is_open() {
+                let key = self.keys.mark(id);
+                txn.success.push(Op::Delete { key });
+            }
+            for Page {
+                sink,
+                number,
+                chunks,
+            } in &next.pages
+            {
+                let key = self.keys.page(id, *sink, *number);
+                txn.success.push(put(key, chunks)?);
+            }
+        }
+        Some(txn)
+    }
+
+    pub(super) async fn read_back(
+        &self,
+        commit: ledger::CommitId,
+        jobs: Vec<JobId>,
+    ) -> Event {
+        let get = |job| Op::Get {
+            key: self.keys.job(job),
+        };
+        let txn = Txn {
+            success: jobs.iter().map(get).collect(),
+            ..Txn::default()
+        };
+        let reply = self.kv.txn(txn).await.ok();
+        let found = reply.map(|reply| {
+            let kvs = got(reply).into_iter().flatten();
+            kvs.filter_map(|kv| seen(&kv)).collect()
+        });
+        Event::ReadBack { commit, found }
+    }
+}
+
+fn put(key: String, value: &impl serde::Serialize) -> Option<Op> {
+    let value = serde_json::to_vec(value).ok()?;
+    let lease = None;
+    Some(Op::Put { key, value, lease })
+}
+
+fn got(reply: TxnReply) -> Vec<Vec<KeyValue>> {
+    let got = reply.replies.into_iter().filter_map(|reply| match reply {
+        OpReply::Got(found) => Some(found),
+        _ => None,
+    });
+    got.collect()
+}
+
+fn owner_seen(kv: &KeyValue) -> Option<OwnerSeen> {
+    Some(OwnerSeen {
+        partition: last(&kv.key).parse().ok()?,
+        member: String::from_utf8_lossy(&kv.value).into_owned(),
+        lease: kv.lease.map_or(0, |lease| lease.0),
+        fence: kv.create_revision,
+    })
+}
+
+fn seen(kv: &KeyValue) -> Option<RecordSeen> {
+    match parse(kv) {
+        Ok(record) => Some(RecordSeen {
+            record,
+            revision: kv.mod_revision,
+        }),
+        Err(report) => {
+            log::error!(error:? = report; "a job cannot be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/batch/owner/grants.rs
@@ -0,0 +1,219 @@
+//! Items to companions, and their results back.
+
+use std::ops::Range;
+
+use base::{FileId, JobId, Tenant};
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use futures::future::join_all;
+use ledger::{Granted, ItemEnd, PullRequest, Taken};
+use serde::Deserialize;
+use wire::message::{Item, ItemOutcome, ItemResult, Pull, PullReply};
+
+use super::{
+    Owner, READ_AGAIN_MS,
+    lines::{self, Reason},
+};
+use crate::{EntryError, batch::input::InputLine};
+
+/// When a companion may come back if there is more work, in milliseconds.
+const MORE_MS: u32 = 50;
+
+/// When it may come back if the open work is on loan or there is none.
+const IDLE_MS: u32 = 500;
+
+/// When it may come back to an entry that owns no partition.
+const NOT_OWNER_MS: u32 = 5_000;
+
+/// Statuses by which the request itself is wrong and would be refused again.
+const CLIENT_ERRORS: Range<u16> = 400..500;
+
+/// Statuses among them that say nothing about the request: the endpoint
+/// timed out, conflicts, is too early or too busy.
+const WORTH_ANOTHER: [u16; 4] = [408, 409, 425, 429];
+
+/// What is needed of a job to read its items.
+struct Source {
+    tenant: Tenant,
+    input: FileId,
+    path: String,
+}
+
+#[derive(Deserialize)]
+struct Model {
+    model: Option<String>,
+}
+
+impl Owner {
+    /// Grants items to a companion.
+    pub(crate) async fn pull(&self, pull: Pull) -> PullReply {
+        let moment = self.moment();
+        let request = PullRequest {
+            vm: &pull.vm,
+            incarnation: pull.incarnation.get(),
+            models: &pull.models,
+            room: pull.room,
+            running: &pull.running,
+        };
+        let (answer, owns) = {
+            let mut ledger = self.ledger();
+            let answer = ledger.pull(moment, &request);
+            (answer, !ledger.partitions().is_empty())
+        };
+        let items = answer.items.into_iter();
+        let read = items.map(|granted| self.item(granted, &pull.models));
+        PullReply {
+            items: join_all(read).await.into_iter().flatten().collect(),
+            revoked: answer.revoked,
+            next_in_ms: match (answer.more, owns) {
+                (true, _) => MORE_MS,
+                (false, true) => IDLE_MS,
+                (false, false) => NOT_OWNER_MS,
+            },
+        }
+    }
+
+    /// Reads a granted item; one that cannot be read or is for another model
+    /// is open again at once.
+    async fn item(&self, granted: Granted, models: &[String]) -> Option<Item> {
+        match self.read(&granted, models).await {
+            Ok(item) => Some(item),
+            Err(report) => {
+                log::info!(
+                    job = granted.job.as_str(), error:? = report;
+                    "an item is not granted"
+                );
+                let Granted {
+                    job, index, grant, ..
+                } = granted;
+                let moment = self.moment();
+                let end = ItemEnd::Returned;
+                self.ledger().result(moment, &job, index, grant, end);
+                None
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        granted: &Granted,
+        models: &[String],
+    ) -> Result<Item, Report<EntryError>> {
+        let source = self.source(&granted.job);
+        let source = source.ok_or(EntryError::Storage)?;
+        let line = self.line(&source, granted.index).await?;
+        let body: Model = serde_json::from_str(line.body.get())
+            .change_context(EntryError::Storage)?;
+        if let Some(model) = body.model
+            && !models.is_empty()
+            && !models.contains(&model)
+        {
+            return Err(Report::new(EntryError::Storage))
+                .attach(format!("it is for the model {model}"));
+        }
+        let ttl_ms = self.grant_ttl_ms;
+        Ok(Item {
+            grant: granted.grant,
+            partition: granted.partition,
+            fence: granted.fence,
+            job: granted.job.clone(),
+            index: granted.index,
+            attempt: granted.attempt,
+            tenant: granted.tenant.clone(),
+            path: source.path,
+            body: Bytes::copy_from_slice(line.body.get().as_bytes()),
+            expires_in_ms: u32::try_from(ttl_ms).unwrap_or(u32::MAX),
+            due_unix_ms: granted.due.as_ms(),
+        })
+    }
+
+    /// Takes results and returns how many were of use.
+    pub(crate) async fn results(&self, results: Vec<ItemResult>) -> u32 {
+        let taken = results.iter().map(|result| self.take(result));
+        let taken = join_all(taken).await;
+        taken.into_iter().map(u32::from).sum()
+    }
+
+    async fn take(&self, result: &ItemResult) -> bool {
+        let Some(source) = self.source(&result.job) else {
+            return false;
+        };
+        let end = match result.outcome {
+            ItemOutcome::Returned => ItemEnd::Returned,
+            ItemOutcome::Answered | ItemOutcome::Lost => {
+                // Without its id the line would be of no use; the loan
+                // expires and the item runs again.
+                let Ok(line) = self.line(&source, result.index).await else {
+                    return false;
+                };
+                self.end(result, &line.custom_id)
+            }
+        };
+        let moment = self.moment();
+        let (job, index) = (&result.job, result.index);
+        let mut ledger = self.ledger();
+        let taken = ledger.result(moment, job, index, result.grant, end);
+        taken != Taken::Ignored
+    }
+
+    fn end(&self, result: &ItemResult, custom_id: &str) -> ItemEnd {
+        let is_answer = result.outcome == ItemOutcome::Answered;
+        if is_answer && result.status < CLIENT_ERRORS.start {
+            return ItemEnd::Completed(lines::output(result, custom_id));
+        }
+        let is_wrong = is_answer
+            && CLIENT_ERRORS.contains(&result.status)
+            && !WORTH_ANOTHER.contains(&result.status);
+        if is_wrong {
+            let line = lines::error(result, custom_id, Reason::Rejected);
+            return ItemEnd::Rejected(line);
+        }
+        let attempts = self.ledger().attempts(&result.job, result.index) + 1;
+        let reason = Reason::Attempts(attempts);
+        ItemEnd::Failed(lines::error(result, custom_id, reason))
+    }
+
+    /// Makes the error line of an item that never came back. The item waits
+    /// for it, so this does not end before the job does.
+    pub(super) async fn give_up(
+        &self,
+        job: JobId,
+        index: u32,
+        attempts: u32,
+    ) {
+        while let Some(source) = self.source(&job) {
+            match self.line(&source, index).await {
+                Ok(line) => {
+                    let id = &line.custom_id;
+                    let line = lines::silent(&job, index, id, attempts);
+                    self.ledger().give_up(&job, index, line);
+                    return;
+                }
+                Err(report) => {
+                    log::warn!(error:? = report; "cannot read an item");
+                }
+            }
+            self.timer.subscribe_in_ms(READ_AGAIN_MS).await;
+        }
+    }
+
+    async fn line(
+        &self,
+        source: &Source,
+        index: u32,
+    ) -> Result<InputLine, Report<EntryError>> {
+        self.pieces
+            .line(&source.tenant, &source.input, index)
+            .await
+    }
+
+    fn source(&self, job: &JobId) -> Option<Source> {
+        let ledger = self.ledger();
+        let record = ledger.job(job)?;
+        Some(Source {
+            tenant: record.tenant.clone(),
+            input: record.input.clone(),
+            path: record.path.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/batch/owner/lines.rs
@@ -0,0 +1,97 @@
+//! Lines of output and error files.
+
+use base::JobId;
+use bytes::Bytes;
+use serde_json::{Value, json};
+use wire::message::{ItemOutcome, ItemResult};
+
+/// Why an item can never complete.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Reason {
+    /// The endpoint refuses the item itself.
+    Rejected,
+    /// Every attempt failed.
+    Attempts(u32),
+}
+
+impl Reason {
+    fn code(self) -> &'static str {
+        match self {
+            Reason::Rejected => "item_rejected",
+            Reason::Attempts(_) => "item_failed",
+        }
+    }
+
+    fn message(self) -> String {
+        match self {
+            Reason::Rejected => "the endpoint rejects this item".to_owned(),
+            Reason::Attempts(n) => format!("given up after {n} attempts"),
+        }
+    }
+}
+
+/// Makes the output line of a completed item.
+pub(super) fn output(result: &ItemResult, custom_id: &str) -> Bytes {
+    let request_id =
+        format!("{}-{}-{}", result.job, result.index, result.attempt);
+    let line = json!({
+        "id": format!("{}-{}", result.job, result.index),
+        "custom_id": custom_id,
+        "response": {
+            "status_code": result.status,
+            "request_id": request_id,
+            "body": body(result),
+        },
+        "error": null,
+    });
+    format!("{line}\n").into()
+}
+
+/// Makes the error line of an item from its last result.
+pub(super) fn error(
+    result: &ItemResult,
+    custom_id: &str,
+    reason: Reason,
+) -> Bytes {
+    let response = match result.outcome {
+        ItemOutcome::Answered => json!({
+            "status_code": result.status,
+            "body": body(result),
+        }),
+        _ => Value::Null,
+    };
+    error_line(&result.job, result.index, custom_id, reason, response)
+}
+
+/// Makes the error line of an item that no endpoint said a word about.
+pub(super) fn silent(
+    job: &JobId,
+    index: u32,
+    custom_id: &str,
+    attempts: u32,
+) -> Bytes {
+    let reason = Reason::Attempts(attempts);
+    error_line(job, index, custom_id, reason, Value::Null)
+}
+
+fn error_line(
+    job: &JobId,
+    index: u32,
+    custom_id: &str,
+    reason: Reason,
+    response: Value,
+) -> Bytes {
+    let line = json!({
+        "id": format!("{job}-{index}"),
+        "custom_id": custom_id,
+        "response": response,
+        "error": {"code": reason.code(), "message": reason.message()},
+    });
+    format!("{line}\n").into()
+}
+
+fn body(result: &ItemResult) -> Value {
+    serde_json::from_slice(&result.body).unwrap_or_else(|_| {
+        String::from_utf8_lossy(&result.body).into_owned().into()
+    })
+}
--- /dev/null
+++ b/crates/entry/src/batch/owner/mod.rs
@@ -0,0 +1,232 @@
+//! Runs the jobs of the partitions that this entry owns.
+//!
+//! [`ledger::Ledger`] decides; this module carries out its actions and
+//! gives it the answers. Each action runs as a task of its own, so that a
+//! slow data VM holds up no lease.
+
+mod calls;
+mod grants;
+mod lines;
+mod pieces;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::timer::Timer;
+use conf::settings::BatchSettings;
+use futures::future::join_all;
+use kv::Kv;
+use ledger::{Action, Chunk, CommitId, Event, Ledger, Moment, Options, Part};
+use tokio::{
+    sync::{Notify, mpsc},
+    task::JoinSet,
+};
+
+use self::{calls::Calls, pieces::Pieces};
+use super::{Blobs, keys::Keys};
+use crate::EntryError;
+
+/// Pause between two ticks of the ledger, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// Pause before an item's input is read once more, in milliseconds.
+const READ_AGAIN_MS: u64 = 1_000;
+
+/// Runs the jobs of the partitions that this entry owns.
+pub(crate) struct Owner {
+    ledger: Mutex<Ledger>,
+    calls: Calls,
+    pieces: Pieces,
+    blobs: Arc<Blobs>,
+    timer: Timer,
+    grant_ttl_ms: u64,
+    poked: Notify,
+    actions: mpsc::UnboundedSender<Action>,
+    /// Taken by the controller.
+    inbox: Mutex<Option<mpsc::UnboundedReceiver<Action>>>,
+}
+
+impl Owner {
+    pub(crate) fn new(
+        kv: Arc<dyn Kv>,
+        keys: Keys,
+        timer: Timer,
+        blobs: Arc<Blobs>,
+        settings: &BatchSettings,
+    ) -> Self {
+        // A restarted entry is another member; its former lease ends by
+        // itself.
+        let member = format!("{:016x}", rand::random::<u64>());
+        let salt = rand::random();
+        let ledger = Ledger::new(member.clone(), salt, options(settings));
+        let calls =
+            Calls::new(kv.clone(), keys.clone(), timer.clone(), member);
+        let pieces = Pieces::new(kv, keys, blobs.clone());
+        let (actions, inbox) = mpsc::unbounded_channel();
+        Self {
+            ledger: Mutex::new(ledger),
+            calls,
+            pieces,
+            blobs,
+            timer,
+            grant_ttl_ms: settings.grant_ttl_ms,
+            poked: Notify::new(),
+            actions,
+            inbox: Mutex::new(Some(inbox)),
+        }
+    }
+
+    /// Returns the partitions that this entry owns.
+    pub(crate) fn partitions(&self) -> Vec<u32> {
+        self.ledger().partitions()
+    }
+
+    /// Returns how many jobs of them are open.
+    pub(crate) fn open_jobs(&self) -> usize {
+        self.ledger().status().open_jobs
+    }
+
+    /// Makes the owner look for new jobs now.
+    pub(crate) fn poke(&self) {
+        self.ledger().poke();
+        self.poked.notify_one();
+    }
+
+    /// Owns, loads and commits until the process ends.
+    pub(crate) async fn work(self: Arc<Self>) {
+        let Some(mut inbox) = self.take_inbox() else {
+            return;
+        };
+        let _revoke = RevokeAtStop(self.clone());
+        // Its tasks end with it.
+        let mut running = JoinSet::new();
+        let mut at_risk = 0;
+        loop {
+            tokio::select! {
+                Some(action) = inbox.recv() => {
+                    running.spawn(self.clone().run(action));
+                }
+                Some(_) = running.join_next() => {}
+                () = self.timer.subscribe_in_ms(TICK_MS) => {
+                    self.tell(Event::Tick);
+                    self.log_risk(&mut at_risk);
+                }
+                () = self.poked.notified() => self.tell(Event::Tick),
+            }
+        }
+    }
+
+    /// Hands an event to the ledger and what it wants done to the
+    /// controller.
+    fn tell(&self, event: Event) {
+        let moment = self.moment();
+        let actions = self.ledger().handle(moment, event);
+        for action in actions {
+            // Without a controller the process is stopping.
+            let _ = self.actions.send(action);
+        }
+    }
+
+    async fn run(self: Arc<Self>, action: Action) {
+        let event = match action {
+            Action::Join { ttl_s } => self.calls.join(ttl_s).await,
+            Action::Renew { lease } => self.calls.renew(lease).await,
+            Action::Look => self.calls.look().await,
+            Action::Claim { partition, lease } => {
+                self.calls.claim(partition, lease).await
+            }
+            Action::Release { partition, fence } => {
+                self.calls.release(partition, fence).await
+            }
+            Action::List { partition, fence } => {
+                self.calls.list(partition, fence).await
+            }
+            Action::Load {
+                partition,
+                fence,
+                job,
+                mark,
+            } => self.calls.load(partition, fence, job, mark).await,
+            Action::Store { commit, parts } => self.store(commit, parts).await,
+            Action::Write(write) => self.calls.write(write).await,
+            Action::ReadBack { commit, jobs, .. } => {
+                self.calls.read_back(commit, jobs).await
+            }
+            Action::GiveUp {
+                job,
+                index,
+                attempts,
+            } => return self.give_up(job, index, attempts).await,
+        };
+        self.tell(event);
+    }
+
+    async fn store(&self, commit: CommitId, parts: Vec<Part>) -> Event {
+        let puts = parts.into_iter().map(|part| {
+            let Part {
+                blob, bytes, items, ..
+            } = part;
+            self.blobs.put(blob, bytes, items)
+        });
+        let stored: Result<Vec<Chunk>, error_stack::Report<EntryError>> =
+            join_all(puts).await.into_iter().collect();
+        let chunks = match stored {
+            Ok(chunks) => Some(chunks),
+            Err(report) => {
+                log::warn!(error:? = report; "results are not stored");
+                None
+            }
+        };
+        Event::Stored { commit, chunks }
+    }
+
+    fn log_risk(&self, before: &mut usize) {
+        let at_risk = self.ledger().status().jobs_at_risk;
+        if at_risk > *before {
+            log::warn!(jobs = at_risk; "batch jobs will be late at this pace");
+        }
+        *before = at_risk;
+    }
+
+    fn moment(&self) -> Moment {
+        Moment {
+            now: self.timer.now(),
+            unix: self.timer.clock().unix(),
+            random: rand::random(),
+        }
+    }
+
+    fn take_inbox(&self) -> Option<mpsc::UnboundedReceiver<Action>> {
+        let inbox = self.inbox.lock();
+        inbox.unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Ends the lease when the controller is stopped, so that other entries need
+/// not wait until it has run out.
+struct RevokeAtStop(Arc<Owner>);
+
+impl Drop for RevokeAtStop {
+    fn drop(&mut self) {
+        let owner = self.0.clone();
+        let lease = owner.ledger().lease();
+        let runtime = tokio::runtime::Handle::try_current();
+        if let (Some(lease), Ok(runtime)) = (lease, runtime) {
+            runtime.spawn(async move { owner.calls.revoke(lease).await });
+        }
+    }
+}
+
+fn options(settings: &BatchSettings) -> Options {
+    Options::default()
+        .partitions(settings.partitions)
+        .lease_ttl_s(settings.lease_ttl_s)
+        .commit_interval_ms(settings.commit_interval_ms)
+        .commit_items_max(settings.commit_items_max as usize)
+        .grant_items_max(settings.grant_items_max)
+        .grant_ttl_ms(settings.grant_ttl_ms)
+        .attempts_max(settings.attempts_max)
+}
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config/mod.rs
@@ -4,6 +4,8 @@
 //! service. Each has a revision of its own, one higher than the last; a
 //! process never applies a lower one, whoever offers it.
 
+mod neighbours;
+
 use std::sync::Arc;
 
 use base::{Millis, Revision, Snapshot, UnixMillis, timer::Timer};
@@ -15,6 +17,7 @@
 use rules::{Compiled, Config};
 use serde::{Deserialize, Serialize};
 
+pub(crate) use self::neighbours::{Neighbours, to_neighbour};
 use crate::{EntryError, batch::platform};
 
 /// Name of the document in errors.
@@ -172,7 +175,7 @@
         }
         let read = self.kv.get(&self.main_key()).await.map_err(platform)?;
         let found = read.kvs.first();
-        let now = found.map(parse).transpose()?;
+        let now = self.newest(found.map(parse).transpose()?);
         let revision = now.as_ref().map_or(0, |now| now.revision.get());
         if let Some(now) = now {
             // The answer to the first copy of this edit was lost.
@@ -193,6 +196,21 @@
         self.accept(next, mod_revision).await
     }
 
+    /// Returns the newer of what the service holds and what is in force.
+    ///
+    /// They differ in that order only if the service's data was restored
+    /// from an old copy. An edit then goes on from what is in force, and its
+    /// write heals the service.
+    fn newest(&self, held: Option<Accepted>) -> Option<Accepted> {
+        let in_force = self.current().map(|now| now.accepted.clone());
+        match (held, in_force) {
+            (Some(held), Some(now)) if now.revision > held.revision => {
+                Some(now)
+            }
+            (held, in_force) => held.or(in_force),
+        }
+    }
+
     async fn accept(
         &self,
         next: Accepted,
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -6,9 +6,13 @@
 //! read only after the caller is known.
 
 mod head;
+mod key;
+mod limit;
 mod route;
 
 pub(crate) use self::{
     head::{Caller, authenticate, check_headers, request_id},
-    route::{Incoming, route},
+    key::idempotency_key,
+    limit::{Limits, Places, RuleLimits},
+    route::{Incoming, Routed, route},
 };
--- a/crates/entry/src/filter/route.rs
+++ b/crates/entry/src/filter/route.rs
@@ -2,14 +2,14 @@
 
 use base::{Class, Millis, RequestId, UnixMillis};
 use bytes::Bytes;
-use rules::{Action, Compiled, Facts, Route, Sample};
+use rules::{Action, Compiled, Decision, Facts, Route, Sample};
 use serde::Deserialize;
 use web::{Problem, ProblemKind, Ran};
 use wire::message::Header;
 
 use crate::{
     exchange::{Exchange, Plan, Subject},
-    filter::Caller,
+    filter::{Caller, RuleLimits},
     shared::Shared,
 };
 
@@ -36,17 +36,23 @@
     model: String,
 }
 
+/// What the rules decided on a request.
+pub(crate) struct Routed {
+    pub(crate) exchange: Exchange,
+    pub(crate) limits: RuleLimits,
+}
+
 /// Finds out what a request asks for and lets the rules decide on it.
 pub(crate) fn route(
     shared: &Shared,
     caller: Caller,
     incoming: Incoming,
-) -> Result<Exchange, Problem> {
+) -> Result<Routed, Problem> {
     let (subject, path) = subject(&incoming)?;
     let class = class(&incoming.headers)?;
     let now = shared.timer.clock().unix();
-    let plan = decide(&caller, &incoming, &subject, class, now)?;
-    Ok(Exchange {
+    let (plan, limits) = decide(&caller, &incoming, &subject, class, now)?;
+    let exchange = Exchange {
         request_id: incoming.request_id,
         received: incoming.received,
         tenant: caller.tenant,
@@ -57,7 +63,8 @@
         headers: incoming.headers,
         body: incoming.body,
         plan,
-    })
+    };
+    Ok(Routed { exchange, limits })
 }
 
 fn bad(why: impl Into<String>) -> Problem {
@@ -106,7 +113,7 @@
     subject: &Subject,
     class: Class,
     now: UnixMillis,
-) -> Result<Plan, Problem> {
+) -> Result<(Plan, RuleLimits), Problem> {
     let compiled = &caller.in_force.compiled;
     let path = incoming.target.split('?').next().unwrap_or_default();
     let (model, service) = match subject {
@@ -125,12 +132,23 @@
     let decision = compiled.decide(&sample, now);
     match decision.action() {
         Action::Route { route, repeatable } => {
-            Ok(plan(compiled, route, repeatable))
+            let limits = rule_limits(&decision, route);
+            Ok((plan(compiled, route, repeatable), limits))
         }
         action => Err(refused(&action)),
     }
 }
 
+fn rule_limits(decision: &Decision<'_>, route: &Route) -> RuleLimits {
+    let number = decision.rule().unwrap_or_default();
+    let name = decision.rule_name().map(str::to_owned);
+    RuleLimits {
+        rule: name.unwrap_or_else(|| format!("#{number}")),
+        rate_per_s: route.rate_per_s(),
+        concurrent: route.concurrent(),
+    }
+}
+
 fn plan(compiled: &Compiled, route: &Route, repeatable: bool) -> Plan {
     let pools = route.pools().filter_map(|key| compiled.pool(key));
     Plan {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,9 @@
 mod api;
 mod batch;
 mod body;
+mod claim;
+mod claim_record;
+mod claim_store;
 mod config;
 mod error;
 mod exchange;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,4 +1,7 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU32},
+};
 
 use base::{Incarnation, SystemClock, timer::Timer};
 use conf::settings::Settings;
@@ -15,7 +18,9 @@
 use crate::{
     EntryError, api,
     batch::{Batch, Blobs},
-    config::ConfigStore,
+    claim_store::Claims,
+    config::{ConfigStore, Neighbours},
+    filter::Limits,
     fleet::Fleet,
     peers::Peers,
     shared::Shared,
@@ -67,6 +72,7 @@
             .connect_timeout_ms(settings.timeouts.connect_ms);
         let links = Links::start(options).change_context(start)?;
         let prefix = key_value.prefix.clone();
+        let claims = Claims::new(kv.clone(), &prefix, timer.clone());
         let batch = Batch::new(
             kv.clone(),
             prefix.clone(),
@@ -81,7 +87,7 @@
             timer: timer.clone(),
             links,
             fleet: Fleet::try_new(&settings.endpoints, &settings.timeouts)?,
-            config: ConfigStore::new(kv, &prefix, timer.clone()),
+            config: Arc::new(ConfigStore::new(kv, &prefix, timer.clone())),
             batch,
             metrics,
             state: ServiceState::default(),
@@ -91,6 +97,8 @@
             streams: Arc::new(Semaphore::new(
                 settings.limits.streams_max as usize,
             )),
+            claims,
+            tenants: Limits::new(Arc::new(entries(settings))),
         });
         let handlers = Handlers {
             entry: Some(Arc::new(Peers(shared.clone()))),
@@ -102,7 +110,11 @@
             .await
             .change_context(start)?;
         let http = launch(settings, &shared).await?;
-        let tasks = spawn(&shared, timer);
+        let mut tasks = spawn(&shared, timer.clone());
+        let entries = settings.entries.clone();
+        let neighbours = Neighbours::new(shared.links.clone(), entries);
+        let store = shared.config.clone();
+        tasks.push(tokio::spawn(neighbours.work(store, timer)));
         log::info!(
             http = http.address().to_string().as_str(),
             peer = peer.address().to_string().as_str();
@@ -152,6 +164,13 @@
     }
 }
 
+/// Counts the entries that share the limits, as far as the settings tell.
+fn entries(settings: &Settings) -> AtomicU32 {
+    let others = settings.entries.len();
+    let others = u32::try_from(others).unwrap_or(u32::MAX);
+    AtomicU32::new(others.saturating_add(1))
+}
+
 fn identity(settings: &Settings) -> Identity {
     Identity {
         role: "entry".to_owned(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 
 use base::{Incarnation, Revision, VmId};
-use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use wire::{
     ConfigReply, EntryHandler,
-    message::{ConfigText, ItemResult, Pull, PullReply},
+    message::{ItemResult, Pull, PullReply},
 };
 
-use crate::shared::Shared;
+use crate::{config::to_neighbour, shared::Shared};
 
 /// Answers companions and other entries.
 pub(crate) struct Peers(pub(crate) Arc<Shared>);
@@ -33,11 +32,9 @@
 
     fn config(&self, have: Revision) -> ConfigReply {
         let now = self.0.config.current()?;
-        let revision = now.accepted.revision;
-        if revision <= have {
+        if now.accepted.revision <= have {
             return None;
         }
-        let bytes = Bytes::copy_from_slice(now.accepted.text.as_bytes());
-        Some(ConfigText { revision, bytes })
+        to_neighbour(&now.accepted)
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,7 +9,13 @@
 use web::{Active, Problem, ProblemKind, Ran, ServiceState};
 use wire::Links;
 
-use crate::{batch::Batch, config::ConfigStore, fleet::Fleet};
+use crate::{
+    batch::Batch,
+    claim_store::Claims,
+    config::ConfigStore,
+    filter::{Limits, Places},
+    fleet::Fleet,
+};
 
 /// What the parts of an entry share.
 pub(crate) struct Shared {
@@ -18,7 +24,7 @@
     pub(crate) timer: Timer,
     pub(crate) links: Links,
     pub(crate) fleet: Fleet,
-    pub(crate) config: ConfigStore,
+    pub(crate) config: Arc<ConfigStore>,
     pub(crate) batch: Batch,
     pub(crate) metrics: Metrics,
     pub(crate) state: ServiceState,
@@ -26,6 +32,8 @@
     pub(crate) timeouts: TimeoutSettings,
     pub(crate) admin_keys: Vec<KeyDigest>,
     pub(crate) streams: Arc<Semaphore>,
+    pub(crate) claims: Claims,
+    pub(crate) tenants: Limits,
 }
 
 /// The place of a call, held until its answer has ended.
@@ -33,6 +41,15 @@
 pub(crate) struct Admitted {
     _permit: OwnedSemaphorePermit,
     _active: Active,
+    places: Option<Places>,
+}
+
+impl Admitted {
+    /// Keeps the places under the limits of tenant and rule, too.
+    pub(crate) fn under(mut self, places: Places) -> Self {
+        self.places = Some(places);
+        self
+    }
 }
 
 /// When a caller may come back to an entry that is full, in milliseconds.
@@ -54,6 +71,7 @@
         Ok(Admitted {
             _permit: permit,
             _active: self.state.begin(),
+            places: None,
         })
     }
 }
