Let the gate decide at the companion, pull with items in hand

Cause: the semaphore made an online call wait for running batch items, the engine idled between pulls, each result was a message and was dropped after five attempts, grants were renewed only without room, and Load told no latencies.

--- a/crates/companion/src/admission.rs
+++ b/crates/companion/src/admission.rs
@@ -1,141 +1,280 @@
-//! Who runs at the endpoint next.
+//! Drives the gate: hands its decisions to the calls that wait for them.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
 };
 
-use conf::settings::EndpointSettings;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use base::{Millis, Tenant, UnixMillis, timer::Timer};
+use gate::{
+    Action, Arrival, BatchArrival, CallKey, End, Event, Gate, GateLoad,
+    GateOptions, Refused, StopWhy,
+};
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, mpsc};
+use upstream::Seen;
+
+/// Time between two looks of the gate at what has not moved.
+const TICK_MS: u64 = 50;
+
+/// Weight of every tenant; the rules give none yet.
+const WEIGHT: u32 = 1;
+
+/// A decision on one call.
+#[derive(Clone, Copy, Debug)]
+enum Signal {
+    Start,
+    GiveUp(Refused),
+    Return,
+    Stop(StopWhy),
+}
 
-/// Online calls that may wait for each one that may run.
-const WAITING_PER_RUNNING: u32 = 4;
+struct State {
+    gate: Gate,
+    signals: SecondaryMap<CallKey, mpsc::UnboundedSender<Signal>>,
+    actions: Vec<Action>,
+}
+
+impl State {
+    /// Hands the decisions out. The receivers may be gone: their calls end
+    /// at the same moment.
+    fn tell(&mut self) {
+        for action in self.actions.drain(..) {
+            let (key, signal) = match action {
+                Action::Start(key) => (key, Signal::Start),
+                Action::GiveUp(key, why) => (key, Signal::GiveUp(why)),
+                Action::Return(key) => (key, Signal::Return),
+                Action::Stop(key, why) => (key, Signal::Stop(why)),
+            };
+            if let Some(sender) = self.signals.get(key) {
+                let _ = sender.send(signal);
+            }
+        }
+    }
+}
 
-/// Counts what runs and decides what starts.
+/// The gate of this endpoint.
 pub(crate) struct Admission {
-    online: Arc<Semaphore>,
-    max_running: u32,
-    batch_max_running: u32,
-    waiting: AtomicU32,
-    online_running: AtomicU32,
-    batch_running: AtomicU32,
+    state: Mutex<State>,
+    timer: Timer,
     changed: Notify,
 }
 
-/// Why an online call was not admitted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Full;
-
 impl Admission {
-    pub(crate) fn new(endpoint: &EndpointSettings) -> Arc<Self> {
+    pub(crate) fn new(options: GateOptions, timer: Timer) -> Arc<Self> {
+        let state = State {
+            gate: Gate::new(options, timer.now()),
+            signals: SecondaryMap::new(),
+            actions: Vec::new(),
+        };
         Arc::new(Self {
-            online: Arc::new(Semaphore::new(endpoint.max_running as usize)),
-            max_running: endpoint.max_running,
-            batch_max_running: endpoint.batch_max_running,
-            waiting: AtomicU32::new(0),
-            online_running: AtomicU32::new(0),
-            batch_running: AtomicU32::new(0),
+            state: Mutex::new(state),
+            timer,
             changed: Notify::new(),
         })
     }
 
-    /// Takes a place in the queue of online calls, unless it is long.
+    /// Takes an online call or refuses it at once.
     ///
     /// A long queue only moves the wait here, where the entry cannot send
     /// the call elsewhere any more; a refusal costs it a millisecond.
-    pub(crate) fn enqueue(self: &Arc<Self>) -> Result<Queued, Full> {
-        let limit = self.max_running.saturating_mul(WAITING_PER_RUNNING);
-        if self.waiting.fetch_add(1, Ordering::AcqRel) >= limit {
-            self.waiting.fetch_sub(1, Ordering::AcqRel);
-            return Err(Full);
+    pub(crate) fn arrive(
+        self: &Arc<Self>,
+        tenant: &Tenant,
+    ) -> Result<Place, Refused> {
+        let arrival = Arrival {
+            tenant: tenant.clone(),
+            weight: WEIGHT,
+        };
+        self.enter(|gate, now, actions| gate.arrive(now, &arrival, actions))
+    }
+
+    /// Takes a batch item in hand.
+    pub(crate) fn offer(
+        self: &Arc<Self>,
+        tenant: &Tenant,
+        due: UnixMillis,
+    ) -> Place {
+        let unix = self.timer.clock().unix();
+        let due_in_ms = due.saturating_ms_since(unix);
+        let item = BatchArrival {
+            tenant: tenant.clone(),
+            weight: WEIGHT,
+            due: self.timer.now().saturating_add_ms(due_in_ms),
+        };
+        let entered = self.enter(|gate, now, actions| {
+            Ok::<_, std::convert::Infallible>(gate.offer(now, &item, actions))
+        });
+        match entered {
+            Ok(place) => place,
+            Err(never) => match never {},
         }
-        Ok(Queued {
+    }
+
+    fn enter<E>(
+        self: &Arc<Self>,
+        take: impl FnOnce(
+            &mut Gate,
+            Millis,
+            &mut Vec<Action>,
+        ) -> Result<CallKey, E>,
+    ) -> Result<Place, E> {
+        let (sender, signals) = mpsc::unbounded_channel();
+        let now = self.timer.now();
+        let mut state = self.lock();
+        let State { gate, actions, .. } = &mut *state;
+        let key = take(gate, now, actions)?;
+        state.signals.insert(key, sender);
+        state.tell();
+        drop(state);
+        self.changed.notify_one();
+        Ok(Place {
             admission: self.clone(),
+            key,
+            signals,
+            started: false,
+            ended: false,
+            last_event: None,
         })
     }
 
-    /// Returns how many more batch items may start now.
-    pub(crate) fn batch_room(&self) -> u32 {
-        if self.waiting.load(Ordering::Acquire) > 0 {
-            return 0;
+    /// Tells the gate what has happened.
+    pub(crate) fn handle(&self, event: Event) {
+        let now = self.timer.now();
+        let mut state = self.lock();
+        let State { gate, actions, .. } = &mut *state;
+        gate.handle(now, event, actions);
+        state.tell();
+        match event {
+            Event::Ended { key, .. } | Event::Left(key) => {
+                state.signals.remove(key);
+            }
+            Event::Token { .. } => return,
+            _ => {}
         }
-        let batch = self.batch_running.load(Ordering::Acquire);
-        let online = self.online_running.load(Ordering::Acquire);
-        let own = self.batch_max_running.saturating_sub(batch);
-        let shared = self.max_running.saturating_sub(batch + online);
-        own.min(shared)
+        drop(state);
+        self.changed.notify_one();
     }
 
-    pub(crate) fn start_batch(self: &Arc<Self>) -> BatchPlace {
-        self.batch_running.fetch_add(1, Ordering::AcqRel);
-        BatchPlace {
-            admission: self.clone(),
+    /// Lets the gate see the time pass until the process ends.
+    pub(crate) async fn tick(self: Arc<Self>) {
+        loop {
+            self.timer.subscribe_in_ms(TICK_MS).await;
+            self.handle(Event::Tick);
         }
     }
 
-    /// Resolves when something has ended.
+    /// Returns how many batch items should be pulled now.
+    pub(crate) fn batch_wanted(&self) -> u32 {
+        self.lock().gate.batch_wanted(self.timer.now())
+    }
+
+    /// Resolves when something has changed at the gate.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
 
-    pub(crate) fn running(&self) -> u32 {
-        self.online_running.load(Ordering::Acquire) + self.batch_running()
+    pub(crate) fn load(&self) -> GateLoad {
+        self.lock().gate.load(self.timer.now())
     }
 
-    pub(crate) fn waiting(&self) -> u32 {
-        self.waiting.load(Ordering::Acquire)
+    /// Tells whether nothing runs or waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.lock().gate.is_empty()
     }
 
-    pub(crate) fn batch_running(&self) -> u32 {
-        self.batch_running.load(Ordering::Acquire)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// A place in the queue of online calls.
-pub(crate) struct Queued {
-    admission: Arc<Admission>,
+/// Why a batch item in hand does not start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NotStarted {
+    /// An online call that waited too long.
+    Refused(Refused),
+    /// An item that another companion may run.
+    Returned,
 }
 
-impl Queued {
-    /// Waits for its turn; `None` only when the process ends.
-    pub(crate) async fn admitted(self) -> Option<OnlinePlace> {
-        let admission = self.admission.clone();
-        let permit = admission.online.clone().acquire_owned().await.ok()?;
-        admission.online_running.fetch_add(1, Ordering::AcqRel);
-        Some(OnlinePlace {
-            admission,
-            _permit: permit,
-        })
-    }
+/// A call at the gate; dropping it ends it.
+pub(crate) struct Place {
+    admission: Arc<Admission>,
+    key: CallKey,
+    signals: mpsc::UnboundedReceiver<Signal>,
+    started: bool,
+    ended: bool,
+    last_event: Option<Instant>,
 }
 
-impl Drop for Queued {
-    fn drop(&mut self) {
-        self.admission.waiting.fetch_sub(1, Ordering::AcqRel);
+impl Place {
+    /// Waits for its turn.
+    pub(crate) async fn start(&mut self) -> Result<(), NotStarted> {
+        match self.signals.recv().await {
+            Some(Signal::Start) => {
+                self.started = true;
+                Ok(())
+            }
+            Some(Signal::GiveUp(why)) => Err(NotStarted::Refused(why)),
+            Some(Signal::Return | Signal::Stop(_)) | None => {
+                Err(NotStarted::Returned)
+            }
+        }
     }
-}
 
-/// An online call that runs.
-pub(crate) struct OnlinePlace {
-    admission: Arc<Admission>,
-    _permit: OwnedSemaphorePermit,
-}
+    /// Resolves when the gate stops the started call, if it ever does.
+    pub(crate) async fn stopped(&mut self) -> StopWhy {
+        loop {
+            match self.signals.recv().await {
+                Some(Signal::Stop(why)) => return why,
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    }
 
-impl Drop for OnlinePlace {
-    fn drop(&mut self) {
-        self.admission.online_running.fetch_sub(1, Ordering::AcqRel);
-        self.admission.changed.notify_waiters();
+    /// Tells the progress of the call and returns the time since the token
+    /// before, if there was one.
+    pub(crate) fn seen(&mut self, seen: Seen) -> Option<u32> {
+        let key = self.key;
+        match seen {
+            Seen::Stream => self.admission.handle(Event::Streams(key)),
+            // Blanks keep an answer alive while its engine stands still.
+            Seen::Bytes => {}
+            Seen::Event => {
+                let now = Instant::now();
+                let Some(last) = self.last_event.replace(now) else {
+                    self.admission.handle(Event::FirstToken(key));
+                    return None;
+                };
+                let gap = now.saturating_duration_since(last).as_micros();
+                let gap_us = u32::try_from(gap).unwrap_or(u32::MAX);
+                self.admission.handle(Event::Token { key, gap_us });
+                return Some(gap_us);
+            }
+        }
+        None
     }
-}
 
-/// A batch item that runs.
-pub(crate) struct BatchPlace {
-    admission: Arc<Admission>,
+    /// Reports the end of the call.
+    pub(crate) fn end(mut self, end: End) {
+        self.ended = true;
+        let key = self.key;
+        self.admission.handle(Event::Ended { key, end });
+    }
 }
 
-impl Drop for BatchPlace {
+impl Drop for Place {
     fn drop(&mut self) {
-        self.admission.batch_running.fetch_sub(1, Ordering::AcqRel);
-        self.admission.changed.notify_waiters();
+        if self.ended {
+            return;
+        }
+        let key = self.key;
+        self.admission.handle(if self.started {
+            let end = End::Failed;
+            Event::Ended { key, end }
+        } else {
+            Event::Left(key)
+        });
     }
 }
--- a/crates/companion/src/handler.rs
+++ b/crates/companion/src/handler.rs
@@ -3,20 +3,21 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use base::{Class, Incarnation, timer::Timer};
+use base::{Incarnation, timer::Timer};
 use conf::settings::EndpointSettings;
 use futures::future::{BoxFuture, FutureExt};
+use gate::{End, Refused, RefusedWhy};
 use obs::{Counter, Metrics, Series};
-use upstream::EndpointClient;
+use upstream::{EndpointClient, Seen};
 use wire::{
     Answer, CompanionHandler,
-    message::{Load, Order, OutcomeKind, Refusal, RefusalKind, Request},
+    message::{
+        Frame, Load, Order, Outcome, OutcomeKind, Refusal, RefusalKind,
+        Request,
+    },
 };
 
-use crate::admission::{Admission, Queued};
-
-/// When a refused caller may come back to a full endpoint, in milliseconds.
-const FULL_RETRY_AFTER_MS: u32 = 500;
+use crate::admission::{Admission, NotStarted, Place};
 
 /// What the parts of a companion share.
 pub(crate) struct Shared {
@@ -41,15 +42,16 @@
     }
 
     pub(crate) fn load(&self) -> Load {
+        let gate = self.admission.load();
         Load {
-            running: self.admission.running(),
-            waiting: self.admission.waiting(),
-            batch_running: self.admission.batch_running(),
-            first_token_ms: 0,
-            between_tokens_ms: 0,
+            running: gate.running,
+            waiting: gate.waiting,
+            batch_running: gate.batch_running,
+            first_token_ms: gate.first_token_ms,
+            between_tokens_ms: gate.between_tokens_ms,
             leaving: self.is_leaving(),
             incarnation: self.incarnation,
-            endpoint_up: self.is_up(),
+            endpoint_up: self.is_up() && !gate.stalled,
         }
     }
 
@@ -70,15 +72,23 @@
         Ok(())
     }
 
-    fn admit(&self, request: &Request) -> Result<Queued, Refusal> {
+    fn admit(&self, request: &Request) -> Result<Place, Refusal> {
         self.check(request)?;
-        self.admission.enqueue().map_err(|_| {
-            Refusal::new(RefusalKind::Full, "the endpoint is full")
-                .retry_after_ms(FULL_RETRY_AFTER_MS)
-        })
+        let place = self.admission.arrive(&request.tenant);
+        place.map_err(refusal)
     }
 }
 
+fn refusal(refused: Refused) -> Refusal {
+    let kind = match refused.why {
+        RefusedWhy::Full => RefusalKind::Full,
+        RefusedWhy::Stalled => RefusalKind::EndpointDown,
+        RefusedWhy::Leaving => RefusalKind::Leaving,
+    };
+    Refusal::new(kind, refused.why.as_str())
+        .retry_after_ms(refused.retry_after_ms)
+}
+
 /// Answers entries.
 pub(crate) struct Handler(pub(crate) Arc<Shared>);
 
@@ -90,8 +100,8 @@
     ) -> BoxFuture<'static, Result<(), Refusal>> {
         let shared = self.0.clone();
         async move {
-            let queued = shared.admit(&request)?;
-            tokio::spawn(serve(shared, queued, request, answer));
+            let place = shared.admit(&request)?;
+            tokio::spawn(serve(shared, place, request, answer));
             Ok(())
         }
         .boxed()
@@ -109,39 +119,75 @@
 
 async fn serve(
     shared: Arc<Shared>,
-    queued: Queued,
+    mut place: Place,
     request: Request,
     answer: Answer,
 ) {
     let tenant = shared.metrics.tenant(&request.tenant);
     let arrived = shared.timer.now();
-    tenant.count(Counter::Arrived, request.class, 1);
-    let place = tokio::select! {
-        place = queued.admitted() => place,
+    let class = request.class;
+    tenant.count(Counter::Arrived, class, 1);
+    let started = tokio::select! {
+        started = place.start() => Some(started),
         () = answer.closed() => None,
     };
-    let Some(_place) = place else {
-        tenant.count(Counter::Cancelled, request.class, 1);
-        return;
-    };
+    match started {
+        Some(Ok(())) => {}
+        Some(Err(why)) => {
+            tenant.count(Counter::Refused, class, 1);
+            // If the caller has left, nobody needs the end.
+            let _ = answer.send(given_up(why)).await;
+            return;
+        }
+        None => {
+            tenant.count(Counter::Cancelled, class, 1);
+            return;
+        }
+    }
     let waited_ms = shared.timer.now().saturating_ms_since(arrived);
-    tenant.record(Series::QueueWaitUs, Class::Online, waited_ms * 1_000);
-    let class = request.class;
-    let first = tenant.clone();
-    let timer = shared.timer.clone();
-    let on_first = move || {
-        let ms = timer.now().saturating_ms_since(arrived);
-        first.record(Series::FirstTokenMs, class, ms);
+    tenant.record(Series::QueueWaitUs, class, waited_ms * 1_000);
+    let mut is_first = true;
+    let on_seen = |seen| {
+        let gap_us = place.seen(seen);
+        if let Some(gap_us) = gap_us {
+            let gap_us = u64::from(gap_us);
+            tenant.record(Series::BetweenTokensUs, class, gap_us);
+        }
+        if seen != Seen::Stream && std::mem::take(&mut is_first) {
+            let ms = shared.timer.now().saturating_ms_since(arrived);
+            tenant.record(Series::FirstTokenMs, class, ms);
+        }
     };
-    let outcome = shared.client.run(request, &answer, on_first).await;
-    let counter = match outcome.kind {
-        OutcomeKind::Complete => Counter::Completed,
-        OutcomeKind::Cancelled => Counter::Cancelled,
-        _ => Counter::Failed,
+    let outcome = shared.client.run_seen(request, &answer, on_seen).await;
+    let (counter, end) = match outcome.kind {
+        OutcomeKind::Complete => {
+            (Counter::Completed, End::Whole { tokens: 0 })
+        }
+        OutcomeKind::Cancelled => (Counter::Cancelled, End::Failed),
+        _ => (Counter::Failed, End::Failed),
     };
+    place.end(end);
     tenant.count(counter, class, 1);
 }
 
+/// Makes the end of a call that was taken but never started. The entry
+/// hears at once that it did not run, and can send it elsewhere.
+fn given_up(why: NotStarted) -> Frame {
+    let detail = match why {
+        NotStarted::Refused(refused) => format!(
+            "{}; come back in {} ms",
+            refused.why, refused.retry_after_ms
+        ),
+        NotStarted::Returned => "the endpoint is leaving".to_owned(),
+    };
+    Frame::End(Outcome {
+        kind: OutcomeKind::NotSent,
+        ran: false,
+        detail,
+        chunks: 0,
+    })
+}
+
 /// Passes an order on unless a newer one was obeyed.
 ///
 /// Some endpoints ignore fencing numbers. An owner that was paused past its
--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -7,8 +7,9 @@
 };
 
 use base::{Incarnation, SystemClock, timer::Timer};
-use conf::settings::Settings;
+use conf::settings::{EndpointKind, EndpointSettings, Settings};
 use error_stack::{Report, ResultExt};
+use gate::{Event, GateOptions, Policy};
 use obs::Metrics;
 use tokio::task::JoinHandle;
 use upstream::EndpointClient;
@@ -50,6 +51,20 @@
     pub async fn start(
         settings: &Settings,
         metrics: Metrics,
+    ) -> Result<Self, Report<CompanionError>> {
+        Self::start_with(settings, metrics, Policy::Adaptive).await
+    }
+
+    /// Starts a companion whose gate follows another policy, to measure
+    /// against.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Companion::start`].
+    pub async fn start_with(
+        settings: &Settings,
+        metrics: Metrics,
+        policy: Policy,
     ) -> Result<Self, Report<CompanionError>> {
         let start = CompanionError::Start;
         let endpoint = settings.endpoint.clone().ok_or_else(|| {
@@ -64,7 +79,10 @@
         .change_context(start)?;
         let incarnation = Incarnation::new(rand::random());
         let shared = Arc::new(Shared {
-            admission: Admission::new(&endpoint),
+            admission: Admission::new(
+                gate_options(&endpoint).policy(policy),
+                timer.clone(),
+            ),
             endpoint,
             incarnation,
             client,
@@ -107,12 +125,14 @@
             shared.clone(),
             links.clone(),
             identity.clone(),
-            settings.entries.clone(),
+            &settings.entries,
         );
         let tasks = vec![
             tokio::spawn(timer.drive()),
             tokio::spawn(probe::watch(shared.clone())),
+            tokio::spawn(shared.admission.clone().tick()),
             tokio::spawn(puller.clone().work()),
+            tokio::spawn(puller.clone().renew_forever()),
         ];
         state.set(Phase::Ready);
         log::info!(
@@ -151,6 +171,7 @@
     pub async fn drain(self) {
         self.state.set(Phase::Draining);
         self.shared.leaving.store(true, Ordering::Release);
+        self.shared.admission.handle(Event::Drain);
         self.tell_entries().await;
         let timer = &self.shared.timer;
         let limit = timer.now().saturating_add_ms(self.drain_ms);
@@ -162,7 +183,7 @@
 
     /// Stops at once; what runs is cut.
     pub async fn stop(self) {
-        self.puller.give_back_all();
+        self.puller.abort_all();
         for task in &self.tasks {
             task.abort();
         }
@@ -171,8 +192,7 @@
     }
 
     fn is_busy(&self) -> bool {
-        let admission = &self.shared.admission;
-        admission.running() + admission.waiting() > 0
+        !self.shared.admission.is_idle() || self.puller.is_reporting()
     }
 
     /// The platform's list lags by up to a minute, so the entries hear of
@@ -193,6 +213,24 @@
 /// Pause between looks at what still runs, in milliseconds.
 const DRAIN_LOOK_MS: u64 = 20;
 
+/// Longest promised time that the gate works with, in milliseconds.
+const TARGET_MAX_MS: u64 = 3_600_000;
+
+fn gate_options(endpoint: &EndpointSettings) -> GateOptions {
+    let ms = |ms: u64| ms.min(TARGET_MAX_MS) as u32;
+    let mut options =
+        GateOptions::new(endpoint.max_running, endpoint.batch_max_running)
+            .targets(
+                ms(endpoint.first_token_target_ms),
+                ms(endpoint.between_tokens_target_ms),
+            );
+    if endpoint.kind == EndpointKind::Service {
+        // A stream of a service may rightly be silent for long.
+        options.stall_after_ms = 0;
+    }
+    options
+}
+
 fn secrets(settings: &Settings) -> Result<Secrets, Report<CompanionError>> {
     settings
         .peer_secrets
--- a/crates/companion/src/probe.rs
+++ b/crates/companion/src/probe.rs
@@ -5,6 +5,9 @@
     time::Duration,
 };
 
+use gate::Event;
+use upstream::EndpointLife;
+
 use crate::handler::Shared;
 
 /// Pause between two questions, in milliseconds.
@@ -20,9 +23,14 @@
 /// Asks the endpoint for its health until the process ends.
 pub(crate) async fn watch(shared: Arc<Shared>) {
     let mut failures = 0;
+    let mut last_life: Option<EndpointLife> = None;
     loop {
-        if shared.client.is_healthy(PROBE_TIMEOUT).await {
+        if let Some(life) = shared.client.health(PROBE_TIMEOUT).await {
             failures = 0;
+            let last = last_life.replace(life.clone());
+            if last.is_some_and(|last| last != life) {
+                restarted(&shared, &life);
+            }
             note(&shared, true);
         } else {
             failures += 1;
@@ -34,6 +42,17 @@
     }
 }
 
+/// What was measured at the old engine says nothing of the new one.
+fn restarted(shared: &Shared, life: &EndpointLife) {
+    log::info!(
+        endpoint = shared.endpoint.name.as_str(),
+        version = life.version.as_str(),
+        incarnation = life.incarnation.as_str();
+        "the endpoint is another one than before"
+    );
+    shared.admission.handle(Event::Restarted);
+}
+
 fn note(shared: &Shared, up: bool) {
     if shared.endpoint_up.swap(up, Ordering::AcqRel) != up {
         log::info!(endpoint = shared.endpoint.name.as_str(), up; "endpoint");
--- a/crates/companion/src/status.rs
+++ b/crates/companion/src/status.rs
@@ -18,6 +18,11 @@
     running: u32,
     waiting: u32,
     batch_running: u32,
+    batch_waiting: u32,
+    batch_limit: u32,
+    first_token_ms: u32,
+    between_tokens_ms: u32,
+    stalled: bool,
     metrics: HistogramTable,
 }
 
@@ -28,6 +33,7 @@
 #[get("/status")]
 fn status(shared: &State<Arc<Shared>>) -> Json<Status> {
     let load = shared.load();
+    let gate = shared.admission.load();
     Json(Status {
         role: "companion",
         endpoint: shared.endpoint.name.to_string(),
@@ -38,6 +44,11 @@
         running: load.running,
         waiting: load.waiting,
         batch_running: load.batch_running,
+        batch_waiting: gate.batch_waiting,
+        batch_limit: gate.batch_limit,
+        first_token_ms: load.first_token_ms,
+        between_tokens_ms: load.between_tokens_ms,
+        stalled: gate.stalled,
         metrics: shared.metrics.snapshot(),
     })
 }
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -30,7 +30,12 @@
         let hand =
             (ends.ceil() as u32).clamp(*HAND_ITEMS.start(), *HAND_ITEMS.end());
         let have = self.batch_running + self.batch_waiting;
-        (room + hand).saturating_sub(have)
+        // Half of the hand lasts for a pull; asking at each item's end would
+        // make a message for each.
+        if have > room + hand / 2 {
+            return 0;
+        }
+        room + hand - have
     }
 
     pub(crate) fn dispatch(&mut self, now: Millis, actions: &mut Vec<Action>) {
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -42,6 +42,57 @@
 
 impl std::error::Error for EndpointError {}
 
+/// Progress of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash)]
+pub enum Seen {
+    /// The answer is an event stream.
+    Stream,
+    /// An event that carries a part of the answer.
+    Event,
+    /// Bytes of an answer that is no event stream.
+    Bytes,
+}
+
+/// What tells one life of an endpoint from another; empty if it does not say.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_upstream::EndpointLife;
+///
+/// let body = br#"{"status":"ok","version":"1.0.0","incarnation":7}"#;
+/// let life = EndpointLife::of_health(body);
+/// assert_eq!(life.version, "1.0.0");
+/// assert_ne!(life, EndpointLife::of_health(b"ok"));
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EndpointLife {
+    /// Version of its software.
+    pub version: String,
+    /// Life of its process, as it writes it.
+    pub incarnation: String,
+}
+
+impl EndpointLife {
+    /// Reads the body of a health page.
+    pub fn of_health(body: &[u8]) -> Self {
+        let body: serde_json::Value =
+            serde_json::from_slice(body).unwrap_or_default();
+        Self {
+            version: text_of(&body["version"]),
+            incarnation: text_of(&body["incarnation"]),
+        }
+    }
+}
+
+fn text_of(value: &serde_json::Value) -> String {
+    match value {
+        serde_json::Value::Null => String::new(),
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
 /// Calls one endpoint; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct EndpointClient {
@@ -121,13 +172,31 @@
         request: Request,
         answer: &Answer,
         on_first: impl FnOnce(),
+    ) -> Outcome {
+        let mut on_first = Some(on_first);
+        let on_seen = |seen| {
+            if seen != Seen::Stream
+                && let Some(on_first) = on_first.take()
+            {
+                on_first();
+            }
+        };
+        self.run_seen(request, answer, on_seen).await
+    }
+
+    /// Runs a call to its end, sends its frames and tells its progress.
+    pub async fn run_seen(
+        &self,
+        request: Request,
+        answer: &Answer,
+        on_seen: impl FnMut(Seen),
     ) -> Outcome {
         let mut progress = Progress {
             sent_head: false,
             chunks: 0,
         };
         let deadline = deadline(request.deadline_ms);
-        let work = self.work(request, answer, &mut progress, on_first);
+        let work = self.work(request, answer, &mut progress, on_seen);
         let ended = tokio::select! {
             ended = work => ended,
             () = answer.closed() => Err(Ended::cancelled()),
@@ -160,7 +229,7 @@
         request: Request,
         answer: &Answer,
         progress: &mut Progress,
-        on_first: impl FnOnce(),
+        mut on_seen: impl FnMut(Seen),
     ) -> Result<(), Ended> {
         let mut response = self.send(request).await?;
         let head = Frame::Head {
@@ -171,17 +240,15 @@
         progress.sent_head = true;
         if is_event_stream(&response) {
             let mut events = EventSplitter::default();
-            let mut on_first = Some(on_first);
+            on_seen(Seen::Stream);
             while let Some(bytes) = self.next_bytes(&mut response).await? {
                 events.push(&bytes);
                 while let Some(event) = events.next_event().map_err(|_| {
                     let detail = "an event is too large";
                     Ended::new(OutcomeKind::Broken, true, detail)
                 })? {
-                    if !EventSplitter::is_comment(&event)
-                        && let Some(on_first) = on_first.take()
-                    {
-                        on_first();
+                    if EventSplitter::is_content(&event) {
+                        on_seen(Seen::Event);
                     }
                     pass(answer, progress, event).await?;
                 }
@@ -193,11 +260,8 @@
             }
             return Ok(());
         }
-        let mut on_first = Some(on_first);
         while let Some(bytes) = self.next_bytes(&mut response).await? {
-            if let Some(on_first) = on_first.take() {
-                on_first();
-            }
+            on_seen(Seen::Bytes);
             pass(answer, progress, bytes).await?;
         }
         Ok(())
@@ -336,11 +400,20 @@
 
     /// Asks the endpoint whether it lives.
     pub async fn is_healthy(&self, limit: Duration) -> bool {
+        self.health(limit).await.is_some()
+    }
+
+    /// Asks the endpoint whether it lives, and which life that is.
+    pub async fn health(&self, limit: Duration) -> Option<EndpointLife> {
         let url = self.address.join("/health");
-        let call = self.fresh.get(url).send();
-        matches!(
-            timeout(limit, call).await,
-            Ok(Ok(reply)) if reply.status().is_success()
-        )
+        let ask = async {
+            let reply = self.fresh.get(url).send().await.ok()?;
+            if !reply.status().is_success() {
+                return None;
+            }
+            let body = reply.bytes().await.ok()?;
+            Some(EndpointLife::of_health(&body))
+        };
+        timeout(limit, ask).await.ok().flatten()
     }
 }
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -86,6 +86,13 @@
         event.first() == Some(&b':')
     }
 
+    /// Tells whether an event carries a part of the answer: it is neither a
+    /// comment nor the end mark.
+    #[inline]
+    pub fn is_content(event: &[u8]) -> bool {
+        !Self::is_comment(event) && !event.starts_with(END_MARK)
+    }
+
     /// Tells whether the end mark was seen. A stream that ends without it
     /// is not an answer.
     #[inline]
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,6 +10,6 @@
 mod events;
 
 pub use crate::{
-    client::{EndpointClient, EndpointError},
+    client::{EndpointClient, EndpointError, EndpointLife, Seen},
     events::{EventSplitter, EventTooLarge},
 };
