--- a/crates/entry/src/api/batches.rs
+++ b/crates/entry/src/api/batches.rs
@@ -9,7 +9,7 @@
     post,
     request::{FromRequest, Outcome, Request},
     routes,
-    serde::json::Json,
+    serde::json::{Error as JsonError, Json},
 };
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -72,9 +72,12 @@
     shared: &State<Arc<Shared>>,
     caller: Authenticated,
     key: IdempotencyKey,
-    body: Result<Json<Create>, rocket::serde::json::Error<'_>>,
+    body: Result<Json<Create>, JsonError<'_>>,
 ) -> Result<Json<Value>, Problem> {
-    let body = body.map_err(|error| invalid(error.to_string()))?;
+    let body = body.map_err(|error| match error {
+        JsonError::Io(error) => too_large(&error),
+        JsonError::Parse(_, error) => invalid(error.to_string()),
+    })?;
     let create = body.into_inner();
     let input: FileId =
         create.input_file_id.parse().map_err(|_| no_input())?;
@@ -104,6 +107,11 @@
     Problem::new(ProblemKind::Invalid, why).ran(Ran::No)
 }
 
+/// The server library reads no further than the limit.
+fn too_large(error: &std::io::Error) -> Problem {
+    Problem::new(ProblemKind::TooLarge, error.to_string()).ran(Ran::No)
+}
+
 fn no_input() -> Problem {
     let why = "there is no such input file";
     Problem::new(ProblemKind::NotFound, why).ran(Ran::No)
@@ -158,7 +166,8 @@
 }
 
 fn no_job() -> Problem {
-    Problem::new(ProblemKind::NotFound, "there is no such batch")
+    let why = "there is no such batch";
+    Problem::new(ProblemKind::NotFound, why).ran(Ran::No)
 }
 
 #[get("/v1/batches/<id>")]
@@ -180,26 +189,19 @@
     limit: Option<usize>,
     after: Option<&str>,
 ) -> Result<Json<Value>, Problem> {
-    let jobs = shared
+    let limit = limit.unwrap_or(20).clamp(1, 100);
+    let page = shared
         .batch
-        .list(&caller.caller.tenant)
+        .list(&caller.caller.tenant, after, limit)
         .await
         .map_err(failed)?;
-    let start = match after {
-        None => 0,
-        Some(after) => jobs
-            .iter()
-            .position(|job| job.id.as_str() == after)
-            .map_or(jobs.len(), |at| at + 1),
-    };
-    let limit = limit.unwrap_or(20).clamp(1, 100);
-    let page: Vec<_> = jobs.iter().skip(start).take(limit).collect();
+    let (jobs, has_more) = (page.jobs, page.has_more);
     Ok(Json(json!({
         "object": "list",
-        "data": page.iter().map(|job| job_json(job)).collect::<Vec<_>>(),
-        "has_more": start + page.len() < jobs.len(),
-        "first_id": page.first().map(|job| &job.id),
-        "last_id": page.last().map(|job| &job.id),
+        "data": jobs.iter().map(job_json).collect::<Vec<_>>(),
+        "has_more": has_more,
+        "first_id": jobs.first().map(|job| &job.id),
+        "last_id": jobs.last().map(|job| &job.id),
     })))
 }
 
@@ -220,6 +222,7 @@
     let ended = job.ended.map(seconds);
     let ended_as = |state| ended.filter(|_| job.state == state);
     let file = |chunks: &[Chunk], prefix: &str| {
+        // A record holds the newest pieces; it has some if there are any.
         let rest = job.id.as_str().trim_start_matches(JOB_PREFIX);
         (!chunks.is_empty()).then(|| format!("{prefix}{rest}"))
     };
@@ -243,12 +246,13 @@
         "in_progress_at": seconds(job.created),
         "expires_at": seconds(job.due),
         "due_at": seconds(job.due),
+        "at_risk": job.at_risk,
         "completed_at": ended_as(JobState::Completed),
         "cancelled_at": ended_as(JobState::Cancelled),
         "request_counts": {
             "total": job.items,
-            "completed": job.done_count(),
-            "failed": job.failed_count(),
+            "completed": job.done.len(),
+            "failed": job.failed.len(),
         },
         "metadata": job.metadata,
     })
--- a/crates/entry/src/batch/jobs.rs
+++ b/crates/entry/src/batch/jobs.rs
@@ -1,16 +1,18 @@
 //! Accepting, showing and cancelling jobs.
 
-use base::{FileId, JobId, Tenant, UnixMillis, stable_hash};
+use base::{FileId, JobId, Tenant, UnixMillis};
 use error_stack::{Report, ResultExt};
 use kv::{
-    Compare, KeyValue, Op, Txn,
+    Compare, KeyValue, Op, OpReply, Txn,
     ops::{Outcome, Verdict},
 };
+use ledger::{JobRecord, JobState, RangeSet};
 use sha2::{Digest, Sha256};
 
 use super::{
-    Batch, JOB_PREFIX, JobRecord, JobState,
+    Batch, JOB_PREFIX,
     files::{hex, platform},
+    keys::last,
 };
 use crate::EntryError;
 
@@ -26,6 +28,12 @@
     pub(crate) metadata: serde_json::Value,
 }
 
+/// A part of a tenant's jobs.
+pub(crate) struct JobPage {
+    pub(crate) jobs: Vec<JobRecord>,
+    pub(crate) has_more: bool,
+}
+
 /// Why a job was not accepted.
 #[derive(Debug)]
 pub(crate) enum JobError {
@@ -62,6 +70,7 @@
             id,
             content,
             input: job.input,
+            models: input.models,
             path: job.path,
             window: job.window,
             metadata: job.metadata,
@@ -70,10 +79,13 @@
             ended: None,
             state: JobState::InProgress,
             items: input.items,
-            done: vec![],
-            failed: vec![],
+            done: RangeSet::default(),
+            failed: RangeSet::default(),
             output: vec![],
             errors: vec![],
+            output_pages: 0,
+            error_pages: 0,
+            at_risk: false,
             operation: rand::random(),
             tenant: job.tenant,
         };
@@ -84,21 +96,20 @@
         &self,
         record: JobRecord,
     ) -> Result<JobRecord, JobError> {
-        let key = self.job_key(&record.id);
-        let value = serde_json::to_vec(&record)
-            .change_context(EntryError::Platform)?;
+        let key = self.keys.job(&record.id);
         let absent = Compare::ModRevision {
             key: key.clone(),
             equals: 0,
         };
-        let put = Op::Put {
-            key: key.clone(),
-            value,
-            lease: None,
-        };
+        let (tenant, id) = (&record.tenant, &record.id);
+        let listed = self.keys.job_of(tenant, record.created, id);
         let txn = Txn {
             compares: vec![absent],
-            success: vec![put],
+            success: vec![
+                put_record(&key, &record)?,
+                put_empty(self.keys.mark(id)),
+                put_empty(listed),
+            ],
             failure: vec![],
         };
         let operation = record.operation;
@@ -143,7 +154,7 @@
     ) -> Result<Option<JobRecord>, Report<EntryError>> {
         let reply = self
             .kv
-            .get(&self.job_key(id))
+            .get(&self.keys.job(id))
             .await
             .change_context(EntryError::Platform)
             .attach("reading a job's record")?;
@@ -154,22 +165,59 @@
         Ok(Some(job).filter(|job| job.tenant == *tenant))
     }
 
-    /// Returns a tenant's jobs, newest first.
+    /// Returns a page of a tenant's jobs, newest first, after a given one.
     pub(crate) async fn list(
         &self,
         tenant: &Tenant,
-    ) -> Result<Vec<JobRecord>, Report<EntryError>> {
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<JobPage, Report<EntryError>> {
         let reply = self
             .kv
-            .get_prefix(&format!("{}jobs/", self.prefix), 0)
+            .get_prefix(&self.keys.jobs_of(tenant), 0)
             .await
             .change_context(EntryError::Platform)
             .attach("listing jobs")?;
-        let mut jobs =
-            reply.kvs.iter().map(parse).collect::<Result<Vec<_>, _>>()?;
-        jobs.retain(|job| job.tenant == *tenant);
-        jobs.sort_by_key(|job| std::cmp::Reverse(job.created));
-        Ok(jobs)
+        let ids: Vec<JobId> = reply
+            .kvs
+            .iter()
+            .filter_map(|kv| listed_id(&kv.key))
+            .collect();
+        let start = match after {
+            None => 0,
+            Some(after) => ids
+                .iter()
+                .position(|id| id.as_str() == after)
+                .map_or(ids.len(), |at| at + 1),
+        };
+        let page: Vec<_> = ids.iter().skip(start).take(limit).collect();
+        let has_more = start + page.len() < ids.len();
+        let jobs = self.read_jobs(&page).await?;
+        Ok(JobPage { jobs, has_more })
+    }
+
+    async fn read_jobs(
+        &self,
+        ids: &[&JobId],
+    ) -> Result<Vec<JobRecord>, Report<EntryError>> {
+        let get = |id: &&JobId| Op::Get {
+            key: self.keys.job(id),
+        };
+        let txn = Txn {
+            success: ids.iter().map(get).collect(),
+            ..Txn::default()
+        };
+        let reply = self
+            .kv
+            .txn(txn)
+            .await
+            .change_context(EntryError::Platform)
+            .attach("reading the records of jobs")?;
+        let found = reply.replies.iter().filter_map(|reply| match reply {
+            OpReply::Got(found) => found.first(),
+            _ => None,
+        });
+        found.map(parse).collect()
     }
 
     /// Asks that a job stop; what was completed stays readable.
@@ -178,7 +226,7 @@
         tenant: &Tenant,
         id: &JobId,
     ) -> Result<Option<JobRecord>, Report<EntryError>> {
-        let key = self.job_key(id);
+        let key = self.keys.job(id);
         loop {
             let reply = self
                 .kv
@@ -197,7 +245,19 @@
             }
             job.state = JobState::Cancelling;
             job.operation = rand::random();
-            let txn = replace(&key, found.mod_revision, &job)?;
+            let txn = Txn {
+                compares: vec![Compare::ModRevision {
+                    key: key.clone(),
+                    equals: found.mod_revision,
+                }],
+                // The owner reads the marks, and the record of one that
+                // has changed.
+                success: vec![
+                    put_record(&key, &job)?,
+                    put_empty(self.keys.mark(id)),
+                ],
+                failure: vec![],
+            };
             let operation = job.operation;
             let outcome = self
                 .writer
@@ -219,15 +279,10 @@
             // The owner committed results meanwhile; look again.
         }
     }
-
-    fn job_key(&self, id: &JobId) -> String {
-        let partition = partition_of(id, self.settings.partitions);
-        format!("{}jobs/{partition:05}/{id}", self.prefix)
-    }
 }
 
 /// Judges a write by what is there now.
-pub(super) fn seen(
+fn seen(
     now: Option<&KeyValue>,
     operation: u64,
     before: &KeyValue,
@@ -242,41 +297,36 @@
     }
 }
 
-/// Builds the write of a job's next record.
-pub(super) fn replace(
-    key: &str,
-    mod_revision: u64,
-    job: &JobRecord,
-) -> Result<Txn, Report<EntryError>> {
+fn put_record(key: &str, job: &JobRecord) -> Result<Op, Report<EntryError>> {
     let value =
         serde_json::to_vec(job).change_context(EntryError::Platform)?;
-    let key = key.to_owned();
-    Ok(Txn {
-        compares: vec![Compare::ModRevision {
-            key: key.clone(),
-            equals: mod_revision,
-        }],
-        success: vec![Op::Put {
-            key,
-            value,
-            lease: None,
-        }],
-        failure: vec![],
+    Ok(Op::Put {
+        key: key.to_owned(),
+        value,
+        lease: None,
     })
 }
 
+fn put_empty(key: String) -> Op {
+    Op::Put {
+        key,
+        value: Vec::new(),
+        lease: None,
+    }
+}
+
+/// Returns the job of a key in a tenant's list.
+fn listed_id(key: &str) -> Option<JobId> {
+    let (_age, id) = last(key).split_once('-')?;
+    id.parse().ok()
+}
+
 pub(super) fn parse(kv: &KeyValue) -> Result<JobRecord, Report<EntryError>> {
     serde_json::from_slice(&kv.value)
         .change_context(EntryError::Platform)
         .attach_with(|| format!("the record at {} is broken", kv.key))
 }
 
-/// Returns the partition that a job hashes to.
-pub(super) fn partition_of(id: &JobId, partitions: u32) -> u32 {
-    let hash = stable_hash(&[id.as_str()]);
-    (hash % u64::from(partitions.max(1))) as u32
-}
-
 fn content_digest(job: &NewJob) -> String {
     let mut digest = Sha256::new();
     let due = job.due.map_or(0, UnixMillis::as_ms).to_string();
--- a/crates/entry/src/batch/mod.rs
+++ b/crates/entry/src/batch/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use self::{
     blobs::Blobs,
     files::{UploadError, platform},
-    jobs::{JobError, JobPage, NewJob},
+    jobs::{JobError, NewJob},
     owner::Owner,
     record::FileRecord,
 };
--- a/crates/entry/src/batch/owner/grants.rs
+++ b/crates/entry/src/batch/owner/grants.rs
@@ -175,12 +175,7 @@
 
     /// Makes the error line of an item that never came back. The item waits
     /// for it, so this does not end before the job does.
-    pub(super) async fn give_up(
-        &self,
-        job: JobId,
-        index: u32,
-        attempts: u32,
-    ) {
+    pub(super) async fn give_up(&self, job: JobId, index: u32, attempts: u32) {
         while let Some(source) = self.source(&job) {
             match self.line(&source, index).await {
                 Ok(line) => {
@@ -202,9 +197,7 @@
         source: &Source,
         index: u32,
     ) -> Result<InputLine, Report<EntryError>> {
-        self.pieces
-            .line(&source.tenant, &source.input, index)
-            .await
+        self.pieces.line(&source.tenant, &source.input, index).await
     }
 
     fn source(&self, job: &JobId) -> Option<Source> {
--- a/crates/entry/src/batch/owner/pieces.rs
+++ b/crates/entry/src/batch/owner/pieces.rs
@@ -15,7 +15,9 @@
 
 use crate::{
     EntryError,
-    batch::{Blobs, FileRecord, files::platform, input::InputLine, keys::Keys},
+    batch::{
+        Blobs, FileRecord, files::platform, input::InputLine, keys::Keys,
+    },
 };
 
 /// Pieces that are kept in memory; each is about 1 MiB.
@@ -61,11 +63,7 @@
 }
 
 impl Pieces {
-    pub(super) fn new(
-        kv: Arc<dyn Kv>,
-        keys: Keys,
-        blobs: Arc<Blobs>,
-    ) -> Self {
+    pub(super) fn new(kv: Arc<dyn Kv>, keys: Keys, blobs: Arc<Blobs>) -> Self {
         Self {
             kv,
             keys,
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -182,7 +182,12 @@
         Some(&job.record)
     }
 
-    /// Makes the ledger read marks and owners at the next tick.
+    /// Returns the lease that the partitions are owned under.
+    pub fn lease(&self) -> Option<i64> {
+        self.lease.map(|lease| lease.id)
+    }
+
+    /// Makes the ledger read the marks of open jobs at the next tick.
     pub fn poke(&mut self) {
         for partition in &mut self.partitions {
             partition.list_at = Millis::new(0);
