--- /dev/null
+++ b/crates/entry/tests/batch_common/mod.rs
@@ -0,0 +1,372 @@
+//! Entries, two data VMs and a companion that the test plays.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use base::{Incarnation, KeyDigest};
+use conf::settings::Settings;
+use data::DataNode;
+use kv::{EtcdJsonOptions, Kv, Op, Txn};
+use obs::Metrics;
+use pomeloslip_entry::{Entry, configuration_keys, first_configuration};
+use serde_json::{Value, json};
+use standin::kv::{KvService, KvServiceHandle, KvServiceSettings};
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+use wire::{
+    LinkOptions, Links,
+    message::{Identity, Item, ItemOutcome, ItemResult, Pull},
+};
+
+pub(crate) const KEY: &str = "key-of-taevakorv";
+pub(crate) const MODEL: &str = "korv-lm";
+
+/// Time in which something that is to happen happens, on any machine.
+const SURELY: Duration = Duration::from_secs(60);
+
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The platform and the data VMs.
+pub(crate) struct Ground {
+    pub(crate) kv: KvServiceHandle,
+    data: Vec<DataNode>,
+    _folder: TempDir,
+}
+
+impl Ground {
+    pub(crate) async fn start() -> Self {
+        let kv = KvService::start(KvServiceSettings::default());
+        let kv = kv.await.unwrap();
+        write_configuration(&kv).await;
+        let folder = TempDir::new().unwrap();
+        let mut data = Vec::new();
+        for (at, domain) in ["tallinn-a", "maardu"].iter().enumerate() {
+            let path = folder.path().join(at.to_string());
+            let yaml = format!(
+                "\
+role: data
+vm: data-{at}
+failure_domain: {domain}
+listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+data: {{folder: {}}}
+",
+                path.display()
+            );
+            let settings = Settings::parse("data", &yaml).unwrap();
+            let node = DataNode::start(&settings, Metrics::default());
+            data.push(node.await.unwrap());
+        }
+        Self {
+            kv,
+            data,
+            _folder: folder,
+        }
+    }
+
+    /// Starts an entry in a runtime of its own, so that it can be lost.
+    pub(crate) async fn entry(&self, name: &str) -> TestEntry {
+        let [a, b] = [0, 1].map(|at: usize| self.data[at].peer_address());
+        let yaml = format!(
+            "\
+role: entry
+vm: {name}
+failure_domain: tallinn-a
+listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+key_value: {{addresses: [{}], prefix: /t/}}
+data_vms:
+  - {{vm: data-0, address: '{a}', failure_domain: tallinn-a}}
+  - {{vm: data-1, address: '{b}', failure_domain: maardu}}
+batch:
+  partitions: 4
+  lease_ttl_s: 2
+  commit_interval_ms: 50
+  grant_ttl_ms: 1000
+",
+            self.kv.url()
+        );
+        let settings = Settings::parse("entry", &yaml).unwrap();
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let started = runtime.spawn(async move {
+            let entry = Entry::start(&settings, Metrics::default(), None);
+            let entry = entry.await.unwrap();
+            entry.ready().await;
+            entry
+        });
+        let entry = started.await.unwrap();
+        TestEntry {
+            entry: Some(entry),
+            runtime: Some(runtime),
+        }
+    }
+}
+
+async fn write_configuration(kv: &KvServiceHandle) {
+    let text = format!(
+        "\
+tenants:
+  - tenant: taevakorv
+    key_sha256: [{}]
+pools:
+  - pool: korv-lm
+    kind: engine
+    models: [{MODEL}]
+rules:
+  - name: briefings
+    when: {{class: batch, model: {MODEL}}}
+    then: {{pool: korv-lm}}
+",
+        KeyDigest::of_key(KEY)
+    );
+    let value = first_configuration(&text).unwrap();
+    let put = |key| Op::Put {
+        key,
+        value: value.clone(),
+        lease: None,
+    };
+    let txn = Txn {
+        success: configuration_keys("/t/").map(put).into(),
+        ..Txn::default()
+    };
+    let client = EtcdJsonOptions::new([kv.url()]).build().unwrap();
+    client.txn(txn).await.unwrap();
+}
+
+/// An entry that can be lost at once.
+pub(crate) struct TestEntry {
+    entry: Option<Entry>,
+    runtime: Option<Runtime>,
+}
+
+impl TestEntry {
+    fn entry(&self) -> &Entry {
+        self.entry.as_ref().unwrap()
+    }
+
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.entry().peer_address()
+    }
+
+    /// Ends it as a crash does: nothing is handed over.
+    pub(crate) fn lose(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        let runtime = self.runtime.take();
+        if let Some(runtime) = runtime {
+            runtime.shutdown_background();
+        }
+        self.entry = None;
+    }
+
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.entry().http_address())
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Value {
+        let client = client();
+        let call = client.get(self.url(path)).bearer_auth(KEY);
+        call.send().await.unwrap().json().await.unwrap()
+    }
+
+    pub(crate) async fn post(&self, path: &str, body: Value) -> Value {
+        let client = client();
+        let call = client.post(self.url(path)).bearer_auth(KEY).json(&body);
+        call.send().await.unwrap().json().await.unwrap()
+    }
+
+    /// Starts a job of this many items, named `id-0` and so on.
+    pub(crate) async fn start_job(&self, items: u32, window: &str) -> String {
+        let line = |at: u32| {
+            json!({
+                "custom_id": format!("id-{at}"),
+                "method": "POST",
+                "url": "/v1/completions",
+                "body": {"model": MODEL, "prompt": format!("{window} {at}")},
+            })
+            .to_string()
+        };
+        let lines: Vec<_> = (0..items).map(line).collect();
+        let body = form(&lines.join("\n"));
+        let call = client()
+            .post(self.url("/v1/files"))
+            .bearer_auth(KEY)
+            .header("content-type", "multipart/form-data; boundary=cut")
+            .body(body);
+        let file = call.send().await.unwrap();
+        let file: Value = file.json().await.unwrap();
+        let job = json!({
+            "input_file_id": file["id"],
+            "endpoint": "/v1/completions",
+            "completion_window": window,
+        });
+        let job = self.post("/v1/batches", job).await;
+        job["id"].as_str().expect("a job").to_owned()
+    }
+
+    pub(crate) async fn job(&self, id: &str) -> Value {
+        self.get(&format!("/v1/batches/{id}")).await
+    }
+
+    /// Waits until a job is as wanted.
+    pub(crate) async fn until(
+        &self,
+        id: &str,
+        wanted: impl Fn(&Value) -> bool,
+    ) -> Value {
+        let wait = async {
+            loop {
+                let job = self.job(id).await;
+                if wanted(&job) {
+                    return job;
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        let waited = tokio::time::timeout(SURELY, wait).await;
+        waited.expect("the job gets there")
+    }
+
+    /// Reads a file and returns how often each `custom_id` is in it.
+    pub(crate) async fn ids(&self, file: &Value) -> BTreeMap<String, u32> {
+        let mut seen = BTreeMap::new();
+        let Some(file) = file.as_str() else {
+            return seen;
+        };
+        let url = self.url(&format!("/v1/files/{file}/content"));
+        let call = client().get(url).bearer_auth(KEY);
+        let text = call.send().await.unwrap().text().await.unwrap();
+        for line in text.lines() {
+            let line: Value = serde_json::from_str(line).unwrap();
+            let id = line["custom_id"].as_str().unwrap().to_owned();
+            *seen.entry(id).or_insert(0) += 1;
+        }
+        seen
+    }
+}
+
+impl Drop for TestEntry {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn form(file: &str) -> String {
+    format!(
+        "--cut\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\n\
+         batch\r\n--cut\r\nContent-Disposition: form-data; name=\"file\"; \
+         filename=\"items.jsonl\"\r\n\r\n{file}\r\n--cut--\r\n"
+    )
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().timeout(SURELY).build().unwrap()
+}
+
+/// A companion that the test plays.
+#[derive(Clone)]
+pub(crate) struct Player {
+    links: Links,
+    vm: String,
+    models: Vec<String>,
+}
+
+impl Player {
+    pub(crate) fn new(vm: &str, models: &[&str]) -> Self {
+        let identity = Identity {
+            role: "companion".to_owned(),
+            vm: vm.parse().unwrap(),
+            incarnation: Incarnation::new(1),
+            failure_domain: "maardu".parse().unwrap(),
+        };
+        Self {
+            links: Links::start(LinkOptions::new(identity)).unwrap(),
+            vm: vm.to_owned(),
+            models: models.iter().map(|m| (*m).to_owned()).collect(),
+        }
+    }
+
+    /// Pulls once; a lost entry grants nothing.
+    pub(crate) async fn pull(
+        &self,
+        entry: SocketAddr,
+        room: u32,
+        running: &[u64],
+    ) -> (Vec<Item>, Vec<u64>) {
+        let pull = Pull {
+            vm: self.vm.parse().unwrap(),
+            incarnation: Incarnation::new(1),
+            models: self.models.clone(),
+            room,
+            running: running.to_vec(),
+        };
+        match self.links.pull(entry, pull).await {
+            Ok(reply) => (reply.items, reply.revoked),
+            Err(_) => (vec![], vec![]),
+        }
+    }
+
+    /// Answers items; those whose number divides by `fails` are refused.
+    pub(crate) async fn answer(
+        &self,
+        entry: SocketAddr,
+        items: &[Item],
+        fails: u32,
+    ) {
+        let result = |item: &Item| ItemResult {
+            grant: item.grant,
+            partition: item.partition,
+            fence: item.fence,
+            job: item.job.clone(),
+            index: item.index,
+            attempt: item.attempt,
+            outcome: ItemOutcome::Answered,
+            status: if item.index % fails == 1 { 400 } else { 200 },
+            body: r#"{"text":"done"}"#.into(),
+        };
+        let results: Vec<_> = items.iter().map(result).collect();
+        // Sent twice, as after a lost answer.
+        for _ in 0..2 {
+            let _ = self.links.results(entry, results.clone()).await;
+        }
+    }
+
+    /// Pulls from entries in turn and answers until told to stop.
+    pub(crate) fn play(&self, entries: Vec<SocketAddr>) -> Playing {
+        let (player, stop) = (self.clone(), Arc::new(AtomicBool::new(false)));
+        let stopped = stop.clone();
+        tokio::spawn(async move {
+            while !stopped.load(Ordering::Relaxed) {
+                for entry in &entries {
+                    let (items, _) = player.pull(*entry, 8, &[]).await;
+                    player.answer(*entry, &items, 10).await;
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+        Playing(stop)
+    }
+}
+
+/// Stops a player when dropped.
+pub(crate) struct Playing(Arc<AtomicBool>);
+
+impl Drop for Playing {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
