Probe loads, keep prefixes out of queues, own domain only in ties

The first defaults of the router were guesses. Change: probes choose by load, reports count for 500 ms, prefixes skip endpoints that queue, the own domain wins ties.

--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -12,6 +12,10 @@
 /// Weight of the latest call in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// Weight of the latest report in the mean of what others send. Entries that
+/// all believe one late report run to the same endpoint in turns.
+const OTHERS_WEIGHT: f64 = 0.5;
+
 /// An endpoint as a list shows it.
 ///
 /// # Example
@@ -70,11 +74,11 @@
 /// A report and what followed it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Seen {
-    pub(crate) requests: u32,
+    /// Calls of other entries, a mean over the last reports.
+    pub(crate) others: f64,
+    pub(crate) waiting: u32,
     pub(crate) first_token_ms: u32,
     pub(crate) at: Millis,
-    /// Own calls that were sent since.
-    pub(crate) sent_since: u32,
     /// Choices that it has served.
     pub(crate) uses: u32,
 }
@@ -106,7 +110,10 @@
     pub(crate) leaving: bool,
     pub(crate) health: Health,
     pub(crate) seen: Option<Seen>,
+    /// Mean time to the first token of own calls, and the load at which
+    /// they were sent.
     pub(crate) latency_ms: f64,
+    pub(crate) latency_load: f64,
     pub(crate) probed: Option<Millis>,
 }
 
@@ -122,6 +129,7 @@
             health: Health::default(),
             seen: None,
             latency_ms: 0.0,
+            latency_load: 0.0,
             probed: None,
         }
     }
@@ -130,33 +138,55 @@
         !self.leaving && self.health.is_open(self.in_flight)
     }
 
-    /// Returns the requests that the endpoint probably has: those of a fresh
-    /// report and those sent since, or the own ones.
-    pub(crate) fn load(&self, now: Millis, max_age_ms: u64) -> u32 {
-        match &self.seen {
-            Some(seen) if now.saturating_ms_since(seen.at) <= max_age_ms => {
-                let reported = seen.requests + seen.sent_since;
-                reported.max(self.in_flight)
-            }
-            _ => self.in_flight,
-        }
+    /// Returns the requests that the endpoint probably has: the own ones,
+    /// which are known exactly, and those of others by a fresh report.
+    pub(crate) fn load(&self, now: Millis, max_age_ms: u64) -> f64 {
+        let own = f64::from(self.in_flight);
+        self.fresh(now, max_age_ms)
+            .map_or(own, |seen| own + seen.others)
+    }
+
+    /// Tells whether calls waited at the last fresh report.
+    pub(crate) fn is_queueing(&self, now: Millis, max_age_ms: u64) -> bool {
+        self.fresh(now, max_age_ms)
+            .is_some_and(|seen| seen.waiting > 0)
+    }
+
+    fn fresh(&self, now: Millis, max_age_ms: u64) -> Option<&Seen> {
+        let seen = self.seen.as_ref();
+        seen.filter(|seen| now.saturating_ms_since(seen.at) <= max_age_ms)
     }
 
     pub(crate) fn note(&mut self, report: &Report, now: Millis) {
+        let requests = report.running + report.waiting;
+        let others = f64::from(requests.saturating_sub(self.in_flight));
+        let before = self.seen.as_ref().map_or(others, |seen| seen.others);
         self.seen = Some(Seen {
-            requests: report.running + report.waiting,
+            others: before + OTHERS_WEIGHT * (others - before),
+            waiting: report.waiting,
             first_token_ms: report.first_token_ms,
             at: now,
-            sent_since: 0,
             uses: 0,
         });
     }
 
-    pub(crate) fn note_latency(&mut self, ms: u64) {
+    pub(crate) fn note_latency(&mut self, ms: u64, load: f64) {
         let ms = ms as f64;
-        self.latency_ms = match self.latency_ms {
-            0.0 => ms,
-            mean => mean + LATENCY_WEIGHT * (ms - mean),
-        };
+        if self.latency_ms == 0.0 {
+            (self.latency_ms, self.latency_load) = (ms, load);
+            return;
+        }
+        self.latency_ms += LATENCY_WEIGHT * (ms - self.latency_ms);
+        self.latency_load += LATENCY_WEIGHT * (load - self.latency_load);
+    }
+
+    /// Returns the latency that a call would probably see at this load.
+    pub(crate) fn latency_at(&self, load: f64) -> f64 {
+        match &self.seen {
+            Some(seen) if seen.first_token_ms > 0 => {
+                f64::from(seen.first_token_ms)
+            }
+            _ => self.latency_ms * (load + 1.0) / (self.latency_load + 1.0),
+        }
     }
 }
--- a/crates/router/src/health.rs
+++ b/crates/router/src/health.rs
@@ -5,6 +5,10 @@
 /// Highest health value, at which an endpoint starts.
 const VALUE_MAX: u32 = 1_000;
 
+/// Shortest time between two rises of the health value, in milliseconds;
+/// probes for the load come more often.
+const RAISE_INTERVAL_MS: u64 = 1_000;
+
 /// Weight of the latest call in the share of failures.
 const SHARE_WEIGHT: f64 = 0.1;
 
@@ -57,6 +61,7 @@
     ejections: u32,
     answered_in_row: u32,
     value: u32,
+    raised: Option<Millis>,
 }
 
 impl Default for Health {
@@ -68,6 +73,7 @@
             ejections: 0,
             answered_in_row: 0,
             value: VALUE_MAX,
+            raised: None,
         }
     }
 }
@@ -164,7 +170,13 @@
         {
             self.state = State::Trial;
         }
-        self.value = (self.value + 1).min(VALUE_MAX);
+        let is_due = self.raised.is_none_or(|last| {
+            now.saturating_ms_since(last) >= RAISE_INTERVAL_MS
+        });
+        if is_due && self.value < VALUE_MAX {
+            self.value += 1;
+            self.raised = Some(now);
+        }
     }
 
     /// Notes a probe that failed.
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -15,8 +15,10 @@
 ///
 /// Each request sends a few probes whose reports serve later requests. Of
 /// the reported endpoints, those with more requests in flight than a
-/// quantile are hot; the cold one with the lowest latency is chosen, or the
-/// hot one with the fewest requests if all are hot.
+/// quantile are hot, and the one with the lowest latency is chosen among the
+/// others. The default quantile of 0 leaves those with the fewest requests:
+/// latency lags behind load, and choosing by it sends too much to the
+/// endpoint that was fast a moment ago (measured in the bench `routing`).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Probing {
     /// Probes that a request sends.
@@ -35,7 +37,7 @@
             probes: 2,
             uses: 3,
             max_age_ms: 1_000,
-            hot_quantile: 0.75,
+            hot_quantile: 0.0,
         }
     }
 }
@@ -119,6 +121,9 @@
     pub far_penalty: u32,
     /// Age up to which the load in a report counts, in milliseconds.
     pub report_max_age_ms: u64,
+    /// Age up to which a queue in a report keeps prefixes away, in
+    /// milliseconds.
+    pub queue_max_age_ms: u64,
     /// Retries per request that a pool's budget allows.
     pub retry_ratio: f64,
     /// Retries that it allows beside, per window.
@@ -136,12 +141,13 @@
 impl Default for RouterOptions {
     fn default() -> Self {
         Self {
-            policy: Policy::LeastOfTwo,
+            policy: Policy::Probing(Probing::default()),
             affinity: Some(Affinity { bound: 1.25 }),
             health: HealthPolicy::Ejection(Ejection::default()),
             subset: 16,
-            far_penalty: 2,
-            report_max_age_ms: 2_000,
+            far_penalty: 0,
+            report_max_age_ms: 500,
+            queue_max_age_ms: 1_000,
             retry_ratio: 0.2,
             retry_minimum: 10,
             retry_window_ms: 10_000,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -182,9 +182,6 @@
             return;
         };
         endpoint.in_flight += 1;
-        if let Some(seen) = &mut endpoint.seen {
-            seen.sent_since += 1;
-        }
         self.pools[endpoint.pool].budget.record_request(now);
     }
 
@@ -192,9 +189,6 @@
     pub fn ended(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-            if let Some(seen) = &mut endpoint.seen {
-                seen.sent_since = seen.sent_since.saturating_sub(1);
-            }
         }
     }
 
@@ -241,12 +235,20 @@
         key
     }
 
-    /// Notes a whole answer and, if known, its time to the first token.
-    pub fn answered(&mut self, key: EndpointKey, first_token_ms: Option<u64>) {
+    /// Notes that an answer has come and, if known, its time to the first
+    /// token. It is told before [`Router::ended`].
+    pub fn answered(
+        &mut self,
+        key: EndpointKey,
+        first_token_ms: Option<u64>,
+        now: Millis,
+    ) {
+        let max_age_ms = self.options.report_max_age_ms;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.health.answered();
             if let Some(ms) = first_token_ms {
-                endpoint.note_latency(ms);
+                let load = endpoint.load(now, max_age_ms);
+                endpoint.note_latency(ms, load);
             }
         }
     }
--- a/crates/router/src/select.rs
+++ b/crates/router/src/select.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     endpoint::{Endpoint, EndpointKey},
-    options::{Affinity, HealthPolicy, Policy, Probing, RouterOptions},
+    options::{HealthPolicy, Policy, Probing, RouterOptions},
 };
 
 /// What a request asks of the choice.
@@ -107,10 +107,13 @@
         draw: &mut Draw,
     ) -> Option<EndpointKey> {
         let best = self.best_values(open);
+        if let Some(key) = self.by_prefix(&best, query.prefix) {
+            return Some(key);
+        }
         let (near, far): (Vec<_>, Vec<_>) =
             best.into_iter().partition(|key| self.at(*key).listed.near);
-        let near = self.pick(&near, query, draw);
-        let far = self.pick(&far, query, draw);
+        let near = self.pick(&near, draw);
+        let far = self.pick(&far, draw);
         match (near, far) {
             (Some(near), Some(far)) => Some(self.nearer(near, far)),
             (near, far) => near.or(far),
@@ -119,7 +122,7 @@
 
     /// Own failure domain first; others by need, when it is more loaded.
     fn nearer(&self, near: EndpointKey, far: EndpointKey) -> EndpointKey {
-        let penalty = self.options.far_penalty;
+        let penalty = f64::from(self.options.far_penalty);
         let spills = self.load(far) + penalty < self.load(near);
         if spills { far } else { near }
     }
@@ -139,18 +142,11 @@
     fn pick(
         &self,
         set: &[EndpointKey],
-        query: &Query<'_>,
         draw: &mut Draw,
     ) -> Option<EndpointKey> {
         if set.is_empty() {
             return None;
         }
-        if let (Some(affinity), Some(prefix)) =
-            (&self.options.affinity, query.prefix)
-            && let Some(key) = self.by_prefix(set, affinity, prefix)
-        {
-            return Some(key);
-        }
         match &self.options.policy {
             Policy::Random => Some(set[draw.below(set.len())]),
             Policy::RoundRobin => Some(set[self.turn % set.len()]),
@@ -181,19 +177,24 @@
     }
 
     /// Returns the first endpoint in the prefix's order that is not too
-    /// loaded (bounded loads).
+    /// loaded (bounded loads) and has no queue, in which a request would
+    /// lose more than a cached prefix saves. Failure domains do not count here: a cached
+    /// prefix saves far more than the way to another domain costs.
     fn by_prefix(
         &self,
         set: &[EndpointKey],
-        affinity: &Affinity,
-        prefix: u64,
+        prefix: Option<u64>,
     ) -> Option<EndpointKey> {
-        let sum: u32 = set.iter().map(|key| self.load(*key)).sum();
-        let mean = f64::from(sum + 1) / set.len() as f64;
+        let affinity = self.options.affinity.as_ref()?;
+        let prefix = prefix?;
+        let sum: f64 = set.iter().map(|key| self.load(*key)).sum();
+        let mean = (sum + 1.0) / set.len() as f64;
         let limit = (mean * affinity.bound).ceil();
+        let max_age_ms = self.options.queue_max_age_ms;
         set.iter()
             .copied()
-            .filter(|key| f64::from(self.load(*key) + 1) <= limit)
+            .filter(|key| self.load(*key) + 1.0 <= limit)
+            .filter(|key| !self.at(*key).is_queueing(self.now, max_age_ms))
             .max_by_key(|key| mix(self.at(*key).name_hash ^ prefix))
     }
 
@@ -202,28 +203,26 @@
         set: &[EndpointKey],
         probing: &Probing,
     ) -> Option<EndpointKey> {
-        let fresh: Vec<EndpointKey> = set
+        let mut fresh: Vec<(EndpointKey, f64)> = set
             .iter()
             .copied()
             .filter(|key| self.is_fresh(*key, probing))
+            .map(|key| (key, self.load(key)))
             .collect();
         if fresh.len() < 2 {
             return None;
         }
-        let mut loads: Vec<u32> =
-            fresh.iter().map(|key| self.load(*key)).collect();
-        loads.sort_unstable();
-        let last = (loads.len() - 1) as f64;
-        let hot = loads[(last * probing.hot_quantile) as usize];
-        let cold = fresh.iter().copied().filter(|k| self.load(*k) <= hot);
+        fresh.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let last = (fresh.len() - 1) as f64;
+        let hot = fresh[(last * probing.hot_quantile) as usize].1;
+        let cold = fresh.into_iter().filter(|(_, load)| *load <= hot);
+        let latency =
+            |(key, load): &(EndpointKey, f64)| self.at(*key).latency_at(*load);
         cold.min_by(|a, b| {
-            let of = |key: &EndpointKey| {
-                let load = f64::from(self.load(*key));
-                (self.latency_ms(*key), load)
-            };
-            let (a, b) = (of(a), of(b));
-            a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+            let by_latency = latency(a).total_cmp(&latency(b));
+            by_latency.then(a.1.total_cmp(&b.1))
         })
+        .map(|(key, _)| key)
     }
 
     fn is_fresh(&self, key: EndpointKey, probing: &Probing) -> bool {
@@ -233,17 +232,7 @@
         })
     }
 
-    fn latency_ms(&self, key: EndpointKey) -> f64 {
-        let endpoint = self.at(key);
-        match &endpoint.seen {
-            Some(seen) if seen.first_token_ms > 0 => {
-                f64::from(seen.first_token_ms)
-            }
-            _ => endpoint.latency_ms,
-        }
-    }
-
-    fn load(&self, key: EndpointKey) -> u32 {
+    fn load(&self, key: EndpointKey) -> f64 {
         let max_age_ms = self.options.report_max_age_ms;
         self.at(key).load(self.now, max_age_ms)
     }
