--- a/crates/entry/src/batch/files.rs
+++ b/crates/entry/src/batch/files.rs
@@ -1,6 +1,6 @@
 //! Uploaded files.
 
-use base::{FileId, Tenant};
+use base::{FileId, Tenant, blob_day_prefix};
 use error_stack::{Report, ResultExt};
 use kv::{
     Compare, KvError, Op, Txn,
@@ -105,7 +105,9 @@
 
     async fn store(&mut self, piece: Piece) -> Result<(), UploadError> {
         let hex = hex(&Sha256::digest(&piece.bytes));
-        let blob = format!("in/{}/{}", self.tenant, &hex[..ID_DIGITS]);
+        let day = blob_day_prefix(self.batch.timer.clock().unix());
+        let digits = &hex[..ID_DIGITS];
+        let blob = format!("{day}in/{}/{digits}", self.tenant);
         let blobs = &self.batch.blobs;
         let chunk = blobs.put(blob, piece.bytes, piece.items).await?;
         self.chunks.push(chunk);
--- a/crates/entry/src/batch/owner/mod.rs
+++ b/crates/entry/src/batch/owner/mod.rs
@@ -11,7 +11,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use base::timer::Timer;
+use base::{blob_day_prefix, timer::Timer};
 use conf::settings::BatchSettings;
 use futures::future::join_all;
 use kv::Kv;
@@ -161,11 +161,12 @@
     }
 
     async fn store(&self, commit: CommitId, parts: Vec<Part>) -> Event {
+        let day = blob_day_prefix(self.timer.clock().unix());
         let puts = parts.into_iter().map(|part| {
             let Part {
                 blob, bytes, items, ..
             } = part;
-            self.blobs.put(blob, bytes, items)
+            self.blobs.put(format!("{day}{blob}"), bytes, items)
         });
         let stored: Result<Vec<Chunk>, error_stack::Report<EntryError>> =
             join_all(puts).await.into_iter().collect();
