--- a/crates/entry/src/api/admin.rs
+++ b/crates/entry/src/api/admin.rs
@@ -6,7 +6,7 @@
 use error_stack::Report;
 use rocket::{Route, State, get, post, routes, serde::json::Json};
 use serde::{Deserialize, Serialize};
-use web::{Problem, ProblemKind};
+use web::{Problem, ProblemKind, Ran};
 
 use super::guard::Operator;
 use crate::{
@@ -92,7 +92,7 @@
         Some(accepted) => Ok(Json(Shown::from(&accepted))),
         None => {
             let why = format!("there is no revision {revision}");
-            Err(Problem::new(ProblemKind::NotFound, why))
+            Err(Problem::new(ProblemKind::NotFound, why).ran(Ran::No))
         }
     }
 }
@@ -128,6 +128,7 @@
     );
     let diff = rules::diff(&now.text, text);
     Problem::new(ProblemKind::Conflict, why)
+        .ran(Ran::No)
         .with("current_revision", now.revision.get())
         .with("diff", diff)
 }
@@ -136,6 +137,7 @@
     let why = "the configuration is not valid; nothing was changed";
     let errors = rules::error_list(report);
     Problem::new(ProblemKind::Invalid, why)
+        .ran(Ran::No)
         .with("errors", serde_json::json!(errors))
 }
 
@@ -146,10 +148,10 @@
         EntryError::Unknown => {
             let why = "the platform's answer was lost; the change may be \
                        made, send the same operation_id again";
-            Problem::new(ProblemKind::PlatformDown, why).ran(web::Ran::Unknown)
+            Problem::new(ProblemKind::PlatformDown, why).ran(Ran::Unknown)
         }
         _ => Problem::new(ProblemKind::PlatformDown, report.to_string())
-            .ran(web::Ran::No),
+            .ran(Ran::No),
     }
     .retry_after_ms(2_000)
 }
--- a/crates/entry/src/api/files.rs
+++ b/crates/entry/src/api/files.rs
@@ -37,10 +37,11 @@
 async fn upload(
     shared: &State<Arc<Shared>>,
     caller: Authenticated,
-    content_type: &ContentType,
+    content_type: Option<&ContentType>,
     data: Data<'_>,
 ) -> Result<Json<Value>, Problem> {
-    let boundary = content_type.param("boundary").ok_or_else(|| {
+    let boundary = content_type.and_then(|kind| kind.param("boundary"));
+    let boundary = boundary.ok_or_else(|| {
         bad("send multipart/form-data with the fields purpose and file")
     })?;
     let limit = shared.limits.file_max_bytes;
@@ -132,7 +133,8 @@
 }
 
 pub(crate) fn no_file() -> Problem {
-    Problem::new(ProblemKind::NotFound, "there is no such file")
+    let why = "there is no such file";
+    Problem::new(ProblemKind::NotFound, why).ran(Ran::No)
 }
 
 #[get("/v1/files/<id>/content")]
--- a/crates/entry/src/api/guard.rs
+++ b/crates/entry/src/api/guard.rs
@@ -30,7 +30,12 @@
         let Some(shared) = request.rocket().state::<Arc<Shared>>() else {
             return Outcome::Forward(Status::InternalServerError);
         };
-        match filter::authenticate(shared, request.headers()) {
+        let headers = request.headers();
+        let caller =
+            filter::authenticate(shared, headers).and_then(|caller| {
+                filter::check_headers(shared, headers).map(|_| caller)
+            });
+        match caller {
             Ok(caller) => {
                 let active = shared.state.begin();
                 Outcome::Success(Self { caller, active })
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -177,14 +177,22 @@
         let found = read.kvs.first();
         let now = self.newest(found.map(parse).transpose()?);
         let revision = now.as_ref().map_or(0, |now| now.revision.get());
-        if let Some(now) = now {
-            // The answer to the first copy of this edit was lost.
-            if now.operation == operation {
-                return Ok(Edit::Accepted(now.revision));
-            }
-            if now.revision != expect {
-                return Ok(Edit::Raced(Box::new(now)));
-            }
+        if let Some(now) = now.filter(|now| now.revision != expect) {
+            // The answer to the first copy of this edit may have been lost.
+            // Others may have come after it, so it is looked for where it
+            // must be; the text tells it from a reused operation id.
+            let next = Revision::new(expect.get() + 1);
+            let own = match now.revision == next {
+                true => Some(now.clone()),
+                false => self.at(next).await?,
+            };
+            let is_own = own.is_some_and(|own| {
+                own.operation == operation && own.text == text
+            });
+            return Ok(match is_own {
+                true => Edit::Accepted(next),
+                false => Edit::Raced(Box::new(now)),
+            });
         }
         let next = Accepted {
             revision: Revision::new(revision + 1),
