Bound the age of inputs and the length of jobs by what is kept

Cause: blobs now expire after 30 days, but a job could run for 31 and start from a file of any age; a resent old file referred to pieces about to expire. Change: jobs run at most 14 days from an input at most 14 days old, and a file resent after a week is stored anew under the same id. Ruled out: a file id by week, since a job resent across the boundary would then be a second job. Measured: the entry's tests pass; the ages themselves have no test yet, the daemon reads the machine's clock. Conclusion: what a job reads is kept as long as it reads it.

--- a/crates/entry/src/api/batches.rs
+++ b/crates/entry/src/api/batches.rs
@@ -27,8 +27,9 @@
 const MS_PER_HOUR: u64 = 3_600_000;
 const MS_PER_MINUTE: u64 = 60_000;
 
-/// Longest window that is accepted, in hours.
-const WINDOW_MAX_HOURS: u64 = 24 * 31;
+/// Longest window that is accepted, in hours; see also the age up to which
+/// a file can be an input.
+const WINDOW_MAX_HOURS: u64 = 24 * 14;
 
 /// Paths that items may be sent to.
 const PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
@@ -89,6 +90,12 @@
         invalid("completion_window must be like 24h or 90m".to_owned())
     })?;
     let due = due_at(&create.metadata)?;
+    let last = WINDOW_MAX_HOURS * MS_PER_HOUR;
+    let now = shared.timer.clock().unix();
+    if due.is_some_and(|due| due > now.saturating_add_ms(last)) {
+        let why = format!("due_at is over {WINDOW_MAX_HOURS} hours away");
+        return Err(invalid(why));
+    }
     let job = NewJob {
         tenant: caller.caller.tenant.clone(),
         idempotency_key: key.0,
@@ -120,6 +127,10 @@
 fn refused(error: JobError) -> Problem {
     match error {
         JobError::NoInput => no_input(),
+        JobError::InputExpired => {
+            let why = "the input file has expired; upload it again";
+            Problem::new(ProblemKind::NotFound, why).ran(Ran::No)
+        }
         JobError::KeyReused(id) => {
             let why = "the Idempotency-Key came with another job before";
             Problem::new(ProblemKind::KeyReused, why)
--- a/crates/entry/src/batch/files.rs
+++ b/crates/entry/src/batch/files.rs
@@ -1,6 +1,6 @@
 //! Uploaded files.
 
-use base::{FileId, Tenant, blob_day_prefix};
+use base::{FileId, Tenant, UnixMillis, blob_day_prefix};
 use error_stack::{Report, ResultExt};
 use kv::{
     Compare, KvError, Op, Txn,
@@ -16,6 +16,15 @@
 };
 use crate::EntryError;
 
+const MS_PER_DAY: u64 = 86_400_000;
+
+/// Age up to which a resent file is the stored one.
+const FRESH_MS: u64 = 7 * MS_PER_DAY;
+
+/// Age up to which a file can be the input of a new job. With the longest
+/// window of a job, its pieces are kept for as long as they are read.
+pub(super) const INPUT_AGE_MAX_MS: u64 = 14 * MS_PER_DAY;
+
 /// Digits of a digest that an id keeps.
 const ID_DIGITS: usize = 32;
 
@@ -85,9 +94,13 @@
         let id: FileId = format!("file-{}", &hex[..ID_DIGITS])
             .parse()
             .change_context(EntryError::Storage)?;
-        if let Some(known) = self.batch.file(&self.tenant, &id).await? {
-            return Ok(known);
-        }
+        let now = self.batch.timer.clock().unix();
+        let found = self.batch.file_found(&self.tenant, &id).await?;
+        let mod_revision = match found {
+            Some((known, _)) if is_fresh(&known, now) => return Ok(known),
+            Some((_, mod_revision)) => mod_revision,
+            None => 0,
+        };
         let record = FileRecord {
             id,
             tenant: self.tenant,
@@ -96,10 +109,10 @@
             bytes: self.bytes,
             items: self.chunks.iter().map(|chunk| chunk.items).sum(),
             models: rest.models,
-            created: self.batch.timer.clock().unix(),
+            created: now,
             chunks: self.chunks,
         };
-        self.batch.record_file(&record).await?;
+        self.batch.record_file(&record, mod_revision).await?;
         Ok(record)
     }
 
@@ -193,6 +206,16 @@
         tenant: &Tenant,
         id: &FileId,
     ) -> Result<Option<FileRecord>, Report<EntryError>> {
+        let found = self.file_found(tenant, id).await?;
+        Ok(found.map(|(record, _)| record))
+    }
+
+    /// Returns a file with the revision of its record.
+    async fn file_found(
+        &self,
+        tenant: &Tenant,
+        id: &FileId,
+    ) -> Result<Option<(FileRecord, u64)>, Report<EntryError>> {
         let key = self.keys.file(tenant, id);
         let reply = self
             .kv
@@ -203,15 +226,18 @@
         let Some(found) = reply.kvs.first() else {
             return Ok(None);
         };
-        serde_json::from_slice(&found.value)
+        let record = serde_json::from_slice(&found.value)
             .change_context(EntryError::Platform)
-            .attach_with(|| format!("the record at {key} is broken"))
-            .map(Some)
+            .attach_with(|| format!("the record at {key} is broken"))?;
+        Ok(Some((record, found.mod_revision)))
     }
 
+    /// Records a file in place of the record with `mod_revision`, 0 for
+    /// none.
     async fn record_file(
         &self,
         record: &FileRecord,
+        mod_revision: u64,
     ) -> Result<(), Report<EntryError>> {
         let key = self.keys.file(&record.tenant, &record.id);
         let value =
@@ -219,7 +245,7 @@
         let txn = Txn {
             compares: vec![Compare::ModRevision {
                 key: key.clone(),
-                equals: 0,
+                equals: mod_revision,
             }],
             success: vec![Op::Put {
                 key: key.clone(),
@@ -235,9 +261,12 @@
                 txn,
                 Op::Get { key },
                 |_| (),
-                |found| match found.kvs.is_empty() {
-                    true => Verdict::Open,
-                    false => Verdict::Done(()),
+                |found| match found.kvs.first() {
+                    Some(now) if now.mod_revision != mod_revision => {
+                        Verdict::Done(())
+                    }
+                    None if mod_revision != 0 => Verdict::Superseded,
+                    _ => Verdict::Open,
                 },
                 rand::random,
             )
@@ -252,6 +281,12 @@
     }
 }
 
+/// Tells whether a resent file may refer to the pieces stored before. The
+/// pieces of an older one are stored anew, since they expire by their day.
+fn is_fresh(record: &FileRecord, now: UnixMillis) -> bool {
+    now.saturating_ms_since(record.created) < FRESH_MS
+}
+
 /// Turns an error of the key-value service into one of the entry, which
 /// keeps whether a write may have taken effect.
 pub(crate) fn platform(report: Report<KvError>) -> Report<EntryError> {
--- a/crates/entry/src/batch/jobs.rs
+++ b/crates/entry/src/batch/jobs.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Batch, JOB_PREFIX,
-    files::{hex, platform},
+    files::{INPUT_AGE_MAX_MS, hex, platform},
     keys::last,
 };
 use crate::EntryError;
@@ -39,6 +39,8 @@
 pub(crate) enum JobError {
     /// There is no such input file.
     NoInput,
+    /// The input file is too old to be read until the job is done.
+    InputExpired,
     /// The same key came with other content before.
     KeyReused(JobId),
     /// The job could not be recorded; see the report whether it may be.
@@ -65,6 +67,13 @@
         let content = content_digest(&job);
         let id = job_id(&job, &content)?;
         let now = self.timer.clock().unix();
+        let age_ms = now.saturating_ms_since(input.created);
+        if age_ms > INPUT_AGE_MAX_MS {
+            let known = self.job(&job.tenant, &id).await?;
+            return known
+                .filter(|known| known.content == content)
+                .ok_or(JobError::InputExpired);
+        }
         let due = now.saturating_add_ms(job.window_ms);
         let record = JobRecord {
             id,
