--- a/crates/entry/tests/batch.rs
+++ b/crates/entry/tests/batch.rs
@@ -10,7 +10,9 @@
 const ITEMS: u32 = 200;
 
 fn done(job: &Value) -> u64 {
-    job["request_counts"]["completed"].as_u64().unwrap()
+    job["request_counts"]["completed"]
+        .as_u64()
+        .expect("a count")
 }
 
 fn is_completed(job: &Value) -> bool {
