--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,6 +6,34 @@
 };
 use bytes::Bytes;
 
+/// Numbers the variants of an enum on the wire in the order given, from 1.
+///
+/// Numbers are never reused, and a number that a newer process sent reads as
+/// the variant that promises least.
+macro_rules! codes {
+    ($name:ident, unknown reads as $unknown:ident: $($variant:ident),*) => {
+        impl $name {
+            const ALL: &'static [$name] = &[$($name::$variant),*];
+
+            /// Returns the number on the wire.
+            #[inline]
+            pub fn code(self) -> u16 {
+                let index = Self::ALL.iter().position(|kind| *kind == self);
+                index.map_or(0, |i| i as u16 + 1)
+            }
+
+            /// Returns the variant of a number; an unknown one reads as the
+            /// variant that promises least.
+            #[inline]
+            pub fn from_code(code: u16) -> Self {
+                let index = usize::from(code).wrapping_sub(1);
+                let known = Self::ALL.get(index).copied();
+                known.unwrap_or($name::$unknown)
+            }
+        }
+    };
+}
+
 /// Says who a process is.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Identity {
@@ -87,35 +115,9 @@
     Failed,
 }
 
-impl RefusalKind {
-    const ALL: [RefusalKind; 11] = [
-        RefusalKind::Full,
-        RefusalKind::Leaving,
-        RefusalKind::EndpointDown,
-        RefusalKind::WrongTarget,
-        RefusalKind::Late,
-        RefusalKind::StaleFence,
-        RefusalKind::Invalid,
-        RefusalKind::NoSpace,
-        RefusalKind::Conflict,
-        RefusalKind::WrongRole,
-        RefusalKind::Failed,
-    ];
-
-    /// Returns the number on the wire. Numbers are never reused.
-    #[inline]
-    pub fn code(self) -> u16 {
-        let index = Self::ALL.iter().position(|kind| *kind == self);
-        index.map_or(0, |i| i as u16 + 1)
-    }
-
-    /// Returns the kind of a number; one that a newer process sent reads as
-    /// [`RefusalKind::Failed`].
-    #[inline]
-    pub fn from_code(code: u16) -> Self {
-        let index = usize::from(code).wrapping_sub(1);
-        Self::ALL.get(index).copied().unwrap_or(RefusalKind::Failed)
-    }
+codes! {
+    RefusalKind, unknown reads as Failed:
+    Full, Leaving, EndpointDown, WrongTarget, Late, StaleFence, Invalid, NoSpace, Conflict, WrongRole, Failed
 }
 
 /// A refusal with its reason; what it answers did not run.
@@ -163,30 +165,9 @@
     Cancelled,
 }
 
-impl OutcomeKind {
-    const ALL: [OutcomeKind; 6] = [
-        OutcomeKind::Complete,
-        OutcomeKind::Truncated,
-        OutcomeKind::NotSent,
-        OutcomeKind::Broken,
-        OutcomeKind::TimedOut,
-        OutcomeKind::Cancelled,
-    ];
-
-    /// Returns the number on the wire. Numbers are never reused.
-    #[inline]
-    pub fn code(self) -> u16 {
-        let index = Self::ALL.iter().position(|kind| *kind == self);
-        index.map_or(0, |i| i as u16 + 1)
-    }
-
-    /// Returns the kind of a number; an unknown one reads as
-    /// [`OutcomeKind::Broken`], which promises nothing.
-    #[inline]
-    pub fn from_code(code: u16) -> Self {
-        let index = usize::from(code).wrapping_sub(1);
-        Self::ALL.get(index).copied().unwrap_or(OutcomeKind::Broken)
-    }
+codes! {
+    OutcomeKind, unknown reads as Broken:
+    Complete, Truncated, NotSent, Broken, TimedOut, Cancelled
 }
 
 /// The end of an accepted call.
