Tell callers the truth while there is no configuration

Cause: an entry without a configuration answered uploads, jobs, files and models with 500 and `ran: unknown`, without Retry-After: the HTTP library hands no guard's error to the catcher. And the demo failed to start once in a run of parallel tests: a port that it had found free was given to somebody else in between. Change: guards leave their problem with the request and the catcher sends it; the demo takes the ports that it must know in advance below those given to port 0 and to outgoing connections. Conclusion: refusals at the start are typed as not run; the start of the demo depends less on luck.

--- a/crates/cli/src/demo/settings.rs
+++ b/crates/cli/src/demo/settings.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::RangeInclusive,
     path::PathBuf,
 };
 
@@ -28,6 +29,12 @@
 /// Data stores of the demo, in different failure domains.
 const DATA_VMS: usize = 2;
 
+/// Ports that are taken when one must be known in advance.
+const RESERVED_PORTS: RangeInclusive<u16> = 15_000..=32_000;
+
+/// Most ports that are tried; nearly all are free.
+const RESERVE_TRIES_MAX: u32 = 10_000;
+
 const LOOPBACK: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
 fn any_port() -> SocketAddr {
@@ -47,10 +54,22 @@
 
 /// Finds ports that nobody listens on. Companions and the entry need to
 /// know each other's addresses before either starts.
+///
+/// They lie below those that the system gives to port 0 and to outgoing
+/// connections: between this look and the start, it would give one away now
+/// and then, and the demo would not start.
 pub(super) fn reserve_ports(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners = (0..count)
-        .map(|_| TcpListener::bind(any_port()))
-        .collect::<io::Result<Vec<_>>>()?;
+    let mut listeners = Vec::new();
+    for _ in 0..RESERVE_TRIES_MAX {
+        if listeners.len() == count {
+            break;
+        }
+        let port = rand::random_range(RESERVED_PORTS);
+        listeners.extend(TcpListener::bind((LOOPBACK, port)));
+    }
+    if listeners.len() < count {
+        return Err(io::ErrorKind::AddrInUse.into());
+    }
     listeners.iter().map(TcpListener::local_addr).collect()
 }
 
--- a/crates/entry/src/api/guard.rs
+++ b/crates/entry/src/api/guard.rs
@@ -41,6 +41,7 @@
                 Outcome::Success(Self { caller, active })
             }
             Err(problem) => {
+                web::remember(request, &problem);
                 let status = Status::new(problem.kind().status());
                 Outcome::Error((status, problem))
             }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use crate::{
     launch::{LaunchError, LaunchOptions, Served, launch},
-    problem::{Problem, ProblemKind, Ran, catchers},
+    problem::{Problem, ProblemKind, Ran, catchers, remember},
     status::{Active, Phase, ServiceState, health_routes},
 };
--- a/crates/web/src/problem.rs
+++ b/crates/web/src/problem.rs
@@ -230,6 +230,55 @@
     }
 }
 
+/// Keeps the problem that a request guard refuses with, for the catcher.
+///
+/// The server library hands no guard's error on to the catcher; without
+/// this, a caller would be told of a fault inside instead.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_web::{Problem, ProblemKind, Ran, catchers, remember};
+/// use rocket::{
+///     Request, get,
+///     http::Status,
+///     local::blocking::Client,
+///     request::{FromRequest, Outcome},
+///     routes,
+/// };
+///
+/// struct Room;
+///
+/// #[rocket::async_trait]
+/// impl<'r> FromRequest<'r> for Room {
+///     type Error = Problem;
+///
+///     async fn from_request(
+///         request: &'r Request<'_>,
+///     ) -> Outcome<Self, Problem> {
+///         let why = "all are busy";
+///         let problem = Problem::new(ProblemKind::Overloaded, why);
+///         let problem = problem.ran(Ran::No);
+///         remember(request, &problem);
+///         Outcome::Error((Status::ServiceUnavailable, problem))
+///     }
+/// }
+///
+/// #[get("/")]
+/// fn hello(_room: Room) -> &'static str {
+///     "hello"
+/// }
+///
+/// let rocket = rocket::build().mount("/", routes![hello]);
+/// let rocket = rocket.register("/", catchers());
+/// let client = Client::untracked(rocket).unwrap();
+/// let text = client.get("/").dispatch().into_string().unwrap();
+/// assert!(text.contains("all are busy"));
+/// ```
+pub fn remember(request: &Request<'_>, problem: &Problem) {
+    request.local_cache(|| Some(problem.clone()));
+}
+
 /// Returns catchers that turn the server library's own errors into problem
 /// documents. Such a request never reached a handler, so it did not run.
 pub fn catchers() -> Vec<Catcher> {
@@ -238,6 +287,9 @@
 
 #[catch(default)]
 fn uncaught(status: Status, request: &Request<'_>) -> Problem {
+    if let Some(problem) = request.local_cache(|| None::<Problem>) {
+        return problem.clone();
+    }
     let uri = request.uri().path();
     let (kind, detail) = match status.code {
         401 => (ProblemKind::Unauthorized, "send a bearer key".to_owned()),
