Look for one job only when it is made, test the planned stop

A new job made its entry list the marks of all partitions it owns; it now lists the one of that job.

--- a/crates/entry/src/batch/jobs.rs
+++ b/crates/entry/src/batch/jobs.rs
@@ -144,7 +144,7 @@
             .map_err(platform)
             .attach("recording a job")?;
         if outcome == Outcome::Done(()) {
-            self.owner.poke();
+            self.owner.poke(&record.id);
             return Ok(record);
         }
         // A resend: the first request made this job.
@@ -282,7 +282,7 @@
                 .map_err(platform)
                 .attach("cancelling a job")?;
             if outcome == Outcome::Done(()) {
-                self.owner.poke();
+                self.owner.poke(id);
                 return Ok(Some(job));
             }
             // The owner committed results meanwhile; look again.
--- a/crates/entry/src/batch/owner/mod.rs
+++ b/crates/entry/src/batch/owner/mod.rs
@@ -11,7 +11,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use base::{blob_day_prefix, timer::Timer};
+use base::{JobId, blob_day_prefix, timer::Timer};
 use conf::settings::BatchSettings;
 use futures::future::join_all;
 use kv::Kv;
@@ -85,9 +85,9 @@
         self.ledger().status().open_jobs
     }
 
-    /// Makes the owner look for new jobs now.
-    pub(crate) fn poke(&self) {
-        self.ledger().poke();
+    /// Makes the owner look for a new or changed job now.
+    pub(crate) fn poke(&self, job: &JobId) {
+        self.ledger().poke(job);
         self.poked.notify_one();
     }
 
--- a/crates/entry/tests/batch.rs
+++ b/crates/entry/tests/batch.rs
@@ -49,6 +49,24 @@
     assert_exactly_once(&second, &job).await;
 }
 
+/// Symptom: work stands still after a planned stop until a lease has run
+/// out. Events: an owner with a lease of five minutes stops as planned. Cause:
+/// the lease is not ended by its holder.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_hands_over_at_once() {
+    let ground = Ground::start().await;
+    let first = ground.entry_with("entry-1", 300).await;
+    let id = first.start_job(ITEMS, "1h").await;
+    let playing = Player::new("vm-1", &[MODEL]).play(vec![first.peer()]);
+    first.until(&id, |job| done(job) > 20).await;
+    first.drain().await;
+    drop(playing);
+    let second = ground.entry_with("entry-2", 300).await;
+    let _playing = Player::new("vm-1", &[MODEL]).play(vec![second.peer()]);
+    let job = second.until(&id, is_completed).await;
+    assert_exactly_once(&second, &job).await;
+}
+
 /// Symptom: items are doubled, or a job never ends. Events: three answers of
 /// the service in ten are lost after the write took effect, and then the
 /// service is down for a while. Cause: a write of unknown outcome taken as
--- a/crates/entry/tests/batch_common/mod.rs
+++ b/crates/entry/tests/batch_common/mod.rs
@@ -14,7 +14,7 @@
 use base::{Incarnation, KeyDigest};
 use conf::settings::Settings;
 use data::DataNode;
-use kv::{EtcdJsonOptions, Kv, Op, Txn};
+use kv::{EtcdJson, EtcdJsonOptions, Kv, Op, Txn};
 use obs::Metrics;
 use pomeloslip_entry::{Entry, configuration_keys, first_configuration};
 use serde_json::{Value, json};
@@ -74,6 +74,15 @@
 
     /// Starts an entry in a runtime of its own, so that it can be lost.
     pub(crate) async fn entry(&self, name: &str) -> TestEntry {
+        self.entry_with(name, 2).await
+    }
+
+    /// The same with another life of its lease.
+    pub(crate) async fn entry_with(
+        &self,
+        name: &str,
+        lease_ttl_s: u32,
+    ) -> TestEntry {
         let [a, b] = [0, 1].map(|at: usize| self.data[at].peer_address());
         let yaml = format!(
             "\
@@ -88,7 +97,7 @@
   - {{vm: data-1, address: '{b}', failure_domain: maardu}}
 batch:
   partitions: 4
-  lease_ttl_s: 2
+  lease_ttl_s: {lease_ttl_s}
   commit_interval_ms: 50
   grant_ttl_ms: 1000
 ",
@@ -110,6 +119,7 @@
         TestEntry {
             entry: Some(entry),
             runtime: Some(runtime),
+            kv: EtcdJsonOptions::new([self.kv.url()]).build().unwrap(),
         }
     }
 }
@@ -149,6 +159,7 @@
 pub(crate) struct TestEntry {
     entry: Option<Entry>,
     runtime: Option<Runtime>,
+    kv: EtcdJson,
 }
 
 impl TestEntry {
@@ -165,6 +176,25 @@
         self.end();
     }
 
+    /// Stops it as planned.
+    pub(crate) async fn drain(mut self) {
+        let entry = self.entry.take().unwrap();
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(entry.drain()).await.unwrap();
+        // What the stop has begun may end.
+        let members = || async {
+            let found = self.kv.get_prefix("/t/entries/", 0).await;
+            found.unwrap().kvs.len()
+        };
+        let wait = async {
+            while members().await > 0 {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        let waited = tokio::time::timeout(SURELY, wait).await;
+        waited.expect("the lease is ended by its holder");
+    }
+
     fn end(&mut self) {
         let runtime = self.runtime.take();
         if let Some(runtime) = runtime {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -33,6 +33,86 @@
 //! let actions = ledger.handle(at(5), nobody);
 //! assert!(matches!(actions[..], [Action::Join { ttl_s: 10 }]));
 //! ```
+//!
+//! An item from the claim of its partition to its commit:
+//!
+//! ```
+//! use base::{Millis, UnixMillis};
+//! use pomeloslip_ledger::{
+//!     Action, Event, ItemEnd, JobRecord, Ledger, MarkSeen, Moment, Options,
+//!     OwnerSeen, PullRequest, RecordSeen, Taken,
+//! };
+//! # use serde_json::json;
+//! # let at = |ms| Moment {
+//! #     now: Millis::new(ms),
+//! #     unix: UnixMillis::new(ms),
+//! #     random: 1,
+//! # };
+//! # let record: JobRecord = serde_json::from_value(json!({
+//! #     "id": "batch_1", "tenant": "taevakorv", "content": "",
+//! #     "input": "file-1", "path": "/v1/completions", "window": "1h",
+//! #     "metadata": null, "created": 0, "due": 3600000, "ended": null,
+//! #     "state": "in_progress", "items": 2, "done": [], "failed": [],
+//! #     "output": [], "errors": [], "operation": 0,
+//! # }))?;
+//!
+//! let mut ledger = Ledger::new("entry-1", 7, Options::default().partitions(1));
+//! ledger.handle(at(0), Event::Joined {
+//!     sent_at: Millis::new(0),
+//!     lease: Some(9),
+//! });
+//! let own = OwnerSeen {
+//!     partition: 0,
+//!     member: "entry-1".to_owned(),
+//!     lease: 9,
+//!     fence: 4,
+//! };
+//! ledger.handle(at(0), Event::Looked {
+//!     revision: Some(5),
+//!     members: vec!["entry-1".to_owned()],
+//!     owners: vec![own],
+//! });
+//! let job = record.id.clone();
+//! let mark = MarkSeen {
+//!     job: job.clone(),
+//!     revision: 1,
+//! };
+//! let actions = ledger.handle(at(1), Event::Listed {
+//!     partition: 0,
+//!     fence: 4,
+//!     marks: Some(vec![mark]),
+//! });
+//! assert!(matches!(actions[..], [Action::Load { .. }]));
+//! let found = RecordSeen {
+//!     record,
+//!     revision: 1,
+//! };
+//! ledger.handle(at(2), Event::Loaded {
+//!     partition: 0,
+//!     fence: 4,
+//!     job: job.clone(),
+//!     mark: 1,
+//!     found: Ok(Some(Box::new(found))),
+//! });
+//!
+//! let vm = "vm-1".parse()?;
+//! let request = PullRequest {
+//!     vm: &vm,
+//!     incarnation: 1,
+//!     models: &[],
+//!     room: 1,
+//!     running: &[],
+//! };
+//! let item = ledger.pull(at(3), &request).items.remove(0);
+//! let line = ItemEnd::Completed("the answer\n".into());
+//! let taken = ledger.result(at(4), &job, item.index, item.grant, line);
+//! assert_eq!(taken, Taken::Settled);
+//! // The results are stored first, then their transaction is written.
+//! let actions = ledger.handle(at(1_000), Event::Tick);
+//! let stores = |action: &Action| matches!(action, Action::Store { .. });
+//! assert!(actions.iter().any(stores));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 mod commit;
 mod grants;
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -8,6 +8,7 @@
     Action, Event, LedgerStatus, Moment, Options,
     commit::Commit,
     job::{Grant, GrantKey, Job, JobKey},
+    record::partition_of,
     risk::Pace,
     tenure::{Lease, Tenure},
 };
@@ -187,9 +188,11 @@
         self.lease.map(|lease| lease.id)
     }
 
-    /// Makes the ledger read the marks of open jobs at the next tick.
-    pub fn poke(&mut self) {
-        for partition in &mut self.partitions {
+    /// Makes the ledger look for a job at the next tick, if it owns its
+    /// partition.
+    pub fn poke(&mut self, job: &JobId) {
+        let number = partition_of(job, self.options.partitions);
+        if let Some(partition) = self.partitions.get_mut(number as usize) {
             partition.list_at = Millis::new(0);
         }
     }
