--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -64,7 +64,9 @@
     type Err = KeyDigestError;
 
     fn from_str(text: &str) -> Result<Self, KeyDigestError> {
-        if text.len() != DIGEST_BYTES * 2 || !text.is_ascii() {
+        // Numbers may have a sign, digits of a digest may not.
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != DIGEST_BYTES * 2 || !is_hex {
             return Err(KeyDigestError);
         }
         let mut bytes = [0; DIGEST_BYTES];
--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -54,7 +54,9 @@
         };
         let reply: RangeResponse =
             self.0.call(RANGE, Effect::None, &request).await?;
-        Ok(reply.into())
+        convert::get_reply(reply).map_err(|why| {
+            Effect::None.lost().attach(why).attach("path /v3/kv/range")
+        })
     }
 
     async fn run(&self, txn: Txn) -> Result<TxnReply, Report<KvError>> {
--- a/crates/kv/src/etcd/convert.rs
+++ b/crates/kv/src/etcd/convert.rs
@@ -11,6 +11,12 @@
     mvcc::KeyRange,
 };
 
+/// The service counts revisions from 1. Every field of an answer may be
+/// missing, so any JSON object, also one that tells of an error, reads as an
+/// answer without keys, or as a comparison that did not hold; only the
+/// revision shows that the service said so.
+const NO_REVISION: &str = "the answer has no revision";
+
 pub(super) fn is_write(op: &Op) -> bool {
     matches!(op, Op::Put { .. } | Op::Delete { .. })
 }
@@ -104,6 +110,9 @@
     reply: TxnResponse,
     expected: usize,
 ) -> Result<TxnReply, &'static str> {
+    if reply.header.revision.get_u64() == 0 {
+        return Err(NO_REVISION);
+    }
     if reply.responses.len() != expected {
         return Err("the answer has a wrong number of steps");
     }
@@ -128,12 +137,16 @@
     }
 }
 
-impl From<RangeResponse> for GetReply {
-    fn from(reply: RangeResponse) -> Self {
-        Self {
-            revision: reply.header.revision.get_u64(),
+/// Reads the answer to a read.
+pub(super) fn get_reply(
+    reply: RangeResponse,
+) -> Result<GetReply, &'static str> {
+    match reply.header.revision.get_u64() {
+        0 => Err(NO_REVISION),
+        revision => Ok(GetReply {
+            revision,
             kvs: key_values(reply.kvs),
-        }
+        }),
     }
 }
 
