Route by the router; go on with broken streams elsewhere

The entry paused an endpoint for a fixed second after any failure, mixed the lives of a restarted companion, ignored the platform's VM list, had no bound on retries, and half an answer was lost with each worker.

--- a/crates/entry/src/api/status.rs
+++ b/crates/entry/src/api/status.rs
@@ -42,11 +42,11 @@
         .all()
         .iter()
         .map(|endpoint| EndpointRow {
-            endpoint: endpoint.name.to_string(),
-            pool: endpoint.pool.clone(),
-            failure_domain: endpoint.failure_domain.to_string(),
-            in_flight: endpoint.in_flight(),
-            paused: endpoint.is_paused(now),
+            endpoint: endpoint.target.name.to_string(),
+            pool: endpoint.target.pool.clone(),
+            failure_domain: endpoint.target.failure_domain.to_string(),
+            in_flight: endpoint.in_flight,
+            paused: !endpoint.open,
         })
         .collect();
     let in_force = shared.config.current();
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -16,7 +16,11 @@
     message::{Frame, Outcome, OutcomeKind},
 };
 
-use crate::shared::Admitted;
+use crate::{
+    fleet::Flight,
+    forward::{self, Again, Answering, Resume},
+    shared::Admitted,
+};
 
 /// Learns how an answer ended.
 pub(crate) type OnEnd = Box<dyn FnOnce(&Ended) + Send>;
@@ -47,6 +51,7 @@
 enum State {
     Idle(Box<Run>),
     Waiting(BoxFuture<'static, (Box<Run>, Option<Frame>)>),
+    Resuming(BoxFuture<'static, Option<(Box<Resume>, Again)>>, Ended),
     Done,
 }
 
@@ -71,40 +76,54 @@
     on_end: Option<OnEnd>,
     on_chunk: Arc<dyn Fn(u32) + Send + Sync>,
     admitted: Option<Admitted>,
+    flight: Option<Flight>,
     framing: Framing,
+    resume: Option<Box<Resume>>,
 }
 
 impl AnswerBody {
+    /// Makes the body of an answer that has begun; with `resume` it goes on
+    /// elsewhere when it breaks.
     pub(crate) fn new(
-        run: Run,
-        first: Bytes,
-        next_seq: u32,
+        answer: Answering,
         on_chunk: Arc<dyn Fn(u32) + Send + Sync>,
         on_end: OnEnd,
-        framing: Framing,
+        mut resume: Option<Box<Resume>>,
     ) -> Self {
+        let Some(first) = answer.first else {
+            return Self::whole(Bytes::new(), on_end, answer.flight);
+        };
+        if let Some(resume) = &mut resume {
+            // The first event of a first attempt always goes to the caller.
+            let _ = resume.pass(first.clone());
+        }
         Self {
-            state: State::Idle(Box::new(run)),
+            state: State::Idle(Box::new(answer.run)),
             rest: first,
-            next_seq,
+            next_seq: answer.next_seq,
             on_end: Some(on_end),
             on_chunk,
             admitted: None,
-            framing,
+            flight: Some(answer.flight),
+            framing: answer.framing,
+            resume,
         }
     }
 
-    /// Makes the body of an answer that has no bytes.
-    pub(crate) fn empty(on_end: OnEnd) -> Self {
+    /// Makes a body of bytes that are all here.
+    pub(crate) fn whole(bytes: Bytes, on_end: OnEnd, flight: Flight) -> Self {
+        drop(flight);
         on_end(&Ended::Complete);
         Self {
             state: State::Done,
-            rest: Bytes::new(),
+            rest: bytes,
             next_seq: 0,
             on_end: None,
             on_chunk: Arc::new(|_| ()),
             admitted: None,
+            flight: None,
             framing: Framing::Sized,
+            resume: None,
         }
     }
 
@@ -116,34 +135,34 @@
     fn finish(&mut self, ended: &Ended) {
         self.state = State::Done;
         self.admitted = None;
+        self.flight = None;
         if let Some(on_end) = self.on_end.take() {
             on_end(ended);
         }
     }
 
-    /// Makes a body of bytes that are all here.
-    pub(crate) fn whole(bytes: Bytes, on_end: OnEnd) -> Self {
-        let mut body = Self::empty(on_end);
-        body.rest = bytes;
-        body
-    }
-
     /// Takes a frame; `Ok(false)` is the end.
     fn take(&mut self, frame: Option<Frame>) -> io::Result<bool> {
         match frame {
             Some(Frame::Chunk { seq, bytes }) if seq == self.next_seq => {
                 self.next_seq += 1;
-                (self.on_chunk)(seq);
-                self.rest = bytes;
+                let bytes = match &mut self.resume {
+                    Some(resume) => resume.pass(bytes),
+                    None => Some(bytes),
+                };
+                if let Some(bytes) = bytes {
+                    (self.on_chunk)(seq);
+                    self.rest = bytes;
+                }
                 Ok(true)
             }
             Some(Frame::End(outcome)) if self.is_whole(&outcome) => {
                 self.finish(&Ended::Complete);
                 Ok(false)
             }
-            Some(Frame::End(outcome)) => self.fail(Some(outcome)),
+            Some(Frame::End(outcome)) => self.broke(Some(outcome)),
             // A gap or a second head: frames of this answer are lost.
-            _ => self.fail(None),
+            _ => self.broke(None),
         }
     }
 
@@ -152,10 +171,44 @@
             && outcome.chunks == self.next_seq
     }
 
-    fn fail(&mut self, outcome: Option<Outcome>) -> io::Result<bool> {
+    /// Goes on elsewhere if that is possible.
+    fn broke(&mut self, outcome: Option<Outcome>) -> io::Result<bool> {
+        let kind = outcome.as_ref().map(|outcome| outcome.kind);
         let ended = Ended::Broken(outcome);
+        let Some(flight) = self.flight.take() else {
+            return self.fail(&ended);
+        };
+        let Some(resume) = self.resume.take() else {
+            forward::note_end(&flight, kind);
+            return self.fail(&ended);
+        };
+        let why = ended.detail().to_owned();
+        // The broken attempt ends before another begins.
+        self.state = State::Done;
+        let again = Box::pin(resume.again(flight, kind, why));
+        self.state = State::Resuming(again, ended);
+        Ok(true)
+    }
+
+    fn resumed(
+        &mut self,
+        again: Option<(Box<Resume>, Again)>,
+        ended: &Ended,
+    ) -> io::Result<bool> {
+        let Some((resume, again)) = again else {
+            return self.fail(ended);
+        };
+        self.state = State::Idle(Box::new(again.run));
+        self.rest = again.first.unwrap_or_default();
+        self.next_seq = again.next_seq;
+        self.flight = Some(again.flight);
+        self.resume = Some(resume);
+        Ok(true)
+    }
+
+    fn fail(&mut self, ended: &Ended) -> io::Result<bool> {
         let detail = ended.detail().to_owned();
-        self.finish(&ended);
+        self.finish(ended);
         match self.framing {
             Framing::Events => {
                 self.rest = error_event(&detail);
@@ -208,6 +261,19 @@
                         }
                     }
                 }
+                State::Resuming(mut again, ended) => {
+                    match again.as_mut().poll(cx) {
+                        Poll::Pending => {
+                            self.state = State::Resuming(again, ended);
+                            return Poll::Pending;
+                        }
+                        Poll::Ready(again) => {
+                            if !self.resumed(again, &ended)? {
+                                return Poll::Ready(Ok(()));
+                            }
+                        }
+                    }
+                }
             }
         }
     }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -15,6 +15,7 @@
 }
 
 /// A request with all that the filters have found out.
+#[derive(Clone)]
 pub(crate) struct Exchange {
     pub(crate) request_id: RequestId,
     pub(crate) received: Millis,
--- /dev/null
+++ b/crates/entry/src/fleet/flight.rs
@@ -0,0 +1,97 @@
+use std::sync::Arc;
+
+use base::Millis;
+use router::{EndpointKey, Failure, Refused, Report};
+use wire::message::{Load, RefusalKind};
+
+use super::{Fleet, Target};
+
+/// A call that is counted at its endpoint until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    fleet: Arc<Fleet>,
+    key: EndpointKey,
+    target: Arc<Target>,
+    sent: Millis,
+}
+
+impl Flight {
+    pub(super) fn new(
+        fleet: Arc<Fleet>,
+        key: EndpointKey,
+        target: Arc<Target>,
+        sent: Millis,
+    ) -> Self {
+        Self {
+            fleet,
+            key,
+            target,
+            sent,
+        }
+    }
+
+    pub(crate) fn key(&self) -> EndpointKey {
+        self.key
+    }
+
+    pub(crate) fn target(&self) -> &Arc<Target> {
+        &self.target
+    }
+
+    /// Notes the load that came with the reply to the call. If it comes from
+    /// a new life of the companion, the call counts there.
+    pub(crate) fn reported(&mut self, load: &Load) {
+        let now = self.fleet.timer.now();
+        let report = report(load);
+        let key = self.fleet.reported(self.key, &report, now);
+        if key != self.key {
+            self.key = key;
+            self.fleet.router().sent(key, now);
+        }
+    }
+
+    /// Notes that the endpoint did not take the call.
+    pub(crate) fn refused(&self, kind: RefusalKind) {
+        let why = match kind {
+            RefusalKind::Full => Refused::Full,
+            RefusalKind::Leaving => Refused::Leaving,
+            RefusalKind::EndpointDown => Refused::Down,
+            RefusalKind::WrongTarget => Refused::WrongTarget,
+            _ => Refused::Other,
+        };
+        let now = self.fleet.timer.now();
+        self.fleet.router().refused(self.key, why, now);
+    }
+
+    /// Notes that the call failed.
+    pub(crate) fn failed(&self, failure: Failure) {
+        let now = self.fleet.timer.now();
+        self.fleet.router().failed(self.key, failure, now);
+    }
+
+    /// Notes that the first part of the answer has come.
+    pub(crate) fn answered(&self) {
+        let now = self.fleet.timer.now();
+        let ms = now.saturating_ms_since(self.sent);
+        self.fleet.router().answered(self.key, Some(ms), now);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.fleet.router().ended(self.key);
+    }
+}
+
+/// Returns what a router needs of a load. Batch items give way at once, so
+/// they do not count.
+pub(super) fn report(load: &Load) -> Report {
+    Report {
+        running: load.running.saturating_sub(load.batch_running),
+        waiting: load.waiting,
+        first_token_ms: load.first_token_ms,
+        leaving: load.leaving,
+        up: load.endpoint_up,
+        incarnation: load.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fleet/mod.rs
@@ -0,0 +1,262 @@
+//! The endpoints that this entry knows.
+//!
+//! Which one a request goes to is decided by a [`Router`], which does no
+//! I/O; see `docs/design/routing.md`. Here are the addresses, the probes and
+//! the platform's list.
+
+mod flight;
+mod target;
+pub(crate) mod vm_list;
+
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+};
+
+use base::{FailureDomain, Incarnation, Millis, Snapshot, timer::Timer};
+use conf::settings::Settings;
+use error_stack::Report;
+use indexmap::IndexMap;
+use router::{
+    EndpointKey, Failure, Listed, Listing, Query, Router, RouterOptions,
+};
+use slotmap::SecondaryMap;
+use wire::{LinkError, Links};
+
+use crate::EntryError;
+
+pub(crate) use self::{
+    flight::Flight,
+    target::{Route, Target},
+};
+
+/// Pause between looks at which endpoints are to be probed, in
+/// milliseconds.
+const TICK_MS: u64 = 250;
+
+type Targets = SecondaryMap<EndpointKey, Arc<Target>>;
+
+/// What `/status` shows of an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointStatus {
+    pub(crate) target: Arc<Target>,
+    pub(crate) in_flight: u32,
+    pub(crate) open: bool,
+}
+
+/// The endpoints that this entry knows.
+pub(crate) struct Fleet {
+    /// Each lock lasts for one decision of some microseconds and is never
+    /// held over a wait. An entry decides some hundreds of times a second;
+    /// counts in atomics were rejected, for a choice and its count would
+    /// then come apart and a burst would meet one endpoint.
+    router: Mutex<Router>,
+    targets: Snapshot<Targets>,
+    here: FailureDomain,
+    links: Links,
+    timer: Timer,
+}
+
+impl std::fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Fleet").finish_non_exhaustive()
+    }
+}
+
+impl Fleet {
+    /// Starts with the endpoints of the settings.
+    pub(crate) fn try_new(
+        settings: &Settings,
+        links: Links,
+        timer: Timer,
+    ) -> Result<Arc<Self>, Report<EntryError>> {
+        let options = RouterOptions::default();
+        let entry = settings.vm.as_str();
+        let fleet = Self {
+            router: Mutex::new(Router::new(entry, options)),
+            targets: Snapshot::new(Targets::new()),
+            here: settings.failure_domain.clone(),
+            links,
+            timer,
+        };
+        let targets = settings
+            .endpoints
+            .iter()
+            .map(|known| Target::of_settings(known, &settings.timeouts))
+            .collect::<Result<Vec<_>, _>>()?;
+        fleet.list(targets);
+        Ok(Arc::new(fleet))
+    }
+
+    fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the list of all endpoints; those that stay keep what is
+    /// known of them.
+    pub(crate) fn list(&self, targets: Vec<Target>) {
+        let mut pools: IndexMap<String, Vec<Arc<Target>>> = IndexMap::new();
+        let mut names = HashSet::new();
+        for target in targets {
+            if names.insert((target.pool.clone(), target.name.clone())) {
+                let pool = pools.entry(target.pool.clone()).or_default();
+                pool.push(Arc::new(target));
+            }
+        }
+        let mut router = self.router();
+        let before = self.targets.load_full();
+        let known = before.values().map(|target| target.pool.clone());
+        for pool in known {
+            pools.entry(pool).or_default();
+        }
+        let mut now = Targets::clone(&before);
+        for (pool, targets) in &pools {
+            let listed: Vec<Listed> =
+                targets.iter().map(|one| self.listed(one)).collect();
+            let pool = router.pool(pool);
+            let Listing { added, removed } = router.list(pool, &listed);
+            for key in removed {
+                now.remove(key);
+            }
+            for (key, at) in added {
+                now.insert(key, targets[at].clone());
+            }
+        }
+        // Published under the lock: who gets a key finds its target.
+        self.targets.publish(now);
+    }
+
+    fn listed(&self, target: &Target) -> Listed {
+        let near = target.failure_domain == self.here;
+        let address = target.route.address();
+        Listed::new(target.name.clone(), near, &address)
+    }
+
+    /// Chooses an endpoint of a pool that was not tried and counts a call
+    /// there.
+    pub(crate) fn choose(
+        self: &Arc<Self>,
+        pool: &str,
+        prefix: Option<u64>,
+        tried: &[EndpointKey],
+    ) -> Option<Flight> {
+        let now = self.timer.now();
+        let query = Query::default().prefix(prefix).tried(tried);
+        let (choice, target) = {
+            let mut router = self.router();
+            let pool = router.find_pool(pool)?;
+            let choice = router.choose(pool, &query, now, rand::random())?;
+            let target = self.targets.load().get(choice.endpoint)?.clone();
+            router.sent(choice.endpoint, now);
+            (choice, target)
+        };
+        for key in choice.probes {
+            self.probe(key);
+        }
+        Some(Flight::new(self.clone(), choice.endpoint, target, now))
+    }
+
+    /// Takes a retry out of a pool's budget and tells whether there was one.
+    pub(crate) fn try_retry(&self, pool: &str) -> bool {
+        let now = self.timer.now();
+        let mut router = self.router();
+        let pool = router.find_pool(pool);
+        pool.is_some_and(|pool| router.try_retry(pool, now))
+    }
+
+    fn reported(
+        &self,
+        key: EndpointKey,
+        report: &router::Report,
+        now: Millis,
+    ) -> EndpointKey {
+        let mut router = self.router();
+        let after = router.reported(key, report, now);
+        self.renewed(key, after);
+        after
+    }
+
+    /// Gives the new life of an endpoint the address of the last one; the
+    /// router is locked meanwhile.
+    fn renewed(&self, before: EndpointKey, after: EndpointKey) {
+        if before == after {
+            return;
+        }
+        self.targets.update(|targets| {
+            let mut targets = targets.clone();
+            if let Some(target) = targets.remove(before) {
+                targets.insert(after, target);
+            }
+            targets
+        });
+    }
+
+    /// Notes that a life of a companion takes no new work.
+    pub(crate) fn note_leaving(&self, incarnation: Incarnation) {
+        self.router().leaving(incarnation);
+    }
+
+    /// Returns all endpoints in use, for `/status`.
+    pub(crate) fn all(&self) -> Vec<EndpointStatus> {
+        let router = self.router();
+        let targets = self.targets.load();
+        let views = router.endpoints().filter_map(|view| {
+            Some(EndpointStatus {
+                target: targets.get(view.key)?.clone(),
+                in_flight: view.in_flight,
+                open: view.open,
+            })
+        });
+        views.collect()
+    }
+
+    /// Probes endpoints that could come back, until the process ends.
+    pub(crate) async fn tend(self: Arc<Self>) {
+        loop {
+            let now = self.timer.now();
+            let due = self.router().tick(now);
+            for key in due {
+                self.probe(key);
+            }
+            self.timer.subscribe_in_ms(TICK_MS).await;
+        }
+    }
+
+    /// Asks a companion for its load in the background.
+    fn probe(self: &Arc<Self>, key: EndpointKey) {
+        let Some(target) = self.targets.load().get(key).cloned() else {
+            return;
+        };
+        let address = match &target.route {
+            Route::Companion(address) => *address,
+            Route::Direct(_) => {
+                let now = self.timer.now();
+                return self.router().try_again(key, now);
+            }
+        };
+        if target.probing.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let fleet = self.clone();
+        tokio::spawn(async move {
+            let answer = fleet.links.load(address).await;
+            target.probing.store(false, Ordering::Release);
+            let now = fleet.timer.now();
+            let mut router = fleet.router();
+            match answer {
+                Ok(load) => {
+                    let report = flight::report(&load);
+                    let after = router.probed(key, &report, now);
+                    fleet.renewed(key, after);
+                }
+                Err(report) => {
+                    router.probe_failed(key);
+                    let lost = LinkError::NotSent;
+                    if *report.current_context() == lost {
+                        router.failed(key, Failure::Unreachable, now);
+                    }
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fleet/vm_list.rs
@@ -0,0 +1,131 @@
+//! The platform's list of machines, which lags and is only a hint.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{FailureDomain, VmId};
+use conf::settings::{TimeoutSettings, VmListSettings};
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
+use upstream::EndpointClient;
+
+use super::{Route, Target};
+use crate::{EntryError, shared::Shared};
+
+/// Longest wait for the whole list.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// State of a machine that takes work. Others, also ones that are not known
+/// here yet, get none.
+const LIVE: &str = "live";
+
+/// The list; its elements are read one by one, so that one that is not
+/// understood does not hide the others.
+#[derive(Deserialize)]
+struct VmList {
+    vms: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct VmRecord {
+    vm: VmId,
+    state: String,
+    failure_domain: FailureDomain,
+    pool: String,
+    ip: IpAddr,
+    ports: VmPorts,
+}
+
+#[derive(Deserialize)]
+struct VmPorts {
+    /// 0 for a machine without a companion.
+    #[serde(default)]
+    peer: u16,
+    #[serde(default)]
+    http: u16,
+}
+
+/// Reads the list again and again until the process ends.
+///
+/// The last list stays in force if the list cannot be read or has no live
+/// machine of our pools: a platform that has lost its list would otherwise
+/// stop all serving, while the endpoints themselves still live.
+pub(crate) async fn follow(shared: Arc<Shared>, settings: VmListSettings) {
+    let client = reqwest::Client::new();
+    let url = settings.address.join("/v1/vms");
+    loop {
+        match read(&client, &url).await {
+            Ok(records) => apply(&shared, records),
+            Err(report) => {
+                log::warn!(error:? = report; "the VM list cannot be read");
+            }
+        }
+        shared.timer.subscribe_in_ms(settings.poll_ms).await;
+    }
+}
+
+async fn read(
+    client: &reqwest::Client,
+    url: &str,
+) -> Result<Vec<VmRecord>, Report<EntryError>> {
+    let failed = EntryError::Platform;
+    let reply = client
+        .get(url)
+        .timeout(READ_TIMEOUT)
+        .send()
+        .await
+        .and_then(reqwest::Response::error_for_status)
+        .change_context(failed)?;
+    let list: VmList = reply.json().await.change_context(failed)?;
+    Ok(list.vms.into_iter().filter_map(record).collect())
+}
+
+fn record(value: serde_json::Value) -> Option<VmRecord> {
+    match serde_json::from_value(value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let error = error.to_string();
+            log::warn!(error; "an element of the VM list is left out");
+            None
+        }
+    }
+}
+
+fn apply(shared: &Shared, records: Vec<VmRecord>) {
+    let in_force = shared.config.current();
+    let is_pool = |name: &str| {
+        in_force
+            .as_ref()
+            .is_none_or(|now| now.compiled.pool_by_name(name).is_some())
+    };
+    let targets: Vec<Target> = records
+        .into_iter()
+        .filter(|record| record.state == LIVE && is_pool(&record.pool))
+        .filter_map(|record| target(record, &shared.timeouts))
+        .collect();
+    if targets.is_empty() {
+        log::warn!("the VM list is empty; the last one stays in force");
+        return;
+    }
+    shared.fleet.list(targets);
+}
+
+fn target(record: VmRecord, timeouts: &TimeoutSettings) -> Option<Target> {
+    let VmPorts { peer, http } = record.ports;
+    let route = match (peer, http) {
+        (0, 0) => return None,
+        (0, http) => {
+            let address = SocketAddr::new(record.ip, http);
+            let client = EndpointClient::try_new(address.into(), timeouts);
+            Route::Direct(Box::new(client.ok()?))
+        }
+        (peer, _) => Route::Companion(SocketAddr::new(record.ip, peer)),
+    };
+    // Both kinds of names have the same form.
+    let name = record.vm.as_str().parse().ok()?;
+    let domain = record.failure_domain;
+    Some(Target::new(name, record.pool, domain, route))
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -21,7 +21,7 @@
     claim_store::Claims,
     config::{ConfigStore, Neighbours},
     filter::Limits,
-    fleet::Fleet,
+    fleet::{Fleet, vm_list},
     peers::Peers,
     shared::Shared,
 };
@@ -81,12 +81,12 @@
             settings.batch.clone(),
             settings.limits.clone(),
         );
+        let fleet = Fleet::try_new(settings, links.clone(), timer.clone())?;
         let shared = Arc::new(Shared {
-            failure_domain: settings.failure_domain.clone(),
             incarnation: identity.incarnation,
             timer: timer.clone(),
             links,
-            fleet: Fleet::try_new(&settings.endpoints, &settings.timeouts)?,
+            fleet,
             config: Arc::new(ConfigStore::new(kv, &prefix, timer.clone())),
             batch,
             metrics,
@@ -111,6 +111,11 @@
             .change_context(start)?;
         let http = launch(settings, &shared).await?;
         let mut tasks = spawn(&shared, timer.clone());
+        tasks.push(tokio::spawn(shared.fleet.clone().tend()));
+        if let Some(list) = settings.vm_list.clone() {
+            let follow = vm_list::follow(shared.clone(), list);
+            tasks.push(tokio::spawn(follow));
+        }
         let entries = settings.entries.clone();
         let neighbours = Neighbours::new(shared.links.clone(), entries);
         let store = shared.config.clone();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -27,7 +27,7 @@
 
     fn leaving(&self, vm: VmId, incarnation: Incarnation) {
         log::info!(vm = vm.as_str(); "an endpoint leaves");
-        self.0.fleet.note_leaving(incarnation, self.0.timer.now());
+        self.0.fleet.note_leaving(incarnation);
     }
 
     fn config(&self, have: Revision) -> ConfigReply {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::{FailureDomain, Incarnation, KeyDigest, timer::Timer};
+use base::{Incarnation, KeyDigest, timer::Timer};
 use conf::settings::{LimitSettings, TimeoutSettings};
 use obs::Metrics;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -19,11 +19,10 @@
 
 /// What the parts of an entry share.
 pub(crate) struct Shared {
-    pub(crate) failure_domain: FailureDomain,
     pub(crate) incarnation: Incarnation,
     pub(crate) timer: Timer,
     pub(crate) links: Links,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: Arc<Fleet>,
     pub(crate) config: Arc<ConfigStore>,
     pub(crate) batch: Batch,
     pub(crate) metrics: Metrics,
--- /dev/null
+++ b/crates/entry/tests/forward.rs
@@ -0,0 +1,196 @@
+//! Answers that go on elsewhere, and endpoints that come and go.
+#![allow(clippy::unwrap_used)]
+
+mod forward_common;
+
+use std::{net::TcpListener, time::Duration};
+
+use forward_common::{
+    MODEL, behind, call, chat, companion, direct, engine, entry, platform,
+    stream, until_served,
+};
+use serde_json::{Value, json};
+use standin::{
+    answer,
+    engine::EngineHandle,
+    vms::{VmListService, VmListSettings, VmRecord, VmState},
+};
+use yare::parameterized;
+
+/// Pause between two looks at what is awaited.
+const LOOK: Duration = Duration::from_millis(10);
+
+fn expected(prompt: &str) -> String {
+    let messages = json!([{"role": "user", "content": prompt}]);
+    answer::text(MODEL, &answer::prompt_of_chat(&messages), 16)
+}
+
+fn calls(engines: &[EngineHandle]) -> u64 {
+    engines.iter().map(|engine| engine.counters().calls).sum()
+}
+
+async fn engines(count: usize) -> (Vec<EngineHandle>, String) {
+    let mut engines = Vec::new();
+    let mut lines = "endpoints:\n".to_owned();
+    for at in 0..count {
+        let engine = engine().await;
+        lines.push_str(&direct(&format!("korv-lm-{at}"), &engine));
+        engines.push(engine);
+    }
+    (engines, lines)
+}
+
+/// Symptom: half an answer, or one with words twice. Sequence: each of two
+/// engines ends its first stream to this prompt half way, without the end
+/// mark; the first then gives the rest. Cause would be an attempt that is
+/// passed on from its beginning, or one that is not made.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_chat_goes_on_elsewhere_as_one_answer() {
+    let platform = platform("").await;
+    let (engines, lines) = engines(2).await;
+    let entry = entry(&platform, &lines).await;
+    let events = stream(&entry, &chat("[[drop]] may I fly")).await;
+    events.is_one_answer(&expected("[[drop]] may I fly"));
+    assert_eq!(calls(&engines), 3);
+    let roles = events
+        .count(|event| event["choices"][0]["delta"]["role"] == "assistant");
+    assert_eq!(roles, 1);
+    let usage = events.json.last().unwrap()["usage"].clone();
+    assert_eq!(usage["completion_tokens"], 16);
+    let prompt = usage["prompt_tokens"].as_u64().unwrap();
+    assert_eq!(usage["total_tokens"], prompt + 16);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_completion_goes_on_elsewhere_as_one_answer() {
+    let platform = platform("").await;
+    let (_engines, lines) = engines(2).await;
+    let entry = entry(&platform, &lines).await;
+    let prompt = "[[drop]] describe it";
+    let body = json!({
+        "model": MODEL, "stream": true, "max_tokens": 9, "prompt": prompt,
+    });
+    let events = stream(&entry, &body).await;
+    events.is_one_answer(&answer::text(MODEL, prompt, 9));
+}
+
+/// A stream that may not go on ends with an error event and without the end
+/// mark, so that nobody takes it for whole.
+#[parameterized(
+    not_repeatable = { ", repeatable: false", 1 },
+    no_retries = { ", retries: 0", 1 },
+    too_few_retries = { ", retries: 1", 2 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn what_may_not_go_on_is_no_whole_answer(then: &str, attempts: u64) {
+    let platform = platform(then).await;
+    let (engines, lines) = engines(2).await;
+    let entry = entry(&platform, &lines).await;
+    let events = stream(&entry, &chat("[[drop]] may I fly")).await;
+    assert_eq!(events.done, 0);
+    let error = &events.json.last().unwrap()["error"];
+    assert_eq!(error["ran"], "unknown", "{error}");
+    assert!(expected("[[drop]] may I fly").starts_with(&events.text()));
+    assert_eq!(calls(&engines), attempts);
+}
+
+/// Symptom: half an answer that looks whole. Sequence: the only engine drops
+/// a stream of two choices, whose events belong to either. Cause would be a
+/// count of events that mixes the two.
+#[tokio::test(flavor = "multi_thread")]
+async fn several_choices_are_not_resumed() {
+    let platform = platform("").await;
+    let (engines, lines) = engines(2).await;
+    let entry = entry(&platform, &lines).await;
+    let mut body = chat("[[drop]] two of them");
+    body["n"] = json!(2);
+    let events = stream(&entry, &body).await;
+    assert_eq!(events.done, 0);
+    assert_eq!(calls(&engines), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_engine_is_passed_over() {
+    let platform = platform("").await;
+    let (mut engines, lines) = engines(2).await;
+    let entry = entry(&platform, &lines).await;
+    engines.remove(0).stop().await;
+    for at in 0..10 {
+        let prompt = format!("number {at}");
+        let events = stream(&entry, &chat(&prompt)).await;
+        events.is_one_answer(&expected(&prompt));
+    }
+    assert_eq!(calls(&engines), 10);
+}
+
+/// Symptom: calls at an endpoint that leaves, or none at its successor.
+/// Sequence: the companion leaves and says so; the settings still have its
+/// address; later a new companion lives there. Cause would be one record
+/// for both lives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_companion_gets_nothing_and_its_successor_does() {
+    let platform = platform("").await;
+    let engine = engine().await;
+    let reserved = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = reserved.local_addr().unwrap();
+    let lines = format!("endpoints:\n{}", behind("korv-lm-1", address));
+    let entry = entry(&platform, &lines).await;
+    drop(reserved);
+    let told = [entry.peer_address()];
+    let first = companion("korv-lm-1", address, &engine, &told).await;
+    until_served(&entry).await;
+    let before = engine.counters().calls;
+
+    first.drain().await;
+    let reply = call(&entry, "/v1/chat/completions", &chat("hello")).await;
+    assert_eq!(reply.status().as_u16(), 503);
+    let problem: Value = reply.json().await.unwrap();
+    assert_eq!(problem["ran"], "no", "{problem}");
+    assert_eq!(engine.counters().calls, before);
+
+    let _second = companion("korv-lm-1", address, &engine, &told).await;
+    until_served(&entry).await;
+}
+
+/// Symptom: a whole fleet out of service. Sequence: the platform's list is
+/// empty for a while, then cannot be read. Cause would be a list that is
+/// believed whatever it says.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_list_stays_when_there_is_none() {
+    let platform = platform("").await;
+    let engine = engine().await;
+    let vm = VmRecord {
+        vm: "vm-7".parse().unwrap(),
+        state: VmState::Live,
+        failure_domain: "tallinn-a".parse().unwrap(),
+        pool: "korv-lm".to_owned(),
+        ip: engine.address().ip(),
+        ports: standin::vms::VmPorts {
+            peer: 0,
+            http: engine.address().port(),
+        },
+    };
+    let list = VmListService::start(VmListSettings::default())
+        .await
+        .unwrap();
+    let lines =
+        format!("vm_list: {{address: {}, poll_ms: 100}}\n", list.url());
+    let entry = entry(&platform, &lines).await;
+    let nobody = call(&entry, "/v1/chat/completions", &chat("hello")).await;
+    assert_eq!(nobody.status().as_u16(), 503);
+
+    list.put(vm.clone());
+    until_served(&entry).await;
+    list.remove(&vm.vm);
+    let after = list.reads() + 3;
+    while list.reads() < after {
+        tokio::time::sleep(LOOK).await;
+    }
+    stream(&entry, &chat("hello"))
+        .await
+        .is_one_answer(&expected("hello"));
+    list.stop().await;
+    stream(&entry, &chat("again"))
+        .await
+        .is_one_answer(&expected("again"));
+}
--- /dev/null
+++ b/crates/entry/tests/forward_common/mod.rs
@@ -0,0 +1,221 @@
+//! An entry before stand-in engines, directly or behind companions.
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::KeyDigest;
+use companion::Companion;
+use conf::settings::Settings;
+use kv::{EtcdJsonOptions, Kv, Op, Txn};
+use obs::Metrics;
+use pomeloslip_entry::{Entry, configuration_keys, first_configuration};
+use serde_json::{Value, json};
+use standin::{
+    engine::{Engine, EngineHandle, EngineSettings},
+    kv::{KvService, KvServiceHandle, KvServiceSettings},
+};
+
+pub(crate) const KEY: &str = "key-of-taevakorv";
+pub(crate) const MODEL: &str = "korv-lm";
+
+/// Time in which something that is to happen happens, on any machine.
+pub(crate) const SURELY: Duration = Duration::from_secs(30);
+
+/// Starts the key-value service; `then` adds to the rule for the model.
+pub(crate) async fn platform(then: &str) -> KvServiceHandle {
+    let service = KvService::start(KvServiceSettings::default());
+    let service = service.await.unwrap();
+    let text = format!(
+        "\
+tenants:
+  - tenant: taevakorv
+    key_sha256: [{}]
+pools:
+  - {{pool: korv-lm, kind: engine, models: [{MODEL}]}}
+rules:
+  - when: {{model: {MODEL}}}
+    then: {{pool: korv-lm, deadline_ms: 60000{then}}}
+",
+        KeyDigest::of_key(KEY),
+    );
+    let value = first_configuration(&text).unwrap();
+    let put = |key| Op::Put {
+        key,
+        value: value.clone(),
+        lease: None,
+    };
+    let txn = Txn {
+        success: configuration_keys("/t/").map(put).into(),
+        ..Txn::default()
+    };
+    let client = EtcdJsonOptions::new([service.url()]).build().unwrap();
+    client.txn(txn).await.unwrap();
+    service
+}
+
+pub(crate) async fn engine() -> EngineHandle {
+    Engine::start(EngineSettings::instant()).await.unwrap()
+}
+
+/// Returns a line of settings for an engine without a companion.
+pub(crate) fn direct(name: &str, engine: &EngineHandle) -> String {
+    format!(
+        "  - {{endpoint: {name}, pool: korv-lm, failure_domain: tallinn-a, \
+         http: '{}'}}\n",
+        engine.url()
+    )
+}
+
+/// Returns a line of settings for an endpoint with a companion.
+pub(crate) fn behind(name: &str, peer: SocketAddr) -> String {
+    format!(
+        "  - {{endpoint: {name}, pool: korv-lm, failure_domain: tallinn-a, \
+         peer: '{peer}'}}\n"
+    )
+}
+
+/// Starts an entry; `more` is the rest of its settings.
+pub(crate) async fn entry(platform: &KvServiceHandle, more: &str) -> Entry {
+    let yaml = format!(
+        "\
+role: entry
+vm: entry-1
+failure_domain: tallinn-a
+listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+key_value: {{addresses: [{}], timeout_ms: 2000, prefix: /t/}}
+{more}",
+        platform.url(),
+    );
+    let settings = Settings::parse("test", &yaml).unwrap();
+    let entry = Entry::start(&settings, Metrics::default(), None);
+    let entry = entry.await.unwrap();
+    entry.ready().await;
+    entry
+}
+
+/// Starts a companion of an engine at an address.
+pub(crate) async fn companion(
+    name: &str,
+    listen: SocketAddr,
+    engine: &EngineHandle,
+    entries: &[SocketAddr],
+) -> Companion {
+    let entries: Vec<String> =
+        entries.iter().map(|entry| format!("'{entry}'")).collect();
+    let yaml = format!(
+        "\
+role: companion
+vm: {name}
+failure_domain: tallinn-a
+listen: 127.0.0.1:0
+peer_listen: '{listen}'
+entries: [{}]
+endpoint: {{name: {name}, pool: korv-lm, kind: engine, address: '{}', \
+         models: [{MODEL}]}}
+",
+        entries.join(", "),
+        engine.url(),
+    );
+    let settings = Settings::parse("test", &yaml).unwrap();
+    let companion = Companion::start(&settings, Metrics::default());
+    companion.await.unwrap()
+}
+
+/// Sends a chat whose answer streams, and returns the events.
+pub(crate) async fn stream(entry: &Entry, body: &Value) -> Events {
+    let path = match body.get("prompt") {
+        Some(_) => "/v1/completions",
+        None => "/v1/chat/completions",
+    };
+    let reply = call(entry, path, body).await;
+    assert_eq!(reply.status().as_u16(), 200);
+    Events::of(&reply.text().await.unwrap())
+}
+
+pub(crate) async fn call(
+    entry: &Entry,
+    path: &str,
+    body: &Value,
+) -> reqwest::Response {
+    let url = format!("http://{}{path}", entry.http_address());
+    let client = reqwest::Client::builder().timeout(SURELY).build();
+    let call = client.unwrap().post(url).bearer_auth(KEY);
+    call.json(body).send().await.unwrap()
+}
+
+pub(crate) fn chat(prompt: &str) -> Value {
+    json!({
+        "model": MODEL,
+        "stream": true,
+        "max_tokens": 16,
+        "stream_options": {"include_usage": true},
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
+/// Calls until one is answered.
+pub(crate) async fn until_served(entry: &Entry) {
+    let serve = async {
+        loop {
+            let body = chat("is it there");
+            let reply = call(entry, "/v1/chat/completions", &body).await;
+            if reply.status().is_success() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(SURELY, serve).await.unwrap();
+}
+
+/// A stream as its caller sees it.
+#[derive(Debug)]
+pub(crate) struct Events {
+    pub(crate) json: Vec<Value>,
+    pub(crate) done: usize,
+}
+
+impl Events {
+    fn of(text: &str) -> Self {
+        let data = || {
+            let events = text.split("\n\n").map(str::trim);
+            events.filter_map(|event| event.strip_prefix("data: "))
+        };
+        let json = data()
+            .filter(|data| *data != "[DONE]")
+            .map(|data| serde_json::from_str(data).unwrap());
+        Self {
+            json: json.collect(),
+            done: data().filter(|data| *data == "[DONE]").count(),
+        }
+    }
+
+    /// Returns the text of the answer, whichever form it has.
+    pub(crate) fn text(&self) -> String {
+        let parts = self.json.iter().filter_map(|event| {
+            let choice = &event["choices"][0];
+            let content = choice["delta"]["content"].as_str();
+            content.or(choice["text"].as_str())
+        });
+        parts.collect()
+    }
+
+    pub(crate) fn count(&self, has: impl Fn(&Value) -> bool) -> usize {
+        self.json.iter().filter(|event| has(event)).count()
+    }
+
+    /// Asserts that this is one whole answer.
+    #[track_caller]
+    pub(crate) fn is_one_answer(&self, text: &str) {
+        assert_eq!(self.text(), text);
+        assert_eq!(self.done, 1);
+        for name in ["id", "created"] {
+            let first = &self.json[0][name];
+            assert!(!first.is_null());
+            assert!(self.json.iter().all(|event| event[name] == *first));
+        }
+        let ends = self.count(|e| !e["choices"][0]["finish_reason"].is_null());
+        assert_eq!(ends, 1);
+    }
+}
