--- /dev/null
+++ b/crates/spread/src/split.rs
@@ -0,0 +1,98 @@
+//! Cuts a configuration into parts.
+
+use std::collections::HashMap;
+
+/// Longest name of a part, in characters.
+const NAME_MAX_CHARS: usize = 64;
+
+/// Cuts a text into named parts whose concatenation is the text.
+///
+/// A part begins at each key of the document and at each item of a list
+/// below it, so that a tenant, a pool or a rule is a part. The cut is made
+/// by lines and not by a YAML parser: any cut is right, since the parts are
+/// put together before anybody reads them, and a build that parses
+/// differently must not cut differently.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_spread::split;
+///
+/// let text = "tenants:\n  - tenant: a\n    weight: 2\n  - tenant: b\n";
+/// let parts = split(text);
+/// let names: Vec<_> = parts.iter().map(|part| part.0.as_str()).collect();
+/// assert_eq!(names, ["tenants", "tenants/tenant: a", "tenants/tenant: b"]);
+/// assert_eq!(parts[1].1, "  - tenant: a\n    weight: 2\n");
+/// ```
+pub fn split(text: &str) -> Vec<(String, &str)> {
+    let mut cutter = Cutter::default();
+    let mut parts: Vec<(String, &str)> = Vec::new();
+    let mut start = 0;
+    let mut name = String::new();
+    let mut at = 0;
+    for line in text.split_inclusive('\n') {
+        if let Some(next) = cutter.begins(line) {
+            if at > start {
+                parts.push((std::mem::take(&mut name), &text[start..at]));
+            }
+            start = at;
+            name = next;
+        }
+        at += line.len();
+    }
+    if at > start {
+        parts.push((name, &text[start..]));
+    }
+    parts
+}
+
+/// What the lines so far say about the next one.
+#[derive(Default)]
+struct Cutter {
+    section: String,
+    /// Indentation of the items of this section, once seen.
+    indent: Option<usize>,
+    used: HashMap<String, u32>,
+}
+
+impl Cutter {
+    /// Returns the name of the part that begins with a line, if one does.
+    fn begins(&mut self, line: &str) -> Option<String> {
+        let content = line.trim_start();
+        let indent = line.len() - content.len();
+        let item = content.strip_prefix("- ");
+        if let Some(item) = item {
+            if *self.indent.get_or_insert(indent) != indent {
+                return None;
+            }
+            let name = format!("{}/{}", self.section, short(item));
+            return Some(self.unique(name));
+        }
+        let is_key = indent == 0
+            && content.starts_with(|first: char| first.is_alphanumeric());
+        if !is_key {
+            return None;
+        }
+        self.section = short(content).trim_end_matches(':').to_owned();
+        self.indent = None;
+        let name = self.section.clone();
+        Some(self.unique(name))
+    }
+
+    /// Two parts may begin alike; the second gets a number.
+    fn unique(&mut self, name: String) -> String {
+        let used = self.used.entry(name.clone()).or_default();
+        *used += 1;
+        match *used {
+            1 => name,
+            count => format!("{name}#{count}"),
+        }
+    }
+}
+
+/// Takes the start of a line, which names what the part is about: an item
+/// in braces ends its first member at the comma.
+fn short(line: &str) -> String {
+    let first = line.split(',').next().unwrap_or_default();
+    first.trim_end().chars().take(NAME_MAX_CHARS).collect()
+}
