Show the router's calls by examples, measure the cost of a choice

The entry decides under one short lock, and nothing showed how long that is; public functions of the router had no examples. Change: the routing bench prints the cost of a choice with its events, and the main functions have examples that assert.

--- a/crates/bench/benches/routing.rs
+++ b/crates/bench/benches/routing.rs
@@ -1,6 +1,6 @@
 //! Policies of the router before small fake endpoints on a stepped clock.
 //!
-//! Nothing here depends on the machine: the same seed gives the same table.
+//! All but the cost of a choice is the same on every machine for a seed.
 //! Promise checked: with the defaults of the router, no request fails while
 //! other endpoints can serve it, and a brown-out is not amplified.
 
@@ -9,12 +9,14 @@
 #[path = "routing/sim.rs"]
 mod sim;
 
-use std::process::ExitCode;
+use std::{process::ExitCode, time::Instant};
 
+use base::Millis;
 use error_stack::Report;
 use pomeloslip_bench::{BenchError, Options, Table, run};
 use router::{
-    Affinity, Ejection, HealthPolicy, Policy, Probing, RouterOptions,
+    Affinity, Ejection, HealthPolicy, Listed, Policy, Probing, Query, Router,
+    RouterOptions,
 };
 
 use self::{
@@ -63,6 +65,7 @@
         bench.health(),
         bench.brown_out(),
         bench.hedging(),
+        costs(options.small),
     ];
     Table::print_all("routing", options, &tables);
     bench.promises()
@@ -420,3 +423,40 @@
         ..Scenario::new("20 at 130%, 1.5 s limit", 20)
     }
 }
+
+/// Measures what one choice costs, with its events.
+fn costs(small: bool) -> Table {
+    let title = "Cost of a choice with its events on this machine";
+    let mut table = Table::new(title, &["endpoints known", "ns"]);
+    let count: u64 = if small { 20_000 } else { 200_000 };
+    for known in [2, 16, 64, 200] {
+        let ns = cost_ns(known, count);
+        table.row([known.to_string(), ns.to_string()]);
+    }
+    table
+}
+
+fn cost_ns(known: usize, count: u64) -> u128 {
+    let options = RouterOptions::default().subset(known);
+    let mut router = Router::new("entry", options);
+    let pool = router.pool("pool");
+    let listed: Vec<Listed> = (0..known)
+        .map(|at| {
+            let name = format!("endpoint-{at}").parse();
+            let name = name.unwrap_or_else(|_| unreachable!());
+            Listed::new(name, at % 4 == 0, &format!("10.0.0.1:{at}"))
+        })
+        .collect();
+    router.list(pool, &listed);
+    let start = Instant::now();
+    for number in 0..count {
+        let now = Millis::new(number / 10);
+        let query = Query::default().prefix(Some(number));
+        if let Some(choice) = router.choose(pool, &query, now, number) {
+            router.sent(choice.endpoint, now);
+            router.answered(choice.endpoint, Some(100), now);
+            router.ended(choice.endpoint);
+        }
+    }
+    start.elapsed().as_nanos() / u128::from(count)
+}
--- /dev/null
+++ b/crates/router/examples/embed.rs
@@ -0,0 +1,165 @@
+//! A program that routes its own calls by the router, without the daemons.
+//!
+//! Four replicas answer; one of them breaks, and one says that it leaves.
+//! The program makes the calls itself (here a function that makes up their
+//! outcome) and tells the router what happened. Time and random numbers are
+//! arguments, so that every run prints the same.
+//!
+//! Run it with `cargo run -p pomeloslip-router --example embed`.
+
+use std::collections::BTreeMap;
+
+use base::{EndpointName, Incarnation, Millis};
+use pomeloslip_router::{
+    EndpointKey, Failure, Listed, PoolKey, Query, Refused, Report, Router,
+    RouterOptions,
+};
+
+type Error = Box<dyn std::error::Error>;
+
+const CALLS: u64 = 400;
+const CALL_EVERY_MS: u64 = 20;
+
+/// From this call on, the second replica does not answer.
+const BROKEN_FROM: u64 = 100;
+
+/// From this call on, the third replica refuses because it leaves.
+const LEAVING_FROM: u64 = 200;
+
+/// What became of a call.
+enum Outcome {
+    Answered,
+    Refused,
+    NoConnection,
+}
+
+/// Makes up what a replica does with the call of a number.
+fn call(replica: &str, number: u64) -> Outcome {
+    match replica {
+        "korv-lm-2" if number >= BROKEN_FROM => Outcome::NoConnection,
+        "korv-lm-3" if number >= LEAVING_FROM => Outcome::Refused,
+        _ => Outcome::Answered,
+    }
+}
+
+struct Program {
+    router: Router,
+    pool: PoolKey,
+    names: BTreeMap<EndpointKey, EndpointName>,
+    answered: BTreeMap<String, u64>,
+    /// Calls that met a replica which did not serve them.
+    missed: u64,
+}
+
+impl Program {
+    fn new(names: &[&str]) -> Result<Self, Error> {
+        let mut router = Router::new("program-1", RouterOptions::default());
+        let pool = router.pool("korv-lm");
+        let listed = names
+            .iter()
+            .zip(7_001..)
+            .map(|(name, port)| {
+                let address = format!("127.0.0.1:{port}");
+                Ok(Listed::new(name.parse()?, true, &address))
+            })
+            .collect::<Result<Vec<Listed>, Error>>()?;
+        let added = router.list(pool, &listed).added;
+        let named = added.into_iter();
+        let names = named.map(|(key, at)| (key, listed[at].name().clone()));
+        Ok(Self {
+            names: names.collect(),
+            router,
+            pool,
+            answered: BTreeMap::new(),
+            missed: 0,
+        })
+    }
+
+    /// Serves one request: tries replicas until one answers.
+    fn serve(&mut self, number: u64) -> bool {
+        let now = Millis::new(number * CALL_EVERY_MS);
+        let mut tried = Vec::new();
+        loop {
+            let query = Query::default().tried(&tried);
+            let random = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let choice = self.router.choose(self.pool, &query, now, random);
+            let Some(choice) = choice else { return false };
+            let key = choice.endpoint;
+            tried.push(key);
+            if self.attempt(key, number, now) {
+                return true;
+            }
+            self.missed += 1;
+        }
+    }
+
+    fn attempt(&mut self, key: EndpointKey, number: u64, now: Millis) -> bool {
+        let Some(name) = self.names.get(&key).map(ToString::to_string) else {
+            return false;
+        };
+        self.router.sent(key, now);
+        let outcome = call(&name, number);
+        match outcome {
+            Outcome::Answered => self.router.answered(key, Some(40), now),
+            Outcome::Refused => {
+                self.router.refused(key, Refused::Leaving, now);
+            }
+            Outcome::NoConnection => {
+                self.router.failed(key, Failure::Unreachable, now);
+            }
+        }
+        self.router.ended(key);
+        let is_answered = matches!(outcome, Outcome::Answered);
+        if is_answered {
+            *self.answered.entry(name).or_default() += 1;
+        }
+        is_answered
+    }
+
+    /// Probes what the router wants to hear of. A program with I/O sends
+    /// the probes in the background and hands the answers in as they come.
+    fn tick(&mut self, number: u64) {
+        let now = Millis::new(number * CALL_EVERY_MS);
+        for key in self.router.tick(now) {
+            let Some(name) = self.names.get(&key).cloned() else {
+                continue;
+            };
+            match call(name.as_str(), number) {
+                Outcome::NoConnection => self.router.probe_failed(key),
+                outcome => {
+                    let report = Report {
+                        up: true,
+                        leaving: matches!(outcome, Outcome::Refused),
+                        incarnation: Incarnation::new(1),
+                        ..Report::default()
+                    };
+                    let life = self.router.probed(key, &report, now);
+                    self.names.insert(life, name);
+                }
+            }
+        }
+    }
+}
+
+fn main() -> Result<(), Error> {
+    let replicas = ["korv-lm-1", "korv-lm-2", "korv-lm-3", "korv-lm-4"];
+    let mut program = Program::new(&replicas)?;
+    let mut served = 0;
+    for number in 0..CALLS {
+        program.tick(number);
+        served += u64::from(program.serve(number));
+    }
+    println!("{served} of {CALLS} calls answered");
+    println!(
+        "{} attempts met a replica that did not serve",
+        program.missed
+    );
+    for (name, count) in &program.answered {
+        println!("{name}: {count}");
+    }
+    assert_eq!(served, CALLS);
+    // One refusal is enough for the one that leaves; the broken one is
+    // tried again now and then only by probes.
+    assert!(program.missed < 20, "{} misses", program.missed);
+    Ok(())
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -94,6 +94,21 @@
     /// Replaces the list of a pool; endpoints that stay keep what is known
     /// of them. Those that leave and are still listed stay known without
     /// counting, so that the lagging list cannot bring them back.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_router::{Listed, Router, RouterOptions};
+    ///
+    /// let mut router = Router::new("entry-1", RouterOptions::default());
+    /// let pool = router.pool("korv-lm");
+    /// let one = Listed::new("korv-lm-1".parse()?, true, "10.0.0.1:7000");
+    /// let first = router.list(pool, std::slice::from_ref(&one));
+    /// assert_eq!(first.added.len(), 1);
+    /// assert_eq!(router.list(pool, &[one]).added, []);
+    /// assert_eq!(router.list(pool, &[]).removed, [first.added[0].0]);
+    /// # Ok::<(), base::IdError>(())
+    /// ```
     pub fn list(&mut self, pool: PoolKey, listed: &[Listed]) -> Listing {
         let Some(known) = self.pools.get(pool) else {
             return Listing::default();
@@ -136,6 +151,25 @@
     }
 
     /// Chooses where a request goes; `None` if all were tried or leave.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::Millis;
+    /// use pomeloslip_router::{Listed, Query, Router, RouterOptions};
+    ///
+    /// let mut router = Router::new("entry-1", RouterOptions::default());
+    /// let pool = router.pool("korv-lm");
+    /// let one = Listed::new("korv-lm-1".parse()?, true, "10.0.0.1:7000");
+    /// let key = router.list(pool, &[one]).added[0].0;
+    /// let now = Millis::new(0);
+    /// let choice = router.choose(pool, &Query::default(), now, 7);
+    /// assert_eq!(choice.unwrap().endpoint, key);
+    /// let tried = [key];
+    /// let query = Query::default().tried(&tried);
+    /// assert_eq!(router.choose(pool, &query, now, 7), None);
+    /// # Ok::<(), base::IdError>(())
+    /// ```
     pub fn choose(
         &mut self,
         pool: PoolKey,
@@ -199,6 +233,26 @@
     /// failures say nothing of the new one; one would notice the mixture by
     /// a restarted endpoint that nobody chooses, or by in-flight counts
     /// below zero. The keys keep the two apart.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::{Incarnation, Millis};
+    /// use pomeloslip_router::{Listed, Report, Router, RouterOptions};
+    ///
+    /// let mut router = Router::new("entry-1", RouterOptions::default());
+    /// let pool = router.pool("korv-lm");
+    /// let one = Listed::new("korv-lm-1".parse()?, true, "10.0.0.1:7000");
+    /// let key = router.list(pool, &[one]).added[0].0;
+    /// let now = Millis::new(0);
+    /// let life = |number| Report {
+    ///     incarnation: Incarnation::new(number),
+    ///     ..Report::default()
+    /// };
+    /// assert_eq!(router.reported(key, &life(1), now), key);
+    /// assert_ne!(router.reported(key, &life(2), now), key);
+    /// # Ok::<(), base::IdError>(())
+    /// ```
     pub fn reported(
         &mut self,
         key: EndpointKey,
@@ -293,6 +347,28 @@
 
     /// Notes that a life takes no new work, also if it is not known yet
     /// which endpoint it is.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::{Incarnation, Millis};
+    /// use pomeloslip_router::{Listed, Query, Report, Router, RouterOptions};
+    ///
+    /// let mut router = Router::new("entry-1", RouterOptions::default());
+    /// let pool = router.pool("korv-lm");
+    /// let one = Listed::new("korv-lm-1".parse()?, true, "10.0.0.1:7000");
+    /// let key = router.list(pool, &[one]).added[0].0;
+    /// let now = Millis::new(0);
+    /// let life = Incarnation::new(1);
+    /// router.leaving(life);
+    /// let report = Report {
+    ///     incarnation: life,
+    ///     ..Report::default()
+    /// };
+    /// router.reported(key, &report, now);
+    /// assert_eq!(router.choose(pool, &Query::default(), now, 7), None);
+    /// # Ok::<(), base::IdError>(())
+    /// ```
     pub fn leaving(&mut self, incarnation: Incarnation) {
         if !self.leaving.contains(&incarnation) {
             if self.leaving.len() >= LEAVING_KEPT {
@@ -342,6 +418,23 @@
 
     /// Returns the endpoints to probe now: those that are out and could come
     /// back, and those that leave, where a new process may live.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::Millis;
+    /// use pomeloslip_router::{Listed, Router, RouterOptions};
+    ///
+    /// let mut router = Router::new("entry-1", RouterOptions::default());
+    /// let pool = router.pool("korv-lm");
+    /// let one = Listed::new("korv-lm-1".parse()?, true, "10.0.0.1:7000");
+    /// let key = router.list(pool, &[one]).added[0].0;
+    /// let now = Millis::new(0);
+    /// // Nothing is known of it yet.
+    /// assert_eq!(router.tick(now), [key]);
+    /// assert_eq!(router.tick(now), []);
+    /// # Ok::<(), base::IdError>(())
+    /// ```
     pub fn tick(&mut self, now: Millis) -> Vec<EndpointKey> {
         let options = &self.options;
         let mut probes = Vec::new();
@@ -366,6 +459,19 @@
 
     /// Takes a retry out of a pool's budget and tells whether there was one.
     /// Refusals that cost the endpoint nothing need none.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::Millis;
+    /// use pomeloslip_router::{Router, RouterOptions};
+    ///
+    /// let mut router = Router::new("entry-1", RouterOptions::default());
+    /// let pool = router.pool("korv-lm");
+    /// let now = Millis::new(0);
+    /// let allowed = (0..50).filter(|_| router.try_retry(pool, now)).count();
+    /// assert_eq!(allowed, 10);
+    /// ```
     pub fn try_retry(&mut self, pool: PoolKey, now: Millis) -> bool {
         let pool = self.pools.get_mut(pool);
         pool.is_some_and(|pool| pool.budget.try_retry(now))
