Look for free partitions twice a second

A partition whose owner died waited up to 1.25 s for the next look, beside the lease. Members now look each 0.5 s, 64 reads/s for 32 members; marks are still read each second. All ledger tests pass.

--- a/crates/ledger/src/options.rs
+++ b/crates/ledger/src/options.rs
@@ -39,8 +39,10 @@
     lease_ttl_s: u32 = 10;
     /// Sets how long before its end the lease is no longer relied on.
     lease_margin_ms: u64 = 500;
-    /// Sets the time between two looks at members, owners and marks.
-    look_interval_ms: u64 = 1_000;
+    /// Sets the time between two looks at members and owners.
+    look_interval_ms: u64 = 500;
+    /// Sets the time between two looks at the marks of open jobs.
+    list_interval_ms: u64 = 1_000;
     /// Sets that time for an entry that owns nothing and may not join.
     idle_look_interval_ms: u64 = 10_000;
     /// Sets how many entries share the partitions; others stand by.
--- a/crates/ledger/src/ownership.rs
+++ b/crates/ledger/src/ownership.rs
@@ -302,7 +302,7 @@
         fence: u64,
         marks: Option<Vec<MarkSeen>>,
     ) {
-        let interval_ms = self.options.look_interval_ms;
+        let interval_ms = self.options.list_interval_ms;
         let list_at = self.around(moment.now, interval_ms);
         let partition = self.partition(number);
         if partition.tenure.commits() != Some(fence) {
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -151,6 +151,7 @@
             .lease_ttl_s(2)
             .lease_margin_ms(100)
             .look_interval_ms(200)
+            .list_interval_ms(200)
             .commit_interval_ms(100)
             .commit_items_max(8)
             .commit_jobs_max(3)
