Spread the starts of batch items, notice a burst by its rate

Cause: items of like length started together, so they ended together and their prefills filled one step of the engine each second: gaps of 150 ms between online tokens. A burst was noticed only once the places ran out, so new items went on being prefilled beside it. Change: items start at most at twice the rate at which they end (those that are due and the baselines are exempt), and a rate over twice the usual one that needs a quarter of the places stops new items.

--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -14,6 +14,9 @@
 /// Fewest and most items in hand.
 const HAND_ITEMS: std::ops::RangeInclusive<u32> = 2..=8;
 
+/// Part of the places that a burst needs to count as one.
+const BURST_PLACES: f64 = 0.25;
+
 impl Gate {
     /// Returns how many more batch items should be pulled now.
     pub fn batch_wanted(&self, now: Millis) -> u32 {
@@ -43,15 +46,10 @@
             self.probe(now, actions);
             return;
         }
-        let before = actions.len();
         self.start_online(now, actions);
         if self.options.policy == Policy::Adaptive {
             self.keep_reserve(now, actions);
-            let gave_way = actions[before..]
-                .iter()
-                .any(|action| matches!(action, Action::Stop(..)));
-            let many = self.reserve(now) > 2 * self.options.reserve_min;
-            if self.online_waiting > 0 || (gave_way && many) {
+            if self.online_waiting > 0 || self.is_burst(now) {
                 self.burst_at = Some(now);
             }
         }
@@ -114,8 +112,7 @@
     }
 
     fn reserve(&self, now: Millis) -> u32 {
-        let since = ago(now, self.options.reserve_window_ms);
-        let arrived = self.arrivals.count(since) as u32;
+        let arrived = self.arrivals.recent(now);
         arrived.max(self.options.reserve_min)
     }
 
@@ -166,14 +163,36 @@
         }
         let room = self.batch_room(now);
         let open = self.options.policy == Policy::Open;
+        let floor = self.floor(now);
+        let rate = 2.0 * f64::from(room) / self.measure.item_ms().max(1.0);
+        self.pace.refill(now, rate);
         while self.batch_running < room
             && (open || self.running() < self.options.max_running)
+            && self.may_start(floor)
         {
             let Some(key) = self.next_batch() else { return };
             self.start(now, key, actions);
         }
     }
 
+    /// Tells whether the next batch item may start by its pace. Baselines
+    /// know no pace, nor do items that are due or an engine without any.
+    fn may_start(&mut self, floor: u32) -> bool {
+        self.options.policy != Policy::Adaptive
+            || self.batch_running < floor.max(1)
+            || self.pace.take()
+    }
+
+    /// Tells whether many more online calls come than usual, and enough of
+    /// them to need a good part of the places.
+    fn is_burst(&mut self, now: Millis) -> bool {
+        let Some(per_s) = self.arrivals.burst(now) else {
+            return false;
+        };
+        let places = f64::from(per_s) * self.measure.call_ms() / 1_000.0;
+        places > f64::from(self.options.max_running) * BURST_PLACES
+    }
+
     /// Lets one call at a time through to a stalled engine, which shows
     /// whether it moves again.
     fn probe(&mut self, now: Millis, actions: &mut Vec<Action>) {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -5,9 +5,10 @@
 use crate::{
     Action, Arrival, BatchArrival, CallKey, End, Event, GateOptions, Policy,
     Refused, RefusedWhy, StopWhy,
+    arrivals::Arrivals,
     limit::BatchLimit,
     measure::{Measure, ago},
-    recent::Recent,
+    pace::Pace,
     stall::Stall,
     waiting::Waiting,
 };
@@ -108,7 +109,8 @@
     pub(crate) batch_running: u32,
     /// Most of them at once since the limit was last set.
     pub(crate) batch_peak: u32,
-    pub(crate) arrivals: Recent,
+    pub(crate) arrivals: Arrivals,
+    pub(crate) pace: Pace,
     pub(crate) burst_at: Option<Millis>,
     pub(crate) limit: BatchLimit,
     pub(crate) measure: Measure,
@@ -122,6 +124,8 @@
         Self {
             limit: BatchLimit::new(options.batch_max_running, now),
             stall: Stall::new(options.stall_after_ms),
+            arrivals: Arrivals::new(options.reserve_window_ms),
+            pace: Pace::new(now),
             options,
             calls: SlotMap::with_key(),
             online: Waiting::default(),
@@ -131,7 +135,6 @@
             online_running: 0,
             batch_running: 0,
             batch_peak: 0,
-            arrivals: Recent::default(),
             burst_at: None,
             measure: Measure::default(),
             draining: false,
@@ -150,7 +153,7 @@
         actions: &mut Vec<Action>,
     ) -> Result<CallKey, Refused> {
         self.check(arrival)?;
-        self.arrivals.push(now, 1);
+        self.arrivals.push(now);
         let key = self.insert(Class::Online, now, now);
         self.online.push(&arrival.tenant, arrival.weight, key);
         self.online_waiting += 1;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,12 +6,14 @@
 //! batch items use what is left for as long as the measured latencies keep
 //! the promises. `docs/design/gate.md` weighs the alternatives.
 
+mod arrivals;
 mod call;
 mod dispatch;
 mod gate;
 mod limit;
 mod measure;
 mod options;
+mod pace;
 mod recent;
 mod stall;
 mod waiting;
--- a/crates/gate/src/recent.rs
+++ b/crates/gate/src/recent.rs
@@ -40,10 +40,4 @@
         let (_, value, _) = values.select_nth_unstable(place.min(last));
         Some(*value)
     }
-
-    /// Counts the values since a time.
-    pub(crate) fn count(&self, since: Millis) -> usize {
-        let fresh = self.values.iter().rev();
-        fresh.take_while(|(at, _)| *at >= since).count()
-    }
 }
--- a/crates/gate/tests/batch.rs
+++ b/crates/gate/tests/batch.rs
@@ -23,16 +23,63 @@
 #[test]
 fn fills_what_is_left_and_keeps_some_in_hand() {
     let mut stand = stand();
-    stand.fill();
+    stand.settle(24);
     let load = stand.gate.load(stand.now);
     assert_eq!((load.batch_running, load.batch_waiting), (24, 3));
     assert_eq!(stand.gate.batch_wanted(stand.now), 0);
     // The next item starts as one ends, without a pull in between.
     let ended = stand.starts()[0];
+    stand.pass_ms(50);
     stand.end(ended);
     assert_eq!(stand.starts().len(), 1);
 }
 
+// Symptom: gaps of 150 ms between the tokens of a chat every second.
+// Sequence: items of like length start together, end together and are
+// prefilled together. Cause: starts were not spread.
+#[test]
+fn starts_are_spread() {
+    let mut stand = stand();
+    let mut most = 0;
+    for _ in 0..20 {
+        stand.fill();
+        stand.pass_ms(50);
+        most = most.max(stand.starts().len());
+    }
+    assert_eq!(stand.batch_running(), 24);
+    assert!(most <= 4, "{most} in 50 ms");
+}
+
+// A rush that has not used up the places yet stops the batch from growing.
+#[test]
+fn no_item_starts_in_a_burst() {
+    let mut stand = stand();
+    stand.settle(24);
+    stand.pass_ms(10_000);
+    let items = stand.starts();
+    for _ in 0..12 {
+        stand.arrive().unwrap();
+        stand.pass_ms(50);
+    }
+    let mut stopped = stand.stops();
+    for key in items.into_iter().take(6) {
+        let call = stand.arrive().unwrap();
+        stand.end(key);
+        stand.pass_ms(50);
+        let actions = stand.take();
+        let starts = actions
+            .iter()
+            .filter(|action| matches!(action, Action::Start(_)));
+        assert!(starts.eq([&Action::Start(call)]));
+        stopped.extend(actions.iter().filter_map(|action| match action {
+            Action::Stop(key, _) => Some(*key),
+            _ => None,
+        }));
+    }
+    // Those that ran go on for as long as places are free.
+    assert!(stopped.len() < 12, "{}", stopped.len());
+}
+
 #[test]
 fn falls_while_tokens_come_too_slowly_and_rises_again() {
     let mut stand = stand();
@@ -50,7 +97,7 @@
 #[test]
 fn goes_by_its_own_speed_without_online_calls() {
     let mut stand = stand();
-    stand.fill();
+    stand.settle(24);
     for _ in 0..8 {
         let running = stand.starts();
         stand.now = stand.now.saturating_add_ms(500);
@@ -69,7 +116,7 @@
 #[test]
 fn stops_items_when_a_first_token_is_late() {
     let mut stand = stand();
-    stand.fill();
+    stand.settle(24);
     let call = stand.arrive().unwrap();
     stand.handle(Event::Streams(call));
     stand.take();
@@ -83,7 +130,7 @@
 #[test]
 fn a_burst_finds_free_places() {
     let mut stand = stand();
-    stand.fill();
+    stand.settle(24);
     let mut least_free = u32::MAX;
     for _ in 0..20 {
         stand.arrive().unwrap();
@@ -99,7 +146,7 @@
 #[test]
 fn comes_back_within_seconds_after_a_burst() {
     let mut stand = stand();
-    stand.fill();
+    stand.settle(24);
     let calls: Vec<_> = (0..30).filter_map(|_| stand.arrive().ok()).collect();
     assert_eq!(stand.batch_running(), 0);
     stand.pass_ms(250);
@@ -117,7 +164,7 @@
 #[test]
 fn single_calls_stop_no_items() {
     let mut stand = stand();
-    stand.fill();
+    stand.settle(24);
     for _ in 0..20 {
         let call = stand.arrive().unwrap();
         stand.pass_ms(200);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -57,6 +57,19 @@
         }
     }
 
+    /// Lets batch start at its pace until so many items run, which must not
+    /// take longer than a second.
+    pub(crate) fn settle(&mut self, batch_running: u32) {
+        for _ in 0..20 {
+            self.fill();
+            if self.batch_running() == batch_running {
+                return;
+            }
+            self.pass_ms(50);
+        }
+        panic!("{} items run", self.batch_running());
+    }
+
     pub(crate) fn handle(&mut self, event: Event) {
         self.gate.handle(self.now, event, &mut self.actions);
     }
