Log error reports without the escape codes of a terminal

Cause: a report inside a JSON line carried the codes for bold and italics, so that a search for its words found nothing. Change: starting the logs turns them off for the process. Measured: the crate's tests pass. Conclusion: what operators grep for stands in the line as it reads.

--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -21,7 +21,7 @@
     time::Duration,
 };
 
-use error_stack::{Report, ResultExt};
+use error_stack::{Report, ResultExt, fmt::ColorMode};
 use flexi_logger::{
     DeferredNow, LogSpecification, Logger, LoggerHandle, writers::LogWriter,
 };
@@ -57,6 +57,9 @@
     settings: &LogSettings,
     output: Box<dyn Write + Send>,
 ) -> Result<LogGuard, Report<ObsError>> {
+    // Reports are logged as text inside a JSON line, where the escape codes
+    // of a terminal would only hide the words.
+    Report::set_color_mode(ColorMode::None);
     let lines = Arc::new(LineQueue::start(settings, output)?);
     let handle = Logger::with(specification(settings))
         .log_to_writer(Box::new(QueueWriter(lines.clone())))
