Test the companion between an engine and a fake entry

Cause: the companion had no tests of its own. Conclusion: a preempted item costs no attempt, as the entry expects.

--- /dev/null
+++ b/crates/companion/tests/batch.rs
@@ -0,0 +1,276 @@
+//! A companion between a stand-in engine and a fake entry.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Class, Incarnation, Revision, VmId};
+use bytes::Bytes;
+use futures::future::{BoxFuture, FutureExt};
+use obs::Metrics;
+use pomeloslip_companion::Companion;
+use serde_json::json;
+use standin::engine::{Engine, EngineHandle, EngineSettings};
+use wire::{
+    EntryHandler, Handlers, LinkOptions, Links, RunReply, Secrets, Server,
+    message::{
+        ConfigText, Frame, Identity, Item, ItemOutcome, ItemResult,
+        OutcomeKind, Pull, PullReply, RefusalKind, Request,
+    },
+};
+
+/// Time in which what is to happen happens, on any machine.
+const SURELY: Duration = Duration::from_secs(60);
+
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Default)]
+struct State {
+    open: VecDeque<Item>,
+    pulls: Vec<Pull>,
+    groups: Vec<Vec<ItemResult>>,
+}
+
+/// An entry that grants what is open and keeps what comes back.
+#[derive(Clone, Default)]
+struct FakeEntry(Arc<Mutex<State>>);
+
+impl EntryHandler for FakeEntry {
+    fn pull(&self, pull: Pull) -> BoxFuture<'static, PullReply> {
+        let mut state = self.0.lock().unwrap();
+        let count = state.open.len().min(pull.room as usize);
+        let items = state.open.drain(..count).collect();
+        state.pulls.push(pull);
+        let reply = PullReply {
+            items,
+            revoked: vec![],
+            next_in_ms: 50,
+        };
+        async move { reply }.boxed()
+    }
+
+    fn results(&self, results: Vec<ItemResult>) -> BoxFuture<'static, u32> {
+        let count = results.len() as u32;
+        self.0.lock().unwrap().groups.push(results);
+        async move { count }.boxed()
+    }
+
+    fn leaving(&self, _: VmId, _: Incarnation) {}
+
+    fn config(&self, _: Revision) -> Option<ConfigText> {
+        None
+    }
+}
+
+impl FakeEntry {
+    fn offer(&self, grant: u64, prompt: &str, ttl_ms: u32) {
+        let body = json!({
+            "model": "korv-lm",
+            "max_tokens": 4,
+            "messages": [{"role": "user", "content": prompt}],
+        });
+        self.0.lock().unwrap().open.push_back(Item {
+            grant,
+            partition: 1,
+            fence: 1,
+            job: "job-1".parse().unwrap(),
+            index: grant as u32,
+            attempt: 0,
+            tenant: "taevakorv".parse().unwrap(),
+            path: "/v1/chat/completions".to_owned(),
+            body: Bytes::from(body.to_string()),
+            expires_in_ms: ttl_ms,
+            due_unix_ms: u64::MAX,
+        });
+    }
+
+    fn results_so_far(&self) -> Vec<ItemResult> {
+        self.0.lock().unwrap().groups.concat()
+    }
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    tokio::time::timeout(SURELY, wait).await.unwrap();
+}
+
+fn identity(role: &str) -> Identity {
+    Identity {
+        role: role.to_owned(),
+        vm: "entry-1".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        failure_domain: "domain-1".parse().unwrap(),
+    }
+}
+
+struct Stand {
+    entry: FakeEntry,
+    engine: EngineHandle,
+    companion: Companion,
+    links: Links,
+    _server: Server,
+}
+
+async fn stand(engine: EngineSettings, max_running: u32) -> Stand {
+    let entry = FakeEntry::default();
+    let handlers = Handlers {
+        entry: Some(Arc::new(entry.clone())),
+        ..Handlers::default()
+    };
+    let secrets = Secrets::new(vec![]);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = wire::serve(any, identity("entry"), secrets, handlers)
+        .await
+        .unwrap();
+    let engine = Engine::start(engine).await.unwrap();
+    let settings = serde_json::from_value(json!({
+        "role": "companion",
+        "vm": "engine-1",
+        "failure_domain": "domain-1",
+        "listen": any,
+        "peer_listen": any,
+        "entries": [server.address()],
+        "endpoint": {
+            "name": "korv-lm-1",
+            "pool": "korv-lm",
+            "kind": "engine",
+            "address": engine.url(),
+            "models": ["korv-lm"],
+            "max_running": max_running,
+            "batch_max_running": max_running,
+        },
+    }))
+    .unwrap();
+    let companion = Companion::start(&settings, Metrics::default())
+        .await
+        .unwrap();
+    let links = Links::start(LinkOptions::new(identity("entry"))).unwrap();
+    Stand {
+        entry,
+        engine,
+        companion,
+        links,
+        _server: server,
+    }
+}
+
+impl Stand {
+    async fn call(&self, number: u32) -> RunReply {
+        let body = json!({
+            "model": "korv-lm",
+            "max_tokens": 2,
+            "stream": true,
+            "messages": [{"role": "user", "content": "[[slow 2000]]"}],
+        });
+        let request = Request {
+            request_id: format!("online-{number}").parse().unwrap(),
+            attempt: 0,
+            tenant: "alama".parse().unwrap(),
+            class: Class::Online,
+            method: "POST".to_owned(),
+            path: "/v1/chat/completions".to_owned(),
+            headers: vec![],
+            body: Bytes::from(body.to_string()),
+            deadline_ms: 0,
+            repeatable: true,
+            resume_offset: 0,
+            target: "korv-lm-1".to_owned(),
+        };
+        let address = self.companion.peer_address();
+        self.links.run(address, request).await.unwrap()
+    }
+
+    async fn stop(self) {
+        self.companion.stop().await;
+        self.engine.stop().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_every_item_once_and_reports_in_groups() {
+    let stand = stand(EngineSettings::instant(), 8).await;
+    for grant in 1..=100 {
+        stand.entry.offer(grant, &format!("item {grant}"), 10_000);
+    }
+    until(|| stand.entry.results_so_far().len() >= 100).await;
+    let mut results = stand.entry.results_so_far();
+    results.sort_by_key(|result| result.grant);
+    let grants: Vec<u64> = results.iter().map(|r| r.grant).collect();
+    assert_eq!(grants, (1..=100).collect::<Vec<_>>());
+    assert!(
+        results
+            .iter()
+            .all(|r| r.status == 200 && !r.body.is_empty())
+    );
+    let groups = stand.entry.0.lock().unwrap().groups.len();
+    assert!(groups < 100, "{groups} messages");
+    stand.stop().await;
+}
+
+// Symptom: a job fails after a few rushes. Sequence: each rush cancels the
+// same item. Cause: what gave way was counted as a failed attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_that_gives_way_is_returned() {
+    let stand = stand(EngineSettings::default(), 1).await;
+    stand.entry.offer(1, "[[slow 60000]]", 600_000);
+    until(|| stand.engine.counters().sequences.running == 1).await;
+    let RunReply::Accepted { mut run, .. } = stand.call(1).await else {
+        panic!("the call is taken");
+    };
+    until(|| !stand.entry.results_so_far().is_empty()).await;
+    let result = stand.entry.results_so_far().remove(0);
+    assert_eq!(result.outcome, ItemOutcome::Returned);
+    let end = async {
+        loop {
+            match run.next().await {
+                Some(Frame::End(outcome)) => return outcome,
+                Some(_) => {}
+                None => panic!("the answer has an end"),
+            }
+        }
+    };
+    let outcome = tokio::time::timeout(SURELY, end).await.unwrap();
+    assert_eq!(outcome.kind, OutcomeKind::Complete);
+    stand.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn renews_grants_while_there_is_no_room() {
+    let stand = stand(EngineSettings::default(), 1).await;
+    stand.entry.offer(7, "[[slow 60000]]", 300);
+    until(|| {
+        let state = stand.entry.0.lock().unwrap();
+        let renews = |pull: &&Pull| pull.room == 0 && pull.running == [7];
+        state.pulls.iter().filter(renews).count() >= 3
+    })
+    .await;
+    stand.stop().await;
+}
+
+// Symptom: a caller waits until its deadline and then hears "full".
+// Sequence: more calls come than the endpoint can end in time. Cause: a
+// queue that is bounded in length only.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_cannot_start_in_time_is_refused_at_once() {
+    let stand = stand(EngineSettings::default(), 1).await;
+    let mut runs = Vec::new();
+    let refusal = loop {
+        match stand.call(runs.len() as u32).await {
+            RunReply::Accepted { run, .. } => runs.push(run),
+            RunReply::Refused { refusal, .. } => break refusal,
+        }
+    };
+    assert_eq!(refusal.kind, RefusalKind::Full);
+    assert!(refusal.retry_after_ms > 0);
+    // One that was taken but waits too long hears so long before the end.
+    assert!(runs.len() >= 2, "{} were taken", runs.len());
+    stand.stop().await;
+}
