--- a/crates/bench/benches/faults.rs
+++ b/crates/bench/benches/faults.rs
@@ -14,6 +14,8 @@
 mod calls;
 #[path = "faults/driver.rs"]
 mod driver;
+#[path = "faults/ended.rs"]
+mod ended;
 #[path = "faults/findings.rs"]
 mod findings;
 #[path = "faults/world.rs"]
@@ -34,17 +36,16 @@
     time::{Duration, Instant, sleep_until},
 };
 
-use self::{
-    calls::{Ended, Sender},
-    findings::Findings,
-    world::World,
-};
+use self::{calls::Sender, ended::Ended, findings::Findings, world::World};
 
 /// Calls and how many of them are due in a second. Without a pace, they
 /// would be over before the faults have begun.
 const LOAD: (u64, f64) = (10_000, 100.0);
 const LOAD_SMALL: (u64, f64) = (600, 30.0);
 
+/// Tokens of each answer.
+const TOKENS: u32 = 12;
+
 /// Callers that send one call after the other.
 const CALLERS: usize = 128;
 
@@ -88,7 +89,8 @@
     let start = Instant::now();
     let mut callers = JoinSet::new();
     for _ in 0..CALLERS {
-        let sender = Sender::try_new(world.entries())?;
+        let sender = Sender::try_new(TOKENS, Duration::ZERO)?;
+        let entries = world.entries();
         let next = next.clone();
         callers.spawn(async move {
             let mut ended = Vec::new();
@@ -99,7 +101,7 @@
                 }
                 let due = Duration::from_secs_f64(number as f64 / per_s);
                 sleep_until(start + due).await;
-                ended.push(sender.call(number).await);
+                ended.push(Ended::of(number, &sender, &entries).await);
             }
         });
     }
--- a/crates/bench/benches/faults/calls.rs
+++ b/crates/bench/benches/faults/calls.rs
@@ -15,13 +15,11 @@
 /// deadline of the rules and a wide margin for a busy machine.
 const LIMIT: Duration = Duration::from_secs(60);
 
-/// Sends of one call with an idempotency key.
-const SENDS_MAX: u32 = 4;
-
-const TOKENS: u32 = 12;
+/// Calls of which one reads its stream slowly, if any does.
+const SLOW_EVERY: u64 = 4;
 
 /// What a call is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, Ord, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
 pub(crate) enum Kind {
     /// May not be repeated and carries no key.
     Plain,
@@ -34,10 +32,7 @@
 }
 
 impl Kind {
-    pub(crate) const ALL: [Kind; 4] =
-        [Kind::Plain, Kind::Keyed, Kind::Chat, Kind::Stream];
-
-    fn of(number: u64) -> Self {
+    pub(crate) fn of(number: u64) -> Self {
         match number % 6 {
             0 => Kind::Plain,
             3 => Kind::Keyed,
@@ -57,7 +52,7 @@
 }
 
 /// What a caller learns of one send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, Ord, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
 pub(crate) enum Learned {
     /// The right answer, whole.
     Right,
@@ -77,80 +72,45 @@
     Unsaid,
 }
 
-/// How one call ended.
-#[derive(Clone, Debug)]
-pub(crate) struct Ended {
-    pub(crate) id: String,
-    pub(crate) kind: Kind,
-    /// What was learned of each send.
-    pub(crate) sends: Vec<Learned>,
-    /// What the last send was answered, for people.
-    pub(crate) detail: String,
-}
-
-impl Ended {
-    /// Returns what the caller learned in the end.
-    pub(crate) fn last(&self) -> Learned {
-        self.sends.last().copied().unwrap_or(Learned::Nothing)
-    }
-}
-
 /// Sends calls, one after the other.
 pub(crate) struct Sender {
     client: Client,
-    entries: Vec<SocketAddr>,
+    tokens: u32,
+    pause: Duration,
 }
 
 /// What came back for one send.
-struct Reply {
-    learned: Learned,
-    retry: bool,
-    detail: String,
+pub(crate) struct Reply {
+    pub(crate) learned: Learned,
+    pub(crate) detail: String,
 }
 
 impl Reply {
     fn new(learned: Learned, detail: impl Into<String>) -> Self {
         Self {
             learned,
-            retry: false,
             detail: detail.into(),
         }
     }
 }
 
 impl Sender {
+    /// Asks for answers of so many tokens; some readers of streams pause
+    /// after each piece.
     pub(crate) fn try_new(
-        entries: Vec<SocketAddr>,
+        tokens: u32,
+        pause: Duration,
     ) -> Result<Self, Report<BenchError>> {
         let client = Client::builder().timeout(LIMIT).build();
         let client = client.change_context(BenchError::Call)?;
-        Ok(Self { client, entries })
+        Ok(Self {
+            client,
+            tokens,
+            pause,
+        })
     }
 
-    pub(crate) async fn call(&self, number: u64) -> Ended {
-        let kind = Kind::of(number);
-        let mut ended = Ended {
-            id: format!("call-{number}"),
-            kind,
-            sends: Vec::new(),
-            detail: String::new(),
-        };
-        for send in 0..SENDS_MAX {
-            // Each send goes to another entry, as through a balancer.
-            let at = (number + u64::from(send)) as usize;
-            let entry = self.entries[at % self.entries.len()];
-            let reply = self.send(entry, number, &ended.id, kind).await;
-            ended.sends.push(reply.learned);
-            ended.detail = reply.detail;
-            if kind != Kind::Keyed || !reply.retry {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(500)).await;
-        }
-        ended
-    }
-
-    async fn send(
+    pub(crate) async fn send(
         &self,
         entry: SocketAddr,
         number: u64,
@@ -175,17 +135,21 @@
                 let stream = kind == Kind::Stream;
                 let messages = json!([{"role": "user", "content": id}]);
                 let prompt = answer::prompt_of_chat(&messages);
-                let expected = answer::text(MODEL, &prompt, TOKENS);
+                let expected = answer::text(MODEL, &prompt, self.tokens);
                 let body = json!({
                     "model": MODEL,
                     "messages": messages,
-                    "max_tokens": TOKENS,
+                    "max_tokens": self.tokens,
                     "stream": stream,
                 });
                 let url = format!("{base}/v1/chat/completions");
                 let call = self.client.post(url).json(&body);
+                let pause = match number % SLOW_EVERY {
+                    0 => self.pause,
+                    _ => Duration::ZERO,
+                };
                 learn(call, async |reply| match stream {
-                    true => events(reply, &expected).await,
+                    true => events(reply, &expected, pause).await,
                     false => chat(reply, &expected).await,
                 })
                 .await
@@ -207,9 +171,10 @@
 }
 
 fn broken(error: &reqwest::Error) -> Reply {
-    let learned = match error.is_timeout() {
-        true => Learned::Nothing,
-        false => Learned::BrokenOff,
+    let learned = match error {
+        error if error.is_connect() => Learned::NotRun,
+        error if error.is_timeout() => Learned::Nothing,
+        _ => Learned::BrokenOff,
     };
     Reply::new(learned, format!("{error:?}"))
 }
@@ -225,14 +190,7 @@
         Some("unknown") => Learned::Unknown,
         _ => Learned::Unsaid,
     };
-    Reply {
-        learned,
-        retry: learned == Learned::NotRun
-            || problem["type"]
-                .as_str()
-                .is_some_and(|kind| kind.ends_with("still-running")),
-        detail: format!("{status}: {problem}"),
-    }
+    Reply::new(learned, format!("{status}: {problem}"))
 }
 
 async fn chat(reply: Response, expected: &str) -> Reply {
@@ -251,7 +209,11 @@
     }
 }
 
-async fn events(mut reply: Response, expected: &str) -> Reply {
+async fn events(
+    mut reply: Response,
+    expected: &str,
+    pause: Duration,
+) -> Reply {
     let mut decoder = Decoder::default();
     let mut text = String::new();
     let mut whole = false;
@@ -261,6 +223,9 @@
             Ok(None) => break,
             Err(error) => return broken(&error),
         };
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         for event in decoder.push(&bytes) {
             match event {
                 Event::Text(piece) => text.push_str(&piece),
--- a/crates/bench/benches/faults/findings.rs
+++ b/crates/bench/benches/faults/findings.rs
@@ -5,7 +5,10 @@
 use error_stack::Report;
 use pomeloslip_bench::{BenchError, Table};
 
-use crate::calls::{Ended, Kind, Learned};
+use crate::{
+    calls::{Kind, Learned},
+    ended::Ended,
+};
 
 /// Broken promises that are printed whole.
 const EXAMPLES_MAX: usize = 5;
@@ -16,6 +19,8 @@
 /// Longest of them, in characters.
 const TOLD_CHARS_MAX: usize = 100;
 
+const KINDS: [Kind; 4] = [Kind::Plain, Kind::Keyed, Kind::Chat, Kind::Stream];
+
 /// A promise that must hold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
 enum Promise {
@@ -93,7 +98,7 @@
             "other",
         ];
         let mut table = Table::new("What callers learned", &columns);
-        for kind in Kind::ALL {
+        for kind in KINDS {
             let count = |learned: Learned| {
                 self.outcomes.get(&(kind, learned)).copied().unwrap_or(0)
             };
--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -113,6 +113,10 @@
     data: Data<'_>,
 ) -> Result<Served, Problem> {
     let received = shared.timer.now();
+    // Counted before the look at the phase: a planned stop that finds
+    // nothing running after it has set the phase cuts no call that was let
+    // in just before and whose body is still on its way.
+    let _active = shared.state.begin();
     if !shared.state.is_ready() {
         return Err(stopping());
     }
