Stop an endpoint by an operator's order

Cause: the command vm stop had no route at the entry. Change: the entry draws a fencing number from the key-value service and orders the companion to drain; the companion refuses new work from then on and finishes what runs. Ruled out: a clock as fencing number, since two entries' clocks differ. Conclusion: an endpoint leaves at once whatever the platform's list says.

--- a/crates/companion/src/handler.rs
+++ b/crates/companion/src/handler.rs
@@ -188,6 +188,9 @@
     })
 }
 
+/// Order that the endpoint take no new work and finish what runs.
+const DRAIN: &str = "drain";
+
 /// Passes an order on unless a newer one was obeyed.
 ///
 /// Some endpoints ignore fencing numbers. An owner that was paused past its
@@ -205,5 +208,11 @@
         }
         *last = order.fence;
     }
+    if order.kind == DRAIN {
+        // Kept here and not passed on: an engine knows no such order.
+        shared.leaving.store(true, Ordering::Release);
+        log::info!(fence = order.fence; "ordered to drain");
+        return Ok(());
+    }
     shared.client.order(&order).await
 }
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -6,6 +6,7 @@
 mod gateway;
 mod guard;
 mod status;
+mod vms;
 
 use rocket::Route;
 
@@ -17,5 +18,6 @@
     routes.extend(batches::routes());
     routes.extend(admin::routes());
     routes.extend(status::routes());
+    routes.extend(vms::routes());
     routes
 }
--- a/crates/entry/src/api/status.rs
+++ b/crates/entry/src/api/status.rs
@@ -25,6 +25,8 @@
     relay: bool,
     /// How often another entry had another text as the same revision.
     revision_conflicts: u64,
+    /// Calls at the key-value service to follow the configuration.
+    config_service_calls: u64,
     endpoints: Vec<EndpointRow>,
     partitions: Vec<u32>,
     open_jobs: usize,
@@ -68,6 +70,7 @@
         revision_heard: part.heard.max(shared.config.revision()).get(),
         relay: part.is_relay,
         revision_conflicts: part.conflicts,
+        config_service_calls: part.service_calls,
         endpoints,
         partitions: owner.partitions(),
         open_jobs: owner.open_jobs(),
--- /dev/null
+++ b/crates/entry/src/api/vms.rs
@@ -0,0 +1,45 @@
+//! What operators do with endpoints: stop them.
+
+use std::sync::Arc;
+
+use rocket::{Route as HttpRoute, State, post, routes, serde::json::Json};
+use serde_json::{Value, json};
+use web::{Problem, ProblemKind, Ran};
+
+use super::{admin::failed, guard::Operator};
+use crate::{fleet::Route, orders::OrderError, shared::Shared};
+
+pub(crate) fn routes() -> Vec<HttpRoute> {
+    routes![stop]
+}
+
+/// Lets the endpoint on a VM finish its work and take no more.
+///
+/// The VM is named as the platform's list names it, or by the endpoint's
+/// name in the settings.
+#[post("/admin/vms/<vm>/stop")]
+async fn stop(
+    shared: &State<Arc<Shared>>,
+    vm: &str,
+    _operator: Operator,
+) -> Result<Json<Value>, Problem> {
+    let all = shared.fleet.all();
+    let known = all.iter().find(|known| known.target.name.as_str() == vm);
+    let target = &known.ok_or_else(|| unknown(vm))?.target;
+    let Route::Companion(companion) = target.route else {
+        let why = format!("{vm} has no companion; take it out of the list");
+        return Err(Problem::new(ProblemKind::Invalid, why).ran(Ran::No));
+    };
+    match shared.orders.drain(vm, companion).await {
+        Ok(()) => Ok(Json(json!({ "vm": vm, "state": "draining" }))),
+        Err(OrderError::Failed(report)) => Err(failed(report)),
+        Err(OrderError::Refused(why)) => {
+            Err(Problem::new(ProblemKind::Conflict, why).ran(Ran::No))
+        }
+    }
+}
+
+fn unknown(vm: &str) -> Problem {
+    let why = format!("this entry knows no endpoint on {vm}");
+    Problem::new(ProblemKind::NotFound, why).ran(Ran::No)
+}
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -1,5 +1,7 @@
 //! Follows the key-value service while this entry is a relay.
 
+use std::sync::atomic::Ordering;
+
 use base::Revision;
 use error_stack::{Report, ResultExt};
 use kv::KeyValue;
@@ -73,6 +75,7 @@
             return Ok(());
         }
         let prefix = self.changes_prefix();
+        self.service_calls.fetch_add(1, Ordering::Relaxed);
         let watcher = self.kv.watch(&prefix, from).await;
         let mut watcher = watcher.map_err(platform)?;
         let again = self.wait(LOOK_AGAIN_MS);
@@ -106,6 +109,7 @@
 
     /// Reads the whole; returns the service's revision of the read.
     async fn look(&self) -> Result<u64, Report<EntryError>> {
+        self.service_calls.fetch_add(1, Ordering::Relaxed);
         let read = self.kv.get(&self.main_key()).await.map_err(platform)?;
         if let Some(found) = read.kvs.first() {
             let found = parse(found)?;
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -11,7 +11,10 @@
 mod follow;
 mod neighbours;
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
 
 use base::{Millis, Revision, Snapshot, UnixMillis, timer::Timer};
 use error_stack::{Report, ResultExt};
@@ -99,6 +102,8 @@
     pub(crate) heard: Revision,
     /// How often another had another text as the same revision.
     pub(crate) conflicts: u64,
+    /// Calls at the service to follow the configuration, so far.
+    pub(crate) service_calls: u64,
 }
 
 /// The configuration in force at this process.
@@ -114,6 +119,8 @@
     relay: watch::Sender<bool>,
     /// Asks for a look at the service.
     look: Notify,
+    /// Looks at the whole and watches begun at the service.
+    service_calls: AtomicU64,
 }
 
 struct Joined {
@@ -132,6 +139,7 @@
             spread: Mutex::new(None),
             relay: watch::Sender::new(false),
             look: Notify::new(),
+            service_calls: AtomicU64::new(0),
         }
     }
 
@@ -188,8 +196,10 @@
 
     /// Returns how this entry takes part in spreading.
     pub(crate) fn part(&self) -> Part {
+        let service_calls = self.service_calls.load(Ordering::Relaxed);
         let joined = self.joined();
         joined.as_ref().map_or_else(Part::default, |joined| Part {
+            service_calls,
             is_relay: joined.spread.is_relay(),
             heard: joined.spread.heard(),
             conflicts: joined.spread.conflicts(),
--- a/crates/entry/src/forward/tries.rs
+++ b/crates/entry/src/forward/tries.rs
@@ -26,6 +26,7 @@
     prefix: Option<u64>,
     refusals: u32,
     retries: u32,
+    repeatable: bool,
     may_have_run: bool,
     last: String,
     retry_after_ms: Option<u64>,
@@ -38,6 +39,7 @@
             prefix: prefix::of(&exchange.path, &exchange.body),
             refusals: 0,
             retries: 0,
+            repeatable: exchange.plan.repeatable,
             may_have_run: false,
             last: "no endpoint is known".to_owned(),
             retry_after_ms: None,
@@ -101,11 +103,11 @@
         self.may_have_run = true;
         let plan = &exchange.plan;
         let may = plan.repeatable && self.retries < plan.retries;
+        self.last = why;
         if !may || !shared.fleet.try_retry(pool) {
-            return Err(lost(kind, why));
+            return Err(self.gave_up(kind));
         }
         self.retries += 1;
-        self.last = why;
         exchange.metrics.count(Counter::Retried, exchange.class, 1);
         Ok(())
     }
@@ -140,10 +142,10 @@
     }
 
     fn exhausted(&self) -> Problem {
-        let last = self.last.clone();
         if self.may_have_run {
-            return lost(ProblemKind::AnswerLost, last);
+            return self.gave_up(ProblemKind::AnswerLost);
         }
+        let last = self.last.clone();
         let after = self.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
         Problem::new(ProblemKind::NoEndpoint, last)
             .ran(Ran::No)
@@ -151,17 +153,24 @@
     }
 
     fn timed_out(&self) -> Problem {
-        let ran = match self.may_have_run {
-            true => Ran::Unknown,
-            false => Ran::No,
-        };
+        if self.may_have_run {
+            return self.gave_up(ProblemKind::TimedOut);
+        }
         let why = "the deadline has passed";
-        Problem::new(ProblemKind::TimedOut, why).ran(ran)
+        Problem::new(ProblemKind::TimedOut, why)
+            .ran(Ran::No)
+            .retry_after_ms(RETRY_AFTER_MS)
     }
-}
 
-fn lost(kind: ProblemKind, why: String) -> Problem {
-    Problem::new(kind, why).ran(Ran::Unknown)
+    /// Ends a request that may have run. Only a caller whose request may run
+    /// twice is told when to come back.
+    fn gave_up(&self, kind: ProblemKind) -> Problem {
+        let problem = Problem::new(kind, self.last.clone()).ran(Ran::Unknown);
+        match self.repeatable {
+            true => problem.retry_after_ms(RETRY_AFTER_MS),
+            false => problem,
+        }
+    }
 }
 
 /// Returns what is left of the deadline, 0 for none, `None` if it passed.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod fleet;
 mod forward;
 mod node;
+mod orders;
 mod peers;
 mod shared;
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -22,6 +22,7 @@
     config::{ConfigStore, Neighbours},
     filter::Limits,
     fleet::{Fleet, vm_list},
+    orders::Orders,
     peers::Peers,
     shared::Shared,
 };
@@ -73,6 +74,7 @@
         let links = Links::start(options).change_context(start)?;
         let prefix = key_value.prefix.clone();
         let claims = Claims::new(kv.clone(), &prefix, timer.clone());
+        let orders = Orders::new(kv.clone(), &prefix, links.clone());
         let batch = Batch::new(
             kv.clone(),
             prefix.clone(),
@@ -98,6 +100,7 @@
                 settings.limits.streams_max as usize,
             )),
             claims,
+            orders,
             tenants: Limits::new(Arc::new(entries(settings))),
         });
         let handlers = Handlers {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
     config::ConfigStore,
     filter::{Limits, Places},
     fleet::Fleet,
+    orders::Orders,
 };
 
 /// What the parts of an entry share.
@@ -23,6 +24,7 @@
     pub(crate) timer: Timer,
     pub(crate) links: Links,
     pub(crate) fleet: Arc<Fleet>,
+    pub(crate) orders: Orders,
     pub(crate) config: Arc<ConfigStore>,
     pub(crate) batch: Batch,
     pub(crate) metrics: Metrics,
