--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 //! of them when the fleet is dropped.
 
 mod binaries;
+mod caller;
 mod error;
 mod fleet;
 mod http;
@@ -20,6 +21,7 @@
 
 pub use crate::{
     binaries::Binaries,
+    caller::Caller,
     error::BenchError,
     fleet::{Fleet, FleetOptions, OPERATOR_KEY, TENANT_KEY},
     http::{get_json, post_json},
