Test claims while the key-value service is half-open or silent

Cause: that a claim left by a call refused as "did not run" is taken back, and that an answer does not wait for the record of its end, was written and not shown. Change: two tests with a fault proxy between the entry and the key-value service.

--- a/crates/entry/tests/claim_common/mod.rs
+++ b/crates/entry/tests/claim_common/mod.rs
@@ -179,6 +179,14 @@
 pub(crate) async fn entry(
     platform: &KvServiceHandle,
     service: SocketAddr,
+) -> Entry {
+    entry_at(platform.address(), service).await
+}
+
+/// Starts an entry that reaches the key-value service at an address.
+pub(crate) async fn entry_at(
+    platform: SocketAddr,
+    service: SocketAddr,
 ) -> Entry {
     let yaml = format!(
         "\
@@ -187,14 +195,13 @@
 failure_domain: tallinn-a
 listen: 127.0.0.1:0
 peer_listen: 127.0.0.1:0
-key_value: {{addresses: [{}], timeout_ms: 2000, prefix: /t/}}
+key_value: {{addresses: ['http://{platform}'], timeout_ms: 2000, prefix: /t/}}
 endpoints:
   - endpoint: vautsher-app-1
     pool: vautsher-app
     failure_domain: tallinn-a
     http: http://{service}
-",
-        platform.url(),
+"
     );
     let settings = Settings::parse("test", &yaml).unwrap();
     let entry = Entry::start(&settings, Metrics::default(), None);
