Let the demo's entry find its endpoints in the platform's list

Entry and companions needed to know each other's ports before either started, so the demo picked free ports and let them go again; another test's socket could take one in between. Ruled out: a range of ports below the system's own, which other listeners may use as well, and trying again, which hides it. Change: nothing is reserved; the entry starts first on a port of its own, companions pull from it and are put on the stand-in of the platform's VM list, which the entry reads. Conclusion: no port is known before it is bound, and the demo shows the VM list at work.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -10,6 +10,7 @@
 use std::{
     fmt::{self, Write},
     net::SocketAddr,
+    time::Duration,
 };
 
 use companion::Companion;
@@ -30,6 +31,9 @@
 /// Model that the demo's engines serve.
 pub const MODEL: &str = "korv-lm";
 
+/// Pause between looks whether the entry knows all endpoints.
+const LIST_LOOK: Duration = Duration::from_millis(10);
+
 /// Says that the demo cannot run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DemoError;
@@ -65,27 +69,24 @@
             let node = DataNode::start(&settings, Metrics::default()).await;
             data.push(node.change_context(DemoError)?);
         }
-        let ports = settings::reserve_ports(settings::ENGINES + 2)
-            .change_context(DemoError)?;
-        let companion_settings = settings::companions(&platform, &ports);
-        let entry_settings = settings::entry(
-            listen,
-            &platform,
-            &data,
-            &companion_settings,
-            &ports,
-        );
+        let entry_settings = settings::entry(listen, &platform, &data);
         platform.write_configuration(&entry_settings).await?;
-        let mut companions = Vec::new();
-        for settings in &companion_settings {
-            let metrics = Metrics::default();
-            let companion = Companion::start(settings, metrics).await;
-            companions.push(companion.change_context(DemoError)?);
-        }
         let entry = Entry::start(&entry_settings, Metrics::default(), None)
             .await
             .change_context(DemoError)?;
+        let mut companions = Vec::new();
+        for settings in settings::companions(&platform, entry.peer_address()) {
+            let metrics = Metrics::default();
+            let companion = Companion::start(&settings, metrics).await;
+            let companion = companion.change_context(DemoError)?;
+            platform.list(&settings, companion.peer_address());
+            companions.push(companion);
+        }
         entry.ready().await;
+        // The list of machines reaches the entry a moment later.
+        while entry.endpoints() < companions.len() {
+            tokio::time::sleep(LIST_LOOK).await;
+        }
         Ok(Self {
             platform,
             entry,
--- a/crates/cli/src/demo/platform.rs
+++ b/crates/cli/src/demo/platform.rs
@@ -1,5 +1,7 @@
 //! The stand-ins that the demo runs on.
 
+use std::net::SocketAddr;
+
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
 use kv::{EtcdJsonOptions, Kv, Op, Txn};
@@ -7,6 +9,10 @@
     engine::{Engine, EngineHandle, EngineSettings},
     kv::{KvService, KvServiceHandle, KvServiceSettings},
     service::{PlainService, PlainServiceHandle, PlainServiceSettings},
+    vms::{
+        VmListHandle, VmListService, VmListSettings, VmPorts, VmRecord,
+        VmState,
+    },
 };
 
 use super::{
@@ -17,6 +23,7 @@
 /// The stand-ins that the demo runs on.
 pub(super) struct Platform {
     pub(super) kv: KvServiceHandle,
+    pub(super) vms: VmListHandle,
     pub(super) engines: Vec<EngineHandle>,
     pub(super) service: PlainServiceHandle,
 }
@@ -38,8 +45,15 @@
         let service = PlainService::start(PlainServiceSettings::default())
             .await
             .change_context(DemoError)?;
+        let vms = VmListService::start(VmListSettings {
+            lag_ms: 0,
+            ..VmListSettings::default()
+        })
+        .await
+        .change_context(DemoError)?;
         Ok(Self {
             kv,
+            vms,
             engines,
             service,
         })
@@ -75,11 +89,30 @@
         Ok(())
     }
 
+    /// Adds a companion's machine to the list.
+    pub(super) fn list(&self, settings: &Settings, peer: SocketAddr) {
+        let Some(endpoint) = &settings.endpoint else {
+            return;
+        };
+        self.vms.put(VmRecord {
+            vm: settings.vm.clone(),
+            state: VmState::Live,
+            failure_domain: settings.failure_domain.clone(),
+            pool: endpoint.pool.clone(),
+            ip: peer.ip(),
+            ports: VmPorts {
+                peer: peer.port(),
+                http: 0,
+            },
+        });
+    }
+
     pub(super) async fn stop(self) {
         for engine in self.engines {
             engine.stop().await;
         }
         self.service.stop().await;
+        self.vms.stop().await;
         self.kv.stop().await;
     }
 }
--- a/crates/cli/src/demo/settings.rs
+++ b/crates/cli/src/demo/settings.rs
@@ -1,16 +1,14 @@
 //! Settings of the demo's processes.
 
 use std::{
-    io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
-    ops::RangeInclusive,
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
 };
 
 use base::{FailureDomain, KeyDigest, VmId};
 use conf::settings::{
     DataSettings, DataVm, EndpointKind, EndpointSettings, KeyValueSettings,
-    Role, Settings, StaticEndpoint,
+    Role, Settings, VmListSettings,
 };
 use data::DataNode;
 use error_stack::{Report, ResultExt};
@@ -26,15 +24,12 @@
 /// Failure domains of the demo.
 const DOMAINS: [&str; 4] = ["tallinn-a", "tallinn-b", "maardu", "saue"];
 
+/// Time between two reads of the platform's list, in milliseconds.
+const LIST_POLL_MS: u64 = 100;
+
 /// Data stores of the demo, in different failure domains.
 const DATA_VMS: usize = 2;
 
-/// Ports that are taken when one must be known in advance.
-const RESERVED_PORTS: RangeInclusive<u16> = 15_000..=32_000;
-
-/// Most ports that are tried; nearly all are free.
-const RESERVE_TRIES_MAX: u32 = 10_000;
-
 const LOOPBACK: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
 fn any_port() -> SocketAddr {
@@ -52,27 +47,6 @@
     name.parse().unwrap_or_else(|_| unreachable!("{name}"))
 }
 
-/// Finds ports that nobody listens on. Companions and the entry need to
-/// know each other's addresses before either starts.
-///
-/// They lie below those that the system gives to port 0 and to outgoing
-/// connections: between this look and the start, it would give one away now
-/// and then, and the demo would not start.
-pub(super) fn reserve_ports(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::new();
-    for _ in 0..RESERVE_TRIES_MAX {
-        if listeners.len() == count {
-            break;
-        }
-        let port = rand::random_range(RESERVED_PORTS);
-        listeners.extend(TcpListener::bind((LOOPBACK, port)));
-    }
-    if listeners.len() < count {
-        return Err(io::ErrorKind::AddrInUse.into());
-    }
-    listeners.iter().map(TcpListener::local_addr).collect()
-}
-
 fn blank(role: Role, vm: VmId, failure_domain: FailureDomain) -> Settings {
     Settings {
         role,
@@ -133,80 +107,76 @@
     }
 }
 
-/// Settings of the companions; the entry's peer port is the first reserved.
+/// Settings of the companions, which pull work from the entry.
 pub(super) fn companions(
     platform: &Platform,
-    ports: &[SocketAddr],
+    entry: SocketAddr,
 ) -> Vec<Settings> {
     let engines = platform.engines.iter().map(|engine| engine.address());
     let mut all: Vec<Settings> = engines
         .enumerate()
         .map(|(at, address)| {
             let name = format!("korv-lm-{}", at + 1);
-            let mut endpoint = EndpointSettings::new(
-                name.parse().unwrap_or_else(|_| unreachable!("{name}")),
-                "korv-lm",
-                EndpointKind::Engine,
-                address.into(),
-            );
+            let kind = EndpointKind::Engine;
+            let mut endpoint = endpoint(&name, "korv-lm", kind, address);
             endpoint.models = MODEL.parse().into_iter().collect();
-            companion(at, endpoint, ports)
+            companion(at, endpoint, vec![entry])
         })
         .collect();
-    let endpoint = EndpointSettings::new(
-        SERVICE.parse().unwrap_or_else(|_| unreachable!()),
-        SERVICE,
-        EndpointKind::Service,
-        platform.service.address().into(),
-    );
-    all.push(companion(ENGINES, endpoint, ports));
+    let address = platform.service.address();
+    let kind = EndpointKind::Service;
+    let service = endpoint(SERVICE, SERVICE, kind, address);
+    all.push(companion(ENGINES, service, vec![]));
     all
 }
 
+fn endpoint(
+    name: &str,
+    pool: &str,
+    kind: EndpointKind,
+    address: SocketAddr,
+) -> EndpointSettings {
+    // The demo's names are valid.
+    let name = name.parse().unwrap_or_else(|_| unreachable!("{name}"));
+    EndpointSettings::new(name, pool, kind, address.into())
+}
+
+/// The VM is named as its endpoint, since the platform's list names VMs.
 fn companion(
     at: usize,
     endpoint: EndpointSettings,
-    ports: &[SocketAddr],
+    entries: Vec<SocketAddr>,
 ) -> Settings {
-    let is_engine = endpoint.kind == EndpointKind::Engine;
+    let name = endpoint.name.as_str();
+    let vm = name.parse().unwrap_or_else(|_| unreachable!("{name}"));
     Settings {
-        peer_listen: ports[at + 1],
-        entries: if is_engine { vec![ports[0]] } else { vec![] },
+        entries,
         endpoint: Some(endpoint),
-        ..blank(Role::Companion, vm("endpoint", at), domain(at))
+        ..blank(Role::Companion, vm, domain(at))
     }
 }
 
-/// Settings of the entry.
+/// Settings of the entry, which finds endpoints in the platform's list.
 pub(super) fn entry(
     listen: SocketAddr,
     platform: &Platform,
     data: &[DataNode],
-    companions: &[Settings],
-    ports: &[SocketAddr],
 ) -> Settings {
     let data_vms = data.iter().enumerate().map(|(at, node)| DataVm {
         vm: vm("data", at),
         address: node.peer_address(),
         failure_domain: domain(at),
     });
-    let endpoints = companions.iter().filter_map(|companion| {
-        let endpoint = companion.endpoint.as_ref()?;
-        Some(StaticEndpoint {
-            endpoint: endpoint.name.clone(),
-            pool: endpoint.pool.clone(),
-            failure_domain: companion.failure_domain.clone(),
-            peer: Some(companion.peer_listen),
-            http: None,
-        })
-    });
     let kv = KeyValueSettings::new(vec![platform.kv.address().into()]);
+    let vm_list = VmListSettings {
+        address: platform.vms.address().into(),
+        poll_ms: LIST_POLL_MS,
+    };
     Settings {
         listen,
-        peer_listen: ports[0],
         key_value: Some(kv),
+        vm_list: Some(vm_list),
         data_vms: data_vms.collect(),
-        endpoints: endpoints.collect(),
         admin_keys_sha256: vec![KeyDigest::of_key(ADMIN_KEY)],
         ..blank(Role::Entry, vm("entry", 0), domain(0))
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -148,6 +148,11 @@
         self.peer.address()
     }
 
+    /// Returns how many endpoints the entry knows.
+    pub fn endpoints(&self) -> usize {
+        self.shared.fleet.all().len()
+    }
+
     /// Waits until the entry takes work.
     pub async fn ready(&self) {
         while !self.shared.state.is_ready() {
