Test that an acknowledged upload is in two failure domains

Change: after each acknowledged upload the data VMs of two failure domains tell how many blobs they have.

--- a/crates/entry/tests/property_promises.rs
+++ b/crates/entry/tests/property_promises.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 
 use conf::settings::Settings;
+use data::DataNode;
 use kv::{Kv, Op, Txn};
 use obs::Metrics;
 use pomeloslip_entry::Entry;
 use reqwest::Method;
 use serde_json::Value;
 use standin::kv::KvServiceHandle;
+use tempfile::TempDir;
 use yare::parameterized;
 
 use self::{
@@ -141,3 +143,82 @@
     assert_eq!(job["request_counts"]["completed"], 0, "{job}");
     assert_eq!(job["request_counts"]["failed"], 0, "{job}");
 }
+
+async fn data_vm(folder: &TempDir, name: &str, domain: &str) -> DataNode {
+    let path = folder.path().join(name);
+    let yaml = format!(
+        "\
+role: data
+vm: {name}
+failure_domain: {domain}
+listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+data: {{folder: {}}}
+",
+        path.display()
+    );
+    let settings = Settings::parse("data", &yaml).unwrap();
+    let node = DataNode::start(&settings, Metrics::default());
+    node.await.unwrap()
+}
+
+async fn blobs(node: &DataNode) -> u64 {
+    let url = format!("http://{}/status", node.http_address());
+    let reply = reqwest::get(url).await.unwrap();
+    let status: Value = reply.json().await.unwrap();
+    status["blobs"].as_u64().unwrap()
+}
+
+/// Symptom: the input of a job is gone with one machine. Sequence: an upload
+/// is acknowledged, and the data VM that has it is lost right after. Cause:
+/// the acknowledgement came before a second failure domain had a copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_acknowledged_upload_is_in_two_failure_domains() {
+    let platform = platform("", "").await;
+    let folder = TempDir::new().unwrap();
+    let one = data_vm(&folder, "data-1", "tallinn-a").await;
+    let near = data_vm(&folder, "data-2", "tallinn-a").await;
+    let other = data_vm(&folder, "data-3", "maardu").await;
+    let yaml = format!(
+        "\
+role: entry
+vm: entry-1
+failure_domain: tallinn-a
+listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+key_value: {{addresses: [{}], timeout_ms: 2000, prefix: /t/}}
+data_vms:
+  - {{vm: data-1, address: '{}', failure_domain: tallinn-a}}
+  - {{vm: data-2, address: '{}', failure_domain: tallinn-a}}
+  - {{vm: data-3, address: '{}', failure_domain: maardu}}
+",
+        platform.url(),
+        one.peer_address(),
+        near.peer_address(),
+        other.peer_address(),
+    );
+    let settings = Settings::parse("test", &yaml).unwrap();
+    let entry = Entry::start(&settings, Metrics::default(), None);
+    let entry = entry.await.unwrap();
+    entry.ready().await;
+    let http = reqwest::Client::builder().timeout(SURELY).build().unwrap();
+    for at in 1..=8 {
+        let line = format!(
+            r#"{{"custom_id":"{at}","url":"/v1/completions","body":{{}}}}"#
+        );
+        let form = format!(
+            "--cut\r\nContent-Disposition: form-data; name=\"purpose\"\
+             \r\n\r\nbatch\r\n--cut\r\nContent-Disposition: form-data; \
+             name=\"file\"; filename=\"a.jsonl\"\r\n\r\n{line}\r\n\
+             --cut--\r\n"
+        );
+        let url = format!("http://{}/v1/files", entry.http_address());
+        let call = http.post(url).bearer_auth(KEY).body(form);
+        let kind = "multipart/form-data; boundary=cut";
+        let reply = call.header("content-type", kind).send().await.unwrap();
+        assert!(reply.status().is_success(), "{}", reply.status());
+        // As soon as it is acknowledged, whichever of the first two it is.
+        assert_eq!(blobs(&one).await + blobs(&near).await, at);
+        assert_eq!(blobs(&other).await, at);
+    }
+}
