Let the gate's reserve test refuse stops as well

Cause: with the reserve left out of the batch's room, items start in it and are stopped again at each tick; the places looked free, the test passed. Change: no item may be stopped while no call comes. Conclusion: the test was too weak as first written; this is stricter.

--- a/crates/gate/tests/property_burst.rs
+++ b/crates/gate/tests/property_burst.rs
@@ -35,6 +35,8 @@
     offer_many(&mut stand);
     stand.pass_ms(5_000);
     assert_eq!(free(&stand), reserve);
+    // Nor do items start in it only to be stopped again.
+    assert!(stand.stops().is_empty());
 }
 
 #[parameterized(
@@ -55,6 +57,7 @@
         stand.pass_ms(50);
         assert!(free(&stand) >= calls, "{} free", free(&stand));
     }
+    assert!(stand.stops().is_empty());
 }
 
 #[test]
