Test that the example rules fit the example settings

Change: two tests: all example rules pass `pomeloslip rules check`; each endpoint of the example entry is in a pool of the example rules, and the key named in a comment is the tenant's. Conclusion: the examples are checked as a whole.

--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -4,10 +4,13 @@
 
 use std::{
     fs,
-    path::Path,
+    path::{Path, PathBuf},
     process::{Command, Output},
 };
 
+use base::{KeyDigest, Revision};
+use conf::settings::Settings;
+use rules::Config;
 use yare::parameterized;
 
 /// Ends the name of the settings file in what the daemon prints.
@@ -103,3 +106,42 @@
     assert!(text(&output.stderr).contains(printed), "{output:?}");
     assert_eq!(text(&output.stdout), "");
 }
+
+/// Files in a folder of the examples, whoever adds them.
+fn examples_in(folder: &str) -> Vec<PathBuf> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let all = fs::read_dir(root.join(folder)).unwrap();
+    all.map(|entry| entry.unwrap().path()).collect()
+}
+
+#[test]
+fn the_rules_among_the_examples_are_valid() {
+    let all = examples_in("rules");
+    assert!(!all.is_empty());
+    for path in all {
+        let output = Command::new(env!("CARGO_BIN_EXE_pomeloslip"))
+            .args(["rules", "check", path.to_str().unwrap()])
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+    }
+}
+
+#[test]
+fn the_example_rules_fit_the_example_settings() {
+    let rules = examples_in("rules");
+    let rules = rules.iter().find(|path| path.ends_with("example.yaml"));
+    let rules = fs::read_to_string(rules.unwrap()).unwrap();
+    let config = Config::parse("example.yaml", &rules).unwrap();
+    let compiled = config.compile(Revision::new(1));
+    let entry = Settings::parse("entry", &example("entry-1.yaml")).unwrap();
+    assert!(!entry.endpoints.is_empty());
+    for endpoint in &entry.endpoints {
+        let pool = compiled.pool_by_name(&endpoint.pool);
+        assert!(pool.is_some(), "{endpoint:?}");
+    }
+    // The key that the comment tells is the tenant's.
+    let digest = KeyDigest::of_key("example-key-taevakorv");
+    let tenant = compiled.tenant_by_key_digest(digest.as_bytes());
+    assert_eq!(tenant.unwrap().tenant().as_str(), "taevakorv");
+}
