--- a/crates/entry/tests/property_promises.rs
+++ b/crates/entry/tests/property_promises.rs
@@ -222,3 +222,33 @@
         assert_eq!(blobs(&other).await, at);
     }
 }
+
+/// Symptom: a planned stop cuts an answer. Sequence: a call runs at its
+/// service; the entry is stopped as planned; the service answers after that.
+/// Cause: the stop did not wait for what runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_the_call_that_runs() {
+    let platform = platform("", "").await;
+    let service = Service::start(10).await;
+    let entry = claim_common::entry(&platform, service.address).await;
+    service.hold();
+    let call = claim_common::post(&entry, KEY, "seat 4");
+    let caller = tokio::spawn(Reply::of(call));
+    service.has_run(1).await;
+    let ready = format!("http://{}/readyz", entry.http_address());
+    let stop = tokio::spawn(entry.drain());
+    let turned = async {
+        // Refused or no longer there: no new work is taken.
+        while reqwest::get(&ready).await.is_ok_and(|r| r.status() == 200) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(SURELY, turned).await.unwrap();
+    // Long enough for a stop that does not wait; one that does needs none.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!stop.is_finished());
+    service.release();
+    let reply = tokio::time::timeout(SURELY, caller).await.unwrap();
+    assert_eq!(reply.unwrap().status, 201);
+    tokio::time::timeout(SURELY, stop).await.unwrap().unwrap();
+}
