Wait at a planned stop until the last answers are delivered

Cause: a companion that stopped as planned waited for its calls, but not for their frames: 42 of 100 frames of an answer arrived in a trial with a slow reader, since the server that still held the rest was stopped. Change: the server counts answers until their last frame is confirmed, and the companion waits for that, too. Measured: the new test and the 11 others of the links pass; the trial itself was not run again. Conclusion: the end of an answer is part of what a planned stop waits for.

--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -192,7 +192,9 @@
     }
 
     fn is_busy(&self) -> bool {
-        !self.shared.admission.is_idle() || self.puller.is_reporting()
+        !self.shared.admission.is_idle()
+            || self.puller.is_reporting()
+            || self.peer.answers_open() > 0
     }
 
     /// The platform's list lags by up to a minute, so the entries hear of
--- a/crates/wire/src/host.rs
+++ b/crates/wire/src/host.rs
@@ -12,7 +12,7 @@
     convert,
     handler::{Answer, CompanionHandler, DataHandler, EntryHandler},
     message::{ItemResult, Order, Refusal, RefusalKind, StoredBlob},
-    pump::{HeldCall, pump},
+    pump::{HeldCall, OpenAnswer, pump},
     schema_capnp as schema,
     server::Shared,
 };
@@ -68,6 +68,9 @@
         params: schema::companion::RunParams,
         mut results: schema::companion::RunResults,
     ) -> Result<(), Error> {
+        // Counted before the handler takes the call: it may be done before
+        // the first frame is on its way.
+        let open = OpenAnswer::count(&self.shared.answers);
         let params = params.get()?;
         let request = convert::read_request(params.get_request()?)?;
         let sink = params.get_sink()?;
@@ -88,7 +91,14 @@
             return Ok(());
         }
         let (held, released) = oneshot::channel();
-        spawn_local(pump(id.0.to_string(), id.1, sink, frames, released));
+        spawn_local(pump(
+            id.0.to_string(),
+            id.1,
+            sink,
+            frames,
+            released,
+            open,
+        ));
         let mut reply = results.get();
         reply.set_accepted(true);
         reply.set_call(new_client(HeldCall { _held: held }));
--- a/crates/wire/src/pump.rs
+++ b/crates/wire/src/pump.rs
@@ -1,6 +1,12 @@
 //! Sends the frames of one answer to the process that asked.
 
-use std::future::Future;
+use std::{
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use capnp::{
     Error,
@@ -25,6 +31,22 @@
 
 impl schema::call::Server for HeldCall {}
 
+/// Counts an answer as open until it is dropped.
+pub(crate) struct OpenAnswer(Arc<AtomicUsize>);
+
+impl OpenAnswer {
+    pub(crate) fn count(answers: &Arc<AtomicUsize>) -> Self {
+        answers.fetch_add(1, Ordering::AcqRel);
+        Self(answers.clone())
+    }
+}
+
+impl Drop for OpenAnswer {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Sends the frames of one answer, a few at a time without waiting for each
 /// confirmation. Returning drops the receiver, which tells the handler.
 pub(crate) async fn pump(
@@ -33,6 +55,7 @@
     sink: schema::sink::Client,
     mut frames: mpsc::Receiver<Frame>,
     mut released: oneshot::Receiver<()>,
+    _open: OpenAnswer,
 ) {
     let mut in_flight = FuturesOrdered::new();
     let mut open = true;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,6 +3,10 @@
     fmt,
     net::SocketAddr,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -56,6 +60,7 @@
     address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     ended: watch::Receiver<bool>,
+    answers: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -65,6 +70,16 @@
         self.address
     }
 
+    /// Returns how many answers of the companion role are not delivered yet.
+    ///
+    /// A handler that has sent its last frame is done, but the frames may
+    /// still wait here for a slow caller. A planned stop waits for this to
+    /// be 0; otherwise the ends of the last answers would be cut.
+    #[inline]
+    pub fn answers_open(&self) -> usize {
+        self.answers.load(Ordering::Acquire)
+    }
+
     /// Closes the listener and all connections and waits for the end.
     pub async fn stop(mut self) {
         self.stop.take();
@@ -110,12 +125,14 @@
         .change_context(ServeError)?;
     let (stop, stopped) = oneshot::channel();
     let (ended, ended_receiver) = watch::channel(false);
+    let answers = Arc::new(AtomicUsize::new(0));
     let shared = Shared {
         identity: options.identity,
         secrets: options.secrets,
         silence: Duration::from_millis(options.silence_ms),
         handlers,
         workers: Handle::current(),
+        answers: answers.clone(),
     };
     thread::Builder::new()
         .name("peers".to_owned())
@@ -134,6 +151,7 @@
         address,
         stop: Some(stop),
         ended: ended_receiver,
+        answers,
     })
 }
 
@@ -143,6 +161,7 @@
     silence: Duration,
     pub(crate) handlers: Handlers,
     pub(crate) workers: Handle,
+    pub(crate) answers: Arc<AtomicUsize>,
 }
 
 async fn accept(listener: std::net::TcpListener, shared: Rc<Shared>) {
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -44,11 +44,12 @@
                     cancelled.store(true, Ordering::SeqCst);
                     return;
                 }
-                for seq in 0..40 {
+                let chunks = if request.path == "/long" { 200 } else { 40 };
+                for seq in 0..chunks {
                     let bytes = request.body.clone();
                     answer.send(Frame::Chunk { seq, bytes }).await.unwrap();
                 }
-                answer.send(Frame::End(whole(40))).await.unwrap();
+                answer.send(Frame::End(whole(chunks))).await.unwrap();
             });
             Ok(())
         }
@@ -242,3 +243,31 @@
         assert_eq!(load.is_ok(), served, "{load:?}");
     });
 }
+
+/// Symptom: the last answers of a companion that stops as planned end
+/// without their end. Sequence: the handler has sent its last frame; the
+/// caller reads slowly; the server is stopped. Cause: the frames still
+/// waited in the server, which counted nothing.
+#[tokio::test]
+async fn answers_are_open_until_they_are_delivered() {
+    let (server, _) = start(Secrets::default()).await;
+    let links = links(Secrets::default());
+    assert_eq!(server.answers_open(), 0);
+    let reply = links.run(server.address(), request("/long")).await.unwrap();
+    let RunReply::Accepted { mut run, .. } = reply else {
+        panic!("refused");
+    };
+    assert_eq!(server.answers_open(), 1);
+    let mut frames = 0;
+    while run
+        .next()
+        .await
+        .is_some_and(|f| !matches!(f, Frame::End(_)))
+    {
+        frames += 1;
+    }
+    assert_eq!(frames, 201);
+    while server.answers_open() > 0 {
+        tokio::task::yield_now().await;
+    }
+}
