Keep the newest 200 configurations whole, not all

Change: accepting a revision deletes the one 200 before it in the same transaction; deltas were bounded before. Ruled out: deleting by age, which a burst of edits defeats. Conclusion: the history is bounded by about 60 MB at that size, computed.

--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -34,6 +34,11 @@
 /// Name of the document in errors.
 const SOURCE_NAME: &str = "configuration";
 
+/// Accepted revisions that are kept whole. At 7,000 changes a day of a few
+/// hundred kilobytes each, keeping all would add gigabytes a day to a small
+/// service.
+const HISTORY_KEPT: u64 = 200;
+
 /// How long a write whose answer was lost is followed up, in milliseconds.
 const FOLLOW_UP_MS: u64 = 10_000;
 
@@ -339,6 +344,7 @@
             lease: None,
         };
         let past = next.revision.get().saturating_sub(CHANGES_KEPT);
+        let too_old = next.revision.get().saturating_sub(HISTORY_KEPT);
         let txn = Txn {
             compares: vec![Compare::ModRevision {
                 key: key.clone(),
@@ -351,6 +357,9 @@
                 Op::Delete {
                     key: self.change_key(Revision::new(past)),
                 },
+                Op::Delete {
+                    key: self.history_key(Revision::new(too_old)),
+                },
             ],
             failure: vec![],
         };
--- a/crates/entry/tests/config_outage.rs
+++ b/crates/entry/tests/config_outage.rs
@@ -214,3 +214,23 @@
     let body: serde_json::Value = reply.json().await.unwrap();
     assert_eq!(body["revision"], 3);
 }
+
+/// Symptom: the key-value service fills up by gigabytes a day. Sequence:
+/// operators change the configuration thousands of times. Cause: each whole
+/// text was kept for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_the_newest_revisions_are_kept() {
+    let service = platform().await;
+    let entry = entry("entry-1", &service, &[]).await;
+    entry.ready().await;
+    for revision in 1..=204 {
+        let operation = format!("edit-{revision}");
+        let reply = edit(&entry, revision, &operation, &text(1)).await;
+        assert_eq!(reply.status(), 200);
+    }
+    let kv = EtcdJsonOptions::new([service.url()]).build().unwrap();
+    let kept = kv.get_prefix("/t/config/history/", 0).await.unwrap().kvs;
+    assert_eq!(kept.len(), 200);
+    assert!(kept[0].key.ends_with("0006"), "{}", kept[0].key);
+    assert!(kept[199].key.ends_with("0205"), "{}", kept[199].key);
+}
--- a/crates/ledger/examples/embed_ledger.rs
+++ b/crates/ledger/examples/embed_ledger.rs
@@ -6,7 +6,7 @@
 //! is in the output once all the same. Time and random numbers are made up,
 //! so that every run prints the same.
 //!
-//! Run it with `cargo run -p pomeloslip-ledger --example embed`.
+//! Run it with `cargo run -p pomeloslip-ledger --example embed_ledger`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/router/examples/embed_router.rs
+++ b/crates/router/examples/embed_router.rs
@@ -5,7 +5,7 @@
 //! outcome) and tells the router what happened. Time and random numbers are
 //! arguments, so that every run prints the same.
 //!
-//! Run it with `cargo run -p pomeloslip-router --example embed`.
+//! Run it with `cargo run -p pomeloslip-router --example embed_router`.
 
 use std::collections::BTreeMap;
 
