Make the secrets of a process in one place

Cause: three roles turned the texts of their settings into secrets by the same seven lines. Change: one constructor in the crate of the links. No behaviour changes. Measured: clippy is clean for all targets of the binaries' package, the doc test asserts the bound. Conclusion: one place checks the length.

--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -14,9 +14,7 @@
 use tokio::task::JoinHandle;
 use upstream::EndpointClient;
 use web::{LaunchOptions, Phase, Served, ServiceState};
-use wire::{
-    Handlers, LinkOptions, Links, Secret, Secrets, Server, message::Identity,
-};
+use wire::{Handlers, LinkOptions, Links, Secrets, Server, message::Identity};
 
 use crate::{
     CompanionError,
@@ -98,7 +96,9 @@
             incarnation,
             failure_domain: settings.failure_domain.clone(),
         };
-        let secrets = secrets(settings)?;
+        let secrets = settings.peer_secrets.iter().map(|s| s.expose());
+        let secrets = Secrets::try_from_texts(secrets)
+            .change_context(CompanionError::Settings)?;
         let options = LinkOptions::new(identity.clone())
             .secrets(secrets.clone())
             .connect_timeout_ms(settings.timeouts.connect_ms);
@@ -232,13 +232,3 @@
     }
     options
 }
-
-fn secrets(settings: &Settings) -> Result<Secrets, Report<CompanionError>> {
-    settings
-        .peer_secrets
-        .iter()
-        .map(|secret| Secret::try_new(secret.expose()))
-        .collect::<Result<Vec<_>, _>>()
-        .map(Secrets::new)
-        .change_context(CompanionError::Settings)
-}
--- a/crates/data/src/node.rs
+++ b/crates/data/src/node.rs
@@ -6,9 +6,7 @@
 use obs::Metrics;
 use tokio::task::JoinHandle;
 use web::{LaunchOptions, Phase, Served, ServiceState};
-use wire::{
-    Handlers, LinkOptions, Links, Secret, Secrets, Server, message::Identity,
-};
+use wire::{Handlers, LinkOptions, Links, Secrets, Server, message::Identity};
 
 use crate::{
     DataError,
@@ -48,18 +46,14 @@
             incarnation: Incarnation::new(rand::random()),
             failure_domain: settings.failure_domain.clone(),
         };
-        let secrets = settings
-            .peer_secrets
-            .iter()
-            .map(|secret| Secret::try_new(secret.expose()))
-            .collect::<Result<Vec<_>, _>>()
+        let secrets = settings.peer_secrets.iter().map(|s| s.expose());
+        let secrets = Secrets::try_from_texts(secrets)
             .change_context(DataError::Settings)?;
         let handlers = Handlers {
             data: Some(handler(&role)),
             ..Handlers::default()
         };
         let listen = settings.peer_listen;
-        let secrets = Secrets::new(secrets);
         let options =
             LinkOptions::new(identity.clone()).secrets(secrets.clone());
         let links = Links::start(options).change_context(start)?;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::Semaphore, task::JoinHandle};
 use web::{LaunchOptions, Phase, Served, ServiceState};
 use wire::{
-    DataHandler, Handlers, LinkOptions, Links, Secret, Secrets, Server,
+    DataHandler, Handlers, LinkOptions, Links, Secrets, Server,
     message::Identity,
 };
 
@@ -67,7 +67,9 @@
                 .change_context(start)?,
         );
         let identity = identity(settings);
-        let secrets = secrets(settings)?;
+        let secrets = settings.peer_secrets.iter().map(|s| s.expose());
+        let secrets = Secrets::try_from_texts(secrets)
+            .change_context(EntryError::Settings)?;
         let options = LinkOptions::new(identity.clone())
             .secrets(secrets.clone())
             .connect_timeout_ms(settings.timeouts.connect_ms);
@@ -225,13 +227,3 @@
         }),
     ]
 }
-
-fn secrets(settings: &Settings) -> Result<Secrets, Report<EntryError>> {
-    settings
-        .peer_secrets
-        .iter()
-        .map(|secret| Secret::try_new(secret.expose()))
-        .collect::<Result<Vec<_>, _>>()
-        .map(Secrets::new)
-        .change_context(EntryError::Settings)
-}
--- a/crates/wire/src/auth.rs
+++ b/crates/wire/src/auth.rs
@@ -71,6 +71,28 @@
         Self(secrets)
     }
 
+    /// Checks and wraps the texts of the secrets in force, the signing one
+    /// first.
+    ///
+    /// # Errors
+    ///
+    /// [`SecretError`] if one of them is too short.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_wire::Secrets;
+    ///
+    /// assert!(Secrets::try_from_texts(["0123456789abcdef"]).is_ok());
+    /// assert!(Secrets::try_from_texts(["0123456789abcdef", "x"]).is_err());
+    /// ```
+    pub fn try_from_texts<'a>(
+        texts: impl IntoIterator<Item = &'a str>,
+    ) -> Result<Self, SecretError> {
+        let secrets = texts.into_iter().map(Secret::try_new);
+        Ok(Self(secrets.collect::<Result<_, _>>()?))
+    }
+
     /// Signs the parts with the first secret.
     pub fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
         self.0
