--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -1,5 +1,7 @@
 //! The daemon `pomeloslipd`: one process of any role.
 
+mod fleet;
+
 use std::{
     io::{self, Write},
     path::PathBuf,
@@ -10,6 +12,7 @@
 use base::{SystemClock, timer::Timer};
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
+use fleet::{FleetCommand, FleetRole};
 use obs::{LogSettings, Metrics, MetricsSettings};
 use pomeloslip::daemon::{Daemon, DaemonError};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -20,10 +23,14 @@
 The daemon of pomeloslip: an entry, a companion or a data VM.
 
 Usage: pomeloslipd --settings FILE [--check]
+       pomeloslipd fleet front|worker [--metrics-port PORT]
        pomeloslipd --help | --version
 
   --settings FILE  the settings of this process (YAML, docs/SETTINGS.md)
   --check          read and check the settings, start nothing
+  fleet ROLE       a role on the users' platform, with the settings that the
+                   platform writes (docs/design/platform.md)
+  --metrics-port   where the role serves its metrics as text
 
 SIGTERM and SIGINT are a planned stop: nothing new is taken and what runs
 ends. A second one ends the process at once.
@@ -39,6 +46,7 @@
     Version,
     Check(PathBuf),
     Run(PathBuf),
+    Fleet(FleetCommand),
 }
 
 fn main() -> ExitCode {
@@ -57,6 +65,9 @@
         }
         Command::Check(path) => return check(&path),
         Command::Run(path) => return run(&path),
+        Command::Fleet(command) => {
+            return finish(fleet::run(command));
+        }
     }
     ExitCode::SUCCESS
 }
@@ -73,6 +84,9 @@
     if args.contains("--version") {
         return Ok(Command::Version);
     }
+    if let Some(word) = args.subcommand().map_err(|error| error.to_string())? {
+        return parse_fleet(&word, args).map(Command::Fleet);
+    }
     let check = args.contains("--check");
     let path: PathBuf = args
         .opt_value_from_str("--settings")
@@ -109,7 +123,34 @@
             return ExitCode::from(USAGE);
         }
     };
-    match serve(&settings) {
+    finish(serve(&settings))
+}
+
+fn parse_fleet(
+    word: &str,
+    mut args: pico_args::Arguments,
+) -> Result<FleetCommand, String> {
+    if word != "fleet" {
+        return Err(format!("{word} is unknown"));
+    }
+    let role = args.subcommand().map_err(|error| error.to_string())?;
+    let role = role.ok_or("fleet needs a role: front or worker")?;
+    let role = FleetRole::parse(&role)
+        .ok_or_else(|| format!("{role} is no role: front or worker"))?;
+    let metrics_port = args
+        .opt_value_from_str("--metrics-port")
+        .map_err(|error| error.to_string())?;
+    let rest = args.finish();
+    match rest.first() {
+        Some(unknown) => {
+            Err(format!("{} is unknown", unknown.to_string_lossy()))
+        }
+        None => Ok(FleetCommand { role, metrics_port }),
+    }
+}
+
+fn finish(result: Result<(), Report<DaemonError>>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             say(io::stderr(), &format!("pomeloslipd: {report:?}\n"));
--- /dev/null
+++ b/crates/fleet/src/endpoint.rs
@@ -0,0 +1,172 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+};
+
+use base::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::{LoadReport, Suspicion};
+
+/// Whether an endpoint takes new work.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointState {
+    /// Takes new work.
+    #[default]
+    Ready,
+    /// Ends what it runs and then leaves.
+    Draining,
+}
+
+/// What the key-value service says of one endpoint.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointRecord {
+    /// Id of this life of the endpoint; never used again.
+    pub id: String,
+    /// Where it listens. Another life may get the same address later.
+    pub address: SocketAddr,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Failure domain that it stands in.
+    pub failure_domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+}
+
+/// One endpoint with what this process knows of its load.
+///
+/// The record is replaced with the table that holds it, the counters live
+/// as long as the endpoint does: all tables share them.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    record: Arc<EndpointRecord>,
+    load: Arc<Counters>,
+    spread: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    in_flight: AtomicU32,
+    reported: AtomicU32,
+    own_at_report: AtomicU32,
+    reported_at_ms: AtomicU64,
+    failures: AtomicU32,
+    avoid_until_ms: AtomicU64,
+}
+
+impl Endpoint {
+    /// Makes an endpoint of which no load is known.
+    pub fn new(record: EndpointRecord) -> Self {
+        Self {
+            spread: base::stable_hash(&[&record.id]),
+            record: Arc::new(record),
+            load: Arc::default(),
+        }
+    }
+
+    /// Replaces the record and keeps the load.
+    #[must_use]
+    pub fn with_record(&self, record: EndpointRecord) -> Self {
+        Self {
+            record: Arc::new(record),
+            load: self.load.clone(),
+            spread: self.spread,
+        }
+    }
+
+    /// Returns what the key-value service says of it.
+    #[inline]
+    pub fn record(&self) -> &EndpointRecord {
+        &self.record
+    }
+
+    /// Returns a hash of the id, for choices that spread evenly.
+    #[inline]
+    pub fn spread(&self) -> u64 {
+        self.spread
+    }
+
+    /// Returns the requests of this process that it runs.
+    #[inline]
+    pub fn in_flight(&self) -> u32 {
+        self.load.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as sent.
+    pub fn begin(&self) {
+        self.load.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request as over.
+    pub fn end(&self) {
+        let old = self.load.in_flight.fetch_sub(1, Ordering::Relaxed);
+        debug_assert!(old > 0, "more ends than begins");
+    }
+
+    /// Takes note of a load that the endpoint has told.
+    pub fn report(&self, report: LoadReport, now: Millis) {
+        let load = &self.load;
+        let all = report.running.saturating_add(report.waiting);
+        load.reported.store(all, Ordering::Relaxed);
+        load.own_at_report
+            .store(self.in_flight(), Ordering::Relaxed);
+        load.reported_at_ms
+            .store(now.as_ms().max(1), Ordering::Relaxed);
+    }
+
+    /// Estimates the requests that it holds from all callers.
+    ///
+    /// Own requests are known to the moment. Those of others are what the
+    /// last report held beyond the own ones of that time; after
+    /// [`REPORT_LIFE_MS`] the report says nothing any more.
+    pub fn estimated_load(&self, now: Millis) -> u32 {
+        self.in_flight().saturating_add(self.foreign(now))
+    }
+
+    fn foreign(&self, now: Millis) -> u32 {
+        let at = self.load.reported_at_ms.load(Ordering::Relaxed);
+        let age_ms = now.as_ms().saturating_sub(at);
+        if at == 0 || age_ms > REPORT_LIFE_MS {
+            return 0;
+        }
+        let reported = self.load.reported.load(Ordering::Relaxed);
+        let own = self.load.own_at_report.load(Ordering::Relaxed);
+        reported.saturating_sub(own)
+    }
+
+    /// Takes note of a request that failed for the endpoint's sake.
+    pub fn failed(&self, suspicion: Suspicion, now: Millis) {
+        let before = self.load.failures.fetch_add(1, Ordering::Relaxed);
+        let until = now.saturating_add_ms(suspicion.pause_ms(before));
+        self.load
+            .avoid_until_ms
+            .fetch_max(until.as_ms(), Ordering::Relaxed);
+    }
+
+    /// Takes note of a request that went well.
+    pub fn succeeded(&self) {
+        if self.load.failures.load(Ordering::Relaxed) != 0 {
+            self.load.failures.store(0, Ordering::Relaxed);
+            self.load.avoid_until_ms.store(0, Ordering::Relaxed);
+        }
+    }
+
+    /// Tells whether it is better left alone after failures.
+    #[inline]
+    pub fn is_suspect(&self, now: Millis) -> bool {
+        now.as_ms() < self.load.avoid_until_ms.load(Ordering::Relaxed)
+    }
+}
+
+/// How long a reported load counts, in milliseconds: about the length of
+/// one streamed answer, after which what ran then has ended.
+const REPORT_LIFE_MS: u64 = 700;
--- /dev/null
+++ b/crates/jobs/src/ledger.rs
@@ -0,0 +1,379 @@
+use std::sync::Arc;
+
+use base::{UnixMillis, timer::Timer};
+use error_stack::{Report, ResultExt};
+use fleet::BatchTerms;
+use kv::{
+    Compare, GetReply, Kv, KvError, Op, Txn, TxnReply,
+    ops::{Outcome, Verdict, Writer},
+};
+
+use crate::{
+    JobError,
+    record::{
+        ItemInput, ItemResult, JobHead, JobKey, decode_head, decode_inputs,
+        decode_results, encode_head, encode_inputs, encode_results, head_key,
+        input_key, input_prefix, output_key,
+    },
+};
+
+/// A job as it arrives.
+#[derive(Clone, Debug)]
+pub struct NewJob {
+    /// The caller's id.
+    pub key: JobKey,
+    /// Host that it was sent to.
+    pub host: String,
+    /// Path that it was sent to.
+    pub path: String,
+    /// When it arrived.
+    pub submitted_at: UnixMillis,
+    /// Its times.
+    pub terms: BatchTerms,
+    /// Its items.
+    pub items: Vec<ItemInput>,
+}
+
+/// A head with the revision that changes are compared with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stored {
+    /// The head.
+    pub head: JobHead,
+    /// Revision of its last write.
+    pub revision: u64,
+}
+
+/// Keeps jobs in the key-value service.
+///
+/// Accepting, listing and ending are one compare-and-swap each on the job's
+/// head. A write whose answer is lost is read back, so that no call is done
+/// twice and none is taken for done that was not.
+#[derive(Clone)]
+pub struct Ledger {
+    kv: Arc<dyn Kv>,
+    writer: Writer,
+    value_bytes: usize,
+}
+
+/// How long a write is tried before its caller hears that it is open, in
+/// milliseconds. Callers of jobs wait about four seconds.
+const WRITE_GIVE_UP_MS: u64 = 2_500;
+
+/// Values in one call beside the head; the service takes 32 rows.
+const CHUNKS_MOST: usize = 24;
+
+/// Part of a value's largest size that a chunk fills, in percent: the table
+/// before the bodies takes some room as well.
+const FILL_PERCENT: usize = 80;
+
+impl Ledger {
+    /// Keeps jobs in `kv`, whose values hold `value_bytes`.
+    pub fn new(kv: Arc<dyn Kv>, timer: Timer, value_bytes: usize) -> Self {
+        Self {
+            kv,
+            writer: Writer::new(timer, WRITE_GIVE_UP_MS),
+            value_bytes,
+        }
+    }
+
+    /// Accepts a job; one that is there already is accepted again.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::NotDone`] if nothing was kept, [`JobError::Open`] if that
+    /// is not known, [`JobError::TooLarge`] for a job that never fits.
+    pub async fn accept(
+        &self,
+        job: NewJob,
+    ) -> Result<Stored, Report<JobError>> {
+        let chunks = self.chunks(&job.items)?;
+        let head = JobHead {
+            submitted_at: job.submitted_at,
+            host: job.host,
+            path: job.path,
+            total: job.items.len() as u32,
+            input_chunks: chunks.len() as u32,
+            listed: Vec::new(),
+            output_chunks: Vec::new(),
+            strikes: indexmap::IndexMap::new(),
+            ended: false,
+            due_at: job.submitted_at.saturating_add_ms(job.terms.due_in_ms),
+            give_up_at: job
+                .submitted_at
+                .saturating_add_ms(job.terms.give_up_in_ms),
+        };
+        let mut success = vec![put(head_key(&job.key), encode_head(&head)?)];
+        for (number, chunk) in chunks.into_iter().enumerate() {
+            let key = input_key(&job.key, number as u32);
+            success.push(put(key, chunk));
+        }
+        let txn = guarded(head_key(&job.key), 0, success);
+        let new = head.clone();
+        let outcome = self
+            .commit(&job.key, txn, move |reply| Stored {
+                head: new.clone(),
+                revision: reply.revision,
+            })
+            .await?;
+        match outcome {
+            Outcome::Done(stored) => Ok(stored),
+            // It was there before: the same job, sent again.
+            Outcome::Superseded => self.read(&job.key).await,
+        }
+    }
+
+    /// Reads the head of a job.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::Unknown`] if there is none, [`JobError::NotDone`] if the
+    /// service is away.
+    pub async fn read(
+        &self,
+        job: &JobKey,
+    ) -> Result<Stored, Report<JobError>> {
+        let reply = self.kv.get(&head_key(job)).await;
+        let reply = reply.change_context(JobError::NotDone)?;
+        find_head(&reply)?.ok_or_else(|| Report::new(JobError::Unknown))
+    }
+
+    /// Ends a job; repeating it changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// As [`read`](Self::read), and [`JobError::Open`].
+    pub async fn end(&self, job: &JobKey) -> Result<(), Report<JobError>> {
+        loop {
+            let Stored { mut head, revision } = self.read(job).await?;
+            if head.ended {
+                return Ok(());
+            }
+            head.ended = true;
+            let row = put(head_key(job), encode_head(&head)?);
+            let txn = guarded(head_key(job), revision, vec![row]);
+            if let Outcome::Done(()) = self.commit(job, txn, |_| ()).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Lists results after those that `before` has, with the strikes.
+    ///
+    /// `before` is the head as the caller knows it. If another writer was
+    /// faster, nothing is written and the head as it is now is returned in
+    /// `Err` of the inner result.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::NotDone`] and [`JobError::Open`] as for all writes; after
+    /// both the caller reads the head before it lists again.
+    pub async fn list(
+        &self,
+        job: &JobKey,
+        before: &Stored,
+        numbers: &[u32],
+        results: &[ItemResult],
+        strikes: &indexmap::IndexMap<u32, crate::Strikes>,
+    ) -> Result<Result<Stored, Stored>, Report<JobError>> {
+        let mut head = before.head.clone();
+        let first = head.listed.len() as u32;
+        head.listed.extend_from_slice(numbers);
+        head.strikes.clone_from(strikes);
+        let mut rows = Vec::new();
+        if !results.is_empty() {
+            head.output_chunks.push(first);
+            let bytes = encode_results(results)?;
+            rows.push(put(output_key(job, first), bytes));
+        }
+        rows.push(put(head_key(job), encode_head(&head)?));
+        let txn = guarded(head_key(job), before.revision, rows);
+        let new = head.clone();
+        let outcome = self
+            .commit(job, txn, move |reply| Stored {
+                head: new.clone(),
+                revision: reply.revision,
+            })
+            .await?;
+        match outcome {
+            Outcome::Done(stored) => Ok(Ok(stored)),
+            Outcome::Superseded => Ok(Err(self.read(job).await?)),
+        }
+    }
+
+    /// Reads the inputs of a job.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::NotDone`] if the service is away, [`JobError::Unknown`]
+    /// if inputs are missing.
+    pub async fn inputs(
+        &self,
+        job: &JobKey,
+        head: &JobHead,
+    ) -> Result<Vec<ItemInput>, Report<JobError>> {
+        let reply = self.kv.get_prefix(&input_prefix(job), 0).await;
+        let reply = reply.change_context(JobError::NotDone)?;
+        let mut items = Vec::new();
+        for kv in &reply.kvs {
+            items.extend(decode_inputs(&kv.value)?);
+        }
+        match items.len() == head.total as usize {
+            true => Ok(items),
+            false => Err(Report::new(JobError::Unknown)),
+        }
+    }
+
+    /// Reads a chunk of results.
+    ///
+    /// # Errors
+    ///
+    /// As [`inputs`](Self::inputs).
+    pub async fn results(
+        &self,
+        job: &JobKey,
+        first_position: u32,
+    ) -> Result<Vec<ItemResult>, Report<JobError>> {
+        let key = output_key(job, first_position);
+        let reply = self.kv.get(&key).await;
+        let reply = reply.change_context(JobError::NotDone)?;
+        let Some(kv) = reply.kvs.first() else {
+            return Err(Report::new(JobError::Unknown));
+        };
+        Ok(decode_results(&kv.value)?)
+    }
+
+    fn chunks(
+        &self,
+        items: &[ItemInput],
+    ) -> Result<Vec<Vec<u8>>, Report<JobError>> {
+        let most = self.value_bytes * FILL_PERCENT / 100;
+        let mut chunks = Vec::new();
+        let mut from = 0;
+        let mut bytes = 0;
+        for (at, item) in items.iter().enumerate() {
+            let size = item_bytes(item);
+            if size > most {
+                return Err(Report::new(JobError::TooLarge));
+            }
+            if bytes + size > most {
+                chunks.push(encode_inputs(&items[from..at])?);
+                (from, bytes) = (at, 0);
+            }
+            bytes += size;
+        }
+        if from < items.len() {
+            chunks.push(encode_inputs(&items[from..])?);
+        }
+        match chunks.len() <= CHUNKS_MOST {
+            true => Ok(chunks),
+            false => Err(Report::new(JobError::TooLarge)),
+        }
+    }
+
+    /// Writes until the outcome is known or the time is up.
+    ///
+    /// A write of this ledger is found again by what it wrote: the value of
+    /// the head at the write's key. No two writes of a head are alike, as
+    /// each of them changes it.
+    async fn commit<T: Send + 'static>(
+        &self,
+        job: &JobKey,
+        txn: Txn,
+        answered: impl Fn(&TxnReply) -> T + Send + Clone,
+    ) -> Result<Outcome<T>, Report<JobError>> {
+        let expected = head_value(&txn, &head_key(job));
+        let before = compared_revision(&txn);
+        let read_back = Op::Get { key: head_key(job) };
+        let decided = answered.clone();
+        let decide = move |found: &GetReply| match found.kvs.first() {
+            Some(kv) if Some(&kv.value) == expected.as_ref() => {
+                let revision = kv.mod_revision;
+                Verdict::Done(decided(&TxnReply {
+                    succeeded: true,
+                    revision,
+                    replies: Vec::new(),
+                }))
+            }
+            Some(kv) if kv.mod_revision == before => Verdict::Open,
+            Some(_) => Verdict::Superseded,
+            None if before == 0 => Verdict::Open,
+            None => Verdict::Superseded,
+        };
+        let random = spread_pauses(job);
+        let outcome = self
+            .writer
+            .commit(&*self.kv, txn, read_back, answered, decide, random)
+            .await;
+        outcome.map_err(|report| {
+            let error = match report.current_context() {
+                KvError::Unknown => JobError::Open,
+                KvError::Invalid => JobError::TooLarge,
+                _ => JobError::NotDone,
+            };
+            report.change_context(error)
+        })
+    }
+}
+
+/// Bytes that an item takes in a chunk.
+fn item_bytes(item: &ItemInput) -> usize {
+    /// Names, numbers and quotes of the table's row.
+    const ROW_BYTES: usize = 96;
+    let headers: usize = item
+        .headers
+        .iter()
+        .map(|(name, value)| name.len() + value.len() + 8)
+        .sum();
+    ROW_BYTES + item.id.len() + item.path.len() + headers + item.body.len()
+}
+
+fn put(key: String, value: Vec<u8>) -> Op {
+    Op::Put {
+        key,
+        value,
+        lease: None,
+    }
+}
+
+fn guarded(key: String, equals: u64, success: Vec<Op>) -> Txn {
+    Txn {
+        compares: vec![Compare::ModRevision { key, equals }],
+        success,
+        failure: Vec::new(),
+    }
+}
+
+fn head_value(txn: &Txn, key: &str) -> Option<Vec<u8>> {
+    txn.success.iter().find_map(|op| match op {
+        Op::Put { key: at, value, .. } if at == key => Some(value.clone()),
+        _ => None,
+    })
+}
+
+fn compared_revision(txn: &Txn) -> u64 {
+    match txn.compares.first() {
+        Some(Compare::ModRevision { equals, .. }) => *equals,
+        _ => 0,
+    }
+}
+
+/// Numbers that spread the pauses between the tries of different jobs.
+fn spread_pauses(job: &JobKey) -> impl FnMut() -> u64 + Send + use<> {
+    let mut state = base::stable_hash(&[job.as_str()]);
+    move || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        state >> 16
+    }
+}
+
+fn find_head(reply: &GetReply) -> Result<Option<Stored>, JobError> {
+    let Some(kv) = reply.kvs.first() else {
+        return Ok(None);
+    };
+    Ok(Some(Stored {
+        head: decode_head(&kv.value)?,
+        revision: kv.mod_revision,
+    }))
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,38 @@
+//! Batch jobs kept in the key-value service, and their runs.
+//!
+//! A job is a small [`JobHead`] that every node watches, its inputs and its
+//! results in chunks. The [`Ledger`] makes each change one compare-and-swap
+//! on the head. A [`JobView`] follows all heads. On the nodes that run items,
+//! a [`Plan`] shares jobs and endpoints between those nodes and decides what
+//! starts and what gives way, and a [`Runner`] carries it out.
+//!
+//! Running an item twice does no harm, listing it twice would: so owners of
+//! jobs are found by hashing and may disagree for a moment, while positions
+//! are given by compare-and-swap alone.
+
+mod error;
+mod gate;
+mod ledger;
+mod page;
+mod plan;
+mod record;
+mod run;
+mod runner;
+mod view;
+
+pub use crate::{
+    error::JobError,
+    gate::{GateInput, GateOptions, GateOrder, decide},
+    ledger::{Ledger, NewJob, Stored},
+    page::{Page, PageReader},
+    plan::{Members, Plan, RunnerRecord},
+    record::{
+        HEAD_PREFIX, ItemInput, ItemResult, ItemState, JobHead, JobKey,
+        RUNNER_PREFIX, Strikes, WATCHED_PREFIX, decode_head, decode_inputs,
+        decode_results, encode_head, encode_inputs, encode_results, head_key,
+        input_key, input_prefix, output_key,
+    },
+    run::{ItemRun, Progress, RunEnd, RunMeans},
+    runner::{Probe, ProbeFuture, Runner, RunnerOptions},
+    view::JobView,
+};
--- /dev/null
+++ b/crates/jobs/src/page.rs
@@ -0,0 +1,193 @@
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use base::{Clock, Millis};
+use error_stack::Report;
+use tokio::time;
+
+use crate::{
+    JobError, JobView, Ledger, Stored,
+    record::{ItemResult, JobKey},
+};
+
+/// Some results of a job, in their order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Page {
+    /// Items of the job.
+    pub total: u32,
+    /// Position after the last result of the page.
+    pub next: u32,
+    /// The results.
+    pub results: Vec<ItemResult>,
+}
+
+type Chunk = Arc<Vec<ItemResult>>;
+
+/// Reads results for callers, with a small cache of chunks.
+///
+/// A chunk never changes once it is listed, so that a cached one is right
+/// for ever. Heads are taken from the view while that is young enough:
+/// a caller that saw a result at another node must find it here within a
+/// second, and an older view could still lack it.
+pub struct PageReader {
+    ledger: Ledger,
+    view: JobView,
+    clock: Arc<dyn Clock>,
+    cache: Mutex<Cache>,
+}
+
+#[derive(Default)]
+struct Cache {
+    chunks: VecDeque<(JobKey, u32, Chunk)>,
+    bytes: usize,
+}
+
+/// Bytes of results that are kept. A job's results are read within seconds
+/// of each other, so that a few jobs' worth is enough.
+const CACHE_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bytes of one page.
+const PAGE_BYTES: usize = 900 * 1024;
+
+/// Oldest view that proves that something is not there, in milliseconds.
+const VIEW_AGE_MS: u64 = 800;
+
+impl PageReader {
+    /// Makes a reader with an empty cache.
+    pub fn new(ledger: Ledger, view: JobView, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            ledger,
+            view,
+            clock,
+            cache: Mutex::default(),
+        }
+    }
+
+    /// Returns the results from position `after` on. While there are none
+    /// and the job is open, it waits for up to `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::Unknown`] only if the service itself says that there is
+    /// no such job; [`JobError::NotDone`] if it cannot be asked.
+    pub async fn page(
+        &self,
+        job: &JobKey,
+        after: u32,
+        wait_ms: u64,
+    ) -> Result<Page, Report<JobError>> {
+        let until = self.clock.now().saturating_add_ms(wait_ms);
+        let mut changes = self.view.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let stored = self.head(job, after).await?;
+            let head = &stored.head;
+            if (after as usize) < head.listed.len() {
+                return self.collect(job, &stored, after).await;
+            }
+            let left_ms = until.saturating_ms_since(self.clock.now());
+            if head.is_closed() || left_ms == 0 {
+                return Ok(Page {
+                    total: head.total,
+                    next: after,
+                    results: Vec::new(),
+                });
+            }
+            let wait = Duration::from_millis(left_ms);
+            let _ = time::timeout(wait, changes.changed()).await;
+        }
+    }
+
+    /// Returns a head that is new enough to tell what is not at `after`.
+    async fn head(
+        &self,
+        job: &JobKey,
+        after: u32,
+    ) -> Result<Stored, Report<JobError>> {
+        let now: Millis = self.clock.now();
+        let known = self.view.get(job);
+        if let Some(stored) = known {
+            let has = (after as usize) < stored.head.listed.len();
+            let young = self.view.age_ms(now) <= VIEW_AGE_MS;
+            let listed = stored.head.listed.len() as u32;
+            if has || young || listed == stored.head.total {
+                return Ok(stored);
+            }
+        }
+        let stored = self.ledger.read(job).await?;
+        self.view.learn(job, &stored);
+        Ok(stored)
+    }
+
+    async fn collect(
+        &self,
+        job: &JobKey,
+        stored: &Stored,
+        after: u32,
+    ) -> Result<Page, Report<JobError>> {
+        let mut results: Vec<ItemResult> = Vec::new();
+        let mut next = after;
+        let mut bytes = 0;
+        while let Some(first) = stored.head.chunk_of(next) {
+            let chunk = self.chunk(job, first).await?;
+            for result in chunk.iter().skip((next - first) as usize) {
+                bytes += result.output.len();
+                if bytes > PAGE_BYTES && !results.is_empty() {
+                    break;
+                }
+                results.push(result.clone());
+                next += 1;
+            }
+            if bytes > PAGE_BYTES {
+                break;
+            }
+        }
+        Ok(Page {
+            total: stored.head.total,
+            next,
+            results,
+        })
+    }
+
+    async fn chunk(
+        &self,
+        job: &JobKey,
+        first: u32,
+    ) -> Result<Chunk, Report<JobError>> {
+        if let Some(chunk) = self.cached(job, first) {
+            return Ok(chunk);
+        }
+        let chunk = Arc::new(self.ledger.results(job, first).await?);
+        self.keep(job, first, &chunk);
+        Ok(chunk)
+    }
+
+    fn cached(&self, job: &JobKey, first: u32) -> Option<Chunk> {
+        let cache = self.cache.lock();
+        let cache = cache.unwrap_or_else(PoisonError::into_inner);
+        let mut chunks = cache.chunks.iter();
+        chunks
+            .find(|(key, at, _)| *at == first && key == job)
+            .map(|(_, _, chunk)| chunk.clone())
+    }
+
+    fn keep(&self, job: &JobKey, first: u32, chunk: &Chunk) {
+        let cache = self.cache.lock();
+        let mut cache = cache.unwrap_or_else(PoisonError::into_inner);
+        cache.bytes += chunk_bytes(chunk);
+        cache.chunks.push_back((job.clone(), first, chunk.clone()));
+        while cache.bytes > CACHE_BYTES {
+            let Some((_, _, old)) = cache.chunks.pop_front() else {
+                break;
+            };
+            cache.bytes -= chunk_bytes(&old);
+        }
+    }
+}
+
+fn chunk_bytes(chunk: &Chunk) -> usize {
+    chunk.iter().map(|r| r.output.len() + r.id.len()).sum()
+}
--- /dev/null
+++ b/crates/jobs/src/record.rs
@@ -0,0 +1,341 @@
+use std::{fmt, str::FromStr};
+
+use base::UnixMillis;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::JobError;
+
+/// Names a job; the caller chose it, and a job that is sent again has the
+/// same.
+#[derive(
+    Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct JobKey(String);
+
+/// Longest id, so that each key made of it fits the service's 200 bytes.
+const KEY_MOST_BYTES: usize = 128;
+
+impl JobKey {
+    /// Returns the id.
+    #[inline]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for JobKey {
+    type Err = JobError;
+
+    fn from_str(text: &str) -> Result<Self, JobError> {
+        let plain = |byte: u8| {
+            byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.')
+        };
+        let fits = (1..=KEY_MOST_BYTES).contains(&text.len());
+        match fits && text.bytes().all(plain) {
+            true => Ok(Self(text.to_owned())),
+            false => Err(JobError::Id),
+        }
+    }
+}
+
+impl fmt::Display for JobKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One request of a job, as the caller sent it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ItemInput {
+    /// The caller's id of the item.
+    pub id: String,
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Vec<(String, String)>,
+    /// Body of the request.
+    pub body: Vec<u8>,
+    /// Tokens of the prompt and the longest output together.
+    pub tokens: u64,
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ItemState {
+    /// Its output is whole.
+    Complete,
+    /// It was given up.
+    GivenUp,
+}
+
+/// The end of one item.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ItemResult {
+    /// The caller's id of the item.
+    pub id: String,
+    /// How it ended.
+    pub state: ItemState,
+    /// Data of its events, separated by line feeds.
+    pub output: String,
+}
+
+/// Answers of endpoints that speak against an item.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize,
+)]
+#[serde(default, deny_unknown_fields)]
+pub struct Strikes {
+    /// Errors of endpoints while they ran it.
+    pub errors: u32,
+    /// Answers that say it can never be done.
+    pub rejections: u32,
+}
+
+/// What all nodes know of a job: small, so that it can be watched.
+///
+/// Inputs and outputs lie under keys of their own. The order of `listed` is
+/// the order of the results; it only ever grows, and each change is a
+/// compare-and-swap on this record, so that no position is given twice
+/// whoever writes.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobHead {
+    /// When the job arrived.
+    pub submitted_at: UnixMillis,
+    /// Host that it was sent to.
+    pub host: String,
+    /// Path that it was sent to.
+    pub path: String,
+    /// How many items it has.
+    pub total: u32,
+    /// Chunks that the inputs lie in.
+    pub input_chunks: u32,
+    /// Items with a result, by position.
+    pub listed: Vec<u32>,
+    /// First position of each chunk of results.
+    pub output_chunks: Vec<u32>,
+    /// What was counted against single items.
+    pub strikes: IndexMap<u32, Strikes>,
+    /// Whether the caller ended it.
+    pub ended: bool,
+    /// When all results are due.
+    pub due_at: UnixMillis,
+    /// When items without a result are given up.
+    pub give_up_at: UnixMillis,
+}
+
+impl JobHead {
+    /// Tells whether no item is left to run.
+    #[inline]
+    pub fn is_closed(&self) -> bool {
+        self.ended || self.listed.len() >= self.total as usize
+    }
+
+    /// Returns the chunk that holds a position, as its first position.
+    pub fn chunk_of(&self, position: u32) -> Option<u32> {
+        if position as usize >= self.listed.len() {
+            return None;
+        }
+        let after = self.output_chunks.partition_point(|f| *f <= position);
+        self.output_chunks.get(after.checked_sub(1)?).copied()
+    }
+}
+
+/// Common start of the keys that every node watches.
+pub const WATCHED_PREFIX: &str = "jobs/";
+/// Common start of the heads.
+pub const HEAD_PREFIX: &str = "jobs/h/";
+/// Common start of the entries of nodes that run items.
+pub const RUNNER_PREFIX: &str = "jobs/r/";
+
+/// Returns the key of a job's head.
+pub fn head_key(job: &JobKey) -> String {
+    format!("{HEAD_PREFIX}{job}")
+}
+
+/// Returns the key of a chunk of a job's inputs.
+pub fn input_key(job: &JobKey, chunk: u32) -> String {
+    format!("{}{chunk:06}", input_prefix(job))
+}
+
+/// Returns the common start of the keys of a job's inputs.
+pub fn input_prefix(job: &JobKey) -> String {
+    format!("bulk/in/{job}/")
+}
+
+/// Returns the key of a chunk of a job's results.
+pub fn output_key(job: &JobKey, first_position: u32) -> String {
+    format!("bulk/out/{job}/{first_position:06}")
+}
+
+/// Encodes the record of a job.
+///
+/// # Errors
+///
+/// [`JobError::Encoding`], which a record of this type does not cause.
+pub fn encode_head(head: &JobHead) -> Result<Vec<u8>, JobError> {
+    serde_json::to_vec(head).map_err(|_| JobError::Encoding)
+}
+
+/// Decodes the record of a job.
+///
+/// # Errors
+///
+/// [`JobError::Encoding`] if the bytes are no such record.
+pub fn decode_head(bytes: &[u8]) -> Result<JobHead, JobError> {
+    serde_json::from_slice(bytes).map_err(|_| JobError::Encoding)
+}
+
+/// What stands of an item's input beside its body.
+#[derive(Serialize, Deserialize)]
+struct InputEntry {
+    id: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    tokens: u64,
+    body_bytes: usize,
+}
+
+/// What stands of a result beside its output.
+#[derive(Serialize, Deserialize)]
+struct OutputEntry {
+    id: String,
+    state: ItemState,
+    output_bytes: usize,
+}
+
+/// Encodes inputs: a table in JSON, then the bodies one after the other.
+/// Bodies inside JSON were rejected: escaped a second time they take a third
+/// more of the service's bytes and of processor time.
+///
+/// # Errors
+///
+/// [`JobError::Encoding`], which inputs do not cause.
+pub fn encode_inputs(items: &[ItemInput]) -> Result<Vec<u8>, JobError> {
+    let table: Vec<InputEntry> = items
+        .iter()
+        .map(|item| InputEntry {
+            id: item.id.clone(),
+            path: item.path.clone(),
+            headers: item.headers.clone(),
+            tokens: item.tokens,
+            body_bytes: item.body.len(),
+        })
+        .collect();
+    join(&table, items.iter().map(|item| item.body.as_slice()))
+}
+
+/// Decodes what [`encode_inputs`] made.
+///
+/// # Errors
+///
+/// [`JobError::Encoding`] if the bytes are something else.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_jobs::{ItemInput, decode_inputs, encode_inputs};
+///
+/// let items = [ItemInput {
+///     id: "a".to_owned(),
+///     body: vec![0, 255],
+///     ..ItemInput::default()
+/// }];
+/// let bytes = encode_inputs(&items)?;
+/// assert_eq!(decode_inputs(&bytes)?, items);
+/// assert!(decode_inputs(&bytes[1..]).is_err());
+/// # Ok::<(), pomeloslip_jobs::JobError>(())
+/// ```
+pub fn decode_inputs(bytes: &[u8]) -> Result<Vec<ItemInput>, JobError> {
+    let (table, mut rest) = split::<InputEntry>(bytes)?;
+    let mut items = Vec::with_capacity(table.len());
+    for entry in table {
+        let body = take(&mut rest, entry.body_bytes)?.to_vec();
+        items.push(ItemInput {
+            id: entry.id,
+            path: entry.path,
+            headers: entry.headers,
+            body,
+            tokens: entry.tokens,
+        });
+    }
+    Ok(items)
+}
+
+/// Encodes results like [`encode_inputs`].
+///
+/// # Errors
+///
+/// [`JobError::Encoding`], which results do not cause.
+pub fn encode_results(results: &[ItemResult]) -> Result<Vec<u8>, JobError> {
+    let table: Vec<OutputEntry> = results
+        .iter()
+        .map(|result| OutputEntry {
+            id: result.id.clone(),
+            state: result.state,
+            output_bytes: result.output.len(),
+        })
+        .collect();
+    join(
+        &table,
+        results.iter().map(|result| result.output.as_bytes()),
+    )
+}
+
+/// Decodes what [`encode_results`] made.
+///
+/// # Errors
+///
+/// [`JobError::Encoding`] if the bytes are something else.
+pub fn decode_results(bytes: &[u8]) -> Result<Vec<ItemResult>, JobError> {
+    let (table, mut rest) = split::<OutputEntry>(bytes)?;
+    let mut results = Vec::with_capacity(table.len());
+    for entry in table {
+        let output = take(&mut rest, entry.output_bytes)?;
+        let output = std::str::from_utf8(output);
+        results.push(ItemResult {
+            id: entry.id,
+            state: entry.state,
+            output: output.map_err(|_| JobError::Encoding)?.to_owned(),
+        });
+    }
+    Ok(results)
+}
+
+const LENGTH_BYTES: usize = 4;
+
+fn join<'a>(
+    table: &impl Serialize,
+    blobs: impl Iterator<Item = &'a [u8]>,
+) -> Result<Vec<u8>, JobError> {
+    let table = serde_json::to_vec(table).map_err(|_| JobError::Encoding)?;
+    let length = u32::try_from(table.len());
+    let length = length.map_err(|_| JobError::Encoding)?;
+    let mut bytes = length.to_le_bytes().to_vec();
+    bytes.extend(table);
+    for blob in blobs {
+        bytes.extend(blob);
+    }
+    Ok(bytes)
+}
+
+fn split<T: DeserializeOwned>(
+    mut bytes: &[u8],
+) -> Result<(Vec<T>, &[u8]), JobError> {
+    let length = take(&mut bytes, LENGTH_BYTES)?;
+    let length = length.try_into().map_err(|_| JobError::Encoding)?;
+    let length = u32::from_le_bytes(length) as usize;
+    let table = take(&mut bytes, length)?;
+    let table = serde_json::from_slice(table);
+    Ok((table.map_err(|_| JobError::Encoding)?, bytes))
+}
+
+fn take<'a>(rest: &mut &'a [u8], length: usize) -> Result<&'a [u8], JobError> {
+    let (first, after) =
+        rest.split_at_checked(length).ok_or(JobError::Encoding)?;
+    *rest = after;
+    Ok(first)
+}
--- /dev/null
+++ b/crates/jobs/src/run.rs
@@ -0,0 +1,171 @@
+use std::{
+    future::poll_fn,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use fleet::{Endpoint, Route};
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use pass::{EventSplitter, Exchange, Failure, Forwarder, Inbound};
+use tokio::time;
+
+use crate::record::ItemInput;
+
+/// What a run has produced so far; it outlives the run, so that the item
+/// goes on elsewhere after its last event.
+#[derive(Clone, Debug, Default)]
+pub struct Progress(Arc<Mutex<Produced>>);
+
+#[derive(Debug, Default)]
+struct Produced {
+    output: String,
+    events: u64,
+    last_id: Option<u64>,
+}
+
+impl Progress {
+    /// Returns the id of the last whole event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.lock().last_id
+    }
+
+    /// Returns how many events there are.
+    pub fn events(&self) -> u64 {
+        self.lock().events
+    }
+
+    /// Returns the data of all events, separated by line feeds.
+    pub fn output(&self) -> String {
+        self.lock().output.clone()
+    }
+
+    fn add(&self, events: &[u8], last_id: Option<u64>) {
+        let mut produced = self.lock();
+        for line in events.split(|byte| *byte == b'\n') {
+            let Some(data) = line.strip_prefix(b"data:") else {
+                continue;
+            };
+            let data = data.strip_prefix(b" ").unwrap_or(data);
+            if produced.events > 0 {
+                produced.output.push('\n');
+            }
+            produced.output.push_str(&String::from_utf8_lossy(data));
+            produced.events += 1;
+        }
+        produced.last_id = last_id;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Produced> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The output is whole.
+    Complete,
+    /// The endpoint says that the item can never be done.
+    Rejected,
+    /// The endpoint failed while it ran the item.
+    Error(StatusCode),
+    /// The endpoint did not run it.
+    NotRun,
+    /// The connection broke or fell silent; what arrived stays.
+    Broken,
+}
+
+/// One run of one item at one endpoint.
+pub struct ItemRun {
+    /// The item.
+    pub input: ItemInput,
+    /// Host of the job's route.
+    pub host: String,
+    /// The job's route.
+    pub route: Arc<Route>,
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// What earlier runs produced.
+    pub progress: Progress,
+}
+
+/// How items are sent.
+pub type RunMeans = Arc<Forwarder>;
+
+/// Longest run of an item, in milliseconds; a longer one is taken up again
+/// after its last event.
+const RUN_MOST_MS: u64 = 60_000;
+
+/// Longest pause of a run's stream, in milliseconds. An engine that preempts
+/// a run reads it again in well under a second.
+const STALL_MS: u64 = 2_500;
+
+impl ItemRun {
+    /// Runs the item to its end, or until the future is dropped, which
+    /// closes the connection and so stops the endpoint's work.
+    pub async fn run(self, means: &RunMeans) -> RunEnd {
+        let Some(request) = self.request(means) else {
+            return RunEnd::Rejected;
+        };
+        let after = self.progress.last_id();
+        let wait = Duration::from_millis(STALL_MS);
+        let offer = means.offer(&request, &self.endpoint, after, wait);
+        match offer.await {
+            Ok(exchange) => self.read(exchange, after).await,
+            Err(Failure::Broken | Failure::Silent) => RunEnd::Broken,
+            Err(Failure::WrongId) => RunEnd::Broken,
+            Err(Failure::NotSealed(_)) => RunEnd::Broken,
+            Err(_) => RunEnd::NotRun,
+        }
+    }
+
+    fn request(&self, means: &RunMeans) -> Option<Inbound> {
+        let mut request = Request::new(());
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = self.input.path.parse().ok()?;
+        let headers = request.headers_mut();
+        for (name, value) in &self.input.headers {
+            let name: HeaderName = name.parse().ok()?;
+            headers.append(name, HeaderValue::from_str(value).ok()?);
+        }
+        let host = HeaderValue::from_str(&self.host).ok()?;
+        headers.insert(header::HOST, host);
+        let id = HeaderValue::from_str(&self.input.id).ok()?;
+        headers.insert(means.names().request_id.clone(), id);
+        let (parts, ()) = request.into_parts();
+        let inbound = Inbound::new(
+            parts,
+            Bytes::from(self.input.body.clone()),
+            self.route.clone(),
+            means.names(),
+            Instant::now(),
+        );
+        Some(inbound.with_wait_ms(RUN_MOST_MS))
+    }
+
+    async fn read(self, mut exchange: Exchange, after: Option<u64>) -> RunEnd {
+        match exchange.status() {
+            status if status.is_success() => {}
+            StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Rejected,
+            status => return RunEnd::Error(status),
+        }
+        let mut splitter = EventSplitter::new(after);
+        let stall = Duration::from_millis(STALL_MS);
+        loop {
+            let next = poll_fn(|cx| exchange.poll_data(cx));
+            match time::timeout(stall, next).await {
+                Ok(Some(Ok(chunk))) => {
+                    let split = splitter.push(chunk);
+                    if !split.events.is_empty() {
+                        self.progress.add(&split.events, splitter.last_id());
+                    }
+                }
+                Ok(None) if !splitter.is_inside_event() => {
+                    return RunEnd::Complete;
+                }
+                Ok(None | Some(Err(_))) | Err(_) => return RunEnd::Broken,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/runner.rs
@@ -0,0 +1,892 @@
+use std::{
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{Clock, Millis, Snapshot};
+use error_stack::Report;
+use fleet::{Config, Endpoint, EndpointRecord, LoadReport, Route, RouteKind};
+use indexmap::IndexMap;
+use pass::{DirectoryView, Tally};
+use tokio::{
+    sync::{mpsc, watch},
+    task::AbortHandle,
+    time,
+};
+
+use crate::{
+    GateInput, GateOptions, ItemRun, JobError, JobHead, JobView, Ledger, Plan,
+    Progress, RunEnd, RunMeans, Stored, decide,
+    record::{ItemInput, ItemResult, ItemState, JobKey, Strikes},
+};
+
+/// The answer to a question for an endpoint's load.
+pub type ProbeFuture =
+    Pin<Box<dyn Future<Output = Option<LoadReport>> + Send>>;
+
+/// Asks endpoints for their load.
+pub trait Probe: Send + Sync + 'static {
+    /// Asks one endpoint; no answer is `None`.
+    fn probe(&self, endpoint: &EndpointRecord) -> ProbeFuture;
+}
+
+/// Times and bounds of a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct RunnerOptions {
+    /// Time between two looks at all work.
+    pub tick_ms: u64,
+    /// Time between two questions for one endpoint's load.
+    pub probe_ms: u64,
+    /// Oldest load report by which items start.
+    pub report_age_ms: u64,
+    /// Shortest time between two commits of one job.
+    pub commit_ms: u64,
+    /// Oldest view of the jobs by which items start.
+    pub view_age_ms: u64,
+    /// Pause of an item after a failed run.
+    pub retry_ms: u64,
+    /// How long after its time an item is given up, for clocks that differ.
+    pub give_up_margin_ms: u64,
+    /// The gate at each endpoint.
+    pub gate: GateOptions,
+}
+
+impl Default for RunnerOptions {
+    /// An engine's report is about 50 ms old when it arrives, so that
+    /// asking more than ten times a second tells little more. Results that
+    /// wait 700 ms for their commit are read within a second, and a job
+    /// takes a handful of writes. Clocks may differ by seconds.
+    fn default() -> Self {
+        Self {
+            tick_ms: 50,
+            probe_ms: 100,
+            report_age_ms: 400,
+            commit_ms: 700,
+            view_age_ms: 4_000,
+            retry_ms: 300,
+            give_up_margin_ms: 6_000,
+            gate: GateOptions::default(),
+        }
+    }
+}
+
+/// Runs the items of the jobs that are this node's share.
+pub struct Runner {
+    node: String,
+    options: RunnerOptions,
+    ledger: Ledger,
+    view: JobView,
+    endpoints: Arc<Snapshot<DirectoryView>>,
+    config: Arc<Snapshot<Option<Arc<Config>>>>,
+    means: RunMeans,
+    probe: Arc<dyn Probe>,
+    clock: Arc<dyn Clock>,
+    tally: Arc<Tally>,
+}
+
+impl Runner {
+    /// Makes a runner; [`run`](Self::run) starts it.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        node: &str,
+        options: RunnerOptions,
+        ledger: Ledger,
+        view: JobView,
+        endpoints: Arc<Snapshot<DirectoryView>>,
+        config: Arc<Snapshot<Option<Arc<Config>>>>,
+        means: RunMeans,
+        probe: Arc<dyn Probe>,
+        clock: Arc<dyn Clock>,
+        tally: Arc<Tally>,
+    ) -> Self {
+        Self {
+            node: node.to_owned(),
+            options,
+            ledger,
+            view,
+            endpoints,
+            config,
+            means,
+            probe,
+            clock,
+            tally,
+        }
+    }
+
+    /// Runs until `stop` turns true and no item of this node is left in
+    /// work. What then waits is taken over by other nodes.
+    pub async fn run(self, mut stop: watch::Receiver<bool>) {
+        let (sender, mut events) = mpsc::unbounded_channel();
+        let mut work = Work::new(self, sender);
+        let tick = Duration::from_millis(work.runner.options.tick_ms);
+        let mut ticks = time::interval(tick);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = events.recv() => {
+                    if let Some(event) = event {
+                        work.take(event);
+                    }
+                    while let Ok(event) = events.try_recv() {
+                        work.take(event);
+                    }
+                    work.commit_due();
+                }
+                _ = ticks.tick() => work.look(*stop.borrow_and_update()),
+            }
+            if *stop.borrow() && work.is_idle() {
+                return;
+            }
+        }
+    }
+}
+
+/// What tasks tell the runner.
+enum Event {
+    Inputs(JobKey, Result<Vec<ItemInput>, Report<JobError>>),
+    Ended(RunId, RunEnd),
+    Listed(JobKey, Result<Result<Stored, Stored>, Report<JobError>>),
+    Probed(String, Option<LoadReport>),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash)]
+struct RunId(u64);
+
+struct Active {
+    stored: Stored,
+    inputs: Inputs,
+    items: Vec<Item>,
+    pending: Vec<(u32, ItemResult)>,
+    strikes: IndexMap<u32, Strikes>,
+    strikes_dirty: bool,
+    listing: bool,
+    next_commit: Millis,
+}
+
+enum Inputs {
+    Missing,
+    Loading,
+    Loaded(Arc<Vec<ItemInput>>),
+}
+
+#[derive(Clone, Default)]
+struct Item {
+    state: Phase,
+    progress: Progress,
+    not_before: Millis,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Phase {
+    #[default]
+    Waiting,
+    Running(RunId),
+    Done,
+}
+
+struct Run {
+    job: JobKey,
+    item: u32,
+    endpoint: String,
+    started: Instant,
+    started_at: Millis,
+    task: AbortHandle,
+}
+
+#[derive(Default)]
+struct Probing {
+    in_flight: bool,
+    asked_at: Option<Millis>,
+    report: Option<(LoadReport, Millis)>,
+}
+
+struct Work {
+    runner: Runner,
+    sender: mpsc::UnboundedSender<Event>,
+    jobs: IndexMap<JobKey, Active>,
+    runs: IndexMap<RunId, Run>,
+    probes: IndexMap<String, Probing>,
+    changes: watch::Receiver<u64>,
+    next_run: u64,
+    /// Time that a whole run takes, averaged over those that ended.
+    run_ms: u64,
+}
+
+/// Time of a whole run before any is known, in milliseconds.
+const FIRST_RUN_MS: u64 = 5_000;
+
+/// Age of a run before its endpoint's report counts it, in milliseconds:
+/// reports lag by about fifty, and the request has a way to go.
+const REPORT_LAG_MS: u64 = 120;
+
+/// Safety factor on the time of a run when it is decided whether an item
+/// would be late, in percent.
+const URGENT_PERCENT: u64 = 150;
+
+impl Work {
+    fn new(runner: Runner, sender: mpsc::UnboundedSender<Event>) -> Self {
+        Self {
+            changes: runner.view.subscribe(),
+            runner,
+            sender,
+            jobs: IndexMap::new(),
+            runs: IndexMap::new(),
+            probes: IndexMap::new(),
+            next_run: 0,
+            run_ms: FIRST_RUN_MS,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let open = |job: &Active| job.listing || !job.pending.is_empty();
+        self.runs.is_empty() && !self.jobs.values().any(open)
+    }
+
+    fn now(&self) -> Millis {
+        self.runner.clock.now()
+    }
+
+    /// Looks at all work once.
+    fn look(&mut self, stopping: bool) {
+        let plan = Plan::new(&self.runner.node, self.runner.view.members());
+        self.follow_view(&plan, stopping);
+        self.load_inputs();
+        self.give_up_late();
+        self.commit_due();
+        self.ask_loads(&plan);
+        self.admit(&plan, stopping);
+    }
+
+    /// Takes up and drops jobs as the view tells.
+    fn follow_view(&mut self, plan: &Plan, stopping: bool) {
+        self.changes.mark_unchanged();
+        let open = self.runner.view.select(|key, stored| {
+            !stored.head.is_closed() && (plan.owns_job(key) && !stopping)
+        });
+        for (key, stored) in open {
+            match self.jobs.get_mut(&key) {
+                Some(job) if stored.revision > job.stored.revision => {
+                    job.renew(stored);
+                }
+                Some(_) => {}
+                None => {
+                    log::info!(
+                        job = key.as_str(),
+                        items = stored.head.total,
+                        listed = stored.head.listed.len(),
+                        revision = stored.revision;
+                        "a job is taken up"
+                    );
+                    self.jobs.insert(key, Active::new(stored));
+                }
+            }
+        }
+        self.drop_jobs(plan);
+    }
+
+    fn drop_jobs(&mut self, plan: &Plan) {
+        let mut gone = Vec::new();
+        for (key, job) in &self.jobs {
+            let known = self.runner.view.get(key);
+            let closed = known.as_ref().is_none_or(|s| s.head.is_closed());
+            // A job that moved to another node keeps the runs it has here:
+            // their results are listed all the same.
+            let moved = !plan.owns_job(key) && !job.is_busy();
+            if closed || moved {
+                gone.push((key.clone(), closed));
+            }
+        }
+        for (key, closed) in gone {
+            log::info!(job = key.as_str(), closed; "a job is left");
+            self.stop_runs_of(&key);
+            self.jobs.swap_remove(&key);
+        }
+    }
+
+    fn stop_runs_of(&mut self, job: &JobKey) {
+        self.runs.retain(|_, run| {
+            let keep = run.job != *job;
+            if !keep {
+                run.task.abort();
+            }
+            keep
+        });
+    }
+
+    fn load_inputs(&mut self) {
+        for (key, job) in &mut self.jobs {
+            if !matches!(job.inputs, Inputs::Missing) {
+                continue;
+            }
+            job.inputs = Inputs::Loading;
+            let ledger = self.runner.ledger.clone();
+            let (key, head) = (key.clone(), job.stored.head.clone());
+            let sender = self.sender.clone();
+            tokio::spawn(async move {
+                let inputs = ledger.inputs(&key, &head).await;
+                let _ = sender.send(Event::Inputs(key, inputs));
+            });
+        }
+    }
+
+    /// Gives up items whose time is over or whose route is gone.
+    fn give_up_late(&mut self) {
+        let unix = self.runner.clock.unix();
+        let config = self.runner.config.load_full();
+        let margin_ms = self.runner.options.give_up_margin_ms;
+        let mut stopped = Vec::new();
+        for (key, job) in &mut self.jobs {
+            let Inputs::Loaded(inputs) = &job.inputs else {
+                continue;
+            };
+            let head = &job.stored.head;
+            let over = unix > head.give_up_at.saturating_add_ms(margin_ms);
+            let gone = config
+                .as_ref()
+                .as_ref()
+                .is_some_and(|config| route_of(config, head).is_none());
+            if !over && !gone {
+                continue;
+            }
+            let inputs = inputs.clone();
+            for number in 0..job.items.len() as u32 {
+                if job.items[number as usize].state == Phase::Done {
+                    continue;
+                }
+                job.finish(number, &inputs, ItemState::GivenUp);
+                Tally::add(&self.runner.tally.items_given_up);
+                log::info!(
+                    job = key.as_str(),
+                    request_id = inputs[number as usize].id.as_str(),
+                    over,
+                    route_gone = gone;
+                    "an item is given up"
+                );
+            }
+            stopped.push(key.clone());
+        }
+        for key in stopped {
+            self.stop_runs_of(&key);
+        }
+    }
+
+    /// Starts commits of jobs that have something to list.
+    fn commit_due(&mut self) {
+        let now = self.now();
+        for (key, job) in &mut self.jobs {
+            let due = !job.pending.is_empty() || job.strikes_dirty;
+            if !due || job.listing || now < job.next_commit {
+                continue;
+            }
+            job.listing = true;
+            job.next_commit =
+                now.saturating_add_ms(self.runner.options.commit_ms);
+            let ledger = self.runner.ledger.clone();
+            let before = job.stored.clone();
+            let strikes = job.strikes.clone();
+            job.strikes_dirty = false;
+            let (numbers, results): (Vec<u32>, Vec<ItemResult>) =
+                job.pending.iter().cloned().unzip();
+            let (key, sender) = (key.clone(), self.sender.clone());
+            tokio::spawn(async move {
+                let listed = ledger
+                    .list(&key, &before, &numbers, &results, &strikes)
+                    .await;
+                let _ = sender.send(Event::Listed(key, listed));
+            });
+        }
+    }
+
+    /// Asks the endpoints of this node's share for their load.
+    fn ask_loads(&mut self, plan: &Plan) {
+        let view = self.runner.endpoints.load_full();
+        self.probes
+            .retain(|id, _| view.table.iter().any(|e| e.record().id == *id));
+        if self.jobs.is_empty() && self.runs.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let probe_ms = self.runner.options.probe_ms;
+        for service in self.batch_services() {
+            for endpoint in view.table.of_service(&service) {
+                let record = endpoint.record();
+                if !plan.uses_endpoint(record) {
+                    continue;
+                }
+                let probing =
+                    self.probes.entry(record.id.clone()).or_default();
+                let recent = probing
+                    .asked_at
+                    .is_some_and(|at| now.saturating_ms_since(at) < probe_ms);
+                if probing.in_flight || recent {
+                    continue;
+                }
+                probing.in_flight = true;
+                probing.asked_at = Some(now);
+                let answer = self.runner.probe.probe(record);
+                let sender = self.sender.clone();
+                let id = record.id.clone();
+                tokio::spawn(async move {
+                    let report = answer.await;
+                    let _ = sender.send(Event::Probed(id, report));
+                });
+            }
+        }
+    }
+
+    /// Returns the services that items of this node's jobs go to.
+    fn batch_services(&self) -> Vec<String> {
+        let config = self.runner.config.load_full();
+        let Some(config) = config.as_ref() else {
+            return Vec::new();
+        };
+        let mut services: Vec<String> = Vec::new();
+        for job in self.jobs.values() {
+            let Some(route) = route_of(config, &job.stored.head) else {
+                continue;
+            };
+            for destination in route.destinations() {
+                if !services.contains(&destination.service) {
+                    services.push(destination.service.clone());
+                }
+            }
+        }
+        services
+    }
+
+    /// Lets the gate of each endpoint decide, and carries it out.
+    fn admit(&mut self, plan: &Plan, stopping: bool) {
+        let config = self.runner.config.load_full();
+        let Some(config) = config.as_ref() else {
+            return;
+        };
+        let now = self.now();
+        let view = self.runner.endpoints.load_full();
+        let stale =
+            self.runner.view.age_ms(now) > self.runner.options.view_age_ms;
+        for service in self.batch_services() {
+            for endpoint in view.table.of_service(&service) {
+                if !plan.uses_endpoint(endpoint.record()) {
+                    continue;
+                }
+                let Some(order) = self.order_for(endpoint, &service, now)
+                else {
+                    continue;
+                };
+                for _ in 0..order.preempt {
+                    self.preempt_one(&endpoint.record().id);
+                }
+                if stopping || stale || endpoint.is_suspect(now) {
+                    continue;
+                }
+                for _ in 0..order.start {
+                    if !self.start_one(config, endpoint, &service, now) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn order_for(
+        &self,
+        endpoint: &Endpoint,
+        service: &str,
+        now: Millis,
+    ) -> Option<crate::GateOrder> {
+        let id = &endpoint.record().id;
+        let (report, at) = self.probes.get(id)?.report?;
+        let age_ms = now.saturating_ms_since(at);
+        if age_ms > self.runner.options.report_age_ms {
+            return None;
+        }
+        let mine = self.runs.values().filter(|run| run.endpoint == *id);
+        let mut input = GateInput::default().with_report(report);
+        for run in mine {
+            input.mine += 1;
+            let age_ms = at.saturating_ms_since(run.started_at);
+            if age_ms >= REPORT_LAG_MS {
+                input.mine_reported += 1;
+            }
+            if self.is_urgent(run) {
+                input.mine_urgent += 1;
+            }
+        }
+        input.urgent_waits = self.urgent_waits(service);
+        Some(decide(&input, &self.runner.options.gate))
+    }
+
+    /// Tells whether a run would be late if it had to start again later.
+    fn is_urgent(&self, run: &Run) -> bool {
+        let Some(job) = self.jobs.get(&run.job) else {
+            return false;
+        };
+        let ran_ms = run.started.elapsed().as_millis() as u64;
+        let rest_ms = self.run_ms.saturating_sub(ran_ms);
+        self.would_be_late(&job.stored.head, rest_ms)
+    }
+
+    fn urgent_waits(&self, _service: &str) -> bool {
+        self.jobs.values().any(|job| {
+            job.items.iter().any(|item| item.state == Phase::Waiting)
+                && self.would_be_late(&job.stored.head, self.run_ms)
+        })
+    }
+
+    /// Tells whether work of `rest_ms` is only just in time. What is late
+    /// already is not urgent any more: it must not hold up what is not.
+    fn would_be_late(&self, head: &JobHead, rest_ms: u64) -> bool {
+        let unix = self.runner.clock.unix();
+        let left_ms = head.due_at.saturating_ms_since(unix);
+        let needed_ms =
+            rest_ms * URGENT_PERCENT / 100 + self.runner.options.commit_ms;
+        left_ms > rest_ms && left_ms < needed_ms
+    }
+
+    /// Stops the run that is worth least to go on.
+    fn preempt_one(&mut self, endpoint: &str) {
+        let candidates = self.runs.iter().filter(|(_, run)| {
+            run.endpoint == endpoint && !self.is_urgent(run)
+        });
+        let due = |run: &Run| {
+            let job = self.jobs.get(&run.job);
+            job.map(|job| job.stored.head.due_at)
+        };
+        let chosen = candidates.max_by_key(|(_, run)| (due(run), run.started));
+        let Some(id) = chosen.map(|(id, _)| *id) else {
+            return;
+        };
+        let Some(run) = self.runs.swap_remove(&id) else {
+            return;
+        };
+        run.task.abort();
+        Tally::add(&self.runner.tally.items_preempted);
+        if let Some(job) = self.jobs.get_mut(&run.job) {
+            let item = &mut job.items[run.item as usize];
+            item.state = Phase::Waiting;
+            log::info!(
+                job = run.job.as_str(),
+                item = run.item,
+                endpoint,
+                events = item.progress.events();
+                "an item gives way to online requests"
+            );
+        }
+    }
+
+    /// Starts the item that is due first, if one waits.
+    fn start_one(
+        &mut self,
+        config: &Config,
+        endpoint: &Endpoint,
+        service: &str,
+        now: Millis,
+    ) -> bool {
+        let unix = self.runner.clock.unix();
+        let mut best: Option<((bool, u64), JobKey, u32)> = None;
+        for (key, job) in &self.jobs {
+            if !matches!(job.inputs, Inputs::Loaded(_)) {
+                continue;
+            }
+            let waits = |item: &Item| {
+                item.state == Phase::Waiting && item.not_before <= now
+            };
+            let Some(number) = job.items.iter().position(waits) else {
+                continue;
+            };
+            let head = &job.stored.head;
+            let leads_here = route_of(config, head).is_some_and(|route| {
+                let mut all = route.destinations().iter();
+                all.any(|d| d.service == service && d.weight > 0)
+            });
+            let late = unix > head.due_at;
+            let rank = (late, head.due_at.as_ms());
+            let better = best.as_ref().is_none_or(|(r, ..)| rank < *r);
+            if leads_here && better {
+                best = Some((rank, key.clone(), number as u32));
+            }
+        }
+        let Some((_, key, number)) = best else {
+            return false;
+        };
+        self.start(config, key, number, endpoint, now)
+    }
+
+    fn start(
+        &mut self,
+        config: &Config,
+        key: JobKey,
+        number: u32,
+        endpoint: &Endpoint,
+        now: Millis,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return false;
+        };
+        let Inputs::Loaded(inputs) = &job.inputs else {
+            return false;
+        };
+        let Some(route) = route_of(config, &job.stored.head) else {
+            return false;
+        };
+        let id = RunId(self.next_run);
+        self.next_run += 1;
+        let item = &mut job.items[number as usize];
+        let run = ItemRun {
+            input: inputs[number as usize].clone(),
+            host: job.stored.head.host.clone(),
+            route: route.clone(),
+            endpoint: endpoint.clone(),
+            progress: item.progress.clone(),
+        };
+        log::info!(
+            request_id = run.input.id.as_str(),
+            job = key.as_str(),
+            endpoint = endpoint.record().id.as_str(),
+            after = item.progress.last_id().unwrap_or(0),
+            config = config.version,
+            revision = job.stored.revision,
+            view_age_ms = self.runner.view.age_ms(now);
+            "an item starts"
+        );
+        item.state = Phase::Running(id);
+        let means = self.runner.means.clone();
+        let sender = self.sender.clone();
+        let task = tokio::spawn(async move {
+            let end = run.run(&means).await;
+            let _ = sender.send(Event::Ended(id, end));
+        });
+        Tally::add(&self.runner.tally.item_runs);
+        self.runs.insert(
+            id,
+            Run {
+                job: key,
+                item: number,
+                endpoint: endpoint.record().id.clone(),
+                started: Instant::now(),
+                started_at: now,
+                task: task.abort_handle(),
+            },
+        );
+        true
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Inputs(key, inputs) => self.take_inputs(&key, inputs),
+            Event::Ended(id, end) => self.take_end(id, end),
+            Event::Listed(key, listed) => self.take_listed(&key, listed),
+            Event::Probed(id, report) => {
+                let now = self.now();
+                if let Some(probing) = self.probes.get_mut(&id) {
+                    probing.in_flight = false;
+                    if let Some(report) = report {
+                        probing.report = Some((report, now));
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_inputs(
+        &mut self,
+        key: &JobKey,
+        inputs: Result<Vec<ItemInput>, Report<JobError>>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.inputs = match inputs {
+            Ok(inputs) => Inputs::Loaded(Arc::new(inputs)),
+            Err(report) => {
+                log::warn!(job = key.as_str(),
+                    error:% = report.current_context();
+                    "the inputs of a job cannot be read yet");
+                Inputs::Missing
+            }
+        };
+    }
+
+    fn take_end(&mut self, id: RunId, end: RunEnd) {
+        let now = self.now();
+        let retry_at = now.saturating_add_ms(self.runner.options.retry_ms);
+        let Some(run) = self.runs.swap_remove(&id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&run.job) else {
+            return;
+        };
+        let Inputs::Loaded(inputs) = &job.inputs else {
+            return;
+        };
+        let inputs = inputs.clone();
+        let number = run.item;
+        let config = self.runner.config.load_full();
+        let most = config
+            .as_ref()
+            .as_ref()
+            .and_then(|config| route_of(config, &job.stored.head))
+            .map_or(1, |route| route.max_attempts());
+        let strikes = job.strikes.entry(number).or_default();
+        match end {
+            RunEnd::Rejected => {
+                strikes.rejections += 1;
+                job.strikes_dirty = true;
+            }
+            RunEnd::Error(_) => {
+                strikes.errors += 1;
+                job.strikes_dirty = true;
+            }
+            _ => {}
+        }
+        let hopeless = strikes.rejections > 0 || strikes.errors >= most;
+        let ran_ms = run.started.elapsed().as_millis() as u64;
+        log::info!(
+            request_id = inputs[number as usize].id.as_str(),
+            job = run.job.as_str(),
+            endpoint = run.endpoint.as_str(),
+            end:? = end,
+            ran_ms,
+            errors = strikes.errors,
+            events = job.items[number as usize].progress.events();
+            "a run of an item ended"
+        );
+        if strikes == &Strikes::default() {
+            job.strikes.swap_remove(&number);
+        }
+        if end == RunEnd::Complete {
+            self.run_ms = (self.run_ms * 7 + ran_ms) / 8;
+            job.finish(number, &inputs, ItemState::Complete);
+            Tally::add(&self.runner.tally.items_completed);
+        } else if hopeless {
+            job.finish(number, &inputs, ItemState::GivenUp);
+            Tally::add(&self.runner.tally.items_given_up);
+        } else {
+            let item = &mut job.items[number as usize];
+            item.state = Phase::Waiting;
+            item.not_before = match end {
+                RunEnd::Broken => now,
+                _ => retry_at,
+            };
+        }
+    }
+
+    fn take_listed(
+        &mut self,
+        key: &JobKey,
+        listed: Result<Result<Stored, Stored>, Report<JobError>>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.listing = false;
+        let stored = match listed {
+            Ok(Ok(stored)) => {
+                log::info!(
+                    job = key.as_str(),
+                    listed = stored.head.listed.len(),
+                    total = stored.head.total,
+                    revision = stored.revision;
+                    "results are listed"
+                );
+                stored
+            }
+            Ok(Err(stored)) => {
+                log::info!(
+                    job = key.as_str(),
+                    known = job.stored.revision,
+                    revision = stored.revision;
+                    "another writer was faster, results are listed again"
+                );
+                job.strikes_dirty = false;
+                job.next_commit = Millis::new(0);
+                stored
+            }
+            Err(report) => {
+                log::warn!(
+                    job = key.as_str(),
+                    error:% = report.current_context();
+                    "results wait for the key-value service"
+                );
+                return;
+            }
+        };
+        self.runner.view.learn(key, &stored);
+        job.renew(stored);
+    }
+}
+
+impl Active {
+    fn new(stored: Stored) -> Self {
+        let total = stored.head.total as usize;
+        let mut job = Self {
+            strikes: stored.head.strikes.clone(),
+            stored,
+            inputs: Inputs::Missing,
+            items: vec![Item::default(); total],
+            pending: Vec::new(),
+            strikes_dirty: false,
+            listing: false,
+            next_commit: Millis::new(0),
+        };
+        // `vec!` clones one item, whose progress would be shared.
+        for item in &mut job.items {
+            item.progress = Progress::default();
+        }
+        job.mark_listed();
+        job
+    }
+
+    fn is_busy(&self) -> bool {
+        let running = |i: &Item| matches!(i.state, Phase::Running(_));
+        self.listing
+            || !self.pending.is_empty()
+            || self.items.iter().any(running)
+    }
+
+    /// Takes a newer head; what it lists is done, whoever listed it.
+    fn renew(&mut self, stored: Stored) {
+        if stored.revision < self.stored.revision {
+            return;
+        }
+        self.stored = stored;
+        self.mark_listed();
+    }
+
+    fn mark_listed(&mut self) {
+        for number in &self.stored.head.listed {
+            if let Some(item) = self.items.get_mut(*number as usize) {
+                item.state = Phase::Done;
+            }
+        }
+        let listed = &self.stored.head.listed;
+        self.pending.retain(|(number, _)| !listed.contains(number));
+    }
+
+    /// Puts the end of an item where the next commit lists it.
+    fn finish(&mut self, number: u32, inputs: &[ItemInput], state: ItemState) {
+        let at = number as usize;
+        let item = &mut self.items[at];
+        item.state = Phase::Done;
+        let output = match state {
+            ItemState::Complete => item.progress.output(),
+            ItemState::GivenUp => String::new(),
+        };
+        // The text lives on in the result alone.
+        item.progress = Progress::default();
+        let listed = self.stored.head.listed.contains(&number);
+        let waits = self.pending.iter().any(|(known, _)| *known == number);
+        if listed || waits {
+            return;
+        }
+        let id = inputs[at].id.clone();
+        self.pending
+            .push((number, ItemResult { id, state, output }));
+    }
+}
+
+fn route_of<'a>(config: &'a Config, head: &JobHead) -> Option<&'a Arc<Route>> {
+    let route = config.routes.find(&head.host, &head.path)?;
+    (route.kind() == RouteKind::Batch).then_some(route)
+}
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,92 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use fleet::TransferLimits;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use pass::{
+    AnswerBody, Handler, HandlerFuture, Listener, ListenerOptions, Stopping,
+    Tally,
+};
+use tokio::sync::watch;
+
+use crate::{Beliefs, NodeError};
+
+/// Answers the balancer's question for readiness and serves the metrics.
+pub struct Admin {
+    ready_path: &'static str,
+    beliefs: Beliefs,
+    stopping: Arc<AtomicBool>,
+    tally: Arc<Tally>,
+}
+
+impl Admin {
+    /// Makes the answers; `stopping` is set when a planned stop begins.
+    pub fn new(
+        ready_path: &'static str,
+        beliefs: Beliefs,
+        stopping: Arc<AtomicBool>,
+        tally: Arc<Tally>,
+    ) -> Self {
+        Self {
+            ready_path,
+            beliefs,
+            stopping,
+            tally,
+        }
+    }
+
+    /// Listens on an address until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError::Listen`] if the address cannot be used.
+    pub fn start(
+        self: &Arc<Self>,
+        address: SocketAddr,
+    ) -> Result<(), Report<NodeError>> {
+        let (sender, stage) = watch::channel(Stopping::No);
+        let options = ListenerOptions::default();
+        let listener = Listener::bind(address, options, stage)
+            .change_context(NodeError::Listen)?;
+        let handler = self.clone();
+        tokio::spawn(async move {
+            // The stage lives as long as the task, and never changes.
+            let _sender = sender;
+            listener.serve(handler).await;
+        });
+        Ok(())
+    }
+
+    fn answer(&self, path: &str) -> Response<AnswerBody> {
+        if path != self.ready_path {
+            let text = self.tally.render();
+            return Response::new(AnswerBody::own(Bytes::from(text)));
+        }
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        let ready = !stopping && self.beliefs.is_ready();
+        let mut response = Response::new(AnswerBody::own(Bytes::new()));
+        if !ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+}
+
+impl Handler for Admin {
+    fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
+        let response = self.answer(request.uri().path());
+        Box::pin(std::future::ready(response))
+    }
+
+    fn limits(&self) -> TransferLimits {
+        TransferLimits::default()
+    }
+}
--- /dev/null
+++ b/crates/node/src/belief.rs
@@ -0,0 +1,84 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use base::{Clock, Millis, Snapshot};
+use fleet::Config;
+use pass::DirectoryView;
+
+/// What a node believes of the world outside, and how old that is.
+///
+/// Readers take snapshots without a lock; the watchers are the only writers.
+#[derive(Clone)]
+pub struct Beliefs {
+    /// The operators' configuration, once one has arrived.
+    pub config: Arc<Snapshot<Option<Arc<Config>>>>,
+    /// The endpoints.
+    pub endpoints: Arc<Snapshot<DirectoryView>>,
+    clock: Arc<dyn Clock>,
+    config_at_ms: Arc<AtomicU64>,
+}
+
+/// Oldest confirmation of the configuration by which a route is said not to
+/// exist, in milliseconds: a watch is confirmed every two seconds, and a
+/// route that was added since is in force everywhere within as many.
+const CONFIG_SURE_MS: u64 = 3_000;
+
+impl Beliefs {
+    /// Starts without any knowledge.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            config: Arc::new(Snapshot::new(None)),
+            endpoints: Arc::new(Snapshot::new(DirectoryView::default())),
+            clock,
+            config_at_ms: Arc::default(),
+        }
+    }
+
+    /// Returns the clock.
+    pub fn clock(&self) -> &Arc<dyn Clock> {
+        &self.clock
+    }
+
+    /// Takes in a configuration unless it is older than the one in force:
+    /// a delayed answer must not bring back what operators have replaced.
+    pub fn take_config(&self, config: Config) {
+        let current = self.config.load();
+        let known = current.as_ref().as_ref().map(|c| c.version);
+        if known.is_some_and(|known| known >= config.version) {
+            return;
+        }
+        log::info!(
+            from = known.unwrap_or(0),
+            to = config.version,
+            routes = config.routes.len();
+            "a configuration is in force"
+        );
+        self.config.publish(Some(Arc::new(config)));
+    }
+
+    /// Takes note that the configuration is the newest as of now.
+    pub fn confirm_config(&self) {
+        let now = self.clock.now().as_ms().max(1);
+        self.config_at_ms.store(now, Ordering::Relaxed);
+    }
+
+    /// Returns how long ago the configuration was the newest.
+    pub fn config_age_ms(&self) -> u64 {
+        match self.config_at_ms.load(Ordering::Relaxed) {
+            0 => u64::MAX,
+            at => self.clock.now().saturating_ms_since(Millis::new(at)),
+        }
+    }
+
+    /// Tells whether it may be said that a route does not exist.
+    pub fn is_config_sure(&self) -> bool {
+        self.config_age_ms() <= CONFIG_SURE_MS
+    }
+
+    /// Tells whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.config.load().is_some() && !self.endpoints.load().table.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,423 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use base::timer::Timer;
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use fleet::{Route, RouteKind, TransferLimits};
+use http::{
+    HeaderValue, Request, Response, StatusCode, header, request::Parts,
+};
+use hyper::body::Incoming;
+use jobs::{JobError, JobKey, JobView, Ledger, NewJob, PageReader};
+use kv::Kv;
+use pass::{
+    AnswerBody, Forwarder, ForwarderOptions, Handler, HandlerFuture, Inbound,
+    Listener, ListenerOptions, Pool, Refusal, Stopping, Tally, read_body,
+};
+use tokio::{sync::watch as stage, time};
+
+use crate::{
+    Admin, Beliefs, Dialect, JobCall, NodeError, NodeSettings, Signals, watch,
+};
+
+/// The role that takes callers' requests.
+pub struct Front {
+    gateway: Arc<Gateway>,
+    listener: Listener,
+    stopping: Arc<AtomicBool>,
+    stage: stage::Sender<Stopping>,
+    grace_ms: u64,
+}
+
+/// How long a stopping node takes new connections, in milliseconds: the
+/// balancer asks once a second and sends none after two misses.
+const LEAVE_MS: u64 = 2_300;
+
+/// Time before the end by force at which the node ends by itself.
+const GRACE_MARGIN_MS: u64 = 300;
+
+impl Front {
+    /// Starts all tasks and listens.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError::Listen`] if an address cannot be used.
+    pub fn start(
+        settings: &NodeSettings,
+        dialect: Arc<dyn Dialect>,
+        kv: Arc<dyn Kv>,
+        beliefs: Beliefs,
+        timer: Timer,
+        tally: Arc<Tally>,
+    ) -> Result<Self, Report<NodeError>> {
+        let address = settings.front.ok_or(NodeError::Listen)?;
+        let pool = Arc::new(Pool::default());
+        let view = JobView::default();
+        let clock = beliefs.clock().clone();
+        tokio::spawn(watch::follow_endpoints(
+            kv.clone(),
+            dialect.clone(),
+            beliefs.clone(),
+            pool.clone(),
+            settings.drain_ms,
+        ));
+        tokio::spawn(watch::follow_operators(
+            kv.clone(),
+            dialect.clone(),
+            beliefs.clone(),
+            None,
+        ));
+        tokio::spawn(watch::follow_jobs(
+            kv.clone(),
+            view.clone(),
+            clock.clone(),
+        ));
+        let forwarder = Arc::new(Forwarder::new(
+            dialect.headers(),
+            ForwarderOptions::default(),
+            &settings.failure_domain,
+            beliefs.endpoints.clone(),
+            pool,
+            clock.clone(),
+            tally.clone(),
+        ));
+        let ledger = Ledger::new(kv, timer, settings.value_bytes);
+        let pages = PageReader::new(ledger.clone(), view.clone(), clock);
+        let stopping = Arc::new(AtomicBool::new(false));
+        let admin = Arc::new(Admin::new(
+            dialect.ready_path(),
+            beliefs.clone(),
+            stopping.clone(),
+            tally.clone(),
+        ));
+        for address in [settings.ready, settings.metrics] {
+            if let Some(address) = address {
+                admin.start(address)?;
+            }
+        }
+        let (stage, receiver) = stage::channel(Stopping::No);
+        let options = ListenerOptions::default();
+        let listener = Listener::bind(address, options, receiver)
+            .change_context(NodeError::Listen)?;
+        let gateway = Arc::new(Gateway {
+            dialect,
+            beliefs,
+            forwarder,
+            ledger,
+            pages,
+            view,
+            tally,
+        });
+        Ok(Self {
+            gateway,
+            listener,
+            stopping,
+            stage,
+            grace_ms: settings.grace_ms,
+        })
+    }
+
+    /// Serves until a planned stop is over.
+    pub async fn run(self, mut signals: Signals) {
+        let open = self.listener.open_connections();
+        let serving =
+            tokio::spawn(self.listener.serve(Arc::new(Shared(self.gateway))));
+        let _ = signals.stop.wait_for(|stop| *stop).await;
+        let began = Instant::now();
+        let count = open.load(Ordering::Relaxed);
+        log::info!(connections = count; "a planned stop begins");
+        self.stopping.store(true, Ordering::Relaxed);
+        self.stage.send_replace(Stopping::Closing);
+        time::sleep(Duration::from_millis(LEAVE_MS)).await;
+        self.stage.send_replace(Stopping::Closed);
+        let _ = serving.await;
+        let most_ms = self.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let until = began + Duration::from_millis(most_ms);
+        wait_for_none(&open, until).await;
+        log::info!(
+            connections = open.load(Ordering::Relaxed),
+            after_ms = began.elapsed().as_millis() as u64;
+            "a planned stop is over"
+        );
+    }
+}
+
+async fn wait_for_none(open: &AtomicUsize, until: Instant) {
+    const LOOK: Duration = Duration::from_millis(20);
+    while open.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        time::sleep(LOOK).await;
+    }
+}
+
+/// Answers callers.
+struct Gateway {
+    dialect: Arc<dyn Dialect>,
+    beliefs: Beliefs,
+    forwarder: Arc<Forwarder>,
+    ledger: Ledger,
+    pages: PageReader,
+    view: JobView,
+    tally: Arc<Tally>,
+}
+
+/// When a caller should come back whose request met a node that is not
+/// ready or lacks the key-value service.
+const COME_BACK_MS: u64 = 500;
+
+impl Gateway {
+    fn limits(&self) -> TransferLimits {
+        let config = self.beliefs.config.load();
+        config
+            .as_ref()
+            .as_ref()
+            .map(|config| config.limits)
+            .unwrap_or_default()
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
+        Tally::add(&self.tally.arrived);
+        let arrived = Instant::now();
+        let (parts, body) = request.into_parts();
+        let call =
+            self.dialect
+                .job_call(&parts.method, &parts.uri, &parts.headers);
+        match call {
+            Ok(Some(call)) => return self.job_call(call).await,
+            Ok(None) => {}
+            Err(error) => {
+                log::info!(error:%; "a call about a job is malformed");
+                let refusal = Refusal::improper(
+                    StatusCode::BAD_REQUEST,
+                    "the call is malformed",
+                );
+                return refusal.into_response();
+            }
+        }
+        let (route, version) = match self.find_route(&parts) {
+            Ok(found) => found,
+            Err(refusal) => return self.refuse(&parts, refusal),
+        };
+        let most = self.limits().max_body_bytes;
+        let body = match read_body(body, most).await {
+            Ok(body) => body,
+            Err(refusal) => return self.refuse(&parts, refusal),
+        };
+        if route.kind() == RouteKind::Batch {
+            return self.accept_job(&parts, &body, &route).await;
+        }
+        let names = self.forwarder.names();
+        let request = Inbound::new(parts, body, route, names, arrived);
+        self.forwarder.forward(request, version).await
+    }
+
+    fn find_route(&self, parts: &Parts) -> Result<(Arc<Route>, u64), Refusal> {
+        let config = self.beliefs.config.load();
+        let Some(config) = config.as_ref() else {
+            let refusal = Refusal::not_run("no configuration is known yet");
+            return Err(refusal.with_retry_after_ms(COME_BACK_MS));
+        };
+        let host = parts.headers.get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok());
+        let host = host.or(parts.uri.host()).unwrap_or_default();
+        match config.routes.find(host, parts.uri.path()) {
+            Some(route) => Ok((route.clone(), config.version)),
+            None if self.beliefs.is_config_sure() => Err(Refusal::improper(
+                StatusCode::NOT_FOUND,
+                "no route leads there",
+            )),
+            // A route that was added since would be denied wrongly.
+            None => {
+                let refusal =
+                    Refusal::not_run("the configuration may be out of date");
+                Err(refusal.with_retry_after_ms(COME_BACK_MS))
+            }
+        }
+    }
+
+    fn refuse(&self, parts: &Parts, refusal: Refusal) -> Response<AnswerBody> {
+        let id = parts.headers.get(&self.forwarder.names().request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        log::info!(
+            request_id = id,
+            path = parts.uri.path(),
+            status = refusal.status().as_u16(),
+            reason = refusal.reason(),
+            config_age_ms = self.beliefs.config_age_ms();
+            "a request is refused"
+        );
+        Tally::add(&self.tally.refused);
+        refusal.into_response()
+    }
+
+    async fn accept_job(
+        &self,
+        parts: &Parts,
+        body: &[u8],
+        route: &Route,
+    ) -> Response<AnswerBody> {
+        let new = match self.new_job(parts, body, route) {
+            Ok(new) => new,
+            Err(refusal) => return self.refuse(parts, refusal),
+        };
+        let (key, items) = (new.key.clone(), new.items.len());
+        let result = self.ledger.accept(new).await;
+        match result {
+            Ok(stored) => {
+                self.view.learn(&key, &stored);
+                Tally::add(&self.tally.jobs_accepted);
+                log::info!(
+                    request_id = key.as_str(),
+                    items,
+                    listed = stored.head.listed.len(),
+                    revision = stored.revision;
+                    "a job is accepted"
+                );
+                json(StatusCode::ACCEPTED, b"{}".to_vec())
+            }
+            Err(report) => {
+                let refusal = job_refusal(*report.current_context());
+                log::info!(request_id = key.as_str(), error:? = report;
+                    "a job is not accepted");
+                self.refuse(parts, refusal)
+            }
+        }
+    }
+
+    fn new_job(
+        &self,
+        parts: &Parts,
+        body: &[u8],
+        route: &Route,
+    ) -> Result<NewJob, Refusal> {
+        let id = parts.headers.get(&self.forwarder.names().request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let key: JobKey = id.parse().map_err(|_| {
+            Refusal::improper(
+                StatusCode::BAD_REQUEST,
+                "the id cannot name a job",
+            )
+        })?;
+        let items = self.dialect.items(body).map_err(|error| {
+            log::info!(request_id = id, error:%; "a job is malformed");
+            Refusal::improper(StatusCode::BAD_REQUEST, "the job is malformed")
+        })?;
+        let host = parts.headers.get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok());
+        Ok(NewJob {
+            key,
+            host: host.unwrap_or_default().to_owned(),
+            path: parts.uri.path().to_owned(),
+            submitted_at: self.beliefs.clock().unix(),
+            terms: route.batch(),
+            items,
+        })
+    }
+
+    async fn job_call(&self, call: JobCall) -> Response<AnswerBody> {
+        let (job, result) = match call {
+            JobCall::Results {
+                job,
+                after,
+                wait_ms,
+            } => {
+                let page = self.pages.page(&job, after, wait_ms).await;
+                let page = page.map(|page| {
+                    json(StatusCode::OK, self.dialect.page(&page))
+                });
+                (job, page)
+            }
+            JobCall::Body { job, item } => {
+                let body = self.item_body(&job, &item).await;
+                let body = body.map(|body| {
+                    Response::new(AnswerBody::own(Bytes::from(body)))
+                });
+                (job, body)
+            }
+            JobCall::End { job } => {
+                let end = self.ledger.end(&job).await;
+                log::info!(request_id = job.as_str(), done = end.is_ok();
+                    "a job is to end");
+                let end = end.map(|()| json(StatusCode::OK, b"{}".to_vec()));
+                (job, end)
+            }
+        };
+        result.unwrap_or_else(|report| {
+            let error = *report.current_context();
+            let refusal = match error {
+                JobError::Unknown => Refusal::improper(
+                    StatusCode::NOT_FOUND,
+                    "there is no such job",
+                ),
+                _ => Refusal::not_run("the job cannot be read now")
+                    .with_retry_after_ms(COME_BACK_MS),
+            };
+            log::info!(
+                request_id = job.as_str(),
+                error:%,
+                status = refusal.status().as_u16(),
+                view_age_ms = self.view.age_ms(self.beliefs.clock().now());
+                "a call about a job failed"
+            );
+            refusal.into_response()
+        })
+    }
+
+    async fn item_body(
+        &self,
+        job: &JobKey,
+        item: &str,
+    ) -> Result<Vec<u8>, Report<JobError>> {
+        let stored = self.ledger.read(job).await?;
+        let inputs = self.ledger.inputs(job, &stored.head).await?;
+        let found = inputs.into_iter().find(|input| input.id == item);
+        found
+            .map(|input| input.body)
+            .ok_or_else(|| Report::new(JobError::Unknown))
+    }
+}
+
+fn job_refusal(error: JobError) -> Refusal {
+    match error {
+        JobError::TooLarge => Refusal::improper(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the job is too large",
+        ),
+        JobError::Open => {
+            Refusal::unknown("whether the job is kept is not known")
+        }
+        _ => Refusal::not_run("the job cannot be kept now")
+            .with_retry_after_ms(COME_BACK_MS),
+    }
+}
+
+fn json(status: StatusCode, body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::own(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// The gateway as the listener holds it.
+struct Shared(Arc<Gateway>);
+
+impl Handler for Shared {
+    fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
+        Box::pin(self.0.clone().answer(request))
+    }
+
+    fn limits(&self) -> TransferLimits {
+        self.0.limits()
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,32 @@
+//! The roles of a small fleet: `front` takes callers' requests, `worker`
+//! runs the items of batch jobs.
+//!
+//! Neither keeps anything on its machine. What they agree on lies in the
+//! key-value service: the operators' configuration, the endpoints, the jobs.
+//! How all that is spelled there and on the wire is told by a [`Dialect`],
+//! of which each platform has one; nothing here knows a name of a platform.
+
+mod admin;
+mod belief;
+mod dialect;
+mod error;
+mod front;
+mod membership;
+mod probe;
+mod settings;
+mod vacate;
+mod watch;
+mod worker;
+
+pub use crate::{
+    admin::Admin,
+    belief::Beliefs,
+    dialect::{
+        Dialect, DialectError, JobCall, OperatorOrder, VacateOrder,
+        VacateState,
+    },
+    error::NodeError,
+    front::Front,
+    settings::{NodeSettings, Signals},
+    worker::Worker,
+};
--- /dev/null
+++ b/crates/node/src/membership.rs
@@ -0,0 +1,88 @@
+use std::{sync::Arc, time::Duration};
+
+use base::{Clock, Millis};
+use error_stack::Report;
+use jobs::{RUNNER_PREFIX, RunnerRecord};
+use kv::{Kv, KvError, LeaseId, Op, Txn, lease::HeldLease};
+use tokio::{sync::watch, time};
+
+/// Time to live of a node's entry, in seconds: its jobs are taken over that
+/// long after it is lost, and two renewals may fail before it lapses.
+const LEASE_S: u32 = 3;
+
+/// Pause after a failed call, in milliseconds.
+const FAILED_PAUSE_MS: u64 = 250;
+
+/// Keeps the entry of a node that runs items, as long as `stop` is false.
+///
+/// An entry that has lapsed, because the node was paused or the service
+/// away, is written again at once under a new lease.
+pub(crate) async fn keep_entry(
+    kv: Arc<dyn Kv>,
+    record: RunnerRecord,
+    clock: Arc<dyn Clock>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut held: Option<HeldLease> = None;
+    while !*stop.borrow() {
+        let sent_at = clock.now();
+        let result = match &mut held {
+            None => {
+                let entered = enter(&*kv, &record).await;
+                entered.map(|lease| {
+                    log::info!(lease = lease.0; "this node takes part");
+                    held = Some(HeldLease::new(lease, LEASE_S, sent_at));
+                })
+            }
+            Some(lease) => {
+                let kept = kv.lease_keep_alive(lease.id()).await;
+                kept.map(|()| lease.renewed(sent_at))
+            }
+        };
+        if let Err(report) = result {
+            if *report.current_context() == KvError::LeaseGone {
+                held = None;
+                log::warn!("this node's entry has lapsed");
+                continue;
+            }
+            log::info!(error:% = report.current_context();
+                "this node's entry is not renewed");
+            wait(FAILED_PAUSE_MS, &mut stop).await;
+            continue;
+        }
+        let next = held.as_ref().map_or(clock.now(), HeldLease::renew_at);
+        let now: Millis = clock.now();
+        wait(next.saturating_ms_since(now), &mut stop).await;
+    }
+    if let Some(lease) = held {
+        if let Err(report) = kv.lease_revoke(lease.id()).await {
+            log::info!(error:% = report.current_context();
+                "this node's entry lapses by itself");
+        }
+    }
+}
+
+async fn enter(
+    kv: &dyn Kv,
+    record: &RunnerRecord,
+) -> Result<LeaseId, Report<KvError>> {
+    let lease = kv.lease_grant(LEASE_S).await?;
+    let value = serde_json::to_vec(record)
+        .map_err(|_| Report::new(KvError::Invalid))?;
+    let put = Op::Put {
+        key: format!("{RUNNER_PREFIX}{}", record.node),
+        value,
+        lease: Some(lease),
+    };
+    kv.txn(Txn {
+        success: vec![put],
+        ..Txn::default()
+    })
+    .await?;
+    Ok(lease)
+}
+
+async fn wait(ms: u64, stop: &mut watch::Receiver<bool>) {
+    let pause = Duration::from_millis(ms);
+    let _ = time::timeout(pause, stop.wait_for(|stop| *stop)).await;
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,33 @@
+use std::net::SocketAddr;
+
+use tokio::sync::watch;
+
+/// What a node must know at its start.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the machine.
+    pub node: String,
+    /// Failure domain that it stands in.
+    pub failure_domain: String,
+    /// Where callers connect; roles without callers have none.
+    pub front: Option<SocketAddr>,
+    /// Where the balancer asks for readiness.
+    pub ready: Option<SocketAddr>,
+    /// Where metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// Bytes of a value in the key-value service.
+    pub value_bytes: usize,
+    /// Time between the signal to stop and the end by force.
+    pub grace_ms: u64,
+    /// How soon an endpoint that leaves must get no new work.
+    pub drain_ms: u64,
+    /// Shortest lease of the key-value service.
+    pub lease_least_ms: u64,
+}
+
+/// What the operating system tells a node.
+#[derive(Clone, Debug)]
+pub struct Signals {
+    /// Turns true when the node is to stop.
+    pub stop: watch::Receiver<bool>,
+}
--- /dev/null
+++ b/crates/node/src/vacate.rs
@@ -0,0 +1,124 @@
+use std::{sync::Arc, time::Duration};
+
+use jobs::JobView;
+use kv::{Compare, Kv, Op, Txn};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+
+use crate::{Dialect, VacateOrder, VacateState};
+
+/// Part of the time for emptying a node that its own runs may take, in
+/// percent; the rest is for writing that it is done.
+const RUNS_PERCENT: u64 = 70;
+
+/// How long after an order the other nodes look whether the node is there
+/// to carry it out, in milliseconds: longer than its lease.
+const STAND_IN_MS: u64 = 4_000;
+
+/// Pause between tries to write how far a node is emptied.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Carries out operators' orders to empty a node.
+///
+/// Nothing that must last lies on any node, so that a node is empty when the
+/// runs of its items have ended or moved. A node that is down cannot say so;
+/// the others then say it in its place.
+pub(crate) struct Vacating {
+    pub(crate) node: String,
+    pub(crate) kv: Arc<dyn Kv>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) view: JobView,
+    /// Turned true to make this node leave; it ends its runs then.
+    pub(crate) leave: watch::Sender<bool>,
+    /// Turns true when its runs have ended.
+    pub(crate) idle: watch::Receiver<bool>,
+}
+
+impl Vacating {
+    pub(crate) async fn run(
+        self,
+        mut orders: mpsc::UnboundedReceiver<VacateOrder>,
+    ) {
+        while let Some(order) = orders.recv().await {
+            log::info!(
+                node = order.node.as_str(),
+                within_ms = order.within_ms;
+                "a node is to be emptied"
+            );
+            match order.node == self.node {
+                true => self.leave(&order).await,
+                false => self.stand_in(order),
+            }
+        }
+    }
+
+    async fn leave(&self, order: &VacateOrder) {
+        self.write(&order.node, VacateState::Active, false).await;
+        self.leave.send_replace(true);
+        let most = order.within_ms * RUNS_PERCENT / 100;
+        let mut idle = self.idle.clone();
+        let ended = idle.wait_for(|idle| *idle);
+        let most = Duration::from_millis(most);
+        let all_ended = time::timeout(most, ended).await.is_ok();
+        log::info!(all_ended; "this node is empty");
+        self.write(&order.node, VacateState::Complete, false).await;
+    }
+
+    fn stand_in(&self, order: VacateOrder) {
+        let kv = self.kv.clone();
+        let dialect = self.dialect.clone();
+        let view = self.view.clone();
+        tokio::spawn(async move {
+            time::sleep(Duration::from_millis(STAND_IN_MS)).await;
+            if view.members().has(&order.node) {
+                return;
+            }
+            write(&*kv, &*dialect, &order.node, VacateState::Complete, true)
+                .await;
+        });
+    }
+
+    async fn write(&self, node: &str, state: VacateState, only_new: bool) {
+        write(&*self.kv, &*self.dialect, node, state, only_new).await;
+    }
+}
+
+/// Writes how far a node is emptied, again until it is written.
+async fn write(
+    kv: &dyn Kv,
+    dialect: &dyn Dialect,
+    node: &str,
+    state: VacateState,
+    only_new: bool,
+) {
+    let (key, value) = dialect.vacate_status(node, state);
+    let absent = Compare::ModRevision {
+        key: key.clone(),
+        equals: 0,
+    };
+    let txn = Txn {
+        compares: only_new.then_some(absent).into_iter().collect(),
+        success: vec![Op::Put {
+            key,
+            value,
+            lease: None,
+        }],
+        failure: Vec::new(),
+    };
+    loop {
+        match kv.txn(txn.clone()).await {
+            Ok(reply) => {
+                log::info!(node, state:? = state, written = reply.succeeded;
+                    "how far a node is emptied is written");
+                return;
+            }
+            Err(report) => {
+                log::info!(node, error:% = report.current_context();
+                    "how far a node is emptied is not written yet");
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/worker.rs
@@ -0,0 +1,145 @@
+use std::{
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    time::Duration,
+};
+
+use base::timer::Timer;
+use error_stack::Report;
+use jobs::{JobView, Ledger, Runner, RunnerOptions, RunnerRecord};
+use kv::Kv;
+use pass::{Forwarder, ForwarderOptions, Pool, Tally};
+use tokio::{
+    sync::{mpsc, watch as flag},
+    time,
+};
+
+use crate::{
+    Admin, Beliefs, Dialect, NodeError, NodeSettings, Signals, membership,
+    probe::LoadProbe, vacate::Vacating, watch,
+};
+
+/// The role that runs the items of batch jobs.
+pub struct Worker {
+    leave: flag::Sender<bool>,
+    idle: flag::Receiver<bool>,
+    stopping: Arc<AtomicBool>,
+    grace_ms: u64,
+}
+
+/// Time before the end by force at which the node ends by itself.
+const GRACE_MARGIN_MS: u64 = 500;
+
+impl Worker {
+    /// Starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError::Listen`] if the address of the metrics cannot be used.
+    pub fn start(
+        settings: &NodeSettings,
+        dialect: Arc<dyn Dialect>,
+        kv: Arc<dyn Kv>,
+        beliefs: Beliefs,
+        timer: Timer,
+        tally: Arc<Tally>,
+    ) -> Result<Self, Report<NodeError>> {
+        let pool = Arc::new(Pool::default());
+        let view = JobView::default();
+        let clock = beliefs.clock().clone();
+        let (orders, received) = mpsc::unbounded_channel();
+        tokio::spawn(watch::follow_endpoints(
+            kv.clone(),
+            dialect.clone(),
+            beliefs.clone(),
+            pool.clone(),
+            settings.drain_ms,
+        ));
+        tokio::spawn(watch::follow_operators(
+            kv.clone(),
+            dialect.clone(),
+            beliefs.clone(),
+            Some(orders),
+        ));
+        tokio::spawn(watch::follow_jobs(
+            kv.clone(),
+            view.clone(),
+            clock.clone(),
+        ));
+        let stopping = Arc::new(AtomicBool::new(false));
+        if let Some(address) = settings.metrics {
+            let admin = Admin::new(
+                dialect.ready_path(),
+                beliefs.clone(),
+                stopping.clone(),
+                tally.clone(),
+            );
+            Arc::new(admin).start(address)?;
+        }
+        let means = Arc::new(Forwarder::new(
+            dialect.headers(),
+            ForwarderOptions::default(),
+            &settings.failure_domain,
+            beliefs.endpoints.clone(),
+            pool.clone(),
+            clock.clone(),
+            tally.clone(),
+        ));
+        let runner = Runner::new(
+            &settings.node,
+            RunnerOptions::default(),
+            Ledger::new(kv.clone(), timer, settings.value_bytes),
+            view.clone(),
+            beliefs.endpoints.clone(),
+            beliefs.config.clone(),
+            means,
+            Arc::new(LoadProbe::new(dialect.clone(), pool)),
+            clock.clone(),
+            tally,
+        );
+        let record = RunnerRecord {
+            node: settings.node.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            life: clock.unix().as_ms(),
+        };
+        let (leave, left) = flag::channel(false);
+        let (ended, idle) = flag::channel(false);
+        tokio::spawn(membership::keep_entry(
+            kv.clone(),
+            record,
+            clock,
+            left.clone(),
+        ));
+        tokio::spawn(async move {
+            runner.run(left).await;
+            ended.send_replace(true);
+        });
+        let vacating = Vacating {
+            node: settings.node.clone(),
+            kv,
+            dialect,
+            view,
+            leave: leave.clone(),
+            idle: idle.clone(),
+        };
+        tokio::spawn(vacating.run(received));
+        Ok(Self {
+            leave,
+            idle,
+            stopping,
+            grace_ms: settings.grace_ms,
+        })
+    }
+
+    /// Works until a planned stop is over: other nodes take the jobs, the
+    /// runs of this one end if the time allows.
+    pub async fn run(mut self, mut signals: Signals) {
+        let _ = signals.stop.wait_for(|stop| *stop).await;
+        log::info!("a planned stop begins");
+        self.stopping.store(true, Ordering::Relaxed);
+        self.leave.send_replace(true);
+        let most = self.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let ended = self.idle.wait_for(|idle| *idle);
+        let ended = time::timeout(Duration::from_millis(most), ended).await;
+        log::info!(all_ended = ended.is_ok(); "a planned stop is over");
+    }
+}
--- /dev/null
+++ b/crates/pass/src/answer.rs
@@ -0,0 +1,226 @@
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use tokio::time::Sleep;
+
+use crate::{BrokenAnswer, Exchange, Inbound, Tally, resume::ResumedBody};
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub struct AnswerBody(Inner);
+
+#[derive(Debug)]
+enum Inner {
+    Own(Option<Bytes>),
+    Passed(Box<PassedBody>),
+    Resumed(Box<ResumedBody>),
+}
+
+impl AnswerBody {
+    /// Makes a body of bytes of this node.
+    pub fn own(bytes: Bytes) -> Self {
+        Self(Inner::Own(Some(bytes)))
+    }
+
+    pub(crate) fn passed(body: PassedBody) -> Self {
+        Self(Inner::Passed(Box::new(body)))
+    }
+
+    pub(crate) fn resumed(body: ResumedBody) -> Self {
+        Self(Inner::Resumed(Box::new(body)))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        let data = match &mut self.get_mut().0 {
+            Inner::Own(bytes) => Poll::Ready(bytes.take().map(Ok)),
+            Inner::Passed(body) => body.poll_data(cx),
+            Inner::Resumed(body) => body.poll_data(cx),
+        };
+        data.map(|data| data.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.0 {
+            Inner::Own(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Inner::Passed(body) => body.exchange.is_whole(),
+            Inner::Resumed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.0 {
+            Inner::Own(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                SizeHint::with_exact(length as u64)
+            }
+            Inner::Passed(body) => match body.exchange.exact_length() {
+                Some(length) => SizeHint::with_exact(length),
+                None => SizeHint::default(),
+            },
+            Inner::Resumed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Where a request was sent, and what that was decided by.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sent {
+    pub(crate) endpoint: String,
+    pub(crate) estimated_load: u32,
+    pub(crate) directory_revision: u64,
+    pub(crate) offers: u32,
+}
+
+/// Follows one request to its end and writes the one line that tells it.
+///
+/// Dropping it without an end means that the caller left.
+#[derive(Debug)]
+pub(crate) struct Trail {
+    pub(crate) request: Arc<Inbound>,
+    pub(crate) tally: Arc<Tally>,
+    pub(crate) config_version: u64,
+    pub(crate) sent: Sent,
+    pub(crate) status: u16,
+    pub(crate) first_byte_ms: u64,
+    pub(crate) bytes: u64,
+    outcome: Option<&'static str>,
+}
+
+impl Trail {
+    pub(crate) fn new(
+        request: Arc<Inbound>,
+        tally: Arc<Tally>,
+        config_version: u64,
+    ) -> Self {
+        Self {
+            request,
+            tally,
+            config_version,
+            sent: Sent::default(),
+            status: 0,
+            first_byte_ms: 0,
+            bytes: 0,
+            outcome: None,
+        }
+    }
+
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.request.arrived().elapsed().as_millis() as u64
+    }
+
+    /// Takes note of the head of the answer.
+    pub(crate) fn head(&mut self, status: u16) {
+        self.status = status;
+        self.first_byte_ms = self.age_ms();
+        let age = self.request.arrived().elapsed();
+        self.tally.first_byte_ms.record(age);
+    }
+
+    /// Takes note of how the request ended; the first word counts.
+    pub(crate) fn end(&mut self, outcome: &'static str) {
+        self.outcome.get_or_insert(outcome);
+    }
+}
+
+/// Outcome of a request whose answer of an endpoint is whole.
+pub(crate) const ANSWERED: &str = "answered";
+/// Outcome of a request that was refused and did not run.
+pub(crate) const REFUSED: &str = "refused";
+/// Outcome of a request that may have run and has no whole answer.
+pub(crate) const FAILED: &str = "failed";
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or("caller_left");
+        let tally = &self.tally;
+        Tally::add(match outcome {
+            ANSWERED => &tally.answered,
+            REFUSED => &tally.refused,
+            FAILED => &tally.failed,
+            _ => &tally.caller_left,
+        });
+        tally.whole_ms.record(self.request.arrived().elapsed());
+        log::info!(
+            request_id = self.request.id(),
+            route = self.request.route().name(),
+            outcome,
+            status = self.status,
+            endpoint = self.sent.endpoint.as_str(),
+            offers = self.sent.offers,
+            load = self.sent.estimated_load,
+            config = self.config_version,
+            directory = self.sent.directory_revision,
+            first_byte_ms = self.first_byte_ms,
+            total_ms = self.age_ms(),
+            bytes = self.bytes;
+            "a request ended"
+        );
+    }
+}
+
+/// An answer that is passed on as it arrives.
+#[derive(Debug)]
+pub(crate) struct PassedBody {
+    pub(crate) exchange: Exchange,
+    pub(crate) trail: Trail,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl PassedBody {
+    pub(crate) fn new(exchange: Exchange, mut trail: Trail) -> Self {
+        if exchange.is_whole() {
+            trail.end(ANSWERED);
+        }
+        let deadline = Box::pin(sleep_until(trail.request.ends_at()));
+        Self {
+            exchange,
+            trail,
+            deadline,
+        }
+    }
+
+    fn poll_data(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BrokenAnswer>>> {
+        match self.exchange.poll_data(cx) {
+            Poll::Pending => {}
+            Poll::Ready(data) => {
+                match &data {
+                    None => self.trail.end(ANSWERED),
+                    Some(Err(_)) => self.trail.end(FAILED),
+                    Some(Ok(data)) => {
+                        self.trail.bytes += data.len() as u64;
+                        if self.exchange.is_whole() {
+                            self.trail.end(ANSWERED);
+                        }
+                    }
+                }
+                return Poll::Ready(data);
+            }
+        }
+        if self.deadline.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        self.trail.end(FAILED);
+        Poll::Ready(Some(Err(BrokenAnswer::Deadline)))
+    }
+}
+
+pub(crate) fn sleep_until(at: Instant) -> Sleep {
+    tokio::time::sleep_until(at.into())
+}
--- /dev/null
+++ b/crates/pass/src/forward.rs
@@ -0,0 +1,439 @@
+use std::{
+    fmt,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{Clock, Snapshot};
+use fleet::{
+    Choice, Endpoint, EndpointTable, Need, Route, RouteKind, Verdict,
+};
+use http::Response;
+use tokio::time;
+
+use crate::{
+    AnswerBody, Exchange, Failure, HeaderNames, Inbound, Offer, Pool, Refusal,
+    Tally,
+    answer::{FAILED, PassedBody, REFUSED, Sent, Trail},
+    attempt::Means,
+    request::strip_hop_by_hop,
+    resume::{ResumedBody, Taken},
+};
+
+/// Bounds of the way from a request to its endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct ForwarderOptions {
+    /// Requests that may wait at an endpoint beyond its slots, for streams.
+    pub stream_queue: u32,
+    /// The same for other requests, which are short.
+    pub plain_queue: u32,
+    /// Offers of one request that may come back as not run.
+    pub offers_most: u32,
+    /// Part of the latency objective that a request may wait for room
+    /// before it is refused: one part in this many.
+    pub patience_divisor: u64,
+    /// When a refused caller should come back.
+    pub retry_after_ms: u64,
+}
+
+impl Default for ForwarderOptions {
+    /// Two waiting streams are served within a slot's usual turnover when
+    /// batch work gives way. A refusal within a fifth of the objective
+    /// leaves the caller time for another try; in a quarter of a second
+    /// several slots of a fleet turn over.
+    fn default() -> Self {
+        Self {
+            stream_queue: 3,
+            plain_queue: 10,
+            offers_most: 4,
+            patience_divisor: 5,
+            retry_after_ms: 250,
+        }
+    }
+}
+
+/// Finds endpoints for requests and passes their answers on.
+pub struct Forwarder {
+    names: HeaderNames,
+    options: ForwarderOptions,
+    failure_domain: String,
+    endpoints: Arc<Snapshot<DirectoryView>>,
+    pool: Arc<Pool>,
+    clock: Arc<dyn Clock>,
+    tally: Arc<Tally>,
+}
+
+/// The endpoints as of a revision of the key-value service.
+#[derive(Clone, Debug, Default)]
+pub struct DirectoryView {
+    /// The endpoints that take work.
+    pub table: EndpointTable,
+    /// Revision of the listing.
+    pub revision: u64,
+}
+
+/// Pause between two looks for room.
+const ROOM_PAUSE: Duration = Duration::from_millis(10);
+
+/// How long an idempotent request waits for one endpoint while it has
+/// others to go to, in multiples of its latency objective.
+const IDEMPOTENT_WAIT: u64 = 2;
+
+/// How long a resumable stream waits for its first event likewise: more
+/// than a full queue takes, so that load alone moves no request.
+const STREAM_WAIT: u64 = 4;
+
+impl Forwarder {
+    /// Makes a forwarder that chooses among `endpoints`.
+    pub fn new(
+        names: HeaderNames,
+        options: ForwarderOptions,
+        failure_domain: &str,
+        endpoints: Arc<Snapshot<DirectoryView>>,
+        pool: Arc<Pool>,
+        clock: Arc<dyn Clock>,
+        tally: Arc<Tally>,
+    ) -> Self {
+        Self {
+            names,
+            options,
+            failure_domain: failure_domain.to_owned(),
+            endpoints,
+            pool,
+            clock,
+            tally,
+        }
+    }
+
+    /// Returns the names of the headers.
+    #[inline]
+    pub fn names(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    /// Answers a request by an endpoint, or refuses it.
+    pub async fn forward(
+        self: &Arc<Self>,
+        request: Inbound,
+        config_version: u64,
+    ) -> Response<AnswerBody> {
+        let request = Arc::new(request);
+        let tally = self.tally.clone();
+        let mut trail = Trail::new(request.clone(), tally, config_version);
+        let mut tries = Tries::new(request.resume_after());
+        let ends_at = request.ends_at();
+        let whole = self.run(&request, &mut trail.sent, &mut tries);
+        let result = match time::timeout_at(ends_at.into(), whole).await {
+            Ok(result) => result,
+            Err(_) => Err(tries.out_of_time()),
+        };
+        match result {
+            Ok(exchange) => self.answer(exchange, trail, tries),
+            Err(refusal) => {
+                trail.head(refusal.status().as_u16());
+                trail.end(match refusal.ran() {
+                    crate::Ran::No => REFUSED,
+                    crate::Ran::Unknown => FAILED,
+                });
+                log::info!(
+                    request_id = request.id(),
+                    reason = refusal.reason(),
+                    offers = tries.offers,
+                    ran:% = refusal.ran();
+                    "a request is not served"
+                );
+                refusal.into_response()
+            }
+        }
+    }
+
+    fn answer(
+        self: &Arc<Self>,
+        mut exchange: Exchange,
+        mut trail: Trail,
+        tries: Tries,
+    ) -> Response<AnswerBody> {
+        let kind = trail.request.route().kind();
+        trail.head(exchange.status().as_u16());
+        let head = exchange.take_head();
+        let resumable = kind == RouteKind::ResumableStream
+            && exchange.status().is_success();
+        let body = match resumable {
+            true => AnswerBody::resumed(ResumedBody::new(
+                self.clone(),
+                exchange,
+                trail,
+                tries,
+            )),
+            false => AnswerBody::passed(PassedBody::new(exchange, trail)),
+        };
+        let mut response = Response::new(body);
+        if let Some(mut head) = head {
+            strip_hop_by_hop(&mut head.headers);
+            if resumable {
+                head.headers.remove(http::header::CONTENT_LENGTH);
+            }
+            *response.status_mut() = head.status;
+            *response.headers_mut() = head.headers;
+        }
+        response
+    }
+
+    async fn run(
+        &self,
+        request: &Inbound,
+        sent: &mut Sent,
+        tries: &mut Tries,
+    ) -> Result<Exchange, Refusal> {
+        loop {
+            let choice = self.find_room(request, sent, tries).await?;
+            let id = choice.endpoint.record().id.clone();
+            sent.endpoint.clone_from(&id);
+            sent.estimated_load = choice.estimated_load;
+            sent.offers += 1;
+            if sent.offers > 1 {
+                Tally::add(&self.tally.retried);
+            }
+            tries.begin(id);
+            let offer = Offer {
+                request,
+                endpoint: &choice.endpoint,
+                resume_after: tries.resume_after,
+                wait: self.wait(request, tries),
+            };
+            match self.means().make(offer).await {
+                Ok(exchange) => {
+                    tries.ran();
+                    if !worth_another(request.route(), &exchange, tries) {
+                        return Ok(exchange);
+                    }
+                }
+                Err(failure) => tries.note(failure, request.route())?,
+            }
+            if tries.offers >= self.options.offers_most {
+                return Err(tries.refuse(Verdict::AllFull, &self.options));
+            }
+        }
+    }
+
+    /// Returns how long the head of an answer may take at one endpoint.
+    fn wait(&self, request: &Inbound, tries: &Tries) -> Duration {
+        let left = request.left();
+        let route = request.route();
+        let last = tries.used + 1 >= route.max_attempts();
+        if !route.kind().repeatable() || last {
+            return left;
+        }
+        let times = match route.kind().is_stream() {
+            true => STREAM_WAIT,
+            false => IDEMPOTENT_WAIT,
+        };
+        let wait = Duration::from_millis(route.target_latency_ms() * times);
+        wait.min(left)
+    }
+
+    /// Waits a short while for an endpoint with room.
+    async fn find_room(
+        &self,
+        request: &Inbound,
+        sent: &mut Sent,
+        tries: &Tries,
+    ) -> Result<Choice, Refusal> {
+        let route = request.route();
+        let patience_ms =
+            route.target_latency_ms() / self.options.patience_divisor;
+        let until = request.arrived() + Duration::from_millis(patience_ms);
+        loop {
+            let verdict = match self.choose(request, sent, &tries.tried) {
+                Ok(choice) => return Ok(choice),
+                Err(verdict) => verdict,
+            };
+            if Instant::now() >= until {
+                return Err(tries.refuse(verdict, &self.options));
+            }
+            time::sleep(ROOM_PAUSE).await;
+        }
+    }
+
+    fn choose(
+        &self,
+        request: &Inbound,
+        sent: &mut Sent,
+        tried: &[String],
+    ) -> Result<Choice, Verdict> {
+        let route = request.route();
+        let spread = base_spread(request.id());
+        let Some(service) = route.service(spread) else {
+            return Err(Verdict::NoEndpoint);
+        };
+        let view = self.endpoints.load();
+        sent.directory_revision = view.revision;
+        let need = Need {
+            service,
+            failure_domain: &self.failure_domain,
+            affinity: request.affinity(),
+            tried,
+            queue_allowance: match route.kind().is_stream() {
+                true => self.options.stream_queue,
+                false => self.options.plain_queue,
+            },
+        };
+        view.table.choose(&need, self.clock.now())
+    }
+
+    /// Offers a request once to one endpoint of the caller's choice.
+    ///
+    /// # Errors
+    ///
+    /// The [`Failure`], which also tells whether the request may have run.
+    pub async fn offer(
+        &self,
+        request: &Inbound,
+        endpoint: &Endpoint,
+        resume_after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Exchange, Failure> {
+        let offer = Offer {
+            request,
+            endpoint,
+            resume_after,
+            wait,
+        };
+        self.means().make(offer).await
+    }
+
+    /// Asks another endpoint for the rest of a stream.
+    pub(crate) async fn take_up(
+        &self,
+        request: &Inbound,
+        mut tries: Tries,
+    ) -> Option<Taken> {
+        if tries.used >= request.route().max_attempts() {
+            return None;
+        }
+        let mut sent = Sent::default();
+        let result = self.run(request, &mut sent, &mut tries).await;
+        let exchange = match result {
+            Ok(exchange) if exchange.status().is_success() => exchange,
+            Ok(_) => return None,
+            Err(refusal) => {
+                log::info!(
+                    request_id = request.id(),
+                    reason = refusal.reason();
+                    "a stream is not taken up"
+                );
+                return None;
+            }
+        };
+        Some(Taken {
+            exchange,
+            sent,
+            tries,
+        })
+    }
+
+    fn means(&self) -> Means<'_> {
+        Means {
+            names: &self.names,
+            pool: &self.pool,
+            clock: &*self.clock,
+            tally: &self.tally,
+        }
+    }
+}
+
+/// Tells whether an error of an endpoint is better tried elsewhere.
+fn worth_another(route: &Route, exchange: &Exchange, tries: &Tries) -> bool {
+    exchange.status().is_server_error()
+        && route.kind().repeatable()
+        && tries.used < route.max_attempts()
+}
+
+/// What became of the offers of one request so far.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tries {
+    tried: Vec<String>,
+    offers: u32,
+    used: u32,
+    open: bool,
+    resume_after: Option<u64>,
+}
+
+impl Tries {
+    fn new(resume_after: Option<u64>) -> Self {
+        Self {
+            resume_after,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the state from which a broken stream is taken up: the run
+    /// that broke counts, and the stream goes on after its last event.
+    pub(crate) fn after_broken_stream(&self, after: Option<u64>) -> Self {
+        Self {
+            resume_after: after,
+            ..self.clone()
+        }
+    }
+
+    fn begin(&mut self, endpoint: String) {
+        self.tried.push(endpoint);
+        self.offers += 1;
+        self.open = true;
+    }
+
+    fn ran(&mut self) {
+        self.open = false;
+        self.used += 1;
+    }
+
+    /// Counts a failed offer, or ends the request where it may not be
+    /// offered again.
+    fn note(
+        &mut self,
+        failure: Failure,
+        route: &Route,
+    ) -> Result<(), Refusal> {
+        self.open = false;
+        if failure.surely_not_run() {
+            return Ok(());
+        }
+        self.ran();
+        if route.kind().repeatable() && self.used < route.max_attempts() {
+            return Ok(());
+        }
+        Err(Refusal::unknown("the endpoint's answer is lost"))
+    }
+
+    /// Refuses for want of room; the request may have run before.
+    fn refuse(&self, verdict: Verdict, options: &ForwarderOptions) -> Refusal {
+        if self.used > 0 {
+            return Refusal::unknown("no other endpoint is left");
+        }
+        let reason = match verdict {
+            Verdict::AllFull => "all endpoints are full",
+            Verdict::NoEndpoint => "no endpoint is known",
+        };
+        Refusal::not_run(reason).with_retry_after_ms(options.retry_after_ms)
+    }
+
+    fn out_of_time(&self) -> Refusal {
+        match self.used > 0 || self.open {
+            true => Refusal::timed_out("the time of the request is up"),
+            false => Refusal::not_run("the time of the request is up"),
+        }
+    }
+}
+
+/// Spreads requests over the destinations of a route by their ids.
+fn base_spread(id: &str) -> u64 {
+    base::stable_hash(&[id])
+}
+
+impl fmt::Debug for Forwarder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Forwarder")
+            .field("failure_domain", &self.failure_domain)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/pass/src/own.rs
@@ -0,0 +1,135 @@
+use std::fmt;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::AnswerBody;
+
+/// What is known of whether a request ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ran {
+    /// It did not and never will.
+    No,
+    /// It may have.
+    Unknown,
+}
+
+/// An answer of the node itself in place of an endpoint's.
+///
+/// # Example
+///
+/// ```
+/// use http::StatusCode;
+/// use pomeloslip_pass::{Ran, Refusal};
+///
+/// let refusal = Refusal::not_run("all endpoints are full")
+///     .with_retry_after_ms(250);
+/// assert_eq!(refusal.status(), StatusCode::SERVICE_UNAVAILABLE);
+/// assert_eq!(refusal.ran(), Ran::No);
+/// let answer = refusal.into_response();
+/// assert_eq!(answer.headers()["retry-after"], "0.25");
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    status: StatusCode,
+    reason: &'static str,
+    ran: Ran,
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// Refuses a request that did not and will not run.
+    pub fn not_run(reason: &'static str) -> Self {
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, reason, Ran::No)
+    }
+
+    /// Ends a request that may have run and was not answered.
+    pub fn unknown(reason: &'static str) -> Self {
+        Self::new(StatusCode::BAD_GATEWAY, reason, Ran::Unknown)
+    }
+
+    /// Ends a request that may have run when its time is up.
+    pub fn timed_out(reason: &'static str) -> Self {
+        Self::new(StatusCode::GATEWAY_TIMEOUT, reason, Ran::Unknown)
+    }
+
+    /// Refuses a request that no route allows or that breaks a limit.
+    pub fn improper(status: StatusCode, reason: &'static str) -> Self {
+        Self::new(status, reason, Ran::No)
+    }
+
+    pub(crate) const fn body_too_large() -> Self {
+        Self::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body of the request is too large",
+            Ran::No,
+        )
+    }
+
+    const fn new(status: StatusCode, reason: &'static str, ran: Ran) -> Self {
+        Self {
+            status,
+            reason,
+            ran,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Tells the caller when to come back.
+    #[must_use]
+    pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
+        self
+    }
+
+    /// Returns the status.
+    #[inline]
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Returns whether the request ran.
+    #[inline]
+    pub fn ran(&self) -> Ran {
+        self.ran
+    }
+
+    /// Returns the reason, for the log.
+    #[inline]
+    pub fn reason(&self) -> &'static str {
+        self.reason
+    }
+
+    /// Makes the answer.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let text = format!(
+            "{{\"title\":\"{}\",\"status\":{},\"ran\":\"{}\"}}",
+            self.reason,
+            self.status.as_u16(),
+            self.ran,
+        );
+        let mut response = Response::new(AnswerBody::own(Bytes::from(text)));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        if let Some(ms) = self.retry_after_ms {
+            let seconds = format!("{}", ms as f64 / 1_000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+impl fmt::Display for Ran {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        })
+    }
+}
--- /dev/null
+++ b/crates/pass/src/resume.rs
@@ -0,0 +1,190 @@
+use std::{
+    fmt,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use tokio::time::Sleep;
+
+use crate::{
+    BrokenAnswer, EventSplitter, Exchange, Forwarder, Tally,
+    answer::{ANSWERED, FAILED, Sent, Trail, sleep_until},
+    forward::Tries,
+};
+
+type Taking = Pin<Box<dyn Future<Output = Option<Taken>> + Send>>;
+
+/// A stream that another endpoint goes on with.
+pub(crate) struct Taken {
+    pub(crate) exchange: Exchange,
+    pub(crate) sent: Sent,
+    pub(crate) tries: Tries,
+}
+
+/// A stream that goes on at another endpoint when its endpoint fails.
+///
+/// Only whole events are passed on, so that the next endpoint can start
+/// after the last of them.
+pub(crate) struct ResumedBody {
+    forwarder: Arc<Forwarder>,
+    state: State,
+    splitter: EventSplitter,
+    trail: Trail,
+    tries: Tries,
+    deadline: Pin<Box<Sleep>>,
+    stall: Pin<Box<Sleep>>,
+    stall_after: Duration,
+}
+
+enum State {
+    Reading(Exchange),
+    Taking(Taking),
+    Over,
+}
+
+/// Pauses of a stream after which its endpoint counts as silent, in multiples
+/// of the pause that the route allows: an engine that preempts a run and
+/// reads it again takes about two.
+const STALL_GAPS: u64 = 3;
+
+/// Shortest such time, in milliseconds, for routes with short pauses or none.
+const STALL_LEAST_MS: u64 = 600;
+
+impl ResumedBody {
+    pub(crate) fn new(
+        forwarder: Arc<Forwarder>,
+        exchange: Exchange,
+        trail: Trail,
+        tries: Tries,
+    ) -> Self {
+        let request = &trail.request;
+        let stall_ms =
+            (request.route().gap_target_ms() * STALL_GAPS).max(STALL_LEAST_MS);
+        let stall_after = Duration::from_millis(stall_ms);
+        Self {
+            splitter: EventSplitter::new(request.resume_after()),
+            deadline: Box::pin(sleep_until(request.ends_at())),
+            stall: Box::pin(sleep_until(Instant::now() + stall_after)),
+            stall_after,
+            forwarder,
+            state: State::Reading(exchange),
+            trail,
+            tries,
+        }
+    }
+
+    pub(crate) fn poll_data(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BrokenAnswer>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return self.give_up(BrokenAnswer::Deadline);
+        }
+        loop {
+            match &mut self.state {
+                State::Over => return Poll::Ready(None),
+                State::Taking(taking) => {
+                    match ready!(taking.as_mut().poll(cx)) {
+                        Some(taken) => self.go_on(taken),
+                        None => {
+                            return self.give_up(BrokenAnswer::Endpoint);
+                        }
+                    }
+                }
+                State::Reading(exchange) => {
+                    let data = match exchange.poll_data(cx) {
+                        Poll::Ready(data) => data,
+                        Poll::Pending => {
+                            ready!(self.stall.as_mut().poll(cx));
+                            self.take_up_elsewhere("silent");
+                            continue;
+                        }
+                    };
+                    match data {
+                        Some(Ok(chunk)) => {
+                            if let Some(events) = self.pass_on(chunk) {
+                                return Poll::Ready(Some(Ok(events)));
+                            }
+                        }
+                        Some(Err(_)) => self.take_up_elsewhere("broken"),
+                        None if self.splitter.is_inside_event() => {
+                            self.take_up_elsewhere("ended inside an event");
+                        }
+                        None => {
+                            self.state = State::Over;
+                            self.trail.end(ANSWERED);
+                            return Poll::Ready(None);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn pass_on(&mut self, chunk: Bytes) -> Option<Bytes> {
+        let again = tokio::time::Instant::now() + self.stall_after;
+        self.stall.as_mut().reset(again);
+        let split = self.splitter.push(chunk);
+        if split.events.is_empty() {
+            return None;
+        }
+        self.trail.bytes += split.events.len() as u64;
+        Some(split.events)
+    }
+
+    fn go_on(&mut self, taken: Taken) {
+        let offers = self.trail.sent.offers + taken.sent.offers;
+        self.trail.sent = Sent {
+            offers,
+            ..taken.sent
+        };
+        self.tries = taken.tries;
+        Tally::add(&self.trail.tally.resumed);
+        self.state = State::Reading(taken.exchange);
+        let again = tokio::time::Instant::now() + self.stall_after;
+        self.stall.as_mut().reset(again);
+    }
+
+    /// Drops the answer, which closes its connection, and asks another
+    /// endpoint for the rest.
+    fn take_up_elsewhere(&mut self, reason: &'static str) {
+        self.splitter.drop_partial();
+        let request = &self.trail.request;
+        let after = self.splitter.last_id();
+        log::info!(
+            request_id = request.id(),
+            endpoint = self.trail.sent.endpoint.as_str(),
+            reason,
+            after = after.unwrap_or(0),
+            age_ms = self.trail.age_ms();
+            "a stream is taken up at another endpoint"
+        );
+        self.state = State::Over;
+        let forwarder = self.forwarder.clone();
+        let request = request.clone();
+        let tries = self.tries.after_broken_stream(after);
+        self.state = State::Taking(Box::pin(async move {
+            forwarder.take_up(&request, tries).await
+        }));
+    }
+
+    fn give_up(
+        &mut self,
+        why: BrokenAnswer,
+    ) -> Poll<Option<Result<Bytes, BrokenAnswer>>> {
+        self.trail.end(FAILED);
+        self.state = State::Over;
+        Poll::Ready(Some(Err(why)))
+    }
+}
+
+impl fmt::Debug for ResumedBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ResumedBody")
+            .field("trail", &self.trail)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/pass/src/tally.rs
@@ -0,0 +1,130 @@
+use std::{
+    fmt::Write,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// Upper ends of the buckets of a histogram, in milliseconds: about a factor
+/// of two apart, with the objectives of interactive requests (100 to 300 ms)
+/// as ends of their own.
+const BUCKETS_MS: [u64; 14] = [
+    2, 5, 10, 25, 50, 100, 150, 200, 300, 500, 1_000, 2_000, 5_000, 20_000,
+];
+
+/// Counts durations by size.
+#[derive(Debug, Default)]
+pub struct Histogram {
+    buckets: [AtomicU64; BUCKETS_MS.len() + 1],
+    sum_us: AtomicU64,
+}
+
+impl Histogram {
+    /// Counts a duration.
+    pub fn record(&self, duration: Duration) {
+        let ms = duration.as_millis() as u64;
+        let at = BUCKETS_MS.partition_point(|end| *end < ms);
+        self.buckets[at].fetch_add(1, Ordering::Relaxed);
+        let us = duration.as_micros() as u64;
+        self.sum_us.fetch_add(us, Ordering::Relaxed);
+    }
+
+    fn render(&self, name: &str, text: &mut String) {
+        let mut total = 0;
+        for (at, bucket) in self.buckets.iter().enumerate() {
+            total += bucket.load(Ordering::Relaxed);
+            let _ = match BUCKETS_MS.get(at) {
+                Some(end) => {
+                    writeln!(text, "{name}_bucket{{le=\"{end}\"}} {total}")
+                }
+                None => {
+                    writeln!(text, "{name}_bucket{{le=\"+Inf\"}} {total}")
+                }
+            };
+        }
+        let sum_ms = self.sum_us.load(Ordering::Relaxed) / 1_000;
+        let _ = writeln!(text, "{name}_sum {sum_ms}\n{name}_count {total}");
+    }
+}
+
+macro_rules! tally {
+    ($($(#[$doc:meta])* $counter:ident,)+) => {
+        /// Counters and histograms of a process, read as text.
+        ///
+        /// Fixed fields with atomics instead of a map of names: a request
+        /// counts without a lock and without a look-up.
+        #[derive(Debug, Default)]
+        pub struct Tally {
+            $($(#[$doc])* pub $counter: AtomicU64,)+
+            /// From the arrival of a request to the head of its answer.
+            pub first_byte_ms: Histogram,
+            /// From the arrival of a request to the end of its answer.
+            pub whole_ms: Histogram,
+        }
+
+        impl Tally {
+            /// Writes all in the text form that metric collectors read.
+            ///
+            /// # Example
+            ///
+            /// ```
+            /// use pomeloslip_pass::Tally;
+            ///
+            /// let tally = Tally::default();
+            /// Tally::add(&tally.arrived);
+            /// assert!(tally.render().contains("pomeloslip_arrived 1\n"));
+            /// ```
+            pub fn render(&self) -> String {
+                let mut text = String::with_capacity(2_048);
+                $(let _ = writeln!(
+                    text,
+                    concat!("pomeloslip_", stringify!($counter), " {}"),
+                    self.$counter.load(Ordering::Relaxed),
+                );)+
+                self.first_byte_ms
+                    .render("pomeloslip_first_byte_ms", &mut text);
+                self.whole_ms.render("pomeloslip_whole_ms", &mut text);
+                text
+            }
+        }
+    };
+}
+
+tally! {
+    /// Requests that arrived.
+    arrived,
+    /// Requests with a whole answer of an endpoint.
+    answered,
+    /// Requests that were refused and did not run.
+    refused,
+    /// Requests that ended without an answer and may have run.
+    failed,
+    /// Requests whose caller left before the end.
+    caller_left,
+    /// Attempts after the first.
+    retried,
+    /// Streams that were taken up at another endpoint.
+    resumed,
+    /// New connections to endpoints.
+    connections_opened,
+    /// Calls to the key-value service.
+    kv_calls,
+    /// Calls to the key-value service that failed.
+    kv_failures,
+    /// Jobs that were accepted.
+    jobs_accepted,
+    /// Runs of batch items that were started.
+    item_runs,
+    /// Runs of batch items that gave way to online requests.
+    items_preempted,
+    /// Batch items that were listed as complete.
+    items_completed,
+    /// Batch items that were given up.
+    items_given_up,
+}
+
+impl Tally {
+    /// Counts one.
+    pub fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
