--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -96,10 +96,8 @@
             stopping.clone(),
             tally.clone(),
         ));
-        for address in [settings.ready, settings.metrics] {
-            if let Some(address) = address {
-                admin.start(address)?;
-            }
+        for address in [settings.ready, settings.metrics].iter().flatten() {
+            admin.start(*address)?;
         }
         let (stage, receiver) = stage::channel(Stopping::No);
         let options = ListenerOptions::default();
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -54,11 +54,12 @@
         let now: Millis = clock.now();
         wait(next.saturating_ms_since(now), &mut stop).await;
     }
-    if let Some(lease) = held {
-        if let Err(report) = kv.lease_revoke(lease.id()).await {
-            log::info!(error:% = report.current_context();
-                "this node's entry lapses by itself");
-        }
+    let Some(lease) = held else {
+        return;
+    };
+    if let Err(report) = kv.lease_revoke(lease.id()).await {
+        log::info!(error:% = report.current_context();
+            "this node's entry lapses by itself");
     }
 }
 
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -40,7 +40,7 @@
 }
 
 enum State {
-    Reading(Exchange),
+    Reading(Box<Exchange>),
     Taking(Taking),
     Over,
 }
@@ -70,7 +70,7 @@
             stall: Box::pin(sleep_until(Instant::now() + stall_after)),
             stall_after,
             forwarder,
-            state: State::Reading(exchange),
+            state: State::Reading(Box::new(exchange)),
             trail,
             tries,
         }
@@ -143,7 +143,7 @@
         };
         self.tries = taken.tries;
         Tally::add(&self.trail.tally.resumed);
-        self.state = State::Reading(taken.exchange);
+        self.state = State::Reading(Box::new(taken.exchange));
         let again = tokio::time::Instant::now() + self.stall_after;
         self.stall.as_mut().reset(again);
     }
