Tell load by datagrams, relay calls to the key-value service, least slack first

Cause: batch items gave way only after an engine's report, up to 200 ms late, and a reserve of slots against that left too few for batch work; a front that the key-value service turned away refused all jobs of its zone. Change: fronts tell workers of each request as they send it, workers tell fronts what the others have in flight; calls to the key-value service go through another node while the direct way fails; items start by slack.

--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -9,6 +9,7 @@
 
 use base::{SystemClock, timer::Timer};
 use error_stack::{Report, ResultExt};
+use kv::paths::Paths;
 use node::{Beliefs, Front, NodeSettings, Signals, Worker};
 use obs::LogSettings;
 use pass::Tally;
@@ -88,8 +89,9 @@
     let timer = Timer::new(clock.clone());
     tokio::spawn(timer.clone().drive());
     let tally = Arc::new(Tally::default());
-    let kv =
-        PlatformKv::new(machine.kv_address()).change_context(DaemonError)?;
+    let paths = Arc::new(Paths::new(settings.kv));
+    let kv = PlatformKv::new(paths.clone(), clock.clone())
+        .change_context(DaemonError)?;
     let kv: Arc<dyn kv::Kv> = Arc::new(kv);
     let dialect = Arc::new(PlatformDialect);
     let beliefs = Beliefs::new(clock);
@@ -97,14 +99,16 @@
     log::info!(version = env!("CARGO_PKG_VERSION"); "the process starts");
     match role {
         FleetRole::Front => {
-            let front =
-                Front::start(&settings, dialect, kv, beliefs, timer, tally);
-            front.change_context(DaemonError)?.run(signals).await;
+            let front = Front::start(
+                &settings, dialect, kv, paths, beliefs, timer, tally,
+            );
+            front.await.change_context(DaemonError)?.run(signals).await;
         }
         FleetRole::Worker => {
-            let worker =
-                Worker::start(&settings, dialect, kv, beliefs, timer, tally);
-            worker.change_context(DaemonError)?.run(signals).await;
+            let worker = Worker::start(
+                &settings, dialect, kv, paths, beliefs, timer, tally,
+            );
+            worker.await.change_context(DaemonError)?.run(signals).await;
         }
     }
     log::info!("the process stops");
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -59,6 +59,8 @@
     reported: AtomicU32,
     own_at_report: AtomicU32,
     reported_at_ms: AtomicU64,
+    told_foreign: AtomicU32,
+    told_at_ms: AtomicU64,
     failures: AtomicU32,
     avoid_until_ms: AtomicU64,
 }
@@ -123,16 +125,30 @@
             .store(now.as_ms().max(1), Ordering::Relaxed);
     }
 
+    /// Takes note of the online requests that other nodes have there, as
+    /// they tell themselves.
+    pub fn told_foreign(&self, requests: u32, now: Millis) {
+        let load = &self.load;
+        load.told_foreign.store(requests, Ordering::Relaxed);
+        load.told_at_ms.store(now.as_ms().max(1), Ordering::Relaxed);
+    }
+
     /// Estimates the requests that it holds from all callers.
     ///
-    /// Own requests are known to the moment. Those of others are what the
-    /// last report held beyond the own ones of that time; after
+    /// Own requests are known to the moment. Those of others are what they
+    /// told within [`TOLD_LIFE_MS`], without batch work, which gives way.
+    /// Failing that they are what the last report held beyond the own ones of that time; after
     /// [`REPORT_LIFE_MS`] the report says nothing any more.
     pub fn estimated_load(&self, now: Millis) -> u32 {
         self.in_flight().saturating_add(self.foreign(now))
     }
 
     fn foreign(&self, now: Millis) -> u32 {
+        let told_at = self.load.told_at_ms.load(Ordering::Relaxed);
+        let told_age_ms = now.as_ms().saturating_sub(told_at);
+        if told_at != 0 && told_age_ms <= TOLD_LIFE_MS {
+            return self.load.told_foreign.load(Ordering::Relaxed);
+        }
         let at = self.load.reported_at_ms.load(Ordering::Relaxed);
         let age_ms = now.as_ms().saturating_sub(at);
         if at == 0 || age_ms > REPORT_LIFE_MS {
@@ -170,3 +186,7 @@
 /// How long a reported load counts, in milliseconds: about the length of
 /// one streamed answer, after which what ran then has ended.
 const REPORT_LIFE_MS: u64 = 700;
+
+/// How long the word of other nodes counts, in milliseconds: all of it is
+/// told again every half second.
+const TOLD_LIFE_MS: u64 = 1_300;
--- a/crates/jobs/src/gate.rs
+++ b/crates/jobs/src/gate.rs
@@ -14,7 +14,7 @@
     /// looks; two starts a look fill an idle engine in half a second.
     fn default() -> Self {
         Self {
-            reserve: 2,
+            reserve: 0,
             starts_most: 2,
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,8 +13,10 @@
 mod error;
 mod gate;
 mod ledger;
+mod online;
 mod page;
 mod plan;
+mod planner;
 mod record;
 mod run;
 mod runner;
@@ -24,11 +26,13 @@
     error::JobError,
     gate::{GateInput, GateOptions, GateOrder, decide},
     ledger::{Ledger, NewJob, Stored},
+    online::{OnlineLoad, TOLD_LIFE_MS},
     page::{Page, PageReader},
-    plan::{Backlog, Members, Plan, RunnerRecord},
+    plan::{Backlog, Members, NodeRecord, Plan},
+    planner::{Planner, batch_services},
     record::{
         HEAD_PREFIX, ItemInput, ItemResult, ItemState, JobHead, JobKey,
-        RUNNER_PREFIX, Strikes, WATCHED_PREFIX, decode_head, decode_inputs,
+        NODE_PREFIX, Strikes, WATCHED_PREFIX, decode_head, decode_inputs,
         decode_results, encode_head, encode_inputs, encode_results, head_key,
         input_key, input_prefix, output_key,
     },
--- a/crates/jobs/src/plan.rs
+++ b/crates/jobs/src/plan.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use base::{mix, stable_hash};
 use fleet::Endpoint;
 use indexmap::IndexMap;
@@ -5,29 +7,31 @@
 
 use crate::{JobHead, JobKey};
 
-/// A node that runs items, as it tells of itself.
+/// A node, as it tells of itself.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RunnerRecord {
+pub struct NodeRecord {
     /// Name of the node.
     pub node: String,
     /// Failure domain that it stands in.
     pub failure_domain: String,
-    /// Number of this life of the process.
-    pub life: u64,
+    /// Whether it runs items of jobs.
+    pub runs_items: bool,
+    /// Where other nodes reach it.
+    pub address: Option<SocketAddr>,
 }
 
 /// The nodes that run items now.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Members {
-    runners: Vec<RunnerRecord>,
+    runners: Vec<NodeRecord>,
     hashes: Vec<u64>,
 }
 
 impl Members {
-    /// Makes a set of nodes.
-    pub fn new(runners: impl IntoIterator<Item = RunnerRecord>) -> Self {
-        let mut runners: Vec<RunnerRecord> = runners.into_iter().collect();
+    /// Makes a set of those nodes that run items.
+    pub fn new(nodes: impl IntoIterator<Item = NodeRecord>) -> Self {
+        let runners = nodes.into_iter().filter(|node| node.runs_items);
+        let mut runners: Vec<NodeRecord> = runners.collect();
         runners.sort_by(|a, b| a.node.cmp(&b.node));
         let hashes = runners.iter().map(|r| stable_hash(&[&r.node]));
         Self {
@@ -144,12 +148,13 @@
     ///
     /// ```
     /// use fleet::{Endpoint, EndpointRecord, EndpointState};
-    /// use pomeloslip_jobs::{Members, Plan, RunnerRecord};
+    /// use pomeloslip_jobs::{Members, Plan, NodeRecord};
     ///
-    /// let nodes = ["a", "b"].map(|node| RunnerRecord {
+    /// let nodes = ["a", "b"].map(|node| NodeRecord {
     ///     node: node.to_owned(),
     ///     failure_domain: "east".to_owned(),
-    ///     life: 1,
+    ///     runs_items: true,
+    ///     address: None,
     /// });
     /// let endpoints = ["1", "2", "3", "4"].map(|id| {
     ///     Endpoint::new(EndpointRecord {
@@ -239,9 +244,15 @@
         self.members.owner(job, head) == Some(&self.node)
     }
 
+    /// Returns the node that uses an endpoint for items.
+    pub fn user_of(&self, endpoint: &str) -> Option<&NodeRecord> {
+        let at = self.users.get(endpoint)?;
+        self.members.runners.get(*at)
+    }
+
     /// Tells whether this node uses an endpoint for items.
     pub fn uses_endpoint(&self, endpoint: &str) -> bool {
-        let user = self.users.get(endpoint);
-        user.is_some_and(|at| self.members.runners[*at].node == self.node)
+        self.user_of(endpoint)
+            .is_some_and(|user| user.node == self.node)
     }
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -150,8 +150,8 @@
 pub const WATCHED_PREFIX: &str = "jobs/";
 /// Common start of the heads.
 pub const HEAD_PREFIX: &str = "jobs/h/";
-/// Common start of the entries of nodes that run items.
-pub const RUNNER_PREFIX: &str = "jobs/r/";
+/// Common start of the entries of nodes.
+pub const NODE_PREFIX: &str = "jobs/n/";
 
 /// Returns the key of a job's head.
 pub fn head_key(job: &JobKey) -> String {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -16,8 +16,9 @@
 };
 
 use crate::{
-    GateInput, GateOptions, ItemRun, JobError, JobHead, JobView, Ledger, Plan,
-    Progress, RunEnd, RunMeans, Stored, decide,
+    GateInput, GateOptions, ItemRun, JobError, JobHead, JobView, Ledger,
+    OnlineLoad, Plan, Planner, Progress, RunEnd, RunMeans, Stored,
+    batch_services, decide,
     record::{ItemInput, ItemResult, ItemState, JobKey, Strikes},
 };
 
@@ -84,6 +85,7 @@
     config: Arc<Snapshot<Option<Arc<Config>>>>,
     means: RunMeans,
     probe: Arc<dyn Probe>,
+    online: Arc<OnlineLoad>,
     clock: Arc<dyn Clock>,
     tally: Arc<Tally>,
 }
@@ -100,6 +102,7 @@
         config: Arc<Snapshot<Option<Arc<Config>>>>,
         means: RunMeans,
         probe: Arc<dyn Probe>,
+        online: Arc<OnlineLoad>,
         clock: Arc<dyn Clock>,
         tally: Arc<Tally>,
     ) -> Self {
@@ -112,6 +115,7 @@
             config,
             means,
             probe,
+            online,
             clock,
             tally,
         }
@@ -119,7 +123,11 @@
 
     /// Runs until `stop` turns true and no item of this node is left in
     /// work. What then waits is taken over by other nodes.
-    pub async fn run(self, mut stop: watch::Receiver<bool>) {
+    pub async fn run(
+        self,
+        mut stop: watch::Receiver<bool>,
+        mut heard: mpsc::UnboundedReceiver<String>,
+    ) {
         let (sender, mut events) = mpsc::unbounded_channel();
         let mut work = Work::new(self, sender);
         let tick = Duration::from_millis(work.runner.options.tick_ms);
@@ -136,6 +144,12 @@
                     }
                     work.commit_due();
                 }
+                Some(endpoint) = heard.recv() => {
+                    work.give_way(&endpoint);
+                    while let Ok(endpoint) = heard.try_recv() {
+                        work.give_way(&endpoint);
+                    }
+                }
                 _ = ticks.tick() => work.look(*stop.borrow_and_update()),
             }
             if *stop.borrow() && work.is_idle() {
@@ -181,6 +195,8 @@
     state: Phase,
     progress: Progress,
     not_before: Millis,
+    /// Time that runs have spent on it and that counts.
+    run_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -213,17 +229,19 @@
     jobs: IndexMap<JobKey, Active>,
     runs: IndexMap<RunId, Run>,
     probes: IndexMap<String, Probing>,
-    plan: Arc<Plan>,
-    planned_for: Vec<String>,
+    planner: Planner,
+    /// Whether all fronts tell what they have in flight.
+    heard_all: bool,
     moving: Option<JobKey>,
     next_evening: Millis,
     next_run: u64,
-    /// Time that a whole run takes, averaged over those that ended.
-    run_ms: u64,
+    /// Time that a thousand tokens take, averaged over runs that ended.
+    ms_per_1k_tokens: u64,
 }
 
-/// Time of a whole run before any is known, in milliseconds.
-const FIRST_RUN_MS: u64 = 5_000;
+/// Time of a thousand tokens before any run is known, in milliseconds: the
+/// pace of the engines that this was measured with.
+const FIRST_MS_PER_1K_TOKENS: u64 = 3_500;
 
 /// Age of a run before its endpoint's report counts it, in milliseconds:
 /// reports lag by about fifty, and the request has a way to go.
@@ -240,8 +258,8 @@
 impl Work {
     fn new(runner: Runner, sender: mpsc::UnboundedSender<Event>) -> Self {
         Self {
-            plan: Arc::default(),
-            planned_for: Vec::new(),
+            planner: Planner::new(&runner.node),
+            heard_all: false,
             moving: None,
             next_evening: Millis::new(0),
             runner,
@@ -250,7 +268,7 @@
             runs: IndexMap::new(),
             probes: IndexMap::new(),
             next_run: 0,
-            run_ms: FIRST_RUN_MS,
+            ms_per_1k_tokens: FIRST_MS_PER_1K_TOKENS,
         }
     }
 
@@ -273,28 +291,19 @@
         self.load_inputs();
         self.give_up_late();
         self.commit_due();
-        self.ask_loads(&plan);
+        self.heard_all = self.hears_all_fronts(self.now());
+        if !self.heard_all {
+            self.ask_loads(&plan);
+        }
         self.admit(&plan, stopping);
     }
 
-    /// Shares the endpoints that items go to; the last plan holds as long
-    /// as nothing that it is made of has changed.
     fn plan(&mut self) -> Arc<Plan> {
         let view = self.runner.endpoints.load_full();
+        let config = self.runner.config.load_full();
         let members = self.runner.view.members();
-        let services = self.batch_services();
-        let endpoints: Vec<&Endpoint> = services
-            .iter()
-            .flat_map(|service| view.table.of_service(service))
-            .collect();
-        let ids = endpoints.iter().map(|e| e.record().id.clone()).collect();
-        if self.planned_for != ids || *self.plan.members() != members {
-            let node = &self.runner.node;
-            let plan = Plan::new(node, members, endpoints);
-            self.plan = Arc::new(plan);
-            self.planned_for = ids;
-        }
-        self.plan.clone()
+        self.planner
+            .plan((*config).as_deref(), &view.table, members)
     }
 
     /// Takes a job from a node that has far more open items than this one.
@@ -391,8 +400,8 @@
             let closed = known.as_ref().is_none_or(|s| s.head.is_closed());
             // A job that moved to another node keeps the runs it has here:
             // their results are listed all the same.
-            let owned = known
-                .is_some_and(|known| plan.owns_job(key, &known.head));
+            let owned =
+                known.is_some_and(|known| plan.owns_job(key, &known.head));
             job.moved = !owned;
             if closed || (job.moved && !job.is_busy()) {
                 gone.push((key.clone(), closed));
@@ -536,22 +545,9 @@
         }
     }
 
-    /// Returns the services that batch routes lead to.
     fn batch_services(&self) -> Vec<String> {
         let config = self.runner.config.load_full();
-        let Some(config) = config.as_ref() else {
-            return Vec::new();
-        };
-        let mut services: Vec<String> = Vec::new();
-        let routes = config.routes.iter();
-        for route in routes.filter(|r| r.kind() == RouteKind::Batch) {
-            for destination in route.destinations() {
-                if !services.contains(&destination.service) {
-                    services.push(destination.service.clone());
-                }
-            }
-        }
-        services
+        (*config).as_deref().map(batch_services).unwrap_or_default()
     }
 
     /// Lets the gate of each endpoint decide, and carries it out.
@@ -588,6 +584,31 @@
         }
     }
 
+    /// Lets batch work at one endpoint give way as an online request is
+    /// under way to it.
+    fn give_way(&mut self, id: &str) {
+        let now = self.now();
+        let view = self.runner.endpoints.load_full();
+        let endpoint = view.table.iter().find(|e| e.record().id == id);
+        let Some(endpoint) = endpoint else {
+            return;
+        };
+        let service = &endpoint.record().service;
+        if let Some(order) = self.order_for(endpoint, service, now) {
+            for _ in 0..order.preempt {
+                self.preempt_one(id);
+            }
+        }
+    }
+
+    /// Tells whether all fronts tell their requests in flight.
+    fn hears_all_fronts(&self, now: Millis) -> bool {
+        let nodes = self.runner.view.nodes();
+        let fronts = nodes.iter().filter(|node| !node.runs_items);
+        let names = fronts.map(|node| node.node.as_str());
+        self.runner.online.is_whole(names, now)
+    }
+
     fn order_for(
         &self,
         endpoint: &Endpoint,
@@ -595,22 +616,29 @@
         now: Millis,
     ) -> Option<crate::GateOrder> {
         let id = &endpoint.record().id;
-        let (report, at) = self.probes.get(id)?.report?;
-        let age_ms = now.saturating_ms_since(at);
-        if age_ms > self.runner.options.report_age_ms {
-            return None;
-        }
-        let mine = self.runs.values().filter(|run| run.endpoint == *id);
-        let mut input = GateInput::default().with_report(report);
-        for run in mine {
-            input.mine += 1;
-            let age_ms = at.saturating_ms_since(run.started_at);
-            if age_ms >= REPORT_LAG_MS {
-                input.mine_reported += 1;
-            }
-            if self.is_urgent(run) {
-                input.mine_urgent += 1;
+        let mine = || self.runs.values().filter(|run| run.endpoint == *id);
+        let mut input = GateInput {
+            mine: mine().count() as u32,
+            mine_urgent: mine().filter(|run| self.is_urgent(run)).count()
+                as u32,
+            ..GateInput::default()
+        };
+        if self.heard_all {
+            let online = self.runner.online.at(id, "", now);
+            input.slots = endpoint.record().slots;
+            input.mine_reported = input.mine;
+            input.running = online + input.mine;
+        } else {
+            let (report, at) = self.probes.get(id)?.report?;
+            let age_ms = now.saturating_ms_since(at);
+            if age_ms > self.runner.options.report_age_ms {
+                return None;
             }
+            input = input.with_report(report);
+            let counted = |run: &&Run| {
+                at.saturating_ms_since(run.started_at) >= REPORT_LAG_MS
+            };
+            input.mine_reported = mine().filter(counted).count() as u32;
         }
         input.urgent_waits = self.urgent_waits(service);
         Some(decide(&input, &self.runner.options.gate))
@@ -621,18 +649,32 @@
         let Some(job) = self.jobs.get(&run.job) else {
             return false;
         };
-        let ran_ms = run.started.elapsed().as_millis() as u64;
-        let rest_ms = self.run_ms.saturating_sub(ran_ms);
+        let rest_ms = self.rest_ms(job, run.item);
         self.would_be_late(&job.stored.head, rest_ms)
     }
 
     fn urgent_waits(&self, _service: &str) -> bool {
         self.jobs.values().any(|job| {
-            job.items.iter().any(|item| item.state == Phase::Waiting)
-                && self.would_be_late(&job.stored.head, self.run_ms)
+            (0..job.items.len() as u32).any(|number| {
+                let rest_ms = self.rest_ms(job, number);
+                job.items[number as usize].state == Phase::Waiting
+                    && self.would_be_late(&job.stored.head, rest_ms)
+            })
         })
     }
 
+    /// Estimates how long an item still takes, by its tokens and what its
+    /// runs have produced.
+    fn rest_ms(&self, job: &Active, number: u32) -> u64 {
+        let Inputs::Loaded(inputs) = &job.inputs else {
+            return 0;
+        };
+        let at = number as usize;
+        let whole_ms = inputs[at].tokens * self.ms_per_1k_tokens / 1_000;
+        let begun_ms = job.items[at].run_ms;
+        whole_ms.saturating_sub(begun_ms)
+    }
+
     /// Tells whether work of `rest_ms` is only just in time. What is late
     /// already is not urgent any more: it must not hold up what is not.
     fn would_be_late(&self, head: &JobHead, rest_ms: u64) -> bool {
@@ -648,11 +690,14 @@
         let candidates = self.runs.iter().filter(|(_, run)| {
             run.endpoint == endpoint && !self.is_urgent(run)
         });
-        let due = |run: &Run| {
-            let job = self.jobs.get(&run.job);
-            job.map(|job| job.stored.head.due_at)
+        let slack = |run: &Run| {
+            let job = self.jobs.get(&run.job)?;
+            let rest_ms = self.rest_ms(job, run.item);
+            let due_ms = job.stored.head.due_at.as_ms();
+            Some(due_ms.saturating_sub(rest_ms))
         };
-        let chosen = candidates.max_by_key(|(_, run)| (due(run), run.started));
+        let chosen =
+            candidates.max_by_key(|(_, run)| (slack(run), run.started));
         let Some(id) = chosen.map(|(id, _)| *id) else {
             return;
         };
@@ -664,6 +709,7 @@
         if let Some(job) = self.jobs.get_mut(&run.job) {
             let item = &mut job.items[run.item as usize];
             item.state = Phase::Waiting;
+            item.run_ms += run.started.elapsed().as_millis() as u64;
             log::info!(
                 job = run.job.as_str(),
                 item = run.item,
@@ -688,22 +734,27 @@
             if job.moved || !matches!(job.inputs, Inputs::Loaded(_)) {
                 continue;
             }
-            let waits = |item: &Item| {
-                item.state == Phase::Waiting && item.not_before <= now
-            };
-            let Some(number) = job.items.iter().position(waits) else {
-                continue;
-            };
             let head = &job.stored.head;
             let leads_here = route_of(config, head).is_some_and(|route| {
                 let mut all = route.destinations().iter();
                 all.any(|d| d.service == service && d.weight > 0)
             });
+            if !leads_here {
+                continue;
+            }
             let late = unix > head.due_at;
-            let rank = (late, head.due_at.as_ms());
-            let better = best.as_ref().is_none_or(|(r, ..)| rank < *r);
-            if leads_here && better {
-                best = Some((rank, key.clone(), number as u32));
+            for (number, item) in (0..).zip(&job.items) {
+                if item.state != Phase::Waiting || item.not_before > now {
+                    continue;
+                }
+                // Least slack first: a long item has to start earlier than
+                // a short one of the same job.
+                let rest_ms = self.rest_ms(job, number);
+                let start_by = head.due_at.as_ms().saturating_sub(rest_ms);
+                let rank = (late, start_by);
+                if best.as_ref().is_none_or(|(r, ..)| rank < *r) {
+                    best = Some((rank, key.clone(), number));
+                }
             }
         }
         let Some((_, key, number)) = best else {
@@ -855,8 +906,12 @@
         if strikes == &Strikes::default() {
             job.strikes.swap_remove(&number);
         }
+        job.items[number as usize].run_ms += ran_ms;
         if end == RunEnd::Complete {
-            self.run_ms = (self.run_ms * 7 + ran_ms) / 8;
+            let whole_ms = job.items[number as usize].run_ms;
+            let tokens = inputs[number as usize].tokens.max(1);
+            let pace = whole_ms * 1_000 / tokens;
+            self.ms_per_1k_tokens = (self.ms_per_1k_tokens * 7 + pace) / 8;
             job.finish(number, &inputs, ItemState::Complete);
             Tally::add(&self.runner.tally.items_completed);
         } else if hopeless {
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -6,8 +6,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    Backlog, Members, RunnerRecord, Stored,
-    record::{HEAD_PREFIX, JobKey, RUNNER_PREFIX, decode_head},
+    Backlog, Members, NodeRecord, Stored,
+    record::{HEAD_PREFIX, JobKey, NODE_PREFIX, decode_head},
 };
 
 /// What one node knows of all jobs and of the nodes that run items.
@@ -24,7 +24,7 @@
 #[derive(Default)]
 struct Inner {
     jobs: IndexMap<JobKey, Stored>,
-    runners: IndexMap<String, RunnerRecord>,
+    nodes: IndexMap<String, NodeRecord>,
     fresh_at: Option<Millis>,
 }
 
@@ -42,7 +42,7 @@
     pub fn replace(&self, kvs: &[KeyValue], began: Millis) {
         let mut inner = self.lock();
         let old = std::mem::take(&mut inner.jobs);
-        inner.runners.clear();
+        inner.nodes.clear();
         for kv in kvs {
             inner.put(kv);
         }
@@ -105,7 +105,12 @@
 
     /// Returns the nodes that run items.
     pub fn members(&self) -> Members {
-        Members::new(self.lock().runners.values().cloned())
+        Members::new(self.lock().nodes.values().cloned())
+    }
+
+    /// Returns all nodes.
+    pub fn nodes(&self) -> Vec<NodeRecord> {
+        self.lock().nodes.values().cloned().collect()
     }
 
     /// Counts the open items of each node that runs items.
@@ -142,14 +147,14 @@
 
 impl Inner {
     fn put(&mut self, kv: &KeyValue) {
-        if let Some(name) = kv.key.strip_prefix(RUNNER_PREFIX) {
-            match serde_json::from_slice::<RunnerRecord>(&kv.value) {
+        if let Some(name) = kv.key.strip_prefix(NODE_PREFIX) {
+            match serde_json::from_slice::<NodeRecord>(&kv.value) {
                 Ok(record) => {
-                    self.runners.insert(name.to_owned(), record);
+                    self.nodes.insert(name.to_owned(), record);
                 }
                 Err(error) => {
                     log::warn!(key = kv.key.as_str(), error:%;
-                        "an entry of a runner cannot be read");
+                        "an entry of a node cannot be read");
                 }
             }
             return;
@@ -173,8 +178,8 @@
     }
 
     fn delete(&mut self, key: &str) {
-        if let Some(name) = key.strip_prefix(RUNNER_PREFIX) {
-            self.runners.shift_remove(name);
+        if let Some(name) = key.strip_prefix(NODE_PREFIX) {
+            self.nodes.shift_remove(name);
         } else if let Some(job) = job_key(key) {
             self.jobs.swap_remove(&job);
         }
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -20,6 +20,7 @@
 mod model;
 pub mod mvcc;
 pub mod ops;
+pub mod paths;
 
 pub use crate::{
     backoff::Backoff,
--- /dev/null
+++ b/crates/kv/src/paths.rs
@@ -0,0 +1,109 @@
+//! Which way a call takes to the key-value service.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use base::Millis;
+
+/// Time between two tries of the direct way while it fails, in
+/// milliseconds: each costs a call that is paid for.
+const DIRECT_AGAIN_MS: u64 = 1_000;
+
+/// The ways to the service: directly, or through another node.
+///
+/// The service may turn single nodes away, or the path from one node to it
+/// may be cut, while all others reach it. One sees nodes that refuse jobs
+/// and run old configurations beside others that do not. Such a node then
+/// uses another one's path, and tries its own again now and then.
+///
+/// # Example
+///
+/// ```
+/// use base::Millis;
+/// use pomeloslip_kv::paths::Paths;
+///
+/// let direct = ([127, 0, 0, 1], 1).into();
+/// let peer = ([127, 0, 0, 1], 2).into();
+/// let paths = Paths::new(direct);
+/// paths.set_peers(vec![peer]);
+/// let now = Millis::new(10);
+/// assert_eq!(paths.pick(now), direct);
+/// paths.note(direct, false, now);
+/// assert_eq!(paths.pick(now), peer);
+/// let later = Millis::new(2_000);
+/// assert_eq!(paths.pick(later), direct);
+/// ```
+#[derive(Debug)]
+pub struct Paths {
+    direct: SocketAddr,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    peers: Vec<SocketAddr>,
+    turn: usize,
+    direct_lost: bool,
+    direct_tried_at: Option<Millis>,
+}
+
+impl Paths {
+    /// Starts with the direct way alone.
+    pub fn new(direct: SocketAddr) -> Self {
+        Self {
+            direct,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Sets the nodes that pass calls on, in the order of their use.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        self.lock().peers = peers;
+    }
+
+    /// Returns the address for the next call.
+    pub fn pick(&self, now: Millis) -> SocketAddr {
+        let mut inner = self.lock();
+        if !inner.direct_lost || inner.peers.is_empty() {
+            return self.direct;
+        }
+        let again = inner
+            .direct_tried_at
+            .is_none_or(|at| now.saturating_ms_since(at) >= DIRECT_AGAIN_MS);
+        if again {
+            inner.direct_tried_at = Some(now);
+            return self.direct;
+        }
+        inner.peers[inner.turn % inner.peers.len()]
+    }
+
+    /// Tells whether a failed call may have a better way now.
+    pub fn has_other(&self, than: SocketAddr) -> bool {
+        let inner = self.lock();
+        than == self.direct && !inner.peers.is_empty()
+    }
+
+    /// Takes note of how a call ended.
+    pub fn note(&self, address: SocketAddr, good: bool, now: Millis) {
+        let mut inner = self.lock();
+        if address != self.direct {
+            if !good {
+                inner.turn = inner.turn.wrapping_add(1);
+            }
+            return;
+        }
+        if inner.direct_lost == good {
+            log::info!(direct = good; "the way to the key-value service");
+        }
+        inner.direct_lost = !good;
+        if !good {
+            inner.direct_tried_at = Some(now);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -14,8 +14,10 @@
     HeaderValue, Request, Response, StatusCode, header, request::Parts,
 };
 use hyper::body::Incoming;
-use jobs::{JobError, JobKey, JobView, Ledger, NewJob, PageReader};
-use kv::Kv;
+use jobs::{
+    JobError, JobKey, JobView, Ledger, NewJob, NodeRecord, PageReader,
+};
+use kv::{Kv, paths::Paths};
 use pass::{
     AnswerBody, Forwarder, ForwarderOptions, Handler, HandlerFuture, Inbound,
     Listener, ListenerOptions, Pool, Refusal, Stopping, Tally, read_body,
@@ -23,7 +25,9 @@
 use tokio::{sync::watch as stage, time};
 
 use crate::{
-    Admin, Beliefs, Dialect, JobCall, NodeError, NodeSettings, Signals, watch,
+    Admin, Beliefs, Dialect, JobCall, NodeError, NodeSettings, Signals,
+    load_share::{self, Announcer, FrontShare},
+    membership, peer, watch,
 };
 
 /// The role that takes callers' requests.
@@ -32,6 +36,7 @@
     listener: Listener,
     stopping: Arc<AtomicBool>,
     stage: stage::Sender<Stopping>,
+    leave: stage::Sender<bool>,
     grace_ms: u64,
 }
 
@@ -48,10 +53,11 @@
     /// # Errors
     ///
     /// [`NodeError::Listen`] if an address cannot be used.
-    pub fn start(
+    pub async fn start(
         settings: &NodeSettings,
         dialect: Arc<dyn Dialect>,
         kv: Arc<dyn Kv>,
+        paths: Arc<Paths>,
         beliefs: Beliefs,
         timer: Timer,
         tally: Arc<Tally>,
@@ -78,7 +84,38 @@
             view.clone(),
             clock.clone(),
         ));
-        let forwarder = Arc::new(Forwarder::new(
+        peer::serve_relay(settings)?;
+        let socket = load_share::bind(settings.peer)
+            .await
+            .change_context(NodeError::Listen)?;
+        tokio::spawn(peer::follow_peers(
+            paths,
+            view.clone(),
+            settings.node.clone(),
+        ));
+        let (announcer, began) = Announcer::new();
+        let share = FrontShare {
+            node: settings.node.clone(),
+            socket,
+            view: view.clone(),
+            beliefs: beliefs.clone(),
+            began,
+        };
+        tokio::spawn(share.run());
+        let (leave, left) = stage::channel(false);
+        let record = NodeRecord {
+            node: settings.node.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            runs_items: false,
+            address: Some(settings.peer),
+        };
+        tokio::spawn(membership::keep_entry(
+            kv.clone(),
+            record,
+            clock.clone(),
+            left,
+        ));
+        let forwarder = Forwarder::new(
             dialect.headers(),
             ForwarderOptions::default(),
             &settings.failure_domain,
@@ -86,7 +123,8 @@
             pool,
             clock.clone(),
             tally.clone(),
-        ));
+        );
+        let forwarder = Arc::new(forwarder.with_observer(Arc::new(announcer)));
         let ledger = Ledger::new(kv, timer, settings.value_bytes);
         let pages = PageReader::new(ledger.clone(), view.clone(), clock);
         let stopping = Arc::new(AtomicBool::new(false));
@@ -117,6 +155,7 @@
             listener,
             stopping,
             stage,
+            leave,
             grace_ms: settings.grace_ms,
         })
     }
@@ -131,6 +170,7 @@
         let count = open.load(Ordering::Relaxed);
         log::info!(connections = count; "a planned stop begins");
         self.stopping.store(true, Ordering::Relaxed);
+        self.leave.send_replace(true);
         self.stage.send_replace(Stopping::Closing);
         time::sleep(Duration::from_millis(LEAVE_MS)).await;
         self.stage.send_replace(Stopping::Closed);
--- /dev/null
+++ b/crates/node/src/load_share.rs
@@ -0,0 +1,300 @@
+//! What fronts and workers tell each other of the load at endpoints.
+//!
+//! Datagrams, because only the newest word counts: a lost one is made good
+//! by the next, and none may wait behind another. A front tells the worker
+//! that uses an endpoint of each request that it sends there; the worker
+//! tells every front what the others have in flight.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use base::Millis;
+use fleet::Endpoint;
+use indexmap::IndexMap;
+use jobs::{JobView, NodeRecord, OnlineLoad, Plan, Planner};
+use pass::LoadObserver;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::Beliefs;
+
+/// Time between two looks at what has changed, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// Ticks between two whole words, which make good what was lost.
+const WHOLE_TICKS: u64 = 10;
+
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 60 * 1024;
+
+/// Counts in one datagram, so that it fits a packet.
+const COUNTS_MOST: usize = 40;
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+enum Word {
+    /// A front's own requests in flight.
+    Online {
+        front: String,
+        whole: bool,
+        counts: IndexMap<String, u32>,
+    },
+    /// What the other fronts have in flight.
+    Others { counts: IndexMap<String, u32> },
+}
+
+/// Hears of each request and passes the endpoint on to the sender's task.
+#[derive(Debug)]
+pub(crate) struct Announcer(mpsc::UnboundedSender<String>);
+
+impl Announcer {
+    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<String>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self(sender), receiver)
+    }
+}
+
+impl LoadObserver for Announcer {
+    fn began(&self, endpoint: &Endpoint) {
+        let _ = self.0.send(endpoint.record().id.clone());
+    }
+}
+
+/// Binds the socket on which a node hears words of load.
+pub(crate) async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
+    UdpSocket::bind(address).await.map(Arc::new)
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, word: &Word) {
+    let Ok(bytes) = serde_json::to_vec(word) else {
+        return;
+    };
+    if let Err(error) = socket.send_to(&bytes, to).await {
+        log::debug!(to:%, error:%; "a word of load is not sent");
+    }
+}
+
+/// Reads one word; none for bytes that are no word.
+async fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Option<Word> {
+    match socket.recv_from(buffer).await {
+        Ok((length, from)) => {
+            let word = serde_json::from_slice(&buffer[..length]);
+            word.inspect_err(|error| {
+                log::warn!(from:%, error:%; "a word of load is malformed");
+            })
+            .ok()
+        }
+        Err(error) => {
+            log::warn!(error:%; "no word of load can be read");
+            time::sleep(Duration::from_millis(TICK_MS)).await;
+            None
+        }
+    }
+}
+
+/// The part of a front.
+pub(crate) struct FrontShare {
+    pub(crate) node: String,
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) view: JobView,
+    pub(crate) beliefs: Beliefs,
+    pub(crate) began: mpsc::UnboundedReceiver<String>,
+}
+
+impl FrontShare {
+    pub(crate) async fn run(mut self) {
+        let mut planner = Planner::new(&self.node);
+        let mut plan = self.plan(&mut planner);
+        let mut told: IndexMap<String, u32> = IndexMap::new();
+        let mut ticks = time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut count: u64 = 0;
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let mut changed = Vec::new();
+            let mut whole = false;
+            tokio::select! {
+                word = receive(&self.socket, &mut buffer) => {
+                    if let Some(Word::Others { counts }) = word {
+                        self.learn(&counts);
+                    }
+                }
+                id = self.began.recv() => {
+                    changed.extend(id);
+                    while let Ok(id) = self.began.try_recv() {
+                        changed.push(id);
+                    }
+                }
+                _ = ticks.tick() => {
+                    plan = self.plan(&mut planner);
+                    whole = count.is_multiple_of(WHOLE_TICKS);
+                    count += 1;
+                    changed = self.changes(&mut told, whole);
+                }
+            }
+            if whole || !changed.is_empty() {
+                self.tell(&plan, &changed, &mut told, whole).await;
+            }
+        }
+    }
+
+    fn plan(&self, planner: &mut Planner) -> Arc<Plan> {
+        let config = self.beliefs.config.load_full();
+        let view = self.beliefs.endpoints.load_full();
+        let members = self.view.members();
+        planner.plan((*config).as_deref(), &view.table, members)
+    }
+
+    /// Returns the endpoints whose count is not what was told last.
+    fn changes(
+        &self,
+        told: &mut IndexMap<String, u32>,
+        whole: bool,
+    ) -> Vec<String> {
+        let view = self.beliefs.endpoints.load();
+        if whole {
+            told.clear();
+        }
+        view.table
+            .iter()
+            .filter(|endpoint| {
+                let id = &endpoint.record().id;
+                let last = told.get(id).copied().unwrap_or_default();
+                last != endpoint.in_flight()
+            })
+            .map(|endpoint| endpoint.record().id.clone())
+            .collect()
+    }
+
+    async fn tell(
+        &self,
+        plan: &Plan,
+        changed: &[String],
+        told: &mut IndexMap<String, u32>,
+        whole: bool,
+    ) {
+        let mut words: IndexMap<SocketAddr, IndexMap<String, u32>> =
+            IndexMap::new();
+        if whole {
+            for node in self.view.nodes() {
+                let worker = node.runs_items.then_some(node.address);
+                if let Some(address) = worker.flatten() {
+                    words.insert(address, IndexMap::new());
+                }
+            }
+        }
+        for id in changed {
+            let view = self.beliefs.endpoints.load();
+            let endpoint = view.table.iter().find(|e| e.record().id == *id);
+            let Some(count) = endpoint.map(Endpoint::in_flight) else {
+                continue;
+            };
+            told.insert(id.clone(), count);
+            let user = plan.user_of(id).and_then(|user| user.address);
+            if let Some(address) = user {
+                words.entry(address).or_default().insert(id.clone(), count);
+            }
+        }
+        for (to, counts) in words {
+            let word = Word::Online {
+                front: self.node.clone(),
+                whole,
+                counts,
+            };
+            send(&self.socket, to, &word).await;
+        }
+    }
+
+    fn learn(&self, counts: &IndexMap<String, u32>) {
+        let now = self.beliefs.clock().now();
+        let view = self.beliefs.endpoints.load();
+        for endpoint in view.table.iter() {
+            if let Some(count) = counts.get(&endpoint.record().id) {
+                endpoint.told_foreign(*count, now);
+            }
+        }
+    }
+}
+
+/// The part of a worker.
+pub(crate) struct WorkerShare {
+    pub(crate) node: String,
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) view: JobView,
+    pub(crate) beliefs: Beliefs,
+    pub(crate) online: Arc<OnlineLoad>,
+}
+
+impl WorkerShare {
+    pub(crate) async fn run(self) {
+        let mut planner = Planner::new(&self.node);
+        let mut told: IndexMap<String, IndexMap<String, u32>> =
+            IndexMap::new();
+        let mut ticks = time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut count: u64 = 0;
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            tokio::select! {
+                word = receive(&self.socket, &mut buffer) => {
+                    if let Some(Word::Online { front, whole, counts }) = word
+                    {
+                        let now = self.now();
+                        self.online.take(&front, counts, whole, now);
+                    }
+                }
+                _ = ticks.tick() => {
+                    if count.is_multiple_of(WHOLE_TICKS) {
+                        told.clear();
+                    }
+                    count += 1;
+                    self.tell_fronts(&mut planner, &mut told).await;
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.beliefs.clock().now()
+    }
+
+    /// Tells each front what the others have in flight at the endpoints of
+    /// this worker.
+    async fn tell_fronts(
+        &self,
+        planner: &mut Planner,
+        told: &mut IndexMap<String, IndexMap<String, u32>>,
+    ) {
+        let config = self.beliefs.config.load_full();
+        let view = self.beliefs.endpoints.load_full();
+        let members = self.view.members();
+        let plan = planner.plan((*config).as_deref(), &view.table, members);
+        let nodes = self.view.nodes();
+        let fronts = nodes.iter().filter(|node| !node.runs_items);
+        for NodeRecord { node, address, .. } in fronts {
+            let Some(address) = address else {
+                continue;
+            };
+            let told = told.entry(node.clone()).or_default();
+            let mut counts = IndexMap::new();
+            for endpoint in view.table.iter() {
+                let id = &endpoint.record().id;
+                if !plan.uses_endpoint(id) {
+                    continue;
+                }
+                let others = self.online.at(id, node, self.now());
+                if told.insert(id.clone(), others) != Some(others) {
+                    counts.insert(id.clone(), others);
+                }
+            }
+            let all: Vec<(String, u32)> = counts.into_iter().collect();
+            for part in all.chunks(COUNTS_MOST) {
+                let counts = part.iter().cloned().collect();
+                send(&self.socket, *address, &Word::Others { counts }).await;
+            }
+        }
+    }
+}
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -2,7 +2,7 @@
 
 use base::{Clock, Millis};
 use error_stack::Report;
-use jobs::{RUNNER_PREFIX, RunnerRecord};
+use jobs::{NODE_PREFIX, NodeRecord};
 use kv::{Kv, KvError, LeaseId, Op, Txn, lease::HeldLease};
 use tokio::{sync::watch, time};
 
@@ -19,7 +19,7 @@
 /// away, is written again at once under a new lease.
 pub(crate) async fn keep_entry(
     kv: Arc<dyn Kv>,
-    record: RunnerRecord,
+    record: NodeRecord,
     clock: Arc<dyn Clock>,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -65,13 +65,13 @@
 
 async fn enter(
     kv: &dyn Kv,
-    record: &RunnerRecord,
+    record: &NodeRecord,
 ) -> Result<LeaseId, Report<KvError>> {
     let lease = kv.lease_grant(LEASE_S).await?;
     let value = serde_json::to_vec(record)
         .map_err(|_| Report::new(KvError::Invalid))?;
     let put = Op::Put {
-        key: format!("{RUNNER_PREFIX}{}", record.node),
+        key: format!("{NODE_PREFIX}{}", record.node),
         value,
         lease: Some(lease),
     };
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,67 @@
+use std::{sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use jobs::JobView;
+use kv::paths::Paths;
+use pass::{Listener, ListenerOptions, Relay, Stopping};
+use tokio::{sync::watch, time};
+
+use crate::{NodeError, NodeSettings};
+
+/// Time between two looks at which nodes can pass calls on.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Passes calls of other nodes on to the key-value service until the process
+/// ends.
+///
+/// # Errors
+///
+/// [`NodeError::Listen`] if the address cannot be used.
+pub(crate) fn serve_relay(
+    settings: &NodeSettings,
+) -> Result<(), Report<NodeError>> {
+    let (sender, stage) = watch::channel(Stopping::No);
+    let options = ListenerOptions::default();
+    let listener = Listener::bind(settings.peer, options, stage)
+        .change_context(NodeError::Listen)?;
+    let relay = Arc::new(Relay::new(settings.kv));
+    tokio::spawn(async move {
+        // The stage lives as long as the task, and never changes.
+        let _sender = sender;
+        listener.serve(relay).await;
+    });
+    Ok(())
+}
+
+/// Keeps the ways to the key-value service through other nodes up to date.
+///
+/// Fronts go first: the workers are the ones that tend to be cut off
+/// together. Each node starts at another of them.
+pub(crate) async fn follow_peers(
+    paths: Arc<Paths>,
+    view: JobView,
+    node: String,
+) {
+    let start = base::stable_hash(&[&node]) as usize;
+    loop {
+        let mut nodes = view.nodes();
+        nodes.retain(|other| other.node != node);
+        nodes.sort_by(|a, b| a.node.cmp(&b.node));
+        let (workers, fronts): (Vec<_>, Vec<_>) =
+            nodes.into_iter().partition(|other| other.runs_items);
+        let mut peers = Vec::new();
+        for mut group in [fronts, workers] {
+            if !group.is_empty() {
+                let by = start % group.len();
+                group.rotate_left(by);
+            }
+            peers.extend(group.iter().filter_map(|other| other.address));
+        }
+        // Lost entries leave the last known ways in place: a node that is
+        // cut off itself sees nobody.
+        if !peers.is_empty() {
+            paths.set_peers(peers);
+        }
+        time::sleep(LOOK).await;
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -15,6 +15,11 @@
     pub ready: Option<SocketAddr>,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
+    /// Where other nodes reach this one: datagrams of load, and calls to be
+    /// passed on to the key-value service.
+    pub peer: SocketAddr,
+    /// The key-value service.
+    pub kv: SocketAddr,
     /// Bytes of a value in the key-value service.
     pub value_bytes: usize,
     /// Time between the signal to stop and the end by force.
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -4,9 +4,9 @@
 };
 
 use base::timer::Timer;
-use error_stack::Report;
-use jobs::{JobView, Ledger, Runner, RunnerOptions, RunnerRecord};
-use kv::Kv;
+use error_stack::{Report, ResultExt};
+use jobs::{JobView, Ledger, NodeRecord, OnlineLoad, Runner, RunnerOptions};
+use kv::{Kv, paths::Paths};
 use pass::{Forwarder, ForwarderOptions, Pool, Tally};
 use tokio::{
     sync::{mpsc, watch as flag},
@@ -14,8 +14,12 @@
 };
 
 use crate::{
-    Admin, Beliefs, Dialect, NodeError, NodeSettings, Signals, membership,
-    probe::LoadProbe, vacate::Vacating, watch,
+    Admin, Beliefs, Dialect, NodeError, NodeSettings, Signals,
+    load_share::{self, WorkerShare},
+    membership, peer,
+    probe::LoadProbe,
+    vacate::Vacating,
+    watch,
 };
 
 /// The role that runs the items of batch jobs.
@@ -35,10 +39,11 @@
     /// # Errors
     ///
     /// [`NodeError::Listen`] if the address of the metrics cannot be used.
-    pub fn start(
+    pub async fn start(
         settings: &NodeSettings,
         dialect: Arc<dyn Dialect>,
         kv: Arc<dyn Kv>,
+        paths: Arc<Paths>,
         beliefs: Beliefs,
         timer: Timer,
         tally: Arc<Tally>,
@@ -65,6 +70,25 @@
             view.clone(),
             clock.clone(),
         ));
+        peer::serve_relay(settings)?;
+        let socket = load_share::bind(settings.peer)
+            .await
+            .change_context(NodeError::Listen)?;
+        tokio::spawn(peer::follow_peers(
+            paths,
+            view.clone(),
+            settings.node.clone(),
+        ));
+        let (online, heard) = OnlineLoad::new();
+        let online = Arc::new(online);
+        let share = WorkerShare {
+            node: settings.node.clone(),
+            socket,
+            view: view.clone(),
+            beliefs: beliefs.clone(),
+            online: online.clone(),
+        };
+        tokio::spawn(share.run());
         let stopping = Arc::new(AtomicBool::new(false));
         if let Some(address) = settings.metrics {
             let admin = Admin::new(
@@ -93,13 +117,15 @@
             beliefs.config.clone(),
             means,
             Arc::new(LoadProbe::new(dialect.clone(), pool)),
+            online,
             clock.clone(),
             tally,
         );
-        let record = RunnerRecord {
+        let record = NodeRecord {
             node: settings.node.clone(),
             failure_domain: settings.failure_domain.clone(),
-            life: clock.unix().as_ms(),
+            runs_items: true,
+            address: Some(settings.peer),
         };
         let (leave, left) = flag::channel(false);
         let (ended, idle) = flag::channel(false);
@@ -110,7 +136,7 @@
             left.clone(),
         ));
         tokio::spawn(async move {
-            runner.run(left).await;
+            runner.run(left, heard).await;
             ended.send_replace(true);
         });
         let vacating = Vacating {
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use crate::{
-    Exchange, HeaderNames, Inbound, Pool, Tally,
+    Exchange, HeaderNames, Inbound, LoadObserver, Pool, Tally,
     channel::{Channel, says_close},
 };
 
@@ -76,6 +76,7 @@
     pub(crate) pool: &'a Arc<Pool>,
     pub(crate) clock: &'a dyn Clock,
     pub(crate) tally: &'a Tally,
+    pub(crate) observer: &'a dyn LoadObserver,
 }
 
 impl Means<'_> {
@@ -86,6 +87,7 @@
     ) -> Result<Exchange, Failure> {
         let endpoint = offer.endpoint.clone();
         endpoint.begin();
+        self.observer.began(&endpoint);
         let begun = Begun(Some(endpoint));
         let result = time::timeout(offer.wait, self.send(&offer)).await;
         let result = result.unwrap_or(Err(Failure::Silent));
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -12,8 +12,8 @@
 use tokio::time;
 
 use crate::{
-    AnswerBody, Exchange, Failure, HeaderNames, Inbound, Offer, Pool, Refusal,
-    Tally,
+    AnswerBody, Exchange, Failure, HeaderNames, Inbound, LoadObserver, Offer,
+    Pool, Refusal, Tally, Unobserved,
     answer::{FAILED, PassedBody, REFUSED, Sent, Trail},
     attempt::Means,
     request::strip_hop_by_hop,
@@ -61,6 +61,7 @@
     pool: Arc<Pool>,
     clock: Arc<dyn Clock>,
     tally: Arc<Tally>,
+    observer: Arc<dyn LoadObserver>,
 }
 
 /// The endpoints as of a revision of the key-value service.
@@ -102,9 +103,17 @@
             pool,
             clock,
             tally,
+            observer: Arc::new(Unobserved),
         }
     }
 
+    /// Sets who hears of each request that is sent.
+    #[must_use]
+    pub fn with_observer(mut self, observer: Arc<dyn LoadObserver>) -> Self {
+        self.observer = observer;
+        self
+    }
+
     /// Returns the names of the headers.
     #[inline]
     pub fn names(&self) -> &HeaderNames {
@@ -338,6 +347,7 @@
             pool: &self.pool,
             clock: &*self.clock,
             tally: &self.tally,
+            observer: &*self.observer,
         }
     }
 }
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -26,8 +26,10 @@
 mod forward;
 mod listen;
 mod names;
+mod observe;
 mod own;
 mod pool;
+mod relay;
 mod request;
 mod resume;
 mod tally;
@@ -42,8 +44,10 @@
     forward::{DirectoryView, Forwarder, ForwarderOptions},
     listen::{Handler, HandlerFuture, Listener, ListenerOptions, Stopping},
     names::HeaderNames,
+    observe::{LoadObserver, Unobserved},
     own::{Ran, Refusal},
-    pool::Pool,
+    pool::{Fetch, Pool},
+    relay::Relay,
     request::{Inbound, read_body},
     tally::Tally,
 };
--- a/crates/pass/src/pool.rs
+++ b/crates/pass/src/pool.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use fleet::Endpoint;
-use http::Request;
+use http::{Request, response::Parts};
 use http_body_util::Full;
 use indexmap::IndexMap;
 
@@ -20,6 +20,17 @@
 /// from one node, and far under what an endpoint accepts.
 const IDLE_MOST: usize = 32;
 
+/// How a call of the node's own ended.
+#[derive(Debug)]
+pub enum Fetch {
+    /// The whole answer.
+    Answered(Parts, Bytes),
+    /// The call surely did not arrive.
+    NotSent,
+    /// The call may have been done.
+    Broken,
+}
+
 /// Idle connections to endpoints.
 ///
 /// They are kept by the id of the endpoint's life, not by its address: an
@@ -89,20 +100,50 @@
         request: Request<Bytes>,
         most_bytes: usize,
     ) -> Option<Bytes> {
+        match self.exchange(endpoint, request, most_bytes).await {
+            Fetch::Answered(head, body) if head.status.is_success() => {
+                Some(body)
+            }
+            _ => None,
+        }
+    }
+
+    /// Makes a call that is answered in one piece.
+    pub async fn exchange(
+        &self,
+        endpoint: &Endpoint,
+        request: Request<Bytes>,
+        most_bytes: usize,
+    ) -> Fetch {
         let record = endpoint.record();
-        let mut channel = match self.take(&record.id) {
-            Some(channel) => channel,
-            None => self.open(record.address).await.ok()?,
+        let kept = self.take(&record.id);
+        let channel = match kept {
+            Some(channel) => Ok(channel),
+            None => self.open(record.address).await,
+        };
+        let Ok(mut channel) = channel else {
+            return Fetch::NotSent;
         };
         let request = request.map(Full::new);
-        let response = channel.sender().send_request(request).await.ok()?;
+        let sent = channel.sender().try_send_request(request).await;
+        let response = match sent {
+            Ok(response) => response,
+            Err(mut error) => {
+                return match error.take_message() {
+                    Some(_) => Fetch::NotSent,
+                    None => Fetch::Broken,
+                };
+            }
+        };
         let (head, body) = response.into_parts();
         channel.note_keep_alive(&head.headers, &self.options);
-        let body = read_body(body, most_bytes).await.ok()?;
+        let Ok(body) = read_body(body, most_bytes).await else {
+            return Fetch::Broken;
+        };
         if !says_close(&head.headers) {
             self.give_back(&record.id, channel);
         }
-        head.status.is_success().then_some(body)
+        Fetch::Answered(head, body)
     }
 
     /// Keeps only the endpoints of which `keep` is true.
