--- /dev/null
+++ b/crates/fleet/tests/directory.rs
@@ -0,0 +1,106 @@
+//! What a directory believes after each listing.
+
+use base::Millis;
+use pomeloslip_fleet::{
+    Change, Directory, EndpointRecord, EndpointState, LISTING_GRACE_MS,
+    Listing,
+};
+
+fn record(id: &str, state: EndpointState) -> EndpointRecord {
+    EndpointRecord {
+        id: id.to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        service: "engines".to_owned(),
+        failure_domain: "east".to_owned(),
+        slots: 8,
+        state,
+    }
+}
+
+fn listing(revision: u64, ids: &[&str]) -> Listing {
+    let records = ids.iter().map(|id| record(id, EndpointState::Ready));
+    Listing {
+        revision,
+        records: records.collect(),
+    }
+}
+
+fn usable(directory: &Directory) -> usize {
+    directory.table().of_service("engines").len()
+}
+
+#[test]
+fn a_missing_entry_means_gone_while_the_service_answers() {
+    let mut directory = Directory::default();
+    directory.take(listing(1, &["a", "b"]), Millis::new(0));
+    let changes = directory.take(listing(2, &["a"]), Millis::new(1_000));
+    assert_eq!(changes, [Change::Gone("b".to_owned())]);
+    assert_eq!(usable(&directory), 1);
+}
+
+/// Symptom: all requests refused for two seconds after an outage of the
+/// key-value service. Events: the service is away, the endpoints' entries
+/// lapse, it returns and lists none of them. Cause: a listing right after
+/// an outage does not show who lives.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_they_can_be_back() {
+    let mut directory = Directory::default();
+    directory.take(listing(1, &["a", "b"]), Millis::new(0));
+    directory.read_failed(Millis::new(5_000));
+    let changes = directory.take(listing(9, &[]), Millis::new(5_500));
+    assert_eq!(changes.len(), 2);
+    assert!(changes.iter().all(|c| matches!(c, Change::Kept(_))));
+    assert_eq!(usable(&directory), 2);
+    let after = Millis::new(5_000 + LISTING_GRACE_MS);
+    let changes = directory.take(listing(10, &["a"]), after);
+    assert_eq!(changes, [Change::Gone("b".to_owned())]);
+    assert_eq!(usable(&directory), 1);
+}
+
+#[test]
+fn a_draining_endpoint_that_vanishes_in_an_outage_is_not_kept() {
+    let mut directory = Directory::default();
+    let draining = Listing {
+        revision: 1,
+        records: vec![record("a", EndpointState::Draining)],
+    };
+    directory.take(draining, Millis::new(0));
+    directory.read_failed(Millis::new(10));
+    let changes = directory.take(listing(2, &[]), Millis::new(20));
+    assert_eq!(changes, [Change::Gone("a".to_owned())]);
+}
+
+#[test]
+fn a_draining_endpoint_gets_no_new_work() {
+    let mut directory = Directory::default();
+    directory.take(listing(1, &["a"]), Millis::new(0));
+    let draining = Listing {
+        revision: 2,
+        records: vec![record("a", EndpointState::Draining)],
+    };
+    let changes = directory.take(draining, Millis::new(1));
+    assert_eq!(changes, [Change::Draining("a".to_owned())]);
+    assert_eq!(usable(&directory), 0);
+    assert!(directory.get("a").is_some());
+}
+
+/// Symptom: an endpoint that is gone is used again. Events: a listing is
+/// delayed on its way, a newer one arrives first. Cause: answers on several
+/// connections overtake each other.
+#[test]
+fn an_older_listing_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.take(listing(5, &["a"]), Millis::new(0));
+    assert_eq!(directory.take(listing(4, &["a", "b"]), Millis::new(1)), []);
+    assert_eq!(usable(&directory), 1);
+    assert_eq!(directory.revision(), 5);
+}
+
+#[test]
+fn what_is_known_of_the_load_outlives_a_new_listing() {
+    let mut directory = Directory::default();
+    directory.take(listing(1, &["a"]), Millis::new(0));
+    directory.get("a").expect("listed").begin();
+    directory.take(listing(2, &["a"]), Millis::new(1));
+    assert_eq!(directory.get("a").expect("listed").in_flight(), 1);
+}
--- /dev/null
+++ b/crates/fleet/tests/load.rs
@@ -0,0 +1,127 @@
+//! Which endpoint a request gets.
+
+use base::Millis;
+use pomeloslip_fleet::{
+    Endpoint, EndpointRecord, EndpointState, EndpointTable, LoadReport, Need,
+    Suspicion, Verdict,
+};
+
+const NOW: Millis = Millis::new(10_000);
+
+fn endpoint(id: &str, domain: &str) -> Endpoint {
+    Endpoint::new(EndpointRecord {
+        id: id.to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        service: "engines".to_owned(),
+        failure_domain: domain.to_owned(),
+        slots: 8,
+        state: EndpointState::Ready,
+    })
+}
+
+fn need(tried: &[String]) -> Need<'_> {
+    Need {
+        service: "engines",
+        failure_domain: "east",
+        affinity: 7,
+        tried,
+        queue_allowance: 2,
+    }
+}
+
+fn chosen(table: &EndpointTable, need: &Need<'_>) -> String {
+    let choice = table.choose(need, NOW).expect("an endpoint");
+    choice.endpoint.record().id.clone()
+}
+
+#[test]
+fn the_least_loaded_goes_first_even_in_another_domain() {
+    let (near, far) = (endpoint("near", "east"), endpoint("far", "west"));
+    near.begin();
+    let table = EndpointTable::new([near, far]);
+    assert_eq!(chosen(&table, &need(&[])), "far");
+}
+
+#[test]
+fn among_equals_the_own_domain_goes_first() {
+    let all = ["1", "2", "3"].map(|id| endpoint(id, "west"));
+    let table =
+        EndpointTable::new(all.into_iter().chain([endpoint("near", "east")]));
+    assert_eq!(chosen(&table, &need(&[])), "near");
+}
+
+#[test]
+fn among_equals_one_prompt_goes_to_one_endpoint() {
+    let all: Vec<_> =
+        (0..9).map(|n| endpoint(&n.to_string(), "east")).collect();
+    let table = EndpointTable::new(all);
+    let first = chosen(&table, &need(&[]));
+    assert_eq!(chosen(&table, &need(&[])), first);
+    let others = (0..50).map(|affinity| Need {
+        affinity,
+        ..need(&[])
+    });
+    let mut ids: Vec<_> = others.map(|need| chosen(&table, &need)).collect();
+    ids.sort();
+    ids.dedup();
+    assert!(ids.len() > 4, "prompts spread over endpoints: {ids:?}");
+}
+
+#[test]
+fn a_tried_endpoint_is_not_chosen_again() {
+    let table = EndpointTable::new([endpoint("a", "east")]);
+    let tried = ["a".to_owned()];
+    let verdict = table.choose(&need(&tried), NOW).err();
+    assert_eq!(verdict, Some(Verdict::NoEndpoint));
+}
+
+#[test]
+fn a_queue_is_bounded() {
+    let only = endpoint("a", "east");
+    (0..10).for_each(|_| only.begin());
+    let table = EndpointTable::new([only]);
+    let verdict = table.choose(&need(&[]), NOW).err();
+    assert_eq!(verdict, Some(Verdict::AllFull));
+}
+
+#[test]
+fn a_suspect_is_used_only_where_no_other_is_left() {
+    let (bad, good) = (endpoint("bad", "east"), endpoint("good", "west"));
+    bad.failed(Suspicion::Unreachable, NOW);
+    (0..5).for_each(|_| good.begin());
+    let table = EndpointTable::new([bad.clone(), good]);
+    assert_eq!(chosen(&table, &need(&[])), "good");
+    let tried = ["good".to_owned()];
+    assert_eq!(chosen(&table, &need(&tried)), "bad");
+    bad.succeeded();
+    assert_eq!(chosen(&table, &need(&[])), "bad");
+}
+
+#[test]
+fn reported_load_of_others_counts_until_it_is_old() {
+    let one = endpoint("a", "east");
+    one.begin();
+    let report = LoadReport {
+        running: 5,
+        waiting: 1,
+        slots: 8,
+    };
+    one.report(report, NOW);
+    assert_eq!(one.estimated_load(NOW), 6);
+    one.begin();
+    assert_eq!(one.estimated_load(NOW), 7);
+    assert_eq!(one.estimated_load(Millis::new(20_000)), 2);
+}
+
+#[test]
+fn the_word_of_other_nodes_goes_before_a_report() {
+    let one = endpoint("a", "east");
+    let report = LoadReport {
+        running: 8,
+        waiting: 0,
+        slots: 8,
+    };
+    one.report(report, NOW);
+    one.told_foreign(2, NOW);
+    assert_eq!(one.estimated_load(NOW), 2);
+}
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -76,6 +76,10 @@
 /// Pause between two looks for room.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
+/// Added to the last wait of a request, so that the request's own timer is
+/// the first of the two.
+const AFTER_THE_END: Duration = Duration::from_secs(1);
+
 /// How long an idempotent request waits for one endpoint while it has
 /// others to go to, in multiples of its latency objective.
 const IDEMPOTENT_WAIT: u64 = 2;
@@ -231,7 +235,8 @@
         let route = request.route();
         let last = tries.used + 1 >= route.max_attempts();
         if !route.kind().repeatable() || last {
-            return left;
+            // The timer of the whole request ends it, as its own outcome.
+            return left + AFTER_THE_END;
         }
         let times = match route.kind().is_stream() {
             true => STREAM_WAIT,
--- /dev/null
+++ b/crates/pass/tests/common/mod.rs
@@ -0,0 +1,275 @@
+//! An endpoint that plays a script, and a forwarder before it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use base::{Snapshot, SystemClock};
+use bytes::Bytes;
+use fleet::{
+    Endpoint, EndpointRecord, EndpointState, EndpointTable, Route, RouteKind,
+};
+use http::{HeaderName, Request, Response};
+use http_body_util::BodyExt;
+use pomeloslip_pass::{
+    AnswerBody, DirectoryView, Forwarder, ForwarderOptions, HeaderNames,
+    Inbound, Pool, Tally,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+
+/// What an endpoint does with the next request.
+#[derive(Clone, Debug)]
+#[allow(dead_code)]
+pub(crate) enum Act {
+    /// Writes these bytes, with `ID` replaced by the request's id, and keeps
+    /// the connection.
+    Answer(String),
+    /// Writes these bytes and closes the connection.
+    AnswerAndClose(String),
+    /// Closes the connection without a byte.
+    Close,
+    /// Says nothing until the caller leaves.
+    Silent,
+}
+
+/// An endpoint on a loopback port.
+pub(crate) struct Scripted {
+    pub address: SocketAddr,
+    pub requests: Arc<Mutex<Vec<String>>>,
+    /// Connections that their caller closed in the middle of a silent act.
+    pub left: Arc<Mutex<u32>>,
+}
+
+impl Scripted {
+    /// Plays the acts in the order in which requests arrive, on whatever
+    /// connection; the last one is repeated.
+    pub(crate) async fn start(acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let requests: Arc<Mutex<Vec<String>>> = Arc::default();
+        let left: Arc<Mutex<u32>> = Arc::default();
+        let (seen, gone) = (requests.clone(), left.clone());
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
+                let (acts, seen) = (acts.clone(), seen.clone());
+                tokio::spawn(serve(stream, acts, seen, gone.clone()));
+            }
+        });
+        Self {
+            address,
+            requests,
+            left,
+        }
+    }
+
+    #[allow(dead_code)]
+    pub(crate) fn seen(&self) -> Vec<String> {
+        self.requests.lock().expect("lock").clone()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    acts: Vec<Act>,
+    seen: Arc<Mutex<Vec<String>>>,
+    left: Arc<Mutex<u32>>,
+) {
+    while let Some(request) = read_request(&mut stream).await {
+        let id = header(&request, "x-id").unwrap_or_default();
+        let number = {
+            let mut seen = seen.lock().expect("lock");
+            seen.push(request);
+            seen.len() - 1
+        };
+        let act = acts.get(number).or(acts.last()).cloned();
+        match act {
+            Some(Act::Answer(text)) => {
+                let text = text.replace("ID", &id);
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Some(Act::AnswerAndClose(text)) => {
+                let text = text.replace("ID", &id);
+                let _ = stream.write_all(text.as_bytes()).await;
+                return;
+            }
+            Some(Act::Silent) => {
+                let mut byte = [0];
+                let _ = stream.read(&mut byte).await;
+                *left.lock().expect("lock") += 1;
+                return;
+            }
+            Some(Act::Close) | None => return,
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 1];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&bytes).into_owned();
+    let length = header(&head, "content-length").unwrap_or_default();
+    let mut body = vec![0; length.parse().unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + &String::from_utf8_lossy(&body))
+}
+
+/// Returns a header of a request's text.
+pub(crate) fn header(request: &str, name: &str) -> Option<String> {
+    request.lines().find_map(|line| {
+        let (key, value) = line.split_once(": ")?;
+        (key.eq_ignore_ascii_case(name)).then(|| value.trim().to_owned())
+    })
+}
+
+/// Names of headers that no platform uses.
+pub(crate) fn names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        request_id: name("x-id"),
+        deadline_ms: name("x-deadline"),
+        resume_after: name("x-resume"),
+        seal: name("x-seal"),
+        target: name("x-target"),
+        not_executed: name("x-not-run"),
+        load: name("x-load"),
+        prompt_parts: name("x-prompt"),
+    }
+}
+
+pub(crate) struct Bench {
+    pub forwarder: Arc<Forwarder>,
+    #[allow(dead_code)]
+    pub tally: Arc<Tally>,
+    #[allow(dead_code)]
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// Makes a forwarder to some endpoints; the first is preferred.
+pub(crate) fn bench(addresses: &[SocketAddr]) -> Bench {
+    let endpoints: Vec<Endpoint> = addresses
+        .iter()
+        .enumerate()
+        .map(|(at, address)| {
+            Endpoint::new(EndpointRecord {
+                id: format!("e{at}"),
+                address: *address,
+                service: "app".to_owned(),
+                failure_domain: match at {
+                    0 => "near".to_owned(),
+                    _ => "far".to_owned(),
+                },
+                slots: 4,
+                state: EndpointState::Ready,
+            })
+        })
+        .collect();
+    let view = DirectoryView {
+        table: EndpointTable::new(endpoints.clone()),
+        revision: 1,
+    };
+    let tally = Arc::new(Tally::default());
+    let forwarder = Forwarder::new(
+        names(),
+        ForwarderOptions::default(),
+        "near",
+        Arc::new(Snapshot::new(view)),
+        Arc::new(Pool::default()),
+        Arc::new(SystemClock::new()),
+        tally.clone(),
+    );
+    Bench {
+        forwarder: Arc::new(forwarder),
+        tally,
+        endpoints,
+    }
+}
+
+/// A route of a kind with generous times and two attempts.
+pub(crate) fn route(kind: RouteKind) -> Route {
+    Route::new("r", "a.example", "/", "app")
+        .with_kind(kind)
+        .with_times(5_000, 1_000)
+        .with_max_attempts(2)
+}
+
+/// Makes a request with an id.
+pub(crate) fn request(id: &str, route: Route) -> Inbound {
+    let request = Request::builder()
+        .method("POST")
+        .uri("/p/q?x=1&y=%20")
+        .header("host", "a.example")
+        .header("x-id", id)
+        .header("x-deadline", "4000")
+        .header("x-other", "kept")
+        .header("connection", "keep-alive, x-hop")
+        .header("x-hop", "1")
+        .body(())
+        .expect("request");
+    let (parts, ()) = request.into_parts();
+    let body = Bytes::from_static(b"the body");
+    Inbound::new(parts, body, Arc::new(route), &names(), Instant::now())
+}
+
+/// Reads an answer to its end: status and body, or what broke off.
+pub(crate) async fn read(
+    response: Response<AnswerBody>,
+) -> (u16, Result<String, String>) {
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await;
+    let body = body
+        .map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned())
+        .map_err(|error| error.to_string());
+    (status, body)
+}
+
+/// Waits until `holds` is true.
+#[allow(dead_code)]
+pub(crate) async fn until(mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), wait)
+        .await
+        .expect("in time");
+}
+
+/// A whole good answer.
+pub(crate) fn good(body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-seal: s\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a stream, and one chunk of it.
+#[allow(dead_code)]
+pub(crate) fn stream_head() -> String {
+    "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-seal: s\r\n\
+     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        .to_owned()
+}
+
+#[allow(dead_code)]
+pub(crate) fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
