Give every node its least share of endpoints; take jobs that are left lying

Change: shares differ by one at most; a node without endpoints, and one whose overdue job does not change, lose their jobs to one with little to do.

--- a/crates/jobs/src/page.rs
+++ b/crates/jobs/src/page.rs
@@ -118,7 +118,7 @@
             }
         }
         let stored = self.ledger.read(job).await?;
-        self.view.learn(job, &stored);
+        self.view.learn(job, &stored, now);
         Ok(stored)
     }
 
--- a/crates/jobs/src/plan.rs
+++ b/crates/jobs/src/plan.rs
@@ -189,23 +189,25 @@
         plan
     }
 
-    /// Gives each endpoint to a node of its domain that has room, then the
-    /// rest to any that has.
+    /// Gives every node the smaller share first, from its own domain as far
+    /// as that goes, and then what is left over, one to a node.
     fn share(&mut self, endpoints: &[&Endpoint]) {
-        let most = endpoints.len().div_ceil(self.members.len());
-        let mut counts = vec![0; self.members.len()];
-        let mut rest = Vec::new();
-        for endpoint in endpoints {
-            match self.best_user(endpoint, &counts, most, true) {
-                Some(user) => self.assign(endpoint, user, &mut counts),
-                None => rest.push(*endpoint),
-            }
-        }
-        for endpoint in rest {
-            if let Some(user) = self.best_user(endpoint, &counts, most, false)
-            {
-                self.assign(endpoint, user, &mut counts);
-            }
+        let nodes = self.members.len();
+        let (least, most) =
+            (endpoints.len() / nodes, endpoints.len().div_ceil(nodes));
+        let mut counts = vec![0; nodes];
+        let mut rest = endpoints.to_vec();
+        for (room, near) in
+            [(least, true), (least, false), (most, true), (most, false)]
+        {
+            rest.retain(|endpoint| {
+                let user = self.best_user(endpoint, &counts, room, near);
+                if let Some(user) = user {
+                    counts[user] += 1;
+                    self.users.insert(endpoint.record().id.clone(), user);
+                }
+                user.is_none()
+            });
         }
     }
 
@@ -224,21 +226,18 @@
             .max_by_key(|at| self.members.rank(*at, endpoint.spread()))
     }
 
-    fn assign(
-        &mut self,
-        endpoint: &Endpoint,
-        user: usize,
-        counts: &mut [usize],
-    ) {
-        counts[user] += 1;
-        self.users.insert(endpoint.record().id.clone(), user);
-    }
-
     /// Returns the members.
     pub fn members(&self) -> &Members {
         &self.members
     }
 
+    /// Tells whether a node uses no endpoint: there are fewer of them than
+    /// nodes. Its jobs would be left lying.
+    pub fn is_without_share(&self, node: &str) -> bool {
+        let runners = &self.members.runners;
+        !self.users.values().any(|at| runners[*at].node == node)
+    }
+
     /// Tells whether this node runs the items of a job.
     pub fn owns_job(&self, job: &JobKey, head: &JobHead) -> bool {
         self.members.owner(job, head) == Some(&self.node)
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -16,9 +16,9 @@
 };
 
 use crate::{
-    GateInput, GateOptions, ItemRun, JobError, JobHead, JobView, Ledger,
-    OnlineLoad, Plan, Planner, Progress, RunEnd, RunMeans, Stored,
-    batch_services, decide,
+    Backlog, GateInput, GateOptions, ItemRun, JobError, JobHead, JobView,
+    Ledger, Members, OnlineLoad, Plan, Planner, Progress, RunEnd, RunMeans,
+    Stored, batch_services, decide,
     record::{ItemInput, ItemResult, ItemState, JobKey, Strikes},
 };
 
@@ -251,6 +251,13 @@
 /// job is taken from it: about one job, so that none goes back and forth.
 const UNEVEN_ITEMS: u32 = 10;
 
+/// Open items up to which a node takes jobs that are left lying.
+const LITTLE_TO_DO_ITEMS: u32 = 20;
+
+/// Time without any change after which an overdue job counts as left lying,
+/// in milliseconds: longer than its longest item runs when slots are free.
+const LEFT_LYING_MS: u64 = 6_000;
+
 /// Rest of a run that may hold up online requests so as not to be late, in
 /// milliseconds: about the length of one streamed answer. A run with more
 /// left gives way, as several people would wait for one item.
@@ -311,15 +318,13 @@
             .plan((*config).as_deref(), &view.table, members)
     }
 
-    /// Takes a job from a node that has far more open items than this one.
-    ///
-    /// Fronts spread new jobs by what they see; what they cannot see are
-    /// nodes that join, and endpoints that turn slow. The job that is due
-    /// last is taken, as it is the one that its node has not begun.
+    /// Takes a job from another node where that serves it better.
     fn even_out(&mut self, plan: &Plan) {
         let now = self.now();
         let due = now >= self.next_evening && self.moving.is_none();
-        if !due || !plan.members().has(&self.runner.node) {
+        let me = self.runner.node.as_str();
+        let able = plan.members().has(me) && !plan.is_without_share(me);
+        if !due || !able {
             return;
         }
         let pause_ms = self.runner.options.even_out_ms;
@@ -327,11 +332,74 @@
         let members = plan.members();
         let backlog = self.runner.view.backlog(members);
         let mine = backlog.items_of(&self.runner.node);
-        let Some((other, theirs)) = backlog.most_loaded() else {
+        let taken = self
+            .left_lying(plan, mine, now)
+            .or_else(|| self.job_of_most_loaded(members, &backlog, mine));
+        let Some((key, before)) = taken else {
             return;
         };
+        log::info!(
+            job = key.as_str(),
+            from = members.owner(&key, &before.head).unwrap_or_default(),
+            listed = before.head.listed.len(),
+            total = before.head.total,
+            mine;
+            "a job is taken from another node"
+        );
+        self.moving = Some(key.clone());
+        let ledger = self.runner.ledger.clone();
+        let (node, sender) = (self.runner.node.clone(), self.sender.clone());
+        tokio::spawn(async move {
+            let moved = ledger.reassign(&key, &before, &node).await;
+            let _ = sender.send(Event::Moved(key, moved));
+        });
+    }
+
+    /// Finds a job that its node does not get on with: the node uses no
+    /// endpoint, or the job is overdue and nothing has changed for long.
+    ///
+    /// What goes wrong without it: a node that lives but reaches none of its
+    /// endpoints keeps its jobs for ever, while others are idle.
+    fn left_lying(
+        &self,
+        plan: &Plan,
+        mine: u32,
+        now: Millis,
+    ) -> Option<(JobKey, Stored)> {
+        if mine > LITTLE_TO_DO_ITEMS {
+            return None;
+        }
+        let me = self.runner.node.as_str();
+        let unix = self.runner.clock.unix();
+        let jobs = self.runner.view.select(|key, stored| {
+            let head = &stored.head;
+            let owner = plan.members().owner(key, head).unwrap_or_default();
+            let without = plan.is_without_share(owner);
+            let overdue = unix > head.due_at;
+            !head.is_closed() && owner != me && (without || overdue)
+        });
+        jobs.into_iter().find(|(key, stored)| {
+            let owner = plan.members().owner(key, &stored.head);
+            let without = owner.is_some_and(|o| plan.is_without_share(o));
+            let still_ms = self.runner.view.unchanged_ms(key, now);
+            without || still_ms > LEFT_LYING_MS
+        })
+    }
+
+    /// Finds a job of the node that has far more open items than this one.
+    ///
+    /// Fronts spread new jobs by what they see; what they cannot see are
+    /// nodes that join, and endpoints that turn slow. The job that is due
+    /// last is taken, as it is the one that its node has not begun.
+    fn job_of_most_loaded(
+        &self,
+        members: &Members,
+        backlog: &Backlog,
+        mine: u32,
+    ) -> Option<(JobKey, Stored)> {
+        let (other, theirs) = backlog.most_loaded()?;
         if other == self.runner.node || theirs < 2 * mine + UNEVEN_ITEMS {
-            return;
+            return None;
         }
         let movable = self.runner.view.select(|key, stored| {
             let head = &stored.head;
@@ -340,19 +408,7 @@
                 && mine + 2 * head.total <= theirs
                 && members.owner(key, head) == Some(other)
         });
-        let last = movable.into_iter().max_by_key(|(_, s)| s.head.due_at);
-        let Some((key, before)) = last else {
-            return;
-        };
-        log::info!(job = key.as_str(), from = other, mine, theirs;
-            "a job is taken from a node with more open items");
-        self.moving = Some(key.clone());
-        let ledger = self.runner.ledger.clone();
-        let (node, sender) = (self.runner.node.clone(), self.sender.clone());
-        tokio::spawn(async move {
-            let moved = ledger.reassign(&key, &before, &node).await;
-            let _ = sender.send(Event::Moved(key, moved));
-        });
+        movable.into_iter().max_by_key(|(_, s)| s.head.due_at)
     }
 
     fn take_moved(
@@ -362,7 +418,10 @@
     ) {
         self.moving = None;
         match moved {
-            Ok(stored) => self.runner.view.learn(key, &stored),
+            Ok(stored) => {
+                let now = self.now();
+                self.runner.view.learn(key, &stored, now);
+            }
             Err(report) => {
                 log::info!(job = key.as_str(),
                     error:% = report.current_context();
@@ -973,7 +1032,8 @@
                 return;
             }
         };
-        self.runner.view.learn(key, &stored);
+        let now = self.runner.clock.now();
+        self.runner.view.learn(key, &stored, now);
         job.renew(stored);
     }
 }
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct Inner {
     jobs: IndexMap<JobKey, Stored>,
+    /// When each job was last seen to change.
+    changed_at: IndexMap<JobKey, Millis>,
     nodes: IndexMap<String, NodeRecord>,
     fresh_at: Option<Millis>,
 }
@@ -44,7 +46,7 @@
         let old = std::mem::take(&mut inner.jobs);
         inner.nodes.clear();
         for kv in kvs {
-            inner.put(kv);
+            inner.put(kv, began);
         }
         // A read whose pages are not one moment may miss what a write of
         // this node added meanwhile; what is newer than the read stays.
@@ -65,7 +67,7 @@
         let mut inner = self.lock();
         for event in events {
             match event {
-                Event::Put(kv) => inner.put(kv),
+                Event::Put(kv) => inner.put(kv, now),
                 Event::Delete { key, .. } => inner.delete(key),
             }
         }
@@ -77,13 +79,14 @@
     }
 
     /// Takes in a head that this node wrote or read itself.
-    pub fn learn(&self, job: &JobKey, stored: &Stored) {
+    pub fn learn(&self, job: &JobKey, stored: &Stored, now: Millis) {
         let mut inner = self.lock();
         let known = inner.jobs.get(job).map_or(0, |known| known.revision);
         if stored.revision <= known {
             return;
         }
         inner.jobs.insert(job.clone(), stored.clone());
+        inner.changed_at.insert(job.clone(), now);
         drop(inner);
         self.changed();
     }
@@ -108,6 +111,13 @@
         Members::new(self.lock().nodes.values().cloned())
     }
 
+    /// Returns for how long nothing was seen to change of a job.
+    pub fn unchanged_ms(&self, job: &JobKey, now: Millis) -> u64 {
+        let inner = self.lock();
+        let at = inner.changed_at.get(job).copied();
+        at.map_or(0, |at| now.saturating_ms_since(at))
+    }
+
     /// Returns all nodes.
     pub fn nodes(&self) -> Vec<NodeRecord> {
         self.lock().nodes.values().cloned().collect()
@@ -146,7 +156,7 @@
 }
 
 impl Inner {
-    fn put(&mut self, kv: &KeyValue) {
+    fn put(&mut self, kv: &KeyValue, now: Millis) {
         if let Some(name) = kv.key.strip_prefix(NODE_PREFIX) {
             match serde_json::from_slice::<NodeRecord>(&kv.value) {
                 Ok(record) => {
@@ -167,6 +177,7 @@
                 let revision = kv.mod_revision;
                 let known = self.jobs.get(&key);
                 if known.is_none_or(|known| known.revision < revision) {
+                    self.changed_at.insert(key.clone(), now);
                     self.jobs.insert(key, Stored { head, revision });
                 }
             }
@@ -182,6 +193,7 @@
             self.nodes.shift_remove(name);
         } else if let Some(job) = job_key(key) {
             self.jobs.swap_remove(&job);
+            self.changed_at.swap_remove(&job);
         }
     }
 }
--- a/crates/jobs/tests/plan.rs
+++ b/crates/jobs/tests/plan.rs
@@ -60,6 +60,10 @@
         &[("a1", "a"), ("b1", "b")],
         &[("a", 3), ("b", 3), ("c", 6)],
     },
+    a_domain_with_more_nodes_than_others = {
+        &[("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("c1", "c")],
+        &[("a", 4), ("b", 9), ("c", 9)],
+    },
     one_node = { &[("a1", "a")], &[("a", 3), ("b", 4)] },
     more_nodes_than_endpoints = {
         &[("a1", "a"), ("a2", "a"), ("a3", "a")],
@@ -83,6 +87,8 @@
     assert_eq!(counts.iter().sum::<usize>(), endpoints.len());
     let most = endpoints.len().div_ceil(nodes.len());
     assert!(counts.iter().all(|count| *count <= most), "{counts:?}");
+    let least = endpoints.len() / nodes.len();
+    assert!(counts.iter().all(|count| *count >= least), "{counts:?}");
 }
 
 #[test]
@@ -146,3 +152,18 @@
     };
     assert!(Members::new([front]).is_empty());
 }
+
+/// Symptom: an item is left lying for good. Events: endpoints are taken away
+/// until a node has none; jobs of which something is listed stay its own.
+/// Cause: nobody saw that the node cannot run anything.
+#[test]
+fn a_node_without_endpoints_is_known_as_such() {
+    let members = Members::new(["a1", "a2", "a3"].map(|n| node(n, "a")));
+    let endpoints = endpoints(&[("a", 2)]);
+    let plan = Plan::new("a1", members, &endpoints);
+    let without = ["a1", "a2", "a3"]
+        .map(|node| plan.is_without_share(node))
+        .into_iter()
+        .filter(|without| *without);
+    assert_eq!(without.count(), 1);
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -311,7 +311,8 @@
         let result = self.ledger.accept(new).await;
         match result {
             Ok(stored) => {
-                self.view.learn(&key, &stored);
+                let now = self.beliefs.clock().now();
+                self.view.learn(&key, &stored, now);
                 Tally::add(&self.tally.jobs_accepted);
                 log::info!(
                     request_id = key.as_str(),
