Let two nodes read the key-value service for all others

Change: two nodes, chosen by hash, read; the others ask them over kept connections and hear of each change at once; a node that gets no good answer from either reads the service itself.

--- a/crates/node/src/belief.rs
+++ b/crates/node/src/belief.rs
@@ -22,8 +22,8 @@
 
 /// Oldest confirmation of the configuration by which a route is said not to
 /// exist, in milliseconds: a watch is confirmed every two seconds, and a
-/// route that was added since is in force everywhere within as many.
-const CONFIG_SURE_MS: u64 = 3_000;
+/// node that asks another one hears of it up to a second later.
+const CONFIG_SURE_MS: u64 = 4_000;
 
 impl Beliefs {
     /// Starts without any knowledge.
@@ -58,10 +58,10 @@
         self.config.publish(Some(Arc::new(config)));
     }
 
-    /// Takes note that the configuration is the newest as of now.
-    pub fn confirm_config(&self) {
-        let now = self.clock.now().as_ms().max(1);
-        self.config_at_ms.store(now, Ordering::Relaxed);
+    /// Takes note that the configuration was the newest at a moment.
+    pub fn confirm_config(&self, at: Millis) {
+        let at_ms = at.as_ms().max(1);
+        self.config_at_ms.fetch_max(at_ms, Ordering::Relaxed);
     }
 
     /// Returns how long ago the configuration was the newest.
--- /dev/null
+++ b/crates/node/src/feed_wire.rs
@@ -0,0 +1,175 @@
+use std::{sync::Arc, time::Duration};
+
+use base::{Clock, Millis};
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use fleet::{Endpoint, TransferLimits};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use kv::{KeyValue, LeaseId};
+use pass::{AnswerBody, Handler, HandlerFuture, Pool, Relay};
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::feed::{Delta, Feed};
+
+/// Path of the feeds between nodes; the number of the feed follows.
+const FEED_PATH: &str = "/feed/";
+
+/// How long a question waits for a change, in milliseconds. It bounds how
+/// long a node goes on without a word that its knowledge is still whole.
+const WAIT_MS: u64 = 1_000;
+
+/// Longest wait for an answer beyond that.
+const ANSWER_MS: u64 = 700;
+
+/// Largest answer: all keys of a large fleet.
+const MOST_BYTES: usize = 32 * 1024 * 1024;
+
+/// Knowledge passed from one node to another. Ages instead of times, as the
+/// clocks of two nodes have nothing in common.
+#[derive(Deserialize, Serialize)]
+struct Word {
+    revision: u64,
+    whole: bool,
+    items: Vec<WordItem>,
+    deleted: Vec<(String, u64)>,
+    age_ms: Option<u64>,
+    failed_age_ms: Option<u64>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct WordItem {
+    key: String,
+    /// Base64 of the bytes.
+    value: String,
+    create_revision: u64,
+    mod_revision: u64,
+    lease: Option<i64>,
+}
+
+fn encode(delta: Delta, now: Millis) -> Vec<u8> {
+    let age = |at: Millis| now.saturating_ms_since(at);
+    let word = Word {
+        revision: delta.revision,
+        whole: delta.whole,
+        items: delta.items.into_iter().map(encode_item).collect(),
+        deleted: delta.deleted,
+        age_ms: delta.fresh_at.map(age),
+        failed_age_ms: delta.failed_at.map(age),
+    };
+    // Strings and numbers always encode.
+    serde_json::to_vec(&word).unwrap_or_default()
+}
+
+fn encode_item(kv: KeyValue) -> WordItem {
+    WordItem {
+        key: kv.key,
+        value: STANDARD.encode(kv.value),
+        create_revision: kv.create_revision,
+        mod_revision: kv.mod_revision,
+        lease: kv.lease.map(|lease| lease.0),
+    }
+}
+
+fn decode(bytes: &[u8], arrived_at: Millis) -> Option<Delta> {
+    let word: Word = serde_json::from_slice(bytes).ok()?;
+    // Counted from the question, so that the answer's way makes it older
+    // and not younger.
+    let at =
+        |age_ms: u64| Millis::new(arrived_at.as_ms().saturating_sub(age_ms));
+    let items: Option<Vec<KeyValue>> =
+        word.items.into_iter().map(decode_item).collect();
+    Some(Delta {
+        revision: word.revision,
+        whole: word.whole,
+        items: items?,
+        deleted: word.deleted,
+        fresh_at: word.age_ms.map(at),
+        failed_at: word.failed_age_ms.map(at),
+    })
+}
+
+fn decode_item(item: WordItem) -> Option<KeyValue> {
+    Some(KeyValue {
+        value: STANDARD.decode(item.value).ok()?,
+        key: item.key,
+        create_revision: item.create_revision,
+        mod_revision: item.mod_revision,
+        lease: item.lease.map(LeaseId),
+    })
+}
+
+/// Asks another node for what has changed.
+pub(crate) async fn ask(
+    pool: &Pool,
+    peer: &Endpoint,
+    number: usize,
+    after: u64,
+    clock: &dyn Clock,
+) -> Option<Delta> {
+    let mut request = Request::new(Bytes::new());
+    let path = format!("{FEED_PATH}{number}?after={after}");
+    *request.uri_mut() = path.parse().ok()?;
+    let host = peer.record().address.to_string();
+    let host = HeaderValue::from_str(&host).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    let most = Duration::from_millis(WAIT_MS + ANSWER_MS);
+    let fetch = pool.fetch(peer, request, MOST_BYTES);
+    let body = time::timeout(most, fetch).await.ok()??;
+    // An answer counts from its arrival: what its way took, milliseconds
+    // inside a region, is far below the ages that decide anything.
+    decode(&body, clock.now())
+}
+
+/// Answers other nodes: feeds, and calls that are passed on to the key-value
+/// service.
+pub(crate) struct PeerHandler {
+    pub(crate) relay: Relay,
+    pub(crate) feeds: Arc<Vec<Arc<Feed>>>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl Handler for PeerHandler {
+    fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
+        let uri = request.uri();
+        let Some(number) = uri.path().strip_prefix(FEED_PATH) else {
+            return self.relay.handle(request);
+        };
+        let feed = number.parse().ok();
+        let feed = feed.and_then(|at: usize| self.feeds.get(at).cloned());
+        let after = uri.query().and_then(|q| q.strip_prefix("after="));
+        let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let clock = self.clock.clone();
+        Box::pin(async move {
+            let Some(feed) = feed else {
+                let body = AnswerBody::own(Bytes::new());
+                let mut response = Response::new(body);
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                return response;
+            };
+            let delta = wait_for_change(&feed, after).await;
+            let bytes = encode(delta, clock.now());
+            Response::new(AnswerBody::own(Bytes::from(bytes)))
+        })
+    }
+
+    fn limits(&self) -> TransferLimits {
+        self.relay.limits()
+    }
+}
+
+async fn wait_for_change(feed: &Feed, after: u64) -> Delta {
+    let mut changes = feed.subscribe();
+    let most = time::Instant::now() + Duration::from_millis(WAIT_MS);
+    loop {
+        changes.mark_unchanged();
+        let delta = feed.since(after);
+        if delta.revision > after {
+            return delta;
+        }
+        if time::timeout_at(most, changes.changed()).await.is_err() {
+            return feed.since(after);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,228 @@
+//! How a node follows the keys below a prefix.
+
+use std::{
+    fmt,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use base::{Clock, Millis, stable_hash};
+use error_stack::Report;
+use fleet::{Endpoint, EndpointRecord, EndpointState};
+use jobs::{JobView, NodeRecord};
+use kv::{Kv, KvError, Watcher};
+use pass::Pool;
+use tokio::time;
+
+use crate::{feed::Feed, feed_wire};
+
+/// Nodes that read the key-value service for all others. Two, so that the
+/// loss of one is no loss; more only cost calls.
+const READERS: usize = 2;
+
+/// Oldest knowledge of another node that is good enough, in milliseconds.
+/// It must leave room in the shortest time in which something must be in
+/// force, two seconds.
+const AGE_MOST_MS: u64 = 1_500;
+
+/// How long a reader that did not answer is left alone, in milliseconds.
+const READER_AGAIN_MS: u64 = 2_000;
+
+/// Pause after a failed read of the service, in milliseconds: a return is
+/// noticed within it, and the whole fleet costs a few calls a second.
+const FAILED_PAUSE_MS: u64 = 400;
+
+/// How the service itself is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Reading {
+    /// All keys again and again, with a pause in milliseconds. For keys of
+    /// which all change all the time, where a watch returns at once and is
+    /// a call as well.
+    Listing(u64),
+    /// A watch, with a pause in milliseconds in which changes gather.
+    Watching(u64),
+}
+
+/// The nodes that read the key-value service, as one node knows them.
+pub(crate) struct Readers {
+    node: String,
+    view: JobView,
+    avoid: Mutex<Vec<(String, Millis)>>,
+}
+
+impl Readers {
+    pub(crate) fn new(node: &str, view: JobView) -> Self {
+        Self {
+            node: node.to_owned(),
+            view,
+            avoid: Mutex::default(),
+        }
+    }
+
+    /// Returns the node to ask; none if this one reads itself.
+    ///
+    /// All nodes choose the same readers by their names. A node that has
+    /// lost both reads the service itself until one answers again.
+    fn peer(&self, now: Millis) -> Option<NodeRecord> {
+        let mut nodes = self.view.nodes();
+        nodes.sort_by_key(|node| stable_hash(&["reader", &node.node]));
+        nodes.truncate(READERS);
+        if nodes.iter().any(|node| node.node == self.node) {
+            return None;
+        }
+        let mut avoid =
+            self.avoid.lock().unwrap_or_else(PoisonError::into_inner);
+        avoid.retain(|(_, at)| now.saturating_ms_since(*at) < READER_AGAIN_MS);
+        nodes.retain(|node| !avoid.iter().any(|(name, _)| *name == node.node));
+        nodes.sort_by_key(|node| stable_hash(&[&self.node, &node.node]));
+        nodes.into_iter().find(|node| node.address.is_some())
+    }
+
+    fn failed(&self, reader: &str, now: Millis) {
+        let mut avoid =
+            self.avoid.lock().unwrap_or_else(PoisonError::into_inner);
+        log::info!(reader; "a reader of the key-value service is avoided");
+        avoid.push((reader.to_owned(), now));
+    }
+}
+
+/// Follows one feed until the process ends.
+pub(crate) struct Follower {
+    pub(crate) number: usize,
+    pub(crate) feed: Arc<Feed>,
+    pub(crate) reading: Reading,
+    pub(crate) kv: Arc<dyn Kv>,
+    pub(crate) readers: Arc<Readers>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl Follower {
+    pub(crate) async fn run(self) {
+        let mut reach = Reach::new(self.feed.prefix());
+        let mut watcher: Option<Box<dyn Watcher>> = None;
+        loop {
+            let now = self.clock.now();
+            if let Some(reader) = self.readers.peer(now) {
+                if self.ask(&reader).await {
+                    watcher = None;
+                    continue;
+                }
+                self.readers.failed(&reader.node, now);
+            }
+            match self.read(&mut watcher).await {
+                Ok(()) => {
+                    reach.regained(self.clock.now());
+                    let (Reading::Listing(ms) | Reading::Watching(ms)) =
+                        self.reading;
+                    pause(ms).await;
+                }
+                Err(report) => {
+                    watcher = None;
+                    let now = self.clock.now();
+                    reach.lost(now, report.current_context());
+                    self.feed.read_failed(now);
+                    pause(FAILED_PAUSE_MS).await;
+                }
+            }
+        }
+    }
+
+    /// Asks a reader; tells whether its knowledge is good enough.
+    async fn ask(&self, reader: &NodeRecord) -> bool {
+        let Some(address) = reader.address else {
+            return false;
+        };
+        let peer = Endpoint::new(EndpointRecord {
+            id: format!("{}@{address}", reader.node),
+            address,
+            service: String::new(),
+            failure_domain: reader.failure_domain.clone(),
+            slots: 0,
+            state: EndpointState::Ready,
+        });
+        let after = self.feed.revision();
+        let clock = &*self.clock;
+        let asked =
+            feed_wire::ask(&self.pool, &peer, self.number, after, clock);
+        let Some(delta) = asked.await else {
+            return false;
+        };
+        let now = self.clock.now();
+        let age = delta.fresh_at.map(|at| now.saturating_ms_since(at));
+        let most = match self.reading {
+            Reading::Listing(_) => AGE_MOST_MS,
+            // A watch confirms its knowledge only every two seconds.
+            Reading::Watching(_) => AGE_MOST_MS + 2_000,
+        };
+        let good = age.is_some_and(|age_ms| age_ms <= most)
+            && delta.revision >= after;
+        if good {
+            self.feed.merge(delta);
+        }
+        good
+    }
+
+    async fn read(
+        &self,
+        watcher: &mut Option<Box<dyn Watcher>>,
+    ) -> Result<(), Report<KvError>> {
+        if let Some(watcher) = watcher {
+            let batch = watcher.next().await?;
+            let now = self.clock.now();
+            self.feed.apply(batch.events, batch.revision, now);
+            return Ok(());
+        }
+        let prefix = self.feed.prefix();
+        let began = self.clock.now();
+        let reply = self.kv.get_prefix(prefix, 0).await?;
+        let next = reply.revision + 1;
+        self.feed.replace(reply, began);
+        if let Reading::Watching(_) = self.reading {
+            *watcher = Some(self.kv.watch(prefix, next).await?);
+        }
+        Ok(())
+    }
+}
+
+async fn pause(ms: u64) {
+    time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Logs when a dependency is lost and when it is back, once each.
+struct Reach {
+    what: String,
+    lost_at: Option<Millis>,
+    failures: u64,
+}
+
+impl Reach {
+    fn new(what: &str) -> Self {
+        Self {
+            what: what.to_owned(),
+            lost_at: None,
+            failures: 0,
+        }
+    }
+
+    fn lost(&mut self, now: Millis, error: &dyn fmt::Display) {
+        self.failures += 1;
+        if self.lost_at.is_none() {
+            self.lost_at = Some(now);
+            log::warn!(dependency = self.what.as_str(), error:%;
+                "a dependency is lost");
+        }
+    }
+
+    fn regained(&mut self, now: Millis) {
+        if let Some(at) = self.lost_at.take() {
+            let failures = std::mem::take(&mut self.failures);
+            log::info!(
+                dependency = self.what.as_str(),
+                away_ms = now.saturating_ms_since(at),
+                failures;
+                "a dependency is regained"
+            );
+        }
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -27,7 +27,8 @@
 use crate::{
     Admin, Beliefs, Dialect, JobCall, NodeError, NodeSettings, Signals,
     load_share::{self, Announcer, FrontShare},
-    membership, peer, watch,
+    membership, peer,
+    watch::Watches,
 };
 
 /// The role that takes callers' requests.
@@ -66,25 +67,16 @@
         let pool = Arc::new(Pool::default());
         let view = JobView::default();
         let clock = beliefs.clock().clone();
-        tokio::spawn(watch::follow_endpoints(
-            kv.clone(),
-            dialect.clone(),
-            beliefs.clone(),
-            pool.clone(),
-            settings.drain_ms,
-        ));
-        tokio::spawn(watch::follow_operators(
-            kv.clone(),
-            dialect.clone(),
-            beliefs.clone(),
-            None,
-        ));
-        tokio::spawn(watch::follow_jobs(
-            kv.clone(),
-            view.clone(),
-            clock.clone(),
-        ));
-        peer::serve_relay(settings)?;
+        let watches = Watches {
+            kv: kv.clone(),
+            dialect: dialect.clone(),
+            beliefs: beliefs.clone(),
+            view: view.clone(),
+            pool: pool.clone(),
+            orders: None,
+        };
+        let feeds = watches.start(settings);
+        peer::serve(settings, feeds, clock.clone())?;
         let socket = load_share::bind(settings.peer)
             .await
             .change_context(NodeError::Listen)?;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,34 +1,41 @@
 use std::{sync::Arc, time::Duration};
 
+use base::Clock;
 use error_stack::{Report, ResultExt};
 use jobs::JobView;
 use kv::paths::Paths;
 use pass::{Listener, ListenerOptions, Relay, Stopping};
 use tokio::{sync::watch, time};
 
-use crate::{NodeError, NodeSettings};
+use crate::{NodeError, NodeSettings, feed::Feed, feed_wire::PeerHandler};
 
 /// Time between two looks at which nodes can pass calls on.
 const LOOK: Duration = Duration::from_millis(500);
 
-/// Passes calls of other nodes on to the key-value service until the process
-/// ends.
+/// Answers other nodes until the process ends: what this one follows, and
+/// calls that are passed on to the key-value service.
 ///
 /// # Errors
 ///
 /// [`NodeError::Listen`] if the address cannot be used.
-pub(crate) fn serve_relay(
+pub(crate) fn serve(
     settings: &NodeSettings,
+    feeds: Arc<Vec<Arc<Feed>>>,
+    clock: Arc<dyn Clock>,
 ) -> Result<(), Report<NodeError>> {
     let (sender, stage) = watch::channel(Stopping::No);
     let options = ListenerOptions::default();
     let listener = Listener::bind(settings.peer, options, stage)
         .change_context(NodeError::Listen)?;
-    let relay = Arc::new(Relay::new(settings.kv));
+    let handler = Arc::new(PeerHandler {
+        relay: Relay::new(settings.kv),
+        feeds,
+        clock,
+    });
     tokio::spawn(async move {
         // The stage lives as long as the task, and never changes.
         let _sender = sender;
-        listener.serve(relay).await;
+        listener.serve(handler).await;
     });
     Ok(())
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,117 +1,140 @@
-use std::{sync::Arc, time::Duration};
+//! Turns what is followed into beliefs.
+
+use std::sync::Arc;
 
-use base::{Clock, Millis};
 use fleet::{Change, Directory, Listing};
 use jobs::{JobView, WATCHED_PREFIX};
-use kv::{Event, GetReply, KeyValue, Kv};
+use kv::{Event, KeyValue, Kv};
 use pass::{DirectoryView, Pool};
-use tokio::{sync::mpsc, time};
+use tokio::sync::{mpsc, watch};
 
-use crate::{Beliefs, Dialect, OperatorOrder, VacateOrder};
+use crate::{
+    Beliefs, Dialect, NodeSettings, OperatorOrder, VacateOrder,
+    feed::{Delta, Feed},
+    follow::{Follower, Readers, Reading},
+};
 
 /// Time between two listings of the endpoints, as a part of the time in
-/// which a leaving one must get no new work: two listings, the second of
-/// which may have to be repeated, fit in it.
-const LISTINGS_PER_DRAIN: u64 = 2;
+/// which a leaving one must get no new work: a listing that has to be
+/// repeated and its way to the other nodes fit in it.
+const LISTINGS_PER_DRAIN: u64 = 3;
 
 /// Longest pause between listings, in milliseconds.
 const LISTING_MOST_MS: u64 = 1_000;
 
-/// Pause after a failed call, in milliseconds; the service's rates bear the
-/// whole fleet at this pace, and a return is noticed within it.
-const FAILED_PAUSE_MS: u64 = 250;
-
 /// Pause between two deliveries of the changes of jobs, in milliseconds.
 /// Each delivery is a call; what comes meanwhile arrives together.
-const JOBS_PAUSE_MS: u64 = 400;
-
-/// Logs when a dependency is lost and when it is back, once each.
-struct Reach {
-    what: &'static str,
-    lost_at: Option<Millis>,
-    failures: u64,
+const JOBS_PAUSE_MS: u64 = 300;
+
+/// All that a node follows.
+pub(crate) struct Watches {
+    pub(crate) kv: Arc<dyn Kv>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) beliefs: Beliefs,
+    pub(crate) view: JobView,
+    /// Connections to endpoints; those of ended ones are dropped.
+    pub(crate) pool: Arc<Pool>,
+    /// Who carries out orders to empty a node.
+    pub(crate) orders: Option<mpsc::UnboundedSender<VacateOrder>>,
 }
 
-impl Reach {
-    fn new(what: &'static str) -> Self {
-        Self {
-            what,
-            lost_at: None,
-            failures: 0,
-        }
-    }
-
-    fn lost(&mut self, now: Millis, error: &dyn std::fmt::Display) {
-        self.failures += 1;
-        if self.lost_at.is_none() {
-            self.lost_at = Some(now);
-            log::warn!(dependency = self.what, error:%;
-                "a dependency is lost");
-        }
-    }
-
-    fn regained(&mut self, now: Millis) {
-        if let Some(at) = self.lost_at.take() {
-            let failures = std::mem::take(&mut self.failures);
-            log::info!(
-                dependency = self.what,
-                away_ms = now.saturating_ms_since(at),
-                failures;
-                "a dependency is regained"
-            );
+impl Watches {
+    /// Starts all tasks and returns the feeds, for other nodes to ask.
+    pub(crate) fn start(self, settings: &NodeSettings) -> Arc<Vec<Arc<Feed>>> {
+        let listing_ms = settings.drain_ms / LISTINGS_PER_DRAIN;
+        let followed = [
+            (
+                self.dialect.endpoints_prefix(),
+                Reading::Listing(listing_ms.min(LISTING_MOST_MS)),
+            ),
+            (self.dialect.orders_prefix(), Reading::Watching(0)),
+            (WATCHED_PREFIX, Reading::Watching(JOBS_PAUSE_MS)),
+        ];
+        let readers = Readers::new(&settings.node, self.view.clone());
+        let readers = Arc::new(readers);
+        let pool = Arc::new(Pool::default());
+        let mut feeds = Vec::new();
+        for (number, (prefix, reading)) in followed.into_iter().enumerate() {
+            let feed = Arc::new(Feed::new(prefix));
+            feeds.push(feed.clone());
+            let follower = Follower {
+                number,
+                feed,
+                reading,
+                kv: self.kv.clone(),
+                readers: readers.clone(),
+                pool: pool.clone(),
+                clock: self.beliefs.clock().clone(),
+            };
+            tokio::spawn(follower.run());
         }
+        let Watches {
+            dialect,
+            beliefs,
+            view,
+            pool,
+            orders,
+            ..
+        } = self;
+        tokio::spawn(believe_endpoints(
+            feeds[0].clone(),
+            dialect.clone(),
+            beliefs.clone(),
+            pool,
+        ));
+        tokio::spawn(believe_operators(
+            feeds[1].clone(),
+            dialect,
+            beliefs,
+            orders,
+        ));
+        tokio::spawn(believe_jobs(feeds[2].clone(), view));
+        Arc::new(feeds)
     }
 }
 
-async fn pause(ms: u64) {
-    time::sleep(Duration::from_millis(ms)).await;
+/// Subscribes to a feed so that what it holds already counts as a change.
+///
+/// Without that, a task that starts after the first read waits for the
+/// second, and a node whose configuration does not change never has one.
+fn subscribe(feed: &Feed) -> watch::Receiver<u64> {
+    let mut changes = feed.subscribe();
+    changes.mark_changed();
+    changes
 }
 
-/// Follows the listing of the endpoints by reading it again and again.
-///
-/// A watch was rejected: every heartbeat of an endpoint is a change, so that
-/// a watch returns at once and is a call each time as well, and it needs
-/// care after a gap in the history. A listing is always whole.
-pub(crate) async fn follow_endpoints(
-    kv: Arc<dyn Kv>,
+async fn believe_endpoints(
+    feed: Arc<Feed>,
     dialect: Arc<dyn Dialect>,
     beliefs: Beliefs,
     pool: Arc<Pool>,
-    drain_ms: u64,
 ) {
-    let pause_ms = (drain_ms / LISTINGS_PER_DRAIN).min(LISTING_MOST_MS);
     let mut directory = Directory::default();
-    let mut reach = Reach::new("endpoint listing");
-    loop {
-        let reply = kv.get_prefix(dialect.endpoints_prefix(), 0).await;
-        let now = beliefs.clock().now();
-        match reply {
-            Ok(reply) => {
-                reach.regained(now);
-                let listing = decode_listing(&reply, &*dialect);
-                let changes = directory.take(listing, now);
-                log_changes(&changes, directory.revision());
-                beliefs.endpoints.publish(DirectoryView {
-                    table: directory.table(),
-                    revision: directory.revision(),
-                });
-                if !changes.is_empty() {
-                    pool.retain(|id| directory.get(id).is_some());
-                }
-                pause(pause_ms).await;
-            }
-            Err(report) => {
-                directory.read_failed(now);
-                reach.lost(now, report.current_context());
-                pause(FAILED_PAUSE_MS).await;
-            }
+    let mut changes = subscribe(&feed);
+    while changes.changed().await.is_ok() {
+        let delta = feed.all();
+        if let Some(at) = delta.failed_at {
+            directory.read_failed(at);
+        }
+        if delta.fresh_at.is_none() {
+            continue;
+        }
+        let listing = decode_listing(&delta, &*dialect);
+        let changes = directory.take(listing, beliefs.clock().now());
+        log_changes(&changes, directory.revision());
+        beliefs.endpoints.publish(DirectoryView {
+            table: directory.table(),
+            revision: directory.revision(),
+        });
+        if !changes.is_empty() {
+            pool.retain(|id| directory.get(id).is_some());
         }
     }
 }
 
-fn decode_listing(reply: &GetReply, dialect: &dyn Dialect) -> Listing {
-    let mut records = Vec::with_capacity(reply.kvs.len());
-    for kv in &reply.kvs {
+fn decode_listing(delta: &Delta, dialect: &dyn Dialect) -> Listing {
+    let mut records = Vec::with_capacity(delta.items.len());
+    for kv in &delta.items {
         match dialect.endpoint(kv) {
             Ok(record) => records.push(record),
             Err(error) => {
@@ -121,7 +144,7 @@
         }
     }
     Listing {
-        revision: reply.revision,
+        revision: delta.revision,
         records,
     }
 }
@@ -133,14 +156,12 @@
     }
 }
 
-/// Follows what operators write: configurations and orders to nodes.
-pub(crate) async fn follow_operators(
-    kv: Arc<dyn Kv>,
+async fn believe_operators(
+    feed: Arc<Feed>,
     dialect: Arc<dyn Dialect>,
     beliefs: Beliefs,
     orders: Option<mpsc::UnboundedSender<VacateOrder>>,
 ) {
-    let mut reach = Reach::new("operators' keys");
     let take = |kv: &KeyValue| match dialect.order(kv) {
         Ok(OperatorOrder::Config(config)) => beliefs.take_config(*config),
         Ok(OperatorOrder::Vacate(order)) => {
@@ -154,59 +175,39 @@
                 "what an operator wrote cannot be read");
         }
     };
-    loop {
-        let follow = async {
-            let prefix = dialect.orders_prefix();
-            let reply = kv.get_prefix(prefix, 0).await?;
-            reach.regained(beliefs.clock().now());
-            reply.kvs.iter().for_each(&take);
-            beliefs.confirm_config();
-            let mut watcher = kv.watch(prefix, reply.revision + 1).await?;
-            loop {
-                let batch = watcher.next().await?;
-                for event in &batch.events {
-                    if let Event::Put(kv) = event {
-                        take(kv);
-                    }
-                }
-                beliefs.confirm_config();
-            }
-        };
-        let result: Result<(), error_stack::Report<kv::KvError>> =
-            follow.await;
-        if let Err(report) = result {
-            reach.lost(beliefs.clock().now(), report.current_context());
+    let mut changes = subscribe(&feed);
+    let mut after = 0;
+    while changes.changed().await.is_ok() {
+        let delta = feed.since(after);
+        let newer = delta.items.iter();
+        newer.filter(|kv| kv.mod_revision > after).for_each(&take);
+        after = delta.revision;
+        if let Some(at) = delta.fresh_at {
+            beliefs.confirm_config(at);
         }
-        pause(FAILED_PAUSE_MS).await;
     }
 }
 
-/// Follows the heads of all jobs and the nodes that run items.
-pub(crate) async fn follow_jobs(
-    kv: Arc<dyn Kv>,
-    view: JobView,
-    clock: Arc<dyn Clock>,
-) {
-    let mut reach = Reach::new("jobs");
-    loop {
-        let follow = async {
-            let began = clock.now();
-            let reply = kv.get_prefix(WATCHED_PREFIX, 0).await?;
-            reach.regained(clock.now());
-            view.replace(&reply.kvs, began);
-            let mut watcher =
-                kv.watch(WATCHED_PREFIX, reply.revision + 1).await?;
-            loop {
-                pause(JOBS_PAUSE_MS).await;
-                let batch = watcher.next().await?;
-                view.apply(&batch.events, clock.now());
-            }
+async fn believe_jobs(feed: Arc<Feed>, view: JobView) {
+    let mut changes = subscribe(&feed);
+    let mut after = 0;
+    while changes.changed().await.is_ok() {
+        let delta = feed.since(after);
+        let Some(at) = delta.fresh_at else {
+            continue;
         };
-        let result: Result<(), error_stack::Report<kv::KvError>> =
-            follow.await;
-        if let Err(report) = result {
-            reach.lost(clock.now(), report.current_context());
+        if after == 0 || delta.whole {
+            view.replace(&delta.items, at);
+        } else {
+            let gone = delta.deleted.into_iter();
+            let gone = gone.map(|(key, mod_revision)| Event::Delete {
+                key,
+                mod_revision,
+            });
+            let put = delta.items.into_iter().map(Event::Put);
+            let events: Vec<Event> = put.chain(gone).collect();
+            view.apply(&events, at);
         }
-        pause(FAILED_PAUSE_MS).await;
+        after = delta.revision;
     }
 }
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -19,7 +19,7 @@
     membership, peer,
     probe::LoadProbe,
     vacate::Vacating,
-    watch,
+    watch::Watches,
 };
 
 /// The role that runs the items of batch jobs.
@@ -52,25 +52,16 @@
         let view = JobView::default();
         let clock = beliefs.clock().clone();
         let (orders, received) = mpsc::unbounded_channel();
-        tokio::spawn(watch::follow_endpoints(
-            kv.clone(),
-            dialect.clone(),
-            beliefs.clone(),
-            pool.clone(),
-            settings.drain_ms,
-        ));
-        tokio::spawn(watch::follow_operators(
-            kv.clone(),
-            dialect.clone(),
-            beliefs.clone(),
-            Some(orders),
-        ));
-        tokio::spawn(watch::follow_jobs(
-            kv.clone(),
-            view.clone(),
-            clock.clone(),
-        ));
-        peer::serve_relay(settings)?;
+        let watches = Watches {
+            kv: kv.clone(),
+            dialect: dialect.clone(),
+            beliefs: beliefs.clone(),
+            view: view.clone(),
+            pool: pool.clone(),
+            orders: Some(orders),
+        };
+        let feeds = watches.start(settings);
+        peer::serve(settings, feeds, clock.clone())?;
         let socket = load_share::bind(settings.peer)
             .await
             .change_context(NodeError::Listen)?;
