--- a/crates/cli/src/bin/pomeloslip/main.rs
+++ b/crates/cli/src/bin/pomeloslip/main.rs
@@ -12,6 +12,7 @@
 mod signal;
 mod stand_in;
 mod status;
+mod trace;
 mod vm;
 
 use std::process::ExitCode;
@@ -32,6 +33,7 @@
         Node::Group(&job::GROUP),
         Node::Group(&vm::GROUP),
         Node::Command(&status::COMMAND),
+        Node::Command(&trace::COMMAND),
         Node::Command(&demo::COMMAND),
         Node::Group(&stand_in::GROUP),
         Node::Command(&load::COMMAND),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod daemon;
 pub mod demo;
 pub mod render;
+pub mod trace;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -980,6 +980,14 @@
             job.finish(number, &inputs, ItemState::Complete);
             Tally::add(&self.runner.tally.items_completed);
         } else if hopeless {
+            log::info!(
+                request_id = inputs[number as usize].id.as_str(),
+                job = run.job.as_str(),
+                errors = strikes.errors,
+                rejections = strikes.rejections,
+                most;
+                "an item is given up"
+            );
             job.finish(number, &inputs, ItemState::GivenUp);
             Tally::add(&self.runner.tally.items_given_up);
         } else {
