--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -956,6 +956,7 @@
             }
             _ => {}
         }
+        let strikes = *strikes;
         let hopeless = strikes.rejections > 0 || strikes.errors >= most;
         let ran_ms = run.started.elapsed().as_millis() as u64;
         log::info!(
@@ -968,7 +969,7 @@
             events = job.items[number as usize].progress.events();
             "a run of an item ended"
         );
-        if strikes == &Strikes::default() {
+        if strikes == Strikes::default() {
             job.strikes.swap_remove(&number);
         }
         job.items[number as usize].run_ms += ran_ms;
