--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -125,7 +125,7 @@
 
 name!(
     /// Names one customer whose calls are limited and measured together.
-    Tenant,
+    Customer,
     "tenant"
 );
 name!(
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,18 +5,18 @@
 //! from a seed:
 //!
 //! ```
-//! use pomeloslip_base::{Class, Millis, Tenant};
+//! use pomeloslip_base::{Class, Millis, Customer};
 //!
-//! let tenant: Tenant = "taevakorv".parse()?;
+//! let customer: Customer = "taevakorv".parse()?;
 //! let now = Millis::new(1_000);
 //! assert_eq!(now.saturating_add_ms(500).as_ms(), 1_500);
-//! assert_eq!(tenant.as_str(), "taevakorv");
+//! assert_eq!(customer.as_str(), "taevakorv");
 //! assert_eq!(Class::Online.as_str(), "online");
 //! # Ok::<(), pomeloslip_base::IdError>(())
 //! ```
 //!
 //! Names are checked once, when they are parsed; code inside the system can
-//! then rely on them ([`Tenant`], [`Model`], [`EndpointName`], [`VmId`],
+//! then rely on them ([`Customer`], [`Model`], [`EndpointName`], [`VmId`],
 //! [`FailureDomain`], [`JobId`], [`RequestId`]). The alternative, plain
 //! strings checked where they are used, leaves each use to remember the
 //! check.
@@ -35,8 +35,8 @@
     digest::{KeyDigest, KeyDigestError},
     hash::{mix, stable_hash},
     id::{
-        EndpointName, FailureDomain, FileId, IdError, Incarnation, JobId,
-        Model, RequestId, Revision, Service, Tenant, VmId,
+        Customer, EndpointName, FailureDomain, FileId, IdError, Incarnation,
+        JobId, Model, RequestId, Revision, Service, VmId,
     },
     retention::blob_day_prefix,
     snapshot::Snapshot,
--- a/crates/base/tests/property.rs
+++ b/crates/base/tests/property.rs
@@ -1,6 +1,6 @@
 //! Names and key digests from outside: what is taken is shown as it came.
 
-use pomeloslip_base::{EndpointName, KeyDigest, RequestId, Tenant};
+use pomeloslip_base::{Customer, EndpointName, KeyDigest, RequestId};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 /// Cases are drawn from a fixed seed; `PROPERTY_FACTOR` multiplies them.
@@ -21,7 +21,7 @@
 }
 
 /// Symptom: a configuration with a digest that no tool prints is accepted,
-/// and its tenant can never call. Sequence: an operator pastes a digest with
+/// and its customer can never call. Sequence: an operator pastes a digest with
 /// a plus sign in it. Cause: `from_str_radix` takes a sign before a digit.
 #[test]
 fn a_sign_is_no_hex_digit() {
@@ -37,12 +37,12 @@
     fn names_are_shown_as_they_were_parsed(
         text in "([a-zA-Z0-9._-]{0,140}|.{0,40}|[a-z]{1,9}.[a-z]{1,9})",
     ) {
-        match text.parse::<Tenant>() {
+        match text.parse::<Customer>() {
             Ok(name) => {
                 prop_assert!(is_name(&text));
                 prop_assert_eq!(name.to_string(), &text[..]);
                 let json = serde_json::to_string(&name).expect("a text");
-                let back: Tenant = serde_json::from_str(&json).expect("it");
+                let back: Customer = serde_json::from_str(&json).expect("it");
                 prop_assert_eq!(back, name);
             }
             Err(error) => {
--- a/crates/bench/benches/burst/fleet.rs
+++ b/crates/bench/benches/burst/fleet.rs
@@ -25,11 +25,11 @@
 /// Model that all engines serve.
 pub(crate) const MODEL: &str = "korv-lm";
 
-/// Key of the only tenant.
+/// Key of the only customer.
 pub(crate) const KEY: &str = "bench-key";
 
-/// Name of the only tenant.
-const TENANT: &str = "taevakorv";
+/// Name of the only customer.
+const CUSTOMER: &str = "taevakorv";
 
 /// Step of an engine: `16 + 0.8 n` ms for `n` sequences. Twice as slow as
 /// the stand-in's default, so that twenty engines with their callers fit in
@@ -121,9 +121,11 @@
 
     /// Returns a count of batch items over all companions.
     pub(crate) fn batch_count(&self, counter: Counter) -> u64 {
-        let Ok(tenant) = TENANT.parse() else { return 0 };
+        let Ok(customer) = CUSTOMER.parse() else {
+            return 0;
+        };
         let table = self.metrics.snapshot();
-        table.count(counter, &Scope::Tenant(tenant), Class::Batch)
+        table.count(counter, &Scope::Customer(customer), Class::Batch)
     }
 
     /// Returns the tokens that all engines have generated.
@@ -252,7 +254,7 @@
     let text = format!(
         "\
 tenants:
-  - tenant: {TENANT}
+  - tenant: {CUSTOMER}
     key_sha256: [{digest}]
 pools:
   - pool: korv-lm
--- a/crates/bench/benches/capacity.rs
+++ b/crates/bench/benches/capacity.rs
@@ -1,7 +1,7 @@
 //! Slopes for the page on capacity, from real processes.
 //!
 //! Processor time and memory of each role against requests a second, open
-//! streams, endpoints and tenants; what idle companions cost an entry; calls
+//! streams, endpoints and customers; what idle companions cost an entry; calls
 //! of the key-value service at rest and under batch load. All figures depend
 //! on the machine and are printed only. Promise checked: every answer is
 //! right and every job ends.
@@ -30,7 +30,7 @@
     let tables = [
         online::measure(options).await?,
         idle::companions(options).await?,
-        idle::tenants(options).await?,
+        idle::customers(options).await?,
         platform::measure(options).await?,
     ];
     Table::print_all("capacity", options, &tables);
--- a/crates/bench/benches/capacity/idle.rs
+++ b/crates/bench/benches/capacity/idle.rs
@@ -1,4 +1,4 @@
-//! What is used at rest: companions, endpoints, tenants.
+//! What is used at rest: companions, endpoints, customers.
 
 use std::{
     fmt::Write,
@@ -101,17 +101,17 @@
     row(name, &(0..N).map(of).collect::<Vec<_>>())
 }
 
-fn key_of(tenant: usize) -> String {
-    format!("capacity-key-{tenant}")
+fn key_of(customer: usize) -> String {
+    format!("capacity-key-{customer}")
 }
 
-fn configuration(tenants: usize) -> String {
+fn configuration(customers: usize) -> String {
     let mut text = "tenants:\n".to_owned();
-    for tenant in 0..tenants {
-        let digest = KeyDigest::of_key(&key_of(tenant));
+    for customer in 0..customers {
+        let digest = KeyDigest::of_key(&key_of(customer));
         let _ = writeln!(
             text,
-            "  - {{tenant: t{tenant}, key_sha256: {digest}, \
+            "  - {{tenant: t{customer}, key_sha256: {digest}, \
              limits: {{concurrent: 100}}}}"
         );
     }
@@ -121,8 +121,8 @@
 "
 }
 
-/// Measures an entry that knows so many tenants and has served each.
-pub(crate) async fn tenants(
+/// Measures an entry that knows so many customers and has served each.
+pub(crate) async fn customers(
     options: Options,
 ) -> Result<Table, Report<BenchError>> {
     let mut table = Table::new(
@@ -178,23 +178,23 @@
 
 async fn call_each(
     fleet: &Fleet,
-    tenants: usize,
+    customers: usize,
 ) -> Result<(), Report<BenchError>> {
     let client = reqwest::Client::builder().no_proxy().build();
     let client = client.change_context(BenchError::Call)?;
     let url = format!("{}/v1/chat/completions", fleet.entries[0].url());
-    for tenant in 0..tenants {
+    for customer in 0..customers {
         let body = json!({
             "model": "korv-lm",
             "max_tokens": 2,
             "messages": [{"role": "user", "content": "hello"}],
         });
-        let call = client.post(&url).bearer_auth(key_of(tenant)).json(&body);
+        let call = client.post(&url).bearer_auth(key_of(customer)).json(&body);
         let answer = call.send().await.change_context(BenchError::Call)?;
         let status = answer.status();
         let text = answer.text().await.change_context(BenchError::Call)?;
         if !status.is_success() {
-            let why = format!("tenant {tenant}: {status}: {text}");
+            let why = format!("tenant {customer}: {status}: {text}");
             return Err(Report::new(BenchError::Call).attach(why));
         }
     }
--- a/crates/bench/benches/capacity/online.rs
+++ b/crates/bench/benches/capacity/online.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use load::{Arrivals, Plan};
 use pomeloslip_bench::{
-    BenchError, Fleet, FleetOptions, Options, TENANT_KEY, Table,
+    BenchError, CUSTOMER_KEY, Fleet, FleetOptions, Options, Table,
 };
 
 use crate::window::{Seen, Window, figure, slope};
@@ -91,7 +91,7 @@
     );
     let seconds = if options.small { 2 } else { 8 };
     let plan = Plan::new("http://unused", MODEL)
-        .key(TENANT_KEY)
+        .key(CUSTOMER_KEY)
         .seed(options.seed)
         .duration_ms((seconds + 2) * 1_000);
     let rates: &[u32] = match options.small {
--- a/crates/bench/benches/config.rs
+++ b/crates/bench/benches/config.rs
@@ -3,10 +3,10 @@
 //!
 //! Entries of one process on loopback, each behind a proxy that counts the
 //! bytes that other entries exchange with it, 19 in a failure domain as at
-//! the target size. Edits of one tenant of 20 go to entries in turn; from
+//! the target size. Edits of one customer of 20 go to entries in turn; from
 //! `/status` follows since when each entry has the new revision. Then a
 //! relay is stopped and the edits go on. What a configuration of 1,400
-//! tenants adds, its parsing, is measured at an entry that is alone: many
+//! customers adds, its parsing, is measured at an entry that is alone: many
 //! entries that parse on one machine would measure its processors.
 //!
 //! Promise checked: after each edit, every entry gets its revision within a
@@ -31,9 +31,9 @@
 const SIZES: [usize; 3] = [10, 40, 100];
 const SIZES_SMALL: [usize; 2] = [10, 40];
 
-/// Tenants of the runs, and of the entry that is alone.
-const TENANTS: usize = 20;
-const TENANTS_TARGET: usize = 1_400;
+/// Customers of the runs, and of the entry that is alone.
+const CUSTOMERS: usize = 20;
+const CUSTOMERS_TARGET: usize = 1_400;
 
 /// Edits before and after a relay is stopped.
 const EDITS: usize = 10;
@@ -110,7 +110,7 @@
 }
 
 async fn alone(options: Options) -> Result<Alone, Report<BenchError>> {
-    let mut fleet = Fleet::start(1, TENANTS_TARGET, options.seed).await?;
+    let mut fleet = Fleet::start(1, CUSTOMERS_TARGET, options.seed).await?;
     let before = fleet.sample().await?;
     let times_ms = edit(&mut fleet, EDITS_SMALL).await?;
     let after = fleet.sample().await?;
@@ -130,7 +130,7 @@
         true => (EDITS_SMALL, REST_SMALL),
         false => (EDITS, REST),
     };
-    let mut fleet = Fleet::start(size, TENANTS, options.seed).await?;
+    let mut fleet = Fleet::start(size, CUSTOMERS, options.seed).await?;
     let relays = fleet.settled().await?;
     let before = fleet.sample().await?;
     tokio::time::sleep(rest).await;
@@ -266,7 +266,7 @@
 /// Extends lines through the runs to the target size. The ways of an edit
 /// grow with the logarithm of the entries, so times are drawn over that and
 /// costs over the entries. Two sizes, as with `--small`, give a rough line:
-/// noise of one of them is multiplied. What an edit of 1,400 tenants takes
+/// noise of one of them is multiplied. What an edit of 1,400 customers takes
 /// alone is added to the times.
 fn target(runs: &[Run], alone: &Alone) -> Table {
     let at = |of: &dyn Fn(&Run) -> f64| {
--- a/crates/bench/benches/config/fleet.rs
+++ b/crates/bench/benches/config/fleet.rs
@@ -58,7 +58,7 @@
     entries: Vec<Entry>,
     client: reqwest::Client,
     revision: u64,
-    tenants: usize,
+    customers: usize,
     domains: usize,
     /// Calls of entries that were stopped.
     calls_before: u64,
@@ -71,11 +71,11 @@
     Report::new(BenchError::Process).attach(format!("{error:?}"))
 }
 
-fn text(tenants: usize, edit: u64) -> String {
+fn text(customers: usize, edit: u64) -> String {
     let mut text = "tenants:\n".to_owned();
-    for at in 0..tenants {
+    for at in 0..customers {
         let digest = KeyDigest::of_key(&format!("key {at}"));
-        let edited = edit as usize % tenants == at;
+        let edited = edit as usize % customers == at;
         let weight = if edited { edit % 100 + 2 } else { 1 };
         text += &format!(
             "  - tenant: tenant-{at}\n    key_sha256: [{digest}]\n    \
@@ -89,12 +89,13 @@
 impl Fleet {
     pub(crate) async fn start(
         size: usize,
-        tenants: usize,
+        customers: usize,
         seed: u64,
     ) -> Result<Self, Report<BenchError>> {
         let service = KvService::start(KvServiceSettings::default());
         let service = service.await.map_err(failed)?;
-        let value = first_configuration(&text(tenants, 1)).map_err(failed)?;
+        let value =
+            first_configuration(&text(customers, 1)).map_err(failed)?;
         let put = |key| Op::Put {
             key,
             value: value.clone(),
@@ -122,7 +123,7 @@
                 .build()
                 .change_context(BenchError::Call)?,
             revision: 1,
-            tenants,
+            customers,
             domains,
             calls_before: 0,
         };
@@ -216,7 +217,7 @@
         })
     }
 
-    /// Edits one tenant at one entry and returns the new revision.
+    /// Edits one customer at one entry and returns the new revision.
     pub(crate) async fn edit(&mut self) -> Result<u64, Report<BenchError>> {
         let revision = self.revision + 1;
         let at = revision as usize % self.entries.len();
@@ -225,7 +226,7 @@
         let body = json!({
             "expect_revision": self.revision,
             "operation_id": format!("edit-{revision}"),
-            "text": text(self.tenants, revision),
+            "text": text(self.customers, revision),
         });
         let answer = call.bearer_auth(OPERATOR).json(&body).send().await;
         let answer = answer.change_context(BenchError::Call)?;
--- a/crates/bench/benches/ledger/sim.rs
+++ b/crates/bench/benches/ledger/sim.rs
@@ -33,7 +33,7 @@
 pub(crate) struct Load {
     /// Partitions, all owned by one process.
     pub(crate) partitions: u32,
-    /// Jobs of each partition, each of another tenant, so that all run at
+    /// Jobs of each partition, each of another customer, so that all run at
     /// once: the most commits that this rate can cost.
     pub(crate) jobs: u32,
     /// Items of each job.
@@ -123,8 +123,8 @@
             let partition = partition_of(&id, self.load.partitions);
             let jobs = &mut self.open[partition as usize];
             if jobs.len() < wanted {
-                let tenant = partition as usize * wanted + jobs.len();
-                let record = self.load.record(&id, tenant);
+                let customer = partition as usize * wanted + jobs.len();
+                let record = self.load.record(&id, customer);
                 jobs.push(id.clone());
                 let revision = 1;
                 let seen = RecordSeen { record, revision };
@@ -353,10 +353,10 @@
 }
 
 impl Load {
-    fn record(&self, id: &JobId, tenant: usize) -> JobRecord {
+    fn record(&self, id: &JobId, customer: usize) -> JobRecord {
         let record = json!({
             "id": id,
-            "tenant": format!("tenant-{tenant}"),
+            "tenant": format!("tenant-{customer}"),
             "content": "0".repeat(64),
             "input": format!("file-{}", "0".repeat(32)),
             "models": ["korv-lm"],
--- a/crates/bench/benches/path.rs
+++ b/crates/bench/benches/path.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 
 use bench::{
-    BenchError, Fleet, FleetOptions, Options, Process, TENANT_KEY, Table,
+    BenchError, CUSTOMER_KEY, Fleet, FleetOptions, Options, Process, Table,
     Usage,
 };
 use error_stack::{Report, ResultExt};
@@ -182,7 +182,7 @@
         false => (7, 4_000),
     };
     let plan = Plan::new("http://unused", MODEL)
-        .key(TENANT_KEY)
+        .key(CUSTOMER_KEY)
         .max_tokens(TOKENS)
         .duration_ms(duration_ms);
     let mut measured = Measured {
--- a/crates/bench/benches/takeover.rs
+++ b/crates/bench/benches/takeover.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use bench::{BenchError, Fleet, FleetOptions, Options, TENANT_KEY, Table};
+use bench::{BenchError, CUSTOMER_KEY, Fleet, FleetOptions, Options, Table};
 use error_stack::{Report, ResultExt};
 use ledger::partition_of;
 use pomeloslip_bench as bench;
@@ -114,7 +114,7 @@
         &self,
         call: reqwest::RequestBuilder,
     ) -> Result<Value, Report<BenchError>> {
-        let sent = call.bearer_auth(TENANT_KEY).send().await;
+        let sent = call.bearer_auth(CUSTOMER_KEY).send().await;
         let answer = sent.change_context(BenchError::Call)?;
         let answer = answer.error_for_status();
         let answer = answer.change_context(BenchError::Call)?;
@@ -234,7 +234,7 @@
         let job = self.job(url, job).await?;
         let file = job["output_file_id"].as_str().unwrap_or_default();
         let call = self.0.get(format!("{url}/v1/files/{file}/content"));
-        let sent = call.bearer_auth(TENANT_KEY).send().await;
+        let sent = call.bearer_auth(CUSTOMER_KEY).send().await;
         let text = sent.change_context(BenchError::Call)?.text().await;
         let text = text.change_context(BenchError::Call)?;
         let id = |line: &str| {
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -10,7 +10,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::{BenchError, TENANT_KEY};
+use crate::{BenchError, CUSTOMER_KEY};
 
 /// Longest silence of an entry before another is asked.
 const SILENCE: Duration = Duration::from_secs(10);
@@ -167,7 +167,7 @@
     ) -> Result<String, Report<BenchError>> {
         loop {
             let at = self.next.load(Ordering::Relaxed) % self.urls.len();
-            let sent = call(&self.urls[at]).bearer_auth(TENANT_KEY).send();
+            let sent = call(&self.urls[at]).bearer_auth(CUSTOMER_KEY).send();
             let why = match sent.await {
                 Ok(answer) => {
                     let status = answer.status();
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -16,8 +16,8 @@
     settings::{self, example, free_address},
 };
 
-/// Key of the tenant `taevakorv` in `examples/rules/example.yaml`.
-pub const TENANT_KEY: &str = "example-key-taevakorv";
+/// Key of the customer `taevakorv` in `examples/rules/example.yaml`.
+pub const CUSTOMER_KEY: &str = "example-key-taevakorv";
 
 /// Key of the operators in `examples/settings`.
 pub const OPERATOR_KEY: &str = "example-operator-key";
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,7 +23,7 @@
     binaries::Binaries,
     caller::Caller,
     error::BenchError,
-    fleet::{Fleet, FleetOptions, OPERATOR_KEY, TENANT_KEY},
+    fleet::{CUSTOMER_KEY, Fleet, FleetOptions, OPERATOR_KEY},
     http::{get_json, post_json},
     options::{Options, run},
     process::{Process, Ready},
--- a/crates/cli/src/bin/pomeloslip/job/list.rs
+++ b/crates/cli/src/bin/pomeloslip/job/list.rs
@@ -1,4 +1,4 @@
-//! `job list`: the tenant's jobs.
+//! `job list`: the customer's jobs.
 
 use base::JobId;
 use error_stack::ResultExt;
--- a/crates/cli/src/client/http.rs
+++ b/crates/cli/src/client/http.rs
@@ -17,7 +17,7 @@
 pub struct ClientSettings {
     /// Address of an entry, `http://IP:PORT`.
     pub server: String,
-    /// Bearer key of a tenant or an operator.
+    /// Bearer key of a customer or an operator.
     pub key: Option<String>,
     /// Longest silence in an answer before it is given up.
     pub silence_timeout_ms: u64,
--- a/crates/cli/src/client/jobs.rs
+++ b/crates/cli/src/client/jobs.rs
@@ -182,7 +182,7 @@
     ///
     /// # Errors
     ///
-    /// [`ClientError::Refused`] with status 404 if the tenant has no such
+    /// [`ClientError::Refused`] with status 404 if the customer has no such
     /// job.
     pub async fn job(
         &self,
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -22,8 +22,8 @@
 pub use self::selftest::{Check, Selftest, selftest};
 use self::{platform::Platform, settings::DataFolders};
 
-/// Key of the demo's tenant.
-pub const TENANT_KEY: &str = "demo-key-taevakorv";
+/// Key of the demo's customer.
+pub const CUSTOMER_KEY: &str = "demo-key-taevakorv";
 
 /// Key of the demo's operator.
 pub const ADMIN_KEY: &str = "demo-key-operator";
@@ -111,14 +111,14 @@
 
 A chat:
   curl -N http://{address}/v1/chat/completions \
-    -H 'Authorization: Bearer {TENANT_KEY}' \
+    -H 'Authorization: Bearer {CUSTOMER_KEY}' \
     -H 'Content-Type: application/json' \
     -d '{{"model":"{MODEL}","stream":true,"max_tokens":16,"messages":[{{"role":"user","content":"May I fly on Friday?"}}]}}'
 
 A batch:
   printf '%s\n' '{{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{{"model":"{MODEL}","max_tokens":8,"messages":[{{"role":"user","content":"brief"}}]}}}}' > /tmp/items.jsonl
-  curl http://{address}/v1/files -H 'Authorization: Bearer {TENANT_KEY}' -F purpose=batch -F file=@/tmp/items.jsonl
-  curl http://{address}/v1/batches -H 'Authorization: Bearer {TENANT_KEY}' -H 'Content-Type: application/json' \
+  curl http://{address}/v1/files -H 'Authorization: Bearer {CUSTOMER_KEY}' -F purpose=batch -F file=@/tmp/items.jsonl
+  curl http://{address}/v1/batches -H 'Authorization: Bearer {CUSTOMER_KEY}' -H 'Content-Type: application/json' \
     -d '{{"input_file_id":"FILE_ID","endpoint":"/v1/chat/completions","completion_window":"24h"}}'
 
 The rules, and a change of them:
--- a/crates/cli/src/demo/platform.rs
+++ b/crates/cli/src/demo/platform.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    DemoError, MODEL, TENANT_KEY,
+    CUSTOMER_KEY, DemoError, MODEL,
     settings::{ENGINES, SERVICE},
 };
 
@@ -119,7 +119,7 @@
 
 /// Returns the demo's configuration.
 fn configuration() -> String {
-    let digest = base::KeyDigest::of_key(TENANT_KEY);
+    let digest = base::KeyDigest::of_key(CUSTOMER_KEY);
     format!(
         "\
 tenants:
--- a/crates/cli/src/demo/selftest.rs
+++ b/crates/cli/src/demo/selftest.rs
@@ -6,7 +6,7 @@
 use load::{Arrivals, LoadReport, Plan};
 use serde::Serialize;
 
-use super::{Demo, DemoError, MODEL, TENANT_KEY};
+use super::{CUSTOMER_KEY, Demo, DemoError, MODEL};
 
 /// Pause between looks at something that is awaited.
 const LOOK: Duration = Duration::from_millis(50);
@@ -76,7 +76,7 @@
 }
 
 fn plan(url: &str) -> Plan {
-    Plan::new(url, MODEL).key(TENANT_KEY).max_tokens(16)
+    Plan::new(url, MODEL).key(CUSTOMER_KEY).max_tokens(16)
 }
 
 async fn send(plan: &Plan) -> Result<LoadReport, Report<DemoError>> {
@@ -279,7 +279,7 @@
         call: reqwest::RequestBuilder,
     ) -> Result<serde_json::Value, Report<DemoError>> {
         let reply = call
-            .bearer_auth(TENANT_KEY)
+            .bearer_auth(CUSTOMER_KEY)
             .send()
             .await
             .change_context(DemoError)?;
--- a/crates/cli/src/render/status.rs
+++ b/crates/cli/src/render/status.rs
@@ -109,7 +109,7 @@
         ];
         let names = [
             row.series.to_string(),
-            row.tenant.to_string(),
+            row.customer.to_string(),
             row.class.to_string(),
         ];
         let values = values.iter().map(u64::to_string);
@@ -124,12 +124,12 @@
 fn counters(metrics: &HistogramTable) -> String {
     let mut table =
         Table::new(["counter", "tenant", "class", "total"]).right([3]);
-    let all = metrics.counters.iter().filter(|r| r.tenant == Scope::All);
-    let others = metrics.counters.iter().filter(|r| r.tenant != Scope::All);
+    let all = metrics.counters.iter().filter(|r| r.customer == Scope::All);
+    let others = metrics.counters.iter().filter(|r| r.customer != Scope::All);
     for row in all.chain(others) {
         table.row([
             row.counter.to_string(),
-            row.tenant.to_string(),
+            row.customer.to_string(),
             row.class.to_string(),
             row.total.to_string(),
         ]);
--- a/crates/cli/tests/broken.rs
+++ b/crates/cli/tests/broken.rs
@@ -5,7 +5,7 @@
 mod broken_common;
 
 use broken_common::{OTHER_KEY, System, chat, item, job};
-use pomeloslip::demo::{ADMIN_KEY, TENANT_KEY};
+use pomeloslip::demo::{ADMIN_KEY, CUSTOMER_KEY};
 use serde_json::json;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -26,8 +26,8 @@
             answer.refused(401, "unauthorized");
         }
     }
-    // A tenant is no operator.
-    for key in ["wrong-key", TENANT_KEY] {
+    // A customer is no operator.
+    for key in ["wrong-key", CUSTOMER_KEY] {
         let shown = system.get("/admin/config", key).await;
         shown.refused(401, "unauthorized");
     }
@@ -38,9 +38,9 @@
 async fn broken_json_is_refused() {
     let system = System::start().await;
     for text in ["{\"model\":", "[]", "{\"messages\": []}", "\u{0}", ""] {
-        let answer = system.post_text(CHAT, TENANT_KEY, text).await;
+        let answer = system.post_text(CHAT, CUSTOMER_KEY, text).await;
         answer.refused(400, "bad-request");
-        let answer = system.post_text("/v1/batches", TENANT_KEY, text).await;
+        let answer = system.post_text("/v1/batches", CUSTOMER_KEY, text).await;
         answer.refused(422, "invalid");
         let answer = system.post_text("/admin/config", ADMIN_KEY, text).await;
         assert!([400, 422].contains(&answer.status), "{answer:?}");
@@ -56,11 +56,11 @@
     let system = System::start().await;
     let mut body = chat("hello");
     body["model"] = json!("korv-ml");
-    let answer = system.post(CHAT, TENANT_KEY, &body).await;
+    let answer = system.post(CHAT, CUSTOMER_KEY, &body).await;
     answer.refused(404, "no-rule");
-    let answer = system.get("/svc/vautsher-ap/x", TENANT_KEY).await;
+    let answer = system.get("/svc/vautsher-ap/x", CUSTOMER_KEY).await;
     answer.refused(404, "no-rule");
-    let answer = system.get("/v1/nothing", TENANT_KEY).await;
+    let answer = system.get("/v1/nothing", CUSTOMER_KEY).await;
     answer.refused(404, "not-found");
     system.stop().await;
 }
@@ -69,9 +69,9 @@
 async fn a_body_over_the_limit_is_refused() {
     let system = System::start().await;
     let over = chat(&"a".repeat(8 << 20));
-    let answer = system.post(CHAT, TENANT_KEY, &over).await;
+    let answer = system.post(CHAT, CUSTOMER_KEY, &over).await;
     answer.refused(413, "too-large");
-    let answer = system.post("/v1/batches", TENANT_KEY, &over).await;
+    let answer = system.post("/v1/batches", CUSTOMER_KEY, &over).await;
     answer.refused(413, "too-large");
     let edit = system.apply(1, "large", &"a".repeat(8 << 20)).await;
     edit.refused(413, "too-large");
@@ -84,7 +84,7 @@
     for path in [CHAT, "/v1/batches"] {
         let call = || {
             let call = system.client.post(system.url(path));
-            call.json(&chat("hello")).bearer_auth(TENANT_KEY)
+            call.json(&chat("hello")).bearer_auth(CUSTOMER_KEY)
         };
         let large = call().header("x-large", "a".repeat(9_000));
         system.send(large).await.refused(431, "headers-too-large");
@@ -96,16 +96,16 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn another_tenants_job_and_file_are_not_found() {
-    let system = System::with_two_tenants().await;
-    let file = system.upload(TENANT_KEY, &item("a", "hello")).await.id();
+async fn another_customers_job_and_file_are_not_found() {
+    let system = System::with_two_customers().await;
+    let file = system.upload(CUSTOMER_KEY, &item("a", "hello")).await.id();
     let batch = system.start_job(&file, None).await.id();
     for path in [
         format!("/v1/batches/{batch}"),
         format!("/v1/files/{file}"),
         format!("/v1/files/{file}/content"),
     ] {
-        assert_eq!(system.get(&path, TENANT_KEY).await.status, 200);
+        assert_eq!(system.get(&path, CUSTOMER_KEY).await.status, 200);
         system.get(&path, OTHER_KEY).await.refused(404, "not-found");
     }
     let path = format!("/v1/batches/{batch}/cancel");
--- a/crates/cli/tests/broken_batch.rs
+++ b/crates/cli/tests/broken_batch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use broken_common::{System, item, job};
-use pomeloslip::demo::TENANT_KEY;
+use pomeloslip::demo::CUSTOMER_KEY;
 use serde_json::json;
 
 /// Pause between looks at a job.
@@ -43,7 +43,7 @@
         (format!("{good}[]"), 3, ""),
     ];
     for (input, line, why) in inputs {
-        let answer = system.upload(TENANT_KEY, &input).await;
+        let answer = system.upload(CUSTOMER_KEY, &input).await;
         let problem = answer.refused(422, "invalid");
         assert_eq!(problem["line"], line, "{answer:?}");
         let detail = problem["detail"].as_str().unwrap();
@@ -59,16 +59,16 @@
     // last item, and has none.
     let system = System::start().await;
     for input in ["", "\n \n"] {
-        let file = system.upload(TENANT_KEY, input).await.id();
+        let file = system.upload(CUSTOMER_KEY, input).await.id();
         let batch = system.start_job(&file, None).await.id();
         let path = format!("/v1/batches/{batch}");
-        let mut job = system.get(&path, TENANT_KEY).await;
+        let mut job = system.get(&path, CUSTOMER_KEY).await;
         for _ in 0..LOOKS_MAX {
             if job.ok()["status"] == "completed" {
                 break;
             }
             tokio::time::sleep(LOOK).await;
-            job = system.get(&path, TENANT_KEY).await;
+            job = system.get(&path, CUSTOMER_KEY).await;
         }
         assert_eq!(job.ok()["status"], "completed");
         let counts = json!({"total": 0, "completed": 0, "failed": 0});
@@ -83,7 +83,7 @@
     let system = System::start().await;
     let post = || {
         let call = system.client.post(system.url("/v1/files"));
-        call.bearer_auth(TENANT_KEY)
+        call.bearer_auth(CUSTOMER_KEY)
     };
     let form = |purpose: &str| {
         let form = reqwest::multipart::Form::new();
@@ -105,7 +105,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_order_for_a_job_is_refused() {
     let system = System::start().await;
-    let file = system.upload(TENANT_KEY, &item("a", "one")).await.id();
+    let file = system.upload(CUSTOMER_KEY, &item("a", "one")).await.id();
     let with = |name: &str, value| {
         let mut body = job(&file);
         body[name] = value;
@@ -120,10 +120,10 @@
         (with("input_file_id", json!("file-0")), 404, "not-found"),
         (with("input_file_id", json!("../x")), 404, "not-found"),
     ] {
-        let answer = system.post("/v1/batches", TENANT_KEY, &body).await;
+        let answer = system.post("/v1/batches", CUSTOMER_KEY, &body).await;
         answer.refused(status, kind);
     }
-    let list = system.get("/v1/batches", TENANT_KEY).await;
+    let list = system.get("/v1/batches", CUSTOMER_KEY).await;
     assert_eq!(list.ok()["data"], json!([]));
     system.stop().await;
 }
@@ -136,10 +136,10 @@
     // one.
     let system = System::start().await;
     let input = item("a", "one") + &item("b", "two");
-    let file = system.upload(TENANT_KEY, &input).await.id();
+    let file = system.upload(CUSTOMER_KEY, &input).await.id();
     let first = system.start_job(&file, None).await.id();
     assert_eq!(system.start_job(&file, None).await.id(), first);
-    let again = system.upload(TENANT_KEY, &input).await.id();
+    let again = system.upload(CUSTOMER_KEY, &input).await.id();
     assert_eq!(system.start_job(&again, None).await.id(), first);
 
     // With a key, the key decides: another key is another job.
@@ -148,7 +148,7 @@
     assert_eq!(system.start_job(&again, Some("night-1")).await.id(), keyed);
     assert_ne!(system.start_job(&file, Some("night-2")).await.id(), keyed);
 
-    let list = system.get("/v1/batches", TENANT_KEY).await;
+    let list = system.get("/v1/batches", CUSTOMER_KEY).await;
     assert_eq!(list.ok()["data"].as_array().unwrap().len(), 3);
     system.stop().await;
 }
@@ -156,13 +156,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_used_for_other_content_is_refused() {
     let system = System::start().await;
-    let file = system.upload(TENANT_KEY, &item("a", "one")).await.id();
-    let other = system.upload(TENANT_KEY, &item("a", "two")).await.id();
+    let file = system.upload(CUSTOMER_KEY, &item("a", "one")).await.id();
+    let other = system.upload(CUSTOMER_KEY, &item("a", "two")).await.id();
     let first = system.start_job(&file, Some("night-1")).await.id();
     let answer = system.start_job(&other, Some("night-1")).await;
     let problem = answer.refused(409, "idempotency-key-reused");
     assert_eq!(problem["batch"], first);
-    let list = system.get("/v1/batches", TENANT_KEY).await;
+    let list = system.get("/v1/batches", CUSTOMER_KEY).await;
     assert_eq!(list.ok()["data"].as_array().unwrap().len(), 1);
     system.stop().await;
 }
--- a/crates/cli/tests/broken_common/mod.rs
+++ b/crates/cli/tests/broken_common/mod.rs
@@ -1,13 +1,13 @@
-//! A demo with two tenants, and calls that check each error body.
+//! A demo with two customers, and calls that check each error body.
 
 #![allow(clippy::unwrap_used, dead_code)]
 
 use base::KeyDigest;
-use pomeloslip::demo::{ADMIN_KEY, Demo, TENANT_KEY};
+use pomeloslip::demo::{ADMIN_KEY, CUSTOMER_KEY, Demo};
 use reqwest::{Client, RequestBuilder, multipart};
 use serde_json::{Value, json};
 
-/// Key of the second tenant.
+/// Key of the second customer.
 pub(crate) const OTHER_KEY: &str = "test-key-alama";
 
 /// Start of the `type` of each problem.
@@ -59,13 +59,13 @@
         Self { demo, client }
     }
 
-    /// Starts a system in which [`OTHER_KEY`] belongs to another tenant.
-    pub(crate) async fn with_two_tenants() -> Self {
+    /// Starts a system in which [`OTHER_KEY`] belongs to another customer.
+    pub(crate) async fn with_two_customers() -> Self {
         let system = Self::start().await;
         let digest = KeyDigest::of_key(OTHER_KEY);
-        let tenant =
+        let customer =
             format!("tenants:\n  - {{tenant: alama, key_sha256: {digest}}}\n");
-        let text = system.text().await.replacen("tenants:\n", &tenant, 1);
+        let text = system.text().await.replacen("tenants:\n", &customer, 1);
         system.apply(1, "two-tenants", &text).await.ok();
         system
     }
@@ -161,7 +161,7 @@
         if let Some(key) = idempotency_key {
             call = call.header("idempotency-key", key);
         }
-        self.send(call.bearer_auth(TENANT_KEY)).await
+        self.send(call.bearer_auth(CUSTOMER_KEY)).await
     }
 }
 
--- a/crates/cli/tests/broken_rules.rs
+++ b/crates/cli/tests/broken_rules.rs
@@ -5,14 +5,14 @@
 mod broken_common;
 
 use broken_common::{System, chat};
-use pomeloslip::demo::{ADMIN_KEY, TENANT_KEY};
+use pomeloslip::demo::{ADMIN_KEY, CUSTOMER_KEY};
 use serde_json::{Value, json};
 
 /// Returns revision and text that an operator is shown, and the revision
 /// that the entry says it runs.
 async fn in_force(system: &System) -> (Value, Value) {
     let shown = system.get("/admin/config", ADMIN_KEY).await;
-    let status = system.get("/status", TENANT_KEY).await;
+    let status = system.get("/status", CUSTOMER_KEY).await;
     assert_eq!(status.ok()["revision"], shown.ok()["revision"]);
     (shown.body["revision"].clone(), shown.body["text"].clone())
 }
@@ -50,7 +50,7 @@
     assert!(!errors.as_array().unwrap().is_empty());
     assert_eq!(in_force(&system).await, before);
     let sent = system
-        .post("/v1/chat/completions", TENANT_KEY, &chat("hello"))
+        .post("/v1/chat/completions", CUSTOMER_KEY, &chat("hello"))
         .await;
     sent.ok();
     system.stop().await;
--- a/crates/cli/tests/cli_client.rs
+++ b/crates/cli/tests/cli_client.rs
@@ -298,9 +298,9 @@
 fn status_shows_the_histograms() {
     let server = Server::start(|_| {
         let metrics = obs::Metrics::default();
-        let tenant = "alama".parse().unwrap();
+        let customer = "alama".parse().unwrap();
         let class = base::Class::Online;
-        metrics.record(obs::Series::TotalMs, &tenant, class, 9);
+        metrics.record(obs::Series::TotalMs, &customer, class, 9);
         let table = metrics.snapshot();
         json(200, value!({"revision": 7, "metrics": table}))
     });
--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -140,8 +140,8 @@
         let pool = compiled.pool_by_name(&endpoint.pool);
         assert!(pool.is_some(), "{endpoint:?}");
     }
-    // The key that the comment tells is the tenant's.
+    // The key that the comment tells is the customer's.
     let digest = KeyDigest::of_key("example-key-taevakorv");
-    let tenant = compiled.tenant_by_key_digest(digest.as_bytes());
-    assert_eq!(tenant.unwrap().tenant().as_str(), "taevakorv");
+    let customer = compiled.customer_by_key_digest(digest.as_bytes());
+    assert_eq!(customer.unwrap().customer().as_str(), "taevakorv");
 }
--- a/crates/cli/tests/vm_stop.rs
+++ b/crates/cli/tests/vm_stop.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use pomeloslip::demo::{ADMIN_KEY, Demo, MODEL, TENANT_KEY};
+use pomeloslip::demo::{ADMIN_KEY, CUSTOMER_KEY, Demo, MODEL};
 use serde_json::{Value, json};
 
 async fn stop(url: &str, vm: &str, key: &str) -> (u16, Value) {
@@ -17,7 +17,7 @@
 async fn chat(url: &str) -> (u16, Value) {
     let call = reqwest::Client::new()
         .post(format!("{url}/v1/chat/completions"))
-        .bearer_auth(TENANT_KEY)
+        .bearer_auth(CUSTOMER_KEY)
         .json(&json!({
             "model": MODEL,
             "max_tokens": 2,
@@ -58,7 +58,7 @@
     let (status, body) = stop(&url, "nobody", ADMIN_KEY).await;
     assert_eq!(status, 404);
     assert_eq!(body["ran"], "no");
-    let (status, _) = stop(&url, "korv-lm-1", TENANT_KEY).await;
+    let (status, _) = stop(&url, "korv-lm-1", CUSTOMER_KEY).await;
     assert_eq!(status, 401);
     demo.stop().await;
 }
--- a/crates/companion/src/admission.rs
+++ b/crates/companion/src/admission.rs
@@ -5,7 +5,7 @@
     time::Instant,
 };
 
-use base::{Millis, Tenant, UnixMillis, timer::Timer};
+use base::{Customer, Millis, UnixMillis, timer::Timer};
 use gate::{
     Action, Arrival, BatchArrival, CallKey, End, Event, Gate, GateLoad,
     GateOptions, Refused, StopWhy,
@@ -17,7 +17,7 @@
 /// Time between two looks of the gate at what has not moved.
 const TICK_MS: u64 = 50;
 
-/// Weight of every tenant; the rules give none yet.
+/// Weight of every customer; the rules give none yet.
 const WEIGHT: u32 = 1;
 
 /// A decision on one call.
@@ -80,10 +80,10 @@
     /// the call elsewhere any more; a refusal costs it a millisecond.
     pub(crate) fn arrive(
         self: &Arc<Self>,
-        tenant: &Tenant,
+        customer: &Customer,
     ) -> Result<Place, Refused> {
         let arrival = Arrival {
-            tenant: tenant.clone(),
+            customer: customer.clone(),
             weight: WEIGHT,
         };
         self.enter(|gate, now, actions| gate.arrive(now, &arrival, actions))
@@ -92,13 +92,13 @@
     /// Takes a batch item in hand.
     pub(crate) fn offer(
         self: &Arc<Self>,
-        tenant: &Tenant,
+        customer: &Customer,
         due: UnixMillis,
     ) -> Place {
         let unix = self.timer.clock().unix();
         let due_in_ms = due.saturating_ms_since(unix);
         let item = BatchArrival {
-            tenant: tenant.clone(),
+            customer: customer.clone(),
             weight: WEIGHT,
             due: self.timer.now().saturating_add_ms(due_in_ms),
         };
--- a/crates/companion/src/handler.rs
+++ b/crates/companion/src/handler.rs
@@ -74,7 +74,7 @@
 
     fn admit(&self, request: &Request) -> Result<Place, Refusal> {
         self.check(request)?;
-        let place = self.admission.arrive(&request.tenant);
+        let place = self.admission.arrive(&request.customer);
         place.map_err(refusal)
     }
 }
@@ -123,10 +123,10 @@
     request: Request,
     answer: Answer,
 ) {
-    let tenant = shared.metrics.tenant(&request.tenant);
+    let customer = shared.metrics.customer(&request.customer);
     let arrived = shared.timer.now();
     let class = request.class;
-    tenant.count(Counter::Arrived, class, 1);
+    customer.count(Counter::Arrived, class, 1);
     let started = tokio::select! {
         started = place.start() => Some(started),
         () = answer.closed() => None,
@@ -134,28 +134,28 @@
     match started {
         Some(Ok(())) => {}
         Some(Err(why)) => {
-            tenant.count(Counter::Refused, class, 1);
+            customer.count(Counter::Refused, class, 1);
             // If the caller has left, nobody needs the end.
             let _ = answer.send(given_up(why)).await;
             return;
         }
         None => {
-            tenant.count(Counter::Cancelled, class, 1);
+            customer.count(Counter::Cancelled, class, 1);
             return;
         }
     }
     let waited_ms = shared.timer.now().saturating_ms_since(arrived);
-    tenant.record(Series::QueueWaitUs, class, waited_ms * 1_000);
+    customer.record(Series::QueueWaitUs, class, waited_ms * 1_000);
     let mut is_first = true;
     let on_seen = |seen| {
         let gap_us = place.seen(seen);
         if let Some(gap_us) = gap_us {
             let gap_us = u64::from(gap_us);
-            tenant.record(Series::BetweenTokensUs, class, gap_us);
+            customer.record(Series::BetweenTokensUs, class, gap_us);
         }
         if seen != Seen::Stream && std::mem::take(&mut is_first) {
             let ms = shared.timer.now().saturating_ms_since(arrived);
-            tenant.record(Series::FirstTokenMs, class, ms);
+            customer.record(Series::FirstTokenMs, class, ms);
         }
     };
     let outcome = shared.client.run_seen(request, &answer, on_seen).await;
@@ -167,7 +167,7 @@
         _ => (Counter::Failed, End::Failed),
     };
     place.end(end);
-    tenant.count(counter, class, 1);
+    customer.count(counter, class, 1);
 }
 
 /// Makes the end of a call that was taken but never started. The entry
--- a/crates/companion/src/item.rs
+++ b/crates/companion/src/item.rs
@@ -19,7 +19,7 @@
 /// Takes an item in hand, so that its order of arrival counts.
 pub(crate) fn offer(shared: &Shared, item: &Item) -> Place {
     let due = UnixMillis::new(item.due_unix_ms);
-    shared.admission.offer(&item.tenant, due)
+    shared.admission.offer(&item.customer, due)
 }
 
 /// Runs an item when it is its turn, and says what became of it.
@@ -35,13 +35,13 @@
     if place.start().await.is_err() {
         return result;
     }
-    let tenant = shared.metrics.tenant(&item.tenant);
+    let customer = shared.metrics.customer(&item.customer);
     let started = shared.timer.now();
-    tenant.count(Counter::Arrived, Class::Batch, 1);
+    customer.count(Counter::Arrived, Class::Batch, 1);
     let read = tokio::select! {
         read = call(shared, request) => read,
         why = place.stopped() => {
-            tenant.count(Counter::Preempted, Class::Batch, 1);
+            customer.count(Counter::Preempted, Class::Batch, 1);
             if why == StopWhy::Stalled {
                 result.outcome = ItemOutcome::Lost;
             }
@@ -50,14 +50,14 @@
     };
     let Some(read) = read else {
         result.outcome = ItemOutcome::Lost;
-        tenant.count(Counter::Failed, Class::Batch, 1);
+        customer.count(Counter::Failed, Class::Batch, 1);
         return result;
     };
     let tokens = tokens_of(&read.body);
     place.end(End::Whole { tokens });
     let ms = shared.timer.now().saturating_ms_since(started);
-    tenant.record(Series::BatchItemMs, Class::Batch, ms);
-    tenant.count(Counter::Completed, Class::Batch, 1);
+    customer.record(Series::BatchItemMs, Class::Batch, ms);
+    customer.count(Counter::Completed, Class::Batch, 1);
     result.outcome = ItemOutcome::Answered;
     result.status = read.status;
     result.body = read.body;
@@ -92,7 +92,7 @@
     Some(Request {
         request_id,
         attempt: item.attempt,
-        tenant: item.tenant.clone(),
+        customer: item.customer.clone(),
         class: Class::Batch,
         method: "POST".to_owned(),
         path: item.path.clone(),
--- a/crates/companion/tests/batch.rs
+++ b/crates/companion/tests/batch.rs
@@ -80,7 +80,7 @@
             job: "job-1".parse().unwrap(),
             index: grant as u32,
             attempt: 0,
-            tenant: "taevakorv".parse().unwrap(),
+            customer: "taevakorv".parse().unwrap(),
             path: "/v1/chat/completions".to_owned(),
             body: Bytes::from(body.to_string()),
             expires_in_ms: ttl_ms,
@@ -173,7 +173,7 @@
         let request = Request {
             request_id: format!("online-{number}").parse().unwrap(),
             attempt: 0,
-            tenant: "alama".parse().unwrap(),
+            customer: "alama".parse().unwrap(),
             class: Class::Online,
             method: "POST".to_owned(),
             path: "/v1/chat/completions".to_owned(),
--- a/crates/conf/src/settings/parts.rs
+++ b/crates/conf/src/settings/parts.rs
@@ -256,7 +256,7 @@
     pub items_max: u32,
     /// Largest item of a batch job, in bytes.
     pub item_max_bytes: u64,
-    /// Most unfinished batch jobs of one tenant.
+    /// Most unfinished batch jobs of one customer.
     pub open_jobs_max: u32,
     /// Most calls that this process serves at once.
     pub streams_max: u32,
--- a/crates/entry/src/api/batches.rs
+++ b/crates/entry/src/api/batches.rs
@@ -97,7 +97,7 @@
         return Err(invalid(why));
     }
     let job = NewJob {
-        tenant: caller.caller.tenant.clone(),
+        customer: caller.caller.customer.clone(),
         idempotency_key: key.0,
         input,
         path: create.endpoint,
@@ -188,7 +188,7 @@
     id: &str,
 ) -> Result<Json<Value>, Problem> {
     let id = parse_id(id)?;
-    let found = shared.batch.job(&caller.caller.tenant, &id).await;
+    let found = shared.batch.job(&caller.caller.customer, &id).await;
     let job = found.map_err(failed)?.ok_or_else(no_job)?;
     Ok(Json(job_json(&job)))
 }
@@ -203,7 +203,7 @@
     let limit = limit.unwrap_or(20).clamp(1, 100);
     let page = shared
         .batch
-        .list(&caller.caller.tenant, after, limit)
+        .list(&caller.caller.customer, after, limit)
         .await
         .map_err(failed)?;
     let (jobs, has_more) = (page.jobs, page.has_more);
@@ -223,7 +223,7 @@
     id: &str,
 ) -> Result<(Status, Json<Value>), Problem> {
     let id = parse_id(id)?;
-    let found = shared.batch.cancel(&caller.caller.tenant, &id).await;
+    let found = shared.batch.cancel(&caller.caller.customer, &id).await;
     let job = found.map_err(failed)?.ok_or_else(no_job)?;
     Ok((Status::Ok, Json(job_json(&job))))
 }
--- a/crates/entry/src/api/files.rs
+++ b/crates/entry/src/api/files.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Arc};
 
-use base::{FileId, Tenant};
+use base::{Customer, FileId};
 use bytes::Bytes;
 use futures::stream::{self, BoxStream, StreamExt};
 use multer::{Field, Multipart};
@@ -55,8 +55,8 @@
                 purpose = Some(field.text().await.map_err(broken)?);
             }
             Some("file") => {
-                let tenant = caller.caller.tenant.clone();
-                record = Some(store(shared, tenant, field, limit).await?);
+                let customer = caller.caller.customer.clone();
+                record = Some(store(shared, customer, field, limit).await?);
             }
             _ => {}
         }
@@ -70,12 +70,12 @@
 
 async fn store(
     shared: &Shared,
-    tenant: Tenant,
+    customer: Customer,
     mut field: Field<'_>,
     limit: u64,
 ) -> Result<FileRecord, Problem> {
     let filename = field.file_name().unwrap_or("input.jsonl").to_owned();
-    let mut upload = shared.batch.begin_upload(tenant);
+    let mut upload = shared.batch.begin_upload(customer);
     let mut bytes = 0;
     while let Some(chunk) = field.chunk().await.map_err(broken)? {
         bytes += chunk.len() as u64;
@@ -127,7 +127,7 @@
     id: &str,
 ) -> Result<Json<Value>, Problem> {
     let id: FileId = id.parse().map_err(|_| no_file())?;
-    let found = shared.batch.file(&caller.caller.tenant, &id).await;
+    let found = shared.batch.file(&caller.caller.customer, &id).await;
     let record = found.map_err(failed)?.ok_or_else(no_file)?;
     Ok(Json(file_json(&record)))
 }
@@ -144,7 +144,7 @@
     id: &str,
 ) -> Result<FileBody, Problem> {
     let id: FileId = id.parse().map_err(|_| no_file())?;
-    let found = shared.batch.content(&caller.caller.tenant, &id).await;
+    let found = shared.batch.content(&caller.caller.customer, &id).await;
     let chunks = found.map_err(failed)?.ok_or_else(no_file)?;
     let bytes = chunks.iter().map(|chunk| chunk.bytes).sum();
     let mut chunks = chunks.into_iter();
--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -138,8 +138,8 @@
     metrics.count(Counter::Arrived, class, 1);
     let admitted = shared.admit()?;
     let now = shared.timer.now();
-    let (compiled, tenant) = (&in_force.compiled, &exchange.tenant);
-    let places = shared.tenants.admit(compiled, tenant, &limits, now);
+    let (compiled, customer) = (&in_force.compiled, &exchange.customer);
+    let places = shared.customers.admit(compiled, customer, &limits, now);
     let served = match places {
         Ok(places) => send(shared, exchange, admitted.under(places)).await,
         Err(problem) => Err(problem),
--- a/crates/entry/src/api/guard.rs
+++ b/crates/entry/src/api/guard.rs
@@ -15,7 +15,7 @@
     shared::Shared,
 };
 
-/// A caller whose bearer key belongs to a tenant.
+/// A caller whose bearer key belongs to a customer.
 pub(crate) struct Authenticated {
     pub(crate) caller: Caller,
     /// Held while the request runs, so that a planned stop waits for it.
--- a/crates/entry/src/batch/files.rs
+++ b/crates/entry/src/batch/files.rs
@@ -1,6 +1,6 @@
 //! Uploaded files.
 
-use base::{FileId, Tenant, UnixMillis, blob_day_prefix};
+use base::{Customer, FileId, UnixMillis, blob_day_prefix};
 use error_stack::{Report, ResultExt};
 use kv::{
     Compare, KvError, Op, Txn,
@@ -56,7 +56,7 @@
 /// leaves only pieces that nothing refers to.
 pub(crate) struct Upload<'a> {
     batch: &'a Batch,
-    tenant: Tenant,
+    customer: Customer,
     cutter: Cutter<'a>,
     digest: Sha256,
     bytes: u64,
@@ -89,13 +89,13 @@
             self.store(piece).await?;
         }
         self.digest.update([0]);
-        self.digest.update(self.tenant.as_str());
+        self.digest.update(self.customer.as_str());
         let hex = hex(&self.digest.clone().finalize());
         let id: FileId = format!("file-{}", &hex[..ID_DIGITS])
             .parse()
             .change_context(EntryError::Storage)?;
         let now = self.batch.timer.clock().unix();
-        let found = self.batch.file_found(&self.tenant, &id).await?;
+        let found = self.batch.file_found(&self.customer, &id).await?;
         let mod_revision = match found {
             Some((known, _)) if is_fresh(&known, now) => return Ok(known),
             Some((_, mod_revision)) => mod_revision,
@@ -103,7 +103,7 @@
         };
         let record = FileRecord {
             id,
-            tenant: self.tenant,
+            customer: self.customer,
             filename,
             purpose: "batch".to_owned(),
             bytes: self.bytes,
@@ -120,7 +120,7 @@
         let hex = hex(&Sha256::digest(&piece.bytes));
         let day = blob_day_prefix(self.batch.timer.clock().unix());
         let digits = &hex[..ID_DIGITS];
-        let blob = format!("{day}in/{}/{digits}", self.tenant);
+        let blob = format!("{day}in/{}/{digits}", self.customer);
         let blobs = &self.batch.blobs;
         let chunk = blobs.put(blob, piece.bytes, piece.items).await?;
         self.chunks.push(chunk);
@@ -130,10 +130,10 @@
 
 impl Batch {
     /// Starts to take a batch input.
-    pub(crate) fn begin_upload(&self, tenant: Tenant) -> Upload<'_> {
+    pub(crate) fn begin_upload(&self, customer: Customer) -> Upload<'_> {
         Upload {
             batch: self,
-            tenant,
+            customer,
             cutter: Cutter::new(&self.limits),
             digest: Sha256::new(),
             bytes: 0,
@@ -141,23 +141,23 @@
         }
     }
 
-    /// Returns the pieces of a tenant's file, or of the output or error file
+    /// Returns the pieces of a customer's file, or of the output or error file
     /// of one of its jobs.
     pub(crate) async fn content(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         id: &FileId,
     ) -> Result<Option<Vec<Chunk>>, Report<EntryError>> {
         let name = id.as_str();
         if let Some(job) = name.strip_prefix(OUTPUT_PREFIX) {
-            let job = self.job_named(tenant, job).await?;
+            let job = self.job_named(customer, job).await?;
             return self.pieces_of(job, Sink::Output).await;
         }
         if let Some(job) = name.strip_prefix(ERRORS_PREFIX) {
-            let job = self.job_named(tenant, job).await?;
+            let job = self.job_named(customer, job).await?;
             return self.pieces_of(job, Sink::Errors).await;
         }
-        Ok(self.file(tenant, id).await?.map(|file| file.chunks))
+        Ok(self.file(customer, id).await?.map(|file| file.chunks))
     }
 
     /// Returns the pieces of one file of a job, older pages first.
@@ -191,32 +191,32 @@
 
     async fn job_named(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         rest: &str,
     ) -> Result<Option<JobRecord>, Report<EntryError>> {
         match format!("{JOB_PREFIX}{rest}").parse() {
-            Ok(id) => self.job(tenant, &id).await,
+            Ok(id) => self.job(customer, &id).await,
             Err(_) => Ok(None),
         }
     }
 
-    /// Returns a tenant's file; another tenant's reads as absent.
+    /// Returns a customer's file; another customer's reads as absent.
     pub(crate) async fn file(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         id: &FileId,
     ) -> Result<Option<FileRecord>, Report<EntryError>> {
-        let found = self.file_found(tenant, id).await?;
+        let found = self.file_found(customer, id).await?;
         Ok(found.map(|(record, _)| record))
     }
 
     /// Returns a file with the revision of its record.
     async fn file_found(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         id: &FileId,
     ) -> Result<Option<(FileRecord, u64)>, Report<EntryError>> {
-        let key = self.keys.file(tenant, id);
+        let key = self.keys.file(customer, id);
         let reply = self
             .kv
             .get(&key)
@@ -239,7 +239,7 @@
         record: &FileRecord,
         mod_revision: u64,
     ) -> Result<(), Report<EntryError>> {
-        let key = self.keys.file(&record.tenant, &record.id);
+        let key = self.keys.file(&record.customer, &record.id);
         let value =
             serde_json::to_vec(record).change_context(EntryError::Platform)?;
         let txn = Txn {
--- a/crates/entry/src/batch/jobs.rs
+++ b/crates/entry/src/batch/jobs.rs
@@ -1,6 +1,6 @@
 //! Accepting, showing and cancelling jobs.
 
-use base::{FileId, JobId, Tenant, UnixMillis};
+use base::{Customer, FileId, JobId, UnixMillis};
 use error_stack::{Report, ResultExt};
 use kv::{
     Compare, KeyValue, Op, OpReply, Txn,
@@ -16,9 +16,9 @@
 };
 use crate::EntryError;
 
-/// What a tenant asks to be run.
+/// What a customer asks to be run.
 pub(crate) struct NewJob {
-    pub(crate) tenant: Tenant,
+    pub(crate) customer: Customer,
     pub(crate) idempotency_key: Option<String>,
     pub(crate) input: FileId,
     pub(crate) path: String,
@@ -28,7 +28,7 @@
     pub(crate) metadata: serde_json::Value,
 }
 
-/// A part of a tenant's jobs.
+/// A part of a customer's jobs.
 pub(crate) struct JobPage {
     pub(crate) jobs: Vec<JobRecord>,
     pub(crate) has_more: bool,
@@ -62,14 +62,14 @@
         &self,
         job: NewJob,
     ) -> Result<JobRecord, JobError> {
-        let input = self.file(&job.tenant, &job.input).await?;
+        let input = self.file(&job.customer, &job.input).await?;
         let input = input.ok_or(JobError::NoInput)?;
         let content = content_digest(&job);
         let id = job_id(&job, &content)?;
         let now = self.timer.clock().unix();
         let age_ms = now.saturating_ms_since(input.created);
         if age_ms > INPUT_AGE_MAX_MS {
-            let known = self.job(&job.tenant, &id).await?;
+            let known = self.job(&job.customer, &id).await?;
             return known
                 .filter(|known| known.content == content)
                 .ok_or(JobError::InputExpired);
@@ -96,7 +96,7 @@
             error_pages: 0,
             at_risk: false,
             operation: rand::random(),
-            tenant: job.tenant,
+            customer: job.customer,
         };
         self.record_job(record).await
     }
@@ -110,8 +110,8 @@
             key: key.clone(),
             equals: 0,
         };
-        let (tenant, id) = (&record.tenant, &record.id);
-        let listed = self.keys.job_of(tenant, record.created, id);
+        let (customer, id) = (&record.customer, &record.id);
+        let listed = self.keys.job_of(customer, record.created, id);
         let txn = Txn {
             compares: vec![absent],
             success: vec![
@@ -148,17 +148,17 @@
             return Ok(record);
         }
         // A resend: the first request made this job.
-        let known = self.job(&record.tenant, &record.id).await?;
+        let known = self.job(&record.customer, &record.id).await?;
         match known {
             Some(known) if known.content == record.content => Ok(known),
             _ => Err(JobError::KeyReused(record.id)),
         }
     }
 
-    /// Returns a tenant's job; another tenant's reads as absent.
+    /// Returns a customer's job; another customer's reads as absent.
     pub(crate) async fn job(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         id: &JobId,
     ) -> Result<Option<JobRecord>, Report<EntryError>> {
         let reply = self
@@ -171,19 +171,19 @@
             return Ok(None);
         };
         let job = parse(found)?;
-        Ok(Some(job).filter(|job| job.tenant == *tenant))
+        Ok(Some(job).filter(|job| job.customer == *customer))
     }
 
-    /// Returns a page of a tenant's jobs, newest first, after a given one.
+    /// Returns a page of a customer's jobs, newest first, after a given one.
     pub(crate) async fn list(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         after: Option<&str>,
         limit: usize,
     ) -> Result<JobPage, Report<EntryError>> {
         let reply = self
             .kv
-            .get_prefix(&self.keys.jobs_of(tenant), 0)
+            .get_prefix(&self.keys.jobs_of(customer), 0)
             .await
             .change_context(EntryError::Platform)
             .attach("listing jobs")?;
@@ -232,7 +232,7 @@
     /// Asks that a job stop; what was completed stays readable.
     pub(crate) async fn cancel(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         id: &JobId,
     ) -> Result<Option<JobRecord>, Report<EntryError>> {
         let key = self.keys.job(id);
@@ -246,7 +246,7 @@
                 return Ok(None);
             };
             let mut job = parse(found)?;
-            if job.tenant != *tenant {
+            if job.customer != *customer {
                 return Ok(None);
             }
             if job.state != JobState::InProgress {
@@ -324,7 +324,7 @@
     }
 }
 
-/// Returns the job of a key in a tenant's list.
+/// Returns the job of a key in a customer's list.
 fn listed_id(key: &str) -> Option<JobId> {
     let (_age, id) = last(key).split_once('-')?;
     id.parse().ok()
@@ -350,7 +350,7 @@
 
 fn job_id(job: &NewJob, content: &str) -> Result<JobId, Report<EntryError>> {
     let mut digest = Sha256::new();
-    digest.update(job.tenant.as_str());
+    digest.update(job.customer.as_str());
     match &job.idempotency_key {
         Some(key) => {
             digest.update([1]);
--- a/crates/entry/src/batch/keys.rs
+++ b/crates/entry/src/batch/keys.rs
@@ -1,6 +1,6 @@
 //! Keys of batch work in the key-value service.
 
-use base::{FileId, JobId, Tenant, UnixMillis};
+use base::{Customer, FileId, JobId, UnixMillis};
 use ledger::{Sink, partition_of};
 
 /// Names the keys of batch work.
@@ -56,24 +56,24 @@
         format!("{}pages/{id}/{sink}/{number:05}", self.prefix)
     }
 
-    /// A tenant's jobs, newest first.
-    pub(crate) fn jobs_of(&self, tenant: &Tenant) -> String {
-        format!("{}tenants/{tenant}/jobs/", self.prefix)
+    /// A customer's jobs, newest first.
+    pub(crate) fn jobs_of(&self, customer: &Customer) -> String {
+        format!("{}tenants/{customer}/jobs/", self.prefix)
     }
 
     /// One entry of that list; the age in the key orders it.
     pub(crate) fn job_of(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         created: UnixMillis,
         id: &JobId,
     ) -> String {
         let age = u64::MAX - created.as_ms();
-        format!("{}{age:016x}-{id}", self.jobs_of(tenant))
+        format!("{}{age:016x}-{id}", self.jobs_of(customer))
     }
 
-    pub(crate) fn file(&self, tenant: &Tenant, id: &FileId) -> String {
-        format!("{}files/{tenant}/{id}", self.prefix)
+    pub(crate) fn file(&self, customer: &Customer, id: &FileId) -> String {
+        format!("{}files/{customer}/{id}", self.prefix)
     }
 }
 
--- a/crates/entry/src/batch/owner/grants.rs
+++ b/crates/entry/src/batch/owner/grants.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use base::{FileId, JobId, Tenant};
+use base::{Customer, FileId, JobId};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use futures::future::join_all;
@@ -36,7 +36,7 @@
 
 /// What is needed of a job to read its items.
 struct Source {
-    tenant: Tenant,
+    customer: Customer,
     input: FileId,
     path: String,
 }
@@ -121,7 +121,7 @@
             job: granted.job.clone(),
             index: granted.index,
             attempt: granted.attempt,
-            tenant: granted.tenant.clone(),
+            customer: granted.customer.clone(),
             path: source.path,
             body: Bytes::copy_from_slice(line.body.get().as_bytes()),
             expires_in_ms: u32::try_from(ttl_ms).unwrap_or(u32::MAX),
@@ -199,14 +199,16 @@
         source: &Source,
         index: u32,
     ) -> Result<InputLine, Report<EntryError>> {
-        self.pieces.line(&source.tenant, &source.input, index).await
+        self.pieces
+            .line(&source.customer, &source.input, index)
+            .await
     }
 
     fn source(&self, job: &JobId) -> Option<Source> {
         let ledger = self.ledger();
         let record = ledger.job(job)?;
         Some(Source {
-            tenant: record.tenant.clone(),
+            customer: record.customer.clone(),
             input: record.input.clone(),
             path: record.path.clone(),
         })
--- a/crates/entry/src/batch/owner/pieces.rs
+++ b/crates/entry/src/batch/owner/pieces.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use base::{FileId, Tenant};
+use base::{Customer, FileId};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use indexmap::IndexMap;
@@ -58,7 +58,7 @@
     kv: Arc<dyn Kv>,
     keys: Keys,
     blobs: Arc<Blobs>,
-    files: Cache<(Tenant, FileId), Arc<FileRecord>>,
+    files: Cache<(Customer, FileId), Arc<FileRecord>>,
     pieces: Cache<String, Arc<Vec<Bytes>>>,
 }
 
@@ -76,11 +76,11 @@
     /// Returns one item of an input.
     pub(super) async fn line(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         input: &FileId,
         index: u32,
     ) -> Result<InputLine, Report<EntryError>> {
-        let file = self.file(tenant, input).await?;
+        let file = self.file(customer, input).await?;
         let mut first = 0;
         for chunk in &file.chunks {
             if index < first + chunk.items {
@@ -97,13 +97,13 @@
 
     async fn file(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         id: &FileId,
     ) -> Result<Arc<FileRecord>, Report<EntryError>> {
-        let key = (tenant.clone(), id.clone());
+        let key = (customer.clone(), id.clone());
         let cell = self.files.cell(&key);
         let read = || async {
-            let key = self.keys.file(tenant, id);
+            let key = self.keys.file(customer, id);
             let reply = self.kv.get(&key).await.map_err(platform)?;
             let found = reply.kvs.first().ok_or_else(|| {
                 Report::new(EntryError::Platform)
--- a/crates/entry/src/batch/record.rs
+++ b/crates/entry/src/batch/record.rs
@@ -1,6 +1,6 @@
 //! What the key-value service keeps of files.
 
-use base::{FileId, Tenant, UnixMillis};
+use base::{Customer, FileId, UnixMillis};
 use ledger::Chunk;
 use serde::{Deserialize, Serialize};
 
@@ -8,7 +8,8 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub(crate) struct FileRecord {
     pub(crate) id: FileId,
-    pub(crate) tenant: Tenant,
+    #[serde(rename = "tenant")]
+    pub(crate) customer: Customer,
     pub(crate) filename: String,
     pub(crate) purpose: String,
     pub(crate) bytes: u64,
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -86,7 +86,7 @@
 ) -> Result<Served, Problem> {
     let record = record(shared, &exchange);
     let wanted = record.fingerprint.clone();
-    let taken = shared.claims.take(&exchange.tenant, key, record).await;
+    let taken = shared.claims.take(&exchange.customer, key, record).await;
     match taken {
         Ok(Taken::New(claim)) => run(shared, claim, &exchange, admitted).await,
         Ok(Taken::Found(found)) => {
--- a/crates/entry/src/claim_store.rs
+++ b/crates/entry/src/claim_store.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Millis, Snapshot, Tenant, timer::Timer};
+use base::{Customer, Millis, Snapshot, timer::Timer};
 use error_stack::{Report, ResultExt};
 use kv::{
     Compare, GetReply, KeyValue, Kv, KvError, LeaseId, Op, Txn,
@@ -96,12 +96,12 @@
     /// have been made all the same is removed later.
     pub(crate) async fn take(
         &self,
-        tenant: &Tenant,
+        customer: &Customer,
         idempotency_key: &str,
         record: ClaimRecord,
     ) -> Result<Taken, Report<KvError>> {
         let hash = key_hash(idempotency_key);
-        let key = format!("{}{tenant}/{hash}", self.0.prefix);
+        let key = format!("{}{customer}/{hash}", self.0.prefix);
         let mut lease = self.lease().await?;
         let mut made = self.put(&key, &record, lease).await;
         if matches!(&made, Err(report)
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,8 +1,8 @@
 //! One request on its way through the filters.
 
-use base::{Class, Millis, RequestId, Tenant};
+use base::{Class, Customer, Millis, RequestId};
 use bytes::Bytes;
-use obs::TenantMetrics;
+use obs::CustomerMetrics;
 use wire::message::Header;
 
 /// What a request asks for.
@@ -19,8 +19,8 @@
 pub(crate) struct Exchange {
     pub(crate) request_id: RequestId,
     pub(crate) received: Millis,
-    pub(crate) tenant: Tenant,
-    pub(crate) metrics: TenantMetrics,
+    pub(crate) customer: Customer,
+    pub(crate) metrics: CustomerMetrics,
     pub(crate) class: Class,
     pub(crate) method: String,
     /// Path and query towards the endpoint.
--- a/crates/entry/src/filter/head.rs
+++ b/crates/entry/src/filter/head.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use base::{KeyDigest, RequestId, Tenant};
-use obs::TenantMetrics;
+use base::{Customer, KeyDigest, RequestId};
+use obs::CustomerMetrics;
 use rocket::http::HeaderMap;
 use web::{Problem, ProblemKind, Ran};
 use wire::message::Header;
@@ -26,12 +26,12 @@
 
 /// A caller whose key is known.
 pub(crate) struct Caller {
-    pub(crate) tenant: Tenant,
-    pub(crate) metrics: TenantMetrics,
+    pub(crate) customer: Customer,
+    pub(crate) metrics: CustomerMetrics,
     pub(crate) in_force: Arc<InForce>,
 }
 
-/// Finds the tenant of the bearer key.
+/// Finds the customer of the bearer key.
 pub(crate) fn authenticate(
     shared: &Shared,
     headers: &HeaderMap<'_>,
@@ -51,14 +51,14 @@
         .strip_prefix(BEARER)
         .ok_or_else(|| unknown("the scheme must be Bearer"))?;
     let digest = KeyDigest::of_key(key.trim());
-    let tenant = in_force
+    let customer = in_force
         .compiled
-        .tenant_by_key_digest(digest.as_bytes())
-        .map(|entry| entry.tenant().clone())
+        .customer_by_key_digest(digest.as_bytes())
+        .map(|entry| entry.customer().clone())
         .ok_or_else(|| unknown("the key is not known"))?;
-    let metrics = shared.metrics.tenant(&tenant);
+    let metrics = shared.metrics.customer(&customer);
     Ok(Caller {
-        tenant,
+        customer,
         metrics,
         in_force,
     })
--- a/crates/entry/src/filter/limit.rs
+++ b/crates/entry/src/filter/limit.rs
@@ -1,4 +1,4 @@
-//! Limits of tenants and rules.
+//! Limits of customers and rules.
 //!
 //! A limit holds over the fleet; each entry gives out its share of it
 //! without a message per request. A refused request is told when to come
@@ -12,12 +12,12 @@
     },
 };
 
-use base::{Millis, Revision, Tenant};
+use base::{Customer, Millis, Revision};
 use limits::{
     Admission, ConcurrencyLimit, EntryCount, FleetLimits, LimitShare,
     LimitTable, OverLimit, Permit, TokenBucket,
 };
-use rules::{Compiled, TenantEntry};
+use rules::{Compiled, CustomerEntry};
 use web::{Problem, ProblemKind, Ran};
 
 /// Time for which fewer entries must be seen before the others take over
@@ -36,7 +36,7 @@
 /// The places of a request under its limits, free again when dropped.
 #[derive(Debug)]
 pub(crate) struct Places {
-    _tenant: Option<Admission>,
+    _customer: Option<Admission>,
     _rule: Option<Permit>,
 }
 
@@ -52,7 +52,7 @@
     /// Configuration that the rows are of.
     revision: Option<Revision>,
     entries: EntryCount,
-    tenants: LimitTable,
+    customers: LimitTable,
     rules: HashMap<String, RuleRow>,
 }
 
@@ -71,7 +71,7 @@
         let inner = Mutex::new(Inner {
             revision: None,
             entries: EntryCount::new(live, FEWER_HOLD_MS),
-            tenants: LimitTable::new(LimitShare::new(live)),
+            customers: LimitTable::new(LimitShare::new(live)),
             rules: HashMap::new(),
         });
         Self {
@@ -88,7 +88,7 @@
     pub(crate) fn admit(
         &self,
         compiled: &Compiled,
-        tenant: &Tenant,
+        customer: &Customer,
         rule: &RuleLimits,
         now: Millis,
     ) -> Result<Places, Problem> {
@@ -98,19 +98,20 @@
         let rule_place = inner
             .admit_rule(rule, now)
             .map_err(|over| refusal(&format!("rule {}", rule.rule), over))?;
-        // A tenant that is not in the table was just removed; its next call
+        // A customer that is not in the table was just removed; its next call
         // is refused by its key.
-        let key = inner.tenants.key(tenant);
-        let admitted =
-            key.map(|key| inner.tenants.try_admit(key, now)).transpose();
+        let key = inner.customers.key(customer);
+        let admitted = key
+            .map(|key| inner.customers.try_admit(key, now))
+            .transpose();
         match admitted {
-            Ok(tenant) => Ok(Places {
-                _tenant: tenant,
+            Ok(customer) => Ok(Places {
+                _customer: customer,
                 _rule: rule_place,
             }),
             Err(over) => {
                 inner.give_back(rule);
-                Err(refusal(&format!("tenant {tenant}"), over))
+                Err(refusal(&format!("tenant {customer}"), over))
             }
         }
     }
@@ -129,7 +130,7 @@
     fn observe(&mut self, live: u32, now: Millis) {
         self.entries.observe(live, now);
         let share = self.share();
-        self.tenants.set_share(share, now);
+        self.customers.set_share(share, now);
     }
 
     /// Takes a new configuration with the first request that it decides on.
@@ -140,9 +141,9 @@
             return;
         }
         self.revision = Some(compiled.revision());
-        let tenants = compiled.tenants();
-        let limits = tenants.map(|entry| (entry.tenant(), fleet(entry)));
-        self.tenants.configure(limits, now);
+        let customers = compiled.customers();
+        let limits = customers.map(|entry| (entry.customer(), fleet(entry)));
+        self.customers.configure(limits, now);
         // Rows of rules that are gone go with the last request under them;
         // those that stay keep what they have counted.
         self.rules.retain(|_, row| row.is_used());
@@ -219,7 +220,7 @@
     }
 }
 
-fn fleet(entry: &TenantEntry) -> FleetLimits {
+fn fleet(entry: &CustomerEntry) -> FleetLimits {
     let limits = entry.limits();
     FleetLimits {
         requests_per_s: limits.requests_per_s,
--- a/crates/entry/src/filter/route.rs
+++ b/crates/entry/src/filter/route.rs
@@ -55,7 +55,7 @@
     let exchange = Exchange {
         request_id: incoming.request_id,
         received: incoming.received,
-        tenant: caller.tenant,
+        customer: caller.customer,
         metrics: caller.metrics,
         class,
         method: incoming.method,
@@ -127,7 +127,7 @@
         method: &incoming.method,
         prompt_bytes: incoming.body.len() as u64,
         facts: &HeaderFacts(&incoming.headers),
-        ..Sample::new(class, caller.tenant.as_str())
+        ..Sample::new(class, caller.customer.as_str())
     };
     let decision = compiled.decide(&sample, now);
     match decision.action() {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -130,7 +130,7 @@
     Request {
         request_id: exchange.request_id.clone(),
         attempt,
-        tenant: exchange.tenant.clone(),
+        customer: exchange.customer.clone(),
         class: exchange.class,
         method: exchange.method.clone(),
         path: exchange.path.clone(),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -103,7 +103,7 @@
             )),
             claims,
             orders,
-            tenants: Limits::new(Arc::new(entries(settings))),
+            customers: Limits::new(Arc::new(entries(settings))),
         });
         let handlers = Handlers {
             entry: Some(Arc::new(Peers(shared.clone()))),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -34,7 +34,7 @@
     pub(crate) admin_keys: Vec<KeyDigest>,
     pub(crate) streams: Arc<Semaphore>,
     pub(crate) claims: Claims,
-    pub(crate) tenants: Limits,
+    pub(crate) customers: Limits,
 }
 
 /// The place of a call, held until its answer has ended.
@@ -46,7 +46,7 @@
 }
 
 impl Admitted {
-    /// Keeps the places under the limits of tenant and rule, too.
+    /// Keeps the places under the limits of customer and rule, too.
     pub(crate) fn under(mut self, places: Places) -> Self {
         self.places = Some(places);
         self
--- a/crates/entry/tests/claim.rs
+++ b/crates/entry/tests/claim.rs
@@ -71,7 +71,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_key_names_one_call_of_one_tenant() {
+async fn a_key_names_one_call_of_one_customer() {
     let platform = platform("", "").await;
     let service = Service::start(10).await;
     let entry = entry(&platform, service.address).await;
--- a/crates/entry/tests/claim_common/mod.rs
+++ b/crates/entry/tests/claim_common/mod.rs
@@ -116,12 +116,12 @@
     body.len() >= length.unwrap_or(0)
 }
 
-/// Starts the key-value service with a configuration whose tenants and rule
+/// Starts the key-value service with a configuration whose customers and rule
 /// have these limits.
-pub(crate) async fn platform(tenant: &str, rule: &str) -> KvServiceHandle {
+pub(crate) async fn platform(customer: &str, rule: &str) -> KvServiceHandle {
     let service = KvService::start(KvServiceSettings::default());
     let service = service.await.unwrap();
-    let value = first_configuration(&text(tenant, rule)).unwrap();
+    let value = first_configuration(&text(customer, rule)).unwrap();
     let put = |key| Op::Put {
         key,
         value: value.clone(),
@@ -135,14 +135,14 @@
     service
 }
 
-fn text(tenant: &str, rule: &str) -> String {
+fn text(customer: &str, rule: &str) -> String {
     let digest = KeyDigest::of_key;
     format!(
         "\
 tenants:
   - tenant: taevakorv
     key_sha256: [{}]
-    limits: {{{tenant}}}
+    limits: {{{customer}}}
   - tenant: alama
     key_sha256: [{}]
 pools:
--- a/crates/entry/tests/claim_limits.rs
+++ b/crates/entry/tests/claim_limits.rs
@@ -1,4 +1,4 @@
-//! Limits of tenants and rules at an entry.
+//! Limits of customers and rules at an entry.
 #![allow(clippy::unwrap_used)]
 
 mod claim_common;
@@ -10,10 +10,10 @@
 /// Rate so low that no token comes in while a test runs.
 const SLOW: f64 = 0.001;
 
-/// Symptom: one tenant's loop takes the service from all others. Sequence:
+/// Symptom: one customer's loop takes the service from all others. Sequence:
 /// it sends more than its limit. Cause: nobody counted.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_tenant_over_its_rate_is_told_when_to_come_back() {
+async fn a_customer_over_its_rate_is_told_when_to_come_back() {
     let limits = format!("requests_per_s: {SLOW}, burst: 3");
     let platform = platform(&limits, "").await;
     let service = Service::start(10).await;
@@ -26,18 +26,21 @@
     assert!(refused.retry_after_s.unwrap() > 900);
     refused.is_problem("rate-limited", "no");
     assert_eq!(service.ran(), 3);
-    // The other tenant has no part in it.
+    // The other customer has no part in it.
     assert_eq!(Reply::of(post(&entry, OTHER_KEY, "x")).await.status, 201);
 }
 
 #[yare::parameterized(
-    tenant = { "concurrent: 1", "" },
+    customer = { "concurrent: 1", "" },
     rule = { "", ", concurrent: 1" },
 )]
-fn a_place_is_free_again_when_the_answer_has_ended(tenant: &str, rule: &str) {
+fn a_place_is_free_again_when_the_answer_has_ended(
+    customer: &str,
+    rule: &str,
+) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
-        let platform = platform(tenant, rule).await;
+        let platform = platform(customer, rule).await;
         let service = Service::start(10).await;
         let entry = entry(&platform, service.address).await;
         service.hold();
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use base::{Millis, Tenant};
+use base::{Customer, Millis};
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     /// Customer.
-    pub tenant: Tenant,
+    pub customer: Customer,
     /// Turns that the customer gets for each turn of one of weight 1.
     pub weight: u32,
 }
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct BatchArrival {
     /// Customer.
-    pub tenant: Tenant,
+    pub customer: Customer,
     /// Turns that the customer gets for each turn of one of weight 1.
     pub weight: u32,
     /// When the job is due.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -13,10 +13,10 @@
     waiting::Waiting,
 };
 
-/// Part of the queue that one tenant may fill, as numerator and
-/// denominator. The rest stays open, so that a tenant's burst does not get
+/// Part of the queue that one customer may fill, as numerator and
+/// denominator. The rest stays open, so that a customer's burst does not get
 /// everybody else refused.
-const TENANT_PART: (u32, u32) = (3, 4);
+const CUSTOMER_PART: (u32, u32) = (3, 4);
 
 /// Longest wait for a place, in parts of the promised first token.
 const WAIT_MAX_TARGETS: u64 = 2;
@@ -75,23 +75,23 @@
 /// # Example
 ///
 /// ```
-/// use base::{Millis, Tenant};
+/// use base::{Millis, Customer};
 /// use pomeloslip_gate::{
 ///     Action, Arrival, BatchArrival, Gate, GateOptions, StopWhy,
 /// };
 ///
 /// let now = Millis::new(0);
-/// let tenant: Tenant = "alama".parse()?;
+/// let customer: Customer = "alama".parse()?;
 /// let mut gate = Gate::new(GateOptions::new(1, 1), now);
 /// let mut actions = Vec::new();
 /// let due = Millis::new(86_400_000);
-/// let item = BatchArrival { tenant: tenant.clone(), weight: 1, due };
+/// let item = BatchArrival { customer: customer.clone(), weight: 1, due };
 /// let item = gate.offer(now, &item, &mut actions);
 /// assert_eq!(actions, [Action::Start(item)]);
 ///
 /// // An online call takes the only place.
 /// actions.clear();
-/// let chat = Arrival { tenant, weight: 1 };
+/// let chat = Arrival { customer, weight: 1 };
 /// let chat = gate.arrive(now, &chat, &mut actions).expect("a place");
 /// let stop = Action::Stop(item, StopWhy::GiveWay);
 /// assert_eq!(actions, [stop, Action::Start(chat)]);
@@ -155,7 +155,7 @@
         self.check(arrival)?;
         self.arrivals.push(now);
         let key = self.insert(Class::Online, now, now);
-        self.online.push(&arrival.tenant, arrival.weight, key);
+        self.online.push(&arrival.customer, arrival.weight, key);
         self.online_waiting += 1;
         self.dispatch(now, actions);
         Ok(key)
@@ -169,7 +169,7 @@
         actions: &mut Vec<Action>,
     ) -> CallKey {
         let key = self.insert(Class::Batch, now, item.due);
-        self.batch.push(&item.tenant, item.weight, key);
+        self.batch.push(&item.customer, item.weight, key);
         self.batch_waiting += 1;
         if self.draining {
             self.return_waiting(Millis::new(u64::MAX), actions);
@@ -258,11 +258,11 @@
         if self.online_running < self.online_places(None) {
             return Ok(());
         }
-        let (part, whole) = TENANT_PART;
-        let tenant_max = self.options.queue_max * part / whole;
-        let of_tenant = self.online.len_of(&arrival.tenant) as u32;
+        let (part, whole) = CUSTOMER_PART;
+        let customer_max = self.options.queue_max * part / whole;
+        let of_customer = self.online.len_of(&arrival.customer) as u32;
         if self.online_waiting >= self.options.queue_max
-            || of_tenant >= tenant_max.max(1)
+            || of_customer >= customer_max.max(1)
             || self.expected_wait_ms() > self.wait_max_ms()
         {
             return refuse(RefusedWhy::Full);
--- a/crates/gate/src/waiting.rs
+++ b/crates/gate/src/waiting.rs
@@ -1,17 +1,17 @@
-use base::Tenant;
+use base::Customer;
 use indexmap::IndexMap;
 use limits::{FairQueue, FlowKey};
 
 use crate::CallKey;
 
-/// Tenants of whom a turn is kept; idle ones are dropped beyond it.
-const TENANTS_MAX: usize = 1_024;
+/// Customers of whom a turn is kept; idle ones are dropped beyond it.
+const CUSTOMERS_MAX: usize = 1_024;
 
-/// Calls of one class that wait, in fair turns of their tenants.
+/// Calls of one class that wait, in fair turns of their customers.
 #[derive(Debug)]
 pub(crate) struct Waiting {
     queue: FairQueue<CallKey>,
-    flows: IndexMap<Tenant, FlowKey>,
+    flows: IndexMap<Customer, FlowKey>,
 }
 
 impl Default for Waiting {
@@ -24,14 +24,19 @@
 }
 
 impl Waiting {
-    pub(crate) fn push(&mut self, tenant: &Tenant, weight: u32, key: CallKey) {
-        if self.flows.len() >= TENANTS_MAX {
+    pub(crate) fn push(
+        &mut self,
+        customer: &Customer,
+        weight: u32,
+        key: CallKey,
+    ) {
+        if self.flows.len() >= CUSTOMERS_MAX {
             self.drop_idle();
         }
         let queue = &mut self.queue;
         let flow = *self
             .flows
-            .entry(tenant.clone())
+            .entry(customer.clone())
             .or_insert_with(|| queue.add_flow(weight));
         queue.set_weight(flow, weight);
         // The flow exists and takes any number.
@@ -43,9 +48,9 @@
         self.queue.pop()
     }
 
-    /// Returns how many a tenant has queued, those that have left included.
-    pub(crate) fn len_of(&self, tenant: &Tenant) -> usize {
-        let flow = self.flows.get(tenant);
+    /// Returns how many a customer has queued, those that have left included.
+    pub(crate) fn len_of(&self, customer: &Customer) -> usize {
+        let flow = self.flows.get(customer);
         flow.map_or(0, |flow| self.queue.flow_len(*flow))
     }
 
--- a/crates/gate/tests/batch.rs
+++ b/crates/gate/tests/batch.rs
@@ -207,7 +207,7 @@
 }
 
 #[test]
-fn items_in_hand_are_taken_earliest_first_within_a_tenant() {
+fn items_in_hand_are_taken_earliest_first_within_a_customer() {
     let mut stand = Stand::new(GateOptions::new(1, 1));
     let running = stand.offer(FAR_MS);
     let first = stand.offer(FAR_MS);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use base::{Millis, Tenant};
+use base::{Customer, Millis};
 use pomeloslip_gate::{
     Action, Arrival, BatchArrival, CallKey, End, Event, Gate, GateOptions,
     Refused,
@@ -31,19 +31,19 @@
 
     pub(crate) fn arrive_of(
         &mut self,
-        tenant: &str,
+        customer: &str,
         weight: u32,
     ) -> Result<CallKey, Refused> {
-        let tenant = tenant.parse().expect("a valid name");
-        let arrival = Arrival { tenant, weight };
+        let customer = customer.parse().expect("a valid name");
+        let arrival = Arrival { customer, weight };
         self.gate.arrive(self.now, &arrival, &mut self.actions)
     }
 
     pub(crate) fn offer(&mut self, due_in_ms: u64) -> CallKey {
-        let tenant: Tenant = "taevakorv".parse().expect("a valid name");
+        let customer: Customer = "taevakorv".parse().expect("a valid name");
         let due = self.now.saturating_add_ms(due_in_ms);
         let item = BatchArrival {
-            tenant,
+            customer,
             weight: 1,
             due,
         };
--- a/crates/gate/tests/online.rs
+++ b/crates/gate/tests/online.rs
@@ -69,7 +69,7 @@
     for _ in 0..4 {
         stand.arrive().unwrap();
     }
-    // Three wait, which is what one tenant may; others have one left.
+    // Three wait, which is what one customer may; others have one left.
     assert_eq!(stand.arrive().unwrap_err().why, RefusedWhy::Full);
     stand.arrive_of("other", 1).unwrap();
     assert!(stand.arrive_of("third", 1).is_err());
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -16,7 +16,7 @@
 /// Jobs that are looked at for one pull.
 const BAND_JOBS_MAX: usize = 256;
 
-/// Service that a tenant may catch up after it had nothing to run, in items.
+/// Service that a customer may catch up after it had nothing to run, in items.
 const CATCH_UP_MAX: u64 = 64;
 
 impl Ledger {
@@ -228,7 +228,7 @@
         band
     }
 
-    /// Chooses the job whose tenant got least; of one tenant's jobs the one
+    /// Chooses the job whose customer got least; of one customer's jobs the one
     /// that is due first (start-time fair queueing over items).
     fn next_in_turn(&self, band: &[JobKey]) -> Option<usize> {
         let order = |at: &usize| {
@@ -240,7 +240,7 @@
 
     fn share(&self, job: &Job) -> u64 {
         let floor = self.virtual_time.saturating_sub(CATCH_UP_MAX);
-        let share = self.shares.get(&job.record.tenant);
+        let share = self.shares.get(&job.record.customer);
         share.copied().unwrap_or(self.virtual_time).max(floor)
     }
 
@@ -269,11 +269,11 @@
             job: job.record.id.clone(),
             index,
             attempt: job.attempts(index),
-            tenant: job.record.tenant.clone(),
+            customer: job.record.customer.clone(),
             due: job.record.due,
         };
         self.virtual_time = share;
-        self.shares.insert(granted.tenant.clone(), share + 1);
+        self.shares.insert(granted.customer.clone(), share + 1);
         Some(granted)
     }
 
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeSet, HashMap};
 
-use base::{JobId, Millis, Tenant, UnixMillis, VmId};
+use base::{Customer, JobId, Millis, UnixMillis, VmId};
 use indexmap::IndexMap;
 use slotmap::SlotMap;
 
@@ -53,8 +53,8 @@
     pub(crate) salt: u64,
     /// Lives of the companions, by machine.
     pub(crate) vms: IndexMap<VmId, u64>,
-    /// Service that each tenant got, in items.
-    pub(crate) shares: HashMap<Tenant, u64>,
+    /// Service that each customer got, in items.
+    pub(crate) shares: HashMap<Customer, u64>,
     pub(crate) virtual_time: u64,
     pub(crate) waiting_bytes: usize,
     pub(crate) pace: Pace,
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,6 +1,6 @@
 //! What goes into the ledger and comes out of it.
 
-use base::{JobId, Millis, Tenant, UnixMillis, VmId};
+use base::{Customer, JobId, Millis, UnixMillis, VmId};
 use bytes::Bytes;
 
 use crate::{Chunk, JobRecord, Page, Sink};
@@ -305,7 +305,7 @@
     /// Attempts before this one.
     pub attempt: u32,
     /// Customer.
-    pub tenant: Tenant,
+    pub customer: Customer,
     /// When the job is due.
     pub due: UnixMillis,
 }
--- a/crates/ledger/src/options.rs
+++ b/crates/ledger/src/options.rs
@@ -63,7 +63,7 @@
     retry_base_ms: u64 = 100;
     /// Sets when an endpoint may have an item again that it had before.
     same_endpoint_after_ms: u64 = 5_000;
-    /// Sets within which span of the earliest due time tenants share.
+    /// Sets within which span of the earliest due time customers share.
     due_band_ms: u64 = 15 * 60 * 1_000;
 }
 
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,6 +1,6 @@
 //! What the key-value service keeps of a job.
 
-use base::{FileId, JobId, Tenant, UnixMillis, stable_hash};
+use base::{Customer, FileId, JobId, UnixMillis, stable_hash};
 use serde::{Deserialize, Serialize};
 
 use crate::RangeSet;
@@ -29,7 +29,7 @@
     InProgress,
     /// No item starts any more; the last results are being committed.
     Cancelling,
-    /// Stopped by its tenant.
+    /// Stopped by its customer.
     Cancelled,
     /// Every item is in the output or in the error file.
     Completed,
@@ -72,7 +72,8 @@
     /// Its id.
     pub id: JobId,
     /// Customer that it belongs to.
-    pub tenant: Tenant,
+    #[serde(rename = "tenant")]
+    pub customer: Customer,
     /// Digest of what was asked for; a resend must be the same.
     pub content: String,
     /// Input file.
@@ -84,7 +85,7 @@
     pub path: String,
     /// Completion window as asked for.
     pub window: String,
-    /// Whatever the tenant attached.
+    /// Whatever the customer attached.
     pub metadata: serde_json::Value,
     /// When it was accepted.
     pub created: UnixMillis,
--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -20,9 +20,9 @@
     }
 }
 
-fn record(id: &str, tenant: &str, items: u32, due_ms: u64) -> JobRecord {
+fn record(id: &str, customer: &str, items: u32, due_ms: u64) -> JobRecord {
     serde_json::from_value(serde_json::json!({
-        "id": id, "tenant": tenant, "content": "", "input": "file-1",
+        "id": id, "tenant": customer, "content": "", "input": "file-1",
         "path": "/v1/completions", "window": "1h", "metadata": null,
         "created": 0, "due": due_ms, "ended": null, "state": "in_progress",
         "items": items, "done": [], "failed": [], "output": [],
@@ -190,7 +190,7 @@
 }
 
 #[test]
-fn the_earliest_due_goes_first_and_tenants_share_within() {
+fn the_earliest_due_goes_first_and_customers_share_within() {
     let jobs = vec![
         record("late", "a", 40, 9 * HOUR_MS),
         record("large", "a", 40, HOUR_MS),
--- a/crates/ledger/tests/world/service.rs
+++ b/crates/ledger/tests/world/service.rs
@@ -402,10 +402,10 @@
     pub(crate) fn create(&mut self, number: u64) {
         let id = job_id(number);
         let input: FileId = "file-1".parse().expect("an id");
-        let tenant = format!("tenant-{}", number % 3);
+        let customer = format!("tenant-{}", number % 3);
         let record = JobRecord {
             id: id.clone(),
-            tenant: tenant.parse().expect("a tenant"),
+            customer: customer.parse().expect("a tenant"),
             content: String::new(),
             input,
             models: vec![],
--- a/crates/limits/src/fair.rs
+++ b/crates/limits/src/fair.rs
@@ -21,7 +21,7 @@
 
 /// Shares capacity among flows by weight (deficit round robin).
 ///
-/// A flow is a tenant, an item a request or a batch item with a cost. Flows
+/// A flow is a customer, an item a request or a batch item with a cost. Flows
 /// with something queued take turns; in each turn a flow may spend its
 /// weight, and what it cannot spend yet it keeps for its next turn. An idle
 /// flow keeps nothing, so that it cannot save up a burst. Virtual-time
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,9 +1,9 @@
-//! Tenant rate and concurrency limits and retry budgets without I/O.
+//! Customer rate and concurrency limits and retry budgets without I/O.
 //!
 //! Each limit is a small state machine that takes the time as an argument:
 //! rates ([`TokenBucket`]), requests at once ([`ConcurrencyLimit`]), both for
-//! every tenant ([`LimitTable`]), an entry's part of a limit of the fleet
-//! ([`LimitShare`]), retries ([`RetryBudget`]) and fair turns of tenants
+//! every customer ([`LimitTable`]), an entry's part of a limit of the fleet
+//! ([`LimitShare`]), retries ([`RetryBudget`]) and fair turns of customers
 //! ([`FairQueue`]).
 //!
 //! A refusal always says when to come back ([`OverLimit`]); nothing waits
--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -1,18 +1,18 @@
 use std::collections::HashMap;
 
-use base::{Millis, Tenant};
+use base::{Customer, Millis};
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{ConcurrencyLimit, LimitShare, OverLimit, Permit, TokenBucket};
 
 new_key_type! {
-    /// Names a tenant in a [`LimitTable`]; it stays the same over
+    /// Names a customer in a [`LimitTable`]; it stays the same over
     /// configuration changes.
     pub struct LimitKey;
 }
 
-/// Limits of a tenant over the whole fleet; what is left out is not limited.
+/// Limits of a customer over the whole fleet; what is left out is not limited.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FleetLimits {
@@ -36,10 +36,10 @@
     concurrent: Option<ConcurrencyLimit>,
 }
 
-/// Limits of all tenants at one entry.
+/// Limits of all customers at one entry.
 ///
-/// Each tenant has a row in an arena; a request holds its small key. A row
-/// lives on while its tenant is configured, so that a configuration change
+/// Each customer has a row in an arena; a request holds its small key. A row
+/// lives on while its customer is configured, so that a configuration change
 /// neither refills buckets nor forgets what runs.
 ///
 /// # Example
@@ -49,11 +49,11 @@
 /// use pomeloslip_limits::{FleetLimits, LimitShare, LimitTable};
 ///
 /// let now = Millis::new(0);
-/// let tenant = "taevakorv".parse()?;
+/// let customer = "taevakorv".parse()?;
 /// let limits = FleetLimits { concurrent: Some(1), ..Default::default() };
 /// let mut table = LimitTable::new(LimitShare::new(1));
-/// table.configure([(&tenant, limits)], now);
-/// let key = table.key(&tenant).unwrap();
+/// table.configure([(&customer, limits)], now);
+/// let key = table.key(&customer).unwrap();
 /// let permit = table.try_admit(key, now).unwrap();
 /// assert!(table.try_admit(key, now).is_err());
 /// drop(permit);
@@ -64,7 +64,7 @@
 pub struct LimitTable {
     share: LimitShare,
     rows: SlotMap<LimitKey, Row>,
-    keys: HashMap<Tenant, (LimitKey, FleetLimits)>,
+    keys: HashMap<Customer, (LimitKey, FleetLimits)>,
 }
 
 /// Lets a request run; its place is free again when this is dropped.
@@ -84,23 +84,23 @@
         }
     }
 
-    /// Takes the tenants of a configuration; those that are not in it are
+    /// Takes the customers of a configuration; those that are not in it are
     /// forgotten.
     pub fn configure<'a>(
         &mut self,
-        tenants: impl IntoIterator<Item = (&'a Tenant, FleetLimits)>,
+        customers: impl IntoIterator<Item = (&'a Customer, FleetLimits)>,
         now: Millis,
     ) {
         let mut keys = HashMap::new();
-        for (tenant, limits) in tenants {
-            let key = match self.keys.remove(tenant) {
+        for (customer, limits) in customers {
+            let key = match self.keys.remove(customer) {
                 Some((key, _)) => key,
                 None => self.rows.insert(Row {
                     bucket: None,
                     concurrent: None,
                 }),
             };
-            keys.insert(tenant.clone(), (key, limits));
+            keys.insert(customer.clone(), (key, limits));
         }
         for (key, _) in self.keys.values() {
             self.rows.remove(*key);
@@ -117,12 +117,12 @@
         }
     }
 
-    /// Returns the key of a tenant.
-    pub fn key(&self, tenant: &Tenant) -> Option<LimitKey> {
-        self.keys.get(tenant).map(|(key, _)| *key)
+    /// Returns the key of a customer.
+    pub fn key(&self, customer: &Customer) -> Option<LimitKey> {
+        self.keys.get(customer).map(|(key, _)| *key)
     }
 
-    /// Returns how many requests of a tenant run here, if that is limited.
+    /// Returns how many requests of a customer run here, if that is limited.
     pub fn running(&self, key: LimitKey) -> Option<u32> {
         let limit = self.rows.get(key)?.concurrent.as_ref()?;
         Some(limit.running())
@@ -132,14 +132,14 @@
     ///
     /// # Errors
     ///
-    /// [`OverLimit`] if a limit is reached, or the tenant is no longer
+    /// [`OverLimit`] if a limit is reached, or the customer is no longer
     /// configured; nothing is taken then.
     pub fn try_admit(
         &mut self,
         key: LimitKey,
         now: Millis,
     ) -> Result<Admission, OverLimit> {
-        // A tenant that was just removed: its next call is refused by key.
+        // A customer that was just removed: its next call is refused by key.
         let row = self.rows.get_mut(key).ok_or(OverLimit::new(1_000))?;
         // The place comes first: dropping it undoes it, while a token that
         // was taken for nothing would be a request less.
--- a/crates/limits/tests/fair.rs
+++ b/crates/limits/tests/fair.rs
@@ -1,4 +1,4 @@
-//! Fair turns of tenants.
+//! Fair turns of customers.
 
 use pomeloslip_limits::{FairQueue, PushError};
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -29,7 +29,7 @@
     assert!(of_a.abs_diff(expected) <= 1, "{of_a}");
 }
 
-/// Symptom: a tenant with one item waits behind another's ten thousand.
+/// Symptom: a customer with one item waits behind another's ten thousand.
 /// Sequence: the large bundle comes first, the small one a moment later.
 /// Cause: one queue in order of arrival.
 #[test]
--- a/crates/limits/tests/limits.rs
+++ b/crates/limits/tests/limits.rs
@@ -1,6 +1,6 @@
 //! Rates, places, shares and retry budgets.
 
-use base::{Millis, Tenant};
+use base::{Customer, Millis};
 use pomeloslip_limits::{
     ConcurrencyLimit, EntryCount, FleetLimits, LimitShare, LimitTable,
     RetryBudget, TokenBucket,
@@ -33,7 +33,7 @@
     }
 }
 
-/// Symptom: a tenant with a low rate gets less than its rate when it asks
+/// Symptom: a customer with a low rate gets less than its rate when it asks
 /// often. Sequence: each refusal refills a fraction of a token, which is
 /// rounded down. Cause: fractions lost at each call.
 #[test]
@@ -130,7 +130,7 @@
     assert!((8.0 * exact.rate(1_000.0) - 1_000.0).abs() < 1e-6);
 }
 
-/// Symptom: a tenant gets twice its limit during a restart of entries.
+/// Symptom: a customer gets twice its limit during a restart of entries.
 /// Sequence: an entry leaves the lagging list while it still serves, the
 /// others take over its part. Cause: a count that falls at once.
 #[test]
@@ -194,13 +194,13 @@
     assert!(attempts <= most, "{attempts} attempts");
 }
 
-fn tenant(name: &str) -> Tenant {
+fn customer(name: &str) -> Customer {
     name.parse().expect("a valid name")
 }
 
 #[test]
 fn table_keeps_rows_over_a_change() {
-    let (one, two) = (tenant("one"), tenant("two"));
+    let (one, two) = (customer("one"), customer("two"));
     let limits = |concurrent, rate| FleetLimits {
         requests_per_s: rate,
         burst: None,
@@ -227,12 +227,12 @@
     assert!(table.try_admit(key, at(1)).is_ok());
 }
 
-/// Symptom: a tenant's rate is used up by requests that did not run.
+/// Symptom: a customer's rate is used up by requests that did not run.
 /// Sequence: no place is free, but a token is taken. Cause: the token came
 /// first.
 #[test]
 fn refusal_for_places_takes_no_token() {
-    let one = tenant("one");
+    let one = customer("one");
     let limits = FleetLimits {
         requests_per_s: Some(1.0),
         burst: Some(2),
@@ -251,7 +251,7 @@
 
 #[test]
 fn table_follows_the_number_of_entries() {
-    let one = tenant("one");
+    let one = customer("one");
     let limits = FleetLimits {
         concurrent: Some(10),
         ..FleetLimits::default()
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -58,7 +58,7 @@
     pub(crate) direct_batch_streams: u32,
 }
 
-/// Shows all but the key, which is a secret of the tenant.
+/// Shows all but the key, which is a secret of the customer.
 impl std::fmt::Debug for Plan {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Plan")
--- a/crates/obs/src/cell.rs
+++ b/crates/obs/src/cell.rs
@@ -7,7 +7,7 @@
 /// Largest value kept; larger ones count as this. An hour in microseconds.
 const VALUE_MAX: u64 = 3_600_000_000;
 
-/// Values of one series of one tenant and class.
+/// Values of one series of one customer and class.
 ///
 /// Two windows alternate: one is written while the other keeps the values
 /// of the time before, so that a reader always sees at least one full
@@ -40,7 +40,7 @@
 
     /// Empties a window before it is written again.
     ///
-    /// A window that was empty already loses its memory: tenants come for a
+    /// A window that was empty already loses its memory: customers come for a
     /// burst and are quiet for weeks, and would otherwise hold the memory of
     /// their busiest minute until the process ends.
     pub(crate) fn clear(&self, window: usize) {
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines, statsd metrics and histograms per tenant and class.
+//! Logs as JSON lines, statsd metrics and histograms per customer and class.
 //!
 //! [`logs`] writes one JSON object per line to stderr from a thread of its
 //! own. [`Metrics`] counts and measures in memory and reports from there:
@@ -6,12 +6,12 @@
 //! [`HistogramTable`].
 //!
 //! ```
-//! use base::{Class, Tenant};
+//! use base::{Class, Customer};
 //! use pomeloslip_obs::{Metrics, Scope, Series};
 //!
 //! let metrics = Metrics::default();
-//! let tenant: Tenant = "taevakorv".parse()?;
-//! metrics.record(Series::FirstTokenMs, &tenant, Class::Online, 180);
+//! let customer: Customer = "taevakorv".parse()?;
+//! metrics.record(Series::FirstTokenMs, &customer, Class::Online, 180);
 //! let table = metrics.snapshot();
 //! let row = table
 //!     .row(Series::FirstTokenMs, &Scope::All, Class::Online)
@@ -32,7 +32,7 @@
 
 pub use crate::{
     error::ObsError,
-    metrics::{Metrics, TenantMetrics},
+    metrics::{CustomerMetrics, Metrics},
     names::{Counter, Gauge, Series},
     settings::{LogLevel, LogSettings, MetricsSettings},
     table::{
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -5,7 +5,7 @@
 //!
 //! ```
 //! let request_id = "r-1";
-//! log::info!(request_id, tenant = "alama"; "the request is refused");
+//! log::info!(request_id, customer = "alama"; "the request is refused");
 //! ```
 
 use std::{
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -7,7 +7,7 @@
     },
 };
 
-use base::{Class, Millis, Snapshot, Tenant, timer::Timer};
+use base::{Class, Customer, Millis, Snapshot, timer::Timer};
 use error_stack::Report;
 
 use crate::{
@@ -18,16 +18,16 @@
     table::OTHER,
 };
 
-/// Significant digits of a tenant's histogram: values are off by 1/16 at
+/// Significant digits of a customer's histogram: values are off by 1/16 at
 /// most. A second digit takes eight times as many buckets in each doubling of
-/// the values, which 1,400 tenants with 8 series cannot be given.
-const TENANT_DIGITS: u8 = 1;
+/// the values, which 1,400 customers with 8 series cannot be given.
+const CUSTOMER_DIGITS: u8 = 1;
 
-/// Significant digits of the histograms over all tenants: off by 1/128 at
+/// Significant digits of the histograms over all customers: off by 1/128 at
 /// most.
 const ALL_DIGITS: u8 = 2;
 
-/// Parts of the rows over all tenants, so that threads seldom meet at one
+/// Parts of the rows over all customers, so that threads seldom meet at one
 /// lock.
 const SHARDS: usize = 8;
 
@@ -39,7 +39,7 @@
     window: AtomicUsize,
     all: Vec<Rows>,
     other: Arc<Rows>,
-    tenants: Snapshot<HashMap<Tenant, Arc<Rows>>>,
+    customers: Snapshot<HashMap<Customer, Arc<Rows>>>,
     gauges: Vec<AtomicU64>,
     publisher: Publisher,
     upkeep: Mutex<Upkeep>,
@@ -51,7 +51,7 @@
     published: Millis,
 }
 
-/// Counts and measures in memory, per tenant and class.
+/// Counts and measures in memory, per customer and class.
 ///
 /// Clones share one set of values. A request only adds to memory: a
 /// histogram behind a lock that is held for some nanoseconds, or an atomic.
@@ -63,14 +63,14 @@
 /// # Example
 ///
 /// ```
-/// use base::{Class, Tenant};
+/// use base::{Class, Customer};
 /// use pomeloslip_obs::{Counter, Metrics, Scope};
 ///
 /// let metrics = Metrics::default();
-/// let tenant: Tenant = "alama".parse()?;
-/// metrics.count(Counter::Arrived, &tenant, Class::Batch, 3);
+/// let customer: Customer = "alama".parse()?;
+/// metrics.count(Counter::Arrived, &customer, Class::Batch, 3);
 /// let table = metrics.snapshot();
-/// let scope = Scope::Tenant(tenant);
+/// let scope = Scope::Customer(customer);
 /// assert_eq!(table.count(Counter::Arrived, &scope, Class::Batch), 3);
 /// # Ok::<(), base::IdError>(())
 /// ```
@@ -115,8 +115,8 @@
         Self(Arc::new(Inner {
             window: AtomicUsize::new(0),
             all: (0..SHARDS).map(|_| Rows::new(ALL_DIGITS)).collect(),
-            other: Arc::new(Rows::new(TENANT_DIGITS)),
-            tenants: Snapshot::new(HashMap::new()),
+            other: Arc::new(Rows::new(CUSTOMER_DIGITS)),
+            customers: Snapshot::new(HashMap::new()),
             gauges: Gauge::ALL.iter().map(|_| AtomicU64::new(UNSET)).collect(),
             publisher,
             upkeep: Mutex::default(),
@@ -130,65 +130,65 @@
         &self.0.settings
     }
 
-    /// Returns a handle for one tenant that spares the look-up; take one for
+    /// Returns a handle for one customer that spares the look-up; take one for
     /// each request that records many values.
     ///
     /// # Example
     ///
     /// ```
-    /// use base::{Class, Tenant};
+    /// use base::{Class, Customer};
     /// use pomeloslip_obs::{Metrics, Series};
     ///
     /// let metrics = Metrics::default();
-    /// let tenant: Tenant = "taevakorv".parse()?;
-    /// let handle = metrics.tenant(&tenant);
+    /// let customer: Customer = "taevakorv".parse()?;
+    /// let handle = metrics.customer(&customer);
     /// handle.record(Series::BetweenTokensUs, Class::Online, 30_000);
     /// assert_eq!(metrics.snapshot().histograms.len(), 2);
     /// # Ok::<(), base::IdError>(())
     /// ```
-    pub fn tenant(&self, tenant: &Tenant) -> TenantMetrics {
-        TenantMetrics {
-            rows: self.rows(tenant),
+    pub fn customer(&self, customer: &Customer) -> CustomerMetrics {
+        CustomerMetrics {
+            rows: self.rows(customer),
             metrics: self.clone(),
         }
     }
 
-    /// Adds a value of a tenant's request.
+    /// Adds a value of a customer's request.
     pub fn record(
         &self,
         series: Series,
-        tenant: &Tenant,
+        customer: &Customer,
         class: Class,
         value: u64,
     ) {
-        match self.0.tenants.load().get(tenant) {
+        match self.0.customers.load().get(customer) {
             Some(rows) => self.record_rows(rows, series, class, value),
             None => {
-                let rows = self.rows(tenant);
+                let rows = self.rows(customer);
                 self.record_rows(&rows, series, class, value);
             }
         }
     }
 
-    /// Adds a value that belongs to no tenant, for example a call of the
+    /// Adds a value that belongs to no customer, for example a call of the
     /// key-value service.
     pub fn record_all(&self, series: Series, class: Class, value: u64) {
         let rows = &self.0.all[shard()];
         rows.record(self.window(), series, class, value);
     }
 
-    /// Adds to a counter of a tenant.
+    /// Adds to a counter of a customer.
     pub fn count(
         &self,
         counter: Counter,
-        tenant: &Tenant,
+        customer: &Customer,
         class: Class,
         n: u64,
     ) {
-        match self.0.tenants.load().get(tenant) {
+        match self.0.customers.load().get(customer) {
             Some(rows) => self.count_rows(rows, counter, class, n),
             None => {
-                let rows = self.rows(tenant);
+                let rows = self.rows(customer);
                 self.count_rows(&rows, counter, class, n);
             }
         }
@@ -208,12 +208,12 @@
         };
         let shards: Vec<&Rows> = self.0.all.iter().collect();
         add_rows(&mut table, &Scope::All, &shards);
-        let tenants = self.0.tenants.load_full();
-        let mut names: Vec<&Tenant> = tenants.keys().collect();
+        let customers = self.0.customers.load_full();
+        let mut names: Vec<&Customer> = customers.keys().collect();
         names.sort();
-        for tenant in names {
-            let scope = Scope::Tenant(tenant.clone());
-            add_rows(&mut table, &scope, &[&*tenants[tenant]]);
+        for customer in names {
+            let scope = Scope::Customer(customer.clone());
+            add_rows(&mut table, &scope, &[&*customers[customer]]);
         }
         add_rows(&mut table, &Scope::Other, &[&*self.0.other]);
         table
@@ -255,7 +255,7 @@
         for rows in &self.0.all {
             rows.clear(next);
         }
-        for rows in self.0.tenants.load_full().values() {
+        for rows in self.0.customers.load_full().values() {
             rows.clear(next);
         }
         self.0.other.clear(next);
@@ -275,8 +275,8 @@
         }
         let shards: Vec<&Rows> = self.0.all.iter().collect();
         publisher.rows(&Scope::All, &shards);
-        for (tenant, rows) in &*self.0.tenants.load_full() {
-            let scope = Scope::Tenant(tenant.clone());
+        for (customer, rows) in &*self.0.customers.load_full() {
+            let scope = Scope::Customer(customer.clone());
             publisher.rows(&scope, &[&**rows]);
         }
         publisher.rows(&Scope::Other, &[&*self.0.other]);
@@ -314,49 +314,51 @@
         }
     }
 
-    /// Returns the rows of a tenant, made if there is room.
-    fn rows(&self, tenant: &Tenant) -> Arc<Rows> {
-        let tenants = self.0.tenants.load();
-        if let Some(rows) = tenants.get(tenant) {
+    /// Returns the rows of a customer, made if there is room.
+    fn rows(&self, customer: &Customer) -> Arc<Rows> {
+        let customers = self.0.customers.load();
+        if let Some(rows) = customers.get(customer) {
             return rows.clone();
         }
-        // Without this look each value of a tenant over the bound would
+        // Without this look each value of a customer over the bound would
         // copy the map.
-        if !self.has_room(&tenants) || tenant.as_str() == OTHER {
+        if !self.has_room(&customers) || customer.as_str() == OTHER {
             return self.0.other.clone();
         }
-        drop(tenants);
-        let new = Arc::new(Rows::new(TENANT_DIGITS));
-        self.0.tenants.update(|old| {
-            let mut tenants = old.clone();
+        drop(customers);
+        let new = Arc::new(Rows::new(CUSTOMER_DIGITS));
+        self.0.customers.update(|old| {
+            let mut customers = old.clone();
             if self.has_room(old) {
-                tenants.entry(tenant.clone()).or_insert_with(|| new.clone());
+                customers
+                    .entry(customer.clone())
+                    .or_insert_with(|| new.clone());
             }
-            tenants
+            customers
         });
-        let tenants = self.0.tenants.load();
-        tenants.get(tenant).unwrap_or(&self.0.other).clone()
+        let customers = self.0.customers.load();
+        customers.get(customer).unwrap_or(&self.0.other).clone()
     }
 
-    fn has_room(&self, tenants: &HashMap<Tenant, Arc<Rows>>) -> bool {
-        tenants.len() < self.0.settings.tenants_max
+    fn has_room(&self, customers: &HashMap<Customer, Arc<Rows>>) -> bool {
+        customers.len() < self.0.settings.customers_max
     }
 }
 
-/// Counts and measures for one tenant; see [`Metrics::tenant`].
+/// Counts and measures for one customer; see [`Metrics::customer`].
 #[derive(Clone)]
-pub struct TenantMetrics {
+pub struct CustomerMetrics {
     rows: Arc<Rows>,
     metrics: Metrics,
 }
 
-impl fmt::Debug for TenantMetrics {
+impl fmt::Debug for CustomerMetrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("TenantMetrics").finish_non_exhaustive()
     }
 }
 
-impl TenantMetrics {
+impl CustomerMetrics {
     /// Adds a value.
     #[inline]
     pub fn record(&self, series: Series, class: Class, value: u64) {
--- a/crates/obs/src/rows.rs
+++ b/crates/obs/src/rows.rs
@@ -116,7 +116,7 @@
     }
     (total.count > 0).then(|| HistogramRow {
         series,
-        tenant: scope.clone(),
+        customer: scope.clone(),
         class,
         window: window.as_ref().map(quantiles).unwrap_or_default(),
         total,
@@ -135,7 +135,7 @@
     let total = shards.iter().map(read).sum();
     (total > 0).then(|| CounterRow {
         counter,
-        tenant: scope.clone(),
+        customer: scope.clone(),
         class,
         total,
     })
--- a/crates/obs/src/settings.rs
+++ b/crates/obs/src/settings.rs
@@ -111,7 +111,7 @@
 ///
 /// let text = r#"{"statsd_addr": "127.0.0.1:8125", "window_ms": 60000}"#;
 /// let settings: MetricsSettings = serde_json::from_str(text)?;
-/// assert_eq!(settings.tenants_max, 2_048);
+/// assert_eq!(settings.customers_max, 2_048);
 /// # Ok::<(), serde_json::Error>(())
 /// ```
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -127,8 +127,9 @@
     pub publish_interval_ms: u64,
     /// Length of one of the two windows that a snapshot shows.
     pub window_ms: u64,
-    /// Tenants with rows of their own; all further ones share one.
-    pub tenants_max: usize,
+    /// Customers with rows of their own; all further ones share one.
+    #[serde(rename = "tenants_max")]
+    pub customers_max: usize,
     /// Metrics that may wait to be sent; more are dropped.
     pub queue_metrics: usize,
 }
@@ -141,7 +142,7 @@
             tags: IndexMap::new(),
             publish_interval_ms: 10_000,
             window_ms: 120_000,
-            tenants_max: 2_048,
+            customers_max: 2_048,
             queue_metrics: 32_768,
         }
     }
--- a/crates/obs/src/table.rs
+++ b/crates/obs/src/table.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use base::{Class, IdError, Tenant};
+use base::{Class, Customer, IdError};
 use serde::{Deserialize, Serialize};
 
 use crate::{Counter, Gauge, Series};
@@ -25,12 +25,12 @@
 )]
 #[serde(try_from = "String", into = "String")]
 pub enum Scope {
-    /// All tenants together, written `*`.
+    /// All customers together, written `*`.
     All,
-    /// The tenants over the bound, written `other`.
+    /// The customers over the bound, written `other`.
     Other,
-    /// One tenant.
-    Tenant(Tenant),
+    /// One customer.
+    Customer(Customer),
 }
 
 impl Scope {
@@ -39,7 +39,7 @@
         match self {
             Scope::All => ALL,
             Scope::Other => OTHER,
-            Scope::Tenant(tenant) => tenant.as_str(),
+            Scope::Customer(customer) => customer.as_str(),
         }
     }
 }
@@ -57,7 +57,7 @@
         match text.as_str() {
             ALL => Ok(Scope::All),
             OTHER => Ok(Scope::Other),
-            _ => text.parse().map(Scope::Tenant),
+            _ => text.parse().map(Scope::Customer),
         }
     }
 }
@@ -123,7 +123,8 @@
     /// What is measured.
     pub series: Series,
     /// Whose values these are.
-    pub tenant: Scope,
+    #[serde(rename = "tenant")]
+    pub customer: Scope,
     /// Class of the requests.
     pub class: Class,
     /// The last minutes.
@@ -138,7 +139,8 @@
     /// What is counted.
     pub counter: Counter,
     /// Whose count this is.
-    pub tenant: Scope,
+    #[serde(rename = "tenant")]
+    pub customer: Scope,
     /// Class of the requests.
     pub class: Class,
     /// Count since the start of the process.
@@ -175,11 +177,13 @@
     pub fn row(
         &self,
         series: Series,
-        tenant: &Scope,
+        customer: &Scope,
         class: Class,
     ) -> Option<&HistogramRow> {
         self.histograms.iter().find(|row| {
-            row.series == series && row.tenant == *tenant && row.class == class
+            row.series == series
+                && row.customer == *customer
+                && row.class == class
         })
     }
 
@@ -187,14 +191,14 @@
     pub fn count(
         &self,
         counter: Counter,
-        tenant: &Scope,
+        customer: &Scope,
         class: Class,
     ) -> u64 {
         self.counters
             .iter()
             .find(|row| {
                 row.counter == counter
-                    && row.tenant == *tenant
+                    && row.customer == *customer
                     && row.class == class
             })
             .map_or(0, |row| row.total)
--- a/crates/obs/tests/metrics.rs
+++ b/crates/obs/tests/metrics.rs
@@ -1,17 +1,17 @@
-//! Quantiles, windows, the bound on tenants and the statsd text.
+//! Quantiles, windows, the bound on customers and the statsd text.
 
 #![allow(clippy::unwrap_used)]
 
 use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
 
-use base::{Class, Millis, Tenant};
+use base::{Class, Customer, Millis};
 use indexmap::IndexMap;
 use pomeloslip_obs::{
     Counter, Gauge, HistogramTable, Metrics, MetricsSettings, Scope, Series,
 };
 use yare::parameterized;
 
-fn tenant(name: &str) -> Tenant {
+fn customer(name: &str) -> Customer {
     name.parse().unwrap()
 }
 
@@ -20,15 +20,15 @@
 }
 
 #[parameterized(
-    all_tenants = { Scope::All, 100 },
-    one_tenant = { Scope::Tenant(tenant("alama")), 16 },
+    all_customers = { Scope::All, 100 },
+    one_customer = { Scope::Customer(customer("alama")), 16 },
 )]
 fn quantiles_are_near(scope: Scope, part: u64) {
     let metrics = Metrics::default();
     for value in 1..=10_000 {
         metrics.record(
             Series::TotalMs,
-            &tenant("alama"),
+            &customer("alama"),
             Class::Online,
             value,
         );
@@ -47,13 +47,13 @@
 }
 
 #[test]
-fn classes_and_tenants_are_kept_apart() {
+fn classes_and_customers_are_kept_apart() {
     let metrics = Metrics::default();
-    let (a, b) = (tenant("a"), tenant("b"));
+    let (a, b) = (customer("a"), customer("b"));
     metrics.record(Series::QueueWaitUs, &a, Class::Online, 1);
     metrics.record(Series::QueueWaitUs, &a, Class::Batch, 2);
     metrics
-        .tenant(&b)
+        .customer(&b)
         .record(Series::QueueWaitUs, Class::Batch, 3);
     metrics.record_all(Series::KvCallUs, Class::Online, 4);
     let table = metrics.snapshot();
@@ -62,9 +62,9 @@
             .row(Series::QueueWaitUs, scope, class)
             .map(|row| row.total.max)
     };
-    assert_eq!(max(&Scope::Tenant(a.clone()), Class::Online), Some(1));
-    assert_eq!(max(&Scope::Tenant(a), Class::Batch), Some(2));
-    assert_eq!(max(&Scope::Tenant(b), Class::Batch), Some(3));
+    assert_eq!(max(&Scope::Customer(a.clone()), Class::Online), Some(1));
+    assert_eq!(max(&Scope::Customer(a), Class::Batch), Some(2));
+    assert_eq!(max(&Scope::Customer(b), Class::Batch), Some(3));
     assert_eq!(max(&Scope::All, Class::Batch), Some(3));
     assert_eq!(max(&Scope::Other, Class::Batch), None);
     assert_eq!(table.histograms.len(), 6);
@@ -77,13 +77,13 @@
         ..MetricsSettings::default()
     };
     let metrics = Metrics::try_new(settings).unwrap();
-    let a = tenant("a");
+    let a = customer("a");
     let counts = |metrics: &Metrics| {
         let table = metrics.snapshot();
         let row = table
             .row(
                 Series::FirstTokenMs,
-                &Scope::Tenant(a.clone()),
+                &Scope::Customer(a.clone()),
                 Class::Online,
             )
             .unwrap();
@@ -106,18 +106,18 @@
     assert_eq!(counts(&metrics), (1, 4));
 }
 
-/// Symptom: the process grows with each new tenant name.
+/// Symptom: the process grows with each new customer name.
 /// Sequence: names come without end, each gets rows of its own.
-/// Cause: no bound. Here the third tenant and all after it share one row.
+/// Cause: no bound. Here the third customer and all after it share one row.
 #[test]
-fn tenants_over_the_bound_share_a_row() {
+fn customers_over_the_bound_share_a_row() {
     let settings = MetricsSettings {
-        tenants_max: 2,
+        customers_max: 2,
         ..MetricsSettings::default()
     };
     let metrics = Metrics::try_new(settings).unwrap();
     for n in 0..1_000 {
-        let name = tenant(&format!("t-{n}"));
+        let name = customer(&format!("t-{n}"));
         metrics.count(Counter::Arrived, &name, Class::Online, 1);
         metrics.record(Series::TotalMs, &name, Class::Online, n);
     }
@@ -125,7 +125,7 @@
     let scopes: BTreeSet<&str> = table
         .counters
         .iter()
-        .map(|row| row.tenant.as_str())
+        .map(|row| row.customer.as_str())
         .collect();
     assert_eq!(Vec::from_iter(scopes), ["*", "other", "t-0", "t-1"]);
     let count = |scope| table.count(Counter::Arrived, &scope, Class::Online);
@@ -136,8 +136,8 @@
 #[test]
 fn a_table_survives_json() {
     let metrics = Metrics::default();
-    metrics.record(Series::TotalMs, &tenant("a"), Class::Batch, 7);
-    metrics.count(Counter::Tokens, &tenant("a"), Class::Batch, 7);
+    metrics.record(Series::TotalMs, &customer("a"), Class::Batch, 7);
+    metrics.count(Counter::Tokens, &customer("a"), Class::Batch, 7);
     metrics.set_gauge(Gauge::Revision, 41);
     let table = metrics.snapshot();
     let text = serde_json::to_string(&table).unwrap();
@@ -154,7 +154,7 @@
     let metrics = Metrics::default();
     std::thread::scope(|scope| {
         for n in 0..8_u64 {
-            let handle = metrics.tenant(&tenant(&format!("t-{}", n % 3)));
+            let handle = metrics.customer(&customer(&format!("t-{}", n % 3)));
             scope.spawn(move || {
                 for value in 0..5_000 {
                     handle.record(Series::TotalMs, Class::Online, value);
@@ -197,7 +197,7 @@
         ..MetricsSettings::default()
     };
     let metrics = Metrics::try_new(settings).unwrap();
-    let a = tenant("a");
+    let a = customer("a");
     metrics.count(Counter::Arrived, &a, Class::Online, 2);
     metrics.count(Counter::Arrived, &a, Class::Online, 1);
     metrics.record(Series::FirstTokenMs, &a, Class::Online, 5);
--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -3,7 +3,8 @@
 use conf::{Check, Findings, OneOrMany, UniqueNames, settings::EndpointKind};
 
 use crate::{
-    Config, PoolConfig, Refuse, Rule, TenantConfig, TenantLimits, Then, When,
+    Config, CustomerConfig, CustomerLimits, PoolConfig, Refuse, Rule, Then,
+    When,
 };
 
 const DAY_MS: u64 = 86_400_000;
@@ -17,7 +18,7 @@
             config: self,
             findings,
         };
-        checker.tenants();
+        checker.customers();
         checker.pools();
         checker.rules();
     }
@@ -29,32 +30,32 @@
 }
 
 impl<'c> Checker<'c, '_, '_> {
-    fn tenants(&mut self) {
+    fn customers(&mut self) {
         let mut names = UniqueNames::default();
         let mut digests = UniqueNames::default();
-        for (index, tenant) in self.config.tenants.iter().enumerate() {
+        for (index, customer) in self.config.customers.iter().enumerate() {
             let path = self.findings.item("tenants", index);
             let name = format!("{path}.tenant");
-            names.add(&name, tenant.tenant.as_str(), self.findings);
+            names.add(&name, customer.customer.as_str(), self.findings);
             let keys = format!("{path}.key_sha256");
-            for (index, digest) in tenant.key_sha256.iter().enumerate() {
+            for (index, digest) in customer.key_sha256.iter().enumerate() {
                 let path = self.findings.item(&keys, index);
                 let digest = digest.to_string();
                 digests.add(&path, &digest, self.findings);
             }
-            self.tenant(&path, tenant);
+            self.customer(&path, customer);
         }
     }
 
-    fn tenant(&mut self, path: &str, tenant: &TenantConfig) {
+    fn customer(&mut self, path: &str, customer: &CustomerConfig) {
         let weight = format!("{path}.weight");
-        self.findings.range(&weight, tenant.weight, 1, WEIGHT_MAX);
-        let TenantLimits {
+        self.findings.range(&weight, customer.weight, 1, WEIGHT_MAX);
+        let CustomerLimits {
             requests_per_s,
             burst,
             concurrent,
             batch_items_open: _,
-        } = tenant.limits;
+        } = customer.limits;
         let key = |key: &str| format!("{path}.limits.{key}");
         self.rate(&key("requests_per_s"), requests_per_s);
         self.at_least_one(&key("burst"), burst);
@@ -134,10 +135,11 @@
         self.not_empty(&key("dates"), when.dates.as_ref());
         self.not_empty(&key("pool_load"), when.pool_load.as_ref());
         let config = self.config;
-        let tenants = config.tenants.iter().map(|one| one.tenant.as_str());
-        let tenants: Vec<&str> = tenants.collect();
-        let wanted = when.tenant.as_ref();
-        self.defined(&key("tenant"), "tenant", wanted, &tenants);
+        let customers =
+            config.customers.iter().map(|one| one.customer.as_str());
+        let customers: Vec<&str> = customers.collect();
+        let wanted = when.customer.as_ref();
+        self.defined(&key("tenant"), "tenant", wanted, &customers);
         let models = config.pools.iter().flat_map(models);
         let models: Vec<&str> = models.collect();
         let wanted = when.model.as_ref();
--- a/crates/rules/src/compiled.rs
+++ b/crates/rules/src/compiled.rs
@@ -1,50 +1,51 @@
 use std::collections::{BTreeSet, HashMap};
 
-use base::{Revision, Tenant, UnixMillis};
+use base::{Customer, Revision, UnixMillis};
 use conf::settings::EndpointKind;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    Action, Config, Decision, Explanation, OrderFencing, PoolConfig, Route,
-    RuleExplanation, Sample, TenantConfig, TenantLimits, calendar::Moment,
-    condition::Condition, decision::Outcome, index::RuleIndex, when::Method,
+    Action, Config, CustomerConfig, CustomerLimits, Decision, Explanation,
+    OrderFencing, PoolConfig, Route, RuleExplanation, Sample,
+    calendar::Moment, condition::Condition, decision::Outcome,
+    index::RuleIndex, when::Method,
 };
 
 new_key_type! {
-    /// Names a tenant within one compiled configuration.
-    pub struct TenantKey;
+    /// Names a customer within one compiled configuration.
+    pub struct CustomerKey;
 
     /// Names a pool within one compiled configuration.
     pub struct PoolKey;
 }
 
-/// A tenant of a compiled configuration.
+/// A customer of a compiled configuration.
 #[derive(Clone, Debug)]
-pub struct TenantEntry {
-    key: TenantKey,
-    config: TenantConfig,
+pub struct CustomerEntry {
+    key: CustomerKey,
+    config: CustomerConfig,
 }
 
-impl TenantEntry {
-    /// Returns the tenant's key in this configuration.
+impl CustomerEntry {
+    /// Returns the customer's key in this configuration.
     #[inline]
-    pub fn key(&self) -> TenantKey {
+    pub fn key(&self) -> CustomerKey {
         self.key
     }
 
-    /// Returns the tenant's name.
+    /// Returns the customer's name.
     #[inline]
-    pub fn tenant(&self) -> &Tenant {
-        &self.config.tenant
+    pub fn customer(&self) -> &Customer {
+        &self.config.customer
     }
 
-    /// Returns the tenant's limits over the whole fleet.
+    /// Returns the customer's limits over the whole fleet.
     #[inline]
-    pub fn limits(&self) -> &TenantLimits {
+    pub fn limits(&self) -> &CustomerLimits {
         &self.config.limits
     }
 
-    /// Returns the tenant's share of contended capacity, relative to others.
+    /// Returns the customer's share of contended capacity, relative to others.
     #[inline]
     pub fn weight(&self) -> u32 {
         self.config.weight
@@ -142,9 +143,9 @@
 #[derive(Clone, Debug)]
 pub struct Compiled {
     revision: Revision,
-    tenants: SlotMap<TenantKey, TenantEntry>,
-    tenant_keys: HashMap<Tenant, TenantKey>,
-    digests: HashMap<[u8; 32], TenantKey>,
+    customers: SlotMap<CustomerKey, CustomerEntry>,
+    customer_keys: HashMap<Customer, CustomerKey>,
+    digests: HashMap<[u8; 32], CustomerKey>,
     pools: SlotMap<PoolKey, PoolEntry>,
     pool_keys: HashMap<String, PoolKey>,
     rules: Vec<CompiledRule>,
@@ -155,15 +156,15 @@
 
 impl Compiled {
     pub(crate) fn new(config: Config, revision: Revision) -> Self {
-        let mut tenants = SlotMap::with_key();
-        let mut tenant_keys = HashMap::new();
+        let mut customers = SlotMap::with_key();
+        let mut customer_keys = HashMap::new();
         let mut digests = HashMap::new();
-        for config in config.tenants {
-            let name = config.tenant.clone();
+        for config in config.customers {
+            let name = config.customer.clone();
             let key_digests = config.key_sha256.clone();
             let key =
-                tenants.insert_with_key(|key| TenantEntry { key, config });
-            tenant_keys.insert(name, key);
+                customers.insert_with_key(|key| CustomerEntry { key, config });
+            customer_keys.insert(name, key);
             for digest in key_digests.iter() {
                 digests.insert(*digest.as_bytes(), key);
             }
@@ -189,8 +190,8 @@
         }
         Self {
             revision,
-            tenants,
-            tenant_keys,
+            customers,
+            customer_keys,
             digests,
             pools,
             pool_keys,
@@ -206,32 +207,32 @@
         self.revision
     }
 
-    /// Returns the tenant whose key has this SHA-256 digest.
+    /// Returns the customer whose key has this SHA-256 digest.
     ///
     /// The time of the search tells nothing about keys: an attacker who
     /// guesses keys cannot choose their digests.
     #[inline]
-    pub fn tenant_by_key_digest(
+    pub fn customer_by_key_digest(
         &self,
         digest: &[u8; 32],
-    ) -> Option<&TenantEntry> {
-        self.tenant(*self.digests.get(digest)?)
+    ) -> Option<&CustomerEntry> {
+        self.customer(*self.digests.get(digest)?)
     }
 
-    /// Returns a tenant by its key.
+    /// Returns a customer by its key.
     #[inline]
-    pub fn tenant(&self, key: TenantKey) -> Option<&TenantEntry> {
-        self.tenants.get(key)
+    pub fn customer(&self, key: CustomerKey) -> Option<&CustomerEntry> {
+        self.customers.get(key)
     }
 
-    /// Returns a tenant by its name.
-    pub fn tenant_by_name(&self, name: &Tenant) -> Option<&TenantEntry> {
-        self.tenant(*self.tenant_keys.get(name)?)
+    /// Returns a customer by its name.
+    pub fn customer_by_name(&self, name: &Customer) -> Option<&CustomerEntry> {
+        self.customer(*self.customer_keys.get(name)?)
     }
 
-    /// Returns all tenants.
-    pub fn tenants(&self) -> impl Iterator<Item = &TenantEntry> {
-        self.tenants.values()
+    /// Returns all customers.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerEntry> {
+        self.customers.values()
     }
 
     /// Returns a pool by its key.
--- a/crates/rules/src/condition.rs
+++ b/crates/rules/src/condition.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Display;
 
-use base::{Class, Model, Service, Tenant};
+use base::{Class, Customer, Model, Service};
 use conf::OneOrMany;
 
 use crate::{
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Condition {
     Class(OneOrMany<Class>),
-    Tenant(OneOrMany<Tenant>),
+    Customer(OneOrMany<Customer>),
     Model(OneOrMany<Model>),
     Service(OneOrMany<Service>),
     Method(OneOrMany<Method>),
@@ -35,7 +35,7 @@
     pub(crate) fn list(when: When) -> Vec<Condition> {
         let When {
             class,
-            tenant,
+            customer,
             model,
             service,
             path,
@@ -49,7 +49,7 @@
         } = when;
         [
             class.map(Condition::Class),
-            tenant.map(Condition::Tenant),
+            customer.map(Condition::Customer),
             model.map(Condition::Model),
             service.map(Condition::Service),
             method.map(Condition::Method),
@@ -72,7 +72,7 @@
         matches!(
             self,
             Condition::Class(_)
-                | Condition::Tenant(_)
+                | Condition::Customer(_)
                 | Condition::Model(_)
                 | Condition::Service(_)
                 | Condition::Method(_)
@@ -82,7 +82,7 @@
     pub(crate) fn holds(&self, of: &Sample<'_>, now: &Moment) -> bool {
         match self {
             Condition::Class(any) => any.contains(&of.class),
-            Condition::Tenant(any) => has(any, Some(of.tenant)),
+            Condition::Customer(any) => has(any, Some(of.customer)),
             Condition::Model(any) => has(any, of.model),
             Condition::Service(any) => has(any, of.service),
             Condition::Method(any) => {
@@ -112,7 +112,7 @@
     pub(crate) fn key(&self) -> &'static str {
         match self {
             Condition::Class(_) => "class",
-            Condition::Tenant(_) => "tenant",
+            Condition::Customer(_) => "tenant",
             Condition::Model(_) => "model",
             Condition::Service(_) => "service",
             Condition::Method(_) => "method",
@@ -130,7 +130,7 @@
     pub(crate) fn wanted(&self) -> String {
         match self {
             Condition::Class(any) => one_of(any),
-            Condition::Tenant(any) => one_of(any),
+            Condition::Customer(any) => one_of(any),
             Condition::Model(any) => one_of(any),
             Condition::Service(any) => one_of(any),
             Condition::Method(any) => one_of(any),
@@ -148,7 +148,7 @@
     pub(crate) fn found(&self, of: &Sample<'_>, now: &Moment) -> String {
         match self {
             Condition::Class(_) => of.class.to_string(),
-            Condition::Tenant(_) => of.tenant.to_owned(),
+            Condition::Customer(_) => of.customer.to_owned(),
             Condition::Model(_) => or_none(of.model),
             Condition::Service(_) => or_none(of.service),
             Condition::Method(_) => of.method.to_owned(),
--- a/crates/rules/src/config.rs
+++ b/crates/rules/src/config.rs
@@ -1,4 +1,4 @@
-use base::{KeyDigest, Model, Revision, Service, Tenant};
+use base::{Customer, KeyDigest, Model, Revision, Service};
 use conf::{HttpAddress, OneOrMany, parse_checked, settings::EndpointKind};
 use error_stack::Report;
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
     when::{Method, When},
 };
 
-/// The operators' configuration: tenants, pools and ordered rules.
+/// The operators' configuration: customers, pools and ordered rules.
 ///
 /// Its text is the authority and is kept as it was written; this is what
 /// the text says.
@@ -16,7 +16,8 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
     /// Who may call.
-    pub tenants: Vec<TenantConfig>,
+    #[serde(rename = "tenants")]
+    pub customers: Vec<CustomerConfig>,
     /// Groups of endpoints that requests go to.
     pub pools: Vec<PoolConfig>,
     /// What happens to a request; the first rule whose conditions hold
@@ -65,30 +66,31 @@
 /// A customer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct TenantConfig {
+pub struct CustomerConfig {
     /// Its name.
-    pub tenant: Tenant,
+    #[serde(rename = "tenant")]
+    pub customer: Customer,
     /// SHA-256 digests of its keys; several while a key is replaced.
     #[serde(default)]
     pub key_sha256: OneOrMany<KeyDigest>,
     /// Its limits over all rules and the whole fleet.
     #[serde(default)]
-    pub limits: TenantLimits,
-    /// Share of contended capacity, relative to other tenants.
-    #[serde(default = "TenantConfig::default_weight")]
+    pub limits: CustomerLimits,
+    /// Share of contended capacity, relative to other customers.
+    #[serde(default = "CustomerConfig::default_weight")]
     pub weight: u32,
 }
 
-impl TenantConfig {
+impl CustomerConfig {
     const fn default_weight() -> u32 {
         1
     }
 }
 
-/// Limits of a tenant; what is left out is not limited.
+/// Limits of a customer; what is left out is not limited.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct TenantLimits {
+pub struct CustomerLimits {
     /// Requests a second.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub requests_per_s: Option<f64>,
--- a/crates/rules/src/diff.rs
+++ b/crates/rules/src/diff.rs
@@ -43,15 +43,15 @@
     /// for what is new, `-` for what is gone, `~` for a changed key and `>`
     /// for a rule that has moved among those that stay.
     ///
-    /// Tenants, pools and named rules are matched by their names, rules
+    /// Customers, pools and named rules are matched by their names, rules
     /// without a name by their whole content.
     pub fn diff(&self, new: &Config) -> Vec<String> {
         let mut lines = Vec::new();
-        let tenants =
-            items("tenant", &self.tenants, |one| one.tenant.to_string());
-        let new_tenants =
-            items("tenant", &new.tenants, |one| one.tenant.to_string());
-        compare(&tenants, &new_tenants, false, &mut lines);
+        let customers =
+            items("tenant", &self.customers, |one| one.customer.to_string());
+        let new_customers =
+            items("tenant", &new.customers, |one| one.customer.to_string());
+        compare(&customers, &new_customers, false, &mut lines);
         let pools = items("pool", &self.pools, |one| one.pool.clone());
         let new_pools = items("pool", &new.pools, |one| one.pool.clone());
         compare(&pools, &new_pools, false, &mut lines);
@@ -69,7 +69,7 @@
     }
 }
 
-/// One tenant, pool or rule.
+/// One customer, pool or rule.
 struct Item {
     title: String,
     value: Value,
--- a/crates/rules/src/index.rs
+++ b/crates/rules/src/index.rs
@@ -2,7 +2,7 @@
 //!
 //! For every word that rules ask for, a set of rules is kept that it leaves
 //! open: those that name it and those that do not ask. The sets of a
-//! request's class, tenant, model, service and method are intersected, a few
+//! request's class, customer, model, service and method are intersected, a few
 //! machine words for 200 rules. A tree over the conditions was rejected: its
 //! size can grow with the product of the conditions.
 
@@ -67,7 +67,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RuleIndex {
     class: WordIndex,
-    tenant: WordIndex,
+    customer: WordIndex,
     model: WordIndex,
     service: WordIndex,
     method: WordIndex,
@@ -83,7 +83,7 @@
         };
         Self {
             class: index("class"),
-            tenant: index("tenant"),
+            customer: index("tenant"),
             model: index("model"),
             service: index("service"),
             method: index("method"),
@@ -97,7 +97,7 @@
     ) -> impl Iterator<Item = usize> + use<'a> {
         let sets = [
             self.class.find(Some(sample.class.as_str())),
-            self.tenant.find(Some(sample.tenant)),
+            self.customer.find(Some(sample.customer)),
             self.model.find(sample.model),
             self.service.find(sample.service),
             self.method.find(Some(sample.method)),
@@ -124,7 +124,7 @@
 fn words(condition: &Condition) -> Option<Vec<String>> {
     let list = match condition {
         Condition::Class(any) => texts(any, |one| one.as_str()),
-        Condition::Tenant(any) => texts(any, |one| one.as_str()),
+        Condition::Customer(any) => texts(any, |one| one.as_str()),
         Condition::Model(any) => texts(any, |one| one.as_str()),
         Condition::Service(any) => texts(any, |one| one.as_str()),
         Condition::Method(any) => texts(any, |one| one.as_str()),
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,6 +1,6 @@
 //! Ordered operator rules: parse, compile once per revision, decide, explain.
 //!
-//! Operators drive the system by one YAML document ([`Config`]): tenants,
+//! Operators drive the system by one YAML document ([`Config`]): customers,
 //! pools and an ordered list of rules. The first rule whose conditions hold
 //! decides; a request that no rule covers is refused as such.
 //!
@@ -23,10 +23,10 @@
 
 pub use crate::{
     calendar::{Clock, DateRange, Day, TimeOfDay, Zone},
-    compiled::{Compiled, PoolEntry, PoolKey, TenantEntry, TenantKey},
+    compiled::{Compiled, CustomerEntry, CustomerKey, PoolEntry, PoolKey},
     config::{
-        Config, OrderFencing, PoolConfig, Refuse, Rule, TenantConfig,
-        TenantLimits, Then,
+        Config, CustomerConfig, CustomerLimits, OrderFencing, PoolConfig,
+        Refuse, Rule, Then,
     },
     decision::{Action, Decision, Refusal, Route},
     diff::diff,
--- a/crates/rules/src/sample.rs
+++ b/crates/rules/src/sample.rs
@@ -39,7 +39,7 @@
     /// Whether somebody waits.
     pub class: Class,
     /// Who calls.
-    pub tenant: &'a str,
+    pub customer: &'a str,
     /// Model that is asked for.
     pub model: Option<&'a str>,
     /// Plain service that is asked for.
@@ -59,10 +59,10 @@
 
 impl<'a> Sample<'a> {
     /// Makes a sample of a POST to `/` that says nothing else.
-    pub fn new(class: Class, tenant: &'a str) -> Self {
+    pub fn new(class: Class, customer: &'a str) -> Self {
         Self {
             class,
-            tenant,
+            customer,
             model: None,
             service: None,
             path: "/",
@@ -78,7 +78,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Sample")
             .field("class", &self.class)
-            .field("tenant", &self.tenant)
+            .field("tenant", &self.customer)
             .field("model", &self.model)
             .field("service", &self.service)
             .field("path", &self.path)
@@ -116,14 +116,14 @@
 /// let mut sample = SampleBuf::default();
 /// sample.set("tenant=taevakorv")?;
 /// sample.set("header.x-season=gifts")?;
-/// assert_eq!(sample.as_sample().tenant, "taevakorv");
+/// assert_eq!(sample.as_sample().customer, "taevakorv");
 /// assert!(sample.set("tennant=x").is_err());
 /// # Ok::<(), pomeloslip_rules::SampleError>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct SampleBuf {
     class: Class,
-    tenant: String,
+    customer: String,
     model: Option<String>,
     service: Option<String>,
     path: String,
@@ -138,7 +138,7 @@
     fn default() -> Self {
         Self {
             class: Class::Online,
-            tenant: String::new(),
+            customer: String::new(),
             model: None,
             service: None,
             path: "/".to_owned(),
@@ -173,7 +173,7 @@
         }
         match key {
             "class" => self.class = class(value)?,
-            "tenant" => self.tenant = value.to_owned(),
+            "tenant" => self.customer = value.to_owned(),
             "model" => self.model = Some(value.to_owned()),
             "service" => self.service = Some(value.to_owned()),
             "path" => self.path = value.to_owned(),
@@ -189,7 +189,7 @@
     pub fn as_sample(&self) -> Sample<'_> {
         Sample {
             class: self.class,
-            tenant: &self.tenant,
+            customer: &self.customer,
             model: self.model.as_deref(),
             service: self.service.as_deref(),
             path: &self.path,
--- a/crates/rules/src/when.rs
+++ b/crates/rules/src/when.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use base::{Class, Model, Service, Tenant};
+use base::{Class, Customer, Model, Service};
 use conf::OneOrMany;
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +17,8 @@
     pub class: Option<OneOrMany<Class>>,
     /// Who calls.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub tenant: Option<OneOrMany<Tenant>>,
+    #[serde(rename = "tenant")]
+    pub customer: Option<OneOrMany<Customer>>,
     /// Model that is asked for.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub model: Option<OneOrMany<Model>>,
--- a/crates/rules/tests/config.rs
+++ b/crates/rules/tests/config.rs
@@ -1,6 +1,6 @@
 //! What a configuration may say, and how it is told what is wrong.
 
-use base::{Revision, Tenant};
+use base::{Customer, Revision};
 use pomeloslip_rules::{Config, diff};
 use proptest::{prelude::*, test_runner::RngSeed};
 use yare::parameterized;
@@ -46,7 +46,7 @@
     unknown_pool = { "then: {pool: lmm}", "f:6:16: rules[0].then.pool: unknown pool \"lmm\"; did you mean \"lm\"?" },
     unknown_fallback = { "then: {pool: lm, fallback_pools: [desk, dsk]}", "f:6:43: rules[0].then.fallback_pools[1]: unknown pool \"dsk\"; did you mean \"desk\"?" },
     unknown_fallback_alone = { "then: {pool: lm, fallback_pools: dsk}", "f:6:36: rules[0].then.fallback_pools: unknown pool \"dsk\"; did you mean \"desk\"?" },
-    unknown_tenant = { "{when: {tenant: [alama, allama]}, then: {shed: true}}", "f:6:27: rules[0].when.tenant[1]: unknown tenant \"allama\"; did you mean \"alama\"?" },
+    unknown_customer = { "{when: {tenant: [alama, allama]}, then: {shed: true}}", "f:6:27: rules[0].when.tenant[1]: unknown tenant \"allama\"; did you mean \"alama\"?" },
     unknown_model = { "{when: {model: z}, then: {shed: true}}", "f:6:18: rules[0].when.model: unknown model \"z\"" },
     unknown_service = { "{when: {service: registry}, then: {shed: true}}", "f:6:20: rules[0].when.service: unknown service \"registry\"; did you mean \"registry-desk\"?" },
     class = { "{when: {class: bach}, then: {shed: true}}", "f:6:18: rules[0].when.class: unknown value \"bach\"; one of online, batch; did you mean \"batch\"?" },
@@ -84,7 +84,7 @@
 }
 
 #[parameterized(
-    same_tenant = { "tenants: [{tenant: a}, {tenant: a}]", "f:1:33: tenants[1].tenant: \"a\" is also in tenants[0].tenant" },
+    same_customer = { "tenants: [{tenant: a}, {tenant: a}]", "f:1:33: tenants[1].tenant: \"a\" is also in tenants[0].tenant" },
     digest = { "tenants: [{tenant: a, key_sha256: abc}]", "f:1:35: tenants[0].key_sha256: a key digest is the SHA-256 of the key in 64 hex digits" },
     weight = { "tenants: [{tenant: a, weight: 0}]", "f:1:31: tenants[0].weight: 0 is not in 1 to 1000" },
     burst = { "tenants: [{tenant: a, limits: {burst: 5}}]", "f:1:39: tenants[0].limits.burst: has no effect without `requests_per_s`" },
@@ -120,10 +120,10 @@
     );
 }
 
-/// Two keys of a tenant are valid while one replaces the other; one key of
-/// two tenants would bill the wrong one.
+/// Two keys of a customer are valid while one replaces the other; one key of
+/// two customers would bill the wrong one.
 #[test]
-fn digest_belongs_to_one_tenant() {
+fn digest_belongs_to_one_customer() {
     let digest = "ab".repeat(32);
     let text = format!(
         "tenants:\n- {{tenant: a, key_sha256: {digest}}}\n\
@@ -137,14 +137,14 @@
 }
 
 #[test]
-fn tenants_and_pools_are_found() {
+fn customers_and_pools_are_found() {
     let config = Config::parse("f", RULES).expect("valid");
     let compiled = config.compile(Revision::new(4));
     assert_eq!(compiled.revision(), Revision::new(4));
-    let tenant: Tenant = "alama".parse().expect("a name");
-    let alama = compiled.tenant_by_name(&tenant).expect("known");
+    let customer: Customer = "alama".parse().expect("a name");
+    let alama = compiled.customer_by_name(&customer).expect("known");
     assert_eq!((alama.weight(), alama.limits().concurrent), (3, Some(40)));
-    let by_key = |byte: u8| compiled.tenant_by_key_digest(&[byte; 32]);
+    let by_key = |byte: u8| compiled.customer_by_key_digest(&[byte; 32]);
     assert_eq!(by_key(0xaa).expect("known").key(), alama.key());
     assert_eq!(by_key(0xbb).expect("known").key(), alama.key());
     assert!(by_key(0xcc).is_none());
@@ -158,7 +158,7 @@
 
 #[parameterized(
     nothing = { "", "", &[] },
-    tenant = { "concurrent: 40", "concurrent: 50", &["~ tenant alama: limits.concurrent: 40 -> 50"] },
+    customer = { "concurrent: 40", "concurrent: 50", &["~ tenant alama: limits.concurrent: 40 -> 50"] },
     new_key = { "    fallback_pools: [alama-spare]\n", "", &["~ rule counter: then.fallback_pools: [\"alama-spare\"] -> none"] },
     renamed = { "name: offices", "name: branches", &["- rule offices", "+ rule branches at 4: {\"name\":\"branches\",\"when\":{\"header\":[{\"name\":\"X-Branch\",\"prefix\":\"dar-\"}]},\"then\":{\"pool\":\"alama\",\"retries\":0}}"] },
 )]
--- a/crates/rules/tests/decide.rs
+++ b/crates/rules/tests/decide.rs
@@ -53,7 +53,7 @@
     header_case = { "header.X-BRANCH=dar-1", NOON, Some(3) },
     other_header = { "header.x-branch=tanga", NOON, None },
     counter = { "tenant=alama model=alama-llm", NOON, Some(4) },
-    other_tenant = { "model=alama-llm", NOON, None },
+    other_customer = { "model=alama-llm", NOON, None },
     other_model = { "tenant=alama model=alama-small", NOON, None },
     first_wins = { "tenant=alama model=alama-llm header.x-branch=dar-1", NOON, Some(3) },
     long = { "prompt_bytes=10000", NOON, Some(5) },
@@ -217,7 +217,7 @@
 rules:
 "
         .to_owned();
-        for (class, tenant, model, method, long) in rules {
+        for (class, customer, model, method, long) in rules {
             // Most rules ask for a header that is not there, so that the
             // decision is deep in the list.
             let rest = match long {
@@ -225,7 +225,7 @@
                 false => "header: {name: none}",
             };
             text.push_str(&format!(
-                "- {{when: {{{class}{tenant}{model}{method}{rest}}}, \
+                "- {{when: {{{class}{customer}{model}{method}{rest}}}, \
                  then: {{shed: true}}}}\n"
             ));
         }
@@ -246,7 +246,7 @@
     fn index_agrees_with_the_conditions(text in many_rules()) {
         let rules = compile(&text);
         let now = UnixMillis::new(0);
-        for (class, tenant, model, method) in [
+        for (class, customer, model, method) in [
             (Class::Online, "t1", None, "GET"),
             (Class::Online, "t2", Some("m1"), "POST"),
             (Class::Batch, "t3", Some("m2"), "POST"),
@@ -255,7 +255,7 @@
             let buf = sample("prompt_bytes=9");
             let sample = pomeloslip_rules::Sample {
                 class,
-                tenant,
+                customer,
                 model,
                 method,
                 ..buf.as_sample()
--- a/crates/spread/src/document.rs
+++ b/crates/spread/src/document.rs
@@ -73,12 +73,12 @@
 ///
 /// Each part has the revision that changed it last. What a process with
 /// revision R lacks are the parts with a higher one and the names removed
-/// since, so one tenant's change moves one tenant's bytes. A digest over the
+/// since, so one customer's change moves one customer's bytes. A digest over the
 /// whole text tells whether the pieces were put together right.
 ///
 /// Rejected: a log of changes, which a process has to have seen from its
 /// start on; and a list of digests of all parts in each comparison, 11 KB
-/// for 1,400 tenants.
+/// for 1,400 customers.
 ///
 /// # Example
 ///
--- a/crates/spread/src/split.rs
+++ b/crates/spread/src/split.rs
@@ -8,7 +8,7 @@
 /// Cuts a text into named parts whose concatenation is the text.
 ///
 /// A part begins at each key of the document and at each item of a list
-/// below it, so that a tenant, a pool or a rule is a part. The cut is made
+/// below it, so that a customer, a pool or a rule is a part. The cut is made
 /// by lines and not by a YAML parser: any cut is right, since the parts are
 /// put together before anybody reads them, and a build that parses
 /// differently must not cut differently.
--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -13,7 +13,7 @@
 
 const PROCESSES: usize = 9;
 const DOMAINS: usize = 3;
-const TENANTS: u32 = 12;
+const CUSTOMERS: u32 = 12;
 const TICK_MS: u64 = 200;
 const ROUGH_MS: u64 = 25_000;
 const HEALED_MS: u64 = 15_000;
@@ -93,8 +93,8 @@
             trace: Vec::new(),
         };
         let line = |at| format!("  - tenant: t{at}\n    weight: 1\n");
-        let tenants: String = (0..TENANTS).map(line).collect();
-        let text = format!("tenants:\n{tenants}rules: []\n");
+        let customers: String = (0..CUSTOMERS).map(line).collect();
+        let text = format!("tenants:\n{customers}rules: []\n");
         sim.accepted.insert(1, text);
         for at in 0..PROCESSES {
             sim.push(TICK_MS, at, Due::Tick(at));
@@ -315,10 +315,10 @@
         if !self.service_up || known != newest {
             return;
         }
-        let tenant = self.random.random_range(0..TENANTS);
+        let customer = self.random.random_range(0..CUSTOMERS);
         let (from, to) = match self.random.random_range(0..3) {
             0 => (
-                format!("  - tenant: t{tenant}\n    weight: 1\n"),
+                format!("  - tenant: t{customer}\n    weight: 1\n"),
                 String::new(),
             ),
             1 => (
@@ -326,8 +326,8 @@
                 format!("  - tenant: n{newest}\nrules: []\n"),
             ),
             _ => (
-                format!("t{tenant}\n    weight:"),
-                format!("t{tenant}\n    burst: {newest}\n    weight:"),
+                format!("t{customer}\n    weight:"),
+                format!("t{customer}\n    burst: {newest}\n    weight:"),
             ),
         };
         let text = self.accepted[&newest].replacen(&from, &to, 1);
--- a/crates/spread/tests/document.rs
+++ b/crates/spread/tests/document.rs
@@ -7,11 +7,11 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use yare::parameterized;
 
-fn text(tenants: &[u32], weight: impl Fn(u32) -> u64) -> String {
+fn text(customers: &[u32], weight: impl Fn(u32) -> u64) -> String {
     let mut text = "# Who may call.\ntenants:\n".to_owned();
-    for tenant in tenants {
-        let weight = weight(*tenant);
-        text += &format!("  - tenant: t{tenant}\n    weight: {weight}\n");
+    for customer in customers {
+        let weight = weight(*customer);
+        text += &format!("  - tenant: t{customer}\n    weight: {weight}\n");
     }
     text + "rules:\n  - then: {pool: a}\n"
 }
@@ -38,10 +38,10 @@
 }
 
 #[test]
-fn a_change_of_one_tenant_moves_its_bytes() {
-    let tenants: Vec<_> = (0..1_400).collect();
-    let old = document(1, &text(&tenants, |_| 1));
-    let edited = text(&tenants, |tenant| 1 + u64::from(tenant == 700));
+fn a_change_of_one_customer_moves_its_bytes() {
+    let customers: Vec<_> = (0..1_400).collect();
+    let old = document(1, &text(&customers, |_| 1));
+    let edited = text(&customers, |customer| 1 + u64::from(customer == 700));
     let two = Revision::new(2);
     let new = old.successor(two, &edited, Stamp::default());
     let delta = new.since(old.revision());
@@ -70,24 +70,24 @@
     assert_eq!(other.apply(&whole).unwrap().text(), "a: 1\n");
 }
 
-/// Edits at random, with tenants moved, removed and added again; whoever
+/// Edits at random, with customers moved, removed and added again; whoever
 /// has an older revision gets to the same text.
 #[test]
 fn every_older_revision_comes_to_the_newest_text() {
     for seed in 0..200 {
         let mut random = StdRng::seed_from_u64(seed);
-        let mut tenants: Vec<u32> = (0..20).collect();
-        let mut newest = document(1, &text(&tenants, |_| 1));
+        let mut customers: Vec<u32> = (0..20).collect();
+        let mut newest = document(1, &text(&customers, |_| 1));
         let mut kept = vec![newest.clone()];
         for revision in 2..20 {
             match random.random_range(0..4) {
-                0 => tenants.shuffle(&mut random),
-                1 => drop(tenants.pop()),
-                2 => tenants.insert(0, random.random_range(0..40)),
+                0 => customers.shuffle(&mut random),
+                1 => drop(customers.pop()),
+                2 => customers.insert(0, random.random_range(0..40)),
                 _ => {}
             }
-            let weight = |tenant: u32| (revision * u64::from(tenant)) % 3;
-            let text = text(&tenants, weight);
+            let weight = |customer: u32| (revision * u64::from(customer)) % 3;
+            let text = text(&customers, weight);
             let number = Revision::new(revision);
             newest = newest.successor(number, &text, Stamp::default());
             for old in &mut kept {
--- a/crates/upstream/tests/faults.rs
+++ b/crates/upstream/tests/faults.rs
@@ -112,7 +112,7 @@
     Request {
         request_id: "r-1".parse().unwrap(),
         attempt: 0,
-        tenant: "taevakorv".parse().unwrap(),
+        customer: "taevakorv".parse().unwrap(),
         class: Class::Online,
         method: "GET".to_owned(),
         path: "/x".to_owned(),
--- a/crates/web/src/problem.rs
+++ b/crates/web/src/problem.rs
@@ -60,9 +60,9 @@
     BadRequest, "bad-request", 400, "The request is malformed";
     /// No key, or one that is not known.
     Unauthorized, "unauthorized", 401, "The key is missing or unknown";
-    /// The tenant may not do this.
+    /// The customer may not do this.
     Forbidden, "forbidden", 403, "This key may not do that";
-    /// Nothing is there, or it is another tenant's.
+    /// Nothing is there, or it is another customer's.
     NotFound, "not-found", 404, "There is no such thing";
     /// The same key was used for other content.
     KeyReused, "idempotency-key-reused", 409,
@@ -79,7 +79,7 @@
     /// Headers are over a limit.
     HeadersTooLarge, "headers-too-large", 431,
         "The headers are over a limit";
-    /// The tenant is over its limit.
+    /// The customer is over its limit.
     RateLimited, "rate-limited", 429, "The tenant is over its limit";
     /// The operators' rules refuse the request.
     RefusedByRule, "refused-by-rule", 403, "A rule refuses this request";
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -93,7 +93,7 @@
     Ok(Request {
         request_id: name(reader.get_request_id())?,
         attempt: reader.get_attempt(),
-        tenant: name(reader.get_tenant())?,
+        customer: name(reader.get_tenant())?,
         class: class_from_code(reader.get_class())?,
         method: string(reader.get_method())?,
         path: string(reader.get_path())?,
@@ -112,7 +112,7 @@
 ) {
     builder.set_request_id(request.request_id.as_str());
     builder.set_attempt(request.attempt);
-    builder.set_tenant(request.tenant.as_str());
+    builder.set_tenant(request.customer.as_str());
     builder.set_class(class_code(request.class));
     builder.set_method(&request.method);
     builder.set_path(&request.path);
@@ -197,7 +197,7 @@
         job: name(reader.get_job())?,
         index: reader.get_index(),
         attempt: reader.get_attempt(),
-        tenant: name(reader.get_tenant())?,
+        customer: name(reader.get_tenant())?,
         path: string(reader.get_path())?,
         body: data(reader.get_body())?,
         expires_in_ms: reader.get_expires_in_ms(),
@@ -212,7 +212,7 @@
     builder.set_job(item.job.as_str());
     builder.set_index(item.index);
     builder.set_attempt(item.attempt);
-    builder.set_tenant(item.tenant.as_str());
+    builder.set_tenant(item.customer.as_str());
     builder.set_path(&item.path);
     builder.set_body(&item.body);
     builder.set_expires_in_ms(item.expires_in_ms);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,7 +1,7 @@
 //! The messages as plain types.
 
 use base::{
-    Class, FailureDomain, Incarnation, JobId, RequestId, Revision, Tenant,
+    Class, Customer, FailureDomain, Incarnation, JobId, RequestId, Revision,
     VmId,
 };
 use bytes::Bytes;
@@ -64,7 +64,7 @@
     /// Counts the sends of the same call, from 0.
     pub attempt: u32,
     /// Customer that the call belongs to.
-    pub tenant: Tenant,
+    pub customer: Customer,
     /// Online or batch.
     pub class: Class,
     /// HTTP method.
@@ -243,7 +243,7 @@
     /// Counts the loans of the item, from 0.
     pub attempt: u32,
     /// Customer.
-    pub tenant: Tenant,
+    pub customer: Customer,
     /// Path towards the endpoint.
     pub path: String,
     /// Body of the call.
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -117,7 +117,7 @@
     Request {
         request_id: "r-1".parse().unwrap(),
         attempt: 0,
-        tenant: "taevakorv".parse().unwrap(),
+        customer: "taevakorv".parse().unwrap(),
         class: Class::Online,
         method: "POST".to_owned(),
         path: path.to_owned(),
