--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A front and a worker over a key-value service in memory, a dialect that
 //! no platform has, and an engine that answers as its requests ask.
 
+#![allow(dead_code)]
+
 use std::{
     net::{SocketAddr, TcpListener as StdListener},
     sync::{Arc, Mutex},
--- /dev/null
+++ b/crates/node/tests/readers.rs
@@ -0,0 +1,100 @@
+//! Nodes that hear of changes from other nodes instead of the key-value
+//! service.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Engine, Node, call_until, furnish, put, ready, routes, start};
+use fleet::Route;
+use kv::Memory;
+use tokio::time::sleep;
+
+const NODES: usize = 6;
+
+async fn fronts(kv: &Memory) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for number in 0..NODES {
+        nodes.push(start(kv, &format!("front-{number}"), false).await);
+    }
+    for node in &nodes {
+        ready(node).await;
+    }
+    // All nodes have heard of each other once their entries have spread.
+    sleep(Duration::from_millis(1_500)).await;
+    nodes
+}
+
+async fn add_route(kv: &Memory, prefix: &str) {
+    let mut all = routes();
+    all.push(Route::new(prefix, "a.example", prefix, "engines"));
+    let text = serde_json::to_vec(&all).expect("json");
+    put(kv, "orders/config", text).await;
+}
+
+/// Waits until a node serves a route that was added.
+async fn serves(node: &Node, prefix: &str) {
+    let path = format!("{prefix}1");
+    call_until(node.front, "POST", &path, |status, _| status == 200).await;
+}
+
+#[tokio::test]
+async fn two_nodes_read_for_all() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let nodes = fronts(&kv).await;
+    let before = kv.counts();
+    sleep(Duration::from_millis(1_000)).await;
+    let after = kv.counts();
+    // Each reader lists the endpoints about fifteen times a second in these
+    // tests; six readers would do so ninety times.
+    let reads = after.reads - before.reads;
+    assert!(reads < 60, "{reads} reads in a second");
+    add_route(&kv, "/new/").await;
+    for node in &nodes {
+        serves(node, "/new/").await;
+    }
+}
+
+/// Symptom: half of the nodes run an old configuration. Events: the nodes
+/// that read for all others are lost. Cause: the others went on asking them.
+#[tokio::test]
+async fn the_loss_of_readers_stops_no_news() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let mut nodes = fronts(&kv).await;
+    for round in 0..3 {
+        let lost = nodes.remove(0);
+        lost.stop.send_replace(true);
+        lost.task.await.expect("stopped");
+        let prefix = format!("/new-{round}/");
+        add_route(&kv, &prefix).await;
+        for node in &nodes {
+            serves(node, &prefix).await;
+        }
+    }
+}
+
+/// A configuration that was replaced never comes back, whoever a node asks:
+/// readers may be at different revisions.
+#[tokio::test]
+async fn no_node_goes_back_to_an_older_configuration() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let nodes = fronts(&kv).await;
+    add_route(&kv, "/new/").await;
+    for node in &nodes {
+        serves(node, "/new/").await;
+    }
+    for _ in 0..5 {
+        add_route(&kv, "/new/").await;
+        for node in &nodes {
+            let called =
+                common::call(node.front, "POST", "/new/1", "r", "1").await;
+            assert_eq!(called.0, 200, "the route is there since long");
+        }
+    }
+}
