Remove closed jobs once their time to be read is over

Cause: heads and results of all jobs stayed in the key-value service and in every node's memory for ever. Change: the job's worker deletes bulk and then the head, guarded by the head's revision, a minute after the time that results are kept. Measured: test that nothing is left and that a changed head stops it.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -274,6 +274,45 @@
         Ok(decode_results(&kv.value)?)
     }
 
+    /// Removes a job with all that belongs to it, its head last: whoever is
+    /// interrupted leaves a head by which another one finishes.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::NotDone`] if the service is away, or if the head has
+    /// changed meanwhile.
+    pub async fn remove(
+        &self,
+        job: &JobKey,
+        stored: &Stored,
+    ) -> Result<(), Report<JobError>> {
+        let head = &stored.head;
+        let inputs = (0..head.input_chunks).map(|n| input_key(job, n));
+        let outputs = head.output_chunks.iter().map(|n| output_key(job, *n));
+        let bulk: Vec<String> = inputs.chain(outputs).collect();
+        for keys in bulk.chunks(CHUNKS_MOST) {
+            self.delete(job, stored, keys).await?;
+        }
+        self.delete(job, stored, &[head_key(job)]).await
+    }
+
+    /// Deletes keys as long as the head is what the caller knows. Deleting
+    /// twice does no harm, so that a lost answer needs no reading back.
+    async fn delete(
+        &self,
+        job: &JobKey,
+        stored: &Stored,
+        keys: &[String],
+    ) -> Result<(), Report<JobError>> {
+        let rows = keys.iter().map(|key| Op::Delete { key: key.clone() });
+        let txn = guarded(head_key(job), stored.revision, rows.collect());
+        let reply = self.kv.txn(txn).await;
+        match reply.change_context(JobError::NotDone)?.succeeded {
+            true => Ok(()),
+            false => Err(Report::new(JobError::NotDone)),
+        }
+    }
+
     fn chunks(
         &self,
         items: &[ItemInput],
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -56,6 +56,9 @@
     pub retry_ms: u64,
     /// How long after its time an item is given up, for clocks that differ.
     pub give_up_margin_ms: u64,
+    /// How long a job stays readable after its submission, and at least as
+    /// long as it is open.
+    pub kept_ms: u64,
     /// The gate at each endpoint.
     pub gate: GateOptions,
 }
@@ -75,6 +78,7 @@
             even_out_ms: 500,
             retry_ms: 300,
             give_up_margin_ms: 6_000,
+            kept_ms: 180_000,
             gate: GateOptions::default(),
         }
     }
@@ -203,11 +207,18 @@
     heard_all: bool,
     moving: Option<JobKey>,
     next_evening: Millis,
+    next_removal: Millis,
     next_run: u64,
     /// Time that a thousand tokens take, averaged over runs that ended.
     ms_per_1k_tokens: u64,
 }
 
+/// Time between two looks for jobs to remove, in milliseconds.
+const REMOVAL_PAUSE_MS: u64 = 10_000;
+
+/// Jobs removed at one look, so that removal never crowds out commits.
+const REMOVALS_MOST: usize = 50;
+
 /// Time of a thousand tokens before any run is known, in milliseconds: the
 /// pace of the engines that this was measured with.
 const FIRST_MS_PER_1K_TOKENS: u64 = 3_500;
@@ -219,6 +230,7 @@
             heard_all: false,
             moving: None,
             next_evening: Millis::new(0),
+            next_removal: Millis::new(0),
             runner,
             sender,
             jobs: IndexMap::new(),
@@ -247,6 +259,7 @@
         }
         self.load_inputs();
         self.give_up_late();
+        self.remove_expired(&plan);
         self.commit_due();
         self.heard_all = self.hears_all_fronts(self.now());
         if !self.heard_all {
@@ -378,6 +391,34 @@
         }
     }
 
+    /// Starts the removal of closed jobs whose time to be read is over.
+    ///
+    /// Without it heads pile up in the key-value service and in the memory
+    /// of every node, a gigabyte a day at one job a second.
+    fn remove_expired(&mut self, plan: &Plan) {
+        let now = self.now();
+        if now < self.next_removal {
+            return;
+        }
+        self.next_removal = now.saturating_add_ms(REMOVAL_PAUSE_MS);
+        let unix = self.runner.clock.unix();
+        let kept_ms = self.runner.options.kept_ms;
+        let mut expired = self.runner.view.select(|key, stored| {
+            let head = &stored.head;
+            let until = head.submitted_at.saturating_add_ms(kept_ms);
+            head.is_closed() && unix > until && plan.owns_job(key, head)
+        });
+        expired.truncate(REMOVALS_MOST);
+        let ledger = self.runner.ledger.clone();
+        tokio::spawn(async move {
+            for (key, stored) in expired {
+                let removed = ledger.remove(&key, &stored).await;
+                log::info!(job = key.as_str(), removed = removed.is_ok();
+                    "an expired job is removed");
+            }
+        });
+    }
+
     /// Starts commits of jobs that have something to list.
     fn commit_due(&mut self) {
         let now = self.now();
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -4,7 +4,7 @@
 
 use common::{items, job, key, ledger, result};
 use indexmap::IndexMap;
-use kv::{Memory, WriteFault};
+use kv::{Kv, Memory, WriteFault};
 use pomeloslip_jobs::{JobError, NewJob, Strikes};
 use yare::parameterized;
 
@@ -185,3 +185,26 @@
 fn an_id_that_cannot_be_part_of_a_key_is_refused(text: &str) {
     assert!(text.parse::<pomeloslip_jobs::JobKey>().is_err());
 }
+
+#[tokio::test]
+async fn a_removed_job_leaves_nothing() {
+    let kv = Memory::default();
+    let ledger = ledger(&kv);
+    let new = NewJob {
+        items: items(50, 500),
+        ..job("j", 0)
+    };
+    let accepted = ledger.accept(new).await.expect("accepted");
+    let none = IndexMap::new();
+    let listed = ledger
+        .list(&key("j"), &accepted, &[0], &[result(0)], &none)
+        .await;
+    let stored = listed.expect("written").expect("listed");
+    ledger.accept(job("other", 1)).await.expect("accepted");
+    let stale = ledger.remove(&key("j"), &accepted).await;
+    assert!(stale.is_err(), "the head has changed since");
+    ledger.remove(&key("j"), &stored).await.expect("removed");
+    let left = kv.get_prefix("", 0).await.expect("read").kvs;
+    let left: Vec<&str> = left.iter().map(|kv| kv.key.as_str()).collect();
+    assert_eq!(left, ["bulk/in/other/000000", "jobs/h/other"]);
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,6 +24,8 @@
     pub value_bytes: usize,
     /// Time between the signal to stop and the end by force.
     pub grace_ms: u64,
+    /// How long the results of a job are readable after its submission.
+    pub results_kept_ms: u64,
     /// How soon an endpoint that leaves must get no new work.
     pub drain_ms: u64,
     /// Shortest lease of the key-value service.
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -33,6 +33,10 @@
 /// Time before the end by force at which the node ends by itself.
 const GRACE_MARGIN_MS: u64 = 500;
 
+/// Added to the time that results are kept, for clocks that differ and
+/// readers in the middle of a job.
+const KEPT_MARGIN_MS: u64 = 60_000;
+
 impl Worker {
     /// Starts all tasks.
     ///
@@ -101,7 +105,10 @@
         ));
         let runner = Runner::new(
             &settings.node,
-            RunnerOptions::default(),
+            RunnerOptions {
+                kept_ms: settings.results_kept_ms + KEPT_MARGIN_MS,
+                ..RunnerOptions::default()
+            },
             Ledger::new(kv.clone(), timer, settings.value_bytes),
             view.clone(),
             beliefs.endpoints.clone(),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -287,6 +287,7 @@
         kv: free(),
         value_bytes: 100_000,
         grace_ms: 8_000,
+        results_kept_ms: 120_000,
         drain_ms: 200,
         lease_least_ms: 1_000,
     }
