Start what roles share in one place; count ages by the clock that suspensions do not stop

Cause: front and worker repeated their set-up; a node on a machine that was suspended took its knowledge for as young as before. Change: NodeBase and Outside; SystemClock reads the time since boot.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -5,7 +5,7 @@
 
 use std::{
     sync::atomic::{AtomicU64, Ordering},
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use serde::{Deserialize, Serialize};
@@ -83,9 +83,22 @@
 }
 
 /// Reads the machine's clocks.
+///
+/// Monotonic time goes on while the machine is suspended. What goes wrong
+/// with the usual steady clock, which does not: a node wakes after seconds
+/// and takes its lease, its list of endpoints and its configuration for as
+/// young as before. One sees it act on what all others have replaced.
 #[derive(Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start_ms: u64,
+}
+
+/// Returns the time since the machine was started, suspensions included.
+fn since_boot_ms() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanoseconds = u64::try_from(now.tv_nsec).unwrap_or_default();
+    seconds * 1_000 + nanoseconds / 1_000_000
 }
 
 impl SystemClock {
@@ -93,14 +106,14 @@
     #[allow(clippy::new_without_default)]
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start_ms: since_boot_ms(),
         }
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        Millis::new(self.start.elapsed().as_millis() as u64)
+        Millis::new(since_boot_ms().saturating_sub(self.start_ms))
     }
 
     fn unix(&self) -> UnixMillis {
--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -10,7 +10,7 @@
 use base::{SystemClock, timer::Timer};
 use error_stack::{Report, ResultExt};
 use kv::paths::Paths;
-use node::{Beliefs, Front, NodeSettings, Signals, Worker};
+use node::{Beliefs, Front, NodeSettings, Outside, Signals, Worker};
 use obs::LogSettings;
 use pass::Tally;
 use platform::{MachineSettings, PlatformDialect, PlatformKv};
@@ -88,27 +88,27 @@
     let clock = Arc::new(SystemClock::new());
     let timer = Timer::new(clock.clone());
     tokio::spawn(timer.clone().drive());
-    let tally = Arc::new(Tally::default());
     let paths = Arc::new(Paths::new(settings.kv));
     let kv = PlatformKv::new(paths.clone(), clock.clone())
         .change_context(DaemonError)?;
-    let kv: Arc<dyn kv::Kv> = Arc::new(kv);
-    let dialect = Arc::new(PlatformDialect);
-    let beliefs = Beliefs::new(clock);
+    let outside = Outside {
+        dialect: Arc::new(PlatformDialect),
+        kv: Arc::new(kv),
+        paths,
+        beliefs: Beliefs::new(clock),
+        timer,
+        tally: Arc::new(Tally::default()),
+    };
     tokio::spawn(follow_settings(path, machine));
     log::info!(version = env!("CARGO_PKG_VERSION"); "the process starts");
     match role {
         FleetRole::Front => {
-            let front = Front::start(
-                &settings, dialect, kv, paths, beliefs, timer, tally,
-            );
-            front.await.change_context(DaemonError)?.run(signals).await;
+            let front = Front::start(&settings, outside).await;
+            front.change_context(DaemonError)?.run(signals).await;
         }
         FleetRole::Worker => {
-            let worker = Worker::start(
-                &settings, dialect, kv, paths, beliefs, timer, tally,
-            );
-            worker.await.change_context(DaemonError)?.run(signals).await;
+            let worker = Worker::start(&settings, outside).await;
+            worker.change_context(DaemonError)?.run(signals).await;
         }
     }
     log::info!("the process stops");
--- /dev/null
+++ b/crates/node/src/base.rs
@@ -0,0 +1,142 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use base::timer::Timer;
+use error_stack::{Report, ResultExt};
+use jobs::{JobView, NodeRecord};
+use kv::{Kv, paths::Paths};
+use pass::{Forwarder, ForwarderOptions, Pool, Tally};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+};
+
+use crate::{
+    Admin, Beliefs, Dialect, NodeError, NodeSettings, VacateOrder, load_share,
+    membership, peer, watch::Watches,
+};
+
+/// What a role is given of the world outside.
+#[derive(Clone)]
+pub struct Outside {
+    /// How the platform spells things.
+    pub dialect: Arc<dyn Dialect>,
+    /// The key-value service.
+    pub kv: Arc<dyn Kv>,
+    /// The ways to the key-value service, which other nodes add to.
+    pub paths: Arc<Paths>,
+    /// What the node comes to believe.
+    pub beliefs: Beliefs,
+    /// The timer service of the process.
+    pub timer: Timer,
+    /// The counters of the process.
+    pub tally: Arc<Tally>,
+}
+
+/// What every role runs: it follows the key-value service, answers other
+/// nodes, is listed as a node and tells whether it is ready.
+pub(crate) struct NodeBase {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) view: JobView,
+    /// Where words of load are heard and sent.
+    pub(crate) socket: Arc<UdpSocket>,
+    /// Turned true when the node leaves; its entry ends then.
+    pub(crate) leave: watch::Sender<bool>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl NodeBase {
+    pub(crate) async fn start(
+        settings: &NodeSettings,
+        outside: &Outside,
+        runs_items: bool,
+        orders: Option<mpsc::UnboundedSender<VacateOrder>>,
+    ) -> Result<Self, Report<NodeError>> {
+        let pool = Arc::new(Pool::default());
+        let view = JobView::default();
+        let clock = outside.beliefs.clock().clone();
+        let watches = Watches {
+            kv: outside.kv.clone(),
+            dialect: outside.dialect.clone(),
+            beliefs: outside.beliefs.clone(),
+            view: view.clone(),
+            pool: pool.clone(),
+            orders,
+        };
+        let feeds = watches.start(settings);
+        peer::serve(settings, feeds, clock.clone())?;
+        let socket = load_share::bind(settings.peer)
+            .await
+            .change_context(NodeError::Listen)?;
+        tokio::spawn(peer::follow_peers(
+            outside.paths.clone(),
+            view.clone(),
+            settings.node.clone(),
+        ));
+        let (leave, left) = watch::channel(false);
+        let record = NodeRecord {
+            node: settings.node.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            runs_items,
+            address: Some(settings.peer),
+        };
+        tokio::spawn(membership::keep_entry(
+            outside.kv.clone(),
+            record,
+            clock,
+            left,
+        ));
+        let base = Self {
+            pool,
+            view,
+            socket,
+            leave,
+            stopping: Arc::default(),
+        };
+        base.start_admin(settings, outside)?;
+        Ok(base)
+    }
+
+    fn start_admin(
+        &self,
+        settings: &NodeSettings,
+        outside: &Outside,
+    ) -> Result<(), Report<NodeError>> {
+        let admin = Arc::new(Admin::new(
+            outside.dialect.ready_path(),
+            outside.beliefs.clone(),
+            self.stopping.clone(),
+            outside.tally.clone(),
+        ));
+        for address in [settings.ready, settings.metrics].iter().flatten() {
+            admin.start(*address)?;
+        }
+        Ok(())
+    }
+
+    /// Makes a forwarder that chooses among the endpoints that are known.
+    pub(crate) fn forwarder(
+        &self,
+        settings: &NodeSettings,
+        outside: &Outside,
+    ) -> Forwarder {
+        Forwarder::new(
+            outside.dialect.headers(),
+            ForwarderOptions::default(),
+            &settings.failure_domain,
+            outside.beliefs.endpoints.clone(),
+            self.pool.clone(),
+            outside.beliefs.clock().clone(),
+            outside.tally.clone(),
+        )
+    }
+
+    /// Begins a planned stop: the node is not ready any more and its entry
+    /// ends.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.leave.send_replace(true);
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,12 +1,11 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use base::timer::Timer;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use fleet::{Route, RouteKind, TransferLimits};
@@ -14,30 +13,25 @@
     HeaderValue, Request, Response, StatusCode, header, request::Parts,
 };
 use hyper::body::Incoming;
-use jobs::{
-    JobError, JobKey, JobView, Ledger, NewJob, NodeRecord, PageReader,
-};
-use kv::{Kv, paths::Paths};
+use jobs::{JobError, JobKey, JobView, Ledger, NewJob, PageReader};
 use pass::{
-    AnswerBody, Forwarder, ForwarderOptions, Handler, HandlerFuture, Inbound,
-    Listener, ListenerOptions, Pool, Refusal, Stopping, Tally, read_body,
+    AnswerBody, Forwarder, Handler, HandlerFuture, Inbound, Listener,
+    ListenerOptions, Refusal, Stopping, Tally, read_body,
 };
 use tokio::{sync::watch as stage, time};
 
 use crate::{
-    Admin, Beliefs, Dialect, JobCall, NodeError, NodeSettings, Signals,
-    load_share::{self, Announcer, FrontShare},
-    membership, peer,
-    watch::Watches,
+    Beliefs, Dialect, JobCall, NodeError, NodeSettings, Outside, Signals,
+    base::NodeBase,
+    load_share::{Announcer, FrontShare},
 };
 
 /// The role that takes callers' requests.
 pub struct Front {
     gateway: Arc<Gateway>,
     listener: Listener,
-    stopping: Arc<AtomicBool>,
+    base: NodeBase,
     stage: stage::Sender<Stopping>,
-    leave: stage::Sender<bool>,
     grace_ms: u64,
 }
 
@@ -56,98 +50,44 @@
     /// [`NodeError::Listen`] if an address cannot be used.
     pub async fn start(
         settings: &NodeSettings,
-        dialect: Arc<dyn Dialect>,
-        kv: Arc<dyn Kv>,
-        paths: Arc<Paths>,
-        beliefs: Beliefs,
-        timer: Timer,
-        tally: Arc<Tally>,
+        outside: Outside,
     ) -> Result<Self, Report<NodeError>> {
         let address = settings.front.ok_or(NodeError::Listen)?;
-        let pool = Arc::new(Pool::default());
-        let view = JobView::default();
-        let clock = beliefs.clock().clone();
-        let watches = Watches {
-            kv: kv.clone(),
-            dialect: dialect.clone(),
-            beliefs: beliefs.clone(),
-            view: view.clone(),
-            pool: pool.clone(),
-            orders: None,
-        };
-        let feeds = watches.start(settings);
-        peer::serve(settings, feeds, clock.clone())?;
-        let socket = load_share::bind(settings.peer)
-            .await
-            .change_context(NodeError::Listen)?;
-        tokio::spawn(peer::follow_peers(
-            paths,
-            view.clone(),
-            settings.node.clone(),
-        ));
+        let base = NodeBase::start(settings, &outside, false, None).await?;
         let (announcer, began) = Announcer::new();
         let share = FrontShare {
             node: settings.node.clone(),
-            socket,
-            view: view.clone(),
-            beliefs: beliefs.clone(),
+            socket: base.socket.clone(),
+            view: base.view.clone(),
+            beliefs: outside.beliefs.clone(),
             began,
         };
         tokio::spawn(share.run());
-        let (leave, left) = stage::channel(false);
-        let record = NodeRecord {
-            node: settings.node.clone(),
-            failure_domain: settings.failure_domain.clone(),
-            runs_items: false,
-            address: Some(settings.peer),
-        };
-        tokio::spawn(membership::keep_entry(
-            kv.clone(),
-            record,
-            clock.clone(),
-            left,
-        ));
-        let forwarder = Forwarder::new(
-            dialect.headers(),
-            ForwarderOptions::default(),
-            &settings.failure_domain,
-            beliefs.endpoints.clone(),
-            pool,
-            clock.clone(),
-            tally.clone(),
-        );
+        let forwarder = base.forwarder(settings, &outside);
         let forwarder = Arc::new(forwarder.with_observer(Arc::new(announcer)));
-        let ledger = Ledger::new(kv, timer, settings.value_bytes);
+        let view = base.view.clone();
+        let value_bytes = settings.value_bytes;
+        let ledger = Ledger::new(outside.kv, outside.timer, value_bytes);
+        let clock = outside.beliefs.clock().clone();
         let pages = PageReader::new(ledger.clone(), view.clone(), clock);
-        let stopping = Arc::new(AtomicBool::new(false));
-        let admin = Arc::new(Admin::new(
-            dialect.ready_path(),
-            beliefs.clone(),
-            stopping.clone(),
-            tally.clone(),
-        ));
-        for address in [settings.ready, settings.metrics].iter().flatten() {
-            admin.start(*address)?;
-        }
         let (stage, receiver) = stage::channel(Stopping::No);
         let options = ListenerOptions::default();
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
         let gateway = Arc::new(Gateway {
-            dialect,
-            beliefs,
+            dialect: outside.dialect,
+            beliefs: outside.beliefs,
             forwarder,
             ledger,
             pages,
             view,
-            tally,
+            tally: outside.tally,
         });
         Ok(Self {
             gateway,
             listener,
-            stopping,
+            base,
             stage,
-            leave,
             grace_ms: settings.grace_ms,
         })
     }
@@ -161,8 +101,7 @@
         let began = Instant::now();
         let count = open.load(Ordering::Relaxed);
         log::info!(connections = count; "a planned stop begins");
-        self.stopping.store(true, Ordering::Relaxed);
-        self.leave.send_replace(true);
+        self.base.begin_stop();
         self.stage.send_replace(Stopping::Closing);
         time::sleep(Duration::from_millis(LEAVE_MS)).await;
         self.stage.send_replace(Stopping::Closed);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! of which each platform has one; nothing here knows a name of a platform.
 
 mod admin;
+mod base;
 mod belief;
 mod dialect;
 mod error;
@@ -25,6 +26,7 @@
 
 pub use crate::{
     admin::Admin,
+    base::Outside,
     belief::Beliefs,
     dialect::{
         Dialect, DialectError, JobCall, OperatorOrder, VacateOrder,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use pass::{HeaderNames, Tally};
 use pomeloslip_node::{
     Beliefs, Dialect, DialectError, Front, JobCall, NodeSettings,
-    OperatorOrder, Signals, VacateOrder, VacateState, Worker,
+    OperatorOrder, Outside, Signals, VacateOrder, VacateState, Worker,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -300,22 +300,22 @@
     tokio::spawn(timer.clone().drive());
     let kv: Arc<dyn Kv> = Arc::new(kv.clone());
     let paths = Arc::new(Paths::new(settings.kv));
-    let beliefs = Beliefs::new(clock);
-    let tally = Arc::new(Tally::default());
-    let dialect = Arc::new(TestDialect);
+    let outside = Outside {
+        dialect: Arc::new(TestDialect),
+        kv,
+        paths,
+        beliefs: Beliefs::new(clock),
+        timer,
+        tally: Arc::new(Tally::default()),
+    };
     let (stop, stopped) = watch::channel(false);
     let signals = Signals { stop: stopped };
     let task = if worker {
-        let role = Worker::start(
-            &settings, dialect, kv, paths, beliefs, timer, tally,
-        );
-        let role = role.await.expect("worker");
-        tokio::spawn(role.run(signals))
+        let role = Worker::start(&settings, outside).await;
+        tokio::spawn(role.expect("worker").run(signals))
     } else {
-        let role =
-            Front::start(&settings, dialect, kv, paths, beliefs, timer, tally);
-        let role = role.await.expect("front");
-        tokio::spawn(role.run(signals))
+        let role = Front::start(&settings, outside).await;
+        tokio::spawn(role.expect("front").run(signals))
     };
     Node {
         front: settings.front.expect("front"),
