--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -137,9 +137,9 @@
     /// Estimates the requests that it holds from all callers.
     ///
     /// Own requests are known to the moment. Those of others are what they
-    /// told within [`TOLD_LIFE_MS`], without batch work, which gives way.
+    /// told within `TOLD_LIFE_MS`, without batch work, which gives way.
     /// Failing that they are what the last report held beyond the own ones of that time; after
-    /// [`REPORT_LIFE_MS`] the report says nothing any more.
+    /// `REPORT_LIFE_MS` the report says nothing any more.
     pub fn estimated_load(&self, now: Millis) -> u32 {
         self.in_flight().saturating_add(self.foreign(now))
     }
