--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -5,7 +5,10 @@
 
 use std::{
     net::{SocketAddr, TcpListener as StdListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
     time::Duration,
 };
 
@@ -270,10 +273,31 @@
     pub(crate) task: JoinHandle<()>,
 }
 
-/// Reserves an address; the role binds it a moment later.
+/// First port that tests give to roles: below those that the system gives to
+/// outgoing connections and to whoever binds port 0.
+const FIRST_PORT: u16 = 20_000;
+
+/// Ports that tests may use.
+const PORTS: u16 = 10_000;
+
+/// Returns an address that nothing else takes before the role binds it.
+///
+/// Symptom that this ends: a role says now and then that its address is in
+/// use. Events: a test binds port 0, closes it, and another test's socket is
+/// given the same port before the role binds it. Cause: the system hands a
+/// free port to whoever asks next. So ports are counted up here, and none is
+/// one that the system hands out.
 fn free() -> SocketAddr {
-    let listener = StdListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % u32::from(PORTS)) as u16;
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if StdListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn settings(name: &str) -> NodeSettings {
