--- a/crates/cli/src/bin/pomeloslip/demo.rs
+++ b/crates/cli/src/bin/pomeloslip/demo.rs
@@ -16,7 +16,7 @@
     command::Command,
     context::Context,
     error::{CommandError, CommandResult, UsageExt},
-    signal,
+    signal::StopSignals,
 };
 
 pub(crate) const COMMAND: Command = Command {
@@ -86,6 +86,7 @@
     context.block_on(async {
         let demo = Demo::start(args.listen).await;
         let demo = demo.change_context(CANNOT_RUN)?;
+        let stop = StopSignals::listen()?;
         context.print(&demo.instructions())?;
         let end = async {
             match args.for_s {
@@ -95,7 +96,7 @@
         };
         tokio::select! {
             () = end => {}
-            stopped = signal::stopped() => stopped?,
+            () = stop.stopped() => {}
         }
         demo.stop().await;
         Ok(())
--- a/crates/cli/src/bin/pomeloslip/signal.rs
+++ b/crates/cli/src/bin/pomeloslip/signal.rs
@@ -1,20 +1,38 @@
 //! Waits for the signals of a planned stop.
 
-use error_stack::ResultExt;
-use tokio::signal::unix::{SignalKind, signal};
+use error_stack::{Report, ResultExt};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::error::{CommandError, CommandResult};
+use crate::error::CommandError;
 
-/// Resolves at SIGTERM or SIGINT.
-pub(crate) async fn stopped() -> CommandResult {
-    let failed = CommandError::Failed("cannot wait for signals");
-    let mut terminate = signal(SignalKind::terminate())
-        .change_context_lazy(|| failed.clone())?;
-    let mut interrupt =
-        signal(SignalKind::interrupt()).change_context(failed)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Hears SIGTERM and SIGINT from its creation on.
+///
+/// It must be there before a program says that it is ready. What goes wrong
+/// otherwise: whoever waits for that word sends a signal at once, the
+/// program does not hear it yet and dies of it instead of stopping.
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Begins to listen.
+    pub(crate) fn listen() -> Result<Self, Report<CommandError>> {
+        let hear = |kind| {
+            let failed = CommandError::Failed("cannot wait for signals");
+            signal(kind).change_context(failed)
+        };
+        Ok(Self {
+            terminate: hear(SignalKind::terminate())?,
+            interrupt: hear(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Resolves at the first signal.
+    pub(crate) async fn stopped(mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/cli/src/bin/pomeloslip/stand_in/serve.rs
+++ b/crates/cli/src/bin/pomeloslip/stand_in/serve.rs
@@ -10,7 +10,7 @@
 use crate::{
     context::Context,
     error::{CommandError, CommandResult, UsageExt},
-    signal,
+    signal::StopSignals,
 };
 
 /// A stand-in with its name, start and address.
@@ -52,9 +52,11 @@
                 ready: self.name,
                 address: (self.address)(&handle),
             };
+            let stop = StopSignals::listen()?;
             print_ready(context, &ready)?;
             // The handle stops the server when it is dropped.
-            signal::stopped().await
+            stop.stopped().await;
+            Ok(())
         })?
     }
 }
