Rank items for slots by whether they can still be in time; name the item that gives way

Cause: an item past its time counted as late when it was to start, but gave way last, as it had the least slack; and one that could not be done in time any more went before those that could. The log line of an item that gives way lacked the item's id, so that runs could not be told apart in the logs.

Change: one rank, Urgency, for both decisions; the line has request_id.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod ledger;
 mod online;
+mod order;
 mod page;
 mod plan;
 mod planner;
@@ -27,6 +28,7 @@
     gate::{GateInput, GateOptions, GateOrder, decide},
     ledger::{Ledger, NewJob, Stored},
     online::{OnlineLoad, TOLD_LIFE_MS},
+    order::{SURE_PERCENT, Urgency},
     page::{Page, PageReader},
     plan::{Backlog, Members, NodeRecord, Plan},
     planner::{Planner, batch_services},
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -76,6 +76,15 @@
             || self.items.iter().any(running)
     }
 
+    /// Returns the caller's id of an item, or nothing before its input is
+    /// loaded.
+    pub(super) fn id_of(&self, number: u32) -> &str {
+        match &self.inputs {
+            Inputs::Loaded(inputs) => &inputs[number as usize].id,
+            _ => "",
+        }
+    }
+
     /// Takes a newer head; what it lists is done, whoever listed it.
     pub(super) fn renew(&mut self, stored: Stored) {
         if stored.revision < self.stored.revision {
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -12,7 +12,8 @@
     route_of,
 };
 use crate::{
-    GateInput, GateOrder, ItemRun, JobHead, Plan, decide, record::JobKey,
+    GateInput, GateOrder, ItemRun, JobHead, Plan, Urgency, decide,
+    record::JobKey,
 };
 
 /// Age of a run before its endpoint's report counts it, in milliseconds:
@@ -189,6 +190,12 @@
         whole_ms.saturating_sub(begun_ms)
     }
 
+    fn urgency(&self, job: &Active, number: u32) -> Urgency {
+        let rest_ms = self.rest_ms(job, number);
+        let unix = self.runner.clock.unix();
+        Urgency::new(job.stored.head.due_at, rest_ms, unix)
+    }
+
     /// Tells whether work of `rest_ms` is only just in time. What is late
     /// already is not urgent any more: it must not hold up what is not.
     pub(super) fn would_be_late(&self, head: &JobHead, rest_ms: u64) -> bool {
@@ -204,14 +211,12 @@
         let candidates = self.runs.iter().filter(|(_, run)| {
             run.endpoint == endpoint && !self.is_urgent(run)
         });
-        let slack = |run: &Run| {
+        let urgency = |run: &Run| {
             let job = self.jobs.get(&run.job)?;
-            let rest_ms = self.rest_ms(job, run.item);
-            let due_ms = job.stored.head.due_at.as_ms();
-            Some(due_ms.saturating_sub(rest_ms))
+            Some(self.urgency(job, run.item))
         };
         let chosen =
-            candidates.max_by_key(|(_, run)| (slack(run), run.started));
+            candidates.max_by_key(|(_, run)| (urgency(run), run.started));
         let Some(id) = chosen.map(|(id, _)| *id) else {
             return;
         };
@@ -221,13 +226,15 @@
         run.task.abort();
         Tally::add(&self.runner.tally.items_preempted);
         if let Some(job) = self.jobs.get_mut(&run.job) {
+            let id = job.id_of(run.item).to_owned();
             let item = &mut job.items[run.item as usize];
             item.state = Phase::Waiting;
             item.run_ms += run.started.elapsed().as_millis() as u64;
             log::info!(
+                request_id = id.as_str(),
                 job = run.job.as_str(),
-                item = run.item,
                 endpoint,
+                ran_ms = run.started.elapsed().as_millis() as u64,
                 events = item.progress.events();
                 "an item gives way to online requests"
             );
@@ -242,8 +249,7 @@
         service: &str,
         now: Millis,
     ) -> bool {
-        let unix = self.runner.clock.unix();
-        let mut best: Option<((bool, u64), JobKey, u32)> = None;
+        let mut best: Option<(Urgency, JobKey, u32)> = None;
         for (key, job) in &self.jobs {
             if job.moved || !matches!(job.inputs, Inputs::Loaded(_)) {
                 continue;
@@ -256,18 +262,13 @@
             if !leads_here {
                 continue;
             }
-            let late = unix > head.due_at;
             for (number, item) in (0..).zip(&job.items) {
                 if item.state != Phase::Waiting || item.not_before > now {
                     continue;
                 }
-                // Least slack first: a long item has to start earlier than
-                // a short one of the same job.
-                let rest_ms = self.rest_ms(job, number);
-                let start_by = head.due_at.as_ms().saturating_sub(rest_ms);
-                let rank = (late, start_by);
-                if best.as_ref().is_none_or(|(r, ..)| rank < *r) {
-                    best = Some((rank, key.clone(), number));
+                let urgency = self.urgency(job, number);
+                if best.as_ref().is_none_or(|(best, ..)| urgency < *best) {
+                    best = Some((urgency, key.clone(), number));
                 }
             }
         }
--- /dev/null
+++ b/crates/jobs/tests/order.rs
@@ -0,0 +1,32 @@
+//! Which item gets a slot, and which gives one up.
+
+use base::UnixMillis;
+use pomeloslip_jobs::{SURE_PERCENT, Urgency};
+use yare::parameterized;
+
+const NOW: UnixMillis = UnixMillis::new(100_000);
+
+fn rank(due_in_ms: u64, rest_ms: u64) -> Urgency {
+    Urgency::new(NOW.saturating_add_ms(due_in_ms), rest_ms, NOW)
+}
+
+/// Symptom: on days with too few engines most jobs were a little late.
+/// Events: an item that could not be done in time any more had the least
+/// slack, so it was started first and gave way last. Cause: only what was
+/// past its time counted as late, not what was going to be.
+#[parameterized(
+    little_slack_first = { 6_000, 5_000, 6_000, 1_000 },
+    earlier_due_first = { 6_000, 1_000, 9_000, 1_000 },
+    in_time_before_in_vain = { 9_000, 1_000, 4_000, 9_000 },
+    in_time_before_past_due = { 18_000, 1_000, 0, 100 },
+)]
+fn goes_first(due: u64, rest: u64, other_due: u64, other_rest: u64) {
+    assert!(rank(due, rest) < rank(other_due, other_rest));
+}
+
+#[test]
+fn what_may_just_end_in_time_is_not_late() {
+    let longest_ms = 6_000 * 100 / SURE_PERCENT;
+    assert!(!rank(6_000, longest_ms).is_late());
+    assert!(rank(6_000, longest_ms + 2).is_late());
+}
