Count calls to the key-value service by kind where metrics are read

Cause: the client counted in a structure of its own; pomeloslip_kv_calls on the metrics address always read 0, so that nobody could see what is paid for.

--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -89,7 +89,8 @@
     let timer = Timer::new(clock.clone());
     tokio::spawn(timer.clone().drive());
     let paths = Arc::new(Paths::new(settings.kv));
-    let kv = PlatformKv::new(paths.clone(), clock.clone())
+    let tally = Arc::new(Tally::default());
+    let kv = PlatformKv::new(paths.clone(), clock.clone(), tally.clone())
         .change_context(DaemonError)?;
     let outside = Outside {
         dialect: Arc::new(PlatformDialect),
@@ -97,7 +98,7 @@
         paths,
         beliefs: Beliefs::new(clock),
         timer,
-        tally: Arc::new(Tally::default()),
+        tally,
     };
     tokio::spawn(follow_settings(path, machine));
     log::info!(version = env!("CARGO_PKG_VERSION"); "the process starts");
--- a/crates/pass/src/tally.rs
+++ b/crates/pass/src/tally.rs
@@ -106,8 +106,14 @@
     resumed,
     /// New connections to endpoints.
     connections_opened,
-    /// Calls to the key-value service.
-    kv_calls,
+    /// Calls that read from the key-value service.
+    kv_reads,
+    /// Calls that wait for changes in it.
+    kv_watches,
+    /// Calls that change it.
+    kv_writes,
+    /// Calls that renew a lease.
+    kv_renewals,
     /// Calls to the key-value service that failed.
     kv_failures,
     /// Jobs that were accepted.
