Read inputs and results from the node that runs the job before the service

Change: a node keeps the last 2 MB of inputs and results that it wrote or read and tells them to other nodes; a front asks the job's owner first, waits 150 ms at most, and leaves a silent one alone for 3 s. The cache of decoded chunks in PageReader is gone. Keys hold the time of submission, so that what is kept of a removed job is never taken for one sent again later (a fault of the old cache, too). Ruled out: pushing results to all fronts, most of which never show them.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -9,12 +9,12 @@
 };
 
 use crate::{
-    JobError,
+    BulkCache, BulkValue, JobError, NoSiblings, Siblings,
     record::{
         ItemInput, ItemProgress, ItemResult, JobHead, JobKey, decode_head,
         decode_inputs, decode_progress, decode_results, encode_head,
         encode_inputs, encode_progress, encode_results, head_key, input_key,
-        input_prefix, output_key, progress_key,
+        output_key, progress_key,
     },
 };
 
@@ -56,6 +56,8 @@
     kv: Arc<dyn Kv>,
     writer: Writer,
     value_bytes: usize,
+    cache: Arc<BulkCache>,
+    siblings: Arc<dyn Siblings>,
 }
 
 /// How long a write is tried before its caller hears that it is open, in
@@ -76,9 +78,24 @@
             kv,
             writer: Writer::new(timer, WRITE_GIVE_UP_MS),
             value_bytes,
+            cache: Arc::default(),
+            siblings: Arc::new(NoSiblings),
         }
     }
 
+    /// Sets where inputs and results are kept for this node and others, and
+    /// who is asked for them before the service is.
+    #[must_use]
+    pub fn with_siblings(
+        mut self,
+        cache: Arc<BulkCache>,
+        siblings: Arc<dyn Siblings>,
+    ) -> Self {
+        self.cache = cache;
+        self.siblings = siblings;
+        self
+    }
+
     /// Accepts a job; one that is there already is accepted again.
     ///
     /// # Errors
@@ -107,8 +124,10 @@
                 .saturating_add_ms(job.terms.give_up_in_ms),
         };
         let mut success = vec![put(head_key(&job.key), encode_head(&head)?)];
+        let mut bulk = Vec::new();
         for (number, chunk) in chunks.into_iter().enumerate() {
-            let key = input_key(&job.key, number as u32);
+            let key = input_key(&job.key, &head, number as u32);
+            bulk.push((key.clone(), Arc::new(chunk.clone())));
             success.push(put(key, chunk));
         }
         let txn = guarded(head_key(&job.key), 0, success);
@@ -120,7 +139,10 @@
             })
             .await?;
         match outcome {
-            Outcome::Done(stored) => Ok(stored),
+            Outcome::Done(stored) => {
+                self.keep_all(&bulk);
+                Ok(stored)
+            }
             // It was there before: the same job, sent again.
             Outcome::Superseded => self.read(&job.key).await,
         }
@@ -184,10 +206,13 @@
         head.listed.extend_from_slice(numbers);
         head.strikes.clone_from(strikes);
         let mut rows = Vec::new();
+        let mut bulk = Vec::new();
         if !results.is_empty() {
+            let key = output_key(job, &head, first);
             head.output_chunks.push(first);
             let bytes = encode_results(results)?;
-            rows.push(put(output_key(job, first), bytes));
+            bulk.push((key.clone(), Arc::new(bytes.clone())));
+            rows.push(put(key, bytes));
         }
         rows.push(put(head_key(job), encode_head(&head)?));
         let txn = guarded(head_key(job), before.revision, rows);
@@ -199,7 +224,10 @@
             })
             .await?;
         match outcome {
-            Outcome::Done(stored) => Ok(Ok(stored)),
+            Outcome::Done(stored) => {
+                self.keep_all(&bulk);
+                Ok(Ok(stored))
+            }
             Outcome::Superseded => Ok(Err(self.read(job).await?)),
         }
     }
@@ -244,11 +272,11 @@
         job: &JobKey,
         head: &JobHead,
     ) -> Result<Vec<ItemInput>, Report<JobError>> {
-        let reply = self.kv.get_prefix(&input_prefix(job), 0).await;
-        let reply = reply.change_context(JobError::NotDone)?;
-        let mut items = Vec::new();
-        for kv in &reply.kvs {
-            items.extend(decode_inputs(&kv.value)?);
+        let mut items = Vec::with_capacity(head.total as usize);
+        for chunk in 0..head.input_chunks {
+            let key = input_key(job, head, chunk);
+            let value = self.bulk(job, head, &key).await?;
+            items.extend(decode_inputs(&value)?);
         }
         match items.len() == head.total as usize {
             true => Ok(items),
@@ -264,15 +292,49 @@
     pub async fn results(
         &self,
         job: &JobKey,
+        head: &JobHead,
         first_position: u32,
     ) -> Result<Vec<ItemResult>, Report<JobError>> {
-        let key = output_key(job, first_position);
-        let reply = self.kv.get(&key).await;
-        let reply = reply.change_context(JobError::NotDone)?;
-        let Some(kv) = reply.kvs.first() else {
-            return Err(Report::new(JobError::Unknown));
+        let key = output_key(job, head, first_position);
+        let value = self.bulk(job, head, &key).await?;
+        Ok(decode_results(&value)?)
+    }
+
+    /// Reads a value that never changes from the nearest place that has it:
+    /// this node, the one that runs the job, the service.
+    async fn bulk(
+        &self,
+        job: &JobKey,
+        head: &JobHead,
+        key: &str,
+    ) -> Result<BulkValue, Report<JobError>> {
+        if let Some(value) = self.cache.get(key) {
+            return Ok(value);
+        }
+        let value = match self.siblings.read(job, head, key).await {
+            Some(value) => value,
+            None => Arc::new(self.bulk_of_service(key).await?),
         };
-        Ok(decode_results(&kv.value)?)
+        self.cache.keep(key, &value);
+        Ok(value)
+    }
+
+    async fn bulk_of_service(
+        &self,
+        key: &str,
+    ) -> Result<Vec<u8>, Report<JobError>> {
+        let reply = self.kv.get(key).await;
+        let reply = reply.change_context(JobError::NotDone)?;
+        let found = reply.kvs.into_iter().next();
+        found
+            .map(|kv| kv.value)
+            .ok_or_else(|| Report::new(JobError::Unknown))
+    }
+
+    fn keep_all(&self, values: &[(String, BulkValue)]) {
+        for (key, value) in values {
+            self.cache.keep(key, value);
+        }
     }
 
     /// Saves what unfinished items have produced, so that they go on after
@@ -348,8 +410,9 @@
         stored: &Stored,
     ) -> Result<(), Report<JobError>> {
         let head = &stored.head;
-        let inputs = (0..head.input_chunks).map(|n| input_key(job, n));
-        let outputs = head.output_chunks.iter().map(|n| output_key(job, *n));
+        let inputs = (0..head.input_chunks).map(|n| input_key(job, head, n));
+        let outputs = head.output_chunks.iter();
+        let outputs = outputs.map(|n| output_key(job, head, *n));
         let progress = std::iter::once(progress_key(job));
         let bulk: Vec<String> =
             inputs.chain(outputs).chain(progress).collect();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 //! jobs are found by hashing and may disagree for a moment, while positions
 //! are given by compare-and-swap alone.
 
+mod bulk;
 mod error;
 mod gate;
 mod ledger;
@@ -24,6 +25,7 @@
 mod view;
 
 pub use crate::{
+    bulk::{BulkCache, BulkFuture, BulkValue, NoSiblings, Siblings},
     error::JobError,
     gate::{GateInput, GateOptions, GateOrder, decide},
     ledger::{Ledger, NewJob, Stored},
@@ -37,7 +39,7 @@
         JobKey, NODE_PREFIX, Strikes, WATCHED_PREFIX, decode_head,
         decode_inputs, decode_progress, decode_results, encode_head,
         encode_inputs, encode_progress, encode_results, head_key, input_key,
-        input_prefix, output_key, progress_key,
+        output_key, progress_key,
     },
     run::{ItemRun, Progress, RunEnd, RunMeans},
     runner::{Probe, ProbeFuture, Runner, RunnerOptions},
--- a/crates/jobs/src/page.rs
+++ b/crates/jobs/src/page.rs
@@ -1,8 +1,4 @@
-use std::{
-    collections::VecDeque,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use base::{Clock, Millis};
 use error_stack::Report;
@@ -24,31 +20,17 @@
     pub results: Vec<ItemResult>,
 }
 
-type Chunk = Arc<Vec<ItemResult>>;
-
-/// Reads results for callers, with a small cache of chunks.
+/// Reads results for callers.
 ///
-/// A chunk never changes once it is listed, so that a cached one is right
-/// for ever. Heads are taken from the view while that is young enough:
+/// Heads are taken from the view while that is young enough:
 /// a caller that saw a result at another node must find it here within a
 /// second, and an older view could still lack it.
 pub struct PageReader {
     ledger: Ledger,
     view: JobView,
     clock: Arc<dyn Clock>,
-    cache: Mutex<Cache>,
 }
 
-#[derive(Default)]
-struct Cache {
-    chunks: VecDeque<(JobKey, u32, Chunk)>,
-    bytes: usize,
-}
-
-/// Bytes of results that are kept. A job's results are read within seconds
-/// of each other, so that a few jobs' worth is enough.
-const CACHE_BYTES: usize = 2 * 1024 * 1024;
-
 /// Bytes of one page.
 const PAGE_BYTES: usize = 900 * 1024;
 
@@ -56,13 +38,12 @@
 const VIEW_AGE_MS: u64 = 800;
 
 impl PageReader {
-    /// Makes a reader with an empty cache.
+    /// Makes a reader.
     pub fn new(ledger: Ledger, view: JobView, clock: Arc<dyn Clock>) -> Self {
         Self {
             ledger,
             view,
             clock,
-            cache: Mutex::default(),
         }
     }
 
@@ -132,13 +113,13 @@
         let mut next = after;
         let mut bytes = 0;
         while let Some(first) = stored.head.chunk_of(next) {
-            let chunk = self.chunk(job, first).await?;
-            for result in chunk.iter().skip((next - first) as usize) {
+            let chunk = self.ledger.results(job, &stored.head, first).await?;
+            for result in chunk.into_iter().skip((next - first) as usize) {
                 bytes += result.output.len();
                 if bytes > PAGE_BYTES && !results.is_empty() {
                     break;
                 }
-                results.push(result.clone());
+                results.push(result);
                 next += 1;
             }
             if bytes > PAGE_BYTES {
@@ -151,43 +132,4 @@
             results,
         })
     }
-
-    async fn chunk(
-        &self,
-        job: &JobKey,
-        first: u32,
-    ) -> Result<Chunk, Report<JobError>> {
-        if let Some(chunk) = self.cached(job, first) {
-            return Ok(chunk);
-        }
-        let chunk = Arc::new(self.ledger.results(job, first).await?);
-        self.keep(job, first, &chunk);
-        Ok(chunk)
-    }
-
-    fn cached(&self, job: &JobKey, first: u32) -> Option<Chunk> {
-        let cache = self.cache.lock();
-        let cache = cache.unwrap_or_else(PoisonError::into_inner);
-        let mut chunks = cache.chunks.iter();
-        chunks
-            .find(|(key, at, _)| *at == first && key == job)
-            .map(|(_, _, chunk)| chunk.clone())
-    }
-
-    fn keep(&self, job: &JobKey, first: u32, chunk: &Chunk) {
-        let cache = self.cache.lock();
-        let mut cache = cache.unwrap_or_else(PoisonError::into_inner);
-        cache.bytes += chunk_bytes(chunk);
-        cache.chunks.push_back((job.clone(), first, chunk.clone()));
-        while cache.bytes > CACHE_BYTES {
-            let Some((_, _, old)) = cache.chunks.pop_front() else {
-                break;
-            };
-            cache.bytes -= chunk_bytes(&old);
-        }
-    }
-}
-
-fn chunk_bytes(chunk: &Chunk) -> usize {
-    chunk.iter().map(|r| r.output.len() + r.id.len()).sum()
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -159,18 +159,19 @@
 }
 
 /// Returns the key of a chunk of a job's inputs.
-pub fn input_key(job: &JobKey, chunk: u32) -> String {
-    format!("{}{chunk:06}", input_prefix(job))
-}
-
-/// Returns the common start of the keys of a job's inputs.
-pub fn input_prefix(job: &JobKey) -> String {
-    format!("bulk/in/{job}/")
+///
+/// The time of submission is part of it: a job that is sent again after its
+/// removal is a new one, and what nodes have kept of the old one must not be
+/// taken for its own.
+pub fn input_key(job: &JobKey, head: &JobHead, chunk: u32) -> String {
+    let submitted_ms = head.submitted_at.as_ms();
+    format!("bulk/in/{job}/{submitted_ms}/{chunk:06}")
 }
 
-/// Returns the key of a chunk of a job's results.
-pub fn output_key(job: &JobKey, first_position: u32) -> String {
-    format!("bulk/out/{job}/{first_position:06}")
+/// Returns the key of a chunk of a job's results; see [`input_key`].
+pub fn output_key(job: &JobKey, head: &JobHead, first: u32) -> String {
+    let submitted_ms = head.submitted_at.as_ms();
+    format!("bulk/out/{job}/{submitted_ms}/{first:06}")
 }
 
 /// Returns the key of what the unfinished items of a job have produced.
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -2,10 +2,16 @@
 
 mod common;
 
+use std::sync::Arc;
+
+use base::UnixMillis;
 use common::{VALUE_BYTES, items, job, key, ledger, result};
 use indexmap::IndexMap;
 use kv::{Kv, Memory, WriteFault};
-use pomeloslip_jobs::{ItemProgress, JobError, NewJob, Strikes};
+use pomeloslip_jobs::{
+    BulkFuture, ItemProgress, JobError, JobHead, JobKey, NewJob, Siblings,
+    Strikes, encode_inputs,
+};
 use yare::parameterized;
 
 #[tokio::test]
@@ -94,7 +100,10 @@
     }
     assert_eq!(stored.head.listed, [2, 0, 3, 1]);
     assert!(stored.head.is_closed());
-    let second = ledger.results(&key("j"), 2).await.expect("results");
+    // Another node's ledger, which has nothing in memory.
+    let other = common::ledger(&kv);
+    let second = other.results(&key("j"), &stored.head, 2).await;
+    let second = second.expect("results");
     assert_eq!(second, [result(3), result(1)]);
     assert_eq!(stored.head.chunk_of(3), Some(2));
     assert_eq!(stored.head.chunk_of(4), None);
@@ -206,7 +215,7 @@
     ledger.remove(&key("j"), &stored).await.expect("removed");
     let left = kv.get_prefix("", 0).await.expect("read").kvs;
     let left: Vec<&str> = left.iter().map(|kv| kv.key.as_str()).collect();
-    assert_eq!(left, ["bulk/in/other/000000", "jobs/h/other"]);
+    assert_eq!(left, ["bulk/in/other/1000/000000", "jobs/h/other"]);
 }
 
 fn progress(number: u32, output: &str) -> ItemProgress {
@@ -262,3 +271,60 @@
     ledger.remove(&key("j"), &stored).await.expect("removed");
     assert_eq!(ledger.progress(&key("j")).await.expect("read"), []);
 }
+
+/// Symptom: a job that was sent again long after its removal shows results
+/// at other positions than before. Events: a node had kept a chunk of the
+/// old job, the new one listed its items in another order. Cause: the key of
+/// the chunk told only the job and the position.
+#[tokio::test]
+async fn what_is_kept_of_a_removed_job_is_not_taken_for_a_new_one() {
+    let kv = Memory::default();
+    let ledger = ledger(&kv);
+    let none = IndexMap::new();
+    let mut heads = Vec::new();
+    for (submitted_ms, number) in [(1_000, 0), (200_000, 1)] {
+        let new = NewJob {
+            submitted_at: UnixMillis::new(submitted_ms),
+            ..job("j", 2)
+        };
+        let stored = ledger.accept(new).await.expect("accepted");
+        let results = [result(number)];
+        let listed = ledger
+            .list(&key("j"), &stored, &[number], &results, &none)
+            .await;
+        let stored = listed.expect("written").expect("listed");
+        let read = ledger.results(&key("j"), &stored.head, 0).await;
+        assert_eq!(read.expect("results"), results);
+        ledger.remove(&key("j"), &stored).await.expect("removed");
+        heads.push(stored.head);
+    }
+    assert_eq!(heads.len(), 2);
+}
+
+/// Another node that has one value.
+struct OneValue(&'static str, Vec<u8>);
+
+impl Siblings for OneValue {
+    fn read(&self, _: &JobKey, _: &JobHead, key: &str) -> BulkFuture {
+        let value = Arc::new(self.1.clone());
+        let found = key.starts_with(self.0).then_some(value);
+        Box::pin(std::future::ready(found))
+    }
+}
+
+#[tokio::test]
+async fn values_are_read_from_another_node_before_the_service() {
+    let kv = Memory::default();
+    let stored = ledger(&kv).accept(job("j", 2)).await.expect("accepted");
+    let inputs = encode_inputs(&items(2, 100)).expect("encoded");
+    for (prefix, calls) in [("bulk/in/", 0), ("bulk/out/", 1)] {
+        let other = Arc::new(OneValue(prefix, inputs.clone()));
+        let ledger = ledger(&kv).with_siblings(Arc::default(), other);
+        let before = kv.counts().reads;
+        for _ in 0..2 {
+            let read = ledger.inputs(&key("j"), &stored.head).await;
+            assert_eq!(read.expect("inputs"), items(2, 100));
+        }
+        assert_eq!(kv.counts().reads - before, calls, "{prefix}");
+    }
+}
--- a/crates/jobs/tests/model.rs
+++ b/crates/jobs/tests/model.rs
@@ -5,10 +5,12 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::{job, key, ledger, result};
 use indexmap::IndexMap;
 use kv::{Memory, WriteFault};
-use pomeloslip_jobs::{ItemResult, Ledger, Stored};
+use pomeloslip_jobs::{ItemResult, Ledger, NoSiblings, Stored};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const ITEMS: u32 = 12;
@@ -32,7 +34,7 @@
 async fn read_all(ledger: &Ledger, head: &Stored) -> Vec<ItemResult> {
     let mut all = Vec::new();
     for first in &head.head.output_chunks {
-        let chunk = ledger.results(&key("j"), *first).await;
+        let chunk = ledger.results(&key("j"), &head.head, *first).await;
         all.extend(chunk.expect("a listed chunk is there"));
     }
     all
@@ -88,7 +90,17 @@
         if let Ok(Ok(stored) | Err(stored)) = listed {
             writer.known = stored;
         }
-        check(&first, &mut seen).await?;
+        // One that has nothing in memory sees what the service has.
+        let reader = first
+            .clone()
+            .with_siblings(Arc::default(), Arc::new(NoSiblings));
+        let now = check(&reader, &mut seen).await?;
+        for writer in &writers {
+            let kept = read_all(&writer.ledger, &now).await;
+            if kept != seen {
+                return Err("a writer keeps what is not written".to_owned());
+            }
+        }
     }
     Ok(())
 }
@@ -96,7 +108,7 @@
 async fn check(
     ledger: &Ledger,
     seen: &mut Vec<ItemResult>,
-) -> Result<(), String> {
+) -> Result<Stored, String> {
     let now = ledger.read(&key("j")).await.expect("read");
     let all = read_all(ledger, &now).await;
     if all.len() != now.head.listed.len() {
@@ -112,7 +124,7 @@
         return Err("an item stands at two positions".to_owned());
     }
     *seen = all;
-    Ok(())
+    Ok(now)
 }
 
 #[tokio::test]
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -5,7 +5,7 @@
 
 use base::timer::Timer;
 use error_stack::{Report, ResultExt};
-use jobs::{JobView, NodeRecord};
+use jobs::{BulkCache, JobView, Ledger, NodeRecord};
 use kv::{Kv, paths::Paths};
 use pass::{Forwarder, ForwarderOptions, Pool, Tally};
 use tokio::{
@@ -15,7 +15,7 @@
 
 use crate::{
     Admin, Beliefs, Dialect, NodeError, NodeSettings, VacateOrder, load_share,
-    membership, peer, watch::Watches,
+    membership, peer, siblings::PeerBulk, watch::Watches,
 };
 
 /// What a role is given of the world outside.
@@ -40,6 +40,7 @@
 pub(crate) struct NodeBase {
     pub(crate) pool: Arc<Pool>,
     pub(crate) view: JobView,
+    pub(crate) ledger: Ledger,
     /// Where words of load are heard and sent.
     pub(crate) socket: Arc<UdpSocket>,
     /// Turned true when the node leaves; its entry ends then.
@@ -66,7 +67,16 @@
             orders,
         };
         let feeds = watches.start(settings);
-        peer::serve(settings, feeds, clock.clone())?;
+        let cache: Arc<BulkCache> = Arc::default();
+        peer::serve(settings, feeds, cache.clone(), clock.clone())?;
+        let siblings =
+            PeerBulk::new(&settings.node, view.clone(), clock.clone());
+        let ledger = Ledger::new(
+            outside.kv.clone(),
+            outside.timer.clone(),
+            settings.value_bytes,
+        );
+        let ledger = ledger.with_siblings(cache, Arc::new(siblings));
         let socket = load_share::bind(settings.peer)
             .await
             .change_context(NodeError::Listen)?;
@@ -91,6 +101,7 @@
         let base = Self {
             pool,
             view,
+            ledger,
             socket,
             leave,
             stopping: Arc::default(),
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -6,12 +6,16 @@
 use fleet::{Endpoint, TransferLimits};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use jobs::BulkCache;
 use kv::{KeyValue, LeaseId};
 use pass::{AnswerBody, Handler, HandlerFuture, Pool, Relay};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::feed::{Delta, Feed};
+use crate::{
+    feed::{Delta, Feed},
+    siblings::{self, BULK_PATH},
+};
 
 /// Path of the feeds between nodes; the number of the feed follows.
 const FEED_PATH: &str = "/feed/";
@@ -122,17 +126,22 @@
     decode(&body, clock.now())
 }
 
-/// Answers other nodes: feeds, and calls that are passed on to the key-value
+/// Answers other nodes: feeds, inputs and results of jobs, and calls that are passed on to the key-value
 /// service.
 pub(crate) struct PeerHandler {
     pub(crate) relay: Relay,
     pub(crate) feeds: Arc<Vec<Arc<Feed>>>,
+    pub(crate) cache: Arc<BulkCache>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
 impl Handler for PeerHandler {
     fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
         let uri = request.uri();
+        if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
+            let response = siblings::answer(&self.cache, key);
+            return Box::pin(std::future::ready(response));
+        }
         let Some(number) = uri.path().strip_prefix(FEED_PATH) else {
             return self.relay.handle(request);
         };
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -66,8 +66,7 @@
         let forwarder = base.forwarder(settings, &outside);
         let forwarder = Arc::new(forwarder.with_observer(Arc::new(announcer)));
         let view = base.view.clone();
-        let value_bytes = settings.value_bytes;
-        let ledger = Ledger::new(outside.kv, outside.timer, value_bytes);
+        let ledger = base.ledger.clone();
         let clock = outside.beliefs.clock().clone();
         let pages = PageReader::new(ledger.clone(), view.clone(), clock);
         let (stage, receiver) = stage::channel(Stopping::No);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod peer;
 mod probe;
 mod settings;
+mod siblings;
 mod vacate;
 mod watch;
 mod worker;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -2,7 +2,7 @@
 
 use base::Clock;
 use error_stack::{Report, ResultExt};
-use jobs::JobView;
+use jobs::{BulkCache, JobView};
 use kv::paths::Paths;
 use pass::{Listener, ListenerOptions, Relay, Stopping};
 use tokio::{sync::watch, time};
@@ -12,8 +12,8 @@
 /// Time between two looks at which nodes can pass calls on.
 const LOOK: Duration = Duration::from_millis(500);
 
-/// Answers other nodes until the process ends: what this one follows, and
-/// calls that are passed on to the key-value service.
+/// Answers other nodes until the process ends: what this one follows, what
+/// it keeps of jobs, and calls that are passed on to the key-value service.
 ///
 /// # Errors
 ///
@@ -21,6 +21,7 @@
 pub(crate) fn serve(
     settings: &NodeSettings,
     feeds: Arc<Vec<Arc<Feed>>>,
+    cache: Arc<BulkCache>,
     clock: Arc<dyn Clock>,
 ) -> Result<(), Report<NodeError>> {
     let (sender, stage) = watch::channel(Stopping::No);
@@ -30,6 +31,7 @@
     let handler = Arc::new(PeerHandler {
         relay: Relay::new(settings.kv),
         feeds,
+        cache,
         clock,
     });
     tokio::spawn(async move {
--- /dev/null
+++ b/crates/node/src/siblings.rs
@@ -0,0 +1,151 @@
+//! Inputs and results of jobs as nodes read them from each other.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base::{Clock, Millis};
+use bytes::Bytes;
+use fleet::{Endpoint, EndpointRecord, EndpointState};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use indexmap::IndexMap;
+use jobs::{
+    BulkCache, BulkFuture, BulkValue, JobHead, JobKey, JobView, NodeRecord,
+    Siblings,
+};
+use pass::{AnswerBody, Fetch, Pool};
+use tokio::time;
+
+/// Path of the values that a node keeps; the key follows.
+pub(crate) const BULK_PATH: &str = "/bulk/";
+
+/// Longest wait for another node's answer. Some ten times what a node takes
+/// that is not overloaded; the service answers in milliseconds.
+const ANSWER: Duration = Duration::from_millis(150);
+
+/// How long a node that did not answer is not asked again, in milliseconds:
+/// a lost one leaves the list of nodes about then.
+const AGAIN_MS: u64 = 3_000;
+
+/// Largest value; the service's own hold about a megabyte.
+const MOST_BYTES: usize = 2 * 1024 * 1024;
+
+/// Reads inputs and results from the node that runs the job.
+///
+/// That node wrote the results, and read the inputs, seconds ago. Each front
+/// that answers a caller would otherwise read them from the key-value
+/// service: three to four reads for each write of results, a third of all
+/// calls that a fleet paid for.
+pub(crate) struct PeerBulk {
+    node: String,
+    view: JobView,
+    pool: Arc<Pool>,
+    clock: Arc<dyn Clock>,
+    silent: Arc<Mutex<IndexMap<String, Millis>>>,
+}
+
+impl PeerBulk {
+    pub(crate) fn new(
+        node: &str,
+        view: JobView,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            node: node.to_owned(),
+            view,
+            pool: Arc::default(),
+            clock,
+            silent: Arc::default(),
+        }
+    }
+
+    fn owner(&self, job: &JobKey, head: &JobHead) -> Option<NodeRecord> {
+        let members = self.view.members();
+        let owner = members.owner(job, head)?;
+        let now = self.clock.now();
+        let mut silent = lock(&self.silent);
+        silent.retain(|_, at| now.saturating_ms_since(*at) < AGAIN_MS);
+        if owner == self.node || silent.contains_key(owner) {
+            return None;
+        }
+        let nodes = self.view.nodes();
+        nodes.into_iter().find(|node| node.node == owner)
+    }
+}
+
+impl Siblings for PeerBulk {
+    fn read(&self, job: &JobKey, head: &JobHead, key: &str) -> BulkFuture {
+        let Some(owner) = self.owner(job, head) else {
+            return Box::pin(std::future::ready(None));
+        };
+        let (pool, clock) = (self.pool.clone(), self.clock.clone());
+        let (silent, key) = (self.silent.clone(), key.to_owned());
+        Box::pin(async move {
+            let asked = time::timeout(ANSWER, ask(&pool, &owner, &key)).await;
+            match asked.unwrap_or(Asked::Silent) {
+                Asked::Found(value) => Some(value),
+                Asked::Missing => None,
+                Asked::Silent => {
+                    log::info!(node = owner.node.as_str();
+                        "a node does not tell what it keeps of a job");
+                    lock(&silent).insert(owner.node, clock.now());
+                    None
+                }
+            }
+        })
+    }
+}
+
+enum Asked {
+    Found(BulkValue),
+    Missing,
+    Silent,
+}
+
+async fn ask(pool: &Pool, owner: &NodeRecord, key: &str) -> Asked {
+    let Some(address) = owner.address else {
+        return Asked::Missing;
+    };
+    let peer = Endpoint::new(EndpointRecord {
+        id: format!("{}@{address}", owner.node),
+        address,
+        service: String::new(),
+        failure_domain: owner.failure_domain.clone(),
+        slots: 0,
+        state: EndpointState::Ready,
+    });
+    let mut request = Request::new(Bytes::new());
+    let (Ok(uri), Ok(host)) = (
+        format!("{BULK_PATH}{key}").parse(),
+        HeaderValue::from_str(&address.to_string()),
+    ) else {
+        return Asked::Missing;
+    };
+    *request.uri_mut() = uri;
+    request.headers_mut().insert(header::HOST, host);
+    match pool.exchange(&peer, request, MOST_BYTES).await {
+        Fetch::Answered(head, body) if head.status.is_success() => {
+            Asked::Found(Arc::new(body.to_vec()))
+        }
+        Fetch::Answered(..) => Asked::Missing,
+        Fetch::NotSent | Fetch::Broken => Asked::Silent,
+    }
+}
+
+/// Answers another node's question for a value.
+pub(crate) fn answer(cache: &BulkCache, key: &str) -> Response<AnswerBody> {
+    if let Some(value) = cache.get(key) {
+        let bytes = Bytes::copy_from_slice(&value);
+        return Response::new(AnswerBody::own(bytes));
+    }
+    let mut response = Response::new(AnswerBody::own(Bytes::new()));
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
+
+fn lock(
+    silent: &Mutex<IndexMap<String, Millis>>,
+) -> MutexGuard<'_, IndexMap<String, Millis>> {
+    silent.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use error_stack::Report;
-use jobs::{Ledger, OnlineLoad, Runner, RunnerOptions};
+use jobs::{OnlineLoad, Runner, RunnerOptions};
 use tokio::{
     sync::{mpsc, watch},
     time,
@@ -91,11 +91,6 @@
     base: &NodeBase,
     online: Arc<OnlineLoad>,
 ) -> Runner {
-    let ledger = Ledger::new(
-        outside.kv.clone(),
-        outside.timer.clone(),
-        settings.value_bytes,
-    );
     let probe = LoadProbe::new(outside.dialect.clone(), base.pool.clone());
     Runner::new(
         &settings.node,
@@ -103,7 +98,7 @@
             kept_ms: settings.results_kept_ms + KEPT_MARGIN_MS,
             ..RunnerOptions::default()
         },
-        ledger,
+        base.ledger.clone(),
         base.view.clone(),
         outside.beliefs.endpoints.clone(),
         outside.beliefs.config.clone(),
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -9,7 +9,7 @@
     ItemProgress, RunnerOptions, decode_progress, encode_progress,
     progress_key,
 };
-use kv::{Kv, Memory};
+use kv::{Kv, Memory, Op, Txn};
 use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
@@ -300,3 +300,55 @@
     assert_eq!((lines, saved[0].last_id), (saved[0].events, lines));
     assert!(lines > 0);
 }
+
+/// Symptom: a third of all calls to the key-value service read results.
+/// Events: a caller polls a job at several fronts. Cause: each front read
+/// each chunk from the service, though the node that wrote it is at hand.
+#[tokio::test]
+async fn results_are_read_from_the_node_that_wrote_them() {
+    let fleet = fleet().await;
+    let front = fleet.front.front;
+    let sent = call(front, "POST", "/batch/1", "job-1", r#"["2","3"]"#);
+    assert_eq!(sent.await.0, 202);
+    results(&fleet, "job-1", 2).await;
+    // What only the service could tell is gone from it.
+    let kept = fleet.kv.get_prefix("bulk/", 0).await.expect("read").kvs;
+    for kv in kept {
+        let txn = Txn {
+            success: vec![Op::Delete { key: kv.key }],
+            ..Txn::default()
+        };
+        fleet.kv.txn(txn).await.expect("deleted");
+    }
+    let other = start(&fleet.kv, "front-2", false).await;
+    ready(&other).await;
+    let read = call_until(other.front, "GET", "/jobs/job-1", |status, _| {
+        status == 200
+    });
+    let (_, body) = read.await;
+    assert!(body.contains("item-0 complete e1+e2"), "{body}");
+    let path = "/jobs/job-1?item=item-1";
+    let read = call(other.front, "GET", path, "b", "").await;
+    assert_eq!(read, (200, "3".into()));
+}
+
+/// Symptom: no results for seconds after a worker was lost. Events: the
+/// node that wrote them does not answer. Cause: waiting for it again and
+/// again, where the service has them as well.
+#[tokio::test]
+async fn results_of_a_lost_node_are_read_from_the_service() {
+    let fleet = fleet().await;
+    let front = fleet.front.front;
+    let sent = call(front, "POST", "/batch/1", "job-1", r#"["2"]"#);
+    assert_eq!(sent.await.0, 202);
+    let first = results(&fleet, "job-1", 1).await;
+    fleet.worker.stop.send_replace(true);
+    let other = start(&fleet.kv, "front-2", false).await;
+    ready(&other).await;
+    let (_, second) =
+        call_until(other.front, "GET", "/jobs/job-1", |status, _| {
+            status == 200
+        })
+        .await;
+    assert_eq!(first, second);
+}
