--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -39,7 +39,7 @@
         JobKey, NODE_PREFIX, Strikes, WATCHED_PREFIX, decode_head,
         decode_inputs, decode_progress, decode_results, encode_head,
         encode_inputs, encode_progress, encode_results, head_key, input_key,
-        output_key, progress_key,
+        merge_strikes, output_key, progress_key,
     },
     run::{ItemRun, Progress, RunEnd, RunMeans},
     runner::{Probe, ProbeFuture, Runner, RunnerOptions},
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -94,6 +94,36 @@
     pub rejections: u32,
 }
 
+/// Adds what another node has counted against items of the same job.
+///
+/// Of two counts the larger one holds: a job that moved between nodes was
+/// counted by both, and a count that shrinks would let a hopeless item run
+/// again.
+///
+/// # Example
+///
+/// ```
+/// use indexmap::IndexMap;
+/// use pomeloslip_jobs::{Strikes, merge_strikes};
+///
+/// let errors = |errors| Strikes { errors, ..Strikes::default() };
+/// let mut own = IndexMap::from([(0, errors(1)), (1, errors(2))]);
+/// merge_strikes(&mut own, &IndexMap::from([(0, errors(3)), (2, errors(1))]));
+/// assert_eq!(own[&0], errors(3));
+/// assert_eq!(own[&1], errors(2));
+/// assert_eq!(own[&2], errors(1));
+/// ```
+pub fn merge_strikes(
+    own: &mut IndexMap<u32, Strikes>,
+    other: &IndexMap<u32, Strikes>,
+) {
+    for (number, counted) in other {
+        let own = own.entry(*number).or_default();
+        own.errors = own.errors.max(counted.errors);
+        own.rejections = own.rejections.max(counted.rejections);
+    }
+}
+
 /// What all nodes know of a job: small, so that it can be watched.
 ///
 /// Inputs and outputs lie under keys of their own. The order of `listed` is
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -422,8 +422,8 @@
     fn commit_due(&mut self) {
         let now = self.now();
         for (key, job) in &mut self.jobs {
-            let due = !job.pending.is_empty() || job.strikes_dirty;
-            if !due || job.listing || now < job.next_commit {
+            let due = job.has_to_commit() && now >= job.next_commit;
+            if !due || job.listing {
                 continue;
             }
             job.listing = true;
@@ -432,7 +432,6 @@
             let ledger = self.runner.ledger.clone();
             let before = job.stored.clone();
             let strikes = job.strikes.clone();
-            job.strikes_dirty = false;
             let (numbers, results): (Vec<u32>, Vec<ItemResult>) =
                 job.pending.iter().cloned().unzip();
             let (key, sender) = (key.clone(), self.sender.clone());
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -8,7 +8,9 @@
 use super::RunId;
 use crate::{
     Progress, Stored,
-    record::{ItemInput, ItemProgress, ItemResult, ItemState, Strikes},
+    record::{
+        ItemInput, ItemProgress, ItemResult, ItemState, Strikes, merge_strikes,
+    },
 };
 
 pub(super) struct Active {
@@ -17,7 +19,6 @@
     pub(super) items: Vec<Item>,
     pub(super) pending: Vec<(u32, ItemResult)>,
     pub(super) strikes: IndexMap<u32, Strikes>,
-    pub(super) strikes_dirty: bool,
     /// Whether another node runs the items now.
     pub(super) moved: bool,
     pub(super) listing: bool,
@@ -58,7 +59,6 @@
             inputs: Inputs::Missing,
             items: vec![Item::default(); total],
             pending: Vec::new(),
-            strikes_dirty: false,
             moved: false,
             listing: false,
             next_commit: Millis::new(0),
@@ -133,10 +133,21 @@
         if stored.revision < self.stored.revision {
             return;
         }
+        merge_strikes(&mut self.strikes, &stored.head.strikes);
         self.stored = stored;
         self.mark_listed();
     }
 
+    /// Tells whether something waits to be listed or counted in the head.
+    ///
+    /// Compared with the head and not flagged: a flag that is cleared as a
+    /// write begins forgets a strike whose write is lost, and a node that
+    /// takes the job up then runs a hopeless item more often than allowed.
+    pub(super) fn has_to_commit(&self) -> bool {
+        let counted = self.strikes == self.stored.head.strikes;
+        !self.pending.is_empty() || !counted
+    }
+
     pub(super) fn mark_listed(&mut self) {
         for number in &self.stored.head.listed {
             if let Some(item) = self.items.get_mut(*number as usize) {
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -87,15 +87,9 @@
             .map_or(1, |route| route.max_attempts());
         let strikes = job.strikes.entry(number).or_default();
         match end {
-            RunEnd::Rejected => {
-                strikes.rejections += 1;
-                job.strikes_dirty = true;
-            }
-            RunEnd::Error(_) => {
-                strikes.errors += 1;
-                job.strikes_dirty = true;
-            }
-            _ => {}
+            RunEnd::Rejected => strikes.rejections += 1,
+            RunEnd::Error(_) => strikes.errors += 1,
+            RunEnd::Complete | RunEnd::NotRun | RunEnd::Broken => {}
         }
         let strikes = *strikes;
         let hopeless = strikes.rejections > 0 || strikes.errors >= most;
@@ -169,7 +163,6 @@
                     revision = stored.revision;
                     "another writer was faster, results are listed again"
                 );
-                job.strikes_dirty = false;
                 job.next_commit = Millis::new(0);
                 stored
             }
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -95,6 +95,7 @@
         tokio::spawn(membership::keep_entry(
             outside.kv.clone(),
             record,
+            membership::lease_s(settings.lease_least_ms),
             clock,
             left,
         ));
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -4,7 +4,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use fleet::{Endpoint, TransferLimits};
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use jobs::BulkCache;
 use kv::{KeyValue, LeaseId};
@@ -14,18 +14,16 @@
 
 use crate::{
     feed::{Delta, Feed},
+    follow::Pace,
     siblings::{self, BULK_PATH},
 };
 
 /// Path of the feeds between nodes; the number of the feed follows.
 const FEED_PATH: &str = "/feed/";
 
-/// How long a question waits for a change, in milliseconds. It bounds how
-/// long a node goes on without a word that its knowledge is still whole.
-const WAIT_MS: u64 = 1_000;
-
-/// Longest wait for an answer beyond that.
-const ANSWER_MS: u64 = 700;
+/// Longest that a question is made to wait for a change, in milliseconds,
+/// whatever it asks for.
+const WAIT_MOST_MS: u64 = 10_000;
 
 /// Largest answer: all keys of a large fleet.
 const MOST_BYTES: usize = 32 * 1024 * 1024;
@@ -104,21 +102,38 @@
     })
 }
 
+/// What one node asks another.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    /// Number of the feed.
+    pub(crate) number: usize,
+    /// Revision that is known already.
+    pub(crate) after: u64,
+    /// How long it may wait for a change and an answer.
+    pub(crate) pace: Pace,
+}
+
 /// Asks another node for what has changed.
 pub(crate) async fn ask(
     pool: &Pool,
     peer: &Endpoint,
-    number: usize,
-    after: u64,
+    question: Question,
     clock: &dyn Clock,
 ) -> Option<Delta> {
+    let Question {
+        number,
+        after,
+        pace: Pace {
+            wait_ms, answer_ms, ..
+        },
+    } = question;
     let mut request = Request::new(Bytes::new());
-    let path = format!("{FEED_PATH}{number}?after={after}");
+    let path = format!("{FEED_PATH}{number}?after={after}&wait_ms={wait_ms}");
     *request.uri_mut() = path.parse().ok()?;
     let host = peer.record().address.to_string();
     let host = HeaderValue::from_str(&host).ok()?;
     request.headers_mut().insert(header::HOST, host);
-    let most = Duration::from_millis(WAIT_MS + ANSWER_MS);
+    let most = Duration::from_millis(wait_ms + answer_ms);
     let fetch = pool.fetch(peer, request, MOST_BYTES);
     let body = time::timeout(most, fetch).await.ok()??;
     // An answer counts from its arrival: what its way took, milliseconds
@@ -147,8 +162,8 @@
         };
         let feed = number.parse().ok();
         let feed = feed.and_then(|at: usize| self.feeds.get(at).cloned());
-        let after = uri.query().and_then(|q| q.strip_prefix("after="));
-        let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after = number_in(uri, "after").unwrap_or(0);
+        let wait_ms = number_in(uri, "wait_ms").unwrap_or(0);
         let clock = self.clock.clone();
         Box::pin(async move {
             let Some(feed) = feed else {
@@ -157,7 +172,7 @@
                 *response.status_mut() = StatusCode::NOT_FOUND;
                 return response;
             };
-            let delta = wait_for_change(&feed, after).await;
+            let delta = wait_for_change(&feed, after, wait_ms).await;
             let bytes = encode(delta, clock.now());
             Response::new(AnswerBody::own(Bytes::from(bytes)))
         })
@@ -168,9 +183,17 @@
     }
 }
 
-async fn wait_for_change(feed: &Feed, after: u64) -> Delta {
+/// Reads a number from a question; one that is missing or malformed is none.
+fn number_in(uri: &Uri, name: &str) -> Option<u64> {
+    let mut pairs = uri.query()?.split('&');
+    let value = pairs.find_map(|pair| pair.strip_prefix(name))?;
+    value.strip_prefix('=')?.parse().ok()
+}
+
+async fn wait_for_change(feed: &Feed, after: u64, wait_ms: u64) -> Delta {
     let mut changes = feed.subscribe();
-    let most = time::Instant::now() + Duration::from_millis(WAIT_MS);
+    let wait = Duration::from_millis(wait_ms.min(WAIT_MOST_MS));
+    let most = time::Instant::now() + wait;
     loop {
         changes.mark_unchanged();
         let delta = feed.since(after);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -14,16 +14,43 @@
 use pass::Pool;
 use tokio::time;
 
-use crate::{feed::Feed, feed_wire};
+use crate::{
+    feed::Feed,
+    feed_wire::{self, Question},
+};
 
 /// Nodes that read the key-value service for all others. Two, so that the
 /// loss of one is no loss; more only cost calls.
 const READERS: usize = 2;
 
-/// Oldest knowledge of another node that is good enough, in milliseconds.
-/// It must leave room in the shortest time in which something must be in
-/// force, two seconds.
-const AGE_MOST_MS: u64 = 1_500;
+/// How news pass between nodes, as parts of the time in which they must
+/// have reached all.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// Oldest knowledge of another node that is good enough.
+    pub(crate) age_most_ms: u64,
+    /// How long a question waits for a change. It bounds how long a node
+    /// goes on without a word that its knowledge is still whole.
+    pub(crate) wait_ms: u64,
+    /// Longest wait for an answer beyond that.
+    pub(crate) answer_ms: u64,
+}
+
+impl Pace {
+    /// Divides the time so that a question to a reader that has just been
+    /// lost and a read of the service itself fit into it.
+    pub(crate) fn new(news_ms: u64) -> Self {
+        Self {
+            age_most_ms: news_ms * 75 / 100,
+            wait_ms: news_ms * 50 / 100,
+            answer_ms: news_ms * 35 / 100,
+        }
+    }
+}
+
+/// Time between two confirmations of a watch without changes, in
+/// milliseconds: as long as the adapters let one wait.
+const CONFIRMED_MS: u64 = 2_000;
 
 /// How long a reader that did not answer is left alone, in milliseconds.
 const READER_AGAIN_MS: u64 = 2_000;
@@ -99,6 +126,7 @@
     pub(crate) number: usize,
     pub(crate) feed: Arc<Feed>,
     pub(crate) reading: Reading,
+    pub(crate) pace: Pace,
     pub(crate) kv: Arc<dyn Kv>,
     pub(crate) readers: Arc<Readers>,
     pub(crate) pool: Arc<Pool>,
@@ -153,17 +181,20 @@
         });
         let after = self.feed.revision();
         let clock = &*self.clock;
-        let asked =
-            feed_wire::ask(&self.pool, &peer, self.number, after, clock);
+        let question = Question {
+            number: self.number,
+            after,
+            pace: self.pace,
+        };
+        let asked = feed_wire::ask(&self.pool, &peer, question, clock);
         let Some(delta) = asked.await else {
             return false;
         };
         let now = self.clock.now();
         let age = delta.fresh_at.map(|at| now.saturating_ms_since(at));
         let most = match self.reading {
-            Reading::Listing(_) => AGE_MOST_MS,
-            // A watch confirms its knowledge only every two seconds.
-            Reading::Watching(_) => AGE_MOST_MS + 2_000,
+            Reading::Listing(_) => self.pace.age_most_ms,
+            Reading::Watching(_) => self.pace.age_most_ms + CONFIRMED_MS,
         };
         let good = age.is_some_and(|age_ms| age_ms <= most)
             && delta.revision >= after;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -10,6 +10,16 @@
 /// long after it is lost, and two renewals may fail before it lapses.
 const LEASE_S: u32 = 3;
 
+/// Returns the time to live of a node's entry where the key-value service
+/// grants no lease shorter than `least_ms`.
+///
+/// What goes wrong without it: the service refuses the lease, the node is
+/// never listed, and nobody gives it a job.
+pub(crate) fn lease_s(least_ms: u64) -> u32 {
+    let least_s = least_ms.div_ceil(1_000).min(u64::from(u32::MAX));
+    LEASE_S.max(least_s as u32)
+}
+
 /// Pause after a failed call, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 250;
 
@@ -20,6 +30,7 @@
 pub(crate) async fn keep_entry(
     kv: Arc<dyn Kv>,
     record: NodeRecord,
+    lease_s: u32,
     clock: Arc<dyn Clock>,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -28,10 +39,10 @@
         let sent_at = clock.now();
         let result = match &mut held {
             None => {
-                let entered = enter(&*kv, &record).await;
+                let entered = enter(&*kv, &record, lease_s).await;
                 entered.map(|lease| {
                     log::info!(lease = lease.0; "this node takes part");
-                    held = Some(HeldLease::new(lease, LEASE_S, sent_at));
+                    held = Some(HeldLease::new(lease, lease_s, sent_at));
                 })
             }
             Some(lease) => {
@@ -66,8 +77,9 @@
 async fn enter(
     kv: &dyn Kv,
     record: &NodeRecord,
+    lease_s: u32,
 ) -> Result<LeaseId, Report<KvError>> {
-    let lease = kv.lease_grant(LEASE_S).await?;
+    let lease = kv.lease_grant(lease_s).await?;
     let value = serde_json::to_vec(record)
         .map_err(|_| Report::new(KvError::Invalid))?;
     let put = Op::Put {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -28,10 +28,30 @@
     pub results_kept_ms: u64,
     /// How soon an endpoint that leaves must get no new work.
     pub drain_ms: u64,
+    /// How soon a configuration must be in force.
+    pub config_ms: u64,
     /// Shortest lease of the key-value service.
     pub lease_least_ms: u64,
 }
 
+/// Time in which news must reach every node if the settings allow more, in
+/// milliseconds. Later news serve nobody, and questions between nodes cost
+/// little.
+const NEWS_MOST_MS: u64 = 2_000;
+
+/// The same if they ask for less, in milliseconds: nodes under load answer
+/// each other within a few hundred, and one that is taken for lost too soon
+/// only costs calls.
+const NEWS_LEAST_MS: u64 = 1_000;
+
+impl NodeSettings {
+    /// Returns the time in which news must reach this node.
+    pub(crate) fn news_ms(&self) -> u64 {
+        let bound_ms = self.drain_ms.min(self.config_ms);
+        bound_ms.clamp(NEWS_LEAST_MS, NEWS_MOST_MS)
+    }
+}
+
 /// What the operating system tells a node.
 #[derive(Clone, Debug)]
 pub struct Signals {
--- a/crates/node/src/vacate.rs
+++ b/crates/node/src/vacate.rs
@@ -13,9 +13,9 @@
 /// percent; the rest is for writing that it is done.
 const RUNS_PERCENT: u64 = 70;
 
-/// How long after an order the other nodes look whether the node is there
-/// to carry it out, in milliseconds: longer than its lease.
-const STAND_IN_MS: u64 = 4_000;
+/// How long after a lost node's lease the other nodes say in its place that
+/// it is empty, in milliseconds: its entry has gone from their view then.
+const AFTER_LEASE_MS: u64 = 1_000;
 
 /// Pause between tries to write how far a node is emptied.
 const RETRY: Duration = Duration::from_millis(300);
@@ -34,6 +34,8 @@
     pub(crate) leave: watch::Sender<bool>,
     /// Turns true when its runs have ended.
     pub(crate) idle: watch::Receiver<bool>,
+    /// Time to live of a node's entry.
+    pub(crate) lease_s: u32,
 }
 
 impl Vacating {
@@ -70,8 +72,10 @@
         let kv = self.kv.clone();
         let dialect = self.dialect.clone();
         let view = self.view.clone();
+        let lease_ms = u64::from(self.lease_s) * 1_000;
+        let wait = Duration::from_millis(lease_ms + AFTER_LEASE_MS);
         tokio::spawn(async move {
-            time::sleep(Duration::from_millis(STAND_IN_MS)).await;
+            time::sleep(wait).await;
             if view.members().has(&order.node) {
                 return;
             }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -11,7 +11,7 @@
 use crate::{
     Beliefs, Dialect, NodeSettings, OperatorOrder, VacateOrder,
     feed::{Delta, Feed},
-    follow::{Follower, Readers, Reading},
+    follow::{Follower, Pace, Readers, Reading},
 };
 
 /// Time between two listings of the endpoints, as a part of the time in
@@ -53,6 +53,7 @@
         let readers = Readers::new(&settings.node, self.view.clone());
         let readers = Arc::new(readers);
         let pool = Arc::new(Pool::default());
+        let pace = Pace::new(settings.news_ms());
         let mut feeds = Vec::new();
         for (number, (prefix, reading)) in followed.into_iter().enumerate() {
             let feed = Arc::new(Feed::new(prefix));
@@ -61,6 +62,7 @@
                 number,
                 feed,
                 reading,
+                pace,
                 kv: self.kv.clone(),
                 readers: readers.clone(),
                 pool: pool.clone(),
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     NodeError, NodeSettings, Outside, Signals, base::NodeBase,
-    load_share::WorkerShare, probe::LoadProbe, vacate::Vacating,
+    load_share::WorkerShare, membership, probe::LoadProbe, vacate::Vacating,
 };
 
 /// The role that runs the items of batch jobs.
@@ -63,6 +63,7 @@
             view: base.view.clone(),
             leave: base.leave.clone(),
             idle: idle.clone(),
+            lease_s: membership::lease_s(settings.lease_least_ms),
         };
         tokio::spawn(vacating.run(received));
         Ok(Self {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -14,6 +14,7 @@
 
 use base::{Clock, SystemClock, timer::Timer};
 use bytes::Bytes;
+use error_stack::Report;
 use fleet::{
     BatchTerms, Config, EndpointRecord, LoadReport, Route, RouteKind,
     RouteTable,
@@ -21,8 +22,8 @@
 use http::{HeaderMap, HeaderName, Method, Uri};
 use jobs::{ItemInput, ItemState, Page};
 use kv::{
-    GetReply, KeyValue, Kv, KvFuture, LeaseId, Memory, Op, Txn, TxnReply,
-    WatchBatch, Watcher, paths::Paths,
+    GetReply, KeyValue, Kv, KvError, KvFuture, LeaseId, Memory, Op, Txn,
+    TxnReply, WatchBatch, Watcher, paths::Paths,
 };
 use pass::{HeaderNames, Tally};
 use pomeloslip_node::{
@@ -303,6 +304,10 @@
     }
 }
 
+/// Shortest lease that the settings of these tests tell: longer than roles
+/// would ask for by themselves.
+pub(crate) const LEASE_LEAST_MS: u64 = 4_500;
+
 fn settings(name: &str) -> NodeSettings {
     NodeSettings {
         node: name.to_owned(),
@@ -316,7 +321,8 @@
         grace_ms: 8_000,
         results_kept_ms: 120_000,
         drain_ms: 200,
-        lease_least_ms: 1_000,
+        config_ms: 2_000,
+        lease_least_ms: LEASE_LEAST_MS,
     }
 }
 
@@ -326,6 +332,7 @@
 pub(crate) struct Cuttable {
     kv: Memory,
     cut: watch::Sender<bool>,
+    least_lease_s: u32,
 }
 
 impl Cuttable {
@@ -333,9 +340,16 @@
         Self {
             kv: kv.clone(),
             cut: watch::Sender::new(false),
+            least_lease_s: 0,
         }
     }
 
+    /// Makes the service refuse shorter leases.
+    pub(crate) fn with_least_lease_s(mut self, least_s: u32) -> Self {
+        self.least_lease_s = least_s;
+        self
+    }
+
     pub(crate) fn set_cut(&self, cut: bool) {
         self.cut.send_replace(cut);
     }
@@ -372,6 +386,10 @@
     }
 
     fn lease_grant(&self, ttl_s: u32) -> KvFuture<'_, LeaseId> {
+        if ttl_s < self.least_lease_s {
+            let refused = Err(Report::new(KvError::Invalid));
+            return Box::pin(std::future::ready(refused));
+        }
         self.kv.lease_grant(ttl_s)
     }
 
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use common::{Engine, Node, call, call_until, furnish, put, ready, start};
+use common::{
+    Cuttable, Engine, LEASE_LEAST_MS, Node, call, call_until, furnish, put,
+    ready, start, start_by,
+};
 use jobs::{
     ItemProgress, RunnerOptions, decode_progress, encode_progress,
     progress_key,
@@ -352,3 +355,28 @@
         .await;
     assert_eq!(first, second);
 }
+
+/// Symptom: no job is ever run. Events: the key-value service grants no
+/// lease as short as a worker asks for. Cause: the shortest lease of the
+/// settings was read and not heeded.
+#[tokio::test]
+async fn a_node_asks_for_a_lease_that_the_service_grants() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let least_s = LEASE_LEAST_MS.div_ceil(1_000) as u32;
+    let way = Cuttable::new(&kv).with_least_lease_s(least_s);
+    let front = start_by(Arc::new(way.clone()), "front-1", false).await;
+    let worker = start_by(Arc::new(way), "worker-1", true).await;
+    ready(&front).await;
+    let fleet = Fleet {
+        kv,
+        engine,
+        front,
+        worker,
+    };
+    let front = fleet.front.front;
+    let sent = call(front, "POST", "/batch/1", "job-1", r#"["2"]"#);
+    assert_eq!(sent.await.0, 202);
+    results(&fleet, "job-1", 1).await;
+}
