Keep only results that this node surely wrote

Cause: a write of results whose answer is lost was taken for done if the head read as wanted. Two nodes that list the same items write the same head with the texts of runs of their own; the one whose write was lost kept its texts and told them to fronts, so that a position showed two outputs.

Change: values are kept only where the service answered the write. Ruled out: a head that names its writer, which costs nothing but changes what all nodes watch for one reader's sake.

Measured: results_that_another_writer_listed_are_not_kept_as_own fails before and passes after; the model's writers now list texts of their own.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -64,6 +64,19 @@
 /// milliseconds. Callers of jobs wait about four seconds.
 const WRITE_GIVE_UP_MS: u64 = 2_500;
 
+/// How a write is known to have taken effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Proof {
+    /// The service answered the call.
+    Answered,
+    /// The answer was lost, and the head reads as the write makes it.
+    ///
+    /// That proves what the head says, but not whose write it was: two nodes
+    /// that list the same items write the same head, each with the texts of
+    /// its own runs.
+    ReadBack,
+}
+
 /// Values in one call beside the head; the service takes 32 rows.
 const CHUNKS_MOST: usize = 24;
 
@@ -139,8 +152,8 @@
             })
             .await?;
         match outcome {
-            Outcome::Done(stored) => {
-                self.keep_all(&bulk);
+            Outcome::Done((stored, proof)) => {
+                self.keep_all(&bulk, proof);
                 Ok(stored)
             }
             // It was there before: the same job, sent again.
@@ -177,7 +190,8 @@
             head.ended = true;
             let row = put(head_key(job), encode_head(&head)?);
             let txn = guarded(head_key(job), revision, vec![row]);
-            if let Outcome::Done(()) = self.commit(job, txn, |_| ()).await? {
+            let outcome = self.commit(job, txn, |_| ()).await?;
+            if let Outcome::Done(_) = outcome {
                 return Ok(());
             }
         }
@@ -224,8 +238,8 @@
             })
             .await?;
         match outcome {
-            Outcome::Done(stored) => {
-                self.keep_all(&bulk);
+            Outcome::Done((stored, proof)) => {
+                self.keep_all(&bulk, proof);
                 Ok(Ok(stored))
             }
             Outcome::Superseded => Ok(Err(self.read(job).await?)),
@@ -256,7 +270,7 @@
             })
             .await?;
         match outcome {
-            Outcome::Done(stored) => Ok(stored),
+            Outcome::Done((stored, _)) => Ok(stored),
             Outcome::Superseded => self.read(job).await,
         }
     }
@@ -331,7 +345,11 @@
             .ok_or_else(|| Report::new(JobError::Unknown))
     }
 
-    fn keep_all(&self, values: &[(String, BulkValue)]) {
+    /// Keeps values that this node surely wrote.
+    fn keep_all(&self, values: &[(String, BulkValue)], proof: Proof) {
+        if proof != Proof::Answered {
+            return;
+        }
         for (key, value) in values {
             self.cache.keep(key, value);
         }
@@ -469,15 +487,15 @@
 
     /// Writes until the outcome is known or the time is up.
     ///
-    /// A write of this ledger is found again by what it wrote: the value of
-    /// the head at the write's key. No two writes of a head are alike, as
-    /// each of them changes it.
+    /// A write whose answer is lost is found again by the head that it made:
+    /// each write changes the head, so that one that reads as wanted has been
+    /// written, by this node or by another that wanted the same.
     async fn commit<T: Send + 'static>(
         &self,
         job: &JobKey,
         txn: Txn,
         answered: impl Fn(&TxnReply) -> T + Send + Clone,
-    ) -> Result<Outcome<T>, Report<JobError>> {
+    ) -> Result<Outcome<(T, Proof)>, Report<JobError>> {
         let expected = head_value(&txn, &head_key(job));
         let before = compared_revision(&txn);
         let read_back = Op::Get { key: head_key(job) };
@@ -485,17 +503,20 @@
         let decide = move |found: &GetReply| match found.kvs.first() {
             Some(kv) if Some(&kv.value) == expected.as_ref() => {
                 let revision = kv.mod_revision;
-                Verdict::Done(decided(&TxnReply {
+                let value = decided(&TxnReply {
                     succeeded: true,
                     revision,
                     replies: Vec::new(),
-                }))
+                });
+                Verdict::Done((value, Proof::ReadBack))
             }
             Some(kv) if kv.mod_revision == before => Verdict::Open,
             Some(_) => Verdict::Superseded,
             None if before == 0 => Verdict::Open,
             None => Verdict::Superseded,
         };
+        let answered =
+            move |reply: &TxnReply| (answered(reply), Proof::Answered);
         let random = spread_pauses(job);
         let outcome = self
             .writer
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexMap;
 use kv::{Kv, Memory, WriteFault};
 use pomeloslip_jobs::{
-    BulkFuture, ItemProgress, JobError, JobHead, JobKey, NewJob, Siblings,
-    Strikes, encode_inputs,
+    BulkFuture, ItemProgress, ItemResult, JobError, JobHead, JobKey, NewJob,
+    Siblings, Strikes, encode_inputs,
 };
 use yare::parameterized;
 
@@ -328,3 +328,36 @@
         assert_eq!(kv.counts().reads - before, calls, "{prefix}");
     }
 }
+
+/// Symptom: a position of a job showed one output at one front and another
+/// at the next. Events: a write of results is lost on its way; meanwhile
+/// another node lists the same items, with the texts of runs of its own; the
+/// first node reads the head back, finds it as it wanted it and keeps its
+/// own texts for other nodes. Cause: two heads that list the same items are
+/// alike, so that a head alone does not prove whose results were written.
+#[tokio::test]
+async fn results_that_another_writer_listed_are_not_kept_as_own() {
+    let kv = Memory::default();
+    let (one, two) = (ledger(&kv), ledger(&kv));
+    let stored = one.accept(job("j", 2)).await.expect("accepted");
+    let job = key("j");
+    let none = IndexMap::new();
+    let by = |node: &str| {
+        let output = format!("by {node}");
+        [ItemResult {
+            output,
+            ..result(0)
+        }]
+    };
+    let (by_one, by_two) = (by("one"), by("two"));
+    kv.script_writes([WriteFault::LostBefore]);
+    let lost = two.list(&job, &stored, &[0], &by_two, &none);
+    let faster = one.list(&job, &stored, &[0], &by_one, &none);
+    let (lost, faster) = tokio::join!(lost, faster);
+    let head = faster.expect("written").expect("the first").head;
+    assert_eq!(lost.expect("read back").expect("found").head, head);
+    for reader in [one, two, ledger(&kv)] {
+        let read = reader.results(&job, &head, 0).await.expect("results");
+        assert_eq!(read, by_one);
+    }
+}
--- a/crates/jobs/tests/model.rs
+++ b/crates/jobs/tests/model.rs
@@ -74,8 +74,13 @@
             let now = writer.ledger.read(&key("j")).await.expect("read");
             writer.known.revision = now.revision;
         }
-        let results: Vec<ItemResult> =
-            numbers.iter().map(|n| result(*n)).collect();
+        // Two runs of one item may produce different texts.
+        let by_writer = |number: &u32| {
+            let plain = result(*number);
+            let output = format!("{} by writer {at}", plain.output);
+            ItemResult { output, ..plain }
+        };
+        let results: Vec<ItemResult> = numbers.iter().map(by_writer).collect();
         kv.script_writes([fault(&mut random)]);
         let listed = writer
             .ledger
