--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -42,6 +42,6 @@
         merge_strikes, output_key, progress_key,
     },
     run::{ItemRun, Progress, RunEnd, RunMeans},
-    runner::{Probe, ProbeFuture, Runner, RunnerOptions},
+    runner::{Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts},
     view::JobView,
 };
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -93,50 +93,40 @@
     }
 }
 
+/// What a runner works with.
+pub struct RunnerParts {
+    /// Name of the node.
+    pub node: String,
+    /// Where jobs are kept.
+    pub ledger: Ledger,
+    /// What the node knows of all jobs.
+    pub view: JobView,
+    /// The endpoints as the node knows them.
+    pub endpoints: Arc<Snapshot<DirectoryView>>,
+    /// The configuration in force, once there is one.
+    pub config: Arc<Snapshot<Option<Arc<Config>>>>,
+    /// How items are sent.
+    pub means: RunMeans,
+    /// How endpoints are asked for their load.
+    pub probe: Arc<dyn Probe>,
+    /// What fronts tell of their requests in flight.
+    pub online: Arc<OnlineLoad>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The counters of the process.
+    pub tally: Arc<Tally>,
+}
+
 /// Runs the items of the jobs that are this node's share.
 pub struct Runner {
-    node: String,
     options: RunnerOptions,
-    ledger: Ledger,
-    view: JobView,
-    endpoints: Arc<Snapshot<DirectoryView>>,
-    config: Arc<Snapshot<Option<Arc<Config>>>>,
-    means: RunMeans,
-    probe: Arc<dyn Probe>,
-    online: Arc<OnlineLoad>,
-    clock: Arc<dyn Clock>,
-    tally: Arc<Tally>,
+    parts: RunnerParts,
 }
 
 impl Runner {
     /// Makes a runner; [`run`](Self::run) starts it.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        node: &str,
-        options: RunnerOptions,
-        ledger: Ledger,
-        view: JobView,
-        endpoints: Arc<Snapshot<DirectoryView>>,
-        config: Arc<Snapshot<Option<Arc<Config>>>>,
-        means: RunMeans,
-        probe: Arc<dyn Probe>,
-        online: Arc<OnlineLoad>,
-        clock: Arc<dyn Clock>,
-        tally: Arc<Tally>,
-    ) -> Self {
-        Self {
-            node: node.to_owned(),
-            options,
-            ledger,
-            view,
-            endpoints,
-            config,
-            means,
-            probe,
-            online,
-            clock,
-            tally,
-        }
+    pub fn new(options: RunnerOptions, parts: RunnerParts) -> Self {
+        Self { options, parts }
     }
 
     /// Runs until `stop` turns true and no item of this node is left in
@@ -238,7 +228,7 @@
 impl Work {
     fn new(runner: Runner, sender: mpsc::UnboundedSender<Event>) -> Self {
         Self {
-            planner: Planner::new(&runner.node),
+            planner: Planner::new(&runner.parts.node),
             heard_all: false,
             moving: None,
             saving: false,
@@ -261,7 +251,7 @@
     }
 
     fn now(&self) -> Millis {
-        self.runner.clock.now()
+        self.runner.parts.clock.now()
     }
 
     /// Looks at all work once.
@@ -284,16 +274,16 @@
     }
 
     fn plan(&mut self) -> Arc<Plan> {
-        let view = self.runner.endpoints.load_full();
-        let config = self.runner.config.load_full();
-        let members = self.runner.view.members();
+        let view = self.runner.parts.endpoints.load_full();
+        let config = self.runner.parts.config.load_full();
+        let members = self.runner.parts.view.members();
         self.planner
             .plan((*config).as_deref(), &view.table, members)
     }
 
     /// Takes up and drops jobs as the view tells.
     fn follow_view(&mut self, plan: &Plan, stopping: bool) {
-        let open = self.runner.view.select(|key, stored| {
+        let open = self.runner.parts.view.select(|key, stored| {
             let open = !stored.head.is_closed() && !stopping;
             open && plan.owns_job(key, &stored.head)
         });
@@ -321,7 +311,7 @@
     fn drop_jobs(&mut self, plan: &Plan) {
         let mut gone = Vec::new();
         for (key, job) in &mut self.jobs {
-            let known = self.runner.view.get(key);
+            let known = self.runner.parts.view.get(key);
             let closed = known.as_ref().is_none_or(|s| s.head.is_closed());
             // A job that moved to another node keeps the runs it has here:
             // their results are listed all the same.
@@ -351,8 +341,8 @@
 
     /// Gives up items whose time is over or whose route is gone.
     fn give_up_late(&mut self) {
-        let unix = self.runner.clock.unix();
-        let config = self.runner.config.load_full();
+        let unix = self.runner.parts.clock.unix();
+        let config = self.runner.parts.config.load_full();
         let margin_ms = self.runner.options.give_up_margin_ms;
         let mut stopped = Vec::new();
         for (key, job) in &mut self.jobs {
@@ -374,7 +364,7 @@
                     continue;
                 }
                 job.finish(number, &inputs, ItemState::GivenUp);
-                Tally::add(&self.runner.tally.items_given_up);
+                Tally::add(&self.runner.parts.tally.items_given_up);
                 log::info!(
                     job = key.as_str(),
                     request_id = inputs[number as usize].id.as_str(),
@@ -400,15 +390,15 @@
             return;
         }
         self.next_removal = now.saturating_add_ms(REMOVAL_PAUSE_MS);
-        let unix = self.runner.clock.unix();
+        let unix = self.runner.parts.clock.unix();
         let kept_ms = self.runner.options.kept_ms;
-        let mut expired = self.runner.view.select(|key, stored| {
+        let mut expired = self.runner.parts.view.select(|key, stored| {
             let head = &stored.head;
             let until = head.submitted_at.saturating_add_ms(kept_ms);
             head.is_closed() && unix > until && plan.owns_job(key, head)
         });
         expired.truncate(REMOVALS_MOST);
-        let ledger = self.runner.ledger.clone();
+        let ledger = self.runner.parts.ledger.clone();
         tokio::spawn(async move {
             for (key, stored) in expired {
                 let removed = ledger.remove(&key, &stored).await;
@@ -429,7 +419,7 @@
             job.listing = true;
             job.next_commit =
                 now.saturating_add_ms(self.runner.options.commit_ms);
-            let ledger = self.runner.ledger.clone();
+            let ledger = self.runner.parts.ledger.clone();
             let before = job.stored.clone();
             let strikes = job.strikes.clone();
             let (numbers, results): (Vec<u32>, Vec<ItemResult>) =
@@ -445,7 +435,7 @@
     }
 
     fn batch_services(&self) -> Vec<String> {
-        let config = self.runner.config.load_full();
+        let config = self.runner.parts.config.load_full();
         (*config).as_deref().map(batch_services).unwrap_or_default()
     }
 }
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -32,7 +32,7 @@
 impl Work {
     /// Asks the endpoints of this node's share for their load.
     pub(super) fn ask_loads(&mut self, plan: &Plan) {
-        let view = self.runner.endpoints.load_full();
+        let view = self.runner.parts.endpoints.load_full();
         self.probes
             .retain(|id, _| view.table.iter().any(|e| e.record().id == *id));
         if self.jobs.is_empty() && self.runs.is_empty() {
@@ -56,7 +56,7 @@
                 }
                 probing.in_flight = true;
                 probing.asked_at = Some(now);
-                let answer = self.runner.probe.probe(record);
+                let answer = self.runner.parts.probe.probe(record);
                 let sender = self.sender.clone();
                 let id = record.id.clone();
                 tokio::spawn(async move {
@@ -69,14 +69,14 @@
 
     /// Lets the gate of each endpoint decide, and carries it out.
     pub(super) fn admit(&mut self, plan: &Plan, stopping: bool) {
-        let config = self.runner.config.load_full();
+        let config = self.runner.parts.config.load_full();
         let Some(config) = config.as_ref() else {
             return;
         };
         let now = self.now();
-        let view = self.runner.endpoints.load_full();
-        let stale =
-            self.runner.view.age_ms(now) > self.runner.options.view_age_ms;
+        let view = self.runner.parts.endpoints.load_full();
+        let stale = self.runner.parts.view.age_ms(now)
+            > self.runner.options.view_age_ms;
         for service in self.batch_services() {
             for endpoint in view.table.of_service(&service) {
                 if !plan.uses_endpoint(&endpoint.record().id) {
@@ -104,7 +104,7 @@
     /// under way to it.
     pub(super) fn give_way(&mut self, id: &str) {
         let now = self.now();
-        let view = self.runner.endpoints.load_full();
+        let view = self.runner.parts.endpoints.load_full();
         let endpoint = view.table.iter().find(|e| e.record().id == id);
         let Some(endpoint) = endpoint else {
             return;
@@ -118,10 +118,10 @@
 
     /// Tells whether all fronts tell their requests in flight.
     pub(super) fn hears_all_fronts(&self, now: Millis) -> bool {
-        let nodes = self.runner.view.nodes();
+        let nodes = self.runner.parts.view.nodes();
         let fronts = nodes.iter().filter(|node| !node.runs_items);
         let names = fronts.map(|node| node.node.as_str());
-        self.runner.online.is_whole(names, now)
+        self.runner.parts.online.is_whole(names, now)
     }
 
     pub(super) fn order_for(
@@ -138,7 +138,7 @@
             ..GateInput::default()
         };
         if self.heard_all {
-            let online = self.runner.online.at(id, "", now);
+            let online = self.runner.parts.online.at(id, "", now);
             input.slots = endpoint.record().slots;
             input.mine_reported = input.mine;
             input.running = online + input.mine;
@@ -192,14 +192,14 @@
 
     fn urgency(&self, job: &Active, number: u32) -> Urgency {
         let rest_ms = self.rest_ms(job, number);
-        let unix = self.runner.clock.unix();
+        let unix = self.runner.parts.clock.unix();
         Urgency::new(job.stored.head.due_at, rest_ms, unix)
     }
 
     /// Tells whether work of `rest_ms` is only just in time. What is late
     /// already is not urgent any more: it must not hold up what is not.
     pub(super) fn would_be_late(&self, head: &JobHead, rest_ms: u64) -> bool {
-        let unix = self.runner.clock.unix();
+        let unix = self.runner.parts.clock.unix();
         let left_ms = head.due_at.saturating_ms_since(unix);
         let needed_ms =
             rest_ms * URGENT_PERCENT / 100 + self.runner.options.commit_ms;
@@ -226,7 +226,7 @@
             return;
         };
         run.task.abort();
-        Tally::add(&self.runner.tally.items_preempted);
+        Tally::add(&self.runner.parts.tally.items_preempted);
         if let Some(job) = self.jobs.get_mut(&run.job) {
             let id = job.id_of(run.item).to_owned();
             let item = &mut job.items[run.item as usize];
@@ -314,17 +314,17 @@
             after = item.progress.last_id().unwrap_or(0),
             config = config.version,
             revision = job.stored.revision,
-            view_age_ms = self.runner.view.age_ms(now);
+            view_age_ms = self.runner.parts.view.age_ms(now);
             "an item starts"
         );
         item.state = Phase::Running(id);
-        let means = self.runner.means.clone();
+        let means = self.runner.parts.means.clone();
         let sender = self.sender.clone();
         let task = tokio::spawn(async move {
             let end = run.run(&means).await;
             let _ = sender.send(Event::Ended(id, end));
         });
-        Tally::add(&self.runner.tally.item_runs);
+        Tally::add(&self.runner.parts.tally.item_runs);
         self.runs.insert(
             id,
             Run {
--- a/crates/jobs/src/runner/even.rs
+++ b/crates/jobs/src/runner/even.rs
@@ -22,7 +22,7 @@
     pub(super) fn even_out(&mut self, plan: &Plan) {
         let now = self.now();
         let due = now >= self.next_evening && self.moving.is_none();
-        let me = self.runner.node.as_str();
+        let me = self.runner.parts.node.as_str();
         let able = plan.members().has(me) && !plan.is_without_share(me);
         if !due || !able {
             return;
@@ -30,8 +30,8 @@
         let pause_ms = self.runner.options.even_out_ms;
         self.next_evening = now.saturating_add_ms(pause_ms);
         let members = plan.members();
-        let backlog = self.runner.view.backlog(members);
-        let mine = backlog.items_of(&self.runner.node);
+        let backlog = self.runner.parts.view.backlog(members);
+        let mine = backlog.items_of(&self.runner.parts.node);
         let taken = self
             .left_lying(plan, mine, now)
             .or_else(|| self.job_of_most_loaded(members, &backlog, mine));
@@ -47,8 +47,9 @@
             "a job is taken from another node"
         );
         self.moving = Some(key.clone());
-        let ledger = self.runner.ledger.clone();
-        let (node, sender) = (self.runner.node.clone(), self.sender.clone());
+        let ledger = self.runner.parts.ledger.clone();
+        let (node, sender) =
+            (self.runner.parts.node.clone(), self.sender.clone());
         tokio::spawn(async move {
             let moved = ledger.reassign(&key, &before, &node).await;
             let _ = sender.send(Event::Moved(key, moved));
@@ -69,9 +70,9 @@
         if mine > LITTLE_TO_DO_ITEMS {
             return None;
         }
-        let me = self.runner.node.as_str();
-        let unix = self.runner.clock.unix();
-        let jobs = self.runner.view.select(|key, stored| {
+        let me = self.runner.parts.node.as_str();
+        let unix = self.runner.parts.clock.unix();
+        let jobs = self.runner.parts.view.select(|key, stored| {
             let head = &stored.head;
             let owner = plan.members().owner(key, head).unwrap_or_default();
             let without = plan.is_without_share(owner);
@@ -81,7 +82,7 @@
         jobs.into_iter().find(|(key, stored)| {
             let owner = plan.members().owner(key, &stored.head);
             let without = owner.is_some_and(|o| plan.is_without_share(o));
-            let still_ms = self.runner.view.unchanged_ms(key, now);
+            let still_ms = self.runner.parts.view.unchanged_ms(key, now);
             without || still_ms > LEFT_LYING_MS
         })
     }
@@ -98,10 +99,11 @@
         mine: u32,
     ) -> Option<(JobKey, Stored)> {
         let (other, theirs) = backlog.most_loaded()?;
-        if other == self.runner.node || theirs < 2 * mine + UNEVEN_ITEMS {
+        if other == self.runner.parts.node || theirs < 2 * mine + UNEVEN_ITEMS
+        {
             return None;
         }
-        let movable = self.runner.view.select(|key, stored| {
+        let movable = self.runner.parts.view.select(|key, stored| {
             let head = &stored.head;
             !head.is_closed()
                 && head.listed.is_empty()
@@ -120,7 +122,7 @@
         match moved {
             Ok(stored) => {
                 let now = self.now();
-                self.runner.view.learn(key, &stored, now);
+                self.runner.parts.view.learn(key, &stored, now);
             }
             Err(report) => {
                 log::info!(job = key.as_str(),
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -79,7 +79,7 @@
         };
         let inputs = inputs.clone();
         let number = run.item;
-        let config = self.runner.config.load_full();
+        let config = self.runner.parts.config.load_full();
         let most = config
             .as_ref()
             .as_ref()
@@ -114,7 +114,7 @@
             let pace = whole_ms * 1_000 / tokens;
             self.ms_per_1k_tokens = (self.ms_per_1k_tokens * 7 + pace) / 8;
             job.finish(number, &inputs, ItemState::Complete);
-            Tally::add(&self.runner.tally.items_completed);
+            Tally::add(&self.runner.parts.tally.items_completed);
         } else if hopeless {
             log::info!(
                 request_id = inputs[number as usize].id.as_str(),
@@ -125,7 +125,7 @@
                 "an item is given up"
             );
             job.finish(number, &inputs, ItemState::GivenUp);
-            Tally::add(&self.runner.tally.items_given_up);
+            Tally::add(&self.runner.parts.tally.items_given_up);
         } else {
             let item = &mut job.items[number as usize];
             item.state = Phase::Waiting;
@@ -175,8 +175,8 @@
                 return;
             }
         };
-        let now = self.runner.clock.now();
-        self.runner.view.learn(key, &stored, now);
+        let now = self.runner.parts.clock.now();
+        self.runner.parts.view.learn(key, &stored, now);
         job.renew(stored);
     }
 }
--- a/crates/jobs/src/runner/save.rs
+++ b/crates/jobs/src/runner/save.rs
@@ -17,13 +17,13 @@
 impl Work {
     /// Starts to read the inputs of jobs that were taken up.
     pub(super) fn load_inputs(&mut self) {
-        let unix = self.runner.clock.unix();
+        let unix = self.runner.parts.clock.unix();
         for (key, job) in &mut self.jobs {
             if !matches!(job.inputs, Inputs::Missing) {
                 continue;
             }
             job.inputs = Inputs::Loading;
-            let ledger = self.runner.ledger.clone();
+            let ledger = self.runner.parts.ledger.clone();
             let (key, head) = (key.clone(), job.stored.head.clone());
             // Of a job younger than the pause between two saves nothing is
             // saved yet, and the read is spared.
@@ -57,7 +57,7 @@
         let save_ms = self.runner.options.save_ms;
         self.next_save = now.saturating_add_ms(save_ms);
         self.saving = true;
-        let ledger = self.runner.ledger.clone();
+        let ledger = self.runner.parts.ledger.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
             let saved = ledger.save_progress(&jobs).await;
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -4,7 +4,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use fleet::{Endpoint, TransferLimits};
-use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
+use http::{Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use jobs::BulkCache;
 use kv::{KeyValue, LeaseId};
@@ -15,6 +15,7 @@
 use crate::{
     feed::{Delta, Feed},
     follow::Pace,
+    peer,
     siblings::{self, BULK_PATH},
 };
 
@@ -127,12 +128,8 @@
             wait_ms, answer_ms, ..
         },
     } = question;
-    let mut request = Request::new(Bytes::new());
     let path = format!("{FEED_PATH}{number}?after={after}&wait_ms={wait_ms}");
-    *request.uri_mut() = path.parse().ok()?;
-    let host = peer.record().address.to_string();
-    let host = HeaderValue::from_str(&host).ok()?;
-    request.headers_mut().insert(header::HOST, host);
+    let request = peer::question(peer, &path)?;
     let most = Duration::from_millis(wait_ms + answer_ms);
     let fetch = pool.fetch(peer, request, MOST_BYTES);
     let body = time::timeout(most, fetch).await.ok()??;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -8,7 +8,6 @@
 
 use base::{Clock, Millis, stable_hash};
 use error_stack::Report;
-use fleet::{Endpoint, EndpointRecord, EndpointState};
 use jobs::{JobView, NodeRecord};
 use kv::{Kv, KvError, Watcher};
 use pass::Pool;
@@ -17,6 +16,7 @@
 use crate::{
     feed::Feed,
     feed_wire::{self, Question},
+    peer,
 };
 
 /// Nodes that read the key-value service for all others. Two, so that the
@@ -168,17 +168,9 @@
 
     /// Asks a reader; tells whether its knowledge is good enough.
     async fn ask(&self, reader: &NodeRecord) -> bool {
-        let Some(address) = reader.address else {
+        let Some(peer) = peer::endpoint_of(reader) else {
             return false;
         };
-        let peer = Endpoint::new(EndpointRecord {
-            id: format!("{}@{address}", reader.node),
-            address,
-            service: String::new(),
-            failure_domain: reader.failure_domain.clone(),
-            slots: 0,
-            state: EndpointState::Ready,
-        });
         let after = self.feed.revision();
         let clock = &*self.clock;
         let question = Question {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,8 +1,11 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Clock;
+use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use jobs::{BulkCache, JobView};
+use fleet::{Endpoint, EndpointRecord, EndpointState};
+use http::{HeaderValue, Request, header};
+use jobs::{BulkCache, JobView, NodeRecord};
 use kv::paths::Paths;
 use pass::{Listener, ListenerOptions, Relay, Stopping};
 use tokio::{sync::watch, time};
@@ -12,6 +15,31 @@
 /// Time between two looks at which nodes can pass calls on.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// Returns a node as an endpoint that questions go to; none if it told no
+/// address. Its connections are kept by name and address, as a node that
+/// starts anew may have another one.
+pub(crate) fn endpoint_of(node: &NodeRecord) -> Option<Endpoint> {
+    let address = node.address?;
+    Some(Endpoint::new(EndpointRecord {
+        id: format!("{}@{address}", node.node),
+        address,
+        service: String::new(),
+        failure_domain: node.failure_domain.clone(),
+        slots: 0,
+        state: EndpointState::Ready,
+    }))
+}
+
+/// Makes a question to another node; none for a path that is no path.
+pub(crate) fn question(to: &Endpoint, path: &str) -> Option<Request<Bytes>> {
+    let host = to.record().address.to_string();
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = path.parse().ok()?;
+    let host = HeaderValue::from_str(&host).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    Some(request)
+}
+
 /// Answers other nodes until the process ends: what this one follows, what
 /// it keeps of jobs, and calls that are passed on to the key-value service.
 ///
--- a/crates/node/src/siblings.rs
+++ b/crates/node/src/siblings.rs
@@ -7,8 +7,7 @@
 
 use base::{Clock, Millis};
 use bytes::Bytes;
-use fleet::{Endpoint, EndpointRecord, EndpointState};
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{Response, StatusCode};
 use indexmap::IndexMap;
 use jobs::{
     BulkCache, BulkFuture, BulkValue, JobHead, JobKey, JobView, NodeRecord,
@@ -17,6 +16,8 @@
 use pass::{AnswerBody, Fetch, Pool};
 use tokio::time;
 
+use crate::peer;
+
 /// Path of the values that a node keeps; the key follows.
 pub(crate) const BULK_PATH: &str = "/bulk/";
 
@@ -104,26 +105,13 @@
 }
 
 async fn ask(pool: &Pool, owner: &NodeRecord, key: &str) -> Asked {
-    let Some(address) = owner.address else {
+    let Some(peer) = peer::endpoint_of(owner) else {
         return Asked::Missing;
     };
-    let peer = Endpoint::new(EndpointRecord {
-        id: format!("{}@{address}", owner.node),
-        address,
-        service: String::new(),
-        failure_domain: owner.failure_domain.clone(),
-        slots: 0,
-        state: EndpointState::Ready,
-    });
-    let mut request = Request::new(Bytes::new());
-    let (Ok(uri), Ok(host)) = (
-        format!("{BULK_PATH}{key}").parse(),
-        HeaderValue::from_str(&address.to_string()),
-    ) else {
+    let path = format!("{BULK_PATH}{key}");
+    let Some(request) = peer::question(&peer, &path) else {
         return Asked::Missing;
     };
-    *request.uri_mut() = uri;
-    request.headers_mut().insert(header::HOST, host);
     match pool.exchange(&peer, request, MOST_BYTES).await {
         Fetch::Answered(head, body) if head.status.is_success() => {
             Asked::Found(Arc::new(body.to_vec()))
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use error_stack::Report;
-use jobs::{OnlineLoad, Runner, RunnerOptions};
+use jobs::{OnlineLoad, Runner, RunnerOptions, RunnerParts};
 use tokio::{
     sync::{mpsc, watch},
     time,
@@ -93,20 +93,21 @@
     online: Arc<OnlineLoad>,
 ) -> Runner {
     let probe = LoadProbe::new(outside.dialect.clone(), base.pool.clone());
-    Runner::new(
-        &settings.node,
-        RunnerOptions {
-            kept_ms: settings.results_kept_ms + KEPT_MARGIN_MS,
-            ..RunnerOptions::default()
-        },
-        base.ledger.clone(),
-        base.view.clone(),
-        outside.beliefs.endpoints.clone(),
-        outside.beliefs.config.clone(),
-        Arc::new(base.forwarder(settings, outside)),
-        Arc::new(probe),
+    let options = RunnerOptions {
+        kept_ms: settings.results_kept_ms + KEPT_MARGIN_MS,
+        ..RunnerOptions::default()
+    };
+    let parts = RunnerParts {
+        node: settings.node.clone(),
+        ledger: base.ledger.clone(),
+        view: base.view.clone(),
+        endpoints: outside.beliefs.endpoints.clone(),
+        config: outside.beliefs.config.clone(),
+        means: Arc::new(base.forwarder(settings, outside)),
+        probe: Arc::new(probe),
         online,
-        outside.beliefs.clock().clone(),
-        outside.tally.clone(),
-    )
+        clock: outside.beliefs.clock().clone(),
+        tally: outside.tally.clone(),
+    };
+    Runner::new(options, parts)
 }
