Save what items have produced again if the write failed

Cause: a failed save counted as done; items that wait for a slot produce nothing more, so that what they had stayed unsaved until they ran again.

Change: after a failed save all jobs count as unsaved.

Measured: tests of jobs and node pass; found on reading, no run showed it.

--- a/crates/jobs/src/runner/save.rs
+++ b/crates/jobs/src/runner/save.rs
@@ -75,6 +75,11 @@
         if let Err(report) = saved {
             log::info!(error:% = report.current_context();
                 "what items have produced is not saved");
+            // Items that wait for a slot produce nothing more; without this
+            // what they have would stay unsaved.
+            for job in self.jobs.values_mut() {
+                job.saved_events = 0;
+            }
         }
     }
 }
