Judge readers feed by feed, and by age alone

Change: the age of a word decides, the merge leaves out what is older; a reader is avoided for the feed in which it failed.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -75,7 +75,9 @@
 pub(crate) struct Readers {
     node: String,
     view: JobView,
-    avoid: Mutex<Vec<(String, Millis)>>,
+    /// Who did not answer well, for which feed, and when. By feed, as a
+    /// reader may be up to date in one and behind in another.
+    avoid: Mutex<Vec<(usize, String, Millis)>>,
 }
 
 impl Readers {
@@ -96,7 +98,12 @@
     /// reader: it is cut off from the service, goes on answering for as long
     /// as its last word counts, and whoever asks it hears of a change that
     /// much later than everybody else. The other reader tells it at once.
-    fn peer(&self, now: Millis, turn: usize) -> Option<NodeRecord> {
+    fn peer(
+        &self,
+        feed: usize,
+        now: Millis,
+        turn: usize,
+    ) -> Option<NodeRecord> {
         let mut nodes = self.view.nodes();
         nodes.sort_by_key(|node| stable_hash(&["reader", &node.node]));
         nodes.truncate(READERS);
@@ -105,19 +112,26 @@
         }
         let mut avoid =
             self.avoid.lock().unwrap_or_else(PoisonError::into_inner);
-        avoid.retain(|(_, at)| now.saturating_ms_since(*at) < READER_AGAIN_MS);
-        nodes.retain(|node| !avoid.iter().any(|(name, _)| *name == node.node));
+        let is_new =
+            |at: Millis| now.saturating_ms_since(at) < READER_AGAIN_MS;
+        avoid.retain(|(_, _, at)| is_new(*at));
+        let is_avoided = |name: &str| {
+            let mut all = avoid.iter();
+            all.any(|(number, known, _)| *number == feed && known == name)
+        };
+        nodes.retain(|node| !is_avoided(&node.node));
         nodes.retain(|node| node.address.is_some());
         nodes.sort_by_key(|node| stable_hash(&[&self.node, &node.node]));
         let at = turn.checked_rem(nodes.len())?;
         Some(nodes.swap_remove(at))
     }
 
-    fn failed(&self, reader: &str, now: Millis) {
+    fn failed(&self, feed: usize, reader: &str, now: Millis) {
         let mut avoid =
             self.avoid.lock().unwrap_or_else(PoisonError::into_inner);
-        log::info!(reader; "a reader of the key-value service is avoided");
-        avoid.push((reader.to_owned(), now));
+        log::info!(reader, feed;
+            "a reader of the key-value service is avoided");
+        avoid.push((feed, reader.to_owned(), now));
     }
 }
 
@@ -141,12 +155,12 @@
         loop {
             let now = self.clock.now();
             turn = turn.wrapping_add(1);
-            if let Some(reader) = self.readers.peer(now, turn) {
+            if let Some(reader) = self.readers.peer(self.number, now, turn) {
                 if self.ask(&reader).await {
                     watcher = None;
                     continue;
                 }
-                self.readers.failed(&reader.node, now);
+                self.readers.failed(self.number, &reader.node, now);
             }
             match self.read(&mut watcher).await {
                 Ok(()) => {
@@ -184,8 +198,9 @@
         };
         let now = self.clock.now();
         let age = delta.fresh_at.map(|at| now.saturating_ms_since(at));
-        let good = age.is_some_and(|age_ms| age_ms <= self.pace.age_most_ms)
-            && delta.revision >= after;
+        // A reader that confirmed its knowledge before the other one did is
+        // at an older revision and as good; the merge leaves out what is old.
+        let good = age.is_some_and(|age_ms| age_ms <= self.pace.age_most_ms);
         if good {
             self.feed.merge(delta);
         }
