--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -1,3 +1,5 @@
+mod values;
+
 use std::sync::Arc;
 
 use base::{UnixMillis, timer::Timer};
@@ -9,12 +11,11 @@
 };
 
 use crate::{
-    BulkCache, BulkValue, JobError, NoSiblings, Siblings,
+    BulkCache, JobError, NoSiblings, Siblings,
     record::{
-        ItemInput, ItemProgress, ItemResult, JobHead, JobKey, JobProgress,
-        decode_head, decode_inputs, decode_progress, decode_results,
-        encode_head, encode_inputs, encode_progress, encode_results, head_key,
-        input_key, output_key, progress_key,
+        ItemInput, ItemResult, JobHead, JobKey, decode_head, encode_head,
+        encode_inputs, encode_results, head_key, input_key, output_key,
+        progress_key,
     },
 };
 
@@ -275,150 +276,6 @@
         }
     }
 
-    /// Reads the inputs of a job.
-    ///
-    /// # Errors
-    ///
-    /// [`JobError::NotDone`] if the service is away, [`JobError::Unknown`]
-    /// if inputs are missing.
-    pub async fn inputs(
-        &self,
-        job: &JobKey,
-        head: &JobHead,
-    ) -> Result<Vec<ItemInput>, Report<JobError>> {
-        let mut items = Vec::with_capacity(head.total as usize);
-        for chunk in 0..head.input_chunks {
-            let key = input_key(job, head, chunk);
-            let value = self.bulk(job, head, &key).await?;
-            items.extend(decode_inputs(&value)?);
-        }
-        match items.len() == head.total as usize {
-            true => Ok(items),
-            false => Err(Report::new(JobError::Unknown)),
-        }
-    }
-
-    /// Reads a chunk of results.
-    ///
-    /// # Errors
-    ///
-    /// As [`inputs`](Self::inputs).
-    pub async fn results(
-        &self,
-        job: &JobKey,
-        head: &JobHead,
-        first_position: u32,
-    ) -> Result<Vec<ItemResult>, Report<JobError>> {
-        let key = output_key(job, head, first_position);
-        let value = self.bulk(job, head, &key).await?;
-        Ok(decode_results(&value)?)
-    }
-
-    /// Reads a value that never changes from the nearest place that has it:
-    /// this node, the one that runs the job, the service.
-    async fn bulk(
-        &self,
-        job: &JobKey,
-        head: &JobHead,
-        key: &str,
-    ) -> Result<BulkValue, Report<JobError>> {
-        if let Some(value) = self.cache.get(key) {
-            return Ok(value);
-        }
-        let value = match self.siblings.read(job, head, key).await {
-            Some(value) => value,
-            None => Arc::new(self.bulk_of_service(key).await?),
-        };
-        self.cache.keep(key, &value);
-        Ok(value)
-    }
-
-    async fn bulk_of_service(
-        &self,
-        key: &str,
-    ) -> Result<Vec<u8>, Report<JobError>> {
-        let reply = self.kv.get(key).await;
-        let reply = reply.change_context(JobError::NotDone)?;
-        let found = reply.kvs.into_iter().next();
-        found
-            .map(|kv| kv.value)
-            .ok_or_else(|| Report::new(JobError::Unknown))
-    }
-
-    /// Keeps values that this node surely wrote.
-    fn keep_all(&self, values: &[(String, BulkValue)], proof: Proof) {
-        if proof != Proof::Answered {
-            return;
-        }
-        for (key, value) in values {
-            self.cache.keep(key, value);
-        }
-    }
-
-    /// Saves what unfinished items have produced, so that they go on after
-    /// their last event if this node is lost.
-    ///
-    /// Without a comparison, as each value is a whole by itself: an older
-    /// one only means that a little more runs again. What does not fit the
-    /// service's values is left out.
-    ///
-    /// # Errors
-    ///
-    /// [`JobError::NotDone`] if the service is away.
-    pub async fn save_progress(
-        &self,
-        jobs: &[JobProgress],
-    ) -> Result<(), Report<JobError>> {
-        let most = self.value_bytes * FILL_PERCENT / 100;
-        let mut rows = Vec::new();
-        let mut bytes = 0;
-        for progress in jobs {
-            let items = fitting(&progress.items, most);
-            let value = encode_progress(items)?;
-            if rows.len() == CHUNKS_MOST || bytes + value.len() > most {
-                self.put_all(std::mem::take(&mut rows)).await?;
-                bytes = 0;
-            }
-            bytes += value.len();
-            let key = progress_key(&progress.job, progress.submitted_at);
-            rows.push(put(key, value));
-        }
-        match rows.is_empty() {
-            true => Ok(()),
-            false => self.put_all(rows).await,
-        }
-    }
-
-    async fn put_all(&self, success: Vec<Op>) -> Result<(), Report<JobError>> {
-        let txn = Txn {
-            success,
-            ..Txn::default()
-        };
-        let written = self.kv.txn(txn).await;
-        written.change_context(JobError::NotDone)?;
-        Ok(())
-    }
-
-    /// Reads what the unfinished items of a job had produced when it was
-    /// last saved.
-    ///
-    /// # Errors
-    ///
-    /// [`JobError::NotDone`] if the service is away.
-    pub async fn progress(
-        &self,
-        job: &JobKey,
-        head: &JobHead,
-    ) -> Result<Vec<ItemProgress>, Report<JobError>> {
-        let key = progress_key(job, head.submitted_at);
-        let reply = self.kv.get(&key).await;
-        let reply = reply.change_context(JobError::NotDone)?;
-        match reply.kvs.first() {
-            Some(kv) => Ok(decode_progress(&kv.value)?),
-            None => Ok(Vec::new()),
-        }
-    }
-
     /// Removes a job with all that belongs to it, its head last: whoever is
     /// interrupted leaves a head by which another one finishes.
     ///
@@ -550,18 +407,6 @@
     ROW_BYTES + item.id.len() + item.path.len() + headers + item.body.len()
 }
 
-/// Returns as many of the first items as a value holds.
-fn fitting(items: &[ItemProgress], most: usize) -> &[ItemProgress] {
-    /// Names, numbers and quotes of the table's row.
-    const ROW_BYTES: usize = 96;
-    let mut bytes = 0;
-    let fits = |item: &&ItemProgress| {
-        bytes += ROW_BYTES + item.output.len();
-        bytes <= most
-    };
-    &items[..items.iter().take_while(fits).count()]
-}
-
 fn put(key: String, value: Vec<u8>) -> Op {
     Op::Put {
         key,
--- a/crates/node/tests/readers.rs
+++ b/crates/node/tests/readers.rs
@@ -39,6 +39,22 @@
     nodes
 }
 
+/// Starts fronts with ways of their own to the key-value service.
+async fn cuttable_fronts(kv: &Memory) -> Vec<(Node, Cuttable)> {
+    let mut nodes = Vec::new();
+    for number in 0..NODES {
+        let way = Cuttable::new(kv);
+        let name = format!("front-{number}");
+        let node = start_by(Arc::new(way.clone()), &name, false).await;
+        nodes.push((node, way));
+    }
+    for (node, _) in &nodes {
+        ready(node).await;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    nodes
+}
+
 async fn add_route(kv: &Memory, prefix: &str) {
     let mut all = routes();
     all.push(Route::new(prefix, "a.example", prefix, "engines"));
@@ -123,17 +139,7 @@
     let kv = Memory::default();
     let engine = Engine::start().await;
     furnish(&kv, &engine).await;
-    let mut nodes = Vec::new();
-    for number in 0..NODES {
-        let way = Cuttable::new(&kv);
-        let name = format!("front-{number}");
-        let node = start_by(Arc::new(way.clone()), &name, false).await;
-        nodes.push((node, way));
-    }
-    for (node, _) in &nodes {
-        ready(node).await;
-    }
-    sleep(Duration::from_millis(1_500)).await;
+    let nodes = cuttable_fronts(&kv).await;
     for cut in 0..NODES {
         add_route(&kv, &format!("/before-{cut}/")).await;
         for (node, _) in &nodes {
@@ -162,17 +168,7 @@
     let kv = Memory::default();
     let engine = Engine::start().await;
     furnish(&kv, &engine).await;
-    let mut nodes = Vec::new();
-    for number in 0..NODES {
-        let way = Cuttable::new(&kv);
-        let name = format!("front-{number}");
-        let node = start_by(Arc::new(way.clone()), &name, false).await;
-        nodes.push((node, way));
-    }
-    for (node, _) in &nodes {
-        ready(node).await;
-    }
-    sleep(Duration::from_millis(1_500)).await;
+    let nodes = cuttable_fronts(&kv).await;
     for one in 0..NODES {
         for two in one + 1..NODES {
             let cut = [one, two];
