Tell lives of an endpoint apart by when it started; refuse foreign entries

Cause: an endpoint may start again under its id, and nothing read when it started: connections, requests in flight, load and suspicion of a process that is gone were taken for those of the new one. Change: EndpointRecord.started_at and LifeKey; the directory starts a new life with fresh counters, ignores entries of a life that is over, and ends the connections and requests in flight of the former one. Connections and load reports are kept by life. Entries with a field of another type, an unknown state or no slots name no endpoint, and are told once for each change.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -1,7 +1,7 @@
 use base::Millis;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::{Endpoint, EndpointRecord, EndpointState, EndpointTable};
+use crate::{Endpoint, EndpointRecord, EndpointState, EndpointTable, LifeKey};
 
 /// How long after the key-value service's return a missing entry may still
 /// come back, in milliseconds. Endpoints renew their entries about every
@@ -23,6 +23,15 @@
 pub enum Change {
     /// An endpoint is new.
     Added(String),
+    /// An endpoint has started again under its id; the life before is over.
+    Restarted {
+        /// Id of the endpoint.
+        id: String,
+        /// The life that is over.
+        former: LifeKey,
+    },
+    /// An entry tells of a life that is over, as a delayed write may.
+    Outdated(String),
     /// An endpoint takes no new work any more.
     Draining(String),
     /// An endpoint is gone.
@@ -45,6 +54,8 @@
     revision: u64,
     failed_at: Option<Millis>,
     listed: bool,
+    /// Ids whose entry tells of a life that is over, each told once.
+    outdated: IndexSet<String>,
 }
 
 impl Directory {
@@ -87,15 +98,13 @@
         let mut old = std::mem::take(&mut self.known);
         for record in listing.records {
             let before = old.swap_remove(&record.id);
-            note_change(before.as_ref(), &record, &mut changes);
             let id = record.id.clone();
-            let endpoint = match before {
-                Some(before) => before.with_record(record),
-                None => Endpoint::new(record),
-            };
+            let endpoint =
+                follow(before, record, &mut self.outdated, &mut changes);
             self.known.insert(id, endpoint);
         }
         for (id, endpoint) in old {
+            self.outdated.swap_remove(&id);
             self.miss(id, endpoint, now, &mut changes);
         }
         changes
@@ -128,23 +137,50 @@
         EndpointTable::new(ready.cloned())
     }
 
+    /// Tells whether a life of an endpoint is not over, whatever its state.
+    pub fn has_life(&self, life: LifeKey) -> bool {
+        self.known.values().any(|endpoint| endpoint.life() == life)
+    }
+
     /// Returns the endpoint of an id, whatever its state.
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
         self.known.get(id)
     }
 }
 
-fn note_change(
-    before: Option<&Endpoint>,
-    record: &EndpointRecord,
+/// Takes the entry of an endpoint that may be known already.
+///
+/// What goes wrong where lives are not told apart: an endpoint crashes
+/// behind a cut and starts again under its id before its entry lapses. Its
+/// connections, counted requests and suspicion would be those of a process
+/// that is gone, seen as requests that hang on silent connections and as a
+/// load that never goes down.
+fn follow(
+    before: Option<Endpoint>,
+    record: EndpointRecord,
+    outdated: &mut IndexSet<String>,
     changes: &mut Vec<Change>,
-) {
-    let draining = record.state == EndpointState::Draining;
-    match before.map(|endpoint| endpoint.record().state) {
-        None => changes.push(Change::Added(record.id.clone())),
-        Some(EndpointState::Ready) if draining => {
-            changes.push(Change::Draining(record.id.clone()));
+) -> Endpoint {
+    let id = record.id.clone();
+    let Some(before) = before else {
+        changes.push(Change::Added(id));
+        return Endpoint::new(record);
+    };
+    if record.is_later_life_than(before.record()) {
+        let former = before.life();
+        changes.push(Change::Restarted { id, former });
+        return Endpoint::new(record);
+    }
+    if before.record().is_later_life_than(&record) {
+        if outdated.insert(id.clone()) {
+            changes.push(Change::Outdated(id));
         }
-        Some(_) => {}
+        return before;
+    }
+    outdated.swap_remove(&id);
+    let drains = record.state == EndpointState::Draining;
+    if drains && before.record().state == EndpointState::Ready {
+        changes.push(Change::Draining(id));
     }
+    before.with_record(record)
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -6,7 +6,7 @@
     },
 };
 
-use base::Millis;
+use base::{Millis, UnixMillis, mix};
 use serde::{Deserialize, Serialize};
 
 use crate::{LoadReport, Suspicion};
@@ -28,8 +28,12 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointRecord {
-    /// Id of this life of the endpoint; never used again.
+    /// Id of the endpoint. It may start again under the same id.
     pub id: String,
+    /// When this life of it started, if it says so. A restarted endpoint
+    /// holds and knows nothing of the life before.
+    #[serde(default)]
+    pub started_at: Option<UnixMillis>,
     /// Where it listens. Another life may get the same address later.
     pub address: SocketAddr,
     /// Service that it belongs to.
@@ -42,6 +46,30 @@
     pub state: EndpointState,
 }
 
+/// Tells one life of an endpoint from all others, also from those under
+/// the same id or address.
+///
+/// A hash of the id and the start: two of a million lives share one with a
+/// chance of one in thirty million, and a request that then reaches the
+/// wrong endpoint names its target and is turned away.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct LifeKey(u64);
+
+impl EndpointRecord {
+    /// Returns the key of this life.
+    pub fn life(&self) -> LifeKey {
+        let id = base::stable_hash(&[&self.id]);
+        let started = self.started_at.map_or(0, UnixMillis::as_ms);
+        LifeKey(mix(id ^ mix(started)))
+    }
+
+    /// Tells whether this entry is of a life that began after the one that
+    /// another entry tells of.
+    pub fn is_later_life_than(&self, other: &EndpointRecord) -> bool {
+        self.started_at > other.started_at
+    }
+}
+
 /// One endpoint with what this process knows of its load.
 ///
 /// The record is replaced with the table that holds it, the counters live
@@ -51,6 +79,7 @@
     record: Arc<EndpointRecord>,
     load: Arc<Counters>,
     spread: u64,
+    life: LifeKey,
 }
 
 #[derive(Debug, Default)]
@@ -71,21 +100,30 @@
     pub fn new(record: EndpointRecord) -> Self {
         Self {
             spread: base::stable_hash(&[&record.id]),
+            life: record.life(),
             record: Arc::new(record),
             load: Arc::default(),
         }
     }
 
-    /// Replaces the record and keeps the load.
+    /// Replaces the record by another one of the same life and keeps the
+    /// load.
     #[must_use]
     pub fn with_record(&self, record: EndpointRecord) -> Self {
         Self {
             record: Arc::new(record),
             load: self.load.clone(),
             spread: self.spread,
+            life: self.life,
         }
     }
 
+    /// Returns the key of its life.
+    #[inline]
+    pub fn life(&self) -> LifeKey {
+        self.life
+    }
+
     /// Returns what the key-value service says of it.
     #[inline]
     pub fn record(&self) -> &EndpointRecord {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use crate::{
     directory::{Change, Directory, LISTING_GRACE_MS, Listing},
-    endpoint::{Endpoint, EndpointRecord, EndpointState},
+    endpoint::{Endpoint, EndpointRecord, EndpointState, LifeKey},
     load::{Choice, EndpointTable, LoadReport, Need, Verdict},
     route::{
         BatchTerms, Config, Destination, Route, RouteKind, RouteTable,
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,14 +1,15 @@
 //! What a directory believes after each listing.
 
-use base::Millis;
+use base::{Millis, UnixMillis};
 use pomeloslip_fleet::{
     Change, Directory, EndpointRecord, EndpointState, LISTING_GRACE_MS,
-    Listing,
+    Listing, Suspicion,
 };
 
 fn record(id: &str, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
+        started_at: None,
         address: ([127, 0, 0, 1], 80).into(),
         service: "engines".to_owned(),
         failure_domain: "east".to_owned(),
@@ -104,3 +105,82 @@
     directory.take(listing(2, &["a"]), Millis::new(1));
     assert_eq!(directory.get("a").expect("listed").in_flight(), 1);
 }
+
+fn life(id: &str, started_ms: Option<u64>) -> EndpointRecord {
+    EndpointRecord {
+        started_at: started_ms.map(UnixMillis::new),
+        ..record(id, EndpointState::Ready)
+    }
+}
+
+fn listing_of(revision: u64, records: &[EndpointRecord]) -> Listing {
+    Listing {
+        revision,
+        records: records.to_vec(),
+    }
+}
+
+/// Symptom: an endpoint that is idle gets no work. Events: it crashes behind
+/// a cut with requests in flight, starts again under its id, and its entry
+/// never lapses. Cause: its load and failures counted as those of the life
+/// before.
+#[test]
+fn a_restarted_endpoint_has_nothing_of_the_life_before() {
+    let now = Millis::new(1_000);
+    let mut directory = Directory::default();
+    directory.take(listing_of(1, &[life("a", Some(10))]), now);
+    let before = directory.get("a").expect("known").clone();
+    before.begin();
+    before.failed(Suspicion::Unreachable, now);
+    let changes = directory.take(listing_of(2, &[life("a", Some(20))]), now);
+    let former = before.life();
+    let id = "a".to_owned();
+    assert_eq!(changes, [Change::Restarted { id, former }]);
+    let after = directory.get("a").expect("known");
+    assert_ne!(after.life(), former);
+    assert_eq!(after.in_flight(), 0);
+    assert!(!after.is_suspect(now));
+    assert!(!directory.has_life(former) && directory.has_life(after.life()));
+}
+
+/// Symptom: the same as above, where the first life told no start, as the
+/// entries of most endpoints do.
+#[test]
+fn a_start_that_is_told_for_the_first_time_is_a_restart() {
+    let mut directory = Directory::default();
+    let now = Millis::new(0);
+    directory.take(listing_of(1, &[life("a", None)]), now);
+    let changes = directory.take(listing_of(2, &[life("a", Some(7))]), now);
+    assert!(matches!(changes[..], [Change::Restarted { .. }]));
+}
+
+/// Symptom: a running endpoint is taken for one that is gone. Events: it
+/// restarts, and a write of its former life that was under way arrives
+/// after its new entry. Cause: the newest write taken for the newest life.
+#[test]
+fn an_entry_of_a_life_that_is_over_changes_nothing() {
+    let mut directory = Directory::default();
+    let now = Millis::new(0);
+    let old = EndpointRecord {
+        state: EndpointState::Draining,
+        ..life("a", Some(10))
+    };
+    directory.take(listing_of(1, &[life("a", Some(20))]), now);
+    let known = directory.get("a").expect("known").life();
+    let changes =
+        directory.take(listing_of(2, std::slice::from_ref(&old)), now);
+    assert_eq!(changes, [Change::Outdated("a".to_owned())]);
+    assert_eq!(usable(&directory), 1);
+    assert!(directory.has_life(known));
+    let again = directory.take(listing_of(3, &[old]), now);
+    assert_eq!(again, [], "told once");
+}
+
+#[test]
+fn two_endpoints_at_one_address_are_two_lives() {
+    let mut directory = Directory::default();
+    let two = [life("a", None), life("b", None)];
+    directory.take(listing_of(1, &two), Millis::new(0));
+    assert_eq!(usable(&directory), 2);
+    assert_ne!(two[0].life(), two[1].life());
+}
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -11,6 +11,7 @@
 fn endpoint(id: &str, domain: &str) -> Endpoint {
     Endpoint::new(EndpointRecord {
         id: id.to_owned(),
+        started_at: None,
         address: ([127, 0, 0, 1], 80).into(),
         service: "engines".to_owned(),
         failure_domain: domain.to_owned(),
--- a/crates/jobs/src/plan.rs
+++ b/crates/jobs/src/plan.rs
@@ -167,6 +167,7 @@
     /// let endpoints = ["1", "2", "3", "4"].map(|id| {
     ///     Endpoint::new(EndpointRecord {
     ///         id: id.to_owned(),
+    ///         started_at: None,
     ///         address: ([127, 0, 0, 1], 80).into(),
     ///         service: "engines".to_owned(),
     ///         failure_domain: "east".to_owned(),
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -12,7 +12,7 @@
 
 use base::{Clock, Millis, Snapshot};
 use error_stack::Report;
-use fleet::{Config, EndpointRecord, LoadReport, Route, RouteKind};
+use fleet::{Config, EndpointRecord, LifeKey, LoadReport, Route, RouteKind};
 use indexmap::IndexMap;
 use pass::{DirectoryView, Tally};
 use tokio::{
@@ -173,7 +173,7 @@
     Saved(Result<(), Report<JobError>>),
     Ended(RunId, RunEnd),
     Listed(JobKey, Result<Result<Stored, Stored>, Report<JobError>>),
-    Probed(String, Option<LoadReport>),
+    Probed(LifeKey, Option<LoadReport>),
     Moved(JobKey, Result<Stored, Report<JobError>>),
 }
 
@@ -201,7 +201,7 @@
     sender: mpsc::UnboundedSender<Event>,
     jobs: IndexMap<JobKey, Active>,
     runs: IndexMap<RunId, Run>,
-    probes: IndexMap<String, Probing>,
+    probes: IndexMap<LifeKey, Probing>,
     planner: Planner,
     /// Whether all fronts tell what they have in flight.
     heard_all: bool,
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -34,7 +34,7 @@
     pub(super) fn ask_loads(&mut self, plan: &Plan) {
         let view = self.runner.parts.endpoints.load_full();
         self.probes
-            .retain(|id, _| view.table.iter().any(|e| e.record().id == *id));
+            .retain(|life, _| view.table.iter().any(|e| e.life() == *life));
         if self.jobs.is_empty() && self.runs.is_empty() {
             return;
         }
@@ -46,8 +46,7 @@
                 if !plan.uses_endpoint(&record.id) {
                     continue;
                 }
-                let probing =
-                    self.probes.entry(record.id.clone()).or_default();
+                let probing = self.probes.entry(endpoint.life()).or_default();
                 let recent = probing
                     .asked_at
                     .is_some_and(|at| now.saturating_ms_since(at) < probe_ms);
@@ -58,10 +57,10 @@
                 probing.asked_at = Some(now);
                 let answer = self.runner.parts.probe.probe(record);
                 let sender = self.sender.clone();
-                let id = record.id.clone();
+                let life = endpoint.life();
                 tokio::spawn(async move {
                     let report = answer.await;
-                    let _ = sender.send(Event::Probed(id, report));
+                    let _ = sender.send(Event::Probed(life, report));
                 });
             }
         }
@@ -143,7 +142,7 @@
             input.mine_reported = input.mine;
             input.running = online + input.mine;
         } else {
-            let (report, at) = self.probes.get(id)?.report?;
+            let (report, at) = self.probes.get(&endpoint.life())?.report?;
             let age_ms = now.saturating_ms_since(at);
             if age_ms > self.runner.options.report_age_ms {
                 return None;
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -25,9 +25,9 @@
             Event::Ended(id, end) => self.take_end(id, end),
             Event::Listed(key, listed) => self.take_listed(&key, listed),
             Event::Moved(key, moved) => self.take_moved(&key, moved),
-            Event::Probed(id, report) => {
+            Event::Probed(life, report) => {
                 let now = self.now();
-                if let Some(probing) = self.probes.get_mut(&id) {
+                if let Some(probing) = self.probes.get_mut(&life) {
                     probing.in_flight = false;
                     if let Some(report) = report {
                         probing.report = Some((report, now));
--- a/crates/jobs/tests/plan.rs
+++ b/crates/jobs/tests/plan.rs
@@ -20,6 +20,7 @@
         for number in 0..*count {
             all.push(Endpoint::new(EndpointRecord {
                 id: format!("{domain}-{number}"),
+                started_at: None,
                 address: ([127, 0, 0, 1], 80).into(),
                 service: "engines".to_owned(),
                 failure_domain: (*domain).to_owned(),
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -22,6 +22,7 @@
     let address = node.address?;
     Some(Endpoint::new(EndpointRecord {
         id: format!("{}@{address}", node.node),
+        started_at: None,
         address,
         service: String::new(),
         failure_domain: node.failure_domain.clone(),
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fleet::{Change, Directory, Listing};
+use indexmap::IndexMap;
 use jobs::{JobView, WATCHED_PREFIX};
 use kv::{Event, KeyValue, Kv};
 use pass::{DirectoryView, Pool};
@@ -112,6 +113,7 @@
     pool: Arc<Pool>,
 ) {
     let mut directory = Directory::default();
+    let mut entries = EntryDecoder::default();
     let mut changes = subscribe(&feed);
     while changes.changed().await.is_ok() {
         let delta = feed.all();
@@ -121,33 +123,58 @@
         if delta.fresh_at.is_none() {
             continue;
         }
-        let listing = decode_listing(&delta, &*dialect);
+        let listing = entries.decode(&delta, &*dialect);
         let changes = directory.take(listing, beliefs.clock().now());
         log_changes(&changes, directory.revision());
         beliefs.endpoints.publish(DirectoryView {
             table: directory.table(),
             revision: directory.revision(),
         });
+        for change in &changes {
+            if let Change::Restarted { former, .. } = change {
+                pool.end(*former);
+            }
+        }
         if !changes.is_empty() {
-            pool.retain(|id| directory.get(id).is_some());
+            pool.retain(|life| directory.has_life(life));
         }
     }
 }
 
-fn decode_listing(delta: &Delta, dialect: &dyn Dialect) -> Listing {
-    let mut records = Vec::with_capacity(delta.items.len());
-    for kv in &delta.items {
-        match dialect.endpoint(kv) {
-            Ok(record) => records.push(record),
-            Err(error) => {
-                log::warn!(key = kv.key.as_str(), error:%;
-                    "an endpoint's entry cannot be read");
+/// Decodes the entries that name an endpoint to use.
+///
+/// An entry may come from another writer. It names no endpoint then, and is
+/// told once for each change of it: a line with each listing would be one
+/// and a half a second for as long as it stays.
+#[derive(Default)]
+struct EntryDecoder {
+    /// Revisions of the entries that were told as unreadable, by key.
+    unreadable: IndexMap<String, u64>,
+}
+
+impl EntryDecoder {
+    fn decode(&mut self, delta: &Delta, dialect: &dyn Dialect) -> Listing {
+        let mut records = Vec::with_capacity(delta.items.len());
+        let before = std::mem::take(&mut self.unreadable);
+        for kv in &delta.items {
+            let error = match dialect.endpoint(kv) {
+                Ok(record) => {
+                    records.push(record);
+                    continue;
+                }
+                Err(error) => error,
+            };
+            let revision = kv.mod_revision;
+            if before.get(&kv.key) != Some(&revision) {
+                log::warn!(key = kv.key.as_str(), revision, error:%;
+                    "an endpoint's entry cannot be read and is not used");
             }
+            self.unreadable.insert(kv.key.clone(), revision);
+        }
+        Listing {
+            revision: delta.revision,
+            records,
         }
-    }
-    Listing {
-        revision: delta.revision,
-        records,
     }
 }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -190,6 +190,7 @@
     pub(crate) fn record(&self, id: &str) -> EndpointRecord {
         EndpointRecord {
             id: id.to_owned(),
+            started_at: None,
             address: self.address,
             service: "engines".to_owned(),
             failure_domain: "east".to_owned(),
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -4,10 +4,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use base::UnixMillis;
 use common::{
     Cuttable, Engine, LEASE_LEAST_MS, Node, call, call_until, furnish, put,
     ready, start, start_by,
 };
+use fleet::EndpointRecord;
 use jobs::{
     ItemProgress, RunnerOptions, decode_head, decode_progress,
     encode_progress, head_key, progress_key,
@@ -388,3 +390,49 @@
     assert_eq!(sent.await.0, 202);
     results(&fleet, "job-1", 1).await;
 }
+
+/// Symptom: nobody is served, as no endpoint is known. Events: somebody
+/// else writes among the endpoints' entries. Cause: one entry that cannot
+/// be read made the whole listing unreadable.
+#[tokio::test]
+async fn entries_of_another_writer_do_not_harm_the_others() {
+    let fleet = fleet().await;
+    for (key, value) in [
+        ("endpoints/x1", &b"no json"[..]),
+        ("endpoints/x2", b"[]"),
+        ("endpoints/x3", b"{\"id\":7}"),
+        ("endpoints/x4", &[0xff, 0x00, 0xfe]),
+        ("endpoints/x5", b""),
+    ] {
+        put(&fleet.kv, key, value.to_vec()).await;
+    }
+    sleep(Duration::from_millis(400)).await;
+    for number in 0..8 {
+        let id = format!("r{number}");
+        let (status, body) =
+            call(fleet.front.front, "POST", "/chat/1", &id, "2").await;
+        assert_eq!((status, body.matches("data: ").count()), (200, 2));
+    }
+}
+
+/// Symptom: requests go to an endpoint's former address for as long as its
+/// entry is there. Events: it starts again under its id at another address.
+/// Cause: an entry of a known id changed nothing but state and slots.
+#[tokio::test]
+async fn an_endpoint_that_started_again_is_used_at_its_new_address() {
+    let fleet = fleet().await;
+    let reborn = Engine::start().await;
+    let record = EndpointRecord {
+        started_at: Some(UnixMillis::new(1_764_000_000_000)),
+        ..reborn.record("e1")
+    };
+    let record = serde_json::to_vec(&record).expect("json");
+    put(&fleet.kv, "endpoints/e1", record).await;
+    sleep(Duration::from_millis(400)).await;
+    let before = fleet.engine.runs.lock().expect("lock").len();
+    let (status, _) =
+        call(fleet.front.front, "POST", "/chat/1", "r1", "2").await;
+    assert_eq!(status, 200);
+    assert_eq!(reborn.runs.lock().expect("lock").len(), 1);
+    assert_eq!(fleet.engine.runs.lock().expect("lock").len(), before);
+}
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -107,17 +107,16 @@
         offer: &Offer<'_>,
     ) -> Result<(Channel, http::Response<hyper::body::Incoming>), Failure>
     {
-        let record = offer.endpoint.record();
         // A kept connection may close just as it is used. The request was
         // not written then, and a new connection is tried at once.
-        if let Some(channel) = self.pool.take(&record.id) {
+        if let Some(channel) = self.pool.take(offer.endpoint) {
             match self.send_on(channel, offer).await {
                 Err(Failure::NotSent) => {}
                 result => return result,
             }
         }
         Tally::add(&self.tally.connections_opened);
-        let channel = self.pool.open(record.address).await;
+        let channel = self.pool.open(offer.endpoint).await;
         let channel = channel.map_err(|_| Failure::Connect)?;
         self.send_on(channel, offer).await
     }
@@ -193,7 +192,7 @@
         offer.endpoint.failed(failure.suspicion(), now);
         let record = offer.endpoint.record();
         if matches!(failure, Failure::Connect | Failure::Silent) {
-            self.pool.forget(&record.id);
+            self.pool.forget(offer.endpoint);
         }
         log::info!(
             request_id = offer.request.id(),
--- a/crates/pass/src/channel.rs
+++ b/crates/pass/src/channel.rs
@@ -144,6 +144,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns what closes the connection from elsewhere.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.task.clone()
+    }
+
     /// Closes the connection now, also in the middle of an answer, so that
     /// the endpoint stops its work.
     pub(crate) fn abort(&self) {
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -119,8 +119,7 @@
             return;
         };
         if self.whole && self.reusable {
-            let id = &self.endpoint.record().id;
-            self.pool.give_back(id, channel);
+            self.pool.give_back(&self.endpoint, channel);
         } else {
             channel.abort();
         }
--- a/crates/pass/src/pool.rs
+++ b/crates/pass/src/pool.rs
@@ -1,14 +1,14 @@
 use std::{
     io,
-    net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use bytes::Bytes;
-use fleet::Endpoint;
+use fleet::{Endpoint, LifeKey};
 use http::{Request, response::Parts};
 use http_body_util::Full;
 use indexmap::IndexMap;
+use tokio::task::AbortHandle;
 
 use crate::{
     ChannelOptions,
@@ -31,14 +31,23 @@
     Broken,
 }
 
-/// Idle connections to endpoints.
+/// Connections to endpoints.
 ///
-/// They are kept by the id of the endpoint's life, not by its address: an
-/// address is used again by endpoints of other services.
+/// They are kept by the life of the endpoint, not by its address or id: an
+/// address is used again by endpoints of other services, and an endpoint
+/// may start again under its id.
 #[derive(Debug, Default)]
 pub struct Pool {
     options: ChannelOptions,
-    idle: Mutex<IndexMap<String, Vec<Channel>>>,
+    lives: Mutex<IndexMap<LifeKey, Connections>>,
+}
+
+/// The connections to one life of an endpoint.
+#[derive(Debug, Default)]
+struct Connections {
+    idle: Vec<Channel>,
+    /// Ends any that is open, also in the middle of an answer.
+    open: Vec<AbortHandle>,
 }
 
 impl Pool {
@@ -46,7 +55,7 @@
     pub fn new(options: ChannelOptions) -> Self {
         Self {
             options,
-            idle: Mutex::default(),
+            lives: Mutex::default(),
         }
     }
 
@@ -57,39 +66,59 @@
     }
 
     /// Returns an idle connection, the one that was used last.
-    pub(crate) fn take(&self, endpoint: &str) -> Option<Channel> {
-        let mut idle = self.lock();
-        let channels = idle.get_mut(endpoint)?;
-        channels.retain(|channel| !channel.is_spent());
-        let at = channels.iter().rposition(Channel::is_ready)?;
-        Some(channels.remove(at))
+    pub(crate) fn take(&self, endpoint: &Endpoint) -> Option<Channel> {
+        let mut lives = self.lock();
+        let idle = &mut lives.get_mut(&endpoint.life())?.idle;
+        idle.retain(|channel| !channel.is_spent());
+        let at = idle.iter().rposition(Channel::is_ready)?;
+        Some(idle.remove(at))
     }
 
     /// Opens a connection.
     pub(crate) async fn open(
         &self,
-        address: SocketAddr,
+        endpoint: &Endpoint,
     ) -> io::Result<Channel> {
-        Channel::open(address, &self.options).await
+        let address = endpoint.record().address;
+        let channel = Channel::open(address, &self.options).await?;
+        let mut lives = self.lock();
+        let open = &mut lives.entry(endpoint.life()).or_default().open;
+        open.retain(|connection| !connection.is_finished());
+        open.push(channel.abort_handle());
+        Ok(channel)
     }
 
     /// Keeps a connection whose answer is whole.
-    pub(crate) fn give_back(&self, endpoint: &str, mut channel: Channel) {
+    pub(crate) fn give_back(&self, endpoint: &Endpoint, mut channel: Channel) {
         channel.rest();
-        let mut idle = self.lock();
-        let channels = match idle.get_mut(endpoint) {
-            Some(channels) => channels,
-            None => idle.entry(endpoint.to_owned()).or_default(),
-        };
-        if channels.len() < IDLE_MOST {
-            channels.push(channel);
+        let mut lives = self.lock();
+        let idle = &mut lives.entry(endpoint.life()).or_default().idle;
+        if idle.len() < IDLE_MOST {
+            idle.push(channel);
         }
     }
 
     /// Drops the idle connections to an endpoint, because one of them fell
     /// silent and its kin may have too.
-    pub fn forget(&self, endpoint: &str) {
-        self.lock().swap_remove(endpoint);
+    pub fn forget(&self, endpoint: &Endpoint) {
+        if let Some(known) = self.lock().get_mut(&endpoint.life()) {
+            known.idle.clear();
+        }
+    }
+
+    /// Ends all connections to a life that is over, also those with a
+    /// request in flight.
+    ///
+    /// An endpoint that crashed behind a cut resets nothing: without this a
+    /// request waits for an answer of a process that is gone until its time
+    /// is up, while the endpoint that started in its place is idle.
+    pub fn end(&self, life: LifeKey) {
+        let Some(known) = self.lock().swap_remove(&life) else {
+            return;
+        };
+        for connection in known.open {
+            connection.abort();
+        }
     }
 
     /// Asks an endpoint a question of the node's own and returns the body
@@ -115,11 +144,10 @@
         request: Request<Bytes>,
         most_bytes: usize,
     ) -> Fetch {
-        let record = endpoint.record();
-        let kept = self.take(&record.id);
+        let kept = self.take(endpoint);
         let channel = match kept {
             Some(channel) => Ok(channel),
-            None => self.open(record.address).await,
+            None => self.open(endpoint).await,
         };
         let Ok(mut channel) = channel else {
             return Fetch::NotSent;
@@ -141,19 +169,19 @@
             return Fetch::Broken;
         };
         if !says_close(&head.headers) {
-            self.give_back(&record.id, channel);
+            self.give_back(endpoint, channel);
         }
         Fetch::Answered(head, body)
     }
 
-    /// Keeps only the endpoints of which `keep` is true.
-    pub fn retain(&self, mut keep: impl FnMut(&str) -> bool) {
-        self.lock().retain(|endpoint, _| keep(endpoint));
+    /// Drops the idle connections to lives of which `keep` is false. Their
+    /// requests in flight go on: an endpoint that has left the list ends
+    /// what it runs.
+    pub fn retain(&self, mut keep: impl FnMut(LifeKey) -> bool) {
+        self.lock().retain(|life, _| keep(*life));
     }
 
-    fn lock(
-        &self,
-    ) -> std::sync::MutexGuard<'_, IndexMap<String, Vec<Channel>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, IndexMap<LifeKey, Connections>> {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/pass/src/relay.rs
+++ b/crates/pass/src/relay.rs
@@ -34,6 +34,7 @@
         Self {
             target: Endpoint::new(EndpointRecord {
                 id: "relay".to_owned(),
+                started_at: None,
                 address: target,
                 service: String::new(),
                 failure_domain: String::new(),
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -159,6 +159,8 @@
     pub tally: Arc<Tally>,
     #[allow(dead_code)]
     pub endpoints: Vec<Endpoint>,
+    #[allow(dead_code)]
+    pub pool: Arc<Pool>,
 }
 
 /// Makes a forwarder to some endpoints; the first is preferred.
@@ -169,6 +171,7 @@
         .map(|(at, address)| {
             Endpoint::new(EndpointRecord {
                 id: format!("e{at}"),
+                started_at: None,
                 address: *address,
                 service: "app".to_owned(),
                 failure_domain: match at {
@@ -185,12 +188,13 @@
         revision: 1,
     };
     let tally = Arc::new(Tally::default());
+    let pool = Arc::new(Pool::default());
     let forwarder = Forwarder::new(
         names(),
         ForwarderOptions::default(),
         "near",
         Arc::new(Snapshot::new(view)),
-        Arc::new(Pool::default()),
+        pool.clone(),
         Arc::new(SystemClock::new()),
         tally.clone(),
     );
@@ -198,6 +202,7 @@
         forwarder: Arc::new(forwarder),
         tally,
         endpoints,
+        pool,
     }
 }
 
--- a/crates/pass/tests/forward.rs
+++ b/crates/pass/tests/forward.rs
@@ -270,3 +270,47 @@
     let response = bench.forwarder.forward(request, 1).await;
     assert_eq!(read(response).await, (200, Ok("ok".to_owned())));
 }
+
+/// Symptom: requests hang until their time is up although their endpoint
+/// has long started again. Events: an endpoint crashes behind a cut, so that
+/// nothing resets its connections, and starts again. Cause: requests in
+/// flight waited on connections to a process that is gone.
+#[parameterized(
+    idempotent = { RouteKind::Idempotent, 200 },
+    at_most_once = { RouteKind::AtMostOnce, 502 },
+)]
+#[test_macro(tokio::test)]
+async fn requests_in_flight_end_with_the_life_of_their_endpoint(
+    kind: RouteKind,
+    status: u16,
+) {
+    let gone = Scripted::start(vec![Act::Silent]).await;
+    let other = Scripted::start(vec![Act::Answer(good("ok"))]).await;
+    let bench = bench(&[gone.address, other.address]);
+    let forwarder = bench.forwarder.clone();
+    let pending = tokio::spawn(async move {
+        forwarder.forward(request("r1", route(kind)), 1).await
+    });
+    until(|| gone.seen().len() == 1).await;
+    bench.pool.end(bench.endpoints[0].life());
+    let response = pending.await.expect("an answer");
+    assert_eq!(response.status().as_u16(), status);
+}
+
+/// Symptom: a stream stands still although another endpoint could go on
+/// with it. Events: as above, in the middle of the stream.
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_when_the_life_of_its_endpoint_ends() {
+    let part = stream_head() + &chunk("id: 1\ndata: a\n\n");
+    let rest = chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+    let gone = Scripted::start(vec![Act::Answer(part)]).await;
+    let other =
+        Scripted::start(vec![Act::Answer(stream_head() + &rest)]).await;
+    let bench = bench(&[gone.address, other.address]);
+    let request = request("r1", route(RouteKind::ResumableStream));
+    let response = bench.forwarder.forward(request, 1).await;
+    bench.pool.end(bench.endpoints[0].life());
+    let whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n".to_owned();
+    assert_eq!(read(response).await, (200, Ok(whole)));
+    assert_eq!(header(&other.seen()[0], "x-resume").as_deref(), Some("1"));
+}
