Accept jobs on the disks of two workers while the service does not answer

Cause: jobs could be kept nowhere but in the key-value service. Change: store::Spool (records of one file, whole or absent after a power failure), node::JobSpool and JobIntake. A front that has no answer within a quarter of the time to accept has two workers of different domains keep the job; each enters it once the service answers, by the same compare-and-swap. A job that may lie on one disk is neither accepted nor refused (502). A node is not told empty while jobs wait on its disk.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -20,7 +20,7 @@
 };
 
 /// A job as it arrives.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct NewJob {
     /// The caller's id.
     pub key: JobKey,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -39,9 +39,10 @@
     record::{
         HEAD_PREFIX, ItemInput, ItemProgress, ItemResult, ItemState, JobHead,
         JobKey, JobProgress, NODE_PREFIX, Strikes, WATCHED_PREFIX,
-        decode_head, decode_inputs, decode_progress, decode_results,
-        encode_head, encode_inputs, encode_progress, encode_results, head_key,
-        input_key, merge_strikes, output_key, progress_key,
+        decode_head, decode_inputs, decode_new_job, decode_progress,
+        decode_results, encode_head, encode_inputs, encode_new_job,
+        encode_progress, encode_results, head_key, input_key, merge_strikes,
+        output_key, progress_key,
     },
     run::{ItemRun, Progress, RunEnd, RunMeans},
     runner::{Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, Stop},
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,10 +1,11 @@
 use std::{fmt, str::FromStr};
 
 use base::UnixMillis;
+use fleet::BatchTerms;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::JobError;
+use crate::{JobError, NewJob};
 
 /// Names a job; the caller chose it, and a job that is sent again has the
 /// same.
@@ -343,6 +344,55 @@
     Ok(items)
 }
 
+/// What stands of a new job beside its inputs.
+#[derive(Serialize, Deserialize)]
+struct NewJobEntry {
+    key: JobKey,
+    host: String,
+    path: String,
+    submitted_at: UnixMillis,
+    terms: BatchTerms,
+    owner: String,
+}
+
+/// Encodes a job that is not in the ledger yet, for a node that keeps it
+/// until then.
+///
+/// # Errors
+///
+/// As [`encode_inputs`].
+pub fn encode_new_job(job: &NewJob) -> Result<Vec<u8>, JobError> {
+    let entry = NewJobEntry {
+        key: job.key.clone(),
+        host: job.host.clone(),
+        path: job.path.clone(),
+        submitted_at: job.submitted_at,
+        terms: job.terms,
+        owner: job.owner.clone(),
+    };
+    let inputs = encode_inputs(&job.items)?;
+    join(&[entry], std::iter::once(inputs.as_slice()))
+}
+
+/// Decodes what [`encode_new_job`] made.
+///
+/// # Errors
+///
+/// As [`decode_inputs`].
+pub fn decode_new_job(bytes: &[u8]) -> Result<NewJob, JobError> {
+    let (entries, inputs) = split::<NewJobEntry>(bytes)?;
+    let entry = entries.into_iter().next().ok_or(JobError::Encoding)?;
+    Ok(NewJob {
+        key: entry.key.as_str().parse()?,
+        host: entry.host,
+        path: entry.path,
+        submitted_at: entry.submitted_at,
+        terms: entry.terms,
+        owner: entry.owner,
+        items: decode_inputs(inputs)?,
+    })
+}
+
 /// Encodes results like [`encode_inputs`].
 ///
 /// # Errors
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -14,8 +14,9 @@
 };
 
 use crate::{
-    Admin, Beliefs, Dialect, NodeError, NodeSettings, VacateOrder, load_share,
-    membership, peer, siblings::PeerBulk, watch::Watches,
+    Admin, Beliefs, Dialect, NodeError, NodeSettings, VacateOrder,
+    job_spool::JobSpool, load_share, membership, peer, siblings::PeerBulk,
+    watch::Watches,
 };
 
 /// What a role is given of the world outside.
@@ -45,6 +46,8 @@
     pub(crate) socket: Arc<UdpSocket>,
     /// Turned true when the node leaves; its entry ends then.
     pub(crate) leave: watch::Sender<bool>,
+    /// Jobs that wait on the disk of this node, if it has one.
+    pub(crate) spooled: Option<watch::Receiver<usize>>,
     stopping: Arc<AtomicBool>,
 }
 
@@ -68,7 +71,6 @@
         };
         let feeds = watches.start(settings);
         let cache: Arc<BulkCache> = Arc::default();
-        peer::serve(settings, feeds, cache.clone(), clock.clone())?;
         let siblings =
             PeerBulk::new(&settings.node, view.clone(), clock.clone());
         let ledger = Ledger::new(
@@ -76,7 +78,15 @@
             outside.timer.clone(),
             settings.value_bytes,
         );
-        let ledger = ledger.with_siblings(cache, Arc::new(siblings));
+        let ledger = ledger.with_siblings(cache.clone(), Arc::new(siblings));
+        let spool = JobSpool::open(
+            settings,
+            ledger.clone(),
+            view.clone(),
+            clock.clone(),
+        );
+        let spooled = spool.as_ref().map(|spool| spool.count());
+        peer::serve(settings, feeds, cache, spool, clock.clone())?;
         let socket = load_share::bind(settings.peer)
             .await
             .change_context(NodeError::Listen)?;
@@ -105,6 +115,7 @@
             ledger,
             socket,
             leave,
+            spooled,
             stopping: Arc::default(),
         };
         base.start_admin(settings, outside)?;
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -8,13 +8,14 @@
 use hyper::body::Incoming;
 use jobs::BulkCache;
 use kv::{KeyValue, LeaseId};
-use pass::{AnswerBody, Handler, HandlerFuture, Pool, Relay};
+use pass::{AnswerBody, Handler, HandlerFuture, Pool, Relay, read_body};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
 use crate::{
     feed::{Delta, Feed},
     follow::Pace,
+    job_spool::{JobSpool, SPOOL_PATH},
     peer,
     siblings::{self, BULK_PATH},
 };
@@ -150,12 +151,17 @@
     pub(crate) relay: Relay,
     pub(crate) feeds: Arc<Vec<Arc<Feed>>>,
     pub(crate) cache: Arc<BulkCache>,
+    /// Where this node keeps jobs for fronts, if it has a disk.
+    pub(crate) spool: Option<Arc<JobSpool>>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
 impl Handler for PeerHandler {
     fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
         let uri = request.uri();
+        if uri.path().starts_with(SPOOL_PATH) {
+            return Box::pin(keep_job(self.spool.clone(), request));
+        }
         if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
             let response = siblings::answer(&self.cache, key);
             return Box::pin(std::future::ready(response));
@@ -194,6 +200,21 @@
     }
 }
 
+async fn keep_job(
+    spool: Option<Arc<JobSpool>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let status =
+        match (spool, read_body(request.into_body(), MOST_BYTES).await) {
+            (Some(spool), Ok(body)) => spool.keep(body).await,
+            (None, Ok(_)) => StatusCode::NOT_FOUND,
+            (_, Err(refusal)) => return refusal.into_response(),
+        };
+    let mut response = Response::new(AnswerBody::own(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
 /// Reads a number from a question; one that is missing or malformed is none.
 fn number_in(uri: &Uri, name: &str) -> Option<u64> {
     let mut pairs = uri.query()?.split('&');
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -23,6 +23,7 @@
 use crate::{
     Beliefs, Dialect, JobCall, NodeError, NodeSettings, Outside, Signals,
     base::NodeBase,
+    intake::JobIntake,
     load_share::{Announcer, FrontShare},
 };
 
@@ -73,10 +74,13 @@
         let options = ListenerOptions::default();
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
+        let clock = outside.beliefs.clock().clone();
+        let intake = JobIntake::new(ledger.clone(), view.clone(), clock);
         let gateway = Arc::new(Gateway {
             dialect: outside.dialect,
             beliefs: outside.beliefs,
             forwarder,
+            intake,
             ledger,
             pages,
             view,
@@ -129,6 +133,7 @@
     beliefs: Beliefs,
     forwarder: Arc<Forwarder>,
     ledger: Ledger,
+    intake: JobIntake,
     pages: PageReader,
     view: JobView,
     tally: Arc<Tally>,
@@ -138,6 +143,11 @@
 /// ready or lacks the key-value service.
 const COME_BACK_MS: u64 = 500;
 
+/// Part of the time in which a job is to be accepted that the key-value
+/// service has for it before workers are asked: one part in this many. The
+/// rest is enough for two of them, one after the other.
+const SPOOL_DIVISOR: u64 = 4;
+
 impl Gateway {
     fn limits(&self) -> TransferLimits {
         let config = self.beliefs.config.load();
@@ -238,18 +248,15 @@
         };
         let (key, items) = (new.key.clone(), new.items.len());
         let owner = new.owner.clone();
-        let result = self.ledger.accept(new).await;
-        match result {
-            Ok(stored) => {
-                let now = self.beliefs.clock().now();
-                self.view.learn(&key, &stored, now);
+        let answer_ms = route.target_latency_ms() / SPOOL_DIVISOR;
+        match self.intake.accept(new, answer_ms).await {
+            Ok(accepted) => {
                 Tally::add(&self.tally.jobs_accepted);
                 log::info!(
                     request_id = key.as_str(),
                     items,
                     owner = owner.as_str(),
-                    listed = stored.head.listed.len(),
-                    revision = stored.revision;
+                    accepted:?;
                     "a job is accepted"
                 );
                 json(StatusCode::ACCEPTED, b"{}".to_vec())
--- /dev/null
+++ b/crates/node/src/job_spool.rs
@@ -0,0 +1,384 @@
+//! Jobs that are accepted while the key-value service does not answer.
+//!
+//! A front that gets no answer from the service in time has a new job kept
+//! on the disks of two workers, and accepts it then. Each of the two enters
+//! it in the ledger once the service answers again; entering is one
+//! compare-and-swap on the job's head, so that the second one finds it there,
+//! as does a write of the front itself that the service carries out late.
+//!
+//! Without it, jobs are refused for as long as the service is away: on a day
+//! with six seconds of that 68 of 266 owed items came late or not at all.
+//! Disks of workers as the place of all jobs were rejected: positions of
+//! results have to be agreed on, which only the service does.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base::{Clock, Millis};
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use http::{Method, StatusCode};
+use indexmap::IndexMap;
+use jobs::{
+    JobError, JobKey, JobView, Ledger, NewJob, NodeRecord, decode_new_job,
+    encode_new_job,
+};
+use pass::{Fetch, Pool};
+use store::{Spool, SpoolError};
+use tokio::{
+    sync::{Notify, watch},
+    task, time,
+};
+
+use crate::{NodeSettings, peer};
+
+/// Path at which a node keeps jobs; the job's id follows.
+pub(crate) const SPOOL_PATH: &str = "/spool/";
+
+/// Copies of a job without the service: one disk may be lost at any time.
+const COPIES: usize = 2;
+
+/// Longest wait for one worker, in milliseconds: two syncs of a slow disk
+/// and the way there, and short enough that a third one can still be asked
+/// within the time in which callers want to hear.
+const KEEP_MS: u64 = 200;
+
+/// Pause between two looks at jobs that wait for the service.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Oldest view of the jobs by which the service counts as answering.
+const ANSWERS_MS: u64 = 1_000;
+
+/// How much later than the job's owner the other worker enters it, in
+/// milliseconds, so that as a rule only one of them calls the service.
+const SECOND_MS: u64 = 1_500;
+
+/// Largest answer of a worker that keeps a job; it has none but a status.
+const ANSWER_BYTES: usize = 1_024;
+
+/// What became of a job that workers were asked to keep.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Spooled {
+    /// Two disks have it: it may be accepted.
+    Safe,
+    /// Some disk may have it, so that it may run.
+    Maybe,
+    /// Nobody has it.
+    No,
+}
+
+/// Has jobs kept by workers.
+#[derive(Debug, Default)]
+pub(crate) struct SpoolClient {
+    pool: Arc<Pool>,
+}
+
+impl SpoolClient {
+    /// Asks workers to keep a job, its owner first and then one of another
+    /// failure domain.
+    pub(crate) async fn keep(&self, job: &NewJob, view: &JobView) -> Spooled {
+        let bytes = match encode_new_job(job) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(error) => {
+                log::warn!(request_id = job.key.as_str(), error:%;
+                    "a job cannot be encoded for the workers");
+                return Spooled::No;
+            }
+        };
+        let workers = by_preference(view.nodes(), &job.owner);
+        let mut rest = workers.iter();
+        let (mut safe, mut maybe) = (0, false);
+        while safe < COPIES {
+            let missing = COPIES - safe;
+            let asked: Vec<&NodeRecord> =
+                rest.by_ref().take(missing).collect();
+            if asked.is_empty() {
+                break;
+            }
+            for answer in self.ask_all(&asked, &job.key, &bytes).await {
+                safe += usize::from(answer == Spooled::Safe);
+                maybe |= answer != Spooled::No;
+            }
+        }
+        match (safe >= COPIES, maybe) {
+            (true, _) => Spooled::Safe,
+            (false, true) => Spooled::Maybe,
+            (false, false) => Spooled::No,
+        }
+    }
+
+    async fn ask_all(
+        &self,
+        workers: &[&NodeRecord],
+        job: &JobKey,
+        bytes: &Bytes,
+    ) -> Vec<Spooled> {
+        let asks = workers.iter().map(|worker| {
+            let pool = self.pool.clone();
+            let (worker, job) = ((*worker).clone(), job.clone());
+            tokio::spawn(ask(pool, worker, job, bytes.clone()))
+        });
+        let asks: Vec<_> = asks.collect();
+        let mut answers = Vec::with_capacity(asks.len());
+        for ask in asks {
+            answers.push(ask.await.unwrap_or(Spooled::Maybe));
+        }
+        answers
+    }
+}
+
+/// Sorts workers: the owner, then others with one of another domain first.
+fn by_preference(nodes: Vec<NodeRecord>, owner: &str) -> Vec<NodeRecord> {
+    let mut workers: Vec<NodeRecord> =
+        nodes.into_iter().filter(|node| node.runs_items).collect();
+    workers.sort_by(|a, b| a.node.cmp(&b.node));
+    let first = workers.iter().find(|node| node.node == owner);
+    let domain = first.map(|node| node.failure_domain.clone());
+    workers.sort_by_key(|node| {
+        let near = Some(&node.failure_domain) == domain.as_ref();
+        (node.node != owner, near)
+    });
+    workers
+}
+
+async fn ask(
+    pool: Arc<Pool>,
+    worker: NodeRecord,
+    job: JobKey,
+    bytes: Bytes,
+) -> Spooled {
+    let Some(peer) = peer::endpoint_of(&worker) else {
+        return Spooled::No;
+    };
+    let path = format!("{SPOOL_PATH}{job}");
+    let Some(mut request) = peer::question(&peer, &path) else {
+        return Spooled::No;
+    };
+    *request.method_mut() = Method::PUT;
+    *request.body_mut() = bytes;
+    let exchange = pool.exchange(&peer, request, ANSWER_BYTES);
+    let most = Duration::from_millis(KEEP_MS);
+    let answer = match time::timeout(most, exchange).await {
+        Ok(Fetch::Answered(head, _)) if head.status.is_success() => {
+            Spooled::Safe
+        }
+        Ok(Fetch::Answered(head, _)) if head.status.is_client_error() => {
+            Spooled::No
+        }
+        Ok(Fetch::NotSent) => Spooled::No,
+        Ok(_) | Err(_) => Spooled::Maybe,
+    };
+    log::info!(
+        request_id = job.as_str(),
+        node = worker.node.as_str(),
+        answer:? = answer;
+        "a worker is asked to keep a job"
+    );
+    answer
+}
+
+/// The jobs that a worker keeps until the service answers.
+pub(crate) struct JobSpool {
+    node: String,
+    spool: Spool,
+    ledger: Ledger,
+    view: JobView,
+    clock: Arc<dyn Clock>,
+    /// How long the results of a job are readable after its submission.
+    kept_ms: u64,
+    waiting: Mutex<IndexMap<JobKey, Waiting>>,
+    count: watch::Sender<usize>,
+    wake: Notify,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    since: Millis,
+    /// Whether this node is to enter it first.
+    first: bool,
+}
+
+impl JobSpool {
+    /// Opens the spool of a worker that has a disk. A disk that cannot be
+    /// used is told in the log, and the worker keeps no jobs.
+    pub(crate) fn open(
+        settings: &NodeSettings,
+        ledger: Ledger,
+        view: JobView,
+        clock: Arc<dyn Clock>,
+    ) -> Option<Arc<Self>> {
+        let dir = settings.data_dir.clone()?;
+        let opened = Spool::open(dir, settings.spool_bytes);
+        let listed = opened.and_then(|spool| {
+            let names = spool.names()?;
+            Ok((spool, names))
+        });
+        let (spool, names) = match listed {
+            Ok(opened) => opened,
+            Err(report) => {
+                log::error!(error:? = report;
+                    "no jobs can be kept on the disk of this node");
+                return None;
+            }
+        };
+        let since = clock.now();
+        let first = true;
+        let waiting = names.iter().filter_map(|name| name.parse().ok());
+        let waiting: IndexMap<JobKey, Waiting> =
+            waiting.map(|key| (key, Waiting { since, first })).collect();
+        log::info!(jobs = waiting.len(); "the spool of this node is open");
+        let count = watch::Sender::new(waiting.len());
+        let spool = Arc::new(Self {
+            node: settings.node.clone(),
+            spool,
+            ledger,
+            view,
+            clock,
+            kept_ms: settings.results_kept_ms,
+            waiting: Mutex::new(waiting),
+            count,
+            wake: Notify::new(),
+        });
+        tokio::spawn(spool.clone().run());
+        Some(spool)
+    }
+
+    /// Tells how many jobs wait here.
+    pub(crate) fn count(&self) -> watch::Receiver<usize> {
+        self.count.subscribe()
+    }
+
+    /// Keeps a job for a front; the status is the answer to it. A server's
+    /// error says that the job may have been kept.
+    pub(crate) async fn keep(&self, bytes: Bytes) -> StatusCode {
+        let job = match decode_new_job(&bytes) {
+            Ok(job) => job,
+            Err(error) => {
+                log::warn!(error:%; "a job to keep is malformed");
+                return StatusCode::BAD_REQUEST;
+            }
+        };
+        let (spool, key) = (self.spool.clone(), job.key.clone());
+        let kept =
+            task::spawn_blocking(move || spool.keep(key.as_str(), &bytes));
+        let error = match kept.await {
+            Ok(Ok(())) => {
+                self.note_kept(&job);
+                return StatusCode::OK;
+            }
+            Ok(Err(report)) => *report.current_context(),
+            Err(_) => SpoolError::Disk,
+        };
+        log::warn!(request_id = job.key.as_str(), error:%;
+            "a job is not kept on disk");
+        match error {
+            SpoolError::Full | SpoolError::Name => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
+            _ => StatusCode::INTERNAL_SERVER_ERROR,
+        }
+    }
+
+    fn note_kept(&self, job: &NewJob) {
+        let first = job.owner == self.node;
+        log::info!(request_id = job.key.as_str(), items = job.items.len(),
+            first; "a job is kept on disk");
+        let since = self.clock.now();
+        let mut waiting = self.lock();
+        waiting.insert(job.key.clone(), Waiting { since, first });
+        self.count.send_replace(waiting.len());
+        drop(waiting);
+        self.wake.notify_one();
+    }
+
+    async fn run(self: Arc<Self>) {
+        loop {
+            // Woken by a new job, or after a pause.
+            let _ = time::timeout(LOOK, self.wake.notified()).await;
+            for key in self.due() {
+                if let Err(report) = self.hand_on(&key).await {
+                    log::info!(job = key.as_str(), error:? = report;
+                        "a kept job is not entered in the ledger yet");
+                    break;
+                }
+            }
+        }
+    }
+
+    fn due(&self) -> Vec<JobKey> {
+        let now = self.clock.now();
+        if self.view.age_ms(now) > ANSWERS_MS {
+            return Vec::new();
+        }
+        let is_due = |waiting: &Waiting| {
+            let age_ms = now.saturating_ms_since(waiting.since);
+            waiting.first || age_ms >= SECOND_MS
+        };
+        let waiting = self.lock();
+        let due = waiting.iter().filter(|(_, waiting)| is_due(waiting));
+        due.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Enters a job in the ledger and forgets it.
+    async fn hand_on(&self, key: &JobKey) -> Result<(), Report<JobError>> {
+        if self.view.get(key).is_some() {
+            self.remove(key, "the ledger has it").await;
+            return Ok(());
+        }
+        let (spool, name) = (self.spool.clone(), key.clone());
+        let read = task::spawn_blocking(move || spool.read(name.as_str()));
+        let read = read.await.change_context(JobError::NotDone)?;
+        let bytes = match read {
+            Ok(bytes) => bytes,
+            Err(report) => {
+                // It stays on disk for whoever looks into this; the other
+                // copy is entered by its node.
+                log::error!(job = key.as_str(), error:? = report;
+                    "a kept job cannot be read");
+                self.forget(key);
+                return Ok(());
+            }
+        };
+        let Ok(job) = decode_new_job(&bytes) else {
+            log::error!(job = key.as_str();
+                "a kept job is in a form that this version cannot read");
+            self.forget(key);
+            return Ok(());
+        };
+        // Nothing is owed any more then. Until then it is entered however
+        // old it is: an outage may last, and a job that was entered and
+        // removed meanwhile only runs in vain.
+        let owed_ms = self.kept_ms.max(job.terms.give_up_in_ms);
+        if self.clock.unix() > job.submitted_at.saturating_add_ms(owed_ms) {
+            self.remove(key, "its time is over").await;
+            return Ok(());
+        }
+        let stored = self.ledger.accept(job).await?;
+        self.view.learn(key, &stored, self.clock.now());
+        self.remove(key, "it is entered").await;
+        Ok(())
+    }
+
+    async fn remove(&self, key: &JobKey, why: &'static str) {
+        let (spool, name) = (self.spool.clone(), key.clone());
+        let removed =
+            task::spawn_blocking(move || spool.remove(name.as_str()).is_ok());
+        // A record that comes back is found in the ledger, or too old.
+        let removed = removed.await.unwrap_or(false);
+        log::info!(job = key.as_str(), why, removed;
+            "a kept job is not needed on disk any more");
+        self.forget(key);
+    }
+
+    fn forget(&self, key: &JobKey) {
+        let mut waiting = self.lock();
+        waiting.swap_remove(key);
+        self.count.send_replace(waiting.len());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<JobKey, Waiting>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,10 @@
 //! The roles of a small fleet: `front` takes callers' requests, `worker`
 //! runs the items of batch jobs.
 //!
-//! Neither keeps anything on its machine. What they agree on lies in the
-//! key-value service: the operators' configuration, the endpoints, the jobs.
+//! What they agree on lies in the key-value service: the operators'
+//! configuration, the endpoints, the jobs. Nothing else outlasts a process
+//! but jobs that are accepted while the service does not answer; they wait on
+//! the disks of two workers until it does.
 //! How all that is spelled there and on the wire is told by a [`Dialect`],
 //! of which each platform has one; nothing here knows a name of a platform.
 
@@ -15,6 +17,8 @@
 mod feed_wire;
 mod follow;
 mod front;
+mod intake;
+mod job_spool;
 mod load_share;
 mod membership;
 mod peer;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -10,7 +10,10 @@
 use pass::{Listener, ListenerOptions, Relay, Stopping};
 use tokio::{sync::watch, time};
 
-use crate::{NodeError, NodeSettings, feed::Feed, feed_wire::PeerHandler};
+use crate::{
+    NodeError, NodeSettings, feed::Feed, feed_wire::PeerHandler,
+    job_spool::JobSpool,
+};
 
 /// Time between two looks at which nodes can pass calls on.
 const LOOK: Duration = Duration::from_millis(500);
@@ -51,6 +54,7 @@
     settings: &NodeSettings,
     feeds: Arc<Vec<Arc<Feed>>>,
     cache: Arc<BulkCache>,
+    spool: Option<Arc<JobSpool>>,
     clock: Arc<dyn Clock>,
 ) -> Result<(), Report<NodeError>> {
     let (sender, stage) = watch::channel(Stopping::No);
@@ -61,6 +65,7 @@
         relay: Relay::new(settings.kv),
         feeds,
         cache,
+        spool,
         clock,
     });
     tokio::spawn(async move {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use tokio::sync::watch;
 
@@ -32,6 +32,10 @@
     pub config_ms: u64,
     /// Shortest lease of the key-value service.
     pub lease_least_ms: u64,
+    /// Folder on the machine's disk, where it has one.
+    pub data_dir: Option<PathBuf>,
+    /// Bytes of jobs that may wait there for the key-value service.
+    pub spool_bytes: u64,
 }
 
 /// Time in which news must reach every node if the settings allow more, in
--- a/crates/node/src/vacate.rs
+++ b/crates/node/src/vacate.rs
@@ -34,6 +34,8 @@
     pub(crate) leave: watch::Sender<bool>,
     /// Turns true when its runs have ended.
     pub(crate) idle: watch::Receiver<bool>,
+    /// Jobs that wait on its disk.
+    pub(crate) spooled: Option<watch::Receiver<usize>>,
     /// Time to live of a node's entry.
     pub(crate) lease_s: u32,
 }
@@ -64,6 +66,12 @@
         let ended = idle.wait_for(|idle| *idle);
         let most = Duration::from_millis(most);
         let all_ended = time::timeout(most, ended).await.is_ok();
+        // The disk goes with the machine: jobs that wait on it for the
+        // key-value service would have one copy less.
+        if let Some(spooled) = &self.spooled {
+            let mut spooled = spooled.clone();
+            let _ = spooled.wait_for(|jobs| *jobs == 0).await;
+        }
         log::info!(all_ended; "this node is empty");
         self.write(&order.node, VacateState::Complete, false).await;
     }
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -67,6 +67,7 @@
             view: base.view.clone(),
             leave: stop_items.clone(),
             idle: idle.clone(),
+            spooled: base.spooled.clone(),
             lease_s: membership::lease_s(settings.lease_least_ms),
         };
         tokio::spawn(vacating.run(received));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 use std::{
     net::{SocketAddr, TcpListener as StdListener},
+    path::Path,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU16, Ordering},
@@ -324,6 +325,8 @@
         drain_ms: 200,
         config_ms: 2_000,
         lease_least_ms: LEASE_LEAST_MS,
+        data_dir: None,
+        spool_bytes: 1_000_000,
     }
 }
 
@@ -337,7 +340,29 @@
     name: &str,
     worker: bool,
 ) -> Node {
-    let settings = settings(name);
+    start_with(settings(name), kv, worker).await
+}
+
+/// Starts a worker with a disk.
+pub(crate) async fn start_with_disk(
+    kv: &Memory,
+    name: &str,
+    domain: &str,
+    dir: &Path,
+) -> Node {
+    let settings = NodeSettings {
+        data_dir: Some(dir.to_owned()),
+        failure_domain: domain.to_owned(),
+        ..settings(name)
+    };
+    start_with(settings, Arc::new(kv.clone()), true).await
+}
+
+async fn start_with(
+    settings: NodeSettings,
+    kv: Arc<dyn Kv>,
+    worker: bool,
+) -> Node {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let timer = Timer::new(clock.clone());
     tokio::spawn(timer.clone().drive());
--- /dev/null
+++ b/crates/node/tests/spool.rs
@@ -0,0 +1,222 @@
+//! Jobs that arrive while the key-value service does not answer.
+
+mod common;
+
+use std::{fs, path::Path, sync::Arc, time::Duration};
+
+use common::{
+    Cuttable, Engine, Node, call, call_until, furnish, ready, start, start_by,
+    start_with_disk,
+};
+use fleet::BatchTerms;
+use jobs::{ItemInput, NewJob, encode_new_job};
+use kv::Memory;
+use store::Spool;
+use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
+
+struct Fleet {
+    kv: Memory,
+    engine: Engine,
+    front: Node,
+    disks: [TempDir; 2],
+    /// A node whose handle is dropped stops.
+    _workers: [Node; 2],
+}
+
+/// Starts a front and two workers with disks in different failure domains.
+async fn fleet() -> Fleet {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let front = start(&kv, "front-1", false).await;
+    let disks = [(); 2].map(|()| tempfile::tempdir().expect("a folder"));
+    let workers = [
+        start_with_disk(&kv, "worker-1", "east", disks[0].path()).await,
+        start_with_disk(&kv, "worker-2", "west", disks[1].path()).await,
+    ];
+    ready(&front).await;
+    // The front learns of both workers.
+    sleep(Duration::from_millis(600)).await;
+    Fleet {
+        kv,
+        engine,
+        front,
+        disks,
+        _workers: workers,
+    }
+}
+
+async fn submit(front: &Node, job: &str, body: &str) -> u16 {
+    call(front.front, "POST", "/batch/1", job, body).await.0
+}
+
+async fn whole(front: &Node, job: &str, count: u32) -> String {
+    let path = format!("/jobs/{job}");
+    let head = format!("{count} {count}\n");
+    let good = |_, body: &str| body.starts_with(&head);
+    call_until(front.front, "GET", &path, good).await.1
+}
+
+fn kept(dir: &Path) -> usize {
+    Spool::open(dir, 1_000_000)
+        .and_then(|spool| spool.names())
+        .expect("listed")
+        .len()
+}
+
+async fn empty(disks: &[TempDir]) {
+    let wait = async {
+        while disks.iter().any(|disk| kept(disk.path()) > 0) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), wait).await.expect("empty");
+}
+
+/// Symptom: jobs are refused for as long as the key-value service is away,
+/// and those that come back after it are late. Events: the service is down,
+/// a job arrives, the service returns. Cause: jobs could be kept nowhere
+/// else.
+#[tokio::test]
+async fn a_job_is_accepted_by_two_disks_and_runs_once() {
+    let fleet = fleet().await;
+    fleet.kv.set_down(true);
+    assert_eq!(submit(&fleet.front, "job-1", r#"["2","3"]"#).await, 202);
+    for disk in &fleet.disks {
+        assert_eq!(kept(disk.path()), 1);
+    }
+    // Sent again, as callers do: the same job.
+    assert_eq!(submit(&fleet.front, "job-1", r#"["2","3"]"#).await, 202);
+    sleep(Duration::from_millis(500)).await;
+    fleet.kv.set_down(false);
+    let body = whole(&fleet.front, "job-1", 2).await;
+    assert!(body.contains("item-0 complete e1+e2"), "{body}");
+    assert!(body.contains("item-1 complete e1+e2+e3"), "{body}");
+    empty(&fleet.disks).await;
+    let mut runs = fleet.engine.runs.lock().expect("lock").clone();
+    runs.sort();
+    assert_eq!(runs, ["item-0:0", "item-1:0"]);
+}
+
+/// Symptom: an accepted job is gone. Events: it is accepted while the
+/// service is away, one disk is lost, and every process is killed before the
+/// service returns. Cause: it lay in memory, or on one disk alone.
+#[tokio::test]
+async fn an_accepted_job_outlasts_all_processes_and_one_disk() {
+    let lost = fleet().await;
+    lost.kv.set_down(true);
+    assert_eq!(submit(&lost.front, "job-1", r#"["2"]"#).await, 202);
+    // The service of the lost processes never returns. Others start over
+    // what is left of the disks.
+    fs::remove_dir_all(lost.disks[0].path()).expect("removed");
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let front = start(&kv, "front-2", false).await;
+    let disk = lost.disks[1].path();
+    let _worker = start_with_disk(&kv, "worker-2", "west", disk).await;
+    ready(&front).await;
+    let body = whole(&front, "job-1", 1).await;
+    assert!(body.contains("item-0 complete e1+e2"), "{body}");
+}
+
+/// One disk may be lost at any time, so that one copy is no acceptance. The
+/// job may run all the same, which a refusal would deny.
+#[tokio::test]
+async fn a_job_on_one_disk_is_neither_accepted_nor_refused() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let front = start(&kv, "front-1", false).await;
+    let disk = tempfile::tempdir().expect("a folder");
+    let path = disk.path();
+    let _first = start_with_disk(&kv, "worker-1", "east", path).await;
+    let _second = start(&kv, "worker-2", true).await;
+    ready(&front).await;
+    sleep(Duration::from_millis(600)).await;
+    kv.set_down(true);
+    assert_eq!(submit(&front, "job-1", r#"["2"]"#).await, 502);
+    kv.set_down(false);
+    whole(&front, "job-1", 1).await;
+}
+
+/// Symptom: callers wait seconds for a job to be accepted. Events: the way
+/// from one front to the service falls silent while that of the workers is
+/// sound. Cause: the front waited for its own call to end.
+#[tokio::test]
+async fn a_front_whose_calls_hang_accepts_jobs_through_workers() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let way = Cuttable::new(&kv);
+    let front = start_by(Arc::new(way.clone()), "front-1", false).await;
+    let sound = start(&kv, "front-2", false).await;
+    let disks = [(); 2].map(|()| tempfile::tempdir().expect("a folder"));
+    let _workers = [
+        start_with_disk(&kv, "worker-1", "east", disks[0].path()).await,
+        start_with_disk(&kv, "worker-2", "west", disks[1].path()).await,
+    ];
+    ready(&front).await;
+    ready(&sound).await;
+    sleep(Duration::from_millis(600)).await;
+    way.set_cut(true);
+    let accepted = submit(&front, "job-1", r#"["2"]"#);
+    let accepted = timeout(Duration::from_secs(2), accepted).await;
+    assert_eq!(accepted.expect("in time"), 202);
+    let body = whole(&sound, "job-1", 1).await;
+    assert!(body.contains("item-0 complete e1+e2"), "{body}");
+    empty(&disks).await;
+}
+
+/// Symptom: a job that is done runs again. Events: a worker that keeps a job
+/// on disk is down while the other one enters it; it starts long after.
+/// Cause: what lies on a disk was taken for what is not in the ledger.
+#[tokio::test]
+async fn a_job_that_the_ledger_has_is_forgotten() {
+    let fleet = fleet().await;
+    assert_eq!(submit(&fleet.front, "job-1", r#"["2"]"#).await, 202);
+    whole(&fleet.front, "job-1", 1).await;
+    let job = NewJob {
+        key: "job-1".parse().expect("a key"),
+        host: "a.example".to_owned(),
+        path: "/batch/1".to_owned(),
+        submitted_at: base::UnixMillis::new(1),
+        terms: BatchTerms {
+            due_in_ms: 1_000,
+            give_up_in_ms: u64::MAX / 2,
+        },
+        owner: "worker-3".to_owned(),
+        items: vec![ItemInput::default()],
+    };
+    let disk = tempfile::tempdir().expect("a folder");
+    Spool::open(disk.path(), 1_000_000)
+        .and_then(|spool| {
+            spool.keep("job-1", &encode_new_job(&job).expect("encoded"))
+        })
+        .expect("kept");
+    let path = disk.path();
+    let _third = start_with_disk(&fleet.kv, "worker-3", "east", path).await;
+    empty(&[disk]).await;
+    let runs = fleet.engine.runs.lock().expect("lock").len();
+    assert_eq!(runs, 1);
+}
+
+/// A record that is damaged, or of another version, harms no other job.
+#[tokio::test]
+async fn what_cannot_be_read_stays_on_disk_and_harms_nobody() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let disk = tempfile::tempdir().expect("a folder");
+    let spool = Spool::open(disk.path(), 1_000_000).expect("opened");
+    spool.keep("job-0", b"of another version").expect("kept");
+    fs::write(disk.path().join("job-1.rec"), b"torn").expect("written");
+    let front = start(&kv, "front-1", false).await;
+    let path = disk.path();
+    let _worker = start_with_disk(&kv, "worker-1", "east", path).await;
+    ready(&front).await;
+    assert_eq!(submit(&front, "job-2", r#"["2"]"#).await, 202);
+    whole(&front, "job-2", 1).await;
+    assert_eq!(kept(disk.path()), 2);
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,8 @@
 //! verifies a checksum, and a damaged blob is never served: its holder
 //! fetches the other copy and puts it again.
 //!
+//! A [`Spool`] keeps a few records that wait to be handed on.
+//!
 //! docs/design/store.md weighs the alternatives. The [`sim`] module has a
 //! disk in memory that crashes, fills up and rots on demand.
 
@@ -30,6 +32,7 @@
 mod scrub;
 mod segment;
 pub mod sim;
+mod spool;
 mod store;
 mod writer;
 
@@ -42,5 +45,6 @@
         Blob, BlobInfo, Damage, IndexOrigin, OpenReport, Put, Reclaimed,
         Removed, ScrubReport, StoreStat,
     },
+    spool::{Spool, SpoolError},
     store::{BLOB_MAX_BYTES, Store},
 };
