Name the process's counters Counters

Cause: Tally is a figure of speech where the field says counters. Change: Tally to Counters, tally to counters, the module with it. Measured: a pure rename; names on the metrics address are unchanged.

--- a/crates/bench/benches/burst/client.rs
+++ b/crates/bench/benches/burst/client.rs
@@ -94,8 +94,8 @@
     let mut at = Instant::now();
     for span in spans {
         let span_end = at + Duration::from_secs_f64(span.seconds);
-        let tally: Arc<Mutex<Seen>> = Arc::default();
-        seen.push(tally.clone());
+        let counters: Arc<Mutex<Seen>> = Arc::default();
+        seen.push(counters.clone());
         loop {
             // Distances between calls that come at random.
             let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
@@ -110,15 +110,15 @@
             let name = format!("online {number}");
             let prompt = answer::text(MODEL, &name, words);
             let call = (client.clone(), url.clone(), prompt, at);
-            let tally = tally.clone();
-            calls.spawn(async move { one(call, &tally).await });
+            let counters = counters.clone();
+            calls.spawn(async move { one(call, &counters).await });
         }
         at = span_end;
     }
     tokio::time::sleep_until(at).await;
     while calls.join_next().await.is_some() {}
-    let take = |tally: &Arc<Mutex<Seen>>| {
-        let seen = tally.lock().unwrap_or_else(PoisonError::into_inner);
+    let take = |counters: &Arc<Mutex<Seen>>| {
+        let seen = counters.lock().unwrap_or_else(PoisonError::into_inner);
         seen.clone()
     };
     seen.iter().map(take).collect()
@@ -126,7 +126,7 @@
 
 type Call = (Client, Arc<str>, String, Instant);
 
-async fn one(call: Call, tally: &Mutex<Seen>) {
+async fn one(call: Call, counters: &Mutex<Seen>) {
     let mut own = Seen {
         sent: 1,
         ..Seen::default()
@@ -143,8 +143,8 @@
             own.reasons.insert(reason, 1);
         }
     }
-    let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
-    tally.add(&own);
+    let mut counters = counters.lock().unwrap_or_else(PoisonError::into_inner);
+    counters.add(&own);
 }
 
 async fn read(call: Call, own: &mut Seen) -> End {
--- a/crates/bench/benches/stop.rs
+++ b/crates/bench/benches/stop.rs
@@ -24,7 +24,7 @@
 use tokio::time::{Duration, Instant, sleep};
 
 use self::{
-    callers::{Callers, Tally},
+    callers::{Callers, Counters},
     leaving::{Leaving, Seen},
     world::{Role, World},
 };
@@ -55,7 +55,7 @@
         true => (ROUNDS_SMALL, STEADY_SMALL),
         false => (ROUNDS, STEADY),
     };
-    let mut tally = Tally::default();
+    let mut counters = Counters::default();
     let mut stops = Vec::new();
     for round in 0..rounds {
         let mut world = World::start().await?;
@@ -65,12 +65,12 @@
             stops.push(stop(&mut world, role, &callers).await?);
         }
         sleep(steady).await;
-        tally.add(callers.stop().await);
+        counters.add(callers.stop().await);
         world.stop().await;
     }
-    let tables = [stops_table(&stops), tally.table()];
+    let tables = [stops_table(&stops), counters.table()];
     Table::print_all("stop", options, &tables);
-    tally.check()?;
+    counters.check()?;
     check(&stops)
 }
 
--- a/crates/bench/benches/stop/callers.rs
+++ b/crates/bench/benches/stop/callers.rs
@@ -60,14 +60,14 @@
 
 /// What became of all calls.
 #[derive(Debug, Default)]
-pub(crate) struct Tally {
+pub(crate) struct Counters {
     learned: BTreeMap<(&'static str, Learned), u64>,
     tried_again: u64,
     broken: Vec<String>,
 }
 
-impl Tally {
-    pub(crate) fn add(&mut self, other: Tally) {
+impl Counters {
+    pub(crate) fn add(&mut self, other: Counters) {
         for (key, count) in other.learned {
             *self.learned.entry(key).or_default() += count;
         }
@@ -115,7 +115,7 @@
     whole: AtomicU64,
     ended: AtomicBool,
     entries: Mutex<Vec<SocketAddr>>,
-    tally: Mutex<Tally>,
+    counters: Mutex<Counters>,
 }
 
 /// Callers that call until they are stopped.
@@ -134,7 +134,7 @@
             whole: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             entries: Mutex::new(world.entries()),
-            tally: Mutex::default(),
+            counters: Mutex::default(),
         });
         let mut tasks = JoinSet::new();
         for at in 0..CHATTERS + BOOKERS {
@@ -165,10 +165,10 @@
         entries.retain(|known| *known != entry);
     }
 
-    pub(crate) async fn stop(self) -> Tally {
+    pub(crate) async fn stop(self) -> Counters {
         self.shared.ended.store(true, Ordering::Relaxed);
         self.tasks.join_all().await;
-        std::mem::take(&mut *lock(&self.shared.tally))
+        std::mem::take(&mut *lock(&self.shared.counters))
     }
 }
 
@@ -187,11 +187,11 @@
         if learned == Learned::Right {
             self.whole.fetch_add(1, Ordering::Relaxed);
         }
-        lock(&self.tally).note(name, learned, detail);
+        lock(&self.counters).note(name, learned, detail);
     }
 
     async fn try_again(&self) {
-        lock(&self.tally).tried_again += 1;
+        lock(&self.counters).tried_again += 1;
         sleep(TRY_AGAIN).await;
     }
 }
--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -12,7 +12,7 @@
 use kv::paths::Paths;
 use node::{Beliefs, Front, NodeSettings, Outside, Signals, Worker};
 use obs::LogSettings;
-use pass::Tally;
+use pass::Counters;
 use platform::{MachineSettings, PlatformDialect, PlatformKv};
 use pomeloslip::daemon::DaemonError;
 use tokio::{
@@ -89,11 +89,11 @@
     let timer = Timer::new(clock.clone());
     tokio::spawn(timer.clone().drive());
     let paths = Arc::new(Paths::new(settings.kv));
-    let tally = Arc::new(Tally::default());
+    let counters = Arc::new(Counters::default());
     let kv = PlatformKv::new(
         paths.clone(),
         clock.clone(),
-        tally.clone(),
+        counters.clone(),
         settings.watch_wait_ms(),
     );
     let kv = kv.change_context(DaemonError)?;
@@ -103,7 +103,7 @@
         paths,
         beliefs: Beliefs::new(clock),
         timer,
-        tally,
+        counters,
     };
     tokio::spawn(follow_settings(path, machine));
     log::info!(version = env!("CARGO_PKG_VERSION"); "the process starts");
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -14,7 +14,7 @@
 use error_stack::Report;
 use fleet::{Config, EndpointRecord, LifeKey, LoadReport, Route, RouteKind};
 use indexmap::IndexMap;
-use pass::{DirectoryView, Tally};
+use pass::{Counters, DirectoryView};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::AbortHandle,
@@ -114,7 +114,7 @@
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// The counters of the process.
-    pub tally: Arc<Tally>,
+    pub counters: Arc<Counters>,
 }
 
 /// How a runner is asked to stop.
@@ -422,7 +422,7 @@
                     continue;
                 }
                 job.finish(number, &inputs, ItemState::GivenUp);
-                Tally::add(&self.runner.parts.tally.items_given_up);
+                Counters::add(&self.runner.parts.counters.items_given_up);
                 log::info!(
                     job = key.as_str(),
                     request_id = inputs[number as usize].id.as_str(),
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -4,7 +4,7 @@
 
 use base::Millis;
 use fleet::{Config, Endpoint};
-use pass::Tally;
+use pass::Counters;
 
 use super::{
     Event, Run, RunId, Work,
@@ -224,7 +224,7 @@
             return;
         };
         run.task.abort();
-        Tally::add(&self.runner.parts.tally.items_preempted);
+        Counters::add(&self.runner.parts.counters.items_preempted);
         if let Some(job) = self.jobs.get_mut(&run.job) {
             let id = job.id_of(run.item).to_owned();
             let item = &mut job.items[run.item as usize];
@@ -321,7 +321,7 @@
             let end = run.run(&means).await;
             let _ = sender.send(Event::Ended(id, end));
         });
-        Tally::add(&self.runner.parts.tally.item_runs);
+        Counters::add(&self.runner.parts.counters.item_runs);
         self.runs.insert(
             id,
             Run {
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -4,7 +4,7 @@
 
 use base::Millis;
 use error_stack::Report;
-use pass::Tally;
+use pass::Counters;
 
 use super::{
     Event, RunId, Work,
@@ -112,7 +112,7 @@
             let whole_ms = job.items[number as usize].run_ms;
             self.pace.add(inputs[number as usize].tokens, whole_ms);
             job.finish(number, &inputs, ItemState::Complete);
-            Tally::add(&self.runner.parts.tally.items_completed);
+            Counters::add(&self.runner.parts.counters.items_completed);
         } else if hopeless {
             log::info!(
                 request_id = inputs[number as usize].id.as_str(),
@@ -123,7 +123,7 @@
                 "an item is given up"
             );
             job.finish(number, &inputs, ItemState::GivenUp);
-            Tally::add(&self.runner.parts.tally.items_given_up);
+            Counters::add(&self.runner.parts.counters.items_given_up);
         } else {
             let item = &mut job.items[number as usize];
             item.state = Phase::Waiting;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -12,8 +12,8 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pass::{
-    AnswerBody, Handler, HandlerFuture, Listener, ListenerOptions, Stopping,
-    Tally,
+    AnswerBody, Counters, Handler, HandlerFuture, Listener, ListenerOptions,
+    Stopping,
 };
 use tokio::sync::watch;
 
@@ -24,7 +24,7 @@
     ready_path: &'static str,
     beliefs: Beliefs,
     stopping: Arc<AtomicBool>,
-    tally: Arc<Tally>,
+    counters: Arc<Counters>,
 }
 
 impl Admin {
@@ -33,13 +33,13 @@
         ready_path: &'static str,
         beliefs: Beliefs,
         stopping: Arc<AtomicBool>,
-        tally: Arc<Tally>,
+        counters: Arc<Counters>,
     ) -> Self {
         Self {
             ready_path,
             beliefs,
             stopping,
-            tally,
+            counters,
         }
     }
 
@@ -67,7 +67,7 @@
 
     fn answer(&self, path: &str) -> Response<AnswerBody> {
         if path != self.ready_path {
-            let text = self.tally.render();
+            let text = self.counters.render();
             return Response::new(AnswerBody::own(Bytes::from(text)));
         }
         let stopping = self.stopping.load(Ordering::Relaxed);
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -7,7 +7,7 @@
 use error_stack::{Report, ResultExt};
 use jobs::{BulkCache, JobView, Ledger, NodeRecord};
 use kv::{Kv, paths::Paths};
-use pass::{Forwarder, ForwarderOptions, Pool, Tally};
+use pass::{Counters, Forwarder, ForwarderOptions, Pool};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -33,7 +33,7 @@
     /// The timer service of the process.
     pub timer: Timer,
     /// The counters of the process.
-    pub tally: Arc<Tally>,
+    pub counters: Arc<Counters>,
 }
 
 /// What every role runs: it follows the key-value service, answers other
@@ -131,7 +131,7 @@
             outside.dialect.ready_path(),
             outside.beliefs.clone(),
             self.stopping.clone(),
-            outside.tally.clone(),
+            outside.counters.clone(),
         ));
         for address in [settings.ready, settings.metrics].iter().flatten() {
             admin.start(*address)?;
@@ -152,7 +152,7 @@
             outside.beliefs.endpoints.clone(),
             self.pool.clone(),
             outside.beliefs.clock().clone(),
-            outside.tally.clone(),
+            outside.counters.clone(),
         )
     }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -15,8 +15,8 @@
 use hyper::body::Incoming;
 use jobs::{JobError, JobKey, JobView, Ledger, NewJob, PageReader};
 use pass::{
-    AnswerBody, Forwarder, Handler, HandlerFuture, Inbound, Listener,
-    ListenerOptions, Refusal, Stopping, Tally, read_body,
+    AnswerBody, Counters, Forwarder, Handler, HandlerFuture, Inbound,
+    Listener, ListenerOptions, Refusal, Stopping, read_body,
 };
 use tokio::{sync::watch as stage, time};
 
@@ -84,7 +84,7 @@
             ledger,
             pages,
             view,
-            tally: outside.tally,
+            counters: outside.counters,
         });
         Ok(Self {
             gateway,
@@ -136,7 +136,7 @@
     intake: JobIntake,
     pages: PageReader,
     view: JobView,
-    tally: Arc<Tally>,
+    counters: Arc<Counters>,
 }
 
 /// When a caller should come back whose request met a node that is not
@@ -162,7 +162,7 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<AnswerBody> {
-        Tally::add(&self.tally.arrived);
+        Counters::add(&self.counters.arrived);
         let arrived = Instant::now();
         let (parts, body) = request.into_parts();
         let call =
@@ -232,7 +232,7 @@
             config_age_ms = self.beliefs.config_age_ms();
             "a request is refused"
         );
-        Tally::add(&self.tally.refused);
+        Counters::add(&self.counters.refused);
         refusal.into_response()
     }
 
@@ -251,7 +251,7 @@
         let answer_ms = route.target_latency_ms() / SPOOL_DIVISOR;
         match self.intake.accept(new, answer_ms).await {
             Ok(accepted) => {
-                Tally::add(&self.tally.jobs_accepted);
+                Counters::add(&self.counters.jobs_accepted);
                 log::info!(
                     request_id = key.as_str(),
                     items,
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -137,7 +137,7 @@
         probe: Arc::new(probe),
         online,
         clock: outside.beliefs.clock().clone(),
-        tally: outside.tally.clone(),
+        counters: outside.counters.clone(),
     };
     Runner::new(options, parts)
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -24,7 +24,7 @@
 use http::{HeaderMap, HeaderName, Method, Uri};
 use jobs::{ItemInput, ItemState, Page};
 use kv::{KeyValue, Kv, Memory, Op, Txn, paths::Paths};
-use pass::{HeaderNames, Tally};
+use pass::{Counters, HeaderNames};
 use pomeloslip_node::{
     Beliefs, Dialect, DialectError, Front, JobCall, NodeSettings,
     OperatorOrder, Outside, Signals, VacateOrder, VacateState, Worker,
@@ -373,7 +373,7 @@
         paths,
         beliefs: Beliefs::new(clock),
         timer,
-        tally: Arc::new(Tally::default()),
+        counters: Arc::new(Counters::default()),
     };
     let (stop, stopped) = watch::channel(false);
     let signals = Signals { stop: stopped };
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -9,7 +9,7 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
 
-use crate::{BrokenAnswer, Exchange, Inbound, Tally, resume::ResumedBody};
+use crate::{BrokenAnswer, Counters, Exchange, Inbound, resume::ResumedBody};
 
 /// The body of an answer to a caller.
 #[derive(Debug)]
@@ -91,7 +91,7 @@
 #[derive(Debug)]
 pub(crate) struct Trail {
     pub(crate) request: Arc<Inbound>,
-    pub(crate) tally: Arc<Tally>,
+    pub(crate) counters: Arc<Counters>,
     pub(crate) config_version: u64,
     pub(crate) sent: Sent,
     pub(crate) status: u16,
@@ -103,12 +103,12 @@
 impl Trail {
     pub(crate) fn new(
         request: Arc<Inbound>,
-        tally: Arc<Tally>,
+        counters: Arc<Counters>,
         config_version: u64,
     ) -> Self {
         Self {
             request,
-            tally,
+            counters,
             config_version,
             sent: Sent::default(),
             status: 0,
@@ -127,7 +127,7 @@
         self.status = status;
         self.first_byte_ms = self.age_ms();
         let age = self.request.arrived().elapsed();
-        self.tally.first_byte_ms.record(age);
+        self.counters.first_byte_ms.record(age);
     }
 
     /// Takes note of how the request ended; the first word counts.
@@ -146,14 +146,14 @@
 impl Drop for Trail {
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or("caller_left");
-        let tally = &self.tally;
-        Tally::add(match outcome {
-            ANSWERED => &tally.answered,
-            REFUSED => &tally.refused,
-            FAILED => &tally.failed,
-            _ => &tally.caller_left,
+        let counters = &self.counters;
+        Counters::add(match outcome {
+            ANSWERED => &counters.answered,
+            REFUSED => &counters.refused,
+            FAILED => &counters.failed,
+            _ => &counters.caller_left,
         });
-        tally.whole_ms.record(self.request.arrived().elapsed());
+        counters.whole_ms.record(self.request.arrived().elapsed());
         log::info!(
             request_id = self.request.id(),
             route = self.request.route().name(),
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use crate::{
-    Exchange, HeaderNames, Inbound, LoadObserver, Pool, Tally,
+    Counters, Exchange, HeaderNames, Inbound, LoadObserver, Pool,
     channel::{Channel, says_close},
 };
 
@@ -75,7 +75,7 @@
     pub(crate) names: &'a HeaderNames,
     pub(crate) pool: &'a Arc<Pool>,
     pub(crate) clock: &'a dyn Clock,
-    pub(crate) tally: &'a Tally,
+    pub(crate) counters: &'a Counters,
     pub(crate) observer: &'a dyn LoadObserver,
 }
 
@@ -115,7 +115,7 @@
                 result => return result,
             }
         }
-        Tally::add(&self.tally.connections_opened);
+        Counters::add(&self.counters.connections_opened);
         let channel = self.pool.open(offer.endpoint).await;
         let channel = channel.map_err(|_| Failure::Connect)?;
         self.send_on(channel, offer).await
--- a/crates/pass/src/tally.rs
+++ b/crates/pass/src/counters.rs
@@ -46,14 +46,14 @@
     }
 }
 
-macro_rules! tally {
+macro_rules! counters {
     ($($(#[$doc:meta])* $counter:ident,)+) => {
         /// Counters and histograms of a process, read as text.
         ///
         /// Fixed fields with atomics instead of a map of names: a request
         /// counts without a lock and without a look-up.
         #[derive(Debug, Default)]
-        pub struct Tally {
+        pub struct Counters {
             $($(#[$doc])* pub $counter: AtomicU64,)+
             /// From the arrival of a request to the head of its answer.
             pub first_byte_ms: Histogram,
@@ -61,17 +61,17 @@
             pub whole_ms: Histogram,
         }
 
-        impl Tally {
+        impl Counters {
             /// Writes all in the text form that metric collectors read.
             ///
             /// # Example
             ///
             /// ```
-            /// use pomeloslip_pass::Tally;
+            /// use pomeloslip_pass::Counters;
             ///
-            /// let tally = Tally::default();
-            /// Tally::add(&tally.arrived);
-            /// assert!(tally.render().contains("pomeloslip_arrived 1\n"));
+            /// let counters = Counters::default();
+            /// Counters::add(&counters.arrived);
+            /// assert!(counters.render().contains("pomeloslip_arrived 1\n"));
             /// ```
             pub fn render(&self) -> String {
                 let mut text = String::with_capacity(2_048);
@@ -89,7 +89,7 @@
     };
 }
 
-tally! {
+counters! {
     /// Requests that arrived.
     arrived,
     /// Requests with a whole answer of an endpoint.
@@ -128,7 +128,7 @@
     items_given_up,
 }
 
-impl Tally {
+impl Counters {
     /// Counts one.
     pub fn add(counter: &AtomicU64) {
         counter.fetch_add(1, Ordering::Relaxed);
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -12,8 +12,8 @@
 use tokio::time;
 
 use crate::{
-    AnswerBody, Exchange, Failure, HeaderNames, Inbound, LoadObserver, Offer,
-    Pool, Refusal, Tally, Unobserved,
+    AnswerBody, Counters, Exchange, Failure, HeaderNames, Inbound,
+    LoadObserver, Offer, Pool, Refusal, Unobserved,
     answer::{FAILED, PassedBody, REFUSED, Sent, Trail},
     attempt::Means,
     request::strip_hop_by_hop,
@@ -63,7 +63,7 @@
     endpoints: Arc<Snapshot<DirectoryView>>,
     pool: Arc<Pool>,
     clock: Arc<dyn Clock>,
-    tally: Arc<Tally>,
+    counters: Arc<Counters>,
     observer: Arc<dyn LoadObserver>,
 }
 
@@ -100,7 +100,7 @@
         endpoints: Arc<Snapshot<DirectoryView>>,
         pool: Arc<Pool>,
         clock: Arc<dyn Clock>,
-        tally: Arc<Tally>,
+        counters: Arc<Counters>,
     ) -> Self {
         Self {
             names,
@@ -109,7 +109,7 @@
             endpoints,
             pool,
             clock,
-            tally,
+            counters,
             observer: Arc::new(Unobserved),
         }
     }
@@ -134,8 +134,8 @@
         config_version: u64,
     ) -> Response<AnswerBody> {
         let request = Arc::new(request);
-        let tally = self.tally.clone();
-        let mut trail = Trail::new(request.clone(), tally, config_version);
+        let counters = self.counters.clone();
+        let mut trail = Trail::new(request.clone(), counters, config_version);
         let mut tries = Tries::new(request.resume_after());
         let ends_at = request.ends_at();
         let whole = self.run(&request, &mut trail.sent, &mut tries);
@@ -208,7 +208,7 @@
             sent.estimated_load = choice.estimated_load;
             sent.offers += 1;
             if sent.offers > 1 {
-                Tally::add(&self.tally.retried);
+                Counters::add(&self.counters.retried);
             }
             tries.begin(id);
             let offer = Offer {
@@ -354,7 +354,7 @@
             names: &self.names,
             pool: &self.pool,
             clock: &*self.clock,
-            tally: &self.tally,
+            counters: &self.counters,
             observer: &*self.observer,
         }
     }
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -20,6 +20,7 @@
 mod answer;
 mod attempt;
 mod channel;
+mod counters;
 mod error;
 mod events;
 mod exchange;
@@ -32,12 +33,12 @@
 mod relay;
 mod request;
 mod resume;
-mod tally;
 
 pub use crate::{
     answer::AnswerBody,
     attempt::{Failure, Offer},
     channel::ChannelOptions,
+    counters::Counters,
     error::{BrokenAnswer, PassError},
     events::{EventSplitter, Split},
     exchange::Exchange,
@@ -49,5 +50,4 @@
     pool::{Fetch, Pool},
     relay::Relay,
     request::{Inbound, read_body},
-    tally::Tally,
 };
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -10,7 +10,7 @@
 use tokio::time::Sleep;
 
 use crate::{
-    BrokenAnswer, EventSplitter, Exchange, Forwarder, Tally,
+    BrokenAnswer, Counters, EventSplitter, Exchange, Forwarder,
     answer::{ANSWERED, FAILED, Sent, Trail, sleep_until},
     forward::Tries,
 };
@@ -142,7 +142,7 @@
             ..taken.sent
         };
         self.tries = taken.tries;
-        Tally::add(&self.trail.tally.resumed);
+        Counters::add(&self.trail.counters.resumed);
         self.state = State::Reading(Box::new(taken.exchange));
         let again = tokio::time::Instant::now() + self.stall_after;
         self.stall.as_mut().reset(again);
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -14,8 +14,8 @@
 use http::{HeaderName, Request, Response};
 use http_body_util::BodyExt;
 use pomeloslip_pass::{
-    AnswerBody, DirectoryView, Forwarder, ForwarderOptions, HeaderNames,
-    Inbound, Pool, Tally,
+    AnswerBody, Counters, DirectoryView, Forwarder, ForwarderOptions,
+    HeaderNames, Inbound, Pool,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -156,7 +156,7 @@
 pub(crate) struct Bench {
     pub forwarder: Arc<Forwarder>,
     #[allow(dead_code)]
-    pub tally: Arc<Tally>,
+    pub counters: Arc<Counters>,
     #[allow(dead_code)]
     pub endpoints: Vec<Endpoint>,
     #[allow(dead_code)]
@@ -187,7 +187,7 @@
         table: EndpointTable::new(endpoints.clone()),
         revision: 1,
     };
-    let tally = Arc::new(Tally::default());
+    let counters = Arc::new(Counters::default());
     let pool = Arc::new(Pool::default());
     let forwarder = Forwarder::new(
         names(),
@@ -196,11 +196,11 @@
         Arc::new(Snapshot::new(view)),
         pool.clone(),
         Arc::new(SystemClock::new()),
-        tally.clone(),
+        counters.clone(),
     );
     Bench {
         forwarder: Arc::new(forwarder),
-        tally,
+        counters,
         endpoints,
         pool,
     }
--- a/crates/pass/tests/forward.rs
+++ b/crates/pass/tests/forward.rs
@@ -45,7 +45,7 @@
         until(|| bench.endpoints[0].in_flight() == 0).await;
         tokio::task::yield_now().await;
     }
-    let opened = &bench.tally.connections_opened;
+    let opened = &bench.counters.connections_opened;
     let opened = opened.load(std::sync::atomic::Ordering::Relaxed);
     assert_eq!(opened, 1);
 }
