Name what writes a request's line RequestLog

Cause: Trail is a figure of speech; it follows one request and writes its log line. Change: Trail to RequestLog, trail to request_log. Measured: a pure rename; the log lines are unchanged.

--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -89,7 +89,7 @@
 ///
 /// Dropping it without an end means that the caller left.
 #[derive(Debug)]
-pub(crate) struct Trail {
+pub(crate) struct RequestLog {
     pub(crate) request: Arc<Inbound>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) config_version: u64,
@@ -100,7 +100,7 @@
     outcome: Option<&'static str>,
 }
 
-impl Trail {
+impl RequestLog {
     pub(crate) fn new(
         request: Arc<Inbound>,
         counters: Arc<Counters>,
@@ -143,7 +143,7 @@
 /// Outcome of a request that may have run and has no whole answer.
 pub(crate) const FAILED: &str = "failed";
 
-impl Drop for Trail {
+impl Drop for RequestLog {
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or("caller_left");
         let counters = &self.counters;
@@ -176,19 +176,22 @@
 #[derive(Debug)]
 pub(crate) struct PassedBody {
     pub(crate) exchange: Exchange,
-    pub(crate) trail: Trail,
+    pub(crate) request_log: RequestLog,
     deadline: Pin<Box<Sleep>>,
 }
 
 impl PassedBody {
-    pub(crate) fn new(exchange: Exchange, mut trail: Trail) -> Self {
+    pub(crate) fn new(
+        exchange: Exchange,
+        mut request_log: RequestLog,
+    ) -> Self {
         if exchange.is_whole() {
-            trail.end(ANSWERED);
+            request_log.end(ANSWERED);
         }
-        let deadline = Box::pin(sleep_until(trail.request.ends_at()));
+        let deadline = Box::pin(sleep_until(request_log.request.ends_at()));
         Self {
             exchange,
-            trail,
+            request_log,
             deadline,
         }
     }
@@ -201,12 +204,12 @@
             Poll::Pending => {}
             Poll::Ready(data) => {
                 match &data {
-                    None => self.trail.end(ANSWERED),
-                    Some(Err(_)) => self.trail.end(FAILED),
+                    None => self.request_log.end(ANSWERED),
+                    Some(Err(_)) => self.request_log.end(FAILED),
                     Some(Ok(data)) => {
-                        self.trail.bytes += data.len() as u64;
+                        self.request_log.bytes += data.len() as u64;
                         if self.exchange.is_whole() {
-                            self.trail.end(ANSWERED);
+                            self.request_log.end(ANSWERED);
                         }
                     }
                 }
@@ -216,7 +219,7 @@
         if self.deadline.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
         }
-        self.trail.end(FAILED);
+        self.request_log.end(FAILED);
         Poll::Ready(Some(Err(BrokenAnswer::Deadline)))
     }
 }
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -14,7 +14,7 @@
 use crate::{
     AnswerBody, Counters, Exchange, Failure, HeaderNames, Inbound,
     LoadObserver, Offer, Pool, Refusal, Unobserved,
-    answer::{FAILED, PassedBody, REFUSED, Sent, Trail},
+    answer::{FAILED, PassedBody, REFUSED, RequestLog, Sent},
     attempt::Means,
     request::strip_hop_by_hop,
     resume::{ResumedBody, Taken},
@@ -135,19 +135,20 @@
     ) -> Response<AnswerBody> {
         let request = Arc::new(request);
         let counters = self.counters.clone();
-        let mut trail = Trail::new(request.clone(), counters, config_version);
+        let mut request_log =
+            RequestLog::new(request.clone(), counters, config_version);
         let mut tries = Tries::new(request.resume_after());
         let ends_at = request.ends_at();
-        let whole = self.run(&request, &mut trail.sent, &mut tries);
+        let whole = self.run(&request, &mut request_log.sent, &mut tries);
         let result = match time::timeout_at(ends_at.into(), whole).await {
             Ok(result) => result,
             Err(_) => Err(tries.out_of_time()),
         };
         match result {
-            Ok(exchange) => self.answer(exchange, trail, tries),
+            Ok(exchange) => self.answer(exchange, request_log, tries),
             Err(refusal) => {
-                trail.head(refusal.status().as_u16());
-                trail.end(match refusal.ran() {
+                request_log.head(refusal.status().as_u16());
+                request_log.end(match refusal.ran() {
                     crate::Ran::No => REFUSED,
                     crate::Ran::Unknown => FAILED,
                 });
@@ -166,11 +167,11 @@
     fn answer(
         self: &Arc<Self>,
         mut exchange: Exchange,
-        mut trail: Trail,
+        mut request_log: RequestLog,
         tries: Tries,
     ) -> Response<AnswerBody> {
-        let kind = trail.request.route().kind();
-        trail.head(exchange.status().as_u16());
+        let kind = request_log.request.route().kind();
+        request_log.head(exchange.status().as_u16());
         let head = exchange.take_head();
         let resumable = kind == RouteKind::ResumableStream
             && exchange.status().is_success();
@@ -178,10 +179,12 @@
             true => AnswerBody::resumed(ResumedBody::new(
                 self.clone(),
                 exchange,
-                trail,
+                request_log,
                 tries,
             )),
-            false => AnswerBody::passed(PassedBody::new(exchange, trail)),
+            false => {
+                AnswerBody::passed(PassedBody::new(exchange, request_log))
+            }
         };
         let mut response = Response::new(body);
         if let Some(mut head) = head {
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     BrokenAnswer, Counters, EventSplitter, Exchange, Forwarder,
-    answer::{ANSWERED, FAILED, Sent, Trail, sleep_until},
+    answer::{ANSWERED, FAILED, RequestLog, Sent, sleep_until},
     forward::Tries,
 };
 
@@ -32,7 +32,7 @@
     forwarder: Arc<Forwarder>,
     state: State,
     splitter: EventSplitter,
-    trail: Trail,
+    request_log: RequestLog,
     tries: Tries,
     deadline: Pin<Box<Sleep>>,
     stall: Pin<Box<Sleep>>,
@@ -57,10 +57,10 @@
     pub(crate) fn new(
         forwarder: Arc<Forwarder>,
         exchange: Exchange,
-        trail: Trail,
+        request_log: RequestLog,
         tries: Tries,
     ) -> Self {
-        let request = &trail.request;
+        let request = &request_log.request;
         let stall_ms =
             (request.route().gap_target_ms() * STALL_GAPS).max(STALL_LEAST_MS);
         let stall_after = Duration::from_millis(stall_ms);
@@ -71,7 +71,7 @@
             stall_after,
             forwarder,
             state: State::Reading(Box::new(exchange)),
-            trail,
+            request_log,
             tries,
         }
     }
@@ -115,7 +115,7 @@
                         }
                         None => {
                             self.state = State::Over;
-                            self.trail.end(ANSWERED);
+                            self.request_log.end(ANSWERED);
                             return Poll::Ready(None);
                         }
                     }
@@ -131,18 +131,18 @@
         if split.events.is_empty() {
             return None;
         }
-        self.trail.bytes += split.events.len() as u64;
+        self.request_log.bytes += split.events.len() as u64;
         Some(split.events)
     }
 
     fn go_on(&mut self, taken: Taken) {
-        let offers = self.trail.sent.offers + taken.sent.offers;
-        self.trail.sent = Sent {
+        let offers = self.request_log.sent.offers + taken.sent.offers;
+        self.request_log.sent = Sent {
             offers,
             ..taken.sent
         };
         self.tries = taken.tries;
-        Counters::add(&self.trail.counters.resumed);
+        Counters::add(&self.request_log.counters.resumed);
         self.state = State::Reading(Box::new(taken.exchange));
         let again = tokio::time::Instant::now() + self.stall_after;
         self.stall.as_mut().reset(again);
@@ -152,14 +152,14 @@
     /// endpoint for the rest.
     fn take_up_elsewhere(&mut self, reason: &'static str) {
         self.splitter.drop_partial();
-        let request = &self.trail.request;
+        let request = &self.request_log.request;
         let after = self.splitter.last_id();
         log::info!(
             request_id = request.id(),
-            endpoint = self.trail.sent.endpoint.as_str(),
+            endpoint = self.request_log.sent.endpoint.as_str(),
             reason,
             after = after.unwrap_or(0),
-            age_ms = self.trail.age_ms();
+            age_ms = self.request_log.age_ms();
             "a stream is taken up at another endpoint"
         );
         self.state = State::Over;
@@ -175,7 +175,7 @@
         &mut self,
         why: BrokenAnswer,
     ) -> Poll<Option<Result<Bytes, BrokenAnswer>>> {
-        self.trail.end(FAILED);
+        self.request_log.end(FAILED);
         self.state = State::Over;
         Poll::Ready(Some(Err(why)))
     }
@@ -184,7 +184,7 @@
 impl fmt::Debug for ResumedBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("ResumedBody")
-            .field("trail", &self.trail)
+            .field("request_log", &self.request_log)
             .finish_non_exhaustive()
     }
 }
