Name what a node knows of the fleet ClusterState

Cause: Beliefs is a figure of speech for a node's view of configuration and endpoints. Change: Beliefs to ClusterState, beliefs to cluster, believe_* to follow_*. Measured: a pure rename.

--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -10,7 +10,7 @@
 use base::{SystemClock, timer::Timer};
 use error_stack::{Report, ResultExt};
 use kv::paths::Paths;
-use node::{Beliefs, Front, NodeSettings, Outside, Signals, Worker};
+use node::{ClusterState, Front, NodeSettings, Outside, Signals, Worker};
 use obs::LogSettings;
 use pass::Counters;
 use platform::{MachineSettings, PlatformDialect, PlatformKv};
@@ -101,7 +101,7 @@
         dialect: Arc::new(PlatformDialect),
         kv: Arc::new(kv),
         paths,
-        beliefs: Beliefs::new(clock),
+        cluster: ClusterState::new(clock),
         timer,
         counters,
     };
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -17,12 +17,12 @@
 };
 use tokio::sync::watch;
 
-use crate::{Beliefs, NodeError};
+use crate::{ClusterState, NodeError};
 
 /// Answers the balancer's question for readiness and serves the metrics.
 pub struct Admin {
     ready_path: &'static str,
-    beliefs: Beliefs,
+    cluster: ClusterState,
     stopping: Arc<AtomicBool>,
     counters: Arc<Counters>,
 }
@@ -31,13 +31,13 @@
     /// Makes the answers; `stopping` is set when a planned stop begins.
     pub fn new(
         ready_path: &'static str,
-        beliefs: Beliefs,
+        cluster: ClusterState,
         stopping: Arc<AtomicBool>,
         counters: Arc<Counters>,
     ) -> Self {
         Self {
             ready_path,
-            beliefs,
+            cluster,
             stopping,
             counters,
         }
@@ -71,7 +71,7 @@
             return Response::new(AnswerBody::own(Bytes::from(text)));
         }
         let stopping = self.stopping.load(Ordering::Relaxed);
-        let ready = !stopping && self.beliefs.is_ready();
+        let ready = !stopping && self.cluster.is_ready();
         let mut response = Response::new(AnswerBody::own(Bytes::new()));
         if !ready {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    Admin, Beliefs, Dialect, NodeError, NodeSettings, VacateOrder,
+    Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
     job_spool::JobSpool, load_share, membership, peer, siblings::PeerBulk,
     watch::Watches,
 };
@@ -29,7 +29,7 @@
     /// The ways to the key-value service, which other nodes add to.
     pub paths: Arc<Paths>,
     /// What the node comes to believe.
-    pub beliefs: Beliefs,
+    pub cluster: ClusterState,
     /// The timer service of the process.
     pub timer: Timer,
     /// The counters of the process.
@@ -60,11 +60,11 @@
     ) -> Result<Self, Report<NodeError>> {
         let pool = Arc::new(Pool::default());
         let view = JobView::default();
-        let clock = outside.beliefs.clock().clone();
+        let clock = outside.cluster.clock().clone();
         let watches = Watches {
             kv: outside.kv.clone(),
             dialect: outside.dialect.clone(),
-            beliefs: outside.beliefs.clone(),
+            cluster: outside.cluster.clone(),
             view: view.clone(),
             pool: pool.clone(),
             orders,
@@ -129,7 +129,7 @@
     ) -> Result<(), Report<NodeError>> {
         let admin = Arc::new(Admin::new(
             outside.dialect.ready_path(),
-            outside.beliefs.clone(),
+            outside.cluster.clone(),
             self.stopping.clone(),
             outside.counters.clone(),
         ));
@@ -149,9 +149,9 @@
             outside.dialect.headers(),
             ForwarderOptions::default(),
             &settings.failure_domain,
-            outside.beliefs.endpoints.clone(),
+            outside.cluster.endpoints.clone(),
             self.pool.clone(),
-            outside.beliefs.clock().clone(),
+            outside.cluster.clock().clone(),
             outside.counters.clone(),
         )
     }
--- a/crates/node/src/belief.rs
+++ b/crates/node/src/cluster.rs
@@ -11,7 +11,7 @@
 ///
 /// Readers take snapshots without a lock; the watchers are the only writers.
 #[derive(Clone)]
-pub struct Beliefs {
+pub struct ClusterState {
     /// The operators' configuration, once one has arrived.
     pub config: Arc<Snapshot<Option<Arc<Config>>>>,
     /// The endpoints.
@@ -25,7 +25,7 @@
 /// node that asks another one hears of it up to a second later.
 const CONFIG_SURE_MS: u64 = 4_000;
 
-impl Beliefs {
+impl ClusterState {
     /// Starts without any knowledge.
     pub fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -21,7 +21,7 @@
 use tokio::{sync::watch as stage, time};
 
 use crate::{
-    Beliefs, Dialect, JobCall, NodeError, NodeSettings, Outside, Signals,
+    ClusterState, Dialect, JobCall, NodeError, NodeSettings, Outside, Signals,
     base::NodeBase,
     intake::JobIntake,
     load_share::{Announcer, FrontShare},
@@ -60,7 +60,7 @@
             node: settings.node.clone(),
             socket: base.socket.clone(),
             view: base.view.clone(),
-            beliefs: outside.beliefs.clone(),
+            cluster: outside.cluster.clone(),
             began,
         };
         tokio::spawn(share.run());
@@ -68,17 +68,17 @@
         let forwarder = Arc::new(forwarder.with_observer(Arc::new(announcer)));
         let view = base.view.clone();
         let ledger = base.ledger.clone();
-        let clock = outside.beliefs.clock().clone();
+        let clock = outside.cluster.clock().clone();
         let pages = PageReader::new(ledger.clone(), view.clone(), clock);
         let (stage, receiver) = stage::channel(Stopping::No);
         let options = ListenerOptions::default();
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
-        let clock = outside.beliefs.clock().clone();
+        let clock = outside.cluster.clock().clone();
         let intake = JobIntake::new(ledger.clone(), view.clone(), clock);
         let gateway = Arc::new(Gateway {
             dialect: outside.dialect,
-            beliefs: outside.beliefs,
+            cluster: outside.cluster,
             forwarder,
             intake,
             ledger,
@@ -130,7 +130,7 @@
 /// Answers callers.
 struct Gateway {
     dialect: Arc<dyn Dialect>,
-    beliefs: Beliefs,
+    cluster: ClusterState,
     forwarder: Arc<Forwarder>,
     ledger: Ledger,
     intake: JobIntake,
@@ -150,7 +150,7 @@
 
 impl Gateway {
     fn limits(&self) -> TransferLimits {
-        let config = self.beliefs.config.load();
+        let config = self.cluster.config.load();
         config
             .as_ref()
             .as_ref()
@@ -198,7 +198,7 @@
     }
 
     fn find_route(&self, parts: &Parts) -> Result<(Arc<Route>, u64), Refusal> {
-        let config = self.beliefs.config.load();
+        let config = self.cluster.config.load();
         let Some(config) = config.as_ref() else {
             let refusal = Refusal::not_run("no configuration is known yet");
             return Err(refusal.with_retry_after_ms(COME_BACK_MS));
@@ -208,7 +208,7 @@
         let host = host.or(parts.uri.host()).unwrap_or_default();
         match config.routes.find(host, parts.uri.path()) {
             Some(route) => Ok((route.clone(), config.version)),
-            None if self.beliefs.is_config_sure() => Err(Refusal::improper(
+            None if self.cluster.is_config_sure() => Err(Refusal::improper(
                 StatusCode::NOT_FOUND,
                 "no route leads there",
             )),
@@ -229,7 +229,7 @@
             path = parts.uri.path(),
             status = refusal.status().as_u16(),
             reason = refusal.reason(),
-            config_age_ms = self.beliefs.config_age_ms();
+            config_age_ms = self.cluster.config_age_ms();
             "a request is refused"
         );
         Counters::add(&self.counters.refused);
@@ -298,7 +298,7 @@
             owner: owner.to_owned(),
             host: host.unwrap_or_default().to_owned(),
             path: parts.uri.path().to_owned(),
-            submitted_at: self.beliefs.clock().unix(),
+            submitted_at: self.cluster.clock().unix(),
             terms: route.batch(),
             items,
         })
@@ -346,7 +346,7 @@
                 request_id = job.as_str(),
                 error:%,
                 status = refusal.status().as_u16(),
-                view_age_ms = self.view.age_ms(self.beliefs.clock().now());
+                view_age_ms = self.view.age_ms(self.cluster.clock().now());
                 "a call about a job failed"
             );
             refusal.into_response()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,7 +10,7 @@
 
 mod admin;
 mod base;
-mod belief;
+mod cluster;
 mod dialect;
 mod error;
 mod feed;
@@ -32,7 +32,7 @@
 pub use crate::{
     admin::Admin,
     base::Outside,
-    belief::Beliefs,
+    cluster::ClusterState,
     dialect::{
         Dialect, DialectError, JobCall, OperatorOrder, VacateOrder,
         VacateState,
--- a/crates/node/src/load_share.rs
+++ b/crates/node/src/load_share.rs
@@ -19,7 +19,7 @@
     time::{self, MissedTickBehavior},
 };
 
-use crate::Beliefs;
+use crate::ClusterState;
 
 /// Time between two looks at what has changed, in milliseconds.
 const TICK_MS: u64 = 50;
@@ -100,7 +100,7 @@
     pub(crate) node: String,
     pub(crate) socket: Arc<UdpSocket>,
     pub(crate) view: JobView,
-    pub(crate) beliefs: Beliefs,
+    pub(crate) cluster: ClusterState,
     pub(crate) began: mpsc::UnboundedReceiver<String>,
 }
 
@@ -144,8 +144,8 @@
     }
 
     fn plan(&self, planner: &mut Planner) -> Arc<Plan> {
-        let config = self.beliefs.config.load_full();
-        let view = self.beliefs.endpoints.load_full();
+        let config = self.cluster.config.load_full();
+        let view = self.cluster.endpoints.load_full();
         let members = self.view.members();
         planner.plan((*config).as_deref(), &view.table, members)
     }
@@ -153,8 +153,8 @@
     /// Marks the endpoints that this front uses before others. Where every
     /// front has some of its own, it knows their load to the moment.
     fn mark_own_share(&self, planner: &mut Planner) {
-        let config = self.beliefs.config.load_full();
-        let view = self.beliefs.endpoints.load_full();
+        let config = self.cluster.config.load_full();
+        let view = self.cluster.endpoints.load_full();
         let fronts = Members::fronts(self.view.nodes());
         let plan = planner.plan((*config).as_deref(), &view.table, fronts);
         for endpoint in view.table.iter() {
@@ -169,7 +169,7 @@
         told: &mut IndexMap<String, u32>,
         whole: bool,
     ) -> Vec<String> {
-        let view = self.beliefs.endpoints.load();
+        let view = self.cluster.endpoints.load();
         if whole {
             told.clear();
         }
@@ -202,7 +202,7 @@
             }
         }
         for id in changed {
-            let view = self.beliefs.endpoints.load();
+            let view = self.cluster.endpoints.load();
             let endpoint = view.table.iter().find(|e| e.record().id == *id);
             let Some(count) = endpoint.map(Endpoint::in_flight) else {
                 continue;
@@ -224,8 +224,8 @@
     }
 
     fn learn(&self, counts: &IndexMap<String, u32>) {
-        let now = self.beliefs.clock().now();
-        let view = self.beliefs.endpoints.load();
+        let now = self.cluster.clock().now();
+        let view = self.cluster.endpoints.load();
         for endpoint in view.table.iter() {
             if let Some(count) = counts.get(&endpoint.record().id) {
                 endpoint.told_foreign(*count, now);
@@ -239,7 +239,7 @@
     pub(crate) node: String,
     pub(crate) socket: Arc<UdpSocket>,
     pub(crate) view: JobView,
-    pub(crate) beliefs: Beliefs,
+    pub(crate) cluster: ClusterState,
     pub(crate) online: Arc<OnlineLoad>,
 }
 
@@ -273,7 +273,7 @@
     }
 
     fn now(&self) -> Millis {
-        self.beliefs.clock().now()
+        self.cluster.clock().now()
     }
 
     /// Tells each front what the others have in flight at the endpoints of
@@ -283,8 +283,8 @@
         planner: &mut Planner,
         told: &mut IndexMap<String, IndexMap<String, u32>>,
     ) {
-        let config = self.beliefs.config.load_full();
-        let view = self.beliefs.endpoints.load_full();
+        let config = self.cluster.config.load_full();
+        let view = self.cluster.endpoints.load_full();
         let members = self.view.members();
         let plan = planner.plan((*config).as_deref(), &view.table, members);
         let nodes = self.view.nodes();
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,4 +1,4 @@
-//! Turns what is followed into beliefs.
+//! Turns what is followed into cluster.
 
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
-    Beliefs, Dialect, NodeSettings, OperatorOrder, VacateOrder,
+    ClusterState, Dialect, NodeSettings, OperatorOrder, VacateOrder,
     feed::{Delta, Feed},
     follow::{Follower, Pace, Readers, Reading},
 };
@@ -31,7 +31,7 @@
 pub(crate) struct Watches {
     pub(crate) kv: Arc<dyn Kv>,
     pub(crate) dialect: Arc<dyn Dialect>,
-    pub(crate) beliefs: Beliefs,
+    pub(crate) cluster: ClusterState,
     pub(crate) view: JobView,
     /// Connections to endpoints; those of ended ones are dropped.
     pub(crate) pool: Arc<Pool>,
@@ -67,31 +67,31 @@
                 kv: self.kv.clone(),
                 readers: readers.clone(),
                 pool: pool.clone(),
-                clock: self.beliefs.clock().clone(),
+                clock: self.cluster.clock().clone(),
             };
             tokio::spawn(follower.run());
         }
         let Watches {
             dialect,
-            beliefs,
+            cluster,
             view,
             pool,
             orders,
             ..
         } = self;
-        tokio::spawn(believe_endpoints(
+        tokio::spawn(follow_endpoints(
             feeds[0].clone(),
             dialect.clone(),
-            beliefs.clone(),
+            cluster.clone(),
             pool,
         ));
-        tokio::spawn(believe_operators(
+        tokio::spawn(follow_operators(
             feeds[1].clone(),
             dialect,
-            beliefs,
+            cluster,
             orders,
         ));
-        tokio::spawn(believe_jobs(feeds[2].clone(), view));
+        tokio::spawn(follow_jobs(feeds[2].clone(), view));
         Arc::new(feeds)
     }
 }
@@ -106,10 +106,10 @@
     changes
 }
 
-async fn believe_endpoints(
+async fn follow_endpoints(
     feed: Arc<Feed>,
     dialect: Arc<dyn Dialect>,
-    beliefs: Beliefs,
+    cluster: ClusterState,
     pool: Arc<Pool>,
 ) {
     let mut directory = Directory::default();
@@ -124,9 +124,9 @@
             continue;
         }
         let listing = entries.decode(&delta, &*dialect);
-        let changes = directory.take(listing, beliefs.clock().now());
+        let changes = directory.take(listing, cluster.clock().now());
         log_changes(&changes, directory.revision());
-        beliefs.endpoints.publish(DirectoryView {
+        cluster.endpoints.publish(DirectoryView {
             table: directory.table(),
             revision: directory.revision(),
         });
@@ -185,14 +185,14 @@
     }
 }
 
-async fn believe_operators(
+async fn follow_operators(
     feed: Arc<Feed>,
     dialect: Arc<dyn Dialect>,
-    beliefs: Beliefs,
+    cluster: ClusterState,
     orders: Option<mpsc::UnboundedSender<VacateOrder>>,
 ) {
     let take = |kv: &KeyValue| match dialect.order(kv) {
-        Ok(OperatorOrder::Config(config)) => beliefs.take_config(*config),
+        Ok(OperatorOrder::Config(config)) => cluster.take_config(*config),
         Ok(OperatorOrder::Vacate(order)) => {
             if let Some(orders) = &orders {
                 let _ = orders.send(order);
@@ -212,12 +212,12 @@
         newer.filter(|kv| kv.mod_revision > after).for_each(&take);
         after = delta.revision;
         if let Some(at) = delta.fresh_at {
-            beliefs.confirm_config(at);
+            cluster.confirm_config(at);
         }
     }
 }
 
-async fn believe_jobs(feed: Arc<Feed>, view: JobView) {
+async fn follow_jobs(feed: Arc<Feed>, view: JobView) {
     let mut changes = subscribe(&feed);
     let mut after = 0;
     while changes.changed().await.is_ok() {
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -47,7 +47,7 @@
             node: settings.node.clone(),
             socket: base.socket.clone(),
             view: base.view.clone(),
-            beliefs: outside.beliefs.clone(),
+            cluster: outside.cluster.clone(),
             online: online.clone(),
         };
         tokio::spawn(share.run());
@@ -131,12 +131,12 @@
         node: settings.node.clone(),
         ledger: base.ledger.clone(),
         view: base.view.clone(),
-        endpoints: outside.beliefs.endpoints.clone(),
-        config: outside.beliefs.config.clone(),
+        endpoints: outside.cluster.endpoints.clone(),
+        config: outside.cluster.config.clone(),
         means: Arc::new(base.forwarder(settings, outside)),
         probe: Arc::new(probe),
         online,
-        clock: outside.beliefs.clock().clone(),
+        clock: outside.cluster.clock().clone(),
         counters: outside.counters.clone(),
     };
     Runner::new(options, parts)
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -26,7 +26,7 @@
 use kv::{KeyValue, Kv, Memory, Op, Txn, paths::Paths};
 use pass::{Counters, HeaderNames};
 use pomeloslip_node::{
-    Beliefs, Dialect, DialectError, Front, JobCall, NodeSettings,
+    ClusterState, Dialect, DialectError, Front, JobCall, NodeSettings,
     OperatorOrder, Outside, Signals, VacateOrder, VacateState, Worker,
 };
 use tokio::{
@@ -371,7 +371,7 @@
         dialect: Arc::new(TestDialect),
         kv,
         paths,
-        beliefs: Beliefs::new(clock),
+        cluster: ClusterState::new(clock),
         timer,
         counters: Arc::new(Counters::default()),
     };
