Name what sends an offer Dispatcher, and a resumed stream Continuation

Cause: Means and Taken are figures of speech. Change: pass::Means to Dispatcher, jobs::RunMeans to ItemForwarder with its field, Taken to Continuation, Taking to Resuming.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -44,7 +44,7 @@
         encode_progress, encode_results, head_key, input_key, merge_strikes,
         output_key, progress_key,
     },
-    run::{ItemRun, Progress, RunEnd, RunMeans},
+    run::{ItemForwarder, ItemRun, Progress, RunEnd},
     runner::{Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, Stop},
     view::JobView,
 };
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -113,7 +113,7 @@
 }
 
 /// How items are sent.
-pub type RunMeans = Arc<Forwarder>;
+pub type ItemForwarder = Arc<Forwarder>;
 
 /// Longest run of an item, in milliseconds; a longer one is taken up again
 /// after its last event.
@@ -126,13 +126,13 @@
 impl ItemRun {
     /// Runs the item to its end, or until the future is dropped, which
     /// closes the connection and so stops the endpoint's work.
-    pub async fn run(self, means: &RunMeans) -> RunEnd {
-        let Some(request) = self.request(means) else {
+    pub async fn run(self, forwarder: &ItemForwarder) -> RunEnd {
+        let Some(request) = self.request(forwarder) else {
             return RunEnd::Rejected;
         };
         let after = self.progress.last_id();
         let wait = Duration::from_millis(STALL_MS);
-        let offer = means.offer(&request, &self.endpoint, after, wait);
+        let offer = forwarder.offer(&request, &self.endpoint, after, wait);
         match offer.await {
             Ok(exchange) => self.read(exchange, after).await,
             Err(Failure::Broken | Failure::Silent) => RunEnd::Broken,
@@ -142,7 +142,7 @@
         }
     }
 
-    fn request(&self, means: &RunMeans) -> Option<Inbound> {
+    fn request(&self, forwarder: &ItemForwarder) -> Option<Inbound> {
         let mut request = Request::new(());
         *request.method_mut() = Method::POST;
         *request.uri_mut() = self.input.path.parse().ok()?;
@@ -154,13 +154,13 @@
         let host = HeaderValue::from_str(&self.host).ok()?;
         headers.insert(header::HOST, host);
         let id = HeaderValue::from_str(&self.input.id).ok()?;
-        headers.insert(means.names().request_id.clone(), id);
+        headers.insert(forwarder.names().request_id.clone(), id);
         let (parts, ()) = request.into_parts();
         let inbound = Inbound::new(
             parts,
             Bytes::from(self.input.body.clone()),
             self.route.clone(),
-            means.names(),
+            forwarder.names(),
             Instant::now(),
         );
         Some(inbound.with_wait_ms(RUN_MOST_MS))
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -26,8 +26,8 @@
     save::Loaded,
 };
 use crate::{
-    GateOptions, JobError, JobHead, JobView, Ledger, OnlineLoad, Pace, Plan,
-    Planner, RunEnd, RunMeans, Stored, batch_services,
+    GateOptions, ItemForwarder, JobError, JobHead, JobView, Ledger,
+    OnlineLoad, Pace, Plan, Planner, RunEnd, Stored, batch_services,
     record::{ItemResult, ItemState, JobKey},
 };
 
@@ -106,7 +106,7 @@
     /// The configuration in force, once there is one.
     pub config: Arc<Snapshot<Option<Arc<Config>>>>,
     /// How items are sent.
-    pub means: RunMeans,
+    pub forwarder: ItemForwarder,
     /// How endpoints are asked for their load.
     pub probe: Arc<dyn Probe>,
     /// What fronts tell of their requests in flight.
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -315,10 +315,10 @@
             "an item starts"
         );
         item.state = Phase::Running(id);
-        let means = self.runner.parts.means.clone();
+        let forwarder = self.runner.parts.forwarder.clone();
         let sender = self.sender.clone();
         let task = tokio::spawn(async move {
-            let end = run.run(&means).await;
+            let end = run.run(&forwarder).await;
             let _ = sender.send(Event::Ended(id, end));
         });
         Counters::add(&self.runner.parts.counters.item_runs);
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -133,7 +133,7 @@
         view: base.view.clone(),
         endpoints: outside.cluster.endpoints.clone(),
         config: outside.cluster.config.clone(),
-        means: Arc::new(base.forwarder(settings, outside)),
+        forwarder: Arc::new(base.forwarder(settings, outside)),
         probe: Arc::new(probe),
         online,
         clock: outside.cluster.clock().clone(),
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -71,7 +71,7 @@
 }
 
 /// What an offer needs besides the request.
-pub(crate) struct Means<'a> {
+pub(crate) struct Dispatcher<'a> {
     pub(crate) names: &'a HeaderNames,
     pub(crate) pool: &'a Arc<Pool>,
     pub(crate) clock: &'a dyn Clock,
@@ -79,7 +79,7 @@
     pub(crate) observer: &'a dyn LoadObserver,
 }
 
-impl Means<'_> {
+impl Dispatcher<'_> {
     /// Sends the request and returns the answer once its head is there.
     pub(crate) async fn make(
         &self,
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -15,9 +15,9 @@
     AnswerBody, Counters, Exchange, Failure, HeaderNames, Inbound,
     LoadObserver, Offer, Pool, Refusal, Unobserved,
     answer::{FAILED, PassedBody, REFUSED, RequestLog, Sent},
-    attempt::Means,
+    attempt::Dispatcher,
     request::strip_hop_by_hop,
-    resume::{ResumedBody, Taken},
+    resume::{Continuation, ResumedBody},
 };
 
 /// Bounds of the way from a request to its endpoint.
@@ -220,7 +220,7 @@
                 resume_after: tries.resume_after,
                 wait: self.wait(request, tries),
             };
-            match self.means().make(offer).await {
+            match self.dispatcher().make(offer).await {
                 Ok(exchange) => {
                     tries.ran();
                     if !worth_another(request.route(), &exchange, tries) {
@@ -319,7 +319,7 @@
             resume_after,
             wait,
         };
-        self.means().make(offer).await
+        self.dispatcher().make(offer).await
     }
 
     /// Asks another endpoint for the rest of a stream.
@@ -327,7 +327,7 @@
         &self,
         request: &Inbound,
         mut tries: Tries,
-    ) -> Option<Taken> {
+    ) -> Option<Continuation> {
         if tries.used >= request.route().max_attempts() {
             return None;
         }
@@ -345,15 +345,15 @@
                 return None;
             }
         };
-        Some(Taken {
+        Some(Continuation {
             exchange,
             sent,
             tries,
         })
     }
 
-    fn means(&self) -> Means<'_> {
-        Means {
+    fn dispatcher(&self) -> Dispatcher<'_> {
+        Dispatcher {
             names: &self.names,
             pool: &self.pool,
             clock: &*self.clock,
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -15,10 +15,10 @@
     forward::Tries,
 };
 
-type Taking = Pin<Box<dyn Future<Output = Option<Taken>> + Send>>;
+type Resuming = Pin<Box<dyn Future<Output = Option<Continuation>> + Send>>;
 
 /// A stream that another endpoint goes on with.
-pub(crate) struct Taken {
+pub(crate) struct Continuation {
     pub(crate) exchange: Exchange,
     pub(crate) sent: Sent,
     pub(crate) tries: Tries,
@@ -41,7 +41,7 @@
 
 enum State {
     Reading(Box<Exchange>),
-    Taking(Taking),
+    Resuming(Resuming),
     Over,
 }
 
@@ -86,9 +86,9 @@
         loop {
             match &mut self.state {
                 State::Over => return Poll::Ready(None),
-                State::Taking(taking) => {
-                    match ready!(taking.as_mut().poll(cx)) {
-                        Some(taken) => self.go_on(taken),
+                State::Resuming(resuming) => {
+                    match ready!(resuming.as_mut().poll(cx)) {
+                        Some(continuation) => self.go_on(continuation),
                         None => {
                             return self.give_up(BrokenAnswer::Endpoint);
                         }
@@ -135,15 +135,15 @@
         Some(split.events)
     }
 
-    fn go_on(&mut self, taken: Taken) {
-        let offers = self.request_log.sent.offers + taken.sent.offers;
+    fn go_on(&mut self, continuation: Continuation) {
+        let offers = self.request_log.sent.offers + continuation.sent.offers;
         self.request_log.sent = Sent {
             offers,
-            ..taken.sent
+            ..continuation.sent
         };
-        self.tries = taken.tries;
+        self.tries = continuation.tries;
         Counters::add(&self.request_log.counters.resumed);
-        self.state = State::Reading(Box::new(taken.exchange));
+        self.state = State::Reading(Box::new(continuation.exchange));
         let again = tokio::time::Instant::now() + self.stall_after;
         self.stall.as_mut().reset(again);
     }
@@ -160,13 +160,13 @@
             reason,
             after = after.unwrap_or(0),
             age_ms = self.request_log.age_ms();
-            "a stream is taken up at another endpoint"
+            "a stream is continuation up at another endpoint"
         );
         self.state = State::Over;
         let forwarder = self.forwarder.clone();
         let request = request.clone();
         let tries = self.tries.after_broken_stream(after);
-        self.state = State::Taking(Box::pin(async move {
+        self.state = State::Resuming(Box::pin(async move {
             forwarder.take_up(&request, tries).await
         }));
     }
