Name load updates, feed updates and remote load by the field's terms

Cause: Word, told and Announcer are figures of speech for messages and what they say; two types were called Word. Change: LoadUpdate and FeedUpdate, LoadNotifier, FrontLoadSync and WorkerLoadSync, report_remote, FrontLoad; load_share to load_sync. Measured: a pure rename; the messages on the wire are unchanged.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -88,8 +88,8 @@
     reported: AtomicU32,
     own_at_report: AtomicU32,
     reported_at_ms: AtomicU64,
-    told_foreign: AtomicU32,
-    told_at_ms: AtomicU64,
+    remote: AtomicU32,
+    remote_at_ms: AtomicU64,
     failures: AtomicU32,
     avoid_until_ms: AtomicU64,
     own_share: AtomicBool,
@@ -153,7 +153,7 @@
         debug_assert!(old > 0, "more ends than begins");
     }
 
-    /// Takes note of a load that the endpoint has told.
+    /// Takes note of a load that the endpoint has reported.
     pub fn report(&self, report: LoadReport, now: Millis) {
         let load = &self.load;
         let all = report.running.saturating_add(report.waiting);
@@ -164,29 +164,30 @@
             .store(now.as_ms().max(1), Ordering::Relaxed);
     }
 
-    /// Takes note of the online requests that other nodes have there, as
-    /// they tell themselves.
-    pub fn told_foreign(&self, requests: u32, now: Millis) {
+    /// Takes note of the online requests that other nodes have there, by
+    /// their load updates.
+    pub fn report_remote(&self, requests: u32, now: Millis) {
         let load = &self.load;
-        load.told_foreign.store(requests, Ordering::Relaxed);
-        load.told_at_ms.store(now.as_ms().max(1), Ordering::Relaxed);
+        load.remote.store(requests, Ordering::Relaxed);
+        load.remote_at_ms
+            .store(now.as_ms().max(1), Ordering::Relaxed);
     }
 
     /// Estimates the requests that it holds from all callers.
     ///
     /// Own requests are known to the moment. Those of others are what they
-    /// told within `TOLD_LIFE_MS`, without batch work, which gives way.
+    /// reported within `REMOTE_LIFE_MS`, without batch work, which gives way.
     /// Failing that they are what the last report held beyond the own ones of that time; after
     /// `REPORT_LIFE_MS` the report says nothing any more.
     pub fn estimated_load(&self, now: Millis) -> u32 {
-        self.in_flight().saturating_add(self.foreign(now))
+        self.in_flight().saturating_add(self.remote(now))
     }
 
-    fn foreign(&self, now: Millis) -> u32 {
-        let told_at = self.load.told_at_ms.load(Ordering::Relaxed);
-        let told_age_ms = now.as_ms().saturating_sub(told_at);
-        if told_at != 0 && told_age_ms <= TOLD_LIFE_MS {
-            return self.load.told_foreign.load(Ordering::Relaxed);
+    fn remote(&self, now: Millis) -> u32 {
+        let remote_at = self.load.remote_at_ms.load(Ordering::Relaxed);
+        let remote_age_ms = now.as_ms().saturating_sub(remote_at);
+        if remote_at != 0 && remote_age_ms <= REMOTE_LIFE_MS {
+            return self.load.remote.load(Ordering::Relaxed);
         }
         let at = self.load.reported_at_ms.load(Ordering::Relaxed);
         let age_ms = now.as_ms().saturating_sub(at);
@@ -237,6 +238,6 @@
 /// one streamed answer, after which what ran then has ended.
 const REPORT_LIFE_MS: u64 = 700;
 
-/// How long the word of other nodes counts, in milliseconds: all of it is
-/// told again every half second.
-const TOLD_LIFE_MS: u64 = 1_300;
+/// How long a load update of other nodes counts, in milliseconds: all of it is
+/// sent again every half second.
+const REMOTE_LIFE_MS: u64 = 1_300;
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -123,7 +123,7 @@
         slots: 8,
     };
     one.report(report, NOW);
-    one.told_foreign(2, NOW);
+    one.report_remote(2, NOW);
     assert_eq!(one.estimated_load(NOW), 2);
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,7 +30,7 @@
     error::JobError,
     gate::{GateInput, GateOptions, GateOrder, decide},
     ledger::{Ledger, NewJob, Stored},
-    online::{OnlineLoad, TOLD_LIFE_MS},
+    online::{FRONT_LOAD_LIFE_MS, OnlineLoad},
     order::{PreemptRank, Urgency},
     pace::{Pace, Rest},
     page::{Page, PageReader},
--- a/crates/jobs/src/online.rs
+++ b/crates/jobs/src/online.rs
@@ -4,38 +4,39 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
-/// Online requests in flight by endpoint, as the fronts tell them.
+/// Online requests in flight by endpoint, from the load updates of fronts.
 ///
-/// A front tells of a request as it sends it, so that batch work gives way
+/// A front reports a request as it sends it, so that batch work gives way
 /// within milliseconds. An engine's own report was measured instead: it is
-/// tens of milliseconds old, asking for it costs, and it does not tell
+/// tens of milliseconds old, asking for it costs, and it does not separate
 /// online requests from batch items of other nodes.
 #[derive(Debug)]
 pub struct OnlineLoad {
-    told: Mutex<IndexMap<String, Told>>,
-    heard: mpsc::UnboundedSender<String>,
+    by_front: Mutex<IndexMap<String, FrontLoad>>,
+    changed: mpsc::UnboundedSender<String>,
 }
 
 #[derive(Debug, Default)]
-struct Told {
+struct FrontLoad {
     at: Millis,
     counts: IndexMap<String, u32>,
 }
 
-/// Age at which what a front told counts no more, in milliseconds: it tells
-/// all at least every half second, and single messages may be lost.
-pub const TOLD_LIFE_MS: u64 = 1_300;
+/// Age at which a front's load update counts no more, in milliseconds: it
+/// sends all of its counts at least every half second, and single messages
+/// may be lost.
+pub const FRONT_LOAD_LIFE_MS: u64 = 1_300;
 
 impl OnlineLoad {
-    /// Starts without any word; the receiver hears of endpoints whose load
+    /// Starts without any update; the receiver hears of endpoints whose load
     /// has changed.
     pub fn new() -> (Self, mpsc::UnboundedReceiver<String>) {
-        let (heard, changed) = mpsc::unbounded_channel();
+        let (changed, changes) = mpsc::unbounded_channel();
         let load = Self {
-            told: Mutex::default(),
-            heard,
+            by_front: Mutex::default(),
+            changed,
         };
-        (load, changed)
+        (load, changes)
     }
 
     /// Takes in the counts of a front; `whole` says that these are all.
@@ -46,19 +47,20 @@
         whole: bool,
         now: Millis,
     ) {
-        let mut told = self.lock();
-        let told = match told.get_mut(front) {
-            Some(told) => told,
-            None => told.entry(front.to_owned()).or_default(),
+        let mut by_front = self.lock();
+        let load = match by_front.get_mut(front) {
+            Some(load) => load,
+            None => by_front.entry(front.to_owned()).or_default(),
         };
-        told.at = now;
+        load.at = now;
         if whole {
-            told.counts.clear();
+            load.counts.clear();
         }
         for (endpoint, count) in counts {
-            let before = told.counts.insert(endpoint.clone(), count);
+            let before = load.counts.insert(endpoint.clone(), count);
             if !whole && before.unwrap_or_default() != count {
-                let _ = self.heard.send(endpoint);
+                // Nobody listens any more in a process that ends.
+                let _ = self.changed.send(endpoint);
             }
         }
     }
@@ -66,40 +68,41 @@
     /// Returns the online requests at an endpoint, without those of one
     /// front.
     pub fn at(&self, endpoint: &str, without: &str, now: Millis) -> u32 {
-        let told = self.lock();
-        let fresh = told
+        let by_front = self.lock();
+        let fresh = by_front
             .iter()
-            .filter(|(front, told)| *front != without && told.is_fresh(now));
+            .filter(|(front, load)| *front != without && load.is_fresh(now));
         fresh
-            .map(|(_, told)| told.counts.get(endpoint).copied())
+            .map(|(_, load)| load.counts.get(endpoint).copied())
             .map(Option::unwrap_or_default)
             .sum()
     }
 
-    /// Tells whether all of these fronts have told their counts lately.
+    /// Tells whether all of these fronts have sent their counts lately.
     pub fn is_whole<'a>(
         &self,
         fronts: impl IntoIterator<Item = &'a str>,
         now: Millis,
     ) -> bool {
-        let told = self.lock();
+        let by_front = self.lock();
         let mut any = false;
         for front in fronts {
             any = true;
-            if !told.get(front).is_some_and(|told| told.is_fresh(now)) {
+            let load = by_front.get(front);
+            if !load.is_some_and(|load| load.is_fresh(now)) {
                 return false;
             }
         }
         any
     }
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<String, Told>> {
-        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, IndexMap<String, FrontLoad>> {
+        self.by_front.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Told {
+impl FrontLoad {
     fn is_fresh(&self, now: Millis) -> bool {
-        now.saturating_ms_since(self.at) < TOLD_LIFE_MS
+        now.saturating_ms_since(self.at) < FRONT_LOAD_LIFE_MS
     }
 }
--- a/crates/jobs/tests/online.rs
+++ b/crates/jobs/tests/online.rs
@@ -1,7 +1,7 @@
 //! What fronts tell of their requests in flight.
 
 use base::Millis;
-use pomeloslip_jobs::{OnlineLoad, TOLD_LIFE_MS};
+use pomeloslip_jobs::{FRONT_LOAD_LIFE_MS, OnlineLoad};
 
 const NOW: Millis = Millis::new(5_000);
 
@@ -22,10 +22,10 @@
 /// Symptom: batch work never starts at an endpoint. Events: a front is
 /// killed with requests in flight. Cause: its last word counted for ever.
 #[test]
-fn the_word_of_a_silent_front_is_forgotten() {
+fn the_update_of_a_silent_front_is_forgotten() {
     let (load, _heard) = OnlineLoad::new();
     load.take("f1", counts(&[("e", 8)]), false, NOW);
-    let later = NOW.saturating_add_ms(TOLD_LIFE_MS);
+    let later = NOW.saturating_add_ms(FRONT_LOAD_LIFE_MS);
     assert_eq!(load.at("e", "", later), 0);
     assert!(load.is_whole(["f1"], NOW));
     assert!(!load.is_whole(["f1"], later));
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
-    job_spool::JobSpool, load_share, membership, peer, siblings::PeerBulk,
+    job_spool::JobSpool, load_sync, membership, peer, siblings::PeerBulk,
     watch::Watches,
 };
 
@@ -42,7 +42,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) view: JobView,
     pub(crate) ledger: Ledger,
-    /// Where words of load are heard and sent.
+    /// Where load updates are received and sent.
     pub(crate) socket: Arc<UdpSocket>,
     /// Turned true when the node leaves; its entry ends then.
     pub(crate) leave: watch::Sender<bool>,
@@ -87,7 +87,7 @@
         );
         let spooled = spool.as_ref().map(|spool| spool.count());
         peer::serve(settings, feeds, cache, spool, clock.clone())?;
-        let socket = load_share::bind(settings.peer)
+        let socket = load_sync::bind(settings.peer)
             .await
             .change_context(NodeError::Listen)?;
         tokio::spawn(peer::follow_peers(
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -33,17 +33,17 @@
 /// Knowledge passed from one node to another. Ages instead of times, as the
 /// clocks of two nodes have nothing in common.
 #[derive(Deserialize, Serialize)]
-struct Word {
+struct FeedUpdate {
     revision: u64,
     whole: bool,
-    items: Vec<WordItem>,
+    items: Vec<FeedItem>,
     deleted: Vec<(String, u64)>,
     age_ms: Option<u64>,
     failed_age_ms: Option<u64>,
 }
 
 #[derive(Deserialize, Serialize)]
-struct WordItem {
+struct FeedItem {
     key: String,
     /// Base64 of the bytes.
     value: String,
@@ -54,7 +54,7 @@
 
 fn encode(delta: Delta, now: Millis) -> Vec<u8> {
     let age = |at: Millis| now.saturating_ms_since(at);
-    let word = Word {
+    let update = FeedUpdate {
         revision: delta.revision,
         whole: delta.whole,
         items: delta.items.into_iter().map(encode_item).collect(),
@@ -63,11 +63,11 @@
         failed_age_ms: delta.failed_at.map(age),
     };
     // Strings and numbers always encode.
-    serde_json::to_vec(&word).unwrap_or_default()
+    serde_json::to_vec(&update).unwrap_or_default()
 }
 
-fn encode_item(kv: KeyValue) -> WordItem {
-    WordItem {
+fn encode_item(kv: KeyValue) -> FeedItem {
+    FeedItem {
         key: kv.key,
         value: STANDARD.encode(kv.value),
         create_revision: kv.create_revision,
@@ -77,24 +77,24 @@
 }
 
 fn decode(bytes: &[u8], arrived_at: Millis) -> Option<Delta> {
-    let word: Word = serde_json::from_slice(bytes).ok()?;
+    let update: FeedUpdate = serde_json::from_slice(bytes).ok()?;
     // Counted from the question, so that the answer's way makes it older
     // and not younger.
     let at =
         |age_ms: u64| Millis::new(arrived_at.as_ms().saturating_sub(age_ms));
     let items: Option<Vec<KeyValue>> =
-        word.items.into_iter().map(decode_item).collect();
+        update.items.into_iter().map(decode_item).collect();
     Some(Delta {
-        revision: word.revision,
-        whole: word.whole,
+        revision: update.revision,
+        whole: update.whole,
         items: items?,
-        deleted: word.deleted,
-        fresh_at: word.age_ms.map(at),
-        failed_at: word.failed_age_ms.map(at),
+        deleted: update.deleted,
+        fresh_at: update.age_ms.map(at),
+        failed_at: update.failed_age_ms.map(at),
     })
 }
 
-fn decode_item(item: WordItem) -> Option<KeyValue> {
+fn decode_item(item: FeedItem) -> Option<KeyValue> {
     Some(KeyValue {
         value: STANDARD.decode(item.value).ok()?,
         key: item.key,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -24,7 +24,7 @@
     ClusterState, Dialect, JobCall, NodeError, NodeSettings, Outside, Signals,
     base::NodeBase,
     intake::JobIntake,
-    load_share::{Announcer, FrontShare},
+    load_sync::{FrontLoadSync, LoadNotifier},
 };
 
 /// The role that takes callers' requests.
@@ -55,8 +55,8 @@
     ) -> Result<Self, Report<NodeError>> {
         let address = settings.front.ok_or(NodeError::Listen)?;
         let base = NodeBase::start(settings, &outside, false, None).await?;
-        let (announcer, began) = Announcer::new();
-        let share = FrontShare {
+        let (notifier, began) = LoadNotifier::new();
+        let share = FrontLoadSync {
             node: settings.node.clone(),
             socket: base.socket.clone(),
             view: base.view.clone(),
@@ -65,7 +65,7 @@
         };
         tokio::spawn(share.run());
         let forwarder = base.forwarder(settings, &outside);
-        let forwarder = Arc::new(forwarder.with_observer(Arc::new(announcer)));
+        let forwarder = Arc::new(forwarder.with_observer(Arc::new(notifier)));
         let view = base.view.clone();
         let ledger = base.ledger.clone();
         let clock = outside.cluster.clock().clone();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,7 @@
 mod front;
 mod intake;
 mod job_spool;
-mod load_share;
+mod load_sync;
 mod membership;
 mod peer;
 mod probe;
--- a/crates/node/src/load_share.rs
+++ b/crates/node/src/load_sync.rs
@@ -1,9 +1,9 @@
-//! What fronts and workers tell each other of the load at endpoints.
+//! Load updates between fronts and workers.
 //!
-//! Datagrams, because only the newest word counts: a lost one is made good
-//! by the next, and none may wait behind another. A front tells the worker
-//! that uses an endpoint of each request that it sends there; the worker
-//! tells every front what the others have in flight.
+//! Datagrams, because only the newest update counts: a lost one is made good
+//! by the next, and none may wait behind another. A front reports each request
+//! that it sends to the worker that uses the endpoint; the worker reports to
+//! every front what the others have in flight there.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -24,7 +24,7 @@
 /// Time between two looks at what has changed, in milliseconds.
 const TICK_MS: u64 = 50;
 
-/// Ticks between two whole words, which make good what was lost.
+/// Ticks between two whole updates, which make good what was lost.
 const WHOLE_TICKS: u64 = 10;
 
 /// Largest datagram.
@@ -35,7 +35,7 @@
 
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
-enum Word {
+enum LoadUpdate {
     /// A front's own requests in flight.
     Online {
         front: String,
@@ -48,55 +48,56 @@
 
 /// Hears of each request and passes the endpoint on to the sender's task.
 #[derive(Debug)]
-pub(crate) struct Announcer(mpsc::UnboundedSender<String>);
+pub(crate) struct LoadNotifier(mpsc::UnboundedSender<String>);
 
-impl Announcer {
+impl LoadNotifier {
     pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<String>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         (Self(sender), receiver)
     }
 }
 
-impl LoadObserver for Announcer {
+impl LoadObserver for LoadNotifier {
     fn began(&self, endpoint: &Endpoint) {
         let _ = self.0.send(endpoint.record().id.clone());
     }
 }
 
-/// Binds the socket on which a node hears words of load.
+/// Binds the socket on which a node hears updates of load.
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
     UdpSocket::bind(address).await.map(Arc::new)
 }
 
-async fn send(socket: &UdpSocket, to: SocketAddr, word: &Word) {
-    let Ok(bytes) = serde_json::to_vec(word) else {
+async fn send(socket: &UdpSocket, to: SocketAddr, update: &LoadUpdate) {
+    let Ok(bytes) = serde_json::to_vec(update) else {
         return;
     };
     if let Err(error) = socket.send_to(&bytes, to).await {
-        log::debug!(to:%, error:%; "a word of load is not sent");
+        log::debug!(to:%, error:%; "a load update is not sent");
     }
 }
 
-/// Reads one word; none for bytes that are no word.
-async fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Option<Word> {
+/// Reads one update; none for bytes that are none.
+async fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Option<LoadUpdate> {
     match socket.recv_from(buffer).await {
         Ok((length, from)) => {
-            let word = serde_json::from_slice(&buffer[..length]);
-            word.inspect_err(|error| {
-                log::warn!(from:%, error:%; "a word of load is malformed");
-            })
-            .ok()
+            let update = serde_json::from_slice(&buffer[..length]);
+            update
+                .inspect_err(|error| {
+                    log::warn!(from:%, error:%; "a load update is malformed");
+                })
+                .ok()
         }
         Err(error) => {
-            log::warn!(error:%; "no word of load can be read");
+            log::warn!(error:%; "no load update can be read");
             time::sleep(Duration::from_millis(TICK_MS)).await;
             None
         }
     }
 }
 
-/// The part of a front.
-pub(crate) struct FrontShare {
+/// Sends a front's load updates and takes those of workers.
+pub(crate) struct FrontLoadSync {
     pub(crate) node: String,
     pub(crate) socket: Arc<UdpSocket>,
     pub(crate) view: JobView,
@@ -104,12 +105,12 @@
     pub(crate) began: mpsc::UnboundedReceiver<String>,
 }
 
-impl FrontShare {
+impl FrontLoadSync {
     pub(crate) async fn run(mut self) {
         let mut planner = Planner::new(&self.node);
         let mut plan = self.plan(&mut planner);
         let mut own_planner = Planner::new(&self.node);
-        let mut told: IndexMap<String, u32> = IndexMap::new();
+        let mut sent: IndexMap<String, u32> = IndexMap::new();
         let mut ticks = time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut count: u64 = 0;
@@ -118,8 +119,8 @@
             let mut changed = Vec::new();
             let mut whole = false;
             tokio::select! {
-                word = receive(&self.socket, &mut buffer) => {
-                    if let Some(Word::Others { counts }) = word {
+                update = receive(&self.socket, &mut buffer) => {
+                    if let Some(LoadUpdate::Others { counts }) = update {
                         self.learn(&counts);
                     }
                 }
@@ -134,11 +135,11 @@
                     self.mark_own_share(&mut own_planner);
                     whole = count.is_multiple_of(WHOLE_TICKS);
                     count += 1;
-                    changed = self.changes(&mut told, whole);
+                    changed = self.changes(&mut sent, whole);
                 }
             }
             if whole || !changed.is_empty() {
-                self.tell(&plan, &changed, &mut told, whole).await;
+                self.send_changes(&plan, &changed, &mut sent, whole).await;
             }
         }
     }
@@ -163,41 +164,41 @@
         }
     }
 
-    /// Returns the endpoints whose count is not what was told last.
+    /// Returns the endpoints whose count is not what was sent last.
     fn changes(
         &self,
-        told: &mut IndexMap<String, u32>,
+        sent: &mut IndexMap<String, u32>,
         whole: bool,
     ) -> Vec<String> {
         let view = self.cluster.endpoints.load();
         if whole {
-            told.clear();
+            sent.clear();
         }
         view.table
             .iter()
             .filter(|endpoint| {
                 let id = &endpoint.record().id;
-                let last = told.get(id).copied().unwrap_or_default();
+                let last = sent.get(id).copied().unwrap_or_default();
                 last != endpoint.in_flight()
             })
             .map(|endpoint| endpoint.record().id.clone())
             .collect()
     }
 
-    async fn tell(
+    async fn send_changes(
         &self,
         plan: &Plan,
         changed: &[String],
-        told: &mut IndexMap<String, u32>,
+        sent: &mut IndexMap<String, u32>,
         whole: bool,
     ) {
-        let mut words: IndexMap<SocketAddr, IndexMap<String, u32>> =
+        let mut updates: IndexMap<SocketAddr, IndexMap<String, u32>> =
             IndexMap::new();
         if whole {
             for node in self.view.nodes() {
                 let worker = node.runs_items.then_some(node.address);
                 if let Some(address) = worker.flatten() {
-                    words.insert(address, IndexMap::new());
+                    updates.insert(address, IndexMap::new());
                 }
             }
         }
@@ -207,19 +208,22 @@
             let Some(count) = endpoint.map(Endpoint::in_flight) else {
                 continue;
             };
-            told.insert(id.clone(), count);
+            sent.insert(id.clone(), count);
             let user = plan.user_of(id).and_then(|user| user.address);
             if let Some(address) = user {
-                words.entry(address).or_default().insert(id.clone(), count);
+                updates
+                    .entry(address)
+                    .or_default()
+                    .insert(id.clone(), count);
             }
         }
-        for (to, counts) in words {
-            let word = Word::Online {
+        for (to, counts) in updates {
+            let update = LoadUpdate::Online {
                 front: self.node.clone(),
                 whole,
                 counts,
             };
-            send(&self.socket, to, &word).await;
+            send(&self.socket, to, &update).await;
         }
     }
 
@@ -228,14 +232,14 @@
         let view = self.cluster.endpoints.load();
         for endpoint in view.table.iter() {
             if let Some(count) = counts.get(&endpoint.record().id) {
-                endpoint.told_foreign(*count, now);
+                endpoint.report_remote(*count, now);
             }
         }
     }
 }
 
-/// The part of a worker.
-pub(crate) struct WorkerShare {
+/// Takes the load updates of fronts and reports to each what the others have.
+pub(crate) struct WorkerLoadSync {
     pub(crate) node: String,
     pub(crate) socket: Arc<UdpSocket>,
     pub(crate) view: JobView,
@@ -243,10 +247,10 @@
     pub(crate) online: Arc<OnlineLoad>,
 }
 
-impl WorkerShare {
+impl WorkerLoadSync {
     pub(crate) async fn run(self) {
         let mut planner = Planner::new(&self.node);
-        let mut told: IndexMap<String, IndexMap<String, u32>> =
+        let mut sent: IndexMap<String, IndexMap<String, u32>> =
             IndexMap::new();
         let mut ticks = time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -254,8 +258,8 @@
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
             tokio::select! {
-                word = receive(&self.socket, &mut buffer) => {
-                    if let Some(Word::Online { front, whole, counts }) = word
+                update = receive(&self.socket, &mut buffer) => {
+                    if let Some(LoadUpdate::Online { front, whole, counts }) = update
                     {
                         let now = self.now();
                         self.online.take(&front, counts, whole, now);
@@ -263,10 +267,10 @@
                 }
                 _ = ticks.tick() => {
                     if count.is_multiple_of(WHOLE_TICKS) {
-                        told.clear();
+                        sent.clear();
                     }
                     count += 1;
-                    self.tell_fronts(&mut planner, &mut told).await;
+                    self.update_fronts(&mut planner, &mut sent).await;
                 }
             }
         }
@@ -278,10 +282,10 @@
 
     /// Tells each front what the others have in flight at the endpoints of
     /// this worker.
-    async fn tell_fronts(
+    async fn update_fronts(
         &self,
         planner: &mut Planner,
-        told: &mut IndexMap<String, IndexMap<String, u32>>,
+        sent: &mut IndexMap<String, IndexMap<String, u32>>,
     ) {
         let config = self.cluster.config.load_full();
         let view = self.cluster.endpoints.load_full();
@@ -293,7 +297,7 @@
             let Some(address) = address else {
                 continue;
             };
-            let told = told.entry(node.clone()).or_default();
+            let sent = sent.entry(node.clone()).or_default();
             let mut counts = IndexMap::new();
             for endpoint in view.table.iter() {
                 let id = &endpoint.record().id;
@@ -301,14 +305,15 @@
                     continue;
                 }
                 let others = self.online.at(id, node, self.now());
-                if told.insert(id.clone(), others) != Some(others) {
+                if sent.insert(id.clone(), others) != Some(others) {
                     counts.insert(id.clone(), others);
                 }
             }
             let all: Vec<(String, u32)> = counts.into_iter().collect();
             for part in all.chunks(COUNTS_MOST) {
                 let counts = part.iter().cloned().collect();
-                send(&self.socket, *address, &Word::Others { counts }).await;
+                send(&self.socket, *address, &LoadUpdate::Others { counts })
+                    .await;
             }
         }
     }
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     NodeError, NodeSettings, Outside, Signals, base::NodeBase,
-    load_share::WorkerShare, membership, probe::LoadProbe, vacate::Vacating,
+    load_sync::WorkerLoadSync, membership, probe::LoadProbe, vacate::Vacating,
 };
 
 /// The role that runs the items of batch jobs.
@@ -43,7 +43,7 @@
             NodeBase::start(settings, &outside, true, Some(orders)).await?;
         let (online, heard) = OnlineLoad::new();
         let online = Arc::new(online);
-        let share = WorkerShare {
+        let share = WorkerLoadSync {
             node: settings.node.clone(),
             socket: base.socket.clone(),
             view: base.view.clone(),
