Draw a few endpoints where the own share is full; return times by observed bursts

Cause: on the grown site a fifth of all bid-hints were late in bursts, also on calm seconds. Change: where the own share has no free slot the best of three drawn endpoints is taken. Refused callers return when the crowded period is expected to be over, one after the other, and may queue longer then than new ones.

--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -92,10 +92,10 @@
 
     /// Picks an endpoint with free slots.
     ///
-    /// All with a free slot are equals; among equals the node's own share
-    /// goes first, then the own failure domain, then the endpoint that the
-    /// affinity names. Endpoints with recent failures are used only where no
-    /// other is left.
+    /// Those of the node's own share with a free slot go first, of them the
+    /// own failure domain and then the endpoint that the affinity names. If
+    /// there is none, the best of a few is taken that the affinity draws.
+    /// Endpoints with recent failures are used only where no other is left.
     ///
     /// Plain least load over all was measured first. What nodes know of each
     /// other's requests is up to fifty milliseconds old, so that many of them
@@ -112,7 +112,7 @@
         now: Millis,
     ) -> Result<Choice, Verdict> {
         let all = self.of_service(need.service);
-        let mut best: Option<(Rank, &Endpoint, u32)> = None;
+        let mut draw = Draw::default();
         let mut full = false;
         let mut candidates = 0;
         for endpoint in all {
@@ -127,15 +127,16 @@
                 full = true;
                 continue;
             }
-            let rank = Rank::of(endpoint, load, need, now);
-            if best.as_ref().is_none_or(|(known, ..)| rank < *known) {
-                best = Some((rank, endpoint, load));
-            }
+            draw.offer(Candidate {
+                rank: Rank::of(endpoint, load, need, now),
+                endpoint,
+                load,
+            });
         }
-        match best {
-            Some((_, endpoint, estimated_load)) => Ok(Choice {
-                endpoint: endpoint.clone(),
-                estimated_load,
+        match draw.best() {
+            Some(best) => Ok(Choice {
+                endpoint: best.endpoint.clone(),
+                estimated_load: best.load,
                 candidates,
             }),
             None if full => Err(Verdict::AllFull),
@@ -144,6 +145,59 @@
     }
 }
 
+/// Endpoints that are drawn where the node's own share has no free slot.
+///
+/// The least loaded of all was taken before. In a burst nearly all are full;
+/// the one that is not is seen by every node, and ten requests arrive there
+/// before any of them hears of the others. With the best of a few that are
+/// drawn for each request, a tenth of the nodes go there: a fleet of 17
+/// nodes and 38 engines that need all slots has a third fewer late first
+/// events (762 of 8,600 instead of 1,149, by a stepped clock) and queues of
+/// 8 instead of 17. Two, three and five do nearly the same.
+const DRAWN: usize = 3;
+
+/// An endpoint that has room.
+struct Candidate<'a> {
+    rank: Rank,
+    endpoint: &'a Endpoint,
+    load: u32,
+}
+
+/// The candidates that a choice is made among.
+#[derive(Default)]
+struct Draw<'a> {
+    /// The best of the node's own share with a free slot.
+    own: Option<Candidate<'a>>,
+    /// Some of all others, those that the affinity names first.
+    drawn: Vec<Candidate<'a>>,
+}
+
+impl<'a> Draw<'a> {
+    fn offer(&mut self, candidate: Candidate<'a>) {
+        if candidate.rank.is_own_and_free() {
+            let known = self.own.as_ref();
+            if known.is_none_or(|known| candidate.rank < known.rank) {
+                self.own = Some(candidate);
+            }
+            return;
+        }
+        let order = |rank: &Rank| (rank.suspect, rank.affinity);
+        let new = order(&candidate.rank);
+        let before = |known: &Candidate<'_>| order(&known.rank) < new;
+        let at = self.drawn.partition_point(before);
+        if at < DRAWN {
+            self.drawn.insert(at, candidate);
+            self.drawn.truncate(DRAWN);
+        }
+    }
+
+    fn best(self) -> Option<Candidate<'a>> {
+        let drawn = self.drawn.into_iter();
+        self.own
+            .or_else(|| drawn.min_by(|a, b| a.rank.cmp(&b.rank)))
+    }
+}
+
 /// Order of preference; the least goes first.
 #[derive(Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
@@ -155,6 +209,10 @@
 }
 
 impl Rank {
+    fn is_own_and_free(&self) -> bool {
+        !self.suspect && !self.crowded && !self.other_share
+    }
+
     fn of(
         endpoint: &Endpoint,
         load: u32,
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     AnswerBody, Counters, Exchange, Failure, HeaderNames, Inbound,
-    LoadObserver, Offer, Pool, Refusal, Unobserved,
+    LoadObserver, Offer, Pool, Refusal, ReturnTimes, Unobserved,
     answer::{FAILED, PassedBody, REFUSED, RequestLog, Sent},
     attempt::Dispatcher,
     request::strip_hop_by_hop,
@@ -32,7 +32,10 @@
     /// Part of the latency objective that a request may wait for room
     /// before it is refused: one part in this many.
     pub patience_divisor: u64,
-    /// When a refused caller should come back.
+    /// Requests that may wait if their caller has come back: it has waited
+    /// already, and a second refusal would be its last.
+    pub return_queue: u32,
+    /// When a refused caller should come back whose endpoints are not known.
     pub retry_after_ms: u64,
 }
 
@@ -50,6 +53,7 @@
             plain_queue: 10,
             offers_most: 4,
             patience_divisor: 8,
+            return_queue: 12,
             retry_after_ms: 1_000,
         }
     }
@@ -65,6 +69,7 @@
     clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
     observer: Arc<dyn LoadObserver>,
+    returns: ReturnTimes,
 }
 
 /// The endpoints as of a revision of the key-value service.
@@ -76,6 +81,10 @@
     pub revision: u64,
 }
 
+/// Part of the time that a caller has left after which it returns at the
+/// latest: one part in this many. The rest is for being served.
+const RETURN_DIVISOR: u64 = 3;
+
 /// Pause between two looks for room.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
@@ -111,6 +120,7 @@
             clock,
             counters,
             observer: Arc::new(Unobserved),
+            returns: ReturnTimes::default(),
         }
     }
 
@@ -230,7 +240,7 @@
                 Err(failure) => tries.note(failure, request.route())?,
             }
             if tries.offers >= self.options.offers_most {
-                return Err(tries.refuse(Verdict::AllFull, &self.options));
+                return Err(self.refuse(Verdict::AllFull, request, tries));
             }
         }
     }
@@ -252,6 +262,29 @@
         wait.min(left)
     }
 
+    /// Refuses for want of room; the request may have run before.
+    fn refuse(
+        &self,
+        verdict: Verdict,
+        request: &Inbound,
+        tries: &Tries,
+    ) -> Refusal {
+        if tries.used > 0 {
+            return Refusal::unknown("no other endpoint is left");
+        }
+        if verdict == Verdict::NoEndpoint {
+            return Refusal::not_run("no endpoint is known")
+                .with_retry_after_ms(self.options.retry_after_ms);
+        }
+        let left_ms = request.left().as_millis() as u64;
+        let back_ms = self.returns.refuse(
+            self.clock.now(),
+            base_spread(request.id()),
+            left_ms / RETURN_DIVISOR,
+        );
+        Refusal::not_run("all endpoints are full").with_retry_after_ms(back_ms)
+    }
+
     /// Waits a short while for an endpoint with room.
     async fn find_room(
         &self,
@@ -269,7 +302,7 @@
                 Err(verdict) => verdict,
             };
             if Instant::now() >= until {
-                return Err(tries.refuse(verdict, &self.options));
+                return Err(self.refuse(verdict, request, tries));
             }
             time::sleep(ROOM_PAUSE).await;
         }
@@ -282,6 +315,7 @@
         tried: &[String],
     ) -> Result<Choice, Verdict> {
         let route = request.route();
+        let returns = request.has_waited();
         let spread = base_spread(request.id());
         let Some(service) = route.service(spread) else {
             return Err(Verdict::NoEndpoint);
@@ -293,9 +327,10 @@
             failure_domain: &self.failure_domain,
             affinity: request.affinity(),
             tried,
-            queue_allowance: match route.kind().is_stream() {
-                true => self.options.stream_queue,
-                false => self.options.plain_queue,
+            queue_allowance: match (route.kind().is_stream(), returns) {
+                (true, false) => self.options.stream_queue,
+                (true, true) => self.options.return_queue,
+                (false, _) => self.options.plain_queue,
             },
         };
         view.table.choose(&need, self.clock.now())
@@ -426,18 +461,6 @@
         Err(Refusal::unknown("the endpoint's answer is lost"))
     }
 
-    /// Refuses for want of room; the request may have run before.
-    fn refuse(&self, verdict: Verdict, options: &ForwarderOptions) -> Refusal {
-        if self.used > 0 {
-            return Refusal::unknown("no other endpoint is left");
-        }
-        let reason = match verdict {
-            Verdict::AllFull => "all endpoints are full",
-            Verdict::NoEndpoint => "no endpoint is known",
-        };
-        Refusal::not_run(reason).with_retry_after_ms(options.retry_after_ms)
-    }
-
     fn out_of_time(&self) -> Refusal {
         match self.used > 0 || self.open {
             true => Refusal::timed_out("the time of the request is up"),
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -33,6 +33,7 @@
 mod relay;
 mod request;
 mod resume;
+mod returns;
 
 pub use crate::{
     answer::AnswerBody,
@@ -50,4 +51,5 @@
     pool::{Fetch, Pool},
     relay::Relay,
     request::{Inbound, read_body},
+    returns::ReturnTimes,
 };
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -101,6 +101,11 @@
     affinity: u64,
 }
 
+/// Part of a route's time that a caller has left which has not waited yet,
+/// in percent. Callers whose time is shorter from the start are taken for
+/// ones that return; they may queue a little longer, no more.
+const FRESH_PERCENT: u64 = 95;
+
 impl Inbound {
     /// Takes a request apart.
     ///
@@ -192,6 +197,14 @@
         self.affinity
     }
 
+    /// Tells whether the caller has spent a part of its time before it sent
+    /// this request, as one does that was refused and has come back.
+    pub fn has_waited(&self) -> bool {
+        let given = self.ends_at.saturating_duration_since(self.arrived);
+        let given_ms = given.as_millis() as u64;
+        given_ms < self.route.timeout_ms() * FRESH_PERCENT / 100
+    }
+
     /// Returns the time that is left.
     pub fn left(&self) -> Duration {
         self.ends_at.saturating_duration_since(Instant::now())
