Tell losses by cause and time from the logs

Cause: nobody could tell late requests apart: waited at the front, at the engine, a pause, a second endpoint; nor late items: cuts, slots, listing. Change: lines of requests carry target, wait, longest pause and resumptions, lines of items their pauses and lateness; pomeloslip losses counts each loss once, by cause and by second.

--- a/crates/cli/src/bin/pomeloslip/main.rs
+++ b/crates/cli/src/bin/pomeloslip/main.rs
@@ -8,6 +8,7 @@
 mod error;
 mod job;
 mod load;
+mod losses;
 mod rules;
 mod signal;
 mod stand_in;
@@ -33,6 +34,7 @@
         Node::Group(&job::GROUP),
         Node::Group(&vm::GROUP),
         Node::Command(&status::COMMAND),
+        Node::Command(&losses::COMMAND),
         Node::Command(&trace::COMMAND),
         Node::Command(&demo::COMMAND),
         Node::Group(&stand_in::GROUP),
--- a/crates/cli/src/bin/pomeloslip/trace.rs
+++ b/crates/cli/src/bin/pomeloslip/trace.rs
@@ -51,7 +51,7 @@
     Ok(())
 }
 
-fn read(path: &str) -> Result<String, std::io::Error> {
+pub(crate) fn read(path: &str) -> Result<String, std::io::Error> {
     let mut bytes = Vec::new();
     match path {
         "-" => std::io::stdin().read_to_end(&mut bytes)?,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod client;
 pub mod daemon;
 pub mod demo;
+pub mod losses;
 pub mod render;
 pub mod trace;
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -40,6 +40,8 @@
     pub(super) not_before: Millis,
     /// Time that runs have spent on it and that counts.
     pub(super) run_ms: u64,
+    /// How often its run was stopped for others.
+    pub(super) pauses: u32,
     /// Events when its progress was last saved.
     saved_events: u64,
 }
@@ -48,6 +50,7 @@
     /// Takes note that its run was stopped; it can go on elsewhere.
     pub(super) fn pause(&mut self, run_began: Instant) {
         self.state = Phase::Waiting;
+        self.pauses += 1;
         self.run_ms += run_began.elapsed().as_millis() as u64;
     }
 }
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -94,6 +94,8 @@
         let strikes = *strikes;
         let hopeless = strikes.rejections > 0 || strikes.errors >= most;
         let ran_ms = run.started.elapsed().as_millis() as u64;
+        let unix = self.runner.parts.clock.unix();
+        let head = &job.stored.head;
         log::info!(
             request_id = inputs[number as usize].id.as_str(),
             job = run.job.as_str(),
@@ -101,6 +103,9 @@
             end:? = end,
             ran_ms,
             errors = strikes.errors,
+            pauses = job.items[number as usize].pauses,
+            age_ms = unix.saturating_ms_since(head.submitted_at),
+            late_ms = unix.saturating_ms_since(head.due_at),
             events = job.items[number as usize].progress.events();
             "a run of an item ended"
         );
@@ -145,8 +150,12 @@
         job.listing = false;
         let stored = match listed {
             Ok(Ok(stored)) => {
+                let unix = self.runner.parts.clock.unix();
+                let before = job.stored.head.listed.len();
                 log::info!(
                     job = key.as_str(),
+                    new = stored.head.listed.len().saturating_sub(before),
+                    late_ms = unix.saturating_ms_since(stored.head.due_at),
                     listed = stored.head.listed.len(),
                     total = stored.head.total,
                     revision = stored.revision;
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -2,7 +2,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -83,6 +83,8 @@
     pub(crate) estimated_load: u32,
     pub(crate) directory_revision: u64,
     pub(crate) offers: u32,
+    /// Time from the request's arrival to its last offer.
+    pub(crate) waited_ms: u64,
 }
 
 /// Follows one request to its end and writes the one line that tells it.
@@ -96,7 +98,10 @@
     pub(crate) sent: Sent,
     pub(crate) status: u16,
     pub(crate) first_byte_ms: u64,
-    pub(crate) bytes: u64,
+    pub(crate) resumed: u32,
+    bytes: u64,
+    passed_at: Option<Instant>,
+    longest_pause: Duration,
     outcome: Option<&'static str>,
 }
 
@@ -113,7 +118,10 @@
             sent: Sent::default(),
             status: 0,
             first_byte_ms: 0,
+            resumed: 0,
             bytes: 0,
+            passed_at: None,
+            longest_pause: Duration::ZERO,
             outcome: None,
         }
     }
@@ -130,6 +138,15 @@
         self.counters.first_byte_ms.record(age);
     }
 
+    /// Takes note of bytes that were passed on.
+    pub(crate) fn passed(&mut self, bytes: usize) {
+        self.bytes += bytes as u64;
+        let now = Instant::now();
+        if let Some(before) = self.passed_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - before);
+        }
+    }
+
     /// Takes note of how the request ended; the first word counts.
     pub(crate) fn end(&mut self, outcome: &'static str) {
         self.outcome.get_or_insert(outcome);
@@ -164,7 +181,12 @@
             load = self.sent.estimated_load,
             config = self.config_version,
             directory = self.sent.directory_revision,
+            waited_ms = self.sent.waited_ms,
             first_byte_ms = self.first_byte_ms,
+            target_ms = self.request.route().target_latency_ms(),
+            pause_ms = self.longest_pause.as_millis() as u64,
+            pause_target_ms = self.request.route().gap_target_ms(),
+            resumed = self.resumed,
             total_ms = self.age_ms(),
             bytes = self.bytes;
             "a request ended"
@@ -207,7 +229,7 @@
                     None => self.request_log.end(ANSWERED),
                     Some(Err(_)) => self.request_log.end(FAILED),
                     Some(Ok(data)) => {
-                        self.request_log.bytes += data.len() as u64;
+                        self.request_log.passed(data.len());
                         if self.exchange.is_whole() {
                             self.request_log.end(ANSWERED);
                         }
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -219,6 +219,7 @@
             let id = choice.endpoint.record().id.clone();
             sent.endpoint.clone_from(&id);
             sent.estimated_load = choice.estimated_load;
+            sent.waited_ms = request.arrived().elapsed().as_millis() as u64;
             sent.offers += 1;
             if sent.offers > 1 {
                 Counters::add(&self.counters.retried);
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -131,7 +131,7 @@
         if split.events.is_empty() {
             return None;
         }
-        self.request_log.bytes += split.events.len() as u64;
+        self.request_log.passed(split.events.len());
         Some(split.events)
     }
 
@@ -142,6 +142,7 @@
             ..continuation.sent
         };
         self.tries = continuation.tries;
+        self.request_log.resumed += 1;
         Counters::add(&self.request_log.counters.resumed);
         self.state = State::Reading(Box::new(continuation.exchange));
         let again = tokio::time::Instant::now() + self.stall_after;
