--- a/crates/node/src/job_spool.rs
+++ b/crates/node/src/job_spool.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use base::{Clock, Millis};
+use base::{Clock, Millis, mix, stable_hash};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http::{Method, StatusCode};
@@ -78,7 +78,18 @@
 impl SpoolClient {
     /// Asks workers to keep a job, its owner first and then one of another
     /// failure domain.
+    ///
+    /// The owner is named by a hash of the job. Jobs on disks are in nobody's
+    /// view, so that the node with the least open items stays the same for as
+    /// long as the service is away: one of three workers got all eight jobs
+    /// of six seconds, and 29 of 80 items were late.
     pub(crate) async fn keep(&self, job: &NewJob, view: &JobView) -> Spooled {
+        let workers = by_preference(view.nodes(), &job.key);
+        let owner = workers.first().map(|worker| worker.node.clone());
+        let job = &NewJob {
+            owner: owner.unwrap_or_default(),
+            ..job.clone()
+        };
         let bytes = match encode_new_job(job) {
             Ok(bytes) => Bytes::from(bytes),
             Err(error) => {
@@ -87,7 +98,6 @@
                 return Spooled::No;
             }
         };
-        let workers = by_preference(view.nodes(), &job.owner);
         let mut rest = workers.iter();
         let (mut safe, mut maybe) = (0, false);
         while safe < COPIES {
@@ -129,17 +139,16 @@
     }
 }
 
-/// Sorts workers: the owner, then others with one of another domain first.
-fn by_preference(nodes: Vec<NodeRecord>, owner: &str) -> Vec<NodeRecord> {
+/// Sorts workers: one named by the job, then others with those of another
+/// domain first.
+fn by_preference(nodes: Vec<NodeRecord>, job: &JobKey) -> Vec<NodeRecord> {
     let mut workers: Vec<NodeRecord> =
         nodes.into_iter().filter(|node| node.runs_items).collect();
-    workers.sort_by(|a, b| a.node.cmp(&b.node));
-    let first = workers.iter().find(|node| node.node == owner);
-    let domain = first.map(|node| node.failure_domain.clone());
-    workers.sort_by_key(|node| {
-        let near = Some(&node.failure_domain) == domain.as_ref();
-        (node.node != owner, near)
-    });
+    let hash = stable_hash(&[job.as_str()]);
+    workers.sort_by_key(|node| mix(stable_hash(&[&node.node]) ^ hash));
+    if let Some((owner, others)) = workers.split_first_mut() {
+        others.sort_by_key(|node| node.failure_domain == owner.failure_domain);
+    }
     workers
 }
 
--- a/crates/node/tests/spool.rs
+++ b/crates/node/tests/spool.rs
@@ -9,7 +9,7 @@
     start_with_disk,
 };
 use fleet::BatchTerms;
-use jobs::{ItemInput, NewJob, encode_new_job};
+use jobs::{ItemInput, NewJob, decode_new_job, encode_new_job};
 use kv::Memory;
 use store::Spool;
 use tempfile::TempDir;
@@ -220,3 +220,24 @@
     whole(&front, "job-2", 1).await;
     assert_eq!(kept(disk.path()), 2);
 }
+
+/// Symptom: items of jobs that arrived while the service was away are late
+/// though most workers are idle. Events: the service is away, jobs arrive,
+/// each is given to the worker with the least open items. Cause: jobs on
+/// disks are in nobody's view, so that it was the same worker each time.
+#[tokio::test]
+async fn jobs_on_disks_are_spread_over_the_workers() {
+    let fleet = fleet().await;
+    fleet.kv.set_down(true);
+    let mut owners = Vec::new();
+    for number in 0..12 {
+        let job = format!("job-{number}");
+        assert_eq!(submit(&fleet.front, &job, r#"["1"]"#).await, 202);
+        let spool = Spool::open(fleet.disks[0].path(), 1_000_000);
+        let kept = spool.and_then(|spool| spool.read(&job)).expect("kept");
+        owners.push(decode_new_job(&kept).expect("decoded").owner);
+    }
+    owners.sort();
+    owners.dedup();
+    assert_eq!(owners, ["worker-1", "worker-2"]);
+}
