Keep jobs on one disk more than may be lost, to the end, and ask again

Found by reading: two copies whatever may be lost, where the large site is to bear the loss of two disks at once.

Change: a silent watch is read anew; workers that did not answer are asked again for twice as long; a call is carried to its end; copies are one more than the disks that may be lost, in as many failure domains as there are. `pomeloslip costs` makes a table by role of the counters in the logs. Tests of nodes print the log of those that fail.

--- a/crates/cli/src/bin/pomeloslip/main.rs
+++ b/crates/cli/src/bin/pomeloslip/main.rs
@@ -4,6 +4,7 @@
 
 mod command;
 mod context;
+mod costs;
 mod demo;
 mod error;
 mod job;
@@ -35,6 +36,7 @@
         Node::Group(&vm::GROUP),
         Node::Command(&status::COMMAND),
         Node::Command(&losses::COMMAND),
+        Node::Command(&costs::COMMAND),
         Node::Command(&trace::COMMAND),
         Node::Command(&demo::COMMAND),
         Node::Group(&stand_in::GROUP),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 pub mod client;
+pub mod costs;
 pub mod daemon;
 pub mod demo;
 pub mod losses;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -309,11 +309,19 @@
         &self,
         watcher: &mut Option<Box<dyn Watcher>>,
     ) -> Result<(), Report<KvError>> {
-        if let Some(watcher) = watcher {
-            let batch = watcher.next().await?;
-            let now = self.clock.now();
-            self.feed.apply(batch.events, batch.revision, now);
-            return Ok(());
+        if let Some(known) = watcher {
+            let silence = Duration::from_millis(self.pace.age_most_ms);
+            if let Ok(batch) = time::timeout(silence, known.next()).await {
+                let batch = batch?;
+                let now = self.clock.now();
+                self.feed.apply(batch.events, batch.revision, now);
+                return Ok(());
+            }
+            // A watch that says nothing cannot be told from one that is cut
+            // off. What goes wrong where it is waited for: this node and all
+            // that ask it take the service for away as long as nothing
+            // changes, and jobs that wait on disks are not entered.
+            *watcher = None;
         }
         let prefix = self.feed.prefix();
         let began = self.clock.now();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -76,7 +76,12 @@
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
         let clock = outside.cluster.clock().clone();
-        let intake = JobIntake::new(ledger.clone(), view.clone(), clock);
+        let intake = JobIntake::new(
+            ledger.clone(),
+            view.clone(),
+            clock,
+            settings.disk_losses,
+        );
         let gateway = Arc::new(Gateway {
             dialect: outside.dialect,
             cluster: outside.cluster,
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -12,7 +12,7 @@
 pub(crate) enum Accepted {
     /// In the ledger, since this revision.
     Ledger(u64),
-    /// On the disks of two workers, until the ledger can be written.
+    /// On the disks of several workers, until the ledger can be written.
     Spool,
 }
 
@@ -31,12 +31,13 @@
         ledger: Ledger,
         view: JobView,
         clock: Arc<dyn Clock>,
+        disk_losses: u32,
     ) -> Self {
         Self {
             ledger,
             view,
             clock,
-            spool: SpoolClient::default(),
+            spool: SpoolClient::new(disk_losses),
         }
     }
 
--- a/crates/node/src/job_spool.rs
+++ b/crates/node/src/job_spool.rs
@@ -37,14 +37,16 @@
 /// Path at which a node keeps jobs; the job's id follows.
 pub(crate) const SPOOL_PATH: &str = "/spool/";
 
-/// Copies of a job without the service: one disk may be lost at any time.
-const COPIES: usize = 2;
-
 /// Longest wait for one worker, in milliseconds: two syncs of a slow disk
 /// and the way there, and short enough that a third one can still be asked
 /// within the time in which callers want to hear.
 const KEEP_MS: u64 = 200;
 
+/// How often workers that did not answer in time are asked again, each time
+/// for twice as long, where no others are left. A disk that is slow for a
+/// moment answers then, and keeping a job twice is keeping it once.
+const ASKED_AGAIN: u32 = 2;
+
 /// Pause between two looks at jobs that wait for the service.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -70,14 +72,28 @@
 }
 
 /// Has jobs kept by workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SpoolClient {
     pool: Arc<Pool>,
+    /// Copies of a job that make it safe without the service.
+    copies: usize,
 }
 
 impl SpoolClient {
-    /// Asks workers to keep a job, its owner first and then one of another
-    /// failure domain.
+    /// Keeps jobs so that one copy is left where `disk_losses` disks are
+    /// lost at the same time.
+    ///
+    /// Two copies whatever may be lost were kept before. Where two disks may
+    /// be, an accepted job was gone with them before the service returned.
+    pub(crate) fn new(disk_losses: u32) -> Self {
+        Self {
+            pool: Arc::default(),
+            copies: disk_losses as usize + 1,
+        }
+    }
+
+    /// Asks workers to keep a job, its owner first and then others of
+    /// different failure domains.
     ///
     /// The owner is named by a hash of the job. Jobs on disks are in nobody's
     /// view, so that the node with the least open items stays the same for as
@@ -99,23 +115,36 @@
             }
         };
         let mut rest = workers.iter();
-        let (mut safe, mut maybe) = (0, false);
-        while safe < COPIES {
-            let missing = COPIES - safe;
-            let asked: Vec<&NodeRecord> =
+        let mut safe = 0;
+        let mut unsure: Vec<&NodeRecord> = Vec::new();
+        let mut again = 0;
+        while safe < self.copies {
+            let missing = self.copies - safe;
+            let mut asked: Vec<&NodeRecord> =
                 rest.by_ref().take(missing).collect();
+            let mut wait_ms = KEEP_MS;
             if asked.is_empty() {
-                break;
+                if unsure.is_empty() || again == ASKED_AGAIN {
+                    break;
+                }
+                again += 1;
+                asked = std::mem::take(&mut unsure);
+                wait_ms = 2 * KEEP_MS;
             }
-            for answer in self.ask_all(&asked, &job.key, &bytes).await {
-                safe += usize::from(answer == Spooled::Safe);
-                maybe |= answer != Spooled::No;
+            let wait = Duration::from_millis(wait_ms);
+            let answers = self.ask_all(&asked, &job.key, &bytes, wait).await;
+            for (worker, answer) in asked.into_iter().zip(answers) {
+                match answer {
+                    Spooled::Safe => safe += 1,
+                    Spooled::Maybe => unsure.push(worker),
+                    Spooled::No => {}
+                }
             }
         }
-        match (safe >= COPIES, maybe) {
-            (true, _) => Spooled::Safe,
-            (false, true) => Spooled::Maybe,
-            (false, false) => Spooled::No,
+        match (safe, unsure.len()) {
+            (safe, _) if safe >= self.copies => Spooled::Safe,
+            (0, 0) => Spooled::No,
+            _ => Spooled::Maybe,
         }
     }
 
@@ -124,11 +153,12 @@
         workers: &[&NodeRecord],
         job: &JobKey,
         bytes: &Bytes,
+        wait: Duration,
     ) -> Vec<Spooled> {
         let asks = workers.iter().map(|worker| {
             let pool = self.pool.clone();
             let (worker, job) = ((*worker).clone(), job.clone());
-            tokio::spawn(ask(pool, worker, job, bytes.clone()))
+            tokio::spawn(ask(pool, worker, job, bytes.clone(), wait))
         });
         let asks: Vec<_> = asks.collect();
         let mut answers = Vec::with_capacity(asks.len());
@@ -139,15 +169,18 @@
     }
 }
 
-/// Sorts workers: one named by the job, then others with those of another
-/// domain first.
+/// Sorts workers: one named by the job, then others so that the first ones
+/// are of as many failure domains as there are.
 fn by_preference(members: &Members, job: &JobKey) -> Vec<NodeRecord> {
     let mut workers = members.nodes().to_vec();
     let hash = stable_hash(&[job.as_str()]);
     workers.sort_by_key(|node| mix(stable_hash(&[&node.node]) ^ hash));
-    if let Some((owner, others)) = workers.split_first_mut() {
-        others.sort_by_key(|node| node.failure_domain == owner.failure_domain);
-    }
+    let mut seen: IndexMap<String, usize> = IndexMap::new();
+    workers.sort_by_cached_key(|node| {
+        let of_domain = seen.entry(node.failure_domain.clone()).or_default();
+        *of_domain += 1;
+        *of_domain
+    });
     workers
 }
 
@@ -156,6 +189,7 @@
     worker: NodeRecord,
     job: JobKey,
     bytes: Bytes,
+    wait: Duration,
 ) -> Spooled {
     let Some(peer) = peer::endpoint_of(&worker) else {
         return Spooled::No;
@@ -167,8 +201,7 @@
     *request.method_mut() = Method::PUT;
     *request.body_mut() = bytes;
     let exchange = pool.exchange(&peer, request, ANSWER_BYTES);
-    let most = Duration::from_millis(KEEP_MS);
-    let answer = match time::timeout(most, exchange).await {
+    let answer = match time::timeout(wait, exchange).await {
         Ok(Fetch::Answered(head, _)) if head.status.is_success() => {
             Spooled::Safe
         }
@@ -260,7 +293,16 @@
 
     /// Keeps a job for a front; the status is the answer to it. A server's
     /// error says that the job may have been kept.
-    pub(crate) async fn keep(&self, bytes: Bytes) -> StatusCode {
+    ///
+    /// A front that does not wait any longer drops the call. What goes wrong
+    /// if that ends the keeping as well: the record comes to lie on the disk,
+    /// and nobody enters or removes it until the next start.
+    pub(crate) async fn keep(self: Arc<Self>, bytes: Bytes) -> StatusCode {
+        let kept = tokio::spawn(self.keep_to_the_end(bytes));
+        kept.await.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    async fn keep_to_the_end(self: Arc<Self>, bytes: Bytes) -> StatusCode {
         let job = match decode_new_job(&bytes) {
             Ok(job) => job,
             Err(error) => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -36,6 +36,8 @@
     pub data_dir: Option<PathBuf>,
     /// Bytes of jobs that may wait there for the key-value service.
     pub spool_bytes: u64,
+    /// Machines with disks that may be lost at the same time.
+    pub disk_losses: u32,
 }
 
 /// Time in which news must reach every node if the settings allow more, in
--- a/crates/node/src/usage.rs
+++ b/crates/node/src/usage.rs
@@ -17,7 +17,7 @@
 pub(crate) async fn log_usage(counters: Arc<Counters>) {
     let mut ticks = time::interval(USAGE_LOG);
     ticks.tick().await;
-    loop {
+    for line in 1.. {
         ticks.tick().await;
         let all = counters.all().into_iter();
         let counts: Vec<String> = all
@@ -25,6 +25,7 @@
             .map(|(name, count)| format!("{name}={count}"))
             .collect();
         let counts = counts.join(" ");
-        log::info!(counts = counts.as_str(); "what this node has cost");
+        let up_s = line * USAGE_LOG.as_secs();
+        log::info!(up_s, counts = counts.as_str(); "what this node has cost");
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod cuttable;
+mod logger;
 
 use std::{
     net::{SocketAddr, TcpListener as StdListener},
@@ -275,6 +276,7 @@
 pub(crate) struct Node {
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) peer: SocketAddr,
     pub(crate) stop: watch::Sender<bool>,
     pub(crate) task: JoinHandle<()>,
 }
@@ -327,6 +329,7 @@
         lease_least_ms: LEASE_LEAST_MS,
         data_dir: None,
         spool_bytes: 1_000_000,
+        disk_losses: 1,
     }
 }
 
@@ -344,6 +347,19 @@
 }
 
 /// Starts a worker with a disk.
+/// Starts a front of a fleet in which so many disks may be lost at once.
+pub(crate) async fn start_front_for_losses(
+    kv: &Memory,
+    name: &str,
+    disk_losses: u32,
+) -> Node {
+    let settings = NodeSettings {
+        disk_losses,
+        ..settings(name)
+    };
+    start_with(settings, Arc::new(kv.clone()), false).await
+}
+
 pub(crate) async fn start_with_disk(
     kv: &Memory,
     name: &str,
@@ -363,6 +379,7 @@
     kv: Arc<dyn Kv>,
     worker: bool,
 ) -> Node {
+    logger::start();
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let timer = Timer::new(clock.clone());
     tokio::spawn(timer.clone().drive());
@@ -387,6 +404,7 @@
     Node {
         front: settings.front.expect("front"),
         ready: settings.ready.expect("ready"),
+        peer: settings.peer,
         stop,
         task,
     }
--- a/crates/node/tests/spool.rs
+++ b/crates/node/tests/spool.rs
@@ -6,14 +6,18 @@
 
 use common::{
     Cuttable, Engine, Node, call, call_until, furnish, ready, start, start_by,
-    start_with_disk,
+    start_front_for_losses, start_with_disk,
 };
 use fleet::BatchTerms;
 use jobs::{ItemInput, NewJob, decode_new_job, encode_new_job};
 use kv::Memory;
 use store::Spool;
 use tempfile::TempDir;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 struct Fleet {
     kv: Memory,
@@ -47,6 +51,22 @@
     }
 }
 
+/// A job of one item that never has to be given up.
+fn new_job(key: &str, owner: &str) -> NewJob {
+    NewJob {
+        key: key.parse().expect("a key"),
+        host: "a.example".to_owned(),
+        path: "/batch/1".to_owned(),
+        submitted_at: base::UnixMillis::new(1),
+        terms: BatchTerms {
+            due_in_ms: 1_000,
+            give_up_in_ms: u64::MAX / 2,
+        },
+        owner: owner.to_owned(),
+        items: vec![ItemInput::default()],
+    }
+}
+
 async fn submit(front: &Node, job: &str, body: &str) -> u16 {
     call(front.front, "POST", "/batch/1", job, body).await.0
 }
@@ -141,6 +161,32 @@
     whole(&front, "job-1", 1).await;
 }
 
+/// Symptom: an accepted job is gone. Events: it is accepted while the service
+/// is away, two disks are lost at the same moment, which the fleet is to
+/// bear, and every process is killed. Cause: it lay on these two alone.
+#[tokio::test]
+async fn a_job_is_on_one_disk_more_than_may_be_lost() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    furnish(&kv, &engine).await;
+    let front = start_front_for_losses(&kv, "front-1", 2).await;
+    let disks = [(); 4].map(|()| tempfile::tempdir().expect("a folder"));
+    let domains = ["east", "east", "west", "south"];
+    let mut workers = Vec::new();
+    for (at, disk) in disks.iter().enumerate() {
+        let name = format!("worker-{at}");
+        let worker = start_with_disk(&kv, &name, domains[at], disk.path());
+        workers.push(worker.await);
+    }
+    ready(&front).await;
+    sleep(Duration::from_millis(600)).await;
+    kv.set_down(true);
+    assert_eq!(submit(&front, "job-1", r#"["2"]"#).await, 202);
+    let copies = |at: usize| kept(disks[at].path());
+    assert_eq!((0..4).map(copies).sum::<usize>(), 3);
+    assert_eq!(copies(0) + copies(1), 1, "one in each failure domain");
+}
+
 /// Symptom: callers wait seconds for a job to be accepted. Events: the way
 /// from one front to the service falls silent while that of the workers is
 /// sound. Cause: the front waited for its own call to end.
@@ -177,18 +223,7 @@
     let fleet = fleet().await;
     assert_eq!(submit(&fleet.front, "job-1", r#"["2"]"#).await, 202);
     whole(&fleet.front, "job-1", 1).await;
-    let job = NewJob {
-        key: "job-1".parse().expect("a key"),
-        host: "a.example".to_owned(),
-        path: "/batch/1".to_owned(),
-        submitted_at: base::UnixMillis::new(1),
-        terms: BatchTerms {
-            due_in_ms: 1_000,
-            give_up_in_ms: u64::MAX / 2,
-        },
-        owner: "worker-3".to_owned(),
-        items: vec![ItemInput::default()],
-    };
+    let job = new_job("job-1", "worker-3");
     let disk = tempfile::tempdir().expect("a folder");
     Spool::open(disk.path(), 1_000_000)
         .and_then(|spool| {
@@ -202,6 +237,39 @@
     assert_eq!(runs, 1);
 }
 
+/// Symptom: copies of jobs stay on a worker's disk until its next start.
+/// Events: a front asks the worker to keep a job, its disk is slow, the front
+/// does not wait any longer and closes the connection. Cause: the worker
+/// dropped the call while the record was being written, and did not take
+/// note of it.
+#[tokio::test]
+async fn a_copy_whose_front_has_left_is_entered_all_the_same() {
+    let fleet = fleet().await;
+    let worker = &fleet._workers[0];
+    fleet.kv.set_down(true);
+    for number in 0..20 {
+        let key = format!("job-{number}");
+        let body = encode_new_job(&new_job(&key, "worker-1"));
+        let body = body.expect("encoded");
+        let head = format!(
+            "PUT /spool/{key} HTTP/1.1\r\nhost: a\r\n\
+             content-length: {}\r\n\r\n",
+            body.len()
+        );
+        let mut stream =
+            TcpStream::connect(worker.peer).await.expect("connected");
+        stream.write_all(head.as_bytes()).await.expect("written");
+        stream.write_all(&body).await.expect("written");
+        // The connection ends here, before any answer.
+        drop(stream);
+    }
+    // Some were cut off before they were read, the others are written.
+    sleep(Duration::from_millis(500)).await;
+    assert!(kept(fleet.disks[0].path()) > 0, "none has arrived");
+    fleet.kv.set_down(false);
+    empty(&fleet.disks).await;
+}
+
 /// A record that is damaged, or of another version, harms no other job.
 #[tokio::test]
 async fn what_cannot_be_read_stays_on_disk_and_harms_nobody() {
