Heed the load of fronts that are about to end

A planned stop ends a front's entry first; for some seconds it serves what comes on its open connections.

Test: a_front_that_is_about_to_end_counts_as_long_as_it_reports.

--- a/crates/jobs/src/online.rs
+++ b/crates/jobs/src/online.rs
@@ -213,10 +213,19 @@
         has_first.then_some(total)
     }
 
-    /// Forgets the fronts of which `keep` is false: those that are gone.
-    pub fn retain(&self, mut keep: impl FnMut(&str) -> bool) {
+    /// Forgets the fronts that are silent and not listed any more: they are
+    /// gone. One that is about to end serves what it has and goes on to report
+    /// it, and one that is listed may be back.
+    pub fn forget_gone(
+        &self,
+        mut is_listed: impl FnMut(&str) -> bool,
+        now: Millis,
+    ) {
         let mut inner = self.lock();
-        let gone = inner.fronts.iter().filter(|(_, f)| !keep(&f.name));
+        let fronts = inner.fronts.iter();
+        let gone = fronts.filter(|(key, front)| {
+            !inner.is_fresh(**key, now) && !is_listed(&front.name)
+        });
         for key in gone.map(|(key, _)| *key).collect::<Vec<_>>() {
             inner.keep_only(key, &[]);
             inner.fronts.swap_remove(&key);
--- a/crates/jobs/tests/online.rs
+++ b/crates/jobs/tests/online.rs
@@ -70,10 +70,26 @@
     let later = NOW.saturating_add_ms(FRONT_LOAD_LIFE_MS);
     other.sends(&load, &[(e, 1)], true, later);
     assert_eq!(load.answer("f2", later).counts, [(e, 0)]);
-    load.retain(|front| front == "f2");
+    load.forget_gone(|front| front == "f2", later);
     assert_eq!(load.requests_at(e, "f2", later), Some(1));
 }
 
+/// Symptom: first events are late while fronts are stopped in turn. Events: a
+/// front is told to stop; it is not listed any more, and serves for some
+/// seconds what comes on its open connections. Cause: workers forgot it with
+/// its entry, and batch work took the slots of its requests.
+#[test]
+fn a_front_that_is_about_to_end_counts_as_long_as_it_reports() {
+    let (load, _heard) = OnlineLoad::new();
+    let e = life("e");
+    let (mut ending, mut other) = (Front("f1", 0), Front("f2", 0));
+    ending.sends(&load, &[(e, 4)], true, NOW);
+    other.sends(&load, &[(e, 1)], true, NOW);
+    load.forget_gone(|front| front == "f2", NOW);
+    assert_eq!(load.requests_at(e, "f2", NOW), Some(5));
+    assert_eq!(load.answer("f2", NOW).counts, [(e, 4)]);
+}
+
 /// Symptom: every worker asks engines for their load, and items start by
 /// reports that are old. Events: one front of many is paused. Cause: a
 /// worker knew the load of its endpoints only if it heard all fronts.
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -19,7 +19,7 @@
 
 use base::UnixMillis;
 use fleet::{Endpoint, LifeKey};
-use jobs::{NodeRecord, Stamp};
+use jobs::Stamp;
 use pass::{Counters, LoadObserver};
 use tokio::{net::UdpSocket, sync::mpsc, time};
 
@@ -157,15 +157,15 @@
         }
     }
 
-    /// Tells whether an update comes from the node that it names.
+    /// Tells whether an update comes from the address of the node that it
+    /// names.
     fn is_from(
         &mut self,
         update: &LoadUpdate,
         from: SocketAddr,
-        node: Option<&NodeRecord>,
+        address: Option<SocketAddr>,
     ) -> bool {
-        let known = node.and_then(|node| node.address);
-        let genuine = known == Some(from);
+        let genuine = address == Some(from);
         if !genuine {
             self.refuse(from, &format!("{} is not there", update.node()));
         }
--- a/crates/node/src/load/front.rs
+++ b/crates/node/src/load/front.rs
@@ -204,8 +204,9 @@
     ) {
         let roster = self.view.roster();
         let worker = roster.workers.get(update.node());
+        let address = worker.and_then(|worker| worker.address);
         let is_others = update.kind() == Kind::Others;
-        if !is_others || !self.socket.is_from(update, from, worker) {
+        if !is_others || !self.socket.is_from(update, from, address) {
             return;
         }
         let now = self.cluster.clock().now();
