Count a job's open items in one place

Cause: reading the whole change once more. The index of jobs and the backlog each subtracted listed items from the total, and one function of a feed named itself by an alias left from a move.

Change: JobHead::open_items serves both; no behaviour changes.

Checked: formatter, linter of the workspace, docs and tests of jobs and node (none failed).

--- a/crates/jobs/src/index.rs
+++ b/crates/jobs/src/index.rs
@@ -59,7 +59,7 @@
             let owner = head.owner.clone();
             let open = self.open_by_owner.entry(owner).or_default();
             open.keys.insert(job.clone());
-            open.open_items += open_items(&stored);
+            open.open_items += stored.head.open_items();
         }
         let changed_at = now;
         self.jobs.insert(job, Known { stored, changed_at });
@@ -77,7 +77,7 @@
         self.open_by_due.remove(&(head.due_at, job.clone()));
         if let Some(open) = self.open_by_owner.get_mut(&head.owner) {
             open.keys.remove(job);
-            open.open_items -= open_items(&stored);
+            open.open_items -= stored.head.open_items();
             if open.keys.is_empty() {
                 self.open_by_owner.swap_remove(&head.owner);
             }
@@ -154,17 +154,13 @@
         }
         for (job, stored) in self.orphaned(members) {
             if let Some(owner) = members.owner(job, &stored.head) {
-                backlog.add(owner, open_items(stored));
+                backlog.add(owner, stored.head.open_items());
             }
         }
         backlog
     }
 }
 
-fn open_items(stored: &Stored) -> u32 {
-    stored.head.total - stored.head.listed.len() as u32
-}
-
 fn cloned((job, stored): (&JobKey, &Stored)) -> (JobKey, Stored) {
     (job.clone(), stored.clone())
 }
--- a/crates/jobs/src/members.rs
+++ b/crates/jobs/src/members.rs
@@ -166,8 +166,7 @@
                 continue;
             }
             if let Some(owner) = members.owner(job, head) {
-                let open = head.total - head.listed.len() as u32;
-                backlog.add(owner, open);
+                backlog.add(owner, head.open_items());
             }
         }
         backlog
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -167,6 +167,12 @@
         self.ended || self.listed.len() >= self.total as usize
     }
 
+    /// Returns how many items are not listed yet.
+    #[inline]
+    pub fn open_items(&self) -> u32 {
+        self.total - self.listed.len() as u32
+    }
+
     /// Returns the chunk that holds a position, as its first position.
     pub fn chunk_of(&self, position: u32) -> Option<u32> {
         if position as usize >= self.listed.len() {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -267,23 +267,22 @@
 
     /// Returns all changes after a revision.
     fn rest(&self, after: u64) -> Delta {
-        let state = self;
-        let whole = after == 0 || after < state.whole_since;
+        let whole = after == 0 || after < self.whole_since;
         let first = match whole {
             true => 0,
             false => after + 1,
         };
-        let newer = state.by_revision.range((first, String::new())..);
-        let items = newer.filter_map(|(_, key)| state.items.get(key));
-        let gone = state.deleted.iter().filter(|(_, at)| **at > after);
+        let newer = self.by_revision.range((first, String::new())..);
+        let items = newer.filter_map(|(_, key)| self.items.get(key));
+        let gone = self.deleted.iter().filter(|(_, at)| **at > after);
         Delta {
-            revision: state.revision,
+            revision: self.revision,
             whole,
             more: false,
             items: items.cloned().collect(),
             deleted: gone.map(|(key, at)| (key.clone(), *at)).collect(),
-            fresh_at: state.fresh_at,
-            failed_at: state.failed_at,
+            fresh_at: self.fresh_at,
+            failed_at: self.failed_at,
         }
     }
 
