Log which requests ran at an endpoint that crashed

A request's lines have its id, which is new in each try of a caller, so that nobody can tell whether the requests under which endpoints end are the same, and nothing tells an endpoint that crashed from one that reset a connection.

Change: a run that is cut off is logged with a digest of what the request asks for (customer, method, host, path, body); no body, no key. The node then looks at the endpoint once: a host that refuses connections, whose end nobody announced, has crashed. Counters runs_cut_off, endpoints_crashed, runs_not_examined. The digest is made only for runs that are cut off.

--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -4,7 +4,31 @@
 use sha2::{Digest, Sha256};
 
 /// Length of a SHA-256 digest, in bytes.
-const DIGEST_BYTES: usize = 32;
+const KEY_DIGEST_BYTES: usize = 32;
+
+/// Length of a [`RequestDigest`], in bytes. Nobody finds a second request
+/// for a digest of this length, and one stands for a request in each line
+/// of the log about it.
+const REQUEST_DIGEST_BYTES: usize = 16;
+
+/// Reads bytes in hexadecimal digits; none of any other text.
+fn parse_hex<const N: usize>(text: &str) -> Option<[u8; N]> {
+    // Numbers may have a sign, digits of a digest may not.
+    let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if text.len() != N * 2 || !is_hex {
+        return None;
+    }
+    let mut bytes = [0; N];
+    for (at, byte) in bytes.iter_mut().enumerate() {
+        let digits = &text[at * 2..at * 2 + 2];
+        *byte = u8::from_str_radix(digits, 16).ok()?;
+    }
+    Some(bytes)
+}
+
+fn write_hex(bytes: &[u8], f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    bytes.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+}
 
 /// Says that a text is no key digest.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,7 +69,7 @@
     Deserialize,
 )]
 #[serde(try_from = "String", into = "String")]
-pub struct KeyDigest([u8; DIGEST_BYTES]);
+pub struct KeyDigest([u8; KEY_DIGEST_BYTES]);
 
 impl KeyDigest {
     /// Digests a key as it stands in the `Authorization` header.
@@ -55,7 +79,7 @@
 
     /// Returns the bytes of the digest.
     #[inline]
-    pub fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
+    pub fn as_bytes(&self) -> &[u8; KEY_DIGEST_BYTES] {
         &self.0
     }
 }
@@ -64,18 +88,7 @@
     type Err = KeyDigestError;
 
     fn from_str(text: &str) -> Result<Self, KeyDigestError> {
-        // Numbers may have a sign, digits of a digest may not.
-        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if text.len() != DIGEST_BYTES * 2 || !is_hex {
-            return Err(KeyDigestError);
-        }
-        let mut bytes = [0; DIGEST_BYTES];
-        for (at, byte) in bytes.iter_mut().enumerate() {
-            let digits = &text[at * 2..at * 2 + 2];
-            *byte =
-                u8::from_str_radix(digits, 16).map_err(|_| KeyDigestError)?;
-        }
-        Ok(Self(bytes))
+        parse_hex(text).map(Self).ok_or(KeyDigestError)
     }
 }
 
@@ -95,6 +108,124 @@
 
 impl fmt::Display for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        write_hex(&self.0, f)
+    }
+}
+
+/// What makes two requests the same for an endpoint: who asks for what.
+///
+/// The id of the request is no part of it, since each try of a caller has
+/// an id of its own. Neither are headers: deadlines and positions of streams
+/// differ between the tries of one request.
+#[derive(Clone, Copy)]
+pub struct RequestContent<'a> {
+    /// Name of the customer; empty without one.
+    pub customer: &'a str,
+    /// Method of the call.
+    pub method: &'a str,
+    /// Host that it is for; empty where one host is all there is.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+/// Tells a request by its content, without holding any of it.
+///
+/// All nodes find the same digest, so that they can tell each other about
+/// a request, and logs can name it.
+///
+/// # Example
+///
+/// ```
+/// use pomeloslip_base::{RequestContent, RequestDigest};
+///
+/// let content = RequestContent {
+///     customer: "alama",
+///     method: "POST",
+///     host: "a.example",
+///     target: "/chat/1",
+///     body: b"hello",
+/// };
+/// let digest = RequestDigest::of(content);
+/// let other = RequestContent { body: b"other", ..content };
+/// assert_ne!(RequestDigest::of(other), digest);
+/// assert_eq!(digest.to_string().parse(), Ok(digest));
+/// ```
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestDigest([u8; REQUEST_DIGEST_BYTES]);
+
+/// Says that a text is no digest of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestDigestError;
+
+impl RequestDigest {
+    /// Digests a request.
+    pub fn of(content: RequestContent<'_>) -> Self {
+        let RequestContent {
+            customer,
+            method,
+            host,
+            target,
+            body,
+        } = content;
+        let mut digest = Sha256::new();
+        for part in [customer, method, host, target] {
+            digest.update((part.len() as u64).to_le_bytes());
+            digest.update(part);
+        }
+        digest.update(body);
+        let mut bytes = [0; REQUEST_DIGEST_BYTES];
+        bytes.copy_from_slice(&digest.finalize()[..REQUEST_DIGEST_BYTES]);
+        Self(bytes)
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = RequestDigestError;
+
+    fn from_str(text: &str) -> Result<Self, RequestDigestError> {
+        parse_hex(text).map(Self).ok_or(RequestDigestError)
+    }
+}
+
+impl TryFrom<String> for RequestDigest {
+    type Error = RequestDigestError;
+
+    fn try_from(text: String) -> Result<Self, RequestDigestError> {
+        text.parse()
+    }
+}
+
+impl From<RequestDigest> for String {
+    fn from(digest: RequestDigest) -> String {
+        digest.to_string()
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_hex(&self.0, f)
     }
 }
+
+impl fmt::Display for RequestDigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a digest of a request has 32 hex digits")
+    }
+}
+
+impl std::error::Error for RequestDigestError {}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -32,7 +32,10 @@
 
 pub use crate::{
     class::Class,
-    digest::{KeyDigest, KeyDigestError},
+    digest::{
+        KeyDigest, KeyDigestError, RequestContent, RequestDigest,
+        RequestDigestError,
+    },
     hash::{mix, stable_hash},
     id::{
         Customer, EndpointName, FailureDomain, FileId, IdError, Incarnation,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -131,7 +131,7 @@
     /// Runs the item to its end, or until the future is dropped, which
     /// closes the connection and so stops the endpoint's work.
     pub async fn run(self, forwarder: &ItemForwarder) -> RunEnd {
-        let Some(request) = self.request(forwarder) else {
+        let Some(request) = self.request(forwarder).map(Arc::new) else {
             return RunEnd::Rejected;
         };
         let after = self.progress.last_id();
@@ -187,11 +187,16 @@
                     if !split.events.is_empty() {
                         self.progress.add(&split.events, splitter.last_id());
                     }
+                    exchange.advance_to(splitter.last_id().unwrap_or(0));
                 }
                 Ok(None) if !splitter.is_inside_event() => {
                     return RunEnd::Complete;
                 }
-                Ok(None | Some(Err(_))) | Err(_) => return RunEnd::Broken,
+                Ok(None) => {
+                    exchange.cut_off();
+                    return RunEnd::Broken;
+                }
+                Ok(Some(Err(_))) | Err(_) => return RunEnd::Broken,
             }
         }
     }
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
+    crash::{CrashDetector, RunNotifier},
     job_spool::JobSpool,
     load::{self, LoadSocket},
     membership, peer,
@@ -55,6 +56,8 @@
     socket: Arc<UdpSocket>,
     /// Turned true when the node leaves; its entry ends then.
     pub(crate) leave: watch::Sender<bool>,
+    /// Receives how runs at endpoints end.
+    runs: Arc<RunNotifier>,
     /// Who counts requests against the limits of customers.
     pub(crate) quota: QuotaClient,
     /// Jobs that wait on the disk of this node, if it has one.
@@ -129,6 +132,11 @@
             true => tokio::spawn(quota.run_as_holder()),
             false => tokio::spawn(quota.run()),
         };
+        let (detector, runs) = CrashDetector::new(
+            outside.cluster.clone(),
+            outside.counters.clone(),
+        );
+        tokio::spawn(detector.run());
         let (leave, left) = watch::channel(false);
         let record = NodeRecord {
             node: settings.node.clone(),
@@ -158,6 +166,7 @@
             selection: Arc::new(Snapshot::new(Selection::default())),
             socket,
             leave,
+            runs: Arc::new(runs),
             quota: quota_client,
             spooled,
             stopping: Arc::default(),
@@ -213,6 +222,7 @@
             outside.counters.clone(),
         )
         .with_selection(self.selection.clone())
+        .with_run_observer(self.runs.clone())
     }
 
     /// Begins a planned stop: the node is not ready any more and its entry
--- /dev/null
+++ b/crates/node/src/crash.rs
@@ -0,0 +1,223 @@
+//! Finds out which endpoints crashed while they ran requests of this node.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{Clock, Millis, RequestDigest, UnixMillis};
+use fleet::{Endpoint, LifeKey};
+use indexmap::IndexMap;
+use pass::{Counters, Run, RunObserver};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+use crate::ClusterState;
+
+/// Runs that may wait for a look at their endpoint. What does not fit is
+/// counted and left out.
+const WAITING_MOST: usize = 1_024;
+
+/// Time between a broken connection and the look at its endpoint, in
+/// milliseconds: a process that ends closes one socket after the other.
+const SETTLE_MS: u64 = 20;
+
+/// Longest wait for a connection to an endpoint that may have crashed, in
+/// milliseconds. A host whose process has ended refuses it at once.
+const CONNECT_MS: u64 = 300;
+
+/// How long an endpoint is known to have crashed, in milliseconds: longer
+/// than connections to it take to break.
+const KNOWN_MS: u64 = 10_000;
+
+/// A run whose connection broke before its answer was whole.
+#[derive(Clone, Debug)]
+pub(crate) struct CutOffRun {
+    digest: RequestDigest,
+    endpoint: Endpoint,
+    began_at: UnixMillis,
+    ended_at: UnixMillis,
+    resumed_after: u64,
+    reached: u64,
+}
+
+/// Passes on the runs that are cut off, without waiting.
+pub(crate) struct RunNotifier {
+    sender: mpsc::Sender<CutOffRun>,
+    clock: Arc<dyn Clock>,
+    counters: Arc<Counters>,
+}
+
+impl RunObserver for RunNotifier {
+    fn answered(&self, _run: &Run) {}
+
+    fn cut_off(&self, run: &Run) {
+        Counters::add(&self.counters.runs_cut_off);
+        let cut_off = CutOffRun {
+            digest: run.digest(),
+            endpoint: run.endpoint().clone(),
+            began_at: run.began_at(),
+            ended_at: self.clock.unix(),
+            resumed_after: run.resumed_after(),
+            reached: run.reached(),
+        };
+        if self.sender.try_send(cut_off).is_err() {
+            Counters::add(&self.counters.runs_not_examined);
+        }
+    }
+}
+
+/// Looks at the endpoints of runs that were cut off.
+///
+/// A connection breaks for many reasons. An endpoint has crashed if its host
+/// refuses new connections although nobody has announced its end: a host
+/// that is cut off does not answer, and an endpoint that has only reset a
+/// connection takes new ones.
+pub(crate) struct CrashDetector {
+    received: mpsc::Receiver<CutOffRun>,
+    cluster: ClusterState,
+    counters: Arc<Counters>,
+    lives: IndexMap<LifeKey, Examined>,
+}
+
+/// What is known of an endpoint that runs were cut off at.
+struct Examined {
+    state: Examination,
+    since: Millis,
+}
+
+enum Examination {
+    /// The look is under way; these runs wait for it.
+    UnderWay(Vec<CutOffRun>),
+    Crashed,
+}
+
+/// What a look at an endpoint found.
+struct Finding {
+    life: LifeKey,
+    crashed: bool,
+}
+
+impl CrashDetector {
+    pub(crate) fn new(
+        cluster: ClusterState,
+        counters: Arc<Counters>,
+    ) -> (Self, RunNotifier) {
+        let (sender, received) = mpsc::channel(WAITING_MOST);
+        let notifier = RunNotifier {
+            sender,
+            clock: cluster.clock().clone(),
+            counters: counters.clone(),
+        };
+        let detector = Self {
+            received,
+            cluster,
+            counters,
+            lives: IndexMap::new(),
+        };
+        (detector, notifier)
+    }
+
+    pub(crate) async fn run(mut self) {
+        let (sender, mut findings) = mpsc::unbounded_channel();
+        loop {
+            tokio::select! {
+                run = self.received.recv() => match run {
+                    Some(run) => self.examine(run, &sender),
+                    None => return,
+                },
+                Some(finding) = findings.recv() => self.conclude(finding),
+            }
+        }
+    }
+
+    fn examine(
+        &mut self,
+        run: CutOffRun,
+        findings: &mpsc::UnboundedSender<Finding>,
+    ) {
+        self.forget_old();
+        let life = run.endpoint.life();
+        match self.lives.get_mut(&life).map(|known| &mut known.state) {
+            Some(Examination::UnderWay(runs)) => {
+                runs.push(run);
+                return;
+            }
+            Some(Examination::Crashed) => return self.note(&[run]),
+            None => {}
+        }
+        // An endpoint that leaves ends its connections by itself.
+        if self.cluster.endpoints.load().table.get(life).is_none() {
+            return;
+        }
+        let address = run.endpoint.record().address;
+        let examined = Examined {
+            state: Examination::UnderWay(vec![run]),
+            since: self.cluster.clock().now(),
+        };
+        self.lives.insert(life, examined);
+        let findings = findings.clone();
+        tokio::spawn(async move {
+            let crashed = refuses_connections(address).await;
+            let _ = findings.send(Finding { life, crashed });
+        });
+    }
+
+    fn conclude(&mut self, finding: Finding) {
+        let Finding { life, crashed } = finding;
+        let Some(known) = self.lives.get_mut(&life) else {
+            return;
+        };
+        let before = std::mem::replace(&mut known.state, Examination::Crashed);
+        let Examination::UnderWay(runs) = before else {
+            return;
+        };
+        if !crashed {
+            self.lives.shift_remove(&life);
+            return;
+        }
+        if let Some(run) = runs.first() {
+            Counters::add(&self.counters.endpoints_crashed);
+            log::warn!(
+                endpoint = run.endpoint.record().id.as_str(),
+                address:% = run.endpoint.record().address,
+                runs = runs.len();
+                "an endpoint crashed while it ran requests"
+            );
+        }
+        self.note(&runs);
+    }
+
+    fn note(&self, runs: &[CutOffRun]) {
+        for run in runs {
+            log::info!(
+                digest:% = run.digest,
+                endpoint = run.endpoint.record().id.as_str(),
+                ran_ms = run.ended_at.saturating_ms_since(run.began_at),
+                resumed_after = run.resumed_after,
+                reached = run.reached;
+                "a request ran at an endpoint that crashed"
+            );
+        }
+    }
+
+    fn forget_old(&mut self) {
+        let now = self.cluster.clock().now();
+        while let Some((_, oldest)) = self.lives.first()
+            && now.saturating_ms_since(oldest.since) >= KNOWN_MS
+        {
+            self.lives.shift_remove_index(0);
+        }
+    }
+}
+
+/// Tells whether a host answers that no process listens at an address.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    let wait = Duration::from_millis(CONNECT_MS);
+    let connected = timeout(wait, TcpStream::connect(address)).await;
+    matches!(
+        connected,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
+    )
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod admin;
 mod base;
 mod cluster;
+mod crash;
 mod dialect;
 mod error;
 mod feed;
--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -10,17 +10,20 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
     time::sleep,
 };
 
 /// An engine: the body of a request says what it does. `N` answers with N
 /// events; `reject` and `fail` are refused; `cut N` breaks off after N events
-/// once.
+/// once; `crash` ends the engine and all of its connections.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
     pub(crate) runs: Arc<Mutex<Vec<String>>>,
     /// Heads of the requests that ran.
     pub(crate) heads: Arc<Mutex<Vec<String>>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl Engine {
@@ -30,18 +33,43 @@
         let runs: Arc<Mutex<Vec<String>>> = Arc::default();
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
         let seen = (runs.clone(), heads.clone());
+        let (crashed, crash) = watch::channel(false);
+        let on_crash = crashed.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(engine(stream, seen.clone()));
+            let mut connections = JoinSet::new();
+            let mut ended = crash;
+            loop {
+                tokio::select! {
+                    _ = ended.wait_for(|crashed| *crashed) => return,
+                    Ok((stream, _)) = listener.accept() => {
+                        let crash = on_crash.clone();
+                        connections.spawn(engine(stream, seen.clone(), crash));
+                    }
+                }
             }
         });
         Self {
             address,
             runs,
             heads,
+            crashed,
         }
     }
 
+    /// Ends the engine: it refuses connections from then on.
+    pub(crate) fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
+    pub(crate) fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
+    /// Returns how many requests it has begun to run.
+    pub(crate) fn run_count(&self) -> usize {
+        self.runs.lock().expect("lock").len()
+    }
+
     pub(crate) fn record(&self, id: &str) -> EndpointRecord {
         EndpointRecord {
             id: id.to_owned(),
@@ -55,9 +83,17 @@
     }
 }
 
+/// Time between the head of an answer and the end of an engine that a
+/// request crashes.
+const CRASH_AFTER: Duration = Duration::from_millis(30);
+
 type Lines = Arc<Mutex<Vec<String>>>;
 
-async fn engine(mut stream: TcpStream, (runs, heads): (Lines, Lines)) {
+async fn engine(
+    mut stream: TcpStream,
+    (runs, heads): (Lines, Lines),
+    crash: watch::Sender<bool>,
+) {
     while let Some((head, body)) = read_message(&mut stream).await {
         let id = header(&head, "x-id").unwrap_or_default();
         let after = header(&head, "x-resume");
@@ -86,6 +122,11 @@
         if stream.write_all(head.as_bytes()).await.is_err() {
             return;
         }
+        if word == "crash" {
+            sleep(CRASH_AFTER).await;
+            crash.send_replace(true);
+            return std::future::pending().await;
+        }
         let last: u32 = number.parse().unwrap_or(0);
         for event in after + 1..=last {
             let text = format!("id: {event}\ndata: e{event}\n\n");
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -231,6 +231,7 @@
                     Some(Err(_)) => self.request_log.end(FAILED),
                     Some(Ok(data)) => {
                         self.request_log.passed(data.len());
+                        self.exchange.advance_to(self.request_log.bytes);
                         if self.exchange.is_whole() {
                             self.request_log.end(ANSWERED);
                         }
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -6,7 +6,8 @@
 use tokio::time;
 
 use crate::{
-    Counters, Exchange, HeaderNames, Inbound, LoadObserver, Pool,
+    Counters, Exchange, HeaderNames, Inbound, LoadObserver, Pool, Run,
+    RunObserver,
     channel::{Channel, says_close},
 };
 
@@ -61,7 +62,7 @@
 /// One offer of a request to one endpoint.
 pub struct Offer<'a> {
     /// The request.
-    pub request: &'a Inbound,
+    pub request: &'a Arc<Inbound>,
     /// The endpoint.
     pub endpoint: &'a Endpoint,
     /// Last event that the caller has.
@@ -77,6 +78,7 @@
     pub(crate) clock: &'a dyn Clock,
     pub(crate) counters: &'a Counters,
     pub(crate) observer: &'a dyn LoadObserver,
+    pub(crate) runs: &'a Arc<dyn RunObserver>,
 }
 
 impl Dispatcher<'_> {
@@ -88,15 +90,25 @@
         let endpoint = offer.endpoint.clone();
         endpoint.begin();
         self.observer.began(&endpoint);
+        let mut run = Run::begin(
+            offer.request.clone(),
+            endpoint.clone(),
+            offer.resume_after,
+            self.clock,
+            self.runs.clone(),
+        );
         let begun = Begun(Some(endpoint));
         let result = time::timeout(offer.wait, self.send(&offer)).await;
         let result = result.unwrap_or(Err(Failure::Silent));
         match result {
             Ok((channel, response)) => {
-                self.judge(&offer, begun, channel, response)
+                self.judge(&offer, begun, run, channel, response)
             }
             Err(failure) => {
                 self.note(&offer, failure);
+                if failure == Failure::Broken {
+                    run.cut_off();
+                }
                 Err(failure)
             }
         }
@@ -151,6 +163,7 @@
         &self,
         offer: &Offer<'_>,
         mut begun: Begun,
+        run: Run,
         mut channel: Channel,
         response: http::Response<hyper::body::Incoming>,
     ) -> Result<Exchange, Failure> {
@@ -163,20 +176,22 @@
         channel.note_keep_alive(headers, self.pool.options());
         let reusable = !says_close(headers);
         let failure = check(&head.status, headers, self.names, offer);
-        let Some(endpoint) = begun.0.take() else {
+        // The exchange counts the request as over from here on.
+        if begun.0.take().is_none() {
             return Err(Failure::Broken);
-        };
-        let exchange = Exchange::new(
+        }
+        let mut exchange = Exchange::new(
             head,
             body,
             channel,
-            endpoint,
+            run,
             self.pool.clone(),
             reusable && failure != Some(Failure::WrongId),
         );
         match failure {
             None => {
                 offer.endpoint.succeeded();
+                exchange.note_if_whole();
                 Ok(exchange)
             }
             Some(failure) => {
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -117,6 +117,13 @@
     retried,
     /// Streams that were taken up at another endpoint.
     resumed,
+    /// Runs whose connection broke before the answer was whole.
+    runs_cut_off,
+    /// Runs that were cut off and whose endpoint was not looked at, as too
+    /// many came at once.
+    runs_not_examined,
+    /// Endpoints that crashed while they ran requests of this node.
+    endpoints_crashed,
     /// New connections to endpoints.
     connections_opened,
     /// Calls that read from the key-value service.
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use fleet::Endpoint;
-use http::{HeaderMap, StatusCode, response::Parts};
+use http::{HeaderMap, StatusCode, header, response::Parts};
 use http_body::Body;
 use hyper::body::Incoming;
 
-use crate::{BrokenAnswer, Pool, channel::Channel};
+use crate::{BrokenAnswer, Pool, Run, channel::Channel};
 
 /// An answer of an endpoint that is being read.
 ///
@@ -22,10 +22,13 @@
     status: StatusCode,
     body: Incoming,
     channel: Option<Channel>,
-    endpoint: Endpoint,
+    run: Run,
     pool: Arc<Pool>,
     reusable: bool,
     whole: bool,
+    /// Whether the end of the answer can be told from a loss of the
+    /// connection.
+    framed: bool,
 }
 
 impl Exchange {
@@ -33,17 +36,18 @@
         head: Parts,
         body: Incoming,
         channel: Channel,
-        endpoint: Endpoint,
+        run: Run,
         pool: Arc<Pool>,
         reusable: bool,
     ) -> Self {
         Self {
             status: head.status,
+            framed: is_framed(&head.headers),
             head: Some(head),
             whole: body.is_end_stream(),
             body,
             channel: Some(channel),
-            endpoint,
+            run,
             pool,
             reusable,
         }
@@ -68,7 +72,7 @@
     /// Returns the endpoint.
     #[inline]
     pub fn endpoint(&self) -> &Endpoint {
-        &self.endpoint
+        self.run.endpoint()
     }
 
     /// Tells whether the answer is read to its end.
@@ -77,6 +81,24 @@
         self.whole
     }
 
+    /// Takes note of how much of the answer has arrived, see
+    /// [`Run::reached`].
+    pub fn advance_to(&mut self, reached: u64) {
+        self.run.advance_to(reached);
+    }
+
+    /// Takes note that the answer has ended before it was whole, which its
+    /// reader sees by its content.
+    pub fn cut_off(&mut self) {
+        self.run.cut_off();
+    }
+
+    pub(crate) fn note_if_whole(&mut self) {
+        if self.whole && self.framed {
+            self.run.answered();
+        }
+    }
+
     /// Returns the length of the body if it is known.
     pub(crate) fn exact_length(&self) -> Option<u64> {
         self.body.size_hint().exact()
@@ -95,14 +117,17 @@
             match frame {
                 None => {
                     self.whole = true;
+                    self.note_if_whole();
                     return Poll::Ready(None);
                 }
                 Some(Err(error)) => {
                     log::debug!(error:%; "an answer broke off");
+                    self.run.cut_off();
                     return Poll::Ready(Some(Err(BrokenAnswer::Endpoint)));
                 }
                 Some(Ok(frame)) => {
                     self.whole = self.body.is_end_stream();
+                    self.note_if_whole();
                     if let Ok(data) = frame.into_data() {
                         return Poll::Ready(Some(Ok(data)));
                     }
@@ -112,14 +137,19 @@
     }
 }
 
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
-        self.endpoint.end();
+        self.run.endpoint().end();
         let Some(channel) = self.channel.take() else {
             return;
         };
         if self.whole && self.reusable {
-            self.pool.give_back(&self.endpoint, channel);
+            self.pool.give_back(self.run.endpoint(), channel);
         } else {
             channel.abort();
         }
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     AnswerBody, Counters, Exchange, Failure, HeaderNames, Inbound,
-    LoadObserver, Offer, Pool, Refusal, ReturnTimes, Unobserved,
+    LoadObserver, Offer, Pool, Refusal, ReturnTimes, RunObserver, Unobserved,
     answer::{FAILED, PassedBody, REFUSED, RequestLog, Sent},
     attempt::Dispatcher,
     request::strip_hop_by_hop,
@@ -72,6 +72,7 @@
     clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
     observer: Arc<dyn LoadObserver>,
+    runs: Arc<dyn RunObserver>,
     returns: ReturnTimes,
 }
 
@@ -125,6 +126,7 @@
             clock,
             counters,
             observer: Arc::new(Unobserved),
+            runs: Arc::new(Unobserved),
             returns: ReturnTimes::default(),
         }
     }
@@ -136,6 +138,13 @@
         self
     }
 
+    /// Sets who receives how runs end.
+    #[must_use]
+    pub fn with_run_observer(mut self, runs: Arc<dyn RunObserver>) -> Self {
+        self.runs = runs;
+        self
+    }
+
     /// Sets which endpoints requests go to before all others.
     #[must_use]
     pub fn with_selection(
@@ -225,7 +234,7 @@
 
     async fn run(
         &self,
-        request: &Inbound,
+        request: &Arc<Inbound>,
         sent: &mut Sent,
         tries: &mut Tries,
     ) -> Result<Exchange, Refusal> {
@@ -364,7 +373,7 @@
     /// The [`Failure`], which also tells whether the request may have run.
     pub async fn offer(
         &self,
-        request: &Inbound,
+        request: &Arc<Inbound>,
         endpoint: &Endpoint,
         resume_after: Option<u64>,
         wait: Duration,
@@ -381,7 +390,7 @@
     /// Asks another endpoint for the rest of a stream.
     pub(crate) async fn take_up(
         &self,
-        request: &Inbound,
+        request: &Arc<Inbound>,
         mut tries: Tries,
     ) -> Option<Continuation> {
         if tries.used >= request.route().max_attempts() {
@@ -415,6 +424,7 @@
             clock: &*self.clock,
             counters: &self.counters,
             observer: &*self.observer,
+            runs: &self.runs,
         }
     }
 }
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -35,6 +35,7 @@
 mod request;
 mod resume;
 mod returns;
+mod run;
 
 pub use crate::{
     answer::AnswerBody,
@@ -54,4 +55,5 @@
     relay::Relay,
     request::{Inbound, read_body},
     returns::ReturnTimes,
+    run::{Run, RunObserver},
 };
--- a/crates/pass/src/observe.rs
+++ b/crates/pass/src/observe.rs
@@ -1,5 +1,7 @@
 use fleet::Endpoint;
 
+use crate::{Run, RunObserver};
+
 /// Hears of each request that is sent to an endpoint.
 ///
 /// Batch work at an endpoint gives way the sooner the earlier its node hears
@@ -16,3 +18,9 @@
 impl LoadObserver for Unobserved {
     fn began(&self, _endpoint: &Endpoint) {}
 }
+
+impl RunObserver for Unobserved {
+    fn answered(&self, _run: &Run) {}
+
+    fn cut_off(&self, _run: &Run) {}
+}
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -1,9 +1,10 @@
 use std::{
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 
 use access::Admitted;
+use base::{RequestContent, RequestDigest};
 use bytes::{Bytes, BytesMut};
 use fleet::Route;
 use http::{
@@ -101,6 +102,7 @@
     resume_after: Option<u64>,
     affinity: u64,
     admitted: Admitted,
+    digest: OnceLock<RequestDigest>,
 }
 
 /// Part of a route's time that a caller has left which has not waited yet,
@@ -158,6 +160,7 @@
             resume_after,
             affinity,
             admitted,
+            digest: OnceLock::new(),
         }
     }
 
@@ -176,6 +179,23 @@
         &self.id
     }
 
+    /// Returns the digest of what the request asks for, which all tries of
+    /// it share. It is made when it is first asked for, which most requests
+    /// never are.
+    pub fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            let host = host.and_then(|host| host.to_str().ok());
+            RequestDigest::of(RequestContent {
+                customer: self.customer(),
+                method: self.method.as_str(),
+                host: host.unwrap_or_default(),
+                target: self.target.as_str(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Returns the name of the customer; empty without one.
     #[inline]
     pub fn customer(&self) -> &str {
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -105,12 +105,15 @@
                     };
                     match data {
                         Some(Ok(chunk)) => {
-                            if let Some(events) = self.pass_on(chunk) {
+                            let events = self.pass_on(chunk);
+                            self.note_progress();
+                            if let Some(events) = events {
                                 return Poll::Ready(Some(Ok(events)));
                             }
                         }
                         Some(Err(_)) => self.take_up_elsewhere("broken"),
                         None if self.splitter.is_inside_event() => {
+                            exchange.cut_off();
                             self.take_up_elsewhere("ended inside an event");
                         }
                         None => {
@@ -135,6 +138,13 @@
         Some(split.events)
     }
 
+    fn note_progress(&mut self) {
+        let reached = self.splitter.last_id().unwrap_or(0);
+        if let State::Reading(exchange) = &mut self.state {
+            exchange.advance_to(reached);
+        }
+    }
+
     fn go_on(&mut self, continuation: Continuation) {
         let offers = self.request_log.sent.offers + continuation.sent.offers;
         self.request_log.sent = Sent {
