--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -171,7 +171,7 @@
             reason,
             after = after.unwrap_or(0),
             age_ms = self.request_log.age_ms();
-            "a stream is continuation up at another endpoint"
+            "a stream is taken up at another endpoint"
         );
         self.state = State::Over;
         let forwarder = self.forwarder.clone();
