--- a/crates/entry/tests/forward_common/mod.rs
+++ b/crates/entry/tests/forward_common/mod.rs
@@ -90,10 +90,19 @@
 
 /// Starts an entry; `more` is the rest of its settings.
 pub(crate) async fn entry(platform: &KvServiceHandle, more: &str) -> Entry {
+    entry_named("entry-1", platform, more).await
+}
+
+/// Starts one of several entries.
+pub(crate) async fn entry_named(
+    name: &str,
+    platform: &KvServiceHandle,
+    more: &str,
+) -> Entry {
     let yaml = format!(
         "\
 role: entry
-vm: entry-1
+vm: {name}
 failure_domain: tallinn-a
 listen: 127.0.0.1:0
 peer_listen: 127.0.0.1:0
@@ -114,6 +123,16 @@
     listen: SocketAddr,
     engine: &EngineHandle,
     entries: &[SocketAddr],
+) -> Companion {
+    companion_of(name, listen, &engine.url(), entries).await
+}
+
+/// Starts a companion of whatever listens at a URL.
+pub(crate) async fn companion_of(
+    name: &str,
+    listen: SocketAddr,
+    url: &str,
+    entries: &[SocketAddr],
 ) -> Companion {
     let entries: Vec<String> =
         entries.iter().map(|entry| format!("'{entry}'")).collect();
@@ -125,11 +144,10 @@
 listen: 127.0.0.1:0
 peer_listen: '{listen}'
 entries: [{}]
-endpoint: {{name: {name}, pool: korv-lm, kind: engine, address: '{}', \
+endpoint: {{name: {name}, pool: korv-lm, kind: engine, address: '{url}', \
          models: [{MODEL}]}}
 ",
         entries.join(", "),
-        engine.url(),
     );
     let settings = Settings::parse("test", &yaml).unwrap();
     let companion = Companion::start(&settings, Metrics::default());
--- /dev/null
+++ b/crates/entry/tests/quarantine.rs
@@ -0,0 +1,95 @@
+//! Requests that crash the endpoints that run them, sent again by callers.
+#![allow(clippy::unwrap_used)]
+
+mod crash_common;
+mod forward_common;
+
+use std::time::Duration;
+
+use crash_common::CrashableEngine;
+use forward_common::{
+    behind, call, chat, companion_of, entry_named, platform, reserve,
+    until_served,
+};
+use pomeloslip_entry::Entry;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+use yare::parameterized;
+
+/// Times that a request may be sent again once it has crashed three
+/// endpoints and all entries have had the time to hear of it.
+const RETRIES_MOST: usize = 3;
+
+/// Crashes after which a request is not to be sent any more.
+const CRASHES_MOST: usize = 3;
+
+/// Time in which all entries hear of a third crash.
+const SPREAD: Duration = Duration::from_secs(3);
+
+/// Time for which the request comes again and again.
+const REPEATED: Duration = Duration::from_secs(9);
+
+/// Guards against a call that crashes one endpoint after the other as its
+/// caller sends it again, to any entry.
+#[parameterized(
+    direct = { false, true },
+    behind_companions = { true, true },
+    whole_answers = { false, false },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_call_that_crashes_endpoints_is_sent_no_further(
+    companions: bool,
+    streams: bool,
+) {
+    let platform = platform(", retries: 2").await;
+    let addresses = reserve::<5>();
+    let peers = reserve::<5>();
+    let mut engines = Vec::new();
+    let mut kept = Vec::new();
+    let mut lines = "endpoints:\n".to_owned();
+    for (at, address) in addresses.into_iter().enumerate() {
+        let name = format!("korv-{at}");
+        engines.push(CrashableEngine::start(address).await);
+        lines += &match companions {
+            true => behind(&name, peers[at]),
+            false => format!(
+                "  - {{endpoint: {name}, pool: korv-lm, \
+                 failure_domain: tallinn-a, http: 'http://{address}'}}\n"
+            ),
+        };
+        if companions {
+            let url = format!("http://{address}");
+            kept.push(companion_of(&name, peers[at], &url, &peers).await);
+        }
+    }
+    let entries: [Entry; 2] = [
+        entry_named("entry-1", &platform, &lines).await,
+        entry_named("entry-2", &platform, &lines).await,
+    ];
+    for entry in &entries {
+        until_served(entry).await;
+    }
+    let mut body = chat("[[crash]]");
+    body["stream"] = json!(streams);
+    let began = Instant::now();
+    let mut third = None;
+    let (mut before, mut sent) = (None, 0);
+    while began.elapsed() < REPEATED {
+        let entry = &entries[sent % entries.len()];
+        call(entry, "/v1/chat/completions", &body).await;
+        sent += 1;
+        let crashes: usize = engines.iter().map(|e| e.crashes()).sum();
+        if crashes >= CRASHES_MOST {
+            third.get_or_insert(Instant::now());
+        }
+        if third.is_some_and(|third| third.elapsed() >= SPREAD) {
+            before.get_or_insert(crashes);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let crashes: usize = engines.iter().map(|e| e.crashes()).sum();
+    let before = before.expect("three crashes");
+    assert!(sent > 20, "the call came again: {sent}");
+    let after = crashes - before;
+    assert!(after <= RETRIES_MOST, "sent {after} times more");
+}
--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -17,7 +17,7 @@
 
 /// An engine: the body of a request says what it does. `N` answers with N
 /// events; `reject` and `fail` are refused; `cut N` breaks off after N events
-/// once; `crash` ends the engine and all of its connections.
+/// once; `crash N` ends the engine and all of its connections after N events.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
     pub(crate) runs: Arc<Mutex<Vec<String>>>,
@@ -103,6 +103,7 @@
         let cut = word == "cut" && after == 0;
         let number = match word.as_str() {
             "cut" => words.next().unwrap_or("1"),
+            "crash" => words.next().unwrap_or("0"),
             other => other,
         };
         // Questions for the load have no id and run nothing.
@@ -122,12 +123,10 @@
         if stream.write_all(head.as_bytes()).await.is_err() {
             return;
         }
-        if word == "crash" {
-            sleep(CRASH_AFTER).await;
-            crash.send_replace(true);
-            return std::future::pending().await;
-        }
+        let crashes = word == "crash";
         let last: u32 = number.parse().unwrap_or(0);
+        // An engine crashes as far behind the point from which it goes on.
+        let last = if crashes { after + last } else { last };
         for event in after + 1..=last {
             let text = format!("id: {event}\ndata: e{event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
@@ -139,6 +138,11 @@
             }
             sleep(Duration::from_millis(2)).await;
         }
+        if crashes {
+            sleep(CRASH_AFTER).await;
+            crash.send_replace(true);
+            return std::future::pending().await;
+        }
         if stream.write_all(b"0\r\n\r\n").await.is_err() {
             return;
         }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 mod cuttable;
 mod engine;
+mod engines;
 mod logger;
 
 use std::{
@@ -43,7 +44,7 @@
 };
 
 #[allow(unused_imports)]
-pub(crate) use self::{cuttable::Cuttable, engine::Engine};
+pub(crate) use self::{cuttable::Cuttable, engine::Engine, engines::Engines};
 
 /// The dialect of these tests.
 pub(crate) struct TestDialect;
