Decide which requests crash the endpoints that run them

Cause: no part of the system remembers a request beyond one try of its caller.

Change: crate quarantine. A crash is evidence, not proof: only crashes one after the other count, half if the request had got on; longer runs and whole answers refute them; a request that ran at the same endpoints and against which more speaks explains them. From a score of three crashes without progress on a request is held for 10 s, 60 s, 360 s, and let through once between, on trial, by one node alone. Nodes share their cases through the key-value service by compare-and-swap under leases; at most 1,024 are kept for 10 minutes. Decisions have no I/O (CaseTable); Quarantine shares them and logs digests alone.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -64,6 +64,13 @@
             pub const fn saturating_ms_since(self, earlier: Self) -> u64 {
                 self.0.saturating_sub(earlier.0)
             }
+
+            /// Returns the milliseconds between two moments, whichever is
+            /// earlier.
+            #[inline]
+            pub const fn ms_apart(self, other: Self) -> u64 {
+                self.0.abs_diff(other.0)
+            }
         }
     };
 }
--- /dev/null
+++ b/crates/quarantine/src/quarantine/trial.rs
@@ -0,0 +1,58 @@
+//! Lets a held request through once.
+
+use base::RequestDigest;
+
+use super::{Quarantine, WRITES_MOST};
+use crate::{Standing, StoredCase, store::Written};
+
+impl Quarantine {
+    /// Enters a trial, so that no other node lets the request through.
+    pub(super) async fn begin_trial(&self, digest: RequestDigest) -> bool {
+        let Some(store) = &self.0.store else {
+            return self.begin_local_trial(digest);
+        };
+        for _ in 0..WRITES_MOST {
+            let (stored, unsaved) = {
+                let state = self.lock();
+                let now = self.0.clock.unix();
+                if state.cases.standing(digest, now) != Standing::Due {
+                    return false;
+                }
+                match state.cases.parts(digest) {
+                    Some(parts) => parts,
+                    None => return false,
+                }
+            };
+            let before = stored.as_ref().map_or(0, |stored| stored.revision);
+            let mut case = stored.map(|s| s.case).unwrap_or_default();
+            case.merge(&unsaved);
+            case.begin_trial(self.0.clock.unix());
+            match store.put(digest, before, &case).await {
+                Ok(Written::Done(revision)) => {
+                    let stored = StoredCase { case, revision };
+                    self.lock().cases.learn(digest, stored);
+                    return true;
+                }
+                Ok(Written::Changed(now, revision)) => {
+                    self.take(digest, now, revision);
+                }
+                Err(report) => {
+                    log::info!(digest:%, error:% = report.current_context();
+                        "a trial of a held request cannot be entered");
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    fn begin_local_trial(&self, digest: RequestDigest) -> bool {
+        let mut state = self.lock();
+        let now = self.0.clock.unix();
+        let is_due = state.cases.standing(digest, now) == Standing::Due;
+        if is_due {
+            state.cases.begin_trial(digest, now);
+        }
+        is_due
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/store.rs
@@ -0,0 +1,184 @@
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use base::{Clock, Millis, RequestDigest};
+use error_stack::Report;
+use kv::{Compare, KeyValue, Kv, KvError, LeaseId, Op, Txn};
+use tokio::time::timeout;
+
+use crate::{Case, StoredCase};
+
+/// Time to live of the leases that end cases: the longest that services
+/// grant.
+const LEASE_S: u32 = 600;
+
+/// Age at which a lease is replaced for further cases, in milliseconds, so
+/// that a case lives for half of a lease at least.
+const LEASE_AGE_MOST_MS: u64 = 300_000;
+
+/// Longest wait for one call.
+const CALL_MOST: Duration = Duration::from_millis(1_000);
+
+/// What one write of a case came to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Written {
+    /// It is done, at this revision.
+    Done(u64),
+    /// Another writer was faster, or the outcome is not known. This is what
+    /// the service has now, as of a revision.
+    Changed(Option<StoredCase>, u64),
+}
+
+/// Keeps cases in the key-value service.
+pub(crate) struct CaseStore {
+    kv: Arc<dyn Kv>,
+    prefix: String,
+    clock: Arc<dyn Clock>,
+    lease: Mutex<Option<(LeaseId, Millis)>>,
+}
+
+impl CaseStore {
+    pub(crate) fn new(
+        kv: Arc<dyn Kv>,
+        prefix: &str,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            kv,
+            prefix: prefix.to_owned(),
+            clock,
+            lease: Mutex::new(None),
+        }
+    }
+
+    pub(crate) fn kv(&self) -> &dyn Kv {
+        &*self.kv
+    }
+
+    pub(crate) fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// Returns the request whose case a key holds.
+    pub(crate) fn digest_of(&self, key: &str) -> Option<RequestDigest> {
+        key.strip_prefix(&self.prefix)?.parse().ok()
+    }
+
+    /// Writes a case that is now at a revision; 0 means that there is none.
+    pub(crate) async fn put(
+        &self,
+        digest: RequestDigest,
+        before: u64,
+        case: &Case,
+    ) -> Result<Written, Report<KvError>> {
+        let value = serde_json::to_vec(case)
+            .map_err(|_| Report::new(KvError::Invalid))?;
+        let put = Op::Put {
+            key: self.key(digest),
+            value,
+            lease: Some(self.lease().await?),
+        };
+        self.write(digest, before, put).await
+    }
+
+    /// Removes a case that is now at a revision.
+    pub(crate) async fn delete(
+        &self,
+        digest: RequestDigest,
+        before: u64,
+    ) -> Result<Written, Report<KvError>> {
+        let delete = Op::Delete {
+            key: self.key(digest),
+        };
+        self.write(digest, before, delete).await
+    }
+
+    async fn write(
+        &self,
+        digest: RequestDigest,
+        before: u64,
+        op: Op,
+    ) -> Result<Written, Report<KvError>> {
+        let txn = Txn {
+            compares: vec![Compare::ModRevision {
+                key: self.key(digest),
+                equals: before,
+            }],
+            success: vec![op],
+            failure: Vec::new(),
+        };
+        let written = timeout(CALL_MOST, self.kv.txn(txn)).await;
+        let written = written.unwrap_or_else(|_| {
+            Err(Report::new(KvError::Unknown).attach("no answer in time"))
+        });
+        match written {
+            Ok(reply) if reply.succeeded => {
+                return Ok(Written::Done(reply.revision));
+            }
+            Ok(_) => {}
+            Err(report) => match report.current_context() {
+                KvError::Unknown => {}
+                KvError::LeaseGone => {
+                    self.set_lease(None);
+                    return Err(report);
+                }
+                _ => return Err(report),
+            },
+        }
+        self.read(digest).await
+    }
+
+    /// Reads what the service has of a request.
+    pub(crate) async fn read(
+        &self,
+        digest: RequestDigest,
+    ) -> Result<Written, Report<KvError>> {
+        let key = self.key(digest);
+        let reply = timeout(CALL_MOST, self.kv.get(&key)).await;
+        let reply = reply.unwrap_or_else(|_| {
+            Err(Report::new(KvError::NotDone).attach("no answer in time"))
+        })?;
+        let stored = reply.kvs.first().map(decode);
+        Ok(Written::Changed(stored, reply.revision))
+    }
+
+    fn key(&self, digest: RequestDigest) -> String {
+        format!("{}{digest}", self.prefix)
+    }
+
+    async fn lease(&self) -> Result<LeaseId, Report<KvError>> {
+        let now = self.clock.now();
+        let held = *self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((lease, since)) = held
+            && now.saturating_ms_since(since) < LEASE_AGE_MOST_MS
+        {
+            return Ok(lease);
+        }
+        let granted = timeout(CALL_MOST, self.kv.lease_grant(LEASE_S)).await;
+        let lease = granted.unwrap_or_else(|_| {
+            Err(Report::new(KvError::NotDone).attach("no lease in time"))
+        })?;
+        self.set_lease(Some((lease, now)));
+        Ok(lease)
+    }
+
+    fn set_lease(&self, lease: Option<(LeaseId, Millis)>) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
+    }
+}
+
+/// Decodes a case; one that cannot be read counts as empty, so that the next
+/// crash writes it anew.
+pub(crate) fn decode(kv: &KeyValue) -> StoredCase {
+    let case = serde_json::from_slice(&kv.value).unwrap_or_else(|error| {
+        log::warn!(key = kv.key.as_str(), error:%;
+            "what is known of a request that crashes endpoints cannot be read");
+        Case::default()
+    });
+    StoredCase {
+        case,
+        revision: kv.mod_revision,
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/table.rs
@@ -0,0 +1,339 @@
+use base::{RequestDigest, UnixMillis};
+use indexmap::IndexMap;
+
+use crate::{Case, Crash, CrashedEndpoint, QuarantineOptions};
+
+/// Score that lengthens a hold by one step: that of a crash without progress.
+const SCORE_PER_LEVEL: u32 = 2;
+
+/// Whether a request may be sent to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Clear,
+    /// It is held for so long.
+    Held {
+        /// Time until it may be tried again, in milliseconds.
+        for_ms: u64,
+    },
+    /// It was held, and may be let through once to find out whether it still
+    /// crashes endpoints.
+    Due,
+}
+
+/// A case as the key-value service has it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredCase {
+    /// The case.
+    pub case: Case,
+    /// Revision of its last write.
+    pub revision: u64,
+}
+
+/// The requests under which endpoints have crashed, as one node knows them.
+///
+/// Decides without I/O: what speaks against a request is compared with what
+/// speaks against the others that ran at the same endpoints.
+///
+/// # Example
+///
+/// ```
+/// use base::{RequestContent, RequestDigest, UnixMillis};
+/// use pomeloslip_quarantine::{
+///     CaseTable, Crash, CrashedEndpoint, QuarantineOptions, Standing,
+/// };
+///
+/// let digest = RequestDigest::of(RequestContent {
+///     customer: "",
+///     method: "POST",
+///     host: "a.example",
+///     target: "/chat/1",
+///     body: b"hello",
+/// });
+/// let mut table = CaseTable::new(QuarantineOptions::default());
+/// for number in 0..3 {
+///     assert_eq!(
+///         table.standing(digest, UnixMillis::new(number * 1_000)),
+///         Standing::Clear,
+///     );
+///     let crash = Crash {
+///         endpoint: CrashedEndpoint::new(number),
+///         began_at: UnixMillis::new(number * 1_000),
+///         ended_at: UnixMillis::new(number * 1_000 + 100),
+///         resumed_after: 0,
+///         reached: 0,
+///     };
+///     table.add_crash(digest, crash);
+/// }
+/// let held = table.standing(digest, UnixMillis::new(2_100));
+/// assert_eq!(held, Standing::Held { for_ms: 10_000 });
+/// let due = table.standing(digest, UnixMillis::new(12_100));
+/// assert_eq!(due, Standing::Due);
+/// ```
+#[derive(Debug)]
+pub struct CaseTable {
+    options: QuarantineOptions,
+    cases: IndexMap<RequestDigest, Entry>,
+    /// The requests that ran at each endpoint that crashed.
+    by_endpoint: IndexMap<CrashedEndpoint, Vec<RequestDigest>>,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    /// All that is known.
+    case: Case,
+    /// What this node has seen and the service may not have yet.
+    unsaved: Case,
+    /// As the service has it.
+    stored: Option<StoredCase>,
+}
+
+impl Entry {
+    fn revision(&self) -> u64 {
+        self.stored.as_ref().map_or(0, |stored| stored.revision)
+    }
+
+    fn refresh(&mut self) {
+        let mut case = self.unsaved.clone();
+        if let Some(stored) = &self.stored {
+            case.merge(&stored.case);
+        }
+        self.case = case;
+    }
+}
+
+impl CaseTable {
+    /// Makes an empty table.
+    pub fn new(options: QuarantineOptions) -> Self {
+        Self {
+            options,
+            cases: IndexMap::new(),
+            by_endpoint: IndexMap::new(),
+        }
+    }
+
+    /// Returns how many requests are remembered.
+    #[inline]
+    pub fn len(&self) -> usize {
+        self.cases.len()
+    }
+
+    /// Tells whether no request is remembered.
+    #[inline]
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// Tells whether a request is remembered.
+    pub fn contains(&self, digest: RequestDigest) -> bool {
+        self.cases.contains_key(&digest)
+    }
+
+    /// Returns whether a request may be sent.
+    pub fn standing(
+        &self,
+        digest: RequestDigest,
+        now: UnixMillis,
+    ) -> Standing {
+        let Some(entry) = self.cases.get(&digest) else {
+            return Standing::Clear;
+        };
+        let evidence = self.evidence(digest, &entry.case);
+        let score: u32 = evidence.iter().map(|crash| crash.score()).sum();
+        let surplus = score.checked_sub(self.options.held_from);
+        let (Some(last), Some(surplus)) = (evidence.last(), surplus) else {
+            return Standing::Clear;
+        };
+        // The clock of another node may be ahead.
+        let since = Some(last.ended_at).max(entry.case.tried_at());
+        let since = since.unwrap_or_default().min(now);
+        let level = entry.case.trials().max(surplus / SCORE_PER_LEVEL);
+        let until = since.saturating_add_ms(self.options.hold_ms(level));
+        match until.saturating_ms_since(now) {
+            0 => Standing::Due,
+            for_ms => Standing::Held { for_ms },
+        }
+    }
+
+    /// Returns how many crashes speak against a request.
+    pub fn crashes(&self, digest: RequestDigest) -> usize {
+        let entry = self.cases.get(&digest);
+        entry.map_or(0, |entry| self.evidence(digest, &entry.case).len())
+    }
+
+    /// Returns what the service has of a request, and what this node knows
+    /// beyond that.
+    pub fn parts(
+        &self,
+        digest: RequestDigest,
+    ) -> Option<(Option<StoredCase>, Case)> {
+        let entry = self.cases.get(&digest)?;
+        Some((entry.stored.clone(), entry.unsaved.clone()))
+    }
+
+    /// Takes note that a request is let through on trial.
+    pub fn begin_trial(&mut self, digest: RequestDigest, now: UnixMillis) {
+        if self.cases.contains_key(&digest) {
+            self.change(digest, |entry| entry.unsaved.begin_trial(now));
+        }
+    }
+
+    /// Adds a crash that this node has seen, and returns whether it was not
+    /// known.
+    pub fn add_crash(&mut self, digest: RequestDigest, crash: Crash) -> bool {
+        self.change(digest, |entry| {
+            let mut known = entry.case.clone();
+            known.add(crash) && entry.unsaved.add(crash)
+        })
+    }
+
+    /// Takes a case as the service has it; an older one than is known
+    /// changes nothing.
+    pub fn learn(&mut self, digest: RequestDigest, stored: StoredCase) {
+        self.change(digest, |entry| {
+            if stored.revision > entry.revision() {
+                entry.unsaved = entry.unsaved.without(&stored.case);
+                entry.stored = Some(stored);
+            }
+        });
+    }
+
+    /// Takes note that the service has no case any more since a revision:
+    /// the request was answered, or its case has run out. What this node has
+    /// seen since stays.
+    pub fn forget_stored(&mut self, digest: RequestDigest, revision: u64) {
+        if !self.cases.contains_key(&digest) {
+            return;
+        }
+        self.change(digest, |entry| {
+            if revision >= entry.revision() {
+                entry.stored = None;
+            }
+        });
+    }
+
+    /// Keeps only those cases of the service that are named.
+    pub fn retain_stored(
+        &mut self,
+        revision: u64,
+        is_there: impl Fn(&RequestDigest) -> bool,
+    ) {
+        let gone = self.cases.keys().filter(|digest| !is_there(digest));
+        for digest in gone.copied().collect::<Vec<_>>() {
+            self.forget_stored(digest, revision);
+        }
+    }
+
+    /// Takes note of a whole answer. Returns whether that changes what
+    /// speaks against the request, and what the service has of it.
+    pub fn answered(
+        &mut self,
+        digest: RequestDigest,
+        resumed_after: u64,
+    ) -> (bool, Option<StoredCase>) {
+        if !self.cases.contains_key(&digest) {
+            return (false, None);
+        }
+        self.change(digest, |entry| {
+            let before = entry.case.crashes().len();
+            let stored = entry.stored.clone();
+            entry.unsaved.refute(resumed_after);
+            if let Some(stored) = &mut entry.stored {
+                stored.case.refute(resumed_after);
+            }
+            entry.refresh();
+            (entry.case.crashes().len() < before, stored)
+        })
+    }
+
+    /// Forgets requests that have been quiet for long.
+    pub fn expire(&mut self, now: UnixMillis) {
+        let kept_ms = self.options.kept_ms;
+        let is_over = |entry: &Entry| {
+            now.saturating_ms_since(entry.case.changed_at()) >= kept_ms
+        };
+        let over = self.cases.iter().filter(|(_, entry)| is_over(entry));
+        let over: Vec<RequestDigest> = over.map(|(d, _)| *d).collect();
+        for digest in over {
+            self.remove(digest);
+        }
+    }
+
+    fn evidence<'a>(
+        &self,
+        digest: RequestDigest,
+        case: &'a Case,
+    ) -> Vec<&'a Crash> {
+        let own = case.score();
+        case.evidence(|crash| self.is_explained(digest, crash, own))
+    }
+
+    /// Tells whether another request ran there when the endpoint crashed,
+    /// against which more speaks than against this one.
+    fn is_explained(
+        &self,
+        digest: RequestDigest,
+        crash: &Crash,
+        own: u32,
+    ) -> bool {
+        let there = self.by_endpoint.get(&crash.endpoint);
+        let others = there.into_iter().flatten();
+        let mut others = others
+            .filter(|other| **other != digest)
+            .filter_map(|other| self.cases.get(other))
+            .filter(|other| other.case.knows(crash));
+        others.any(|other| other.case.score() > own)
+    }
+
+    /// Changes what is known of a request; without a crash that is left, it
+    /// is forgotten.
+    fn change<T>(
+        &mut self,
+        digest: RequestDigest,
+        change: impl FnOnce(&mut Entry) -> T,
+    ) -> T {
+        let mut entry = self.remove(digest).unwrap_or_default();
+        let result = change(&mut entry);
+        entry.refresh();
+        if !entry.case.crashes().is_empty() {
+            self.make_room();
+            self.insert(digest, entry);
+        }
+        result
+    }
+
+    fn insert(&mut self, digest: RequestDigest, entry: Entry) {
+        for crash in entry.case.crashes() {
+            let there = self.by_endpoint.entry(crash.endpoint).or_default();
+            if !there.contains(&digest) {
+                there.push(digest);
+            }
+        }
+        self.cases.insert(digest, entry);
+    }
+
+    fn remove(&mut self, digest: RequestDigest) -> Option<Entry> {
+        let entry = self.cases.swap_remove(&digest)?;
+        for crash in entry.case.crashes() {
+            let Some(there) = self.by_endpoint.get_mut(&crash.endpoint) else {
+                continue;
+            };
+            there.retain(|other| *other != digest);
+            if there.is_empty() {
+                self.by_endpoint.swap_remove(&crash.endpoint);
+            }
+        }
+        Some(entry)
+    }
+
+    fn make_room(&mut self) {
+        while self.cases.len() >= self.options.cases_most {
+            let quiet = self.cases.iter();
+            let quiet = quiet.min_by_key(|(_, entry)| entry.case.changed_at());
+            let Some(digest) = quiet.map(|(digest, _)| *digest) else {
+                return;
+            };
+            self.remove(digest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/table.rs
@@ -0,0 +1,312 @@
+//! What speaks against a request, and what does not.
+
+use base::{RequestContent, RequestDigest, UnixMillis};
+use pomeloslip_quarantine::{
+    Case, CaseTable, Crash, CrashedEndpoint, QuarantineOptions, Standing,
+    StoredCase,
+};
+use yare::parameterized;
+
+fn digest(body: &str) -> RequestDigest {
+    RequestDigest::of(RequestContent {
+        customer: "alama",
+        method: "POST",
+        host: "a.example",
+        target: "/chat/1",
+        body: body.as_bytes(),
+    })
+}
+
+fn at(ms: u64) -> UnixMillis {
+    UnixMillis::new(1_000_000 + ms)
+}
+
+/// A run of `ran_ms` that ended without progress.
+fn crash(endpoint: u64, ended_ms: u64, ran_ms: u64) -> Crash {
+    Crash {
+        endpoint: CrashedEndpoint::new(endpoint),
+        began_at: at(ended_ms).saturating_sub_ms(ran_ms),
+        ended_at: at(ended_ms),
+        resumed_after: 0,
+        reached: 0,
+    }
+}
+
+fn table() -> CaseTable {
+    CaseTable::new(QuarantineOptions::default())
+}
+
+/// Adds crashes one second apart, each of another endpoint.
+fn crash_times(table: &mut CaseTable, digest: RequestDigest, times: u64) {
+    for number in 1..=times {
+        let ended_ms = number * 1_000;
+        table.add_crash(digest, crash(number, ended_ms, 100));
+    }
+}
+
+fn is_held(table: &CaseTable, digest: RequestDigest, now_ms: u64) -> bool {
+    matches!(table.standing(digest, at(now_ms)), Standing::Held { .. })
+}
+
+#[parameterized(
+    none = { 0, false },
+    one = { 1, false },
+    two = { 2, false },
+    three = { 3, true },
+    four = { 4, true },
+)]
+fn a_request_is_held_after_three_crashes(crashes: u64, held: bool) {
+    let mut table = table();
+    crash_times(&mut table, digest("bad"), crashes);
+    assert_eq!(is_held(&table, digest("bad"), 5_000), held);
+    assert!(!is_held(&table, digest("good"), 5_000));
+}
+
+/// Guards against requests that are held since many endpoints were lost at
+/// the same time while each ran a copy of them.
+#[test]
+fn crashes_at_the_same_time_count_once() {
+    let mut table = table();
+    for endpoint in 0..8 {
+        let ended_ms = 1_000 + endpoint * 20;
+        table.add_crash(digest("popular"), crash(endpoint, ended_ms, 300));
+    }
+    assert!(!is_held(&table, digest("popular"), 1_200));
+    assert_eq!(table.crashes(digest("popular")), 1);
+}
+
+/// Guards against a request that is held for crashes that its next run got
+/// well past, as that of a long item does next to one that crashes endpoints.
+#[test]
+fn a_run_that_goes_on_for_longer_refutes_a_crash() {
+    let mut table = table();
+    for number in 1..=6 {
+        let reached = number * 20;
+        let run = Crash {
+            resumed_after: reached - 20,
+            reached,
+            ..crash(number, 4_000 * number, 100 * (1 << number))
+        };
+        table.add_crash(digest("item"), run);
+    }
+    assert!(!is_held(&table, digest("item"), 24_100));
+}
+
+/// Guards against a request that is never held since each run of its stream
+/// begins behind the one before, and gets a little further.
+#[test]
+fn little_progress_between_crashes_refutes_nothing() {
+    let mut table = table();
+    for number in 1..=6 {
+        let run = Crash {
+            resumed_after: number * 3 - 3,
+            reached: number * 3,
+            ..crash(number, 1_000 * number, 100 + 10 * number)
+        };
+        table.add_crash(digest("bad"), run);
+    }
+    assert!(is_held(&table, digest("bad"), 6_100));
+}
+
+/// Guards against a request that is held for crashes at all points of its
+/// answer, of which a request that crashes endpoints has one.
+#[test]
+fn a_longer_run_refutes_crashes_before_and_after_it() {
+    let mut table = table();
+    for (number, reached) in (1..).zip([3, 40, 2, 5, 1, 4, 2]) {
+        let run = Crash {
+            reached,
+            ..crash(number, 1_000 * number, 10 * reached)
+        };
+        table.add_crash(digest("popular"), run);
+    }
+    assert_eq!(table.crashes(digest("popular")), 1);
+}
+
+/// Guards against a request that is blamed for a crash as one of its copies
+/// had just begun, while another one had run there for long.
+#[test]
+fn the_copy_that_got_furthest_counts() {
+    let mut table = table();
+    for number in 1..=3 {
+        let just_begun = crash(number, 1_000 * number, 10);
+        let far = Crash {
+            reached: 30,
+            ..crash(number, 1_000 * number + 1, 300)
+        };
+        table.add_crash(digest("popular"), just_begun);
+        table.add_crash(digest("popular"), far);
+    }
+    assert!(!is_held(&table, digest("popular"), 3_100));
+}
+
+/// Guards against requests that are held since they ran next to one that
+/// crashes endpoints.
+#[test]
+fn a_crash_is_explained_by_a_request_with_more_of_them() {
+    let mut table = table();
+    crash_times(&mut table, digest("bad"), 4);
+    for number in 1..=3 {
+        table.add_crash(digest("near"), crash(number, 1_000 * number, 400));
+    }
+    assert!(is_held(&table, digest("bad"), 4_100));
+    assert!(!is_held(&table, digest("near"), 4_100));
+    assert_eq!(table.crashes(digest("near")), 0);
+}
+
+/// Guards against an item that is held since it ran next to one that crashes
+/// endpoints, each time for a moment in which it did get on.
+#[test]
+fn a_crash_is_explained_by_a_request_that_never_gets_on() {
+    let mut table = table();
+    crash_times(&mut table, digest("bad"), 3);
+    for number in 1..=3 {
+        let run = Crash {
+            resumed_after: 10 * number - 10,
+            reached: 10 * number,
+            ..crash(number, 1_000 * number, 100)
+        };
+        table.add_crash(digest("near"), run);
+    }
+    assert!(is_held(&table, digest("bad"), 3_100));
+    assert!(!is_held(&table, digest("near"), 3_100));
+}
+
+/// Guards against a request that is let off since it ran next to another one
+/// that fared no worse.
+#[test]
+fn a_crash_is_not_explained_by_a_request_with_as_many() {
+    let mut table = table();
+    crash_times(&mut table, digest("one"), 3);
+    crash_times(&mut table, digest("two"), 3);
+    assert!(is_held(&table, digest("one"), 3_100));
+    assert!(is_held(&table, digest("two"), 3_100));
+}
+
+/// Guards against sound requests that are held: a whole answer is proof.
+#[test]
+fn an_answer_clears_a_request() {
+    let mut table = table();
+    crash_times(&mut table, digest("sound"), 3);
+    table.answered(digest("sound"), 0);
+    assert_eq!(table.standing(digest("sound"), at(3_100)), Standing::Clear);
+    assert!(table.is_empty());
+}
+
+/// Guards against a request that is cleared by the rest of an answer, though
+/// the part that crashes endpoints was not run again.
+#[test]
+fn the_rest_of_an_answer_clears_nothing_before_it() {
+    let mut table = table();
+    crash_times(&mut table, digest("bad"), 3);
+    assert!(!table.answered(digest("bad"), 5).0);
+    assert!(is_held(&table, digest("bad"), 3_100));
+}
+
+#[test]
+fn each_crash_and_each_trial_lengthens_the_hold() {
+    let options = QuarantineOptions::default();
+    let mut table = table();
+    crash_times(&mut table, digest("bad"), 3);
+    let first = at(3_000).saturating_add_ms(options.first_hold_ms);
+    assert_eq!(table.standing(digest("bad"), first), Standing::Due);
+    table.begin_trial(digest("bad"), first);
+    let second = options.hold_ms(1);
+    assert!(second > options.first_hold_ms);
+    assert_eq!(
+        table.standing(digest("bad"), first),
+        Standing::Held { for_ms: second },
+    );
+    let crashed = Crash {
+        endpoint: CrashedEndpoint::new(9),
+        began_at: first,
+        ended_at: first.saturating_add_ms(100),
+        resumed_after: 0,
+        reached: 0,
+    };
+    table.add_crash(digest("bad"), crashed);
+    assert_eq!(
+        table.standing(digest("bad"), crashed.ended_at),
+        Standing::Held { for_ms: second },
+    );
+}
+
+/// Guards against a hold without end by the clock of another node.
+#[test]
+fn a_crash_in_the_future_is_held_against_a_request_from_now_on() {
+    let mut table = table();
+    crash_times(&mut table, digest("bad"), 3);
+    let held = table.standing(digest("bad"), at(0));
+    let for_ms = QuarantineOptions::default().first_hold_ms;
+    assert_eq!(held, Standing::Held { for_ms });
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_runs_out() {
+    let options = QuarantineOptions {
+        cases_most: 10,
+        ..QuarantineOptions::default()
+    };
+    let mut table = CaseTable::new(options);
+    crash_times(&mut table, digest("first"), 3);
+    for number in 0..50 {
+        let name = format!("request {number}");
+        let crash = crash(100 + number, 10_000 + number, 100);
+        table.add_crash(digest(&name), crash);
+    }
+    assert_eq!(table.len(), 10);
+    assert!(!table.contains(digest("first")), "the quietest goes first");
+    assert!(table.contains(digest("request 49")));
+    table.expire(at(10_049 + options.kept_ms - 1));
+    assert!(table.contains(digest("request 49")));
+    table.expire(at(10_049 + options.kept_ms));
+    assert!(table.is_empty());
+}
+
+/// Guards against a case of a few bytes for each of a thousand crashes.
+#[test]
+fn a_case_keeps_few_crashes_and_those_that_count() {
+    let mut case = Case::default();
+    for number in 1..=3 {
+        case.add(crash(number, 1_000 * number, 100));
+    }
+    for endpoint in 10..60 {
+        case.add(crash(endpoint, 3_000 + endpoint, 200));
+    }
+    assert!(case.crashes().len() <= 8);
+    assert_eq!(case.evidence(|_| false).len(), 3);
+}
+
+fn stored(crashes: &[Crash], revision: u64) -> StoredCase {
+    let mut case = Case::default();
+    for crash in crashes {
+        case.add(*crash);
+    }
+    StoredCase { case, revision }
+}
+
+#[test]
+fn what_other_nodes_saw_counts_together_with_what_this_one_saw() {
+    let mut table = table();
+    table.add_crash(digest("bad"), crash(1, 1_000, 100));
+    let others = [crash(2, 2_000, 100), crash(3, 3_000, 100)];
+    table.learn(digest("bad"), stored(&others, 7));
+    assert!(is_held(&table, digest("bad"), 3_100));
+    // An older write that arrives late brings nothing back.
+    table.learn(digest("bad"), stored(&others[..1], 6));
+    assert!(is_held(&table, digest("bad"), 3_100));
+}
+
+#[test]
+fn a_case_that_is_gone_from_the_service_leaves_what_was_seen_here() {
+    let mut table = table();
+    let others = [crash(2, 2_000, 100), crash(3, 3_000, 100)];
+    table.learn(digest("bad"), stored(&others, 7));
+    table.add_crash(digest("bad"), crash(4, 4_000, 100));
+    assert!(is_held(&table, digest("bad"), 4_100));
+    table.forget_stored(digest("bad"), 8);
+    assert_eq!(table.crashes(digest("bad")), 1);
+    table.learn(digest("gone"), stored(&others, 9));
+    table.retain_stored(10, |kept| *kept == digest("bad"));
+    assert!(!table.contains(digest("gone")));
+}
