Hold requests that crash endpoints on every front and worker

Cause: a request that is lost with its endpoint counts as an accident. Neither the retry of a node nor the next try of a caller, which has a new id and reaches any front, knows that endpoints have crashed under it; items run until they end.

Change: each send needs a Cleared of the quarantine, so that first sends, retries, resumed streams and items cannot leave out the check. Crashes come from runs that are cut off where the endpoint's host then refuses connections; endpoints that leave, reset a connection, or fall silent have not crashed. Cases travel with the feed of jobs, so that no node watches more than before. A held request is refused at once as not run (503), with the time to come back; one that had run in the same try ends as unknown. A held item waits.

Requests that ran at endpoints that were killed one by one, two by two, nearly all at once, next to three such requests, silent, draining: all served, none held.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -67,6 +67,14 @@
 #[serde(transparent)]
 pub struct LifeKey(u64);
 
+impl LifeKey {
+    /// Returns the key as a number that all nodes find for the same life.
+    #[inline]
+    pub fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
 impl EndpointRecord {
     /// Returns the key of this life.
     pub fn life(&self) -> LifeKey {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -96,6 +96,11 @@
     Error(StatusCode),
     /// The endpoint did not run it.
     NotRun,
+    /// It was not sent, as it crashes endpoints.
+    Held {
+        /// When it may be tried again, in milliseconds from now.
+        for_ms: u64,
+    },
     /// The connection broke or fell silent; what arrived stays.
     Broken,
 }
@@ -142,6 +147,7 @@
             Err(Failure::Broken | Failure::Silent) => RunEnd::Broken,
             Err(Failure::WrongId) => RunEnd::Broken,
             Err(Failure::NotSealed(_)) => RunEnd::Broken,
+            Err(Failure::Held { for_ms }) => RunEnd::Held { for_ms },
             Err(_) => RunEnd::NotRun,
         }
     }
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -89,7 +89,8 @@
         match end {
             RunEnd::Rejected => strikes.rejections += 1,
             RunEnd::Error(_) => strikes.errors += 1,
-            RunEnd::Complete | RunEnd::NotRun | RunEnd::Broken => {}
+            RunEnd::Complete | RunEnd::Broken => {}
+            RunEnd::NotRun | RunEnd::Held { .. } => {}
         }
         let strikes = *strikes;
         let hopeless = strikes.rejections > 0 || strikes.errors >= most;
@@ -134,6 +135,7 @@
             item.state = Phase::Waiting;
             item.not_before = match end {
                 RunEnd::Broken => now,
+                RunEnd::Held { for_ms } => now.saturating_add_ms(for_ms),
                 _ => retry_at,
             };
         }
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -9,6 +9,7 @@
 use jobs::{BulkCache, JobView, Ledger, NodeRecord, Plans};
 use kv::{Kv, paths::Paths};
 use pass::{Counters, Forwarder, ForwarderOptions, Pool};
+use quarantine::{Quarantine, QuarantineOptions};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -16,7 +17,7 @@
 
 use crate::{
     Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
-    crash::{CrashDetector, RunNotifier},
+    crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
     job_spool::JobSpool,
     load::{self, LoadSocket},
     membership, peer,
@@ -58,6 +59,7 @@
     pub(crate) leave: watch::Sender<bool>,
     /// Receives how runs at endpoints end.
     runs: Arc<RunNotifier>,
+    quarantine: Quarantine,
     /// Who counts requests against the limits of customers.
     pub(crate) quota: QuotaClient,
     /// Jobs that wait on the disk of this node, if it has one.
@@ -76,11 +78,19 @@
         let view = JobView::default();
         let clock = outside.cluster.clock().clone();
         let (entered, has_entered) = watch::channel(false);
+        let quarantine = Quarantine::new(
+            outside.kv.clone(),
+            QUARANTINE_PREFIX,
+            clock.clone(),
+            QuarantineOptions::default(),
+        );
+        tokio::spawn(quarantine.clone().run());
         let watches = Watches {
             kv: outside.kv.clone(),
             dialect: outside.dialect.clone(),
             cluster: outside.cluster.clone(),
             view: view.clone(),
+            quarantine: quarantine.clone(),
             pool: pool.clone(),
             entered: has_entered,
             counters: outside.counters.clone(),
@@ -134,6 +144,7 @@
         };
         let (detector, runs) = CrashDetector::new(
             outside.cluster.clone(),
+            quarantine.clone(),
             outside.counters.clone(),
         );
         tokio::spawn(detector.run());
@@ -167,6 +178,7 @@
             socket,
             leave,
             runs: Arc::new(runs),
+            quarantine,
             quota: quota_client,
             spooled,
             stopping: Arc::default(),
@@ -223,6 +235,7 @@
         )
         .with_selection(self.selection.clone())
         .with_run_observer(self.runs.clone())
+        .with_quarantine(self.quarantine.clone())
     }
 
     /// Begins a planned stop: the node is not ready any more and its entry
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -6,6 +6,7 @@
 use fleet::{Endpoint, LifeKey};
 use indexmap::IndexMap;
 use pass::{Counters, Run, RunObserver};
+use quarantine::{Crash, CrashedEndpoint, Quarantine};
 use tokio::{
     net::TcpStream,
     sync::mpsc,
@@ -14,6 +15,10 @@
 
 use crate::ClusterState;
 
+/// Common start of the keys by which nodes share what speaks against
+/// requests, among those that every node follows.
+pub(crate) const QUARANTINE_PREFIX: &str = "jobs/q/";
+
 /// Runs that may wait for a look at their endpoint. What does not fit is
 /// counted and left out.
 const WAITING_MOST: usize = 1_024;
@@ -44,12 +49,16 @@
 /// Passes on the runs that are cut off, without waiting.
 pub(crate) struct RunNotifier {
     sender: mpsc::Sender<CutOffRun>,
+    quarantine: Quarantine,
     clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
 }
 
 impl RunObserver for RunNotifier {
-    fn answered(&self, _run: &Run) {}
+    fn answered(&self, run: &Run) {
+        self.quarantine
+            .answered(|| run.digest(), run.resumed_after());
+    }
 
     fn cut_off(&self, run: &Run) {
         Counters::add(&self.counters.runs_cut_off);
@@ -76,6 +85,7 @@
 pub(crate) struct CrashDetector {
     received: mpsc::Receiver<CutOffRun>,
     cluster: ClusterState,
+    quarantine: Quarantine,
     counters: Arc<Counters>,
     lives: IndexMap<LifeKey, Examined>,
 }
@@ -101,17 +111,20 @@
 impl CrashDetector {
     pub(crate) fn new(
         cluster: ClusterState,
+        quarantine: Quarantine,
         counters: Arc<Counters>,
     ) -> (Self, RunNotifier) {
         let (sender, received) = mpsc::channel(WAITING_MOST);
         let notifier = RunNotifier {
             sender,
+            quarantine: quarantine.clone(),
             clock: cluster.clock().clone(),
             counters: counters.clone(),
         };
         let detector = Self {
             received,
             cluster,
+            quarantine,
             counters,
             lives: IndexMap::new(),
         };
@@ -198,6 +211,15 @@
                 reached = run.reached;
                 "a request ran at an endpoint that crashed"
             );
+            let life = run.endpoint.life().as_u64();
+            let crash = Crash {
+                endpoint: CrashedEndpoint::new(life),
+                began_at: run.began_at,
+                ended_at: run.ended_at,
+                resumed_after: run.resumed_after,
+                reached: run.reached,
+            };
+            self.quarantine.crashed(run.digest, crash);
         }
     }
 
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -7,6 +7,7 @@
 use jobs::{JobView, WATCHED_PREFIX};
 use kv::{Event, KeyValue, Kv};
 use pass::{Counters, DirectoryView, Pool};
+use quarantine::Quarantine;
 use tokio::sync::{mpsc, watch};
 
 use crate::{
@@ -33,6 +34,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) cluster: ClusterState,
     pub(crate) view: JobView,
+    pub(crate) quarantine: Quarantine,
     /// Connections to endpoints; those of ended ones are dropped.
     pub(crate) pool: Arc<Pool>,
     pub(crate) counters: Arc<Counters>,
@@ -95,6 +97,7 @@
             dialect,
             cluster,
             view,
+            quarantine,
             pool,
             orders,
             ..
@@ -111,7 +114,7 @@
             cluster,
             orders,
         ));
-        tokio::spawn(follow_jobs(feeds[2].clone(), view));
+        tokio::spawn(follow_jobs(feeds[2].clone(), view, quarantine));
         Arc::new(feeds)
     }
 }
@@ -293,7 +296,7 @@
     }
 }
 
-async fn follow_jobs(feed: Arc<Feed>, view: JobView) {
+async fn follow_jobs(feed: Arc<Feed>, view: JobView, quarantine: Quarantine) {
     let mut changes = subscribe(&feed);
     let mut after = 0;
     while changes.changed().await.is_ok() {
@@ -301,6 +304,12 @@
         let Some(at) = delta.fresh_at else {
             continue;
         };
+        quarantine.apply(
+            &delta.items,
+            &delta.deleted,
+            delta.revision,
+            delta.whole,
+        );
         if after == 0 || delta.whole {
             view.replace(&delta.items, at);
         } else {
--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -17,7 +17,7 @@
 
 /// An engine: the body of a request says what it does. `N` answers with N
 /// events; `reject` and `fail` are refused; `cut N` breaks off after N events
-/// once; `crash N` ends the engine and all of its connections after N events.
+/// once; `silent` stops after the head; `crash N` ends the engine and all of its connections after N events.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
     pub(crate) runs: Arc<Mutex<Vec<String>>>,
@@ -123,6 +123,9 @@
         if stream.write_all(head.as_bytes()).await.is_err() {
             return;
         }
+        if word == "silent" {
+            return std::future::pending().await;
+        }
         let crashes = word == "crash";
         let last: u32 = number.parse().unwrap_or(0);
         // An engine crashes as far behind the point from which it goes on.
--- a/crates/node/tests/quarantine.rs
+++ b/crates/node/tests/quarantine.rs
@@ -3,11 +3,15 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
-use common::{Engines, Node, call, configure, ready, start};
+use common::{Engines, Node, call, call_until, configure, put, ready, start};
+use fleet::{EndpointRecord, EndpointState};
 use kv::Memory;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 use yare::parameterized;
 
 /// Times that a request may be sent again once it has crashed three
@@ -109,3 +113,220 @@
     assert!(page.contains("item-0 complete"), "{page}");
     assert!(page.contains("item-2 complete"), "{page}");
 }
+
+/// Tries of a caller whose request was cut off or refused.
+const TRIES: usize = 4;
+
+/// Pause of a caller before it tries again.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Sends a request until it is served whole, and returns with which try.
+async fn served(
+    fronts: &[SocketAddr],
+    id: &str,
+    events: usize,
+) -> Option<usize> {
+    for number in 0..TRIES {
+        let front = fronts[number % fronts.len()];
+        let id = format!("{id}-{number}");
+        let body = events.to_string();
+        let (status, answer) =
+            call(front, "POST", "/chat/1", &id, &body).await;
+        if status == 200 && answer.matches("data: ").count() == events {
+            return Some(number);
+        }
+        assert!(!answer.contains("crash"), "held: {answer}");
+        sleep(RETRY).await;
+    }
+    None
+}
+
+/// Starts callers that send requests of their own and, one in two, a request
+/// that all of them send, until the time is up. They return how many of them
+/// were served, and how many were not.
+fn callers(
+    fronts: &[SocketAddr],
+    count: usize,
+    lasts: Duration,
+) -> JoinSet<(usize, usize)> {
+    let mut callers = JoinSet::new();
+    for caller in 0..count {
+        let fronts = fronts.to_vec();
+        callers.spawn(async move {
+            let until = Instant::now() + lasts;
+            let (mut good, mut lost) = (0, 0);
+            while Instant::now() < until {
+                let events = match caller % 2 {
+                    0 => 120,
+                    _ => 60 + 17 * caller + good,
+                };
+                let id = format!("c{caller}-{good}-{lost}");
+                match served(&fronts, &id, events).await {
+                    Some(_) => good += 1,
+                    None => lost += 1,
+                }
+            }
+            (good, lost)
+        });
+    }
+    callers
+}
+
+async fn total(callers: JoinSet<(usize, usize)>) -> (usize, usize) {
+    let all = callers.join_all().await;
+    all.into_iter()
+        .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+}
+
+fn held(nodes: &[Node]) -> u64 {
+    let counters = nodes.iter().map(|node| &node.counters);
+    let held = counters.map(|all| all.requests_held.load(Ordering::Relaxed));
+    held.sum()
+}
+
+/// Guards against requests that are refused since they ran at endpoints that
+/// were killed, one after the other and several at once.
+#[parameterized(
+    one_by_one = { 1, 300 },
+    two_by_two = { 2, 500 },
+    nearly_all_at_once = { 4, 900 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn requests_at_killed_endpoints_are_served(
+    killed: usize,
+    pause_ms: u64,
+) {
+    let (_kv, fleet) = fleet(5, 3).await;
+    let fronts: Vec<_> = fleet.fronts.iter().map(|f| f.front).collect();
+    let callers = callers(&fronts, 12, REPEATED);
+    let until = Instant::now() + REPEATED - Duration::from_secs(1);
+    while Instant::now() < until {
+        sleep(Duration::from_millis(pause_ms)).await;
+        for engine in fleet.engines.alive().iter().take(killed) {
+            engine.crash();
+        }
+    }
+    let (good, lost) = total(callers).await;
+    assert_eq!(held(&fleet.fronts), 0);
+    assert!(good > 100, "the callers were busy: {good}");
+    assert_eq!(lost, 0, "of {good}");
+}
+
+/// Guards against requests that are refused since they ran next to one that
+/// crashes endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_next_to_one_that_crashes_endpoints_are_served() {
+    let (_kv, fleet) = fleet(6, 3).await;
+    let fronts: Vec<_> = fleet.fronts.iter().map(|f| f.front).collect();
+    let callers = callers(&fronts, 12, REPEATED);
+    let until = Instant::now() + REPEATED;
+    let mut number = 0;
+    while Instant::now() < until {
+        for bad in ["crash 0", "crash 00", "crash 000"] {
+            let front = fronts[number % fronts.len()];
+            let id = format!("bad-{number}");
+            tokio::spawn(async move {
+                call(front, "POST", "/book/1", &id, bad).await
+            });
+            number += 1;
+            sleep(Duration::from_millis(70)).await;
+        }
+    }
+    let (good, lost) = total(callers).await;
+    assert!(good > 100, "the callers were busy: {good}");
+    assert_eq!(lost, 0, "of {good}");
+    let crashes = fleet.engines.crashes().len();
+    assert!(crashes >= 3 * CRASHES_MOST, "{crashes} crashes");
+}
+
+/// Guards against items that wait as their endpoints were killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_at_killed_endpoints_are_done() {
+    let (kv, fleet) = fleet(5, 1).await;
+    let worker = start(&kv, "worker-1", true).await;
+    let front = fleet.fronts[0].front;
+    let items: Vec<String> =
+        (0..12).map(|at| (400 + at).to_string()).collect();
+    let job = serde_json::to_string(&items).expect("json");
+    let sent = call(front, "POST", "/batch/1", "job-1", &job).await;
+    assert_eq!(sent.0, 202);
+    let until = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < until {
+        sleep(Duration::from_millis(250)).await;
+        if let Some(engine) = fleet.engines.alive().first() {
+            engine.crash();
+        }
+    }
+    call_until(front, "GET", "/jobs/job-1", |_, page| {
+        page.matches(" complete ").count() == items.len()
+    })
+    .await;
+    assert_eq!(held(&[worker]), 0);
+}
+
+/// Guards against requests that are held since their endpoints left as
+/// announced while they ran.
+#[tokio::test]
+async fn the_end_of_a_draining_endpoint_is_no_crash() {
+    let (kv, fleet) = fleet(1, 1).await;
+    let front = fleet.fronts[0].front;
+    let running = tokio::spawn(async move {
+        call(front, "POST", "/chat/1", "r1", "4000").await
+    });
+    let engine = fleet.engines.alive()[0].clone();
+    while engine.run_count() == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let record = EndpointRecord {
+        state: EndpointState::Draining,
+        ..engine.record("engine-1")
+    };
+    let record = serde_json::to_vec(&record).expect("json");
+    put(&kv, "endpoints/engine-1", record).await;
+    sleep(Duration::from_millis(400)).await;
+    engine.crash();
+    running.await.expect("task");
+    let counters = &fleet.fronts[0].counters;
+    assert_eq!(counters.runs_cut_off.load(Ordering::Relaxed), 1);
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(counters.endpoints_crashed.load(Ordering::Relaxed), 0);
+}
+
+/// Guards against requests that are held since their endpoints fell silent.
+#[tokio::test]
+async fn an_endpoint_that_falls_silent_has_not_crashed() {
+    let (_kv, fleet) = fleet(3, 1).await;
+    let front = fleet.fronts[0].front;
+    for number in 0..3 {
+        let id = format!("r{number}");
+        call(front, "POST", "/chat/1", &id, "silent").await;
+    }
+    let counters = &fleet.fronts[0].counters;
+    assert_eq!(counters.endpoints_crashed.load(Ordering::Relaxed), 0);
+    assert_eq!(held(&fleet.fronts), 0);
+}
+
+/// Guards against requests that crash endpoints again after each restart of
+/// the nodes.
+#[tokio::test]
+async fn a_front_that_starts_later_sends_a_held_request_nowhere() {
+    let (kv, fleet) = fleet(5, 1).await;
+    let until = Instant::now() + REPEATED;
+    let mut number = 0;
+    while held(&fleet.fronts) == 0 {
+        let id = format!("bad-{number}");
+        let front = fleet.fronts[0].front;
+        call(front, "POST", "/book/1", &id, "crash 0").await;
+        number += 1;
+        assert!(Instant::now() < until, "never held");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let later = start(&kv, "front-2", false).await;
+    ready(&later).await;
+    let before = fleet.engines.runs_of("bad-");
+    let (status, answer) =
+        call(later.front, "POST", "/book/1", "bad-x", "crash 0").await;
+    assert_eq!(status, 503, "{answer}");
+    assert!(answer.contains("\"ran\":\"no\""), "{answer}");
+    assert_eq!(fleet.engines.runs_of("bad-"), before);
+}
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -3,6 +3,7 @@
 use base::{Clock, Millis};
 use fleet::{Endpoint, LoadReport, Suspicion};
 use http::{HeaderMap, StatusCode, header};
+use quarantine::Cleared;
 use tokio::time;
 
 use crate::{
@@ -28,6 +29,11 @@
     WrongId,
     /// The answer is not the endpoint's own: no seal, or encoded.
     NotSealed(StatusCode),
+    /// The request was not sent, as it crashes endpoints.
+    Held {
+        /// When it may be tried again, in milliseconds from now.
+        for_ms: u64,
+    },
 }
 
 impl Failure {
@@ -44,7 +50,7 @@
     pub fn surely_not_run(self) -> bool {
         match self {
             Failure::Connect | Failure::NotSent => true,
-            Failure::NotExecuted(_) => true,
+            Failure::NotExecuted(_) | Failure::Held { .. } => true,
             Failure::Broken | Failure::Silent => false,
             Failure::WrongId | Failure::NotSealed(_) => false,
         }
@@ -69,6 +75,8 @@
     pub resume_after: Option<u64>,
     /// Longest wait for the head of the answer.
     pub wait: Duration,
+    /// Says that the request may be sent.
+    pub cleared: Cleared,
 }
 
 /// What an offer needs besides the request.
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -124,6 +124,8 @@
     runs_not_examined,
     /// Endpoints that crashed while they ran requests of this node.
     endpoints_crashed,
+    /// Requests and items that were not sent, as they crash endpoints.
+    requests_held,
     /// New connections to endpoints.
     connections_opened,
     /// Calls that read from the key-value service.
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -10,6 +10,7 @@
     Verdict,
 };
 use http::Response;
+use quarantine::{Cleared, Held, Quarantine, QuarantineOptions};
 use tokio::time;
 
 use crate::{
@@ -73,6 +74,7 @@
     counters: Arc<Counters>,
     observer: Arc<dyn LoadObserver>,
     runs: Arc<dyn RunObserver>,
+    quarantine: Quarantine,
     returns: ReturnTimes,
 }
 
@@ -116,6 +118,8 @@
         clock: Arc<dyn Clock>,
         counters: Arc<Counters>,
     ) -> Self {
+        let quarantine =
+            Quarantine::local(clock.clone(), QuarantineOptions::default());
         Self {
             names,
             options,
@@ -127,6 +131,7 @@
             counters,
             observer: Arc::new(Unobserved),
             runs: Arc::new(Unobserved),
+            quarantine,
             returns: ReturnTimes::default(),
         }
     }
@@ -145,6 +150,13 @@
         self
     }
 
+    /// Sets which requests are held as they crash endpoints.
+    #[must_use]
+    pub fn with_quarantine(mut self, quarantine: Quarantine) -> Self {
+        self.quarantine = quarantine;
+        self
+    }
+
     /// Sets which endpoints requests go to before all others.
     #[must_use]
     pub fn with_selection(
@@ -240,6 +252,8 @@
     ) -> Result<Exchange, Refusal> {
         loop {
             let choice = self.find_room(request, sent, tries).await?;
+            let cleared = self.clear(request).await;
+            let cleared = cleared.map_err(|held| refuse_held(held, tries))?;
             let id = choice.endpoint.record().id.clone();
             sent.endpoint.clone_from(&id);
             sent.estimated_load = choice.estimated_load;
@@ -254,6 +268,7 @@
                 endpoint: &choice.endpoint,
                 resume_after: tries.resume_after,
                 wait: self.wait(request, tries),
+                cleared,
             };
             match self.dispatcher().make(offer).await {
                 Ok(exchange) => {
@@ -378,15 +393,34 @@
         resume_after: Option<u64>,
         wait: Duration,
     ) -> Result<Exchange, Failure> {
+        let cleared = self.clear(request).await;
+        let cleared =
+            cleared.map_err(|Held { for_ms, .. }| Failure::Held { for_ms })?;
         let offer = Offer {
             request,
             endpoint,
             resume_after,
             wait,
+            cleared,
         };
         self.dispatcher().make(offer).await
     }
 
+    /// Lets a request pass unless it is known to crash endpoints.
+    async fn clear(&self, request: &Inbound) -> Result<Cleared, Held> {
+        let admitted = self.quarantine.admit(|| request.digest()).await;
+        admitted.inspect_err(|held| {
+            Counters::add(&self.counters.requests_held);
+            log::info!(
+                request_id = request.id(),
+                digest:% = request.digest(),
+                crashes = held.crashes,
+                for_ms = held.for_ms;
+                "a request is held"
+            );
+        })
+    }
+
     /// Asks another endpoint for the rest of a stream.
     pub(crate) async fn take_up(
         &self,
@@ -429,6 +463,16 @@
     }
 }
 
+/// Refuses a request that crashes endpoints; one of them may have been lost
+/// to this very request.
+fn refuse_held(held: Held, tries: &Tries) -> Refusal {
+    const WHY: &str = "endpoints crash when they run this request";
+    match tries.used {
+        0 => Refusal::not_run(WHY).with_retry_after_ms(held.for_ms),
+        _ => Refusal::unknown(WHY),
+    }
+}
+
 /// Tells whether an error of an endpoint is better tried elsewhere.
 fn worth_another(route: &Route, exchange: &Exchange, tries: &Tries) -> bool {
     exchange.status().is_server_error()
