Hold requests that crash endpoints behind the OpenAI interface

Symptom: a call that crashes engines, sent again by its caller, ends one engine after the other, through any entry and also as an item of one job after the other.

Cause: as on the fleet's nodes: an entry retries what is lost with its endpoint, and remembers nothing of it.

Change: whoever calls an engine looks at it once when a connection breaks, and reports a crash as an outcome of its own (an older process reads it as broken). Entries enter crashes in the key-value service and tell their neighbours of held requests in the comparisons that they make anyway. Each attempt, and each item that is granted, needs a Cleared. Held calls get endpoint-crashes (503, not run); held items are open again later.

Tried first and dropped: a watch for each entry, which the test two_entries_of_a_failure_domain_watch refused.

--- a/crates/companion/src/item.rs
+++ b/crates/companion/src/item.rs
@@ -48,10 +48,13 @@
             return result;
         }
     };
-    let Some(read) = read else {
-        result.outcome = ItemOutcome::Lost;
-        customer.count(Counter::Failed, Class::Batch, 1);
-        return result;
+    let read = match read {
+        Ok(read) => read,
+        Err(outcome) => {
+            result.outcome = outcome;
+            customer.count(Counter::Failed, Class::Batch, 1);
+            return result;
+        }
     };
     let tokens = tokens_of(&read.body);
     place.end(End::Whole { tokens });
@@ -64,7 +67,7 @@
     result
 }
 
-async fn call(shared: &Shared, request: Request) -> Option<Read> {
+async fn call(shared: &Shared, request: Request) -> Result<Read, ItemOutcome> {
     let (answer, mut frames) = Answer::channel();
     let call = shared.client.run(request, &answer, || {});
     let (_, read) = tokio::join!(call, collect(&mut frames));
@@ -132,24 +135,32 @@
     body: Bytes,
 }
 
-/// Reads a whole answer; `None` if it is not whole.
-async fn collect(frames: &mut mpsc::Receiver<Frame>) -> Option<Read> {
+/// Reads a whole answer, or finds out what became of it.
+async fn collect(
+    frames: &mut mpsc::Receiver<Frame>,
+) -> Result<Read, ItemOutcome> {
     let mut status = 0;
     let mut body = BytesMut::new();
     loop {
-        match frames.recv().await? {
-            Frame::Head { status: code, .. } => status = code,
-            Frame::Chunk { bytes, .. } => body.extend_from_slice(&bytes),
-            Frame::End(Outcome {
-                kind: OutcomeKind::Complete,
-                ..
-            }) => {
-                return Some(Read {
-                    status,
-                    body: body.freeze(),
-                });
+        let frame = frames.recv().await.ok_or(ItemOutcome::Lost)?;
+        let kind = match frame {
+            Frame::Head { status: code, .. } => {
+                status = code;
+                continue;
             }
-            Frame::End(_) => return None,
-        }
+            Frame::Chunk { bytes, .. } => {
+                body.extend_from_slice(&bytes);
+                continue;
+            }
+            Frame::End(Outcome { kind, .. }) => kind,
+        };
+        return match kind {
+            OutcomeKind::Complete => Ok(Read {
+                status,
+                body: body.freeze(),
+            }),
+            OutcomeKind::Crashed => Err(ItemOutcome::Crashed),
+            _ => Err(ItemOutcome::Lost),
+        };
     }
 }
--- a/crates/entry/src/batch/mod.rs
+++ b/crates/entry/src/batch/mod.rs
@@ -14,6 +14,7 @@
 use conf::settings::{BatchSettings, LimitSettings};
 use kv::{Kv, ops::Writer};
 pub(crate) use ledger::{Chunk, JobRecord, JobState};
+use quarantine::Quarantine;
 
 use self::keys::Keys;
 pub(crate) use self::{
@@ -52,6 +53,7 @@
         kv: Arc<dyn Kv>,
         prefix: String,
         timer: Timer,
+        quarantine: Quarantine,
         blobs: Blobs,
         settings: BatchSettings,
         limits: LimitSettings,
@@ -63,6 +65,7 @@
             kv.clone(),
             keys.clone(),
             timer.clone(),
+            quarantine,
             blobs.clone(),
             &settings,
         );
--- a/crates/entry/src/batch/owner/grants.rs
+++ b/crates/entry/src/batch/owner/grants.rs
@@ -11,7 +11,7 @@
 use wire::message::{Item, ItemOutcome, ItemResult, Pull, PullReply};
 
 use super::{
-    Owner, READ_AGAIN_MS,
+    Owner, READ_AGAIN_MS, crashes,
     lines::{self, Reason},
 };
 use crate::{EntryError, batch::input::InputLine};
@@ -79,7 +79,7 @@
     /// is open again at once.
     async fn item(&self, granted: Granted, models: &[String]) -> Option<Item> {
         match self.read(&granted, models).await {
-            Ok(item) => Some(item),
+            Ok(item) => self.clear(item, &granted).await,
             Err(report) => {
                 log::info!(
                     job = granted.job.as_str(), error:? = report;
@@ -142,12 +142,18 @@
         };
         let end = match result.outcome {
             ItemOutcome::Returned => ItemEnd::Returned,
-            ItemOutcome::Answered | ItemOutcome::Lost => {
+            ItemOutcome::Answered
+            | ItemOutcome::Lost
+            | ItemOutcome::Crashed => {
                 // Without its id the line would be of no use; the loan
                 // expires and the item runs again.
                 let Ok(line) = self.line(&source, result.index).await else {
                     return false;
                 };
+                self.note_crash(result, || {
+                    let body = line.body.get().as_bytes();
+                    crashes::digest(&source.customer, &source.path, body)
+                });
                 self.end(result, &line.custom_id)
             }
         };
--- a/crates/entry/src/batch/owner/mod.rs
+++ b/crates/entry/src/batch/owner/mod.rs
@@ -5,6 +5,7 @@
 //! slow data VM holds up no lease.
 
 mod calls;
+mod crashes;
 mod grants;
 mod lines;
 mod pieces;
@@ -16,6 +17,7 @@
 use futures::future::join_all;
 use kv::Kv;
 use ledger::{Action, Chunk, CommitId, Event, Ledger, Moment, Options, Part};
+use quarantine::Quarantine;
 use tokio::{
     sync::{Notify, mpsc},
     task::JoinSet,
@@ -38,6 +40,7 @@
     pieces: Pieces,
     blobs: Arc<Blobs>,
     timer: Timer,
+    quarantine: Quarantine,
     grant_ttl_ms: u64,
     poked: Notify,
     actions: mpsc::UnboundedSender<Action>,
@@ -50,6 +53,7 @@
         kv: Arc<dyn Kv>,
         keys: Keys,
         timer: Timer,
+        quarantine: Quarantine,
         blobs: Arc<Blobs>,
         settings: &BatchSettings,
     ) -> Self {
@@ -68,6 +72,7 @@
             pieces,
             blobs,
             timer,
+            quarantine,
             grant_ttl_ms: settings.grant_ttl_ms,
             poked: Notify::new(),
             actions,
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -112,6 +112,7 @@
 
     /// Makes a body of bytes that are all here.
     pub(crate) fn whole(bytes: Bytes, on_end: OnEnd, flight: Flight) -> Self {
+        flight.completed();
         drop(flight);
         on_end(&Ended::Complete);
         Self {
@@ -135,7 +136,11 @@
     fn finish(&mut self, ended: &Ended) {
         self.state = State::Done;
         self.admitted = None;
-        self.flight = None;
+        let flight = self.flight.take();
+        if let (Some(flight), Ended::Complete) = (&flight, ended) {
+            flight.completed();
+        }
+        drop(flight);
         if let Some(on_end) = self.on_end.take() {
             on_end(ended);
         }
@@ -146,6 +151,9 @@
         match frame {
             Some(Frame::Chunk { seq, bytes }) if seq == self.next_seq => {
                 self.next_seq += 1;
+                if let Some(flight) = &mut self.flight {
+                    flight.advance_to(self.next_seq);
+                }
                 let bytes = match &mut self.resume {
                     Some(resume) => resume.pass(bytes),
                     None => Some(bytes),
--- a/crates/entry/src/config/neighbours.rs
+++ b/crates/entry/src/config/neighbours.rs
@@ -9,6 +9,8 @@
 use base::timer::Timer;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use quarantine::{CaseNews, Quarantine};
+use serde::{Deserialize, Serialize};
 use spread::{Event, Message, Options, Spread};
 use tokio::task::JoinSet;
 use wire::{Links, message::ConfigText};
@@ -23,15 +25,34 @@
 /// hang; those over it count as not answered.
 const WAITING_MAX: usize = 256;
 
+/// What goes from one entry to another. An older build reads the message
+/// about the configuration and passes over the rest.
+#[derive(Deserialize, Serialize)]
+struct Envelope {
+    #[serde(flatten)]
+    message: Message,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    held_requests: Vec<CaseNews>,
+}
+
 /// Talks to neighbours.
 pub(crate) struct Neighbours {
     links: Links,
     addresses: Vec<SocketAddr>,
+    quarantine: Quarantine,
 }
 
 impl Neighbours {
-    pub(crate) fn new(links: Links, addresses: Vec<SocketAddr>) -> Self {
-        Self { links, addresses }
+    pub(crate) fn new(
+        links: Links,
+        addresses: Vec<SocketAddr>,
+        quarantine: Quarantine,
+    ) -> Self {
+        Self {
+            links,
+            addresses,
+            quarantine,
+        }
     }
 
     /// Talks to neighbours until the process ends.
@@ -54,9 +75,12 @@
                         store.handle(Event::Failed { peer });
                         continue;
                     }
-                    let links = self.links.clone();
+                    let asker = Asker {
+                        links: self.links.clone(),
+                        quarantine: self.quarantine.clone(),
+                    };
                     let store = store.clone();
-                    waiting.spawn(converse(links, (peer, message), store));
+                    waiting.spawn(converse(asker, (peer, message), store));
                 }
                 Some(_) = waiting.join_next() => {}
                 _ = &mut tick => {
@@ -68,9 +92,15 @@
     }
 }
 
-async fn converse(links: Links, to: Outgoing, store: Arc<ConfigStore>) {
+/// Asks neighbours.
+struct Asker {
+    links: Links,
+    quarantine: Quarantine,
+}
+
+async fn converse(asker: Asker, to: Outgoing, store: Arc<ConfigStore>) {
     let peer = to.0;
-    let event = match ask(&links, to).await {
+    let event = match asker.ask(to).await {
         Ok(message) => Event::Answer { peer, message },
         Err(report) => {
             log::debug!(error:? = report; "a neighbour does not answer");
@@ -80,30 +110,46 @@
     store.handle(event);
 }
 
-async fn ask(
-    links: &Links,
-    (peer, message): Outgoing,
-) -> Result<Message, Report<EntryError>> {
-    let question =
-        serde_json::to_vec(&message).change_context(EntryError::Config)?;
-    let answer = links.compare(peer, question.into()).await;
-    let answer = answer.change_context(EntryError::Config)?;
-    serde_json::from_slice(&answer)
-        .change_context(EntryError::Config)
-        .attach("a neighbour's answer is broken")
+impl Asker {
+    async fn ask(
+        &self,
+        (peer, message): Outgoing,
+    ) -> Result<Message, Report<EntryError>> {
+        let question = Envelope {
+            message: *message,
+            held_requests: self.quarantine.news(),
+        };
+        let question = serde_json::to_vec(&question)
+            .change_context(EntryError::Config)?;
+        let answer = self.links.compare(peer, question.into()).await;
+        let answer = answer.change_context(EntryError::Config)?;
+        let answer: Envelope = serde_json::from_slice(&answer)
+            .change_context(EntryError::Config)
+            .attach("a neighbour's answer is broken")?;
+        self.quarantine.take_news(answer.held_requests);
+        Ok(answer.message)
+    }
 }
 
 impl ConfigStore {
     /// Answers a neighbour's message; `None` if it cannot be read.
-    pub(crate) fn compare(&self, question: &[u8]) -> Option<Bytes> {
-        let question: Message = match serde_json::from_slice(question) {
+    pub(crate) fn compare(
+        &self,
+        question: &[u8],
+        quarantine: &Quarantine,
+    ) -> Option<Bytes> {
+        let question: Envelope = match serde_json::from_slice(question) {
             Ok(question) => question,
             Err(error) => {
                 log::warn!(error:%; "a neighbour's message is broken");
                 return None;
             }
         };
-        let reply = self.handle(Event::Question(question))?;
+        quarantine.take_news(question.held_requests);
+        let reply = Envelope {
+            message: self.handle(Event::Question(question.message))?,
+            held_requests: quarantine.news(),
+        };
         serde_json::to_vec(&reply).ok().map(Bytes::from)
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One request on its way through the filters.
 
-use base::{Class, Customer, Millis, RequestId};
+use base::{Class, Customer, Millis, RequestDigest, RequestId};
 use bytes::Bytes;
 use obs::CustomerMetrics;
 use wire::message::Header;
@@ -27,6 +27,8 @@
     pub(crate) path: String,
     pub(crate) headers: Vec<Header>,
     pub(crate) body: Bytes,
+    /// What all tries of a caller share.
+    pub(crate) digest: RequestDigest,
     pub(crate) plan: Plan,
 }
 
--- a/crates/entry/src/filter/route.rs
+++ b/crates/entry/src/filter/route.rs
@@ -1,6 +1,8 @@
 //! What is decided once the body is known.
 
-use base::{Class, Millis, RequestId, UnixMillis};
+use base::{
+    Class, Millis, RequestContent, RequestDigest, RequestId, UnixMillis,
+};
 use bytes::Bytes;
 use rules::{Action, Compiled, Decision, Facts, Route, Sample};
 use serde::Deserialize;
@@ -52,6 +54,13 @@
     let class = class(&incoming.headers)?;
     let now = shared.timer.clock().unix();
     let (plan, limits) = decide(&caller, &incoming, &subject, class, now)?;
+    let digest = RequestDigest::of(RequestContent {
+        customer: caller.customer.as_str(),
+        method: &incoming.method,
+        host: "",
+        target: &path,
+        body: &incoming.body,
+    });
     let exchange = Exchange {
         request_id: incoming.request_id,
         received: incoming.received,
@@ -62,6 +71,7 @@
         path,
         headers: incoming.headers,
         body: incoming.body,
+        digest,
         plan,
     };
     Ok(Routed { exchange, limits })
--- a/crates/entry/src/fleet/flight.rs
+++ b/crates/entry/src/fleet/flight.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
-use base::Millis;
+use base::{Millis, RequestDigest, UnixMillis};
+use quarantine::{Crash, CrashedEndpoint, Quarantine};
 use router::{EndpointKey, Failure, Refused, Report};
 use wire::message::{Load, RefusalKind};
 
@@ -13,6 +14,17 @@
     key: EndpointKey,
     target: Arc<Target>,
     sent: Millis,
+    call: Option<Box<Call>>,
+}
+
+/// The request of a flight, as far as crashes of its endpoint concern it.
+#[derive(Debug)]
+struct Call {
+    quarantine: Quarantine,
+    digest: RequestDigest,
+    began_at: UnixMillis,
+    resumed_after: u64,
+    reached: u64,
 }
 
 impl Flight {
@@ -27,6 +39,7 @@
             key,
             target,
             sent,
+            call: None,
         }
     }
 
@@ -38,6 +51,55 @@
         &self.target
     }
 
+    /// Notes which request is sent, and after how many parts of its answer.
+    pub(crate) fn begin(
+        &mut self,
+        quarantine: &Quarantine,
+        digest: RequestDigest,
+        offset: u32,
+    ) {
+        let resumed_after = u64::from(offset);
+        self.call = Some(Box::new(Call {
+            quarantine: quarantine.clone(),
+            digest,
+            began_at: self.fleet.timer.clock().unix(),
+            resumed_after,
+            reached: resumed_after,
+        }));
+    }
+
+    /// Notes how many parts of the answer have come.
+    pub(crate) fn advance_to(&mut self, parts: u32) {
+        if let Some(call) = &mut self.call {
+            call.reached = call.resumed_after + u64::from(parts);
+        }
+    }
+
+    /// Notes that the answer is whole.
+    pub(crate) fn completed(&self) {
+        if let Some(call) = &self.call {
+            call.quarantine.answered(|| call.digest, call.resumed_after);
+        }
+    }
+
+    /// Notes that the endpoint crashed while it ran the call.
+    pub(crate) fn crashed(&self) {
+        let Some(call) = &self.call else {
+            return;
+        };
+        let name = self.target.name.as_str();
+        log::warn!(endpoint = name, digest:% = call.digest;
+            "an endpoint crashed while it ran a request");
+        let crash = Crash {
+            endpoint: CrashedEndpoint::named(name),
+            began_at: call.began_at,
+            ended_at: self.fleet.timer.clock().unix(),
+            resumed_after: call.resumed_after,
+            reached: call.reached,
+        };
+        call.quarantine.crashed(call.digest, crash);
+    }
+
     /// Notes the load that came with the reply to the call. If it comes from
     /// a new life of the companion, the call counts there.
     pub(crate) fn reported(&mut self, load: &Load) {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use quarantine::Cleared;
 use router::Failure;
 use upstream::EndpointClient;
 use web::ProblemKind;
@@ -34,6 +35,18 @@
     },
 }
 
+/// What one attempt sends, and why it may.
+pub(super) struct Attempted {
+    /// Number of the attempt.
+    pub(super) number: u32,
+    /// Time that is left, in milliseconds; 0 is no limit.
+    pub(super) left_ms: u64,
+    /// Parts of the answer that the caller has already.
+    pub(super) offset: u32,
+    /// Says that the request may be sent.
+    pub(super) cleared: Cleared,
+}
+
 /// An answer that has begun.
 pub(crate) enum Reply {
     /// It is passed on as it comes.
@@ -66,10 +79,15 @@
     shared: &Arc<Shared>,
     exchange: &Exchange,
     mut flight: Flight,
-    number: u32,
-    left_ms: u64,
-    offset: u32,
+    attempted: Attempted,
 ) -> Attempt {
+    let Attempted {
+        number,
+        left_ms,
+        offset,
+        cleared: Cleared { .. },
+    } = attempted;
+    flight.begin(&shared.quarantine, exchange.digest, offset);
     let target = flight.target().clone();
     let request = request(exchange, &flight, number, left_ms, offset);
     let address = match &target.route {
@@ -195,6 +213,9 @@
 /// counted as a failure, an overload would take endpoints out and grow.
 pub(crate) fn note_end(flight: &Flight, kind: Option<OutcomeKind>) {
     let innocent = [OutcomeKind::Cancelled, OutcomeKind::TimedOut];
+    if kind == Some(OutcomeKind::Crashed) {
+        flight.crashed();
+    }
     if !kind.is_some_and(|kind| innocent.contains(&kind)) {
         flight.failed(Failure::Lost);
     }
--- a/crates/entry/src/forward/start.rs
+++ b/crates/entry/src/forward/start.rs
@@ -103,7 +103,7 @@
         mut run,
         first,
         mut next_seq,
-        flight,
+        mut flight,
         ..
     } = answer;
     let silence = Duration::from_millis(shared.timeouts.between_bytes_ms);
@@ -113,6 +113,7 @@
         match timeout(silence, run.next()).await {
             Ok(Some(Frame::Chunk { seq, bytes })) if seq == next_seq => {
                 next_seq += 1;
+                flight.advance_to(next_seq);
                 all.extend_from_slice(&bytes);
                 if all.len() as u64 > limit {
                     return too_long(&flight);
--- a/crates/entry/src/forward/tries.rs
+++ b/crates/entry/src/forward/tries.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use obs::Counter;
+use quarantine::Held;
 use router::EndpointKey;
 use web::{Problem, ProblemKind, Ran};
 
 use super::{
-    attempt::{Attempt, Reply, attempt},
+    attempt::{Attempt, Attempted, Reply, attempt},
     prefix,
 };
 use crate::{exchange::Exchange, fleet::Flight, shared::Shared};
@@ -66,10 +67,14 @@
             };
             self.tried.push(flight.key());
             let pool = flight.target().pool.clone();
-            let number = self.refusals + self.retries;
-            let attempt =
-                attempt(shared, exchange, flight, number, left_ms, offset);
-            match attempt.await {
+            let admitted = shared.quarantine.admit(|| exchange.digest).await;
+            let attempted = Attempted {
+                number: self.refusals + self.retries,
+                left_ms,
+                offset,
+                cleared: admitted.map_err(|held| self.held(exchange, held))?,
+            };
+            match attempt(shared, exchange, flight, attempted).await {
                 Attempt::Begun(reply) => return Ok(*reply),
                 Attempt::NotRun {
                     why,
@@ -141,6 +146,25 @@
             .find_map(|pool| shared.fleet.choose(pool, prefix, tried))
     }
 
+    /// Refuses a request that crashes endpoints.
+    fn held(&self, exchange: &Exchange, held: Held) -> Problem {
+        log::info!(
+            request_id = exchange.request_id.as_str(),
+            digest:% = exchange.digest,
+            crashes = held.crashes,
+            for_ms = held.for_ms;
+            "a request is held"
+        );
+        exchange.metrics.count(Counter::Refused, exchange.class, 1);
+        if self.may_have_run {
+            return self.gave_up(ProblemKind::AnswerLost);
+        }
+        let why = format!("endpoints crashed: {}", held.crashes);
+        Problem::new(ProblemKind::EndpointCrashes, why)
+            .ran(Ran::No)
+            .retry_after_ms(held.for_ms)
+    }
+
     fn exhausted(&self) -> Problem {
         if self.may_have_run {
             return self.gave_up(ProblemKind::AnswerLost);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -8,6 +8,7 @@
 use error_stack::{Report, ResultExt};
 use kv::{EtcdJsonOptions, Kv};
 use obs::Metrics;
+use quarantine::{Quarantine, QuarantineOptions};
 use tokio::{sync::Semaphore, task::JoinHandle};
 use web::{LaunchOptions, Phase, Served, ServiceState};
 use wire::{
@@ -30,6 +31,9 @@
 /// Pause between looks for the first configuration, in milliseconds.
 const READY_LOOK_MS: u64 = 50;
 
+/// Pause before the requests that are held are read again, in milliseconds.
+const QUARANTINE_AGAIN_MS: u64 = 1_000;
+
 /// A running entry.
 pub struct Entry {
     shared: Arc<Shared>,
@@ -77,10 +81,17 @@
         let prefix = key_value.prefix.clone();
         let claims = Claims::new(kv.clone(), &prefix, timer.clone());
         let orders = Orders::new(kv.clone(), &prefix, links.clone());
+        let quarantine = Quarantine::new(
+            kv.clone(),
+            &format!("{prefix}quarantine/"),
+            timer.clock().clone(),
+            QuarantineOptions::default(),
+        );
         let batch = Batch::new(
             kv.clone(),
             prefix.clone(),
             timer.clone(),
+            quarantine.clone(),
             Blobs::new(links.clone(), settings.data_vms.clone()),
             settings.batch.clone(),
             settings.limits.clone(),
@@ -102,6 +113,7 @@
                 settings.limits.streams_max as usize,
             )),
             claims,
+            quarantine,
             orders,
             customers: Limits::new(Arc::new(entries(settings))),
         });
@@ -122,7 +134,11 @@
             tasks.push(tokio::spawn(follow));
         }
         let entries = settings.entries.clone();
-        let neighbours = Neighbours::new(shared.links.clone(), entries);
+        let neighbours = Neighbours::new(
+            shared.links.clone(),
+            entries,
+            shared.quarantine.clone(),
+        );
         let store = shared.config.clone();
         tasks.push(tokio::spawn(neighbours.work(store, timer)));
         log::info!(
@@ -212,6 +228,15 @@
         .change_context(EntryError::Start)
 }
 
+/// Learns which requests other entries hold, once the service answers.
+async fn read_quarantine(shared: Arc<Shared>) {
+    while let Err(report) = shared.quarantine.read().await {
+        log::info!(error:% = report.current_context();
+            "the requests that are held cannot be read yet");
+        shared.timer.subscribe_in_ms(QUARANTINE_AGAIN_MS).await;
+    }
+}
+
 fn spawn(shared: &Arc<Shared>, timer: Timer) -> Vec<JoinHandle<()>> {
     let follow = shared.clone();
     let ready = shared.clone();
@@ -219,6 +244,8 @@
         tokio::spawn(timer.drive()),
         tokio::spawn(async move { follow.config.follow().await }),
         tokio::spawn(shared.batch.owner().clone().work()),
+        tokio::spawn(shared.quarantine.clone().run()),
+        tokio::spawn(read_quarantine(shared.clone())),
         tokio::spawn(async move {
             while ready.config.current().is_none() {
                 ready.timer.subscribe_in_ms(READY_LOOK_MS).await;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -41,6 +41,7 @@
 
     fn compare(&self, question: Bytes) -> BoxFuture<'static, Option<Bytes>> {
         let shared = self.0.clone();
-        async move { shared.config.compare(&question) }.boxed()
+        async move { shared.config.compare(&question, &shared.quarantine) }
+            .boxed()
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,6 +5,7 @@
 use base::{Incarnation, KeyDigest, timer::Timer};
 use conf::settings::{LimitSettings, TimeoutSettings};
 use obs::Metrics;
+use quarantine::Quarantine;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use web::{Active, Problem, ProblemKind, Ran, ServiceState};
 use wire::Links;
@@ -34,6 +35,7 @@
     pub(crate) admin_keys: Vec<KeyDigest>,
     pub(crate) streams: Arc<Semaphore>,
     pub(crate) claims: Claims,
+    pub(crate) quarantine: Quarantine,
     pub(crate) customers: Limits,
 }
 
--- a/crates/entry/tests/batch_common/mod.rs
+++ b/crates/entry/tests/batch_common/mod.rs
@@ -221,16 +221,26 @@
 
     /// Starts a job of this many items, named `id-0` and so on.
     pub(crate) async fn start_job(&self, items: u32, window: &str) -> String {
-        let line = |at: u32| {
+        let prompts = (0..items).map(|at| format!("{window} {at}"));
+        self.start_job_of(prompts, window).await
+    }
+
+    /// Starts a job of these prompts.
+    pub(crate) async fn start_job_of(
+        &self,
+        prompts: impl Iterator<Item = String>,
+        window: &str,
+    ) -> String {
+        let line = |(at, prompt): (usize, String)| {
             json!({
                 "custom_id": format!("id-{at}"),
                 "method": "POST",
                 "url": "/v1/completions",
-                "body": {"model": MODEL, "prompt": format!("{window} {at}")},
+                "body": {"model": MODEL, "prompt": prompt},
             })
             .to_string()
         };
-        let lines: Vec<_> = (0..items).map(line).collect();
+        let lines: Vec<_> = prompts.enumerate().map(line).collect();
         let body = form(&lines.join("\n"));
         let call = client()
             .post(self.url("/v1/files"))
@@ -358,15 +368,8 @@
         fails: u32,
     ) {
         let result = |item: &Item| ItemResult {
-            grant: item.grant,
-            partition: item.partition,
-            fence: item.fence,
-            job: item.job.clone(),
-            index: item.index,
-            attempt: item.attempt,
-            outcome: ItemOutcome::Answered,
             status: if item.index % fails == 1 { 400 } else { 200 },
-            body: r#"{"text":"done"}"#.into(),
+            ..result(item, ItemOutcome::Answered)
         };
         let results: Vec<_> = items.iter().map(result).collect();
         // Sent twice, as after a lost answer.
@@ -375,6 +378,17 @@
         }
     }
 
+    /// Reports what became of items.
+    pub(crate) async fn report(
+        &self,
+        entry: SocketAddr,
+        items: &[Item],
+        outcome: impl Fn(&Item) -> ItemOutcome,
+    ) {
+        let results = items.iter().map(|item| result(item, outcome(item)));
+        let _ = self.links.results(entry, results.collect()).await;
+    }
+
     /// Pulls from entries in turn and answers until told to stop.
     pub(crate) fn play(&self, entries: Vec<SocketAddr>) -> Playing {
         let (player, stop) = (self.clone(), Arc::new(AtomicBool::new(false)));
@@ -392,6 +406,20 @@
     }
 }
 
+fn result(item: &Item, outcome: ItemOutcome) -> ItemResult {
+    ItemResult {
+        grant: item.grant,
+        partition: item.partition,
+        fence: item.fence,
+        job: item.job.clone(),
+        index: item.index,
+        attempt: item.attempt,
+        outcome,
+        status: 200,
+        body: r#"{"text":"done"}"#.into(),
+    }
+}
+
 /// Stops a player when dropped.
 pub(crate) struct Playing(Arc<AtomicBool>);
 
--- a/crates/entry/tests/quarantine.rs
+++ b/crates/entry/tests/quarantine.rs
@@ -4,7 +4,7 @@
 mod crash_common;
 mod forward_common;
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crash_common::CrashableEngine;
 use forward_common::{
@@ -13,7 +13,10 @@
 };
 use pomeloslip_entry::Entry;
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 use yare::parameterized;
 
 /// Times that a request may be sent again once it has crashed three
@@ -29,6 +32,71 @@
 /// Time for which the request comes again and again.
 const REPEATED: Duration = Duration::from_secs(9);
 
+fn direct_at(name: &str, address: SocketAddr) -> String {
+    format!(
+        "  - {{endpoint: {name}, pool: korv-lm, failure_domain: tallinn-a, \
+         http: 'http://{address}'}}\n"
+    )
+}
+
+/// Tries of a caller whose call was cut off or refused.
+const TRIES: usize = 4;
+
+/// Guards against calls that are refused since they ran at endpoints that
+/// were killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_at_killed_endpoints_are_served() {
+    let platform = platform(", retries: 2").await;
+    let addresses = reserve::<5>();
+    let mut lines = "endpoints:\n".to_owned();
+    let mut engines = Vec::new();
+    for (at, address) in addresses.into_iter().enumerate() {
+        engines.push(CrashableEngine::start(address).await);
+        lines += &direct_at(&format!("korv-{at}"), address);
+    }
+    let entry = Arc::new(entry_named("entry-1", &platform, &lines).await);
+    until_served(&entry).await;
+    let mut callers = JoinSet::new();
+    for caller in 0..6 {
+        let entry = entry.clone();
+        callers.spawn(async move {
+            let until = Instant::now() + REPEATED;
+            let mut served = 0;
+            while Instant::now() < until {
+                // Half of the callers send what the others send, too.
+                let prompt = format!("caller {}", caller % 3);
+                served += usize::from(is_served(&entry, &prompt).await);
+            }
+            served
+        });
+    }
+    let until = Instant::now() + REPEATED - Duration::from_secs(1);
+    let mut number = 0;
+    while Instant::now() < until {
+        sleep(Duration::from_millis(400)).await;
+        engines[number % engines.len()].crash();
+        number += 1;
+    }
+    let served: usize = callers.join_all().await.into_iter().sum();
+    assert!(served > 50, "the callers were busy: {served}");
+}
+
+/// Sends a call until it is served; fails if it never is.
+async fn is_served(entry: &Entry, prompt: &str) -> bool {
+    let mut last = String::new();
+    for _ in 0..TRIES {
+        let path = "/v1/chat/completions";
+        let reply = call(entry, path, &chat(prompt)).await;
+        last = reply.text().await.unwrap_or_default();
+        if last.contains("[DONE]") {
+            return true;
+        }
+        assert!(!last.contains("endpoint-crashes"), "held: {last}");
+        sleep(Duration::from_millis(100)).await;
+    }
+    panic!("not served in {TRIES} tries: {last}");
+}
+
 /// Guards against a call that crashes one endpoint after the other as its
 /// caller sends it again, to any entry.
 #[parameterized(
@@ -52,20 +120,17 @@
         engines.push(CrashableEngine::start(address).await);
         lines += &match companions {
             true => behind(&name, peers[at]),
-            false => format!(
-                "  - {{endpoint: {name}, pool: korv-lm, \
-                 failure_domain: tallinn-a, http: 'http://{address}'}}\n"
-            ),
+            false => direct_at(&name, address),
         };
         if companions {
             let url = format!("http://{address}");
             kept.push(companion_of(&name, peers[at], &url, &peers).await);
         }
     }
-    let entries: [Entry; 2] = [
-        entry_named("entry-1", &platform, &lines).await,
-        entry_named("entry-2", &platform, &lines).await,
-    ];
+    let first = entry_named("entry-1", &platform, &lines).await;
+    lines += &format!("entries: ['{}']\n", first.peer_address());
+    let second = entry_named("entry-2", &platform, &lines).await;
+    let entries: [Entry; 2] = [first, second];
     for entry in &entries {
         until_served(entry).await;
     }
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -1,6 +1,6 @@
 //! Items on loan to companions, and their results.
 
-use base::{JobId, Millis, UnixMillis};
+use base::{JobId, Millis, UnixMillis, VmId};
 use slotmap::{Key, KeyData};
 
 use crate::{
@@ -90,15 +90,10 @@
                 self.settle(key, index, Settled { line, sink })
             }
             // The end of the loan was counted when it expired.
-            ItemEnd::Failed(_) | ItemEnd::Returned if !is_current => {
-                Taken::Ignored
-            }
-            ItemEnd::Returned => {
-                self.end_grant(key, index);
-                if let Some(job) = self.jobs.get_mut(key) {
-                    job.reopen(index, moment.now, 0);
-                }
-                Taken::OpenAgain
+            _ if !is_current => Taken::Ignored,
+            ItemEnd::Returned => self.open_again(key, index, moment.now, 0),
+            ItemEnd::Held { for_ms } => {
+                self.open_again(key, index, moment.now, for_ms)
             }
             ItemEnd::Failed(line) => {
                 self.end_grant(key, index);
@@ -113,6 +108,36 @@
         }
     }
 
+    /// Opens an item again that was not tried, after a pause.
+    fn open_again(
+        &mut self,
+        key: JobKey,
+        index: u32,
+        now: Millis,
+        pause_ms: u64,
+    ) -> Taken {
+        self.end_grant(key, index);
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.reopen(index, now, pause_ms);
+        }
+        Taken::OpenAgain
+    }
+
+    /// Returns the machine that has an item on this loan.
+    pub fn loaned_to(
+        &self,
+        job: &JobId,
+        index: u32,
+        grant: u64,
+    ) -> Option<&VmId> {
+        let key = self.grant_key(grant);
+        let grant = self.grants.get(key).filter(|g| g.index == index)?;
+        let owner = self.jobs.get(grant.job)?;
+        let vm = grant.vm.0 as usize;
+        let (vm, _) = self.vms.get_index(vm)?;
+        (owner.record.id == *job).then_some(vm)
+    }
+
     /// Takes the error line that [`Action::GiveUp`] asked for.
     pub fn give_up(
         &mut self,
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -332,6 +332,11 @@
     Failed(Bytes),
     /// Given back before it was tried.
     Returned,
+    /// It may not be tried for now.
+    Held {
+        /// When it may, in milliseconds from now.
+        for_ms: u64,
+    },
 }
 
 /// What the ledger did with a result.
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -1,17 +1,13 @@
 //! Finds out which endpoints crashed while they ran requests of this node.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use base::{Clock, Millis, RequestDigest, UnixMillis};
 use fleet::{Endpoint, LifeKey};
 use indexmap::IndexMap;
 use pass::{Counters, Run, RunObserver};
-use quarantine::{Crash, CrashedEndpoint, Quarantine};
-use tokio::{
-    net::TcpStream,
-    sync::mpsc,
-    time::{sleep, timeout},
-};
+use quarantine::{Crash, CrashedEndpoint, Quarantine, has_crashed};
+use tokio::sync::mpsc;
 
 use crate::ClusterState;
 
@@ -23,14 +19,6 @@
 /// counted and left out.
 const WAITING_MOST: usize = 1_024;
 
-/// Time between a broken connection and the look at its endpoint, in
-/// milliseconds: a process that ends closes one socket after the other.
-const SETTLE_MS: u64 = 20;
-
-/// Longest wait for a connection to an endpoint that may have crashed, in
-/// milliseconds. A host whose process has ended refuses it at once.
-const CONNECT_MS: u64 = 300;
-
 /// How long an endpoint is known to have crashed, in milliseconds: longer
 /// than connections to it take to break.
 const KNOWN_MS: u64 = 10_000;
@@ -79,9 +67,7 @@
 /// Looks at the endpoints of runs that were cut off.
 ///
 /// A connection breaks for many reasons. An endpoint has crashed if its host
-/// refuses new connections although nobody has announced its end: a host
-/// that is cut off does not answer, and an endpoint that has only reset a
-/// connection takes new ones.
+/// refuses new connections although nobody has announced its end.
 pub(crate) struct CrashDetector {
     received: mpsc::Receiver<CutOffRun>,
     cluster: ClusterState,
@@ -171,7 +157,7 @@
         self.lives.insert(life, examined);
         let findings = findings.clone();
         tokio::spawn(async move {
-            let crashed = refuses_connections(address).await;
+            let crashed = has_crashed(address).await;
             let _ = findings.send(Finding { life, crashed });
         });
     }
@@ -232,14 +218,3 @@
         }
     }
 }
-
-/// Tells whether a host answers that no process listens at an address.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    sleep(Duration::from_millis(SETTLE_MS)).await;
-    let wait = Duration::from_millis(CONNECT_MS);
-    let connected = timeout(wait, TcpStream::connect(address)).await;
-    matches!(
-        connected,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
-    )
-}
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -1,4 +1,4 @@
-use base::UnixMillis;
+use base::{UnixMillis, stable_hash};
 use serde::{Deserialize, Serialize};
 
 /// Tells an endpoint from all others.
@@ -25,6 +25,11 @@
     pub fn new(id: u64) -> Self {
         Self(id)
     }
+
+    /// Makes the number of a name.
+    pub fn named(name: &str) -> Self {
+        Self(stable_hash(&[name]))
+    }
 }
 
 /// A run of a request that was cut off by the crash of its endpoint.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -38,6 +38,7 @@
 mod case;
 mod crash;
 mod options;
+mod probe;
 mod quarantine;
 mod recent;
 mod store;
@@ -47,6 +48,7 @@
     case::Case,
     crash::{Crash, CrashedEndpoint},
     options::QuarantineOptions,
-    quarantine::{Cleared, Held, Quarantine},
+    probe::has_crashed,
+    quarantine::{CaseNews, Cleared, Held, Quarantine},
     table::{CaseTable, Standing, StoredCase},
 };
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,4 +1,4 @@
-mod follow;
+mod news;
 mod trial;
 mod write;
 
@@ -10,11 +10,13 @@
     },
 };
 
-use base::{Clock, RequestDigest};
+use base::{Clock, RequestDigest, UnixMillis};
 use indexmap::{IndexMap, IndexSet};
 use kv::{KeyValue, Kv};
 use tokio::sync::Notify;
 
+pub use self::news::CaseNews;
+use self::news::ClearedCase;
 use crate::{
     CaseTable, Crash, QuarantineOptions, Standing, StoredCase,
     recent::RecentCrashes,
@@ -36,10 +38,10 @@
 
 /// Keeps requests that crash endpoints from reaching more of them.
 ///
-/// Clones share one state. All nodes that use one prefix of the key-value
-/// service share what they know: each writes the crashes that it sees, and
-/// learns those of the others from a watch of its own ([`Self::watch`]) or
-/// from whoever follows the service for it ([`Self::apply`]).
+/// Clones share one state. All processes that use one prefix of the
+/// key-value service share what they know: each writes the crashes that it
+/// sees. It learns those of the others from whoever follows the service for
+/// it ([`Self::apply`]), or from its neighbours ([`Self::take_news`]).
 ///
 /// While no endpoint has crashed, a request costs one look at a counter.
 #[derive(Clone)]
@@ -62,6 +64,8 @@
     /// Requests that were answered although endpoints had crashed under
     /// them.
     answered: IndexMap<RequestDigest, Answered>,
+    /// Requests that were cleared lately.
+    cleared: IndexMap<RequestDigest, ClearedCase>,
 }
 
 /// How often a write is tried against other writers of the same case.
@@ -128,6 +132,7 @@
                 recent: RecentCrashes::default(),
                 unsaved: IndexSet::new(),
                 answered: IndexMap::new(),
+                cleared: IndexMap::new(),
             }),
             known: AtomicUsize::new(0),
             clock,
@@ -183,7 +188,7 @@
     /// Takes note that an endpoint has crashed while it ran a request.
     pub fn crashed(&self, digest: RequestDigest, crash: Crash) {
         let mut state = self.lock();
-        let before = state.cases.standing(digest, self.0.clock.unix());
+        let before = state.cases.standing(digest, self.now());
         if state.cases.add_crash(digest, crash) {
             state.recent.add(crash.endpoint, crash.ended_at);
             state.unsaved.insert(digest);
@@ -268,7 +273,7 @@
 
     fn standing(&self, digest: RequestDigest) -> (Standing, usize) {
         let state = self.lock();
-        let standing = state.cases.standing(digest, self.0.clock.unix());
+        let standing = state.cases.standing(digest, self.now());
         (standing, state.cases.crashes(digest))
     }
 
@@ -293,7 +298,7 @@
         digest: RequestDigest,
         stored: StoredCase,
     ) {
-        let before = state.cases.standing(digest, self.0.clock.unix());
+        let before = state.cases.standing(digest, self.now());
         state.cases.learn(digest, stored);
         self.log_standing(state, digest, before);
     }
@@ -304,7 +309,7 @@
         digest: RequestDigest,
         before: Standing,
     ) {
-        let now = state.cases.standing(digest, self.0.clock.unix());
+        let now = state.cases.standing(digest, self.now());
         let is_held = |standing| matches!(standing, Standing::Held { .. });
         if let Standing::Held { for_ms } = now
             && !is_held(before)
@@ -318,9 +323,13 @@
         }
     }
 
+    fn now(&self) -> UnixMillis {
+        self.0.clock.unix()
+    }
+
     fn expire(&self) {
         let mut state = self.lock();
-        let now = self.0.clock.unix();
+        let now = self.now();
         state.cases.expire(now);
         state.recent.expire(now);
         self.note_size(&state);
--- a/crates/quarantine/src/quarantine/trial.rs
+++ b/crates/quarantine/src/quarantine/trial.rs
@@ -14,7 +14,7 @@
         for _ in 0..WRITES_MOST {
             let (stored, unsaved) = {
                 let state = self.lock();
-                let now = self.0.clock.unix();
+                let now = self.now();
                 if state.cases.standing(digest, now) != Standing::Due {
                     return false;
                 }
@@ -26,7 +26,7 @@
             let before = stored.as_ref().map_or(0, |stored| stored.revision);
             let mut case = stored.map(|s| s.case).unwrap_or_default();
             case.merge(&unsaved);
-            case.begin_trial(self.0.clock.unix());
+            case.begin_trial(self.now());
             match store.put(digest, before, &case).await {
                 Ok(Written::Done(revision)) => {
                     let stored = StoredCase { case, revision };
@@ -48,7 +48,7 @@
 
     fn begin_local_trial(&self, digest: RequestDigest) -> bool {
         let mut state = self.lock();
-        let now = self.0.clock.unix();
+        let now = self.now();
         let is_due = state.cases.standing(digest, now) == Standing::Due;
         if is_due {
             state.cases.begin_trial(digest, now);
--- a/crates/quarantine/src/quarantine/write.rs
+++ b/crates/quarantine/src/quarantine/write.rs
@@ -41,23 +41,27 @@
     Refute(RequestDigest, Answered),
 }
 
-/// Takes out of a case what a whole answer refutes.
+/// Takes out of a case what a whole answer refutes. Returns the revision at
+/// which that removed it, if it did.
 async fn refute(
     store: &CaseStore,
     digest: RequestDigest,
     answered: &Answered,
-) -> Result<(), Report<KvError>> {
+) -> Result<Option<u64>, Report<KvError>> {
     let mut known = Some(answered.stored.clone());
     for _ in 0..WRITES_MOST {
         let Some(StoredCase { mut case, revision }) = known else {
-            return Ok(());
+            return Ok(None);
         };
-        let written = match case.refute(answered.resumed_after) {
+        let is_over = case.refute(answered.resumed_after);
+        let written = match is_over {
             true => store.delete(digest, revision).await?,
             false => store.put(digest, revision, &case).await?,
         };
         known = match written {
-            Written::Done(_) => return Ok(()),
+            Written::Done(revision) => {
+                return Ok(is_over.then_some(revision));
+            }
             Written::Changed(now, _) => now,
         };
     }
@@ -123,7 +127,12 @@
         match work {
             Work::Save(digest) => self.save(store, *digest).await,
             Work::Refute(digest, answered) => {
-                refute(store, *digest, answered).await
+                let cleared = refute(store, *digest, answered).await?;
+                if let Some(revision) = cleared {
+                    let at = self.now();
+                    self.lock().note_cleared(*digest, revision, at);
+                }
+                Ok(())
             }
         }
     }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -124,6 +124,16 @@
         self.cases.is_empty()
     }
 
+    /// Returns the cases that the service has, as far as is known.
+    pub fn stored(
+        &self,
+    ) -> impl Iterator<Item = (RequestDigest, &StoredCase)> {
+        let cases = self.cases.iter();
+        cases.filter_map(|(digest, entry)| {
+            Some((*digest, entry.stored.as_ref()?))
+        })
+    }
+
     /// Tells whether a request is remembered.
     pub fn contains(&self, digest: RequestDigest) -> bool {
         self.cases.contains_key(&digest)
@@ -246,13 +256,16 @@
         })
     }
 
+    /// Tells whether a case has been quiet for so long that it is forgotten.
+    pub fn is_over(&self, case: &Case, now: UnixMillis) -> bool {
+        let quiet_ms = now.saturating_ms_since(case.changed_at());
+        quiet_ms >= self.options.kept_ms
+    }
+
     /// Forgets requests that have been quiet for long.
     pub fn expire(&mut self, now: UnixMillis) {
-        let kept_ms = self.options.kept_ms;
-        let is_over = |entry: &Entry| {
-            now.saturating_ms_since(entry.case.changed_at()) >= kept_ms
-        };
-        let over = self.cases.iter().filter(|(_, entry)| is_over(entry));
+        let cases = self.cases.iter();
+        let over = cases.filter(|(_, entry)| self.is_over(&entry.case, now));
         let over: Vec<RequestDigest> = over.map(|(d, _)| *d).collect();
         for digest in over {
             self.remove(digest);
--- a/crates/quarantine/tests/shared.rs
+++ b/crates/quarantine/tests/shared.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{Clock, Millis, RequestContent, RequestDigest, UnixMillis};
-use kv::{Kv, Memory, WriteFault};
+use kv::{Event, Kv, Memory, WriteFault};
 use pomeloslip_quarantine::{
     Crash, CrashedEndpoint, Quarantine, QuarantineOptions,
 };
@@ -38,6 +38,34 @@
 
 const PREFIX: &str = "t/";
 
+/// Follows the service for a node, as the feeds of a fleet do.
+async fn follow(kv: Memory, node: Quarantine) {
+    loop {
+        let Ok(read) = kv.get_prefix(PREFIX, 0).await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        node.apply(&read.kvs, &[], read.revision, true);
+        let from = read.revision + 1;
+        let Ok(mut watcher) = kv.watch(PREFIX, from).await else {
+            continue;
+        };
+        while let Ok(batch) = watcher.next().await {
+            let mut changed = Vec::new();
+            let mut deleted = Vec::new();
+            for event in batch.events {
+                match event {
+                    Event::Put(kv) => changed.push(kv),
+                    Event::Delete { key, mod_revision } => {
+                        deleted.push((key, mod_revision));
+                    }
+                }
+            }
+            node.apply(&changed, &deleted, batch.revision, false);
+        }
+    }
+}
+
 impl Fleet {
     fn start(count: usize) -> Self {
         let mut fleet = Self {
@@ -52,15 +80,20 @@
     }
 
     fn add(&mut self) -> Quarantine {
-        let kv: Arc<dyn Kv> = Arc::new(self.kv.clone());
-        let options = QuarantineOptions::default();
-        let node = Quarantine::new(kv, PREFIX, self.clock.clone(), options);
+        let node = self.alone();
         tokio::spawn(node.clone().run());
-        tokio::spawn(node.clone().watch());
+        tokio::spawn(follow(self.kv.clone(), node.clone()));
         self.nodes.push(node.clone());
         node
     }
 
+    /// Makes a process that nobody follows the service for.
+    fn alone(&self) -> Quarantine {
+        let kv: Arc<dyn Kv> = Arc::new(self.kv.clone());
+        let options = QuarantineOptions::default();
+        Quarantine::new(kv, PREFIX, self.clock.clone(), options)
+    }
+
     fn pass(&self, ms: u64) {
         self.clock.0.fetch_add(ms, Ordering::Relaxed);
     }
@@ -259,3 +292,49 @@
     sleep(Duration::from_millis(400)).await;
     assert_eq!(fleet.stored().await, 0);
 }
+
+/// Guards against processes that follow nothing and lose three endpoints
+/// each.
+#[tokio::test]
+async fn neighbours_tell_each_other_of_held_requests() {
+    let fleet = Fleet::start(1);
+    for endpoint in 0..3 {
+        fleet.crash(0, endpoint);
+    }
+    while fleet.nodes[0].news().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let [near, far] = [0, 1].map(|_| fleet.alone());
+    near.take_news(fleet.nodes[0].news());
+    far.take_news(near.news());
+    assert!(far.admit(bad).await.is_err());
+    // Once it is cleared, what others still tell brings it back nowhere.
+    let stale = far.news();
+    fleet.nodes[0].answered(bad, 0);
+    while fleet.stored().await > 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    near.take_news(fleet.nodes[0].news());
+    near.take_news(stale);
+    assert!(near.admit(bad).await.is_ok());
+    far.take_news(near.news());
+    assert!(far.admit(bad).await.is_ok());
+}
+
+/// Guards against two processes that keep a request held for each other
+/// after its time.
+#[tokio::test]
+async fn news_of_what_has_run_out_is_not_taken() {
+    let fleet = Fleet::start(1);
+    for endpoint in 0..3 {
+        fleet.crash(0, endpoint);
+    }
+    while fleet.nodes[0].news().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let old = fleet.nodes[0].news();
+    fleet.pass(QuarantineOptions::default().kept_ms);
+    let other = fleet.alone();
+    other.take_news(old);
+    assert!(other.is_empty());
+}
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use conf::{HttpAddress, settings::TimeoutSettings};
 use error_stack::{Report, ResultExt};
+use quarantine::has_crashed;
 use reqwest::{
     Client, Method, Response,
     header::{CONTENT_TYPE, HeaderMap},
@@ -205,6 +206,10 @@
                 Err(Ended::new(OutcomeKind::TimedOut, true, detail))
             }
         };
+        let ended = match ended {
+            Ok(()) => Ok(()),
+            Err(ended) => Err(self.examine(ended).await),
+        };
         let outcome = match ended {
             Ok(()) => Outcome {
                 kind: OutcomeKind::Complete,
@@ -224,6 +229,18 @@
         outcome
     }
 
+    /// Finds out whether a call was cut off by the crash of the endpoint.
+    async fn examine(&self, ended: Ended) -> Ended {
+        let kinds = [OutcomeKind::Broken, OutcomeKind::Truncated];
+        if !kinds.contains(&ended.kind)
+            || !has_crashed(self.address.socket()).await
+        {
+            return ended;
+        }
+        let detail = format!("the endpoint crashed: {}", ended.detail);
+        Ended::new(OutcomeKind::Crashed, true, detail)
+    }
+
     async fn work(
         &self,
         request: Request,
--- a/crates/web/src/problem.rs
+++ b/crates/web/src/problem.rs
@@ -94,6 +94,9 @@
         "The platform cannot record this now";
     /// No endpoint took the request.
     NoEndpoint, "no-endpoint", 503, "No endpoint took the request";
+    /// Endpoints have crashed while they ran the request.
+    EndpointCrashes, "endpoint-crashes", 503,
+        "Endpoints crash when they run this request";
     /// The endpoint's answer was lost.
     AnswerLost, "answer-lost", 502, "The answer was lost";
     /// The deadline passed.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -163,11 +163,13 @@
     TimedOut,
     /// The caller or the companion cancelled it.
     Cancelled,
+    /// The connection broke as the endpoint crashed.
+    Crashed,
 }
 
 codes! {
     OutcomeKind, unknown reads as Broken:
-    Complete, Truncated, NotSent, Broken, TimedOut, Cancelled
+    Complete, Truncated, NotSent, Broken, TimedOut, Cancelled, Crashed
 }
 
 /// The end of an accepted call.
@@ -263,6 +265,8 @@
     Lost,
     /// Given back before it was tried.
     Returned,
+    /// The endpoint crashed while it ran the item; try again elsewhere.
+    Crashed,
 }
 
 impl ItemOutcome {
@@ -273,6 +277,7 @@
             ItemOutcome::Answered => 1,
             ItemOutcome::Lost => 2,
             ItemOutcome::Returned => 3,
+            ItemOutcome::Crashed => 4,
         }
     }
 
@@ -283,6 +288,7 @@
         match code {
             1 => ItemOutcome::Answered,
             3 => ItemOutcome::Returned,
+            4 => ItemOutcome::Crashed,
             _ => ItemOutcome::Lost,
         }
     }
--- a/crates/wire/tests/codes.rs
+++ b/crates/wire/tests/codes.rs
@@ -27,6 +27,7 @@
     broken = { OutcomeKind::Broken, 4 },
     timed_out = { OutcomeKind::TimedOut, 5 },
     cancelled = { OutcomeKind::Cancelled, 6 },
+    crashed = { OutcomeKind::Crashed, 7 },
 )]
 fn outcomes_keep_their_numbers(kind: OutcomeKind, code: u16) {
     assert_eq!(kind.code(), code);
