Keep what is known of a request when leases run out

Cause: cases lay under leases. A lease that runs out early, as in an outage of the key-value service in which leases lapse, takes what all nodes know with it, and three more endpoints crash.

Change: cases have no lease. A node that finds one quiet for ten minutes, or has no room for it, removes it by compare-and-swap.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -64,6 +64,9 @@
     /// Requests that were answered although endpoints had crashed under
     /// them.
     answered: IndexMap<RequestDigest, Answered>,
+    /// Requests that are forgotten here and are to be in the service, too,
+    /// with the revision of what it has.
+    over: IndexMap<RequestDigest, u64>,
     /// Requests that were cleared lately.
     cleared: IndexMap<RequestDigest, ClearedCase>,
 }
@@ -93,7 +96,7 @@
         clock: Arc<dyn Clock>,
         options: QuarantineOptions,
     ) -> Self {
-        let store = CaseStore::new(kv, prefix, clock.clone());
+        let store = CaseStore::new(kv, prefix);
         Self::with_store(Some(store), clock, options)
     }
 
@@ -132,6 +135,7 @@
                 recent: RecentCrashes::default(),
                 unsaved: IndexSet::new(),
                 answered: IndexMap::new(),
+                over: IndexMap::new(),
                 cleared: IndexMap::new(),
             }),
             known: AtomicUsize::new(0),
@@ -331,6 +335,8 @@
         let mut state = self.lock();
         let now = self.now();
         state.cases.expire(now);
+        let forgotten = state.cases.take_forgotten();
+        state.over.extend(forgotten);
         state.recent.expire(now);
         self.note_size(&state);
     }
--- a/crates/quarantine/src/quarantine/write.rs
+++ b/crates/quarantine/src/quarantine/write.rs
@@ -39,6 +39,7 @@
 enum Work {
     Save(RequestDigest),
     Refute(RequestDigest, Answered),
+    Remove(RequestDigest, u64),
 }
 
 /// Takes out of a case what a whole answer refutes. Returns the revision at
@@ -100,6 +101,9 @@
         if let Some((digest, answered)) = state.answered.pop() {
             return Some(Work::Refute(digest, answered));
         }
+        if let Some((digest, revision)) = state.over.pop() {
+            return Some(Work::Remove(digest, revision));
+        }
         let unsaved = state.unsaved.iter();
         let digest =
             unsaved.max_by_key(|digest| state.cases.crashes(**digest));
@@ -117,6 +121,9 @@
             Work::Refute(digest, answered) => {
                 state.answered.entry(digest).or_insert(answered);
             }
+            Work::Remove(digest, revision) => {
+                state.over.insert(digest, revision);
+            }
         }
     }
 
@@ -134,6 +141,10 @@
                 }
                 Ok(())
             }
+            Work::Remove(digest, revision) => {
+                // A case that has changed meanwhile stays.
+                store.delete(*digest, *revision).await.map(|_| ())
+            }
         }
     }
 
--- a/crates/quarantine/src/store.rs
+++ b/crates/quarantine/src/store.rs
@@ -1,23 +1,12 @@
-use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use base::{Clock, Millis, RequestDigest};
+use base::RequestDigest;
 use error_stack::Report;
-use kv::{Compare, KeyValue, Kv, KvError, LeaseId, Op, Txn};
+use kv::{Compare, KeyValue, Kv, KvError, Op, Txn};
 use tokio::time::timeout;
 
 use crate::{Case, StoredCase};
 
-/// Time to live of the leases that end cases: the longest that services
-/// grant.
-const LEASE_S: u32 = 600;
-
-/// Age at which a lease is replaced for further cases, in milliseconds, so
-/// that a case lives for half of a lease at least.
-const LEASE_AGE_MOST_MS: u64 = 300_000;
-
 /// Longest wait for one call.
 const CALL_MOST: Duration = Duration::from_millis(1_000);
 
@@ -32,24 +21,19 @@
 }
 
 /// Keeps cases in the key-value service.
+///
+/// Not under leases: those may run out while the service is away, and the
+/// requests would crash endpoints again after each outage.
 pub(crate) struct CaseStore {
     kv: Arc<dyn Kv>,
     prefix: String,
-    clock: Arc<dyn Clock>,
-    lease: Mutex<Option<(LeaseId, Millis)>>,
 }
 
 impl CaseStore {
-    pub(crate) fn new(
-        kv: Arc<dyn Kv>,
-        prefix: &str,
-        clock: Arc<dyn Clock>,
-    ) -> Self {
+    pub(crate) fn new(kv: Arc<dyn Kv>, prefix: &str) -> Self {
         Self {
             kv,
             prefix: prefix.to_owned(),
-            clock,
-            lease: Mutex::new(None),
         }
     }
 
@@ -78,7 +62,7 @@
         let put = Op::Put {
             key: self.key(digest),
             value,
-            lease: Some(self.lease().await?),
+            lease: None,
         };
         self.write(digest, before, put).await
     }
@@ -118,14 +102,8 @@
                 return Ok(Written::Done(reply.revision));
             }
             Ok(_) => {}
-            Err(report) => match report.current_context() {
-                KvError::Unknown => {}
-                KvError::LeaseGone => {
-                    self.set_lease(None);
-                    return Err(report);
-                }
-                _ => return Err(report),
-            },
+            Err(report) if *report.current_context() == KvError::Unknown => {}
+            Err(report) => return Err(report),
         }
         self.read(digest).await
     }
@@ -147,26 +125,6 @@
     fn key(&self, digest: RequestDigest) -> String {
         format!("{}{digest}", self.prefix)
     }
-
-    async fn lease(&self) -> Result<LeaseId, Report<KvError>> {
-        let now = self.clock.now();
-        let held = *self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((lease, since)) = held
-            && now.saturating_ms_since(since) < LEASE_AGE_MOST_MS
-        {
-            return Ok(lease);
-        }
-        let granted = timeout(CALL_MOST, self.kv.lease_grant(LEASE_S)).await;
-        let lease = granted.unwrap_or_else(|_| {
-            Err(Report::new(KvError::NotDone).attach("no lease in time"))
-        })?;
-        self.set_lease(Some((lease, now)));
-        Ok(lease)
-    }
-
-    fn set_lease(&self, lease: Option<(LeaseId, Millis)>) {
-        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
-    }
 }
 
 /// Decodes a case; one that cannot be read counts as empty, so that the next
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -73,6 +73,7 @@
 pub struct CaseTable {
     options: QuarantineOptions,
     cases: IndexMap<RequestDigest, Entry>,
+    forgotten: Vec<(RequestDigest, u64)>,
 }
 
 #[derive(Debug, Default)]
@@ -105,6 +106,7 @@
         Self {
             options,
             cases: IndexMap::new(),
+            forgotten: Vec::new(),
         }
     }
 
@@ -264,10 +266,16 @@
         let over = cases.filter(|(_, entry)| self.is_over(&entry.case, now));
         let over: Vec<RequestDigest> = over.map(|(d, _)| *d).collect();
         for digest in over {
-            self.cases.swap_remove(&digest);
+            self.forget(digest);
         }
     }
 
+    /// Returns the requests that were forgotten here and that the service
+    /// has, with the revision of what it has.
+    pub fn take_forgotten(&mut self) -> Vec<(RequestDigest, u64)> {
+        std::mem::take(&mut self.forgotten)
+    }
+
     /// Changes what is known of a request; without a crash that is left, it
     /// is forgotten.
     fn change<T>(
@@ -286,6 +294,7 @@
         result
     }
 
+    /// Forgets what has been quiet for longest if there is no room.
     fn make_room(&mut self) {
         while self.cases.len() >= self.options.cases_most {
             let quiet = self.cases.iter();
@@ -293,7 +302,14 @@
             let Some(digest) = quiet.map(|(digest, _)| *digest) else {
                 return;
             };
-            self.cases.swap_remove(&digest);
+            self.forget(digest);
         }
     }
+
+    fn forget(&mut self, digest: RequestDigest) {
+        let entry = self.cases.swap_remove(&digest);
+        let stored = entry.and_then(|entry| entry.stored);
+        let revision = stored.map(|stored| stored.revision);
+        self.forgotten.extend(revision.map(|at| (digest, at)));
+    }
 }
--- a/crates/quarantine/tests/shared.rs
+++ b/crates/quarantine/tests/shared.rs
@@ -338,3 +338,36 @@
     other.take_news(old);
     assert!(other.is_empty());
 }
+
+/// Guards against requests that crash endpoints again after an outage of the
+/// service in which leases run out.
+#[tokio::test]
+async fn a_request_stays_held_when_leases_run_out() {
+    let mut fleet = Fleet::start(1);
+    for endpoint in 0..3 {
+        fleet.crash(0, endpoint);
+    }
+    while fleet.stored().await == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    fleet.kv.step_ms(3_600_000);
+    fleet.add();
+    fleet.until_all_hold().await;
+}
+
+/// Guards against keys that nobody removes.
+#[tokio::test(start_paused = true)]
+async fn what_has_run_out_is_removed_from_the_service() {
+    let fleet = Fleet::start(3);
+    for endpoint in 0..3 {
+        fleet.crash(0, endpoint);
+    }
+    while fleet.stored().await == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    fleet.pass(QuarantineOptions::default().kept_ms);
+    while fleet.stored().await > 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    fleet.until_all_forget().await;
+}
