Share a crash that came with others once there is more against a request

Symptom: a node counts a crash that the others never hear of, and a request is held by it alone.

Cause: a first crash that came with those of several endpoints is not worth a write and was left out for good, also when others saw the same request crash endpoints later.

Change: a node that learns of a request writes what it knows beyond that. An unknown field of a crash no longer makes it unreadable for an older process.

--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -34,7 +34,6 @@
 
 /// A run of a request that was cut off by the crash of its endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Crash {
     /// The endpoint.
     pub endpoint: CrashedEndpoint,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -305,6 +305,13 @@
         let before = state.cases.standing(digest, self.now());
         state.cases.learn(digest, stored);
         self.log_standing(state, digest, before);
+        // Others go by what is written: a crash that was not worth a write
+        // of its own is, now that there is more.
+        let parts = state.cases.parts(digest);
+        if parts.is_some_and(|(_, unsaved)| !unsaved.crashes().is_empty()) {
+            state.unsaved.insert(digest);
+            self.0.work.notify_one();
+        }
     }
 
     fn log_standing(
--- a/crates/quarantine/tests/shared.rs
+++ b/crates/quarantine/tests/shared.rs
@@ -371,3 +371,26 @@
     }
     fleet.until_all_forget().await;
 }
+
+/// Guards against a crash that only the node counts that has seen it, as it
+/// came with those of other endpoints.
+#[tokio::test]
+async fn a_crash_that_came_with_others_is_shared_once_there_is_more() {
+    let fleet = Fleet::start(2);
+    let ended_at = fleet.clock.unix();
+    for endpoint in 10..16 {
+        let crash = Crash {
+            endpoint: CrashedEndpoint::new(endpoint),
+            began_at: ended_at.saturating_sub_ms(100),
+            ended_at,
+            resumed_after: 0,
+            reached: 0,
+        };
+        fleet.nodes[0].crashed(bad(), crash);
+    }
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(fleet.stored().await, 0);
+    fleet.crash(1, 1);
+    fleet.crash(1, 2);
+    fleet.until_all_hold().await;
+}
