Read and write both digests in hexadecimal by one piece of code

Cause: the digest of a request repeated the conversions of the key digest line by line; some comments of the quarantine used everyday words for what nodes report. Change: one macro for both digests, plain terms.

--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -26,8 +26,40 @@
     Some(bytes)
 }
 
-fn write_hex(bytes: &[u8], f: &mut fmt::Formatter<'_>) -> fmt::Result {
-    bytes.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+/// Writes and reads a digest in hexadecimal digits, also in serde's formats.
+macro_rules! hex_text {
+    ($digest:ident, $error:ident) => {
+        impl FromStr for $digest {
+            type Err = $error;
+
+            fn from_str(text: &str) -> Result<Self, $error> {
+                parse_hex(text).map(Self).ok_or($error)
+            }
+        }
+
+        impl TryFrom<String> for $digest {
+            type Error = $error;
+
+            fn try_from(text: String) -> Result<Self, $error> {
+                text.parse()
+            }
+        }
+
+        impl From<$digest> for String {
+            fn from(digest: $digest) -> String {
+                digest.to_string()
+            }
+        }
+
+        impl fmt::Display for $digest {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let mut bytes = self.0.iter();
+                bytes.try_for_each(|byte| write!(f, "{byte:02x}"))
+            }
+        }
+
+        impl std::error::Error for $error {}
+    };
 }
 
 /// Says that a text is no key digest.
@@ -40,8 +72,6 @@
     }
 }
 
-impl std::error::Error for KeyDigestError {}
-
 /// The SHA-256 digest of a bearer key.
 ///
 /// Settings and configuration hold digests only: who reads them, or a log
@@ -84,33 +114,7 @@
     }
 }
 
-impl FromStr for KeyDigest {
-    type Err = KeyDigestError;
-
-    fn from_str(text: &str) -> Result<Self, KeyDigestError> {
-        parse_hex(text).map(Self).ok_or(KeyDigestError)
-    }
-}
-
-impl TryFrom<String> for KeyDigest {
-    type Error = KeyDigestError;
-
-    fn try_from(text: String) -> Result<Self, KeyDigestError> {
-        text.parse()
-    }
-}
-
-impl From<KeyDigest> for String {
-    fn from(digest: KeyDigest) -> String {
-        digest.to_string()
-    }
-}
-
-impl fmt::Display for KeyDigest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write_hex(&self.0, f)
-    }
-}
+hex_text!(KeyDigest, KeyDigestError);
 
 /// What makes two requests the same for an endpoint: who asks for what.
 ///
@@ -194,38 +198,10 @@
     }
 }
 
-impl FromStr for RequestDigest {
-    type Err = RequestDigestError;
-
-    fn from_str(text: &str) -> Result<Self, RequestDigestError> {
-        parse_hex(text).map(Self).ok_or(RequestDigestError)
-    }
-}
-
-impl TryFrom<String> for RequestDigest {
-    type Error = RequestDigestError;
-
-    fn try_from(text: String) -> Result<Self, RequestDigestError> {
-        text.parse()
-    }
-}
-
-impl From<RequestDigest> for String {
-    fn from(digest: RequestDigest) -> String {
-        digest.to_string()
-    }
-}
-
-impl fmt::Display for RequestDigest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write_hex(&self.0, f)
-    }
-}
+hex_text!(RequestDigest, RequestDigestError);
 
 impl fmt::Display for RequestDigestError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("a digest of a request has 32 hex digits")
     }
 }
-
-impl std::error::Error for RequestDigestError {}
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -20,8 +20,8 @@
 
 /// One run of a request at an endpoint, as far as its sender sees it.
 ///
-/// A run that the sender gives up itself ends without a word to the
-/// observer: it says nothing about the endpoint.
+/// A run that the sender gives up itself is not reported to the observer,
+/// since it says nothing about the endpoint.
 pub struct Run {
     request: Arc<Inbound>,
     endpoint: Endpoint,
--- a/crates/quarantine/src/quarantine/news.rs
+++ b/crates/quarantine/src/quarantine/news.rs
@@ -9,18 +9,18 @@
 use super::{Quarantine, State};
 use crate::{Case, Standing, StoredCase};
 
-/// Requests that one message tells of.
+/// Requests that one message names.
 const NEWS_MOST: usize = 64;
 
 /// Requests that were cleared lately and are remembered.
 const CLEARED_MOST: usize = 64;
 
-/// How long after a change others are told of it, in milliseconds: longer
-/// than it takes to reach all processes by way of their neighbours. Who
-/// missed it learns it with the next crash that it sees.
+/// How long a change is passed on, in milliseconds: longer than it takes to
+/// reach all processes by way of their neighbours. A process that missed it
+/// learns it with the next crash that it sees.
 const NEWS_MS: u64 = 30_000;
 
-/// What one process tells another of a request.
+/// What one process reports of a request to another.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CaseNews {
     digest: RequestDigest,
@@ -34,9 +34,9 @@
 /// A request that was cleared.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ClearedCase {
-    /// Revision at which the service heard of it.
+    /// Revision of the write that cleared it.
     revision: u64,
-    /// When this process heard of it.
+    /// When this process learned it.
     at: UnixMillis,
 }
 
@@ -82,7 +82,7 @@
         held.chain(cleared).take(NEWS_MOST).collect()
     }
 
-    /// Takes in what another process told.
+    /// Takes in what another process has reported.
     pub fn take_news(&self, news: Vec<CaseNews>) {
         if news.is_empty() {
             return;
--- a/crates/quarantine/src/quarantine/write.rs
+++ b/crates/quarantine/src/quarantine/write.rs
@@ -34,7 +34,7 @@
 /// Time between two looks for cases that have run out, in milliseconds.
 const EXPIRE_MS: u64 = 10_000;
 
-/// Something that the key-value service has to hear of.
+/// A change that the key-value service does not have yet.
 #[derive(Clone, Debug)]
 enum Work {
     Save(RequestDigest),
