Let the items of a job share the evidence that they crash endpoints

Cause: each item counted as a request of its own. Change: evidence on an item counts for its job and for its path as well; a whole answer to any of them clears these. Dates of other nodes are bounded by the time at which they are learned, and a process dates by its start and the steady clock. Measured: the two new tests of the node fail on the code before (6 late sends) and pass; the new tests of the table fail to compile there, as the bound needs the time of learning.

--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -187,17 +187,46 @@
             body,
         } = content;
         let mut digest = Sha256::new();
-        for part in [customer, method, host, target] {
-            digest.update((part.len() as u64).to_le_bytes());
-            digest.update(part);
-        }
+        digest_parts(&mut digest, &[customer, method, host, target]);
         digest.update(body);
+        Self::shortened(digest)
+    }
+
+    /// Digests what several requests have in common, such as their job.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_base::RequestDigest;
+    ///
+    /// let job = RequestDigest::of_group("job", &["alama", "job-1"]);
+    /// assert_ne!(job, RequestDigest::of_group("job", &["alama", "job-2"]));
+    /// assert_ne!(job, RequestDigest::of_group("path", &["alama", "job-1"]));
+    /// ```
+    pub fn of_group(kind: &str, parts: &[&str]) -> Self {
+        let mut digest = Sha256::new();
+        // No request has so many parts, nor one of this length.
+        digest.update(u64::MAX.to_le_bytes());
+        digest_parts(&mut digest, &[kind]);
+        digest_parts(&mut digest, parts);
+        Self::shortened(digest)
+    }
+
+    fn shortened(digest: Sha256) -> Self {
         let mut bytes = [0; REQUEST_DIGEST_BYTES];
         bytes.copy_from_slice(&digest.finalize()[..REQUEST_DIGEST_BYTES]);
         Self(bytes)
     }
 }
 
+/// Adds texts so that none can pass for a part of its neighbour.
+fn digest_parts(digest: &mut Sha256, parts: &[&str]) {
+    for part in parts {
+        digest.update((part.len() as u64).to_le_bytes());
+        digest.update(part);
+    }
+}
+
 hex_text!(RequestDigest, RequestDigestError);
 
 impl fmt::Display for RequestDigestError {
--- a/crates/entry/src/batch/owner/crashes.rs
+++ b/crates/entry/src/batch/owner/crashes.rs
@@ -71,7 +71,7 @@
                     return;
                 };
                 drop(ledger);
-                let ended_at = self.timer.clock().unix();
+                let ended_at = self.quarantine.now();
                 // A result does not say how long the run lasted.
                 let crash = Crash {
                     endpoint: CrashedEndpoint::named(vm.as_str()),
--- a/crates/entry/src/fleet/flight.rs
+++ b/crates/entry/src/fleet/flight.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::{Millis, RequestDigest, UnixMillis};
+use base::{Millis, RequestDigest};
 use quarantine::{Crash, CrashedEndpoint, Quarantine};
 use router::{EndpointKey, Failure, Refused, Report};
 use wire::message::{Load, RefusalKind};
@@ -22,7 +22,7 @@
 struct Call {
     quarantine: Quarantine,
     digest: RequestDigest,
-    began_at: UnixMillis,
+    began: Millis,
     resumed_after: u64,
     reached: u64,
 }
@@ -62,7 +62,7 @@
         self.call = Some(Box::new(Call {
             quarantine: quarantine.clone(),
             digest,
-            began_at: self.fleet.timer.clock().unix(),
+            began: self.fleet.timer.now(),
             resumed_after,
             reached: resumed_after,
         }));
@@ -90,10 +90,12 @@
         let name = self.target.name.as_str();
         log::warn!(endpoint = name, digest:% = call.digest;
             "an endpoint crashed while it ran a request");
+        let ended_at = call.quarantine.now();
+        let ran_ms = self.fleet.timer.now().saturating_ms_since(call.began);
         let crash = Crash {
             endpoint: CrashedEndpoint::named(name),
-            began_at: call.began_at,
-            ended_at: self.fleet.timer.clock().unix(),
+            began_at: ended_at.saturating_sub_ms(ran_ms),
+            ended_at,
             resumed_after: call.resumed_after,
             reached: call.reached,
         };
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -12,7 +12,7 @@
 use pass::{EventSplitter, Exchange, Failure, Forwarder, Inbound};
 use tokio::time;
 
-use crate::record::{ItemInput, ItemProgress};
+use crate::record::{ItemInput, ItemProgress, JobKey};
 
 /// What a run has produced so far; it outlives the run, so that the item
 /// goes on elsewhere after its last event.
@@ -113,6 +113,8 @@
     pub host: String,
     /// The job's route.
     pub route: Arc<Route>,
+    /// The job that it belongs to.
+    pub job: JobKey,
     /// Whose item it is.
     pub customer: Option<Customer>,
     /// The endpoint.
@@ -174,6 +176,7 @@
             Instant::now(),
             Admitted::item(self.customer.clone()),
         );
+        let inbound = inbound.with_job(self.job.as_str());
         Some(inbound.with_wait_ms(RUN_MOST_MS))
     }
 
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -300,6 +300,7 @@
         let item = &mut job.items[number as usize];
         let run = ItemRun {
             input: inputs[number as usize].clone(),
+            job: key.clone(),
             host: job.stored.head.host.clone(),
             customer: job.stored.head.customer.clone(),
             route: route.clone(),
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
-use base::{Clock, Millis, RequestDigest, UnixMillis};
+use base::{Millis, UnixMillis};
 use fleet::{Endpoint, LifeKey};
 use indexmap::IndexMap;
 use pass::{Counters, Run, RunObserver};
-use quarantine::{Crash, CrashedEndpoint, Quarantine, has_crashed};
+use quarantine::{
+    Crash, CrashedEndpoint, EvidenceKeys, Quarantine, has_crashed,
+};
 use tokio::sync::mpsc;
 
 use crate::ClusterState;
@@ -26,9 +28,9 @@
 /// A run whose connection broke before its answer was whole.
 #[derive(Clone, Debug)]
 pub(crate) struct CutOffRun {
-    digest: RequestDigest,
+    keys: EvidenceKeys,
     endpoint: Endpoint,
-    began_at: UnixMillis,
+    ran_ms: u64,
     ended_at: UnixMillis,
     resumed_after: u64,
     reached: u64,
@@ -38,23 +40,22 @@
 pub(crate) struct RunNotifier {
     sender: mpsc::Sender<CutOffRun>,
     quarantine: Quarantine,
-    clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
 }
 
 impl RunObserver for RunNotifier {
     fn answered(&self, run: &Run) {
         self.quarantine
-            .answered(|| run.digest(), run.resumed_after());
+            .answered(|| run.evidence_keys(), run.resumed_after());
     }
 
     fn cut_off(&self, run: &Run) {
         Counters::add(&self.counters.runs_cut_off);
         let cut_off = CutOffRun {
-            digest: run.digest(),
+            keys: run.evidence_keys(),
             endpoint: run.endpoint().clone(),
-            began_at: run.began_at(),
-            ended_at: self.clock.unix(),
+            ran_ms: run.elapsed().as_millis() as u64,
+            ended_at: self.quarantine.now(),
             resumed_after: run.resumed_after(),
             reached: run.reached(),
         };
@@ -104,7 +105,6 @@
         let notifier = RunNotifier {
             sender,
             quarantine: quarantine.clone(),
-            clock: cluster.clock().clone(),
             counters: counters.clone(),
         };
         let detector = Self {
@@ -190,9 +190,9 @@
     fn note(&self, runs: &[CutOffRun]) {
         for run in runs {
             log::info!(
-                digest:% = run.digest,
+                digest:% = run.keys.request(),
                 endpoint = run.endpoint.record().id.as_str(),
-                ran_ms = run.ended_at.saturating_ms_since(run.began_at),
+                ran_ms = run.ran_ms,
                 resumed_after = run.resumed_after,
                 reached = run.reached;
                 "a request ran at an endpoint that crashed"
@@ -200,12 +200,12 @@
             let life = run.endpoint.life().as_u64();
             let crash = Crash {
                 endpoint: CrashedEndpoint::new(life),
-                began_at: run.began_at,
+                began_at: run.ended_at.saturating_sub_ms(run.ran_ms),
                 ended_at: run.ended_at,
                 resumed_after: run.resumed_after,
                 reached: run.reached,
             };
-            self.quarantine.crashed(run.digest, crash);
+            self.quarantine.crashed(run.keys.clone(), crash);
         }
     }
 
--- a/crates/node/tests/quarantine.rs
+++ b/crates/node/tests/quarantine.rs
@@ -114,6 +114,66 @@
     assert!(page.contains("item-2 complete"), "{page}");
 }
 
+/// Guards against a job, or later ones that ask for the same path, of whose
+/// items each has a content of its own and crashes three endpoints.
+#[parameterized(
+    one_job = { 1, 6 },
+    later_jobs = { 3, 2 },
+)]
+#[test_macro(tokio::test)]
+async fn items_that_crash_endpoints_are_held_together(
+    jobs: usize,
+    items: usize,
+) {
+    let (kv, fleet) = fleet(5, 1).await;
+    let _worker = start(&kv, "worker-1", true).await;
+    let front = fleet.fronts[0].front;
+    let sender = tokio::spawn(async move {
+        for job in 0..jobs {
+            let bodies: Vec<String> = (0..items)
+                .map(|item| format!("crash 0 {job} {item}"))
+                .collect();
+            let body = serde_json::to_string(&bodies).expect("json");
+            let id = format!("job-{job}");
+            let sent = call(front, "POST", "/batch/1", &id, &body).await;
+            assert_eq!(sent.0, 202);
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+    spread(&fleet.engines).await;
+    let before = fleet.engines.runs_of("item-");
+    sleep(REPEATED).await;
+    sender.await.expect("task");
+    let after = fleet.engines.runs_of("item-") - before;
+    assert!(after <= RETRIES_MOST, "sent {after} times more");
+}
+
+/// Guards against sound jobs that wait since the items of another one crash
+/// endpoints.
+#[tokio::test]
+async fn sound_jobs_beside_one_that_crashes_endpoints_are_done() {
+    let (kv, fleet) = fleet(5, 1).await;
+    let _worker = start(&kv, "worker-1", true).await;
+    let front = fleet.fronts[0].front;
+    let bad = r#"["crash 0 1","crash 0 2","crash 0 3","crash 0 4"]"#;
+    let sent = call(front, "POST", "/batch/1", "bad", bad).await;
+    assert_eq!(sent.0, 202);
+    for job in 0..3 {
+        let id = format!("sound-{job}");
+        let body = r#"["30","40","50"]"#;
+        let sent = call(front, "POST", "/batch/1", &id, body).await;
+        assert_eq!(sent.0, 202);
+        sleep(Duration::from_millis(500)).await;
+    }
+    for job in 0..3 {
+        let path = format!("/jobs/sound-{job}");
+        call_until(front, "GET", &path, |_, page| {
+            page.matches(" complete ").count() == 3
+        })
+        .await;
+    }
+}
+
 /// Tries of a caller whose request was cut off or refused.
 const TRIES: usize = 4;
 
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -102,7 +102,6 @@
             offer.request.clone(),
             endpoint.clone(),
             offer.resume_after,
-            self.clock,
             self.runs.clone(),
         );
         let begun = Begun(Some(endpoint));
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -408,7 +408,7 @@
 
     /// Lets a request pass unless it is known to crash endpoints.
     async fn clear(&self, request: &Inbound) -> Result<Cleared, Held> {
-        let admitted = self.quarantine.admit(|| request.digest()).await;
+        let admitted = self.quarantine.admit(|| request.evidence_keys()).await;
         admitted.inspect_err(|held| {
             Counters::add(&self.counters.requests_held);
             log::info!(
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -14,6 +14,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use quarantine::EvidenceKeys;
 
 use crate::{HeaderNames, Refusal};
 
@@ -103,6 +104,8 @@
     affinity: u64,
     admitted: Admitted,
     digest: OnceLock<RequestDigest>,
+    /// The job that the request is an item of, if it is one.
+    job: Option<String>,
 }
 
 /// Part of a route's time that a caller has left which has not waited yet,
@@ -161,9 +164,18 @@
             affinity,
             admitted,
             digest: OnceLock::new(),
+            job: None,
         }
     }
 
+    /// Makes the request an item of a job: what speaks against it counts
+    /// for the job as well, and for all items of the same path.
+    #[must_use]
+    pub fn with_job(mut self, job: &str) -> Self {
+        self.job = Some(job.to_owned());
+        self
+    }
+
     /// Replaces the time after which the request ends, counted from its
     /// arrival.
     #[must_use]
@@ -184,18 +196,33 @@
     /// never are.
     pub fn digest(&self) -> RequestDigest {
         *self.digest.get_or_init(|| {
-            let host = self.headers.get(header::HOST);
-            let host = host.and_then(|host| host.to_str().ok());
             RequestDigest::of(RequestContent {
                 customer: self.customer(),
                 method: self.method.as_str(),
-                host: host.unwrap_or_default(),
+                host: self.host(),
                 target: self.target.as_str(),
                 body: &self.body,
             })
         })
     }
 
+    /// Returns under which keys evidence on the request is kept.
+    pub fn evidence_keys(&self) -> EvidenceKeys {
+        let keys = EvidenceKeys::from(self.digest());
+        let Some(job) = &self.job else {
+            return keys;
+        };
+        let customer = self.customer();
+        let path = [customer, self.host(), self.target.as_str()];
+        keys.with_group(RequestDigest::of_group("job", &[customer, job]))
+            .with_group(RequestDigest::of_group("path of items", &path))
+    }
+
+    fn host(&self) -> &str {
+        let host = self.headers.get(header::HOST);
+        host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+    }
+
     /// Returns the name of the customer; empty without one.
     #[inline]
     pub fn customer(&self) -> &str {
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -4,8 +4,9 @@
     time::{Duration, Instant},
 };
 
-use base::{Clock, RequestDigest, UnixMillis};
+use base::RequestDigest;
 use fleet::Endpoint;
+use quarantine::EvidenceKeys;
 
 use crate::Inbound;
 
@@ -25,7 +26,6 @@
 pub struct Run {
     request: Arc<Inbound>,
     endpoint: Endpoint,
-    began_at: UnixMillis,
     began: Instant,
     resumed_after: u64,
     reached: u64,
@@ -38,14 +38,12 @@
         request: Arc<Inbound>,
         endpoint: Endpoint,
         resume_after: Option<u64>,
-        clock: &dyn Clock,
         observer: Arc<dyn RunObserver>,
     ) -> Self {
         let resumed_after = resume_after.unwrap_or(0);
         Self {
             request,
             endpoint,
-            began_at: clock.unix(),
             began: Instant::now(),
             resumed_after,
             reached: resumed_after,
@@ -59,18 +57,17 @@
         self.request.digest()
     }
 
+    /// Returns under which keys evidence on the request is kept.
+    pub fn evidence_keys(&self) -> EvidenceKeys {
+        self.request.evidence_keys()
+    }
+
     /// Returns the endpoint.
     #[inline]
     pub fn endpoint(&self) -> &Endpoint {
         &self.endpoint
     }
 
-    /// Returns when the request was offered.
-    #[inline]
-    pub fn began_at(&self) -> UnixMillis {
-        self.began_at
-    }
-
     /// Returns how long the run has lasted.
     pub fn elapsed(&self) -> Duration {
         self.began.elapsed()
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,6 +19,11 @@
 //! - Crashes of several endpoints at once are hardly a request's doing. They
 //!   are shared with other nodes only if more is known of the request.
 //!
+//! - Items of a job share evidence ([`EvidenceKeys`]): many of them may crash
+//!   endpoints, each with a content of its own.
+//! - Times of day that other nodes report are bounded by the time at which
+//!   the report arrived, as their clocks may be seconds off.
+//!
 //! After three crashes a request is held, and then let through once, on
 //! trial, to correct a mistake: a sound request is answered and cleared. Each
 //! further crash or trial makes the hold longer. [`Quarantine`] does this for
@@ -37,6 +42,7 @@
 
 mod case;
 mod crash;
+mod keys;
 mod options;
 mod probe;
 mod quarantine;
@@ -47,6 +53,7 @@
 pub use crate::{
     case::Case,
     crash::{Crash, CrashedEndpoint},
+    keys::EvidenceKeys,
     options::QuarantineOptions,
     probe::has_crashed,
     quarantine::{CaseNews, Cleared, Held, Quarantine},
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -10,7 +10,7 @@
     },
 };
 
-use base::{Clock, RequestDigest, UnixMillis};
+use base::{Clock, Millis, RequestDigest, UnixMillis};
 use indexmap::{IndexMap, IndexSet};
 use kv::{KeyValue, Kv};
 use tokio::sync::Notify;
@@ -18,7 +18,7 @@
 pub use self::news::CaseNews;
 use self::news::ClearedCase;
 use crate::{
-    CaseTable, Crash, QuarantineOptions, Standing, StoredCase,
+    CaseTable, Crash, EvidenceKeys, QuarantineOptions, Standing, StoredCase,
     recent::RecentCrashes,
     store::{CaseStore, decode},
 };
@@ -52,6 +52,8 @@
     /// Requests in the table, so that most need no look at it.
     known: AtomicUsize,
     clock: Arc<dyn Clock>,
+    /// One moment by both of the clock's scales.
+    started: (Millis, UnixMillis),
     store: Option<CaseStore>,
     work: Notify,
 }
@@ -107,14 +109,16 @@
     /// ```
     /// use std::sync::Arc;
     ///
-    /// use base::SystemClock;
+    /// use base::{RequestDigest, SystemClock};
     /// use pomeloslip_quarantine::{Quarantine, QuarantineOptions};
     ///
     /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
     /// let clock = Arc::new(SystemClock::new());
     /// let quarantine =
     ///     Quarantine::local(clock, QuarantineOptions::default());
-    /// let digest = || unreachable!("nothing has crashed yet");
+    /// let digest = || -> RequestDigest {
+    ///     unreachable!("nothing has crashed yet")
+    /// };
     /// assert!(quarantine.admit(digest).await.is_ok());
     /// # Ok::<(), std::io::Error>(())
     /// # })?;
@@ -129,6 +133,7 @@
         clock: Arc<dyn Clock>,
         options: QuarantineOptions,
     ) -> Self {
+        let started = (clock.now(), clock.unix());
         Self(Arc::new(Inner {
             table: Mutex::new(State {
                 cases: CaseTable::new(options),
@@ -140,6 +145,7 @@
             }),
             known: AtomicUsize::new(0),
             clock,
+            started,
             store,
             work: Notify::new(),
         }))
@@ -160,43 +166,60 @@
     ///
     /// # Errors
     ///
-    /// [`Held`] for a request that has crashed too many endpoints.
-    pub async fn admit(
+    /// [`Held`] for a request that has crashed too many endpoints, or is of
+    /// a group that has.
+    pub async fn admit<K: Into<EvidenceKeys>>(
         &self,
-        digest: impl FnOnce() -> RequestDigest,
+        keys: impl FnOnce() -> K,
     ) -> Result<Cleared, Held> {
         if self.is_empty() {
             return Ok(Cleared(()));
         }
-        let digest = digest();
-        match self.standing(digest) {
-            (Standing::Clear, _) => Ok(Cleared(())),
-            (Standing::Held { for_ms }, crashes) => {
-                Err(Held { crashes, for_ms })
+        let keys = keys().into();
+        let held = keys.all().filter_map(|key| self.held(key));
+        if let Some(held) = held.max_by_key(|held| held.for_ms) {
+            return Err(held);
+        }
+        for key in keys.all() {
+            if self.standing(key).0 == Standing::Due {
+                self.try_again(key).await?;
             }
-            (Standing::Due, crashes) => {
-                if self.begin_trial(digest).await {
-                    log::info!(digest:%, crashes;
-                        "a held request is tried again");
-                    return Ok(Cleared(()));
-                }
-                let for_ms = match self.standing(digest).0 {
-                    Standing::Held { for_ms } => for_ms,
-                    _ => TRIAL_AGAIN_MS,
-                };
-                Err(Held { crashes, for_ms })
+        }
+        Ok(Cleared(()))
+    }
+
+    fn held(&self, key: RequestDigest) -> Option<Held> {
+        match self.standing(key) {
+            (Standing::Held { for_ms }, crashes) => {
+                Some(Held { crashes, for_ms })
             }
+            _ => None,
         }
     }
 
+    async fn try_again(&self, digest: RequestDigest) -> Result<(), Held> {
+        let crashes = self.standing(digest).1;
+        if self.begin_trial(digest).await {
+            log::info!(digest:%, crashes; "a held request is tried again");
+            return Ok(());
+        }
+        let for_ms = match self.standing(digest).0 {
+            Standing::Held { for_ms } => for_ms,
+            _ => TRIAL_AGAIN_MS,
+        };
+        Err(Held { crashes, for_ms })
+    }
+
     /// Takes note that an endpoint has crashed while it ran a request.
-    pub fn crashed(&self, digest: RequestDigest, crash: Crash) {
+    pub fn crashed(&self, keys: impl Into<EvidenceKeys>, crash: Crash) {
         let mut state = self.lock();
-        let before = state.cases.standing(digest, self.now());
-        if state.cases.add_crash(digest, crash) {
-            state.recent.add(crash.endpoint, crash.ended_at);
-            state.unsaved.insert(digest);
-            self.log_standing(&state, digest, before);
+        for key in keys.into().all() {
+            let before = state.cases.standing(key, self.now());
+            if state.cases.add_crash(key, crash) {
+                state.recent.add(crash.endpoint, crash.ended_at);
+                state.unsaved.insert(key);
+                self.log_standing(&state, key, before);
+            }
         }
         self.note_size(&state);
         drop(state);
@@ -205,35 +228,41 @@
 
     /// Takes note of a whole answer to a request. It began after the event
     /// `resumed_after`, 0 for the first one.
-    pub fn answered(
+    pub fn answered<K: Into<EvidenceKeys>>(
         &self,
-        digest: impl FnOnce() -> RequestDigest,
+        keys: impl FnOnce() -> K,
         resumed_after: u64,
     ) {
         if self.is_empty() {
             return;
         }
-        let digest = digest();
+        let keys = keys().into();
         let mut state = self.lock();
-        let (has_changed, stored) =
-            state.cases.answered(digest, resumed_after);
+        let mut has_changed = state.note_answer(keys.request(), resumed_after);
+        for group in keys.groups() {
+            // The places in the answers of two members have nothing in
+            // common.
+            has_changed |= state.note_answer(*group, 0);
+        }
         if !has_changed {
             return;
         }
-        log::info!(digest:%;
-            "a request under which endpoints crashed is answered");
-        if let Some(stored) = stored {
-            let answered = Answered {
-                resumed_after,
-                stored,
-            };
-            state.answered.insert(digest, answered);
-        }
         self.note_size(&state);
         drop(state);
         self.0.work.notify_one();
     }
 
+    /// Returns the time of day by which this process dates crashes.
+    ///
+    /// It goes on from the time of day at the start and does not follow the
+    /// clock when that is set, so that the dates of one process stay in
+    /// order.
+    pub fn now(&self) -> UnixMillis {
+        let (started, at) = self.0.started;
+        let since = self.0.clock.now().saturating_ms_since(started);
+        at.saturating_add_ms(since)
+    }
+
     /// Takes in changes of the key-value service up to a revision; `whole`
     /// says that `changed` are all keys that there are. Keys that are not
     /// below the prefix are passed over.
@@ -302,8 +331,9 @@
         digest: RequestDigest,
         stored: StoredCase,
     ) {
-        let before = state.cases.standing(digest, self.now());
-        state.cases.learn(digest, stored);
+        let now = self.now();
+        let before = state.cases.standing(digest, now);
+        state.cases.learn(digest, stored, now);
         self.log_standing(state, digest, before);
         // Others go by what is written: a crash that was not worth a write
         // of its own is, now that there is more.
@@ -334,10 +364,6 @@
         }
     }
 
-    fn now(&self) -> UnixMillis {
-        self.0.clock.unix()
-    }
-
     fn expire(&self) {
         let mut state = self.lock();
         let now = self.now();
@@ -357,6 +383,30 @@
     }
 }
 
+impl State {
+    /// Takes note of a whole answer; returns whether it refutes anything.
+    fn note_answer(
+        &mut self,
+        digest: RequestDigest,
+        resumed_after: u64,
+    ) -> bool {
+        let (has_changed, stored) = self.cases.answered(digest, resumed_after);
+        if !has_changed {
+            return false;
+        }
+        log::info!(digest:%;
+            "a request under which endpoints crashed is answered");
+        if let Some(stored) = stored {
+            let answered = Answered {
+                resumed_after,
+                stored,
+            };
+            self.answered.insert(digest, answered);
+        }
+        true
+    }
+}
+
 impl fmt::Debug for Quarantine {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Quarantine")
--- a/crates/quarantine/src/quarantine/trial.rs
+++ b/crates/quarantine/src/quarantine/trial.rs
@@ -30,7 +30,8 @@
             match store.put(digest, before, &case).await {
                 Ok(Written::Done(revision)) => {
                     let stored = StoredCase { case, revision };
-                    self.lock().cases.learn(digest, stored);
+                    let now = self.now();
+                    self.lock().cases.learn(digest, stored, now);
                     return true;
                 }
                 Ok(Written::Changed(now, revision)) => {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -6,6 +6,11 @@
 /// Score that lengthens a hold by one step: that of a crash without progress.
 const SCORE_PER_LEVEL: u32 = 2;
 
+/// How much older than its arrival here a report of another node may claim
+/// to be, in milliseconds: the time that reports take to arrive, and some
+/// seconds by which the clocks of two machines differ.
+const OLDER_MOST_MS: u64 = 10_000;
+
 /// Whether a request may be sent to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Standing {
@@ -84,9 +89,24 @@
     unsaved: Case,
     /// As the service has it.
     stored: Option<StoredCase>,
+    /// When this node learned what is newest of it.
+    learned_at: UnixMillis,
 }
 
 impl Entry {
+    /// Returns when something happened that another node has dated.
+    ///
+    /// A clock that is hours ahead would else hold a request for hours, and
+    /// one that is hours behind would have it tried again without a pause.
+    fn bounded(&self, dated: UnixMillis) -> UnixMillis {
+        let earliest = self.learned_at.saturating_sub_ms(OLDER_MOST_MS);
+        dated.clamp(earliest, self.learned_at)
+    }
+
+    fn changed_at(&self) -> UnixMillis {
+        self.bounded(self.case.changed_at())
+    }
+
     fn revision(&self) -> u64 {
         self.stored.as_ref().map_or(0, |stored| stored.revision)
     }
@@ -98,6 +118,11 @@
         }
         self.case = case;
     }
+
+    /// Takes note of a moment at which something new was learned.
+    fn learned(&mut self, now: UnixMillis) {
+        self.learned_at = self.learned_at.max(now);
+    }
 }
 
 impl CaseTable {
@@ -152,9 +177,8 @@
         let (Some(last), Some(surplus)) = (evidence.last(), surplus) else {
             return Standing::Clear;
         };
-        // The clock of another node may be ahead.
         let since = Some(last.ended_at).max(entry.case.tried_at());
-        let since = since.unwrap_or_default().min(now);
+        let since = entry.bounded(since.unwrap_or_default()).min(now);
         let level = entry.case.trials().max(surplus / SCORE_PER_LEVEL);
         let until = since.saturating_add_ms(self.options.hold_ms(level));
         match until.saturating_ms_since(now) {
@@ -182,7 +206,10 @@
     /// Takes note that a request is let through on trial.
     pub fn begin_trial(&mut self, digest: RequestDigest, now: UnixMillis) {
         if self.cases.contains_key(&digest) {
-            self.change(digest, |entry| entry.unsaved.begin_trial(now));
+            self.change(digest, |entry| {
+                entry.unsaved.begin_trial(now);
+                entry.learned(now);
+            });
         }
     }
 
@@ -191,17 +218,33 @@
     pub fn add_crash(&mut self, digest: RequestDigest, crash: Crash) -> bool {
         self.change(digest, |entry| {
             let mut known = entry.case.clone();
-            known.add(crash) && entry.unsaved.add(crash)
+            let is_new = known.add(crash) && entry.unsaved.add(crash);
+            if is_new {
+                entry.learned(crash.ended_at);
+            }
+            is_new
         })
     }
 
     /// Takes a case as the service has it; an older one than is known
     /// changes nothing.
-    pub fn learn(&mut self, digest: RequestDigest, stored: StoredCase) {
+    ///
+    /// What other nodes have dated counts from `now` at the latest, and as
+    /// little older than that as their clocks can explain.
+    pub fn learn(
+        &mut self,
+        digest: RequestDigest,
+        stored: StoredCase,
+        now: UnixMillis,
+    ) {
         self.change(digest, |entry| {
             if stored.revision > entry.revision() {
+                let is_news = entry.case.clone().merge(&stored.case);
                 entry.unsaved = entry.unsaved.without(&stored.case);
                 entry.stored = Some(stored);
+                if is_news {
+                    entry.learned(now);
+                }
             }
         });
     }
@@ -254,16 +297,24 @@
         })
     }
 
-    /// Tells whether a case has been quiet for so long that it is forgotten.
+    /// Tells whether a case that another node reports is not worth learning:
+    /// it has been quiet for so long that it is forgotten, or is dated so
+    /// far ahead that nobody would forget it.
     pub fn is_over(&self, case: &Case, now: UnixMillis) -> bool {
-        let quiet_ms = now.saturating_ms_since(case.changed_at());
+        let changed_at = case.changed_at();
+        let quiet_ms = now.saturating_ms_since(changed_at);
         quiet_ms >= self.options.kept_ms
+            || changed_at.saturating_ms_since(now) > OLDER_MOST_MS
     }
 
     /// Forgets requests that have been quiet for long.
     pub fn expire(&mut self, now: UnixMillis) {
+        let kept_ms = self.options.kept_ms;
+        let is_over = |entry: &Entry| {
+            now.saturating_ms_since(entry.changed_at()) >= kept_ms
+        };
         let cases = self.cases.iter();
-        let over = cases.filter(|(_, entry)| self.is_over(&entry.case, now));
+        let over = cases.filter(|(_, entry)| is_over(entry));
         let over: Vec<RequestDigest> = over.map(|(d, _)| *d).collect();
         for digest in over {
             self.forget(digest);
@@ -298,7 +349,7 @@
     fn make_room(&mut self) {
         while self.cases.len() >= self.options.cases_most {
             let quiet = self.cases.iter();
-            let quiet = quiet.min_by_key(|(_, entry)| entry.case.changed_at());
+            let quiet = quiet.min_by_key(|(_, entry)| entry.changed_at());
             let Some(digest) = quiet.map(|(digest, _)| *digest) else {
                 return;
             };
--- a/crates/quarantine/tests/days.rs
+++ b/crates/quarantine/tests/days.rs
@@ -42,9 +42,17 @@
         contents: [0, 1, 5, 100][random.random_range(0..4)],
         replaced_after_ms: random.random_range(500..=4_000),
         spread_ms: random.random_range(50..=900),
+        clocks_off_ms: 0,
+        node_life_s: 0,
     }
 }
 
+/// How far clocks are off on days on which they are, in milliseconds.
+const CLOCKS_OFF_MS: u64 = 4_000;
+
+/// Mean time between two restarts of a node on such days, in seconds.
+const NODE_LIFE_S: u64 = 20;
+
 /// Guards against requests that reach one endpoint after the other, on any
 /// fleet and at any pace.
 #[test]
@@ -77,3 +85,20 @@
         assert_eq!(day.held, 0, "seed {seed}: {day:?} {plan:?}");
     }
 }
+
+/// Guards against requests that reach one endpoint after the other since the
+/// clocks of the nodes differ by seconds, and by others after each restart.
+#[test]
+fn requests_that_crash_endpoints_are_held_by_clocks_that_differ() {
+    for seed in 0..seeds(60) {
+        let plan = Plan {
+            crashers: 1 + (seed % 3) as usize,
+            clocks_off_ms: CLOCKS_OFF_MS,
+            node_life_s: NODE_LIFE_S,
+            ..plan(seed)
+        };
+        let day = World::new(plan, seed).play(SECONDS);
+        let most = day.late_sends.iter().max().copied().unwrap_or(0);
+        assert!(most <= RETRIES_MOST, "seed {seed}: {day:?} {plan:?}");
+    }
+}
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -206,6 +206,50 @@
     );
 }
 
+/// How far off the clock of a node that was never set may be.
+const HOURS_MS: u64 = 3 * 3_600_000;
+
+/// Learns three crashes of another node whose clock shows `dated_ms`.
+fn learned(dated_ms: u64, now_ms: u64) -> CaseTable {
+    let mut table = table();
+    let crashes =
+        [0, 1_000, 2_000].map(|after| crash(after, dated_ms + after, 100));
+    table.learn(digest("bad"), stored(&crashes, 7), at(now_ms));
+    table
+}
+
+/// Guards against a hold of hours, and a case that never ends, since the
+/// clock of the node that saw the crashes was hours ahead.
+#[test]
+fn a_clock_that_is_hours_ahead_holds_no_request_for_hours() {
+    let options = QuarantineOptions::default();
+    let mut table = learned(HOURS_MS, 5_000);
+    let due_ms = 5_000 + options.first_hold_ms;
+    assert!(is_held(&table, digest("bad"), due_ms - 1));
+    assert_eq!(table.standing(digest("bad"), at(due_ms)), Standing::Due);
+    table.expire(at(5_000 + options.kept_ms));
+    assert!(table.is_empty());
+}
+
+/// Guards against sends without a pause since the clock of the node that
+/// entered a trial was hours behind.
+#[test]
+fn a_clock_that_is_hours_behind_ends_no_hold() {
+    let options = QuarantineOptions::default();
+    let now_ms = 2 * HOURS_MS;
+    let mut table = learned(HOURS_MS, now_ms);
+    let Some((Some(StoredCase { mut case, .. }), _)) =
+        table.parts(digest("bad"))
+    else {
+        panic!("learned");
+    };
+    case.begin_trial(at(HOURS_MS));
+    let stored = StoredCase { case, revision: 8 };
+    table.learn(digest("bad"), stored, at(now_ms));
+    let held_ms = options.hold_ms(1) - 10_000;
+    assert!(is_held(&table, digest("bad"), now_ms + held_ms - 1));
+}
+
 /// Guards against a hold without end by the clock of another node.
 #[test]
 fn a_crash_in_the_future_is_held_against_a_request_from_now_on() {
@@ -265,10 +309,10 @@
     let mut table = table();
     table.add_crash(digest("bad"), crash(1, 1_000, 100));
     let others = [crash(2, 2_000, 100), crash(3, 3_000, 100)];
-    table.learn(digest("bad"), stored(&others, 7));
+    table.learn(digest("bad"), stored(&others, 7), at(3_000));
     assert!(is_held(&table, digest("bad"), 3_100));
     // An older write that arrives late brings nothing back.
-    table.learn(digest("bad"), stored(&others[..1], 6));
+    table.learn(digest("bad"), stored(&others[..1], 6), at(3_100));
     assert!(is_held(&table, digest("bad"), 3_100));
 }
 
@@ -276,12 +320,12 @@
 fn a_case_that_is_gone_from_the_service_leaves_what_was_seen_here() {
     let mut table = table();
     let others = [crash(2, 2_000, 100), crash(3, 3_000, 100)];
-    table.learn(digest("bad"), stored(&others, 7));
+    table.learn(digest("bad"), stored(&others, 7), at(3_000));
     table.add_crash(digest("bad"), crash(4, 4_000, 100));
     assert!(is_held(&table, digest("bad"), 4_100));
     table.forget_stored(digest("bad"), 8);
     assert_eq!(table.crashes(digest("bad")), 1);
-    table.learn(digest("gone"), stored(&others, 9));
+    table.learn(digest("gone"), stored(&others, 9), at(4_100));
     table.retain_stored(10, |kept| *kept == digest("bad"));
     assert!(!table.contains(digest("gone")));
 }
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -41,6 +41,11 @@
     pub(crate) replaced_after_ms: u64,
     /// Longest time until a node hears of a write, in milliseconds.
     pub(crate) spread_ms: u64,
+    /// How far the time of day of a node is off at the most, in
+    /// milliseconds. It is another one after each restart.
+    pub(crate) clocks_off_ms: u64,
+    /// Mean time between two restarts of one node, in seconds; 0 for none.
+    pub(crate) node_life_s: u64,
 }
 
 /// What a day came to.
@@ -98,6 +103,8 @@
     random: StdRng,
     now_ms: u64,
     nodes: Vec<CaseTable>,
+    /// Time of day of each node less the true one.
+    clocks_ms: Vec<i64>,
     news: Vec<News>,
     store: BTreeMap<RequestDigest, StoredCase>,
     revision: u64,
@@ -112,6 +119,11 @@
     day: Day,
 }
 
+fn clock_off(plan: &Plan, random: &mut StdRng) -> i64 {
+    let most = plan.clocks_off_ms as i64;
+    random.random_range(-most..=most)
+}
+
 fn digest(kind: &str, number: u64) -> RequestDigest {
     RequestDigest::of(RequestContent {
         customer: "",
@@ -126,9 +138,12 @@
     pub(crate) fn new(plan: Plan, seed: u64) -> Self {
         let options = QuarantineOptions::default();
         let node = |_| CaseTable::new(options);
+        let mut random = StdRng::seed_from_u64(seed);
+        let clocks = (0..plan.nodes).map(|_| clock_off(&plan, &mut random));
         let mut world = Self {
             plan,
-            random: StdRng::seed_from_u64(seed),
+            clocks_ms: clocks.collect(),
+            random,
             now_ms: 1_000_000,
             nodes: (0..plan.nodes).map(node).collect(),
             news: vec![BTreeMap::new(); plan.nodes],
@@ -160,6 +175,7 @@
         while self.now_ms < until_ms {
             self.now_ms += STEP_MS;
             self.hear();
+            self.restart_nodes();
             self.replace();
             self.kill();
             self.end_runs();
@@ -169,8 +185,31 @@
         self.day
     }
 
-    fn unix(&self) -> UnixMillis {
-        UnixMillis::new(self.now_ms)
+    /// Returns the time of day at a node.
+    fn unix_of(&self, node: usize) -> UnixMillis {
+        UnixMillis::new(
+            self.now_ms.saturating_add_signed(self.clocks_ms[node]),
+        )
+    }
+
+    /// Has nodes forget what they know and read the store anew.
+    fn restart_nodes(&mut self) {
+        if self.plan.node_life_s == 0 {
+            return;
+        }
+        let life_ms = self.plan.node_life_s as f64 * 1_000.0;
+        for node in 0..self.plan.nodes {
+            if !self.random.random_bool(STEP_MS as f64 / life_ms) {
+                continue;
+            }
+            self.clocks_ms[node] = clock_off(&self.plan, &mut self.random);
+            self.news[node].clear();
+            self.nodes[node] = CaseTable::new(QuarantineOptions::default());
+            let now = self.unix_of(node);
+            for (digest, stored) in &self.store {
+                self.nodes[node].learn(*digest, stored.clone(), now);
+            }
+        }
     }
 
     /// Has another sound request begin.
@@ -260,7 +299,7 @@
 
     /// Asks the node, and enters a trial in the store if it is due.
     fn may_send(&mut self, node: usize, request: &Request) -> bool {
-        let now = self.unix();
+        let now = self.unix_of(node);
         match self.nodes[node].standing(request.digest, now) {
             Standing::Clear => true,
             Standing::Held { .. } => false,
@@ -389,8 +428,8 @@
         };
         let crash = Crash {
             endpoint: CrashedEndpoint::new(run.endpoint),
-            began_at: UnixMillis::new(run.began_ms),
-            ended_at: self.unix(),
+            began_at: self.unix_of(run.node).saturating_sub_ms(ran_ms),
+            ended_at: self.unix_of(run.node),
             resumed_after: run.resumed_after,
             reached: run.resumed_after + progress_ms,
         };
@@ -436,13 +475,16 @@
 
     fn hear(&mut self) {
         let now_ms = self.now_ms;
-        for (node, news) in self.nodes.iter_mut().zip(&mut self.news) {
+        for number in 0..self.nodes.len() {
+            let now = self.unix_of(number);
+            let (node, news) =
+                (&mut self.nodes[number], &mut self.news[number]);
             while let Some(first) = news.first_entry()
                 && first.key().0 <= now_ms
             {
                 let ((_, revision), (digest, stored)) = first.remove_entry();
                 match stored {
-                    Some(stored) => node.learn(digest, stored),
+                    Some(stored) => node.learn(digest, stored, now),
                     None => node.forget_stored(digest, revision),
                 }
             }
