Send the writes of a fleet that can wait in shared calls

Cause: each worker makes calls of its own for results and progress, two small rows each. Change: one worker of 128 collects writes that can wait a quarter of a second (results, progress, moves, removals) and sends them as one transaction. What is urgent, and everything while that worker does not answer, goes directly. A write that was overtaken fails alone; a lost answer is open for all in the call.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -6,7 +6,7 @@
 use error_stack::{Report, ResultExt};
 use fleet::BatchTerms;
 use kv::{
-    Compare, GetReply, Kv, KvError, Op, Txn, TxnReply,
+    Compare, GetReply, Kv, KvError, Op, Patient, Txn, TxnReply,
     ops::{Outcome, Verdict, Writer},
 };
 
@@ -57,6 +57,8 @@
 #[derive(Clone)]
 pub struct Ledger {
     kv: Arc<dyn Kv>,
+    /// The same for writes that nobody waits for.
+    patient: Arc<dyn Kv>,
     writer: Writer,
     value_bytes: usize,
     cache: Arc<BulkCache>,
@@ -67,6 +69,11 @@
 /// milliseconds. Callers of jobs wait about four seconds.
 const WRITE_GIVE_UP_MS: u64 = 2_500;
 
+/// How long results and the like may wait to share a call with the writes of
+/// other nodes, in milliseconds: a third of the time between two commits of
+/// a job, so that a result is read within a second of its end.
+const PATIENCE_MS: u64 = 250;
+
 /// How a write is known to have taken effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Proof {
@@ -91,6 +98,7 @@
     /// Keeps jobs in `kv`, whose values hold `value_bytes`.
     pub fn new(kv: Arc<dyn Kv>, timer: Timer, value_bytes: usize) -> Self {
         Self {
+            patient: Arc::new(Patient::new(kv.clone(), PATIENCE_MS)),
             kv,
             writer: Writer::new(timer, WRITE_GIVE_UP_MS),
             value_bytes,
@@ -152,7 +160,7 @@
         let txn = guarded(head_key(&job.key), 0, success);
         let new = head.clone();
         let outcome = self
-            .commit(&job.key, txn, move |reply| Stored {
+            .commit(&self.kv, &job.key, txn, move |reply| Stored {
                 head: new.clone(),
                 revision: reply.revision,
             })
@@ -225,7 +233,7 @@
             head.ended = true;
             let row = put(head_key(job), encode_head(&head)?);
             let txn = guarded(head_key(job), revision, vec![row]);
-            let outcome = self.commit(job, txn, |_| ()).await?;
+            let outcome = self.commit(&self.kv, job, txn, |_| ()).await?;
             if let Outcome::Done(_) = outcome {
                 return Ok(());
             }
@@ -267,7 +275,7 @@
         let txn = guarded(head_key(job), before.revision, rows);
         let new = head.clone();
         let outcome = self
-            .commit(job, txn, move |reply| Stored {
+            .commit(&self.patient, job, txn, move |reply| Stored {
                 head: new.clone(),
                 revision: reply.revision,
             })
@@ -299,7 +307,7 @@
         let row = put(head_key(job), encode_head(&head)?);
         let txn = guarded(head_key(job), before.revision, vec![row]);
         let outcome = self
-            .commit(job, txn, move |reply| Stored {
+            .commit(&self.patient, job, txn, move |reply| Stored {
                 head: head.clone(),
                 revision: reply.revision,
             })
@@ -346,7 +354,7 @@
     ) -> Result<(), Report<JobError>> {
         let rows = keys.iter().map(|key| Op::Delete { key: key.clone() });
         let txn = guarded(head_key(job), stored.revision, rows.collect());
-        let reply = self.kv.txn(txn).await;
+        let reply = self.patient.txn(txn).await;
         match reply.change_context(JobError::NotDone)?.succeeded {
             true => Ok(()),
             false => Err(Report::new(JobError::NotDone)),
@@ -388,6 +396,7 @@
     /// written, by this node or by another that wanted the same.
     async fn commit<T: Send + 'static>(
         &self,
+        kv: &Arc<dyn Kv>,
         job: &JobKey,
         txn: Txn,
         answered: impl Fn(&TxnReply) -> T + Send + Clone,
@@ -416,7 +425,7 @@
         let random = spread_pauses(job);
         let outcome = self
             .writer
-            .commit(&*self.kv, txn, read_back, answered, decide, random)
+            .commit(&**kv, txn, read_back, answered, decide, random)
             .await;
         outcome.map_err(|report| {
             let error = match report.current_context() {
--- a/crates/jobs/src/ledger/values.rs
+++ b/crates/jobs/src/ledger/values.rs
@@ -139,7 +139,7 @@
             success,
             ..Txn::default()
         };
-        let written = self.kv.txn(txn).await;
+        let written = self.patient.txn(txn).await;
         written.change_context(JobError::NotDone)?;
         Ok(())
     }
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -13,6 +13,7 @@
 //! operation ids.
 
 mod backoff;
+pub mod batch;
 mod etcd;
 pub mod json;
 pub mod lease;
@@ -28,6 +29,6 @@
     memory::{Memory, MemoryCounts, WriteFault},
     model::{
         Compare, Event, GetReply, KeyValue, Kv, KvError, KvFuture, LeaseId,
-        Op, OpReply, Txn, TxnReply, WatchBatch, Watcher,
+        Op, OpReply, Patient, Txn, TxnReply, WatchBatch, Watcher,
     },
 };
--- a/crates/kv/src/model.rs
+++ b/crates/kv/src/model.rs
@@ -1,4 +1,4 @@
-use std::{fmt, future::Future, pin::Pin};
+use std::{fmt, future::Future, pin::Pin, sync::Arc};
 
 use error_stack::Report;
 
@@ -200,6 +200,21 @@
     /// [`KvError::Unknown`] if it may have taken effect.
     fn txn(&self, txn: Txn) -> KvFuture<'_, TxnReply>;
 
+    /// Runs a transaction that may wait so long for those of other writers,
+    /// to share a call with them. Where nothing collects them it runs at
+    /// once.
+    ///
+    /// # Errors
+    ///
+    /// As [`txn`](Self::txn).
+    fn txn_within(
+        &self,
+        txn: Txn,
+        _patience_ms: u64,
+    ) -> KvFuture<'_, TxnReply> {
+        self.txn(txn)
+    }
+
     /// Grants a lease that ends `ttl_s` seconds after its last renewal.
     fn lease_grant(&self, ttl_s: u32) -> KvFuture<'_, LeaseId>;
 
@@ -220,3 +235,65 @@
         from_revision: u64,
     ) -> KvFuture<'_, Box<dyn Watcher>>;
 }
+
+/// A service whose transactions may all wait for those of other writers.
+///
+/// # Example
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use pomeloslip_kv::{Kv, Memory, Patient, Txn};
+///
+/// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+/// let kv = Patient::new(Arc::new(Memory::default()), 250);
+/// assert!(kv.txn(Txn::default()).await.is_ok());
+/// # });
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Clone)]
+pub struct Patient {
+    kv: Arc<dyn Kv>,
+    patience_ms: u64,
+}
+
+impl Patient {
+    /// Lets the transactions of a service wait for `patience_ms` each.
+    pub fn new(kv: Arc<dyn Kv>, patience_ms: u64) -> Self {
+        Self { kv, patience_ms }
+    }
+}
+
+impl Kv for Patient {
+    fn get(&self, key: &str) -> KvFuture<'_, GetReply> {
+        self.kv.get(key)
+    }
+
+    fn get_prefix(&self, prefix: &str, limit: u32) -> KvFuture<'_, GetReply> {
+        self.kv.get_prefix(prefix, limit)
+    }
+
+    fn txn(&self, txn: Txn) -> KvFuture<'_, TxnReply> {
+        self.kv.txn_within(txn, self.patience_ms)
+    }
+
+    fn lease_grant(&self, ttl_s: u32) -> KvFuture<'_, LeaseId> {
+        self.kv.lease_grant(ttl_s)
+    }
+
+    fn lease_keep_alive(&self, lease: LeaseId) -> KvFuture<'_, ()> {
+        self.kv.lease_keep_alive(lease)
+    }
+
+    fn lease_revoke(&self, lease: LeaseId) -> KvFuture<'_, ()> {
+        self.kv.lease_revoke(lease)
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        from_revision: u64,
+    ) -> KvFuture<'_, Box<dyn Watcher>> {
+        self.kv.watch(prefix, from_revision)
+    }
+}
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -7,7 +7,11 @@
 use error_stack::{Report, ResultExt};
 use fleet::Selection;
 use jobs::{BulkCache, JobView, Ledger, NodeRecord, Plans};
-use kv::{Kv, paths::Paths};
+use kv::{
+    Kv,
+    batch::{BatchLimits, GroupCommit},
+    paths::Paths,
+};
 use pass::{Counters, Forwarder, ForwarderOptions, Pool};
 use quarantine::{Quarantine, QuarantineOptions};
 use tokio::{
@@ -17,6 +21,7 @@
 
 use crate::{
     Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
+    commits::SharedCommits,
     crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
     job_spool::JobSpool,
     load::{self, LoadSocket},
@@ -100,8 +105,18 @@
         let cache: Arc<BulkCache> = Arc::default();
         let siblings =
             PeerBulk::new(&settings.node, view.clone(), clock.clone());
-        let ledger = Ledger::new(
+        let group =
+            GroupCommit::start(outside.kv.clone(), BatchLimits::default());
+        let commits = SharedCommits::new(
             outside.kv.clone(),
+            group.clone(),
+            &settings.node,
+            view.clone(),
+            clock.clone(),
+            outside.counters.clone(),
+        );
+        let ledger = Ledger::new(
+            Arc::new(commits),
             outside.timer.clone(),
             settings.value_bytes,
         );
@@ -119,6 +134,7 @@
             feeds,
             cache,
             spool,
+            group,
             clock.clone(),
             outside.counters.clone(),
         )?;
--- /dev/null
+++ b/crates/node/src/commit_wire.rs
@@ -0,0 +1,161 @@
+//! Writes as nodes send them to each other: a table in JSON, then the
+//! values one after the other.
+
+use bytes::Bytes;
+use error_stack::Report;
+use kv::{Compare, KvError, Op, OpReply, Txn, TxnReply, batch::TxnResult};
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+struct WireTxn {
+    /// Keys with the revisions that they are to have.
+    compares: Vec<(String, u64)>,
+    steps: Vec<WireStep>,
+}
+
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum WireStep {
+    /// Writes as many of the bytes that follow to a key.
+    Put(String, usize),
+    Delete(String),
+}
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum WireOutcome {
+    /// It is done, at this revision.
+    Done(u64),
+    /// It compares with what has changed.
+    Overtaken(u64),
+    /// It has no effect.
+    NotDone,
+    /// It may have taken effect.
+    Unknown,
+    /// The service rejects it.
+    Invalid,
+}
+
+/// Length of the table, before it.
+const LENGTH_BYTES: usize = 4;
+
+/// Encodes a write; none for one that hangs on more than revisions.
+pub(crate) fn encode(txn: &Txn) -> Option<Bytes> {
+    let compares = txn.compares.iter().map(|compare| match compare {
+        Compare::ModRevision { key, equals } => Some((key.clone(), *equals)),
+        Compare::CreateRevision { .. } => None,
+    });
+    let steps = txn.success.iter().map(|op| match op {
+        Op::Put {
+            key,
+            value,
+            lease: None,
+        } => Some(WireStep::Put(key.clone(), value.len())),
+        Op::Delete { key } => Some(WireStep::Delete(key.clone())),
+        _ => None,
+    });
+    let wire = WireTxn {
+        compares: compares.collect::<Option<_>>()?,
+        steps: steps.collect::<Option<_>>()?,
+    };
+    let table = serde_json::to_vec(&wire).ok()?;
+    let length = u32::try_from(table.len()).ok()?;
+    let mut bytes = length.to_le_bytes().to_vec();
+    bytes.extend(table);
+    for op in &txn.success {
+        if let Op::Put { value, .. } = op {
+            bytes.extend_from_slice(value);
+        }
+    }
+    Some(Bytes::from(bytes))
+}
+
+/// Decodes what [`encode`] made; none of anything else.
+pub(crate) fn decode(bytes: &[u8]) -> Option<Txn> {
+    let (length, rest) = bytes.split_at_checked(LENGTH_BYTES)?;
+    let length = u32::from_le_bytes(length.try_into().ok()?);
+    let (table, mut rest) = rest.split_at_checked(length as usize)?;
+    let wire: WireTxn = serde_json::from_slice(table).ok()?;
+    let compares = wire.compares.into_iter();
+    let compares =
+        compares.map(|(key, equals)| Compare::ModRevision { key, equals });
+    let mut success = Vec::with_capacity(wire.steps.len());
+    for step in wire.steps {
+        success.push(match step {
+            WireStep::Put(key, length) => {
+                let (value, after) = rest.split_at_checked(length)?;
+                rest = after;
+                Op::Put {
+                    key,
+                    value: value.to_vec(),
+                    lease: None,
+                }
+            }
+            WireStep::Delete(key) => Op::Delete { key },
+        });
+    }
+    rest.is_empty().then(|| Txn {
+        compares: compares.collect(),
+        success,
+        failure: Vec::new(),
+    })
+}
+
+pub(crate) fn encode_outcome(outcome: &WireOutcome) -> Bytes {
+    // Numbers always encode.
+    Bytes::from(serde_json::to_vec(outcome).unwrap_or_default())
+}
+
+/// Decodes an outcome; one that cannot be read leaves it open.
+pub(crate) fn decode_outcome(bytes: &[u8]) -> WireOutcome {
+    serde_json::from_slice(bytes).unwrap_or_else(|error| {
+        log::warn!(error:%; "the outcome of a write cannot be read");
+        WireOutcome::Unknown
+    })
+}
+
+impl WireOutcome {
+    pub(crate) fn of(result: &TxnResult) -> Self {
+        match result {
+            Ok(reply) if reply.succeeded => Self::Done(reply.revision),
+            Ok(reply) => Self::Overtaken(reply.revision),
+            Err(report) => match report.current_context() {
+                KvError::NotDone => Self::NotDone,
+                KvError::Invalid | KvError::LeaseGone => Self::Invalid,
+                KvError::Unknown | KvError::Compacted => Self::Unknown,
+            },
+        }
+    }
+
+    /// Returns what the service would have answered.
+    pub(crate) fn into_result(self, txn: &Txn) -> TxnResult {
+        let reply = |succeeded, revision| TxnReply {
+            succeeded,
+            revision,
+            replies: match succeeded {
+                true => txn.success.iter().map(reply_to).collect(),
+                false => Vec::new(),
+            },
+        };
+        match self {
+            Self::Done(revision) => Ok(reply(true, revision)),
+            Self::Overtaken(revision) => Ok(reply(false, revision)),
+            Self::NotDone => Err(Report::new(KvError::NotDone)),
+            Self::Unknown => Err(Report::new(KvError::Unknown)),
+            Self::Invalid => Err(Report::new(KvError::Invalid)),
+        }
+    }
+}
+
+fn reply_to(op: &Op) -> OpReply {
+    match op {
+        Op::Delete { .. } => OpReply::Deleted(1),
+        _ => OpReply::Put,
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/commit_wire.rs"]
+mod tests;
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use jobs::BulkCache;
-use kv::{KeyValue, LeaseId};
+use kv::{KeyValue, LeaseId, batch::GroupCommit};
 use pass::{
     AnswerBody, Counters, Handler, HandlerFuture, Pool, Relay, read_body,
 };
@@ -19,6 +19,7 @@
 use tokio::time;
 
 use crate::{
+    commits::{self, COMMIT_PATH},
     feed::{Delta, Feed},
     follow::Pace,
     job_spool::{JobSpool, SPOOL_PATH},
@@ -273,6 +274,8 @@
     pub(crate) cache: Arc<BulkCache>,
     /// Where this node keeps jobs for fronts, if it has a disk.
     pub(crate) spool: Option<Arc<JobSpool>>,
+    /// Collects writes of other nodes.
+    pub(crate) group: GroupCommit,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -282,6 +285,9 @@
         if uri.path().starts_with(SPOOL_PATH) {
             return Box::pin(keep_job(self.spool.clone(), request));
         }
+        if uri.path().starts_with(COMMIT_PATH) {
+            return Box::pin(commits::take(self.group.clone(), request));
+        }
         if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
             let response = siblings::answer(&self.cache, key);
             return Box::pin(std::future::ready(response));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,8 @@
 mod admin;
 mod base;
 mod cluster;
+mod commit_wire;
+mod commits;
 mod crash;
 mod dialect;
 mod error;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -6,7 +6,7 @@
 use fleet::{Endpoint, EndpointRecord, EndpointState};
 use http::{HeaderValue, Request, header};
 use jobs::{BulkCache, JobView, NodeRecord, Roster};
-use kv::paths::Paths;
+use kv::{batch::GroupCommit, paths::Paths};
 use pass::{Counters, Listener, ListenerOptions, Relay, Stopping};
 use tokio::{sync::watch, time};
 
@@ -60,6 +60,7 @@
     feeds: Arc<Vec<Arc<Feed>>>,
     cache: Arc<BulkCache>,
     spool: Option<Arc<JobSpool>>,
+    group: GroupCommit,
     clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
 ) -> Result<(), Report<NodeError>> {
@@ -74,6 +75,7 @@
         counters,
         cache,
         spool,
+        group,
         clock,
     });
     tokio::spawn(async move {
--- /dev/null
+++ b/crates/node/tests/unit/commit_wire.rs
@@ -0,0 +1,79 @@
+//! Writes between nodes, whole and malformed.
+
+use kv::{Compare, LeaseId, Op, Txn};
+
+use super::{WireOutcome, decode, decode_outcome, encode, encode_outcome};
+
+fn txn() -> Txn {
+    Txn {
+        compares: vec![Compare::ModRevision {
+            key: "a".to_owned(),
+            equals: 7,
+        }],
+        success: vec![
+            Op::Put {
+                key: "a".to_owned(),
+                value: vec![0, 255, 10],
+                lease: None,
+            },
+            Op::Delete {
+                key: "b".to_owned(),
+            },
+            Op::Put {
+                key: "c".to_owned(),
+                value: vec![],
+                lease: None,
+            },
+        ],
+        failure: vec![],
+    }
+}
+
+#[test]
+fn a_write_arrives_as_it_was_sent() {
+    let bytes = encode(&txn()).expect("encoded");
+    assert_eq!(decode(&bytes), Some(txn()));
+}
+
+/// Guards against a write that is carried out in part since its bytes were
+/// cut, or that takes more than its own.
+#[test]
+fn a_malformed_write_is_none() {
+    let bytes = encode(&txn()).expect("encoded");
+    for length in 0..bytes.len() {
+        assert_eq!(decode(&bytes[..length]), None, "{length} bytes");
+    }
+    let longer = [&bytes[..], b"x"].concat();
+    assert_eq!(decode(&longer), None);
+}
+
+/// Guards against a key that outlives its lease since the lease was lost on
+/// the way.
+#[test]
+fn a_write_under_a_lease_is_not_sent() {
+    let mut leased = txn();
+    leased.success.push(Op::Put {
+        key: "d".to_owned(),
+        value: vec![],
+        lease: Some(LeaseId(1)),
+    });
+    assert!(encode(&leased).is_none());
+}
+
+/// Guards against a write that counts as failed since its outcome could not
+/// be read.
+#[test]
+fn an_outcome_that_cannot_be_read_is_open() {
+    for outcome in [
+        WireOutcome::Done(3),
+        WireOutcome::Overtaken(4),
+        WireOutcome::NotDone,
+        WireOutcome::Unknown,
+        WireOutcome::Invalid,
+    ] {
+        let bytes = encode_outcome(&outcome);
+        assert_eq!(decode_outcome(&bytes), outcome);
+    }
+    assert_eq!(decode_outcome(b"{"), WireOutcome::Unknown);
+    assert_eq!(decode_outcome(b""), WireOutcome::Unknown);
+}
--- /dev/null
+++ b/crates/node/tests/unit/commits.rs
@@ -0,0 +1,50 @@
+//! Which worker collects whose writes.
+
+use indexmap::IndexMap;
+use jobs::{Members, NodeRecord};
+use yare::parameterized;
+
+use super::candidates;
+
+fn workers(count: usize) -> Members {
+    Members::new((0..count).map(|number| NodeRecord {
+        node: format!("worker-{number}"),
+        failure_domain: "east".to_owned(),
+        runs_items: true,
+        address: None,
+        limits: None,
+    }))
+}
+
+/// Guards against a collecting worker whose load grows with the fleet, and
+/// against so many of them that they collect little: load pattern of fleets
+/// in which all nodes write at the same pace.
+#[parameterized(
+    three = { 3, 1 },
+    seventy = { 70, 1 },
+    two_hundred = { 200, 2 },
+    thousand = { 1_000, 8 },
+)]
+fn a_worker_collects_for_as_many_at_any_size(count: usize, collecting: usize) {
+    let workers = workers(count);
+    let mut collected: IndexMap<String, usize> = IndexMap::new();
+    for node in workers.nodes() {
+        let first = candidates(&workers, &node.node).swap_remove(0);
+        *collected.entry(first.node).or_default() += 1;
+    }
+    assert_eq!(collected.len(), collecting);
+    let most = collected.values().max().copied().unwrap_or(0);
+    assert!(most <= 160, "one collects for {most}");
+}
+
+/// Guards against nodes without a second choice when the first one is lost.
+#[test]
+fn another_worker_collects_where_the_first_is_lost() {
+    for count in [2, 3, 70, 1_000] {
+        let workers = workers(count);
+        let found = candidates(&workers, "front-1");
+        assert_eq!(found.len(), 2, "of {count}");
+        assert_ne!(found[0].node, found[1].node);
+    }
+    assert!(candidates(&workers(0), "front-1").is_empty());
+}
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -138,6 +138,8 @@
     kv_renewals,
     /// Calls to the key-value service that failed.
     kv_failures,
+    /// Writes that were sent to the worker that collects them.
+    commits_shared,
     /// Load updates that were sent to other nodes.
     load_updates_sent,
     /// Their bytes.
