Let renewals of entries stay the same at any size; start from stale reads

Cause: each node renews its entry once a second and, when it starts, reads the list of nodes twice and writes its entry with two calls. Change: entries live longer where there are more nodes of a kind (3 s up to 40 workers and 50 fronts), so that all together renew as often. A start reads the list as it was seconds ago, a tenth of a call, and goes on under the entry that it finds of the process before, with one renewal. Three workers, not all of them, speak for an emptied node that is lost. A front counts as ready once it knows which requests crash endpoints: the test a_front_that_starts_later_sends_a_held_request_nowhere showed one that was ready before. Measured: tests of renewals at 1, 2, 5, 7 and 20 times the nodes.

--- a/crates/jobs/src/members.rs
+++ b/crates/jobs/src/members.rs
@@ -20,6 +20,9 @@
     /// Where it counts requests against limits.
     #[serde(default)]
     pub limits: Option<SocketAddr>,
+    /// Time to live of its entry, in seconds; 0 if it does not say.
+    #[serde(default)]
+    pub lease_s: u32,
 }
 
 /// The nodes of one kind that are there now: those that run items, or those
--- a/crates/kv/src/model.rs
+++ b/crates/kv/src/model.rs
@@ -193,6 +193,13 @@
     /// Reads the keys with a prefix; a `limit` of 0 is no limit.
     fn get_prefix(&self, prefix: &str, limit: u32) -> KvFuture<'_, GetReply>;
 
+    /// Reads the keys with a prefix as they were up to some seconds ago, for
+    /// callers that can do with that: it costs the service far less. Where
+    /// there is no such read it is a read of now.
+    fn get_prefix_stale(&self, prefix: &str) -> KvFuture<'_, GetReply> {
+        self.get_prefix(prefix, 0)
+    }
+
     /// Runs a transaction.
     ///
     /// # Errors
@@ -273,6 +280,10 @@
         self.kv.get_prefix(prefix, limit)
     }
 
+    fn get_prefix_stale(&self, prefix: &str) -> KvFuture<'_, GetReply> {
+        self.kv.get_prefix_stale(prefix)
+    }
+
     fn txn(&self, txn: Txn) -> KvFuture<'_, TxnReply> {
         self.kv.txn_within(txn, self.patience_ms)
     }
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -25,7 +25,8 @@
     crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
     job_spool::JobSpool,
     load::{self, LoadSocket},
-    membership, peer,
+    membership::{EntryKeeper, LeaseTerms, Presence},
+    peer,
     quota::{QuotaClient, QuotaService},
     siblings::PeerBulk,
     usage,
@@ -83,6 +84,7 @@
         let view = JobView::default();
         let clock = outside.cluster.clock().clone();
         let (entered, has_entered) = watch::channel(false);
+        let (found, has_found) = watch::channel(None);
         let quarantine = Quarantine::new(
             outside.kv.clone(),
             QUARANTINE_PREFIX,
@@ -98,6 +100,7 @@
             quarantine: quarantine.clone(),
             pool: pool.clone(),
             entered: has_entered,
+            found,
             counters: outside.counters.clone(),
             orders,
         };
@@ -171,14 +174,20 @@
             runs_items,
             address: Some(settings.peer),
             limits: Some(settings.limits),
+            lease_s: 0,
         };
-        tokio::spawn(membership::keep_entry(
-            outside.kv.clone(),
+        let keeper = EntryKeeper {
+            kv: outside.kv.clone(),
             record,
-            membership::lease_s(settings.lease_least_ms),
+            terms: LeaseTerms::new(runs_items, settings.lease_least_ms),
+            view: view.clone(),
             clock,
-            membership::Presence { entered, left },
-        ));
+        };
+        tokio::spawn(keeper.run(Presence {
+            entered,
+            left,
+            found: has_found,
+        }));
         let plans = Plans::new(
             &settings.node,
             view.clone(),
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -1,6 +1,6 @@
 use std::sync::{
     Arc,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use access::Confidence;
@@ -19,6 +19,7 @@
     pub endpoints: Arc<Snapshot<DirectoryView>>,
     clock: Arc<dyn Clock>,
     config_at_ms: Arc<AtomicU64>,
+    knows_held: Arc<AtomicBool>,
     bounds: ConfigBounds,
 }
 
@@ -52,6 +53,7 @@
             endpoints: Arc::new(Snapshot::new(DirectoryView::default())),
             clock,
             config_at_ms: Arc::default(),
+            knows_held: Arc::default(),
             bounds: ConfigBounds::default(),
         }
     }
@@ -118,8 +120,18 @@
         }
     }
 
+    /// Takes note that the requests are known that crash endpoints.
+    pub(crate) fn note_held_requests(&self) {
+        self.knows_held.store(true, Ordering::Relaxed);
+    }
+
     /// Tells whether requests can be served.
+    ///
+    /// A node that does not know yet which requests crash endpoints would
+    /// pass them on, at each start once more.
     pub fn is_ready(&self) -> bool {
-        self.config.load().is_some() && !self.endpoints.load().table.is_empty()
+        self.config.load().is_some()
+            && !self.endpoints.load().table.is_empty()
+            && self.knows_held.load(Ordering::Relaxed)
     }
 }
--- a/crates/node/src/commits.rs
+++ b/crates/node/src/commits.rs
@@ -215,6 +215,10 @@
         self.kv.get_prefix(prefix, limit)
     }
 
+    fn get_prefix_stale(&self, prefix: &str) -> KvFuture<'_, GetReply> {
+        self.kv.get_prefix_stale(prefix)
+    }
+
     fn txn(&self, txn: Txn) -> KvFuture<'_, TxnReply> {
         self.kv.txn(txn)
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -9,13 +9,14 @@
 use base::{Clock, Millis, stable_hash};
 use error_stack::Report;
 use jobs::{JobView, NODE_PREFIX, NodeRecord, Roster};
-use kv::{Kv, KvError, Watcher};
+use kv::{GetReply, KeyValue, Kv, KvError, Watcher};
 use pass::{Counters, Pool};
 use tokio::{sync::watch, time};
 
 use crate::{
     feed::Feed,
     feed_wire::{self, Question},
+    membership::FoundEntry,
     peer, tree,
 };
 
@@ -63,6 +64,13 @@
 /// three thousand of them it took four seconds until requests were served.
 const START_PATIENCE_MS: u64 = 600;
 
+/// Looks for other nodes of one that starts and sees none, before it reads
+/// what is there now.
+const START_READS_MOST: usize = 3;
+
+/// Pause between two of them, in milliseconds.
+const START_READ_PAUSE_MS: u64 = 200;
+
 /// Pause between two questions to readers that have not started yet, in
 /// milliseconds.
 const START_PAUSE_MS: u64 = 20;
@@ -112,32 +120,61 @@
         }
     }
 
-    /// Reads which nodes there are, so that this one knows whom to ask.
+    /// Reads which nodes there are, so that this one knows whom to ask, and
+    /// passes on what it finds of itself.
     ///
-    /// A node that is not listed looks again once its own entry is written:
-    /// where all start for the first time, it sees those then that were
-    /// faster, and all agree on who is the first.
+    /// What was there seconds ago will do: it names nodes that know more.
+    /// Where all start for the first time nobody is there yet; a node then
+    /// looks again until it sees others, once its own entry is written.
     pub(crate) async fn seed(
         &self,
         kv: &dyn Kv,
         mut entered: watch::Receiver<bool>,
+        found: watch::Sender<Option<FoundEntry>>,
     ) {
-        self.read_nodes(kv).await;
-        if self.view.roster().get(&self.node).is_none() {
-            let most = Duration::from_millis(START_PATIENCE_MS);
-            let entry = entered.wait_for(|entered| *entered);
-            let _ = time::timeout(most, entry).await;
+        let nodes = self.read_nodes(kv).await;
+        let own = FoundEntry::among(&nodes, &self.node);
+        found.send_replace(Some(own));
+        let most = Duration::from_millis(START_PATIENCE_MS);
+        let entry = entered.wait_for(|entered| *entered);
+        let _ = time::timeout(most, entry).await;
+        for _ in 0..START_READS_MOST {
+            if self.knows_others() {
+                break;
+            }
+            pause(START_READ_PAUSE_MS).await;
             self.read_nodes(kv).await;
         }
+        if !self.knows_others() {
+            self.note_nodes(kv.get_prefix(NODE_PREFIX, 0).await);
+        }
         self.seeded.send_replace(true);
     }
 
-    async fn read_nodes(&self, kv: &dyn Kv) {
-        match kv.get_prefix(NODE_PREFIX, 0).await {
-            Ok(reply) => self.view.seed_nodes(&reply.kvs),
+    /// Tells whether any other node is known that may know more.
+    fn knows_others(&self) -> bool {
+        let roster = self.view.roster();
+        let mut nodes = roster.iter();
+        nodes.any(|known| known.node != self.node)
+    }
+
+    async fn read_nodes(&self, kv: &dyn Kv) -> Vec<KeyValue> {
+        self.note_nodes(kv.get_prefix_stale(NODE_PREFIX).await)
+    }
+
+    fn note_nodes(
+        &self,
+        read: Result<GetReply, Report<KvError>>,
+    ) -> Vec<KeyValue> {
+        match read {
+            Ok(reply) => {
+                self.view.seed_nodes(&reply.kvs);
+                reply.kvs
+            }
             Err(report) => {
                 log::info!(error:% = report.current_context();
                     "the nodes cannot be read at the start");
+                Vec::new()
             }
         }
     }
--- a/crates/node/src/vacate.rs
+++ b/crates/node/src/vacate.rs
@@ -1,13 +1,14 @@
 use std::{sync::Arc, time::Duration};
 
-use jobs::JobView;
+use base::stable_hash;
+use jobs::{JobView, Members};
 use kv::{Compare, Kv, Op, Txn};
 use tokio::{
     sync::{mpsc, watch},
     time,
 };
 
-use crate::{Dialect, VacateOrder, VacateState};
+use crate::{Dialect, VacateOrder, VacateState, membership::LeaseTerms};
 
 /// Part of the time for emptying a node that its own runs may take, in
 /// percent; the rest is for writing that it is done.
@@ -17,6 +18,10 @@
 /// it is empty, in milliseconds: its entry has gone from their view then.
 const AFTER_LEASE_MS: u64 = 1_000;
 
+/// Nodes that say it. With all of them an order costs a call for each worker
+/// of the fleet.
+const STAND_INS: usize = 3;
+
 /// Pause between tries to write how far a node is emptied.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -36,8 +41,8 @@
     pub(crate) idle: watch::Receiver<bool>,
     /// Jobs that wait on its disk.
     pub(crate) spooled: Option<watch::Receiver<usize>>,
-    /// Time to live of a node's entry.
-    pub(crate) lease_s: u32,
+    /// How long the entry of a worker lives.
+    pub(crate) terms: LeaseTerms,
 }
 
 impl Vacating {
@@ -80,11 +85,16 @@
         let kv = self.kv.clone();
         let dialect = self.dialect.clone();
         let view = self.view.clone();
-        let lease_ms = u64::from(self.lease_s) * 1_000;
+        let me = self.node.clone();
+        let workers = view.members().len();
+        let lease_ms = u64::from(self.terms.lease_s(workers)) * 1_000;
         let wait = Duration::from_millis(lease_ms + AFTER_LEASE_MS);
         tokio::spawn(async move {
             time::sleep(wait).await;
-            if view.members().has(&order.node) {
+            let members = view.members();
+            if members.has(&order.node)
+                || !stands_in(&members, &order.node, &me)
+            {
                 return;
             }
             write(&*kv, &*dialect, &order.node, VacateState::Complete, true)
@@ -97,6 +107,15 @@
     }
 }
 
+/// Tells whether a node is one of the few that speak for a lost one.
+fn stands_in(members: &Members, lost: &str, node: &str) -> bool {
+    let rank = |name: &str| stable_hash(&[lost, name]);
+    let own = rank(node);
+    let nodes = members.nodes().iter();
+    let before = nodes.filter(|other| rank(&other.node) < own);
+    before.take(STAND_INS).count() < STAND_INS
+}
+
 /// Writes how far a node is emptied, again until it is written.
 async fn write(
     kv: &dyn Kv,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -14,6 +14,7 @@
     ClusterState, Dialect, NodeSettings, OperatorOrder, VacateOrder,
     feed::{Delta, Feed, FeedStatus},
     follow::{Follower, Pace, Readers, Reading},
+    membership::FoundEntry,
 };
 
 /// Time between two listings of the endpoints, as a part of the time in
@@ -40,6 +41,8 @@
     pub(crate) counters: Arc<Counters>,
     /// Turns true when the entry of this node is written.
     pub(crate) entered: watch::Receiver<bool>,
+    /// Receives the entry of this node as it is found at the start.
+    pub(crate) found: watch::Sender<Option<FoundEntry>>,
     /// Who carries out orders to empty a node.
     pub(crate) orders: Option<mpsc::UnboundedSender<VacateOrder>>,
 }
@@ -73,7 +76,8 @@
         let readers = Arc::new(readers);
         let (seeded, kv) = (readers.clone(), self.kv.clone());
         let entered = self.entered.clone();
-        tokio::spawn(async move { seeded.seed(&*kv, entered).await });
+        let found = self.found;
+        tokio::spawn(async move { seeded.seed(&*kv, entered, found).await });
         let pool = Arc::new(Pool::default());
         let pace = Pace::new(settings.news_ms());
         let mut feeds = Vec::new();
@@ -108,13 +112,19 @@
             cluster.clone(),
             pool,
         ));
+        let followed_cluster = cluster.clone();
         tokio::spawn(follow_operators(
             feeds[1].clone(),
             dialect,
             cluster,
             orders,
         ));
-        tokio::spawn(follow_jobs(feeds[2].clone(), view, quarantine));
+        tokio::spawn(follow_jobs(
+            feeds[2].clone(),
+            view,
+            quarantine,
+            followed_cluster,
+        ));
         Arc::new(feeds)
     }
 }
@@ -296,7 +306,12 @@
     }
 }
 
-async fn follow_jobs(feed: Arc<Feed>, view: JobView, quarantine: Quarantine) {
+async fn follow_jobs(
+    feed: Arc<Feed>,
+    view: JobView,
+    quarantine: Quarantine,
+    cluster: ClusterState,
+) {
     let mut changes = subscribe(&feed);
     let mut after = 0;
     while changes.changed().await.is_ok() {
@@ -310,6 +325,7 @@
             delta.revision,
             delta.whole,
         );
+        cluster.note_held_requests();
         if after == 0 || delta.whole {
             view.replace(&delta.items, at);
         } else {
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     NodeError, NodeSettings, Outside, Signals, base::NodeBase,
-    load::WorkerLoad, membership, probe::LoadProbe, vacate::Vacating,
+    load::WorkerLoad, membership::LeaseTerms, probe::LoadProbe,
+    vacate::Vacating,
 };
 
 /// The role that runs the items of batch jobs.
@@ -67,7 +68,7 @@
             leave: stop_items.clone(),
             idle: idle.clone(),
             spooled: base.spooled.clone(),
-            lease_s: membership::lease_s(settings.lease_least_ms),
+            terms: LeaseTerms::new(true, settings.lease_least_ms),
         };
         tokio::spawn(vacating.run(received));
         Ok(Self {
--- /dev/null
+++ b/crates/node/tests/unit/membership.rs
@@ -0,0 +1,103 @@
+//! How long the entries of nodes live, and what becomes of those of a
+//! process before.
+
+use jobs::{NODE_PREFIX, NodeRecord};
+use kv::{KeyValue, LeaseId};
+use yare::parameterized;
+
+use super::{FoundEntry, LEASE_MOST_S, LeaseTerms};
+
+/// Guards against renewals that grow with the fleet: load pattern of fleets
+/// in which nothing happens.
+#[parameterized(
+    fronts = { false, 50 },
+    workers = { true, 40 },
+)]
+fn all_nodes_together_renew_as_often_at_any_size(
+    runs_items: bool,
+    at_once: usize,
+) {
+    let terms = LeaseTerms::new(runs_items, 1_000);
+    let renewals_per_s =
+        |count: usize| count as f64 * 3.0 / f64::from(terms.lease_s(count));
+    let few = renewals_per_s(at_once);
+    for times in [2, 5, 7, 20] {
+        let many = renewals_per_s(times * at_once);
+        assert!(many <= few * 1.2, "{times} times as many: {many} of {few}");
+    }
+}
+
+#[test]
+fn small_fleets_have_the_shortest_time_that_the_service_grants() {
+    let terms = LeaseTerms::new(true, 1_000);
+    assert_eq!(terms.lease_s(0), 3);
+    assert_eq!(terms.lease_s(40), 3);
+    assert_eq!(LeaseTerms::new(true, 7_500).lease_s(3), 8);
+    assert_eq!(terms.lease_s(1_000_000), LEASE_MOST_S);
+}
+
+/// Guards against an entry that lapses between two renewals since its lease
+/// was taken for longer, and against one that is renewed far too often.
+#[test]
+fn a_time_to_live_that_does_not_fit_is_noticed() {
+    let terms = LeaseTerms::new(false, 1_000);
+    assert!(terms.is_off(15, 5));
+    assert!(terms.is_off(3, 275));
+    assert!(!terms.is_off(15, 275));
+    assert!(!terms.is_off(3, 60));
+}
+
+fn record() -> NodeRecord {
+    NodeRecord {
+        node: "front-1".to_owned(),
+        failure_domain: "east".to_owned(),
+        runs_items: false,
+        address: Some(([127, 0, 0, 1], 7).into()),
+        limits: None,
+        lease_s: 0,
+    }
+}
+
+fn entry(record: &NodeRecord) -> KeyValue {
+    KeyValue {
+        key: format!("{NODE_PREFIX}{}", record.node),
+        value: serde_json::to_vec(record).expect("json"),
+        create_revision: 3,
+        mod_revision: 3,
+        lease: Some(LeaseId(77)),
+    }
+}
+
+/// Guards against two calls of each node where all start again at once.
+#[test]
+fn the_lease_of_the_process_before_is_found() {
+    let written = NodeRecord {
+        lease_s: 16,
+        ..record()
+    };
+    let other = NodeRecord {
+        node: "front-2".to_owned(),
+        ..written.clone()
+    };
+    let entries = [entry(&other), entry(&written)];
+    let found = FoundEntry::among(&entries, "front-1");
+    assert_eq!(found.lease_of(&record()), Some((LeaseId(77), 16)));
+    let none = FoundEntry::among(&entries, "front-3");
+    assert_eq!(none.lease_of(&record()), None);
+}
+
+/// Guards against a node that others look for at its former address.
+#[test]
+fn an_entry_that_says_something_else_is_not_taken_over() {
+    let moved = NodeRecord {
+        address: Some(([127, 0, 0, 1], 8).into()),
+        lease_s: 16,
+        ..record()
+    };
+    let entries = [entry(&moved)];
+    let found = FoundEntry::among(&entries, "front-1");
+    assert_eq!(found.lease_of(&record()), None);
+    let unknown = [entry(&record())];
+    let found = FoundEntry::among(&unknown, "front-1");
+    assert_eq!(found.lease_of(&record()), None, "of unknown length");
+}
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -130,6 +130,8 @@
     connections_opened,
     /// Calls that read from the key-value service.
     kv_reads,
+    /// Reads of it that may return what was there seconds ago.
+    kv_stale_reads,
     /// Calls that wait for changes in it.
     kv_watches,
     /// Calls that change it.
