Read the endpoints in turn, by their changes; watch the jobs once

Cause: two nodes listed all endpoints, each by itself, 1.5 times a second, a call for each 500 of them, and both watched the jobs. On the whole fleet that is some 13 calls a second, and bytes that grow with the endpoints: 1.2 MB a second at 3,000, named in two issues and left. Change: one worker of sixteen, two at least, reads the endpoints, in turn: who read longest ago goes next, the others hear of it. A read takes the changes since the last one of anybody, in one call at any size, and all entries once in ten seconds, after a failure and where a watch says nothing. One node watches the jobs, the next one where that is lost.

--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -26,11 +26,12 @@
     job_spool::JobSpool,
     load::{self, LoadSocket},
     membership::{EntryKeeper, LeaseTerms, Presence},
+    own_writes::FedWrites,
     peer,
     quota::{QuotaClient, QuotaService},
     siblings::PeerBulk,
     usage,
-    watch::Watches,
+    watch::{JOB_FEED, Watches},
 };
 
 /// What a role is given of the world outside.
@@ -85,8 +86,9 @@
         let clock = outside.cluster.clock().clone();
         let (entered, has_entered) = watch::channel(false);
         let (found, has_found) = watch::channel(None);
+        let case_writes = FedWrites::new(outside.kv.clone());
         let quarantine = Quarantine::new(
-            outside.kv.clone(),
+            Arc::new(case_writes.clone()),
             QUARANTINE_PREFIX,
             clock.clone(),
             QuarantineOptions::default(),
@@ -105,6 +107,7 @@
             orders,
         };
         let feeds = watches.start(settings);
+        case_writes.feed_to(feeds[JOB_FEED].clone());
         let cache: Arc<BulkCache> = Arc::default();
         let siblings =
             PeerBulk::new(&settings.node, view.clone(), clock.clone());
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -57,6 +57,8 @@
     pub(crate) revision: u64,
     /// How often an item has come, gone or changed.
     pub(crate) content: u64,
+    /// How many items there are.
+    pub(crate) items: usize,
     /// Moment up to which all changes are contained.
     pub(crate) fresh_at: Option<Millis>,
     /// Last moment at which the key-value service could not be read.
@@ -106,6 +108,7 @@
         FeedStatus {
             revision: state.revision,
             content: state.content,
+            items: state.items.len(),
             fresh_at: state.fresh_at,
             failed_at: state.failed_at,
         }
@@ -123,7 +126,7 @@
         }
         let read: IndexSet<&str> =
             reply.kvs.iter().map(|kv| kv.key.as_str()).collect();
-        for key in state.keys_without(&read) {
+        for key in state.keys_without(&read, reply.revision) {
             state.delete(key, reply.revision);
         }
         for kv in reply.kvs {
@@ -155,6 +158,24 @@
         self.tell(state);
     }
 
+    /// Takes in a key that this node has written, before all other changes
+    /// up to that write are known.
+    pub(crate) fn note_written(&self, kv: KeyValue) {
+        let mut state = self.lock();
+        state.put(kv, &self.same);
+        self.tell(state);
+    }
+
+    /// Takes in a deletion by this node likewise.
+    pub(crate) fn note_deleted(&self, key: String, revision: u64) {
+        let mut state = self.lock();
+        let known = state.items.get(&key).map_or(0, |kv| kv.mod_revision);
+        if known < revision {
+            state.delete(key, revision);
+        }
+        self.tell(state);
+    }
+
     /// Takes in what another node knows.
     pub(crate) fn merge(&self, delta: Delta) {
         let mut state = self.lock();
@@ -174,7 +195,7 @@
         if delta.whole {
             let sent: IndexSet<&str> =
                 delta.items.iter().map(|kv| kv.key.as_str()).collect();
-            for key in state.keys_without(&sent) {
+            for key in state.keys_without(&sent, delta.revision) {
                 state.delete(key, delta.revision);
             }
         }
@@ -242,7 +263,13 @@
             return None;
         }
         let first = (after + 1, String::new());
-        let mut newer = self.by_revision.range(first..);
+        // Own writes beyond the revision are no end of a page: what others
+        // have written before them is not known yet.
+        let end = (self.revision + 1, String::new());
+        if first >= end {
+            return None;
+        }
+        let mut newer = self.by_revision.range(first..end);
         let (last, _) = newer.nth(most.saturating_sub(1))?;
         // All changes of one revision go together.
         newer.any(|(revision, _)| revision > last).then_some(*last)
@@ -304,12 +331,17 @@
         self.items.insert(kv.key.clone(), kv);
     }
 
-    /// Returns the keys of all items that are not among these.
-    fn keys_without(&self, kept: &IndexSet<&str>) -> Vec<String> {
-        let keys = self.items.keys();
-        keys.filter(|key| !kept.contains(key.as_str()))
-            .cloned()
-            .collect()
+    /// Returns the keys of all items up to a revision that are not among
+    /// these.
+    fn keys_without(
+        &self,
+        kept: &IndexSet<&str>,
+        revision: u64,
+    ) -> Vec<String> {
+        let old = self.items.values().filter(|kv| {
+            kv.mod_revision <= revision && !kept.contains(kv.key.as_str())
+        });
+        old.map(|kv| kv.key.clone()).collect()
     }
 
     fn delete(&mut self, key: String, revision: u64) {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -18,6 +18,7 @@
     feed_wire::{self, Question},
     membership::FoundEntry,
     peer, tree,
+    turns::{Place, Turns},
 };
 
 /// How news pass between nodes, as parts of the time in which they must
@@ -80,15 +81,57 @@
 /// 30 ms and a tenth of a core as long; the rest follows at once.
 const FIRST_PAGE: usize = 300;
 
+/// Keys from which on some change between any two reads: endpoints write
+/// their entries each second or so.
+const CHANGING_KEYS: usize = 8;
+
+/// Longest wait for the changes since the last read, in milliseconds. They
+/// are there, so that a service that is well answers at once.
+const CHANGES_MS: u64 = 300;
+
+/// Time between two reads of all keys by one reader, in milliseconds. What a
+/// watch has left out is noticed then.
+const WHOLE_READ_MS: u64 = 10_000;
+
+/// Pause of a reader that waits for its turn and cannot ask another one, in
+/// milliseconds.
+const TURN_PAUSE_MS: u64 = 50;
+
 /// How the service itself is read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Reading {
-    /// All keys again and again, with a pause in milliseconds. For keys of
-    /// which all change all the time, where a watch returns at once and is
-    /// a call as well.
-    Listing(u64),
-    /// A watch, with a pause in milliseconds in which changes gather.
-    Watching(u64),
+    /// All keys again and again, with a pause in milliseconds, by all
+    /// readers in turn. For keys of which all change all the time, where a
+    /// watch returns at once and is a call as well.
+    InTurn(u64),
+    /// A watch, with a pause in milliseconds in which changes gather, by the
+    /// first readers.
+    Watching {
+        /// How many of them.
+        readers: usize,
+        /// The pause.
+        pause_ms: u64,
+    },
+}
+
+impl Reading {
+    fn pause_ms(self) -> u64 {
+        match self {
+            Self::InTurn(pause_ms) | Self::Watching { pause_ms, .. } => {
+                pause_ms
+            }
+        }
+    }
+}
+
+/// What a node does next to know more of a feed.
+enum Step {
+    /// Asks another node.
+    Ask(NodeRecord),
+    /// Reads the service.
+    Read,
+    /// Takes turns with the other readers.
+    Turn(Place, Vec<NodeRecord>),
 }
 
 /// The nodes that one node asks instead of the key-value service.
@@ -104,6 +147,8 @@
 struct Inner {
     /// Whom to ask, and the nodes from which that follows.
     sources: Vec<NodeRecord>,
+    /// The nodes that read the service, if this is one of them.
+    readers: Option<(Place, Vec<NodeRecord>)>,
     roster: Option<Roster>,
     /// Who did not answer well, for which feed, and when. By feed, as a
     /// reader may be up to date in one and behind in another.
@@ -179,7 +224,7 @@
         }
     }
 
-    /// Returns the node to ask; none if this one reads itself.
+    /// Decides what to do next.
     ///
     /// A node that has lost both of its sources reads the service itself
     /// until one answers again.
@@ -188,12 +233,13 @@
     /// reader: it is cut off from the service, goes on answering for as long
     /// as its last word counts, and whoever asks it hears of a change that
     /// much later than everybody else. The other reader tells it at once.
-    fn peer(
+    fn step(
         &self,
         feed: usize,
+        reading: Reading,
         now: Millis,
         turn: usize,
-    ) -> Option<NodeRecord> {
+    ) -> Step {
         let roster = self.view.roster();
         let mut inner = self.lock();
         inner.follow(roster, &self.node);
@@ -204,6 +250,42 @@
             let mut all = inner.avoid.iter();
             all.any(|(number, known, _)| *number == feed && known == name)
         };
+        let (place, sources) = match (&inner.readers, reading) {
+            (None, _) => (None, &inner.sources[..]),
+            (Some((place, all)), Reading::InTurn(_)) => {
+                (Some(*place), &all[..])
+            }
+            (Some((place, _)), Reading::Watching { readers, .. })
+                if place.at < readers =>
+            {
+                return Step::Read;
+            }
+            (Some((_, all)), Reading::Watching { readers, .. }) => {
+                (None, &all[..readers.min(all.len())])
+            }
+        };
+        let sources = sources.iter().filter(|source| {
+            source.node != self.node && !is_avoided(&source.node)
+        });
+        let good: Vec<&NodeRecord> = sources.collect();
+        match (place, turn.checked_rem(good.len())) {
+            (Some(place), _) => {
+                Step::Turn(place, good.into_iter().cloned().collect())
+            }
+            (None, Some(at)) => Step::Ask(good[at].clone()),
+            (None, None) => Step::Read,
+        }
+    }
+
+    /// Returns the node that knows most; none if this one reads itself.
+    fn first_source(&self, feed: usize, turn: usize) -> Option<NodeRecord> {
+        let roster = self.view.roster();
+        let mut inner = self.lock();
+        inner.follow(roster, &self.node);
+        let is_avoided = |name: &str| {
+            let mut all = inner.avoid.iter();
+            all.any(|(number, known, _)| *number == feed && known == name)
+        };
         let sources = inner.sources.iter();
         let good: Vec<&NodeRecord> =
             sources.filter(|node| !is_avoided(&node.node)).collect();
@@ -229,6 +311,15 @@
             return;
         }
         self.sources = tree::sources(&roster, node);
+        let readers = tree::readers(&roster);
+        let at = readers.iter().position(|reader| reader.node == node);
+        self.readers = at.map(|at| {
+            let place = Place {
+                at,
+                readers: readers.len(),
+            };
+            (place, readers)
+        });
         // Different nodes begin with different ones.
         self.sources
             .sort_by_key(|source| stable_hash(&[node, &source.node]));
@@ -254,23 +345,35 @@
         let mut reach = Reach::new(self.feed.prefix());
         let mut watcher: Option<Box<dyn Watcher>> = None;
         let mut turn: usize = 0;
+        let mut turns = Turns::new(self.reading.pause_ms());
+        let mut whole_at = Millis::default();
         self.start().await;
         loop {
             let now = self.clock.now();
             turn = turn.wrapping_add(1);
-            if let Some(reader) = self.readers.peer(self.number, now, turn) {
-                if self.ask(&reader).await {
-                    watcher = None;
-                    continue;
+            let step = self.readers.step(self.number, self.reading, now, turn);
+            match step {
+                Step::Read => {}
+                Step::Ask(reader) => {
+                    if self.ask(&reader, self.pace).await {
+                        watcher = None;
+                        continue;
+                    }
+                    self.readers.failed(self.number, &reader.node, now);
+                }
+                Step::Turn(place, others) => {
+                    if self.leave_turn(&turns, place, &others, turn).await {
+                        continue;
+                    }
+                    turns.note_read(self.clock.now());
                 }
-                self.readers.failed(self.number, &reader.node, now);
             }
-            match self.read(&mut watcher).await {
+            match self.read(&mut watcher, &mut whole_at).await {
                 Ok(()) => {
                     reach.regained(self.clock.now());
-                    let (Reading::Listing(ms) | Reading::Watching(ms)) =
-                        self.reading;
-                    pause(ms).await;
+                    if let Reading::Watching { pause_ms, .. } = self.reading {
+                        pause(pause_ms).await;
+                    }
                 }
                 Err(report) => {
                     watcher = None;
@@ -291,19 +394,49 @@
         let until = began.saturating_add_ms(START_PATIENCE_MS);
         for turn in 0.. {
             let now = self.clock.now();
-            let reader = self.readers.peer(self.number, now, turn);
+            let reader = self.readers.first_source(self.number, turn);
             let Some(reader) = reader.filter(|_| now < until) else {
                 return;
             };
-            if self.ask(&reader).await {
+            if self.ask(&reader, self.pace).await {
                 return;
             }
             pause(START_PAUSE_MS).await;
         }
     }
 
+    /// Waits for what another reader reads; returns false if it is this
+    /// node's turn.
+    async fn leave_turn(
+        &self,
+        turns: &Turns,
+        place: Place,
+        others: &[NodeRecord],
+        turn: usize,
+    ) -> bool {
+        let now = self.clock.now();
+        let fresh_at = self.feed.status().fresh_at;
+        let wait_ms = turns.wait_ms(place, fresh_at, now);
+        if wait_ms == 0 {
+            return false;
+        }
+        let Some(at) = turn.checked_rem(others.len()) else {
+            pause(wait_ms).await;
+            return true;
+        };
+        let pace = Pace {
+            wait_ms: wait_ms.min(self.pace.wait_ms),
+            ..self.pace
+        };
+        if !self.ask(&others[at], pace).await {
+            self.readers.failed(self.number, &others[at].node, now);
+            pause(wait_ms.min(TURN_PAUSE_MS)).await;
+        }
+        true
+    }
+
     /// Asks a reader; tells whether its knowledge is good enough.
-    async fn ask(&self, reader: &NodeRecord) -> bool {
+    async fn ask(&self, reader: &NodeRecord, pace: Pace) -> bool {
         let Some(peer) = peer::endpoint_of(reader) else {
             return false;
         };
@@ -318,7 +451,7 @@
                 0 => FIRST_PAGE,
                 _ => usize::MAX,
             },
-            pace: self.pace,
+            pace,
         };
         let counters = &*self.counters;
         let asked =
@@ -342,10 +475,45 @@
         good
     }
 
+    /// Reads the changes since the last read of any reader, in one call
+    /// however many keys there are; returns whether that was enough.
+    ///
+    /// A watch that says nothing of keys that change all the time may have
+    /// lost its history, so that only one with changes counts.
+    async fn read_changes(&self, whole_at: Millis) -> bool {
+        let known = self.feed.status();
+        let began = self.clock.now();
+        let since_ms = began.saturating_ms_since(whole_at);
+        let may_lack_some = known.revision == 0
+            || known.items < CHANGING_KEYS
+            || since_ms >= WHOLE_READ_MS;
+        if may_lack_some {
+            return false;
+        }
+        let watch = self.kv.watch(self.feed.prefix(), known.revision + 1);
+        let Ok(mut watcher) = watch.await else {
+            return false;
+        };
+        let most = Duration::from_millis(CHANGES_MS);
+        match time::timeout(most, watcher.next()).await {
+            Ok(Ok(batch)) if !batch.events.is_empty() => {
+                self.feed.apply(batch.events, batch.revision, began);
+                true
+            }
+            _ => false,
+        }
+    }
+
     async fn read(
         &self,
         watcher: &mut Option<Box<dyn Watcher>>,
+        whole_at: &mut Millis,
     ) -> Result<(), Report<KvError>> {
+        if let Reading::InTurn(_) = self.reading
+            && self.read_changes(*whole_at).await
+        {
+            return Ok(());
+        }
         if let Some(known) = watcher {
             let silence = Duration::from_millis(self.pace.age_most_ms);
             if let Ok(batch) = time::timeout(silence, known.next()).await {
@@ -365,7 +533,8 @@
         let reply = self.kv.get_prefix(prefix, 0).await?;
         let next = reply.revision + 1;
         self.feed.replace(reply, began);
-        if let Reading::Watching(_) = self.reading {
+        *whole_at = began;
+        if let Reading::Watching { .. } = self.reading {
             *watcher = Some(self.kv.watch(prefix, next).await?);
         }
         Ok(())
--- a/crates/node/src/tree.rs
+++ b/crates/node/src/tree.rs
@@ -1,8 +1,9 @@
 //! Whom each node asks what has changed in the key-value service.
 //!
-//! Two nodes read the service, the roots. Two of each failure domain ask the
-//! roots, and all others of the domain ask those two or nodes that do: a
-//! tree of pairs, in which the nodes of one pair stand in for each other.
+//! A few nodes read the service, in turn; the first two of them are the
+//! roots. Two of each failure domain ask the roots, and all others of the
+//! domain ask those two or nodes that do: a tree of pairs, in which the nodes
+//! of one pair stand in for each other.
 //!
 //! One pair that served all nodes was used before. Its load grew with the
 //! fleet, the loss of both sent every node to the service at the same
@@ -20,7 +21,19 @@
 const FAN_OUT: usize = 16;
 
 /// Nodes that stand in for each other.
-const PAIR: usize = 2;
+pub(crate) const PAIR: usize = 2;
+
+/// Workers of which one reads the service. What a read returns grows with the
+/// fleet, and so does the number of nodes that share the reads.
+const WORKERS_OF_A_READER: usize = 16;
+
+/// Returns the nodes that read the service for all others, those of the most
+/// duties first.
+pub(crate) fn readers(roster: &Roster) -> Vec<NodeRecord> {
+    let wanted = roster.workers.len() / WORKERS_OF_A_READER;
+    let ranked = rank(roster);
+    owned(&ranked[..ranked.len().min(wanted.max(PAIR))])
+}
 
 /// Returns the nodes to ask, in the order of preference; none if the node
 /// reads the service itself.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -15,6 +15,7 @@
     feed::{Delta, Feed, FeedStatus},
     follow::{Follower, Pace, Readers, Reading},
     membership::FoundEntry,
+    tree::PAIR,
 };
 
 /// Time between two listings of the endpoints, as a part of the time in
@@ -29,6 +30,14 @@
 /// Each delivery is a call; what comes meanwhile arrives together.
 const JOBS_PAUSE_MS: u64 = 300;
 
+/// Nodes that watch the jobs for all others. Nothing has a time by which all
+/// must know a change of them, so that the next one reads only where this
+/// one is lost.
+const JOB_READERS: usize = 1;
+
+/// Number of the feed of jobs, of nodes and of requests that crash endpoints.
+pub(crate) const JOB_FEED: usize = 2;
+
 /// All that a node follows.
 pub(crate) struct Watches {
     pub(crate) kv: Arc<dyn Kv>,
@@ -61,15 +70,21 @@
         let followed = [
             (
                 Feed::new(self.dialect.endpoints_prefix(), same_endpoint),
-                Reading::Listing(listing_ms.min(LISTING_MOST_MS)),
+                Reading::InTurn(listing_ms.min(LISTING_MOST_MS)),
             ),
             (
                 Feed::new(self.dialect.orders_prefix(), never),
-                Reading::Watching(0),
+                Reading::Watching {
+                    readers: PAIR,
+                    pause_ms: 0,
+                },
             ),
             (
                 Feed::new(WATCHED_PREFIX, never),
-                Reading::Watching(JOBS_PAUSE_MS),
+                Reading::Watching {
+                    readers: JOB_READERS,
+                    pause_ms: JOBS_PAUSE_MS,
+                },
             ),
         ];
         let readers = Readers::new(&settings.node, self.view.clone());
@@ -120,7 +135,7 @@
             orders,
         ));
         tokio::spawn(follow_jobs(
-            feeds[2].clone(),
+            feeds[JOB_FEED].clone(),
             view,
             quarantine,
             followed_cluster,
--- a/crates/node/tests/unit/feed.rs
+++ b/crates/node/tests/unit/feed.rs
@@ -114,3 +114,25 @@
     assert_eq!(node.status().revision, 9);
     assert_eq!(node.all().items.len(), 1);
 }
+
+/// Guards against changes that are passed over since this node has written a
+/// key after them, and against an own write that an older read takes back.
+#[test]
+fn an_own_write_is_passed_on_and_ends_no_page() {
+    let feed = feed();
+    feed.replace(listing(vec![entry(1, "ready", 5)], 5), Millis::new(100));
+    feed.note_written(entry(2, "held", 9));
+    for most in [1, 2, 10] {
+        let delta = feed.page(0, most);
+        assert_eq!(delta.revision, 5, "pages of {most}");
+    }
+    let delta = feed.since(5);
+    assert_eq!((delta.revision, delta.items.len()), (5, 1));
+    let older = vec![entry(1, "ready", 5), entry(3, "ready", 7)];
+    feed.replace(listing(older, 7), Millis::new(200));
+    let keys: Vec<String> =
+        feed.since(5).items.into_iter().map(|kv| kv.key).collect();
+    assert_eq!(keys, ["endpoints/3", "endpoints/2"]);
+    feed.note_deleted("endpoints/2".to_owned(), 11);
+    assert_eq!(feed.since(7).deleted, [("endpoints/2".to_owned(), 11)]);
+}
