Send a new job with its inputs to the worker that runs it

Cause: the worker of a job reads its inputs from the key-value service, one call a job, a third of a second after the front has written them there. Change: the front sends head and inputs to the worker as soon as the job is accepted; a lost message costs what each job cost before. Measured: a test shows that a worker needs no read.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -181,6 +181,22 @@
         }
     }
 
+    /// Returns the head and the inputs of a job as this node has written
+    /// them, the head first; none if it does not keep them any more.
+    pub fn accepted_rows(&self, job: &JobKey, stored: &Stored) -> Option<Txn> {
+        let head = &stored.head;
+        let mut success = vec![put(head_key(job), encode_head(head).ok()?)];
+        for number in 0..head.input_chunks {
+            let key = input_key(job, head, number);
+            let value = self.cache.get(&key)?;
+            success.push(put(key, value.to_vec()));
+        }
+        Some(Txn {
+            success,
+            ..Txn::default()
+        })
+    }
+
     /// Reads the head of a job.
     ///
     /// # Errors
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -52,5 +52,5 @@
     },
     run::{ItemForwarder, ItemRun, Progress, RunEnd},
     runner::{Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, Stop},
-    view::JobView,
+    view::{JobView, decode_head_row},
 };
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    Backlog, Members, NodeRecord, Roster, Stored,
+    Backlog, JobHead, Members, NodeRecord, Roster, Stored,
     index::JobIndex,
     record::{HEAD_PREFIX, JobKey, NODE_PREFIX, decode_head},
 };
@@ -248,3 +248,9 @@
 fn job_key(key: &str) -> Option<JobKey> {
     key.strip_prefix(HEAD_PREFIX)?.parse().ok()
 }
+
+/// Reads the head of a job as the key-value service keeps it; none of
+/// another key or value.
+pub fn decode_head_row(key: &str, value: &[u8]) -> Option<(JobKey, JobHead)> {
+    Some((job_key(key)?, decode_head(value).ok()?))
+}
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -12,7 +12,7 @@
     batch::{BatchLimits, GroupCommit},
     paths::Paths,
 };
-use pass::{Counters, Forwarder, ForwarderOptions, Pool};
+use pass::{Counters, Forwarder, ForwarderOptions, Pool, Relay};
 use quarantine::{Quarantine, QuarantineOptions};
 use tokio::{
     net::UdpSocket,
@@ -23,6 +23,8 @@
     Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
     commits::SharedCommits,
     crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
+    feed_wire::PeerHandler,
+    job_push::PushedJobs,
     job_spool::JobSpool,
     load::{self, LoadSocket},
     membership::{EntryKeeper, LeaseTerms, Presence},
@@ -135,15 +137,23 @@
         );
         tokio::spawn(usage::log_usage(outside.counters.clone()));
         let spooled = spool.as_ref().map(|spool| spool.count());
-        peer::serve(
-            settings,
+        let pushed = PushedJobs {
+            view: view.clone(),
+            cache: cache.clone(),
+            clock: clock.clone(),
+        };
+        let handler = PeerHandler {
+            relay: Relay::new(settings.kv),
             feeds,
+            pages: Arc::default(),
+            counters: outside.counters.clone(),
             cache,
             spool,
             group,
-            clock.clone(),
-            outside.counters.clone(),
-        )?;
+            pushed,
+            clock: clock.clone(),
+        };
+        peer::serve(settings.peer, handler)?;
         let socket = load::bind(settings.peer)
             .await
             .change_context(NodeError::Listen)?;
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -22,6 +22,7 @@
     commits::{self, COMMIT_PATH},
     feed::{Delta, Feed},
     follow::Pace,
+    job_push::{PUSH_PATH, PushedJobs},
     job_spool::{JobSpool, SPOOL_PATH},
     peer,
     siblings::{self, BULK_PATH},
@@ -276,6 +277,8 @@
     pub(crate) spool: Option<Arc<JobSpool>>,
     /// Collects writes of other nodes.
     pub(crate) group: GroupCommit,
+    /// Takes jobs that other nodes have accepted.
+    pub(crate) pushed: PushedJobs,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -288,6 +291,9 @@
         if uri.path().starts_with(COMMIT_PATH) {
             return Box::pin(commits::take(self.group.clone(), request));
         }
+        if uri.path().starts_with(PUSH_PATH) {
+            return Box::pin(self.pushed.clone().take(request));
+        }
         if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
             let response = siblings::answer(&self.cache, key);
             return Box::pin(std::future::ready(response));
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -5,7 +5,10 @@
 use jobs::{JobError, JobView, Ledger, NewJob, Stored};
 use tokio::{task::JoinHandle, time};
 
-use crate::job_spool::{SpoolClient, Spooled};
+use crate::{
+    job_push::JobPush,
+    job_spool::{SpoolClient, Spooled},
+};
 
 /// Where an accepted job is kept.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -22,6 +25,7 @@
     view: JobView,
     clock: Arc<dyn Clock>,
     spool: SpoolClient,
+    push: JobPush,
 }
 
 type Entering = JoinHandle<Result<Stored, Report<JobError>>>;
@@ -34,6 +38,7 @@
         disk_losses: u32,
     ) -> Self {
         Self {
+            push: JobPush::new(ledger.clone(), view.clone()),
             ledger,
             view,
             clock,
@@ -71,11 +76,12 @@
 
     fn enter(&self, job: NewJob) -> Entering {
         let (ledger, view) = (self.ledger.clone(), self.view.clone());
-        let clock = self.clock.clone();
+        let (clock, push) = (self.clock.clone(), self.push.clone());
         tokio::spawn(async move {
             let key = job.key.clone();
             let stored = ledger.accept(job).await?;
             view.learn(&key, &stored, clock.now());
+            push.send(&key, &stored);
             Ok(stored)
         })
     }
--- /dev/null
+++ b/crates/node/src/job_push.rs
@@ -0,0 +1,136 @@
+//! New jobs on their way from the front that accepted them to the worker
+//! that runs them.
+//!
+//! The worker would hear of a job with the next change of its feed, and read
+//! its inputs from the key-value service: a call for each job, a third of a
+//! second later. A push that is lost costs just that.
+
+use std::{sync::Arc, time::Duration};
+
+use base::Clock;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use jobs::{BulkCache, JobKey, JobView, Ledger, Stored, decode_head_row};
+use kv::Op;
+use pass::{AnswerBody, Fetch, Pool, read_body};
+use tokio::time;
+
+use crate::{commit_wire, commits::MOST_BYTES, peer};
+
+/// Path at which a worker takes new jobs; the revision of the head follows.
+pub(crate) const PUSH_PATH: &str = "/new-job/";
+
+/// Longest wait for the worker, in milliseconds. Its feed brings the job
+/// about then.
+const PUSH_MS: u64 = 400;
+
+/// Largest answer; it has none but a status.
+const ANSWER_BYTES: usize = 1_024;
+
+/// Sends new jobs to the workers that run them.
+#[derive(Clone)]
+pub(crate) struct JobPush {
+    ledger: Ledger,
+    view: JobView,
+    pool: Arc<Pool>,
+}
+
+impl JobPush {
+    pub(crate) fn new(ledger: Ledger, view: JobView) -> Self {
+        Self {
+            ledger,
+            view,
+            pool: Arc::default(),
+        }
+    }
+
+    /// Sends a job that this node has just accepted, without waiting.
+    pub(crate) fn send(&self, job: &JobKey, stored: &Stored) {
+        let push = self.clone();
+        let (job, stored) = (job.clone(), stored.clone());
+        tokio::spawn(async move {
+            if push.try_send(&job, &stored).await.is_none() {
+                log::info!(
+                    request_id = job.as_str(),
+                    owner = stored.head.owner.as_str();
+                    "a new job is not sent to its worker, which reads it"
+                );
+            }
+        });
+    }
+
+    async fn try_send(&self, job: &JobKey, stored: &Stored) -> Option<()> {
+        let rows = self.ledger.accepted_rows(job, stored)?;
+        let members = self.view.members();
+        let owner = members.get(&stored.head.owner)?;
+        let peer = peer::endpoint_of(owner)?;
+        let path = format!("{PUSH_PATH}{}", stored.revision);
+        let mut request = peer::question(&peer, &path)?;
+        *request.method_mut() = Method::POST;
+        *request.body_mut() = commit_wire::encode(&rows)?;
+        let exchange = self.pool.exchange(&peer, request, ANSWER_BYTES);
+        let wait = Duration::from_millis(PUSH_MS);
+        match time::timeout(wait, exchange).await {
+            Ok(Fetch::Answered(head, _)) if head.status.is_success() => {
+                Some(())
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Takes new jobs of other nodes.
+#[derive(Clone)]
+pub(crate) struct PushedJobs {
+    pub(crate) view: JobView,
+    pub(crate) cache: Arc<BulkCache>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl PushedJobs {
+    /// Takes a job and its inputs.
+    pub(crate) async fn take(
+        self,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
+        let path = request.uri().path();
+        let revision = path.strip_prefix(PUSH_PATH).unwrap_or_default();
+        let revision: Option<u64> = revision.parse().ok();
+        let body = match read_body(request.into_body(), MOST_BYTES).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal.into_response(),
+        };
+        let status = match revision.and_then(|at| self.learn(&body, at)) {
+            Some(()) => StatusCode::NO_CONTENT,
+            None => {
+                log::warn!(bytes = body.len();
+                    "a job of another node is malformed and is not taken");
+                StatusCode::BAD_REQUEST
+            }
+        };
+        let mut response = Response::new(AnswerBody::own(bytes::Bytes::new()));
+        *response.status_mut() = status;
+        response
+    }
+
+    fn learn(&self, body: &[u8], revision: u64) -> Option<()> {
+        let mut rows = commit_wire::decode(body)?.success.into_iter();
+        let Op::Put { key, value, .. } = rows.next()? else {
+            return None;
+        };
+        let (job, head) = decode_head_row(&key, &value)?;
+        // Inputs before the head: the job is taken up as it is known.
+        for row in rows {
+            if let Op::Put { key, value, .. } = row {
+                self.cache.keep(&key, &Arc::new(value));
+            }
+        }
+        let stored = Stored { head, revision };
+        self.view.learn(&job, &stored, self.clock.now());
+        Some(())
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/job_push.rs"]
+mod tests;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,19 +1,15 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::Clock;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use fleet::{Endpoint, EndpointRecord, EndpointState};
 use http::{HeaderValue, Request, header};
-use jobs::{BulkCache, JobView, NodeRecord, Roster};
-use kv::{batch::GroupCommit, paths::Paths};
-use pass::{Counters, Listener, ListenerOptions, Relay, Stopping};
+use jobs::{JobView, NodeRecord, Roster};
+use kv::paths::Paths;
+use pass::{Listener, ListenerOptions, Stopping};
 use tokio::{sync::watch, time};
 
-use crate::{
-    NodeError, NodeSettings, feed::Feed, feed_wire::PeerHandler,
-    job_spool::JobSpool,
-};
+use crate::{NodeError, feed_wire::PeerHandler};
 
 /// Nodes of each kind that a node has its calls passed on by, in turn. Enough
 /// that one is left where half of them are cut off as well; a way to each
@@ -49,35 +45,20 @@
     Some(request)
 }
 
-/// Answers other nodes until the process ends: what this one follows, what
-/// it keeps of jobs, and calls that are passed on to the key-value service.
+/// Answers other nodes until the process ends.
 ///
 /// # Errors
 ///
 /// [`NodeError::Listen`] if the address cannot be used.
 pub(crate) fn serve(
-    settings: &NodeSettings,
-    feeds: Arc<Vec<Arc<Feed>>>,
-    cache: Arc<BulkCache>,
-    spool: Option<Arc<JobSpool>>,
-    group: GroupCommit,
-    clock: Arc<dyn Clock>,
-    counters: Arc<Counters>,
+    address: SocketAddr,
+    handler: PeerHandler,
 ) -> Result<(), Report<NodeError>> {
     let (sender, stage) = watch::channel(Stopping::No);
     let options = ListenerOptions::default();
-    let listener = Listener::bind(settings.peer, options, stage)
+    let listener = Listener::bind(address, options, stage)
         .change_context(NodeError::Listen)?;
-    let handler = Arc::new(PeerHandler {
-        relay: Relay::new(settings.kv),
-        feeds,
-        pages: Arc::default(),
-        counters,
-        cache,
-        spool,
-        group,
-        clock,
-    });
+    let handler = Arc::new(handler);
     tokio::spawn(async move {
         // The stage lives as long as the task, and never changes.
         let _sender = sender;
--- /dev/null
+++ b/crates/node/tests/unit/job_push.rs
@@ -0,0 +1,88 @@
+//! What a worker learns of a job that another node has accepted.
+
+use std::sync::Arc;
+
+use base::{SteppedClock, UnixMillis, timer::Timer};
+use fleet::BatchTerms;
+use jobs::{
+    BulkCache, ItemInput, JobView, Ledger, NewJob, NoSiblings, Stored,
+};
+use kv::{Kv, Memory};
+
+use super::PushedJobs;
+use crate::commit_wire;
+
+const VALUE_BYTES: usize = 1024 * 1024;
+
+fn job() -> NewJob {
+    NewJob {
+        key: "job-1".parse().expect("a key"),
+        host: "a.example".to_owned(),
+        path: "/batch/1".to_owned(),
+        submitted_at: UnixMillis::new(1_000),
+        terms: BatchTerms {
+            due_in_ms: 18_000,
+            give_up_in_ms: 60_000,
+        },
+        owner: "worker-1".to_owned(),
+        customer: None,
+        items: vec![ItemInput {
+            id: "item-0".to_owned(),
+            body: b"hello".to_vec(),
+            ..ItemInput::default()
+        }],
+    }
+}
+
+fn pushed() -> PushedJobs {
+    PushedJobs {
+        view: JobView::default(),
+        cache: Arc::default(),
+        clock: Arc::new(SteppedClock::default()),
+    }
+}
+
+/// Accepts a job and returns what its front sends to the worker.
+async fn accepted() -> (Stored, Vec<u8>) {
+    let kv = Memory::default();
+    let timer = Timer::new(kv.clock().clone());
+    let cache: Arc<BulkCache> = Arc::default();
+    let ledger = Ledger::new(Arc::new(kv), timer, VALUE_BYTES)
+        .with_siblings(cache, Arc::new(NoSiblings));
+    let job = job();
+    let key = job.key.clone();
+    let stored = ledger.accept(job).await.expect("accepted");
+    let rows = ledger.accepted_rows(&key, &stored).expect("kept");
+    let bytes = commit_wire::encode(&rows).expect("encoded");
+    (stored, bytes.to_vec())
+}
+
+/// Guards against a read of the key-value service for each new job: load
+/// pattern of a fleet in which each job has inputs of its own.
+#[tokio::test]
+async fn a_worker_reads_nothing_of_a_job_that_is_sent_to_it() {
+    let (stored, bytes) = accepted().await;
+    let worker = pushed();
+    worker.learn(&bytes, stored.revision).expect("taken");
+    let key = job().key;
+    assert_eq!(worker.view.get(&key), Some(stored.clone()));
+    // A ledger before an empty service: what it reads comes from the cache.
+    let kv: Arc<dyn Kv> = Arc::new(Memory::default());
+    let timer = Timer::new(Arc::new(SteppedClock::default()));
+    let ledger = Ledger::new(kv, timer, VALUE_BYTES)
+        .with_siblings(worker.cache, Arc::new(NoSiblings));
+    let inputs = ledger.inputs(&key, &stored.head).await.expect("there");
+    assert_eq!(inputs, job().items);
+}
+
+/// Guards against a job that is taken up in part, or not at all, since the
+/// message about it was cut.
+#[tokio::test]
+async fn a_malformed_message_changes_nothing() {
+    let (stored, bytes) = accepted().await;
+    for length in 0..bytes.len() {
+        let worker = pushed();
+        assert!(worker.learn(&bytes[..length], stored.revision).is_none());
+        assert_eq!(worker.view.get(&job().key), None);
+    }
+}
