Start from a short list of nodes; let first callers wait for it

Cause: after a fall of the whole fleet each of 347 nodes read the list of all nodes, 100 kB as text, over the one link of the service, which was busy for a third of a second. Configuration and endpoints came 0.25 to 0.5 s after the start; 398 callers of that time were refused with half a second to wait, 196 late. Then each front read results of jobs by itself, 880 calls. Change: the first reader keeps a list of at most eight nodes a failure domain in one key; a node that starts reads that and asks one of its own domain. In the first second of a process callers wait up to 0.2 s for configuration and endpoints. The node that runs a job reads values that it lacks once for all that ask.

--- a/crates/jobs/src/ledger/values.rs
+++ b/crates/jobs/src/ledger/values.rs
@@ -9,9 +9,9 @@
 use crate::{
     BulkValue, JobError,
     record::{
-        ItemInput, ItemProgress, ItemResult, JobHead, JobKey, JobProgress,
-        decode_inputs, decode_progress, decode_results, encode_progress,
-        input_key, output_key, progress_key,
+        BULK_PREFIX, ItemInput, ItemProgress, ItemResult, JobHead, JobKey,
+        JobProgress, decode_inputs, decode_progress, decode_results,
+        encode_progress, input_key, output_key, progress_key,
     },
 };
 
@@ -74,6 +74,25 @@
         Ok(value)
     }
 
+    /// Reads a value that never changes, for another node that asks this one
+    /// for it.
+    ///
+    /// # Errors
+    ///
+    /// [`JobError::Unknown`] of a key that is no such value, and as
+    /// [`inputs`](Self::inputs).
+    pub async fn value(
+        &self,
+        key: &str,
+    ) -> Result<BulkValue, Report<JobError>> {
+        if !key.starts_with(BULK_PREFIX) {
+            return Err(Report::new(JobError::Unknown));
+        }
+        let value = Arc::new(self.bulk_of_service(key).await?);
+        self.cache.keep(key, &value);
+        Ok(value)
+    }
+
     async fn bulk_of_service(
         &self,
         key: &str,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -200,6 +200,8 @@
 pub const HEAD_PREFIX: &str = "jobs/h/";
 /// Common start of the entries of nodes.
 pub const NODE_PREFIX: &str = "jobs/n/";
+/// Common start of the keys of inputs, results and progress of items.
+pub(crate) const BULK_PREFIX: &str = "bulk/";
 
 /// Returns the key of a job's head.
 pub fn head_key(job: &JobKey) -> String {
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -95,6 +95,19 @@
         }
     }
 
+    /// Takes in nodes that a start is told of, as long as nothing else is
+    /// known.
+    pub fn seed_records(&self, nodes: Vec<NodeRecord>) {
+        let mut inner = self.lock();
+        if inner.fresh_at.is_some() {
+            return;
+        }
+        for node in nodes {
+            inner.nodes.insert(node.node.clone(), node);
+        }
+        inner.roster = None;
+    }
+
     /// Takes in a head that this node wrote or read itself.
     pub fn learn(&self, job: &JobKey, stored: &Stored, now: Millis) {
         let mut inner = self.lock();
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -31,8 +31,8 @@
     own_writes::FedWrites,
     peer,
     quota::{QuotaClient, QuotaService},
-    siblings::PeerBulk,
-    usage,
+    siblings::{BulkAnswers, PeerBulk},
+    start_list, usage,
     watch::{JOB_FEED, Watches},
 };
 
@@ -123,11 +123,14 @@
             clock.clone(),
             outside.counters.clone(),
         );
-        let ledger = Ledger::new(
-            Arc::new(commits),
-            outside.timer.clone(),
-            settings.value_bytes,
-        );
+        let commits: Arc<dyn Kv> = Arc::new(commits);
+        tokio::spawn(start_list::keep(
+            commits.clone(),
+            view.clone(),
+            settings.node.clone(),
+        ));
+        let ledger =
+            Ledger::new(commits, outside.timer.clone(), settings.value_bytes);
         let ledger = ledger.with_siblings(cache.clone(), Arc::new(siblings));
         let spool = JobSpool::open(
             settings,
@@ -147,7 +150,7 @@
             feeds,
             pages: Arc::default(),
             counters: outside.counters.clone(),
-            cache,
+            bulk: BulkAnswers::new(cache, ledger.clone()),
             spool,
             group,
             pushed,
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -1,12 +1,16 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use access::Confidence;
 use base::{Clock, Millis, Snapshot};
 use fleet::Config;
 use pass::DirectoryView;
+use tokio::time;
 
 /// What a node believes of the world outside, and how old that is.
 ///
@@ -33,6 +37,17 @@
     pub revoke_ms: Option<u64>,
 }
 
+/// Age of a process up to which callers wait for what it does not know yet, in
+/// milliseconds. Where the key-value service is away, later ones are refused
+/// at once.
+const STARTING_MS: u64 = 1_000;
+
+/// How long they wait, in milliseconds: about as long as leaves them in time.
+const START_WAIT_MS: u64 = 200;
+
+/// Pause between two looks at what is known.
+const START_LOOK: Duration = Duration::from_millis(10);
+
 /// Time in which a configuration is in force where the settings do not say.
 const DEFAULT_SURE_MS: u64 = 4_000;
 
@@ -130,8 +145,27 @@
     /// A node that does not know yet which requests crash endpoints would
     /// pass them on, at each start once more.
     pub fn is_ready(&self) -> bool {
-        self.config.load().is_some()
-            && !self.endpoints.load().table.is_empty()
-            && self.knows_held.load(Ordering::Relaxed)
+        self.can_route() && self.knows_held.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether any route and any endpoint is known.
+    fn can_route(&self) -> bool {
+        self.config.load().is_some() && !self.endpoints.load().table.is_empty()
+    }
+
+    /// Waits a moment for the first configuration and endpoints, in a process
+    /// that has just started.
+    ///
+    /// They arrive some tenths of a second after the first callers where all
+    /// nodes were killed. Who is refused meanwhile comes back too late.
+    pub async fn wait_for_start(&self) {
+        let began = self.clock.now();
+        let until = began.saturating_add_ms(START_WAIT_MS);
+        while !self.can_route()
+            && self.clock.now() < until
+            && began < Millis::new(STARTING_MS)
+        {
+            time::sleep(START_LOOK).await;
+        }
     }
 }
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -10,7 +10,6 @@
 use http::{Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
-use jobs::BulkCache;
 use kv::{KeyValue, LeaseId, batch::GroupCommit};
 use pass::{
     AnswerBody, Counters, Handler, HandlerFuture, Pool, Relay, read_body,
@@ -25,7 +24,7 @@
     job_push::{PUSH_PATH, PushedJobs},
     job_spool::{JobSpool, SPOOL_PATH},
     peer,
-    siblings::{self, BULK_PATH},
+    siblings::{BULK_PATH, BulkAnswers},
 };
 
 /// Path of the feeds between nodes; the number of the feed follows.
@@ -275,7 +274,7 @@
     pub(crate) feeds: Arc<Vec<Arc<Feed>>>,
     pub(crate) pages: Arc<EncodedPages>,
     pub(crate) counters: Arc<Counters>,
-    pub(crate) cache: Arc<BulkCache>,
+    pub(crate) bulk: BulkAnswers,
     /// Where this node keeps jobs for fronts, if it has a disk.
     pub(crate) spool: Option<Arc<JobSpool>>,
     /// Collects writes of other nodes.
@@ -298,8 +297,7 @@
             return Box::pin(self.pushed.clone().take(request));
         }
         if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
-            let response = siblings::answer(&self.cache, key);
-            return Box::pin(std::future::ready(response));
+            return Box::pin(self.bulk.clone().answer(key.to_owned()));
         }
         match FeedCall::parse(uri) {
             Some(call) => self.answer_feed(call),
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -17,7 +17,9 @@
     feed::Feed,
     feed_wire::{self, Question},
     membership::FoundEntry,
-    peer, tree,
+    peer,
+    start_list::{self, START_PREFIX},
+    tree,
     turns::Place,
 };
 
@@ -138,6 +140,7 @@
 /// The nodes that one node asks instead of the key-value service.
 pub(crate) struct Readers {
     node: String,
+    failure_domain: String,
     view: JobView,
     inner: Mutex<Inner>,
     /// Turns true when the nodes are known, or cannot be read.
@@ -157,9 +160,14 @@
 }
 
 impl Readers {
-    pub(crate) fn new(node: &str, view: JobView) -> Self {
+    pub(crate) fn new(
+        node: &str,
+        failure_domain: &str,
+        view: JobView,
+    ) -> Self {
         Self {
             node: node.to_owned(),
+            failure_domain: failure_domain.to_owned(),
             view,
             inner: Mutex::default(),
             seeded: watch::Sender::new(false),
@@ -178,8 +186,15 @@
         mut entered: watch::Receiver<bool>,
         found: watch::Sender<Option<FoundEntry>>,
     ) {
-        let nodes = self.read_nodes(kv).await;
-        let own = FoundEntry::among(&nodes, &self.node);
+        let own = match self.read_start_list(kv).await {
+            true => {
+                let key = format!("{NODE_PREFIX}{}", self.node);
+                let own = kv.get_prefix_stale(&key).await;
+                own.map(|reply| reply.kvs).unwrap_or_default()
+            }
+            false => self.read_nodes(kv).await,
+        };
+        let own = FoundEntry::among(&own, &self.node);
         found.send_replace(Some(own));
         let most = Duration::from_millis(START_PATIENCE_MS);
         let entry = entered.wait_for(|entered| *entered);
@@ -197,6 +212,17 @@
         self.seeded.send_replace(true);
     }
 
+    /// Reads whom a starting node may ask; returns whether there is anybody.
+    async fn read_start_list(&self, kv: &dyn Kv) -> bool {
+        let read = kv.get_prefix_stale(START_PREFIX).await;
+        let Ok(reply) = read else {
+            return false;
+        };
+        let list = start_list::decode(&reply.kvs);
+        self.view.seed_records(list);
+        self.knows_others()
+    }
+
     /// Tells whether any other node is known that may know more.
     fn knows_others(&self) -> bool {
         let roster = self.view.roster();
@@ -243,7 +269,7 @@
     ) -> Step {
         let roster = self.view.roster();
         let mut inner = self.lock();
-        inner.follow(roster, &self.node);
+        inner.follow(roster, &self.node, &self.failure_domain);
         let is_new =
             |at: Millis| now.saturating_ms_since(at) < READER_AGAIN_MS;
         inner.avoid.retain(|(_, _, at)| is_new(*at));
@@ -289,7 +315,7 @@
     fn first_source(&self, feed: usize, turn: usize) -> Option<NodeRecord> {
         let roster = self.view.roster();
         let mut inner = self.lock();
-        inner.follow(roster, &self.node);
+        inner.follow(roster, &self.node, &self.failure_domain);
         let is_avoided = |name: &str| {
             let mut all = inner.avoid.iter();
             all.any(|(number, known, _)| *number == feed && known == name)
@@ -313,12 +339,12 @@
 }
 
 impl Inner {
-    fn follow(&mut self, roster: Roster, node: &str) {
+    fn follow(&mut self, roster: Roster, node: &str, failure_domain: &str) {
         let known = self.roster.as_ref();
         if known.is_some_and(|known| known.is_same(&roster)) {
             return;
         }
-        self.sources = tree::sources(&roster, node);
+        self.sources = tree::sources(&roster, node, failure_domain);
         let readers = tree::readers(&roster);
         let at = readers.iter().position(|reader| reader.node == node);
         self.readers = at.map(|at| {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -180,6 +180,7 @@
     ) -> Response<AnswerBody> {
         Counters::add(&self.counters.arrived);
         let arrived_at = Instant::now();
+        self.cluster.wait_for_start().await;
         let (mut parts, body) = request.into_parts();
         let keys = &self.forwarder.names().keys;
         let arrived = Arrived::take(&mut parts.headers, keys);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod refusals;
 mod settings;
 mod siblings;
+mod start_list;
 mod tree;
 mod turns;
 mod usage;
--- a/crates/node/src/siblings.rs
+++ b/crates/node/src/siblings.rs
@@ -10,8 +10,8 @@
 use http::{Response, StatusCode};
 use indexmap::IndexMap;
 use jobs::{
-    BulkCache, BulkFuture, BulkValue, JobHead, JobKey, JobView, NodeRecord,
-    Siblings,
+    BulkCache, BulkFuture, BulkValue, JobHead, JobKey, JobView, Ledger,
+    NodeRecord, Siblings,
 };
 use pass::{AnswerBody, Fetch, Pool};
 use tokio::time;
@@ -120,15 +120,56 @@
     }
 }
 
-/// Answers another node's question for a value.
-pub(crate) fn answer(cache: &BulkCache, key: &str) -> Response<AnswerBody> {
-    if let Some(value) = cache.get(key) {
-        let bytes = Bytes::copy_from_slice(&value);
-        return Response::new(AnswerBody::own(bytes));
+/// Answers questions of other nodes for values of jobs that this one runs.
+///
+/// A value that is not kept here is read from the key-value service, once for
+/// all that ask. What goes wrong without that: where all nodes have started
+/// anew, each front that answers a caller reads the results of each job by
+/// itself, 880 calls after the last fault of one day.
+#[derive(Clone)]
+pub(crate) struct BulkAnswers {
+    cache: Arc<BulkCache>,
+    ledger: Ledger,
+    /// Held while a value is read, so that nobody else reads it as well.
+    reading: Arc<tokio::sync::Mutex<()>>,
+}
+
+impl BulkAnswers {
+    pub(crate) fn new(cache: Arc<BulkCache>, ledger: Ledger) -> Self {
+        Self {
+            cache,
+            ledger,
+            reading: Arc::default(),
+        }
+    }
+
+    pub(crate) async fn answer(self, key: String) -> Response<AnswerBody> {
+        if let Some(value) = self.value(&key).await {
+            let bytes = Bytes::copy_from_slice(&value);
+            return Response::new(AnswerBody::own(bytes));
+        }
+        let mut response = Response::new(AnswerBody::own(Bytes::new()));
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        response
+    }
+
+    async fn value(&self, key: &str) -> Option<BulkValue> {
+        if let Some(value) = self.cache.get(key) {
+            return Some(value);
+        }
+        let _reading = self.reading.lock().await;
+        if let Some(value) = self.cache.get(key) {
+            return Some(value);
+        }
+        match self.ledger.value(key).await {
+            Ok(value) => Some(value),
+            Err(report) => {
+                log::info!(key, error:% = report.current_context();
+                    "a value that another node asks for is not found");
+                None
+            }
+        }
     }
-    let mut response = Response::new(AnswerBody::own(Bytes::new()));
-    *response.status_mut() = StatusCode::NOT_FOUND;
-    response
 }
 
 fn lock(
@@ -136,3 +177,7 @@
 ) -> MutexGuard<'_, IndexMap<String, Millis>> {
     silent.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/siblings.rs"]
+mod tests;
--- a/crates/node/src/tree.rs
+++ b/crates/node/src/tree.rs
@@ -10,7 +10,7 @@
 //! moment, and each change went to each node across failure domains, where
 //! bytes cost.
 
-use base::mix;
+use base::{mix, stable_hash};
 use indexmap::IndexMap;
 use jobs::{NodeRecord, Roster};
 
@@ -35,16 +35,47 @@
     owned(&ranked[..ranked.len().min(wanted.max(PAIR))])
 }
 
+/// Tells whether a node is the first of those that read the service.
+pub(crate) fn is_first_reader(roster: &Roster, node: &str) -> bool {
+    let first = rank(roster);
+    first.first().is_some_and(|first| first.node == node)
+}
+
+/// Pairs of each failure domain that a node asks which has just started.
+const START_PAIRS: usize = 4;
+
+/// Returns the nodes that one which has just started may ask: the readers and
+/// a few of each failure domain that serve others. It is as long for a
+/// thousand nodes as for some hundred.
+pub(crate) fn start_list(roster: &Roster) -> Vec<NodeRecord> {
+    let ranked = rank(roster);
+    let mut taken: IndexMap<&str, usize> = IndexMap::new();
+    let mut list = Vec::new();
+    for (place, node) in ranked.iter().enumerate() {
+        let count = taken.entry(&node.failure_domain).or_default();
+        if place < PAIR || *count < START_PAIRS * PAIR {
+            list.push((*node).clone());
+        }
+        if place >= PAIR {
+            *count += 1;
+        }
+    }
+    list
+}
+
 /// Returns the nodes to ask, in the order of preference; none if the node
 /// reads the service itself.
 ///
 /// All nodes find the same tree by their names, without a message.
-pub(crate) fn sources(roster: &Roster, node: &str) -> Vec<NodeRecord> {
+pub(crate) fn sources(
+    roster: &Roster,
+    node: &str,
+    failure_domain: &str,
+) -> Vec<NodeRecord> {
     let ranked = rank(roster);
     let Some(place) = ranked.iter().position(|known| known.node == node)
     else {
-        // Not listed yet: the roots know what there is.
-        return owned(&ranked[..ranked.len().min(PAIR)]);
+        return sources_of_stranger(&ranked, node, failure_domain);
     };
     if place < PAIR {
         return Vec::new();
@@ -53,12 +84,7 @@
         return owned(&ranked[..PAIR]);
     }
     let (roots, rest) = ranked.split_at(PAIR);
-    let domain = &ranked[place].failure_domain;
-    let of_domain: Vec<&NodeRecord> = rest
-        .iter()
-        .filter(|known| known.failure_domain == *domain)
-        .copied()
-        .collect();
+    let of_domain = of_domain(rest, &ranked[place].failure_domain);
     let at = of_domain.iter().position(|known| known.node == node);
     let at = at.unwrap_or_default();
     if at >= PAIR {
@@ -71,6 +97,36 @@
     owned(above(&line, at.unwrap_or(PAIR)))
 }
 
+/// Returns whom a node asks that is not listed: one of the pairs of its
+/// failure domain, so that the roots do not have to answer a whole fleet that
+/// starts, or the roots where there is none.
+fn sources_of_stranger(
+    ranked: &[&NodeRecord],
+    node: &str,
+    failure_domain: &str,
+) -> Vec<NodeRecord> {
+    let (roots, rest) = ranked.split_at(ranked.len().min(PAIR));
+    let of_domain = of_domain(rest, failure_domain);
+    let pairs: Vec<&[&NodeRecord]> = of_domain
+        .chunks(PAIR)
+        .filter(|pair| pair.len() == PAIR)
+        .take(START_PAIRS)
+        .collect();
+    let drawn = (stable_hash(&[node]) as usize).checked_rem(pairs.len());
+    match drawn {
+        Some(at) if ranked.len() > PAIR + FAN_OUT => owned(pairs[at]),
+        _ => owned(roots),
+    }
+}
+
+fn of_domain<'a>(
+    nodes: &[&'a NodeRecord],
+    failure_domain: &str,
+) -> Vec<&'a NodeRecord> {
+    let in_it = |node: &&&NodeRecord| node.failure_domain == failure_domain;
+    nodes.iter().filter(in_it).copied().collect()
+}
+
 /// Returns the pair above a place in a line of nodes: the first pair is the
 /// top, the next sixteen nodes ask it, the next sixteen the next pair.
 fn above<'a>(line: &'a [&'a NodeRecord], at: usize) -> &'a [&'a NodeRecord] {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -94,7 +94,11 @@
                 },
             ),
         ];
-        let readers = Readers::new(&settings.node, self.view.clone());
+        let readers = Readers::new(
+            &settings.node,
+            &settings.failure_domain,
+            self.view.clone(),
+        );
         let readers = Arc::new(readers);
         let (seeded, kv) = (readers.clone(), self.kv.clone());
         let entered = self.entered.clone();
--- a/crates/node/tests/unit/tree.rs
+++ b/crates/node/tests/unit/tree.rs
@@ -4,7 +4,7 @@
 use jobs::{NodeRecord, Roster};
 use yare::parameterized;
 
-use super::sources;
+use super::{sources, start_list};
 
 fn fleet(nodes: usize, domains: usize) -> Vec<NodeRecord> {
     let node = |at: usize| NodeRecord {
@@ -25,7 +25,7 @@
     let mut asked: IndexMap<String, usize> = IndexMap::new();
     let mut roots = Vec::new();
     for node in nodes {
-        let sources = sources(&roster, &node.node);
+        let sources = sources(&roster, &node.node, &node.failure_domain);
         if sources.is_empty() {
             roots.push(node.node.clone());
         }
@@ -66,7 +66,7 @@
     for node in &all {
         let mut at = node.node.clone();
         let mut steps = 0;
-        while let Some(source) = sources(&roster, &at).first() {
+        while let Some(source) = sources(&roster, &at, "").first() {
             at.clone_from(&source.node);
             steps += 1;
             assert!(steps <= 6, "{} is {steps} steps away", node.node);
@@ -79,7 +79,8 @@
     let all = fleet(300, 6);
     let roster = Roster::new(&all);
     let crossing = all.iter().filter(|node| {
-        let mut sources = sources(&roster, &node.node).into_iter();
+        let mut sources =
+            sources(&roster, &node.node, &node.failure_domain).into_iter();
         sources.any(|source| source.failure_domain != node.failure_domain)
     });
     assert!(crossing.count() <= 12);
@@ -103,7 +104,7 @@
 fn a_node_that_is_not_listed_yet_asks_the_roots() {
     let all = fleet(50, 3);
     let (_, roots) = askers(&all);
-    let asked = sources(&Roster::new(&all), "stranger");
+    let asked = sources(&Roster::new(&all), "stranger", "elsewhere");
     let mut asked: Vec<String> =
         asked.into_iter().map(|node| node.node).collect();
     asked.sort();
@@ -114,7 +115,38 @@
 
 #[test]
 fn a_node_that_knows_nobody_reads_the_service() {
-    assert!(sources(&Roster::default(), "alone").is_empty());
+    assert!(sources(&Roster::default(), "alone", "east").is_empty());
     let all = fleet(1, 1);
-    assert!(sources(&Roster::new(&all), "node-0").is_empty());
+    assert!(sources(&Roster::new(&all), "node-0", "domain-0").is_empty());
+}
+
+/// Guards against a key-value service whose link is busy with lists of nodes
+/// while a whole fleet starts: load pattern of a fleet of which all processes
+/// are killed at once.
+#[test]
+fn what_a_start_reads_is_as_long_at_any_size() {
+    for nodes in [200, 1_000, 4_000] {
+        let list = start_list(&Roster::new(&fleet(nodes, 6)));
+        assert!(list.len() <= 2 + 6 * 8, "{} of {nodes}", list.len());
+    }
+}
+
+/// Guards against roots that answer each node of a fleet that starts.
+#[parameterized(
+    hundreds = { 347, 6 },
+    a_thousand = { 1_000, 6 },
+)]
+fn starting_nodes_ask_nodes_of_their_own_domain(nodes: usize, domains: usize) {
+    let all = fleet(nodes, domains);
+    let list = start_list(&Roster::new(&all));
+    let started = Roster::new(&list);
+    let mut asked: IndexMap<String, usize> = IndexMap::new();
+    for node in &all {
+        for source in sources(&started, &node.node, &node.failure_domain) {
+            *asked.entry(source.node).or_default() += 1;
+        }
+    }
+    let most = asked.values().max().copied().unwrap_or_default();
+    let each = nodes / domains / 4;
+    assert!(most <= 2 * each, "one is asked by {most}");
 }
