Ask nodes whose entries have lapsed together; bound calls in an outage

Cause: while the service is away entries lapse, all within a second; each node then takes itself for the only one and reads the service by itself until all are listed again. Change: the tree of nodes is kept for up to 20 s after more than half of its nodes have vanished at once. Nodes of fleets of more than 64 leave a service alone for longer that is away, up to 2 s.

--- a/crates/jobs/src/members.rs
+++ b/crates/jobs/src/members.rs
@@ -213,6 +213,16 @@
         }
     }
 
+    /// Returns how many nodes there are.
+    pub fn len(&self) -> usize {
+        self.workers.len() + self.fronts.len()
+    }
+
+    /// Tells whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns a node by its name.
     pub fn get(&self, node: &str) -> Option<&NodeRecord> {
         self.workers.get(node).or_else(|| self.fronts.get(node))
--- a/crates/kv/src/paths.rs
+++ b/crates/kv/src/paths.rs
@@ -41,8 +41,10 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
+    /// Time between two calls while the service is away, in milliseconds.
+    away_pause_ms: u64,
     peers: Vec<SocketAddr>,
     turn: usize,
     direct_lost: bool,
@@ -57,7 +59,7 @@
 const AWAY_FAILURES: u32 = 3;
 
 /// Time between two calls of a node while the service is away, in
-/// milliseconds.
+/// milliseconds, unless it is set.
 ///
 /// What goes wrong without it: each request of a caller becomes calls that
 /// fail, all of which are paid for; one saw 6,800 calls in an outage of six
@@ -67,12 +69,45 @@
 impl Paths {
     /// Starts with the direct way alone.
     pub fn new(direct: SocketAddr) -> Self {
+        let inner = Inner {
+            away_pause_ms: AWAY_PAUSE_MS,
+            peers: Vec::new(),
+            turn: 0,
+            direct_lost: false,
+            direct_tried_at: None,
+            failures: 0,
+            failed_at: Millis::default(),
+        };
         Self {
             direct,
-            inner: Mutex::default(),
+            inner: Mutex::new(inner),
         }
     }
 
+    /// Sets the time between two calls while the service is away, so that
+    /// the nodes of a large fleet do not make more calls together than those
+    /// of a small one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::Millis;
+    /// use pomeloslip_kv::paths::Paths;
+    ///
+    /// let direct = ([127, 0, 0, 1], 1).into();
+    /// let paths = Paths::new(direct);
+    /// paths.set_away_pause_ms(2_000);
+    /// let now = Millis::new(10);
+    /// for _ in 0..3 {
+    ///     paths.note(direct, false, now);
+    /// }
+    /// assert_eq!(paths.pick(Millis::new(1_900)), None);
+    /// assert_eq!(paths.pick(Millis::new(2_010)), Some(direct));
+    /// ```
+    pub fn set_away_pause_ms(&self, away_pause_ms: u64) {
+        self.lock().away_pause_ms = away_pause_ms;
+    }
+
     /// Sets the nodes that pass calls on, in the order of their use.
     pub fn set_peers(&self, peers: Vec<SocketAddr>) {
         self.lock().peers = peers;
@@ -83,7 +118,7 @@
     pub fn pick(&self, now: Millis) -> Option<SocketAddr> {
         let mut inner = self.lock();
         let since_ms = now.saturating_ms_since(inner.failed_at);
-        if inner.failures >= AWAY_FAILURES && since_ms < AWAY_PAUSE_MS {
+        if inner.failures >= AWAY_FAILURES && since_ms < inner.away_pause_ms {
             return None;
         }
         if !inner.direct_lost || inner.peers.is_empty() {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -19,7 +19,7 @@
     membership::FoundEntry,
     peer,
     start_list::{self, START_PREFIX},
-    tree,
+    tree::{self, TreeNodes},
     turns::Place,
 };
 
@@ -154,6 +154,7 @@
     /// The nodes that read the service, if this is one of them.
     readers: Option<(Place, Vec<NodeRecord>)>,
     roster: Option<Roster>,
+    nodes: TreeNodes,
     /// Who did not answer well, for which feed, and when. By feed, as a
     /// reader may be up to date in one and behind in another.
     avoid: Vec<(usize, String, Millis)>,
@@ -269,7 +270,7 @@
     ) -> Step {
         let roster = self.view.roster();
         let mut inner = self.lock();
-        inner.follow(roster, &self.node, &self.failure_domain);
+        inner.follow(roster, &self.node, &self.failure_domain, now);
         let is_new =
             |at: Millis| now.saturating_ms_since(at) < READER_AGAIN_MS;
         inner.avoid.retain(|(_, _, at)| is_new(*at));
@@ -312,10 +313,15 @@
     }
 
     /// Returns the node that knows most; none if this one reads itself.
-    fn first_source(&self, feed: usize, turn: usize) -> Option<NodeRecord> {
+    fn first_source(
+        &self,
+        feed: usize,
+        now: Millis,
+        turn: usize,
+    ) -> Option<NodeRecord> {
         let roster = self.view.roster();
         let mut inner = self.lock();
-        inner.follow(roster, &self.node, &self.failure_domain);
+        inner.follow(roster, &self.node, &self.failure_domain, now);
         let is_avoided = |name: &str| {
             let mut all = inner.avoid.iter();
             all.any(|(number, known, _)| *number == feed && known == name)
@@ -339,7 +345,14 @@
 }
 
 impl Inner {
-    fn follow(&mut self, roster: Roster, node: &str, failure_domain: &str) {
+    fn follow(
+        &mut self,
+        listed: Roster,
+        node: &str,
+        failure_domain: &str,
+        now: Millis,
+    ) {
+        let roster = self.nodes.follow(listed, now);
         let known = self.roster.as_ref();
         if known.is_some_and(|known| known.is_same(&roster)) {
             return;
@@ -426,7 +439,7 @@
         let until = began.saturating_add_ms(START_PATIENCE_MS);
         for turn in 0.. {
             let now = self.clock.now();
-            let reader = self.readers.first_source(self.number, turn);
+            let reader = self.readers.first_source(self.number, now, turn);
             let Some(reader) = reader.filter(|_| now < until) else {
                 return;
             };
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -85,6 +85,7 @@
             // is cut off itself sees nobody.
             if !peers.is_empty() {
                 paths.set_peers(peers);
+                paths.set_away_pause_ms(away_pause_ms(roster.len()));
             }
             known = Some(roster);
         }
@@ -92,6 +93,24 @@
     }
 }
 
+/// Time between two calls of a node while the key-value service is away, in
+/// milliseconds, in fleets of up to as many nodes as [`AWAY_NODES`].
+const AWAY_PAUSE_MS: u64 = 400;
+
+/// Longest such time, in milliseconds: the return of the service is noticed
+/// within it.
+const AWAY_PAUSE_MOST_MS: u64 = 2_000;
+
+/// Nodes that may ask after a service that is away at that pace.
+const AWAY_NODES: u64 = 64;
+
+/// Returns how long a node of a fleet of so many leaves the service alone
+/// while it is away.
+fn away_pause_ms(nodes: usize) -> u64 {
+    let grown = AWAY_PAUSE_MS * nodes as u64 / AWAY_NODES;
+    grown.clamp(AWAY_PAUSE_MS, AWAY_PAUSE_MOST_MS)
+}
+
 /// Returns the few nodes that a node has its calls passed on by.
 fn relays_of(roster: &Roster, node: &str) -> Vec<SocketAddr> {
     let start = base::stable_hash(&[node]) as usize;
@@ -107,3 +126,7 @@
     }
     relays
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/peer.rs"]
+mod tests;
--- a/crates/node/src/tree.rs
+++ b/crates/node/src/tree.rs
@@ -10,7 +10,7 @@
 //! moment, and each change went to each node across failure domains, where
 //! bytes cost.
 
-use base::{mix, stable_hash};
+use base::{Millis, mix, stable_hash};
 use indexmap::IndexMap;
 use jobs::{NodeRecord, Roster};
 
@@ -35,6 +35,61 @@
     owned(&ranked[..ranked.len().min(wanted.max(PAIR))])
 }
 
+/// The nodes that the tree is made of: those that are listed, and for a while
+/// those that were before most of them vanished at once.
+///
+/// Entries lapse while the service is away, all of them within a second. The
+/// nodes live, and know of each other what the service cannot tell. Without
+/// this each of them takes itself for the only one and reads the service by
+/// itself until all are listed again: 2,700 calls of 76 nodes after one outage.
+#[derive(Debug, Default)]
+pub(crate) struct TreeNodes {
+    /// What was listed last.
+    listed: Option<Roster>,
+    /// What the tree is made of.
+    known: Option<Roster>,
+    /// Since when far fewer are listed than the tree is made of.
+    shrunk_at: Option<Millis>,
+}
+
+/// Part of the nodes that has to be left so that the others count as gone: one
+/// in this many.
+const LEFT_DIVISOR: usize = 2;
+
+/// How long nodes are asked after most of them have vanished, in
+/// milliseconds: longer than an outage and the return of their entries take.
+const VANISHED_MS: u64 = 20_000;
+
+impl TreeNodes {
+    /// Takes in what is listed now and returns the nodes of the tree.
+    pub(crate) fn follow(&mut self, listed: Roster, now: Millis) -> Roster {
+        let is_seen = self
+            .listed
+            .as_ref()
+            .is_some_and(|seen| seen.is_same(&listed));
+        let is_over = self
+            .shrunk_at
+            .is_some_and(|at| now.saturating_ms_since(at) >= VANISHED_MS);
+        if let Some(known) = &self.known
+            && is_seen
+            && !is_over
+        {
+            return known.clone();
+        }
+        self.listed = Some(listed.clone());
+        if let Some(known) = &self.known
+            && !is_over
+            && listed.len() * LEFT_DIVISOR < known.len()
+        {
+            self.shrunk_at.get_or_insert(now);
+            return known.clone();
+        }
+        self.shrunk_at = None;
+        self.known = Some(listed.clone());
+        listed
+    }
+}
+
 /// Tells whether a node is the first of those that read the service.
 pub(crate) fn is_first_reader(roster: &Roster, node: &str) -> bool {
     let first = rank(roster);
--- a/crates/node/tests/unit/tree.rs
+++ b/crates/node/tests/unit/tree.rs
@@ -1,10 +1,11 @@
 //! Who asks whom, in fleets of several sizes.
 
+use base::Millis;
 use indexmap::IndexMap;
 use jobs::{NodeRecord, Roster};
 use yare::parameterized;
 
-use super::{sources, start_list};
+use super::{TreeNodes, sources, start_list};
 
 fn fleet(nodes: usize, domains: usize) -> Vec<NodeRecord> {
     let node = |at: usize| NodeRecord {
@@ -150,3 +151,33 @@
     let each = nodes / domains / 4;
     assert!(most <= 2 * each, "one is asked by {most}");
 }
+
+/// Guards against nodes that all read the service since their entries have
+/// lapsed in an outage of it, though they live.
+#[test]
+fn nodes_whose_entries_lapse_at_once_are_asked_on() {
+    let all = fleet(100, 4);
+    let mut nodes = TreeNodes::default();
+    let full = Roster::new(&all);
+    nodes.follow(full.clone(), Millis::new(1_000));
+    let empty = Roster::default();
+    let lapsed = nodes.follow(empty.clone(), Millis::new(2_000));
+    assert!(lapsed.is_same(&full));
+    // Some have returned.
+    let some = Roster::new(&all[..30]);
+    assert!(nodes.follow(some, Millis::new(3_000)).is_same(&full));
+    let most = Roster::new(&all[..70]);
+    let back = nodes.follow(most.clone(), Millis::new(4_000));
+    assert!(back.is_same(&most));
+}
+
+/// Guards against a tree of nodes that are gone for good.
+#[test]
+fn nodes_that_stay_away_are_not_asked_for_ever() {
+    let mut nodes = TreeNodes::default();
+    nodes.follow(Roster::new(&fleet(100, 4)), Millis::new(1_000));
+    let few = Roster::new(&fleet(10, 4));
+    nodes.follow(few.clone(), Millis::new(2_000));
+    let later = nodes.follow(few.clone(), Millis::new(22_000));
+    assert!(later.is_same(&few));
+}
