Ask readers again soon that were merely behind

Cause: a node left a reader alone for two seconds whose knowledge was too old, as if it were lost. Change: a reader that answers is asked again after 0.4 s. Nodes of fleets of more than 32 ask less often after a service that is away.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -56,6 +56,29 @@
 /// How long a reader that did not answer is left alone, in milliseconds.
 const READER_AGAIN_MS: u64 = 2_000;
 
+/// How long one is left alone whose answer was too old, in milliseconds. It
+/// lives, and is up to date again as soon as the service is back; until all
+/// ask it again each of them reads the service by itself.
+const READER_BEHIND_MS: u64 = 400;
+
+/// Why another node's answer is no help.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum NoHelp {
+    /// It does not answer.
+    Silent,
+    /// What it knows is too old.
+    Behind,
+}
+
+impl NoHelp {
+    fn again_ms(self) -> u64 {
+        match self {
+            Self::Silent => READER_AGAIN_MS,
+            Self::Behind => READER_BEHIND_MS,
+        }
+    }
+}
+
 /// Pause after a failed read of the service, in milliseconds: a return is
 /// noticed within it, and the whole fleet costs a few calls a second.
 const FAILED_PAUSE_MS: u64 = 400;
@@ -155,8 +178,8 @@
     readers: Option<(Place, Vec<NodeRecord>)>,
     roster: Option<Roster>,
     nodes: TreeNodes,
-    /// Who did not answer well, for which feed, and when. By feed, as a
-    /// reader may be up to date in one and behind in another.
+    /// Who was no help for which feed, and until when it is left alone. By
+    /// feed, as a reader may be up to date in one and behind in another.
     avoid: Vec<(usize, String, Millis)>,
 }
 
@@ -271,9 +294,7 @@
         let roster = self.view.roster();
         let mut inner = self.lock();
         inner.follow(roster, &self.node, &self.failure_domain, now);
-        let is_new =
-            |at: Millis| now.saturating_ms_since(at) < READER_AGAIN_MS;
-        inner.avoid.retain(|(_, _, at)| is_new(*at));
+        inner.avoid.retain(|(_, _, until)| now < *until);
         let is_avoided = |name: &str| {
             let mut all = inner.avoid.iter();
             all.any(|(number, known, _)| *number == feed && known == name)
@@ -333,10 +354,11 @@
         Some(good[at].clone())
     }
 
-    fn failed(&self, feed: usize, reader: &str, now: Millis) {
-        log::info!(reader, feed;
+    fn avoid(&self, feed: usize, reader: &str, why: NoHelp, now: Millis) {
+        log::info!(reader, feed, why:?;
             "a reader of the key-value service is avoided");
-        self.lock().avoid.push((feed, reader.to_owned(), now));
+        let until = now.saturating_add_ms(why.again_ms());
+        self.lock().avoid.push((feed, reader.to_owned(), until));
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -401,11 +423,13 @@
             match step {
                 Step::Read => {}
                 Step::Ask(reader) => {
-                    if self.ask(&reader, self.pace).await {
-                        watcher = None;
-                        continue;
+                    match self.ask(&reader, self.pace).await {
+                        Ok(()) => {
+                            watcher = None;
+                            continue;
+                        }
+                        Err(why) => self.avoid(&reader, why),
                     }
-                    self.readers.failed(self.number, &reader.node, now);
                 }
                 Step::Turn(place, readers) => {
                     if self.leave_turn(place, &readers).await {
@@ -443,7 +467,7 @@
             let Some(reader) = reader.filter(|_| now < until) else {
                 return;
             };
-            if self.ask(&reader, self.pace).await {
+            if self.ask(&reader, self.pace).await.is_ok() {
                 return;
             }
             pause(START_PAUSE_MS).await;
@@ -480,17 +504,26 @@
             wait_ms: wait_ms.min(self.pace.wait_ms),
             ..self.pace
         };
-        if !self.ask(next, pace).await {
-            self.readers.failed(self.number, &next.node, now);
+        if let Err(why) = self.ask(next, pace).await {
+            self.avoid(next, why);
             pause(wait_ms.min(TURN_PAUSE_MS)).await;
         }
         true
     }
 
-    /// Asks a reader; tells whether its knowledge is good enough.
-    async fn ask(&self, reader: &NodeRecord, pace: Pace) -> bool {
+    fn avoid(&self, reader: &NodeRecord, why: NoHelp) {
+        let now = self.clock.now();
+        self.readers.avoid(self.number, &reader.node, why, now);
+    }
+
+    /// Asks a reader and takes in what it knows.
+    async fn ask(
+        &self,
+        reader: &NodeRecord,
+        pace: Pace,
+    ) -> Result<(), NoHelp> {
         let Some(peer) = peer::endpoint_of(reader) else {
-            return false;
+            return Err(NoHelp::Silent);
         };
         let known = self.feed.status();
         let clock = &*self.clock;
@@ -509,7 +542,7 @@
         let asked =
             feed_wire::ask(&self.pool, &peer, question, clock, counters);
         let Some(delta) = asked.await else {
-            return false;
+            return Err(NoHelp::Silent);
         };
         let now = self.clock.now();
         let age = delta.fresh_at.map(|at| now.saturating_ms_since(at));
@@ -520,11 +553,11 @@
         // A first part is good enough to start with.
         let is_start =
             known.fresh_at.is_none() && delta.revision > known.revision;
-        let good = is_young || is_start;
-        if good {
-            self.feed.merge(delta);
+        if !is_young && !is_start {
+            return Err(NoHelp::Behind);
         }
-        good
+        self.feed.merge(delta);
+        Ok(())
     }
 
     /// Reads the changes since the last read of any reader, in one call
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -102,7 +102,7 @@
 const AWAY_PAUSE_MOST_MS: u64 = 2_000;
 
 /// Nodes that may ask after a service that is away at that pace.
-const AWAY_NODES: u64 = 64;
+const AWAY_NODES: u64 = 32;
 
 /// Returns how long a node of a fleet of so many leaves the service alone
 /// while it is away.
