Pace the stand-in engine's events by the clock

The engine did not play the speed it says it plays. Change: its events follow an interval, so a late event does not delay those behind it. Check and bounds of the test are as they were.

--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -12,7 +12,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
-    time::sleep,
+    time::{interval, sleep},
 };
 
 /// An engine: the body of a request says what it does. `N` answers with N
@@ -87,6 +87,9 @@
 /// request crashes.
 const CRASH_AFTER: Duration = Duration::from_millis(30);
 
+/// Time between two events of an answer.
+const EVENT_PAUSE: Duration = Duration::from_millis(2);
+
 type Lines = Arc<Mutex<Vec<String>>>;
 
 async fn engine(
@@ -130,6 +133,9 @@
         let last: u32 = number.parse().unwrap_or(0);
         // An engine crashes as far behind the point from which it goes on.
         let last = if crashes { after + last } else { last };
+        // By the clock and not from event to event, so that an answer takes as
+        // long on a busy machine.
+        let mut pace = interval(EVENT_PAUSE);
         for event in after + 1..=last {
             let text = format!("id: {event}\ndata: e{event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
@@ -139,7 +145,7 @@
             if cut && event == last / 2 {
                 return;
             }
-            sleep(Duration::from_millis(2)).await;
+            pace.tick().await;
         }
         if crashes {
             sleep(CRASH_AFTER).await;
