Read the first items of jobs only where a front asks for them

Change: a front reads changes without the heads and asks the worker of a job for its head when a client asks for the job (job_heads), and keeps what it was answered. What customers have left to do arrives with the load reports, which now carry the open items.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -1,8 +1,9 @@
 //! Batch jobs kept in the key-value service, and their runs.
 //!
-//! A job is a small [`JobHead`] that every node watches, its inputs and its
-//! results in chunks. The [`Ledger`] makes each change one compare-and-swap
-//! on the head. A [`JobView`] follows all heads. On the nodes that run items,
+//! A job is a small [`JobHead`] that the nodes follow that run items, its
+//! inputs and its results in chunks. The [`Ledger`] makes each change one
+//! compare-and-swap on the head. A [`JobView`] follows all heads; other nodes
+//! ask for the [`Heads`] that their callers want. On the nodes that run items,
 //! a [`Plan`] shares jobs and endpoints between those nodes and decides what
 //! starts and what gives way, and a [`Runner`] carries it out.
 //!
@@ -10,9 +11,11 @@
 //! jobs are found by hashing and may disagree for a moment, while positions
 //! are given by compare-and-swap alone.
 
+mod backlogs;
 mod bulk;
 mod error;
 mod gate;
+mod heads;
 mod index;
 mod ledger;
 mod members;
@@ -29,9 +32,11 @@
 mod view;
 
 pub use crate::{
+    backlogs::ReportedBacklogs,
     bulk::{BulkCache, BulkFuture, BulkValue, NoSiblings, Siblings},
     error::JobError,
     gate::{GateInput, GateOptions, GateOrder, decide},
+    heads::{HeadFuture, Heads, KnownHead, ViewHeads},
     ledger::{Ledger, NewJob, Stored},
     members::{Backlog, Members, NodeRecord, Roster},
     online::{
--- a/crates/jobs/src/page.rs
+++ b/crates/jobs/src/page.rs
@@ -1,11 +1,11 @@
 use std::{sync::Arc, time::Duration};
 
-use base::{Clock, Customer, Millis};
+use base::{Clock, Customer};
 use error_stack::Report;
 use tokio::time;
 
 use crate::{
-    JobError, JobView, Ledger, Stored,
+    Heads, JobError, KnownHead, Ledger, Stored,
     record::{ItemResult, JobKey},
 };
 
@@ -22,27 +22,36 @@
 
 /// Reads results for callers.
 ///
-/// Heads are taken from the view while that is young enough:
+/// Heads are taken from whoever knows them while that is young enough:
 /// a caller that saw a result at another node must find it here within a
-/// second, and an older view could still lack it.
+/// second, and older knowledge could still lack it.
 pub struct PageReader {
     ledger: Ledger,
-    view: JobView,
+    heads: Arc<dyn Heads>,
     clock: Arc<dyn Clock>,
 }
 
 /// Bytes of one page.
 const PAGE_BYTES: usize = 900 * 1024;
 
-/// Oldest view that proves that something is not there, in milliseconds.
-const VIEW_AGE_MS: u64 = 800;
+/// Oldest knowledge that proves that something is not there, in
+/// milliseconds.
+const KNOWN_AGE_MS: u64 = 800;
+
+/// Shortest time between two looks for news of a job, in milliseconds, where
+/// nobody can be asked who would wait for them.
+const LOOK_MS: u64 = 250;
 
 impl PageReader {
     /// Makes a reader.
-    pub fn new(ledger: Ledger, view: JobView, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(
+        ledger: Ledger,
+        heads: Arc<dyn Heads>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
         Self {
             ledger,
-            view,
+            heads,
             clock,
         }
     }
@@ -64,15 +73,21 @@
         wait_ms: u64,
     ) -> Result<Page, Report<JobError>> {
         let until = self.clock.now().saturating_add_ms(wait_ms);
-        let mut changes = self.view.subscribe();
+        let mut known: Option<u64> = None;
         loop {
-            changes.mark_unchanged();
-            let stored = self.head(job, customer, after).await?;
+            let looked_at = self.clock.now();
+            let left_ms = match known {
+                Some(_) => until.saturating_ms_since(looked_at),
+                None => 0,
+            };
+            let news = self.heads.read(job, known, left_ms).await;
+            let stored = self.settle(job, customer, after, news).await?;
             let head = &stored.head;
             if (after as usize) < head.listed.len() {
                 return self.collect(job, &stored, after).await;
             }
-            let left_ms = until.saturating_ms_since(self.clock.now());
+            let now = self.clock.now();
+            let left_ms = until.saturating_ms_since(now);
             if head.is_closed() || left_ms == 0 {
                 return Ok(Page {
                     total: head.total,
@@ -80,32 +95,39 @@
                     results: Vec::new(),
                 });
             }
-            let wait = Duration::from_millis(left_ms);
-            let _ = time::timeout(wait, changes.changed()).await;
+            let is_news = known != Some(stored.revision);
+            let looked_ms = now.saturating_ms_since(looked_at);
+            if !is_news && looked_ms < LOOK_MS {
+                let pause = LOOK_MS.min(left_ms);
+                time::sleep(Duration::from_millis(pause)).await;
+            }
+            known = Some(stored.revision);
         }
     }
 
-    /// Returns a head that is new enough to tell what is not at `after`.
+    /// Returns a head that is new enough to tell what is not at `after`: the
+    /// one that was found, or else the service's.
     ///
     /// The job of another customer is looked up as an unknown one is: an
     /// answer without a call would tell that it exists.
-    async fn head(
+    async fn settle(
         &self,
         job: &JobKey,
         customer: Option<&Customer>,
         after: u32,
+        found: Option<KnownHead>,
     ) -> Result<Stored, Report<JobError>> {
-        let now: Millis = self.clock.now();
-        if let Some(stored) = self.view.get_for(job, customer) {
+        let own = found.filter(|found| found.stored.head.belongs_to(customer));
+        if let Some(KnownHead { stored, age_ms }) = own {
             let has = (after as usize) < stored.head.listed.len();
-            let young = self.view.age_ms(now) <= VIEW_AGE_MS;
             let listed = stored.head.listed.len() as u32;
-            if has || young || listed == stored.head.total {
+            let is_young = age_ms <= KNOWN_AGE_MS;
+            if has || is_young || listed == stored.head.total {
                 return Ok(stored);
             }
         }
         let stored = self.ledger.read_for(job, customer).await?;
-        self.view.learn(job, &stored, now);
+        self.heads.note(job, &stored);
         Ok(stored)
     }
 
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -23,7 +23,9 @@
     Admin, ClusterState, Dialect, NodeError, NodeSettings, VacateOrder,
     commits::SharedCommits,
     crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
+    feed::Scope,
     feed_wire::PeerHandler,
+    job_heads::HeadAnswers,
     job_push::PushedJobs,
     job_spool::JobSpool,
     load::{self, LoadSocket},
@@ -106,6 +108,10 @@
             entered: has_entered,
             found,
             counters: outside.counters.clone(),
+            job_scope: match runs_items {
+                true => Scope::All,
+                false => Scope::WithoutHeads,
+            },
             orders,
         };
         let feeds = watches.start(settings);
@@ -153,6 +159,7 @@
             bulk: BulkAnswers::new(cache, ledger.clone()),
             spool,
             group,
+            heads: HeadAnswers::new(view.clone(), clock.clone()),
             pushed,
             clock: clock.clone(),
         };
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -6,6 +6,7 @@
 
 use base::{Millis, stable_hash};
 use indexmap::{IndexMap, IndexSet};
+use jobs::HEAD_PREFIX;
 use kv::{Event, GetReply, KeyValue};
 use tokio::sync::watch;
 
@@ -16,6 +17,7 @@
 /// passes them on in turn: a change is the set of keys that are newer than
 /// what the other side has.
 pub(crate) struct Feed {
+    scope: Scope,
     prefix: String,
     /// Hash of the name of this node.
     node: u64,
@@ -24,6 +26,30 @@
     changes: watch::Sender<u64>,
 }
 
+/// Which of the keys below a prefix somebody follows.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Scope {
+    /// All of them.
+    All,
+    /// All but the heads of jobs. Fronts ask for those that their callers
+    /// want; of the whole fleet there are hundreds of changes a second.
+    WithoutHeads,
+}
+
+impl Scope {
+    fn has(self, key: &str) -> bool {
+        match self {
+            Self::All => true,
+            Self::WithoutHeads => !key.starts_with(HEAD_PREFIX),
+        }
+    }
+
+    /// Tells whether whoever follows this can answer who wants `other`.
+    pub(crate) fn covers(self, other: Self) -> bool {
+        self == Self::All || other == Self::WithoutHeads
+    }
+}
+
 /// Tells whether a write of a key has changed nothing that nodes go by.
 ///
 /// What goes wrong where each write counts as a change: endpoints write
@@ -97,10 +123,12 @@
     /// the one before counts as none.
     pub(crate) fn new(
         prefix: &str,
+        scope: Scope,
         node: &str,
         same: impl Fn(&KeyValue, &KeyValue) -> bool + Send + Sync + 'static,
     ) -> Self {
         Self {
+            scope,
             prefix: prefix.to_owned(),
             node: stable_hash(&[node]),
             same: Box::new(same),
@@ -109,6 +137,10 @@
         }
     }
 
+    pub(crate) fn scope(&self) -> Scope {
+        self.scope
+    }
+
     pub(crate) fn prefix(&self) -> &str {
         &self.prefix
     }
@@ -141,7 +173,7 @@
             state.delete(key, reply.revision);
         }
         for kv in reply.kvs {
-            state.put(kv, &self.same);
+            self.put(&mut state, kv);
         }
         state.revision = reply.revision;
         state.confirm(Some(began), self.node);
@@ -158,9 +190,11 @@
         let mut state = self.lock();
         for event in events {
             match event {
-                Event::Put(kv) => state.put(kv, &self.same),
+                Event::Put(kv) => self.put(&mut state, kv),
                 Event::Delete { key, mod_revision } => {
-                    state.delete(key, mod_revision);
+                    if self.scope.has(&key) {
+                        state.delete(key, mod_revision);
+                    }
                 }
             }
         }
@@ -173,7 +207,7 @@
     /// up to that write are known.
     pub(crate) fn note_written(&self, kv: KeyValue) {
         let mut state = self.lock();
-        state.put(kv, &self.same);
+        self.put(&mut state, kv);
         self.tell(state);
     }
 
@@ -211,7 +245,7 @@
             }
         }
         for kv in delta.items {
-            state.put(kv, &self.same);
+            self.put(&mut state, kv);
         }
         for (key, revision) in delta.deleted {
             let known = state.items.get(&key).map_or(0, |k| k.mod_revision);
@@ -233,7 +267,23 @@
 
     /// Returns what has changed after a revision.
     pub(crate) fn since(&self, after: u64) -> Delta {
-        self.page(after, usize::MAX)
+        self.page(after, usize::MAX, Scope::All)
+    }
+
+    /// Tells whether there are changes after a revision.
+    pub(crate) fn has_news(&self, after: u64, scope: Scope) -> bool {
+        let state = self.lock();
+        if scope == Scope::All || after < state.whole_since {
+            return state.revision > after;
+        }
+        let newer = state.by_revision.range((after + 1, String::new())..);
+        let mut newer = newer.map(|(_, key)| key);
+        let mut gone = state.deleted.iter().rev();
+        newer.any(|key| scope.has(key))
+            || gone
+                .by_ref()
+                .take_while(|(_, at)| **at > after)
+                .any(|(key, _)| scope.has(key))
     }
 
     /// Returns the first changes after a revision, about `most` of them.
@@ -241,12 +291,14 @@
     /// The list of endpoints of a large fleet takes a node with a thin link
     /// a third of a second. With the first few hundred of them it serves
     /// requests meanwhile.
-    pub(crate) fn page(&self, after: u64, most: usize) -> Delta {
+    pub(crate) fn page(&self, after: u64, most: usize, scope: Scope) -> Delta {
         let state = self.lock();
-        match state.end_of_page(after, most) {
-            Some(revision) => state.part(after, revision),
-            None => state.rest(after),
-        }
+        let mut delta = match state.end_of_page(after, most) {
+            Some(revision) => state.part(after, revision, scope),
+            None => state.rest(after, scope),
+        };
+        delta.deleted.retain(|(key, _)| scope.has(key));
+        delta
     }
 
     /// Returns all keys.
@@ -255,6 +307,12 @@
         self.since(0)
     }
 
+    fn put(&self, state: &mut State, kv: KeyValue) {
+        if self.scope.has(&kv.key) {
+            state.put(kv, &self.same);
+        }
+    }
+
     fn tell(&self, state: MutexGuard<'_, State>) {
         drop(state);
         self.changes.send_modify(|count| *count += 1);
@@ -287,10 +345,11 @@
     }
 
     /// Returns the changes of a page that more pages follow.
-    fn part(&self, after: u64, last: u64) -> Delta {
+    fn part(&self, after: u64, last: u64, scope: Scope) -> Delta {
         let from = (after + 1, String::new());
         let to = (last + 1, String::new());
         let keys = self.by_revision.range(from..to).map(|(_, key)| key);
+        let keys = keys.filter(|key| scope.has(key));
         let items = keys.filter_map(|key| self.items.get(key));
         let gone = self.deleted.iter();
         let gone = gone.filter(|(_, at)| (after + 1..=last).contains(at));
@@ -304,13 +363,14 @@
     }
 
     /// Returns all changes after a revision.
-    fn rest(&self, after: u64) -> Delta {
+    fn rest(&self, after: u64, scope: Scope) -> Delta {
         let whole = after == 0 || after < self.whole_since;
         let first = match whole {
             true => 0,
             false => after + 1,
         };
         let newer = self.by_revision.range((first, String::new())..);
+        let newer = newer.filter(|(_, key)| scope.has(key));
         let items = newer.filter_map(|(_, key)| self.items.get(key));
         let gone = self.deleted.iter().filter(|(_, at)| **at > after);
         Delta {
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -19,8 +19,9 @@
 
 use crate::{
     commits::{self, COMMIT_PATH},
-    feed::{Delta, Feed},
+    feed::{Delta, Feed, Scope},
     follow::Pace,
+    job_heads::{HEAD_PATH, HeadAnswers},
     job_push::{PUSH_PATH, PushedJobs},
     job_spool::{JobSpool, SPOOL_PATH},
     peer,
@@ -149,6 +150,7 @@
     content: u64,
     after: u64,
     most: usize,
+    scope: Scope,
 }
 
 #[derive(Clone)]
@@ -165,19 +167,14 @@
 
 impl EncodedPages {
     /// Returns an answer to a question.
-    fn answer(
-        &self,
-        feed: &Feed,
-        number: usize,
-        (after, most): (u64, usize),
-        now: Millis,
-    ) -> Bytes {
+    fn answer(&self, feed: &Feed, call: FeedCall, now: Millis) -> Bytes {
         let status = feed.status();
         let key = PageKey {
-            feed: number,
+            feed: call.number,
             content: status.content,
-            after,
-            most,
+            after: call.after,
+            most: call.most,
+            scope: call.scope,
         };
         let page = self.page(feed, key);
         let age = |at: Millis| now.saturating_ms_since(at);
@@ -198,7 +195,7 @@
         if let Some(page) = pages.get(&key) {
             return page.clone();
         }
-        let delta = feed.page(key.after, key.most);
+        let delta = feed.page(key.after, key.most, key.scope);
         let page = EncodedPage {
             whole: delta.whole,
             ends_at: delta.more.then_some(delta.revision),
@@ -223,6 +220,8 @@
     pub(crate) age_ms: Option<u64>,
     /// About how many changes the answer may have.
     pub(crate) most: usize,
+    /// Which keys are wanted.
+    pub(crate) scope: Scope,
     /// How long it may wait for a change and an answer.
     pub(crate) pace: Pace,
 }
@@ -240,6 +239,7 @@
         after,
         age_ms,
         most,
+        scope,
         pace,
     } = question;
     let Pace {
@@ -249,8 +249,9 @@
     } = pace;
     let path = format!(
         "{FEED_PATH}{number}?after={after}&wait_ms={wait_ms}\
-         &age_most_ms={age_most_ms}&age_ms={}&most={most}",
-        age_ms.unwrap_or(u64::MAX)
+         &age_most_ms={age_most_ms}&age_ms={}&most={most}&heads={}",
+        age_ms.unwrap_or(u64::MAX),
+        u8::from(scope == Scope::All),
     );
     let request = peer::question(peer, &path)?;
     let patience = Duration::from_millis(wait_ms + answer_ms);
@@ -279,6 +280,8 @@
     pub(crate) spool: Option<Arc<JobSpool>>,
     /// Collects writes of other nodes.
     pub(crate) group: GroupCommit,
+    /// Answers for the heads of jobs.
+    pub(crate) heads: HeadAnswers,
     /// Takes jobs that other nodes have accepted.
     pub(crate) pushed: PushedJobs,
     pub(crate) clock: Arc<dyn Clock>,
@@ -293,6 +296,10 @@
         if uri.path().starts_with(COMMIT_PATH) {
             return Box::pin(commits::take(self.group.clone(), request));
         }
+        if uri.path().starts_with(HEAD_PATH) {
+            let uri = uri.clone();
+            return Box::pin(self.heads.clone().answer(uri));
+        }
         if uri.path().starts_with(PUSH_PATH) {
             return Box::pin(self.pushed.clone().take(request));
         }
@@ -312,7 +319,9 @@
 
 impl PeerHandler {
     fn answer_feed(&self, call: FeedCall) -> HandlerFuture {
-        let Some(feed) = self.feeds.get(call.number).cloned() else {
+        let feed = self.feeds.get(call.number);
+        let feed = feed.filter(|feed| feed.scope().covers(call.scope));
+        let Some(feed) = feed.cloned() else {
             let body = AnswerBody::own(Bytes::new());
             let mut response = Response::new(body);
             *response.status_mut() = StatusCode::NOT_FOUND;
@@ -322,8 +331,7 @@
         let counters = self.counters.clone();
         Box::pin(async move {
             call.wait_for_change(&feed, &*clock).await;
-            let page = (call.after, call.most);
-            let bytes = pages.answer(&feed, call.number, page, clock.now());
+            let bytes = pages.answer(&feed, call, clock.now());
             Counters::add(&counters.feed_answers_sent);
             Counters::count(&counters.feed_bytes_sent, bytes.len());
             Response::new(AnswerBody::own(bytes))
@@ -347,7 +355,7 @@
 }
 
 /// Reads a number from a question; one that is missing or malformed is none.
-fn number_in(uri: &Uri, name: &str) -> Option<u64> {
+pub(crate) fn number_in(uri: &Uri, name: &str) -> Option<u64> {
     let mut pairs = uri.query()?.split('&');
     let value = pairs.find_map(|pair| pair.strip_prefix(name))?;
     value.strip_prefix('=')?.parse().ok()
@@ -359,6 +367,7 @@
     number: usize,
     after: u64,
     most: usize,
+    scope: Scope,
     wait_ms: u64,
     age_most_ms: u64,
     /// How old what the other side knows is.
@@ -381,6 +390,10 @@
             number: number.parse().unwrap_or(usize::MAX),
             after: number_in(uri, "after").unwrap_or(0),
             most: most.unwrap_or(usize::MAX),
+            scope: match number_in(uri, "heads") {
+                Some(0) => Scope::WithoutHeads,
+                _ => Scope::All,
+            },
             wait_ms: number_in(uri, "wait_ms").unwrap_or(0),
             age_most_ms: number_in(uri, "age_most_ms").unwrap_or(0),
             age_ms: number_in(uri, "age_ms").unwrap_or(u64::MAX),
@@ -414,7 +427,7 @@
                 .map(|at| at.saturating_add_ms(self.age_most_ms));
             let until = too_old_at.unwrap_or(until).min(until);
             let left_ms = until.saturating_ms_since(clock.now());
-            let is_news = status.revision > self.after
+            let is_news = feed.has_news(self.after, self.scope)
                 || status.fresh_at.is_some_and(|at| at > younger_at);
             if is_news || left_ms == 0 {
                 return;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -536,6 +536,7 @@
                 0 => FIRST_PAGE,
                 _ => usize::MAX,
             },
+            scope: self.feed.scope(),
             pace,
         };
         let counters = &*self.counters;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -15,7 +15,10 @@
     HeaderValue, Request, Response, StatusCode, header, request::Parts,
 };
 use hyper::body::Incoming;
-use jobs::{JobError, JobKey, JobView, Ledger, NewJob, PageReader};
+use jobs::{
+    Heads, JobError, JobKey, JobView, Ledger, NewJob, PageReader,
+    ReportedBacklogs,
+};
 use limits::Verdict;
 use pass::{
     AnswerBody, Counters, CustomerOutcome, Forwarder, Handler, HandlerFuture,
@@ -27,6 +30,7 @@
     ClusterState, Dialect, JobCall, NodeError, NodeSettings, Outside, Signals,
     base::NodeBase,
     intake::JobIntake,
+    job_heads::PeerHeads,
     load::{FrontLoad, LoadNotifier},
     quota::QuotaClient,
 };
@@ -60,12 +64,14 @@
         let address = settings.front.ok_or(NodeError::Listen)?;
         let base = NodeBase::start(settings, &outside, false, None).await?;
         let (notifier, began) = LoadNotifier::new();
+        let backlogs: Arc<ReportedBacklogs> = Arc::default();
         let load = FrontLoad {
             socket: base.load_socket(settings, &outside),
             view: base.view.clone(),
             cluster: outside.cluster.clone(),
             plans: base.plans.clone(),
             selection: base.selection.clone(),
+            backlogs: backlogs.clone(),
             began,
         };
         tokio::spawn(load.run());
@@ -74,16 +80,17 @@
         let view = base.view.clone();
         let ledger = base.ledger.clone();
         let clock = outside.cluster.clock().clone();
-        let pages = PageReader::new(ledger.clone(), view.clone(), clock);
+        let heads: Arc<dyn Heads> =
+            Arc::new(PeerHeads::new(view.clone(), clock.clone()));
+        let pages = PageReader::new(ledger.clone(), heads.clone(), clock);
         let (stage, receiver) = stage::channel(Stopping::No);
         let options = ListenerOptions::default();
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
-        let clock = outside.cluster.clock().clone();
         let intake = JobIntake::new(
             ledger.clone(),
             view.clone(),
-            clock,
+            heads.clone(),
             settings.disk_losses,
         );
         let gateway = Arc::new(Gateway {
@@ -93,6 +100,8 @@
             intake,
             ledger,
             pages,
+            heads,
+            backlogs,
             view,
             quota: base.quota.clone(),
             counters: outside.counters,
@@ -146,6 +155,8 @@
     ledger: Ledger,
     intake: JobIntake,
     pages: PageReader,
+    heads: Arc<dyn Heads>,
+    backlogs: Arc<ReportedBacklogs>,
     view: JobView,
     quota: QuotaClient,
     counters: Arc<Counters>,
@@ -411,11 +422,12 @@
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok());
         let members = self.view.members();
-        let backlog = self.view.backlog(&members);
-        let owner = members.least_loaded(&key, &backlog).unwrap_or_default();
+        let now = self.cluster.clock().now();
+        let count = items.len() as u32;
+        let owner = self.backlogs.choose(&key, count, &members, now);
         Ok(NewJob {
             key,
-            owner: owner.to_owned(),
+            owner: owner.unwrap_or_default(),
             host: host.unwrap_or_default().to_owned(),
             path: parts.uri.path().to_owned(),
             submitted_at: self.cluster.clock().unix(),
@@ -486,7 +498,10 @@
         item: &str,
     ) -> Result<Vec<u8>, Report<JobError>> {
         // The number of inputs never changes, so that any known head will do.
-        let stored = match self.view.get_for(job, customer) {
+        let known = self.heads.read(job, None, 0).await;
+        let known = known.map(|known| known.stored);
+        let own = known.filter(|known| known.head.belongs_to(customer));
+        let stored = match own {
             Some(stored) => stored,
             None => self.ledger.read_for(job, customer).await?,
         };
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,8 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
-use base::Clock;
 use error_stack::Report;
-use jobs::{JobError, JobView, Ledger, NewJob, Stored};
+use jobs::{Heads, JobError, JobView, Ledger, NewJob, Stored};
 use tokio::{task::JoinHandle, time};
 
 use crate::{
@@ -23,7 +22,7 @@
 pub(crate) struct JobIntake {
     ledger: Ledger,
     view: JobView,
-    clock: Arc<dyn Clock>,
+    heads: Arc<dyn Heads>,
     spool: SpoolClient,
     push: JobPush,
 }
@@ -34,14 +33,14 @@
     pub(crate) fn new(
         ledger: Ledger,
         view: JobView,
-        clock: Arc<dyn Clock>,
+        heads: Arc<dyn Heads>,
         disk_losses: u32,
     ) -> Self {
         Self {
             push: JobPush::new(ledger.clone(), view.clone()),
             ledger,
             view,
-            clock,
+            heads,
             spool: SpoolClient::new(disk_losses),
         }
     }
@@ -75,12 +74,12 @@
     }
 
     fn enter(&self, job: NewJob) -> Entering {
-        let (ledger, view) = (self.ledger.clone(), self.view.clone());
-        let (clock, push) = (self.clock.clone(), self.push.clone());
+        let (ledger, heads) = (self.ledger.clone(), self.heads.clone());
+        let push = self.push.clone();
         tokio::spawn(async move {
             let key = job.key.clone();
             let stored = ledger.accept(job).await?;
-            view.learn(&key, &stored, clock.now());
+            heads.note(&key, &stored);
             push.send(&key, &stored);
             Ok(stored)
         })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod follow;
 mod front;
 mod intake;
+mod job_heads;
 mod job_push;
 mod job_spool;
 mod load;
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -58,6 +58,8 @@
     socket: Arc<UdpSocket>,
     started_at: UnixMillis,
     number: u64,
+    /// Open items that updates of this node report, if it is a worker.
+    open_items: Option<u32>,
     buffer: Vec<u8>,
     refusals: RefusalLog,
     counters: Arc<Counters>,
@@ -81,6 +83,7 @@
             socket,
             started_at: cluster.clock().unix(),
             number: 0,
+            open_items: None,
             buffer: vec![0; wire::DATAGRAM_BYTES],
             refusals: RefusalLog::default(),
             counters,
@@ -123,7 +126,8 @@
             number: self.number,
         };
         let update =
-            LoadUpdate::new(kind, &self.node, stamp, whole, counts.to_vec());
+            LoadUpdate::new(kind, &self.node, stamp, whole, counts.to_vec())
+                .with_open_items(self.open_items);
         let bytes = update.encode();
         Counters::add(&self.counters.load_updates_sent);
         Counters::count(&self.counters.load_bytes_sent, bytes.len());
--- a/crates/node/src/load/front.rs
+++ b/crates/node/src/load/front.rs
@@ -5,7 +5,9 @@
 use base::{Millis, Snapshot};
 use fleet::{EndpointTable, LifeKey, Selection};
 use indexmap::IndexMap;
-use jobs::{FRONT_LOAD_LIFE_MS, JobView, Plan, Plans, Stamp};
+use jobs::{
+    FRONT_LOAD_LIFE_MS, JobView, Plan, Plans, ReportedBacklogs, Stamp,
+};
 use tokio::{
     sync::mpsc,
     time::{self, MissedTickBehavior},
@@ -26,6 +28,8 @@
     pub(crate) cluster: ClusterState,
     pub(crate) plans: Plans,
     pub(crate) selection: Arc<Snapshot<Selection>>,
+    /// Takes what workers report of their items.
+    pub(crate) backlogs: Arc<ReportedBacklogs>,
     pub(crate) began: mpsc::UnboundedReceiver<LifeKey>,
 }
 
@@ -218,6 +222,9 @@
             return;
         }
         (*stamp, *at) = (update.stamp(), now);
+        if let Some(open_items) = update.open_items() {
+            self.backlogs.report(update.node(), open_items, now);
+        }
         let view = self.cluster.endpoints.load();
         for (life, count) in update.counts() {
             if let Some(endpoint) = view.table.get(*life) {
--- a/crates/node/src/load/wire.rs
+++ b/crates/node/src/load/wire.rs
@@ -8,7 +8,7 @@
 
 /// Form of the updates that this version writes. Another one is refused: the
 /// two may mean different things by the same fields.
-const VERSION: u32 = 1;
+const VERSION: u32 = 2;
 
 /// Largest datagram that is read.
 pub(super) const DATAGRAM_BYTES: usize = 8 * 1024;
@@ -41,6 +41,8 @@
     stamp: Stamp,
     whole: bool,
     counts: Vec<(LifeKey, u32)>,
+    /// Open items of the jobs that the sender runs, if it is a worker.
+    open_items: Option<u32>,
 }
 
 /// Why an update is not heeded.
@@ -82,9 +84,20 @@
             stamp,
             whole,
             counts,
+            open_items: None,
         }
     }
 
+    /// Adds how many items the sender has open.
+    pub(super) fn with_open_items(mut self, open_items: Option<u32>) -> Self {
+        self.open_items = open_items;
+        self
+    }
+
+    pub(super) fn open_items(&self) -> Option<u32> {
+        self.open_items
+    }
+
     pub(super) fn encode(&self) -> Vec<u8> {
         // Strings and numbers always encode.
         serde_json::to_vec(self).unwrap_or_default()
--- a/crates/node/src/load/worker.rs
+++ b/crates/node/src/load/worker.rs
@@ -7,7 +7,7 @@
 use jobs::{FrontUpdate, JobView, OnlineLoad, OthersUpdate, Roster};
 use tokio::time::{self, MissedTickBehavior};
 
-use super::{Kind, LoadSocket, TICK_MS, wire::LoadUpdate};
+use super::{Kind, LoadSocket, TICK_MS, WHOLE_MS, wire::LoadUpdate};
 use crate::ClusterState;
 
 /// How long a front may still report after its entry has ended, in
@@ -58,6 +58,8 @@
     pub(crate) view: JobView,
     pub(crate) cluster: ClusterState,
     pub(crate) online: Arc<OnlineLoad>,
+    /// When open items are counted next.
+    pub(crate) next_count: Millis,
 }
 
 impl WorkerLoad {
@@ -75,6 +77,7 @@
                 _ = ticks.tick() => {
                     let now = self.now();
                     fronts.follow(self.view.roster(), now);
+                    self.count_items(now);
                     let is_listed = |front: &str| fronts.is_listed(front);
                     self.online.forget_gone(is_listed, now);
                     for update in self.online.changes(now) {
@@ -85,6 +88,18 @@
         }
     }
 
+    /// Counts the open items of this node anew, if it is time.
+    fn count_items(&mut self, now: Millis) {
+        if now < self.next_count {
+            return;
+        }
+        self.next_count = now.saturating_add_ms(WHOLE_MS);
+        let members = self.view.members();
+        let backlog = self.view.backlog(&members);
+        let node = self.socket.node().to_owned();
+        self.socket.open_items = Some(backlog.items_of(&node));
+    }
+
     fn now(&self) -> Millis {
         self.cluster.clock().now()
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     ClusterState, Dialect, NodeSettings, OperatorOrder, VacateOrder,
-    feed::{Delta, Feed, FeedStatus},
+    feed::{Delta, Feed, FeedStatus, Scope},
     follow::{Follower, Pace, Readers, Reading},
     membership::FoundEntry,
     tree::PAIR,
@@ -54,6 +54,8 @@
     pub(crate) entered: watch::Receiver<bool>,
     /// Receives the entry of this node as it is found at the start.
     pub(crate) found: watch::Sender<Option<FoundEntry>>,
+    /// What this node follows of jobs.
+    pub(crate) job_scope: Scope,
     /// Who carries out orders to empty a node.
     pub(crate) orders: Option<mpsc::UnboundedSender<VacateOrder>>,
 }
@@ -74,20 +76,26 @@
             (
                 Feed::new(
                     self.dialect.endpoints_prefix(),
+                    Scope::All,
                     node,
                     same_endpoint,
                 ),
                 Reading::InTurn(listing_ms.min(LISTING_MOST_MS)),
             ),
             (
-                Feed::new(self.dialect.orders_prefix(), node, never),
+                Feed::new(
+                    self.dialect.orders_prefix(),
+                    Scope::All,
+                    node,
+                    never,
+                ),
                 Reading::Watching {
                     readers: PAIR,
                     pause_ms: 0,
                 },
             ),
             (
-                Feed::new(WATCHED_PREFIX, node, never),
+                Feed::new(WATCHED_PREFIX, self.job_scope, node, never),
                 Reading::Watching {
                     readers: JOB_READERS,
                     pause_ms: JOBS_PAUSE_MS,
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -1,5 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
+use base::Millis;
 use error_stack::Report;
 use jobs::{OnlineLoad, Runner, RunnerOptions, RunnerParts, Stop};
 use tokio::{
@@ -49,6 +50,7 @@
             view: base.view.clone(),
             cluster: outside.cluster.clone(),
             online: online.clone(),
+            next_count: Millis::default(),
         };
         tokio::spawn(load.run());
         let runner = make_runner(settings, &outside, &base, online);
--- a/crates/node/tests/unit/feed.rs
+++ b/crates/node/tests/unit/feed.rs
@@ -3,7 +3,7 @@
 use base::Millis;
 use kv::{GetReply, KeyValue};
 
-use super::Feed;
+use super::{Feed, Scope};
 
 fn entry(at: usize, state: &str, beat: u64) -> KeyValue {
     KeyValue {
@@ -17,7 +17,7 @@
 
 /// Entries are the same but for the beat after the space.
 fn feed() -> Feed {
-    Feed::new("endpoints/", "reader", |before, after| {
+    Feed::new("endpoints/", Scope::All, "reader", |before, after| {
         let state = |kv: &KeyValue| {
             kv.value
                 .split(|byte| *byte == b' ')
@@ -123,7 +123,7 @@
     feed.replace(listing(vec![entry(1, "ready", 5)], 5), Millis::new(100));
     feed.note_written(entry(2, "held", 9));
     for most in [1, 2, 10] {
-        let delta = feed.page(0, most);
+        let delta = feed.page(0, most, Scope::All);
         assert_eq!(delta.revision, 5, "pages of {most}");
     }
     let delta = feed.since(5);
--- a/crates/node/tests/unit/feed_wire.rs
+++ b/crates/node/tests/unit/feed_wire.rs
@@ -4,13 +4,26 @@
 use kv::{GetReply, KeyValue};
 use yare::parameterized;
 
-use super::{EncodedPages, decode};
-use crate::feed::Feed;
+use super::{EncodedPages, FeedCall, decode};
+use crate::feed::{Feed, Scope};
 
 const NOW: Millis = Millis::new(10_000);
 
+/// A question for all keys after a revision.
+fn call(after: u64, most: usize) -> FeedCall {
+    FeedCall {
+        number: 0,
+        after,
+        most,
+        scope: Scope::All,
+        wait_ms: 0,
+        age_most_ms: 0,
+        age_ms: u64::MAX,
+    }
+}
+
 fn feed(entries: u64) -> Feed {
-    let feed = Feed::new("e/", "reader", |_, _| false);
+    let feed = Feed::new("e/", Scope::All, "reader", |_, _| false);
     let kvs = (1..=entries).map(|at| KeyValue {
         key: format!("e/{at}"),
         value: vec![7; 200],
@@ -30,7 +43,7 @@
 fn an_answer_is_read_as_it_was_written() {
     let feed = feed(3);
     let pages = EncodedPages::default();
-    let bytes = pages.answer(&feed, 0, (1, usize::MAX), NOW);
+    let bytes = pages.answer(&feed, call(1, usize::MAX), NOW);
     let delta = decode(&bytes, NOW).expect("an answer");
     assert_eq!(delta.revision, 8);
     assert_eq!(delta.fresh_at, Some(Millis::new(9_000)));
@@ -44,12 +57,14 @@
 /// and read the whole list before it could use any of it.
 #[test]
 fn a_node_that_starts_uses_the_first_page_and_gets_the_rest() {
-    let (reader, node) =
-        (feed(1_000), Feed::new("e/", "reader", |_, _| false));
+    let (reader, node) = (
+        feed(1_000),
+        Feed::new("e/", Scope::All, "reader", |_, _| false),
+    );
     let pages = EncodedPages::default();
     let ask = |most| {
         let after = node.status().revision;
-        let bytes = pages.answer(&reader, 0, (after, most), NOW);
+        let bytes = pages.answer(&reader, call(after, most), NOW);
         node.merge(decode(&bytes, NOW).expect("an answer"));
     };
     ask(300);
@@ -63,7 +78,7 @@
 
 #[test]
 fn changes_of_one_revision_are_not_divided() {
-    let feed = Feed::new("e/", "reader", |_, _| false);
+    let feed = Feed::new("e/", Scope::All, "reader", |_, _| false);
     let kvs = (0..10).map(|at| KeyValue {
         key: format!("e/{at}"),
         value: Vec::new(),
@@ -76,7 +91,7 @@
         kvs: kvs.collect(),
     };
     feed.replace(reply, NOW);
-    let page = feed.page(0, 3);
+    let page = feed.page(0, 3, Scope::All);
     assert_eq!((page.items.len(), page.more), (10, false));
 }
 
@@ -85,11 +100,11 @@
     let feed = feed(100);
     let pages = EncodedPages::default();
     for _ in 0..50 {
-        pages.answer(&feed, 0, (0, usize::MAX), NOW);
+        pages.answer(&feed, call(0, usize::MAX), NOW);
     }
     assert_eq!(pages.0.lock().expect("lock").len(), 1);
     for after in 1..50 {
-        pages.answer(&feed, 0, (after, usize::MAX), NOW);
+        pages.answer(&feed, call(after, usize::MAX), NOW);
     }
     assert!(pages.0.lock().expect("lock").len() <= super::PAGES_KEPT);
 }
@@ -101,15 +116,15 @@
     no_separator = { br#"{"revision":1,"whole":true,"more":false}"# },
     no_json = { b"\xff\n\xff" },
     a_negative_revision = {
-        b"{\"revision\":-1,\"whole\":true,\"more\":false,\"age_ms\":1,\
+        b"{\"revision\":-1,\"whole\":true,\"more\":false,\"age_ms\":1,\"read_by\":0,\
         \"failed_age_ms\":null}\n{\"items\":[],\"deleted\":[]}"
     },
     a_field_too_many = {
-        b"{\"revision\":1,\"whole\":true,\"more\":false,\"age_ms\":1,\
+        b"{\"revision\":1,\"whole\":true,\"more\":false,\"age_ms\":1,\"read_by\":0,\
         \"failed_age_ms\":null,\"v\":2}\n{\"items\":[],\"deleted\":[]}"
     },
     a_value_that_is_no_base64 = {
-        b"{\"revision\":1,\"whole\":true,\"more\":false,\"age_ms\":1,\
+        b"{\"revision\":1,\"whole\":true,\"more\":false,\"age_ms\":1,\"read_by\":0,\
         \"failed_age_ms\":null}\n{\"items\":[{\"key\":\"a\",\"value\":\"%\",\
         \"create_revision\":1,\"mod_revision\":1,\"lease\":null}],\
         \"deleted\":[]}"
@@ -123,8 +138,49 @@
 #[test]
 fn answers_that_are_cut_off_are_not_taken() {
     let bytes =
-        EncodedPages::default().answer(&feed(3), 0, (0, usize::MAX), NOW);
+        EncodedPages::default().answer(&feed(3), call(0, usize::MAX), NOW);
     for end in 0..bytes.len() {
         assert!(decode(&bytes[..end], NOW).is_none(), "cut at {end}");
     }
 }
+
+/// Guards against fronts that hear of each change of each job of the fleet:
+/// load pattern of a fleet with many jobs, of which a front's callers ask for
+/// few.
+#[parameterized(
+    few_jobs = { 10 },
+    many_jobs = { 1_000 },
+)]
+fn a_node_that_follows_no_heads_gets_none(jobs: u64) {
+    let feed = Feed::new("jobs/", Scope::All, "reader", |_, _| false);
+    let key = |at: u64| match at {
+        1 => "jobs/n/front-1".to_owned(),
+        at => format!("jobs/h/job-{at}"),
+    };
+    let kvs = (1..=jobs).map(|at| KeyValue {
+        key: key(at),
+        value: vec![7; 500],
+        create_revision: at,
+        mod_revision: at,
+        lease: None,
+    });
+    let reply = GetReply {
+        revision: jobs,
+        kvs: kvs.collect(),
+    };
+    feed.replace(reply, NOW);
+    let without = FeedCall {
+        scope: Scope::WithoutHeads,
+        ..call(0, usize::MAX)
+    };
+    let bytes = EncodedPages::default().answer(&feed, without, NOW);
+    assert!(bytes.len() < 1_000, "{} bytes", bytes.len());
+    assert!(feed.has_news(0, Scope::WithoutHeads));
+    assert!(!feed.has_news(1, Scope::WithoutHeads));
+    assert!(feed.has_news(1, Scope::All));
+    let front = Feed::new("jobs/", Scope::WithoutHeads, "front", |_, _| false);
+    front.merge(decode(&bytes, NOW).expect("an answer"));
+    assert_eq!(front.all().items.len(), 1);
+    assert_eq!(front.status().revision, jobs);
+    assert!(!front.scope().covers(Scope::All));
+}
--- /dev/null
+++ b/crates/node/tests/unit/job_heads.rs
@@ -0,0 +1,122 @@
+//! Whom a front asks for the head of a job, and what arrives.
+
+use std::sync::Arc;
+
+use base::{Millis, SteppedClock, UnixMillis};
+use indexmap::IndexMap;
+use jobs::{Heads, JobHead, JobKey, JobView, KnownHead, NodeRecord, Stored};
+
+use super::{HeadAnswers, PeerHeads, decode, encode};
+
+fn worker(number: usize) -> NodeRecord {
+    NodeRecord {
+        node: format!("worker-{number}"),
+        failure_domain: "east".to_owned(),
+        runs_items: true,
+        address: None,
+        limits: None,
+        lease_s: 0,
+    }
+}
+
+fn stored(owner: &str, revision: u64) -> Stored {
+    Stored {
+        head: JobHead {
+            submitted_at: UnixMillis::new(1_000),
+            host: "a.example".to_owned(),
+            path: "/batch/1".to_owned(),
+            total: 3,
+            input_chunks: 1,
+            listed: vec![2, 0],
+            output_chunks: vec![0],
+            strikes: IndexMap::new(),
+            ended: false,
+            owner: owner.to_owned(),
+            due_at: UnixMillis::new(19_000),
+            give_up_at: UnixMillis::new(61_000),
+            customer: None,
+        },
+        revision,
+    }
+}
+
+fn heads(workers: usize) -> PeerHeads {
+    let view = JobView::default();
+    view.seed_records((0..workers).map(worker).collect());
+    PeerHeads::new(view, Arc::new(SteppedClock::default()))
+}
+
+fn job() -> JobKey {
+    "job-1".parse().expect("a key")
+}
+
+#[test]
+fn a_head_arrives_as_it_was_sent() {
+    let known = KnownHead {
+        stored: stored("worker-1", 7),
+        age_ms: 120,
+    };
+    let bytes = encode(&known).expect("encoded");
+    assert_eq!(decode(&bytes), Some(known));
+    for length in 0..bytes.len() {
+        assert_eq!(decode(&bytes[..length]), None, "{length} bytes");
+    }
+}
+
+/// Guards against questions that grow with the fleet, and against callers who
+/// wait for news at a worker that hears of them later than the one that lists
+/// the results.
+#[test]
+fn the_worker_that_runs_a_job_is_asked_first() {
+    for workers in [3, 70, 1_000] {
+        let heads = heads(workers);
+        assert_eq!(heads.workers_for(&job()).len(), 2, "of {workers}");
+        heads.note(&job(), &stored("worker-1", 5));
+        let asked = heads.workers_for(&job());
+        assert_eq!(asked[0].node, "worker-1");
+        assert_eq!(asked.len(), 2);
+    }
+    assert!(heads(0).workers_for(&job()).is_empty());
+}
+
+#[test]
+fn a_worker_that_does_not_answer_is_left_alone() {
+    let heads = heads(5);
+    heads.note(&job(), &stored("worker-1", 5));
+    heads.note_silent(&worker(1));
+    let asked = heads.workers_for(&job());
+    assert!(asked.iter().all(|known| known.node != "worker-1"));
+}
+
+/// Guards against a memory of heads that grows with the jobs of the fleet.
+#[test]
+fn few_heads_are_remembered_and_none_goes_back() {
+    let heads = heads(5);
+    heads.note(&job(), &stored("worker-1", 5));
+    heads.note(&job(), &stored("worker-2", 4));
+    assert_eq!(heads.workers_for(&job())[0].node, "worker-1");
+    for number in 0..2_000 {
+        let key: JobKey = format!("other-{number}").parse().expect("a key");
+        heads.note(&key, &stored("worker-1", 5));
+    }
+    let remembered = heads.lock().remembered.len();
+    assert!(remembered <= 256, "{remembered}");
+}
+
+/// Guards against callers who learn of a result later than its worker.
+#[tokio::test(start_paused = true)]
+async fn a_question_is_answered_as_soon_as_there_is_news() {
+    let view = JobView::default();
+    let clock = Arc::new(SteppedClock::default());
+    view.learn(&job(), &stored("worker-1", 5), Millis::new(0));
+    let answers = HeadAnswers::new(view.clone(), clock);
+    let uri = "/head/job-1?wait_ms=900&after=5".parse().expect("a path");
+    let answered = tokio::spawn(answers.clone().answer(uri));
+    tokio::task::yield_now().await;
+    assert!(!answered.is_finished());
+    view.learn(&job(), &stored("worker-1", 6), Millis::new(1));
+    let response = answered.await.expect("task");
+    assert_eq!(response.status(), 200);
+    let unknown = "/head/job-2?wait_ms=0".parse().expect("a path");
+    assert_eq!(answers.answer(unknown).await.status(), 404);
+}
--- a/crates/node/tests/unit/load_wire.rs
+++ b/crates/node/tests/unit/load_wire.rs
@@ -42,25 +42,25 @@
     empty = { b"" },
     no_json = { b"\xff\x00load" },
     another_message = { br#"{"hello":1}"# },
-    cut_off = { br#"{"version":1,"kind":"own","node":"f"# },
+    cut_off = { br#"{"version":2,"kind":"own","node":"f"# },
     a_field_too_many = {
-        br#"{"version":1,"kind":"own","node":"f","stamp":{"started_at":1,
+        br#"{"version":2,"kind":"own","node":"f","stamp":{"started_at":1,
         "number":1},"whole":true,"counts":[],"more":1}"#
     },
     a_negative_count = {
-        br#"{"version":1,"kind":"own","node":"f","stamp":{"started_at":1,
+        br#"{"version":2,"kind":"own","node":"f","stamp":{"started_at":1,
         "number":1},"whole":true,"counts":[[1,-1]]}"#
     },
     a_count_out_of_range = {
-        br#"{"version":1,"kind":"own","node":"f","stamp":{"started_at":1,
+        br#"{"version":2,"kind":"own","node":"f","stamp":{"started_at":1,
         "number":1},"whole":true,"counts":[[1,4294967295]]}"#
     },
     a_later_version = {
-        br#"{"version":2,"kind":"own","node":"f","stamp":{"started_at":1,
+        br#"{"version":3,"kind":"own","node":"f","stamp":{"started_at":1,
         "number":1},"whole":true,"counts":[]}"#
     },
     an_unknown_kind = {
-        br#"{"version":1,"kind":"all","node":"f","stamp":{"started_at":1,
+        br#"{"version":2,"kind":"all","node":"f","stamp":{"started_at":1,
         "number":1},"whole":true,"counts":[]}"#
     },
 )]
