--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -20,11 +20,11 @@
 use crate::{
     commits::{self, COMMIT_PATH},
     feed::{Delta, Feed, Scope},
-    follow::Pace,
     job_heads::{HEAD_PATH, HeadAnswers},
     job_push::{PUSH_PATH, PushedJobs},
     job_spool::{JobSpool, SPOOL_PATH},
     peer,
+    readers::Pace,
     siblings::{BULK_PATH, BulkAnswers},
 };
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod peer;
 mod probe;
 mod quota;
+mod readers;
 mod refusals;
 mod settings;
 mod siblings;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,8 +13,9 @@
 use crate::{
     ClusterState, Dialect, NodeSettings, OperatorOrder, VacateOrder,
     feed::{Delta, Feed, FeedStatus, Scope},
-    follow::{Follower, Pace, Readers, Reading},
+    follow::Follower,
     membership::FoundEntry,
+    readers::{Pace, Readers, Reading},
     tree::PAIR,
 };
 
