Log the software version of endpoints and who resumes a stream

No line or counter had the version of an endpoint, nor whether a request resumes an earlier one, so the three hypotheses of the incident could not be told apart.

The adapter decodes the version of an endpoint's entry and the header that names the attempt with a stream's first event. Lines of requests, offers, resumed streams and items have the version; a request that resumes has the event and the attempt. Counters: resumed_by_clients, versions_mixed. No decision reads them.

--- a/crates/bench/benches/growth/installation.rs
+++ b/crates/bench/benches/growth/installation.rs
@@ -88,6 +88,7 @@
     EndpointRecord {
         id: format!("i-{id:016x}"),
         started_at: None,
+        version: None,
         address: ([127, 0, 0, 1], 80).into(),
         service: SERVICE.to_owned(),
         failure_domain: failure_domain(number),
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -9,7 +9,7 @@
 use base::{Millis, UnixMillis, mix};
 use serde::{Deserialize, Serialize};
 
-use crate::{FailureKind, LoadReport};
+use crate::{FailureKind, LoadReport, SoftwareVersion};
 
 /// Whether an endpoint accepts new work.
 #[derive(
@@ -34,6 +34,9 @@
     /// endpoint keeps no state of its previous incarnation.
     #[serde(default)]
     pub started_at: Option<UnixMillis>,
+    /// Version of its software, if the entry has it.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// Address that it listens on. Another incarnation may later get the same
     /// address.
     pub address: SocketAddr,
@@ -151,6 +154,11 @@
         &self.record
     }
 
+    /// Returns the version of its software, or an empty string, for the log.
+    pub fn version_text(&self) -> &str {
+        self.record.version.as_ref().map_or("", |v| v.as_str())
+    }
+
     /// Returns a hash of the id, for choices that are evenly distributed.
     #[inline]
     pub fn id_hash(&self) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod selection;
 mod suspect;
 mod table;
+mod version;
 
 pub use crate::{
     directory::{Change, Directory, LISTING_GRACE_MS, Listing, ListingUpdate},
@@ -38,4 +39,5 @@
     selection::{MAX_SPILL_ENDPOINTS, Selection, SelectionTier},
     suspect::FailureKind,
     table::EndpointTable,
+    version::{SoftwareVersion, VersionError},
 };
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -34,6 +34,7 @@
 ///     Endpoint::new(EndpointRecord {
 ///         id: number.to_string(),
 ///         started_at: None,
+///         version: None,
 ///         address: ([127, 0, 0, 1], 80).into(),
 ///         service: "engines".to_owned(),
 ///         failure_domain: "east".to_owned(),
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -20,6 +20,7 @@
 /// let endpoint = Endpoint::new(EndpointRecord {
 ///     id: "e1".to_owned(),
 ///     started_at: None,
+///     version: None,
 ///     address: ([127, 0, 0, 1], 80).into(),
 ///     service: "engines".to_owned(),
 ///     failure_domain: "east".to_owned(),
--- a/crates/fleet/tests/burst.rs
+++ b/crates/fleet/tests/burst.rs
@@ -160,6 +160,7 @@
         Endpoint::new(EndpointRecord {
             id: index.to_string(),
             started_at: None,
+            version: None,
             address: ([127, 0, 0, 1], 80).into(),
             service: "engines".to_owned(),
             failure_domain: "east".to_owned(),
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -10,6 +10,7 @@
     EndpointRecord {
         id: id.to_owned(),
         started_at: None,
+        version: None,
         address: ([127, 0, 0, 1], 80).into(),
         service: "engines".to_owned(),
         failure_domain: "east".to_owned(),
@@ -110,6 +111,7 @@
 fn incarnation(id: &str, started_ms: Option<u64>) -> EndpointRecord {
     EndpointRecord {
         started_at: started_ms.map(UnixMillis::new),
+        version: None,
         ..record(id, EndpointState::Ready)
     }
 }
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -343,6 +343,7 @@
             request_id = run.input.id.as_str(),
             job = key.as_str(),
             endpoint = endpoint.record().id.as_str(),
+            version = endpoint.version_text(),
             after = item.progress.last_id().unwrap_or(0),
             config = config.version,
             revision = job.stored.revision,
--- a/crates/jobs/tests/online.rs
+++ b/crates/jobs/tests/online.rs
@@ -12,6 +12,7 @@
     let endpoint = Endpoint::new(EndpointRecord {
         id: id.to_owned(),
         started_at: None,
+        version: None,
         address: ([127, 0, 0, 1], 80).into(),
         service: "engines".to_owned(),
         failure_domain: "east".to_owned(),
--- a/crates/jobs/tests/plan.rs
+++ b/crates/jobs/tests/plan.rs
@@ -30,6 +30,7 @@
             all.push(Endpoint::new(EndpointRecord {
                 id: format!("{domain}-{number}"),
                 started_at: None,
+                version: None,
                 address: ([127, 0, 0, 1], 80).into(),
                 service: "engines".to_owned(),
                 failure_domain: (*domain).to_owned(),
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -27,6 +27,7 @@
     Some(Endpoint::new(EndpointRecord {
         id: format!("{}@{address}", node.node),
         started_at: None,
+        version: None,
         address,
         service: String::new(),
         failure_domain: node.failure_domain.clone(),
--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -79,6 +79,7 @@
         EndpointRecord {
             id: id.to_owned(),
             started_at: None,
+            version: None,
             address: self.address,
             service: "engines".to_owned(),
             failure_domain: "east".to_owned(),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -60,6 +60,7 @@
             request_id: name("x-id"),
             deadline_ms: name("x-deadline"),
             resume_after: name("x-resume"),
+            resumes: name("x-resumes"),
             seal: name("x-seal"),
             target: name("x-target"),
             not_executed: name("x-not-run"),
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -430,6 +430,7 @@
     let restarted = Engine::start().await;
     let record = EndpointRecord {
         started_at: Some(UnixMillis::new(1_764_000_000_000)),
+        version: None,
         ..restarted.record("e1")
     };
     let record = serde_json::to_vec(&record).expect("json");
--- a/crates/node/tests/unit/load_wire.rs
+++ b/crates/node/tests/unit/load_wire.rs
@@ -12,6 +12,7 @@
     let endpoint = Endpoint::new(EndpointRecord {
         id: "e".to_owned(),
         started_at: None,
+        version: None,
         address: ([127, 0, 0, 1], 80).into(),
         service: "engines".to_owned(),
         failure_domain: "east".to_owned(),
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -101,6 +101,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sent {
     pub(crate) endpoint: String,
+    /// Software version of the endpoint, empty if unknown.
+    pub(crate) version: String,
     pub(crate) estimated_load: u32,
     pub(crate) directory_revision: u64,
     pub(crate) offers: u32,
@@ -213,6 +215,9 @@
             outcome,
             status = self.status,
             endpoint = self.sent.endpoint.as_str(),
+            version = self.sent.version.as_str(),
+            resume_after = self.request.resume_after().unwrap_or(0),
+            resumes = self.request.resumes().unwrap_or_default(),
             offers = self.sent.offers,
             load = self.sent.estimated_load,
             config = self.config_version,
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -220,6 +220,7 @@
         log::info!(
             request_id = offer.request.id(),
             endpoint = record.id.as_str(),
+            version = offer.endpoint.version_text(),
             failure:? = failure,
             resume_after = offer.resume_after.unwrap_or(0),
             age_ms = offer.request.arrived().elapsed().as_millis() as u64;
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -117,6 +117,11 @@
     retried,
     /// Streams that were resumed at another endpoint.
     resumed,
+    /// Requests by which clients resume streams of earlier attempts.
+    resumed_by_clients,
+    /// Streams that were resumed, after their first event, at an endpoint of
+    /// another software version.
+    versions_mixed,
     /// Runs whose connection broke before the response was complete.
     runs_cut_off,
     /// Responses with neither a length nor chunks, which end with their
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -188,6 +188,9 @@
         let counters = self.counters.clone();
         let mut request_log =
             RequestLog::new(request.clone(), counters, config_version);
+        if request.resume_after().is_some() {
+            Counters::add(&self.counters.resumed_by_clients);
+        }
         let mut history = OfferHistory::new(request.resume_after());
         let ends_at = request.ends_at();
         let run = self.run(&request, &mut request_log.sent, &mut history);
@@ -269,6 +272,7 @@
                 permit.map_err(|held| refuse_quarantined(held, history))?;
             let id = choice.endpoint.record().id.clone();
             sent.endpoint.clone_from(&id);
+            choice.endpoint.version_text().clone_into(&mut sent.version);
             sent.estimated_load = choice.estimated_load;
             sent.waited_ms = request.arrived().elapsed().as_millis() as u64;
             sent.offers += 1;
--- a/crates/pass/src/names.rs
+++ b/crates/pass/src/names.rs
@@ -13,6 +13,9 @@
     pub deadline_ms: HeaderName,
     /// Id of the last event received; the stream resumes after it.
     pub resume_after: HeaderName,
+    /// Id of the client attempt that received the first event of the stream
+    /// that a request resumes.
+    pub resumes: HeaderName,
     /// Proof that the response was produced by the endpoint.
     pub seal: HeaderName,
     /// Id of the only endpoint that may run the request.
--- a/crates/pass/src/relay.rs
+++ b/crates/pass/src/relay.rs
@@ -36,6 +36,7 @@
             target: Endpoint::new(EndpointRecord {
                 id: "relay".to_owned(),
                 started_at: None,
+                version: None,
                 address: target,
                 service: String::new(),
                 failure_domain: String::new(),
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -101,6 +101,8 @@
     arrived: Instant,
     ends_at: Instant,
     resume_after: Option<u64>,
+    /// Id of the client attempt that received the stream's first event.
+    resumes: Option<String>,
     affinity: u64,
     admitted: Admitted,
     digest: OnceLock<RequestDigest>,
@@ -139,6 +141,7 @@
             text(&names.deadline_ms).and_then(|text| text.parse().ok());
         let resume_after =
             text(&names.resume_after).and_then(|text| text.parse().ok());
+        let resumes = text(&names.resumes).map(str::to_owned);
         let affinity = match text(&names.prompt_parts) {
             Some(parts) => affinity(parts),
             None => hash(&id),
@@ -161,6 +164,7 @@
             arrived,
             ends_at: arrived + Duration::from_millis(wait_ms),
             resume_after,
+            resumes,
             affinity,
             admitted,
             digest: OnceLock::new(),
@@ -251,6 +255,13 @@
         self.resume_after
     }
 
+    /// Returns the id of the client attempt that received the first event of
+    /// the stream that this request resumes.
+    #[inline]
+    pub fn resumes(&self) -> Option<&str> {
+        self.resumes.as_deref()
+    }
+
     /// Returns the hash of the shared parts of the prompt, or the hash of the
     /// id for a request without a prompt.
     ///
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -154,7 +154,13 @@
     }
 
     fn continue_with(&mut self, continuation: Continuation) {
-        let offers = self.request_log.sent.offers + continuation.sent.offers;
+        let before = &self.request_log.sent;
+        if self.splitter.last_id().is_some()
+            && before.version != continuation.sent.version
+        {
+            Counters::add(&self.request_log.counters.versions_mixed);
+        }
+        let offers = before.offers + continuation.sent.offers;
         self.request_log.sent = Sent {
             offers,
             ..continuation.sent
@@ -176,6 +182,7 @@
         log::info!(
             request_id = request.id(),
             endpoint = self.request_log.sent.endpoint.as_str(),
+            version = self.request_log.sent.version.as_str(),
             reason,
             after = after.unwrap_or(0),
             age_ms = self.request_log.age_ms();
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -147,6 +147,7 @@
         request_id: name("x-id"),
         deadline_ms: name("x-deadline"),
         resume_after: name("x-resume"),
+        resumes: name("x-resumes"),
         seal: name("x-seal"),
         target: name("x-target"),
         not_executed: name("x-not-run"),
@@ -190,6 +191,7 @@
             Endpoint::new(EndpointRecord {
                 id: format!("e{at}"),
                 started_at: None,
+                version: None,
                 address: *address,
                 service: "app".to_owned(),
                 failure_domain: match at {
