--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -25,6 +25,8 @@
 /// `open-crash N` does the same with neither a length nor chunks.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
+    /// Version of its software, which is also in the text of its events.
+    version: &'static str,
     pub(crate) runs: Arc<Mutex<Vec<String>>>,
     /// Heads of the requests that ran.
     pub(crate) heads: Arc<Mutex<Vec<String>>>,
@@ -33,6 +35,11 @@
 
 impl Engine {
     pub(crate) async fn start() -> Self {
+        Self::start_version(VERSION).await
+    }
+
+    /// Starts an engine of a software version.
+    pub(crate) async fn start_version(version: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let runs: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -48,13 +55,16 @@
                     _ = ended.wait_for(|crashed| *crashed) => return,
                     Ok((stream, _)) = listener.accept() => {
                         let crash = on_crash.clone();
-                        connections.spawn(engine(stream, seen.clone(), crash));
+                        let seen = seen.clone();
+                        connections
+                            .spawn(engine(stream, version, seen, crash));
                     }
                 }
             }
         });
         Self {
             address,
+            version,
             runs,
             heads,
             crashed,
@@ -79,7 +89,7 @@
         EndpointRecord {
             id: id.to_owned(),
             started_at: None,
-            version: None,
+            version: self.version.parse().ok(),
             address: self.address,
             service: "engines".to_owned(),
             failure_domain: "east".to_owned(),
@@ -89,6 +99,9 @@
     }
 }
 
+/// Software version of engines that are started without one.
+const VERSION: &str = "e";
+
 /// Delay between the last event of a poison request and the crash of the
 /// engine.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
@@ -100,6 +113,7 @@
 
 async fn engine(
     mut stream: TcpStream,
+    version: &'static str,
     (runs, heads): (Lines, Lines),
     crash: watch::Sender<bool>,
 ) {
@@ -134,13 +148,20 @@
             let last = number.parse().unwrap_or(0);
             let cut = words.next().filter(|_| is_first && after == 0);
             let cut = cut.and_then(|bytes| bytes.parse().ok());
-            return send_until_close(&mut stream, &id, after..last, cut).await;
+            return send_until_close(
+                &mut stream,
+                &id,
+                version,
+                after..last,
+                cut,
+            )
+            .await;
         }
         if word == "open-crash" {
             let last: u32 =
                 words.next().and_then(|n| n.parse().ok()).unwrap_or(0);
             let events = after..after + last;
-            send_until_close(&mut stream, &id, events, None).await;
+            send_until_close(&mut stream, &id, version, events, None).await;
             sleep(CRASH_DELAY).await;
             crash.send_replace(true);
             return std::future::pending().await;
@@ -163,7 +184,7 @@
         // on a busy machine.
         let mut pace = interval(EVENT_INTERVAL);
         for event in after + 1..=last {
-            let text = event_text(event);
+            let text = text_of(version, event);
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 return;
@@ -188,10 +209,11 @@
 async fn send_until_close(
     stream: &mut TcpStream,
     id: &str,
+    version: &str,
     events: Range<u32>,
     cut: Option<usize>,
 ) {
-    let events = events.map(|before| event_text(before + 1));
+    let events = events.map(|before| text_of(version, before + 1));
     let mut body = events.collect::<String>();
     body.truncate(cut.unwrap_or(body.len()));
     let head = format!(
@@ -202,9 +224,13 @@
     let _ = stream.write_all((head + &body).as_bytes()).await;
 }
 
-/// Returns an event as the engine sends it.
+/// Returns an event as an engine of the usual version sends it.
 pub(crate) fn event_text(event: u32) -> String {
-    format!("id: {event}\ndata: e{event}\n\n")
+    text_of(VERSION, event)
+}
+
+fn text_of(version: &str, event: u32) -> String {
+    format!("id: {event}\ndata: {version}{event}\n\n")
 }
 
 async fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
