Bind streams to the version that began them

Callers saw streams whose later events come from another software version than the first ones, in one response and over two attempts. No choice of an endpoint read the version, and a front could not know that of a stream that another front began.

The first event binds a stream to the service and version of its endpoint. Later runs of the response are chosen by that binding, also outside the selection and in a longer queue, and at an endpoint that was tried before if no other is left. What nobody knows is refused and did not run. An entry without a version names no endpoint. A version that changes under an id unbinds the streams of that endpoint.

The test a_response_does_not_go_on_at_another_version also wanted the response to end after the break. It may go on at the endpoint that broke it off; it now checks that all events are of one version, and a new test that the response ends incomplete when that endpoint is gone.

--- a/crates/bench/benches/growth/front.rs
+++ b/crates/bench/benches/growth/front.rs
@@ -63,6 +63,7 @@
         affinity,
         tried: &[],
         queue_allowance: 0,
+        binding: None,
     }
 }
 
--- a/crates/bench/benches/growth/installation.rs
+++ b/crates/bench/benches/growth/installation.rs
@@ -104,6 +104,7 @@
         runs_items: number.is_multiple_of(NODES_PER_WORKER),
         address: None,
         limits: None,
+        origins: None,
         lease_s: 0,
     }
 }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -236,7 +236,11 @@
         changes.push(Change::Added(id));
         return Endpoint::new(record);
     };
+    let has_same_version = record.version == before.record().version;
     if record.is_newer_incarnation_than(before.record()) {
+        if !has_same_version {
+            before.mark_version_changed();
+        }
         let former = before.incarnation_key();
         changes.push(Change::Restarted { id, former });
         return Endpoint::new(record);
@@ -252,5 +256,10 @@
     if drains && before.record().state == EndpointState::Ready {
         changes.push(Change::Draining(id));
     }
+    if !has_same_version {
+        // The entry has no start time, or not that of the present process.
+        before.mark_version_changed();
+        return Endpoint::new(record);
+    }
     before.with_record(record)
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -2,7 +2,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
 };
 
@@ -117,6 +117,7 @@
     remote_at_ms: AtomicU64,
     failures: AtomicU32,
     avoid_until_ms: AtomicU64,
+    has_changed_version: AtomicBool,
 }
 
 impl Endpoint {
@@ -159,6 +160,18 @@
         self.record.version.as_ref().map_or("", |v| v.as_str())
     }
 
+    /// Records that the endpoint was listed again with another version of its
+    /// software.
+    pub(crate) fn mark_version_changed(&self) {
+        self.load.has_changed_version.store(true, Ordering::Relaxed);
+    }
+
+    /// Reports whether the endpoint was listed again with another version of
+    /// its software. It is not known then at which version its last runs were.
+    pub fn has_changed_version(&self) -> bool {
+        self.load.has_changed_version.load(Ordering::Relaxed)
+    }
+
     /// Returns a hash of the id, for choices that are evenly distributed.
     #[inline]
     pub fn id_hash(&self) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(route.kind(), RouteKind::AtMostOnce);
 //! ```
 
+mod binding;
 mod directory;
 mod endpoint;
 mod load;
@@ -29,6 +30,7 @@
 mod version;
 
 pub use crate::{
+    binding::VersionBinding,
     directory::{Change, Directory, LISTING_GRACE_MS, Listing, ListingUpdate},
     endpoint::{Endpoint, EndpointRecord, EndpointState, IncarnationKey},
     load::{Choice, ChooseError, EndpointQuery, LoadReport},
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -1,7 +1,9 @@
 use base::{Millis, mix};
 use serde::{Deserialize, Serialize};
 
-use crate::{Endpoint, EndpointTable, Selection, SelectionTier};
+use crate::{
+    Endpoint, EndpointTable, Selection, SelectionTier, VersionBinding,
+};
 
 /// A load that an endpoint reported with a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -31,6 +33,9 @@
     pub tried: &'a [String],
     /// Number of requests that may wait at an endpoint beyond its slots.
     pub queue_allowance: u32,
+    /// The service and version that began the stream, if the request resumes
+    /// one.
+    pub binding: Option<&'a VersionBinding>,
 }
 
 /// Why no endpoint was chosen for a request.
@@ -59,6 +64,11 @@
 /// number of attempts, so an untried endpoint is always among them.
 const MAX_OTHER_ENDPOINTS: usize = 8;
 
+/// Maximum number of endpoints outside the selection that a resumed stream
+/// considers. Few of the selection may run its version, and no other endpoint
+/// can resume it.
+const MAX_BOUND_ENDPOINTS: usize = 24;
+
 impl EndpointTable {
     /// Picks an endpoint with free slots.
     ///
@@ -74,6 +84,10 @@
     /// otherwise go to engines that look idle but are full; their first events
     /// would be late, and no caller would be told to retry later.
     ///
+    /// A resumed stream goes only to endpoints of its own version, also to
+    /// those outside the selection, and to one that was tried before if no
+    /// other is left: without a run there the stream is lost.
+    ///
     /// The number of considered endpoints is bounded regardless of the size of
     /// the service, so a request costs the same in a large fleet.
     ///
@@ -99,8 +113,16 @@
                 search.consider(endpoint, tier);
             }
         }
-        if search.draw.is_empty() && !search.full {
-            let start = mix(query.affinity ^ now.as_ms());
+        let start = mix(query.affinity ^ now.as_ms());
+        if let Some(binding) = query.binding {
+            if search.draw.is_empty() {
+                search.consider_version(self, binding, start);
+            }
+            if search.draw.is_empty() && !search.full {
+                search.allows_tried = true;
+                search.consider_version(self, binding, start);
+            }
+        } else if search.draw.is_empty() && !search.full {
             for endpoint in
                 self.window(query.service, start, MAX_OTHER_ENDPOINTS)
             {
@@ -118,6 +140,7 @@
     draw: Draw<'a>,
     full: bool,
     candidates: usize,
+    allows_tried: bool,
 }
 
 impl<'a> Search<'a> {
@@ -128,12 +151,17 @@
             draw: Draw::default(),
             full: false,
             candidates: 0,
+            allows_tried: false,
         }
     }
 
     fn consider(&mut self, endpoint: &'a Endpoint, tier: SelectionTier) {
         let record = endpoint.record();
-        if self.query.tried.contains(&record.id) {
+        if !self.allows_tried && self.query.tried.contains(&record.id) {
+            return;
+        }
+        let binding = self.query.binding;
+        if binding.is_some_and(|binding| !binding.permits(record)) {
             return;
         }
         self.candidates += 1;
@@ -150,6 +178,20 @@
         });
     }
 
+    /// Considers endpoints of a version, whether selected or not.
+    fn consider_version(
+        &mut self,
+        table: &'a EndpointTable,
+        binding: &VersionBinding,
+        start: u64,
+    ) {
+        let endpoints =
+            table.window_of_version(binding, start, MAX_BOUND_ENDPOINTS);
+        for endpoint in endpoints {
+            self.consider(endpoint, SelectionTier::Other);
+        }
+    }
+
     fn result(self) -> Result<Choice, ChooseError> {
         match self.draw.best() {
             Some(best) => Ok(Choice {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use crate::{Endpoint, IncarnationKey};
+use crate::{Endpoint, IncarnationKey, VersionBinding};
 
 /// The endpoints that may be used now.
 ///
@@ -37,6 +37,8 @@
     endpoints: Vec<Endpoint>,
     services: IndexMap<String, Range<usize>>,
     positions: IndexMap<IncarnationKey, usize>,
+    /// Positions of the endpoints of each software version of a service.
+    versions: IndexMap<VersionBinding, Vec<usize>>,
 }
 
 impl EndpointTable {
@@ -56,6 +58,11 @@
         let incarnations =
             table.endpoints.iter().map(Endpoint::incarnation_key);
         table.positions = incarnations.zip(0..).collect();
+        for (position, endpoint) in table.endpoints.iter().enumerate() {
+            if let Some(binding) = VersionBinding::of(endpoint.record()) {
+                table.versions.entry(binding).or_default().push(position);
+            }
+        }
         table
     }
 
@@ -74,6 +81,24 @@
         range.map_or(&[], |range| &self.endpoints[range])
     }
 
+    /// Reports whether any endpoint may resume a stream.
+    pub fn has_version(&self, binding: &VersionBinding) -> bool {
+        self.versions.contains_key(binding)
+    }
+
+    /// Returns up to `max` endpoints that may resume a stream; `start`
+    /// determines the first one.
+    pub(crate) fn window_of_version(
+        &self,
+        binding: &VersionBinding,
+        start: u64,
+        max: usize,
+    ) -> impl Iterator<Item = &Endpoint> {
+        let positions = self.versions.get(binding);
+        let positions = positions.map_or(&[][..], Vec::as_slice);
+        window(positions, start, max).map(|at| &self.endpoints[*at])
+    }
+
     /// Returns the names of the services that have endpoints.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.services.keys().map(String::as_str)
--- a/crates/fleet/tests/burst.rs
+++ b/crates/fleet/tests/burst.rs
@@ -137,6 +137,7 @@
                 affinity: random.below(1_000),
                 tried: &[],
                 queue_allowance: 1,
+                binding: None,
             };
             let selection = &selections[node];
             match tables[node].choose(selection, &query, Millis::new(now)) {
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -28,6 +28,7 @@
         affinity: 7,
         tried,
         queue_allowance: 2,
+        binding: None,
     }
 }
 
--- a/crates/jobs/src/assignment.rs
+++ b/crates/jobs/src/assignment.rs
@@ -45,6 +45,7 @@
     ///     runs_items: true,
     ///     address: None,
     ///     limits: None,
+    ///     origins: None,
     ///     lease_s: 0,
     /// });
     /// let endpoints = ["1", "2", "3", "4"].map(|id| {
--- a/crates/jobs/src/backlogs.rs
+++ b/crates/jobs/src/backlogs.rs
@@ -27,6 +27,7 @@
 ///     runs_items: true,
 ///     address: None,
 ///     limits: None,
+///     origins: None,
 ///     lease_s: 0,
 /// }));
 /// let backlogs = ReportedBacklogs::default();
--- a/crates/jobs/src/members.rs
+++ b/crates/jobs/src/members.rs
@@ -20,6 +20,9 @@
     /// Address at which the node counts requests against rate limits.
     #[serde(default)]
     pub limits: Option<SocketAddr>,
+    /// Address at which the node stores the origins of streams.
+    #[serde(default)]
+    pub origins: Option<SocketAddr>,
     /// Time to live of the entry in seconds; 0 if not specified.
     #[serde(default)]
     pub lease_s: u32,
--- a/crates/jobs/tests/backlogs.rs
+++ b/crates/jobs/tests/backlogs.rs
@@ -12,6 +12,7 @@
         runs_items: true,
         address: None,
         limits: None,
+        origins: None,
         lease_s: 0,
     }))
 }
--- a/crates/jobs/tests/plan.rs
+++ b/crates/jobs/tests/plan.rs
@@ -19,6 +19,7 @@
         runs_items: true,
         address: None,
         limits: None,
+        origins: None,
         lease_s: 0,
     }
 }
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -31,6 +31,7 @@
     job_spool::JobSpool,
     load::{self, LoadSocket},
     membership::{LeaseTerms, NodeRegistration, RegistrationSignals},
+    origins::Origins,
     peer,
     peer_bulk::{BulkResponder, PeerBulk},
     quota::{QuotaClient, QuotaService},
@@ -74,6 +75,8 @@
     quarantine: Quarantine,
     /// Counts requests against the limits of customers.
     pub(crate) quota: QuotaClient,
+    /// Which version began each resumable stream.
+    origins: Origins,
     /// Number of jobs in the spool of this node, if it has a disk.
     pub(crate) spooled_jobs: Option<watch::Receiver<usize>>,
     stopping: Arc<AtomicBool>,
@@ -185,6 +188,14 @@
             true => tokio::spawn(quota.run_as_server()),
             false => tokio::spawn(quota.run()),
         };
+        let origins = Origins::start(
+            settings,
+            view.clone(),
+            clock.clone(),
+            context.counters.clone(),
+        )
+        .await
+        .change_context(NodeError::Listen)?;
         let (detector, run_notifier) = CrashDetector::new(
             context.cluster.clone(),
             quarantine.clone(),
@@ -198,6 +209,7 @@
             runs_items,
             address: Some(settings.peer),
             limits: Some(settings.limits),
+            origins: Some(settings.origins),
             lease_s: 0,
         };
         let registration = NodeRegistration {
@@ -229,6 +241,7 @@
             run_notifier: Arc::new(run_notifier),
             quarantine,
             quota: quota_client,
+            origins,
             spooled_jobs,
             stopping: Arc::default(),
         };
@@ -285,6 +298,7 @@
         .with_selection(self.selection.clone())
         .with_run_observer(self.run_notifier.clone())
         .with_quarantine(self.quarantine.clone())
+        .with_origins(Arc::new(self.origins.clone()))
     }
 
     /// Begins a planned shutdown: marks the node as not ready and removes its
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod job_spool;
 mod load;
 mod membership;
+mod origins;
 mod peer;
 mod peer_bulk;
 mod probe;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -38,6 +38,8 @@
     pub revoke_ms: Option<u64>,
     /// Address for the datagrams by which requests are counted against limits.
     pub limits: SocketAddr,
+    /// Address for the datagrams about the origins of streams.
+    pub origins: SocketAddr,
     /// Permitted deviation from the limits of customers.
     pub tolerance: Tolerance,
     /// Minimum lease of the key-value service.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -284,6 +284,7 @@
         config_ms: 2_000,
         revoke_ms: None,
         limits: free_address(),
+        origins: free_address(),
         tolerance: Tolerance {
             window_ms: 5_000,
             excess: 0.1,
--- a/crates/node/tests/unit/job_manifests.rs
+++ b/crates/node/tests/unit/job_manifests.rs
@@ -21,6 +21,7 @@
         runs_items: true,
         address: None,
         limits: None,
+        origins: None,
         lease_s: 0,
     }
 }
--- a/crates/node/tests/unit/membership.rs
+++ b/crates/node/tests/unit/membership.rs
@@ -53,6 +53,7 @@
         runs_items: false,
         address: Some(([127, 0, 0, 1], 7).into()),
         limits: None,
+        origins: None,
         lease_s: 0,
     }
 }
--- a/crates/node/tests/unit/quota_peers.rs
+++ b/crates/node/tests/unit/quota_peers.rs
@@ -13,6 +13,7 @@
         runs_items,
         address: Some(address),
         limits: Some(address),
+        origins: None,
         lease_s: 0,
     }
 }
--- a/crates/node/tests/unit/tree.rs
+++ b/crates/node/tests/unit/tree.rs
@@ -14,6 +14,7 @@
         runs_items: at.is_multiple_of(3),
         address: Some(([127, 0, 0, 1], 1_000 + at as u16).into()),
         limits: None,
+        origins: None,
         lease_s: 0,
     };
     (0..nodes).map(node).collect()
--- a/crates/node/tests/versions.rs
+++ b/crates/node/tests/versions.rs
@@ -87,7 +87,31 @@
     register(&kv, &other, "e2").await;
     let (_, body) = begun.await.expect("a response");
     let all = data(&body);
-    assert_eq!(all.len(), 200, "{:?}", all.last());
+    assert!(all.len() >= 200, "{:?}", all.last());
+    assert!(all.iter().all(|event| event.starts_with('e')));
+    assert_eq!(other.run_count(), 0);
+}
+
+/// Guards against a response that goes on at another version because no
+/// endpoint of its own is left.
+#[tokio::test]
+async fn a_response_whose_version_is_gone_ends_incomplete() {
+    let kv = Memory::default();
+    let first = Engine::start().await;
+    write_config_and_engine(&kv, &first).await;
+    let front = start_front(&kv, "front-1").await;
+    let begun = tokio::spawn(async move {
+        call(front.front, "POST", "/chat/1", "r1", "400").await
+    });
+    until(|| run_count(&first, "r1:") > 0).await;
+    let other = Engine::start_version("f").await;
+    register(&kv, &other, "e2").await;
+    sleep(Duration::from_millis(300)).await;
+    first.crash();
+    let (_, body) = begun.await.expect("a response");
+    let all = data(&body);
+    assert!((1..400).contains(&all.len()), "{}", all.len());
+    assert!(all.iter().all(|event| event.starts_with('e')));
     assert_eq!(other.run_count(), 0);
 }
 
@@ -125,7 +149,9 @@
         let expected = [format!("{version}3"), format!("{version}4")];
         assert_eq!(data(&rest), expected, "{id}");
     }
-    workers.iter().for_each(|w| drop(w.stop.send_replace(true)));
+    for worker in workers {
+        worker.stop.send_replace(true);
+    }
 }
 
 /// Guards against a stream whose first attempt is not known, and that goes on
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -63,6 +63,8 @@
             pub first_byte_ms: Histogram,
             /// From the arrival of a request to the end of its response.
             pub whole_ms: Histogram,
+            /// Duration of searches for the origins of resumed streams.
+            pub origin_find_ms: Histogram,
         }
 
         impl Counters {
@@ -96,6 +98,8 @@
                 self.first_byte_ms
                     .render("pomeloslip_first_byte_ms", &mut text);
                 self.whole_ms.render("pomeloslip_whole_ms", &mut text);
+                self.origin_find_ms
+                    .render("pomeloslip_origin_find_ms", &mut text);
                 text
             }
         }
@@ -119,6 +123,23 @@
     resumed,
     /// Requests by which clients resume streams of earlier attempts.
     resumed_by_clients,
+    /// Origins of streams that were stored for a later resumption.
+    origins_recorded,
+    /// Origins that were found for clients that resume streams.
+    origins_found,
+    /// Streams that could not be resumed because their origin is not known.
+    origins_unknown,
+    /// Streams that could not be resumed because the holders of their origin
+    /// did not answer.
+    origins_unreachable,
+    /// Messages about origins that were sent to other nodes.
+    origin_messages_sent,
+    /// Bytes of the messages about origins sent.
+    origin_bytes_sent,
+    /// Messages about origins that were received.
+    origin_messages_received,
+    /// Messages about origins that were received and rejected.
+    origin_messages_refused,
     /// Streams that were resumed, after their first event, at an endpoint of
     /// another software version.
     versions_mixed,
@@ -187,6 +208,9 @@
     item_runs,
     /// Runs of batch items that were preempted by online requests.
     items_preempted,
+    /// Batch items that began anew because no endpoint of their version was
+    /// at hand.
+    items_begun_anew,
     /// Batch items that were listed as complete.
     items_completed,
     /// Batch items that were given up.
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -7,17 +7,18 @@
 use base::{Clock, Snapshot};
 use fleet::{
     Choice, ChooseError, Endpoint, EndpointQuery, EndpointTable, Route,
-    RouteKind, Selection,
+    RouteKind, Selection, VersionBinding,
 };
 use framing::Framing;
-use http::Response;
+use http::{Response, StatusCode};
+use origins::{Origin, Verdict};
 use quarantine::{Quarantine, QuarantineOptions, Quarantined, SendPermit};
 use tokio::time;
 
 use crate::{
     Counters, Exchange, Failure, HeaderNames, Inbound, LoadObserver,
-    NoopObserver, Offer, Pool, Refusal, ResponseBody, RetryAfterEstimator,
-    RunObserver,
+    LocalOrigins, NoopObserver, Offer, Pool, Refusal, ResponseBody,
+    RetryAfterEstimator, RunObserver, StreamOrigins,
     answer::{FAILED, ForwardedBody, REFUSED, RequestLog, Sent},
     attempt::Dispatcher,
     request::strip_hop_by_hop,
@@ -79,6 +80,7 @@
     observer: Arc<dyn LoadObserver>,
     runs: Arc<dyn RunObserver>,
     quarantine: Quarantine,
+    origins: Arc<dyn StreamOrigins>,
     retry_estimator: RetryAfterEstimator,
 }
 
@@ -96,6 +98,10 @@
 /// latest: one part in this many. The remainder is for serving the request.
 const RETRY_DELAY_DIVISOR: u64 = 3;
 
+/// Retry delay for a client whose stream's origin could not be found, in
+/// milliseconds; the retry usually reaches another node.
+const ORIGIN_RETRY_MS: u64 = 200;
+
 /// Interval between two checks for free capacity.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -132,6 +138,7 @@
             endpoints,
             selection: Arc::new(Snapshot::new(Selection::default())),
             pool,
+            origins: Arc::new(LocalOrigins::new(clock.clone())),
             clock,
             counters,
             observer: Arc::new(NoopObserver),
@@ -162,6 +169,13 @@
         self
     }
 
+    /// Sets where the origins of streams are stored.
+    #[must_use]
+    pub fn with_origins(mut self, origins: Arc<dyn StreamOrigins>) -> Self {
+        self.origins = origins;
+        self
+    }
+
     /// Sets the endpoints that requests prefer.
     #[must_use]
     pub fn with_selection(
@@ -193,7 +207,7 @@
         }
         let mut history = OfferHistory::new(request.resume_after());
         let ends_at = request.ends_at();
-        let run = self.run(&request, &mut request_log.sent, &mut history);
+        let run = self.begin(&request, &mut request_log.sent, &mut history);
         let result = match time::timeout_at(ends_at.into(), run).await {
             Ok(result) => result,
             Err(_) => Err(history.timeout_refusal()),
@@ -258,6 +272,96 @@
         response
     }
 
+    /// Runs a request of a client, after the origin of the stream that it
+    /// resumes is known.
+    async fn begin(
+        &self,
+        request: &Arc<Inbound>,
+        sent: &mut Sent,
+        history: &mut OfferHistory,
+    ) -> Result<Exchange, Refusal> {
+        if request.route().kind().is_stream() && request.is_resume_malformed()
+        {
+            return Err(Refusal::rejected(
+                StatusCode::BAD_REQUEST,
+                "the id of the last event is not a number",
+            ));
+        }
+        if request.resumes_stream() {
+            history.binding = Some(self.find_origin(request).await?);
+        }
+        self.run(request, sent, history).await
+    }
+
+    /// Finds the version that began the stream that a client resumes.
+    async fn find_origin(
+        &self,
+        request: &Inbound,
+    ) -> Result<Arc<VersionBinding>, Refusal> {
+        let Some(attempt) = request.resumed_attempt() else {
+            Counters::add(&self.counters.origins_unknown);
+            return Err(Refusal::not_run(
+                "the attempt that began the stream is not named",
+            ));
+        };
+        let asked_at = Instant::now();
+        let verdict = self.origins.find(attempt).await;
+        self.counters.origin_find_ms.record(asked_at.elapsed());
+        log::info!(
+            request_id = request.id(),
+            resumes = request.resumes().unwrap_or_default(),
+            resume_after = request.resume_after().unwrap_or(0),
+            verdict:? = verdict,
+            took_ms = asked_at.elapsed().as_millis() as u64;
+            "the origin of a stream was looked up"
+        );
+        match verdict {
+            Verdict::Known(binding) => {
+                Counters::add(&self.counters.origins_found);
+                self.check_service(request, binding)
+            }
+            Verdict::Unknown => {
+                Counters::add(&self.counters.origins_unknown);
+                Err(Refusal::not_run(
+                    "the version that began the stream is not known",
+                ))
+            }
+            Verdict::Unreachable => {
+                Counters::add(&self.counters.origins_unreachable);
+                let refusal = Refusal::not_run(
+                    "the version that began the stream cannot be found now",
+                );
+                Err(refusal.with_retry_after_ms(ORIGIN_RETRY_MS))
+            }
+        }
+    }
+
+    /// Checks that the configuration in force allows a stream to go on at the
+    /// service that began it.
+    fn check_service(
+        &self,
+        request: &Inbound,
+        binding: Arc<VersionBinding>,
+    ) -> Result<Arc<VersionBinding>, Refusal> {
+        let mut destinations = request.route().destinations().iter();
+        let is_allowed = destinations
+            .any(|d| d.service == binding.service() && d.weight > 0);
+        match is_allowed {
+            true => Ok(binding),
+            false => Err(Refusal::not_run(
+                "the route no longer leads to the service of the stream",
+            )),
+        }
+    }
+
+    /// Stores the origin of the stream that a request begins.
+    pub(crate) fn record_origin(&self, request: &Inbound, origin: Origin) {
+        Counters::add(&self.counters.origins_recorded);
+        let lifetime_ms = request.origin_lifetime_ms();
+        self.origins
+            .record(request.attempt_key(), origin, lifetime_ms);
+    }
+
     async fn run(
         &self,
         request: &Arc<Inbound>,
@@ -337,6 +441,14 @@
         if history.possible_runs > 0 {
             return Refusal::unknown("no other endpoint is left");
         }
+        if verdict == ChooseError::NoEndpoint
+            && history.binding.is_some()
+            && !self.endpoints.load().table.is_empty()
+        {
+            return Refusal::not_run(
+                "no endpoint runs the version that began the stream",
+            );
+        }
         if verdict == ChooseError::NoEndpoint {
             let retry_after_ms = match self.endpoints.load().table.is_empty() {
                 true => self.options.startup_retry_after_ms,
@@ -365,10 +477,17 @@
         let route = request.route();
         let max_wait_ms =
             route.target_latency_ms() / self.options.queue_wait_divisor;
-        let give_up_at =
-            request.arrived() + Duration::from_millis(max_wait_ms);
+        let max_wait = Duration::from_millis(max_wait_ms);
+        let give_up_at = match &history.binding {
+            // A refusal ends the stream for good. Its client accepts pauses.
+            Some(_) => {
+                let pause = Duration::from_millis(route.gap_target_ms());
+                Instant::now() + pause.max(max_wait)
+            }
+            None => request.arrived() + max_wait,
+        };
         loop {
-            let verdict = match self.choose(request, sent, &history.tried) {
+            let verdict = match self.choose(request, sent, history) {
                 Ok(choice) => return Ok(choice),
                 Err(verdict) => verdict,
             };
@@ -383,12 +502,17 @@
         &self,
         request: &Inbound,
         sent: &mut Sent,
-        tried: &[String],
+        history: &OfferHistory,
     ) -> Result<Choice, ChooseError> {
         let route = request.route();
-        let is_retry = request.has_waited();
+        let binding = history.binding.as_deref();
+        let can_queue = request.has_waited() || binding.is_some();
         let spread = spread_hash(request.id());
-        let Some(service) = route.service(spread) else {
+        let service = match binding {
+            Some(binding) => Some(binding.service()),
+            None => route.service(spread),
+        };
+        let Some(service) = service else {
             return Err(ChooseError::NoEndpoint);
         };
         let view = self.endpoints.load();
@@ -397,8 +521,9 @@
             service,
             failure_domain: &self.failure_domain,
             affinity: request.affinity(),
-            tried,
-            queue_allowance: match (route.kind().is_stream(), is_retry) {
+            tried: &history.tried,
+            binding,
+            queue_allowance: match (route.kind().is_stream(), can_queue) {
                 (true, false) => self.options.stream_queue,
                 (true, true) => self.options.retry_queue,
                 (false, _) => self.options.plain_queue,
@@ -524,6 +649,9 @@
     possible_runs: u32,
     in_progress: bool,
     resume_after: Option<u64>,
+    /// The service and version that generated the events that the client has;
+    /// none before the first event.
+    binding: Option<Arc<VersionBinding>>,
 }
 
 impl OfferHistory {
@@ -536,13 +664,23 @@
 
     /// Returns the state from which an interrupted stream resumes: the
     /// interrupted run counts, and the stream continues after its last event.
-    pub(crate) fn after_broken_stream(&self, after: Option<u64>) -> Self {
+    pub(crate) fn after_broken_stream(
+        &self,
+        after: Option<u64>,
+        binding: Option<Arc<VersionBinding>>,
+    ) -> Self {
         Self {
             resume_after: after,
+            binding,
             ..self.clone()
         }
     }
 
+    /// Returns the service and version of the events that the client has.
+    pub(crate) fn binding(&self) -> Option<&Arc<VersionBinding>> {
+        self.binding.as_ref()
+    }
+
     fn begin_offer(&mut self, endpoint: String) {
         self.tried.push(endpoint);
         self.offers += 1;
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -29,6 +29,7 @@
 mod listen;
 mod names;
 mod observe;
+mod origins;
 mod pool;
 mod refusal;
 mod relay;
@@ -52,6 +53,7 @@
     },
     names::HeaderNames,
     observe::{LoadObserver, NoopObserver},
+    origins::{LocalOrigins, OriginFuture, StreamOrigins},
     pool::{CallOutcome, Pool},
     refusal::{Ran, Refusal},
     relay::Relay,
--- /dev/null
+++ b/crates/pass/src/origins.rs
@@ -0,0 +1,90 @@
+use std::{
+    fmt,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use base::Clock;
+use origins::{AttemptKey, Origin, OriginTable, Verdict};
+
+/// The result of a search for the origin of a stream.
+pub type OriginFuture = Pin<Box<dyn Future<Output = Verdict> + Send>>;
+
+/// Stores which version began each resumable stream, and finds it again.
+pub trait StreamOrigins: Send + Sync + 'static {
+    /// Stores the origin of the stream that an attempt began. It is called
+    /// before the first event is forwarded, and must not block.
+    fn record(&self, attempt: AttemptKey, origin: Origin, lifetime_ms: u64);
+
+    /// Finds the origin of the stream that an attempt began.
+    fn find(&self, attempt: AttemptKey) -> OriginFuture;
+}
+
+/// The origins of the streams that this process began.
+pub struct LocalOrigins {
+    table: Mutex<OriginTable>,
+    clock: Arc<dyn Clock>,
+}
+
+impl LocalOrigins {
+    /// Creates an empty store.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            table: Mutex::default(),
+            clock,
+        }
+    }
+
+    /// Stores an origin.
+    pub fn record(
+        &self,
+        attempt: AttemptKey,
+        origin: Origin,
+        lifetime_ms: u64,
+    ) {
+        let now = self.clock.now();
+        let mut table =
+            self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.record(attempt, origin, lifetime_ms, now);
+    }
+
+    /// Returns an origin, if it is stored here.
+    pub fn get(&self, attempt: AttemptKey) -> Option<Origin> {
+        let now = self.clock.now();
+        let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.find(attempt, now).cloned()
+    }
+
+    /// Returns the number of stored origins.
+    pub fn len(&self) -> usize {
+        let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.len()
+    }
+
+    /// Reports whether no origin is stored.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl StreamOrigins for LocalOrigins {
+    fn record(&self, attempt: AttemptKey, origin: Origin, lifetime_ms: u64) {
+        Self::record(self, attempt, origin, lifetime_ms);
+    }
+
+    fn find(&self, attempt: AttemptKey) -> OriginFuture {
+        let verdict = match self.get(attempt) {
+            Some(Origin::Bound(binding)) => Verdict::Known(binding),
+            Some(Origin::Uncertain) | None => Verdict::Unknown,
+        };
+        Box::pin(std::future::ready(verdict))
+    }
+}
+
+impl fmt::Debug for LocalOrigins {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LocalOrigins")
+            .field("len", &self.len())
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -14,6 +14,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use origins::AttemptKey;
 use quarantine::EvidenceKeys;
 
 use crate::{HeaderNames, Refusal};
@@ -101,6 +102,8 @@
     arrived: Instant,
     ends_at: Instant,
     resume_after: Option<u64>,
+    /// Whether the id of the last event is not a number.
+    is_resume_malformed: bool,
     /// Id of the client attempt that received the stream's first event.
     resumes: Option<String>,
     affinity: u64,
@@ -115,6 +118,10 @@
 /// start count as retrying; the only effect is a slightly longer queue.
 const MIN_FRESH_PERCENT: u64 = 95;
 
+/// Added to the time for which the origin of a stream is stored, in
+/// milliseconds: clients wait a little longer than they announce.
+const ORIGIN_MARGIN_MS: u64 = 5_000;
+
 impl Inbound {
     /// Creates a request from its parts. The admission sets the customer in
     /// each copy that is sent to an endpoint.
@@ -139,8 +146,11 @@
         let id = text(&names.request_id).unwrap_or_default().to_owned();
         let deadline_ms: Option<u64> =
             text(&names.deadline_ms).and_then(|text| text.parse().ok());
-        let resume_after =
-            text(&names.resume_after).and_then(|text| text.parse().ok());
+        let resume_text = headers.get(&names.resume_after);
+        let resume_after = text(&names.resume_after)
+            .and_then(|text| text.trim().parse().ok());
+        let is_resume_malformed =
+            resume_text.is_some() && resume_after.is_none();
         let resumes = text(&names.resumes).map(str::to_owned);
         let affinity = match text(&names.prompt_parts) {
             Some(parts) => affinity(parts),
@@ -164,6 +174,7 @@
             arrived,
             ends_at: arrived + Duration::from_millis(wait_ms),
             resume_after,
+            is_resume_malformed,
             resumes,
             affinity,
             admitted,
@@ -255,6 +266,39 @@
         self.resume_after
     }
 
+    /// Reports whether the client asks to resume a stream after an event whose
+    /// id is not a number.
+    #[inline]
+    pub fn is_resume_malformed(&self) -> bool {
+        self.is_resume_malformed
+    }
+
+    /// Reports whether the client already has events of the stream.
+    pub fn resumes_stream(&self) -> bool {
+        self.route.kind().is_stream()
+            && self.resume_after.is_some_and(|after| after > 0)
+    }
+
+    /// Returns the key under which the origin of the stream that this attempt
+    /// begins is stored.
+    pub fn attempt_key(&self) -> AttemptKey {
+        AttemptKey::new(self.customer(), &self.id)
+    }
+
+    /// Returns the key of the client attempt that received the first event of
+    /// the stream that this request resumes, if it is named.
+    pub fn resumed_attempt(&self) -> Option<AttemptKey> {
+        let attempt = self.resumes()?;
+        Some(AttemptKey::new(self.customer(), attempt))
+    }
+
+    /// Returns how long a client may come back to the stream, in milliseconds.
+    pub fn origin_lifetime_ms(&self) -> u64 {
+        let allowed = self.ends_at.saturating_duration_since(self.arrived);
+        let allowed_ms = allowed.as_millis() as u64;
+        allowed_ms.max(self.route.timeout_ms()) + ORIGIN_MARGIN_MS
+    }
+
     /// Returns the id of the client attempt that received the first event of
     /// the stream that this request resumes.
     #[inline]
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use origins::Origin;
 use tokio::time::Sleep;
 
 use crate::{
@@ -27,13 +28,17 @@
 /// A stream that resumes at another endpoint when its endpoint fails.
 ///
 /// Only complete events are forwarded, so that the next endpoint can start
-/// after the last of them.
+/// after the last of them. The first event binds the stream to the service and
+/// version of its endpoint, in this response and for the client's next
+/// attempts.
 pub(crate) struct ResumedBody {
     forwarder: Arc<Forwarder>,
     state: State,
     splitter: EventSplitter,
     request_log: RequestLog,
     history: OfferHistory,
+    /// The origin of the events that the client has; none before the first.
+    origin: Option<Origin>,
     deadline: Pin<Box<Sleep>>,
     stall: Pin<Box<Sleep>>,
     stall_after: Duration,
@@ -66,6 +71,7 @@
             (request.route().gap_target_ms() * STALL_GAPS).max(MIN_STALL_MS);
         let stall_after = Duration::from_millis(stall_ms);
         Self {
+            origin: history.binding().cloned().map(Origin::Bound),
             splitter: EventSplitter::new(request.resume_after()),
             deadline: Box::pin(sleep_until(request.ends_at())),
             stall: Box::pin(sleep_until(Instant::now() + stall_after)),
@@ -131,9 +137,56 @@
             return None;
         }
         self.request_log.record_bytes(split.events.len());
+        if self.origin.is_none() {
+            self.bind();
+        }
         Some(split.events)
     }
 
+    /// Binds the stream to the endpoint that has sent its first event, before
+    /// the client has it.
+    fn bind(&mut self) {
+        let State::Reading(exchange) = &self.state else {
+            return;
+        };
+        let endpoint = exchange.endpoint();
+        let origin = match endpoint.has_changed_version() {
+            true => Origin::Uncertain,
+            false => Origin::of(endpoint.record()),
+        };
+        let request = &self.request_log.request;
+        self.forwarder.record_origin(request, origin.clone());
+        self.origin = Some(origin);
+    }
+
+    /// Unbinds the stream if its endpoint has changed its version meanwhile:
+    /// its events may be those of either version.
+    fn check_origin(&mut self) {
+        let State::Reading(exchange) = &self.state else {
+            return;
+        };
+        if self.origin.is_some() && exchange.endpoint().has_changed_version() {
+            let request = &self.request_log.request;
+            self.forwarder.record_origin(request, Origin::Uncertain);
+            self.origin = Some(Origin::Uncertain);
+        }
+    }
+
+    /// Returns the state from which the next endpoint resumes the stream, or
+    /// `None` if none can.
+    fn next_history(&self, after: Option<u64>) -> Option<OfferHistory> {
+        match &self.origin {
+            None => Some(self.history.after_broken_stream(after, None)),
+            // Events without ids cannot be resumed after.
+            Some(Origin::Bound(_)) if after.is_none() => None,
+            Some(Origin::Bound(binding)) => {
+                let binding = Some(binding.clone());
+                Some(self.history.after_broken_stream(after, binding))
+            }
+            Some(Origin::Uncertain) => None,
+        }
+    }
+
     /// Ends a complete stream; returns its last bytes, if any.
     fn finish(&mut self) -> Option<Bytes> {
         self.state = State::Over;
@@ -177,12 +230,13 @@
     /// remainder from another endpoint.
     fn resume_elsewhere(&mut self, reason: &'static str) {
         self.splitter.drop_partial();
+        self.check_origin();
         let request = &self.request_log.request;
         let after = self.splitter.last_id();
         log::info!(
             request_id = request.id(),
             endpoint = self.request_log.sent.endpoint.as_str(),
-            version = self.request_log.sent.version.as_str(),
+            version = self.origin.as_ref().map_or("", Origin::version_text),
             reason,
             after = after.unwrap_or(0),
             age_ms = self.request_log.age_ms();
@@ -191,9 +245,9 @@
         self.state = State::Over;
         let forwarder = self.forwarder.clone();
         let request = request.clone();
-        let history = self.history.after_broken_stream(after);
+        let history = self.next_history(after);
         self.state = State::Resuming(Box::pin(async move {
-            forwarder.resume_stream(&request, history).await
+            forwarder.resume_stream(&request, history?).await
         }));
     }
 
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -19,7 +19,7 @@
 use http_body_util::BodyExt;
 use pomeloslip_pass::{
     Counters, DirectoryView, Forwarder, ForwarderOptions, HeaderNames,
-    Inbound, Pool, ResponseBody, RunObserver,
+    Inbound, Pool, ResponseBody, RunObserver, StreamOrigins,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -169,6 +169,15 @@
 }
 
 impl Fixture {
+    /// Finds the origins of streams in another store.
+    pub(crate) fn with_origins(self, origins: Arc<dyn StreamOrigins>) -> Self {
+        let forwarder = Arc::into_inner(self.forwarder).expect("not shared");
+        Self {
+            forwarder: Arc::new(forwarder.with_origins(origins)),
+            ..self
+        }
+    }
+
     /// Reports the outcomes of runs to an observer.
     pub(crate) fn with_run_observer(
         self,
@@ -184,16 +193,23 @@
 
 /// Creates a forwarder to some endpoints; the first is preferred.
 pub(crate) fn fixture(addresses: &[SocketAddr]) -> Fixture {
-    let endpoints: Vec<Endpoint> = addresses
+    let usual = |address: &SocketAddr| (*address, "app", "v1");
+    fixture_of(&addresses.iter().map(usual).collect::<Vec<_>>())
+}
+
+/// Creates a forwarder to endpoints of services and software versions; an
+/// empty version is unknown.
+pub(crate) fn fixture_of(all: &[(SocketAddr, &str, &str)]) -> Fixture {
+    let endpoints: Vec<Endpoint> = all
         .iter()
         .enumerate()
-        .map(|(at, address)| {
+        .map(|(at, (address, service, version))| {
             Endpoint::new(EndpointRecord {
                 id: format!("e{at}"),
                 started_at: None,
-                version: None,
+                version: version.parse().ok(),
                 address: *address,
-                service: "app".to_owned(),
+                service: (*service).to_owned(),
                 failure_domain: match at {
                     0 => "near".to_owned(),
                     _ => "far".to_owned(),
@@ -236,7 +252,30 @@
 
 /// Creates a request with an id.
 pub(crate) fn request(id: &str, route: Route) -> Inbound {
-    let request = Request::builder()
+    request_with(id, route, &[])
+}
+
+/// Creates a request that resumes a stream that an earlier attempt began.
+pub(crate) fn resuming(
+    id: &str,
+    route: Route,
+    after: &str,
+    first: &str,
+) -> Inbound {
+    request_with(id, route, &[("x-resume", after), ("x-resumes", first)])
+}
+
+/// Creates a request with additional headers.
+pub(crate) fn request_with(
+    id: &str,
+    route: Route,
+    headers: &[(&str, &str)],
+) -> Inbound {
+    let mut builder = Request::builder();
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder
         .method("POST")
         .uri("/p/q?x=1&y=%20")
         .header("host", "a.example")
