Bind items of jobs to the version that began them

The progress of an item and its checkpoints have the service and version of its first event. An item waits for an endpoint of its version as long as its runs took; after that, or if its node has none, it begins anew. Checkpoints without a version are not resumed.

--- a/crates/jobs/src/ledger/values.rs
+++ b/crates/jobs/src/ledger/values.rs
@@ -192,10 +192,12 @@
     max_bytes: usize,
 ) -> &[ItemCheckpoint] {
     /// Upper bound of the field names, numbers and quotes of one table row.
-    const ROW_BYTES: usize = 96;
+    const ROW_BYTES: usize = 144;
     let mut bytes = 0;
     let fits = |item: &&ItemCheckpoint| {
-        bytes += ROW_BYTES + item.output.len();
+        let binding = &item.binding;
+        let names = binding.service().len() + binding.version().as_str().len();
+        bytes += ROW_BYTES + names + item.output.len();
         bytes <= max_bytes
     };
     &items[..items.iter().take_while(fits).count()]
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,7 +1,7 @@
-use std::{fmt, str::FromStr};
+use std::{fmt, str::FromStr, sync::Arc};
 
 use base::{Customer, UnixMillis};
-use fleet::BatchDeadlines;
+use fleet::{BatchDeadlines, VersionBinding};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -272,8 +272,9 @@
 /// The output of an unfinished item so far.
 ///
 /// The events are contiguous from the first one on, so that a node that takes
-/// over the item resumes after the last of them.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// over the item resumes after the last of them, at the version that generated
+/// them.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ItemCheckpoint {
     /// Number of the item.
     pub number: u32,
@@ -283,6 +284,8 @@
     pub events: u64,
     /// Total time of the item's runs.
     pub ran_ms: u64,
+    /// The service and version that generated the events.
+    pub binding: Arc<VersionBinding>,
     /// Data of the events, separated by line feeds.
     pub output: String,
 }
@@ -305,6 +308,10 @@
     last_id: u64,
     events: u64,
     ran_ms: u64,
+    /// Absent in checkpoints of nodes that did not record it. No run can
+    /// resume after those.
+    #[serde(default)]
+    binding: Option<Arc<VersionBinding>>,
     output_bytes: usize,
 }
 
@@ -491,13 +498,15 @@
             last_id: item.last_id,
             events: item.events,
             ran_ms: item.ran_ms,
+            binding: Some(item.binding.clone()),
             output_bytes: item.output.len(),
         })
         .collect();
     join(&table, items.iter().map(|item| item.output.as_bytes()))
 }
 
-/// Decodes the bytes of [`encode_checkpoints`].
+/// Decodes the bytes of [`encode_checkpoints`], without the checkpoints after
+/// which no run can resume.
 ///
 /// # Errors
 ///
@@ -508,12 +517,17 @@
     let (table, mut remaining) = split::<CheckpointEntry>(bytes)?;
     let mut items = Vec::with_capacity(table.len());
     for entry in table {
+        let output = take_text(&mut remaining, entry.output_bytes)?;
+        let Some(binding) = entry.binding else {
+            continue;
+        };
         items.push(ItemCheckpoint {
             number: entry.number,
             last_id: entry.last_id,
             events: entry.events,
             ran_ms: entry.ran_ms,
-            output: take_text(&mut remaining, entry.output_bytes)?,
+            binding,
+            output,
         });
     }
     Ok(items)
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -7,7 +7,7 @@
 use access::Admitted;
 use base::Customer;
 use bytes::Bytes;
-use fleet::{Endpoint, Route};
+use fleet::{Endpoint, EndpointRecord, Route, VersionBinding};
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use pass::{EventSplitter, Exchange, Failure, Forwarder, Inbound};
 use tokio::time;
@@ -15,7 +15,7 @@
 use crate::record::{ItemCheckpoint, ItemInput, JobKey};
 
 /// The output of an item so far. It outlives a run, so that the next run
-/// resumes after the last event.
+/// resumes after the last event, at the version that generated the first one.
 #[derive(Clone, Debug, Default)]
 pub struct Progress(Arc<Mutex<Produced>>);
 
@@ -24,6 +24,9 @@
     output: String,
     events: u64,
     last_id: Option<u64>,
+    /// The service and version of the events; none before the first event, or
+    /// if the version is not known.
+    binding: Option<Arc<VersionBinding>>,
 }
 
 impl Progress {
@@ -33,11 +36,13 @@
             output: saved.output.clone(),
             events: saved.events,
             last_id: Some(saved.last_id),
+            binding: Some(saved.binding.clone()),
         })))
     }
 
     /// Returns a checkpoint of the item: `None` before its first event, and
-    /// for streams without event ids, which cannot be resumed.
+    /// for streams that cannot be resumed, because their events have no ids or
+    /// their version is not known.
     pub fn checkpoint(
         &self,
         number: u32,
@@ -49,6 +54,7 @@
             last_id: produced.last_id?,
             events: produced.events,
             ran_ms,
+            binding: produced.binding.clone()?,
             output: produced.output.clone(),
         })
     }
@@ -68,8 +74,38 @@
         self.lock().output.clone()
     }
 
-    fn add(&self, events: &[u8], last_id: Option<u64>) {
+    /// Returns the service and version of the events.
+    pub fn binding(&self) -> Option<Arc<VersionBinding>> {
+        self.lock().binding.clone()
+    }
+
+    /// Reports whether there are no events, or a run can resume after the
+    /// last of them.
+    pub fn is_resumable(&self) -> bool {
+        let produced = self.lock();
+        let has_origin =
+            produced.binding.is_some() && produced.last_id.is_some();
+        produced.events == 0 || has_origin
+    }
+
+    /// Reports whether an endpoint may run the rest of the item.
+    pub fn permits(&self, record: &EndpointRecord) -> bool {
+        let produced = self.lock();
+        let binding = produced.binding.as_ref();
+        produced.events == 0
+            || binding.is_some_and(|binding| binding.permits(record))
+    }
+
+    fn add(
+        &self,
+        events: &[u8],
+        last_id: Option<u64>,
+        record: &EndpointRecord,
+    ) {
         let mut produced = self.lock();
+        if produced.events == 0 {
+            produced.binding = VersionBinding::of(record).map(Arc::new);
+        }
         for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             let Some(data) = line.strip_prefix(b"data:") else {
                 continue;
@@ -202,7 +238,9 @@
                 Ok(Some(Ok(chunk))) => {
                     let split = splitter.push(chunk);
                     if !split.events.is_empty() {
-                        self.progress.add(&split.events, splitter.last_id());
+                        let record = self.endpoint.record();
+                        let last_id = splitter.last_id();
+                        self.progress.add(&split.events, last_id, record);
                     }
                     exchange.advance_to(splitter.last_id().unwrap_or(0));
                 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -25,7 +25,7 @@
 };
 
 use self::{
-    active::{ActiveJob, Inputs, ItemPhase},
+    active::{ActiveJob, Inputs, Item, ItemPhase},
     checkpoint::LoadedJob,
 };
 use crate::{
@@ -213,11 +213,23 @@
     job: JobKey,
     item: u32,
     endpoint: Endpoint,
+    /// Whether the run resumed after events of earlier runs.
+    resumed: bool,
     started: Instant,
     started_at: Millis,
     task: AbortHandle,
 }
 
+impl Run {
+    /// Records at the item that the run was interrupted.
+    fn interrupt(&self, item: &mut Item, now: Millis) {
+        item.interrupt(self.started, now);
+        if self.endpoint.has_changed_version() {
+            item.restart();
+        }
+    }
+}
+
 #[derive(Default)]
 struct EndpointProbe {
     in_flight: bool,
@@ -403,6 +415,7 @@
     /// Interrupts the runs of a job, whose items keep their progress; returns
     /// the number of runs.
     fn interrupt_runs_of(&mut self, key: &JobKey) -> usize {
+        let now = self.now();
         let before = self.runs.len();
         let Some(job) = self.jobs.get_mut(key) else {
             return 0;
@@ -411,7 +424,7 @@
             let keep = run.job != *key;
             if !keep {
                 run.task.abort();
-                job.items[run.item as usize].interrupt(run.started);
+                run.interrupt(&mut job.items[run.item as usize], now);
             }
             keep
         });
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Instant};
 
 use base::Millis;
-use indexmap::IndexMap;
+use fleet::{EndpointRecord, VersionBinding};
+use indexmap::{IndexMap, IndexSet};
 
 use super::RunId;
 use crate::{
@@ -43,17 +44,67 @@
     pub(super) total_run_ms: u64,
     /// Number of interrupted runs.
     pub(super) interruptions: u32,
+    /// When the item began to wait for its next run.
+    pub(super) waiting_since: Millis,
     /// Number of events in the last saved checkpoint.
     saved_events: u64,
 }
 
+/// How an item can use a free slot of an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum SlotUse {
+    /// It begins, or resumes after its last event.
+    Continue,
+    /// It begins anew.
+    Restart,
+}
+
 impl Item {
     /// Records that the item's run was interrupted; the item can be resumed
     /// elsewhere.
-    pub(super) fn interrupt(&mut self, run_started: Instant) {
-        self.state = ItemPhase::Waiting;
+    pub(super) fn interrupt(&mut self, run_started: Instant, now: Millis) {
         self.interruptions += 1;
         self.total_run_ms += run_started.elapsed().as_millis() as u64;
+        self.wait_from(now);
+    }
+
+    /// Lets the item wait for its next run.
+    pub(super) fn wait_from(&mut self, now: Millis) {
+        self.state = ItemPhase::Waiting;
+        self.waiting_since = now;
+    }
+
+    /// Returns how the item can use a slot of an endpoint now; `None` if it
+    /// waits for an endpoint of its own version, of which `usable` are those
+    /// of this node.
+    ///
+    /// An item that has waited as long as its runs took begins anew. It then
+    /// loses at most twice the time that the better of both choices loses,
+    /// however long the endpoints of its version stay busy.
+    pub(super) fn slot_use(
+        &self,
+        record: &EndpointRecord,
+        usable: &IndexSet<VersionBinding>,
+        now: Millis,
+    ) -> Option<SlotUse> {
+        if !self.progress.is_resumable() {
+            return Some(SlotUse::Restart);
+        }
+        if self.progress.permits(record) {
+            return Some(SlotUse::Continue);
+        }
+        let binding = self.progress.binding();
+        let is_usable = binding.is_some_and(|b| usable.contains(&*b));
+        let waited_ms = now.saturating_ms_since(self.waiting_since);
+        let restarts = !is_usable || waited_ms >= self.total_run_ms;
+        restarts.then_some(SlotUse::Restart)
+    }
+
+    /// Drops the output of the item's runs, so that the next run begins anew.
+    pub(super) fn restart(&mut self) {
+        self.progress = Progress::default();
+        self.total_run_ms = 0;
+        self.saved_events = 0;
     }
 }
 
@@ -97,7 +148,7 @@
     /// Restores items from checkpoints of a former owner, or of this node
     /// before its restart. Items that have run here since are ahead of their
     /// checkpoints and are not changed.
-    pub(super) fn restore(&mut self, saved: &[ItemCheckpoint]) {
+    pub(super) fn restore(&mut self, saved: &[ItemCheckpoint], now: Millis) {
         for checkpoint in saved {
             let Some(item) = self.items.get_mut(checkpoint.number as usize)
             else {
@@ -109,6 +160,7 @@
                 item.progress = Progress::restore(checkpoint);
                 item.total_run_ms = checkpoint.ran_ms;
                 item.saved_events = checkpoint.events;
+                item.waiting_since = now;
             }
         }
     }
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -3,12 +3,13 @@
 use std::time::Instant;
 
 use base::Millis;
-use fleet::{Config, Endpoint, IncarnationKey};
+use fleet::{Config, Endpoint, EndpointTable, IncarnationKey, VersionBinding};
+use indexmap::IndexSet;
 use pass::Counters;
 
 use super::{
     Event, Run, RunId, RunnerState,
-    active::{ActiveJob, Inputs, ItemPhase},
+    active::{ActiveJob, Inputs, ItemPhase, SlotUse},
     route_of,
 };
 use crate::{
@@ -89,6 +90,7 @@
         let view = self.runner.parts.endpoints.load_full();
         let is_view_stale = self.runner.parts.view.age_ms(now)
             > self.runner.options.max_view_age_ms;
+        let usable = usable_versions(assignment, &view.table, now);
         for incarnation in assignment.own_endpoints() {
             let Some(endpoint) = view.table.get(*incarnation) else {
                 continue;
@@ -103,7 +105,7 @@
                 continue;
             }
             for _ in 0..decision.start {
-                if !self.start_one(config, endpoint, now) {
+                if !self.start_one(config, endpoint, &usable, now) {
                     break;
                 }
             }
@@ -233,6 +235,7 @@
 
     /// Preempts the run with the highest preemption rank.
     pub(super) fn preempt_one(&mut self, incarnation: IncarnationKey) {
+        let now = self.now();
         let candidates = self.runs.iter().filter(|(_, run)| {
             run.endpoint.incarnation_key() == incarnation
                 && !self.is_urgent(run)
@@ -260,27 +263,30 @@
         if let Some(job) = self.jobs.get_mut(&run.job) {
             let id = job.id_of(run.item).to_owned();
             let item = &mut job.items[run.item as usize];
-            item.interrupt(run.started);
+            let events = item.progress.events();
+            run.interrupt(item, now);
             log::info!(
                 request_id = id.as_str(),
                 job = run.job.as_str(),
                 endpoint = run.endpoint.record().id.as_str(),
                 ran_ms = run.started.elapsed().as_millis() as u64,
-                events = item.progress.events();
+                events;
                 "an item gives way to online requests"
             );
         }
     }
 
-    /// Starts the waiting item with the highest priority, if there is one.
+    /// Starts the waiting item with the highest priority that can use a slot of
+    /// the endpoint, if there is one.
     pub(super) fn start_one(
         &mut self,
         config: &Config,
         endpoint: &Endpoint,
+        usable: &IndexSet<VersionBinding>,
         now: Millis,
     ) -> bool {
         let service = &endpoint.record().service;
-        let mut best: Option<(SlackPriority, JobKey, u32)> = None;
+        let mut best: Option<(SlackPriority, JobKey, u32, SlotUse)> = None;
         for (key, job) in &self.jobs {
             if job.is_moved || !matches!(job.inputs, Inputs::Loaded(_)) {
                 continue;
@@ -298,18 +304,53 @@
                 if item.state != ItemPhase::Waiting || item.not_before > now {
                     continue;
                 }
+                let record = endpoint.record();
+                let Some(slot_use) = item.slot_use(record, usable, now) else {
+                    continue;
+                };
                 let priority = self.priority(job, number);
                 if best.as_ref().is_none_or(|(best, ..)| priority < *best) {
-                    best = Some((priority, key.clone(), number));
+                    best = Some((priority, key.clone(), number, slot_use));
                 }
             }
         }
-        let Some((_, key, number)) = best else {
+        let Some((_, key, number, slot_use)) = best else {
             return false;
         };
+        if slot_use == SlotUse::Restart {
+            self.restart(&key, number, endpoint, now);
+        }
         self.start(config, key, number, endpoint, now)
     }
 
+    /// Drops the output of an item that begins anew at another version.
+    fn restart(
+        &mut self,
+        key: &JobKey,
+        number: u32,
+        endpoint: &Endpoint,
+        now: Millis,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let id = job.id_of(number).to_owned();
+        let item = &mut job.items[number as usize];
+        let binding = item.progress.binding();
+        log::info!(
+            request_id = id.as_str(),
+            job = key.as_str(),
+            from = binding.as_ref().map_or("", |b| b.version().as_str()),
+            to = endpoint.version_text(),
+            events = item.progress.events(),
+            ran_ms = item.total_run_ms,
+            waited_ms = now.saturating_ms_since(item.waiting_since);
+            "an item begins anew"
+        );
+        item.restart();
+        Counters::add(&self.runner.parts.counters.items_begun_anew);
+    }
+
     pub(super) fn start(
         &mut self,
         config: &Config,
@@ -351,6 +392,7 @@
             "an item starts"
         );
         item.state = ItemPhase::Running(id);
+        let resumed = item.progress.events() > 0;
         let forwarder = self.runner.parts.forwarder.clone();
         let sender = self.sender.clone();
         let task = tokio::spawn(async move {
@@ -364,6 +406,7 @@
                 job: key,
                 item: number,
                 endpoint: endpoint.clone(),
+                resumed,
                 started: Instant::now(),
                 started_at: now,
                 task: task.abort_handle(),
@@ -372,3 +415,17 @@
         true
     }
 }
+
+/// Returns the versions of the node's own endpoints that answer.
+fn usable_versions(
+    assignment: &Assignment,
+    table: &EndpointTable,
+    now: Millis,
+) -> IndexSet<VersionBinding> {
+    let own = assignment.own_endpoints().iter();
+    let endpoints = own.filter_map(|incarnation| table.get(*incarnation));
+    let usable = endpoints.filter(|endpoint| !endpoint.is_suspect(now));
+    usable
+        .filter_map(|endpoint| VersionBinding::of(endpoint.record()))
+        .collect()
+}
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -7,10 +7,7 @@
 use pass::Counters;
 
 use super::{
-    Event, RunId, RunnerState,
-    active::{Inputs, ItemPhase},
-    checkpoint::LoadedJob,
-    route_of,
+    Event, RunId, RunnerState, active::Inputs, checkpoint::LoadedJob, route_of,
 };
 use crate::{
     JobError, RunOutcome, StoredManifest,
@@ -43,6 +40,7 @@
         key: &JobKey,
         loaded: Result<LoadedJob, Report<JobError>>,
     ) {
+        let now = self.now();
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -58,7 +56,7 @@
                     "a job's inputs are read"
                 );
                 job.inputs = Inputs::Loaded(Arc::new(inputs));
-                job.restore(&checkpoints);
+                job.restore(&checkpoints, now);
             }
             Err(report) => {
                 log::warn!(job = key.as_str(),
@@ -120,7 +118,10 @@
             job.failed_attempts.swap_remove(&number);
         }
         job.items[number as usize].total_run_ms += ran_ms;
-        if end == RunOutcome::Complete {
+        // The events of such a run may be those of either version.
+        let is_uncertain = run.endpoint.has_changed_version()
+            && (end != RunOutcome::Complete || run.resumed);
+        if end == RunOutcome::Complete && !is_uncertain {
             let total_ms = job.items[number as usize].total_run_ms;
             self.estimator
                 .record(inputs[number as usize].tokens, total_ms);
@@ -139,7 +140,10 @@
             Counters::add(&self.runner.parts.counters.items_given_up);
         } else {
             let item = &mut job.items[number as usize];
-            item.state = ItemPhase::Waiting;
+            item.wait_from(now);
+            if is_uncertain {
+                item.restart();
+            }
             item.not_before = match end {
                 RunOutcome::Broken => now,
                 RunOutcome::Held { for_ms } => now.saturating_add_ms(for_ms),
--- a/crates/jobs/tests/altered.rs
+++ b/crates/jobs/tests/altered.rs
@@ -4,8 +4,10 @@
 //! Guards against a node that panics, or lists results that are none, because
 //! a record is truncated or was written by another program.
 
+use std::sync::Arc;
+
 use base::UnixMillis;
-use fleet::BatchDeadlines;
+use fleet::{BatchDeadlines, VersionBinding};
 use fuzz::{altered_bytes, altered_json, config};
 use indexmap::IndexMap;
 use pomeloslip_jobs::{
@@ -79,6 +81,10 @@
         last_id: 12,
         events: 12,
         ran_ms: 300,
+        binding: Arc::new(VersionBinding::new(
+            "engines",
+            "v1".parse().expect("a version"),
+        )),
         output: "one\ntwo".to_owned(),
     });
     encode_checkpoints(&items).expect("encoded")
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -6,6 +6,7 @@
 
 use base::UnixMillis;
 use common::{VALUE_BYTES, items, job, key, ledger, result};
+use fleet::VersionBinding;
 use indexmap::IndexMap;
 use kv::{Kv, Memory, WriteFault};
 use pomeloslip_jobs::{
@@ -267,6 +268,10 @@
         last_id: 7,
         events: 7,
         ran_ms: 900,
+        binding: Arc::new(VersionBinding::new(
+            "engines",
+            "v1".parse().expect("a version"),
+        )),
         output: output.to_owned(),
     }
 }
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -10,7 +10,7 @@
     Cuttable, Engine, MIN_LEASE_MS, Node, call, call_until, put, ready, start,
     start_by, write_config_and_engine,
 };
-use fleet::EndpointRecord;
+use fleet::{EndpointRecord, VersionBinding};
 use jobs::{
     ItemCheckpoint, RunnerOptions, checkpoint_key, decode_checkpoints,
     decode_manifest, encode_checkpoints, manifest_key,
@@ -274,6 +274,9 @@
         last_id: 3,
         events: 3,
         ran_ms: 10,
+        binding: Arc::new(
+            VersionBinding::of(&engine.record("e1")).expect("a version"),
+        ),
         output: "e1\ne2\ne3".to_owned(),
     }];
     let value = encode_checkpoints(&saved).expect("encoded");
