Find unnamed streams by the content of their requests

Origins are stored under the attempt and under a digest of the request and its prompt, which a client sends again unchanged. Equal requests that began at different versions contradict each other and are refused.

--- a/crates/node/src/origins.rs
+++ b/crates/node/src/origins.rs
@@ -23,7 +23,7 @@
 use base::Clock;
 use indexmap::IndexMap;
 use jobs::JobView;
-use origins::{Answer, AttemptKey, Lookup, Origin, Verdict};
+use origins::{Answer, Lookup, Origin, StreamKey, StreamKeys, Verdict};
 use pass::{Counters, LocalOrigins, OriginFuture, StreamOrigins};
 use tokio::{net::UdpSocket, sync::oneshot, time};
 
@@ -64,7 +64,7 @@
 
 /// A question to the holders of a stream.
 struct PendingLookup {
-    attempt: AttemptKey,
+    stream: StreamKey,
     holders: Vec<SocketAddr>,
     lookup: Lookup,
     /// Taken when the verdict is sent.
@@ -101,48 +101,48 @@
 }
 
 impl StreamOrigins for Origins {
-    fn record(&self, attempt: AttemptKey, origin: Origin, lifetime_ms: u64) {
+    fn record(&self, keys: StreamKeys, origin: Origin, lifetime_ms: u64) {
         let shared = &self.0;
-        shared.stored.record(attempt, origin.clone(), lifetime_ms);
+        shared.stored.record(keys, origin.clone(), lifetime_ms);
         let message = OriginMessage::Record {
-            attempt,
+            keys,
             origin,
             lifetime_ms,
         };
-        let holders = shared.holders(attempt);
+        let holders = shared.holders(&keys.all());
         shared.send_all(holders.into_iter(), &message);
     }
 
-    fn find(&self, attempt: AttemptKey) -> OriginFuture {
-        match self.0.stored.get(attempt) {
+    fn find(&self, stream: StreamKey) -> OriginFuture {
+        match self.0.stored.get(stream) {
             Some(Origin::Bound(binding)) => {
                 Box::pin(std::future::ready(Verdict::Known(binding)))
             }
             Some(Origin::Uncertain) => {
                 Box::pin(std::future::ready(Verdict::Unknown))
             }
-            None => Box::pin(self.0.clone().ask_holders(attempt)),
+            None => Box::pin(self.0.clone().ask_holders(stream)),
         }
     }
 }
 
 impl Shared {
-    /// Returns the addresses of the holders of an attempt except this node.
-    fn holders(&self, attempt: AttemptKey) -> Vec<SocketAddr> {
+    /// Returns the addresses of the holders of streams except this node.
+    fn holders(&self, streams: &[StreamKey]) -> Vec<SocketAddr> {
         let mut peers = lock(&self.peers);
         peers.update(self.view.roster());
-        peers.holders(attempt, &self.node)
+        peers.holders(streams, &self.node)
     }
 
-    async fn ask_holders(self: Arc<Self>, attempt: AttemptKey) -> Verdict {
-        let holders = self.holders(attempt);
+    async fn ask_holders(self: Arc<Self>, stream: StreamKey) -> Verdict {
+        let holders = self.holders(&[stream]);
         if holders.is_empty() {
             return Verdict::Unreachable;
         }
         let ticket = self.last_ticket.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, mut verdict) = oneshot::channel();
         let lookup = PendingLookup {
-            attempt,
+            stream,
             lookup: Lookup::new(holders.len()),
             holders,
             verdict: Some(sender),
@@ -154,7 +154,7 @@
         };
         for _ in 0..MAX_QUESTIONS {
             let silent = pending.silent_holders();
-            let message = OriginMessage::Find { attempt, ticket };
+            let message = OriginMessage::Find { stream, ticket };
             self.send_all(silent.into_iter(), &message);
             let answered = time::timeout(RESEND_INTERVAL, &mut verdict).await;
             if let Ok(Ok(verdict)) = answered {
@@ -198,30 +198,30 @@
         }
         match message {
             OriginMessage::Record {
-                attempt,
+                keys,
                 origin,
                 lifetime_ms,
-            } => self.stored.record(attempt, origin, lifetime_ms),
-            OriginMessage::Find { attempt, ticket } => {
+            } => self.stored.record(keys, origin, lifetime_ms),
+            OriginMessage::Find { stream, ticket } => {
                 let found = OriginMessage::Found {
-                    attempt,
+                    stream,
                     ticket,
-                    origin: self.stored.get(attempt),
+                    origin: self.stored.get(stream),
                 };
                 self.send_all(std::iter::once(from), &found);
             }
             OriginMessage::Found {
-                attempt,
+                stream,
                 ticket,
                 origin,
-            } => self.receive(attempt, ticket, origin, from),
+            } => self.receive(stream, ticket, origin, from),
         }
         Ok(())
     }
 
     fn receive(
         &self,
-        attempt: AttemptKey,
+        stream: StreamKey,
         ticket: u64,
         origin: Option<Origin>,
         from: SocketAddr,
@@ -231,7 +231,7 @@
             return;
         };
         let holder = asked.holders.iter().position(|holder| *holder == from);
-        let Some(holder) = holder.filter(|_| asked.attempt == attempt) else {
+        let Some(holder) = holder.filter(|_| asked.stream == stream) else {
             return;
         };
         let answer = origin.map_or(Answer::Unknown, Answer::Known);
--- a/crates/node/src/origins/peers.rs
+++ b/crates/node/src/origins/peers.rs
@@ -2,7 +2,7 @@
 
 use base::stable_hash;
 use jobs::{NodeRecord, Roster};
-use origins::{AttemptKey, HOLDERS, HolderNode, HolderRing};
+use origins::{HOLDERS, HolderNode, HolderRing, StreamKey};
 
 /// The nodes that hold origins, as listed last.
 #[derive(Debug, Default)]
@@ -51,16 +51,23 @@
         self.roster = roster;
     }
 
-    /// Returns the addresses of the holders of an attempt except one node.
+    /// Returns the addresses of the holders of streams except one node.
     pub(super) fn holders(
         &self,
-        attempt: AttemptKey,
+        streams: &[StreamKey],
         except: &str,
     ) -> Vec<SocketAddr> {
-        let holders = self.ring.holders(attempt);
-        let holders = holders.map(|at| &self.holders[at]);
-        let others = holders.filter(|holder| holder.node != except);
-        others.map(|holder| holder.address).collect()
+        let mut addresses = Vec::with_capacity(HOLDERS * streams.len());
+        for stream in streams {
+            for at in self.ring.holders(*stream) {
+                let holder = &self.holders[at];
+                let is_new = !addresses.contains(&holder.address);
+                if is_new && holder.node != except {
+                    addresses.push(holder.address);
+                }
+            }
+        }
+        addresses
     }
 
     /// Returns the address from which a node sends its messages.
--- a/crates/node/src/origins/wire.rs
+++ b/crates/node/src/origins/wire.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use origins::{AttemptKey, Origin};
+use origins::{Origin, StreamKey, StreamKeys};
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of a received datagram.
@@ -18,15 +18,15 @@
 pub(super) enum OriginMessage {
     /// Asks a holder to store an origin.
     Record {
-        attempt: AttemptKey,
+        keys: StreamKeys,
         origin: Origin,
         lifetime_ms: u64,
     },
     /// Asks a holder for an origin.
-    Find { attempt: AttemptKey, ticket: u64 },
+    Find { stream: StreamKey, ticket: u64 },
     /// Answers a question; no origin if the holder has none.
     Found {
-        attempt: AttemptKey,
+        stream: StreamKey,
         ticket: u64,
         origin: Option<Origin>,
     },
--- a/crates/origins/src/key.rs
+++ b/crates/origins/src/key.rs
@@ -1,12 +1,12 @@
-use base::stable_hash;
+use base::{RequestDigest, stable_hash};
 use serde::{Deserialize, Serialize};
 
-/// Identifies a client attempt, the same on all nodes.
+/// Identifies a stream, the same on all nodes: by the client attempt that
+/// received its first event, or by the content of its request.
 ///
-/// The key is a hash of the customer and the attempt's id, since each customer
-/// chooses its ids itself. Among the attempts of a few seconds two share a key
-/// with a negligible probability, and the client of such a stream then gets a
-/// refusal at worst, because the origins differ or are equal.
+/// The key is a hash. Among the streams of a few seconds two share a key with a
+/// negligible probability, and at worst their clients are refused, because
+/// different origins contradict each other.
 #[derive(
     Clone,
     Copy,
@@ -20,22 +20,33 @@
     Deserialize,
 )]
 #[serde(transparent)]
-pub struct AttemptKey(u64);
+pub struct StreamKey(u64);
 
-impl AttemptKey {
-    /// Returns the key of a customer's attempt.
+impl StreamKey {
+    /// Returns the key of the stream that a customer's attempt began.
+    ///
+    /// Each customer chooses the ids of its attempts itself.
     ///
     /// # Example
     ///
     /// ```
-    /// use pomeloslip_origins::AttemptKey;
+    /// use pomeloslip_origins::StreamKey;
     ///
-    /// let key = AttemptKey::new("alama", "a1");
-    /// assert_eq!(key, AttemptKey::new("alama", "a1"));
-    /// assert_ne!(key, AttemptKey::new("taevakorv", "a1"));
+    /// let key = StreamKey::of_attempt("alama", "a1");
+    /// assert_eq!(key, StreamKey::of_attempt("alama", "a1"));
+    /// assert_ne!(key, StreamKey::of_attempt("taevakorv", "a1"));
     /// ```
-    pub fn new(customer: &str, attempt: &str) -> Self {
-        Self(stable_hash(&[customer, attempt]))
+    pub fn of_attempt(customer: &str, attempt: &str) -> Self {
+        Self(stable_hash(&["attempt", customer, attempt]))
+    }
+
+    /// Returns the key of the streams with a request and a prompt.
+    ///
+    /// Clients that do not name their first attempt send the same request
+    /// again. Streams of equal requests cannot be told apart, and are resumed
+    /// only while all of them began at the same version.
+    pub fn of_content(request: RequestDigest, prompt: &str) -> Self {
+        Self(stable_hash(&["content", &request.to_string(), prompt]))
     }
 
     /// Returns the key as a number.
@@ -44,3 +55,20 @@
         self.0
     }
 }
+
+/// The keys under which the origin of a stream is stored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StreamKeys {
+    /// The key of the attempt that began the stream.
+    pub attempt: StreamKey,
+    /// The key of the content of its request.
+    pub content: StreamKey,
+}
+
+impl StreamKeys {
+    /// Returns both keys.
+    pub fn all(self) -> [StreamKey; 2] {
+        [self.attempt, self.content]
+    }
+}
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -5,24 +5,26 @@
 //! fit together, so the node has to know the version before it sends the
 //! request. A node that began a stream therefore sends an [`Origin`] to a few
 //! other nodes, its holders, when the first event is forwarded. A node that
-//! resumes the stream asks the same holders.
+//! resumes the stream asks the same holders. A client names the attempt that
+//! received the first event; the streams of clients that do not are found by
+//! the content of their requests.
 //!
-//! This crate does no I/O: [`HolderRing`] determines the holders of a client
-//! attempt, [`OriginTable`] stores origins for a limited time, and [`Lookup`]
+//! This crate does no I/O: [`HolderRing`] determines the holders of a
+//! stream, [`OriginTable`] stores origins for a limited time, and [`Lookup`]
 //! decides what the answers of the holders mean.
 //!
 //! ```
 //! use base::Millis;
 //! use pomeloslip_origins::{
-//!     Answer, AttemptKey, Lookup, Origin, OriginTable, Verdict,
+//!     Answer, StreamKey, Lookup, Origin, OriginTable, Verdict,
 //! };
 //!
-//! let attempt = AttemptKey::new("", "9c41d07be2a35f68");
+//! let stream = StreamKey::of_attempt("", "9c41d07be2a35f68");
 //! let origin = Origin::began_at("engines", "v1".parse()?);
 //! let mut table = OriginTable::default();
 //! let now = Millis::new(0);
-//! table.record(attempt, origin.clone(), 5_000, now);
-//! assert_eq!(table.find(attempt, now), Some(&origin));
+//! table.record(stream, origin.clone(), 5_000, now);
+//! assert_eq!(table.find(stream, now), Some(&origin));
 //!
 //! let mut lookup = Lookup::new(2);
 //! assert_eq!(lookup.receive(0, Answer::Unknown), None);
@@ -38,7 +40,7 @@
 mod table;
 
 pub use crate::{
-    key::AttemptKey,
+    key::{StreamKey, StreamKeys},
     lookup::{Answer, Lookup, Verdict},
     origin::Origin,
     ring::{HOLDERS, HolderNode, HolderRing},
--- a/crates/origins/src/ring.rs
+++ b/crates/origins/src/ring.rs
@@ -1,6 +1,6 @@
 use base::mix;
 
-use crate::AttemptKey;
+use crate::StreamKey;
 
 /// Number of nodes that hold the origin of a stream.
 pub const HOLDERS: usize = 2;
@@ -25,21 +25,21 @@
 /// Determines which nodes hold the origin of a stream.
 ///
 /// All nodes that know the same holders determine the same ones. When a holder
-/// joins or leaves, an attempt keeps at least one of its holders: the next
+/// joins or leaves, a stream keeps at least one of its holders: the next
 /// nodes on a ring of hashes change by one. A search takes a binary search and
 /// a bounded number of steps, whatever the size of the fleet.
 ///
 /// # Example
 ///
 /// ```
-/// use pomeloslip_origins::{AttemptKey, HolderNode, HolderRing};
+/// use pomeloslip_origins::{StreamKey, HolderNode, HolderRing};
 ///
 /// let nodes = [(1, 1), (2, 1), (3, 2)].map(|(name, domain)| HolderNode {
 ///     name_hash: name,
 ///     domain_hash: domain,
 /// });
 /// let ring = HolderRing::new(&nodes);
-/// let holders = ring.holders(AttemptKey::new("", "a1"));
+/// let holders = ring.holders(StreamKey::of_attempt("", "a1"));
 /// assert_eq!(holders.len(), 2);
 /// let domains = holders.map(|at| nodes[at].domain_hash);
 /// assert_eq!(domains.collect::<std::collections::HashSet<_>>().len(), 2);
@@ -71,11 +71,11 @@
     /// failure domains if possible, the preferred one first.
     pub fn holders(
         &self,
-        attempt: AttemptKey,
+        stream: StreamKey,
     ) -> impl ExactSizeIterator<Item = usize> + use<> {
         let mut chosen: Vec<usize> = Vec::with_capacity(HOLDERS);
         let mut spare: Vec<usize> = Vec::new();
-        let hash = mix(attempt.as_u64());
+        let hash = mix(stream.as_u64());
         let start = self.points.partition_point(|(point, _)| *point < hash);
         for step in 0..self.points.len().min(MAX_VISITED) {
             let position = (start + step) % self.points.len();
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -3,7 +3,7 @@
 use base::Millis;
 use indexmap::IndexMap;
 
-use crate::{AttemptKey, Origin};
+use crate::{Origin, StreamKey};
 
 /// Maximum number of origins that a node stores: several times those of the
 /// streams of a few seconds. The oldest are dropped beyond it, and their
@@ -16,28 +16,28 @@
 
 /// The origins of recent streams.
 ///
-/// An attempt that is recorded with two different origins becomes uncertain:
+/// A stream that is recorded with two different origins becomes uncertain:
 /// nothing tells which of them is true.
 ///
 /// # Example
 ///
 /// ```
 /// use base::Millis;
-/// use pomeloslip_origins::{AttemptKey, Origin, OriginTable};
+/// use pomeloslip_origins::{StreamKey, Origin, OriginTable};
 ///
-/// let attempt = AttemptKey::new("", "a1");
+/// let stream = StreamKey::of_attempt("", "a1");
 /// let origin = Origin::began_at("engines", "v1".parse()?);
 /// let mut table = OriginTable::default();
-/// table.record(attempt, origin, 5_000, Millis::new(0));
-/// assert!(table.find(attempt, Millis::new(4_999)).is_some());
-/// assert!(table.find(attempt, Millis::new(5_000)).is_none());
+/// table.record(stream, origin, 5_000, Millis::new(0));
+/// assert!(table.find(stream, Millis::new(4_999)).is_some());
+/// assert!(table.find(stream, Millis::new(5_000)).is_none());
 /// # Ok::<(), fleet::VersionError>(())
 /// ```
 #[derive(Debug, Default)]
 pub struct OriginTable {
-    origins: IndexMap<AttemptKey, StoredOrigin>,
-    /// The attempts in the order in which they were recorded first.
-    order: VecDeque<AttemptKey>,
+    origins: IndexMap<StreamKey, StoredOrigin>,
+    /// The streams in the order in which they were recorded first.
+    order: VecDeque<StreamKey>,
 }
 
 #[derive(Debug)]
@@ -50,7 +50,7 @@
     /// Stores an origin for a time.
     pub fn record(
         &mut self,
-        attempt: AttemptKey,
+        stream: StreamKey,
         origin: Origin,
         lifetime_ms: u64,
         now: Millis,
@@ -59,7 +59,7 @@
         let expires_at =
             now.saturating_add_ms(lifetime_ms.min(MAX_LIFETIME_MS));
         let origin = self.share(origin);
-        if let Some(known) = self.origins.get_mut(&attempt) {
+        if let Some(known) = self.origins.get_mut(&stream) {
             known.expires_at = known.expires_at.max(expires_at);
             if known.origin != origin {
                 known.origin = Origin::Uncertain;
@@ -67,13 +67,13 @@
             return;
         }
         let stored = StoredOrigin { origin, expires_at };
-        self.origins.insert(attempt, stored);
-        self.order.push_back(attempt);
+        self.origins.insert(stream, stored);
+        self.order.push_back(stream);
     }
 
-    /// Returns the origin of the stream that an attempt began.
-    pub fn find(&self, attempt: AttemptKey, now: Millis) -> Option<&Origin> {
-        let stored = self.origins.get(&attempt)?;
+    /// Returns the origin of a stream.
+    pub fn find(&self, stream: StreamKey, now: Millis) -> Option<&Origin> {
+        let stored = self.origins.get(&stream)?;
         (now < stored.expires_at).then_some(&stored.origin)
     }
 
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -298,14 +298,8 @@
         &self,
         request: &Inbound,
     ) -> Result<Arc<VersionBinding>, Refusal> {
-        let Some(attempt) = request.resumed_attempt() else {
-            Counters::add(&self.counters.origins_unknown);
-            return Err(Refusal::not_run(
-                "the attempt that began the stream is not named",
-            ));
-        };
         let asked_at = Instant::now();
-        let verdict = self.origins.find(attempt).await;
+        let verdict = self.origins.find(request.resumed_key()).await;
         self.counters.origin_find_ms.record(asked_at.elapsed());
         log::info!(
             request_id = request.id(),
@@ -359,7 +353,7 @@
         Counters::add(&self.counters.origins_recorded);
         let lifetime_ms = request.origin_lifetime_ms();
         self.origins
-            .record(request.attempt_key(), origin, lifetime_ms);
+            .record(request.stream_keys(), origin, lifetime_ms);
     }
 
     async fn run(
--- a/crates/pass/src/origins.rs
+++ b/crates/pass/src/origins.rs
@@ -5,19 +5,19 @@
 };
 
 use base::Clock;
-use origins::{AttemptKey, Origin, OriginTable, Verdict};
+use origins::{Origin, OriginTable, StreamKey, StreamKeys, Verdict};
 
 /// The result of a search for the origin of a stream.
 pub type OriginFuture = Pin<Box<dyn Future<Output = Verdict> + Send>>;
 
 /// Stores which version began each resumable stream, and finds it again.
 pub trait StreamOrigins: Send + Sync + 'static {
-    /// Stores the origin of the stream that an attempt began. It is called
-    /// before the first event is forwarded, and must not block.
-    fn record(&self, attempt: AttemptKey, origin: Origin, lifetime_ms: u64);
+    /// Stores the origin of a stream. It is called before the first event is
+    /// forwarded, and must not block.
+    fn record(&self, keys: StreamKeys, origin: Origin, lifetime_ms: u64);
 
-    /// Finds the origin of the stream that an attempt began.
-    fn find(&self, attempt: AttemptKey) -> OriginFuture;
+    /// Finds the origin of a stream.
+    fn find(&self, stream: StreamKey) -> OriginFuture;
 }
 
 /// The origins of the streams that this process began.
@@ -36,23 +36,20 @@
     }
 
     /// Stores an origin.
-    pub fn record(
-        &self,
-        attempt: AttemptKey,
-        origin: Origin,
-        lifetime_ms: u64,
-    ) {
+    pub fn record(&self, keys: StreamKeys, origin: Origin, lifetime_ms: u64) {
         let now = self.clock.now();
         let mut table =
             self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        table.record(attempt, origin, lifetime_ms, now);
+        for stream in keys.all() {
+            table.record(stream, origin.clone(), lifetime_ms, now);
+        }
     }
 
     /// Returns an origin, if it is stored here.
-    pub fn get(&self, attempt: AttemptKey) -> Option<Origin> {
+    pub fn get(&self, stream: StreamKey) -> Option<Origin> {
         let now = self.clock.now();
         let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        table.find(attempt, now).cloned()
+        table.find(stream, now).cloned()
     }
 
     /// Returns the number of stored origins.
@@ -68,12 +65,12 @@
 }
 
 impl StreamOrigins for LocalOrigins {
-    fn record(&self, attempt: AttemptKey, origin: Origin, lifetime_ms: u64) {
-        Self::record(self, attempt, origin, lifetime_ms);
+    fn record(&self, keys: StreamKeys, origin: Origin, lifetime_ms: u64) {
+        Self::record(self, keys, origin, lifetime_ms);
     }
 
-    fn find(&self, attempt: AttemptKey) -> OriginFuture {
-        let verdict = match self.get(attempt) {
+    fn find(&self, stream: StreamKey) -> OriginFuture {
+        let verdict = match self.get(stream) {
             Some(Origin::Bound(binding)) => Verdict::Known(binding),
             Some(Origin::Uncertain) | None => Verdict::Unknown,
         };
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -14,7 +14,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use origins::AttemptKey;
+use origins::{StreamKey, StreamKeys};
 use quarantine::EvidenceKeys;
 
 use crate::{HeaderNames, Refusal};
@@ -107,6 +107,8 @@
     /// Id of the client attempt that received the stream's first event.
     resumes: Option<String>,
     affinity: u64,
+    /// The parts of the prompt, empty for a request without a prompt.
+    prompt: Box<str>,
     admitted: Admitted,
     digest: OnceLock<RequestDigest>,
     /// Id of the job of which the request is an item, if any.
@@ -156,6 +158,7 @@
             Some(parts) => affinity(parts),
             None => hash(&id),
         };
+        let prompt = text(&names.prompt_parts).unwrap_or_default().into();
         let wait_ms = deadline_ms
             .unwrap_or(u64::MAX)
             .min(route.timeout_ms())
@@ -177,6 +180,7 @@
             is_resume_malformed,
             resumes,
             affinity,
+            prompt,
             admitted,
             digest: OnceLock::new(),
             job: None,
@@ -279,17 +283,27 @@
             && self.resume_after.is_some_and(|after| after > 0)
     }
 
-    /// Returns the key under which the origin of the stream that this attempt
+    /// Returns the keys under which the origin of the stream that this attempt
     /// begins is stored.
-    pub fn attempt_key(&self) -> AttemptKey {
-        AttemptKey::new(self.customer(), &self.id)
+    pub fn stream_keys(&self) -> StreamKeys {
+        StreamKeys {
+            attempt: StreamKey::of_attempt(self.customer(), &self.id),
+            content: self.content_key(),
+        }
+    }
+
+    /// Returns the key of the stream that this request resumes: that of the
+    /// attempt that began it, or of its content if the client does not name
+    /// the attempt.
+    pub fn resumed_key(&self) -> StreamKey {
+        match self.resumes() {
+            Some(first) => StreamKey::of_attempt(self.customer(), first),
+            None => self.content_key(),
+        }
     }
 
-    /// Returns the key of the client attempt that received the first event of
-    /// the stream that this request resumes, if it is named.
-    pub fn resumed_attempt(&self) -> Option<AttemptKey> {
-        let attempt = self.resumes()?;
-        Some(AttemptKey::new(self.customer(), attempt))
+    fn content_key(&self) -> StreamKey {
+        StreamKey::of_content(self.digest(), &self.prompt)
     }
 
     /// Returns how long a client may come back to the stream, in milliseconds.
