--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod snapshot;
 pub mod time;
 pub mod timer;
+mod version;
 
 pub use crate::{
     class::Class,
@@ -43,4 +44,5 @@
     retention::blob_day_prefix,
     snapshot::Snapshot,
     time::{Clock, Millis, SteppedClock, SystemClock, UnixMillis},
+    version::VersionKey,
 };
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -80,6 +80,7 @@
 pub(crate) fn endpoint_of(companion: &Settings) -> Option<StaticEndpoint> {
     let endpoint = companion.endpoint.as_ref()?;
     Some(StaticEndpoint {
+        version: None,
         endpoint: endpoint.name.clone(),
         pool: endpoint.pool.clone(),
         failure_domain: companion.failure_domain.clone(),
--- a/crates/companion/src/handler.rs
+++ b/crates/companion/src/handler.rs
@@ -3,7 +3,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use base::{Incarnation, timer::Timer};
+use base::{Incarnation, VersionKey, timer::Timer};
 use conf::settings::EndpointSettings;
 use futures::future::{BoxFuture, FutureExt};
 use gate::{End, RejectReason, Rejection};
@@ -52,9 +52,14 @@
             leaving: self.is_draining(),
             incarnation: self.incarnation,
             endpoint_up: self.is_up() && !gate.stalled,
+            version: self.version(),
         }
     }
 
+    fn version(&self) -> VersionKey {
+        VersionKey::declared(self.endpoint.version.as_deref())
+    }
+
     fn check(&self, request: &Request) -> Result<(), Refusal> {
         let refuse = |kind, reason: &str| Err(Refusal::new(kind, reason));
         if self.is_draining() {
@@ -66,6 +71,11 @@
             let reason = "another endpoint lives at this address now";
             return refuse(RefusalKind::WrongTarget, reason);
         }
+        let is_bound = request.version != VersionKey::UNDECLARED;
+        if is_bound && request.version != self.version() {
+            let reason = "the response began at another software version";
+            return refuse(RefusalKind::WrongVersion, reason);
+        }
         if !self.is_up() {
             return refuse(RefusalKind::EndpointDown, "no endpoint answers");
         }
--- a/crates/companion/src/item.rs
+++ b/crates/companion/src/item.rs
@@ -1,6 +1,6 @@
 //! Runs one batch item.
 
-use base::{Class, RequestId, UnixMillis};
+use base::{Class, RequestId, UnixMillis, VersionKey};
 use bytes::{Bytes, BytesMut};
 use gate::{End, StopReason};
 use obs::{Counter, Series};
@@ -107,6 +107,7 @@
         deadline_ms: 0,
         repeatable: true,
         resume_offset: 0,
+        version: VersionKey::UNDECLARED,
         target: shared.endpoint.name.as_str().to_owned(),
     })
 }
--- a/crates/companion/tests/batch.rs
+++ b/crates/companion/tests/batch.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use base::{Class, Incarnation, Revision, VmId};
+use base::{Class, Incarnation, Revision, VersionKey, VmId};
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use obs::Metrics;
@@ -199,6 +199,7 @@
             deadline_ms: 0,
             repeatable: true,
             resume_offset: 0,
+            version: VersionKey::UNDECLARED,
             target: "korv-lm-1".to_owned(),
         };
         let address = self.companion.peer_address();
--- a/crates/conf/src/settings/check.rs
+++ b/crates/conf/src/settings/check.rs
@@ -132,6 +132,9 @@
                 findings
                     .report(&path, "needs exactly one of `peer` and `http`");
             }
+            if endpoint.version.as_deref() == Some("") {
+                findings.report(&format!("{path}.version"), "is empty");
+            }
             findings.check_name(&format!("{path}.pool"), &endpoint.pool);
             let name = format!("{path}.endpoint");
             names.add(&name, endpoint.endpoint.as_str(), findings);
@@ -198,6 +201,9 @@
 impl Check for EndpointSettings {
     fn check(&self, findings: &mut Findings<'_>) {
         findings.check_name("endpoint.pool", &self.pool);
+        if self.version.as_deref() == Some("") {
+            findings.report("endpoint.version", "is empty");
+        }
         let max_running = self.max_running;
         findings.check_range("endpoint.max_running", max_running, 1, 4_096);
         let batch = self.batch_max_running;
--- a/crates/conf/src/settings/parts.rs
+++ b/crates/conf/src/settings/parts.rs
@@ -102,6 +102,10 @@
     /// Address of the endpoint itself, if it has no companion.
     #[serde(default)]
     pub http: Option<HttpAddress>,
+    /// Version of the endpoint's software, if it has no companion. A response
+    /// is resumed only at the version that began it.
+    #[serde(default)]
+    pub version: Option<String>,
 }
 
 /// Kind of an endpoint.
@@ -130,6 +134,10 @@
     /// reports when queried.
     #[serde(default)]
     pub models: Vec<Model>,
+    /// Version of the endpoint's software. A response is resumed only at the
+    /// version that began it; endpoints that declare none count as one version.
+    #[serde(default)]
+    pub version: Option<String>,
     /// Maximum number of concurrent requests.
     #[serde(default = "EndpointSettings::default_max_running")]
     pub max_running: u32,
@@ -185,6 +193,7 @@
         address: HttpAddress,
     ) -> Self {
         Self {
+            version: None,
             name,
             pool: pool.to_owned(),
             kind,
--- a/crates/entry/src/fleet/flight.rs
+++ b/crates/entry/src/fleet/flight.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::{Millis, RequestDigest};
+use base::{Millis, RequestDigest, VersionKey};
 use quarantine::{Crash, CrashedEndpoint, Quarantine};
 use router::{EndpointKey, EndpointReport, Failure, Refusal};
 use wire::message::{Load, RefusalKind};
@@ -14,6 +14,8 @@
     key: EndpointKey,
     target: Arc<Target>,
     sent: Millis,
+    /// Software version of the endpoint, as it reported with its reply.
+    version: VersionKey,
     call: Option<Box<FlightRequest>>,
 }
 
@@ -37,6 +39,7 @@
         Self {
             fleet,
             key,
+            version: target.version,
             target,
             sent,
             call: None,
@@ -47,6 +50,11 @@
         self.key
     }
 
+    /// Returns the software version of the endpoint that replied.
+    pub(crate) fn version(&self) -> VersionKey {
+        self.version
+    }
+
     pub(crate) fn target(&self) -> &Arc<Target> {
         &self.target
     }
@@ -109,6 +117,7 @@
     pub(crate) fn record_load(&mut self, load: &Load) {
         let now = self.fleet.timer.now();
         let report = endpoint_report(load);
+        self.version = load.version;
         let key = self.fleet.record_load(self.key, &report, now);
         if key != self.key {
             self.key = key;
@@ -159,5 +168,6 @@
         leaving: load.leaving,
         up: load.endpoint_up,
         incarnation: load.incarnation,
+        version: load.version,
     }
 }
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -135,15 +135,13 @@
     pub(crate) fn choose(
         self: &Arc<Self>,
         pool: &str,
-        prefix: Option<u64>,
-        tried: &[EndpointKey],
+        query: &Query<'_>,
     ) -> Option<Flight> {
         let now = self.timer.now();
-        let query = Query::default().prefix(prefix).tried(tried);
         let (choice, target) = {
             let mut router = self.router();
             let pool = router.find_pool(pool)?;
-            let choice = router.choose(pool, &query, now, rand::random())?;
+            let choice = router.choose(pool, query, now, rand::random())?;
             let target = self.targets.load().get(choice.endpoint)?.clone();
             router.sent(choice.endpoint, now);
             (choice, target)
--- a/crates/entry/src/fleet/target.rs
+++ b/crates/entry/src/fleet/target.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, sync::atomic::AtomicBool};
 
-use base::{EndpointName, FailureDomain};
+use base::{EndpointName, FailureDomain, VersionKey};
 use conf::settings::{StaticEndpoint, TimeoutSettings};
 use error_stack::{Report, ResultExt};
 use upstream::EndpointClient;
@@ -33,6 +33,8 @@
     pub(crate) pool: String,
     pub(crate) failure_domain: FailureDomain,
     pub(crate) route: Route,
+    /// Listed software version; a companion reports that of its endpoint.
+    pub(super) version: VersionKey,
     /// Set while a probe is running; a second one would add no information.
     pub(super) probing: AtomicBool,
 }
@@ -49,10 +51,17 @@
             pool,
             failure_domain,
             route,
+            version: VersionKey::UNDECLARED,
             probing: AtomicBool::new(false),
         }
     }
 
+    /// Sets the software version of an endpoint without a companion.
+    pub(super) fn with_version(mut self, version: Option<&str>) -> Self {
+        self.version = VersionKey::declared(version);
+        self
+    }
+
     /// Creates the target of an endpoint in the settings.
     pub(super) fn of_settings(
         known: &StaticEndpoint,
@@ -75,6 +84,7 @@
             known.pool.clone(),
             known.failure_domain.clone(),
             route,
-        ))
+        )
+        .with_version(known.version.as_deref()))
     }
 }
--- a/crates/entry/src/fleet/vm_list.rs
+++ b/crates/entry/src/fleet/vm_list.rs
@@ -37,6 +37,9 @@
     pool: String,
     ip: IpAddr,
     ports: VmPorts,
+    /// Version of the software of an endpoint without a companion.
+    #[serde(default)]
+    version: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -129,5 +132,6 @@
     // VM ids and endpoint names have the same form.
     let name = record.vm.as_str().parse().ok()?;
     let domain = record.failure_domain;
-    Some(Target::new(name, record.pool, domain, route))
+    let target = Target::new(name, record.pool, domain, route);
+    Some(target.with_version(record.version.as_deref()))
 }
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use base::VersionKey;
 use bytes::Bytes;
 use quarantine::SendPermit;
 use router::Failure;
@@ -9,7 +10,7 @@
 use web::ProblemKind;
 use wire::{
     FrameSender, LinkError, Run, RunReply,
-    message::{Header, Outcome, OutcomeKind, Request},
+    message::{Header, Outcome, OutcomeKind, RefusalKind, Request},
 };
 
 use super::{resume, start::start};
@@ -43,6 +44,8 @@
     pub(super) remaining_ms: u64,
     /// Number of response chunks that the caller already has.
     pub(super) offset: u32,
+    /// The version that began the response, if it is resumed.
+    pub(super) version: Option<VersionKey>,
     /// Proof that the quarantine permits the request.
     pub(super) permit: SendPermit,
 }
@@ -85,13 +88,20 @@
         number,
         remaining_ms,
         offset,
+        version,
         permit: SendPermit { .. },
     } = params;
     flight.begin(&shared.quarantine, exchange.digest, offset);
     let target = flight.target().clone();
-    let request = request(exchange, &flight, number, remaining_ms, offset);
+    let request = Request {
+        version: version.unwrap_or_default(),
+        ..request(exchange, &flight, number, remaining_ms, offset)
+    };
     let address = match &target.route {
         Route::Companion(address) => *address,
+        Route::Direct(_) if is_other(&flight, version) => {
+            return wrong_version(&flight);
+        }
         Route::Direct(client) => {
             return run_direct(shared, client, request, flight).await;
         }
@@ -99,6 +109,12 @@
     match shared.links.run(address, request).await {
         Ok(RunReply::Accepted { run, load }) => {
             flight.record_load(&load);
+            // A companion that does not know the field runs the call. Dropping
+            // the run cancels it before any of it is forwarded.
+            if is_other(&flight, version) {
+                drop(run);
+                return wrong_version(&flight);
+            }
             start(shared, run, flight).await
         }
         Ok(RunReply::Refused { refusal, load }) => {
@@ -117,6 +133,21 @@
     }
 }
 
+/// Reports whether an endpoint runs another version than the one that began
+/// the response.
+fn is_other(flight: &Flight, version: Option<VersionKey>) -> bool {
+    version.is_some_and(|version| version != flight.version())
+}
+
+fn wrong_version(flight: &Flight) -> Attempt {
+    flight.record_refusal(RefusalKind::WrongVersion);
+    Attempt::NotRun {
+        reason: "no endpoint runs the version that began the response"
+            .to_owned(),
+        retry_after_ms: None,
+    }
+}
+
 fn link_failed(flight: &Flight, error: LinkError, reason: String) -> Attempt {
     match error {
         LinkError::Unknown => {
@@ -158,6 +189,7 @@
         repeatable: exchange.plan.repeatable,
         resume_offset: offset,
         target: flight.target().name.as_str().to_owned(),
+        version: VersionKey::UNDECLARED,
     }
 }
 
--- a/crates/entry/src/forward/attempts.rs
+++ b/crates/entry/src/forward/attempts.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use base::VersionKey;
 use obs::Counter;
 use quarantine::Quarantined;
-use router::EndpointKey;
+use router::{EndpointKey, Query};
 use web::{Problem, ProblemKind, Ran};
 
 use super::{
@@ -24,6 +25,9 @@
 pub(crate) struct Attempts {
     tried: Vec<EndpointKey>,
     prefix: Option<u64>,
+    /// The pool and version of a response that has begun. It cannot be resumed
+    /// at any other.
+    origin: Option<(String, VersionKey)>,
     refusals: u32,
     retries: u32,
     repeatable: bool,
@@ -37,6 +41,7 @@
         Self {
             tried: Vec::new(),
             prefix: prefix::hash_of(&exchange.path, &exchange.body),
+            origin: None,
             refusals: 0,
             retries: 0,
             repeatable: exchange.plan.repeatable,
@@ -71,6 +76,7 @@
                 number: self.refusals + self.retries,
                 remaining_ms,
                 offset,
+                version: self.version(),
                 permit: admitted
                     .map_err(|error| self.refuse(exchange, error))?,
             };
@@ -129,6 +135,8 @@
         reason: &str,
     ) -> bool {
         self.tried = vec![flight.key()];
+        let pool = flight.target().pool.clone();
+        self.origin = Some((pool, flight.version()));
         self.refusals = 0;
         let kind = ProblemKind::AnswerLost;
         let pool = &flight.target().pool;
@@ -138,13 +146,20 @@
                 .is_ok()
     }
 
+    fn version(&self) -> Option<VersionKey> {
+        self.origin.as_ref().map(|(_, version)| *version)
+    }
+
     fn choose(&self, shared: &Shared, exchange: &Exchange) -> Option<Flight> {
-        let (prefix, tried) = (self.prefix, &self.tried);
-        exchange
-            .plan
-            .pools
-            .iter()
-            .find_map(|pool| shared.fleet.choose(pool, prefix, tried))
+        let query = Query::default()
+            .prefix(self.prefix)
+            .tried(&self.tried)
+            .version(self.version());
+        let mut pools = exchange.plan.pools.iter();
+        match &self.origin {
+            Some((pool, _)) => shared.fleet.choose(pool, &query),
+            None => pools.find_map(|pool| shared.fleet.choose(pool, &query)),
+        }
     }
 
     /// Refuses a poison request, one that crashes endpoints.
--- a/crates/entry/tests/forward_common/mod.rs
+++ b/crates/entry/tests/forward_common/mod.rs
@@ -133,6 +133,28 @@
     listen: SocketAddr,
     url: &str,
     entries: &[SocketAddr],
+) -> Companion {
+    start_companion(name, listen, url, entries, "").await
+}
+
+/// Starts a companion of an engine of a software version.
+pub(crate) async fn companion_at_version(
+    name: &str,
+    listen: SocketAddr,
+    url: &str,
+    entries: &[SocketAddr],
+    version: &str,
+) -> Companion {
+    let more = format!(", version: {version}");
+    start_companion(name, listen, url, entries, &more).await
+}
+
+async fn start_companion(
+    name: &str,
+    listen: SocketAddr,
+    url: &str,
+    entries: &[SocketAddr],
+    more: &str,
 ) -> Companion {
     let entries: Vec<String> =
         entries.iter().map(|entry| format!("'{entry}'")).collect();
@@ -145,7 +167,7 @@
 peer_listen: '{listen}'
 entries: [{}]
 endpoint: {{name: {name}, pool: korv-lm, kind: engine, address: '{url}', \
-         models: [{MODEL}]}}
+         models: [{MODEL}]{more}}}
 ",
         entries.join(", "),
     );
--- /dev/null
+++ b/crates/entry/tests/versions.rs
@@ -0,0 +1,108 @@
+//! A response that an endpoint breaks off goes on only at an endpoint of the
+//! same software version.
+
+mod forward_common;
+
+use forward_common::{
+    chat, companion_at_version, engine, entry, platform, reserve, stream,
+    until_served, with_companion, without_companion,
+};
+use standin::engine::EngineHandle;
+
+/// The first stream of each engine for this prompt breaks off halfway.
+const PROMPT: &str = "[[drop]] may I fly";
+
+/// Returns the calls of the engines of each version, which alternate.
+fn calls_by_version(engines: &[EngineHandle], before: &[u64]) -> [u64; 2] {
+    let mut calls = [0; 2];
+    for (at, engine) in engines.iter().enumerate() {
+        calls[at % 2] += engine.counters().calls - before[at];
+    }
+    calls
+}
+
+fn calls(engines: &[EngineHandle]) -> Vec<u64> {
+    engines.iter().map(|e| e.counters().calls).collect()
+}
+
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+async fn engines(count: usize) -> Vec<EngineHandle> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        engines.push(engine().await);
+    }
+    engines
+}
+
+/// Returns the settings of engines without companions, whose versions
+/// alternate.
+fn lines_of(engines: &[EngineHandle]) -> String {
+    let mut lines = "endpoints:\n".to_owned();
+    for (at, engine) in engines.iter().enumerate() {
+        let line = without_companion(&format!("korv-lm-{at}"), engine);
+        let version = format!(", version: {}}}\n", VERSIONS[at % 2]);
+        lines += &line.replace("}\n", &version);
+    }
+    lines
+}
+
+/// Guards against one response with the text of two versions, where no
+/// endpoint of its own is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_an_endpoint_of_its_version_ends_in_an_error() {
+    let platform = platform("").await;
+    let engines = engines(2).await;
+    let before = calls(&engines);
+    let entry = entry(&platform, &lines_of(&engines)).await;
+    let events = stream(&entry, &chat(PROMPT)).await;
+    assert_eq!(events.done, 0);
+    let mut calls = calls_by_version(&engines, &before);
+    calls.sort();
+    assert_eq!(calls, [0, 1]);
+}
+
+/// Guards against the loss of a response while another endpoint of its version
+/// serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_goes_on_at_an_endpoint_of_its_version() {
+    let platform = platform("").await;
+    let engines = engines(6).await;
+    let before = calls(&engines);
+    let entry = entry(&platform, &lines_of(&engines)).await;
+    let events = stream(&entry, &chat(PROMPT)).await;
+    assert_eq!(events.done, 1);
+    let mut calls = calls_by_version(&engines, &before);
+    calls.sort();
+    assert_eq!(calls, [0, 3]);
+}
+
+/// Guards against companions that run whatever they are sent: the entry does
+/// not know their versions in advance.
+#[tokio::test(flavor = "multi_thread")]
+async fn companions_resume_only_responses_of_their_version() {
+    let platform = platform("").await;
+    let addresses = reserve::<6>();
+    let name = |at: usize| format!("korv-lm-{at}");
+    let lines = addresses.iter().enumerate();
+    let lines = lines.map(|(at, address)| with_companion(&name(at), *address));
+    let lines: String = lines.collect();
+    let entry = entry(&platform, &format!("endpoints:\n{lines}")).await;
+    let engines = engines(addresses.len()).await;
+    let entries = [entry.peer_address()];
+    let mut companions = Vec::new();
+    for (at, address) in addresses.into_iter().enumerate() {
+        let (url, version) = (engines[at].url(), VERSIONS[at % 2]);
+        let name = name(at);
+        let started =
+            companion_at_version(&name, address, &url, &entries, version);
+        companions.push(started.await);
+    }
+    until_served(&entry).await;
+    let before = calls(&engines);
+    let events = stream(&entry, &chat(PROMPT)).await;
+    assert_eq!(events.done, 1);
+    let mut calls = calls_by_version(&engines, &before);
+    calls.sort();
+    assert_eq!(calls, [0, 3]);
+}
--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -1,4 +1,4 @@
-use base::{EndpointName, Incarnation, Millis, stable_hash};
+use base::{EndpointName, Incarnation, Millis, VersionKey, stable_hash};
 use slotmap::new_key_type;
 
 use crate::{health::Health, router::PoolKey};
@@ -72,6 +72,8 @@
     pub up: bool,
     /// Incarnation of the companion.
     pub incarnation: Incarnation,
+    /// Software version of the endpoint.
+    pub version: VersionKey,
 }
 
 /// The last report and its use since then.
@@ -111,6 +113,8 @@
     pub(crate) name_hash: u64,
     pub(crate) in_flight: u32,
     pub(crate) incarnation: Option<Incarnation>,
+    /// Software version of the incarnation, once it has been reported.
+    pub(crate) version: Option<VersionKey>,
     pub(crate) leaving: bool,
     pub(crate) health: Health,
     pub(crate) last_report: Option<LastReport>,
@@ -129,6 +133,7 @@
             pool,
             in_flight: 0,
             incarnation: None,
+            version: None,
             leaving: false,
             health: Health::default(),
             last_report: None,
@@ -138,6 +143,14 @@
         }
     }
 
+    /// Reports whether the endpoint is not known to run another version.
+    pub(crate) fn may_run(&self, version: Option<VersionKey>) -> bool {
+        match (version, self.version) {
+            (Some(wanted), Some(known)) => wanted == known,
+            _ => true,
+        }
+    }
+
     pub(crate) fn is_selectable(&self) -> bool {
         !self.leaving && self.health.is_selectable(self.in_flight)
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -286,6 +286,7 @@
         let has_left = self.leaving.contains(&report.incarnation);
         let endpoint = &mut self.endpoints[key];
         endpoint.incarnation = Some(report.incarnation);
+        endpoint.version = Some(report.version);
         endpoint.leaving |= report.leaving || has_left;
         endpoint.record(report, now);
         key
--- a/crates/router/src/select.rs
+++ b/crates/router/src/select.rs
@@ -1,6 +1,6 @@
 //! Selection of an endpoint from a pool.
 
-use base::Millis;
+use base::{Millis, VersionKey};
 use slotmap::SlotMap;
 
 use crate::{
@@ -24,6 +24,8 @@
     pub prefix: Option<u64>,
     /// Endpoints that must not be chosen again.
     pub tried: &'a [EndpointKey],
+    /// The version that began the response, if a response is resumed.
+    pub version: Option<VersionKey>,
 }
 
 impl<'a> Query<'a> {
@@ -32,6 +34,12 @@
         Self { prefix, ..self }
     }
 
+    /// Sets the version that began the response. Endpoints that have not
+    /// reported their version yet may be chosen as well.
+    pub fn version(self, version: Option<VersionKey>) -> Self {
+        Self { version, ..self }
+    }
+
     /// Sets the endpoints that must not be chosen again.
     pub fn tried(self, tried: &'a [EndpointKey]) -> Self {
         Self { tried, ..self }
@@ -92,7 +100,10 @@
     ) -> Option<EndpointKey> {
         let untried = || {
             let tried = |key: &EndpointKey| query.tried.contains(key);
-            members.iter().copied().filter(move |key| !tried(key))
+            let may_run =
+                |key: &EndpointKey| self.at(*key).may_run(query.version);
+            let untried = members.iter().copied();
+            untried.filter(move |key| !tried(key) && may_run(key))
         };
         let open: Vec<EndpointKey> = untried()
             .filter(|key| self.at(*key).is_selectable())
--- a/crates/upstream/tests/complete.rs
+++ b/crates/upstream/tests/complete.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::Class;
+use base::{Class, VersionKey};
 use bytes::Bytes;
 use conf::settings::TimeoutSettings;
 use pomeloslip_upstream::EndpointClient;
@@ -66,6 +66,7 @@
         deadline_ms: 0,
         repeatable: false,
         resume_offset: 0,
+        version: VersionKey::UNDECLARED,
         target: "korv-1".to_owned(),
     }
 }
--- a/crates/upstream/tests/faults.rs
+++ b/crates/upstream/tests/faults.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use base::Class;
+use base::{Class, VersionKey};
 use bytes::Bytes;
 use conf::settings::TimeoutSettings;
 use faultproxy::{Direction, Fault, FaultProxy, Handle, Rule, Scope};
@@ -122,6 +122,7 @@
         deadline_ms: 0,
         repeatable,
         resume_offset: 0,
+        version: VersionKey::UNDECLARED,
         target: "korv-1".to_owned(),
     }
 }
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -33,6 +33,7 @@
   repeatable @9 :Bool;
   resumeOffset @10 :UInt32;  # tokens that the caller already has
   target @11 :Text;          # endpoint expected at the receiver
+  version @12 :UInt64;       # key of the version that may resume; 0 if any
 }
 
 struct Refusal {
@@ -69,6 +70,7 @@
   leaving @5 :Bool;
   incarnation @6 :UInt64;
   endpointUp @7 :Bool;
+  version @8 :UInt64;        # key of the endpoint's software version
 }
 
 interface Companion {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -3,7 +3,7 @@
 
 use std::str::FromStr;
 
-use base::{Class, Incarnation};
+use base::{Class, Incarnation, VersionKey};
 use bytes::Bytes;
 use capnp::{Error, struct_list, text};
 
@@ -103,6 +103,7 @@
         repeatable: reader.get_repeatable(),
         resume_offset: reader.get_resume_offset(),
         target: read_string(reader.get_target())?,
+        version: VersionKey::from_u64(reader.get_version()),
     })
 }
 
@@ -121,6 +122,7 @@
     builder.set_repeatable(request.repeatable);
     builder.set_resume_offset(request.resume_offset);
     builder.set_target(&request.target);
+    builder.set_version(request.version.as_u64());
     let count = request.headers.len() as u32;
     write_headers(&request.headers, builder.init_headers(count));
 }
@@ -175,6 +177,7 @@
         leaving: reader.get_leaving(),
         incarnation: Incarnation::new(reader.get_incarnation()),
         endpoint_up: reader.get_endpoint_up(),
+        version: VersionKey::from_u64(reader.get_version()),
     }
 }
 
@@ -187,6 +190,7 @@
     builder.set_leaving(load.leaving);
     builder.set_incarnation(load.incarnation.get());
     builder.set_endpoint_up(load.endpoint_up);
+    builder.set_version(load.version.as_u64());
 }
 
 fn read_item(reader: schema::item::Reader<'_>) -> capnp::Result<Item> {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use base::{
     Class, Customer, FailureDomain, Incarnation, JobId, RequestId, Revision,
-    VmId,
+    VersionKey, VmId,
 };
 use bytes::Bytes;
 
@@ -86,6 +86,9 @@
     /// another endpoint may run at the same address; the receiver refuses
     /// calls to another target.
     pub target: String,
+    /// The version that generated what the caller already has, if any. A
+    /// companion of an endpoint of another version refuses the call.
+    pub version: VersionKey,
 }
 
 /// Why a receiver refused a call. In each case the call did not run.
@@ -113,11 +116,14 @@
     WrongRole,
     /// An internal error occurred at the receiver.
     Failed,
+    /// The endpoint runs another software version than the one that began the
+    /// response.
+    WrongVersion,
 }
 
 codes! {
     RefusalKind, unknown decodes as Failed:
-    Full, Leaving, EndpointDown, WrongTarget, Late, StaleFence, Invalid, NoSpace, Conflict, WrongRole, Failed
+    Full, Leaving, EndpointDown, WrongTarget, Late, StaleFence, Invalid, NoSpace, Conflict, WrongRole, Failed, WrongVersion
 }
 
 /// A refusal with its reason; the refused call did not run.
@@ -227,6 +233,8 @@
     pub incarnation: Incarnation,
     /// Whether the endpoint responds.
     pub endpoint_up: bool,
+    /// Software version of the endpoint.
+    pub version: VersionKey,
 }
 
 /// A batch item granted to a companion.
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -844,11 +844,15 @@
         pub fn has_target(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1050,6 +1054,14 @@
         pub fn has_target(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1061,108 +1073,115 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 205] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 220] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(90, 139, 157, 191, 83, 122, 216, 137),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(119, 28, 63, 77, 90, 60, 14, 191),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 101, 113),
             ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 113, 117, 101, 115, 116, 73),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1267,6 +1286,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1282,6 +1309,7 @@
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1295,9 +1323,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,7,3,8,6,4,5,9,0,10,11,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,7,3,8,6,4,5,9,0,10,11,2,12];
         pub(crate) const TYPE_ID: u64 = 0x89d8_7a53_bf9d_8b5a;
     }
 }
@@ -3735,11 +3763,15 @@
         pub fn get_endpoint_up(self) -> bool {
             self.reader.get_bool_field(161)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3853,6 +3885,14 @@
         pub fn set_endpoint_up(&mut self, value: bool)  {
             self.builder.set_bool_field(161, value);
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3864,80 +3904,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(30, 114, 160, 224, 6, 59, 143, 129),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(119, 28, 63, 77, 90, 60, 14, 191),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 76, 111, 97),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 160, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 161, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4007,6 +4054,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4018,6 +4073,7 @@
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4031,9 +4087,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,7,3,6,5,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,7,3,6,5,0,8,1];
         pub(crate) const TYPE_ID: u64 = 0x818f_3b06_e0a0_721e;
     }
 }
--- a/crates/wire/tests/codes.rs
+++ b/crates/wire/tests/codes.rs
@@ -14,6 +14,7 @@
     conflict = { RefusalKind::Conflict, 9 },
     wrong_role = { RefusalKind::WrongRole, 10 },
     failed = { RefusalKind::Failed, 11 },
+    wrong_version = { RefusalKind::WrongVersion, 12 },
 )]
 fn refusals_keep_their_codes(kind: RefusalKind, code: u16) {
     assert_eq!(kind.code(), code);
--- a/crates/wire/tests/faults.rs
+++ b/crates/wire/tests/faults.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use base::{Class, Incarnation};
+use base::{Class, Incarnation, VersionKey};
 use bytes::Bytes;
 use faultproxy::{Direction, Fault, FaultProxy, Handle, Rule, Scope};
 use futures::future::{BoxFuture, FutureExt};
@@ -124,6 +124,7 @@
         deadline_ms: 0,
         repeatable: false,
         resume_offset: 0,
+        version: VersionKey::UNDECLARED,
         target: "korv-1".to_owned(),
     }
 }
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use base::{Class, Incarnation};
+use base::{Class, Incarnation, VersionKey};
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use pomeloslip_wire::{
@@ -126,6 +126,7 @@
         deadline_ms: 0,
         repeatable: true,
         resume_offset: 0,
+        version: VersionKey::UNDECLARED,
         target: "korv-1".to_owned(),
     }
 }
