Keep the senders of origins known while their entries are gone

The addresses of nodes are kept for ten seconds after they are no longer listed, as for messages about limits; both use one type now.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod membership;
 mod origins;
 mod peer;
+mod peer_addresses;
 mod peer_bulk;
 mod probe;
 mod quota;
--- a/crates/node/src/origins.rs
+++ b/crates/node/src/origins.rs
@@ -130,7 +130,7 @@
     /// Returns the addresses of the holders of streams except this node.
     fn holders(&self, streams: &[StreamKey]) -> Vec<SocketAddr> {
         let mut peers = lock(&self.peers);
-        peers.update(self.view.roster());
+        peers.update(self.view.roster(), self.clock.now());
         peers.holders(streams, &self.node)
     }
 
@@ -190,7 +190,7 @@
         let (node, message) = wire::decode(bytes)?;
         let is_known = {
             let mut peers = lock(&self.peers);
-            peers.update(self.view.roster());
+            peers.update(self.view.roster(), self.clock.now());
             peers.address(&node) == Some(from)
         };
         if !is_known {
--- a/crates/node/src/origins/peers.rs
+++ b/crates/node/src/origins/peers.rs
@@ -1,12 +1,15 @@
 use std::net::SocketAddr;
 
-use base::stable_hash;
+use base::{Millis, stable_hash};
 use jobs::{NodeRecord, Roster};
 use origins::{HOLDERS, HolderNode, HolderRing, StreamKey};
 
-/// The nodes that hold origins, as listed last.
-#[derive(Debug, Default)]
+use crate::peer_addresses::PeerAddresses;
+
+/// The nodes that send messages about origins, and those that hold origins.
+#[derive(Debug)]
 pub(super) struct OriginPeers {
+    senders: PeerAddresses,
     roster: Roster,
     holders: Vec<Holder>,
     ring: HolderRing,
@@ -18,9 +21,21 @@
     address: SocketAddr,
 }
 
+impl Default for OriginPeers {
+    fn default() -> Self {
+        Self {
+            senders: PeerAddresses::new(|record| record.origins),
+            roster: Roster::default(),
+            holders: Vec::new(),
+            ring: HolderRing::default(),
+        }
+    }
+}
+
 impl OriginPeers {
-    /// Updates the holders if the listed nodes have changed.
-    pub(super) fn update(&mut self, roster: Roster) {
+    /// Updates the nodes if the listed ones have changed.
+    pub(super) fn update(&mut self, roster: Roster, now: Millis) {
+        self.senders.update(roster.clone(), now);
         if roster.is_same(&self.roster) {
             return;
         }
@@ -70,9 +85,10 @@
         addresses
     }
 
-    /// Returns the address from which a node sends its messages.
+    /// Returns the address from which a node sends its messages. A node whose
+    /// entry has expired is known for some more time, because it may be alive.
     pub(super) fn address(&self, node: &str) -> Option<SocketAddr> {
-        self.roster.get(node)?.origins
+        self.senders.address(node)
     }
 }
 
--- a/crates/node/src/quota/peers.rs
+++ b/crates/node/src/peer_addresses.rs
@@ -7,31 +7,43 @@
 
 /// Time for which a node stays a peer after it is no longer listed, in
 /// milliseconds. Entries expire while the key-value service is unavailable;
-/// without this time all nodes would lose their token servers until they are
-/// listed again.
+/// without this time all nodes would lose their token servers, and refuse each
+/// other's messages, until they are listed again.
 const UNLISTED_TTL_MS: u64 = 10_000;
 
-/// The nodes that count requests for each other.
-#[derive(Debug, Default)]
-pub(super) struct QuotaPeers {
+/// The addresses of the nodes for one kind of message.
+#[derive(Debug)]
+pub(crate) struct PeerAddresses {
+    select: fn(&NodeRecord) -> Option<SocketAddr>,
     roster: Roster,
-    peers: IndexMap<String, QuotaPeer>,
+    peers: IndexMap<String, Peer>,
     /// Time at which the next unlisted peer is removed.
     next_expiry: Option<Millis>,
 }
 
 #[derive(Debug)]
-struct QuotaPeer {
+struct Peer {
     address: SocketAddr,
     is_front: bool,
     /// Time at which the peer is removed; none while it is listed.
     expires_at: Option<Millis>,
 }
 
-impl QuotaPeers {
+impl PeerAddresses {
+    /// Creates an empty set. `select` returns the address of a node for the
+    /// kind of message.
+    pub(crate) fn new(select: fn(&NodeRecord) -> Option<SocketAddr>) -> Self {
+        Self {
+            select,
+            roster: Roster::default(),
+            peers: IndexMap::new(),
+            next_expiry: None,
+        }
+    }
+
     /// Updates the peers from the listed nodes and returns whether the roster
     /// changed or a peer expired.
-    pub(super) fn update(&mut self, roster: Roster, now: Millis) -> bool {
+    pub(crate) fn update(&mut self, roster: Roster, now: Millis) -> bool {
         // Without a change of the roster this is constant time, independent
         // of the number of nodes.
         let has_expired = self.next_expiry.is_some_and(|at| at <= now);
@@ -44,7 +56,7 @@
                 peer.expires_at = expires_at;
             }
         }
-        let is_expired = |peer: &QuotaPeer| {
+        let is_expired = |peer: &Peer| {
             peer.expires_at.is_some_and(|expires_at| expires_at <= now)
         };
         self.peers.retain(|_, peer| !is_expired(peer));
@@ -59,10 +71,10 @@
     }
 
     fn insert(&mut self, record: &NodeRecord) {
-        let Some(address) = record.limits else {
+        let Some(address) = (self.select)(record) else {
             return;
         };
-        let peer = QuotaPeer {
+        let peer = Peer {
             address,
             is_front: !record.runs_items,
             expires_at: None,
@@ -71,17 +83,17 @@
     }
 
     /// Reports whether no peer is known yet.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.peers.is_empty()
     }
 
-    /// Returns the quota address of a node.
-    pub(super) fn address(&self, node: &str) -> Option<SocketAddr> {
+    /// Returns the address of a node.
+    pub(crate) fn address(&self, node: &str) -> Option<SocketAddr> {
         self.peers.get(node).map(|peer| peer.address)
     }
 
     /// Returns all nodes by role.
-    pub(super) fn nodes(&self) -> LimitNodes {
+    pub(crate) fn nodes(&self) -> LimitNodes {
         let mut nodes = LimitNodes::default();
         for (name, peer) in &self.peers {
             match peer.is_front {
@@ -94,5 +106,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/quota_peers.rs"]
+#[path = "../tests/unit/peer_addresses.rs"]
 mod tests;
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -6,7 +6,6 @@
 //! sends its messages, one per datagram: a lost message costs one timeout, and
 //! head-of-line blocking is avoided.
 
-mod peers;
 mod wire;
 
 use std::{
@@ -28,11 +27,11 @@
     time,
 };
 
-use self::{
-    peers::QuotaPeers,
-    wire::{QuotaMessage, WireError},
+use self::wire::{QuotaMessage, WireError};
+use crate::{
+    ClusterState, NodeSettings, peer_addresses::PeerAddresses,
+    refusals::RefusalLog,
 };
-use crate::{ClusterState, NodeSettings, refusals::RefusalLog};
 
 /// A request to count one call of a customer.
 struct CountRequest {
@@ -80,7 +79,7 @@
     counters: Arc<Counters>,
     server: TokenServer,
     client: TokenClient,
-    peers: QuotaPeers,
+    peers: PeerAddresses,
     requests: mpsc::UnboundedReceiver<CountRequest>,
     pending: IndexMap<u64, oneshot::Sender<LimitDecision>>,
     last_ticket: u64,
@@ -114,7 +113,7 @@
             counters,
             server: TokenServer::new(node, incarnation, tolerance, options),
             client: TokenClient::new(node, incarnation, tolerance, options),
-            peers: QuotaPeers::default(),
+            peers: PeerAddresses::new(|record| record.limits),
             requests,
             pending: IndexMap::new(),
             last_ticket: 0,
--- a/crates/node/tests/unit/origin_peers.rs
+++ b/crates/node/tests/unit/origin_peers.rs
@@ -1,3 +1,4 @@
+use base::Millis;
 use jobs::{NodeRecord, Roster};
 use origins::StreamKey;
 
@@ -17,7 +18,7 @@
 
 fn peers(nodes: &[NodeRecord]) -> OriginPeers {
     let mut peers = OriginPeers::default();
-    peers.update(Roster::new(nodes));
+    peers.update(Roster::new(nodes), Millis::new(0));
     peers
 }
 
@@ -60,7 +61,7 @@
 #[test]
 fn holders_stay_while_no_node_is_listed() {
     let mut peers = peers(&[node(1, true), node(2, true)]);
-    peers.update(Roster::new(&[]));
+    peers.update(Roster::new(&[]), Millis::new(100));
     let attempt = StreamKey::of_attempt("", "a1");
     assert_eq!(peers.holders(&[attempt], "node-9").len(), 2);
 }
@@ -71,3 +72,16 @@
     assert_eq!(peers.address("node-2"), node(2, false).origins);
     assert_eq!(peers.address("node-3"), None);
 }
+
+/// Guards against streams that nobody can resume because their front was not
+/// listed for a moment: holders refused the records of such a front.
+#[test]
+fn a_node_that_is_no_longer_listed_is_known_for_a_while() {
+    let all = [node(1, true), node(2, true), node(3, false)];
+    let mut peers = peers(&all);
+    let workers = Roster::new(&all[..2]);
+    peers.update(workers.clone(), Millis::new(100));
+    assert_eq!(peers.address("node-3"), all[2].origins);
+    peers.update(workers, Millis::new(60_000));
+    assert_eq!(peers.address("node-3"), None);
+}
--- a/crates/node/tests/unit/quota_peers.rs
+++ b/crates/node/tests/unit/peer_addresses.rs
@@ -3,7 +3,7 @@
 use base::Millis;
 use jobs::{NodeRecord, Roster};
 
-use super::{QuotaPeers, UNLISTED_TTL_MS};
+use super::{PeerAddresses, UNLISTED_TTL_MS};
 
 fn node(name: &str, runs_items: bool) -> NodeRecord {
     let address: SocketAddr = ([127, 0, 0, 1], 7_000).into();
@@ -23,7 +23,7 @@
 /// that are not listed were no longer queried.
 #[test]
 fn an_unlisted_node_stays_a_peer_for_a_while() {
-    let mut peers = QuotaPeers::default();
+    let mut peers = PeerAddresses::new(|record| record.limits);
     let all = Roster::new(&[node("front-1", false), node("worker-1", true)]);
     assert!(peers.update(all.clone(), Millis::new(0)));
     assert!(!peers.update(all.clone(), Millis::new(100)), "no change");
