Let draining endpoints resume streams of their version for a while

A bound stream that finds no other endpoint goes to one that drains, until 70 percent of the time in which nodes must stop sending work there. The time counts from the last moment at which the node knew the endpoint to be ready, so that a node that learns late sends nothing.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -80,9 +80,31 @@
     /// Ids whose current entry describes an ended incarnation; each is
     /// reported once.
     outdated: IndexSet<String>,
+    /// Time up to which all changes were known before the latest update.
+    confirmed_at: Option<Millis>,
+    /// Draining endpoints with the time until which they may resume streams.
+    draining: IndexMap<String, Millis>,
+    drain_use_ms: u64,
 }
 
 impl Directory {
+    /// Sets for how long after its drain began an endpoint may still resume
+    /// streams that no other endpoint can resume, in milliseconds.
+    ///
+    /// The time counts from the last moment at which the endpoint was known to
+    /// be ready, since the drain began some time after that. A directory that
+    /// is out of date when it learns of the drain allows no more requests.
+    #[must_use]
+    pub fn with_drain_use_ms(mut self, drain_use_ms: u64) -> Self {
+        self.drain_use_ms = drain_use_ms;
+        self
+    }
+
+    /// Records the time up to which all changes are known.
+    pub fn confirm(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
     /// Records a failed read of the key-value service.
     pub fn record_read_failure(&mut self, now: Millis) {
         self.failed_at = Some(now);
@@ -141,6 +163,9 @@
         self.revision = update.revision;
         self.listed = true;
         let mut changes = Vec::new();
+        let draining_until = self
+            .confirmed_at
+            .map(|at| at.saturating_add_ms(self.drain_use_ms));
         for record in update.records {
             self.retained.swap_remove(&record.id);
             let before = self.remove(&record.id);
@@ -150,11 +175,13 @@
                 &mut self.outdated,
                 &mut changes,
             );
+            self.note_drain(&endpoint, draining_until, &changes);
             self.insert(endpoint);
         }
         let retained = std::mem::take(&mut self.retained).into_iter();
         for id in retained.chain(update.removed).collect::<IndexSet<_>>() {
             if let Some(endpoint) = self.remove(&id) {
+                self.draining.swap_remove(&id);
                 self.outdated.swap_remove(&id);
                 self.handle_missing(id, endpoint, now, &mut changes);
             }
@@ -162,6 +189,28 @@
         changes
     }
 
+    /// Records until when an endpoint that has just begun to drain may resume
+    /// streams.
+    fn note_drain(
+        &mut self,
+        endpoint: &Endpoint,
+        until: Option<Millis>,
+        changes: &[Change],
+    ) {
+        let record = endpoint.record();
+        if record.state == EndpointState::Ready {
+            self.draining.swap_remove(&record.id);
+            return;
+        }
+        let begins = match changes.last() {
+            Some(Change::Draining(id)) => *id == record.id,
+            _ => false,
+        };
+        if let (true, Some(until)) = (begins, until) {
+            self.draining.insert(record.id.clone(), until);
+        }
+    }
+
     fn insert(&mut self, endpoint: Endpoint) {
         self.incarnations.insert(endpoint.incarnation_key());
         self.known.insert(endpoint.record().id.clone(), endpoint);
@@ -193,12 +242,16 @@
         }
     }
 
-    /// Returns the endpoints that accept new work.
+    /// Returns the endpoints that accept new work, and those that drain but may
+    /// resume streams.
     pub fn table(&self) -> EndpointTable {
         let ready = self.known.values().filter(|endpoint| {
             endpoint.record().state == EndpointState::Ready
         });
-        EndpointTable::new(ready.cloned())
+        let draining = self.draining.iter().filter_map(|(id, until)| {
+            Some((self.known.get(id)?.clone(), *until))
+        });
+        EndpointTable::new(ready.cloned()).with_draining(draining)
     }
 
     /// Reports whether any endpoint is retained although its entry is missing.
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -85,8 +85,9 @@
     /// would be late, and no caller would be told to retry later.
     ///
     /// A resumed stream goes only to endpoints of its own version, also to
-    /// those outside the selection, and to one that was tried before if no
-    /// other is left: without a run there the stream is lost.
+    /// those outside the selection. If no other is left, it goes to one that
+    /// has just begun to drain, or that was tried before: without a run there
+    /// the stream is lost.
     ///
     /// The number of considered endpoints is bounded regardless of the size of
     /// the service, so a request costs the same in a large fleet.
@@ -118,6 +119,9 @@
             if search.draw.is_empty() {
                 search.consider_version(self, binding, start);
             }
+            if search.draw.is_empty() {
+                search.consider_draining(self, binding);
+            }
             if search.draw.is_empty() && !search.full {
                 search.allows_tried = true;
                 search.consider_version(self, binding, start);
@@ -192,6 +196,19 @@
         }
     }
 
+    /// Considers endpoints of a version that drain but still serve.
+    fn consider_draining(
+        &mut self,
+        table: &'a EndpointTable,
+        binding: &VersionBinding,
+    ) {
+        let endpoints =
+            table.draining_of_version(binding, MAX_BOUND_ENDPOINTS, self.now);
+        for endpoint in endpoints {
+            self.consider(endpoint, SelectionTier::Other);
+        }
+    }
+
     fn result(self) -> Result<Choice, ChooseError> {
         match self.draw.best() {
             Some(best) => Ok(Choice {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,5 +1,6 @@
 use std::ops::Range;
 
+use base::Millis;
 use indexmap::IndexMap;
 
 use crate::{Endpoint, IncarnationKey, VersionBinding};
@@ -39,6 +40,9 @@
     positions: IndexMap<IncarnationKey, usize>,
     /// Positions of the endpoints of each software version of a service.
     versions: IndexMap<VersionBinding, Vec<usize>>,
+    /// Draining endpoints by version, with the time until which they may
+    /// resume streams.
+    draining: IndexMap<VersionBinding, Vec<(Endpoint, Millis)>>,
 }
 
 impl EndpointTable {
@@ -66,6 +70,34 @@
         table
     }
 
+    /// Adds draining endpoints that may resume streams until a time.
+    #[must_use]
+    pub fn with_draining(
+        mut self,
+        draining: impl IntoIterator<Item = (Endpoint, Millis)>,
+    ) -> Self {
+        for (endpoint, until) in draining {
+            if let Some(binding) = VersionBinding::of(endpoint.record()) {
+                let of_version = self.draining.entry(binding).or_default();
+                of_version.push((endpoint, until));
+            }
+        }
+        self
+    }
+
+    /// Returns the draining endpoints that may resume a stream now, at most
+    /// `max`.
+    pub(crate) fn draining_of_version(
+        &self,
+        binding: &VersionBinding,
+        max: usize,
+        now: Millis,
+    ) -> impl Iterator<Item = &Endpoint> {
+        let all = self.draining.get(binding).into_iter().flatten();
+        let usable = all.filter(move |(_, until)| now < *until);
+        usable.map(|(endpoint, _)| endpoint).take(max)
+    }
+
     /// Returns the endpoint of an incarnation, unless it accepts no work any
     /// more.
     #[inline]
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -162,3 +162,58 @@
     assert!(!now.has_changed_version());
     assert!(binding("v2").permits(now.record()));
 }
+
+/// Creates a directory that knew an endpoint to be ready at `ready_at_ms`, and
+/// then learned that it drains.
+fn draining_since(ready_at_ms: u64) -> Directory {
+    let ready = record("a", "engines", "v1");
+    let mut directory = Directory::default().with_drain_use_ms(1_400);
+    directory.reconcile(listing(1, ready.clone()), NOW);
+    directory.confirm(Millis::new(ready_at_ms));
+    let draining = EndpointRecord {
+        state: EndpointState::Draining,
+        ..ready
+    };
+    directory.reconcile(listing(2, draining), NOW);
+    directory
+}
+
+/// Guards against streams that are lost while the last endpoint of their
+/// version still serves, and against requests that reach it too late.
+#[parameterized(
+    just_begun = { 9_900, true },
+    known_in_time = { 8_700, true },
+    known_late = { 8_600, false },
+    never_known_to_be_ready = { 0, false },
+)]
+fn a_draining_endpoint_resumes_streams_for_a_while(
+    ready_at_ms: u64,
+    is_used: bool,
+) {
+    let table = draining_since(ready_at_ms).table();
+    let (bound, none) = (binding("v1"), []);
+    let chosen = choose(&table, &query(&bound, &none));
+    assert_eq!(chosen.is_ok(), is_used);
+    assert!(table.is_empty(), "it gets no new work");
+    let unbound = EndpointQuery {
+        binding: None,
+        ..query(&bound, &none)
+    };
+    assert!(choose(&table, &unbound).is_err());
+}
+
+/// Guards against streams at draining endpoints while others of their version
+/// accept work.
+#[test]
+fn a_draining_endpoint_is_the_last_choice() {
+    let mut directory = draining_since(9_900);
+    let mut listed = listing(3, record("b", "engines", "v1"));
+    let drains = directory.get("a").expect("known").record().clone();
+    listed.records.push(drains);
+    directory.reconcile(listed, NOW);
+    let (bound, none) = (binding("v1"), []);
+    let table = directory.table();
+    assert_eq!(choose(&table, &query(&bound, &none)), Ok("b".to_owned()));
+    let tried = ["b".to_owned()];
+    assert_eq!(choose(&table, &query(&bound, &tried)), Ok("a".to_owned()));
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -62,6 +62,10 @@
 /// and a node that is wrongly considered lost causes extra calls.
 const MIN_PROPAGATION_MS: u64 = 1_000;
 
+/// Part of the time in which a draining endpoint must stop getting work for
+/// which it may resume streams, in percent.
+const DRAIN_USE_PERCENT: u64 = 70;
+
 /// Time for which a request in progress may be checked against a configuration
 /// that was confirmed just before, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 100;
@@ -82,6 +86,13 @@
         }
     }
 
+    /// Returns for how long after it was last known to be ready a draining
+    /// endpoint may still be sent streams that no other endpoint can resume.
+    /// The remainder of the bound is for requests on their way.
+    pub(crate) fn drain_use_ms(&self) -> u64 {
+        self.drain_ms * DRAIN_USE_PERCENT / 100
+    }
+
     /// Returns the time in which changes must reach this node.
     pub(crate) fn propagation_ms(&self) -> u64 {
         let bound_ms = self.drain_ms.min(self.config_ms);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -156,6 +156,7 @@
             dialect.clone(),
             cluster.clone(),
             pool,
+            settings.drain_use_ms(),
         ));
         let job_cluster = cluster.clone();
         tokio::spawn(follow_operators(
@@ -189,8 +190,9 @@
     dialect: Arc<dyn Dialect>,
     cluster: ClusterState,
     pool: Arc<Pool>,
+    drain_use_ms: u64,
 ) {
-    let mut directory = Directory::default();
+    let mut directory = Directory::default().with_drain_use_ms(drain_use_ms);
     let mut entries = EntryDecoder::default();
     let mut changes = subscribe(&feed);
     let mut known = FeedStatus::default();
@@ -208,6 +210,7 @@
             && known.content_version == status.content_version;
         if is_known && !directory.retains_missing() {
             confirm_endpoints(&cluster, status.revision);
+            status.fresh_at.inspect(|at| directory.confirm(*at));
             continue;
         }
         let delta = feed.changes_since(known.revision);
@@ -227,6 +230,7 @@
             ),
             false => directory.apply_update(update, now),
         };
+        status.fresh_at.inspect(|at| directory.confirm(*at));
         log_changes(&changes, directory.revision());
         cluster.endpoints.publish(DirectoryView {
             table: Arc::new(directory.table()),
--- a/crates/origins/src/ring.rs
+++ b/crates/origins/src/ring.rs
@@ -49,6 +49,7 @@
     /// Points with the positions of their nodes, sorted.
     points: Vec<(u64, u32)>,
     domains: Vec<u64>,
+    count: usize,
 }
 
 impl HolderRing {
@@ -64,16 +65,25 @@
         Self {
             points,
             domains: nodes.iter().map(|node| node.domain_hash).collect(),
+            count: HOLDERS,
         }
     }
 
+    /// Sets the number of holders of each stream. All nodes of a fleet need
+    /// the same number.
+    #[must_use]
+    pub fn with_count(mut self, count: usize) -> Self {
+        self.count = count;
+        self
+    }
+
     /// Returns the positions of the holders among the nodes, in different
     /// failure domains if possible, the preferred one first.
     pub fn holders(
         &self,
         stream: StreamKey,
     ) -> impl ExactSizeIterator<Item = usize> + use<> {
-        let mut chosen: Vec<usize> = Vec::with_capacity(HOLDERS);
+        let mut chosen: Vec<usize> = Vec::with_capacity(self.count);
         let mut spare: Vec<usize> = Vec::new();
         let hash = mix(stream.as_u64());
         let start = self.points.partition_point(|(point, _)| *point < hash);
@@ -88,11 +98,11 @@
                 true => spare.push(at),
                 false => chosen.push(at),
             }
-            if chosen.len() == HOLDERS {
+            if chosen.len() == self.count {
                 break;
             }
         }
-        let missing = HOLDERS - chosen.len();
+        let missing = self.count - chosen.len();
         chosen.extend(spare.into_iter().take(missing));
         chosen.into_iter()
     }
