Refuse streams at once whose version has no endpoint

A client that resumed a stream of a version without endpoints waited as long as the route's pauses may be, for a version that does not come back within that time.

Measured: a test with a pause of 60 s, which ended with the time of the request before, gets the reason at once.

--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -485,7 +485,10 @@
                 Ok(choice) => return Ok(choice),
                 Err(verdict) => verdict,
             };
-            if Instant::now() >= give_up_at {
+            // No other endpoint will run the version of the stream.
+            let is_final = verdict == ChooseError::NoEndpoint
+                && history.binding.is_some();
+            if is_final || Instant::now() >= give_up_at {
                 return Err(self.refuse(verdict, request, history));
             }
             time::sleep(CAPACITY_POLL_INTERVAL).await;
--- a/crates/pass/tests/versions.rs
+++ b/crates/pass/tests/versions.rs
@@ -211,6 +211,24 @@
     assert_eq!(forward(&setup, named).await.0, 200);
 }
 
+/// Guards against clients that wait in vain for an endpoint of a version that
+/// is gone.
+#[tokio::test]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let one = whole("a").await;
+    let v2 = "v2".parse().expect("a version");
+    let binding = fleet::VersionBinding::new("app", v2);
+    let setup = fixture_of(&[(one.address, "app", "v1")])
+        .with_origins(Arc::new(Always(Verdict::Known(Arc::new(binding)))));
+    let patient = resumable().with_gap_target_ms(60_000);
+    let again = resuming("r2", patient, "1", "r1");
+    let (status, body) = forward(&setup, again).await;
+    assert_eq!(status, 503);
+    let body = body.expect("whole");
+    assert!(body.contains("no endpoint runs the version"), "{body}");
+    assert_eq!(one.seen().len(), 0);
+}
+
 /// Guards against a stream that goes on at another service of its route: the
 /// id of each attempt selects a service anew.
 #[tokio::test]
