Bind items by events without data and streams by events only

Found by reading the change: an item whose first events have no data counted as one that has not begun, so that it could go on at another version, and a comment before the first event bound a stream to its endpoint, so that a break after it ended the response.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -29,6 +29,13 @@
     binding: Option<Arc<VersionBinding>>,
 }
 
+impl Produced {
+    /// Reports whether the item has an event, which may be one without data.
+    fn has_begun(&self) -> bool {
+        self.events > 0 || self.last_id.is_some()
+    }
+}
+
 impl Progress {
     /// Restores the output from a checkpoint.
     pub fn restore(saved: &ItemCheckpoint) -> Self {
@@ -85,14 +92,19 @@
         let produced = self.lock();
         let has_origin =
             produced.binding.is_some() && produced.last_id.is_some();
-        produced.events == 0 || has_origin
+        !produced.has_begun() || has_origin
+    }
+
+    /// Reports whether any event has arrived.
+    pub fn has_begun(&self) -> bool {
+        self.lock().has_begun()
     }
 
     /// Reports whether an endpoint may run the rest of the item.
     pub fn permits(&self, record: &EndpointRecord) -> bool {
         let produced = self.lock();
         let binding = produced.binding.as_ref();
-        produced.events == 0
+        !produced.has_begun()
             || binding.is_some_and(|binding| binding.permits(record))
     }
 
@@ -103,7 +115,7 @@
         record: &EndpointRecord,
     ) {
         let mut produced = self.lock();
-        if produced.events == 0 {
+        if !produced.has_begun() {
             produced.binding = VersionBinding::of(record).map(Arc::new);
         }
         for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -90,7 +90,10 @@
         let view = self.runner.parts.endpoints.load_full();
         let is_view_stale = self.runner.parts.view.age_ms(now)
             > self.runner.options.max_view_age_ms;
-        let usable = usable_versions(assignment, &view.table, now);
+        let usable = match self.jobs.is_empty() {
+            true => IndexSet::new(),
+            false => usable_versions(assignment, &view.table, now),
+        };
         for incarnation in assignment.own_endpoints() {
             let Some(endpoint) = view.table.get(*incarnation) else {
                 continue;
@@ -392,7 +395,7 @@
             "an item starts"
         );
         item.state = ItemPhase::Running(id);
-        let resumed = item.progress.events() > 0;
+        let resumed = item.progress.has_begun();
         let forwarder = self.runner.parts.forwarder.clone();
         let sender = self.sender.clone();
         let task = tokio::spawn(async move {
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -137,7 +137,7 @@
             return None;
         }
         self.request_log.record_bytes(split.events.len());
-        if self.origin.is_none() {
+        if self.origin.is_none() && has_event(&split.events) {
             self.bind();
         }
         Some(split.events)
@@ -268,3 +268,10 @@
             .finish_non_exhaustive()
     }
 }
+
+/// Reports whether forwarded bytes contain an event, and not only comments,
+/// which endpoints send to keep a connection open.
+fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| line.first().is_some_and(|first| *first != b':'))
+}
--- a/crates/pass/tests/versions.rs
+++ b/crates/pass/tests/versions.rs
@@ -103,6 +103,20 @@
     assert_eq!((one.seen().len(), two.seen().len()), (1, 2));
 }
 
+/// Guards against streams that end because a comment, which no version
+/// generates, has bound them.
+#[tokio::test]
+async fn a_comment_does_not_bind_a_stream() {
+    let comment = stream_head() + &chunk(": wait\n\n");
+    let one = Scripted::start(vec![Act::RespondAndClose(comment)]).await;
+    let two = whole("b").await;
+    let setup =
+        fixture_of(&[(one.address, "app", "v1"), (two.address, "app", "v2")]);
+    let (status, body) = forward(&setup, request("r1", resumable())).await;
+    let body = body.expect("whole");
+    assert_eq!((status, body.matches("data: b").count()), (200, 3));
+}
+
 /// Guards against a resumed run that fails at its endpoint and is sent again
 /// to another version.
 #[tokio::test]
