--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -1,5 +1,6 @@
 //! A response that an endpoint breaks off goes on only at an endpoint of the
 //! same software version.
+#![allow(clippy::unwrap_used)]
 
 mod forward_common;
 
