Reserve each address once in the tests of the entry

Ports were reserved by binding port 0 and closing, and nothing kept two tests from getting the same one.

--- a/crates/entry/tests/forward_common/mod.rs
+++ b/crates/entry/tests/forward_common/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code)]
 
 use std::{
+    collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::Mutex,
     time::Duration,
 };
 
@@ -58,13 +60,22 @@
 
 /// Reserves addresses that this process listens on later, since companions and
 /// the entry need each other's address before either starts. No other process
-/// uses this loopback address, so the ports stay free meanwhile.
+/// uses this loopback address, and no address is reserved twice, so the ports
+/// stay free meanwhile.
 pub(crate) fn reserve<const COUNT: usize>() -> [SocketAddr; COUNT] {
+    static RESERVED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     let [.., high, low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 77, high, low.max(1));
-    let listeners = [(); COUNT].map(|()| TcpListener::bind((ip, 0)));
-    let listeners = listeners.map(Result::unwrap);
-    listeners.each_ref().map(|one| one.local_addr().unwrap())
+    let mut reserved = RESERVED.lock().unwrap();
+    [(); COUNT].map(|()| {
+        loop {
+            let listener = TcpListener::bind((ip, 0)).unwrap();
+            let address = listener.local_addr().unwrap();
+            if reserved.insert(address) {
+                return address;
+            }
+        }
+    })
 }
 
 pub(crate) async fn engine() -> EngineHandle {
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -107,3 +107,12 @@
     calls.sort();
     assert_eq!(calls, [0, 3]);
 }
+
+/// Guards against tests that fail because another test of the same process has
+/// reserved the same port.
+#[test]
+fn no_address_is_reserved_twice() {
+    let all: Vec<_> = (0..400).flat_map(|_| reserve::<5>()).collect();
+    let distinct: std::collections::BTreeSet<_> = all.iter().collect();
+    assert_eq!(distinct.len(), all.len());
+}
