Store an uncertain origin under the attempt that began the stream

A client that resumed a stream a second time could get events of a third run at the version that began it, after its second attempt had perhaps received events of another one: the endpoint of the second attempt was listed again at another version, and the front stored that the stream was uncertain under the id of the second attempt, while the client names the first one.

A request that resumes a stream stores its origin under the attempt that it names. Found by reading the change.

--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -283,11 +283,16 @@
             && self.resume_after.is_some_and(|after| after > 0)
     }
 
-    /// Returns the keys under which the origin of the stream that this attempt
-    /// begins is stored.
+    /// Returns the keys under which the origin of the stream is stored, which
+    /// this attempt begins or resumes.
+    ///
+    /// A client names the first attempt in all later ones, so that what a later
+    /// attempt learns of the stream is stored under the first one too.
     pub fn stream_keys(&self) -> StreamKeys {
+        let first = self.resumes().filter(|_| self.resumes_stream());
+        let attempt = first.unwrap_or(&self.id);
         StreamKeys {
-            attempt: StreamKey::of_attempt(self.customer(), &self.id),
+            attempt: StreamKey::of_attempt(self.customer(), attempt),
             content: self.content_key(),
         }
     }
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -165,6 +165,7 @@
     pub forwarder: Arc<Forwarder>,
     pub counters: Arc<Counters>,
     pub endpoints: Vec<Endpoint>,
+    pub view: Arc<Snapshot<DirectoryView>>,
     pub pool: Arc<Pool>,
 }
 
@@ -223,13 +224,14 @@
         table: Arc::new(EndpointTable::new(endpoints.clone())),
         revision: 1,
     };
+    let view = Arc::new(Snapshot::new(view));
     let counters = Arc::new(Counters::default());
     let pool = Arc::new(Pool::default());
     let forwarder = Forwarder::new(
         names(),
         ForwarderOptions::default(),
         "near",
-        Arc::new(Snapshot::new(view)),
+        view.clone(),
         pool.clone(),
         Arc::new(SystemClock::new()),
         counters.clone(),
@@ -238,6 +240,7 @@
         forwarder: Arc::new(forwarder),
         counters,
         endpoints,
+        view,
         pool,
     }
 }
--- a/crates/pass/tests/versions.rs
+++ b/crates/pass/tests/versions.rs
@@ -5,14 +5,18 @@
 
 use std::sync::Arc;
 
-use base::SystemClock;
+use base::{Millis, SystemClock};
 use common::{
     Act, Fixture, Scripted, chunk, fixture_of, header, read, request,
     request_with, resuming, route, stream_head,
 };
-use fleet::{Destination, Route, RouteKind};
+use fleet::{
+    Destination, Directory, EndpointRecord, Listing, Route, RouteKind,
+};
 use origins::{Origin, StreamKey, StreamKeys, Verdict};
-use pomeloslip_pass::{Inbound, LocalOrigins, OriginFuture, StreamOrigins};
+use pomeloslip_pass::{
+    DirectoryView, Inbound, LocalOrigins, OriginFuture, StreamOrigins,
+};
 use yare::parameterized;
 
 fn event(id: u32, text: &str) -> String {
@@ -225,6 +229,41 @@
     assert_eq!(forward(&setup, named).await.0, 200);
 }
 
+/// Guards against a client that resumes a stream once more at the version that
+/// began it, after its second attempt may have received events of another one.
+#[tokio::test]
+async fn an_uncertain_second_attempt_makes_the_stream_uncertain() {
+    let begun = Act::RespondAndClose(stream_head() + &events(1, 1, "a"));
+    let head = Act::Respond(stream_head() + &events(2, 2, "b"));
+    let one = Scripted::start(vec![begun, head]).await;
+    let setup = fixture_of(&[(one.address, "app", "v1")]);
+    let store = Arc::new(LocalOrigins::new(Arc::new(SystemClock::new())));
+    let setup = setup.with_origins(store.clone());
+    let mut directory = Directory::default();
+    let listing = |revision, version: &str| Listing {
+        revision,
+        records: vec![EndpointRecord {
+            version: version.parse().ok(),
+            ..setup.endpoints[0].record().clone()
+        }],
+    };
+    directory.reconcile(listing(1, "v1"), Millis::new(0));
+    setup.view.publish(DirectoryView {
+        table: Arc::new(directory.table()),
+        revision: 1,
+    });
+    let route = || resumable().with_max_attempts(1);
+    assert!(forward(&setup, request("r1", route())).await.1.is_err());
+    let first = StreamKey::of_attempt("alama", "r1");
+    assert!(matches!(store.find(first).await, Verdict::Known(_)));
+    let again = resuming("r2", route(), "1", "r1");
+    let response = setup.forwarder.forward(again, 1).await;
+    directory.reconcile(listing(2, "v2"), Millis::new(1));
+    // The endpoint falls silent, so that the stream would be resumed.
+    assert!(read(response).await.1.is_err());
+    assert_eq!(store.find(first).await, Verdict::Unknown);
+}
+
 /// Guards against clients that wait in vain for an endpoint of a version that
 /// is gone.
 #[tokio::test]
