Let resumed streams wait for the first endpoints of a node

A node that had just started refused a client that resumed its stream at once, as no endpoint of the version was listed, though none was listed at all and the first ones come within some tenths of a second.

A version counts as gone only where other endpoints are known. Found by reading the change.

Measured: the new test got 503 before and 200 now; the suite of pass passes.

--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -435,10 +435,7 @@
         if history.possible_runs > 0 {
             return Refusal::unknown("no other endpoint is left");
         }
-        if verdict == ChooseError::NoEndpoint
-            && history.binding.is_some()
-            && !self.endpoints.load().table.is_empty()
-        {
+        if self.is_version_gone(verdict, history) {
             return Refusal::not_run(
                 "no endpoint runs the version that began the stream",
             );
@@ -461,6 +458,18 @@
             .with_retry_after_ms(retry_after_ms)
     }
 
+    /// Reports whether no endpoint runs the version of a stream. A node that
+    /// knows no endpoint at all has just started and cannot tell.
+    fn is_version_gone(
+        &self,
+        verdict: ChooseError,
+        history: &OfferHistory,
+    ) -> bool {
+        verdict == ChooseError::NoEndpoint
+            && history.binding.is_some()
+            && !self.endpoints.load().table.is_empty()
+    }
+
     /// Waits a short time for an endpoint with free capacity.
     async fn wait_for_capacity(
         &self,
@@ -485,9 +494,7 @@
                 Ok(choice) => return Ok(choice),
                 Err(verdict) => verdict,
             };
-            // No other endpoint will run the version of the stream.
-            let is_final = verdict == ChooseError::NoEndpoint
-                && history.binding.is_some();
+            let is_final = self.is_version_gone(verdict, history);
             if is_final || Instant::now() >= give_up_at {
                 return Err(self.refuse(verdict, request, history));
             }
--- a/crates/pass/tests/versions.rs
+++ b/crates/pass/tests/versions.rs
@@ -264,6 +264,28 @@
     assert_eq!(store.find(first).await, Verdict::Unknown);
 }
 
+/// Guards against clients that are refused by a node that has just started,
+/// where the endpoints of their version are listed a moment later.
+#[tokio::test]
+async fn a_resumed_stream_waits_for_the_first_endpoints() {
+    let one = whole("a").await;
+    let v1 = "v1".parse().expect("a version");
+    let binding = fleet::VersionBinding::new("app", v1);
+    let setup = fixture_of(&[(one.address, "app", "v1")])
+        .with_origins(Arc::new(Always(Verdict::Known(Arc::new(binding)))));
+    let listed = setup.view.load_full();
+    setup.view.publish(DirectoryView::default());
+    let patient = resumable().with_gap_target_ms(60_000);
+    let again = resuming("r2", patient, "1", "r1");
+    let forwarded = tokio::spawn({
+        let forwarder = setup.forwarder.clone();
+        async move { forwarder.forward(again, 1).await.status() }
+    });
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    setup.view.publish(DirectoryView::clone(&listed));
+    assert_eq!(forwarded.await.expect("a response"), 200);
+}
+
 /// Guards against clients that wait in vain for an endpoint of a version that
 /// is gone.
 #[tokio::test]
