Take a listed machine of another version for another endpoint

An entry kept the version with which a machine was first listed, and resumed responses there after the list told another one: an endpoint with the same name and address kept its state, the version included.

The version is part of what identifies a listed endpoint. The list of the stand-in has versions. Found by reading the change.

Measured: the new test got a whole response of two versions before and an error now; the tests of forwarding pass.

--- a/crates/cli/src/demo/platform.rs
+++ b/crates/cli/src/demo/platform.rs
@@ -95,6 +95,7 @@
             return;
         };
         self.vms.put(VmRecord {
+            version: None,
             vm: settings.vm.clone(),
             state: VmState::Live,
             failure_domain: settings.failure_domain.clone(),
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -127,7 +127,9 @@
 
     fn to_listed(&self, target: &Target) -> ListedEndpoint {
         let near = target.failure_domain == self.failure_domain;
-        let address = target.route.address();
+        // Another version is another endpoint: what is known of the former one,
+        // and the responses that it began, are not its own.
+        let address = format!("{} {}", target.route.address(), target.version);
         ListedEndpoint::new(target.name.clone(), near, &address)
     }
 
--- a/crates/entry/tests/forward.rs
+++ b/crates/entry/tests/forward.rs
@@ -252,6 +252,7 @@
             peer: 0,
             http: engine.address().port(),
         },
+        version: None,
     };
     let list = VmListService::start(VmListSettings::default())
         .await
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -4,11 +4,16 @@
 
 mod forward_common;
 
+use std::time::Duration;
+
 use forward_common::{
     chat, companion_at_version, engine, entry, platform, reserve, stream,
     until_served, with_companion, without_companion,
 };
-use standin::engine::EngineHandle;
+use standin::{
+    engine::EngineHandle,
+    vms::{VmListService, VmListSettings, VmPorts, VmRecord, VmState},
+};
 
 /// The first stream of each engine for this prompt breaks off halfway.
 const PROMPT: &str = "[[drop]] may I fly";
@@ -108,6 +113,51 @@
     assert_eq!(calls, [0, 3]);
 }
 
+/// Returns the listed machine of an engine without a companion.
+fn vm(name: &str, engine: &EngineHandle, version: &str) -> VmRecord {
+    VmRecord {
+        vm: name.parse().unwrap(),
+        state: VmState::Live,
+        failure_domain: "tallinn-a".parse().unwrap(),
+        pool: "korv-lm".to_owned(),
+        ip: engine.address().ip(),
+        ports: VmPorts {
+            peer: 0,
+            http: engine.address().port(),
+        },
+        version: Some(version.to_owned()),
+    }
+}
+
+/// Guards against an entry that keeps the first listed version of a machine,
+/// and resumes responses there after its software was replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_changes_in_the_list_is_used() {
+    let platform = platform("").await;
+    let engines = engines(2).await;
+    let vms =
+        vec![vm("vm-1", &engines[0], "v1"), vm("vm-2", &engines[1], "v1")];
+    let settings = VmListSettings {
+        vms,
+        ..VmListSettings::default()
+    };
+    let list = VmListService::start(settings).await.unwrap();
+    let lines =
+        format!("vm_list: {{address: {}, poll_ms: 100}}\n", list.url());
+    let entry = entry(&platform, &lines).await;
+    until_served(&entry).await;
+    let events = stream(&entry, &chat(PROMPT)).await;
+    assert_eq!(events.done, 1, "both are of one version");
+    list.put(vm("vm-2", &engines[1], "v2"));
+    let after = list.reads() + 3;
+    while list.reads() < after {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let other = "[[drop]] and back again";
+    let events = stream(&entry, &chat(other)).await;
+    assert_eq!(events.done, 0);
+}
+
 /// Guards against tests that fail because another test of the same process has
 /// reserved the same port.
 #[test]
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -121,6 +121,9 @@
     pub ip: IpAddr,
     /// Ports of the system's process.
     pub ports: VmPorts,
+    /// Version of the software of an endpoint that runs there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
 }
 
 /// The list as it is served.
