--- a/crates/node/src/origins.rs
+++ b/crates/node/src/origins.rs
@@ -67,7 +67,7 @@
     stream: StreamKey,
     holders: Vec<SocketAddr>,
     lookup: Lookup,
-    /// Taken when the verdict is sent.
+    /// None once the verdict has been sent.
     verdict: Option<oneshot::Sender<Verdict>>,
 }
 
--- /dev/null
+++ b/crates/pass/src/forward/capacity.rs
@@ -0,0 +1,136 @@
+//! Which endpoint a request goes to, how long it waits for one, and how it is
+//! refused.
+
+use std::time::{Duration, Instant};
+
+use fleet::{Choice, ChooseError, EndpointQuery};
+use tokio::time;
+
+use super::{Forwarder, OfferHistory};
+use crate::{Inbound, Refusal, answer::Sent};
+
+/// Fraction of the remaining time of a client after which it retries at the
+/// latest: one part in this many. The remainder is for serving the request.
+const RETRY_DELAY_DIVISOR: u64 = 3;
+
+/// Interval between two checks for free capacity.
+const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+impl Forwarder {
+    /// Refuses a request for lack of capacity; it may have run before.
+    pub(super) fn refuse(
+        &self,
+        verdict: ChooseError,
+        request: &Inbound,
+        history: &OfferHistory,
+    ) -> Refusal {
+        if history.possible_runs > 0 {
+            return Refusal::unknown("no other endpoint is left");
+        }
+        if self.is_version_gone(verdict, history) {
+            return Refusal::not_run(
+                "no endpoint runs the version that began the stream",
+            );
+        }
+        if verdict == ChooseError::NoEndpoint {
+            let retry_after_ms = match self.endpoints.load().table.is_empty() {
+                true => self.options.startup_retry_after_ms,
+                false => self.options.retry_after_ms,
+            };
+            return Refusal::not_run("no endpoint is known")
+                .with_retry_after_ms(retry_after_ms);
+        }
+        let remaining_ms = request.remaining().as_millis() as u64;
+        let retry_after_ms = self.retry_estimator.record_refusal(
+            self.clock.now(),
+            spread_hash(request.id()),
+            remaining_ms / RETRY_DELAY_DIVISOR,
+        );
+        Refusal::not_run("all endpoints are full")
+            .with_retry_after_ms(retry_after_ms)
+    }
+
+    /// Reports whether no endpoint runs the version of a stream. A node that
+    /// knows no endpoint at all has just started and cannot tell.
+    fn is_version_gone(
+        &self,
+        verdict: ChooseError,
+        history: &OfferHistory,
+    ) -> bool {
+        verdict == ChooseError::NoEndpoint
+            && history.binding.is_some()
+            && !self.endpoints.load().table.is_empty()
+    }
+
+    /// Waits a short time for an endpoint with free capacity.
+    pub(super) async fn wait_for_capacity(
+        &self,
+        request: &Inbound,
+        sent: &mut Sent,
+        history: &OfferHistory,
+    ) -> Result<Choice, Refusal> {
+        let route = request.route();
+        let max_wait_ms =
+            route.target_latency_ms() / self.options.queue_wait_divisor;
+        let max_wait = Duration::from_millis(max_wait_ms);
+        let give_up_at = match &history.binding {
+            // A refusal ends the stream for good. Its client accepts pauses.
+            Some(_) => {
+                let pause = Duration::from_millis(route.gap_target_ms());
+                Instant::now() + pause.max(max_wait)
+            }
+            None => request.arrived() + max_wait,
+        };
+        loop {
+            let verdict = match self.choose(request, sent, history) {
+                Ok(choice) => return Ok(choice),
+                Err(verdict) => verdict,
+            };
+            let is_final = self.is_version_gone(verdict, history);
+            if is_final || Instant::now() >= give_up_at {
+                return Err(self.refuse(verdict, request, history));
+            }
+            time::sleep(CAPACITY_POLL_INTERVAL).await;
+        }
+    }
+
+    fn choose(
+        &self,
+        request: &Inbound,
+        sent: &mut Sent,
+        history: &OfferHistory,
+    ) -> Result<Choice, ChooseError> {
+        let route = request.route();
+        let binding = history.binding.as_deref();
+        let can_queue = request.has_waited() || binding.is_some();
+        let spread = spread_hash(request.id());
+        let service = match binding {
+            Some(binding) => Some(binding.service()),
+            None => route.service(spread),
+        };
+        let Some(service) = service else {
+            return Err(ChooseError::NoEndpoint);
+        };
+        let view = self.endpoints.load();
+        sent.directory_revision = view.revision;
+        let need = EndpointQuery {
+            service,
+            failure_domain: &self.failure_domain,
+            affinity: request.affinity(),
+            tried: &history.tried,
+            binding,
+            queue_allowance: match (route.kind().is_stream(), can_queue) {
+                (true, false) => self.options.stream_queue,
+                (true, true) => self.options.retry_queue,
+                (false, _) => self.options.plain_queue,
+            },
+        };
+        let selection = self.selection.load();
+        view.table.choose(&selection, &need, self.clock.now())
+    }
+}
+
+/// Distributes requests over the destinations of a route by their ids.
+fn spread_hash(id: &str) -> u64 {
+    base::stable_hash(&[id])
+}
