Name the unit of the lease's time to live

Two fields of messages of the key-value service were named without a unit; they stay TTL on the wire.

Measured: the suites of kv and standin, which read and write these messages, pass.

--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -82,7 +82,7 @@
 
     async fn grant(&self, ttl_s: u32) -> Result<LeaseId, Report<KvError>> {
         let request = LeaseGrantRequest {
-            ttl: i64::from(ttl_s).into(),
+            ttl_s: i64::from(ttl_s).into(),
             ..LeaseGrantRequest::default()
         };
         let reply: LeaseResponse = self
@@ -102,7 +102,9 @@
         let effect = Effect::Idempotent;
         let reply = self.0.call(LEASE_KEEP_ALIVE, effect, &request).await?;
         match reply {
-            StreamMessage::Result(LeaseResponse { ttl, .. }) if ttl.0 > 0 => {
+            StreamMessage::Result(LeaseResponse { ttl_s, .. })
+                if ttl_s.0 > 0 =>
+            {
                 Ok(())
             }
             StreamMessage::Result(_) => Err(Report::new(KvError::LeaseGone)),
--- a/crates/kv/src/json.rs
+++ b/crates/kv/src/json.rs
@@ -322,7 +322,7 @@
     LeaseGrantRequest {
         /// Time to live in seconds.
         #[serde(rename = "TTL")]
-        ttl: Int,
+        ttl_s: Int,
         /// Requested id; 0 lets the key-value service choose one.
         #[serde(rename = "ID")]
         id: Int,
@@ -338,7 +338,7 @@
         id: Int,
         /// Time to live in seconds.
         #[serde(rename = "TTL")]
-        ttl: Int,
+        ttl_s: Int,
     }
 
     /// Renews a lease.
--- a/crates/standin/src/kv/calls.rs
+++ b/crates/standin/src/kv/calls.rs
@@ -253,7 +253,7 @@
         now: Millis,
     ) -> Result<Done<LeaseResponse>, Refusal> {
         let wanted = Some(LeaseId(self.id.0)).filter(|id| id.0 != 0);
-        let ttl_s = u32::try_from(self.ttl.0);
+        let ttl_s = u32::try_from(self.ttl_s.0);
         let ttl_s = ttl_s.map_err(|_| StoreError::InvalidLeaseTtl)?;
         let id = store.grant(now, wanted, ttl_s)?;
         Ok(Done {
@@ -261,7 +261,7 @@
             answer: LeaseResponse {
                 header: header(store),
                 id: id.0.into(),
-                ttl: self.ttl,
+                ttl_s: self.ttl_s,
             },
         })
     }
@@ -284,7 +284,7 @@
             answer: StreamMessage::Result(LeaseResponse {
                 header: header(store),
                 id: self.id,
-                ttl: i64::from(ttl_s).into(),
+                ttl_s: i64::from(ttl_s).into(),
             }),
         })
     }
