--- a/crates/limits/tests/fleet/sim.rs
+++ b/crates/limits/tests/fleet/sim.rs
@@ -1,5 +1,7 @@
 //! A fleet on a simulated clock.
 
+mod messages;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
@@ -7,13 +9,13 @@
 
 use base::{Customer, Millis, mix};
 use pomeloslip_limits::{
-    EvenSplit, FleetLimiter, LimitAction, LimitDecision, LimitNodes,
-    RateLimit, Ticket, TokenClient, TokenServer, TokenServerOptions,
+    EvenSplit, FleetLimiter, LimitNodes, RateLimit, Ticket, TokenClient,
+    TokenServer, TokenServerOptions,
 };
 
 use crate::{
-    event::{Event, Message, QueuedEvent},
-    scenario::{Demand, Faults, InjectedBug, Outcome, Scenario, Strategy},
+    event::{Event, QueuedEvent},
+    scenario::{Demand, Faults, Outcome, Scenario, Strategy},
 };
 
 struct Node {
@@ -466,98 +468,6 @@
         self.act(node);
     }
 
-    fn act(&mut self, at: usize) {
-        let Some(limiter) = &mut self.nodes[at].limiter else {
-            return;
-        };
-        let actions = limiter.take_actions();
-        let due = limiter.next_tick();
-        for action in actions {
-            match action {
-                LimitAction::Send { to, request } => {
-                    self.nodes[at].sent += 1;
-                    let to = self.by_name[&to];
-                    self.send(at, to, Message::Request(request));
-                }
-                LimitAction::Decide { ticket, decision } => {
-                    let key = (at, ticket.0);
-                    let customer = self.tickets.remove(&key);
-                    let customer = customer.expect("one decision per request");
-                    match decision {
-                        LimitDecision::Admitted(_) => {
-                            self.counted[customer].push(self.now_ms);
-                        }
-                        _ => self.outcome.refused[customer] += 1,
-                    }
-                }
-            }
-        }
-        if let Some(due) = due {
-            let at_ms = self.nodes[at].started_ms + due.as_ms();
-            let at_ms = at_ms.max(self.now_ms + 1);
-            if at_ms < self.nodes[at].wake_at_ms {
-                self.nodes[at].wake_at_ms = at_ms;
-                let process = self.nodes[at].process;
-                self.push(at_ms, Event::Wake { node: at, process });
-            }
-        }
-    }
-
-    fn send(&mut self, from: usize, to: usize, message: Message) {
-        if self.below(200) == 0 {
-            return;
-        }
-        let mut delay_ms = 1 + self.below(4);
-        if self.below(300) == 0 {
-            delay_ms += self.below(3_000);
-        }
-        if self.below(200) == 0 {
-            let again_ms = self.now_ms + delay_ms + self.below(500);
-            let message = message.clone();
-            self.push(again_ms, Event::Deliver { from, to, message });
-        }
-        let at_ms = self.now_ms + delay_ms;
-        self.push(at_ms, Event::Deliver { from, to, message });
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, message: Message) {
-        let cut = self.nodes[from].cut_from_all
-            || self.nodes[to].cut_from_all
-            || self.nodes[from].partition_side
-                != self.nodes[to].partition_side;
-        if !self.nodes[to].alive || (cut && from != to) {
-            return;
-        }
-        if self.nodes[to].frozen {
-            let event = Event::Deliver { from, to, message };
-            self.nodes[to].deferred.push(event);
-            return;
-        }
-        self.nodes[to].received += 1;
-        let now = self.local(to);
-        match message {
-            Message::Request(mut request) => {
-                if self.scenario.bug == InjectedBug::OldLimitWins {
-                    for demand in &mut request.demands {
-                        demand.limit = demand.limit.with_version(self.number);
-                    }
-                }
-                if let Some(reply) =
-                    self.nodes[to].server.handle(&request, now)
-                {
-                    self.send(to, from, Message::Response(reply));
-                }
-            }
-            Message::Response(reply) => {
-                let server = self.nodes[from].name.clone();
-                if let Some(limiter) = &mut self.nodes[to].limiter {
-                    limiter.receive(&server, &reply, now);
-                }
-                self.tick(to);
-            }
-        }
-    }
-
     fn finish(mut self) -> Outcome {
         let tolerance = self.scenario.tolerance;
         let window_ms = tolerance.window_ms;
