Ask all holders about streams that are known by their content only

A front resumed an unnamed stream at the version of an equal request of its own, while the stream was one that another front had begun at another version; and the first holder that answered decided, though it may have missed the origin of one of two equal requests. Found by reading the change.

What a node knows itself counts as one answer. For streams found by content all holders have to answer, and a contradiction is final; an attempt, which begins one stream, is decided by the first that knows it, as before.

--- a/crates/node/src/origins.rs
+++ b/crates/node/src/origins.rs
@@ -23,7 +23,9 @@
 use base::Clock;
 use indexmap::IndexMap;
 use jobs::JobView;
-use origins::{Answer, Lookup, Origin, StreamKey, StreamKeys, Verdict};
+use origins::{
+    Answer, Lookup, Origin, StreamId, StreamKey, StreamKeys, Verdict,
+};
 use pass::{Counters, LocalOrigins, OriginFuture, StreamOrigins};
 use tokio::{net::UdpSocket, sync::oneshot, time};
 
@@ -113,16 +115,9 @@
         shared.send_all(holders.into_iter(), &message);
     }
 
-    fn find(&self, stream: StreamKey) -> OriginFuture {
-        match self.0.stored.get(stream) {
-            Some(Origin::Bound(binding)) => {
-                Box::pin(std::future::ready(Verdict::Known(binding)))
-            }
-            Some(Origin::Uncertain) => {
-                Box::pin(std::future::ready(Verdict::Unknown))
-            }
-            None => Box::pin(self.0.clone().ask_holders(stream)),
-        }
+    fn find(&self, stream: StreamId) -> OriginFuture {
+        let own = self.0.stored.get(stream.key());
+        Box::pin(self.0.clone().look_up(stream, own))
     }
 }
 
@@ -134,22 +129,39 @@
         peers.holders(streams, &self.node)
     }
 
-    async fn ask_holders(self: Arc<Self>, stream: StreamKey) -> Verdict {
-        let holders = self.holders(&[stream]);
-        if holders.is_empty() {
+    async fn look_up(
+        self: Arc<Self>,
+        stream: StreamId,
+        own: Option<Origin>,
+    ) -> Verdict {
+        let holders = self.holders(&[stream.key()]);
+        let lookup = Lookup::new(stream, holders.len()).with_own(own.clone());
+        if holders.is_empty() && own.is_none() {
             return Verdict::Unreachable;
         }
+        if let Some(verdict) = lookup.verdict() {
+            return verdict;
+        }
+        self.ask_holders(stream.key(), holders, lookup).await
+    }
+
+    async fn ask_holders(
+        self: &Arc<Self>,
+        stream: StreamKey,
+        holders: Vec<SocketAddr>,
+        lookup: Lookup,
+    ) -> Verdict {
         let ticket = self.last_ticket.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, mut verdict) = oneshot::channel();
         let lookup = PendingLookup {
             stream,
-            lookup: Lookup::new(holders.len()),
+            lookup,
             holders,
             verdict: Some(sender),
         };
         lock(&self.pending).insert(ticket, lookup);
         let pending = PendingGuard {
-            shared: &self,
+            shared: self,
             ticket,
         };
         for _ in 0..MAX_QUESTIONS {
--- a/crates/node/tests/versions.rs
+++ b/crates/node/tests/versions.rs
@@ -154,6 +154,47 @@
     }
 }
 
+/// Guards against a front that resumes a stream of another front at the version
+/// of an equal request of its own: only the holders know of both.
+#[tokio::test]
+async fn an_unnamed_stream_of_equal_requests_is_refused_at_each_front() {
+    let kv = Memory::default();
+    let engines = [Engine::start().await, Engine::start_version("f").await];
+    write_config_and_engine(&kv, &engines[0]).await;
+    let workers = [
+        start(&kv, "worker-1", true).await,
+        start(&kv, "worker-2", true).await,
+    ];
+    let fronts = [
+        start_front(&kv, "front-1").await,
+        start_front(&kv, "front-2").await,
+    ];
+    sleep(PROPAGATION).await;
+    let unnamed = async |front: &Node| {
+        let headers = "x-resume: 2\r\n";
+        call_with(front.front, "POST", "/chat/1", "again", headers, "4").await
+    };
+    let (status, _) =
+        call(fronts[0].front, "POST", "/chat/1", "first", "4").await;
+    assert_eq!(status, 200);
+    let (status, rest) = unnamed(&fronts[1]).await;
+    assert_eq!((status, data(&rest)), (200, vec!["e3", "e4"]));
+    register(&kv, &engines[1], "e2").await;
+    remove(&kv, "e1").await;
+    sleep(PROPAGATION).await;
+    let (status, _) =
+        call(fronts[1].front, "POST", "/chat/1", "second", "4").await;
+    assert_eq!(status, 200);
+    for front in &fronts {
+        assert_eq!(unnamed(front).await.0, 503);
+    }
+    let (status, rest) = take_up(&fronts[0], "third", "second", 2, "4").await;
+    assert_eq!((status, data(&rest)), (200, vec!["f3", "f4"]));
+    for worker in workers {
+        worker.stop.send_replace(true);
+    }
+}
+
 /// Guards against a stream whose first attempt is not known, and that goes on
 /// at whatever version is at hand.
 #[tokio::test]
--- a/crates/origins/src/key.rs
+++ b/crates/origins/src/key.rs
@@ -56,6 +56,33 @@
     }
 }
 
+/// What is known of a stream that a client resumes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamId {
+    /// The attempt that began it, which began no other stream.
+    Attempt(StreamKey),
+    /// The content of its request, which other streams may have as well.
+    Content(StreamKey),
+}
+
+impl StreamId {
+    /// Returns the key under which the origin of the stream is stored.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_origins::{StreamId, StreamKey};
+    ///
+    /// let key = StreamKey::of_attempt("alama", "a1");
+    /// assert_eq!(StreamId::Attempt(key).key(), key);
+    /// ```
+    pub fn key(self) -> StreamKey {
+        match self {
+            Self::Attempt(key) | Self::Content(key) => key,
+        }
+    }
+}
+
 /// The keys under which the origin of a stream is stored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -16,7 +16,7 @@
 //! ```
 //! use base::Millis;
 //! use pomeloslip_origins::{
-//!     Answer, StreamKey, Lookup, Origin, OriginTable, Verdict,
+//!     Answer, Lookup, Origin, OriginTable, StreamId, StreamKey, Verdict,
 //! };
 //!
 //! let stream = StreamKey::of_attempt("", "9c41d07be2a35f68");
@@ -26,7 +26,7 @@
 //! table.record(stream, origin.clone(), 5_000, now);
 //! assert_eq!(table.find(stream, now), Some(&origin));
 //!
-//! let mut lookup = Lookup::new(2);
+//! let mut lookup = Lookup::new(StreamId::Attempt(stream), 2);
 //! assert_eq!(lookup.receive(0, Answer::Unknown), None);
 //! let verdict = lookup.receive(1, Answer::Known(origin));
 //! assert!(matches!(verdict, Some(Verdict::Known(_))));
@@ -40,7 +40,7 @@
 mod table;
 
 pub use crate::{
-    key::{StreamKey, StreamKeys},
+    key::{StreamId, StreamKey, StreamKeys},
     lookup::{Answer, Lookup, Verdict},
     origin::Origin,
     ring::{HOLDERS, HolderNode, HolderRing},
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -5,7 +5,7 @@
 use base::{Millis, stable_hash};
 use pomeloslip_origins::{
     Answer, HOLDERS, HolderNode, HolderRing, Lookup, MAX_LIFETIME_MS,
-    MAX_ORIGINS, Origin, OriginTable, StreamKey, Verdict,
+    MAX_ORIGINS, Origin, OriginTable, StreamId, StreamKey, Verdict,
 };
 use yare::parameterized;
 
@@ -17,6 +17,10 @@
     StreamKey::of_attempt("", &number.to_string())
 }
 
+fn attempt() -> StreamId {
+    StreamId::Attempt(key(1))
+}
+
 fn nodes(count: usize, domains: usize) -> Vec<HolderNode> {
     let node = |number: usize| HolderNode {
         name_hash: stable_hash(&["node", &number.to_string()]),
@@ -135,7 +139,7 @@
     answers: &[Answer],
     version: Option<&str>,
 ) {
-    let mut lookup = Lookup::new(2);
+    let mut lookup = Lookup::new(attempt(), 2);
     let (last, others) = answers.split_last().expect("an answer");
     for (at, answer) in others.iter().enumerate() {
         assert_eq!(lookup.receive(at, answer.clone()), None);
@@ -153,9 +157,57 @@
 /// Guards against a refusal for good while a holder has not answered.
 #[test]
 fn a_silent_holder_leaves_the_verdict_open() {
-    let mut lookup = Lookup::new(2);
+    let mut lookup = Lookup::new(attempt(), 2);
     assert_eq!(lookup.receive(0, Answer::Unknown), None);
     assert_eq!(lookup.receive(7, Answer::Unknown), None, "no such holder");
     assert_eq!(lookup.silent().collect::<Vec<_>>(), [1]);
     assert_eq!(lookup.time_out(), Verdict::Unreachable);
 }
+
+fn known(version: &str) -> Answer {
+    Answer::Known(origin(version))
+}
+
+/// Guards against a guess between streams with the same content: a holder may
+/// have missed the origin of one of them.
+#[parameterized(
+    equal = { &[known("v1"), known("v1")], Some("v1") },
+    restarted = { &[Answer::Unknown, known("v1")], Some("v1") },
+    contradictory = { &[known("v1"), known("v2")], None },
+    uncertain = { &[Answer::Known(Origin::Uncertain)], None },
+    unknown = { &[Answer::Unknown, Answer::Unknown], None },
+)]
+fn a_content_is_certain_only_if_no_holder_contradicts(
+    answers: &[Answer],
+    version: Option<&str>,
+) {
+    let mut lookup = Lookup::new(StreamId::Content(key(1)), 2);
+    let (last, others) = answers.split_last().expect("an answer");
+    for (at, answer) in others.iter().enumerate() {
+        assert_eq!(lookup.receive(at, answer.clone()), None);
+    }
+    let verdict = lookup.receive(others.len(), last.clone());
+    let found = match &verdict {
+        Some(Verdict::Known(binding)) => Some(binding.version().as_str()),
+        _ => None,
+    };
+    assert_eq!(found, version);
+    assert!(verdict.is_some());
+}
+
+/// Guards against the version that a node knows of a stream of its own, while
+/// others have begun streams with the same content.
+#[test]
+fn what_a_node_knows_of_a_content_itself_does_not_suffice() {
+    let content = StreamId::Content(key(1));
+    let own = Lookup::new(content, 1).with_own(Some(origin("v1")));
+    assert_eq!(own.verdict(), None);
+    assert_eq!(own.time_out(), Verdict::Unreachable);
+    let mut other = own.clone();
+    assert_eq!(other.receive(0, known("v2")), Some(Verdict::Unknown));
+    let mut same = own.clone();
+    let verdict = same.receive(0, known("v1"));
+    assert!(matches!(verdict, Some(Verdict::Known(_))));
+    let own = Lookup::new(attempt(), 1).with_own(Some(origin("v1")));
+    assert!(matches!(own.verdict(), Some(Verdict::Known(_))));
+}
--- a/crates/pass/src/forward/origin.rs
+++ b/crates/pass/src/forward/origin.rs
@@ -42,7 +42,7 @@
         request: &Inbound,
     ) -> Result<Arc<VersionBinding>, Refusal> {
         let asked_at = Instant::now();
-        let verdict = self.origins.find(request.resumed_key()).await;
+        let verdict = self.origins.find(request.resumed_stream()).await;
         self.counters.origin_find_ms.record(asked_at.elapsed());
         log::info!(
             request_id = request.id(),
--- a/crates/pass/src/origins.rs
+++ b/crates/pass/src/origins.rs
@@ -5,7 +5,9 @@
 };
 
 use base::Clock;
-use origins::{Origin, OriginTable, StreamKey, StreamKeys, Verdict};
+use origins::{
+    Lookup, Origin, OriginTable, StreamId, StreamKey, StreamKeys, Verdict,
+};
 
 /// The result of a search for the origin of a stream.
 pub type OriginFuture = Pin<Box<dyn Future<Output = Verdict> + Send>>;
@@ -17,7 +19,7 @@
     fn record(&self, keys: StreamKeys, origin: Origin, lifetime_ms: u64);
 
     /// Finds the origin of a stream.
-    fn find(&self, stream: StreamKey) -> OriginFuture;
+    fn find(&self, stream: StreamId) -> OriginFuture;
 }
 
 /// The origins of the streams that this process began.
@@ -69,11 +71,9 @@
         Self::record(self, keys, origin, lifetime_ms);
     }
 
-    fn find(&self, stream: StreamKey) -> OriginFuture {
-        let verdict = match self.get(stream) {
-            Some(Origin::Bound(binding)) => Verdict::Known(binding),
-            Some(Origin::Uncertain) | None => Verdict::Unknown,
-        };
+    fn find(&self, stream: StreamId) -> OriginFuture {
+        let own = self.get(stream.key());
+        let verdict = Lookup::new(stream, 0).with_own(own).time_out();
         Box::pin(std::future::ready(verdict))
     }
 }
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -14,7 +14,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use origins::{StreamKey, StreamKeys};
+use origins::{StreamId, StreamKey, StreamKeys};
 use quarantine::EvidenceKeys;
 
 use crate::{HeaderNames, Refusal};
@@ -297,13 +297,15 @@
         }
     }
 
-    /// Returns the key of the stream that this request resumes: that of the
-    /// attempt that began it, or of its content if the client does not name
-    /// the attempt.
-    pub fn resumed_key(&self) -> StreamKey {
+    /// Returns the stream that this request resumes: by the attempt that began
+    /// it, or by its content if the client does not name the attempt.
+    pub fn resumed_stream(&self) -> StreamId {
         match self.resumes() {
-            Some(first) => StreamKey::of_attempt(self.customer(), first),
-            None => self.content_key(),
+            Some(first) => StreamId::Attempt(StreamKey::of_attempt(
+                self.customer(),
+                first,
+            )),
+            None => StreamId::Content(self.content_key()),
         }
     }
 
--- a/crates/pass/tests/versions.rs
+++ b/crates/pass/tests/versions.rs
@@ -13,7 +13,7 @@
 use fleet::{
     Destination, Directory, EndpointRecord, Listing, Route, RouteKind,
 };
-use origins::{Origin, StreamKey, StreamKeys, Verdict};
+use origins::{Origin, StreamId, StreamKey, StreamKeys, Verdict};
 use pomeloslip_pass::{
     DirectoryView, Inbound, LocalOrigins, OriginFuture, StreamOrigins,
 };
@@ -151,7 +151,7 @@
 impl StreamOrigins for Always {
     fn record(&self, _: StreamKeys, _: Origin, _: u64) {}
 
-    fn find(&self, _: StreamKey) -> OriginFuture {
+    fn find(&self, _: StreamId) -> OriginFuture {
         Box::pin(std::future::ready(self.0.clone()))
     }
 }
@@ -254,7 +254,7 @@
     });
     let route = || resumable().with_max_attempts(1);
     assert!(forward(&setup, request("r1", route())).await.1.is_err());
-    let first = StreamKey::of_attempt("alama", "r1");
+    let first = StreamId::Attempt(StreamKey::of_attempt("alama", "r1"));
     assert!(matches!(store.find(first).await, Verdict::Known(_)));
     let again = resuming("r2", route(), "1", "r1");
     let response = setup.forwarder.forward(again, 1).await;
