Refuse a version for an endpoint that has a companion

A version in the entry's list was silently ignored where the endpoint has a companion, which reports the version itself.

Measured: a case of the settings' test names the key and its place.

--- a/crates/conf/src/settings/check.rs
+++ b/crates/conf/src/settings/check.rs
@@ -132,9 +132,14 @@
                 findings
                     .report(&path, "needs exactly one of `peer` and `http`");
             }
-            if endpoint.version.as_deref() == Some("") {
+            let version = endpoint.version.as_deref();
+            if version == Some("") {
                 findings.report(&format!("{path}.version"), "is empty");
             }
+            if version.is_some() && endpoint.peer.is_some() {
+                let message = "belongs into the settings of the companion";
+                findings.report(&format!("{path}.version"), message);
+            }
             findings.check_name(&format!("{path}.pool"), &endpoint.pool);
             let name = format!("{path}.endpoint");
             names.add(&name, endpoint.endpoint.as_str(), findings);
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -92,6 +92,7 @@
     secret_is_not_shown = { "key_value:", "peer_secrets: [[hidden-secret]]\nkey_value:", "f:6:16: peer_secrets[0]: expected a string, found a list" },
     data_twice = { "key_value:", "data_vms: [{vm: d, address: 127.0.0.1:1, failure_domain: a}, {vm: d, address: 127.0.0.1:2, failure_domain: b}]\nkey_value:", "f:6:67: data_vms[1].vm: \"d\" is also in data_vms[0].vm" },
     no_version = { "key_value:", "endpoints: [{endpoint: e, pool: p, failure_domain: a, http: 'http://127.0.0.1:1', version: ''}]\nkey_value:", "f:6:92: endpoints[0].version: is empty" },
+    version_of_companion = { "key_value:", "endpoints: [{endpoint: e, pool: p, failure_domain: a, peer: '127.0.0.1:1', version: v1}]\nkey_value:", "f:6:85: endpoints[0].version: belongs into the settings of the companion" },
     neither = { "key_value:", "endpoints: [{endpoint: e, pool: p, failure_domain: a}]\nkey_value:", "f:6:13: endpoints[0]: needs exactly one of `peer` and `http`" },
     unreachable = { "key_value:", "entries: [127.0.0.1:0, 0.0.0.0:5]\nkey_value:", "f:6:11: entries[0]: cannot be connected to: the port is 0\nf:6:24: entries[1]: is not the address of a single machine" },
     level = { "key_value:", "log: {level: inof}\nkey_value:", "f:6:14: log.level: unknown value \"inof\"; one of off, error, warn, info, debug, trace; did you mean \"info\"?" },
