Log why an answer that has begun ends before it is complete

Callers saw answers that ended with a closed connection beside a change of the configuration. The lines could not tell the hypotheses apart: a stream whose attempts are used up wrote none, and a connection that timed out here, one that the endpoint reset and a malformed answer had one cause.

Change: 'a run is cut off' and 'an offer to an endpoint failed' name the cause of the connection's failure; 'a stream was not resumed' is written for each reason; 'a request ended' has a cause for answers that end incomplete. Two counters, responses_cut and streams_left_silent. No decision changes.

--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -126,6 +126,8 @@
     pub(crate) framing: &'static str,
     /// What the content showed if the response ended too early.
     truncation: &'static str,
+    /// Why the response is incomplete, empty if it is complete.
+    cause: &'static str,
     bytes: u64,
     last_bytes_at: Option<Instant>,
     longest_pause: Duration,
@@ -148,6 +150,7 @@
             resumed: 0,
             framing: "",
             truncation: "",
+            cause: "",
             bytes: 0,
             last_bytes_at: None,
             longest_pause: Duration::ZERO,
@@ -184,6 +187,19 @@
         }
     }
 
+    /// Records that a response that has begun ends before it is complete.
+    pub(crate) fn record_cut(
+        &mut self,
+        error: IncompleteResponse,
+        cause: &'static str,
+    ) {
+        self.set_outcome(FAILED);
+        self.cause = cause;
+        if error != IncompleteResponse::Deadline {
+            Counters::add(&self.counters.responses_cut);
+        }
+    }
+
     /// Records the outcome of the request; only the first one counts.
     pub(crate) fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome.get_or_insert(outcome);
@@ -231,6 +247,7 @@
             total_ms = self.age_ms(),
             framing = self.framing,
             truncation = self.truncation,
+            cause = self.cause,
             bytes = self.bytes;
             "a request ended"
         );
@@ -272,7 +289,7 @@
                     None => self.request_log.set_outcome(ANSWERED),
                     Some(Err(error)) => {
                         self.request_log.record_incomplete(*error);
-                        self.request_log.set_outcome(FAILED);
+                        self.request_log.record_cut(*error, error.as_str());
                     }
                     Some(Ok(data)) => {
                         self.request_log.record_bytes(data.len());
@@ -288,8 +305,9 @@
         if self.deadline.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
         }
-        self.request_log.set_outcome(FAILED);
-        Poll::Ready(Some(Err(IncompleteResponse::Deadline)))
+        let error = IncompleteResponse::Deadline;
+        self.request_log.record_cut(error, error.as_str());
+        Poll::Ready(Some(Err(error)))
     }
 }
 
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use base::{Clock, Millis};
 use fleet::{Endpoint, FailureKind, LoadReport};
@@ -9,6 +9,7 @@
 use crate::{
     Counters, Exchange, HeaderNames, Inbound, LoadObserver, Pool, Run,
     RunObserver,
+    cause::connection_failure,
     channel::{Channel, closes_connection},
 };
 
@@ -81,6 +82,22 @@
     pub permit: SendPermit,
 }
 
+/// A failure before the response head, with its cause as text for logs.
+#[derive(Clone, Copy)]
+struct SendError {
+    failure: Failure,
+    cause: &'static str,
+}
+
+impl SendError {
+    fn new(failure: Failure, cause: &'static str) -> Self {
+        Self { failure, cause }
+    }
+}
+
+/// A response whose head has arrived, and its connection.
+type Answered = (Channel, http::Response<hyper::body::Incoming>);
+
 /// The dependencies of an offer besides the request.
 pub(crate) struct Dispatcher<'a> {
     pub(crate) names: &'a HeaderNames,
@@ -108,36 +125,35 @@
         );
         let in_flight = InFlightGuard(Some(endpoint));
         let result = time::timeout(offer.wait, self.send(&offer)).await;
-        let result = result.unwrap_or(Err(Failure::Silent));
+        let silent = SendError::new(Failure::Silent, "no answer in time");
+        let result = result.unwrap_or(Err(silent));
         match result {
             Ok((channel, response)) => self
                 .evaluate_response(&offer, in_flight, run, channel, response),
-            Err(failure) => {
-                self.record_failure(&offer, failure);
+            Err(SendError { failure, cause }) => {
+                self.record_failure(&offer, failure, cause);
                 if failure == Failure::Broken {
-                    run.mark_interrupted("", "no response head arrived");
+                    run.mark_interrupted("", cause);
                 }
                 Err(failure)
             }
         }
     }
 
-    async fn send(
-        &self,
-        offer: &Offer<'_>,
-    ) -> Result<(Channel, http::Response<hyper::body::Incoming>), Failure>
-    {
+    async fn send(&self, offer: &Offer<'_>) -> Result<Answered, SendError> {
         // An idle connection may close just as it is reused. The request was
         // not written then, and a new connection is opened immediately.
         if let Some(channel) = self.pool.take(offer.endpoint) {
             match self.send_on(channel, offer).await {
-                Err(Failure::NotSent) => {}
+                Err(error) if error.failure == Failure::NotSent => {}
                 result => return result,
             }
         }
         Counters::add(&self.counters.connections_opened);
         let channel = self.pool.open(offer.endpoint).await;
-        let channel = channel.map_err(|_| Failure::Connect)?;
+        let channel = channel.map_err(|error| {
+            SendError::new(Failure::Connect, connect_failure(&error))
+        })?;
         self.send_on(channel, offer).await
     }
 
@@ -145,24 +161,27 @@
         &self,
         channel: Channel,
         offer: &Offer<'_>,
-    ) -> Result<(Channel, http::Response<hyper::body::Incoming>), Failure>
-    {
+    ) -> Result<Answered, SendError> {
+        let closed = SendError::new(Failure::NotSent, "already closed");
         let id = &offer.endpoint.record().id;
         let outbound =
             offer.request.outbound(self.names, id, offer.resume_after);
         let mut channel = AbortOnDrop(Some(channel));
         let sender = match channel.0.as_mut() {
             Some(channel) => channel.sender(),
-            None => return Err(Failure::NotSent),
+            None => return Err(closed),
         };
         match sender.try_send_request(outbound).await {
             Ok(response) => match channel.0.take() {
                 Some(channel) => Ok((channel, response)),
-                None => Err(Failure::Broken),
+                None => Err(SendError::new(Failure::Broken, "no connection")),
             },
             Err(mut error) => Err(match error.take_message() {
-                Some(_) => Failure::NotSent,
-                None => Failure::Broken,
+                Some(_) => closed,
+                None => SendError::new(
+                    Failure::Broken,
+                    connection_failure(error.error()),
+                ),
             }),
         }
     }
@@ -203,14 +222,19 @@
                 Ok(exchange)
             }
             Some(failure) => {
-                self.record_failure(offer, failure);
+                self.record_failure(offer, failure, "by its head");
                 Err(failure)
             }
         }
     }
 
     /// Records a failure of the endpoint.
-    fn record_failure(&self, offer: &Offer<'_>, failure: Failure) {
+    fn record_failure(
+        &self,
+        offer: &Offer<'_>,
+        failure: Failure,
+        cause: &'static str,
+    ) {
         let now: Millis = self.clock.now();
         offer.endpoint.record_failure(failure.failure_kind(), now);
         let record = offer.endpoint.record();
@@ -222,6 +246,7 @@
             endpoint = record.id.as_str(),
             version = offer.endpoint.version_text(),
             failure:? = failure,
+            cause,
             resume_after = offer.resume_after.unwrap_or(0),
             age_ms = offer.request.arrived().elapsed().as_millis() as u64;
             "an offer to an endpoint failed"
@@ -252,6 +277,15 @@
     }
 }
 
+/// Returns why a connection was not established, as text for logs.
+fn connect_failure(error: &io::Error) -> &'static str {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => "the connection was refused",
+        io::ErrorKind::TimedOut => "no connection in time",
+        _ => "no connection",
+    }
+}
+
 fn check_response(
     status: &StatusCode,
     headers: &HeaderMap,
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -150,6 +150,11 @@
     responses_until_close,
     /// Responses that ended in order, but inside their content.
     responses_truncated,
+    /// Responses that ended after their head and before they were complete,
+    /// while their client was there and its time was not up.
+    responses_cut,
+    /// Streams that were left because their endpoint was silent.
+    streams_left_silent,
     /// Interrupted runs whose endpoint was not examined, because too many
     /// runs were interrupted at once.
     runs_not_examined,
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -11,7 +11,9 @@
 use http_body::Body;
 use hyper::body::Incoming;
 
-use crate::{IncompleteResponse, Pool, Run, channel::Channel};
+use crate::{
+    IncompleteResponse, Pool, Run, cause::connection_failure, channel::Channel,
+};
 
 /// A response of an endpoint that is being read.
 ///
@@ -148,8 +150,7 @@
             match frame {
                 None => return Poll::Ready(self.finish().err().map(Err)),
                 Some(Err(error)) => {
-                    log::debug!(error:%; "a response was interrupted");
-                    self.interrupt("the connection was lost");
+                    self.interrupt(connection_failure(&error));
                     return Poll::Ready(Some(Err(
                         IncompleteResponse::Endpoint,
                     )));
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -339,13 +339,27 @@
         mut history: OfferHistory,
     ) -> Option<Continuation> {
         if history.possible_runs >= request.route().max_attempts() {
+            log::info!(
+                request_id = request.id(),
+                reason = "the route allows no more attempts",
+                attempts = history.possible_runs;
+                "a stream was not resumed"
+            );
             return None;
         }
         let mut sent = Sent::default();
         let result = self.run(request, &mut sent, &mut history).await;
         let exchange = match result {
             Ok(exchange) if exchange.status().is_success() => exchange,
-            Ok(_) => return None,
+            Ok(exchange) => {
+                log::info!(
+                    request_id = request.id(),
+                    reason = "the next endpoint failed",
+                    status = exchange.status().as_u16();
+                    "a stream was not resumed"
+                );
+                return None;
+            }
             Err(refusal) => {
                 log::info!(
                     request_id = request.id(),
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -19,6 +19,7 @@
 mod answer;
 mod attempt;
 mod caller;
+mod cause;
 mod channel;
 mod counters;
 mod customers;
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Counters, EventSplitter, Exchange, Forwarder, IncompleteResponse,
-    answer::{ANSWERED, FAILED, RequestLog, Sent, sleep_until},
+    answer::{ANSWERED, RequestLog, Sent, sleep_until},
     forward::OfferHistory,
 };
 
@@ -42,6 +42,8 @@
     deadline: Pin<Box<Sleep>>,
     stall: Pin<Box<Sleep>>,
     stall_after: Duration,
+    /// Why the stream left its last endpoint.
+    left_for: &'static str,
 }
 
 enum State {
@@ -59,6 +61,9 @@
 /// target or none.
 const MIN_STALL_MS: u64 = 600;
 
+/// Reason for leaving an endpoint that has sent nothing for too long.
+const SILENT: &str = "silent";
+
 impl ResumedBody {
     pub(crate) fn new(
         forwarder: Arc<Forwarder>,
@@ -76,6 +81,7 @@
             deadline: Box::pin(sleep_until(request.ends_at())),
             stall: Box::pin(sleep_until(Instant::now() + stall_after)),
             stall_after,
+            left_for: "",
             forwarder,
             state: State::Reading(Box::new(exchange)),
             request_log,
@@ -88,7 +94,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
-            return self.fail(IncompleteResponse::Deadline);
+            let error = IncompleteResponse::Deadline;
+            return self.fail(error, error.as_str());
         }
         loop {
             match &mut self.state {
@@ -97,7 +104,8 @@
                     match ready!(resuming.as_mut().poll(cx)) {
                         Some(continuation) => self.continue_with(continuation),
                         None => {
-                            return self.fail(IncompleteResponse::Endpoint);
+                            let error = IncompleteResponse::Endpoint;
+                            return self.fail(error, self.left_for);
                         }
                     }
                 }
@@ -106,7 +114,7 @@
                         Poll::Ready(data) => data,
                         Poll::Pending => {
                             ready!(self.stall.as_mut().poll(cx));
-                            self.resume_elsewhere("silent");
+                            self.resume_elsewhere(SILENT);
                             continue;
                         }
                     };
@@ -177,16 +185,29 @@
     fn next_history(&self, after: Option<u64>) -> Option<OfferHistory> {
         match &self.origin {
             None => Some(self.history.after_broken_stream(after, None)),
-            // Events without ids cannot be resumed after.
-            Some(Origin::Bound(_)) if after.is_none() => None,
+            Some(Origin::Bound(_)) if after.is_none() => {
+                self.log_not_resumed("its events have no ids");
+                None
+            }
             Some(Origin::Bound(binding)) => {
                 let binding = Some(binding.clone());
                 Some(self.history.after_broken_stream(after, binding))
             }
-            Some(Origin::Uncertain) => None,
+            Some(Origin::Uncertain) => {
+                self.log_not_resumed("the version of its events is uncertain");
+                None
+            }
         }
     }
 
+    fn log_not_resumed(&self, reason: &'static str) {
+        log::info!(
+            request_id = self.request_log.request.id(),
+            reason;
+            "a stream was not resumed"
+        );
+    }
+
     /// Ends a complete stream; returns its last bytes, if any.
     fn finish(&mut self) -> Option<Bytes> {
         self.state = State::Over;
@@ -231,6 +252,10 @@
     fn resume_elsewhere(&mut self, reason: &'static str) {
         self.splitter.drop_partial();
         self.check_origin();
+        self.left_for = reason;
+        if reason == SILENT {
+            Counters::add(&self.request_log.counters.streams_left_silent);
+        }
         let request = &self.request_log.request;
         let after = self.splitter.last_id();
         log::info!(
@@ -254,8 +279,9 @@
     fn fail(
         &mut self,
         error: IncompleteResponse,
+        cause: &'static str,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
-        self.request_log.set_outcome(FAILED);
+        self.request_log.record_cut(error, cause);
         self.state = State::Over;
         Poll::Ready(Some(Err(error)))
     }
