--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -39,6 +39,18 @@
     Close,
     /// Writes nothing until the client disconnects.
     Silent,
+    /// Performs steps, and keeps the connection open.
+    Paced(Vec<Step>),
+}
+
+/// One step of a response.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Writes these bytes, with `ID` replaced by the request's id.
+    Write(String),
+    /// Falls silent for a number of milliseconds; ends the response if the
+    /// client disconnects meanwhile.
+    Pause(u64),
 }
 
 /// An endpoint on a loopback port.
@@ -111,11 +123,42 @@
                 *disconnects.lock().expect("lock") += 1;
                 return;
             }
+            Some(Act::Paced(steps)) => {
+                if perform(&mut stream, &steps, &id).await.is_none() {
+                    *disconnects.lock().expect("lock") += 1;
+                    return;
+                }
+            }
             Some(Act::Close) | None => return,
         }
     }
 }
 
+/// Performs steps; returns `None` if the client disconnects.
+async fn perform(
+    stream: &mut TcpStream,
+    steps: &[Step],
+    id: &str,
+) -> Option<()> {
+    for step in steps {
+        match step {
+            Step::Write(text) => {
+                let text = text.replace("ID", id);
+                stream.write_all(text.as_bytes()).await.ok()?;
+            }
+            Step::Pause(ms) => {
+                let mut byte = [0];
+                let pause = Duration::from_millis(*ms);
+                let read = timeout(pause, stream.read(&mut byte)).await;
+                if matches!(read, Ok(Ok(0) | Err(_))) {
+                    return None;
+                }
+            }
+        }
+    }
+    Some(())
+}
+
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0; 1];
@@ -273,6 +316,24 @@
     id: &str,
     route: Route,
     headers: &[(&str, &str)],
+) -> Inbound {
+    inbound(id, route, headers, Bytes::from_static(b"the body"))
+}
+
+/// Creates a request with a body and the longest deadline.
+pub(crate) fn request_with_body(
+    id: &str,
+    route: Route,
+    body: Bytes,
+) -> Inbound {
+    inbound(id, route, &[("x-deadline", "60000")], body)
+}
+
+fn inbound(
+    id: &str,
+    route: Route,
+    headers: &[(&str, &str)],
+    body: Bytes,
 ) -> Inbound {
     let mut builder = Request::builder();
     for (name, value) in headers {
@@ -290,7 +351,6 @@
         .body(())
         .expect("request");
     let (parts, ()) = request.into_parts();
-    let body = Bytes::from_static(b"the body");
     let admitted = Admitted::item("alama".parse().ok());
     let now = Instant::now();
     Inbound::new(parts, body, Arc::new(route), &names(), now, admitted)
