Keep connections with a request through pauses of their endpoint

Callers saw 502 after 1.5 s, and answers cut after their head, while their endpoint was sound: the path to it was broken for a second or two, or it read nothing.

Cause: connections to endpoints carried a kernel time-out of 1.5 s for unacknowledged bytes and unanswered probes. It was made for connections that never come back, and ended whatever was under way on the others.

Change: the time-out is 1.5 s while a connection is idle and 5 s while an endpoint has a request on it. The number of keep-alive probes no longer decides: some kernels count them from the last data, so that connections that had been idle before a pause ended at once.

--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -166,6 +166,7 @@
         let id = &offer.endpoint.record().id;
         let outbound =
             offer.request.outbound(self.names, id, offer.resume_after);
+        channel.mark_busy(self.pool.options());
         let mut channel = AbortOnDrop(Some(channel));
         let sender = match channel.0.as_mut() {
             Some(channel) => channel.sender(),
--- a/crates/pass/src/channel.rs
+++ b/crates/pass/src/channel.rs
@@ -1,6 +1,7 @@
 use std::{
     io,
     net::SocketAddr,
+    sync::{Arc, Weak},
     time::{Duration, Instant},
 };
 
@@ -12,6 +13,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
+use crate::shared_stream::SharedStream;
+
 /// Limits of the connections to endpoints.
 ///
 /// # Example
@@ -21,14 +24,19 @@
 ///
 /// let options = ChannelOptions::default();
 /// assert!(options.connect_timeout_ms < options.silence_ms);
+/// assert!(options.silence_ms < options.request_silence_ms);
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ChannelOptions {
     /// Timeout for opening a connection.
     pub connect_timeout_ms: u64,
     /// Time that sent bytes may stay unacknowledged, or an idle peer silent,
-    /// before the connection counts as dead.
+    /// before a connection without a request at an endpoint counts as dead.
     pub silence_ms: u64,
+    /// The same while an endpoint has a request on the connection. A sound
+    /// endpoint may be silent, or the path to it broken, for a few seconds,
+    /// and its response is lost with the connection.
+    pub request_silence_ms: u64,
     /// Time before the idle timeout of the endpoint at which an idle
     /// connection is discarded.
     pub idle_margin_ms: u64,
@@ -38,11 +46,14 @@
     /// A new connection inside a region takes a few milliseconds, and a lost
     /// SYN packet is retransmitted after one second: waiting longer than
     /// 400 ms costs more than trying another endpoint. A silence of 1,500 ms
-    /// covers several retransmissions.
+    /// covers several retransmissions; a dead connection without a request
+    /// costs only a new one. With a request, the limit covers pauses of three
+    /// seconds and the retransmission that follows them.
     fn default() -> Self {
         Self {
             connect_timeout_ms: 400,
             silence_ms: 1_500,
+            request_silence_ms: 5_000,
             idle_margin_ms: 400,
         }
     }
@@ -53,6 +64,8 @@
 pub(crate) struct Channel {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Weak, so that the socket closes when its connection ends.
+    stream: Weak<TcpStream>,
     idle_since: Instant,
     max_idle: Option<Duration>,
 }
@@ -69,7 +82,7 @@
 ) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(silence_ms)))?;
+    set_user_timeout(stream, silence_ms)?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
@@ -80,8 +93,16 @@
 /// Minimum keep-alive interval that the kernel accepts.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
-/// Unanswered keep-alive probes after which the connection counts as dead.
-const KEEPALIVE_RETRIES: u32 = 2;
+/// Unanswered keep-alive probes after which a connection counts as dead where
+/// the limit in milliseconds does not decide that: more than fit into it, since
+/// some systems count them from the last data and not from the last reply.
+const KEEPALIVE_RETRIES: u32 = 60;
+
+/// Sets how long sent bytes and probes may stay unacknowledged.
+fn set_user_timeout(stream: &TcpStream, silence_ms: u64) -> io::Result<()> {
+    let silence = Duration::from_millis(silence_ms);
+    SockRef::from(stream).set_tcp_user_timeout(Some(silence))
+}
 
 impl Channel {
     /// Opens a connection.
@@ -93,9 +114,11 @@
         let stream =
             time::timeout(wait, TcpStream::connect(address)).await??;
         set_silence_timeout(&stream, options.silence_ms)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+        let stream = Arc::new(stream);
+        let handle = Arc::downgrade(&stream);
+        let io = TokioIo::new(SharedStream::new(stream));
+        let (sender, connection) =
+            http1::handshake(io).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(
@@ -108,6 +131,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            stream: handle,
             idle_since: Instant::now(),
             max_idle: None,
         })
@@ -131,9 +155,24 @@
         self.max_idle = Some(timeout.saturating_sub(margin));
     }
 
+    /// Records that an endpoint gets a request on the connection.
+    pub(crate) fn mark_busy(&self, options: &ChannelOptions) {
+        self.set_silence(options.request_silence_ms);
+    }
+
     /// Starts the idle timer.
-    pub(crate) fn mark_idle(&mut self) {
+    pub(crate) fn mark_idle(&mut self, options: &ChannelOptions) {
         self.idle_since = Instant::now();
+        self.set_silence(options.silence_ms);
+    }
+
+    fn set_silence(&self, silence_ms: u64) {
+        let Some(stream) = self.stream.upgrade() else {
+            return;
+        };
+        if let Err(error) = set_user_timeout(&stream, silence_ms) {
+            log::debug!(error:%; "a connection keeps its former time-out");
+        }
     }
 
     /// Returns whether the connection must not be reused.
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -38,6 +38,7 @@
 mod resume;
 mod returns;
 mod run;
+mod shared_stream;
 
 pub use crate::{
     answer::ResponseBody,
--- a/crates/pass/src/pool.rs
+++ b/crates/pass/src/pool.rs
@@ -119,7 +119,7 @@
 
     /// Returns a connection to the pool after a complete response.
     pub(crate) fn release(&self, endpoint: &Endpoint, mut channel: Channel) {
-        channel.mark_idle();
+        channel.mark_idle(&self.options);
         let mut incarnations = self.lock();
         let idle = &mut incarnations
             .entry(endpoint.incarnation_key())
