Let a request leave a silent endpoint only once another endpoint answers

Cause: to avoid an endpoint and to give up the answer under way there were one decision. After 600 ms without an event the response was dropped, after two or four latency targets the request, and only then was another endpoint looked for. If the attempts were used up, no endpoint was free, none had the version, or the origin was uncertain, the answer ended.

Change: a silent endpoint is avoided for new requests, for a time that does not grow with the number of its requests that report it. What it holds stays. Meanwhile the request is offered to another endpoint that has a free slot, is no suspect, does not drain and has the version; the first one that answers keeps the request, and the other connection is closed. Offers that are cancelled count as runs.

--- a/crates/bench/benches/growth/front.rs
+++ b/crates/bench/benches/growth/front.rs
@@ -62,6 +62,7 @@
         failure_domain: "zone-0",
         affinity,
         tried: &[],
+        under_way: &[],
         queue_allowance: 0,
         binding: None,
     }
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -31,6 +31,10 @@
     pub affinity: u64,
     /// Ids of endpoints that must not be chosen again.
     pub tried: &'a [String],
+    /// Ids of the endpoints at which the request is under way. If there are
+    /// any, the request can stay where it is, so none of them is chosen again,
+    /// and no endpoint with recent failures or that drains.
+    pub under_way: &'a [String],
     /// Number of requests that may wait at an endpoint beyond its slots.
     pub queue_allowance: u32,
     /// The service and version that began the stream, if the request resumes
@@ -87,7 +91,8 @@
     /// A resumed stream goes only to endpoints of its own version, also to
     /// those outside the selection. If no other is left, it goes to one that
     /// has just begun to drain, or that was tried before: without a run there
-    /// the stream is lost.
+    /// the stream is lost. A request that is under way somewhere goes to
+    /// neither.
     ///
     /// The number of considered endpoints is bounded regardless of the size of
     /// the service, so a request costs the same in a large fleet.
@@ -119,10 +124,11 @@
             if search.draw.is_empty() {
                 search.consider_version(self, binding, start);
             }
-            if search.draw.is_empty() {
+            let is_last_resort = query.under_way.is_empty();
+            if search.draw.is_empty() && is_last_resort {
                 search.consider_draining(self, binding);
             }
-            if search.draw.is_empty() && !search.full {
+            if search.draw.is_empty() && !search.full && is_last_resort {
                 search.allows_tried = true;
                 search.consider_version(self, binding, start);
             }
@@ -164,6 +170,9 @@
         if !self.allows_tried && self.query.tried.contains(&record.id) {
             return;
         }
+        if self.loses_place_at(endpoint) {
+            return;
+        }
         let binding = self.query.binding;
         if binding.is_some_and(|binding| !binding.permits(record)) {
             return;
@@ -182,6 +191,15 @@
         });
     }
 
+    /// Reports whether a request that is under way gains nothing at an
+    /// endpoint.
+    fn loses_place_at(&self, endpoint: &Endpoint) -> bool {
+        let under_way = self.query.under_way;
+        !under_way.is_empty()
+            && (under_way.contains(&endpoint.record().id)
+                || endpoint.is_suspect(self.now))
+    }
+
     /// Considers endpoints of a version, whether selected or not.
     fn consider_version(
         &mut self,
--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -3,6 +3,9 @@
 pub enum FailureKind {
     /// No connection, or no response on it: the endpoint is probably gone.
     Unreachable,
+    /// A connection, and no response on it for a while: the endpoint may be
+    /// sound and go on.
+    Silent,
     /// A response that was truncated or invalid.
     BadResponse,
     /// The endpoint reported that it is full.
@@ -13,6 +16,10 @@
 /// takes at least about this long.
 const UNREACHABLE_BACKOFF_MS: u64 = 500;
 
+/// Backoff for a silent endpoint, in milliseconds. It does not grow: all
+/// requests that an endpoint holds report its silence at about the same time.
+const SILENT_BACKOFF_MS: u64 = 500;
+
 /// Initial backoff after a bad response, in milliseconds. Healthy endpoints
 /// produce a bad response now and then, so the backoff only spreads the next
 /// requests over other endpoints.
@@ -52,6 +59,7 @@
             FailureKind::BadResponse => {
                 doubled(BAD_RESPONSE_BACKOFF_MS).min(MAX_BACKOFF_MS)
             }
+            FailureKind::Silent => SILENT_BACKOFF_MS,
             FailureKind::Full => FULL_BACKOFF_MS,
         }
     }
--- a/crates/fleet/tests/burst.rs
+++ b/crates/fleet/tests/burst.rs
@@ -136,6 +136,7 @@
                 failure_domain: "east",
                 affinity: random.below(1_000),
                 tried: &[],
+                under_way: &[],
                 queue_allowance: 1,
                 binding: None,
             };
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -27,6 +27,7 @@
         failure_domain: "east",
         affinity: 7,
         tried,
+        under_way: &[],
         queue_allowance: 2,
         binding: None,
     }
@@ -246,3 +247,33 @@
         "{counts:?}"
     );
 }
+
+/// Guards against a second run where the first one is, and against requests
+/// that leave a silent endpoint for another one that may not answer either.
+#[test]
+fn a_request_under_way_goes_to_a_sound_endpoint_or_to_none() {
+    let (holder, other) = (endpoint("a", "east"), endpoint("b", "east"));
+    let table = EndpointTable::new([holder, other.clone()]);
+    let under_way = ["a".to_owned()];
+    let query = EndpointQuery {
+        under_way: &under_way,
+        ..query(&[])
+    };
+    assert_eq!(chosen(&table, &query), "b");
+    other.record_failure(FailureKind::Silent, NOW);
+    let none = Some(ChooseError::NoEndpoint);
+    assert_eq!(choose_error(&table, &query), none);
+    other.record_success();
+    assert_eq!(chosen(&table, &query), "b");
+}
+
+/// Guards against sound endpoints that are avoided for long after a pause,
+/// because each of their requests reports it.
+#[test]
+fn a_silence_that_many_requests_report_counts_like_one() {
+    let paused = endpoint("a", "east");
+    (0..20).for_each(|_| paused.record_failure(FailureKind::Silent, NOW));
+    assert!(paused.is_suspect(NOW));
+    let later = NOW.saturating_add_ms(1_000);
+    assert!(!paused.is_suspect(later));
+}
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -40,6 +40,7 @@
         failure_domain: "east",
         affinity: 7,
         tried,
+        under_way: &[],
         queue_allowance: 4,
         binding: Some(binding),
     }
@@ -217,3 +218,24 @@
     let tried = ["b".to_owned()];
     assert_eq!(choose(&table, &query(&bound, &tried)), Ok("a".to_owned()));
 }
+
+/// Guards against streams that leave a silent endpoint for one that drains,
+/// or that return to one that failed.
+#[test]
+fn a_stream_under_way_stays_rather_than_take_the_last_choice() {
+    let (bound, none) = (binding("v1"), []);
+    let under_way = ["holder".to_owned()];
+    let draining = draining_since(9_900).table();
+    let stays = EndpointQuery {
+        under_way: &under_way,
+        ..query(&bound, &none)
+    };
+    assert!(choose(&draining, &stays).is_err());
+    let table = EndpointTable::new([endpoint("a", "v1")]);
+    let tried = ["a".to_owned()];
+    let returns = EndpointQuery {
+        tried: &tried,
+        ..stays
+    };
+    assert!(choose(&table, &returns).is_err());
+}
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -61,7 +61,8 @@
 
     fn failure_kind(self) -> FailureKind {
         match self {
-            Failure::Connect | Failure::Silent => FailureKind::Unreachable,
+            Failure::Connect => FailureKind::Unreachable,
+            Failure::Silent => FailureKind::Silent,
             Failure::NotExecuted(_) => FailureKind::Full,
             _ => FailureKind::BadResponse,
         }
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -153,7 +153,9 @@
     /// Responses that ended after their head and before they were complete,
     /// while their client was there and its time was not up.
     responses_cut,
-    /// Streams that were left because their endpoint was silent.
+    /// Endpoints that were avoided because they were silent about a request.
+    silences,
+    /// Streams that another endpoint took because their own was silent.
     streams_left_silent,
     /// Interrupted runs whose endpoint was not examined, because too many
     /// runs were interrupted at once.
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -1,14 +1,13 @@
 mod capacity;
 mod history;
+mod offers;
 mod options;
 mod origin;
 
 use std::{fmt, sync::Arc, time::Duration};
 
 use base::{Clock, Snapshot};
-use fleet::{
-    ChooseError, Endpoint, EndpointTable, Route, RouteKind, Selection,
-};
+use fleet::{Endpoint, EndpointTable, RouteKind, Selection};
 use framing::Framing;
 use http::Response;
 use quarantine::{Quarantine, QuarantineOptions, Quarantined, SendPermit};
@@ -18,7 +17,7 @@
 pub use self::options::ForwarderOptions;
 use crate::{
     Counters, Exchange, Failure, HeaderNames, Inbound, LoadObserver,
-    LocalOrigins, NoopObserver, Offer, Pool, Refusal, ResponseBody,
+    LocalOrigins, NoopObserver, Offer, Pool, ResponseBody,
     RetryAfterEstimator, RunObserver, StreamOrigins,
     answer::{FAILED, ForwardedBody, REFUSED, RequestLog, Sent},
     attempt::Dispatcher,
@@ -53,19 +52,6 @@
     pub revision: u64,
 }
 
-/// Added to the timeout of the last offer, so that the timer of the whole
-/// request fires first.
-const LAST_ATTEMPT_MARGIN: Duration = Duration::from_secs(1);
-
-/// Timeout of one offer of an idempotent request that has other endpoints
-/// left, in multiples of its latency objective.
-const IDEMPOTENT_WAIT_TARGETS: u64 = 2;
-
-/// Timeout for the first event of a resumable stream, in multiples of its
-/// latency objective: longer than a full queue takes, so that load alone
-/// does not move a request.
-const STREAM_WAIT_TARGETS: u64 = 4;
-
 impl Forwarder {
     /// Creates a forwarder that selects among `endpoints`.
     pub fn new(
@@ -220,75 +206,6 @@
         response
     }
 
-    pub(super) async fn run(
-        &self,
-        request: &Arc<Inbound>,
-        sent: &mut Sent,
-        history: &mut OfferHistory,
-    ) -> Result<Exchange, Refusal> {
-        loop {
-            let choice =
-                self.wait_for_capacity(request, sent, history).await?;
-            let permit = self.obtain_permit(request).await;
-            let permit =
-                permit.map_err(|held| refuse_quarantined(held, history))?;
-            let id = choice.endpoint.record().id.clone();
-            sent.endpoint.clone_from(&id);
-            choice.endpoint.version_text().clone_into(&mut sent.version);
-            sent.estimated_load = choice.estimated_load;
-            sent.waited_ms = request.arrived().elapsed().as_millis() as u64;
-            sent.offers += 1;
-            if sent.offers > 1 {
-                Counters::add(&self.counters.retried);
-            }
-            history.begin_offer(id);
-            let offer = Offer {
-                request,
-                endpoint: &choice.endpoint,
-                resume_after: history.resume_after,
-                wait: self.offer_timeout(request, history),
-                permit,
-            };
-            match self.dispatcher().dispatch(offer).await {
-                Ok(exchange) => {
-                    history.record_run();
-                    if !should_retry(request.route(), &exchange, history) {
-                        return Ok(exchange);
-                    }
-                }
-                Err(failure) => history.record(failure, request.route())?,
-            }
-            if history.offers >= self.options.max_offers {
-                return Err(self.refuse(
-                    ChooseError::AllFull,
-                    request,
-                    history,
-                ));
-            }
-        }
-    }
-
-    /// Returns the timeout for the response head at one endpoint.
-    fn offer_timeout(
-        &self,
-        request: &Inbound,
-        history: &OfferHistory,
-    ) -> Duration {
-        let remaining = request.remaining();
-        let route = request.route();
-        let is_last = history.possible_runs + 1 >= route.max_attempts();
-        if !route.kind().is_repeatable() || is_last {
-            // The timer of the whole request ends it with its own outcome.
-            return remaining + LAST_ATTEMPT_MARGIN;
-        }
-        let times = match route.kind().is_stream() {
-            true => STREAM_WAIT_TARGETS,
-            false => IDEMPOTENT_WAIT_TARGETS,
-        };
-        let wait = Duration::from_millis(route.target_latency_ms() * times);
-        wait.min(remaining)
-    }
-
     /// Offers a request once to an endpoint that the caller has selected.
     ///
     /// # Errors
@@ -338,15 +255,6 @@
         request: &Arc<Inbound>,
         mut history: OfferHistory,
     ) -> Option<Continuation> {
-        if history.possible_runs >= request.route().max_attempts() {
-            log::info!(
-                request_id = request.id(),
-                reason = "the route allows no more attempts",
-                attempts = history.possible_runs;
-                "a stream was not resumed"
-            );
-            return None;
-        }
         let mut sent = Sent::default();
         let result = self.run(request, &mut sent, &mut history).await;
         let exchange = match result {
@@ -388,27 +296,6 @@
     }
 }
 
-/// Refuses a poison request. An earlier offer of this request may itself have
-/// run at an endpoint that crashed.
-fn refuse_quarantined(held: Quarantined, history: &OfferHistory) -> Refusal {
-    const REASON: &str = "endpoints crash when they run this request";
-    match history.possible_runs {
-        0 => Refusal::not_run(REASON).with_retry_after_ms(held.for_ms),
-        _ => Refusal::unknown(REASON),
-    }
-}
-
-/// Returns whether another endpoint should be tried after an error response.
-fn should_retry(
-    route: &Route,
-    exchange: &Exchange,
-    history: &OfferHistory,
-) -> bool {
-    exchange.status().is_server_error()
-        && route.kind().is_repeatable()
-        && history.possible_runs < route.max_attempts()
-}
-
 impl fmt::Debug for Forwarder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Forwarder")
--- a/crates/pass/src/forward/capacity.rs
+++ b/crates/pass/src/forward/capacity.rs
@@ -16,6 +16,10 @@
 /// Interval between two checks for free capacity.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval between two searches for another endpoint of a request that is
+/// under way.
+pub(super) const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Forwarder {
     /// Refuses a request for lack of capacity; it may have run before.
     pub(super) fn refuse(
@@ -24,7 +28,7 @@
         request: &Inbound,
         history: &OfferHistory,
     ) -> Refusal {
-        if history.possible_runs > 0 {
+        if history.possible_runs() > 0 {
             return Refusal::unknown("no other endpoint is left");
         }
         if self.is_version_gone(verdict, history) {
@@ -62,7 +66,8 @@
             && !self.endpoints.load().table.is_empty()
     }
 
-    /// Waits a short time for an endpoint with free capacity.
+    /// Waits for an endpoint with free capacity: a short time, or as long as
+    /// it takes if the request is under way elsewhere.
     pub(super) async fn wait_for_capacity(
         &self,
         request: &Inbound,
@@ -73,7 +78,9 @@
         let max_wait_ms =
             route.target_latency_ms() / self.options.queue_wait_divisor;
         let max_wait = Duration::from_millis(max_wait_ms);
+        let is_under_way = !history.under_way.is_empty();
         let give_up_at = match &history.binding {
+            _ if is_under_way => request.ends_at(),
             // A refusal ends the stream for good. Its client accepts pauses.
             Some(_) => {
                 let pause = Duration::from_millis(route.gap_target_ms());
@@ -81,6 +88,10 @@
             }
             None => request.arrived() + max_wait,
         };
+        let interval = match is_under_way {
+            true => SEARCH_INTERVAL,
+            false => CAPACITY_POLL_INTERVAL,
+        };
         loop {
             let verdict = match self.choose(request, sent, history) {
                 Ok(choice) => return Ok(choice),
@@ -90,11 +101,11 @@
             if is_final || Instant::now() >= give_up_at {
                 return Err(self.refuse(verdict, request, history));
             }
-            time::sleep(CAPACITY_POLL_INTERVAL).await;
+            time::sleep(interval).await;
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         request: &Inbound,
         sent: &mut Sent,
@@ -118,8 +129,10 @@
             failure_domain: &self.failure_domain,
             affinity: request.affinity(),
             tried: &history.tried,
+            under_way: &history.under_way,
             binding,
             queue_allowance: match (route.kind().is_stream(), can_queue) {
+                _ if !history.under_way.is_empty() => 0,
                 (true, false) => self.options.stream_queue,
                 (true, true) => self.options.retry_queue,
                 (false, _) => self.options.plain_queue,
--- a/crates/pass/src/forward/history.rs
+++ b/crates/pass/src/forward/history.rs
@@ -1,4 +1,7 @@
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
 
 use fleet::{Route, VersionBinding};
 
@@ -9,10 +12,12 @@
 pub(crate) struct OfferHistory {
     /// Ids of the endpoints that got an offer.
     pub(super) tried: Vec<String>,
+    /// Ids of the endpoints at which the request is under way.
+    pub(super) under_way: Vec<String>,
     pub(super) offers: u32,
-    /// Offers that ran or may have run.
-    pub(super) possible_runs: u32,
-    in_progress: bool,
+    /// Offers that ran, may have run or are under way. All searches of a
+    /// request share it, since one that is cancelled may leave a run.
+    possible_runs: Arc<AtomicU32>,
     pub(super) resume_after: Option<u64>,
     /// The service and version that generated the events that the client has;
     /// none before the first event.
@@ -27,16 +32,19 @@
         }
     }
 
-    /// Returns the state from which an interrupted stream resumes: the
-    /// interrupted run counts, and the stream continues after its last event.
-    pub(crate) fn after_broken_stream(
+    /// Returns the state from which a stream resumes after an event. All runs
+    /// so far count, and the endpoint that still holds the stream, if any, is
+    /// not chosen.
+    pub(crate) fn after_event(
         &self,
         after: Option<u64>,
         binding: Option<Arc<VersionBinding>>,
+        holder: Option<String>,
     ) -> Self {
         Self {
             resume_after: after,
             binding,
+            under_way: holder.into_iter().collect(),
             ..self.clone()
         }
     }
@@ -46,39 +54,49 @@
         self.binding.as_ref()
     }
 
-    pub(super) fn begin_offer(&mut self, endpoint: String) {
-        self.tried.push(endpoint);
+    /// Reports whether the request may run once more.
+    pub(crate) fn allows_run(&self, route: &Route) -> bool {
+        self.possible_runs() < route.max_attempts()
+    }
+
+    /// Returns the number of offers that ran, may have run or are under way.
+    pub(super) fn possible_runs(&self) -> u32 {
+        self.possible_runs.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn begin_offer(&mut self, endpoint: &str) {
+        self.tried.push(endpoint.to_owned());
+        self.under_way.push(endpoint.to_owned());
         self.offers += 1;
-        self.in_progress = true;
+        self.possible_runs.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(super) fn record_run(&mut self) {
-        self.in_progress = false;
-        self.possible_runs += 1;
+    /// Records that an endpoint has answered.
+    pub(super) fn record_answer(&mut self, endpoint: &str) {
+        self.under_way.retain(|id| id != endpoint);
     }
 
-    /// Counts a failed offer, or ends the request if it must not be
-    /// retried.
+    /// Records a failed offer. The error ends the request, unless it is under
+    /// way elsewhere, because it must not run again.
     pub(super) fn record(
         &mut self,
+        endpoint: &str,
         failure: Failure,
         route: &Route,
     ) -> Result<(), Refusal> {
-        self.in_progress = false;
+        self.under_way.retain(|id| id != endpoint);
         if failure.is_known_not_run() {
+            self.possible_runs.fetch_sub(1, Ordering::Relaxed);
             return Ok(());
         }
-        self.record_run();
-        if route.kind().is_repeatable()
-            && self.possible_runs < route.max_attempts()
-        {
+        if route.kind().is_repeatable() && self.allows_run(route) {
             return Ok(());
         }
         Err(Refusal::unknown("the endpoint's answer is lost"))
     }
 
     pub(super) fn timeout_refusal(&self) -> Refusal {
-        match self.possible_runs > 0 || self.in_progress {
+        match self.possible_runs() > 0 {
             true => Refusal::timed_out("the time of the request is up"),
             false => Refusal::not_run("the time of the request is up"),
         }
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -16,8 +16,6 @@
     forward::OfferHistory,
 };
 
-type Resuming = Pin<Box<dyn Future<Output = Option<Continuation>> + Send>>;
-
 /// A stream that was resumed at another endpoint.
 pub(crate) struct Continuation {
     pub(crate) exchange: Exchange,
@@ -25,43 +23,51 @@
     pub(crate) history: OfferHistory,
 }
 
-/// A stream that resumes at another endpoint when its endpoint fails.
+/// A stream that resumes at another endpoint when its endpoint fails, or when
+/// it is silent and another one has answered.
 ///
 /// Only complete events are forwarded, so that the next endpoint can start
 /// after the last of them. The first event binds the stream to the service and
 /// version of its endpoint, in this response and for the client's next
 /// attempts.
+///
+/// A sound endpoint may fall silent for a while, so a silence alone does not
+/// end the response: if the endpoint goes on first, it keeps the stream.
 pub(crate) struct ResumedBody {
     forwarder: Arc<Forwarder>,
-    state: State,
+    /// The response under way; none once it has failed.
+    source: Option<Box<Exchange>>,
+    search: Option<Search>,
+    is_over: bool,
     splitter: EventSplitter,
     request_log: RequestLog,
     history: OfferHistory,
     /// The origin of the events that the client has; none before the first.
     origin: Option<Origin>,
     deadline: Pin<Box<Sleep>>,
-    stall: Pin<Box<Sleep>>,
-    stall_after: Duration,
-    /// Why the stream left its last endpoint.
-    left_for: &'static str,
+    silence: Pin<Box<Sleep>>,
+    silent_after: Duration,
+    /// Why the stream leaves its endpoint, or looks for another one.
+    reason: &'static str,
 }
 
-enum State {
-    Reading(Box<Exchange>),
-    Resuming(Resuming),
-    Over,
+/// The search for an endpoint that takes a stream.
+struct Search {
+    found: Pin<Box<dyn Future<Output = Option<Continuation>> + Send>>,
+    /// Whether the stream has no endpoint any more.
+    is_urgent: bool,
 }
 
 /// Pause of a stream after which its endpoint counts as silent, in multiples
 /// of the pause that the route allows: an engine that preempts a run and
 /// recomputes its prompt takes about two.
-const STALL_GAPS: u64 = 3;
+const SILENT_GAPS: u64 = 3;
 
 /// Minimum of that pause in milliseconds, for routes with a short pause
 /// target or none.
-const MIN_STALL_MS: u64 = 600;
+const MIN_SILENT_MS: u64 = 600;
 
-/// Reason for leaving an endpoint that has sent nothing for too long.
+/// Reason for a search while the endpoint sends nothing.
 const SILENT: &str = "silent";
 
 impl ResumedBody {
@@ -72,18 +78,20 @@
         history: OfferHistory,
     ) -> Self {
         let request = &request_log.request;
-        let stall_ms =
-            (request.route().gap_target_ms() * STALL_GAPS).max(MIN_STALL_MS);
-        let stall_after = Duration::from_millis(stall_ms);
+        let gap_target_ms = request.route().gap_target_ms();
+        let silent_ms = gap_target_ms.saturating_mul(SILENT_GAPS);
+        let silent_after = Duration::from_millis(silent_ms.max(MIN_SILENT_MS));
         Self {
             origin: history.binding().cloned().map(Origin::Bound),
             splitter: EventSplitter::new(request.resume_after()),
             deadline: Box::pin(sleep_until(request.ends_at())),
-            stall: Box::pin(sleep_until(Instant::now() + stall_after)),
-            stall_after,
-            left_for: "",
+            silence: Box::pin(sleep_until(Instant::now() + silent_after)),
+            silent_after,
+            reason: "",
             forwarder,
-            state: State::Reading(Box::new(exchange)),
+            source: Some(Box::new(exchange)),
+            search: None,
+            is_over: false,
             request_log,
             history,
         }
@@ -97,67 +105,92 @@
             let error = IncompleteResponse::Deadline;
             return self.fail(error, error.as_str());
         }
-        loop {
-            match &mut self.state {
-                State::Over => return Poll::Ready(None),
-                State::Resuming(resuming) => {
-                    match ready!(resuming.as_mut().poll(cx)) {
-                        Some(continuation) => self.continue_with(continuation),
-                        None => {
-                            let error = IncompleteResponse::Endpoint;
-                            return self.fail(error, self.left_for);
-                        }
+        while !self.is_over {
+            if let Some(source) = &mut self.source {
+                match source.poll_data(cx) {
+                    Poll::Pending => {}
+                    Poll::Ready(None) => {
+                        return Poll::Ready(self.finish().map(Ok));
                     }
-                }
-                State::Reading(exchange) => {
-                    let data = match exchange.poll_data(cx) {
-                        Poll::Ready(data) => data,
-                        Poll::Pending => {
-                            ready!(self.stall.as_mut().poll(cx));
-                            self.resume_elsewhere(SILENT);
-                            continue;
-                        }
-                    };
-                    match data {
-                        Some(Ok(chunk)) => {
-                            let events = self.pass_on(chunk);
-                            self.report_progress();
-                            if let Some(events) = events {
+                    Poll::Ready(Some(Ok(chunk))) => {
+                        match self.pass_on(chunk) {
+                            Some(events) => {
                                 return Poll::Ready(Some(Ok(events)));
                             }
+                            None => continue,
                         }
-                        Some(Err(error)) => {
-                            self.request_log.record_incomplete(error);
-                            self.resume_elsewhere(error.as_str());
-                        }
-                        None => return Poll::Ready(self.finish().map(Ok)),
+                    }
+                    Poll::Ready(Some(Err(error))) => {
+                        self.leave_failed(error);
+                        continue;
                     }
                 }
             }
+            if let Some(search) = &mut self.search {
+                let found = ready!(search.found.as_mut().poll(cx));
+                let was_urgent = search.is_urgent;
+                self.search = None;
+                match found.filter(|_| self.has_certain_origin()) {
+                    Some(continuation) => self.continue_with(continuation),
+                    None if self.source.is_some() => self.restart_timer(),
+                    None if was_urgent => {
+                        let error = IncompleteResponse::Endpoint;
+                        return self.fail(error, self.reason);
+                    }
+                    None => self.search_urgently(),
+                }
+                continue;
+            }
+            ready!(self.silence.as_mut().poll(cx));
+            self.look_elsewhere();
         }
+        Poll::Ready(None)
     }
 
     fn pass_on(&mut self, chunk: Bytes) -> Option<Bytes> {
-        let stall_at = tokio::time::Instant::now() + self.stall_after;
-        self.stall.as_mut().reset(stall_at);
+        self.restart_timer();
+        self.end_search();
         let split = self.splitter.push(chunk);
-        if split.events.is_empty() {
-            return None;
+        let has_events = !split.events.is_empty();
+        if has_events {
+            self.request_log.record_bytes(split.events.len());
+            if self.origin.is_none() && has_event(&split.events) {
+                self.bind();
+            }
         }
-        self.request_log.record_bytes(split.events.len());
-        if self.origin.is_none() && has_event(&split.events) {
-            self.bind();
+        self.report_progress();
+        has_events.then_some(split.events)
+    }
+
+    /// Ends the search for another endpoint, since the first one has gone on.
+    /// A run that the search has begun is cancelled.
+    fn end_search(&mut self) {
+        if self.search.take().is_some() {
+            if let Some(source) = &self.source {
+                source.endpoint().record_success();
+            }
+            log::info!(
+                request_id = self.request_log.request.id(),
+                endpoint = self.request_log.sent.endpoint.as_str(),
+                after = self.splitter.last_id().unwrap_or(0),
+                age_ms = self.request_log.age_ms();
+                "a silent stream goes on"
+            );
         }
-        Some(split.events)
+    }
+
+    fn restart_timer(&mut self) {
+        let silent_at = tokio::time::Instant::now() + self.silent_after;
+        self.silence.as_mut().reset(silent_at);
     }
 
     /// Binds the stream to the endpoint that has sent its first event, before
     /// the client has it.
     fn bind(&mut self) {
-        let State::Reading(exchange) = &self.state else {
+        let Some(source) = &self.source else {
             return;
         };
-        let endpoint = exchange.endpoint();
+        let endpoint = source.endpoint();
         let origin = match endpoint.has_changed_version() {
             true => Origin::Uncertain,
             false => Origin::of(endpoint.record()),
@@ -167,50 +200,53 @@
         self.origin = Some(origin);
     }
 
+    /// Reports whether another endpoint may continue the stream, as far as the
+    /// version of its events is concerned.
+    fn has_certain_origin(&mut self) -> bool {
+        self.check_origin();
+        !matches!(self.origin, Some(Origin::Uncertain))
+    }
+
     /// Unbinds the stream if its endpoint has changed its version meanwhile:
     /// its events may be those of either version.
     fn check_origin(&mut self) {
-        let State::Reading(exchange) = &self.state else {
+        let Some(source) = &self.source else {
             return;
         };
-        if self.origin.is_some() && exchange.endpoint().has_changed_version() {
+        if self.origin.is_some() && source.endpoint().has_changed_version() {
             let request = &self.request_log.request;
             self.forwarder.record_origin(request, Origin::Uncertain);
             self.origin = Some(Origin::Uncertain);
         }
     }
 
-    /// Returns the state from which the next endpoint resumes the stream, or
-    /// `None` if none can.
-    fn next_history(&self, after: Option<u64>) -> Option<OfferHistory> {
-        match &self.origin {
-            None => Some(self.history.after_broken_stream(after, None)),
+    /// Returns the state from which another endpoint resumes the stream, or
+    /// why none can. `holder` still has the stream and is not chosen.
+    fn next_history(
+        &self,
+        holder: Option<String>,
+    ) -> Result<OfferHistory, &'static str> {
+        let after = self.splitter.last_id();
+        let binding = match &self.origin {
+            None => None,
             Some(Origin::Bound(_)) if after.is_none() => {
-                self.log_not_resumed("its events have no ids");
-                None
-            }
-            Some(Origin::Bound(binding)) => {
-                let binding = Some(binding.clone());
-                Some(self.history.after_broken_stream(after, binding))
+                return Err("its events have no ids");
             }
+            Some(Origin::Bound(binding)) => Some(binding.clone()),
             Some(Origin::Uncertain) => {
-                self.log_not_resumed("the version of its events is uncertain");
-                None
+                return Err("the version of its events is uncertain");
             }
+        };
+        let request = &self.request_log.request;
+        if !self.history.allows_run(request.route()) {
+            return Err("the route allows no more attempts");
         }
-    }
-
-    fn log_not_resumed(&self, reason: &'static str) {
-        log::info!(
-            request_id = self.request_log.request.id(),
-            reason;
-            "a stream was not resumed"
-        );
+        Ok(self.history.after_event(after, binding, holder))
     }
 
     /// Ends a complete stream; returns its last bytes, if any.
     fn finish(&mut self) -> Option<Bytes> {
-        self.state = State::Over;
+        self.end();
         self.request_log.set_outcome(ANSWERED);
         let rest = self.splitter.take_rest();
         if rest.is_empty() {
@@ -222,8 +258,8 @@
 
     fn report_progress(&mut self) {
         let reached = self.splitter.last_id().unwrap_or(0);
-        if let State::Reading(exchange) = &mut self.state {
-            exchange.advance_to(reached);
+        if let Some(source) = &mut self.source {
+            source.advance_to(reached);
         }
     }
 
@@ -241,39 +277,94 @@
         };
         self.history = continuation.history;
         self.request_log.resumed += 1;
-        Counters::add(&self.request_log.counters.resumed);
-        self.state = State::Reading(Box::new(continuation.exchange));
-        let stall_at = tokio::time::Instant::now() + self.stall_after;
-        self.stall.as_mut().reset(stall_at);
-    }
-
-    /// Drops the response, which closes its connection, and requests the
-    /// remainder from another endpoint.
-    fn resume_elsewhere(&mut self, reason: &'static str) {
-        self.splitter.drop_partial();
-        self.check_origin();
-        self.left_for = reason;
-        if reason == SILENT {
-            Counters::add(&self.request_log.counters.streams_left_silent);
+        let counters = &self.request_log.counters;
+        Counters::add(&counters.resumed);
+        if self.source.is_some() {
+            Counters::add(&counters.streams_left_silent);
         }
-        let request = &self.request_log.request;
-        let after = self.splitter.last_id();
+        self.splitter.drop_partial();
+        self.source = Some(Box::new(continuation.exchange));
+        self.restart_timer();
         log::info!(
-            request_id = request.id(),
+            request_id = self.request_log.request.id(),
             endpoint = self.request_log.sent.endpoint.as_str(),
             version = self.origin.as_ref().map_or("", Origin::version_text),
-            reason,
-            after = after.unwrap_or(0),
+            reason = self.reason,
+            after = self.splitter.last_id().unwrap_or(0),
             age_ms = self.request_log.age_ms();
             "a stream is taken up at another endpoint"
         );
-        self.state = State::Over;
+    }
+
+    /// Drops a response that has failed, which closes its connection.
+    fn leave_failed(&mut self, error: IncompleteResponse) {
+        self.request_log.record_incomplete(error);
+        self.check_origin();
+        self.reason = error.as_str();
+        self.source = None;
+        self.splitter.drop_partial();
+        if self.search.is_none() {
+            self.search_urgently();
+        }
+    }
+
+    /// Looks for an endpoint for a stream that has none any more.
+    fn search_urgently(&mut self) {
+        let history = self.next_history(None);
+        self.start_search(history, true);
+    }
+
+    /// Avoids a silent endpoint and looks for another one, if any can resume
+    /// the stream. Until that one answers, the stream stays where it is.
+    fn look_elsewhere(&mut self) {
+        self.check_origin();
+        let Some(source) = &self.source else {
+            return;
+        };
+        let endpoint = source.endpoint();
+        let request = &self.request_log.request;
+        self.forwarder
+            .avoid(request, endpoint, self.splitter.last_id());
+        let holder = Some(endpoint.record().id.clone());
+        self.reason = SILENT;
+        let history = self.next_history(holder);
+        self.start_search(history, false);
+        self.restart_timer();
+    }
+
+    fn start_search(
+        &mut self,
+        history: Result<OfferHistory, &'static str>,
+        is_urgent: bool,
+    ) {
+        let request = self.request_log.request.clone();
         let forwarder = self.forwarder.clone();
-        let request = request.clone();
-        let history = self.next_history(after);
-        self.state = State::Resuming(Box::pin(async move {
-            forwarder.resume_stream(&request, history?).await
-        }));
+        let found = async move {
+            match history {
+                Ok(history) => {
+                    forwarder.resume_stream(&request, history).await
+                }
+                Err(reason) => {
+                    log::info!(
+                        request_id = request.id(),
+                        reason;
+                        "a stream was not resumed"
+                    );
+                    None
+                }
+            }
+        };
+        self.search = Some(Search {
+            found: Box::pin(found),
+            is_urgent,
+        });
+    }
+
+    /// Drops everything that is under way.
+    fn end(&mut self) {
+        self.is_over = true;
+        self.source = None;
+        self.search = None;
     }
 
     fn fail(
@@ -282,7 +373,7 @@
         cause: &'static str,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
         self.request_log.record_cut(error, cause);
-        self.state = State::Over;
+        self.end();
         Poll::Ready(Some(Err(error)))
     }
 }
