Keep the run of an item through a silence of its endpoint

A run of an item ended after 2.5 s without a byte, before its head or between two events, and the item began or resumed elsewhere. A sound endpoint may be silent for up to three seconds and go on; its work was thrown away and done again, also at the same endpoint. Before the head the item began anew from its first event.

Silence is now no reason to end a run, up to five seconds. A peer whose kernel acknowledges nothing is reported by the socket options of the connection; the limit is for one whose kernel responds while the process never does. It is well above the pauses of sound endpoints, and an item on a connection that is silent for good still moves on in time.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -32,6 +32,7 @@
 mod run;
 mod run_time;
 mod runner;
+mod silence;
 mod view;
 
 pub use crate::{
@@ -60,10 +61,11 @@
         encode_inputs, encode_manifest, encode_new_job, encode_results,
         input_key, manifest_key, merge_failed_attempts, output_key,
     },
-    run::{ItemForwarder, ItemRun, Progress, RunOutcome},
+    run::{BreakCause, ItemForwarder, ItemRun, Progress, RunOutcome},
     run_time::{RemainingTime, RunTimeEstimator},
     runner::{
         Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, ShutdownSignal,
     },
+    silence::SilenceClock,
     view::{JobView, decode_manifest_row},
 };
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -12,7 +12,10 @@
 use pass::{EventSplitter, Exchange, Failure, Forwarder, Inbound};
 use tokio::time;
 
-use crate::record::{ItemCheckpoint, ItemInput, JobKey};
+use crate::{
+    SilenceClock,
+    record::{ItemCheckpoint, ItemInput, JobKey},
+};
 
 /// The output of an item so far. It outlives a run, so that the next run
 /// resumes after the last event, at the version that generated the first one.
@@ -153,8 +156,24 @@
         /// When the item may be tried again, in milliseconds from now.
         for_ms: u64,
     },
-    /// The connection broke or stalled; the events received so far are kept.
-    Broken,
+    /// The run broke off; the events received so far are kept.
+    Broken(BreakCause),
+}
+
+/// Why a run broke off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BreakCause {
+    /// The connection was lost, or ended before the output was complete.
+    Connection,
+    /// The endpoint was silent for so long that the connection counts as dead.
+    Silent {
+        /// Duration of the silence, in milliseconds.
+        for_ms: u64,
+    },
+    /// The response belongs to another request.
+    WrongId,
+    /// The response does not come from the endpoint itself.
+    NotSealed(StatusCode),
 }
 
 /// One run of one item at one endpoint.
@@ -173,6 +192,8 @@
     pub endpoint: Endpoint,
     /// The output of earlier runs.
     pub progress: Progress,
+    /// When the run last heard its endpoint.
+    pub silence: SilenceClock,
 }
 
 /// Sends items to endpoints.
@@ -182,9 +203,17 @@
 /// its last event.
 const MAX_RUN_MS: u64 = 60_000;
 
-/// Maximum pause in the stream of a run, in milliseconds. An engine that
-/// preempts a run prefills it again in well under a second.
-const STALL_TIMEOUT_MS: u64 = 2_500;
+/// Silence after which the connection of a run counts as dead, in
+/// milliseconds.
+///
+/// A sound endpoint may be silent for a few seconds and go on, and its work is
+/// lost if the run ends before. The kernel reports a peer that acknowledges
+/// nothing; this limit is for a peer whose kernel responds although the process
+/// never does.
+const DEAD_AFTER_MS: u64 = 5_000;
+
+/// Silence whose end is logged, in milliseconds.
+const LOGGED_SILENCE_MS: u64 = 1_000;
 
 impl ItemRun {
     /// Runs the item to its end. If the future is dropped, the connection is
@@ -194,15 +223,40 @@
             return RunOutcome::Rejected;
         };
         let after = self.progress.last_id();
-        let wait = Duration::from_millis(STALL_TIMEOUT_MS);
+        let wait = Duration::from_millis(DEAD_AFTER_MS);
         let offer = forwarder.offer(&request, &self.endpoint, after, wait);
-        match offer.await {
-            Ok(exchange) => self.read(exchange, after).await,
-            Err(Failure::Broken | Failure::Silent) => RunOutcome::Broken,
-            Err(Failure::WrongId) => RunOutcome::Broken,
-            Err(Failure::NotSealed(_)) => RunOutcome::Broken,
-            Err(Failure::Held { for_ms }) => RunOutcome::Held { for_ms },
-            Err(_) => RunOutcome::NotRun,
+        let cause = match offer.await {
+            Ok(exchange) => return self.read(exchange, after).await,
+            Err(Failure::Held { for_ms }) => {
+                return RunOutcome::Held { for_ms };
+            }
+            Err(Failure::Broken) => BreakCause::Connection,
+            Err(Failure::Silent) => self.dead(),
+            Err(Failure::WrongId) => BreakCause::WrongId,
+            Err(Failure::NotSealed(status)) => BreakCause::NotSealed(status),
+            Err(_) => return RunOutcome::NotRun,
+        };
+        RunOutcome::Broken(cause)
+    }
+
+    fn dead(&self) -> BreakCause {
+        BreakCause::Silent {
+            for_ms: self.silence.silent_ms(),
+        }
+    }
+
+    /// Records that the endpoint was heard.
+    fn heard(&self) {
+        let silent_ms = self.silence.reset();
+        if silent_ms >= LOGGED_SILENCE_MS {
+            log::info!(
+                request_id = self.input.id.as_str(),
+                job = self.job.as_str(),
+                endpoint = self.endpoint.record().id.as_str(),
+                events = self.progress.events(),
+                silent_ms;
+                "a silent run of an item goes on"
+            );
         }
     }
 
@@ -237,17 +291,19 @@
         mut exchange: Exchange,
         after: Option<u64>,
     ) -> RunOutcome {
+        self.heard();
         match exchange.status() {
             status if status.is_success() => {}
             StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Rejected,
             status => return RunOutcome::Error(status),
         }
         let mut splitter = EventSplitter::new(after);
-        let stall = Duration::from_millis(STALL_TIMEOUT_MS);
+        let limit = Duration::from_millis(DEAD_AFTER_MS);
         loop {
             let next = poll_fn(|cx| exchange.poll_data(cx));
-            match time::timeout(stall, next).await {
+            let cause = match time::timeout(limit, next).await {
                 Ok(Some(Ok(chunk))) => {
+                    self.heard();
                     let split = splitter.push(chunk);
                     if !split.events.is_empty() {
                         let record = self.endpoint.record();
@@ -255,10 +311,13 @@
                         self.progress.add(&split.events, last_id, record);
                     }
                     exchange.advance_to(splitter.last_id().unwrap_or(0));
+                    continue;
                 }
                 Ok(None) => return RunOutcome::Complete,
-                Ok(Some(Err(_))) | Err(_) => return RunOutcome::Broken,
-            }
+                Ok(Some(Err(_))) => BreakCause::Connection,
+                Err(_) => self.dead(),
+            };
+            return RunOutcome::Broken(cause);
         }
     }
 }
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     Assignment, GateDecision, GateInput, ItemRun, JobManifest, PreemptRank,
-    RemainingTime, SlackPriority, decide, record::JobKey,
+    RemainingTime, SilenceClock, SlackPriority, decide, record::JobKey,
 };
 
 /// Age of a run from which on its endpoint's load report counts it, in
@@ -382,6 +382,7 @@
             route: route.clone(),
             endpoint: endpoint.clone(),
             progress: item.progress.clone(),
+            silence: SilenceClock::start(),
         };
         log::info!(
             request_id = run.input.id.as_str(),
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -92,7 +92,7 @@
         match end {
             RunOutcome::Rejected => failed_attempts.rejections += 1,
             RunOutcome::Error(_) => failed_attempts.errors += 1,
-            RunOutcome::Complete | RunOutcome::Broken => {}
+            RunOutcome::Complete | RunOutcome::Broken(_) => {}
             RunOutcome::NotRun | RunOutcome::Held { .. } => {}
         }
         let failed_attempts = *failed_attempts;
@@ -145,7 +145,7 @@
                 item.restart();
             }
             item.not_before = match end {
-                RunOutcome::Broken => now,
+                RunOutcome::Broken(_) => now,
                 RunOutcome::Held { for_ms } => now.saturating_add_ms(for_ms),
                 _ => retry_at,
             };
--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -20,8 +20,10 @@
 /// events; `reject` and `fail` return an error status; `cut N` closes the
 /// connection once after N / 2 of N events; `silent` hangs after the head;
 /// `open N` sends N events with neither a length nor chunks, and `open N B`
-/// closes the connection of the first run after B bytes of them; `crash N`
-/// stops the engine and closes all of its connections after N events, and
+/// closes the connection of the first run after B bytes of them; `pause M N`
+/// is silent for M milliseconds after N / 2 of N events of the first run,
+/// `pause-head M N` before its head, and `hang N` and `hang-head N` for good;
+/// `crash N` stops the engine and closes all of its connections after N events, and
 /// `open-crash N` does the same with neither a length nor chunks.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
@@ -127,6 +129,8 @@
         let number = match word.as_str() {
             "open" => words.next().unwrap_or("0"),
             "cut" => words.next().unwrap_or("1"),
+            "pause" | "pause-head" => words.nth(1).unwrap_or("0"),
+            "hang" | "hang-head" => words.next().unwrap_or("0"),
             "crash" => words.next().unwrap_or("0"),
             other => other,
         };
@@ -166,6 +170,12 @@
             crash.send_replace(true);
             return std::future::pending().await;
         }
+        let silence = Silence::of(&body).filter(|_| is_first);
+        if let Some(silence) = silence
+            && silence.before_head
+        {
+            silence.wait().await;
+        }
         let head = format!(
             "HTTP/1.1 {status}\r\nx-id: {id}\r\nx-seal: s\r\n\
              transfer-encoding: chunked\r\n\r\n"
@@ -192,6 +202,12 @@
             if cut && event == last / 2 {
                 return;
             }
+            let pauses = silence.filter(|silence| !silence.before_head);
+            if let Some(silence) = pauses
+                && event == last / 2
+            {
+                silence.wait().await;
+            }
             pace.tick().await;
         }
         if crashes {
@@ -205,6 +221,38 @@
     }
 }
 
+/// A silence of an engine on an open connection.
+#[derive(Clone, Copy)]
+struct Silence {
+    before_head: bool,
+    /// Duration; for good if none.
+    lasts_ms: Option<u64>,
+}
+
+impl Silence {
+    /// Returns the silence that the body of a request asks for.
+    fn of(body: &str) -> Option<Self> {
+        let (word, numbers) = body.split_once(' ')?;
+        let first = numbers.split(' ').next()?;
+        let lasts_ms = match word {
+            "pause" | "pause-head" => Some(first.parse().ok()?),
+            "hang" | "hang-head" => None,
+            _ => return None,
+        };
+        Some(Self {
+            before_head: word.ends_with("-head"),
+            lasts_ms,
+        })
+    }
+
+    async fn wait(self) {
+        match self.lasts_ms {
+            Some(ms) => sleep(Duration::from_millis(ms)).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// Sends a stream whose end is that of its connection, or its first bytes.
 async fn send_until_close(
     stream: &mut TcpStream,
