Start items elsewhere while an endpoint is silent

While an endpoint paused, the items of the next job still started there, though another endpoint had free slots, and waited for the pause to end. An endpoint all of whose runs of this node have been silent for a second gets no further items until one of them goes on. A run that is silent for longer than a pause of a sound endpoint lasts says nothing about other items, so the endpoint is used again from then on. The runs under way are not touched.

The test failed before, with four runs at the silent engine instead of one.

--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -31,7 +31,7 @@
 use crate::{
     Assignment, Assignments, GateOptions, ItemForwarder, JobError,
     JobManifest, JobView, Ledger, OnlineLoad, RunOutcome, RunTimeEstimator,
-    StoredManifest,
+    SilenceClock, StoredManifest,
     record::{ItemResult, ItemState, JobKey},
 };
 
@@ -217,6 +217,7 @@
     resumed: bool,
     started: Instant,
     started_at: Millis,
+    silence: SilenceClock,
     task: AbortHandle,
 }
 
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -1,6 +1,6 @@
 //! Decides at each endpoint which items start and which runs are preempted.
 
-use std::time::Instant;
+use std::{ops::Range, time::Instant};
 
 use base::Millis;
 use fleet::{Config, Endpoint, EndpointTable, IncarnationKey, VersionBinding};
@@ -22,6 +22,11 @@
 /// arrive.
 const REPORT_LAG_MS: u64 = 120;
 
+/// Silences of an endpoint, in milliseconds, that count as a pause. Pauses of
+/// sound endpoints do not last longer; what is silent beyond that is a single
+/// run, which says nothing about other items.
+const PAUSE_MS: Range<u64> = 1_000..3_500;
+
 /// Maximum remaining time of a run that may delay online requests in order not
 /// to be late, in milliseconds: about the duration of one streamed response. A
 /// run with more remaining time is preempted, since several users would wait
@@ -107,6 +112,9 @@
             if is_stopping || is_view_stale || endpoint.is_suspect(now) {
                 continue;
             }
+            if self.is_paused(*incarnation) {
+                continue;
+            }
             for _ in 0..decision.start {
                 if !self.start_one(config, endpoint, &usable, now) {
                     break;
@@ -115,6 +123,16 @@
         }
     }
 
+    /// Reports whether all runs at an endpoint have been silent for so long
+    /// that further items would not begin soon.
+    fn is_paused(&self, incarnation: IncarnationKey) -> bool {
+        let runs = self.runs.values();
+        let own =
+            runs.filter(|run| run.endpoint.incarnation_key() == incarnation);
+        let shortest_ms = own.map(|run| run.silence.silent_ms()).min();
+        shortest_ms.is_some_and(|ms| PAUSE_MS.contains(&ms))
+    }
+
     /// Preempts batch work at one endpoint if an online request that is on its
     /// way needs the slot.
     pub(super) fn preempt_for_online(&mut self, incarnation: IncarnationKey) {
@@ -397,6 +415,7 @@
         );
         item.state = ItemPhase::Running(id);
         let resumed = item.progress.has_begun();
+        let silence = run.silence.clone();
         let forwarder = self.runner.parts.forwarder.clone();
         let sender = self.sender.clone();
         let task = tokio::spawn(async move {
@@ -413,6 +432,7 @@
                 resumed,
                 started: Instant::now(),
                 started_at: now,
+                silence,
                 task: task.abort_handle(),
             },
         );
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -106,3 +106,19 @@
     );
     assert_eq!(fleet.runs("item-0"), ["item-0:0", second_run]);
 }
+
+/// Guards against items that start at an endpoint while it is silent, though
+/// another one is free.
+#[tokio::test]
+async fn items_start_elsewhere_while_an_endpoint_is_silent() {
+    let fleet = Fleet::start(2).await;
+    fleet.submit("job-1", &["pause 2500 8"]).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let is_silent = |engine: &&Arc<Engine>| engine.run_count() > 0;
+    let silent = fleet.engines.iter().find(is_silent).expect("a run");
+    fleet.submit("job-2", &["2", "2", "2", "2"]).await;
+    fleet.results("job-2", 4).await;
+    assert_eq!(silent.run_count(), 1, "{:?}", silent.runs);
+    fleet.results("job-1", 1).await;
+    assert_eq!(fleet.runs("item-0").len(), 2);
+}
