--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -23,7 +23,7 @@
 use bytes::Bytes;
 use fleet::{
     BatchDeadlines, Config, EndpointRecord, LoadReport, Route, RouteKind,
-    RouteTable,
+    RouteTable, TransferLimits,
 };
 use http::{HeaderMap, HeaderName, Method, Uri};
 use jobs::{ItemInput, ItemState, Page};
@@ -109,6 +109,7 @@
             version,
             routes: RouteTable::new(written.routes),
             customers: customers.transpose()?,
+            limits: written.limits,
             ..Config::default()
         })))
     }
@@ -202,6 +203,8 @@
 pub(crate) struct StoredConfig {
     pub(crate) routes: Vec<Route>,
     pub(crate) customers: Option<Vec<StoredCustomer>>,
+    #[serde(default)]
+    pub(crate) limits: TransferLimits,
 }
 
 #[derive(Clone, Default, Deserialize, Serialize)]
@@ -454,6 +457,7 @@
     let written = StoredConfig {
         routes: routes(),
         customers,
+        ..StoredConfig::default()
     };
     let bytes = serde_json::to_vec(&written).expect("json");
     put(kv, "orders/config", bytes).await;
--- a/crates/node/tests/readers.rs
+++ b/crates/node/tests/readers.rs
@@ -62,7 +62,7 @@
     all.push(Route::new(prefix, "a.example", prefix, "engines"));
     let written = StoredConfig {
         routes: all,
-        customers: None,
+        ..StoredConfig::default()
     };
     let text = serde_json::to_vec(&written).expect("json");
     put(kv, "orders/config", text).await;
