Spread the ports of test processes that run at the same time

Two test programs that started one after the other counted their ports up from neighbouring numbers, so that one took a port between the check and the bind of the other. Seen once, with the node tests running beside the new ones: "Address already in use", in two tests; the same tests passed when they ran alone.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -248,6 +248,10 @@
 /// Number of ports that tests may use.
 const PORTS: u16 = 10_000;
 
+/// Distance between the first ports of two test processes that start one after
+/// the other and may run at the same time.
+const PORT_STRIDE: u32 = 1_237;
+
 /// Returns an address that no other socket takes before the role binds it.
 ///
 /// Binding port 0 and closing the socket is racy: the system may give the port
@@ -256,7 +260,8 @@
 /// ephemeral range.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = (std::process::id() % u32::from(PORTS)) as u16;
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    let start = (start % u32::from(PORTS)) as u16;
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
