Keep requests when an entry states a start time for the first time

An entry with a start time after one without any counted as that of a newer process, and all connections to the former one were closed with their requests in flight. The entry may describe the same process: an unknown start is not an earlier one. Callers saw their streams resumed elsewhere, and other requests cut.

Connections are now closed only if the former entry had a start time, or the address has changed; both prove that the former process has ended. Requests at a process that ended all the same are ended by its reset, or by the timeouts of the connection. The decision is logged with its inputs.

The test failed before:

left: ["item-0:0", "item-0:5", "stream:0", "stream:32"] right: ["item-0:0", "stream:0"]

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -3,7 +3,9 @@
 
 use std::sync::Arc;
 
-use fleet::{Change, Directory, Listing, ListingUpdate};
+use fleet::{
+    Change, Directory, Endpoint, IncarnationKey, Listing, ListingUpdate,
+};
 use indexmap::IndexMap;
 use jobs::{JobView, WATCHED_PREFIX};
 use kv::{Event, KeyValue, Kv};
@@ -232,13 +234,16 @@
         };
         status.fresh_at.inspect(|at| directory.confirm(*at));
         log_changes(&changes, directory.revision());
+        let before = cluster.endpoints.load().table.clone();
         cluster.endpoints.publish(DirectoryView {
             table: Arc::new(directory.table()),
             revision: directory.revision(),
         });
         for change in &changes {
-            if let Change::Restarted { former, .. } = change {
-                pool.close(*former);
+            if let Change::Restarted { id, former } = change {
+                let endpoint = before.get(*former);
+                let successor = directory.get(id);
+                close_ended(&pool, *former, endpoint, successor);
             }
         }
         if !changes.is_empty() {
@@ -247,6 +252,35 @@
     }
 }
 
+/// Closes the connections to an incarnation whose process is known to have
+/// ended.
+///
+/// An entry without a start time may describe the same process as the next
+/// one, so that its requests in flight go on. Only an entry at another address
+/// is certainly that of another process.
+fn close_ended(
+    pool: &Pool,
+    former: IncarnationKey,
+    before: Option<&Endpoint>,
+    successor: Option<&Endpoint>,
+) {
+    let before = before.map(Endpoint::record);
+    let has_start_time = before.is_none_or(|r| r.started_at.is_some());
+    let has_moved = before.map(|record| record.address)
+        != successor.map(|endpoint| endpoint.record().address);
+    let closes = has_start_time || has_moved;
+    log::info!(
+        endpoint = successor.map_or("", |e| e.record().id.as_str()),
+        has_start_time,
+        has_moved,
+        closes;
+        "an endpoint has another incarnation"
+    );
+    if closes {
+        pool.close(former);
+    }
+}
+
 /// Records that the endpoints are unchanged as of a later revision.
 fn confirm_endpoints(cluster: &ClusterState, revision: u64) {
     let table = cluster.endpoints.load().table.clone();
--- a/crates/node/tests/under_way.rs
+++ b/crates/node/tests/under_way.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use base::UnixMillis;
 use common::{
     Engine, Node, StoredConfig, call, call_until, put, ready, routes, start,
     write_config_and_engine,
@@ -110,6 +111,20 @@
     fleet.finish(stream).await;
 }
 
+/// Guards against requests that are cut because the entry of their endpoint
+/// states a start time for the first time.
+#[tokio::test]
+async fn runs_outlive_a_start_time_that_is_added() {
+    let fleet = Fleet::start().await;
+    let stream = fleet.begin().await;
+    let record = EndpointRecord {
+        started_at: Some(UnixMillis::new(1_764_000_000_000)),
+        ..fleet.engine.record("e1")
+    };
+    fleet.write_entry(&record).await;
+    fleet.finish(stream).await;
+}
+
 /// Guards against requests that are cut because their endpoint drains.
 #[tokio::test]
 async fn runs_outlive_the_drain_of_their_endpoint() {
