Keep items running while no node is a member

When the entries of all nodes that run items had expired, as after a few seconds in which the key-value service took no renewals, each node found that it owned none of its jobs, interrupted all of its items and handed them over to nobody. They ran again once the entries were written again, from a checkpoint or from the first event.

A job now counts as moved only when another node owns it. Without members, items under way go on and no new ones start.

The test failed before, with the entry of the only node expired:

left: ["item-0:0", "item-0:0", "stream:0"] right: ["item-0:0", "stream:0"]

--- a/crates/jobs/src/assignment.rs
+++ b/crates/jobs/src/assignment.rs
@@ -190,6 +190,17 @@
         self.members.owner(job, manifest) == Some(&self.node)
     }
 
+    /// Reports whether another node runs the items of a job. While no node is
+    /// a member, because the entries of all have expired, no node does.
+    pub fn is_owned_by_other(
+        &self,
+        job: &JobKey,
+        manifest: &JobManifest,
+    ) -> bool {
+        let owner = self.members.owner(job, manifest);
+        owner.is_some_and(|owner| owner != self.node)
+    }
+
     /// Returns the node that an endpoint is assigned to.
     pub fn user_of(&self, endpoint: IncarnationKey) -> Option<&NodeRecord> {
         let index = self.user_by_endpoint.get(&endpoint)?;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -388,13 +388,13 @@
         for (key, job) in &mut self.jobs {
             let known = self.runner.parts.view.get(key);
             let closed = known.as_ref().is_none_or(|s| s.manifest.is_closed());
-            let owned = known.is_some_and(|known| {
-                assignment.owns_job(key, &known.manifest)
+            let is_moved = known.is_some_and(|known| {
+                assignment.is_owned_by_other(key, &known.manifest)
             });
-            if !owned && !job.is_moved && !closed {
+            if is_moved && !job.is_moved && !closed {
                 moved.push(key.clone());
             }
-            job.is_moved = !owned;
+            job.is_moved = is_moved;
             // This node also lists its pending results of jobs that have
             // moved.
             if closed || (job.is_moved && !job.is_busy()) {
--- a/crates/node/tests/under_way.rs
+++ b/crates/node/tests/under_way.rs
@@ -138,6 +138,19 @@
     fleet.finish(stream).await;
 }
 
+/// Guards against items that are interrupted because the entry of their node
+/// has expired, though no other node runs items.
+#[tokio::test]
+async fn runs_outlive_the_entry_of_the_only_node() {
+    let fleet = Fleet::start().await;
+    let stream = fleet.begin().await;
+    let found = fleet.kv.get("jobs/n/worker-1").await.expect("read");
+    let lease = found.kvs.first().and_then(|kv| kv.lease);
+    let lease = lease.expect("the lease of the entry");
+    fleet.kv.lease_revoke(lease).await.expect("revoked");
+    fleet.finish(stream).await;
+}
+
 /// Returns the routes after a change of each.
 fn each(change: impl Fn(Route) -> Route) -> Vec<Route> {
     routes().into_iter().map(change).collect()
