Log each run of an item that is stopped from outside

Runs that ended because their job was closed, had moved or was handed over, or because the item was given up, left no line with the id of the item. Each now has one: id, job, endpoint, how long it ran and was silent, events and the reason. The functions that stop runs move to a module of their own.

--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -3,6 +3,7 @@
 mod checkpoint;
 mod outcome;
 mod rebalance;
+mod stop;
 
 use std::{
     pin::Pin,
@@ -25,7 +26,7 @@
 };
 
 use self::{
-    active::{ActiveJob, Inputs, Item, ItemPhase},
+    active::{ActiveJob, Inputs, ItemPhase},
     checkpoint::LoadedJob,
 };
 use crate::{
@@ -221,16 +222,6 @@
     task: AbortHandle,
 }
 
-impl Run {
-    /// Records at the item that the run was interrupted.
-    fn interrupt(&self, item: &mut Item, now: Millis) {
-        item.interrupt(self.started, now);
-        if self.endpoint.has_changed_version() {
-            item.restart();
-        }
-    }
-}
-
 #[derive(Default)]
 struct EndpointProbe {
     in_flight: bool,
@@ -408,40 +399,15 @@
         }
         for (key, closed) in removed {
             log::info!(job = key.as_str(), closed; "a job is dropped");
-            self.abort_runs_of(&key);
+            let reason = match closed {
+                true => "the job is closed",
+                false => "the job has moved",
+            };
+            self.abort_runs_of(&key, reason);
             self.jobs.swap_remove(&key);
         }
     }
 
-    /// Interrupts the runs of a job, whose items keep their progress; returns
-    /// the number of runs.
-    fn interrupt_runs_of(&mut self, key: &JobKey) -> usize {
-        let now = self.now();
-        let before = self.runs.len();
-        let Some(job) = self.jobs.get_mut(key) else {
-            return 0;
-        };
-        self.runs.retain(|_, run| {
-            let keep = run.job != *key;
-            if !keep {
-                run.task.abort();
-                run.interrupt(&mut job.items[run.item as usize], now);
-            }
-            keep
-        });
-        before - self.runs.len()
-    }
-
-    fn abort_runs_of(&mut self, job: &JobKey) {
-        self.runs.retain(|_, run| {
-            let keep = run.job != *job;
-            if !keep {
-                run.task.abort();
-            }
-            keep
-        });
-    }
-
     /// Gives up items whose deadline has passed or whose route does not exist
     /// any more.
     fn give_up_expired(&mut self) {
@@ -481,7 +447,7 @@
             given_up.push(key.clone());
         }
         for key in given_up {
-            self.abort_runs_of(&key);
+            self.abort_runs_of(&key, "the item is given up");
         }
     }
 
--- a/crates/jobs/src/runner/checkpoint.rs
+++ b/crates/jobs/src/runner/checkpoint.rs
@@ -97,7 +97,8 @@
         let (done, receiver) = oneshot::channel();
         let mut checkpoints = Vec::new();
         for key in keys {
-            let runs = self.interrupt_runs_of(key);
+            let reason = "the job is handed over";
+            let runs = self.interrupt_runs_of(key, reason);
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
