--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -3,6 +3,7 @@
 mod checkpoint;
 mod outcome;
 mod rebalance;
+mod stop;
 
 use std::{
     pin::Pin,
@@ -25,13 +26,13 @@
 };
 
 use self::{
-    active::{ActiveJob, Inputs, Item, ItemPhase},
+    active::{ActiveJob, Inputs, ItemPhase},
     checkpoint::LoadedJob,
 };
 use crate::{
     Assignment, Assignments, GateOptions, ItemForwarder, JobError,
     JobManifest, JobView, Ledger, OnlineLoad, RunOutcome, RunTimeEstimator,
-    StoredManifest,
+    SilenceClock, StoredManifest,
     record::{ItemResult, ItemState, JobKey},
 };
 
@@ -217,19 +218,10 @@
     resumed: bool,
     started: Instant,
     started_at: Millis,
+    silence: SilenceClock,
     task: AbortHandle,
 }
 
-impl Run {
-    /// Records at the item that the run was interrupted.
-    fn interrupt(&self, item: &mut Item, now: Millis) {
-        item.interrupt(self.started, now);
-        if self.endpoint.has_changed_version() {
-            item.restart();
-        }
-    }
-}
-
 #[derive(Default)]
 struct EndpointProbe {
     in_flight: bool,
@@ -387,13 +379,13 @@
         for (key, job) in &mut self.jobs {
             let known = self.runner.parts.view.get(key);
             let closed = known.as_ref().is_none_or(|s| s.manifest.is_closed());
-            let owned = known.is_some_and(|known| {
-                assignment.owns_job(key, &known.manifest)
+            let is_moved = known.is_some_and(|known| {
+                assignment.is_owned_by_other(key, &known.manifest)
             });
-            if !owned && !job.is_moved && !closed {
+            if is_moved && !job.is_moved && !closed {
                 moved.push(key.clone());
             }
-            job.is_moved = !owned;
+            job.is_moved = is_moved;
             // This node also lists its pending results of jobs that have
             // moved.
             if closed || (job.is_moved && !job.is_busy()) {
@@ -407,40 +399,15 @@
         }
         for (key, closed) in removed {
             log::info!(job = key.as_str(), closed; "a job is dropped");
-            self.abort_runs_of(&key);
+            let reason = match closed {
+                true => "the job is closed",
+                false => "the job has moved",
+            };
+            self.abort_runs_of(&key, reason);
             self.jobs.swap_remove(&key);
         }
     }
 
-    /// Interrupts the runs of a job, whose items keep their progress; returns
-    /// the number of runs.
-    fn interrupt_runs_of(&mut self, key: &JobKey) -> usize {
-        let now = self.now();
-        let before = self.runs.len();
-        let Some(job) = self.jobs.get_mut(key) else {
-            return 0;
-        };
-        self.runs.retain(|_, run| {
-            let keep = run.job != *key;
-            if !keep {
-                run.task.abort();
-                run.interrupt(&mut job.items[run.item as usize], now);
-            }
-            keep
-        });
-        before - self.runs.len()
-    }
-
-    fn abort_runs_of(&mut self, job: &JobKey) {
-        self.runs.retain(|_, run| {
-            let keep = run.job != *job;
-            if !keep {
-                run.task.abort();
-            }
-            keep
-        });
-    }
-
     /// Gives up items whose deadline has passed or whose route does not exist
     /// any more.
     fn give_up_expired(&mut self) {
@@ -480,7 +447,7 @@
             given_up.push(key.clone());
         }
         for key in given_up {
-            self.abort_runs_of(&key);
+            self.abort_runs_of(&key, "the item is given up");
         }
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -23,7 +23,7 @@
 use bytes::Bytes;
 use fleet::{
     BatchDeadlines, Config, EndpointRecord, LoadReport, Route, RouteKind,
-    RouteTable,
+    RouteTable, TransferLimits,
 };
 use http::{HeaderMap, HeaderName, Method, Uri};
 use jobs::{ItemInput, ItemState, Page};
@@ -109,6 +109,7 @@
             version,
             routes: RouteTable::new(written.routes),
             customers: customers.transpose()?,
+            limits: written.limits,
             ..Config::default()
         })))
     }
@@ -202,6 +203,8 @@
 pub(crate) struct StoredConfig {
     pub(crate) routes: Vec<Route>,
     pub(crate) customers: Option<Vec<StoredCustomer>>,
+    #[serde(default)]
+    pub(crate) limits: TransferLimits,
 }
 
 #[derive(Clone, Default, Deserialize, Serialize)]
@@ -245,6 +248,10 @@
 /// Number of ports that tests may use.
 const PORTS: u16 = 10_000;
 
+/// Distance between the first ports of two test processes that start one after
+/// the other and may run at the same time.
+const PORT_STRIDE: u32 = 1_237;
+
 /// Returns an address that no other socket takes before the role binds it.
 ///
 /// Binding port 0 and closing the socket is racy: the system may give the port
@@ -253,7 +260,8 @@
 /// ephemeral range.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = (std::process::id() % u32::from(PORTS)) as u16;
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    let start = (start % u32::from(PORTS)) as u16;
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
@@ -454,6 +462,7 @@
     let written = StoredConfig {
         routes: routes(),
         customers,
+        ..StoredConfig::default()
     };
     let bytes = serde_json::to_vec(&written).expect("json");
     put(kv, "orders/config", bytes).await;
