--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -33,6 +33,7 @@
 mod run_time;
 mod runner;
 mod silence;
+mod version_wait;
 mod view;
 
 pub use crate::{
@@ -67,5 +68,6 @@
         Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, ShutdownSignal,
     },
     silence::SilenceClock,
+    version_wait::VersionWait,
     view::{JobView, decode_manifest_row},
 };
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -8,7 +8,7 @@
 
 use super::RunId;
 use crate::{
-    Progress, StoredManifest,
+    Progress, StoredManifest, VersionWait,
     record::{
         FailedAttempts, ItemCheckpoint, ItemInput, ItemResult, ItemState,
         merge_failed_attempts,
@@ -77,10 +77,6 @@
     /// Returns how the item can use a slot of an endpoint now; `None` if it
     /// waits for an endpoint of its own version, of which `usable` are those
     /// of this node.
-    ///
-    /// An item that has waited as long as its runs took begins anew. It then
-    /// loses at most twice the time that the better of both choices loses,
-    /// however long the endpoints of its version stay busy.
     pub(super) fn slot_use(
         &self,
         record: &EndpointRecord,
@@ -94,10 +90,12 @@
             return Some(SlotUse::Continue);
         }
         let binding = self.progress.binding();
-        let is_usable = binding.is_some_and(|b| usable.contains(&*b));
-        let waited_ms = now.saturating_ms_since(self.waiting_since);
-        let restarts = !is_usable || waited_ms >= self.total_run_ms;
-        restarts.then_some(SlotUse::Restart)
+        let wait = VersionWait {
+            waited_ms: now.saturating_ms_since(self.waiting_since),
+            ran_ms: self.total_run_ms,
+            has_endpoint: binding.is_some_and(|b| usable.contains(&*b)),
+        };
+        wait.is_over().then_some(SlotUse::Restart)
     }
 
     /// Drops the output of the item's runs, so that the next run begins anew.
