Keep the calls of a link that is silent for a while

All calls on a link to a companion ended when one heartbeat was unanswered for 2 s, and a call whose acceptance took 5 s ended as unknown. A sound peer may be silent for 3 s and go on, and TCP needs up to 6.2 s to deliver what was lost in a silence of just over 3 s. Callers saw broken bodies, streams that moved, and 502 with `ran: unknown` for calls that may run once. The server side closed a link after 6 s, which the same retransmission can reach.

To avoid a link and to give up its calls are now two decisions: after 2 s new calls open another connection, which keeps the quick recovery from a connection whose state was lost, and the calls that run on the silent one end after 10 s only (15 s on the side that serves them, which hears of its peer later). Both sides wait in steps, so that a pause of this process is not taken for a silence of its peer. The acceptance of a call has its own timeout of 30 s, and a caller that leaves meanwhile cancels the call.

The end of a link and of each call on it is logged with its address, the request id and the time waited.

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -40,7 +40,7 @@
     ) -> Result<Rc<Peer>, Report<LinkError>> {
         let connecting = self.connecting(address);
         match connecting.clone().await {
-            Ok(peer) if !peer.is_closed() => Ok(peer),
+            Ok(peer) if peer.is_usable() => Ok(peer),
             Ok(_) => {
                 self.remove_stale(address, &connecting);
                 self.connecting(address).await.map_err(not_sent)
@@ -96,6 +96,7 @@
 pub struct Links {
     jobs: mpsc::UnboundedSender<Job>,
     call_timeout: Duration,
+    accept_timeout: Duration,
     identity: Arc<Identity>,
 }
 
@@ -108,6 +109,7 @@
     pub fn start(options: LinkOptions) -> std::io::Result<Self> {
         let (jobs, receiver) = mpsc::unbounded_channel();
         let call_timeout = Duration::from_millis(options.call_timeout_ms);
+        let accept_timeout = Duration::from_millis(options.accept_timeout_ms);
         let identity = Arc::new(options.identity.clone());
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -121,6 +123,7 @@
         Ok(Self {
             jobs,
             call_timeout,
+            accept_timeout,
             identity,
         })
     }
@@ -134,7 +137,8 @@
     /// Sends a call to a companion and returns its response as a stream of
     /// frames.
     ///
-    /// Dropping the [`Run`](crate::Run) cancels the call at the endpoint.
+    /// Dropping the future or the [`Run`](crate::Run) cancels the call at the
+    /// endpoint.
     ///
     /// # Errors
     ///
@@ -145,12 +149,21 @@
         address: SocketAddr,
         request: Request,
     ) -> Result<RunReply, Report<LinkError>> {
-        let limit = self.call_timeout;
-        self.submit(move |pool| async move {
-            let peer = pool.peer(address).await?;
-            run(peer, request, limit).await
-        })
-        .await
+        let limit = self.accept_timeout;
+        let (caller, left) = oneshot::channel::<()>();
+        let reply = self.submit(move |pool| async move {
+            let accepted = async {
+                let peer = pool.peer(address).await?;
+                run(peer, request, limit).await
+            };
+            tokio::select! {
+                reply = accepted => reply,
+                _ = left => Err(Report::new(LinkError::Unknown)),
+            }
+        });
+        let reply = reply.await;
+        drop(caller);
+        reply
     }
 
     /// Requests the load of a companion's endpoint.
--- a/crates/wire/src/options.rs
+++ b/crates/wire/src/options.rs
@@ -35,21 +35,27 @@
     pub(crate) secrets: Secrets,
     pub(crate) connect_timeout_ms: u64,
     pub(crate) call_timeout_ms: u64,
+    pub(crate) accept_timeout_ms: u64,
     pub(crate) heartbeat_ms: u64,
+    pub(crate) avoid_after_ms: u64,
     pub(crate) silence_ms: u64,
 }
 
 impl LinkOptions {
-    /// Creates options with these defaults: 1 s to connect, 5 s for a call, a
-    /// heartbeat each second and a heartbeat timeout of 2 s.
+    /// Creates options with these defaults: 1 s to connect, 5 s for a call,
+    /// 30 s for the acceptance of a call with a streamed response, a heartbeat
+    /// each second that new calls wait 2 s for, and a heartbeat timeout of
+    /// 10 s.
     pub fn new(identity: Identity) -> Self {
         Self {
             identity,
             secrets: Secrets::default(),
             connect_timeout_ms: 1_000,
             call_timeout_ms: 5_000,
+            accept_timeout_ms: 30_000,
             heartbeat_ms: 1_000,
-            silence_ms: 2_000,
+            avoid_after_ms: 2_000,
+            silence_ms: 10_000,
         }
     }
 
@@ -65,20 +71,34 @@
         self
     }
 
-    /// Sets the timeout of a call. For [`Links::run`](crate::Links::run) the
-    /// timeout covers the acceptance of the call, not its response.
+    /// Sets the timeout of a call other than
+    /// [`Links::run`](crate::Links::run).
     pub fn call_timeout_ms(mut self, ms: u64) -> Self {
         self.call_timeout_ms = ms;
         self
     }
 
+    /// Sets the timeout of the acceptance of a call by
+    /// [`Links::run`](crate::Links::run); its response has none.
+    pub fn accept_timeout_ms(mut self, ms: u64) -> Self {
+        self.accept_timeout_ms = ms;
+        self
+    }
+
     /// Sets the interval between heartbeats and the timeout after which an
-    /// unanswered heartbeat closes the connection.
+    /// unanswered heartbeat closes the connection, which ends its calls.
     pub fn heartbeat_ms(mut self, interval_ms: u64, silence_ms: u64) -> Self {
         self.heartbeat_ms = interval_ms;
         self.silence_ms = silence_ms;
         self
     }
+
+    /// Sets the age of an unanswered heartbeat from which on new calls open
+    /// another connection. The calls of the silent one go on.
+    pub fn avoid_after_ms(mut self, ms: u64) -> Self {
+        self.avoid_after_ms = ms;
+        self
+    }
 }
 
 /// Options of the server that other processes call.
@@ -109,13 +129,13 @@
 }
 
 impl ServeOptions {
-    /// Creates options without secrets and with a silence timeout of 6 s.
+    /// Creates options without secrets and with a silence timeout of 15 s.
     pub fn new(listen: SocketAddr, identity: Identity) -> Self {
         Self {
             listen,
             identity,
             secrets: Secrets::default(),
-            silence_ms: 6_000,
+            silence_ms: 15_000,
         }
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use base::RequestId;
+use capnp::capability::Promise;
 use capnp_rpc::{
     RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork,
 };
@@ -28,13 +29,20 @@
 pub(crate) const CLIENT_PROOF: &[u8] = b"pomeloslip client 1";
 pub(crate) const SERVER_PROOF: &[u8] = b"pomeloslip server 1";
 
+/// Number of steps in which a silence is waited for.
+pub(crate) const SILENCE_CHECKS: u32 = 6;
+
 /// An authenticated connection with the capabilities that the peer returned.
 pub(crate) struct Peer {
     pub(crate) node: schema::node::Client,
     pub(crate) companion: schema::companion::Client,
     pub(crate) entry: schema::entry::Client,
     pub(crate) storage: schema::storage::Client,
+    address: SocketAddr,
     closed: watch::Sender<bool>,
+    /// Whether a heartbeat is unanswered for so long that new calls use
+    /// another connection.
+    is_silent: Cell<bool>,
     rpc: Cell<Option<AbortHandle>>,
 }
 
@@ -77,9 +85,10 @@
         let (closed, _) = watch::channel(false);
         let ended = closed.clone();
         let task = spawn_local(async move {
-            // The error is reported by the calls that fail because of it.
-            let _ = rpc.await;
-            ended.send_replace(true);
+            let result = rpc.await;
+            if !ended.send_replace(true) {
+                log::info!(address:%, result:?; "a link ended");
+            }
         });
         let guard = AbortOnDrop(Some(task.abort_handle()));
         authenticate(&node, options)
@@ -97,17 +106,28 @@
             entry: entry.get_entry(),
             storage: storage.get_storage(),
             node,
+            address,
             closed,
+            is_silent: Cell::new(false),
             rpc: Cell::new(guard.disarm()),
         });
         spawn_local(heartbeat(peer.clone(), options.clone()));
         Ok(peer)
     }
 
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         *self.closed.borrow()
     }
 
+    /// Reports whether the connection takes new calls.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.is_closed() && !self.is_silent.get()
+    }
+
     /// Resolves once the connection is closed.
     pub(crate) async fn until_closed(&self) {
         let mut closed = self.closed.subscribe();
@@ -183,17 +203,18 @@
     Ok(())
 }
 
-/// Sends periodic heartbeats and closes the connection when one is not
-/// answered in time.
+/// Sends periodic heartbeats, keeps new calls from the connection while one
+/// is late and closes the connection when one is not answered in time.
 ///
 /// A network device between the two ends can lose the state of an open
 /// connection: it drops all packets of the connection without an error while
 /// new connections work. Without heartbeats, calls on such a connection would
-/// wait indefinitely; with them, the calls fail after `silence_ms` and the
-/// next call opens a new connection.
+/// wait indefinitely. A sound peer may fall silent for a while as well, so new
+/// calls avoid the connection long before the calls on it are given up.
 async fn heartbeat(peer: Rc<Peer>, options: LinkOptions) {
     let interval = Duration::from_millis(options.heartbeat_ms);
-    let silence_timeout = Duration::from_millis(options.silence_ms);
+    let avoid_after = options.avoid_after_ms.min(options.silence_ms);
+    let until_closed = options.silence_ms - avoid_after;
     let weak = Rc::downgrade(&peer);
     drop(peer);
     loop {
@@ -202,15 +223,42 @@
         if peer.is_closed() {
             return;
         }
-        let ping = peer.node.ping_request().send().promise;
-        if !matches!(timeout(silence_timeout, ping).await, Ok(Ok(_))) {
-            log::warn!(
-                "the peer does not answer heartbeats; closing the connection"
-            );
+        let mut ping = peer.node.ping_request().send().promise;
+        let address = peer.address;
+        // A promise must not be polled again after it has resolved.
+        let mut answer = answered(&mut ping, avoid_after).await;
+        if answer.is_none() {
+            peer.is_silent.set(true);
+            log::info!(address:%, silent_ms = avoid_after;
+                "a link is silent; new calls open another one");
+            answer = answered(&mut ping, until_closed).await;
+        }
+        if answer != Some(true) {
+            log::warn!(address:%, silence_ms = options.silence_ms;
+                "a link does not answer heartbeats; its calls are given up");
             peer.close();
             return;
         }
+        peer.is_silent.set(false);
+    }
+}
+
+/// Waits for a heartbeat; returns whether it succeeded, or `None` if it is not
+/// answered in time.
+///
+/// The time is waited for in steps, so that the end of a pause of this process
+/// counts as one step only.
+async fn answered<P>(
+    ping: &mut Promise<P, capnp::Error>,
+    time_limit_ms: u64,
+) -> Option<bool> {
+    let step = Duration::from_millis(time_limit_ms) / SILENCE_CHECKS;
+    for _ in 0..SILENCE_CHECKS {
+        if let Ok(answer) = timeout(step, &mut *ping).await {
+            return Some(answer.is_ok());
+        }
     }
+    None
 }
 
 /// Receives the frames of one response and forwards them to the reader.
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -25,6 +25,7 @@
     limit: Duration,
 ) -> Result<RunReply, Report<LinkError>> {
     let (frames, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
+    let id = request.request_id.clone();
     let mut call = peer.companion.run_request();
     let mut params = call.get();
     convert::write_request(&request, params.reborrow().init_request());
@@ -51,6 +52,8 @@
         tokio::select! {
             _ = cancelled => {}
             () = peer.until_closed() => {
+                log::info!(request_id = id.as_str(), address:% = peer.address();
+                    "the link of a running call has closed");
                 // The reader may have been dropped meanwhile.
                 let _ = frames.send(None).await;
             }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -32,13 +32,10 @@
     host::Host,
     message::Identity,
     options::ServeOptions,
-    peer::{CLIENT_PROOF, SERVER_PROOF},
+    peer::{CLIENT_PROOF, SERVER_PROOF, SILENCE_CHECKS},
     schema_capnp as schema,
 };
 
-/// Number of checks for a silent peer within the silence timeout.
-const SILENCE_CHECKS_PER_TIMEOUT: u32 = 6;
-
 /// Timeout for closing a connection whose peer may be unreachable.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -194,6 +191,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "cannot set TCP_NODELAY");
     }
+    let peer = stream.peer_addr().ok();
     let (read, write) = stream.into_split();
     let network = Box::new(VatNetwork::new(
         BufReader::new(read.compat()),
@@ -202,6 +200,7 @@
         Default::default(),
     ));
     let last_ping = Rc::new(Cell::new(Instant::now()));
+    let silence_ms = shared.silence.as_millis() as u64;
     let silence = wait_for_silence(last_ping.clone(), shared.silence);
     let node: schema::node::Client = new_client(Node {
         shared,
@@ -221,7 +220,8 @@
             // The peer lost power or a network device between the two lost
             // the state of the connection: nothing else would ever end the
             // peer's calls.
-            log::warn!("a peer sends no heartbeats; closing its connection");
+            log::warn!(peer:?, silence_ms;
+                "a peer sends no heartbeats; its calls are cancelled");
             // Dropping the RPC system alone does not end the calls because
             // of a reference cycle: a running call holds the capability for
             // its response, which holds the connection state, which holds
@@ -232,9 +232,20 @@
     }
 }
 
+/// Resolves when no heartbeat has arrived for as long as `limit`.
+///
+/// Checks without a heartbeat are counted, so that a pause of this process
+/// counts as one of them only.
 async fn wait_for_silence(last_ping: Rc<Cell<Instant>>, limit: Duration) {
-    while last_ping.get().elapsed() < limit {
-        tokio::time::sleep(limit / SILENCE_CHECKS_PER_TIMEOUT).await;
+    let mut seen = last_ping.get();
+    let mut silent_checks = 0;
+    while silent_checks < SILENCE_CHECKS {
+        tokio::time::sleep(limit / SILENCE_CHECKS).await;
+        silent_checks = match last_ping.get() == seen {
+            true => silent_checks + 1,
+            false => 0,
+        };
+        seen = last_ping.get();
     }
 }
 
