Remove dropped subscriptions of the timer service

A subscription that was dropped stayed in the heap until it was due. Dropped ones are now removed whenever they may be half of it.

`dropped_subscriptions_do_not_accumulate` failed without the removal: panicked at crates/base/tests/timer.rs: assertion failed

--- a/crates/base/src/timer.rs
+++ b/crates/base/src/timer.rs
@@ -20,6 +20,9 @@
 
 use crate::{Clock, Millis};
 
+/// Number of subscriptions from which on dropped ones are removed.
+const MIN_REMOVAL_LEN: usize = 1_024;
+
 /// Longest sleep of the driving task, in milliseconds.
 const MAX_SLEEP_MS: u64 = 60_000;
 
@@ -53,6 +56,21 @@
 struct Heap {
     entries: BinaryHeap<Reverse<Entry>>,
     next_order: u64,
+    /// Number of entries at which dropped ones are removed.
+    removal_len: usize,
+}
+
+impl Heap {
+    /// Removes dropped subscriptions once they may be half of the entries.
+    /// Otherwise those of long deadlines would accumulate until they are due.
+    fn remove_dropped(&mut self) {
+        if self.entries.len() < self.removal_len.max(MIN_REMOVAL_LEN) {
+            return;
+        }
+        self.entries
+            .retain(|Reverse(entry)| !entry.wake.is_closed());
+        self.removal_len = 2 * self.entries.len();
+    }
 }
 
 struct Inner {
@@ -106,6 +124,7 @@
     pub fn subscribe_at(&self, due: Millis) -> Subscription {
         let (wake, woken) = oneshot::channel();
         let mut heap = self.heap();
+        heap.remove_dropped();
         let order = heap.next_order;
         heap.next_order += 1;
         heap.entries.push(Reverse(Entry { due, order, wake }));
@@ -119,6 +138,12 @@
         self.subscribe_at(self.now().saturating_add_ms(delay_ms))
     }
 
+    /// Returns the number of subscriptions that are held, among them dropped
+    /// ones that are not removed yet.
+    pub fn subscriptions(&self) -> usize {
+        self.heap().entries.len()
+    }
+
     /// Wakes all due subscriptions, earliest first, and returns the number
     /// of those that were not dropped.
     pub fn fire_due(&self) -> usize {
