Let a silent endpoint go on instead of giving its answer up

The entry gave up an answer when no frame came for `first_byte_ms` before the head and before the first part, or for `between_bytes_ms` while it kept a body without a length. A claimed call lost its answer when the whole body took longer than `first_byte_ms`. Callers saw 502 with `ran: unknown` though the endpoint went on, and a repeatable call ran twice.

These timers are gone. The client of the endpoint (in the companion, or in the entry for an endpoint without one) and the heartbeats of the link find connections that are lost. The deadline is now kept by the entry as well: an endpoint or link that is silent when it passes cannot report it, and the call went on without an answer until the link was closed.

Each lost attempt, each response that ends early and each stream that is not resumed has a log line with the request id, the reason and its inputs.

--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -163,7 +163,7 @@
         Some(key) => claim::serve(shared, key, exchange, admitted).await,
         None => forward::forward(shared, &exchange, admitted)
             .await
-            .map(Served::Started),
+            .map(|started| Served::Started(Box::new(started))),
     }
 }
 
@@ -193,7 +193,7 @@
 
 fn respond<'r>(id: &str, served: Served) -> Response<'r> {
     match served {
-        Served::Started(started) => respond_streamed(id, started),
+        Served::Started(started) => respond_streamed(id, *started),
         Served::Buffered(whole) => respond_whole(id, whole),
     }
 }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,6 +1,7 @@
 //! Converts the frames of an endpoint's response into an HTTP body.
 
 use std::{
+    future::Future,
     io,
     pin::Pin,
     sync::Arc,
@@ -83,6 +84,7 @@
     flight: Option<Flight>,
     framing: Framing,
     resume: Option<Box<Resume>>,
+    deadline: Option<BoxFuture<'static, ()>>,
 }
 
 impl ResponseBody {
@@ -111,6 +113,7 @@
             flight: Some(reply.flight),
             framing: reply.framing,
             resume,
+            deadline: None,
         }
     }
 
@@ -129,9 +132,20 @@
             flight: None,
             framing: Framing::Sized,
             resume: None,
+            deadline: None,
         }
     }
 
+    /// Ends the body when the deadline passes, even if its endpoint is silent
+    /// then.
+    pub(crate) fn with_deadline(
+        mut self,
+        deadline: impl Future<Output = ()> + Send + 'static,
+    ) -> Self {
+        self.deadline = Some(Box::pin(deadline));
+        self
+    }
+
     /// Holds the admission permits until the body has ended.
     pub(crate) fn hold_admission(&mut self, admitted: Admitted) {
         self.admitted = Some(admitted);
@@ -178,6 +192,27 @@
         }
     }
 
+    /// Reports whether the deadline has passed just now.
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> bool {
+        let has_passed = self
+            .deadline
+            .as_mut()
+            .is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready());
+        if has_passed {
+            self.deadline = None;
+        }
+        has_passed
+    }
+
+    fn deadline_passed(&mut self) -> io::Result<bool> {
+        self.interrupted(Some(Outcome {
+            kind: OutcomeKind::TimedOut,
+            ran: true,
+            detail: "the deadline passed".to_owned(),
+            chunks: self.next_seq,
+        }))
+    }
+
     fn is_complete(&self, outcome: &Outcome) -> bool {
         outcome.kind == OutcomeKind::Complete
             && outcome.chunks == self.next_seq
@@ -261,6 +296,12 @@
                 }
                 State::Waiting(mut waiting) => {
                     match waiting.as_mut().poll(cx) {
+                        Poll::Pending if self.poll_deadline(cx) => {
+                            drop(waiting);
+                            if !self.deadline_passed()? {
+                                return Poll::Ready(Ok(()));
+                            }
+                        }
                         Poll::Pending => {
                             self.state = State::Waiting(waiting);
                             return Poll::Pending;
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -3,11 +3,11 @@
 //!
 //! See `docs/design/at-most-once.md`.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use base::UnixMillis;
 use bytes::Bytes;
-use tokio::{io::AsyncReadExt, time::timeout};
+use tokio::io::AsyncReadExt;
 use web::{Problem, ProblemKind, Ran};
 use wire::message::Header;
 
@@ -38,7 +38,7 @@
 /// The response to a call.
 pub(crate) enum Served {
     /// A response that is streamed from an endpoint.
-    Started(Started),
+    Started(Box<Started>),
     /// A response that is buffered in full.
     Buffered(BufferedResponse),
 }
@@ -135,7 +135,7 @@
 ) -> Result<Served, Problem> {
     let claims = &shared.claims;
     let ended = match forward::forward(shared, exchange, admitted).await {
-        Ok(started) => buffer(shared, started).await,
+        Ok(started) => buffer(started).await,
         Err(problem) => Err(problem),
     };
     match &ended {
@@ -155,30 +155,28 @@
 }
 
 /// Buffers a response that is small enough to be stored.
-async fn buffer(shared: &Shared, started: Started) -> Result<Served, Problem> {
+async fn buffer(started: Started) -> Result<Served, Problem> {
     let is_small = content_length(&started.headers)
         .is_some_and(|bytes| bytes <= MAX_STORED_RESPONSE_BYTES);
     if !is_small {
-        return Ok(Served::Started(started));
+        return Ok(Served::Started(Box::new(started)));
     }
-    let limit = Duration::from_millis(shared.timeouts.first_byte_ms);
     let Started {
         status,
         headers,
         mut body,
     } = started;
     let mut bytes = Vec::new();
-    match timeout(limit, body.read_to_end(&mut bytes)).await {
-        Ok(Ok(_)) => Ok(Served::Buffered(BufferedResponse {
+    match body.read_to_end(&mut bytes).await {
+        Ok(_) => Ok(Served::Buffered(BufferedResponse {
             status,
             headers,
             body: bytes.into(),
             replayed: false,
         })),
-        Ok(Err(error)) => {
+        Err(error) => {
             Err(response_lost(&format!("the answer broke: {error}")))
         }
-        Err(_) => Err(response_lost("the answer went silent")),
     }
 }
 
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,6 +1,6 @@
 //! A request and the data that the filters attach to it.
 
-use base::{Class, Customer, Millis, RequestDigest, RequestId};
+use base::{Class, Customer, Millis, RequestDigest, RequestId, timer::Timer};
 use bytes::Bytes;
 use obs::CustomerMetrics;
 use wire::message::Header;
@@ -32,6 +32,27 @@
     pub(crate) plan: Plan,
 }
 
+impl Exchange {
+    /// Returns when the deadline passes, if there is one.
+    pub(crate) fn deadline(&self) -> Option<Millis> {
+        match self.plan.deadline_ms {
+            0 => None,
+            ms => Some(self.received.saturating_add_ms(ms)),
+        }
+    }
+
+    /// Resolves when the deadline passes, if there is one.
+    ///
+    /// The endpoint has the same deadline, but it cannot report that it
+    /// passed while it is silent.
+    pub(crate) async fn until_deadline(&self, timer: &Timer) {
+        match self.deadline() {
+            Some(due) => timer.subscribe_at(due).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// How a request is served, as decided by the rules.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Plan {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -36,6 +36,16 @@
     },
 }
 
+impl Attempt {
+    /// Returns the end of an attempt that the deadline cut short.
+    pub(super) fn deadline_passed() -> Self {
+        Self::Lost {
+            reason: "the deadline passed before a response".to_owned(),
+            kind: ProblemKind::TimedOut,
+        }
+    }
+}
+
 /// Parameters of one attempt.
 pub(super) struct AttemptParams {
     /// Number of the attempt.
--- a/crates/entry/src/forward/attempts.rs
+++ b/crates/entry/src/forward/attempts.rs
@@ -80,7 +80,15 @@
                 permit: admitted
                     .map_err(|error| self.refuse(exchange, error))?,
             };
-            match attempt(shared, exchange, flight, params).await {
+            let (number, name) = (params.number, flight.target().name.clone());
+            let ended = tokio::select! {
+                biased;
+                ended = attempt(shared, exchange, flight, params) => ended,
+                () = exchange.until_deadline(&shared.timer) => {
+                    Attempt::deadline_passed()
+                }
+            };
+            match ended {
                 Attempt::Started(reply) => return Ok(*reply),
                 Attempt::NotRun {
                     reason,
@@ -92,6 +100,13 @@
                         self.retry_after_ms.max(retry_after_ms);
                 }
                 Attempt::Lost { reason, kind } => {
+                    log::info!(
+                        request_id = exchange.request_id.as_str(),
+                        endpoint = name.as_str(),
+                        attempt = number, kind:?, reason, remaining_ms,
+                        repeatable = self.repeatable;
+                        "an attempt was lost"
+                    );
                     self.record_lost(shared, exchange, &pool, reason, kind)?;
                 }
             }
@@ -217,14 +232,9 @@
 /// Returns the time left until the deadline, 0 if there is none, `None` if it
 /// has passed.
 fn remaining_time_ms(shared: &Shared, exchange: &Exchange) -> Option<u64> {
-    if exchange.plan.deadline_ms == 0 {
+    let Some(deadline) = exchange.deadline() else {
         return Some(0);
-    }
-    let now = shared.timer.now();
-    let spent_ms = now.saturating_ms_since(exchange.received);
-    exchange
-        .plan
-        .deadline_ms
-        .checked_sub(spent_ms)
-        .filter(|ms| *ms > 0)
+    };
+    let left_ms = deadline.saturating_ms_since(shared.timer.now());
+    Some(left_ms).filter(|ms| *ms > 0)
 }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -87,7 +87,9 @@
         (200, Framing::Events) => Resume::try_new(shared, exchange, attempts),
         _ => None,
     };
-    ResponseBody::new(answer, on_chunk, on_end, resume)
+    let (timer, ended) = (shared.timer.clone(), exchange.clone());
+    let deadline = async move { ended.until_deadline(&timer).await };
+    ResponseBody::new(answer, on_chunk, on_end, resume).with_deadline(deadline)
 }
 
 fn record_first_token(shared: &Shared, exchange: &Exchange) {
@@ -104,6 +106,7 @@
     let received = exchange.received;
     let timer = shared.timer.clone();
     let request_id = exchange.request_id.clone();
+    let deadline_ms = exchange.plan.deadline_ms;
     Box::new(move |ended: &BodyEnd| {
         let ms = timer.now().saturating_ms_since(received);
         metrics.record(Series::TotalMs, class, ms);
@@ -115,6 +118,14 @@
         metrics.count(counter, class, 1);
         let detail = ended.detail();
         let id = request_id.as_str();
-        log::debug!(request_id = id, total_ms = ms, detail; "response ended");
+        let BodyEnd::Interrupted(outcome) = ended else {
+            log::debug!(request_id = id, total_ms = ms, detail; "response ended");
+            return;
+        };
+        let kind = outcome.as_ref().map(|outcome| outcome.kind);
+        log::info!(
+            request_id = id, total_ms = ms, deadline_ms, kind:?, detail;
+            "response ended early"
+        );
     })
 }
--- a/crates/entry/src/forward/resume.rs
+++ b/crates/entry/src/forward/resume.rs
@@ -117,28 +117,42 @@
         why: String,
     ) -> Option<(Box<Self>, ResumedStream)> {
         record_incomplete(&interrupted, kind);
+        let (shared, exchange) = (&self.shared, &self.exchange);
+        let id = exchange.request_id.as_str();
+        let offset = self.forwarded.content;
         if self.forwarded.other || self.forwarded.done {
+            log::info!(request_id = id, offset, why, done = self.forwarded.done;
+                "a stream cannot be resumed after its events");
             return None;
         }
-        let (shared, exchange) = (&self.shared, &self.exchange);
         if !self.attempts.record_interruption(
             shared,
             exchange,
             &interrupted,
             &why,
         ) {
+            log::info!(request_id = id, offset, why,
+                retries = exchange.plan.retries;
+                "no time or no retry is left to resume a stream");
             return None;
         }
         drop(interrupted);
         self.resumed = true;
-        self.offset = self.forwarded.content;
-        let offset = self.offset;
+        self.offset = offset;
         let next = self.attempts.next(shared, exchange, offset).await;
         let answer = match next {
             Ok(Reply::Streaming(answer)) => answer,
-            Ok(Reply::Buffered(_)) | Err(_) => return None,
+            Ok(Reply::Buffered(_)) => {
+                log::info!(request_id = id, offset, why;
+                    "another endpoint does not stream the response");
+                return None;
+            }
+            Err(problem) => {
+                log::info!(request_id = id, offset, why, problem:%;
+                    "no endpoint can resume a stream");
+                return None;
+            }
         };
-        let id = exchange.request_id.as_str();
         log::info!(request_id = id, offset, why; "a stream is resumed at another endpoint");
         let StreamingReply {
             status: 200,
--- a/crates/entry/src/forward/start.rs
+++ b/crates/entry/src/forward/start.rs
@@ -1,9 +1,8 @@
 //! The start of a response.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use tokio::time::timeout;
 use wire::{
     Run,
     message::{Frame, Header, OutcomeKind},
@@ -20,38 +19,38 @@
 /// Waits for the head and, for a stream, for the first chunk. Until then
 /// nothing was sent to the caller, so a repeatable request can go to another
 /// endpoint.
+///
+/// A silence ends nothing here: the client of the endpoint and the heartbeats
+/// of the link report a connection that is lost.
 pub(super) async fn start(
     shared: &Arc<Shared>,
     mut run: Run,
     flight: Flight,
 ) -> Attempt {
-    let idle_timeout = Duration::from_millis(shared.timeouts.first_byte_ms);
-    let (status, headers) = match timeout(idle_timeout, run.next()).await {
-        Ok(Some(Frame::Head { status, headers })) => (status, headers),
-        Ok(Some(Frame::End(outcome))) => return incomplete(&flight, outcome),
-        Ok(_) => return lost(&flight, "the link to the companion broke"),
-        Err(_) => return lost(&flight, "the companion went silent"),
+    let (status, headers) = match run.next().await {
+        Some(Frame::Head { status, headers }) => (status, headers),
+        Some(Frame::End(outcome)) => return incomplete(&flight, outcome),
+        _ => return lost(&flight, "the link to the companion broke"),
     };
     let mut next_seq = 0;
     let first = loop {
-        match timeout(idle_timeout, run.next()).await {
-            Ok(Some(Frame::Chunk { seq, bytes })) if seq == next_seq => {
+        match run.next().await {
+            Some(Frame::Chunk { seq, bytes }) if seq == next_seq => {
                 next_seq += 1;
                 if !is_comment(&bytes) {
                     break Some(bytes);
                 }
             }
-            Ok(Some(Frame::End(outcome))) => {
+            Some(Frame::End(outcome)) => {
                 if outcome.kind == OutcomeKind::Complete {
                     break None;
                 }
                 return incomplete(&flight, outcome);
             }
-            Ok(_) => {
+            _ => {
                 let reason = "the answer broke before its first part";
                 return lost(&flight, reason);
             }
-            Err(_) => return lost(&flight, "the answer went silent"),
         }
     };
     flight.record_first_chunk();
@@ -110,12 +109,11 @@
         mut flight,
         ..
     } = answer;
-    let idle_timeout = Duration::from_millis(shared.timeouts.between_bytes_ms);
     let limit = shared.limits.body_max_bytes;
     let mut body = BytesMut::from(first.unwrap_or_default());
     loop {
-        match timeout(idle_timeout, run.next()).await {
-            Ok(Some(Frame::Chunk { seq, bytes })) if seq == next_seq => {
+        match run.next().await {
+            Some(Frame::Chunk { seq, bytes }) if seq == next_seq => {
                 next_seq += 1;
                 flight.advance_to(next_seq);
                 body.extend_from_slice(&bytes);
@@ -123,7 +121,7 @@
                     return over_limit(&flight);
                 }
             }
-            Ok(Some(Frame::End(outcome))) => {
+            Some(Frame::End(outcome)) => {
                 if outcome.kind == OutcomeKind::Complete
                     && outcome.chunks == next_seq
                 {
@@ -131,8 +129,7 @@
                 }
                 return incomplete(&flight, outcome);
             }
-            Ok(_) => return lost(&flight, "the answer broke"),
-            Err(_) => return lost(&flight, "the answer went silent"),
+            _ => return lost(&flight, "the answer broke"),
         }
     }
     buffered(status, headers, body.freeze(), flight)
