Find lost connections to endpoints by probes, not by silence

`between_bytes_ms` (10 s) and `first_byte_ms` (30 s) were the only things that found a connection whose other end was gone, so they were short, and the settings took any value from 1 ms on: a service that needs 8 s between two bytes, or an answer that is sent whole after 28 s, was cut when its endpoint was silent for 3 s more, and with a value of 500 any sound endpoint that was silent for a second.

The kernel now probes idle connections after 5 s, and takes one for lost when its bytes or probes stay unacknowledged for 15 s; the HTTP library's own probes began after 15 s and took 30 s or more. Retransmission after a silence of just over 3 s takes 6.2 s, well within. The two timeouts remain for endpoints that are connected and hang where no deadline ends the call: 120 s and 30 s, and 5 s at least. Each call that ends early at an endpoint has a log line with the request id, the kind, the reason and its inputs.

Orders and health checks move to a module of their own to keep the files short.

--- a/crates/conf/src/settings/check.rs
+++ b/crates/conf/src/settings/check.rs
@@ -15,6 +15,10 @@
 const MIB: u64 = 1 << 20;
 const TIB: u64 = 1 << 40;
 
+/// Minimum timeout of a silence: an endpoint or a network may be silent for
+/// seconds and go on.
+const MIN_SILENCE_MS: u64 = 5_000;
+
 /// Minimum length of a secret; shorter ones are too easy to guess.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -303,9 +307,11 @@
         let connect = self.connect_ms;
         findings.check_range("timeouts.connect_ms", connect, 1, MINUTE_MS);
         let first = self.first_byte_ms;
-        findings.check_range("timeouts.first_byte_ms", first, 1, DAY_MS);
+        let path = "timeouts.first_byte_ms";
+        findings.check_range(path, first, MIN_SILENCE_MS, DAY_MS);
         let between = self.between_bytes_ms;
-        findings.check_range("timeouts.between_bytes_ms", between, 1, DAY_MS);
+        let path = "timeouts.between_bytes_ms";
+        findings.check_range(path, between, MIN_SILENCE_MS, DAY_MS);
         findings.check_range("timeouts.drain_ms", self.drain_ms, 0, DAY_MS);
     }
 }
--- a/crates/conf/src/settings/parts.rs
+++ b/crates/conf/src/settings/parts.rs
@@ -329,7 +329,8 @@
 pub struct TimeoutSettings {
     /// Timeout for establishing a connection, in milliseconds.
     pub connect_ms: u64,
-    /// Timeout for the first byte of a response, in milliseconds.
+    /// Timeout for the first byte of a response, in milliseconds; not for
+    /// lost connections, which are found by probes.
     pub first_byte_ms: u64,
     /// Timeout between two bytes of a response, in milliseconds.
     pub between_bytes_ms: u64,
@@ -341,8 +342,8 @@
     fn default() -> Self {
         Self {
             connect_ms: 1_000,
-            first_byte_ms: 30_000,
-            between_bytes_ms: 10_000,
+            first_byte_ms: 120_000,
+            between_bytes_ms: 30_000,
             drain_ms: 120_000,
         }
     }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -88,6 +88,8 @@
     same_address = { ":18151", ":18101", "f:5:14: peer_listen: is the same as `listen`" },
     unit = { "key_value:", "timeouts: {connect_s: 1}\nkey_value:", "f:6:12: timeouts.connect_s: unknown key; did you mean \"connect_ms\"?" },
     range = { "key_value:", "batch: {lease_ttl_s: 1}\nkey_value:", "f:6:22: batch.lease_ttl_s: 1 is not in 2 to 300" },
+    first_byte = { "key_value:", "timeouts: {first_byte_ms: 4999}\nkey_value:", "f:6:27: timeouts.first_byte_ms: 4999 is not in 5000 to 86400000" },
+    between_bytes = { "key_value:", "timeouts: {between_bytes_ms: 4999}\nkey_value:", "f:6:30: timeouts.between_bytes_ms: 4999 is not in 5000 to 86400000" },
     secret = { "key_value:", "peer_secrets: [short]\nkey_value:", "f:6:16: peer_secrets[0]: has fewer than 16 bytes" },
     secret_is_not_shown = { "key_value:", "peer_secrets: [[hidden-secret]]\nkey_value:", "f:6:16: peer_secrets[0]: expected a string, found a list" },
     data_twice = { "key_value:", "data_vms: [{vm: d, address: 127.0.0.1:1, failure_domain: a}, {vm: d, address: 127.0.0.1:2, failure_domain: b}]\nkey_value:", "f:6:67: data_vms[1].vm: \"d\" is also in data_vms[0].vm" },
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -5,14 +5,11 @@
 use error_stack::{Report, ResultExt};
 use framing::{BodyCheck, Content, Framing};
 use quarantine::has_crashed;
-use reqwest::{Client, Method, Response, header::HeaderMap};
+use reqwest::{Client, ClientBuilder, Method, Response, header::HeaderMap};
 use tokio::time::{Instant, timeout};
 use wire::{
     FrameSender,
-    message::{
-        Frame, Header, Order, Outcome, OutcomeKind, Refusal, RefusalKind,
-        Request,
-    },
+    message::{Frame, Header, Outcome, OutcomeKind, Request},
 };
 
 use crate::events::EventSplitter;
@@ -29,6 +26,21 @@
     "upgrade",
 ];
 
+/// Idle time after which the kernel probes a connection.
+const KEEP_ALIVE_IDLE: Duration = Duration::from_secs(5);
+
+/// Interval of further probes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Number of unanswered probes after which a connection is lost.
+const KEEP_ALIVE_PROBES: u32 = 5;
+
+/// Time after which a connection is lost whose bytes or probes stay
+/// unacknowledged. Retransmission may take twice as long as a silence of the
+/// network.
+#[cfg(target_os = "linux")]
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// The error for an HTTP client that cannot be built.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClientBuildError;
@@ -52,54 +64,13 @@
     Bytes,
 }
 
-/// Identifies one incarnation of an endpoint; fields that the endpoint does
-/// not report are empty.
-///
-/// # Example
-///
-/// ```
-/// use pomeloslip_upstream::EndpointIncarnation;
-///
-/// let body = br#"{"status":"ok","version":"1.0.0","incarnation":7}"#;
-/// let reported = EndpointIncarnation::from_health_response(body);
-/// assert_eq!(reported.version, "1.0.0");
-/// assert_ne!(reported, EndpointIncarnation::from_health_response(b"ok"));
-/// ```
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct EndpointIncarnation {
-    /// Version of the endpoint's software.
-    pub version: String,
-    /// Incarnation of the endpoint's process, as the endpoint formats it.
-    pub incarnation: String,
-}
-
-impl EndpointIncarnation {
-    /// Reads the body of a response to a health check.
-    pub fn from_health_response(body: &[u8]) -> Self {
-        let body: serde_json::Value =
-            serde_json::from_slice(body).unwrap_or_default();
-        Self {
-            version: json_text(&body["version"]),
-            incarnation: json_text(&body["incarnation"]),
-        }
-    }
-}
-
-fn json_text(value: &serde_json::Value) -> String {
-    match value {
-        serde_json::Value::Null => String::new(),
-        serde_json::Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
-
 /// HTTP client for one endpoint; clones share connections.
 #[derive(Clone, Debug)]
 pub struct EndpointClient {
-    address: HttpAddress,
+    pub(crate) address: HttpAddress,
     pooled: Client,
-    unpooled: Client,
-    first_byte_timeout: Duration,
+    pub(crate) unpooled: Client,
+    pub(crate) first_byte_timeout: Duration,
     between_bytes_timeout: Duration,
 }
 
@@ -141,7 +112,7 @@
         timeouts: &TimeoutSettings,
     ) -> Result<Self, Report<ClientBuildError>> {
         let connect = Duration::from_millis(timeouts.connect_ms);
-        let builder = || Client::builder().connect_timeout(connect);
+        let builder = || probed_connections().connect_timeout(connect);
         let error = ClientBuildError;
         Ok(Self {
             address,
@@ -198,7 +169,9 @@
             has_sent_head: false,
             chunks: 0,
         };
-        let deadline = deadline(request.deadline_ms);
+        let (id, attempt) = (request.request_id.clone(), request.attempt);
+        let deadline_ms = request.deadline_ms;
+        let deadline = deadline(deadline_ms);
         let transfer =
             self.stream_response(request, answer, &mut progress, on_progress);
         let result = tokio::select! {
@@ -227,6 +200,15 @@
                 chunks: progress.chunks,
             },
         };
+        if outcome.kind != OutcomeKind::Complete {
+            log::info!(
+                request_id = id.as_str(), attempt, deadline_ms,
+                endpoint:% = self.address, kind:? = outcome.kind,
+                ran = outcome.ran, chunks = outcome.chunks,
+                detail = outcome.detail.as_str();
+                "a call at an endpoint ended early"
+            );
+        }
         // A caller that has disconnected does not need the end.
         let _ = answer.send(Frame::End(outcome.clone())).await;
         outcome
@@ -336,7 +318,7 @@
                 true,
                 format!("the answer broke: {error}"),
             )),
-            // The connection stalled and is not expected to recover.
+            // The connection is alive, but the endpoint hangs.
             Err(_) => Err(CallFailure::new(
                 OutcomeKind::Broken,
                 true,
@@ -346,6 +328,20 @@
     }
 }
 
+/// Returns a builder of clients whose connections are probed by the kernel.
+///
+/// A connection whose other end is gone without a reset is found by the
+/// probes; one whose endpoint is silent is alive to them.
+fn probed_connections() -> ClientBuilder {
+    let builder = Client::builder()
+        .tcp_keepalive(KEEP_ALIVE_IDLE)
+        .tcp_keepalive_interval(KEEP_ALIVE_INTERVAL)
+        .tcp_keepalive_retries(KEEP_ALIVE_PROBES);
+    #[cfg(target_os = "linux")]
+    let builder = builder.tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT);
+    builder
+}
+
 async fn send_chunk(
     answer: &FrameSender,
     progress: &mut CallProgress,
@@ -382,7 +378,10 @@
 
 /// Creates the check of a response's body. An engine that fails midway may
 /// still end its chunks; what a service says in chunks is passed on as it is.
-fn body_check(response: &Response, is_model_call: bool) -> BodyCheck {
+pub(crate) fn body_check(
+    response: &Response,
+    is_model_call: bool,
+) -> BodyCheck {
     let headers = response.headers();
     let length = response.content_length();
     let framing = Framing::of(response.version(), headers, length);
@@ -425,56 +424,3 @@
         })
         .collect()
 }
-
-impl EndpointClient {
-    /// Sends an order to the endpoint.
-    ///
-    /// # Errors
-    ///
-    /// A refusal with the endpoint's reason. An order that timed out may or
-    /// may not have been applied; orders are idempotent and can be repeated.
-    pub async fn order(&self, order: &Order) -> Result<(), Refusal> {
-        let mut body: serde_json::Value = serde_json::from_slice(&order.body)
-            .map_err(|error| {
-                Refusal::new(RefusalKind::Invalid, error.to_string())
-            })?;
-        body["fence"] = order.fence.into();
-        body["kind"] = order.kind.clone().into();
-        let url = self.address.join("/orders");
-        let call = self.unpooled.post(url).json(&body).send();
-        let failed =
-            |detail: String| Refusal::new(RefusalKind::Failed, detail);
-        match timeout(self.first_byte_timeout, call).await {
-            Ok(Ok(reply)) if reply.status().is_success() => Ok(()),
-            Ok(Ok(reply)) if reply.status().as_u16() == 409 => {
-                let why = "the endpoint has obeyed a newer order";
-                Err(Refusal::new(RefusalKind::StaleFence, why))
-            }
-            Ok(Ok(reply)) => Err(failed(format!("{}", reply.status()))),
-            Ok(Err(error)) => Err(failed(error.to_string())),
-            Err(_) => Err(failed("no answer in time".to_owned())),
-        }
-    }
-
-    /// Reports whether the endpoint passes a health check.
-    pub async fn is_healthy(&self, wait: Duration) -> bool {
-        self.health(wait).await.is_some()
-    }
-
-    /// Checks the endpoint's health; returns its incarnation if it is healthy.
-    pub async fn health(&self, wait: Duration) -> Option<EndpointIncarnation> {
-        let url = self.address.join("/health");
-        let check = async {
-            let reply = self.unpooled.get(url).send().await.ok()?;
-            if !reply.status().is_success() {
-                return None;
-            }
-            let mut check = body_check(&reply, false);
-            let body = reply.bytes().await.ok()?;
-            check.push(&body);
-            check.finish().ok()?;
-            Some(EndpointIncarnation::from_health_response(&body))
-        };
-        timeout(wait, check).await.ok().flatten()
-    }
-}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,12 +8,13 @@
 //! request did not run only if that is certain.
 
 mod client;
+mod control;
 mod events;
 
 pub use crate::{
     client::{
-        ClientBuildError, EndpointClient, EndpointIncarnation,
-        ResponseProgress, is_model_call,
+        ClientBuildError, EndpointClient, ResponseProgress, is_model_call,
     },
+    control::EndpointIncarnation,
     events::{EventSplitter, EventTooLarge},
 };
