Keep the batch items of an engine that is silent for a while

When no stream of an engine had moved for 5 s, the gate stopped all batch items there and reported them as lost, which cost each an attempt and its work so far. An engine that had 2.5 s of quiet work and then was silent for 3 s lost its items this way, though it went on.

To avoid a stalled engine and to give up what runs on it are now two decisions: after 5 s it still gets nothing new and waiting calls are refused as not run, but items go on and are given up after 30 s only. Each stopped item has a log line with its id, the reason and how long it ran.

`items_of_a_stalled_engine_count_an_attempt` asked for the stop after 5 s, which is this fault. Its successor asks for the same stop, as lost, after 30 s, and that it is ordered once. The new test failed before: items_of_an_engine_that_goes_on_after_a_stall_are_kept left: [Stop(CallKey(1v1), Stalled)] right: []

--- a/crates/companion/src/item.rs
+++ b/crates/companion/src/item.rs
@@ -35,6 +35,7 @@
     if gate_call.wait_for_start().await.is_err() {
         return result;
     }
+    let id = request.request_id.clone();
     let customer = shared.metrics.customer(&item.customer);
     let started = shared.timer.now();
     customer.count(Counter::Arrived, Class::Batch, 1);
@@ -42,6 +43,11 @@
         response = call(shared, request) => response,
         reason = gate_call.wait_for_stop() => {
             customer.count(Counter::Preempted, Class::Batch, 1);
+            let running_ms = shared.timer.now().saturating_ms_since(started);
+            log::info!(
+                request_id = id.as_str(), running_ms, reason:?;
+                "a batch item was stopped"
+            );
             if reason == StopReason::Stalled {
                 result.outcome = ItemOutcome::Lost;
             }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -10,7 +10,7 @@
     limit::BatchLimit,
     measurements::{Measurements, ago},
     pace::Pacer,
-    stall::StallDetector,
+    stall::{StallChange, StallDetector},
 };
 
 /// Fraction of the queue that one customer may fill, as numerator and
@@ -128,7 +128,10 @@
     pub fn new(options: GateOptions, now: Millis) -> Self {
         Self {
             limit: BatchLimit::new(options.batch_max_running, now),
-            stall: StallDetector::new(options.stall_after_ms),
+            stall: StallDetector::new(
+                options.stall_after_ms,
+                options.give_up_after_ms,
+            ),
             arrivals: Arrivals::new(options.reserve_window_ms),
             pacer: Pacer::new(now),
             options,
@@ -392,8 +395,14 @@
     }
 
     fn on_tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        if self.stall.check(now) {
-            self.on_stall(actions);
+        match self.stall.check(now) {
+            Some(StallChange::Stalled) => {
+                self.reject_waiting(RejectReason::Stalled, None, actions);
+            }
+            Some(StallChange::GivenUp) => {
+                while self.stop_newest(StopReason::Stalled, actions) {}
+            }
+            None => {}
         }
         self.reject_late(now, actions);
         self.return_waiting(ago(now, MAX_BUFFERED_MS), actions);
@@ -402,11 +411,6 @@
         }
     }
 
-    fn on_stall(&mut self, actions: &mut Vec<Action>) {
-        self.reject_waiting(RejectReason::Stalled, None, actions);
-        while self.stop_newest(StopReason::Stalled, actions) {}
-    }
-
     fn adapt(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let since = self.limit.adapted_at();
         let age_ms = now.saturating_ms_since(since);
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -64,6 +64,10 @@
     /// Time without progress of any stream after which the engine counts as
     /// stalled; 0 disables the check.
     pub stall_after_ms: u64,
+    /// Time without progress of any stream after which the batch items of a
+    /// stalled engine are given up as lost. Longer, since a sound engine may
+    /// be silent for seconds and go on.
+    pub give_up_after_ms: u64,
 }
 
 /// Number of online calls that may wait for each one that may run.
@@ -88,6 +92,7 @@
             floor_max: max_running / 8,
             floor_age_ms: 3_600_000,
             stall_after_ms: 5_000,
+            give_up_after_ms: 30_000,
         }
     }
 
