Renew grants at each entry by itself

A companion renewed its grants at all entries together and waited for the slowest. While one entry was silent, renewals at the others waited for up to 5 s, the timeout of a call; with a silence of the other link beside it, the grants there expired after 10 s and sound items ran again elsewhere.

Each entry now has its own renewal, at most one at a time. A revoked grant and a drain that ends running calls have log lines of their own.

--- a/crates/companion/src/admission.rs
+++ b/crates/companion/src/admission.rs
@@ -183,6 +183,11 @@
         self.lock().gate.load(self.timer.now())
     }
 
+    /// Returns the number of calls and items that run or wait.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().gate.len()
+    }
+
     /// Returns whether no call runs or waits.
     pub(crate) fn is_idle(&self) -> bool {
         self.lock().gate.is_empty()
--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -182,6 +182,14 @@
         while self.is_busy() && timer.now() < limit {
             timer.subscribe_in_ms(DRAIN_POLL_MS).await;
         }
+        if self.is_busy() {
+            log::warn!(
+                calls = self.shared.admission.len(),
+                undelivered = self.peer.undelivered_responses(),
+                drain_ms = self.drain_ms;
+                "the drain time is over; ending what runs"
+            );
+        }
         self.stop().await;
     }
 
--- a/crates/companion/src/pull.rs
+++ b/crates/companion/src/pull.rs
@@ -1,6 +1,7 @@
 //! Pulls batch items while the endpoint has free capacity.
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -32,6 +33,8 @@
     has_entries: bool,
     schedule: Mutex<PullSchedule>,
     grants: Grants,
+    /// Entries with a renewal under way.
+    renewing: Mutex<HashSet<SocketAddr>>,
     reports: Arc<Reports>,
 }
 
@@ -51,6 +54,7 @@
             has_entries: !entries.is_empty(),
             schedule: Mutex::new(PullSchedule::new(entries, first)),
             grants: Grants::default(),
+            renewing: Mutex::default(),
             reports,
         })
     }
@@ -91,12 +95,25 @@
     pub(crate) async fn renew_forever(self: Arc<Self>) {
         loop {
             self.shared.timer.subscribe_in_ms(RENEW_CHECK_MS).await;
-            let entries = self.grants.to_renew(self.shared.timer.now());
-            let renewals = entries.iter().map(|entry| self.pull(*entry, 0));
-            futures::future::join_all(renewals).await;
+            for entry in self.grants.to_renew(self.shared.timer.now()) {
+                if self.renewing().insert(entry) {
+                    // An entry that does not respond must not delay renewals
+                    // at other entries.
+                    tokio::spawn(self.clone().renew(entry));
+                }
+            }
         }
     }
 
+    async fn renew(self: Arc<Self>, entry: SocketAddr) {
+        self.pull(entry, 0).await;
+        self.renewing().remove(&entry);
+    }
+
+    fn renewing(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        self.renewing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Aborts all items that run here.
     pub(crate) fn abort_all(&self) {
         self.grants.abort_all();
@@ -155,6 +172,7 @@
         };
         self.grants.mark_renewed(entry, &running, now);
         for &grant in &reply.revoked {
+            log::info!(entry:%, grant; "a grant is revoked; its item ends");
             self.grants.revoke(GrantKey { entry, grant });
         }
         Some(reply)
