Continue streams of silent links elsewhere, make before break

A stream moved to another endpoint only after its link was given up. With the link's timeout of 10 s, the stream of a machine that is gone without a reset paused for that long; with the former 2 s, a stream was cut because its sound link was silent.

While a link is silent (2 s without an answer to a heartbeat), another endpoint of the same pool and version is now asked to continue the stream after the events that were forwarded. The first endpoint keeps the stream meanwhile: the first of the two that sends an event wins, and the other one is cancelled. The request to the other endpoint counts as a retry, is taken from the retry budget, and is the one that resumes the stream if the link is lost before it has started. Streams that may not be resumed wait.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -19,7 +19,9 @@
 
 use crate::{
     fleet::Flight,
-    forward::{self, Resume, ResumedStream, StreamingReply},
+    forward::{
+        self, Prepared, Resume, ResumedStream, Standby, StreamingReply,
+    },
     shared::Admitted,
 };
 
@@ -84,6 +86,7 @@
     flight: Option<Flight>,
     framing: Framing,
     resume: Option<Box<Resume>>,
+    standby: Option<Standby>,
     deadline: Option<BoxFuture<'static, ()>>,
 }
 
@@ -103,6 +106,7 @@
             // The first event of the first attempt always goes to the caller.
             let _ = resume.filter_event(first.clone());
         }
+        let standby = resume.as_ref().map(|_| Standby::new(&reply.run));
         Self {
             state: State::Idle(Box::new(reply.run)),
             pending: first,
@@ -113,6 +117,7 @@
             flight: Some(reply.flight),
             framing: reply.framing,
             resume,
+            standby,
             deadline: None,
         }
     }
@@ -132,6 +137,7 @@
             flight: None,
             framing: Framing::Sized,
             resume: None,
+            standby: None,
             deadline: None,
         }
     }
@@ -154,6 +160,7 @@
     fn finish(&mut self, ended: &BodyEnd) {
         self.state = State::Done;
         self.admitted = None;
+        self.standby = None;
         let flight = self.flight.take();
         if let (Some(flight), BodyEnd::Complete) = (&flight, ended) {
             flight.record_completion();
@@ -169,6 +176,9 @@
         match frame {
             Some(Frame::Chunk { seq, bytes }) if seq == self.next_seq => {
                 self.next_seq += 1;
+                if let Some(standby) = &mut self.standby {
+                    standby.keep_first();
+                }
                 if let Some(flight) = &mut self.flight {
                     flight.advance_to(self.next_seq);
                 }
@@ -204,6 +214,31 @@
         has_passed
     }
 
+    /// Returns the response of another endpoint if the link is silent and that
+    /// endpoint has started.
+    fn poll_standby(&mut self, cx: &mut Context<'_>) -> Poll<Prepared> {
+        let parts = (&mut self.standby, &mut self.resume, &self.flight);
+        match parts {
+            (Some(standby), Some(resume), Some(flight)) => {
+                standby.poll(cx, resume, flight)
+            }
+            _ => Poll::Pending,
+        }
+    }
+
+    /// Continues at an endpoint that has started while the link was silent.
+    fn hand_over(&mut self, prepared: Prepared) -> io::Result<bool> {
+        if let Some(flight) = self.flight.take() {
+            forward::record_incomplete(&flight, None);
+        }
+        let resumed = self.resume.take().map(|mut resume| {
+            let why = "the link is silent";
+            let resumed = resume.take_over(prepared, why);
+            (resume, resumed)
+        });
+        self.continue_with(resumed, &BodyEnd::Interrupted(None))
+    }
+
     fn deadline_passed(&mut self) -> io::Result<bool> {
         self.interrupted(Some(Outcome {
             kind: OutcomeKind::TimedOut,
@@ -232,7 +267,8 @@
         let reason = ended.detail().to_owned();
         // The interrupted attempt is closed before another starts.
         self.state = State::Done;
-        let resumed = Box::pin(resume.resume(flight, kind, reason));
+        let preparing = self.standby.take().and_then(Standby::into_preparing);
+        let resumed = Box::pin(resume.resume(flight, kind, reason, preparing));
         self.state = State::Resuming(resumed, ended);
         Ok(true)
     }
@@ -245,6 +281,7 @@
         let Some((resume, resumed)) = resumed else {
             return self.fail(ended);
         };
+        self.standby = Some(Standby::new(&resumed.run));
         self.state = State::Idle(Box::new(resumed.run));
         self.pending = resumed.first.unwrap_or_default();
         self.next_seq = resumed.next_seq;
@@ -303,8 +340,16 @@
                             }
                         }
                         Poll::Pending => {
-                            self.state = State::Waiting(waiting);
-                            return Poll::Pending;
+                            let Poll::Ready(prepared) = self.poll_standby(cx)
+                            else {
+                                self.state = State::Waiting(waiting);
+                                return Poll::Pending;
+                            };
+                            // Cancels the call at the first endpoint.
+                            drop(waiting);
+                            if !self.hand_over(prepared)? {
+                                return Poll::Ready(Ok(()));
+                            }
                         }
                         Poll::Ready((run, frame)) => {
                             self.state = State::Idle(run);
--- a/crates/entry/src/forward/attempts.rs
+++ b/crates/entry/src/forward/attempts.rs
@@ -22,6 +22,7 @@
 const RETRY_AFTER_MS: u64 = 1_000;
 
 /// State of the attempts of a request.
+#[derive(Clone)]
 pub(crate) struct Attempts {
     tried: Vec<EndpointKey>,
     prefix: Option<u64>,
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod event;
 mod prefix;
 mod resume;
+mod standby;
 mod start;
 
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 pub(crate) use self::{
     attempt::{StreamingReply, record_incomplete},
     resume::{Resume, ResumedStream},
+    standby::{Prepared, Standby},
 };
 use crate::{
     body::{BodyEnd, Framing, OnEnd, ResponseBody},
--- a/crates/entry/src/forward/resume.rs
+++ b/crates/entry/src/forward/resume.rs
@@ -8,9 +8,10 @@
 use wire::{Run, message::OutcomeKind};
 
 use super::{
-    attempt::{Reply, StreamingReply, record_incomplete},
+    attempt::{Reply, record_incomplete},
     attempts::Attempts,
     event::{self, EventKind},
+    standby::{Prepared, Preparing},
 };
 use crate::{
     body::Framing, exchange::Exchange, fleet::Flight, shared::Shared,
@@ -108,72 +109,101 @@
         Some(event)
     }
 
-    /// Tries to resume at another endpoint after `why`. Returns itself for the
-    /// next interruption, or `None` if the stream cannot be resumed.
+    /// Tries to resume at another endpoint after `why`, with the one that is
+    /// asked already, if any. Returns itself for the next interruption, or
+    /// `None` if the stream cannot be resumed.
     pub(crate) async fn resume(
         mut self: Box<Self>,
         interrupted: Flight,
         kind: Option<OutcomeKind>,
         why: String,
+        preparing: Option<Preparing>,
     ) -> Option<(Box<Self>, ResumedStream)> {
         record_incomplete(&interrupted, kind);
-        let (shared, exchange) = (&self.shared, &self.exchange);
-        let id = exchange.request_id.as_str();
+        let preparing = match preparing {
+            Some(preparing) => preparing,
+            None => self.prepare(&interrupted, &why)?,
+        };
+        drop(interrupted);
+        let prepared = preparing.await?;
+        let resumed_stream = self.take_over(prepared, &why);
+        Some((self, resumed_stream))
+    }
+
+    /// Asks another endpoint to continue the stream after the events that were
+    /// forwarded; `None` if that is not allowed. The run counts as a retry.
+    pub(super) fn prepare(
+        &mut self,
+        first: &Flight,
+        why: &str,
+    ) -> Option<Preparing> {
+        let id = self.exchange.request_id.clone();
+        let endpoint = first.target().name.clone();
         let offset = self.forwarded.content;
-        if self.forwarded.other || self.forwarded.done {
-            log::info!(request_id = id, offset, why, done = self.forwarded.done;
-                "a stream cannot be resumed after its events");
-            return None;
-        }
-        if !self.attempts.record_interruption(
-            shared,
-            exchange,
-            &interrupted,
-            &why,
-        ) {
-            log::info!(request_id = id, offset, why,
-                retries = exchange.plan.retries;
-                "no time or no retry is left to resume a stream");
+        let (shared, exchange) = (&self.shared, &self.exchange);
+        let is_allowed = !self.forwarded.other
+            && !self.forwarded.done
+            && self
+                .attempts
+                .record_interruption(shared, exchange, first, why);
+        log::info!(
+            request_id = id.as_str(), endpoint = endpoint.as_str(), offset,
+            why, is_allowed, retries = exchange.plan.retries,
+            deadline_ms = exchange.plan.deadline_ms,
+            done = self.forwarded.done, countable = !self.forwarded.other;
+            "a stream is to go on at another endpoint"
+        );
+        if !is_allowed {
             return None;
         }
-        drop(interrupted);
-        self.resumed = true;
-        self.offset = offset;
-        let next = self.attempts.next(shared, exchange, offset).await;
-        let answer = match next {
-            Ok(Reply::Streaming(answer)) => answer,
-            Ok(Reply::Buffered(_)) => {
-                log::info!(request_id = id, offset, why;
-                    "another endpoint does not stream the response");
-                return None;
-            }
-            Err(problem) => {
-                log::info!(request_id = id, offset, why, problem:%;
-                    "no endpoint can resume a stream");
-                return None;
+        let (shared, exchange) = (shared.clone(), exchange.clone());
+        let mut attempts = self.attempts.clone();
+        Some(Box::pin(async move {
+            let reply = attempts.next(&shared, &exchange, offset).await;
+            match reply {
+                Ok(Reply::Streaming(answer))
+                    if answer.status == 200
+                        && answer.framing == Framing::Events =>
+                {
+                    Some(Prepared { attempts, answer })
+                }
+                Ok(_) => {
+                    log::info!(request_id = id.as_str(), offset;
+                        "another endpoint does not continue the stream");
+                    None
+                }
+                Err(problem) => {
+                    log::info!(request_id = id.as_str(), offset, problem:%;
+                        "no endpoint continues the stream");
+                    None
+                }
             }
-        };
-        log::info!(request_id = id, offset, why; "a stream is resumed at another endpoint");
-        let StreamingReply {
-            status: 200,
-            framing: Framing::Events,
-            run,
-            first,
-            next_seq,
-            flight,
-            ..
-        } = answer
-        else {
-            return None;
-        };
-        let first = first.and_then(|first| self.filter_event(first));
-        let resumed_stream = ResumedStream {
-            run,
+        }))
+    }
+
+    /// Continues with the response of another endpoint.
+    pub(crate) fn take_over(
+        &mut self,
+        prepared: Prepared,
+        why: &str,
+    ) -> ResumedStream {
+        let Prepared { attempts, answer } = prepared;
+        self.attempts = attempts;
+        self.resumed = true;
+        self.offset = self.forwarded.content;
+        let id = self.exchange.request_id.as_str();
+        log::info!(
+            request_id = id, offset = self.offset, why,
+            endpoint = answer.flight.target().name.as_str();
+            "a stream is resumed at another endpoint"
+        );
+        let first = answer.first.and_then(|first| self.filter_event(first));
+        ResumedStream {
+            run: answer.run,
             first,
-            next_seq,
-            flight,
-        };
-        Some((self, resumed_stream))
+            next_seq: answer.next_seq,
+            flight: answer.flight,
+        }
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -54,7 +54,7 @@
     },
     link::Links,
     options::{LinkError, LinkOptions, ServeOptions},
-    run::{Run, RunReply},
+    run::{LinkSilence, Run, RunReply},
     server::{ServeError, Server, serve, serve_with},
 };
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -42,7 +42,7 @@
     closed: watch::Sender<bool>,
     /// Whether a heartbeat is unanswered for so long that new calls use
     /// another connection.
-    is_silent: Cell<bool>,
+    silent: watch::Sender<bool>,
     rpc: Cell<Option<AbortHandle>>,
 }
 
@@ -108,7 +108,7 @@
             node,
             address,
             closed,
-            is_silent: Cell::new(false),
+            silent: watch::channel(false).0,
             rpc: Cell::new(guard.disarm()),
         });
         spawn_local(heartbeat(peer.clone(), options.clone()));
@@ -125,7 +125,12 @@
 
     /// Reports whether the connection takes new calls.
     pub(crate) fn is_usable(&self) -> bool {
-        !self.is_closed() && !self.is_silent.get()
+        !self.is_closed() && !*self.silent.borrow()
+    }
+
+    /// Returns a handle that reports whether the connection is silent.
+    pub(crate) fn silence(&self) -> watch::Receiver<bool> {
+        self.silent.subscribe()
     }
 
     /// Resolves once the connection is closed.
@@ -228,7 +233,7 @@
         // A promise must not be polled again after it has resolved.
         let mut answer = answered(&mut ping, avoid_after).await;
         if answer.is_none() {
-            peer.is_silent.set(true);
+            peer.silent.send_replace(true);
             log::info!(address:%, silent_ms = avoid_after;
                 "a link is silent; new calls open another one");
             answer = answered(&mut ping, until_closed).await;
@@ -239,7 +244,7 @@
             peer.close();
             return;
         }
-        peer.is_silent.set(false);
+        peer.silent.send_replace(false);
     }
 }
 
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -4,7 +4,7 @@
 
 use error_stack::Report;
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     task::spawn_local,
 };
 
@@ -43,6 +43,7 @@
         return Ok(RunReply::Refused { refusal, load });
     }
     let call_guard = reply.get_call().map_err(call_error)?;
+    let silence = Some(peer.silence());
     let (cancel, cancelled) = oneshot::channel::<()>();
     spawn_local(async move {
         // Holding `call_guard` keeps the call running at the companion. When
@@ -66,6 +67,7 @@
                 frames: receiver,
                 _cancel: cancel,
             },
+            silence: LinkSilence(silence),
         },
         load,
     })
@@ -95,6 +97,35 @@
 #[derive(Debug)]
 pub struct Run {
     frames: Frames,
+    silence: LinkSilence,
+}
+
+/// Reports when the link of a run is silent: a heartbeat is unanswered for so
+/// long that new calls avoid the link. The run itself goes on.
+#[derive(Clone, Debug)]
+pub struct LinkSilence(Option<watch::Receiver<bool>>);
+
+impl LinkSilence {
+    /// Resolves once the link is silent; never for a run of this process.
+    pub async fn begins(&mut self) {
+        self.is(true).await;
+    }
+
+    /// Resolves once the link is not silent any more; never for a run of this
+    /// process.
+    pub async fn ends(&mut self) {
+        self.is(false).await;
+    }
+
+    async fn is(&mut self, is_silent: bool) {
+        if let Some(silent) = &mut self.0
+            && silent.wait_for(|silent| *silent == is_silent).await.is_ok()
+        {
+            return;
+        }
+        // The run reports the end of its link.
+        std::future::pending::<()>().await;
+    }
 }
 
 #[derive(Debug)]
@@ -112,9 +143,15 @@
     pub fn local(frames: mpsc::Receiver<Frame>) -> Self {
         Self {
             frames: Frames::Local(frames),
+            silence: LinkSilence(None),
         }
     }
 
+    /// Returns a handle that reports whether the link of the run is silent.
+    pub fn silence(&self) -> LinkSilence {
+        self.silence.clone()
+    }
+
     /// Waits for the next frame; `None` before a [`Frame::End`] means that
     /// the connection broke and the remainder of the response is lost.
     pub async fn next(&mut self) -> Option<Frame> {
--- a/crates/wire/tests/silence.rs
+++ b/crates/wire/tests/silence.rs
@@ -130,11 +130,22 @@
         }
     }
 
-    /// Delays everything on the open connections.
+    /// Delays what the open connections transfer in the next time.
     fn pause(&self, direction: Direction) {
+        // A delay in one direction ends with the pause; in both, it holds
+        // until the answers to what was delayed are delayed as well.
+        let held_ms = match direction {
+            Direction::Both => 3 * PAUSE_MS / 2,
+            _ => PAUSE_MS / 2,
+        };
         let pause = Rule::new(Fault::Delay { ms: PAUSE_MS });
         let pause = pause.direction(direction).scope(Scope::Open);
-        self.proxy.handle().set(vec![pause]);
+        let handle = self.proxy.handle();
+        handle.set(vec![pause]);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(held_ms)).await;
+            handle.clear();
+        });
     }
 
     /// Lets the companion send the rest of a response and asserts that it is
@@ -164,7 +175,7 @@
         let mut run = setup.call().await.unwrap();
         assert!(matches!(next(&mut run).await, Some(Frame::Head { .. })));
         setup.pause(direction);
-        tokio::time::sleep(Duration::from_millis(2 * PAUSE_MS)).await;
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
         setup.completes(run).await;
     });
 }
