--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,6 +1,7 @@
 //! Converts the frames of an endpoint's response into an HTTP body.
 
 use std::{
+    future::Future,
     io,
     pin::Pin,
     sync::Arc,
@@ -18,7 +19,9 @@
 
 use crate::{
     fleet::Flight,
-    forward::{self, Resume, ResumedStream, StreamingReply},
+    forward::{
+        self, Prepared, Resume, ResumedStream, Standby, StreamingReply,
+    },
     shared::Admitted,
 };
 
@@ -83,6 +86,8 @@
     flight: Option<Flight>,
     framing: Framing,
     resume: Option<Box<Resume>>,
+    standby: Option<Standby>,
+    deadline: Option<BoxFuture<'static, ()>>,
 }
 
 impl ResponseBody {
@@ -101,6 +106,7 @@
             // The first event of the first attempt always goes to the caller.
             let _ = resume.filter_event(first.clone());
         }
+        let standby = resume.as_ref().map(|_| Standby::new(&reply.run));
         Self {
             state: State::Idle(Box::new(reply.run)),
             pending: first,
@@ -111,6 +117,8 @@
             flight: Some(reply.flight),
             framing: reply.framing,
             resume,
+            standby,
+            deadline: None,
         }
     }
 
@@ -129,9 +137,21 @@
             flight: None,
             framing: Framing::Sized,
             resume: None,
+            standby: None,
+            deadline: None,
         }
     }
 
+    /// Ends the body when the deadline passes, even if its endpoint is silent
+    /// then.
+    pub(crate) fn with_deadline(
+        mut self,
+        deadline: impl Future<Output = ()> + Send + 'static,
+    ) -> Self {
+        self.deadline = Some(Box::pin(deadline));
+        self
+    }
+
     /// Holds the admission permits until the body has ended.
     pub(crate) fn hold_admission(&mut self, admitted: Admitted) {
         self.admitted = Some(admitted);
@@ -140,6 +160,7 @@
     fn finish(&mut self, ended: &BodyEnd) {
         self.state = State::Done;
         self.admitted = None;
+        self.standby = None;
         let flight = self.flight.take();
         if let (Some(flight), BodyEnd::Complete) = (&flight, ended) {
             flight.record_completion();
@@ -155,6 +176,9 @@
         match frame {
             Some(Frame::Chunk { seq, bytes }) if seq == self.next_seq => {
                 self.next_seq += 1;
+                if let Some(standby) = &mut self.standby {
+                    standby.keep_first();
+                }
                 if let Some(flight) = &mut self.flight {
                     flight.advance_to(self.next_seq);
                 }
@@ -178,6 +202,52 @@
         }
     }
 
+    /// Reports whether the deadline has passed just now.
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> bool {
+        let has_passed = self
+            .deadline
+            .as_mut()
+            .is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready());
+        if has_passed {
+            self.deadline = None;
+        }
+        has_passed
+    }
+
+    /// Returns the response of another endpoint if the link is silent and that
+    /// endpoint has started.
+    fn poll_standby(&mut self, cx: &mut Context<'_>) -> Poll<Prepared> {
+        let parts = (&mut self.standby, &mut self.resume, &self.flight);
+        match parts {
+            (Some(standby), Some(resume), Some(flight)) => {
+                standby.poll(cx, resume, flight)
+            }
+            _ => Poll::Pending,
+        }
+    }
+
+    /// Continues at an endpoint that has started while the link was silent.
+    fn hand_over(&mut self, prepared: Prepared) -> io::Result<bool> {
+        if let Some(flight) = self.flight.take() {
+            forward::record_incomplete(&flight, None);
+        }
+        let resumed = self.resume.take().map(|mut resume| {
+            let why = "the link is silent";
+            let resumed = resume.take_over(prepared, why);
+            (resume, resumed)
+        });
+        self.continue_with(resumed, &BodyEnd::Interrupted(None))
+    }
+
+    fn deadline_passed(&mut self) -> io::Result<bool> {
+        self.interrupted(Some(Outcome {
+            kind: OutcomeKind::TimedOut,
+            ran: true,
+            detail: "the deadline passed".to_owned(),
+            chunks: self.next_seq,
+        }))
+    }
+
     fn is_complete(&self, outcome: &Outcome) -> bool {
         outcome.kind == OutcomeKind::Complete
             && outcome.chunks == self.next_seq
@@ -197,7 +267,8 @@
         let reason = ended.detail().to_owned();
         // The interrupted attempt is closed before another starts.
         self.state = State::Done;
-        let resumed = Box::pin(resume.resume(flight, kind, reason));
+        let preparing = self.standby.take().and_then(Standby::into_preparing);
+        let resumed = Box::pin(resume.resume(flight, kind, reason, preparing));
         self.state = State::Resuming(resumed, ended);
         Ok(true)
     }
@@ -210,6 +281,7 @@
         let Some((resume, resumed)) = resumed else {
             return self.fail(ended);
         };
+        self.standby = Some(Standby::new(&resumed.run));
         self.state = State::Idle(Box::new(resumed.run));
         self.pending = resumed.first.unwrap_or_default();
         self.next_seq = resumed.next_seq;
@@ -261,9 +333,23 @@
                 }
                 State::Waiting(mut waiting) => {
                     match waiting.as_mut().poll(cx) {
+                        Poll::Pending if self.poll_deadline(cx) => {
+                            drop(waiting);
+                            if !self.deadline_passed()? {
+                                return Poll::Ready(Ok(()));
+                            }
+                        }
                         Poll::Pending => {
-                            self.state = State::Waiting(waiting);
-                            return Poll::Pending;
+                            let Poll::Ready(prepared) = self.poll_standby(cx)
+                            else {
+                                self.state = State::Waiting(waiting);
+                                return Poll::Pending;
+                            };
+                            // Cancels the call at the first endpoint.
+                            drop(waiting);
+                            if !self.hand_over(prepared)? {
+                                return Poll::Ready(Ok(()));
+                            }
                         }
                         Poll::Ready((run, frame)) => {
                             self.state = State::Idle(run);
