Offer a request to a third endpoint only if the second is silent too

Callers saw nothing; endpoints ran requests in vain. When one of two offers of a request failed, a further one began at once, though the other endpoint had got the request just then and was not silent. That uses up an attempt of the route, and lets a request that crashes endpoints reach the next one before the outcome of the last is known.

Cause: after each ended offer the loop looked elsewhere, whatever the others did. Now it does so only while all of them are silent.

Evidence: a_request_that_is_under_way_is_not_offered_again failed before with two runs beside the first one instead of one, and passes.

--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -134,7 +134,7 @@
                 Err(_) if looks_elsewhere => {}
                 Err(_) => self.avoid_silent(request, &mut offers),
             }
-            looks_elsewhere = true;
+            looks_elsewhere = offers.all_silent();
         }
     }
 
--- a/crates/pass/tests/silence.rs
+++ b/crates/pass/tests/silence.rs
@@ -252,6 +252,29 @@
     assert_eq!(read(response).await, (200, Ok("ok".to_owned())));
 }
 
+/// Guards against a third run of a request whose second endpoint is not
+/// silent, only because the first one has failed.
+#[tokio::test]
+async fn a_request_that_is_under_way_is_not_offered_again() {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Pause(500),
+        Step::Write("no response\r\n\r\n".to_owned()),
+    ])])
+    .await;
+    let later =
+        Act::Paced(vec![Step::Pause(350), Step::Write(valid_response("ok"))]);
+    let two = Scripted::start(vec![later.clone()]).await;
+    let three = Scripted::start(vec![later]).await;
+    let setup = fixture(&[one.address, two.address, three.address]);
+    let route = route(RouteKind::Idempotent)
+        .with_times(5_000, 200)
+        .with_max_attempts(3);
+    let response = setup.forwarder.forward(request("r1", route), 1).await;
+    assert_eq!(read(response).await, (200, Ok("ok".to_owned())));
+    assert_eq!(one.seen().len(), 1);
+    assert_eq!(two.seen().len() + three.seen().len(), 1);
+}
+
 /// Starts an endpoint that reads nothing for a while, then one request, and
 /// answers it.
 async fn slow_reader(pause: Duration) -> SocketAddr {
