Let a search queue once the silent endpoint has lost the stream

Callers saw a stream end at its deadline although an endpoint could take it: its endpoint was silent, then its connection broke, while all others had no free slot.

Cause: a search beside a silent endpoint takes only free slots, since the stream loses nothing by waiting. When the connection broke meanwhile, the search went on with these terms until the end of the request, instead of queueing, or using endpoints that drain or were tried, as one does for a stream that has no endpoint any more.

Change: the search shares the state of the endpoint that holds the stream, and changes its terms once that has failed. An offer that is under way goes on.

Evidence: a_lost_stream_does_not_wait_for_a_free_slot failed in both cases after 4,000 ms with 'the time of the request is up' and passes.

--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -13,7 +13,7 @@
 use quarantine::{Quarantine, QuarantineOptions, Quarantined, SendPermit};
 use tokio::time;
 
-pub(crate) use self::history::OfferHistory;
+pub(crate) use self::history::{Holder, OfferHistory};
 pub use self::options::ForwarderOptions;
 use crate::{
     Counters, Exchange, Failure, HeaderNames, Inbound, LoadObserver,
--- a/crates/pass/src/forward/capacity.rs
+++ b/crates/pass/src/forward/capacity.rs
@@ -72,27 +72,13 @@
         &self,
         request: &Inbound,
         sent: &mut Sent,
-        history: &OfferHistory,
+        history: &mut OfferHistory,
     ) -> Result<Choice, Refusal> {
-        let route = request.route();
-        let max_wait_ms =
-            route.target_latency_ms() / self.options.queue_wait_divisor;
-        let max_wait = Duration::from_millis(max_wait_ms);
-        let is_under_way = !history.under_way.is_empty();
-        let give_up_at = match &history.binding {
-            _ if is_under_way => request.ends_at(),
-            // A refusal ends the stream for good. Its client accepts pauses.
-            Some(_) => {
-                let pause = Duration::from_millis(route.gap_target_ms());
-                Instant::now() + pause.max(max_wait)
-            }
-            None => request.arrived() + max_wait,
-        };
-        let interval = match is_under_way {
-            true => SEARCH_INTERVAL,
-            false => CAPACITY_POLL_INTERVAL,
-        };
+        let mut give_up_at = self.give_up_at(request, history);
         loop {
+            if history.remove_failed_holder() {
+                give_up_at = self.give_up_at(request, history);
+            }
             let verdict = match self.choose(request, sent, history) {
                 Ok(choice) => return Ok(choice),
                 Err(verdict) => verdict,
@@ -101,10 +87,35 @@
             if is_final || Instant::now() >= give_up_at {
                 return Err(self.refuse(verdict, request, history));
             }
+            let interval = match history.under_way.is_empty() {
+                true => CAPACITY_POLL_INTERVAL,
+                false => SEARCH_INTERVAL,
+            };
             time::sleep(interval).await;
         }
     }
 
+    /// Returns when a request that waits for capacity from now on is refused.
+    fn give_up_at(
+        &self,
+        request: &Inbound,
+        history: &OfferHistory,
+    ) -> Instant {
+        let route = request.route();
+        let max_wait_ms =
+            route.target_latency_ms() / self.options.queue_wait_divisor;
+        let max_wait = Duration::from_millis(max_wait_ms);
+        match &history.binding {
+            _ if !history.under_way.is_empty() => request.ends_at(),
+            // A refusal ends the stream for good. Its client accepts pauses.
+            Some(_) => {
+                let pause = Duration::from_millis(route.gap_target_ms());
+                Instant::now() + pause.max(max_wait)
+            }
+            None => request.arrived() + max_wait,
+        }
+    }
+
     pub(super) fn choose(
         &self,
         request: &Inbound,
--- a/crates/pass/src/forward/history.rs
+++ b/crates/pass/src/forward/history.rs
@@ -1,12 +1,37 @@
 use std::sync::{
     Arc,
-    atomic::{AtomicU32, Ordering},
+    atomic::{AtomicBool, AtomicU32, Ordering},
 };
 
 use fleet::{Route, VersionBinding};
 
 use crate::{Failure, Refusal};
 
+/// The endpoint that holds a stream while another one is looked for.
+#[derive(Debug)]
+pub(crate) struct Holder {
+    id: String,
+    has_failed: AtomicBool,
+}
+
+impl Holder {
+    pub(crate) fn new(id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            has_failed: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that the endpoint has lost the stream.
+    pub(crate) fn mark_failed(&self) {
+        self.has_failed.store(true, Ordering::Relaxed);
+    }
+
+    fn has_failed(&self) -> bool {
+        self.has_failed.load(Ordering::Relaxed)
+    }
+}
+
 /// The offers of one request so far and their outcomes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OfferHistory {
@@ -14,6 +39,8 @@
     pub(super) tried: Vec<String>,
     /// Ids of the endpoints at which the request is under way.
     pub(super) under_way: Vec<String>,
+    /// The one of them that holds the stream, if any.
+    holder: Option<Arc<Holder>>,
     pub(super) offers: u32,
     /// Offers that ran, may have run or are under way. All searches of a
     /// request share it, since one that is cancelled may leave a run.
@@ -39,12 +66,14 @@
         &self,
         after: Option<u64>,
         binding: Option<Arc<VersionBinding>>,
-        holder: Option<String>,
+        holder: Option<Arc<Holder>>,
     ) -> Self {
+        let held_at = holder.iter().map(|holder| holder.id.clone());
         Self {
             resume_after: after,
             binding,
-            under_way: holder.into_iter().collect(),
+            under_way: held_at.collect(),
+            holder,
             ..self.clone()
         }
     }
@@ -71,6 +100,16 @@
         self.possible_runs.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Removes the holder of the stream once it has failed; reports whether
+    /// it did.
+    pub(super) fn remove_failed_holder(&mut self) -> bool {
+        let failed = self.holder.take_if(|holder| holder.has_failed());
+        if let Some(failed) = &failed {
+            self.under_way.retain(|id| *id != failed.id);
+        }
+        failed.is_some()
+    }
+
     /// Records that an endpoint has answered.
     pub(super) fn record_answer(&mut self, endpoint: &str) {
         self.under_way.retain(|id| id != endpoint);
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -13,7 +13,7 @@
 use crate::{
     Counters, EventSplitter, Exchange, Forwarder, IncompleteResponse,
     answer::{ANSWERED, RequestLog, Sent, sleep_until},
-    forward::OfferHistory,
+    forward::{Holder, OfferHistory},
 };
 
 /// A stream that was resumed at another endpoint.
@@ -54,8 +54,18 @@
 /// The search for an endpoint that takes a stream.
 struct Search {
     found: Pin<Box<dyn Future<Output = Option<Continuation>> + Send>>,
-    /// Whether the stream has no endpoint any more.
-    is_urgent: bool,
+    /// The endpoint that had the stream when the search began; none if it
+    /// had none any more.
+    holder: Option<Arc<Holder>>,
+}
+
+impl Search {
+    /// Lets the search use endpoints as if the stream had none any more.
+    fn mark_holder_failed(&self) {
+        if let Some(holder) = &self.holder {
+            holder.mark_failed();
+        }
+    }
 }
 
 /// Pause of a stream after which its endpoint counts as silent, in multiples
@@ -128,7 +138,7 @@
             }
             if let Some(search) = &mut self.search {
                 let found = ready!(search.found.as_mut().poll(cx));
-                let was_urgent = search.is_urgent;
+                let was_urgent = search.holder.is_none();
                 self.search = None;
                 match found.filter(|_| self.has_certain_origin()) {
                     Some(continuation) => self.continue_with(continuation),
@@ -224,7 +234,7 @@
     /// why none can. `holder` still has the stream and is not chosen.
     fn next_history(
         &self,
-        holder: Option<String>,
+        holder: Option<Arc<Holder>>,
     ) -> Result<OfferHistory, &'static str> {
         let after = self.splitter.last_id();
         let binding = match &self.origin {
@@ -303,15 +313,16 @@
         self.reason = error.as_str();
         self.source = None;
         self.splitter.drop_partial();
-        if self.search.is_none() {
-            self.search_urgently();
+        match &self.search {
+            Some(search) => search.mark_holder_failed(),
+            None => self.search_urgently(),
         }
     }
 
     /// Looks for an endpoint for a stream that has none any more.
     fn search_urgently(&mut self) {
         let history = self.next_history(None);
-        self.start_search(history, true);
+        self.start_search(history, None);
     }
 
     /// Avoids a silent endpoint and looks for another one, if any can resume
@@ -325,17 +336,17 @@
         let request = &self.request_log.request;
         self.forwarder
             .avoid(request, endpoint, self.splitter.last_id());
-        let holder = Some(endpoint.record().id.clone());
+        let holder = Arc::new(Holder::new(&endpoint.record().id));
         self.reason = SILENT;
-        let history = self.next_history(holder);
-        self.start_search(history, false);
+        let history = self.next_history(Some(holder.clone()));
+        self.start_search(history, Some(holder));
         self.restart_timer();
     }
 
     fn start_search(
         &mut self,
         history: Result<OfferHistory, &'static str>,
-        is_urgent: bool,
+        holder: Option<Arc<Holder>>,
     ) {
         let request = self.request_log.request.clone();
         let forwarder = self.forwarder.clone();
@@ -356,7 +367,7 @@
         };
         self.search = Some(Search {
             found: Box::pin(found),
-            is_urgent,
+            holder,
         });
     }
 
--- a/crates/pass/tests/silence.rs
+++ b/crates/pass/tests/silence.rs
@@ -252,6 +252,33 @@
     assert_eq!(read(response).await, (200, Ok("ok".to_owned())));
 }
 
+/// Guards against streams whose connection breaks while their search waits
+/// for a free slot: the search must then queue, as for any lost endpoint.
+#[parameterized(
+    before_an_event = { stream_head() + &chunk(": a\n") },
+    after_an_event = { stream_head() + &chunk("id: 1\ndata: a\n\n") },
+)]
+#[test_macro(tokio::test)]
+async fn a_lost_stream_does_not_wait_for_a_free_slot(begin: String) {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Write(begin),
+        Step::Pause(900),
+        Step::Write("no chunk\r\n".to_owned()),
+    ])])
+    .await;
+    let whole = chunk(WHOLE) + "0\r\n\r\n";
+    let two =
+        Scripted::start(vec![Act::Respond(stream_head() + &whole)]).await;
+    let setup = fixture(&[one.address, two.address]);
+    for _ in 0..setup.endpoints[1].record().slots {
+        setup.endpoints[1].begin_request();
+    }
+    let began = Instant::now();
+    let body = body_of(&setup, resumable(3)).await;
+    assert_eq!(body.as_deref(), Ok(WHOLE), "after {:?}", began.elapsed());
+    assert!(began.elapsed() < Duration::from_millis(PAUSE_MS));
+}
+
 /// Guards against a third run of a request whose second endpoint is not
 /// silent, only because the first one has failed.
 #[tokio::test]
