Let a silence prolong no later backoff

Callers saw nothing directly: after a pause a sound endpoint was avoided for up to 800 ms after one bad response, or 4 s after one failed connection, instead of 100 and 500 ms.

Cause: the backoff of a silence does not grow, but each report of it counted as a failure, and all requests of an endpoint report the same silence, a stream every 600 ms. Now a silence is not counted.

Evidence: a_silence_prolongs_no_later_backoff failed before and passes. A success still ends the silence at once (a_success_ends_a_silence, which passed before too).

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -243,8 +243,15 @@
     }
 
     /// Records a request whose failure is attributed to the endpoint.
+    ///
+    /// A silence does not prolong later backoffs: the endpoint may be sound,
+    /// and all its requests report the same silence.
     pub fn record_failure(&self, failure_kind: FailureKind, now: Millis) {
-        let before = self.load.failures.fetch_add(1, Ordering::Relaxed);
+        let failures = &self.load.failures;
+        let before = match failure_kind {
+            FailureKind::Silent => failures.load(Ordering::Relaxed),
+            _ => failures.fetch_add(1, Ordering::Relaxed),
+        };
         let until = now.saturating_add_ms(failure_kind.backoff_ms(before));
         self.load
             .avoid_until_ms
@@ -255,6 +262,8 @@
     pub fn record_success(&self) {
         if self.load.failures.load(Ordering::Relaxed) != 0 {
             self.load.failures.store(0, Ordering::Relaxed);
+        }
+        if self.load.avoid_until_ms.load(Ordering::Relaxed) != 0 {
             self.load.avoid_until_ms.store(0, Ordering::Relaxed);
         }
     }
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -277,3 +277,24 @@
     let later = NOW.saturating_add_ms(1_000);
     assert!(!paused.is_suspect(later));
 }
+
+/// Guards against sound endpoints that are avoided for long after one bad
+/// response, because their requests reported a silence before it.
+#[test]
+fn a_silence_prolongs_no_later_backoff() {
+    let paused = endpoint("a", "east");
+    (0..20).for_each(|_| paused.record_failure(FailureKind::Silent, NOW));
+    let later = NOW.saturating_add_ms(1_000);
+    paused.record_failure(FailureKind::BadResponse, later);
+    assert!(paused.is_suspect(later));
+    let backoff_ms = FailureKind::BadResponse.backoff_ms(0);
+    assert!(!paused.is_suspect(later.saturating_add_ms(backoff_ms)));
+}
+
+#[test]
+fn a_success_ends_a_silence() {
+    let paused = endpoint("a", "east");
+    paused.record_failure(FailureKind::Silent, NOW);
+    paused.record_success();
+    assert!(!paused.is_suspect(NOW));
+}
