Read each event from an endpoint with one system call

Callers saw nothing; each event of a stream cost one more system call than before connections kept their options reachable. After a read that does not fill its buffer, tokio's own stream takes the socket's buffer for empty; SharedStream read again to learn so.

Change: such a read clears the readiness that was seen before it, as in tokio. An event that arrives meanwhile sets it anew.

The other two calls that a request costs more, to set the time-out of its connection, remain.

--- a/crates/pass/src/shared_stream.rs
+++ b/crates/pass/src/shared_stream.rs
@@ -8,7 +8,7 @@
 
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
 };
 
@@ -21,6 +21,27 @@
     pub(crate) fn new(stream: Arc<TcpStream>) -> Self {
         Self(stream)
     }
+
+    /// Reads what has arrived.
+    ///
+    /// A read that does not fill the buffer has emptied that of the socket:
+    /// the next one waits for the operating system to report more, instead of
+    /// finding out by a call of its own for each event of a stream.
+    fn try_read(&self, buf: &mut ReadBuf<'_>) -> io::Result<()> {
+        let space = buf.remaining();
+        let mut read = 0;
+        let result = self.0.try_io(Interest::READABLE, || {
+            read = self.0.try_read_buf(buf)?;
+            match (1..space).contains(&read) {
+                true => Err(io::ErrorKind::WouldBlock.into()),
+                false => Ok(()),
+            }
+        });
+        match read {
+            0 => result,
+            _ => Ok(()),
+        }
+    }
 }
 
 impl AsyncRead for SharedStream {
@@ -31,9 +52,9 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read_buf(buf) {
+            match self.try_read(buf) {
                 Err(error) if is_not_ready(&error) => {}
-                result => return Poll::Ready(result.map(drop)),
+                result => return Poll::Ready(result),
             }
         }
     }
