Queue elsewhere when an endpoint stays silent

Callers saw 504 at their deadline, and streams cut, for requests on a dead connection while all other endpoints had their slots taken, but short queues.

Cause: a request that is under way at a silent endpoint goes only to one with a free slot. That is right for a pause, which adds nothing to the queues of others, but a dead connection looks the same: the request stayed there until the kernel's 5 s or its deadline.

Change: after one more second of silence the request also queues elsewhere, under the usual limits.

Evidence: a_request_leaves_a_dead_connection_for_a_queue (both cases) failed with 504 after 4,001 ms, a_stream_leaves_a_dead_connection_for_a_queue with a cut stream; all three pass.

--- a/crates/pass/src/forward/capacity.rs
+++ b/crates/pass/src/forward/capacity.rs
@@ -143,7 +143,7 @@
             under_way: &history.under_way,
             binding,
             queue_allowance: match (route.kind().is_stream(), can_queue) {
-                _ if !history.under_way.is_empty() => 0,
+                _ if history.needs_free_slot() => 0,
                 (true, false) => self.options.stream_queue,
                 (true, true) => self.options.retry_queue,
                 (false, _) => self.options.plain_queue,
--- a/crates/pass/src/forward/history.rs
+++ b/crates/pass/src/forward/history.rs
@@ -1,6 +1,9 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU32, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use fleet::{Route, VersionBinding};
@@ -32,6 +35,11 @@
     }
 }
 
+/// Time for which a request that is under way at a silent endpoint waits for a
+/// free slot elsewhere before it also queues: longer than most pauses of sound
+/// endpoints, so that those add nothing to the queues of others.
+const SLOT_WAIT: Duration = Duration::from_secs(1);
+
 /// The offers of one request so far and their outcomes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OfferHistory {
@@ -41,6 +49,8 @@
     pub(super) under_way: Vec<String>,
     /// The one of them that holds the stream, if any.
     holder: Option<Arc<Holder>>,
+    /// Since when all of them are silent.
+    silent_since: Option<Instant>,
     pub(super) offers: u32,
     /// Offers that ran, may have run or are under way. All searches of a
     /// request share it, since one that is cancelled may leave a run.
@@ -73,6 +83,7 @@
             resume_after: after,
             binding,
             under_way: held_at.collect(),
+            silent_since: holder.as_ref().map(|_| Instant::now()),
             holder,
             ..self.clone()
         }
@@ -100,6 +111,19 @@
         self.possible_runs.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Records that all endpoints that have the request are silent.
+    pub(super) fn begin_silence(&mut self) {
+        self.silent_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Reports whether the request may only go to an endpoint with a free
+    /// slot, because it may soon be answered where it is.
+    pub(super) fn needs_free_slot(&self) -> bool {
+        let since = self.silent_since;
+        !self.under_way.is_empty()
+            && since.is_none_or(|since| since.elapsed() < SLOT_WAIT)
+    }
+
     /// Removes the holder of the stream once it has failed; reports whether
     /// it did.
     pub(super) fn remove_failed_holder(&mut self) -> bool {
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -132,7 +132,10 @@
                     }
                 }
                 Err(_) if looks_elsewhere => {}
-                Err(_) => self.avoid_silent(request, &mut offers),
+                Err(_) => {
+                    self.avoid_silent(request, &mut offers);
+                    history.begin_silence();
+                }
             }
             looks_elsewhere = offers.all_silent();
         }
--- a/crates/pass/tests/silence.rs
+++ b/crates/pass/tests/silence.rs
@@ -279,6 +279,23 @@
     assert!(began.elapsed() < Duration::from_millis(PAUSE_MS));
 }
 
+/// Guards against streams that wait for a dead connection in the same way.
+#[tokio::test]
+async fn a_stream_leaves_a_dead_connection_for_a_queue() {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Write(stream_head() + &chunk("id: 1\ndata: a\n\n")),
+        Step::Pause(10_000),
+    ])])
+    .await;
+    let two = Scripted::start(vec![rest_of_stream()]).await;
+    let setup = fixture(&[one.address, two.address]);
+    for _ in 0..setup.endpoints[1].record().slots {
+        setup.endpoints[1].begin_request();
+    }
+    let body = body_of(&setup, resumable(2)).await;
+    assert_eq!(body.as_deref(), Ok(WHOLE));
+}
+
 /// Guards against a third run of a request whose second endpoint is not
 /// silent, only because the first one has failed.
 #[tokio::test]
@@ -302,6 +319,28 @@
     assert_eq!(two.seen().len() + three.seen().len(), 1);
 }
 
+/// Guards against requests that wait for a dead connection until their time
+/// is up, because the other endpoints have no free slot but short queues.
+#[parameterized(
+    idempotent = { RouteKind::Idempotent },
+    stream = { RouteKind::ResumableStream },
+)]
+#[test_macro(tokio::test)]
+async fn a_request_leaves_a_dead_connection_for_a_queue(kind: RouteKind) {
+    let one = Scripted::start(vec![Act::Silent]).await;
+    let answer = stream_head() + &chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+    let two = Scripted::start(vec![Act::Respond(answer)]).await;
+    let setup = fixture(&[one.address, two.address]);
+    for _ in 0..setup.endpoints[1].record().slots {
+        setup.endpoints[1].begin_request();
+    }
+    let route = route(kind).with_times(5_000, 200);
+    let began = Instant::now();
+    let response = setup.forwarder.forward(request("r1", route), 1).await;
+    let status = read(response).await.0;
+    assert_eq!(status, 200, "after {:?}", began.elapsed());
+}
+
 /// Starts an endpoint that reads nothing for a while, then one request, and
 /// answers it.
 async fn slow_reader(pause: Duration) -> SocketAddr {
