Count no run for an offer that is cancelled before it is sent

Callers saw a stream cut when its endpoint failed, though the route allowed one more attempt.

Cause: while an endpoint is silent, a stream is offered to another one.

Change: an offer notes that it is about to be sent; one that is dropped before gives its count back. One that was handed to the connection counts, as before, since it may have been written.

Evidence: an_offer_that_was_not_sent_takes_no_attempt failed before with 'the endpoint's answer broke off' and passes.

--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -1,4 +1,11 @@
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use base::{Clock, Millis};
 use fleet::{Endpoint, FailureKind, LoadReport};
@@ -81,6 +88,8 @@
     pub wait: Duration,
     /// Permit of the quarantine to send the request.
     pub permit: SendPermit,
+    /// Becomes true before the request is sent.
+    pub is_sent: &'a AtomicBool,
 }
 
 /// A failure before the response head, with its cause as text for logs.
@@ -173,6 +182,7 @@
             Some(channel) => channel.sender(),
             None => return Err(closed),
         };
+        offer.is_sent.store(true, Ordering::Relaxed);
         match sender.try_send_request(outbound).await {
             Ok(response) => match channel.0.take() {
                 Some(channel) => Ok((channel, response)),
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -4,7 +4,11 @@
 mod options;
 mod origin;
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{
+    fmt,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use base::{Clock, Snapshot};
 use fleet::{Endpoint, EndpointTable, RouteKind, Selection};
@@ -217,6 +221,20 @@
         endpoint: &Endpoint,
         resume_after: Option<u64>,
         wait: Duration,
+    ) -> Result<Exchange, Failure> {
+        let is_sent = AtomicBool::new(false);
+        self.send_offer(request, endpoint, resume_after, wait, &is_sent)
+            .await
+    }
+
+    /// Offers a request once; `is_sent` becomes true before it is sent.
+    async fn send_offer(
+        &self,
+        request: &Arc<Inbound>,
+        endpoint: &Endpoint,
+        resume_after: Option<u64>,
+        wait: Duration,
+        is_sent: &AtomicBool,
     ) -> Result<Exchange, Failure> {
         let permit = self.obtain_permit(request).await;
         let permit = permit
@@ -227,6 +245,7 @@
             resume_after,
             wait,
             permit,
+            is_sent,
         };
         self.dispatcher().dispatch(offer).await
     }
--- a/crates/pass/src/forward/history.rs
+++ b/crates/pass/src/forward/history.rs
@@ -35,6 +35,33 @@
     }
 }
 
+/// An offer that counts as a possible run, unless it is dropped before it was
+/// sent.
+pub(super) struct CountedOffer {
+    runs: Arc<AtomicU32>,
+    is_sent: AtomicBool,
+    has_outcome: bool,
+}
+
+impl CountedOffer {
+    pub(super) fn is_sent(&self) -> &AtomicBool {
+        &self.is_sent
+    }
+
+    /// Leaves it to the outcome whether the offer counts.
+    pub(super) fn end(mut self) {
+        self.has_outcome = true;
+    }
+}
+
+impl Drop for CountedOffer {
+    fn drop(&mut self) {
+        if !self.has_outcome && !self.is_sent.load(Ordering::Relaxed) {
+            self.runs.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Time for which a request that is under way at a silent endpoint waits for a
 /// free slot elsewhere before it also queues: longer than most pauses of sound
 /// endpoints, so that those add nothing to the queues of others.
@@ -104,11 +131,17 @@
         self.possible_runs.load(Ordering::Relaxed)
     }
 
-    pub(super) fn begin_offer(&mut self, endpoint: &str) {
+    /// Counts an offer that begins.
+    pub(super) fn begin_offer(&mut self, endpoint: &str) -> CountedOffer {
         self.tried.push(endpoint.to_owned());
         self.under_way.push(endpoint.to_owned());
         self.offers += 1;
         self.possible_runs.fetch_add(1, Ordering::Relaxed);
+        CountedOffer {
+            runs: self.possible_runs.clone(),
+            is_sent: AtomicBool::new(false),
+            has_outcome: false,
+        }
     }
 
     /// Records that all endpoints that have the request are silent.
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -195,12 +195,17 @@
         if sent.offers > 1 {
             Counters::add(&self.counters.retried);
         }
-        history.begin_offer(&endpoint.record().id);
+        let counted = history.begin_offer(&endpoint.record().id);
         let resume_after = history.resume_after;
         let wait = request.remaining() + OFFER_MARGIN;
         let offered_to = endpoint.clone();
         let outcome = async move {
-            self.offer(request, &offered_to, resume_after, wait).await
+            let is_sent = counted.is_sent();
+            let outcome = self
+                .send_offer(request, &offered_to, resume_after, wait, is_sent)
+                .await;
+            counted.end();
+            outcome
         };
         PendingOffer {
             endpoint,
--- a/crates/pass/tests/silence.rs
+++ b/crates/pass/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::Ordering,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -12,11 +12,12 @@
     Act, Fixture, Scripted, Step, chunk, fixture, fixture_of, header, read,
     request, request_with_body, route, stream_head, until, valid_response,
 };
-use fleet::{Route, RouteKind};
+use fleet::{Endpoint, EndpointTable, Route, RouteKind};
+use pomeloslip_pass::DirectoryView;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
-    time::sleep,
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::{sleep, timeout},
 };
 use yare::parameterized;
 
@@ -296,6 +297,55 @@
     assert_eq!(body.as_deref(), Ok(WHOLE));
 }
 
+/// Guards against streams that cannot be resumed because an offer to another
+/// endpoint counts as a run although it was cancelled before it was sent.
+#[tokio::test]
+async fn an_offer_that_was_not_sent_takes_no_attempt() {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Write(stream_head() + &chunk("id: 1\ndata: a\n\n")),
+        Step::Pause(800),
+        Step::Write(chunk(": goes on\n\n")),
+        Step::Pause(200),
+        Step::Write("no chunk\r\n".to_owned()),
+    ])])
+    .await;
+    let (unreachable, _connections) = without_connections().await;
+    let three = Scripted::start(vec![rest_of_stream()]).await;
+    let addresses = [one.address, unreachable, three.address];
+    let setup = fixture(&addresses);
+    let publish = |endpoints: &[Endpoint]| {
+        setup.view.publish(DirectoryView {
+            table: Arc::new(EndpointTable::new(endpoints.to_vec())),
+            revision: 2,
+        });
+    };
+    publish(&setup.endpoints[..2]);
+    let added = async {
+        sleep(Duration::from_millis(900)).await;
+        publish(&setup.endpoints);
+    };
+    let (body, ()) = tokio::join!(body_of(&setup, resumable(2)), added);
+    let whole = "id: 1\ndata: a\n\n: goes on\n\nid: 2\ndata: b\n\n";
+    assert_eq!(body.as_deref(), Ok(whole));
+}
+
+/// Starts an endpoint at which new connections are not established, and
+/// returns those that take up its backlog.
+async fn without_connections() -> (SocketAddr, (TcpListener, Vec<TcpStream>)) {
+    let socket = TcpSocket::new_v4().expect("socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any).expect("bind");
+    let listener = socket.listen(0).expect("listen");
+    let address = listener.local_addr().expect("address");
+    let mut connections = Vec::new();
+    let wait = Duration::from_millis(50);
+    while let Ok(connected) = timeout(wait, TcpStream::connect(address)).await
+    {
+        connections.push(connected.expect("a connection"));
+    }
+    (address, (listener, connections))
+}
+
 /// Guards against a third run of a request whose second endpoint is not
 /// silent, only because the first one has failed.
 #[tokio::test]
