Search for another endpoint as long as a stream's is silent

Callers saw pauses that were longer than needed, and requests that were sent to an endpoint in the middle of its silence.

Cause: a search for a stream with a version ended at once when no endpoint of the version could take it at that moment, and began again 600 ms later. A search that waited for a slot instead kept the endpoint avoided for its first 500 ms only.

Change: the search goes on while the endpoint holds the stream, and the endpoint is avoided again at each check whether it is still silent, as long as the search lasts.

--- a/crates/pass/src/forward/capacity.rs
+++ b/crates/pass/src/forward/capacity.rs
@@ -55,7 +55,8 @@
     }
 
     /// Reports whether no endpoint runs the version of a stream. A node that
-    /// knows no endpoint at all has just started and cannot tell.
+    /// knows no endpoint at all has just started and cannot tell, and a stream
+    /// that is under way still has its endpoint.
     fn is_version_gone(
         &self,
         verdict: ChooseError,
@@ -63,6 +64,7 @@
     ) -> bool {
         verdict == ChooseError::NoEndpoint
             && history.binding.is_some()
+            && history.under_way.is_empty()
             && !self.endpoints.load().table.is_empty()
     }
 
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -137,17 +137,16 @@
                 }
             }
             if let Some(search) = &mut self.search {
-                let found = ready!(search.found.as_mut().poll(cx));
-                let was_urgent = search.holder.is_none();
-                self.search = None;
-                match found.filter(|_| self.has_certain_origin()) {
-                    Some(continuation) => self.continue_with(continuation),
-                    None if self.source.is_some() => self.restart_timer(),
-                    None if was_urgent => {
-                        let error = IncompleteResponse::Endpoint;
-                        return self.fail(error, self.reason);
+                match search.found.as_mut().poll(cx) {
+                    Poll::Ready(found) => {
+                        if let Err(error) = self.settle_search(found) {
+                            return self.fail(error, self.reason);
+                        }
+                    }
+                    Poll::Pending => {
+                        ready!(self.silence.as_mut().poll(cx));
+                        self.avoid_source();
                     }
-                    None => self.search_urgently(),
                 }
                 continue;
             }
@@ -157,6 +156,22 @@
         Poll::Ready(None)
     }
 
+    /// Ends a search; the error ends the stream, which has no endpoint.
+    fn settle_search(
+        &mut self,
+        found: Option<Continuation>,
+    ) -> Result<(), IncompleteResponse> {
+        let search = self.search.take();
+        let was_urgent = search.is_some_and(|s| s.holder.is_none());
+        match found.filter(|_| self.has_certain_origin()) {
+            Some(continuation) => self.continue_with(continuation),
+            None if self.source.is_some() => self.restart_timer(),
+            None if was_urgent => return Err(IncompleteResponse::Endpoint),
+            None => self.search_urgently(),
+        }
+        Ok(())
+    }
+
     fn pass_on(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.restart_timer();
         self.end_search();
@@ -329,17 +344,24 @@
     /// the stream. Until that one answers, the stream stays where it is.
     fn look_elsewhere(&mut self) {
         self.check_origin();
+        self.avoid_source();
         let Some(source) = &self.source else {
             return;
         };
-        let endpoint = source.endpoint();
-        let request = &self.request_log.request;
-        self.forwarder
-            .avoid(request, endpoint, self.splitter.last_id());
-        let holder = Arc::new(Holder::new(&endpoint.record().id));
+        let holder = Arc::new(Holder::new(&source.endpoint().record().id));
         self.reason = SILENT;
         let history = self.next_history(Some(holder.clone()));
         self.start_search(history, Some(holder));
+    }
+
+    /// Avoids the endpoint of the stream for new requests until the next
+    /// check whether it is still silent.
+    fn avoid_source(&mut self) {
+        if let Some(source) = &self.source {
+            let request = &self.request_log.request;
+            let after = self.splitter.last_id();
+            self.forwarder.avoid(request, source.endpoint(), after);
+        }
         self.restart_timer();
     }
 
--- a/crates/pass/tests/silence.rs
+++ b/crates/pass/tests/silence.rs
@@ -391,6 +391,50 @@
     assert_eq!(status, 200, "after {:?}", began.elapsed());
 }
 
+/// Guards against new requests at an endpoint that has been silent for longer
+/// than the first time for which it is avoided.
+#[tokio::test]
+async fn an_endpoint_is_avoided_again_while_it_is_silent() {
+    let one = Scripted::start(vec![paused_stream()]).await;
+    let two = Scripted::start(vec![Act::Silent]).await;
+    let setup = fixture(&[one.address, two.address]);
+    let forwarder = setup.forwarder.clone();
+    let stream = request("r1", resumable(2));
+    tokio::spawn(
+        async move { read(forwarder.forward(stream, 1).await).await },
+    );
+    sleep(Duration::from_millis(1_300)).await;
+    let plain = request("r2", route(RouteKind::AtMostOnce));
+    let forwarder = setup.forwarder.clone();
+    tokio::spawn(async move { forwarder.forward(plain, 1).await });
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(one.seen().len(), 1, "it gets no new request");
+}
+
+/// Guards against streams that stay at a silent endpoint although another one
+/// of their version has become free.
+#[tokio::test]
+async fn a_silent_stream_moves_as_soon_as_an_endpoint_can_take_it() {
+    let one = Scripted::start(vec![paused_stream()]).await;
+    let two = Scripted::start(vec![rest_of_stream()]).await;
+    let setup = fixture(&[one.address, two.address]);
+    let publish = |endpoints: &[Endpoint]| {
+        setup.view.publish(DirectoryView {
+            table: Arc::new(EndpointTable::new(endpoints.to_vec())),
+            revision: 2,
+        });
+    };
+    publish(&setup.endpoints[..1]);
+    let added = async {
+        sleep(Duration::from_millis(700)).await;
+        publish(&setup.endpoints);
+    };
+    let began = Instant::now();
+    let (body, ()) = tokio::join!(body_of(&setup, resumable(2)), added);
+    assert_eq!(body.as_deref(), Ok(WHOLE));
+    assert!(began.elapsed() < Duration::from_millis(1_000));
+}
+
 /// Starts an endpoint that reads nothing for a while, then one request, and
 /// answers it.
 async fn slow_reader(pause: Duration) -> SocketAddr {
