--- a/crates/pass/src/forward/history.rs
+++ b/crates/pass/src/forward/history.rs
@@ -1,12 +1,72 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use fleet::{Route, VersionBinding};
 
 use crate::{Failure, Refusal};
 
+/// The endpoint that holds a stream while another one is looked for.
+#[derive(Debug)]
+pub(crate) struct Holder {
+    id: String,
+    has_failed: AtomicBool,
+}
+
+impl Holder {
+    pub(crate) fn new(id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            has_failed: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that the endpoint has lost the stream.
+    pub(crate) fn mark_failed(&self) {
+        self.has_failed.store(true, Ordering::Relaxed);
+    }
+
+    fn has_failed(&self) -> bool {
+        self.has_failed.load(Ordering::Relaxed)
+    }
+}
+
+/// An offer that counts as a possible run, unless it is dropped before it was
+/// sent.
+pub(super) struct CountedOffer {
+    runs: Arc<AtomicU32>,
+    is_sent: AtomicBool,
+    has_outcome: bool,
+}
+
+impl CountedOffer {
+    pub(super) fn is_sent(&self) -> &AtomicBool {
+        &self.is_sent
+    }
+
+    /// Leaves it to the outcome whether the offer counts.
+    pub(super) fn end(mut self) {
+        self.has_outcome = true;
+    }
+}
+
+impl Drop for CountedOffer {
+    fn drop(&mut self) {
+        if !self.has_outcome && !self.is_sent.load(Ordering::Relaxed) {
+            self.runs.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Time for which a request that is under way at a silent endpoint waits for a
+/// free slot elsewhere before it also queues: longer than most pauses of sound
+/// endpoints, so that those add nothing to the queues of others.
+const SLOT_WAIT: Duration = Duration::from_secs(1);
+
 /// The offers of one request so far and their outcomes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OfferHistory {
@@ -14,6 +74,10 @@
     pub(super) tried: Vec<String>,
     /// Ids of the endpoints at which the request is under way.
     pub(super) under_way: Vec<String>,
+    /// The one of them that holds the stream, if any.
+    holder: Option<Arc<Holder>>,
+    /// Since when all of them are silent.
+    silent_since: Option<Instant>,
     pub(super) offers: u32,
     /// Offers that ran, may have run or are under way. All searches of a
     /// request share it, since one that is cancelled may leave a run.
@@ -39,12 +103,15 @@
         &self,
         after: Option<u64>,
         binding: Option<Arc<VersionBinding>>,
-        holder: Option<String>,
+        holder: Option<Arc<Holder>>,
     ) -> Self {
+        let held_at = holder.iter().map(|holder| holder.id.clone());
         Self {
             resume_after: after,
             binding,
-            under_way: holder.into_iter().collect(),
+            under_way: held_at.collect(),
+            silent_since: holder.as_ref().map(|_| Instant::now()),
+            holder,
             ..self.clone()
         }
     }
@@ -64,11 +131,40 @@
         self.possible_runs.load(Ordering::Relaxed)
     }
 
-    pub(super) fn begin_offer(&mut self, endpoint: &str) {
+    /// Counts an offer that begins.
+    pub(super) fn begin_offer(&mut self, endpoint: &str) -> CountedOffer {
         self.tried.push(endpoint.to_owned());
         self.under_way.push(endpoint.to_owned());
         self.offers += 1;
         self.possible_runs.fetch_add(1, Ordering::Relaxed);
+        CountedOffer {
+            runs: self.possible_runs.clone(),
+            is_sent: AtomicBool::new(false),
+            has_outcome: false,
+        }
+    }
+
+    /// Records that all endpoints that have the request are silent.
+    pub(super) fn begin_silence(&mut self) {
+        self.silent_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Reports whether the request may only go to an endpoint with a free
+    /// slot, because it may soon be answered where it is.
+    pub(super) fn needs_free_slot(&self) -> bool {
+        let since = self.silent_since;
+        !self.under_way.is_empty()
+            && since.is_none_or(|since| since.elapsed() < SLOT_WAIT)
+    }
+
+    /// Removes the holder of the stream once it has failed; reports whether
+    /// it did.
+    pub(super) fn remove_failed_holder(&mut self) -> bool {
+        let failed = self.holder.take_if(|holder| holder.has_failed());
+        if let Some(failed) = &failed {
+            self.under_way.retain(|id| *id != failed.id);
+        }
+        failed.is_some()
     }
 
     /// Records that an endpoint has answered.
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -132,9 +132,12 @@
                     }
                 }
                 Err(_) if looks_elsewhere => {}
-                Err(_) => self.avoid_silent(request, &mut offers),
+                Err(_) => {
+                    self.avoid_silent(request, &mut offers);
+                    history.begin_silence();
+                }
             }
-            looks_elsewhere = true;
+            looks_elsewhere = offers.all_silent();
         }
     }
 
@@ -192,12 +195,17 @@
         if sent.offers > 1 {
             Counters::add(&self.counters.retried);
         }
-        history.begin_offer(&endpoint.record().id);
+        let counted = history.begin_offer(&endpoint.record().id);
         let resume_after = history.resume_after;
         let wait = request.remaining() + OFFER_MARGIN;
         let offered_to = endpoint.clone();
         let outcome = async move {
-            self.offer(request, &offered_to, resume_after, wait).await
+            let is_sent = counted.is_sent();
+            let outcome = self
+                .send_offer(request, &offered_to, resume_after, wait, is_sent)
+                .await;
+            counted.end();
+            outcome
         };
         PendingOffer {
             endpoint,
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -13,7 +13,7 @@
 use crate::{
     Counters, EventSplitter, Exchange, Forwarder, IncompleteResponse,
     answer::{ANSWERED, RequestLog, Sent, sleep_until},
-    forward::OfferHistory,
+    forward::{Holder, OfferHistory},
 };
 
 /// A stream that was resumed at another endpoint.
@@ -54,8 +54,18 @@
 /// The search for an endpoint that takes a stream.
 struct Search {
     found: Pin<Box<dyn Future<Output = Option<Continuation>> + Send>>,
-    /// Whether the stream has no endpoint any more.
-    is_urgent: bool,
+    /// The endpoint that had the stream when the search began; none if it
+    /// had none any more.
+    holder: Option<Arc<Holder>>,
+}
+
+impl Search {
+    /// Lets the search use endpoints as if the stream had none any more.
+    fn mark_holder_failed(&self) {
+        if let Some(holder) = &self.holder {
+            holder.mark_failed();
+        }
+    }
 }
 
 /// Pause of a stream after which its endpoint counts as silent, in multiples
@@ -127,17 +137,16 @@
                 }
             }
             if let Some(search) = &mut self.search {
-                let found = ready!(search.found.as_mut().poll(cx));
-                let was_urgent = search.is_urgent;
-                self.search = None;
-                match found.filter(|_| self.has_certain_origin()) {
-                    Some(continuation) => self.continue_with(continuation),
-                    None if self.source.is_some() => self.restart_timer(),
-                    None if was_urgent => {
-                        let error = IncompleteResponse::Endpoint;
-                        return self.fail(error, self.reason);
+                match search.found.as_mut().poll(cx) {
+                    Poll::Ready(found) => {
+                        if let Err(error) = self.settle_search(found) {
+                            return self.fail(error, self.reason);
+                        }
+                    }
+                    Poll::Pending => {
+                        ready!(self.silence.as_mut().poll(cx));
+                        self.avoid_source();
                     }
-                    None => self.search_urgently(),
                 }
                 continue;
             }
@@ -147,6 +156,22 @@
         Poll::Ready(None)
     }
 
+    /// Ends a search; the error ends the stream, which has no endpoint.
+    fn settle_search(
+        &mut self,
+        found: Option<Continuation>,
+    ) -> Result<(), IncompleteResponse> {
+        let search = self.search.take();
+        let was_urgent = search.is_some_and(|s| s.holder.is_none());
+        match found.filter(|_| self.has_certain_origin()) {
+            Some(continuation) => self.continue_with(continuation),
+            None if self.source.is_some() => self.restart_timer(),
+            None if was_urgent => return Err(IncompleteResponse::Endpoint),
+            None => self.search_urgently(),
+        }
+        Ok(())
+    }
+
     fn pass_on(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.restart_timer();
         self.end_search();
@@ -224,7 +249,7 @@
     /// why none can. `holder` still has the stream and is not chosen.
     fn next_history(
         &self,
-        holder: Option<String>,
+        holder: Option<Arc<Holder>>,
     ) -> Result<OfferHistory, &'static str> {
         let after = self.splitter.last_id();
         let binding = match &self.origin {
@@ -303,39 +328,47 @@
         self.reason = error.as_str();
         self.source = None;
         self.splitter.drop_partial();
-        if self.search.is_none() {
-            self.search_urgently();
+        match &self.search {
+            Some(search) => search.mark_holder_failed(),
+            None => self.search_urgently(),
         }
     }
 
     /// Looks for an endpoint for a stream that has none any more.
     fn search_urgently(&mut self) {
         let history = self.next_history(None);
-        self.start_search(history, true);
+        self.start_search(history, None);
     }
 
     /// Avoids a silent endpoint and looks for another one, if any can resume
     /// the stream. Until that one answers, the stream stays where it is.
     fn look_elsewhere(&mut self) {
         self.check_origin();
+        self.avoid_source();
         let Some(source) = &self.source else {
             return;
         };
-        let endpoint = source.endpoint();
-        let request = &self.request_log.request;
-        self.forwarder
-            .avoid(request, endpoint, self.splitter.last_id());
-        let holder = Some(endpoint.record().id.clone());
+        let holder = Arc::new(Holder::new(&source.endpoint().record().id));
         self.reason = SILENT;
-        let history = self.next_history(holder);
-        self.start_search(history, false);
+        let history = self.next_history(Some(holder.clone()));
+        self.start_search(history, Some(holder));
+    }
+
+    /// Avoids the endpoint of the stream for new requests until the next
+    /// check whether it is still silent.
+    fn avoid_source(&mut self) {
+        if let Some(source) = &self.source {
+            let request = &self.request_log.request;
+            let after = self.splitter.last_id();
+            self.forwarder.avoid(request, source.endpoint(), after);
+        }
         self.restart_timer();
     }
 
     fn start_search(
         &mut self,
         history: Result<OfferHistory, &'static str>,
-        is_urgent: bool,
+        holder: Option<Arc<Holder>>,
     ) {
         let request = self.request_log.request.clone();
         let forwarder = self.forwarder.clone();
@@ -356,7 +389,7 @@
         };
         self.search = Some(Search {
             found: Box::pin(found),
-            is_urgent,
+            holder,
         });
     }
 
--- a/crates/pass/tests/silence.rs
+++ b/crates/pass/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::Ordering,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -12,11 +12,12 @@
     Act, Fixture, Scripted, Step, chunk, fixture, fixture_of, header, read,
     request, request_with_body, route, stream_head, until, valid_response,
 };
-use fleet::{Route, RouteKind};
+use fleet::{Endpoint, EndpointTable, Route, RouteKind};
+use pomeloslip_pass::DirectoryView;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
-    time::sleep,
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::{sleep, timeout},
 };
 use yare::parameterized;
 
@@ -252,6 +253,188 @@
     assert_eq!(read(response).await, (200, Ok("ok".to_owned())));
 }
 
+/// Guards against streams whose connection breaks while their search waits
+/// for a free slot: the search must then queue, as for any lost endpoint.
+#[parameterized(
+    before_an_event = { stream_head() + &chunk(": a\n") },
+    after_an_event = { stream_head() + &chunk("id: 1\ndata: a\n\n") },
+)]
+#[test_macro(tokio::test)]
+async fn a_lost_stream_does_not_wait_for_a_free_slot(begin: String) {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Write(begin),
+        Step::Pause(900),
+        Step::Write("no chunk\r\n".to_owned()),
+    ])])
+    .await;
+    let whole = chunk(WHOLE) + "0\r\n\r\n";
+    let two =
+        Scripted::start(vec![Act::Respond(stream_head() + &whole)]).await;
+    let setup = fixture(&[one.address, two.address]);
+    for _ in 0..setup.endpoints[1].record().slots {
+        setup.endpoints[1].begin_request();
+    }
+    let began = Instant::now();
+    let body = body_of(&setup, resumable(3)).await;
+    assert_eq!(body.as_deref(), Ok(WHOLE), "after {:?}", began.elapsed());
+    assert!(began.elapsed() < Duration::from_millis(PAUSE_MS));
+}
+
+/// Guards against streams that wait for a dead connection in the same way.
+#[tokio::test]
+async fn a_stream_leaves_a_dead_connection_for_a_queue() {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Write(stream_head() + &chunk("id: 1\ndata: a\n\n")),
+        Step::Pause(10_000),
+    ])])
+    .await;
+    let two = Scripted::start(vec![rest_of_stream()]).await;
+    let setup = fixture(&[one.address, two.address]);
+    for _ in 0..setup.endpoints[1].record().slots {
+        setup.endpoints[1].begin_request();
+    }
+    let body = body_of(&setup, resumable(2)).await;
+    assert_eq!(body.as_deref(), Ok(WHOLE));
+}
+
+/// Guards against streams that cannot be resumed because an offer to another
+/// endpoint counts as a run although it was cancelled before it was sent.
+#[tokio::test]
+async fn an_offer_that_was_not_sent_takes_no_attempt() {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Write(stream_head() + &chunk("id: 1\ndata: a\n\n")),
+        Step::Pause(800),
+        Step::Write(chunk(": goes on\n\n")),
+        Step::Pause(200),
+        Step::Write("no chunk\r\n".to_owned()),
+    ])])
+    .await;
+    let (unreachable, _connections) = without_connections().await;
+    let three = Scripted::start(vec![rest_of_stream()]).await;
+    let addresses = [one.address, unreachable, three.address];
+    let setup = fixture(&addresses);
+    let publish = |endpoints: &[Endpoint]| {
+        setup.view.publish(DirectoryView {
+            table: Arc::new(EndpointTable::new(endpoints.to_vec())),
+            revision: 2,
+        });
+    };
+    publish(&setup.endpoints[..2]);
+    let added = async {
+        sleep(Duration::from_millis(900)).await;
+        publish(&setup.endpoints);
+    };
+    let (body, ()) = tokio::join!(body_of(&setup, resumable(2)), added);
+    let whole = "id: 1\ndata: a\n\n: goes on\n\nid: 2\ndata: b\n\n";
+    assert_eq!(body.as_deref(), Ok(whole));
+}
+
+/// Starts an endpoint at which new connections are not established, and
+/// returns those that take up its backlog.
+async fn without_connections() -> (SocketAddr, (TcpListener, Vec<TcpStream>)) {
+    let socket = TcpSocket::new_v4().expect("socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any).expect("bind");
+    let listener = socket.listen(0).expect("listen");
+    let address = listener.local_addr().expect("address");
+    let mut connections = Vec::new();
+    let wait = Duration::from_millis(50);
+    while let Ok(connected) = timeout(wait, TcpStream::connect(address)).await
+    {
+        connections.push(connected.expect("a connection"));
+    }
+    (address, (listener, connections))
+}
+
+/// Guards against a third run of a request whose second endpoint is not
+/// silent, only because the first one has failed.
+#[tokio::test]
+async fn a_request_that_is_under_way_is_not_offered_again() {
+    let one = Scripted::start(vec![Act::Paced(vec![
+        Step::Pause(500),
+        Step::Write("no response\r\n\r\n".to_owned()),
+    ])])
+    .await;
+    let later =
+        Act::Paced(vec![Step::Pause(350), Step::Write(valid_response("ok"))]);
+    let two = Scripted::start(vec![later.clone()]).await;
+    let three = Scripted::start(vec![later]).await;
+    let setup = fixture(&[one.address, two.address, three.address]);
+    let route = route(RouteKind::Idempotent)
+        .with_times(5_000, 200)
+        .with_max_attempts(3);
+    let response = setup.forwarder.forward(request("r1", route), 1).await;
+    assert_eq!(read(response).await, (200, Ok("ok".to_owned())));
+    assert_eq!(one.seen().len(), 1);
+    assert_eq!(two.seen().len() + three.seen().len(), 1);
+}
+
+/// Guards against requests that wait for a dead connection until their time
+/// is up, because the other endpoints have no free slot but short queues.
+#[parameterized(
+    idempotent = { RouteKind::Idempotent },
+    stream = { RouteKind::ResumableStream },
+)]
+#[test_macro(tokio::test)]
+async fn a_request_leaves_a_dead_connection_for_a_queue(kind: RouteKind) {
+    let one = Scripted::start(vec![Act::Silent]).await;
+    let answer = stream_head() + &chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+    let two = Scripted::start(vec![Act::Respond(answer)]).await;
+    let setup = fixture(&[one.address, two.address]);
+    for _ in 0..setup.endpoints[1].record().slots {
+        setup.endpoints[1].begin_request();
+    }
+    let route = route(kind).with_times(5_000, 200);
+    let began = Instant::now();
+    let response = setup.forwarder.forward(request("r1", route), 1).await;
+    let status = read(response).await.0;
+    assert_eq!(status, 200, "after {:?}", began.elapsed());
+}
+
+/// Guards against new requests at an endpoint that has been silent for longer
+/// than the first time for which it is avoided.
+#[tokio::test]
+async fn an_endpoint_is_avoided_again_while_it_is_silent() {
+    let one = Scripted::start(vec![paused_stream()]).await;
+    let two = Scripted::start(vec![Act::Silent]).await;
+    let setup = fixture(&[one.address, two.address]);
+    let forwarder = setup.forwarder.clone();
+    let stream = request("r1", resumable(2));
+    tokio::spawn(
+        async move { read(forwarder.forward(stream, 1).await).await },
+    );
+    sleep(Duration::from_millis(1_300)).await;
+    let plain = request("r2", route(RouteKind::AtMostOnce));
+    let forwarder = setup.forwarder.clone();
+    tokio::spawn(async move { forwarder.forward(plain, 1).await });
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(one.seen().len(), 1, "it gets no new request");
+}
+
+/// Guards against streams that stay at a silent endpoint although another one
+/// of their version has become free.
+#[tokio::test]
+async fn a_silent_stream_moves_as_soon_as_an_endpoint_can_take_it() {
+    let one = Scripted::start(vec![paused_stream()]).await;
+    let two = Scripted::start(vec![rest_of_stream()]).await;
+    let setup = fixture(&[one.address, two.address]);
+    let publish = |endpoints: &[Endpoint]| {
+        setup.view.publish(DirectoryView {
+            table: Arc::new(EndpointTable::new(endpoints.to_vec())),
+            revision: 2,
+        });
+    };
+    publish(&setup.endpoints[..1]);
+    let added = async {
+        sleep(Duration::from_millis(700)).await;
+        publish(&setup.endpoints);
+    };
+    let began = Instant::now();
+    let (body, ()) = tokio::join!(body_of(&setup, resumable(2)), added);
+    assert_eq!(body.as_deref(), Ok(WHOLE));
+    assert!(began.elapsed() < Duration::from_millis(1_000));
+}
+
 /// Starts an endpoint that reads nothing for a while, then one request, and
 /// answers it.
 async fn slow_reader(pause: Duration) -> SocketAddr {
