Let the fault proxy hold bytes without loss

A link that stops and goes on was not among its faults: a delay lets the first bytes wait for a fixed time, silence loses them. A held direction reads nothing until the rule is gone, so that the bytes and the end arrive in order.

--- a/crates/faultproxy/src/connection.rs
+++ b/crates/faultproxy/src/connection.rs
@@ -113,7 +113,8 @@
                     Err(_) => return Err(Reset),
                 },
                 () = sleep_until(wake) => continue,
-                read = self.read.read(&mut buffer[..max_read]) => read,
+                read = self.read.read(&mut buffer[..max_read]),
+                    if !effects.hold => read,
             };
             match read {
                 Ok(0) if self.silent => return Ok(()),
--- a/crates/faultproxy/src/effects.rs
+++ b/crates/faultproxy/src/effects.rs
@@ -31,6 +31,7 @@
 pub(crate) struct Effects {
     pub(crate) delay: Duration,
     pub(crate) bytes_per_s: Option<u64>,
+    pub(crate) hold: bool,
     pub(crate) silent: bool,
     pub(crate) cut: bool,
     pub(crate) close: bool,
@@ -86,6 +87,7 @@
                 let known = self.bytes_per_s.unwrap_or(u64::MAX);
                 self.bytes_per_s = Some(known.min(bytes_per_s.max(1)));
             }
+            Fault::Hold => self.hold = true,
             Fault::Silence => self.silent = true,
             Fault::Cut => self.cut = true,
             Fault::Close => self.close = true,
--- a/crates/faultproxy/src/rule.rs
+++ b/crates/faultproxy/src/rule.rs
@@ -13,6 +13,9 @@
         /// Bytes per second.
         bytes_per_s: u64,
     },
+    /// Bytes and the end of the direction are held while the rule is set, and
+    /// delivered in order afterwards. Nothing is lost.
+    Hold,
     /// Bytes are dropped and the connection stays open. The fault is
     /// permanent because a connection that lost bytes cannot continue. In one
     /// direction only, this makes the connection half-open.
--- a/crates/faultproxy/tests/proxy.rs
+++ b/crates/faultproxy/tests/proxy.rs
@@ -233,3 +233,24 @@
     assert!(matches!(read, Ok(0) | Err(_)));
     assert!(TcpStream::connect(address).await.is_err());
 }
+
+/// Guards against a pause that loses bytes, reorders them, or is taken for the
+/// end of the connection.
+#[tokio::test]
+async fn a_held_connection_delivers_all_bytes_in_order_afterwards() {
+    let (proxy, handle) = proxy().await;
+    let mut stream = open(&proxy).await;
+    echo_round_trip(&mut stream, b"before").await;
+    handle.set(vec![Rule::new(Fault::Hold)]);
+    stream.write_all(b"first").await.unwrap();
+    assert!(is_quiet(&mut stream).await);
+    stream.write_all(b"second").await.unwrap();
+    stream.shutdown().await.unwrap();
+    assert!(is_quiet(&mut stream).await);
+    handle.clear();
+    let mut all = Vec::new();
+    let read = timeout(EVENT_TIMEOUT, stream.read_to_end(&mut all)).await;
+    read.unwrap().unwrap();
+    assert_eq!(all, b"firstsecond");
+    assert_eq!(handle.counts().lost_bytes, 0);
+}
