--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -150,6 +150,13 @@
     responses_until_close,
     /// Responses that ended in order, but inside their content.
     responses_truncated,
+    /// Responses that ended after their head and before they were complete,
+    /// while their client was there and its time was not up.
+    responses_cut,
+    /// Endpoints that were avoided because they were silent about a request.
+    silences,
+    /// Streams that another endpoint took because their own was silent.
+    streams_left_silent,
     /// Interrupted runs whose endpoint was not examined, because too many
     /// runs were interrupted at once.
     runs_not_examined,
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -19,6 +19,7 @@
 mod answer;
 mod attempt;
 mod caller;
+mod cause;
 mod channel;
 mod counters;
 mod customers;
@@ -37,6 +38,7 @@
 mod resume;
 mod returns;
 mod run;
+mod shared_stream;
 
 pub use crate::{
     answer::ResponseBody,
