--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -192,7 +192,7 @@
     pub endpoint: Endpoint,
     /// The output of earlier runs.
     pub progress: Progress,
-    /// When the run last heard its endpoint.
+    /// When the endpoint last sent something.
     pub silence: SilenceClock,
 }
 
@@ -245,8 +245,8 @@
         }
     }
 
-    /// Records that the endpoint was heard.
-    fn heard(&self) {
+    /// Records that the endpoint has sent something.
+    fn record_reception(&self) {
         let silent_ms = self.silence.reset();
         if silent_ms >= LOGGED_SILENCE_MS {
             log::info!(
@@ -291,7 +291,7 @@
         mut exchange: Exchange,
         after: Option<u64>,
     ) -> RunOutcome {
-        self.heard();
+        self.record_reception();
         match exchange.status() {
             status if status.is_success() => {}
             StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Rejected,
@@ -303,7 +303,7 @@
             let next = poll_fn(|cx| exchange.poll_data(cx));
             let cause = match time::timeout(limit, next).await {
                 Ok(Some(Ok(chunk))) => {
-                    self.heard();
+                    self.record_reception();
                     let split = splitter.push(chunk);
                     if !split.events.is_empty() {
                         let record = self.endpoint.record();
--- a/crates/jobs/src/silence.rs
+++ b/crates/jobs/src/silence.rs
@@ -23,30 +23,30 @@
 pub struct SilenceClock {
     started: Instant,
     /// Milliseconds after the start.
-    heard_at_ms: Arc<AtomicU64>,
+    received_at_ms: Arc<AtomicU64>,
 }
 
 impl SilenceClock {
-    /// Starts a clock, as if the endpoint had been heard just now.
+    /// Starts a clock, as if the endpoint had sent something just now.
     pub fn start() -> Self {
         Self {
             started: Instant::now(),
-            heard_at_ms: Arc::default(),
+            received_at_ms: Arc::default(),
         }
     }
 
-    /// Records that the endpoint was heard; returns the time for which it had
+    /// Records that the endpoint has sent something; returns the time for which it had
     /// been silent, in milliseconds.
     pub fn reset(&self) -> u64 {
         let now_ms = self.elapsed_ms();
-        let before_ms = self.heard_at_ms.swap(now_ms, Ordering::Relaxed);
+        let before_ms = self.received_at_ms.swap(now_ms, Ordering::Relaxed);
         now_ms.saturating_sub(before_ms)
     }
 
-    /// Returns the time since the endpoint was last heard, in milliseconds.
+    /// Returns the time since the endpoint last sent something, in milliseconds.
     pub fn silent_ms(&self) -> u64 {
-        let heard_at_ms = self.heard_at_ms.load(Ordering::Relaxed);
-        self.elapsed_ms().saturating_sub(heard_at_ms)
+        let received_at_ms = self.received_at_ms.load(Ordering::Relaxed);
+        self.elapsed_ms().saturating_sub(received_at_ms)
     }
 
     fn elapsed_ms(&self) -> u64 {
