Answer requests whose handler panics

Callers would see a connection that ends with neither an answer nor a refusal, and no line of ours: the server library drops the task.

Change: a handler that panics gives 502, 'an internal error', of which it is not known whether it ran, and a line.

Measured: the test failed before with an empty response, head and body; it passes now, with all tests of the crate.

--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -27,6 +27,7 @@
 mod events;
 mod exchange;
 mod forward;
+mod guard;
 mod listen;
 mod names;
 mod observe;
--- a/crates/pass/src/listen.rs
+++ b/crates/pass/src/listen.rs
@@ -25,6 +25,7 @@
     PassError, ResponseBody,
     caller::{CallerStream, ResetFlag},
     channel::set_silence_timeout,
+    guard::PanicGuard,
 };
 
 /// The future of a response.
@@ -178,7 +179,7 @@
     let stream = CallerStream::new(stream, reset.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let knows_chunks = request.version() != Version::HTTP_10;
-        let pending = handler.handle(request);
+        let pending = PanicGuard::new(handler.handle(request));
         let (phase, reset) = (phase.clone(), reset.clone());
         async move {
             let mut response = pending.await;
--- a/crates/pass/tests/listen.rs
+++ b/crates/pass/tests/listen.rs
@@ -158,3 +158,26 @@
         }
     }
 }
+
+/// Fails on each request.
+struct Panicking;
+
+impl Handler for Panicking {
+    fn handle(&self, _: Request<Incoming>) -> HandlerFuture {
+        Box::pin(async { panic!("a planted fault") })
+    }
+
+    fn limits(&self) -> TransferLimits {
+        TransferLimits::default()
+    }
+}
+
+/// Guards against requests that get neither an answer nor a refusal because
+/// their handler panics.
+#[tokio::test]
+async fn a_request_whose_handler_panics_gets_an_answer() {
+    let address = listen(Panicking);
+    let received = call(address, "HTTP/1.1").await;
+    assert!(received.head.starts_with("http/1.1 502 "), "{received:?}");
+    assert!(received.body.contains("unknown"), "{received:?}");
+}
