--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -69,6 +69,9 @@
 
     fn interrupted(&self, run: &Run) {
         Counters::add(&self.counters.runs_cut_off);
+        if run.since_head().is_some() && run.reached() == run.resumed_after() {
+            Counters::add(&self.counters.runs_cut_off_at_head);
+        }
         self.examine(run, RunEnd::Interrupted);
     }
 }
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -202,7 +202,7 @@
         &self,
         offer: &Offer<'_>,
         mut in_flight: InFlightGuard,
-        run: Run,
+        mut run: Run,
         mut channel: Channel,
         response: http::Response<hyper::body::Incoming>,
     ) -> Result<Exchange, Failure> {
@@ -215,6 +215,7 @@
         channel.note_keep_alive(headers, self.pool.options());
         let reusable = !closes_connection(headers);
         let failure = check_response(&head.status, headers, self.names, offer);
+        run.record_head();
         // From here on, the exchange decrements the in-flight count.
         if in_flight.0.take().is_none() {
             return Err(Failure::Broken);
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -145,6 +145,9 @@
     versions_mixed,
     /// Runs whose connection broke before the response was complete.
     runs_cut_off,
+    /// Runs whose connection broke after the head of the response and before
+    /// anything of its body.
+    runs_cut_off_at_head,
     /// Responses with neither a length nor chunks, which end with their
     /// connection.
     responses_until_close,
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -39,6 +39,7 @@
 mod resume;
 mod returns;
 mod run;
+mod shared_parts;
 mod shared_stream;
 
 pub use crate::{
@@ -63,4 +64,5 @@
     request::{Inbound, read_body},
     returns::RetryAfterEstimator,
     run::{Run, RunObserver},
+    shared_parts::SharedParts,
 };
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -17,7 +17,7 @@
 use origins::{StreamId, StreamKey, StreamKeys};
 use quarantine::EvidenceKeys;
 
-use crate::{HeaderNames, Refusal};
+use crate::{HeaderNames, Refusal, SharedParts};
 
 /// Headers that apply to a single connection.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -327,6 +327,11 @@
         self.resumes.as_deref()
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> SharedParts<'_> {
+        SharedParts::of(&self.prompt)
+    }
+
     /// Returns the hash of the shared parts of the prompt, or the hash of the
     /// id for a request without a prompt.
     ///
@@ -386,8 +391,7 @@
 /// Hashes the parts of the prompt except the last one, which is specific to
 /// the request.
 fn affinity(parts: &str) -> u64 {
-    let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
-    hash(shared)
+    hash(SharedParts::of(parts).as_str())
 }
 
 /// Hashes a text with FNV-1a: the value is only compared within this process,
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -32,6 +32,8 @@
     request: Arc<Inbound>,
     endpoint: Endpoint,
     started_at: Instant,
+    /// When the head of the response arrived.
+    head_at: Option<Instant>,
     resumed_after: u64,
     reached: u64,
     has_ended: bool,
@@ -50,6 +52,7 @@
             request,
             endpoint,
             started_at: Instant::now(),
+            head_at: None,
             resumed_after,
             reached: resumed_after,
             has_ended: false,
@@ -82,6 +85,15 @@
         self.started_at.elapsed()
     }
 
+    /// Returns the time since the head of the response arrived, if it has.
+    pub fn since_head(&self) -> Option<Duration> {
+        self.head_at.map(|at| at.elapsed())
+    }
+
+    pub(crate) fn record_head(&mut self) {
+        self.head_at = Some(Instant::now());
+    }
+
     /// Returns how much of the response existed before this run: the id of
     /// the event after which a stream was resumed, or 0.
     #[inline]
@@ -122,7 +134,9 @@
             request_id = self.request.id(),
             digest:% = self.digest(),
             endpoint = self.endpoint.record().id.as_str(),
+            shared_parts:% = self.request.shared_parts(),
             ran_ms = self.elapsed().as_millis() as u64,
+            since_head_ms:? = self.since_head().map(|time| time.as_millis()),
             resumed_after = self.resumed_after,
             reached = self.reached,
             framing,
