--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -24,7 +24,9 @@
 /// is silent for M milliseconds after N / 2 of N events of the first run,
 /// `pause-head M N` before its head, and `hang N` and `hang-head N` for good;
 /// `crash N` stops the engine and closes all of its connections after N events, and
-/// `open-crash N` does the same with neither a length nor chunks.
+/// `open-crash N` does the same with neither a length nor chunks. A request
+/// whose prompt has a shared part [`CRASHING_PART`] crashes the engine after its
+/// head, whatever its body.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
     /// Version of its software, which is also in the text of its events.
@@ -104,6 +106,16 @@
 /// Software version of engines that are started without one.
 const VERSION: &str = "e";
 
+/// Id of a part of a prompt that crashes the engine as it begins to respond.
+pub(crate) const CRASHING_PART: &str = "bad0";
+
+/// Reports whether a prompt has the part that crashes engines.
+fn has_crashing_part(head: &str) -> bool {
+    let prompt = header(head, "x-prompt").unwrap_or_default();
+    let mut parts = prompt.split(',');
+    parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
+}
+
 /// Delay between the last event of a poison request and the crash of the
 /// engine.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
@@ -124,13 +136,17 @@
         let after = header(&head, "x-resume");
         let after: u32 = after.and_then(|a| a.parse().ok()).unwrap_or(0);
         let mut words = body.split(' ');
-        let word = words.next().unwrap_or_default().to_owned();
+        let word = match has_crashing_part(&head) {
+            true => "crash".to_owned(),
+            false => words.next().unwrap_or_default().to_owned(),
+        };
         let cut = word == "cut" && after == 0;
         let number = match word.as_str() {
             "open" => words.next().unwrap_or("0"),
             "cut" => words.next().unwrap_or("1"),
             "pause" | "pause-head" => words.nth(1).unwrap_or("0"),
             "hang" | "hang-head" => words.next().unwrap_or("0"),
+            "crash" if has_crashing_part(&head) => "0",
             "crash" => words.next().unwrap_or("0"),
             other => other,
         };
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -46,7 +46,7 @@
 #[allow(unused_imports)]
 pub(crate) use self::{
     cuttable::Cuttable,
-    engine::{Engine, event_text},
+    engine::{CRASHING_PART, Engine, event_text},
     engines::Engines,
 };
 
