Quarantine parts of prompts that crash endpoints

Callers saw streams of one route break while requests with one part of their prompts in common ended 34 endpoints, 25 sends after the fifth. Cause: evidence was kept by the content of a request, and these share a part and nothing else: a memory keyed finer than the fault.

Each crash at the beginning of a response now counts against the shared parts of the prompt (all but the last). A complete response with a part, or a second of one, releases it on all nodes, and the node that saw it takes crashes for no evidence against it for the next seconds: the part that is in all crashes and in no response is left, after four of them. Runs need not come one after the other, as those of many callers don't. Nodes send each other what they learn directly, so that this holds without the key-value service. A held part is probed after 3 s if the prompt has no other held part (else after 30 s), then after 5 and 50 minutes, by compare-and-swap.

Items are owed: they are no evidence against parts, are not held by them, and are held for 3 s at most by their own evidence.

--- a/crates/entry/src/batch/owner/crashes.rs
+++ b/crates/entry/src/batch/owner/crashes.rs
@@ -2,7 +2,7 @@
 
 use base::{Customer, RequestContent, RequestDigest};
 use ledger::{Granted, RunOutcome};
-use quarantine::{Crash, CrashedEndpoint, SendPermit};
+use quarantine::{Crash, CrashedEndpoint, EvidenceKeys, SendPermit};
 use wire::message::{Item, ItemOutcome, ItemResult};
 
 use super::Owner;
@@ -35,7 +35,8 @@
         granted: &Granted,
     ) -> Option<Item> {
         let item_digest = || digest(&item.customer, &item.path, &item.body);
-        let quarantined = match self.quarantine.admit(item_digest).await {
+        let keys = || EvidenceKeys::from(item_digest()).of_item();
+        let quarantined = match self.quarantine.admit(keys).await {
             Ok(SendPermit { .. }) => return Some(item),
             Err(quarantined) => quarantined,
         };
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -24,6 +24,7 @@
     bootstrap_list,
     commits::SharedCommits,
     crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
+    crash_news::CrashNews,
     feed::Scope,
     feed_wire::PeerHandler,
     job_manifests::ManifestResponder,
@@ -155,6 +156,13 @@
             cache: cache.clone(),
             clock: clock.clone(),
         };
+        let crash_news = CrashNews::new(
+            &settings.node,
+            quarantine.clone(),
+            view.clone(),
+            clock.clone(),
+        );
+        tokio::spawn(crash_news.clone().run());
         let handler = PeerHandler {
             relay: Relay::new(settings.kv),
             feeds,
@@ -165,6 +173,7 @@
             group_commit,
             manifests: ManifestResponder::new(view.clone(), clock.clone()),
             push_receiver,
+            crash_news,
             clock: clock.clone(),
         };
         peer::serve(settings.peer, handler)?;
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -35,6 +35,9 @@
     ended_at: UnixMillis,
     resumed_after: u64,
     reached: u64,
+    /// Time since the head of the response, if it had one.
+    since_head_ms: Option<u64>,
+    is_success: bool,
 }
 
 /// How a run ended.
@@ -63,6 +66,9 @@
             self.examine(run, RunEnd::Unmarked);
             return;
         }
+        if run.is_success() {
+            self.quarantine.record_sound_parts(&run.part_keys());
+        }
         self.quarantine
             .record_response(|| run.evidence_keys(), run.resumed_after());
     }
@@ -86,6 +92,10 @@
             ended_at: self.quarantine.now(),
             resumed_after: run.resumed_after(),
             reached: run.reached(),
+            since_head_ms: run
+                .since_head()
+                .map(|time| time.as_millis() as u64),
+            is_success: run.is_success(),
         };
         if self.sender.try_send(examined_run).is_err() {
             Counters::add(&self.counters.runs_not_examined);
@@ -238,6 +248,9 @@
     /// Records the response of a run whose endpoint has not crashed.
     fn record_if_answered(&self, run: &ExaminedRun) {
         if run.end == RunEnd::Unmarked {
+            if run.is_success {
+                self.quarantine.record_sound_parts(run.keys.parts());
+            }
             self.quarantine
                 .record_response(|| run.keys.clone(), run.resumed_after);
         }
@@ -250,7 +263,9 @@
                 endpoint = run.endpoint.record().id.as_str(),
                 ran_ms = run.ran_ms,
                 resumed_after = run.resumed_after,
-                reached = run.reached;
+                reached = run.reached,
+                since_head_ms:? = run.since_head_ms,
+                is_item = run.keys.is_item();
                 "a request ran at an endpoint that crashed"
             );
             let incarnation = run.endpoint.incarnation_key().as_u64();
@@ -261,6 +276,13 @@
                 resumed_after: run.resumed_after,
                 reached: run.reached,
             };
+            if !run.keys.is_item() {
+                self.quarantine.record_part_crash(
+                    run.keys.parts(),
+                    &crash,
+                    run.since_head_ms,
+                );
+            }
             self.quarantine.record_crash(run.keys.clone(), crash);
         }
     }
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     commits::{self, COMMIT_PATH},
+    crash_news::{CRASH_NEWS_PATH, CrashNews},
     feed::{Delta, Feed, Scope},
     job_manifests::{MANIFEST_PATH, ManifestResponder},
     job_push::{PUSH_PATH, PushReceiver},
@@ -288,6 +289,8 @@
     pub(crate) manifests: ManifestResponder,
     /// Receives jobs that other nodes have accepted.
     pub(crate) push_receiver: PushReceiver,
+    /// Exchanges crash records.
+    pub(crate) crash_news: CrashNews,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -310,6 +313,9 @@
         if uri.path().starts_with(PUSH_PATH) {
             return Box::pin(self.push_receiver.clone().receive(request));
         }
+        if uri.path() == CRASH_NEWS_PATH {
+            return Box::pin(self.crash_news.clone().serve(request));
+        }
         if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
             return Box::pin(self.bulk.clone().respond(key.to_owned()));
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod commit_wire;
 mod commits;
 mod crash;
+mod crash_news;
 mod dialect;
 mod error;
 mod feed;
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -215,7 +215,7 @@
         channel.note_keep_alive(headers, self.pool.options());
         let reusable = !closes_connection(headers);
         let failure = check_response(&head.status, headers, self.names, offer);
-        run.record_head();
+        run.record_head(head.status);
         // From here on, the exchange decrements the in-flight count.
         if in_flight.0.take().is_none() {
             return Err(Failure::Broken);
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -236,7 +236,7 @@
         wait: Duration,
         is_sent: &AtomicBool,
     ) -> Result<Exchange, Failure> {
-        let permit = self.obtain_permit(request).await;
+        let permit = self.obtain_permit(request, endpoint).await;
         let permit = permit
             .map_err(|Quarantined { for_ms, .. }| Failure::Held { for_ms })?;
         let offer = Offer {
@@ -254,13 +254,17 @@
     async fn obtain_permit(
         &self,
         request: &Inbound,
+        endpoint: &Endpoint,
     ) -> Result<SendPermit, Quarantined> {
-        let admitted = self.quarantine.admit(|| request.evidence_keys()).await;
+        let service = &endpoint.record().service;
+        let keys = || request.evidence_keys(service);
+        let admitted = self.quarantine.admit(keys).await;
         admitted.inspect_err(|held| {
             Counters::add(&self.counters.requests_held);
             log::info!(
                 request_id = request.id(),
                 digest:% = request.digest(),
+                shared_parts:% = request.shared_parts(),
                 crashes = held.crashes,
                 for_ms = held.for_ms;
                 "a request is held"
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -120,6 +120,10 @@
 /// start count as retrying; the only effect is a slightly longer queue.
 const MIN_FRESH_PERCENT: u64 = 95;
 
+/// Maximum number of parts of a prompt for which crash records are kept. A
+/// prompt with more parts is longer than any that callers build by hand.
+const MAX_PART_KEYS: usize = 64;
+
 /// Added to the time for which the origin of a stream is stored, in
 /// milliseconds: clients wait a little longer than they announce.
 const ORIGIN_MARGIN_MS: u64 = 5_000;
@@ -223,18 +227,33 @@
         })
     }
 
-    /// Returns the keys under which crash records of the request are stored.
-    pub fn evidence_keys(&self) -> EvidenceKeys {
+    /// Returns the keys under which crash records of the request at endpoints
+    /// of a service are stored.
+    pub fn evidence_keys(&self, service: &str) -> EvidenceKeys {
         let keys = EvidenceKeys::from(self.digest());
+        let parts = self.part_keys(service);
+        let keys = parts.into_iter().fold(keys, EvidenceKeys::with_part);
         let Some(job) = &self.job else {
             return keys;
         };
         let customer = self.customer();
         let path = [customer, self.host(), self.target.as_str()];
-        keys.with_group(RequestDigest::of_group("job", &[customer, job]))
+        keys.of_item()
+            .with_group(RequestDigest::of_group("job", &[customer, job]))
             .with_group(RequestDigest::of_group("path of items", &path))
     }
 
+    /// Returns the keys under which crash records of the shared parts of the
+    /// prompt are stored.
+    ///
+    /// A part is the same in requests of all customers and routes. Endpoints
+    /// of two services may treat it differently.
+    pub fn part_keys(&self, service: &str) -> Vec<RequestDigest> {
+        let ids = self.shared_parts().ids().take(MAX_PART_KEYS);
+        let key = |id| RequestDigest::of_group("prompt part", &[service, id]);
+        ids.map(key).collect()
+    }
+
     fn host(&self) -> &str {
         let host = self.headers.get(header::HOST);
         host.and_then(|host| host.to_str().ok()).unwrap_or_default()
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -7,6 +7,7 @@
 use base::RequestDigest;
 use fleet::{Endpoint, RouteKind};
 use framing::Framing;
+use http::StatusCode;
 use quarantine::EvidenceKeys;
 
 use crate::Inbound;
@@ -34,6 +35,8 @@
     started_at: Instant,
     /// When the head of the response arrived.
     head_at: Option<Instant>,
+    /// Whether the head reports success.
+    is_success: bool,
     resumed_after: u64,
     reached: u64,
     has_ended: bool,
@@ -53,6 +56,7 @@
             endpoint,
             started_at: Instant::now(),
             head_at: None,
+            is_success: false,
             resumed_after,
             reached: resumed_after,
             has_ended: false,
@@ -67,7 +71,8 @@
 
     /// Returns the keys under which crash records of the request are stored.
     pub fn evidence_keys(&self) -> EvidenceKeys {
-        self.request.evidence_keys()
+        let service = &self.endpoint.record().service;
+        self.request.evidence_keys(service)
     }
 
     pub(crate) fn route_kind(&self) -> RouteKind {
@@ -90,8 +95,20 @@
         self.head_at.map(|at| at.elapsed())
     }
 
-    pub(crate) fn record_head(&mut self) {
+    /// Reports whether the endpoint began a successful response.
+    #[inline]
+    pub fn is_success(&self) -> bool {
+        self.is_success
+    }
+
+    pub(crate) fn record_head(&mut self, status: StatusCode) {
         self.head_at = Some(Instant::now());
+        self.is_success = status.is_success();
+    }
+
+    /// Returns the keys of the shared parts of the request's prompt.
+    pub fn part_keys(&self) -> Vec<RequestDigest> {
+        self.request.part_keys(&self.endpoint.record().service)
     }
 
     /// Returns how much of the response existed before this run: the id of
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -55,21 +55,46 @@
 /// Score of a crash before which the request made no progress.
 const SCORE_WITHOUT_PROGRESS: u32 = 2;
 
+/// Maximum score of a crash.
+pub(crate) const MAX_CRASH_SCORE: u32 = SCORE_WITHOUT_PROGRESS;
+
 /// Score of a crash before which the request made progress. Poison requests
 /// mostly crash the endpoint as they begin; requests that merely ran there may
 /// have been at any point of their response.
 const SCORE_WITH_PROGRESS: u32 = 1;
 
+/// Time after the head of a response within which a crash counts as one at
+/// the beginning of the response, in milliseconds.
+const BEGINNING_MS: u64 = 300;
+
+/// Time after the head of a response from which on a run shows that its prompt
+/// crashes no endpoint, in milliseconds.
+const SOUND_AFTER_MS: u64 = 1_000;
+
 /// Maximum difference between the times at which nodes detect the same crash,
 /// in milliseconds.
 const SAME_CRASH_WINDOW_MS: u64 = 250;
 
+/// Maximum difference between the times at which nodes date the same crash as
+/// evidence against a part, in milliseconds. Requests with the part run on many
+/// nodes, whose clocks differ, and no endpoint is back sooner.
+const SAME_PART_CRASH_WINDOW_MS: u64 = 2_000;
+
 impl Crash {
     /// Reports whether the same crash interrupted both runs.
     pub fn is_same(&self, other: &Crash) -> bool {
+        self.is_same_within(other, SAME_CRASH_WINDOW_MS)
+    }
+
+    /// Reports whether the same crash interrupted runs of two requests that
+    /// share a part of their prompts.
+    pub fn is_same_for_part(&self, other: &Crash) -> bool {
+        self.is_same_within(other, SAME_PART_CRASH_WINDOW_MS)
+    }
+
+    fn is_same_within(&self, other: &Crash, window_ms: u64) -> bool {
         self.endpoint == other.endpoint
-            && self.ended_at.abs_diff_ms(other.ended_at)
-                <= SAME_CRASH_WINDOW_MS
+            && self.ended_at.abs_diff_ms(other.ended_at) <= window_ms
     }
 
     /// Returns the duration of the run, in milliseconds.
@@ -90,6 +115,56 @@
         }
     }
 
+    /// Returns this crash as evidence against a part of the request's prompt,
+    /// or `None` if it is no evidence.
+    ///
+    /// `since_head_ms` is the time between the head of the response and the
+    /// crash, `None` if there was no head. A part that crashes endpoints does
+    /// so as they begin to respond. The positions in the responses of several
+    /// requests are not comparable, so that the evidence has none: it counts
+    /// fully after a head, and half if the run may not have begun.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::UnixMillis;
+    /// use pomeloslip_quarantine::{Crash, CrashedEndpoint};
+    ///
+    /// let crash = Crash {
+    ///     endpoint: CrashedEndpoint::new(1),
+    ///     began_at: UnixMillis::new(0),
+    ///     ended_at: UnixMillis::new(800),
+    ///     resumed_after: 0,
+    ///     reached: 40,
+    /// };
+    /// assert!(crash.as_part_evidence(Some(700)).is_none());
+    /// assert!(crash.as_part_evidence(Some(100)).is_some());
+    /// ```
+    pub fn as_part_evidence(
+        &self,
+        since_head_ms: Option<u64>,
+    ) -> Option<Self> {
+        let reached = match since_head_ms {
+            None => 1,
+            Some(_) if self.progress() == 0 => 0,
+            Some(since_ms) if since_ms <= BEGINNING_MS => 0,
+            Some(_) => return None,
+        };
+        Some(Self {
+            resumed_after: 0,
+            reached,
+            ..*self
+        })
+    }
+
+    /// Reports whether the run shows that no part of its prompt crashes
+    /// endpoints: it had responded for long when the endpoint crashed.
+    pub fn shows_sound_prompt(&self, since_head_ms: Option<u64>) -> bool {
+        let has_responded_long =
+            since_head_ms.is_some_and(|since_ms| since_ms >= SOUND_AFTER_MS);
+        has_responded_long && self.progress() > 0
+    }
+
     /// Reports whether the run began after an earlier one had ended.
     ///
     /// Runs that overlap may have been interrupted by one event, such as the
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,6 +19,10 @@
 //!   are shared with other nodes only if there is further evidence.
 //! - Items of a job share evidence ([`EvidenceKeys`]), since many of them may
 //!   crash endpoints, each with a content of its own.
+//! - Requests that share a part of their prompts share evidence against that
+//!   part ([`Subject::PromptPart`]). Sound requests share the other parts, and
+//!   each complete response releases them.
+//! - Items are owed, and are held for seconds only.
 //! - Calendar times that other nodes report are limited by the time at which
 //!   the report arrived, since clocks may differ by seconds.
 //!
@@ -49,6 +53,7 @@
 mod quarantine;
 mod recent;
 mod record;
+mod sound_parts;
 mod store;
 mod table;
 
@@ -58,6 +63,6 @@
     keys::EvidenceKeys,
     options::QuarantineOptions,
     quarantine::{CrashRecordUpdate, Quarantine, Quarantined, SendPermit},
-    record::CrashRecord,
+    record::{CrashRecord, Subject},
     table::{CrashRecordTable, StoredRecord, Verdict},
 };
--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -1,3 +1,5 @@
+use crate::{CrashRecord, Subject, crash::MAX_CRASH_SCORE};
+
 /// Options that decide when a request is quarantined and for how long.
 ///
 /// # Example
@@ -24,6 +26,25 @@
     pub max_hold_ms: u64,
     /// Retention of a record after its last crash or probe.
     pub retention_ms: u64,
+    /// Minimum score of a part of prompts that is quarantined. Requests with
+    /// the part need not come one after the other, so that it is higher than
+    /// that of a request.
+    pub part_quarantine_score: u32,
+    /// Duration of the first quarantine of a part.
+    pub part_initial_hold_ms: u64,
+    /// Duration of the first quarantine of a part for requests whose prompts
+    /// have no other quarantined part: shorter, since a sound part may have
+    /// been quarantined only because it came together with another one.
+    pub part_trial_hold_ms: u64,
+    /// Factor by which each probe of a part multiplies the duration.
+    pub part_hold_factor: u64,
+    /// Retention of the record of a part after its last crash or probe, also
+    /// the maximum duration of its quarantine.
+    pub part_retention_ms: u64,
+    /// Maximum time for which an item is held, in milliseconds. Items are owed
+    /// even if endpoints crash under them, so that an item is only kept from
+    /// ending one endpoint after the other at once.
+    pub item_hold_ms: u64,
     /// Maximum number of records; the least recently changed ones are evicted
     /// first.
     pub max_records: usize,
@@ -41,6 +62,12 @@
             hold_factor: 6,
             max_hold_ms: 600_000,
             retention_ms: 600_000,
+            part_quarantine_score: 8,
+            part_initial_hold_ms: 30_000,
+            part_trial_hold_ms: 3_000,
+            part_hold_factor: 10,
+            part_retention_ms: 3_600_000,
+            item_hold_ms: 3_000,
             max_records: 1_024,
         }
     }
@@ -54,4 +81,36 @@
         let hold_ms = self.initial_hold_ms.saturating_mul(factor);
         hold_ms.min(self.max_hold_ms)
     }
+
+    /// Returns the duration of the quarantine of a part of prompts in
+    /// milliseconds, after a number of probes. Three probes take longer than
+    /// most causes last, and cost an endpoint each if they fail.
+    pub fn part_hold_ms(&self, probes: u32) -> u64 {
+        let factor = self.part_hold_factor.saturating_pow(probes);
+        let hold_ms = self.part_initial_hold_ms.saturating_mul(factor);
+        hold_ms.min(self.part_retention_ms)
+    }
+
+    /// Returns the score from which on a subject is quarantined.
+    pub(crate) fn score_of(&self, subject: Subject) -> u32 {
+        match subject {
+            Subject::Request => self.quarantine_score,
+            Subject::PromptPart => self.part_quarantine_score,
+        }
+    }
+
+    /// Reports whether there is enough evidence to quarantine a subject.
+    pub(crate) fn is_quarantined(&self, record: &CrashRecord) -> bool {
+        let score = self.score_of(record.subject());
+        let max_score = MAX_CRASH_SCORE * record.crashes().len() as u32;
+        max_score >= score && record.score() >= score
+    }
+
+    /// Returns the retention of a record in milliseconds.
+    pub(crate) fn retention_of(&self, subject: Subject) -> u64 {
+        match subject {
+            Subject::Request => self.retention_ms,
+            Subject::PromptPart => self.part_retention_ms,
+        }
+    }
 }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,3 +1,5 @@
+mod news;
+mod parts;
 mod probe;
 mod updates;
 mod write;
@@ -16,11 +18,12 @@
 use tokio::sync::Notify;
 
 pub use self::updates::CrashRecordUpdate;
-use self::updates::Release;
+use self::updates::{MAX_UPDATES, Release};
 use crate::{
     Crash, CrashRecordTable, EvidenceKeys, QuarantineOptions, StoredRecord,
-    Verdict,
+    Subject, Verdict,
     recent::RecentCrashes,
+    sound_parts::SoundParts,
     store::{RecordStore, decode},
 };
 
@@ -28,6 +31,18 @@
 #[derive(Debug)]
 pub struct SendPermit(());
 
+/// For how long a request is held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HoldTerms {
+    /// As long as the evidence demands.
+    Full,
+    /// Shorter before the first probe: only one part of the prompt is
+    /// quarantined.
+    OnlyPart,
+    /// For a short time only: the request is an item.
+    Item,
+}
+
 /// The error for a request that is quarantined and must not be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Quarantined {
@@ -52,6 +67,8 @@
 
 struct Inner {
     state: Mutex<State>,
+    /// Parts of prompts in recent complete responses, locked after `state`.
+    sound_parts: Mutex<SoundParts>,
     /// Number of records in the table, for a check without the lock.
     record_count: AtomicUsize,
     clock: Arc<dyn Clock>,
@@ -59,6 +76,8 @@
     started_at: (Millis, UnixMillis),
     store: Option<RecordStore>,
     pending_work: Notify,
+    /// Wakes the task that sends changes directly to other nodes.
+    pending_news: Notify,
 }
 
 struct State {
@@ -73,6 +92,9 @@
     expired: IndexMap<RequestDigest, u64>,
     /// Requests that were recently released.
     released: IndexMap<RequestDigest, Release>,
+    /// Parts of prompts whose records have changed here and that other nodes
+    /// must learn of directly.
+    news: IndexSet<RequestDigest>,
 }
 
 /// Maximum number of attempts to write a record that others write, too.
@@ -145,12 +167,15 @@
                 refutations: IndexMap::new(),
                 expired: IndexMap::new(),
                 released: IndexMap::new(),
+                news: IndexSet::new(),
             }),
+            sound_parts: Mutex::default(),
             record_count: AtomicUsize::new(0),
             clock,
             started_at,
             store,
             pending_work: Notify::new(),
+            pending_news: Notify::new(),
         }))
     }
 
@@ -169,8 +194,8 @@
     ///
     /// # Errors
     ///
-    /// [`Quarantined`] for a request that crashed too many endpoints, or that
-    /// belongs to a group that did.
+    /// [`Quarantined`] for a request that crashed too many endpoints, that
+    /// belongs to a group that did, or whose prompt has a part that did.
     pub async fn admit<K: Into<EvidenceKeys>>(
         &self,
         keys: impl FnOnce() -> K,
@@ -179,20 +204,40 @@
             return Ok(SendPermit(()));
         }
         let keys = keys().into();
-        let quarantined = keys.all().filter_map(|key| self.quarantined(key));
+        let terms = self.terms(&keys);
+        let quarantined = keys
+            .held_by()
+            .filter_map(|key| self.quarantined(key, terms));
         if let Some(longest) = quarantined.max_by_key(|q| q.for_ms) {
             return Err(longest);
         }
-        for key in keys.all() {
-            if self.verdict(key).0 == Verdict::ProbeDue {
-                self.probe(key).await?;
+        for key in keys.held_by() {
+            if self.verdict(key, terms).0 == Verdict::ProbeDue {
+                self.probe(key, terms).await?;
             }
         }
         Ok(SendPermit(()))
     }
 
-    fn quarantined(&self, key: RequestDigest) -> Option<Quarantined> {
-        match self.verdict(key) {
+    fn terms(&self, keys: &EvidenceKeys) -> HoldTerms {
+        if keys.is_item() {
+            return HoldTerms::Item;
+        }
+        let is_held = |part: &&RequestDigest| {
+            self.verdict(**part, HoldTerms::Full).0 != Verdict::Clear
+        };
+        match keys.parts().iter().filter(is_held).count() {
+            1 => HoldTerms::OnlyPart,
+            _ => HoldTerms::Full,
+        }
+    }
+
+    fn quarantined(
+        &self,
+        key: RequestDigest,
+        terms: HoldTerms,
+    ) -> Option<Quarantined> {
+        match self.verdict(key, terms) {
             (Verdict::Quarantined { for_ms }, crashes) => {
                 Some(Quarantined { crashes, for_ms })
             }
@@ -200,13 +245,18 @@
         }
     }
 
-    async fn probe(&self, digest: RequestDigest) -> Result<(), Quarantined> {
-        let crashes = self.verdict(digest).1;
-        if self.begin_probe(digest).await {
-            log::info!(digest:%, crashes; "a held request is tried again");
+    async fn probe(
+        &self,
+        digest: RequestDigest,
+        terms: HoldTerms,
+    ) -> Result<(), Quarantined> {
+        let crashes = self.verdict(digest, terms).1;
+        if self.begin_probe(digest, terms).await {
+            log::info!(digest:%, crashes, terms:?;
+                "a held request is tried again");
             return Ok(());
         }
-        let for_ms = match self.verdict(digest).0 {
+        let for_ms = match self.verdict(digest, terms).0 {
             Verdict::Quarantined { for_ms } => for_ms,
             _ => PROBE_RETRY_MS,
         };
@@ -308,10 +358,27 @@
         self.update_len(&state);
     }
 
-    fn verdict(&self, digest: RequestDigest) -> (Verdict, usize) {
+    fn verdict(
+        &self,
+        digest: RequestDigest,
+        terms: HoldTerms,
+    ) -> (Verdict, usize) {
         let state = self.lock();
-        let verdict = state.records.verdict_at(digest, self.now());
-        (verdict, state.records.crashes(digest))
+        let now = self.now();
+        let crashes = state.records.crashes(digest);
+        if self.is_sound_part(&state, digest) {
+            return (Verdict::Clear, crashes);
+        }
+        let records = &state.records;
+        let is_part = records.subject(digest) == Some(Subject::PromptPart);
+        let verdict = match terms {
+            HoldTerms::Item => records.verdict_on_item_at(digest, now),
+            HoldTerms::OnlyPart if is_part => {
+                records.verdict_on_only_part_at(digest, now)
+            }
+            _ => records.verdict_at(digest, now),
+        };
+        (verdict, crashes)
     }
 
     /// Applies the stored record of a request as read at a revision.
@@ -339,6 +406,7 @@
         let before = state.records.verdict_at(digest, now);
         state.records.apply_stored(digest, stored, now);
         self.log_if_quarantined(state, digest, before);
+        self.release_sound_part(state, digest);
         // Other processes decide by the stored record: a crash that was not
         // written on its own is written now that there is further evidence.
         let stored_and_unsaved = state.records.stored_and_unsaved(digest);
@@ -364,6 +432,7 @@
         {
             log::warn!(
                 digest:%,
+                subject:? = state.records.subject(digest),
                 crashes = state.records.crashes(digest),
                 for_ms;
                 "a request that crashes endpoints is held"
--- a/crates/quarantine/src/quarantine/probe.rs
+++ b/crates/quarantine/src/quarantine/probe.rs
@@ -2,31 +2,34 @@
 
 use base::RequestDigest;
 
-use super::{MAX_WRITE_ATTEMPTS, Quarantine};
+use super::{HoldTerms, MAX_WRITE_ATTEMPTS, Quarantine};
 use crate::{StoredRecord, Verdict, store::WriteResult};
 
 impl Quarantine {
     /// Records the start of a probe, so that no other node probes the request
     /// at the same time.
-    pub(super) async fn begin_probe(&self, digest: RequestDigest) -> bool {
+    ///
+    /// Without the key-value service only items are probed: they are owed, and
+    /// few nodes have items of one job.
+    pub(super) async fn begin_probe(
+        &self,
+        digest: RequestDigest,
+        terms: HoldTerms,
+    ) -> bool {
         let Some(store) = &self.0.store else {
-            return self.begin_local_probe(digest);
+            return self.begin_local_probe(digest, terms);
         };
         for _ in 0..MAX_WRITE_ATTEMPTS {
-            let (stored, unsaved) = {
-                let state = self.lock();
-                let now = self.now();
-                if state.records.verdict_at(digest, now) != Verdict::ProbeDue {
+            let (before, mut record) = {
+                if self.verdict(digest, terms).0 != Verdict::ProbeDue {
                     return false;
                 }
-                match state.records.stored_and_unsaved(digest) {
-                    Some(stored_and_unsaved) => stored_and_unsaved,
+                let state = self.lock();
+                match state.records.revision_and_record(digest) {
+                    Some(revision_and_record) => revision_and_record,
                     None => return false,
                 }
             };
-            let before = stored.as_ref().map_or(0, |stored| stored.revision);
-            let mut record = stored.map(|s| s.record).unwrap_or_default();
-            record.merge(&unsaved);
             record.begin_probe(self.now());
             match store.put(digest, before, &record).await {
                 Ok(WriteResult::Done(revision)) => {
@@ -41,20 +44,23 @@
                 Err(report) => {
                     log::info!(digest:%, error:% = report.current_context();
                         "cannot record the probe of a quarantined request");
-                    return false;
+                    return terms == HoldTerms::Item
+                        && self.begin_local_probe(digest, terms);
                 }
             }
         }
         false
     }
 
-    fn begin_local_probe(&self, digest: RequestDigest) -> bool {
-        let mut state = self.lock();
-        let now = self.now();
-        let is_due =
-            state.records.verdict_at(digest, now) == Verdict::ProbeDue;
+    fn begin_local_probe(
+        &self,
+        digest: RequestDigest,
+        terms: HoldTerms,
+    ) -> bool {
+        let is_due = self.verdict(digest, terms).0 == Verdict::ProbeDue;
         if is_due {
-            state.records.begin_probe(digest, now);
+            let now = self.now();
+            self.lock().records.begin_probe(digest, now);
         }
         is_due
     }
--- a/crates/quarantine/src/quarantine/updates.rs
+++ b/crates/quarantine/src/quarantine/updates.rs
@@ -10,7 +10,7 @@
 use crate::{CrashRecord, StoredRecord, Verdict};
 
 /// Maximum number of updates in one message.
-const MAX_UPDATES: usize = 64;
+pub(super) const MAX_UPDATES: usize = 64;
 
 /// Maximum number of recently released requests that are kept.
 const MAX_RELEASES: usize = 64;
@@ -23,13 +23,27 @@
 /// A change of a crash record, which one process sends to another.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CrashRecordUpdate {
-    digest: RequestDigest,
+    pub(super) digest: RequestDigest,
     /// Revision of the key-value service at which the change was written.
     revision: u64,
     /// The crash record; `None` if the request was released.
     #[serde(rename = "case")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    record: Option<CrashRecord>,
+    pub(super) record: Option<CrashRecord>,
+}
+
+impl CrashRecordUpdate {
+    /// Creates an update that does not depend on what is stored.
+    pub(super) fn direct(
+        digest: RequestDigest,
+        record: Option<CrashRecord>,
+    ) -> Self {
+        Self {
+            digest,
+            revision: 0,
+            record,
+        }
+    }
 }
 
 /// The release of a request from the quarantine.
--- a/crates/quarantine/src/quarantine/write.rs
+++ b/crates/quarantine/src/quarantine/write.rs
@@ -10,7 +10,7 @@
 
 use super::{MAX_WRITE_ATTEMPTS, Quarantine, Refutation};
 use crate::{
-    Crash, CrashRecord, StoredRecord,
+    Crash, CrashRecord, StoredRecord, Subject,
     store::{RecordStore, WriteResult},
 };
 
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Takes the next write: refutations and deletions first, then the record
-    /// with the most evidence.
+    /// Takes the next write: refutations and deletions first, then the records
+    /// of parts of prompts, then that with the most evidence.
     fn next_work(&self) -> Option<PendingWrite> {
         let mut state = self.lock();
         if let Some((digest, refutation)) = state.refutations.pop() {
@@ -110,8 +110,11 @@
             return Some(PendingWrite::Remove(digest, revision));
         }
         let unsaved = state.unsaved.iter();
-        let digest =
-            unsaved.max_by_key(|digest| state.records.crashes(**digest));
+        let digest = unsaved.max_by_key(|digest| {
+            let is_part =
+                state.records.subject(**digest) == Some(Subject::PromptPart);
+            (is_part, state.records.crashes(**digest))
+        });
         let digest = *digest?;
         state.unsaved.swap_remove(&digest);
         Some(PendingWrite::Save(digest))
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -7,6 +7,24 @@
 /// the verdict on the request.
 const MAX_CRASHES: usize = 8;
 
+/// Time within which crashes of several endpoints count as one event against a
+/// part of a prompt, in milliseconds: requests with a part run at several
+/// endpoints, which may all be lost with a rack.
+const SAME_EVENT_MS: u64 = 50;
+
+/// What a crash record is about. The rules for the evidence differ.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Subject {
+    /// The content of a request, or a group of requests.
+    #[default]
+    Request,
+    /// A part of prompts, which many requests share.
+    PromptPart,
+}
+
 /// The crashes of endpoints that occurred while they ran one request.
 ///
 /// # Example
@@ -43,9 +61,24 @@
     /// Time of the last probe.
     #[serde(rename = "tried_at")]
     probed_at: Option<UnixMillis>,
+    subject: Subject,
 }
 
 impl CrashRecord {
+    /// Creates an empty record.
+    pub fn new(subject: Subject) -> Self {
+        Self {
+            subject,
+            ..Self::default()
+        }
+    }
+
+    /// Returns what the record is about.
+    #[inline]
+    pub fn subject(&self) -> Subject {
+        self.subject
+    }
+
     /// Returns the crashes, oldest first.
     #[inline]
     pub fn crashes(&self) -> &[Crash] {
@@ -72,18 +105,35 @@
 
     /// Reports whether the record contains a crash.
     pub fn contains(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|known| known.is_same(crash))
+        self.crashes.iter().any(|known| self.is_same(known, crash))
+    }
+
+    fn is_same(&self, one: &Crash, other: &Crash) -> bool {
+        match self.subject {
+            Subject::Request => one.is_same(other),
+            Subject::PromptPart => one.is_same_for_part(other),
+        }
     }
 
     /// Adds a crash, and reports whether the record changed.
     ///
     /// If one crash interrupted several runs of the request, only the run
     /// with the most progress is recorded, since the others would have got as
-    /// far.
+    /// far. Of requests that share a part of their prompts, it is the one that
+    /// counts most.
     pub fn add(&mut self, crash: Crash) -> bool {
-        let same = self.crashes.iter().position(|known| known.is_same(&crash));
+        let same = self.crashes.iter();
+        let same = same
+            .into_iter()
+            .position(|known| self.is_same(known, &crash));
         if let Some(index) = same {
-            if self.crashes[index].progress() >= crash.progress() {
+            let (old, new) =
+                (self.crashes[index].progress(), crash.progress());
+            let is_known = match self.subject {
+                Subject::Request => old >= new,
+                Subject::PromptPart => old <= new,
+            };
+            if is_known {
                 return false;
             }
             self.crashes.remove(index);
@@ -99,6 +149,10 @@
     /// record changed.
     pub fn merge(&mut self, other: &CrashRecord) -> bool {
         let before = self.clone();
+        self.subject = match self.crashes.is_empty() {
+            true => other.subject,
+            false => self.subject,
+        };
         for crash in &other.crashes {
             self.add(*crash);
         }
@@ -126,20 +180,47 @@
     #[must_use]
     pub fn difference(&self, other: &CrashRecord) -> CrashRecord {
         let is_known = |crash: &Crash| {
-            other.crashes.iter().any(|known| {
-                known.is_same(crash) && known.progress() >= crash.progress()
-            })
+            let mut with = other.clone();
+            with.contains(crash) && !with.add(*crash)
         };
         let remainder = self.crashes.iter().filter(|crash| !is_known(crash));
         CrashRecord {
             crashes: remainder.copied().collect(),
-            ..CrashRecord::default()
+            ..CrashRecord::new(self.subject)
         }
     }
 
-    /// Returns the crashes that count as evidence against the request: those
-    /// whose runs do not overlap and that no other run refutes.
+    /// Returns the crashes that count as evidence.
+    ///
+    /// Against a request, these are the crashes whose runs do not overlap and
+    /// that no other run refutes. Against a part of prompts, these are all
+    /// that did not come with another one.
     pub fn evidence(&self) -> Vec<&Crash> {
+        match self.subject {
+            Subject::Request => self.evidence_against_request(),
+            Subject::PromptPart => self.evidence_against_part(),
+        }
+    }
+
+    /// Returns the weight of the evidence.
+    pub fn score(&self) -> u32 {
+        self.evidence().iter().map(|crash| crash.score()).sum()
+    }
+
+    fn evidence_against_part(&self) -> Vec<&Crash> {
+        let mut evidence: Vec<&Crash> = Vec::new();
+        for crash in &self.crashes {
+            let is_new = evidence.last().is_none_or(|last| {
+                crash.ended_at.abs_diff_ms(last.ended_at) > SAME_EVENT_MS
+            });
+            if is_new {
+                evidence.push(crash);
+            }
+        }
+        evidence
+    }
+
+    fn evidence_against_request(&self) -> Vec<&Crash> {
         let mut evidence: Vec<&Crash> = Vec::new();
         for crash in &self.crashes {
             let follows =
@@ -161,7 +242,7 @@
         while self.crashes.len() > MAX_CRASHES {
             let evidence = self.evidence();
             let is_surplus = |crash: &Crash| {
-                !evidence.iter().any(|kept| kept.is_same(crash))
+                !evidence.iter().any(|kept| self.is_same(kept, crash))
             };
             let surplus = self.crashes.iter().position(is_surplus);
             self.crashes.remove(surplus.unwrap_or(0));
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,7 +1,7 @@
 use base::{RequestDigest, UnixMillis};
 use indexmap::IndexMap;
 
-use crate::{Crash, CrashRecord, QuarantineOptions};
+use crate::{Crash, CrashRecord, QuarantineOptions, Subject};
 
 /// Score that lengthens a quarantine by one level: that of a crash without
 /// progress.
@@ -84,12 +84,14 @@
 
 #[derive(Debug, Default)]
 struct Entry {
-    /// Union of `unsaved` and `stored`.
+    /// Union of `unsaved`, `stored` and `heard`.
     record: CrashRecord,
     /// Crashes and probes of this node that may not be stored yet.
     unsaved: CrashRecord,
     /// The record as stored in the key-value service.
     stored: Option<StoredRecord>,
+    /// Crashes that other nodes reported directly. Those nodes store them.
+    heard: CrashRecord,
     /// Time at which this node received the latest new information.
     updated_at: UnixMillis,
 }
@@ -117,6 +119,7 @@
         if let Some(stored) = &self.stored {
             record.merge(&stored.record);
         }
+        record.merge(&self.heard);
         self.record = record;
     }
 
@@ -169,26 +172,87 @@
         &self,
         digest: RequestDigest,
         now: UnixMillis,
+    ) -> Verdict {
+        self.verdict_within(digest, now, u64::MAX)
+    }
+
+    /// Returns the verdict on a part of a prompt that has no other quarantined
+    /// part. Its first probe is due early.
+    pub fn verdict_on_only_part_at(
+        &self,
+        part: RequestDigest,
+        now: UnixMillis,
+    ) -> Verdict {
+        let was_probed =
+            self.record(part).is_some_and(|record| record.probes() > 0);
+        let max_hold_ms = match was_probed {
+            true => u64::MAX,
+            false => self.options.part_trial_hold_ms,
+        };
+        self.verdict_within(part, now, max_hold_ms)
+    }
+
+    /// Returns the verdict on an item, which is held for a short time only.
+    pub fn verdict_on_item_at(
+        &self,
+        digest: RequestDigest,
+        now: UnixMillis,
+    ) -> Verdict {
+        self.verdict_within(digest, now, self.options.item_hold_ms)
+    }
+
+    fn verdict_within(
+        &self,
+        digest: RequestDigest,
+        now: UnixMillis,
+        max_hold_ms: u64,
     ) -> Verdict {
         let Some(entry) = self.records.get(&digest) else {
             return Verdict::Clear;
         };
         let evidence = entry.record.evidence();
-        let score: u32 = evidence.iter().map(|crash| crash.score()).sum();
-        let surplus = score.checked_sub(self.options.quarantine_score);
+        let score = entry.record.score();
+        let subject = entry.record.subject();
+        let surplus = score.checked_sub(self.options.score_of(subject));
         let (Some(last), Some(surplus)) = (evidence.last(), surplus) else {
             return Verdict::Clear;
         };
         let since = Some(last.ended_at).max(entry.record.probed_at());
         let since = entry.clamp_time(since.unwrap_or_default()).min(now);
-        let level = entry.record.probes().max(surplus / SCORE_PER_LEVEL);
-        let until = since.saturating_add_ms(self.options.hold_ms(level));
+        let probes = entry.record.probes();
+        let hold_ms = match subject {
+            Subject::Request => {
+                self.options.hold_ms(probes.max(surplus / SCORE_PER_LEVEL))
+            }
+            Subject::PromptPart => self.options.part_hold_ms(probes),
+        };
+        let until = since.saturating_add_ms(hold_ms.min(max_hold_ms));
         match until.saturating_ms_since(now) {
             0 => Verdict::ProbeDue,
             for_ms => Verdict::Quarantined { for_ms },
         }
     }
 
+    /// Returns what the record of a key is about, if there is one.
+    pub fn subject(&self, digest: RequestDigest) -> Option<Subject> {
+        let entry = self.records.get(&digest);
+        entry.map(|entry| entry.record.subject())
+    }
+
+    /// Returns the parts of prompts that have a record.
+    pub fn parts(&self) -> impl Iterator<Item = RequestDigest> {
+        let records = self.records.iter();
+        let parts = records.filter(|(_, entry)| {
+            entry.record.subject() == Subject::PromptPart
+        });
+        parts.map(|(digest, _)| *digest)
+    }
+
+    /// Returns all that is known of a key, stored or not.
+    pub fn record(&self, digest: RequestDigest) -> Option<&CrashRecord> {
+        self.records.get(&digest).map(|entry| &entry.record)
+    }
+
     /// Returns the number of crashes that are evidence against a request.
     pub fn crashes(&self, digest: RequestDigest) -> usize {
         let entry = self.records.get(&digest);
@@ -205,6 +269,16 @@
         Some((entry.stored.clone(), entry.unsaved.clone()))
     }
 
+    /// Returns the revision of the stored record, 0 if there is none, and all
+    /// that is known of a key.
+    pub fn revision_and_record(
+        &self,
+        digest: RequestDigest,
+    ) -> Option<(u64, CrashRecord)> {
+        let entry = self.records.get(&digest)?;
+        Some((entry.revision(), entry.record.clone()))
+    }
+
     /// Records the start of a probe.
     pub fn begin_probe(&mut self, digest: RequestDigest, now: UnixMillis) {
         if self.records.contains_key(&digest) {
@@ -218,7 +292,32 @@
     /// Adds a crash that this node detected, and reports whether the crash was
     /// new.
     pub fn add_crash(&mut self, digest: RequestDigest, crash: Crash) -> bool {
+        self.add_crash_of(Subject::Request, digest, crash)
+    }
+
+    /// Adds a crash that this node detected as evidence against a part of
+    /// prompts, and reports whether the crash was new.
+    pub fn add_part_crash(
+        &mut self,
+        part: RequestDigest,
+        crash: Crash,
+    ) -> bool {
+        self.add_crash_of(Subject::PromptPart, part, crash)
+    }
+
+    fn add_crash_of(
+        &mut self,
+        subject: Subject,
+        digest: RequestDigest,
+        crash: Crash,
+    ) -> bool {
         self.change(digest, |entry| {
+            if entry.record.crashes().is_empty() {
+                entry.record = CrashRecord::new(subject);
+            }
+            if entry.unsaved.crashes().is_empty() {
+                entry.unsaved = CrashRecord::new(subject);
+            }
             let mut known = entry.record.clone();
             let is_new = known.add(crash) && entry.unsaved.add(crash);
             if is_new {
@@ -251,6 +350,33 @@
         });
     }
 
+    /// Applies a record that another node reported directly, and reports
+    /// whether it contained anything new. Times are limited as those of a
+    /// stored record.
+    pub fn apply_heard(
+        &mut self,
+        digest: RequestDigest,
+        heard: &CrashRecord,
+        now: UnixMillis,
+    ) -> bool {
+        self.change(digest, |entry| {
+            let is_new = entry.record.clone().merge(heard);
+            if is_new {
+                entry.heard.merge(heard);
+                entry.touch(now);
+            }
+            is_new
+        })
+    }
+
+    /// Removes what other nodes reported directly, because one of them has
+    /// since received a complete response.
+    pub fn remove_heard(&mut self, digest: RequestDigest) {
+        if self.records.contains_key(&digest) {
+            self.change(digest, |entry| entry.heard = CrashRecord::default());
+        }
+    }
+
     /// Removes a stored record that was deleted at a revision, because the
     /// request completed or the record expired. Unsaved changes of this node
     /// stay.
@@ -261,6 +387,7 @@
         self.change(digest, |entry| {
             if revision >= entry.revision() {
                 entry.stored = None;
+                entry.heard = CrashRecord::default();
             }
         });
     }
@@ -292,6 +419,7 @@
             let before = entry.record.crashes().len();
             let stored = entry.stored.clone();
             entry.unsaved.remove_refuted(resumed_after);
+            entry.heard.remove_refuted(resumed_after);
             if let Some(stored) = &mut entry.stored {
                 stored.record.remove_refuted(resumed_after);
             }
@@ -305,14 +433,15 @@
     pub fn is_unusable(&self, record: &CrashRecord, now: UnixMillis) -> bool {
         let changed_at = record.changed_at();
         let age_ms = now.saturating_ms_since(changed_at);
-        age_ms >= self.options.retention_ms
+        age_ms >= self.options.retention_of(record.subject())
             || changed_at.saturating_ms_since(now) > MAX_REPORT_AGE_MS
     }
 
     /// Removes expired records.
     pub fn expire(&mut self, now: UnixMillis) {
-        let retention_ms = self.options.retention_ms;
+        let options = self.options;
         let is_expired = |entry: &Entry| {
+            let retention_ms = options.retention_of(entry.record.subject());
             now.saturating_ms_since(entry.changed_at()) >= retention_ms
         };
         let records = self.records.iter();
@@ -346,11 +475,20 @@
         result
     }
 
-    /// Evicts the least recently changed records if the table is full.
+    /// Evicts records if the table is full: the least recently changed ones
+    /// that hold no request, or else the least recently changed ones.
+    ///
+    /// Each crash adds a record for each request that ran there. If a
+    /// quarantined one made room for these, it would crash endpoints again.
     fn evict_oldest(&mut self) {
         while self.records.len() >= self.options.max_records {
             let oldest = self.records.iter();
-            let oldest = oldest.min_by_key(|(_, entry)| entry.changed_at());
+            let oldest = oldest.min_by_key(|(_, entry)| {
+                (
+                    self.options.is_quarantined(&entry.record),
+                    entry.changed_at(),
+                )
+            });
             let Some(digest) = oldest.map(|(digest, _)| *digest) else {
                 return;
             };
