Bound what an endpoint may send without end

An endpoint in trouble may send bytes that are no answer until its caller closes. An event may now have 1 MiB, a head with its interim responses 256 KiB, and the buffer of a connection 64 KiB; the endpoint is avoided like one with a bad response, and the stream goes on elsewhere. A body without end that is forwarded ends 250 ms after its deadline, even if bytes are always ready.

--- a/crates/framing/src/check.rs
+++ b/crates/framing/src/check.rs
@@ -79,6 +79,9 @@
 
 impl error::Error for Truncation {}
 
+/// Maximum size of an event, in bytes; an event holds a few tokens.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Checks that the body of a response ends where its content ends.
 ///
 /// | content | checked |
@@ -173,6 +176,30 @@
         }
     }
 
+    /// Reports whether the body has an event that is longer than
+    /// [`MAX_EVENT_BYTES`]: its sender has lost the end of it, and whoever
+    /// waits for that end keeps ever more bytes.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_framing::{
+    ///     BodyCheck, Content, Framing, MAX_EVENT_BYTES,
+    /// };
+    ///
+    /// let mut check = BodyCheck::new(Framing::Chunked, Content::Events);
+    /// check.push(b"data: one\n\ndata: ");
+    /// assert!(!check.has_endless_event());
+    /// check.push(&vec![b'x'; MAX_EVENT_BYTES]);
+    /// assert!(check.has_endless_event());
+    /// ```
+    pub fn has_endless_event(&self) -> bool {
+        match &self.scanner {
+            Scanner::Events(scanner) => scanner.open_bytes() > MAX_EVENT_BYTES,
+            Scanner::Json(_) | Scanner::Opaque => false,
+        }
+    }
+
     /// Decides whether the body is complete, after it has ended without an
     /// error of the connection.
     ///
--- a/crates/framing/src/events.rs
+++ b/crates/framing/src/events.rs
@@ -27,6 +27,9 @@
     /// Whether one of these lines was no comment.
     has_fields: bool,
     events: u64,
+    /// Bytes that [`scan`](EventScanner::scan) has seen since the last
+    /// boundary.
+    open_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -86,7 +89,15 @@
     pub fn scan(&mut self, mut bytes: &[u8]) {
         while let Some(end) = self.next_boundary(bytes) {
             bytes = &bytes[end..];
+            self.open_bytes = 0;
         }
+        self.open_bytes = self.open_bytes.saturating_add(bytes.len());
+    }
+
+    /// Returns the number of scanned bytes since the last boundary.
+    #[inline]
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
     }
 
     /// Reports whether an event, or a line, has begun and not ended.
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -57,7 +57,7 @@
 mod json;
 
 pub use crate::{
-    check::{BodyCheck, Content, Truncation},
+    check::{BodyCheck, Content, MAX_EVENT_BYTES, Truncation},
     events::EventScanner,
     framing::Framing,
 };
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -254,6 +254,10 @@
     }
 }
 
+/// Time after the deadline of a request in which bytes of its response are
+/// delivered that are there already, in milliseconds.
+const LATE_DELIVERY_MS: u64 = 250;
+
 /// A response that is forwarded as it arrives.
 #[derive(Debug)]
 pub(crate) struct ForwardedBody {
@@ -291,6 +295,9 @@
                         self.request_log.record_incomplete(*error);
                         self.request_log.record_cut(*error, error.as_str());
                     }
+                    Some(Ok(_)) if self.is_overdue() => {
+                        return self.end_at_deadline();
+                    }
                     Some(Ok(data)) => {
                         self.request_log.record_bytes(data.len());
                         self.exchange.advance_to(self.request_log.bytes);
@@ -305,6 +312,19 @@
         if self.deadline.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
         }
+        self.end_at_deadline()
+    }
+
+    /// Reports whether bytes still arrive well after the deadline. What is
+    /// ready then is delivered; a body without end never is.
+    fn is_overdue(&self) -> bool {
+        let since = self.request_log.request.ends_at().elapsed();
+        since >= Duration::from_millis(LATE_DELIVERY_MS)
+    }
+
+    fn end_at_deadline(
+        &mut self,
+    ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
         let error = IncompleteResponse::Deadline;
         self.request_log.record_cut(error, error.as_str());
         Poll::Ready(Some(Err(error)))
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -212,7 +212,7 @@
         if let Some(report) = parse_load_report(headers, self.names) {
             offer.endpoint.record_load(report, now);
         }
-        channel.note_keep_alive(headers, self.pool.options());
+        channel.record_head(headers, self.pool.options());
         let reusable = !closes_connection(headers);
         let failure = check_response(&head.status, headers, self.names, offer);
         run.record_head(head.status);
@@ -226,6 +226,7 @@
             channel,
             run,
             self.pool.clone(),
+            now,
             reusable && failure != Some(Failure::WrongId),
         );
         match failure {
--- a/crates/pass/src/channel.rs
+++ b/crates/pass/src/channel.rs
@@ -13,7 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
-use crate::shared_stream::SharedStream;
+use crate::shared_stream::{HeadBudget, SharedStream};
 
 /// Limits of the connections to endpoints.
 ///
@@ -59,6 +59,11 @@
     }
 }
 
+/// Maximum number of bytes of a connection that are buffered, which also
+/// limits the head of a response. A faulty endpoint may send a head without
+/// end on each connection.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// A connection to an endpoint, which carries one request at a time.
 #[derive(Debug)]
 pub(crate) struct Channel {
@@ -66,6 +71,7 @@
     task: AbortHandle,
     /// Weak, so that the socket closes when its connection ends.
     stream: Weak<TcpStream>,
+    head_budget: HeadBudget,
     idle_since: Instant,
     max_idle: Option<Duration>,
 }
@@ -116,9 +122,13 @@
         set_silence_timeout(&stream, options.silence_ms)?;
         let stream = Arc::new(stream);
         let handle = Arc::downgrade(&stream);
-        let io = TokioIo::new(SharedStream::new(stream));
-        let (sender, connection) =
-            http1::handshake(io).await.map_err(io::Error::other)?;
+        let head_budget = HeadBudget::default();
+        let io = TokioIo::new(SharedStream::new(stream, head_budget.clone()));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(
@@ -132,6 +142,7 @@
             sender,
             task: task.abort_handle(),
             stream: handle,
+            head_budget,
             idle_since: Instant::now(),
             max_idle: None,
         })
@@ -141,12 +152,19 @@
         &mut self.sender
     }
 
-    /// Records the idle timeout that a response announces.
-    pub(crate) fn note_keep_alive(
+    /// Limits the head of the next response.
+    pub(crate) fn expect_head(&self) {
+        self.head_budget.set();
+    }
+
+    /// Records that the head of a response has arrived, and the idle timeout
+    /// that it announces.
+    pub(crate) fn record_head(
         &mut self,
         headers: &HeaderMap,
         options: &ChannelOptions,
     ) {
+        self.head_budget.lift();
         let Some(seconds) = keep_alive_seconds(headers) else {
             return;
         };
@@ -157,6 +175,7 @@
 
     /// Records that an endpoint gets a request on the connection.
     pub(crate) fn mark_busy(&self, options: &ChannelOptions) {
+        self.expect_head();
         self.set_silence(options.request_silence_ms);
     }
 
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -4,8 +4,9 @@
     task::{Context, Poll},
 };
 
+use base::Millis;
 use bytes::Bytes;
-use fleet::{Endpoint, RouteKind};
+use fleet::{Endpoint, FailureKind, RouteKind};
 use framing::{BodyCheck, Content, Framing};
 use http::{HeaderMap, StatusCode, header, response::Parts};
 use http_body::Body;
@@ -31,6 +32,8 @@
     reusable: bool,
     is_complete: bool,
     check: BodyCheck,
+    /// When the head arrived.
+    head_at: Millis,
 }
 
 impl Exchange {
@@ -40,6 +43,7 @@
         channel: Channel,
         run: Run,
         pool: Arc<Pool>,
+        head_at: Millis,
         reusable: bool,
     ) -> Self {
         let check = body_check(&head, &body, &run);
@@ -52,6 +56,7 @@
             channel: Some(channel),
             run,
             pool,
+            head_at,
             reusable,
         }
     }
@@ -105,6 +110,17 @@
         self.run.mark_interrupted(self.framing().as_str(), cause);
     }
 
+    /// Gives up a response with an event without end, and avoids its endpoint.
+    fn leave_endless_event(&mut self) {
+        let since_head = self.run.since_head().unwrap_or_default();
+        let now = self
+            .head_at
+            .saturating_add_ms(since_head.as_millis() as u64);
+        let endpoint = self.run.endpoint();
+        endpoint.record_failure(FailureKind::BadResponse, now);
+        self.interrupt("an event has no end");
+    }
+
     /// Decides whether the body is complete, once it has ended in order.
     fn finish(&mut self) -> Result<(), IncompleteResponse> {
         match self.check.finish() {
@@ -160,6 +176,12 @@
                         continue;
                     };
                     self.check.push(&data);
+                    if self.check.has_endless_event() {
+                        self.leave_endless_event();
+                        return Poll::Ready(Some(Err(
+                            IncompleteResponse::Endpoint,
+                        )));
+                    }
                     if self.body.is_end_stream() {
                         // The next call reports a truncation.
                         let _ = self.finish();
--- a/crates/pass/src/pool.rs
+++ b/crates/pass/src/pool.rs
@@ -217,6 +217,7 @@
             return CallOutcome::NotSent;
         };
         let request = request.map(Full::new);
+        channel.expect_head();
         let sent = channel.sender().try_send_request(request).await;
         let response = match sent {
             Ok(response) => response,
@@ -228,7 +229,7 @@
             }
         };
         let (head, body) = response.into_parts();
-        channel.note_keep_alive(&head.headers, &self.options);
+        channel.record_head(&head.headers, &self.options);
         let length = body.size_hint().exact();
         let framing = Framing::of(head.version, &head.headers, length);
         let Ok(body) = read_body(body, max_bytes).await else {
--- a/crates/pass/src/shared_stream.rs
+++ b/crates/pass/src/shared_stream.rs
@@ -2,7 +2,10 @@
     io,
     net::Shutdown,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll, ready},
 };
 
@@ -12,14 +15,60 @@
     net::TcpStream,
 };
 
+/// How many bytes of a connection may still be read before the head of a
+/// response ends.
+///
+/// The HTTP library limits a single head, but reads interim responses as long
+/// as they come.
+#[derive(Clone, Debug)]
+pub(crate) struct HeadBudget(Arc<AtomicUsize>);
+
+/// Value of a budget that limits nothing.
+const UNLIMITED: usize = usize::MAX;
+
+/// Maximum number of bytes before the end of a head, with what is read of the
+/// body in the same call.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+
+impl Default for HeadBudget {
+    fn default() -> Self {
+        Self(Arc::new(AtomicUsize::new(UNLIMITED)))
+    }
+}
+
+impl HeadBudget {
+    /// Limits what is read until [`lift`](Self::lift).
+    pub(crate) fn set(&self) {
+        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Ends the limit, since the head has arrived.
+    pub(crate) fn lift(&self) {
+        self.0.store(UNLIMITED, Ordering::Relaxed);
+    }
+
+    fn spend(&self, bytes: usize) -> io::Result<()> {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == UNLIMITED {
+            return Ok(());
+        }
+        let Some(left) = left.checked_sub(bytes) else {
+            let text = "the head of a response has no end";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+        };
+        self.0.store(left, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
 /// The stream of a connection whose socket options can be changed while the
 /// HTTP library owns the stream.
 #[derive(Debug)]
-pub(crate) struct SharedStream(Arc<TcpStream>);
+pub(crate) struct SharedStream(Arc<TcpStream>, HeadBudget);
 
 impl SharedStream {
-    pub(crate) fn new(stream: Arc<TcpStream>) -> Self {
-        Self(stream)
+    pub(crate) fn new(stream: Arc<TcpStream>, budget: HeadBudget) -> Self {
+        Self(stream, budget)
     }
 
     /// Reads what has arrived.
@@ -39,7 +88,7 @@
         });
         match read {
             0 => result,
-            _ => Ok(()),
+            _ => self.1.spend(read),
         }
     }
 }
