Run items again within seconds of crashes under them

An item under which three endpoints in a row had ended was held for ten seconds, then a minute, then six, though there was room: its own evidence, and that of its job and path, held it as if it had ended them. Items are owed, so that these holds now last 3 s at most. A probe of an item is recorded at its node alone; a compare-and-swap for each key took two seconds each while the service was away.

The new test kills the engine under an item five times in a row and wants it to run again within five seconds; with the hold of a request it is left lying at the fourth. The tests on items that crash endpoints hold unchanged: at most three sends later than 3 s after the third crash.

--- a/crates/node/tests/quarantine.rs
+++ b/crates/node/tests/quarantine.rs
@@ -328,6 +328,54 @@
     assert_eq!(quarantined_count(&[worker]), 0);
 }
 
+/// Number of endpoints that are killed under one item, one after the other.
+const UNLUCKY_RUNS: usize = 5;
+
+/// Time in which an item must run again once endpoints are no longer killed.
+const ITEM_RETURN_TIME: Duration = Duration::from_secs(5);
+
+/// Kills the engine that runs an item, as soon as the item runs there.
+async fn kill_under_item(engines: &Engines) {
+    let until = Instant::now() + ITEM_RETURN_TIME;
+    loop {
+        let alive = engines.alive();
+        let mut running = alive.iter().filter(|one| one.run_count() > 0);
+        if let Some(engine) = running.next() {
+            return engine.crash();
+        }
+        assert!(Instant::now() < until, "the item is left lying");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against an item that is left lying for minutes although there is
+/// room, because endpoints were killed under it several times in a row.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_under_which_endpoints_were_killed_is_run_again() {
+    let kv = Memory::default();
+    configure(&kv, None).await;
+    let engines = Engines::start(&kv, UNLUCKY_RUNS + 3).await;
+    let front = start(&kv, "front-1", false).await;
+    ready(&front).await;
+    let _worker = start(&kv, "worker-1", true).await;
+    let body = r#"["pause-head 150 30"]"#;
+    let sent = call(front.front, "POST", "/batch/1", "job-1", body).await;
+    assert_eq!(sent.0, 202);
+    for _ in 0..UNLUCKY_RUNS {
+        kill_under_item(&engines).await;
+    }
+    let before = engines.runs_of("item-0:");
+    let until = Instant::now() + ITEM_RETURN_TIME;
+    while engines.runs_of("item-0:") == before {
+        assert!(Instant::now() < until, "the item is left lying");
+        sleep(Duration::from_millis(10)).await;
+    }
+    call_until(front.front, "GET", "/jobs/job-1", |_, page| {
+        page.contains("item-0 complete")
+    })
+    .await;
+}
+
 /// Guards against quarantining requests because their draining endpoints shut
 /// down while they ran.
 #[tokio::test]
--- a/crates/quarantine/src/quarantine/probe.rs
+++ b/crates/quarantine/src/quarantine/probe.rs
@@ -9,15 +9,17 @@
     /// Records the start of a probe, so that no other node probes the request
     /// at the same time.
     ///
-    /// Without the key-value service only items are probed: they are owed, and
-    /// few nodes have items of one job.
+    /// Probes of items are recorded at this node only. Items are owed, whether
+    /// or not the key-value service responds, and few nodes have items of one
+    /// job or path.
     pub(super) async fn begin_probe(
         &self,
         digest: RequestDigest,
         terms: HoldTerms,
     ) -> bool {
-        let Some(store) = &self.0.store else {
-            return self.begin_local_probe(digest, terms);
+        let store = match &self.0.store {
+            Some(store) if terms != HoldTerms::Item => store,
+            _ => return self.begin_local_probe(digest, terms),
         };
         for _ in 0..MAX_WRITE_ATTEMPTS {
             let (before, mut record) = {
@@ -44,8 +46,7 @@
                 Err(report) => {
                     log::info!(digest:%, error:% = report.current_context();
                         "cannot record the probe of a quarantined request");
-                    return terms == HoldTerms::Item
-                        && self.begin_local_probe(digest, terms);
+                    return false;
                 }
             }
         }
