Close connections over a limit unread

While a load balancer sends most new connections of a zone to one front, its descriptors may run out, and requests that it has read find none for their connection to an endpoint. The new test opens five times the limit: all that are read are served, the others are closed without a byte.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -88,7 +88,10 @@
             Arc::new(PeerManifests::new(view.clone(), clock.clone()));
         let pages = PageReader::new(ledger.clone(), manifests.clone(), clock);
         let (phase, receiver) = watch::channel(ShutdownPhase::Running);
-        let options = ListenerOptions::default();
+        let options = ListenerOptions {
+            max_connections: settings.max_connections,
+            ..ListenerOptions::default()
+        };
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
         let intake = JobIntake::new(
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -50,6 +50,10 @@
     pub spool_bytes: u64,
     /// Number of disks whose simultaneous loss must be tolerated.
     pub disk_losses: u32,
+    /// Maximum number of open connections of callers. Beyond it descriptors
+    /// would be missing for connections to endpoints, and requests that were
+    /// read could not be served.
+    pub max_connections: usize,
 }
 
 /// Maximum time in which changes must reach every node, in milliseconds, even
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -302,6 +302,7 @@
         data_dir: None,
         spool_bytes: 1_000_000,
         disk_losses: 1,
+        max_connections: 1_000,
     }
 }
 
--- a/crates/pass/src/listen.rs
+++ b/crates/pass/src/listen.rs
@@ -59,6 +59,9 @@
     pub backlog: u32,
     /// Time that sent bytes may stay unacknowledged by a client.
     pub silence_ms: u64,
+    /// Maximum number of open connections. Further ones are closed unread, so
+    /// that their clients turn to another node at once.
+    pub max_connections: usize,
 }
 
 impl Default for ListenerOptions {
@@ -69,6 +72,7 @@
         Self {
             backlog: 1_024,
             silence_ms: 5_000,
+            max_connections: usize::MAX,
         }
     }
 }
@@ -79,6 +83,8 @@
     options: ListenerOptions,
     shutdown: watch::Receiver<ShutdownPhase>,
     open: Arc<AtomicUsize>,
+    /// Whether the last connection was refused.
+    is_full: bool,
 }
 
 /// Pause after a failed accept, for example without a free file descriptor.
@@ -112,6 +118,7 @@
             options,
             shutdown,
             open: Arc::default(),
+            is_full: false,
         })
     }
 
@@ -151,7 +158,21 @@
         }
     }
 
+    /// Closes a connection whose request was not read.
+    fn refuse(&mut self, stream: TcpStream) {
+        drop(stream);
+        if !self.is_full {
+            self.is_full = true;
+            log::warn!(connections = self.options.max_connections;
+                "new connections are closed unread: too many are open");
+        }
+    }
+
     fn start(&mut self, stream: TcpStream, handler: &Arc<dyn Handler>) {
+        if self.open.load(Ordering::Relaxed) >= self.options.max_connections {
+            return self.refuse(stream);
+        }
+        self.is_full = false;
         if let Err(error) =
             set_silence_timeout(&stream, self.options.silence_ms)
         {
--- a/crates/pass/tests/listen.rs
+++ b/crates/pass/tests/listen.rs
@@ -2,20 +2,23 @@
 
 mod common;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use common::{Act, Scripted, fixture, request, route};
 use fleet::{RouteKind, TransferLimits};
-use http::Request;
+use http::{Request, Response};
 use hyper::body::Incoming;
 use pomeloslip_pass::{
     Forwarder, Handler, HandlerFuture, Listener, ListenerOptions, Relay,
-    ShutdownPhase,
+    ResponseBody, ShutdownPhase,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::watch,
+    task::JoinSet,
+    time::sleep,
 };
 use yare::parameterized;
 
@@ -43,9 +46,13 @@
 
 /// Serves a handler until the end of the test.
 fn listen(handler: impl Handler) -> SocketAddr {
+    listen_with(ListenerOptions::default(), handler)
+}
+
+fn listen_with(options: ListenerOptions, handler: impl Handler) -> SocketAddr {
     let (sender, phase) = watch::channel(ShutdownPhase::Running);
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Listener::bind(any, ListenerOptions::default(), phase);
+    let listener = Listener::bind(any, options, phase);
     let listener = listener.expect("bind");
     let address = listener.address().expect("address");
     tokio::spawn(async move {
@@ -55,6 +62,61 @@
     address
 }
 
+/// Responds to each request after a pause.
+struct Slow(Duration);
+
+impl Handler for Slow {
+    fn handle(&self, _: Request<Incoming>) -> HandlerFuture {
+        let pause = self.0;
+        Box::pin(async move {
+            sleep(pause).await;
+            Response::new(ResponseBody::from_bytes(Bytes::from_static(b"ok")))
+        })
+    }
+
+    fn limits(&self) -> TransferLimits {
+        TransferLimits::default()
+    }
+}
+
+/// Maximum number of connections in tests with a limit.
+const MAX_CONNECTIONS: usize = 8;
+
+/// Guards against a node that reads requests which it cannot serve, because a
+/// load balancer sends most new connections to it and descriptors run out.
+#[tokio::test]
+async fn connections_over_the_limit_are_closed_unread() {
+    let options = ListenerOptions {
+        max_connections: MAX_CONNECTIONS,
+        ..ListenerOptions::default()
+    };
+    let address = listen_with(options, Slow(Duration::from_millis(300)));
+    let mut calls = JoinSet::new();
+    for _ in 0..5 * MAX_CONNECTIONS {
+        calls.spawn(try_call(address));
+    }
+    let answers = calls.join_all().await;
+    let served = answers.iter().filter(|text| text.ends_with("ok")).count();
+    let unread = answers.iter().filter(|text| text.is_empty()).count();
+    assert_eq!(served, MAX_CONNECTIONS, "all that are read are served");
+    assert_eq!(served + unread, answers.len(), "{answers:?}");
+    assert!(
+        try_call(address).await.ends_with("ok"),
+        "a later one is served"
+    );
+}
+
+/// Sends a request, and returns what arrives until the connection ends.
+async fn try_call(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    let request = "GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    // A refused connection may be reset before the request is written.
+    let _ = stream.write_all(request.as_bytes()).await;
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// What a caller received.
 #[derive(Debug)]
 struct Received {
