--- a/crates/node/src/crash_news.rs
+++ b/crates/node/src/crash_news.rs
@@ -31,7 +31,7 @@
 
 /// Time in which further changes are collected before a message, in
 /// milliseconds.
-const COLLECT_MS: u64 = 20;
+const COLLECT_MS: u64 = 50;
 
 /// Interval between two attempts of a starting node to find others, in
 /// milliseconds.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -95,6 +95,9 @@
     /// Parts of prompts whose records have changed here and that other nodes
     /// must learn of directly.
     news: IndexSet<RequestDigest>,
+    /// Parts of prompts that were recently released, with the time up to which
+    /// crashes are refuted.
+    part_releases: IndexMap<RequestDigest, UnixMillis>,
 }
 
 /// Maximum number of attempts to write a record that others write, too.
@@ -168,6 +171,7 @@
                 expired: IndexMap::new(),
                 released: IndexMap::new(),
                 news: IndexSet::new(),
+                part_releases: IndexMap::new(),
             }),
             sound_parts: Mutex::default(),
             record_count: AtomicUsize::new(0),
--- a/crates/quarantine/src/quarantine/news.rs
+++ b/crates/quarantine/src/quarantine/news.rs
@@ -4,7 +4,7 @@
 //! unavailable. A part that crashes endpoints would then crash several of them
 //! for each node.
 
-use base::RequestDigest;
+use base::{RequestDigest, UnixMillis};
 
 use super::{CrashRecordUpdate, MAX_UPDATES, Quarantine, State};
 use crate::{Subject, Verdict};
@@ -61,33 +61,63 @@
     }
 
     fn apply_one(&self, state: &mut State, update: &CrashRecordUpdate) {
-        let CrashRecordUpdate { digest, record, .. } = update;
-        let now = self.now();
-        let Some(record) = record else {
-            if state.records.subject(*digest) == Some(Subject::PromptPart) {
-                let (is_new, _) = state.records.record_response(*digest, 0);
-                state.news.extend(is_new.then_some(*digest));
-            }
+        let part = update.digest;
+        if let Some(at) = update.refuted_until
+            && state.note_part_release(part, at)
+        {
+            state.records.remove_until(part, at);
+            state.news.insert(part);
+        }
+        let Some(mut record) = update.record.clone() else {
             return;
         };
+        if let Some(at) = state.part_releases.get(&part) {
+            record.remove_until(*at);
+        }
+        let now = self.now();
         if record.subject() != Subject::PromptPart
-            || state.records.is_unusable(record, now)
+            || record.crashes().is_empty()
+            || state.records.is_unusable(&record, now)
         {
             return;
         }
-        let before = state.records.verdict_at(*digest, now);
-        if state.records.apply_heard(*digest, record, now) {
-            state.news.insert(*digest);
-            self.log_if_quarantined(state, *digest, before);
-            self.release_sound_part(state, *digest);
+        let before = state.records.verdict_at(part, now);
+        if state.records.apply_heard(part, &record, now) {
+            state.news.insert(part);
+            self.log_if_quarantined(state, part, before);
+            self.release_sound_part(state, part);
         }
     }
 }
 
+/// Maximum number of releases of parts that are remembered.
+const MAX_PART_RELEASES: usize = 256;
+
 impl State {
-    /// Returns what is known of a part; an empty update if it was released.
+    /// Returns what is known of a part.
     fn update_of(&self, part: RequestDigest) -> CrashRecordUpdate {
-        let record = self.records.record(part);
-        CrashRecordUpdate::direct(part, record.cloned())
+        CrashRecordUpdate {
+            digest: part,
+            revision: 0,
+            record: self.records.record(part).cloned(),
+            refuted_until: self.part_releases.get(&part).copied(),
+        }
+    }
+
+    /// Remembers that the crashes against a part are refuted up to a time, and
+    /// reports whether this is new. Otherwise records and releases that are
+    /// on their way would follow each other from node to node for good.
+    pub(super) fn note_part_release(
+        &mut self,
+        part: RequestDigest,
+        at: UnixMillis,
+    ) -> bool {
+        let known = self.part_releases.shift_remove(&part);
+        self.part_releases
+            .insert(part, known.unwrap_or_default().max(at));
+        if self.part_releases.len() > MAX_PART_RELEASES {
+            self.part_releases.shift_remove_index(0);
+        }
+        known.is_none_or(|known| known < at)
     }
 }
--- a/crates/quarantine/src/quarantine/parts.rs
+++ b/crates/quarantine/src/quarantine/parts.rs
@@ -106,7 +106,13 @@
     }
 
     fn release(&self, state: &mut State, part: RequestDigest) {
+        let record = state.records.record(part);
+        let Some(refuted_until) = record.map(|record| record.changed_at())
+        else {
+            return;
+        };
         if state.apply_response(part, 0) {
+            state.note_part_release(part, refuted_until);
             state.news.insert(part);
             self.0.pending_work.notify_one();
             self.0.pending_news.notify_one();
--- a/crates/quarantine/src/quarantine/updates.rs
+++ b/crates/quarantine/src/quarantine/updates.rs
@@ -24,26 +24,16 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CrashRecordUpdate {
     pub(super) digest: RequestDigest,
-    /// Revision of the key-value service at which the change was written.
-    revision: u64,
+    /// Revision of the key-value service at which the change was written; 0
+    /// for a change that is sent directly.
+    pub(super) revision: u64,
     /// The crash record; `None` if the request was released.
     #[serde(rename = "case")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) record: Option<CrashRecord>,
-}
-
-impl CrashRecordUpdate {
-    /// Creates an update that does not depend on what is stored.
-    pub(super) fn direct(
-        digest: RequestDigest,
-        record: Option<CrashRecord>,
-    ) -> Self {
-        Self {
-            digest,
-            revision: 0,
-            record,
-        }
-    }
+    /// Time up to which crashes are refuted, of a part of prompts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) refuted_until: Option<UnixMillis>,
 }
 
 /// The release of a request from the quarantine.
@@ -83,6 +73,7 @@
             digest: *digest,
             revision: released.revision,
             record: None,
+            refuted_until: None,
         });
         let stored = state.records.stored();
         let blocked = stored.filter(|(digest, stored)| {
@@ -93,6 +84,7 @@
             digest,
             revision: stored.revision,
             record: Some(stored.record.clone()),
+            refuted_until: None,
         });
         blocked.chain(released).take(MAX_UPDATES).collect()
     }
@@ -107,6 +99,7 @@
             digest,
             revision,
             record,
+            ..
         } in updates
         {
             let released = state.released.get(&digest);
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -7,6 +7,10 @@
 /// the verdict on the request.
 const MAX_CRASHES: usize = 8;
 
+/// Maximum number of crashes in the record of a part of prompts. More than
+/// for a request, since those of a rack count once.
+const MAX_PART_CRASHES: usize = 16;
+
 /// Time within which crashes of several endpoints count as one event against a
 /// part of a prompt, in milliseconds: requests with a part run at several
 /// endpoints, which may all be lost with a rack.
@@ -138,7 +142,8 @@
             }
             self.crashes.remove(index);
         }
-        let before = |known: &Crash| known.ended_at <= crash.ended_at;
+        let order = |crash: &Crash| (crash.ended_at, crash.endpoint);
+        let before = |known: &Crash| order(known) <= order(&crash);
         let index = self.crashes.partition_point(before);
         self.crashes.insert(index, crash);
         self.evict_surplus();
@@ -176,6 +181,13 @@
         self.crashes.is_empty()
     }
 
+    /// Removes the crashes up to a time, and reports whether any was removed.
+    pub fn remove_until(&mut self, at: UnixMillis) -> bool {
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| crash.ended_at > at);
+        self.crashes.len() < before
+    }
+
     /// Returns the crashes of this record that another one lacks.
     #[must_use]
     pub fn difference(&self, other: &CrashRecord) -> CrashRecord {
@@ -236,9 +248,18 @@
         self.crashes.iter().any(|other| other.refutes(crash))
     }
 
-    /// Evicts crashes over [`MAX_CRASHES`]: first those that are not evidence,
+    /// Evicts surplus crashes. Of a request, first those that are not evidence,
     /// then the oldest.
+    ///
+    /// Of a part, the oldest: nodes send each other records of parts as long as
+    /// they differ, and must end with the same one in whatever order they
+    /// learn of crashes.
     fn evict_surplus(&mut self) {
+        if self.subject == Subject::PromptPart {
+            let surplus = self.crashes.len().saturating_sub(MAX_PART_CRASHES);
+            self.crashes.drain(..surplus);
+            return;
+        }
         while self.crashes.len() > MAX_CRASHES {
             let evidence = self.evidence();
             let is_surplus = |crash: &Crash| {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -369,12 +369,19 @@
         })
     }
 
-    /// Removes what other nodes reported directly, because one of them has
-    /// since received a complete response.
-    pub fn remove_heard(&mut self, digest: RequestDigest) {
-        if self.records.contains_key(&digest) {
-            self.change(digest, |entry| entry.heard = CrashRecord::default());
+    /// Removes the crashes up to a time, because another node has since
+    /// received a complete response.
+    pub fn remove_until(&mut self, digest: RequestDigest, at: UnixMillis) {
+        if !self.records.contains_key(&digest) {
+            return;
         }
+        self.change(digest, |entry| {
+            entry.unsaved.remove_until(at);
+            entry.heard.remove_until(at);
+            if let Some(stored) = &mut entry.stored {
+                stored.record.remove_until(at);
+            }
+        });
     }
 
     /// Removes a stored record that was deleted at a revision, because the
