--- a/crates/quarantine/tests/part_days.rs
+++ b/crates/quarantine/tests/part_days.rs
@@ -166,13 +166,6 @@
             self.send_sound();
             self.collect_news();
         }
-        eprintln!(
-            "messages {} crashes {} held {} of {}",
-            self.messages,
-            self.report.crashes.len(),
-            self.report.all_held,
-            self.report.all_sound
-        );
         self.report
     }
 
@@ -354,7 +347,7 @@
         let keys = EvidenceKeys::from(own);
         let keys = parts.iter().copied().fold(keys, EvidenceKeys::with_part);
         let admitted = now_or_never(self.nodes[node].admit(|| keys));
-        if !admitted.is_some_and(|admitted| admitted.is_ok()) {
+        if admitted.is_none_or(|admitted| admitted.is_err()) {
             return false;
         }
         let Some(endpoint) = self.any_endpoint() else {
