Date releases of parts by the clock of the node that learns of them

A node whose clock is ahead would refute the crashes of the next seconds or hours at all others, which would let the part crash endpoints until then. What another node says is refuted now ends at the time at which it is learned.

--- a/crates/quarantine/src/quarantine/news.rs
+++ b/crates/quarantine/src/quarantine/news.rs
@@ -62,7 +62,10 @@
 
     fn apply_one(&self, state: &mut State, update: &CrashRecordUpdate) {
         let part = update.digest;
-        if let Some(at) = update.refuted_until
+        let now = self.now();
+        // A clock that is ahead must not refute crashes to come.
+        let refuted_until = update.refuted_until.map(|at| at.min(now));
+        if let Some(at) = refuted_until
             && state.note_part_release(part, at)
         {
             state.records.remove_until(part, at);
@@ -74,7 +77,6 @@
         if let Some(at) = state.part_releases.get(&part) {
             record.remove_until(*at);
         }
-        let now = self.now();
         if record.subject() != Subject::PromptPart
             || record.crashes().is_empty()
             || state.records.is_unusable(&record, now)
