Lengthen the hold of a part only after a probe that crashed

A probe without a crash after the head of its response now counts as none, and the next one is due after the same time. The new test has both outcomes of a probe.

--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -1,7 +1,7 @@
 use base::UnixMillis;
 use serde::{Deserialize, Serialize};
 
-use crate::Crash;
+use crate::{Crash, crash::MAX_CRASH_SCORE};
 
 /// Maximum number of crashes in one record. Further crashes would not change
 /// the verdict on the request.
@@ -101,6 +101,22 @@
         self.probed_at
     }
 
+    /// Returns the number of probes of a part that may have failed: all but a
+    /// last one without a crash after the head of its response. Its node may
+    /// have ended, or another request may have crashed its endpoint.
+    pub fn failed_probes(&self) -> u32 {
+        let Some(probed_at) = self.probed_at else {
+            return 0;
+        };
+        let has_crashed = self.crashes.iter().any(|crash| {
+            crash.ended_at >= probed_at && crash.score() == MAX_CRASH_SCORE
+        });
+        match has_crashed {
+            true => self.probes,
+            false => self.probes.saturating_sub(1),
+        }
+    }
+
     /// Returns the time of the last crash or probe.
     pub fn changed_at(&self) -> UnixMillis {
         let crashed_at = self.crashes.last().map(|crash| crash.ended_at);
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -183,9 +183,10 @@
         part: RequestDigest,
         now: UnixMillis,
     ) -> Verdict {
-        let was_probed =
-            self.record(part).is_some_and(|record| record.probes() > 0);
-        let max_hold_ms = match was_probed {
+        let has_failed = self
+            .record(part)
+            .is_some_and(|record| record.failed_probes() > 0);
+        let max_hold_ms = match has_failed {
             true => u64::MAX,
             false => self.options.part_trial_hold_ms,
         };
@@ -224,7 +225,9 @@
             Subject::Request => {
                 self.options.hold_ms(probes.max(surplus / SCORE_PER_LEVEL))
             }
-            Subject::PromptPart => self.options.part_hold_ms(probes),
+            Subject::PromptPart => {
+                self.options.part_hold_ms(entry.record.failed_probes())
+            }
         };
         let until = since.saturating_add_ms(hold_ms.min(max_hold_ms));
         match until.saturating_ms_since(now) {
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -144,6 +144,28 @@
     assert!(node.holds(keys(&["other", "bad"])).await);
 }
 
+/// Guards against holding a sound part for minutes because its probe had no
+/// result, and against trying a poison part again after seconds.
+#[parameterized(
+    no_result = { false },
+    a_crash = { true },
+)]
+#[test_macro(tokio::test)]
+async fn only_a_probe_that_crashed_lengthens_the_hold(crashes: bool) {
+    let node = node(0);
+    for endpoint in 0..CRASHES {
+        node.crash(endpoint, &[part("suspect")]);
+    }
+    let options = QuarantineOptions::default();
+    node.advance_ms(options.part_trial_hold_ms);
+    assert!(!node.holds_part("suspect").await, "the probe");
+    if crashes {
+        node.crash(99, &[part("suspect")]);
+    }
+    node.advance_ms(options.part_trial_hold_ms);
+    assert_eq!(node.holds_part("suspect").await, crashes);
+}
+
 /// Guards against quarantining a part because a rack was lost, which ends all
 /// endpoints that run it at the same moment.
 #[tokio::test]
