Try a held part without other suspects, and count early progress as sound

No response with the first part was known yet, so that it had more crashes against it than the poison part; its probe was a request with the poison part, whose crash then held the first part for five minutes.

A probe is now a request in which no other part has a crash against it. Progress past the first 300 ms of a response releases its parts at once, a crash after progress counts half, and only a probe that crashed after nothing but a head makes the hold longer.

a_part_is_tried_without_other_suspects failed before.

--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -73,6 +73,10 @@
             .record_response(|| run.evidence_keys(), run.resumed_after());
     }
 
+    fn progressed(&self, run: &Run) {
+        self.quarantine.record_sound_parts(&run.part_keys());
+    }
+
     fn interrupted(&self, run: &Run) {
         Counters::add(&self.counters.runs_cut_off);
         if run.since_head().is_some() && run.reached() == run.resumed_after() {
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -8,7 +8,7 @@
 use fleet::{Endpoint, RouteKind};
 use framing::Framing;
 use http::StatusCode;
-use quarantine::EvidenceKeys;
+use quarantine::{EvidenceKeys, RESPONSE_BEGINNING_MS};
 
 use crate::Inbound;
 
@@ -20,6 +20,10 @@
     /// interruption, but it may have been one between two events.
     fn answered(&self, run: &Run, framing: Framing);
 
+    /// Called once when a run makes progress past the beginning of a successful
+    /// response, which a poison request does not reach.
+    fn progressed(&self, _run: &Run) {}
+
     /// Called when the connection of a run broke before the response was
     /// complete.
     fn interrupted(&self, run: &Run);
@@ -37,6 +41,8 @@
     head_at: Option<Instant>,
     /// Whether the head reports success.
     is_success: bool,
+    /// Whether the run has made progress past the beginning.
+    is_past_beginning: bool,
     resumed_after: u64,
     reached: u64,
     has_ended: bool,
@@ -57,6 +63,7 @@
             started_at: Instant::now(),
             head_at: None,
             is_success: false,
+            is_past_beginning: false,
             resumed_after,
             reached: resumed_after,
             has_ended: false,
@@ -127,6 +134,18 @@
 
     pub(crate) fn advance_to(&mut self, reached: u64) {
         self.reached = self.reached.max(reached);
+        if !self.is_past_beginning && self.is_success {
+            self.check_progress();
+        }
+    }
+
+    fn check_progress(&mut self) {
+        let beginning = Duration::from_millis(RESPONSE_BEGINNING_MS);
+        let is_past = self.since_head().is_some_and(|time| time > beginning);
+        if is_past && self.reached > self.resumed_after {
+            self.is_past_beginning = true;
+            self.observer.progressed(self);
+        }
     }
 
     pub(crate) fn answered(&mut self, framing: Framing) {
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -64,12 +64,15 @@
 const SCORE_WITH_PROGRESS: u32 = 1;
 
 /// Time after the head of a response within which a crash counts as one at
-/// the beginning of the response, in milliseconds.
-const BEGINNING_MS: u64 = 300;
+/// the beginning of the response, in milliseconds. A run that makes progress
+/// for longer shows that its prompt crashes no endpoint.
+pub const RESPONSE_BEGINNING_MS: u64 = 300;
 
-/// Time after the head of a response from which on a run shows that its prompt
-/// crashes no endpoint, in milliseconds.
-const SOUND_AFTER_MS: u64 = 1_000;
+/// [`Crash::reached`] of evidence against a part if the run may not have begun.
+const REACHED_NO_HEAD: u64 = 1;
+
+/// [`Crash::reached`] of evidence against a part if the run had just begun.
+const REACHED_BEGINNING: u64 = 2;
 
 /// Maximum difference between the times at which nodes detect the same crash,
 /// in milliseconds.
@@ -122,7 +125,8 @@
     /// crash, `None` if there was no head. A part that crashes endpoints does
     /// so as they begin to respond. The positions in the responses of several
     /// requests are not comparable, so that the evidence has none: it counts
-    /// fully after a head, and half if the run may not have begun.
+    /// fully after a head and nothing else, and half if the run may not have
+    /// begun or had just made progress.
     ///
     /// # Example
     ///
@@ -145,9 +149,11 @@
         since_head_ms: Option<u64>,
     ) -> Option<Self> {
         let reached = match since_head_ms {
-            None => 1,
+            None => REACHED_NO_HEAD,
             Some(_) if self.progress() == 0 => 0,
-            Some(since_ms) if since_ms <= BEGINNING_MS => 0,
+            Some(since_ms) if since_ms <= RESPONSE_BEGINNING_MS => {
+                REACHED_BEGINNING
+            }
             Some(_) => return None,
         };
         Some(Self {
@@ -157,12 +163,18 @@
         })
     }
 
+    /// Reports whether this evidence against a part is of a run that had begun
+    /// to respond.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.reached != REACHED_NO_HEAD
+    }
+
     /// Reports whether the run shows that no part of its prompt crashes
-    /// endpoints: it had responded for long when the endpoint crashed.
+    /// endpoints: it had made progress past the beginning of the response.
     pub fn shows_sound_prompt(&self, since_head_ms: Option<u64>) -> bool {
-        let has_responded_long =
-            since_head_ms.is_some_and(|since_ms| since_ms >= SOUND_AFTER_MS);
-        has_responded_long && self.progress() > 0
+        let is_past_beginning = since_head_ms
+            .is_some_and(|since_ms| since_ms > RESPONSE_BEGINNING_MS);
+        is_past_beginning && self.progress() > 0
     }
 
     /// Reports whether the run began after an earlier one had ended.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -58,11 +58,11 @@
 mod table;
 
 pub use crate::{
-    crash::{Crash, CrashedEndpoint},
+    crash::{Crash, CrashedEndpoint, RESPONSE_BEGINNING_MS},
     crash_check::has_crashed,
     keys::EvidenceKeys,
     options::QuarantineOptions,
     quarantine::{CrashRecordUpdate, Quarantine, Quarantined, SendPermit},
-    record::{CrashRecord, Subject},
+    record::{CrashRecord, ProbeOutcome, Subject},
     table::{CrashRecordTable, StoredRecord, Verdict},
 };
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -37,7 +37,7 @@
     /// As long as the evidence demands.
     Full,
     /// Shorter before the first probe: only one part of the prompt is
-    /// quarantined.
+    /// suspected, so that the probe tells whether it is that one.
     OnlyPart,
     /// For a short time only: the request is an item.
     Item,
@@ -227,10 +227,12 @@
         if keys.is_item() {
             return HoldTerms::Item;
         }
-        let is_held = |part: &&RequestDigest| {
-            self.verdict(**part, HoldTerms::Full).0 != Verdict::Clear
+        let state = self.lock();
+        let is_suspected = |part: &&RequestDigest| {
+            state.records.contains(**part)
+                && !self.is_sound_part(&state, **part)
         };
-        match keys.parts().iter().filter(is_held).count() {
+        match keys.parts().iter().filter(is_suspected).count() {
             1 => HoldTerms::OnlyPart,
             _ => HoldTerms::Full,
         }
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -68,6 +68,17 @@
     subject: Subject,
 }
 
+/// What is known of the last probe of a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeOutcome {
+    /// There was no probe, or it had no result.
+    None,
+    /// Its endpoint crashed when the response had just begun.
+    Doubtful,
+    /// Its endpoint crashed after the head of the response.
+    Crashed,
+}
+
 impl CrashRecord {
     /// Creates an empty record.
     pub fn new(subject: Subject) -> Self {
@@ -101,19 +112,29 @@
         self.probed_at
     }
 
-    /// Returns the number of probes of a part that may have failed: all but a
-    /// last one without a crash after the head of its response. Its node may
-    /// have ended, or another request may have crashed its endpoint.
-    pub fn failed_probes(&self) -> u32 {
+    /// Returns the outcome of the last probe of a part.
+    pub fn probe_outcome(&self) -> ProbeOutcome {
         let Some(probed_at) = self.probed_at else {
-            return 0;
+            return ProbeOutcome::None;
         };
-        let has_crashed = self.crashes.iter().any(|crash| {
-            crash.ended_at >= probed_at && crash.score() == MAX_CRASH_SCORE
-        });
-        match has_crashed {
-            true => self.probes,
-            false => self.probes.saturating_sub(1),
+        let since =
+            |crash: &&Crash| crash.ended_at >= probed_at && crash.has_begun();
+        let crashes = self.crashes.iter().filter(since);
+        match crashes.map(Crash::score).max() {
+            None => ProbeOutcome::None,
+            Some(MAX_CRASH_SCORE) => ProbeOutcome::Crashed,
+            Some(_) => ProbeOutcome::Doubtful,
+        }
+    }
+
+    /// Returns the number of probes of a part that count as failed: all but a
+    /// last one that did not crash its endpoint before anything but the head
+    /// of its response. Its node may have ended, or another request may have
+    /// crashed the endpoint.
+    pub fn failed_probes(&self) -> u32 {
+        match self.probe_outcome() {
+            ProbeOutcome::Crashed => self.probes,
+            _ => self.probes.saturating_sub(1),
         }
     }
 
@@ -142,10 +163,8 @@
     /// far. Of requests that share a part of their prompts, it is the one that
     /// counts most.
     pub fn add(&mut self, crash: Crash) -> bool {
-        let same = self.crashes.iter();
-        let same = same
-            .into_iter()
-            .position(|known| self.is_same(known, &crash));
+        let mut known = self.crashes.iter();
+        let same = known.position(|known| self.is_same(known, &crash));
         if let Some(index) = same {
             let (old, new) =
                 (self.crashes[index].progress(), crash.progress());
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,7 +1,7 @@
 use base::{RequestDigest, UnixMillis};
 use indexmap::IndexMap;
 
-use crate::{Crash, CrashRecord, QuarantineOptions, Subject};
+use crate::{Crash, CrashRecord, ProbeOutcome, QuarantineOptions, Subject};
 
 /// Score that lengthens a quarantine by one level: that of a crash without
 /// progress.
@@ -176,19 +176,21 @@
         self.verdict_within(digest, now, u64::MAX)
     }
 
-    /// Returns the verdict on a part of a prompt that has no other quarantined
-    /// part. Its first probe is due early.
+    /// Returns the verdict on a part of a prompt in which no other shared part
+    /// is suspected. Its first probe is due early, and so are further ones as
+    /// long as none has a result.
     pub fn verdict_on_only_part_at(
         &self,
         part: RequestDigest,
         now: UnixMillis,
     ) -> Verdict {
-        let has_failed = self
-            .record(part)
-            .is_some_and(|record| record.failed_probes() > 0);
-        let max_hold_ms = match has_failed {
-            true => u64::MAX,
-            false => self.options.part_trial_hold_ms,
+        let is_untried = self.record(part).is_some_and(|record| {
+            record.failed_probes() == 0
+                && record.probe_outcome() == ProbeOutcome::None
+        });
+        let max_hold_ms = match is_untried {
+            true => self.options.part_trial_hold_ms,
+            false => u64::MAX,
         };
         self.verdict_within(part, now, max_hold_ms)
     }
--- a/crates/quarantine/tests/part_days.rs
+++ b/crates/quarantine/tests/part_days.rs
@@ -1,6 +1,6 @@
 //! Simulations of fleets in which requests with one part in their prompts
 //! crash endpoints beside sound requests, generated from seeds. Nodes learn
-//! from each other directly, without the key-value service.
+//! from each other directly, and from the key-value service unless it is away.
 //! `QUARANTINE_SEEDS` sets the number of simulations.
 
 use std::{
@@ -12,14 +12,17 @@
         atomic::{AtomicU64, Ordering},
     },
     task::{Context, Poll, Waker},
+    time::Duration,
 };
 
 use base::{Clock, Millis, RequestDigest, UnixMillis};
+use kv::{Kv, Memory};
 use pomeloslip_quarantine::{
     Crash, CrashRecordUpdate, CrashedEndpoint, EvidenceKeys, Quarantine,
-    QuarantineOptions,
+    QuarantineOptions, RESPONSE_BEGINNING_MS,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::time::sleep;
 
 const STEP_MS: u64 = 5;
 
@@ -73,6 +76,12 @@
     max_delay_ms: u64,
     /// Number of endpoints killed each five seconds.
     killed_at_once: usize,
+    /// Mean time between two kills of single endpoints; none if 0.
+    kill_pause_ms: u64,
+    /// Time at which requests with the poison part begin to come.
+    poison_from_ms: u64,
+    /// Whether the key-value service is there.
+    has_store: bool,
 }
 
 #[derive(Debug, Default)]
@@ -109,9 +118,16 @@
     pending: BTreeMap<(u64, u64), (usize, Vec<CrashRecordUpdate>)>,
     messages: u64,
     next_poison_ms: u64,
+    next_kill_ms: u64,
     report: Report,
 }
 
+/// Interval in which nodes read the key-value service, in milliseconds.
+const READ_INTERVAL_MS: u64 = 300;
+
+/// Time at which a simulation starts, in milliseconds.
+const START_MS: u64 = 1_000_000;
+
 fn part(name: &str) -> RequestDigest {
     RequestDigest::of_group("prompt part", &["llm", name])
 }
@@ -126,14 +142,26 @@
 
 impl World {
     fn new(scenario: Scenario, seed: u64) -> Self {
-        let clock = Arc::new(SetClock(AtomicU64::new(1_000_000)));
-        // Probes need the key-value service.
-        let options = QuarantineOptions {
-            part_trial_hold_ms: 3_600_000,
-            part_initial_hold_ms: 3_600_000,
-            ..QuarantineOptions::default()
+        let clock = Arc::new(SetClock(AtomicU64::new(START_MS)));
+        let kv = Memory::default();
+        let node = |_| match scenario.has_store {
+            true => {
+                let kv: Arc<dyn Kv> = Arc::new(kv.clone());
+                let options = QuarantineOptions::default();
+                let node = Quarantine::new(kv, "t/", clock.clone(), options);
+                tokio::spawn(node.clone().run());
+                node
+            }
+            // Probes need the key-value service.
+            false => {
+                let options = QuarantineOptions {
+                    part_trial_hold_ms: 3_600_000,
+                    part_initial_hold_ms: 3_600_000,
+                    ..QuarantineOptions::default()
+                };
+                Quarantine::local(clock.clone(), options)
+            }
         };
-        let node = |_| Quarantine::local(clock.clone(), options);
         Self {
             nodes: (0..scenario.nodes).map(node).collect(),
             scenario,
@@ -145,7 +173,8 @@
             runs: Vec::new(),
             pending: BTreeMap::new(),
             messages: 0,
-            next_poison_ms: 1_005_000,
+            next_poison_ms: START_MS + scenario.poison_from_ms,
+            next_kill_ms: START_MS,
             report: Report::default(),
         }
     }
@@ -154,13 +183,16 @@
         self.clock.0.load(Ordering::Relaxed)
     }
 
-    fn run(mut self) -> Report {
+    async fn run(mut self) -> Report {
         let until_ms = self.now_ms() + DURATION_MS;
         while self.now_ms() < until_ms {
             self.clock.0.fetch_add(STEP_MS, Ordering::Relaxed);
+            sleep(Duration::from_millis(STEP_MS)).await;
+            self.read_store().await;
             self.deliver();
             self.replace();
             self.kill();
+            self.progress();
             self.end_runs();
             self.send_poison();
             self.send_sound();
@@ -169,6 +201,17 @@
         self.report
     }
 
+    async fn read_store(&self) {
+        if !self.scenario.has_store
+            || !self.now_ms().is_multiple_of(READ_INTERVAL_MS)
+        {
+            return;
+        }
+        for node in &self.nodes {
+            node.read().await.expect("the service responds");
+        }
+    }
+
     fn deliver(&mut self) {
         let now_ms = self.now_ms();
         while let Some(first) = self.pending.first_entry()
@@ -205,6 +248,14 @@
     }
 
     fn kill(&mut self) {
+        let pause_ms = self.scenario.kill_pause_ms;
+        if pause_ms > 0 && self.now_ms() >= self.next_kill_ms {
+            let wait_ms = self.random.random_range(1..=2 * pause_ms);
+            self.next_kill_ms = self.now_ms() + wait_ms;
+            if let Some(endpoint) = self.any_endpoint() {
+                self.crash(endpoint);
+            }
+        }
         if !self.now_ms().is_multiple_of(5_000) {
             return;
         }
@@ -220,6 +271,23 @@
         self.alive.iter().nth(at).copied()
     }
 
+    fn confirm(&self, run: &Run) {
+        self.nodes[run.node].record_sound_parts(&run.parts);
+    }
+
+    /// Records runs that have just got past the beginning of their responses.
+    fn progress(&self) {
+        let past_ms = HEAD_MS + RESPONSE_BEGINNING_MS;
+        let has_passed = |run: &&Run| {
+            let ran_ms = self.now_ms() - run.began_ms;
+            !run.is_poison && (past_ms..past_ms + STEP_MS).contains(&ran_ms)
+        };
+        self.runs
+            .iter()
+            .filter(has_passed)
+            .for_each(|run| self.confirm(run));
+    }
+
     fn end_runs(&mut self) {
         let now_ms = self.now_ms();
         let runs = std::mem::take(&mut self.runs);
@@ -234,9 +302,7 @@
                     crashed.push(run.endpoint);
                     self.runs.push(run);
                 }
-                false => {
-                    self.nodes[run.node].record_sound_parts(&run.parts);
-                }
+                false => self.confirm(&run),
             }
         }
         for endpoint in crashed {
@@ -387,18 +453,19 @@
         replaced_after_ms: random.random_range(500..=4_000),
         max_delay_ms: random.random_range(20..=900),
         killed_at_once: 0,
+        kill_pause_ms: 0,
+        poison_from_ms: 5_000,
+        has_store: random.random_bool(0.5),
     }
 }
 
-/// Guards against a part of prompts that crashes one endpoint after the other,
-/// and against refusing sound requests that share the other parts, for varying
-/// fleets, rates and delays between nodes.
-#[test]
-fn only_the_part_that_crashes_endpoints_is_quarantined() {
+/// Plays days and checks that the poison part is sent no further and that sound
+/// requests are served.
+async fn play(scenario_of: impl Fn(u64) -> Scenario) {
     let (mut sound, mut held) = (0, 0);
     for seed in 0..seeds() {
-        let scenario = scenario(seed);
-        let report = World::new(scenario, seed).run();
+        let scenario = scenario_of(seed);
+        let report = World::new(scenario, seed).run().await;
         assert!(
             report.late_sends <= MAX_LATE_SENDS,
             "seed {seed}: {report:?} {scenario:?}"
@@ -413,10 +480,36 @@
     println!("{held} of {sound} sound requests were held");
 }
 
+/// Guards against a part of prompts that crashes one endpoint after the other,
+/// and against refusing sound requests that share the other parts, for varying
+/// fleets, rates and delays between nodes.
+#[tokio::test(start_paused = true)]
+async fn only_the_part_that_crashes_endpoints_is_quarantined() {
+    play(scenario).await;
+}
+
+/// Guards against refusing all requests that share their first part with
+/// poison ones, because no response was complete before other crashes came.
+#[tokio::test(start_paused = true)]
+async fn a_first_part_without_responses_is_released() {
+    play(|seed| {
+        let scenario = scenario(seed);
+        // Half of the endpoints are there.
+        let pause_ms =
+            2 * scenario.replaced_after_ms / scenario.endpoints as u64;
+        Scenario {
+            poison_from_ms: 0,
+            kill_pause_ms: pause_ms,
+            ..scenario
+        }
+    })
+    .await;
+}
+
 /// Guards against quarantining parts of prompts because the endpoints that ran
 /// them were killed, up to half of them at once.
-#[test]
-fn parts_at_killed_endpoints_are_not_quarantined() {
+#[tokio::test(start_paused = true)]
+async fn parts_at_killed_endpoints_are_not_quarantined() {
     for seed in 0..seeds() {
         let scenario = scenario(seed);
         let scenario = Scenario {
@@ -424,7 +517,7 @@
             killed_at_once: 1 + seed as usize % (scenario.endpoints / 2),
             ..scenario
         };
-        let report = World::new(scenario, seed).run();
+        let report = World::new(scenario, seed).run().await;
         assert_eq!(report.all_held, 0, "seed {seed}: {report:?} {scenario:?}");
     }
 }
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -166,6 +166,28 @@
     assert_eq!(node.holds_part("suspect").await, crashes);
 }
 
+/// Guards against holding the first part of all prompts for minutes: a request
+/// that crashed its endpoint by another part was taken as its probe.
+#[tokio::test]
+async fn a_part_is_tried_without_other_suspects() {
+    let node = node(0);
+    node.crash(0, &[part("first")]);
+    for endpoint in 1..CRASHES {
+        node.crash(endpoint, &[part("first"), part("bad")]);
+    }
+    assert!(node.holds_part("first").await);
+    assert!(!node.holds_part("bad").await, "one crash less");
+    let options = QuarantineOptions::default();
+    node.advance_ms(options.part_trial_hold_ms);
+    assert!(node.holds(keys(&["first", "bad"])).await);
+    assert!(!node.holds_part("first").await, "the probe");
+    node.quarantine.record_sound_parts(&[part("first")]);
+    assert!(!node.holds_part("first").await);
+    node.crash(9, &[part("first"), part("bad")]);
+    assert!(node.holds(keys(&["first", "bad"])).await);
+    assert!(!node.holds_part("first").await);
+}
+
 /// Guards against quarantining a part because a rack was lost, which ends all
 /// endpoints that run it at the same moment.
 #[tokio::test]
