Share evidence on earlier messages in the OpenAI interface

A message of a conversation that crashes endpoints came again with each new last message, and evidence was kept by the whole body: 24 sends later than 3 s after the fifth crash, direct and behind companions. All messages but the last are now parts, under a key of model, role and content, with the same rules; entries share them as they share requests.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,8 +1,11 @@
 //! A request and the data that the filters attach to it.
 
+use std::sync::Arc;
+
 use base::{Class, Customer, Millis, RequestDigest, RequestId, timer::Timer};
 use bytes::Bytes;
 use obs::CustomerMetrics;
+use quarantine::EvidenceKeys;
 use wire::message::Header;
 
 /// The target of a request: a model or a plain service.
@@ -29,10 +32,19 @@
     pub(crate) body: Bytes,
     /// Digest that is the same for every attempt of a caller.
     pub(crate) digest: RequestDigest,
+    /// Keys of the parts of the prompt that other requests may share.
+    pub(crate) parts: Arc<[RequestDigest]>,
     pub(crate) plan: Plan,
 }
 
 impl Exchange {
+    /// Returns the keys under which crash records of the request are stored.
+    pub(crate) fn evidence_keys(&self) -> EvidenceKeys {
+        let parts = self.parts.iter().copied();
+        let keys = EvidenceKeys::from(self.digest);
+        parts.fold(keys, EvidenceKeys::with_part)
+    }
+
     /// Returns when the deadline passes, if there is one.
     pub(crate) fn deadline(&self) -> Option<Millis> {
         match self.plan.deadline_ms {
--- a/crates/entry/src/filter/route.rs
+++ b/crates/entry/src/filter/route.rs
@@ -12,6 +12,7 @@
 use crate::{
     exchange::{Exchange, Plan, Subject},
     filter::{Caller, RuleLimits},
+    forward::prefix,
     shared::Shared,
 };
 
@@ -61,6 +62,7 @@
         target: &path,
         body: &incoming.body,
     });
+    let parts = prefix::shared_parts(&path, &incoming.body);
     let exchange = Exchange {
         request_id: incoming.request_id,
         received: incoming.received,
@@ -72,6 +74,7 @@
         headers: incoming.headers,
         body: incoming.body,
         digest,
+        parts: parts.into(),
         plan,
     };
     Ok(Routed { exchange, limits })
--- a/crates/entry/src/fleet/flight.rs
+++ b/crates/entry/src/fleet/flight.rs
@@ -1,11 +1,15 @@
-use std::sync::Arc;
+use std::{ops::Range, sync::Arc};
 
 use base::{Millis, RequestDigest, VersionKey};
-use quarantine::{Crash, CrashedEndpoint, Quarantine};
+use quarantine::{Crash, CrashedEndpoint, Quarantine, RESPONSE_BEGINNING_MS};
 use router::{EndpointKey, EndpointReport, Failure, Refusal};
 use wire::message::{Load, RefusalKind};
 
 use super::{Fleet, Target};
+use crate::exchange::Exchange;
+
+/// Statuses of successful responses.
+const SUCCESS: Range<u16> = 200..300;
 
 /// A call in flight; counted at its endpoint until dropped.
 #[derive(Debug)]
@@ -24,11 +28,34 @@
 struct FlightRequest {
     quarantine: Quarantine,
     digest: RequestDigest,
+    parts: Arc<[RequestDigest]>,
     started: Millis,
+    /// When the head of a successful response arrived.
+    head_at: Option<Millis>,
+    /// Whether the response has got past its beginning.
+    is_past_beginning: bool,
     resumed_after: u64,
     reached: u64,
 }
 
+impl FlightRequest {
+    fn since_head_ms(&self, now: Millis) -> Option<u64> {
+        self.head_at.map(|head_at| now.saturating_ms_since(head_at))
+    }
+
+    /// Releases the parts of the prompt once the response has got past its
+    /// beginning.
+    fn check_progress(&mut self, now: Millis) {
+        let is_past = self
+            .since_head_ms(now)
+            .is_some_and(|since_ms| since_ms > RESPONSE_BEGINNING_MS);
+        if is_past && !self.is_past_beginning {
+            self.is_past_beginning = true;
+            self.quarantine.record_sound_parts(&self.parts);
+        }
+    }
+}
+
 impl Flight {
     pub(super) fn new(
         fleet: Arc<Fleet>,
@@ -64,13 +91,16 @@
     pub(crate) fn begin(
         &mut self,
         quarantine: &Quarantine,
-        digest: RequestDigest,
+        exchange: &Exchange,
         offset: u32,
     ) {
         let resumed_after = u64::from(offset);
         self.call = Some(Box::new(FlightRequest {
             quarantine: quarantine.clone(),
-            digest,
+            digest: exchange.digest,
+            parts: exchange.parts.clone(),
+            head_at: None,
+            is_past_beginning: false,
             started: self.fleet.timer.now(),
             resumed_after,
             reached: resumed_after,
@@ -79,14 +109,29 @@
 
     /// Records the number of response chunks received.
     pub(crate) fn advance_to(&mut self, chunks: u32) {
+        let now = self.fleet.timer.now();
         if let Some(call) = &mut self.call {
             call.reached = call.resumed_after + u64::from(chunks);
+            call.check_progress(now);
+        }
+    }
+
+    /// Records that the head of the response arrived.
+    pub(crate) fn record_head(&mut self, status: u16) {
+        let now = self.fleet.timer.now();
+        if let Some(call) = &mut self.call
+            && SUCCESS.contains(&status)
+        {
+            call.head_at = Some(now);
         }
     }
 
     /// Records that the response is complete.
     pub(crate) fn record_completion(&self) {
         if let Some(call) = &self.call {
+            if call.head_at.is_some() {
+                call.quarantine.record_sound_parts(&call.parts);
+            }
             call.quarantine
                 .record_response(|| call.digest, call.resumed_after);
         }
@@ -109,6 +154,9 @@
             resumed_after: call.resumed_after,
             reached: call.reached,
         };
+        let since_head_ms = call.since_head_ms(self.fleet.timer.now());
+        call.quarantine
+            .record_part_crash(&call.parts, &crash, since_head_ms);
         call.quarantine.record_crash(call.digest, crash);
     }
 
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -101,7 +101,7 @@
         version,
         permit: SendPermit { .. },
     } = params;
-    flight.begin(&shared.quarantine, exchange.digest, offset);
+    flight.begin(&shared.quarantine, exchange, offset);
     let target = flight.target().clone();
     let request = Request {
         version: version.unwrap_or_default(),
--- a/crates/entry/src/forward/attempts.rs
+++ b/crates/entry/src/forward/attempts.rs
@@ -72,7 +72,8 @@
             };
             self.tried.push(flight.key());
             let pool = flight.target().pool.clone();
-            let admitted = shared.quarantine.admit(|| exchange.digest).await;
+            let keys = || exchange.evidence_keys();
+            let admitted = shared.quarantine.admit(keys).await;
             let params = AttemptParams {
                 number: self.refusals + self.retries,
                 remaining_ms,
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -3,7 +3,7 @@
 mod attempt;
 mod attempts;
 mod event;
-mod prefix;
+pub(crate) mod prefix;
 mod resume;
 mod standby;
 mod start;
--- a/crates/entry/src/forward/prefix.rs
+++ b/crates/entry/src/forward/prefix.rs
@@ -1,7 +1,9 @@
-//! Hash of the start of a prompt, for endpoint selection.
+//! The start of a prompt, for endpoint selection, and the parts of it that
+//! other requests may share, for crash records.
 
 use std::borrow::Cow;
 
+use base::RequestDigest;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use upstream::is_model_call;
@@ -49,6 +51,33 @@
     Some(base::stable_hash(&parts))
 }
 
+/// Maximum number of messages for which crash records are kept.
+const MAX_SHARED_MESSAGES: usize = 64;
+
+/// Returns the keys under which crash records of the shared parts of a prompt
+/// are stored: all messages but the last, which belongs to the request.
+///
+/// A plain prompt has no parts.
+pub(crate) fn shared_parts(path: &str, body: &[u8]) -> Vec<RequestDigest> {
+    if !is_model_call(path) {
+        return Vec::new();
+    }
+    // The endpoint rejects a body that is not valid.
+    let Ok(prompt) = serde_json::from_slice::<Prompt<'_>>(body) else {
+        return Vec::new();
+    };
+    let model = prompt.model.as_deref().unwrap_or_default();
+    let Some((_, shared)) = prompt.messages.split_last() else {
+        return Vec::new();
+    };
+    let key = |message: &Message<'_>| {
+        let content = message.content.map_or("", RawValue::get);
+        let parts = [model, &message.role, content];
+        RequestDigest::of_group("message", &parts)
+    };
+    shared.iter().take(MAX_SHARED_MESSAGES).map(key).collect()
+}
+
 fn truncated(value: Option<&RawValue>) -> &str {
     let text = value.map_or("", RawValue::get);
     let mut end = MAX_PART_BYTES.min(text.len());
--- a/crates/entry/src/forward/start.rs
+++ b/crates/entry/src/forward/start.rs
@@ -25,13 +25,14 @@
 pub(super) async fn start(
     shared: &Arc<Shared>,
     mut run: Run,
-    flight: Flight,
+    mut flight: Flight,
 ) -> Attempt {
     let (status, headers) = match run.next().await {
         Some(Frame::Head { status, headers }) => (status, headers),
         Some(Frame::End(outcome)) => return incomplete(&flight, outcome),
         _ => return lost(&flight, "the link to the companion broke"),
     };
+    flight.record_head(status);
     let mut next_seq = 0;
     let first = loop {
         match run.next().await {
--- a/crates/entry/tests/quarantine.rs
+++ b/crates/entry/tests/quarantine.rs
@@ -7,6 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use companion::Companion;
 use crash_common::CrashableEngine;
 use forward_common::{
     call, chat, companion_of, entry_named, platform, reserve, until_served,
@@ -98,6 +99,117 @@
     panic!("not served in {MAX_ATTEMPTS} attempts: {last}");
 }
 
+/// Endpoints and entries, and the lines that list them.
+struct Fleet {
+    engines: Vec<CrashableEngine>,
+    entries: [Entry; 2],
+    /// Companions run as long as they are kept.
+    _companions: Vec<Companion>,
+}
+
+impl Fleet {
+    async fn start(companions: bool) -> Self {
+        let platform = platform(", retries: 2").await;
+        let addresses = reserve::<5>();
+        let peers = reserve::<5>();
+        let mut engines = Vec::new();
+        let mut running = Vec::new();
+        let mut lines = "endpoints:\n".to_owned();
+        for (at, address) in addresses.into_iter().enumerate() {
+            let name = format!("korv-{at}");
+            engines.push(CrashableEngine::start(address).await);
+            lines += &match companions {
+                true => with_companion(&name, peers[at]),
+                false => without_companion_at(&name, address),
+            };
+            if companions {
+                let url = format!("http://{address}");
+                running
+                    .push(companion_of(&name, peers[at], &url, &peers).await);
+            }
+        }
+        let first = entry_named("entry-1", &platform, &lines).await;
+        lines += &format!("entries: ['{}']\n", first.peer_address());
+        let second = entry_named("entry-2", &platform, &lines).await;
+        let entries: [Entry; 2] = [first, second];
+        for entry in &entries {
+            until_served(entry).await;
+        }
+        Self {
+            engines,
+            entries,
+            _companions: running,
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        self.engines.iter().map(CrashableEngine::crashes).sum()
+    }
+}
+
+/// Number of crashes after which a message must be quarantined.
+const MESSAGE_CRASHES: usize = 5;
+
+/// A chat whose first message is the same in all chats.
+fn conversation(earlier: &[&str], last: &str) -> serde_json::Value {
+    let mut body = chat(last);
+    let mut messages = vec![json!({"role": "system", "content": "be brief"})];
+    messages.extend(
+        earlier
+            .iter()
+            .map(|text| json!({"role": "user", "content": text})),
+    );
+    messages.push(json!({"role": "user", "content": last}));
+    body["messages"] = json!(messages);
+    body
+}
+
+/// Guards against an earlier message of a conversation that crashes one
+/// endpoint after another with each new message, and against refusing sound
+/// conversations with the same first message.
+#[parameterized(
+    direct = { false },
+    behind_companions = { true },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_message_that_crashes_endpoints_is_sent_no_further(
+    companions: bool,
+) {
+    let fleet = Fleet::start(companions).await;
+    let path = "/v1/chat/completions";
+    let began = Instant::now();
+    let mut fifth = None;
+    let (mut before, mut sent) = (None, 0);
+    let (mut sound, mut served) = (0, 0);
+    while began.elapsed() < REPEAT_TIME {
+        let entry = &fleet.entries[sent % fleet.entries.len()];
+        let last = format!("and {sent}?");
+        call(entry, path, &conversation(&["[[crash]]"], &last)).await;
+        let reply = call(entry, path, &conversation(&[], &last)).await;
+        let text = reply.text().await.unwrap_or_default();
+        sent += 1;
+        let crashes = fleet.crashes();
+        if crashes >= MESSAGE_CRASHES {
+            fifth.get_or_insert(Instant::now());
+        }
+        if fifth.is_some_and(|fifth| fifth.elapsed() >= PROPAGATION_TIME) {
+            before.get_or_insert(crashes);
+        }
+        if crashes >= MESSAGE_CRASHES - 1 {
+            sound += 1;
+            served += usize::from(text.contains("[DONE]"));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(sent > 10, "the conversations came again: {sent}");
+    let after = before.map_or(0, |before| fleet.crashes() - before);
+    assert!(
+        after <= MAX_SENDS_AFTER_QUARANTINE,
+        "sent {after} more times"
+    );
+    assert!(2 * served > sound, "{served} of {sound} were served");
+}
+
 /// Guards against a call that crashes one endpoint after another while its
 /// caller retries it at any entry.
 #[parameterized(
@@ -110,42 +222,17 @@
     companions: bool,
     streams: bool,
 ) {
-    let platform = platform(", retries: 2").await;
-    let addresses = reserve::<5>();
-    let peers = reserve::<5>();
-    let mut engines = Vec::new();
-    let mut companions_running = Vec::new();
-    let mut lines = "endpoints:\n".to_owned();
-    for (at, address) in addresses.into_iter().enumerate() {
-        let name = format!("korv-{at}");
-        engines.push(CrashableEngine::start(address).await);
-        lines += &match companions {
-            true => with_companion(&name, peers[at]),
-            false => without_companion_at(&name, address),
-        };
-        if companions {
-            let url = format!("http://{address}");
-            companions_running
-                .push(companion_of(&name, peers[at], &url, &peers).await);
-        }
-    }
-    let first = entry_named("entry-1", &platform, &lines).await;
-    lines += &format!("entries: ['{}']\n", first.peer_address());
-    let second = entry_named("entry-2", &platform, &lines).await;
-    let entries: [Entry; 2] = [first, second];
-    for entry in &entries {
-        until_served(entry).await;
-    }
+    let fleet = Fleet::start(companions).await;
     let mut body = chat("[[crash]]");
     body["stream"] = json!(streams);
     let began = Instant::now();
     let mut third = None;
     let (mut before, mut sent) = (None, 0);
     while began.elapsed() < REPEAT_TIME {
-        let entry = &entries[sent % entries.len()];
+        let entry = &fleet.entries[sent % fleet.entries.len()];
         call(entry, "/v1/chat/completions", &body).await;
         sent += 1;
-        let crashes: usize = engines.iter().map(|e| e.crashes()).sum();
+        let crashes = fleet.crashes();
         if crashes >= QUARANTINE_CRASHES {
             third.get_or_insert(Instant::now());
         }
@@ -154,7 +241,7 @@
         }
         sleep(Duration::from_millis(100)).await;
     }
-    let crashes: usize = engines.iter().map(|e| e.crashes()).sum();
+    let crashes = fleet.crashes();
     let before = before.expect("three crashes");
     assert!(sent > 20, "the call came again: {sent}");
     let after = crashes - before;
