Do not take a 504 response for evidence that a request is sound

A poison request that waited in the queue of an endpoint until its deadline got a 504, which cleared its crash records like any complete response. A 504 now ends the run without a report to the observer.

--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -26,7 +26,8 @@
 /// `crash N` stops the engine and closes all of its connections after N events, and
 /// `open-crash N` does the same with neither a length nor chunks. A request
 /// whose prompt has a shared part [`CRASHING_PART`] crashes the engine after its
-/// head, whatever its body.
+/// head, whatever its body; at the path `/speak/1`, which has neither a length
+/// nor chunks, inside the first event.
 pub(crate) struct Engine {
     pub(crate) address: SocketAddr,
     /// Version of its software, which is also in the text of its events.
@@ -177,6 +178,13 @@
             )
             .await;
         }
+        if has_crashing_part(&head) && head.starts_with("POST /speak/") {
+            let first = after..after + 1;
+            send_until_close(&mut stream, &id, version, first, Some(8)).await;
+            sleep(CRASH_DELAY).await;
+            crash.send_replace(true);
+            return std::future::pending().await;
+        }
         if word == "open-crash" {
             let last: u32 =
                 words.next().and_then(|n| n.parse().ok()).unwrap_or(0);
--- a/crates/node/tests/prompt_parts.rs
+++ b/crates/node/tests/prompt_parts.rs
@@ -138,6 +138,9 @@
     at_most_once = { "/book/1", &[FIRST_PART, CRASHING_PART], 100 },
     resumable_stream = { "/chat/1", &[FIRST_PART, CRASHING_PART], 100 },
     in_the_middle = { "/book/1", &[FIRST_PART, CRASHING_PART, "s2"], 100 },
+    inside_an_unframed_event = {
+        "/speak/1", &[FIRST_PART, CRASHING_PART], 100
+    },
     alone = { "/book/1", &[CRASHING_PART], 100 },
     many_at_once = { "/book/1", &[FIRST_PART, CRASHING_PART], 20 },
     seldom = { "/book/1", &[FIRST_PART, CRASHING_PART], 900 },
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -41,6 +41,8 @@
     head_at: Option<Instant>,
     /// Whether the head reports success.
     is_success: bool,
+    /// Whether the head reports that the deadline of the request passed.
+    is_out_of_time: bool,
     /// Whether the run has made progress past the beginning.
     is_past_beginning: bool,
     resumed_after: u64,
@@ -63,6 +65,7 @@
             started_at: Instant::now(),
             head_at: None,
             is_success: false,
+            is_out_of_time: false,
             is_past_beginning: false,
             resumed_after,
             reached: resumed_after,
@@ -111,6 +114,7 @@
     pub(crate) fn record_head(&mut self, status: StatusCode) {
         self.head_at = Some(Instant::now());
         self.is_success = status.is_success();
+        self.is_out_of_time = status == StatusCode::GATEWAY_TIMEOUT;
     }
 
     /// Returns the keys of the shared parts of the request's prompt.
@@ -148,9 +152,15 @@
         }
     }
 
+    /// Reports a complete response, unless it says that the deadline passed:
+    /// the endpoint may have kept the request in its queue until then, so this
+    /// does not show that the request can be run.
     pub(crate) fn answered(&mut self, framing: Framing) {
-        if !self.has_ended {
-            self.has_ended = true;
+        if self.has_ended {
+            return;
+        }
+        self.has_ended = true;
+        if !self.is_out_of_time {
             self.observer.answered(self, framing);
         }
     }
--- a/crates/pass/tests/complete.rs
+++ b/crates/pass/tests/complete.rs
@@ -217,6 +217,28 @@
     assert_eq!(answered.interrupted.load(Ordering::Relaxed), 1);
 }
 
+/// Guards against a poison request that is taken for sound, because an endpoint
+/// that never ran it gave it up at its deadline.
+#[parameterized(
+    answered = { "200 OK", 1 },
+    failed = { "500 Failed", 1 },
+    never = { "422 Never", 1 },
+    out_of_time = { "504 Late", 0 },
+)]
+#[test_macro(tokio::test)]
+async fn only_a_run_counts_as_answered(status: &str, count: u32) {
+    let answered = Arc::new(Answered::default());
+    let response = format!(
+        "HTTP/1.1 {status}\r\nx-id: ID\r\nx-seal: s\r\n\
+         content-length: 2\r\n\r\nok"
+    );
+    let one = Scripted::start(vec![Act::Respond(response)]).await;
+    let setup = fixture(&[one.address]).with_run_observer(answered.clone());
+    let (_, body) = forward(&setup, RouteKind::AtMostOnce).await;
+    assert_eq!(body, Ok("ok".to_owned()));
+    assert_eq!(answered.complete.load(Ordering::Relaxed), count);
+}
+
 /// Guards against a response that counts as complete because this node itself
 /// closed its connection: the incarnation of its endpoint has ended.
 #[tokio::test]
