Place requests by the measured speed of endpoints

The router considered only the number of requests at an endpoint, so the slowest third of endpoints of unequal speed served 29 % of the streams while slots of the fastest third were free.

Each incarnation now has moving averages of the interval between events at two levels of load, and a service a median of them. Their ratio gives one of four classes, and a free slot of a faster class goes before the own share, domain and affinity. A fast endpoint outside the own share needs three free slots. Nothing records samples yet, so choices are as before.

Equal speeds give the same choices.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -9,7 +9,7 @@
 use base::{Millis, UnixMillis, mix};
 use serde::{Deserialize, Serialize};
 
-use crate::{FailureKind, LoadReport, SoftwareVersion};
+use crate::{FailureKind, LoadReport, SoftwareVersion, speed::SpeedState};
 
 /// Whether an endpoint accepts new work.
 #[derive(
@@ -118,6 +118,7 @@
     failures: AtomicU32,
     avoid_until_ms: AtomicU64,
     has_changed_version: AtomicBool,
+    speed: SpeedState,
 }
 
 impl Endpoint {
@@ -204,6 +205,12 @@
             .store(self.in_flight(), Ordering::Relaxed);
         load.reported_at_ms
             .store(now.as_ms().max(1), Ordering::Relaxed);
+        load.speed.record_slowdown(report.slowdown_percent, now);
+    }
+
+    #[inline]
+    pub(crate) fn speed(&self) -> &SpeedState {
+        &self.load.speed
     }
 
     /// Records the number of online requests that other nodes have at the
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod load;
 mod route;
 mod selection;
+mod speed;
 mod suspect;
 mod table;
 mod version;
@@ -39,6 +40,11 @@
         RouteTable, ServiceSpec, TransferLimits,
     },
     selection::{MAX_SPILL_ENDPOINTS, Selection, SelectionTier},
+    speed::{
+        EndpointSpeed, MAX_INTERVAL_US, MAX_MEDIAN_ENDPOINTS,
+        MAX_REPORT_SAMPLES, ServiceSpeed, ServiceSpeeds, SpeedChange,
+        SpeedClass, SpeedEstimate, SpeedReports, SpeedSample,
+    },
     suspect::FailureKind,
     table::EndpointTable,
     version::{SoftwareVersion, VersionError},
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -2,7 +2,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Endpoint, EndpointTable, Selection, SelectionTier, VersionBinding,
+    Endpoint, EndpointTable, Selection, SelectionTier, ServiceSpeed,
+    SpeedClass, VersionBinding,
 };
 
 /// A load that an endpoint reported with a response.
@@ -15,6 +16,33 @@
     pub waiting: u32,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// Time that work takes at this moment, in percent of the usual time;
+    /// none if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slowdown_percent: Option<u32>,
+}
+
+/// Maximum valid slowdown in percent.
+const MAX_SLOWDOWN_PERCENT: u32 = 10_000;
+
+impl LoadReport {
+    /// Returns the slowdown that a text states, if it is a valid one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_fleet::LoadReport;
+    ///
+    /// assert_eq!(LoadReport::parse_slowdown("250"), Some(250));
+    /// assert_eq!(LoadReport::parse_slowdown("0"), None);
+    /// assert_eq!(LoadReport::parse_slowdown("1.5"), None);
+    /// ```
+    pub fn parse_slowdown(text: &str) -> Option<u32> {
+        let percent = text.parse().ok()?;
+        (1..=MAX_SLOWDOWN_PERCENT)
+            .contains(&percent)
+            .then_some(percent)
+    }
 }
 
 /// What a request requires of an endpoint.
@@ -61,6 +89,8 @@
     pub estimated_load: u32,
     /// Number of endpoints that were considered.
     pub candidates: usize,
+    /// Its class of speed; none while speed does not affect the choice.
+    pub speed_class: Option<SpeedClass>,
 }
 
 /// Maximum number of endpoints outside the selection that a request considers
@@ -82,6 +112,10 @@
     /// that the affinity draws from the remainder of the selection. Endpoints
     /// with recent failures are used only if no other is left.
     ///
+    /// While speed is active for the service, the endpoint of the own share is
+    /// compared with the drawn ones, and a faster class goes before all of
+    /// that. With equal classes the choice is the same as without.
+    ///
     /// Endpoints outside the selection are taken if the selection is gone or
     /// was tried, but not if it is full: their load is not known, and is
     /// usually the same as that of the selection. In a burst, requests would
@@ -111,7 +145,9 @@
         query: &EndpointQuery<'_>,
         now: Millis,
     ) -> Result<Choice, ChooseError> {
-        let mut search = Search::new(query, now);
+        let speed = selection.speed(query.service);
+        let speed = speed.filter(|speed| speed.is_active(now));
+        let mut search = Search::new(query, speed, now);
         for (incarnation, tier) in
             selection.candidates(query.service, query.affinity)
         {
@@ -146,6 +182,8 @@
 /// State of one search for an endpoint.
 struct Search<'a> {
     query: &'a EndpointQuery<'a>,
+    /// The speed of the service's endpoints, if it affects the choice.
+    speed: Option<&'a ServiceSpeed>,
     now: Millis,
     draw: Draw<'a>,
     full: bool,
@@ -154,9 +192,14 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(query: &'a EndpointQuery<'a>, now: Millis) -> Self {
+    fn new(
+        query: &'a EndpointQuery<'a>,
+        speed: Option<&'a ServiceSpeed>,
+        now: Millis,
+    ) -> Self {
         Self {
             query,
+            speed,
             now,
             draw: Draw::default(),
             full: false,
@@ -184,13 +227,22 @@
             self.full = true;
             return;
         }
+        let class = self.class_of(endpoint, load);
         self.draw.offer(Candidate {
-            rank: Rank::of(endpoint, tier, load, self.query, self.now),
+            rank: Rank::of(endpoint, tier, load, class, self.query, self.now),
             endpoint,
             load,
         });
     }
 
+    /// Returns the class of an endpoint with one request more than now.
+    fn class_of(&self, endpoint: &Endpoint, load: u32) -> SpeedClass {
+        let load = load.saturating_add(1);
+        self.speed.map_or(SpeedClass::Usual, |speed| {
+            speed.class_of(endpoint, load, self.now)
+        })
+    }
+
     /// Reports whether a request that is under way gains nothing at an
     /// endpoint.
     fn loses_place_at(&self, endpoint: &Endpoint) -> bool {
@@ -233,6 +285,7 @@
                 endpoint: best.endpoint.clone(),
                 estimated_load: best.load,
                 candidates: self.candidates,
+                speed_class: self.speed.map(|_| best.rank.class),
             }),
             None if self.full => Err(ChooseError::AllFull),
             None => Err(ChooseError::NoEndpoint),
@@ -289,9 +342,8 @@
     }
 
     fn best(self) -> Option<Candidate<'a>> {
-        let drawn = self.drawn.into_iter();
-        self.own
-            .or_else(|| drawn.min_by(|a, b| a.rank.cmp(&b.rank)))
+        let all = self.own.into_iter().chain(self.drawn);
+        all.min_by(|a, b| a.rank.cmp(&b.rank))
     }
 }
 
@@ -300,6 +352,7 @@
 struct Rank {
     suspect: bool,
     crowded: bool,
+    class: SpeedClass,
     other_share: bool,
     other_domain: bool,
     affinity: u64,
@@ -314,16 +367,23 @@
         endpoint: &Endpoint,
         tier: SelectionTier,
         load: u32,
+        class: SpeedClass,
         query: &EndpointQuery<'_>,
         now: Millis,
     ) -> Self {
         let record = endpoint.record();
         let other_share = tier != SelectionTier::Own;
-        let crowded = is_crowded(load, record.slots, other_share);
+        let assumed_taken = match (other_share, class < SpeedClass::Usual) {
+            (true, true) => ASSUMED_TAKEN_SLOTS_IF_FAST,
+            (true, false) => ASSUMED_TAKEN_SLOTS,
+            (false, _) => 0,
+        };
+        let crowded = is_crowded(load, record.slots, assumed_taken);
         let other_domain = record.failure_domain != query.failure_domain;
         Self {
             suspect: endpoint.is_suspect(now),
             crowded,
+            class,
             other_share: !crowded && other_share,
             other_domain: !crowded && other_domain,
             affinity: mix(query.affinity ^ endpoint.id_hash()),
@@ -336,16 +396,17 @@
 /// old.
 const ASSUMED_TAKEN_SLOTS: u32 = 1;
 
+/// The same at an endpoint of a faster class than usual, which all nodes
+/// prefer.
+const ASSUMED_TAKEN_SLOTS_IF_FAST: u32 = ASSUMED_TAKEN_SLOTS + 1;
+
 /// Reports whether a request may have to wait at an endpoint.
 ///
-/// All crowded endpoints rank equal, so that requests are distributed over
-/// them by hash. When the last free slots were preferred instead, all nodes
-/// sent to the few endpoints that seemed to have one: in a fleet of 51 full
-/// engines some had twelve waiting requests and most had none.
-fn is_crowded(load: u32, slots: u32, other_share: bool) -> bool {
-    let assumed_taken = match other_share {
-        true => ASSUMED_TAKEN_SLOTS,
-        false => 0,
-    };
+/// All crowded endpoints of a class rank equal, so that requests are
+/// distributed over them by hash. When the last free slots were preferred
+/// instead, all nodes sent to the few endpoints that seemed to have one: in a
+/// fleet of 51 full engines some had twelve waiting requests and most had
+/// none.
+fn is_crowded(load: u32, slots: u32, assumed_taken: u32) -> bool {
     load.saturating_add(assumed_taken) >= slots.max(1)
 }
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -1,7 +1,12 @@
+use std::sync::Arc;
+
 use base::{mix, stable_hash};
 use indexmap::IndexMap;
 
-use crate::{Endpoint, EndpointTable, IncarnationKey, table::window};
+use crate::{
+    Endpoint, EndpointTable, IncarnationKey, MAX_MEDIAN_ENDPOINTS,
+    ServiceSpeed, ServiceSpeeds, table::window,
+};
 
 /// How an endpoint relates to the node that chooses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +63,8 @@
 struct ServiceSelection {
     own: Vec<IncarnationKey>,
     spill: Vec<IncarnationKey>,
+    /// The speed of its endpoints, if it is known to the node.
+    speed: Option<Arc<ServiceSpeed>>,
 }
 
 /// Maximum number of a service's endpoints that a node spills over to. Each
@@ -69,7 +76,7 @@
 /// Maximum number of endpoints of the own share that one request considers. A
 /// fleet with more endpoints per node is far from full, so the first few that
 /// the affinity determines suffice.
-const MAX_OWN_ENDPOINTS: usize = 32;
+pub(crate) const MAX_OWN_ENDPOINTS: usize = 32;
 
 impl Selection {
     /// Creates the selection of one node; `is_own` reports whether an endpoint
@@ -95,6 +102,7 @@
             ServiceSelection {
                 own: incarnations(own),
                 spill: incarnations(others),
+                speed: None,
             }
         };
         let services = table.services();
@@ -107,6 +115,35 @@
         }
     }
 
+    /// Sets the speeds by which requests are placed.
+    #[must_use]
+    pub fn with_speeds(mut self, speeds: &ServiceSpeeds) -> Self {
+        for (service, service_selection) in &mut self.by_service {
+            service_selection.speed = Some(speeds.of(service));
+        }
+        speeds.retain(|service| self.by_service.contains_key(service));
+        self
+    }
+
+    /// Returns the speed of a service's endpoints, if it was set.
+    pub(crate) fn speed(&self, service: &str) -> Option<&ServiceSpeed> {
+        self.by_service.get(service)?.speed.as_deref()
+    }
+
+    /// Returns the services with their speeds and with those endpoints from
+    /// which the median of the speeds is computed.
+    pub fn speeds(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceSpeed, impl Iterator<Item = IncarnationKey>)>
+    {
+        self.by_service.values().filter_map(|service_selection| {
+            let own = service_selection.own.iter().take(MAX_OWN_ENDPOINTS);
+            let all = own.chain(&service_selection.spill).copied();
+            let speed = service_selection.speed.as_deref()?;
+            Some((speed, all.take(MAX_MEDIAN_ENDPOINTS)))
+        })
+    }
+
     /// Returns the endpoints of a service that a request considers. Of a large
     /// own share, these are some adjacent ones, and `start` determines the
     /// first of them.
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -124,6 +124,7 @@
         running: 5,
         waiting: 1,
         slots: 8,
+        slowdown_percent: None,
     };
     one.record_load(report, NOW);
     assert_eq!(one.estimated_load(NOW), 6);
@@ -139,6 +140,7 @@
         running: 8,
         waiting: 0,
         slots: 8,
+        slowdown_percent: None,
     };
     one.record_load(report, NOW);
     one.record_remote_load(2, NOW);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -194,6 +194,7 @@
             running: 0,
             waiting: 0,
             slots,
+            slowdown_percent: None,
         })
     }
 }
