Measure the speed of endpoints from streams, and add the switch

The placement by speed had no samples, and the router could not read the slowdown that endpoints report.

The fourth number of the load header is decoded; an invalid one is logged once per incarnation, and the first three stay valid. Each successful stream gives the mean interval between its events, also if it is cut off, since the slowest endpoints would give no samples otherwise.

Tests of fleet, framing, pass, node and of the daemon's command line pass.

--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -10,7 +10,10 @@
 use base::{SystemClock, timer::Timer};
 use error_stack::{Report, ResultExt};
 use kv::paths::Paths;
-use node::{ClusterState, Front, NodeContext, NodeSettings, Signals, Worker};
+use node::{
+    ClusterState, EndpointSpeed, Front, NodeContext, NodeSettings, Signals,
+    Worker,
+};
 use obs::LogSettings;
 use pass::Counters;
 use platform::{MachineSettings, PlatformDialect, PlatformKv};
@@ -52,6 +55,7 @@
 pub(crate) struct FleetCommand {
     pub(crate) role: FleetRole,
     pub(crate) metrics_port: Option<u16>,
+    pub(crate) endpoint_speed: EndpointSpeed,
 }
 
 /// Time between two looks at the settings file, which may also change
@@ -62,7 +66,8 @@
 pub(crate) fn run(command: FleetCommand) -> Result<(), Report<DaemonError>> {
     let path = MachineSettings::path().change_context(DaemonError)?;
     let machine = MachineSettings::read(&path).change_context(DaemonError)?;
-    let settings = machine.node_settings(command.metrics_port);
+    let mut settings = machine.node_settings(command.metrics_port);
+    settings.endpoint_speed = command.endpoint_speed;
     let logs = log_settings(&settings, command.role);
     let _logs = obs::logs::start_to(&logs, Box::new(io::stdout()))
         .change_context(DaemonError)?;
--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -13,6 +13,7 @@
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
 use fleet::{FleetCommand, FleetRole};
+use node::EndpointSpeed;
 use obs::{LogSettings, Metrics, MetricsSettings};
 use pomeloslip::daemon::{Daemon, DaemonError};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -24,6 +25,7 @@
 
 Usage: pomeloslipd --settings FILE [--check]
        pomeloslipd fleet front|worker [--metrics-port PORT]
+                   [--endpoint-speed reported|always|off]
        pomeloslipd --help | --version
 
   --settings FILE  the settings of this process (YAML, docs/SETTINGS.md)
@@ -31,6 +33,10 @@
   fleet ROLE       a role on the users' platform, with the settings that the
                    platform writes (docs/design/platform.md)
   --metrics-port   where the role serves its metrics as text
+  --endpoint-speed
+                   whether requests prefer faster endpoints: `reported` (the
+                   default) for services whose endpoints report a slowdown,
+                   `always`, or `off`
 
 SIGTERM and SIGINT are a planned stop: nothing new is taken and what runs
 ends. A second one ends the process at once.
@@ -140,15 +146,35 @@
     let metrics_port = args
         .opt_value_from_str("--metrics-port")
         .map_err(|error| error.to_string())?;
+    let endpoint_speed = parse_endpoint_speed(&mut args)?;
     let rest = args.finish();
     match rest.first() {
         Some(unknown) => {
             Err(format!("{} is unknown", unknown.to_string_lossy()))
         }
-        None => Ok(FleetCommand { role, metrics_port }),
+        None => Ok(FleetCommand {
+            role,
+            metrics_port,
+            endpoint_speed,
+        }),
     }
 }
 
+fn parse_endpoint_speed(
+    args: &mut pico_args::Arguments,
+) -> Result<EndpointSpeed, String> {
+    const FLAG: &str = "--endpoint-speed";
+    let word: Option<String> = args
+        .opt_value_from_str(FLAG)
+        .map_err(|error| format!("{FLAG}: {error}"))?;
+    let Some(word) = word else {
+        return Ok(EndpointSpeed::default());
+    };
+    EndpointSpeed::parse(&word).ok_or_else(|| {
+        format!("{FLAG} {word} is unknown: reported, always or off")
+    })
+}
+
 fn finish(result: Result<(), Report<DaemonError>>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -98,6 +98,14 @@
 #[parameterized(
     no_settings = { &["--check"], "--settings FILE is missing" },
     unknown_word = { &["--settings", "x", "--chek"], "--chek is unknown" },
+    speed_unknown = {
+        &["fleet", "front", "--endpoint-speed", "on"],
+        "--endpoint-speed on is unknown: reported, always or off"
+    },
+    speed_missing = {
+        &["fleet", "worker", "--endpoint-speed"],
+        "--endpoint-speed"
+    },
     no_such_file = { &["--settings", "/nowhere.yaml", "--check"], "/nowhere.yaml" },
 )]
 fn wrong_usage_ends_with_2(args: &[&str], printed: &str) {
--- a/crates/fleet/tests/speed_burst.rs
+++ b/crates/fleet/tests/speed_burst.rs
@@ -55,6 +55,8 @@
     has_slowdowns: bool,
     /// What one slow endpoint reports instead of its slowdown.
     false_report: Option<FalseReport>,
+    /// Whether the bursts last for 2.4 s instead of 0.6 s.
+    is_saturated: bool,
     /// When a fast endpoint is replaced by a slow incarnation.
     replaced_at_ms: Option<u64>,
     seed: u64,
@@ -66,6 +68,7 @@
     isolated: None,
     has_slowdowns: true,
     false_report: None,
+    is_saturated: false,
     replaced_at_ms: None,
     seed: 1,
 };
@@ -410,7 +413,11 @@
     }
 
     fn send(&mut self, now: u64) {
-        let is_burst = now % 3_000 >= 2_400;
+        let burst_from_ms = match self.scenario.is_saturated {
+            true => 600,
+            false => 2_400,
+        };
+        let is_burst = now % 3_000 >= burst_from_ms;
         let per_second = if is_burst { 480 } else { 250 };
         if self.random.below(1_000) >= per_second {
             return;
@@ -502,6 +509,33 @@
     }
 }
 
+/// Guards against long queues at the fastest endpoints, which all fronts
+/// prefer, while all slots are needed.
+#[test]
+fn saturation_does_not_concentrate_on_the_fastest_endpoints() {
+    let saturated = Scenario {
+        is_saturated: true,
+        ..UNEQUAL
+    };
+    let off = Scenario {
+        mode: EndpointSpeed::Off,
+        ..saturated
+    };
+    for seed in 1..=3 {
+        let before = simulate("off, saturated", Scenario { seed, ..off });
+        let scenario = Scenario { seed, ..saturated };
+        let after = simulate("always, saturated", scenario);
+        // All slots are in use, so little can be gained; a fifth more in the
+        // queue of an endpoint that is faster by 40 % does not delay.
+        let queue = before.longest_queue_at_fast;
+        assert!(after.longest_queue_at_fast * 5 <= queue * 6);
+        assert!(after.refused <= before.refused);
+        assert!(after.quantile_ms(90) <= before.quantile_ms(90));
+        let p99_ms = before.quantile_ms(99);
+        assert!(after.quantile_ms(99) <= p99_ms + p99_ms / 20);
+    }
+}
+
 /// Guards against a front without data from other nodes that places its
 /// requests as if all endpoints were equal.
 #[test]
--- a/crates/framing/src/check.rs
+++ b/crates/framing/src/check.rs
@@ -165,6 +165,15 @@
         matches!(self.scanner, Scanner::Events(_))
     }
 
+    /// Returns the number of events that have ended, 0 for other content.
+    #[inline]
+    pub fn events(&self) -> u64 {
+        match &self.scanner {
+            Scanner::Events(scanner) => scanner.events(),
+            Scanner::Json(_) | Scanner::Opaque => 0,
+        }
+    }
+
     /// Adds bytes that have arrived.
     pub fn push(&mut self, bytes: &[u8]) {
         match &mut self.scanner {
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -5,7 +5,7 @@
 
 use base::{Snapshot, timer::Timer};
 use error_stack::{Report, ResultExt};
-use fleet::Selection;
+use fleet::{Selection, ServiceSpeeds};
 use jobs::{Assignments, BulkCache, JobView, Ledger, NodeRecord};
 use kv::{
     Kv,
@@ -68,6 +68,8 @@
     pub(crate) assignments: Assignments,
     /// The endpoints that this node prefers for its requests.
     pub(crate) selection: Arc<Snapshot<Selection>>,
+    /// The speed of the endpoints that this node uses.
+    pub(crate) speeds: ServiceSpeeds,
     socket: Arc<UdpSocket>,
     /// Set to true when the node shuts down; its entry is removed then.
     pub(crate) remove_entry: watch::Sender<bool>,
@@ -245,6 +247,7 @@
             ledger,
             assignments,
             selection: Arc::new(Snapshot::new(Selection::default())),
+            speeds: ServiceSpeeds::new(settings.endpoint_speed),
             socket,
             remove_entry,
             run_notifier: Arc::new(run_notifier),
@@ -305,6 +308,7 @@
             context.counters.clone(),
         )
         .with_selection(self.selection.clone())
+        .with_endpoint_speed(settings.endpoint_speed)
         .with_run_observer(self.run_notifier.clone())
         .with_quarantine(self.quarantine.clone())
         .with_origins(Arc::new(self.origins.clone()))
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -75,6 +75,7 @@
             cluster: context.cluster.clone(),
             assignments: base.assignments.clone(),
             selection: base.selection.clone(),
+            speeds: base.speeds.clone(),
             backlogs: backlogs.clone(),
             started,
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,6 +48,8 @@
 mod worker;
 mod write_through;
 
+pub use fleet::EndpointSpeed;
+
 pub use crate::{
     admin::Admin,
     base::NodeContext,
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -11,6 +11,7 @@
 //! the product of both.
 
 mod front;
+mod speeds;
 mod wire;
 mod worker;
 
--- a/crates/node/src/load/front.rs
+++ b/crates/node/src/load/front.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{Millis, Snapshot};
-use fleet::{EndpointTable, IncarnationKey, Selection};
+use fleet::{EndpointTable, IncarnationKey, Selection, ServiceSpeeds};
 use indexmap::IndexMap;
 use jobs::{
     Assignment, Assignments, FRONT_LOAD_TTL_MS, JobView, ReportVersion,
@@ -16,6 +16,7 @@
 
 use super::{
     FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, TICK_INTERVAL_MS,
+    speeds::{SPEED_INTERVAL_MS, refresh_selected},
     wire::LoadUpdate,
 };
 use crate::ClusterState;
@@ -32,6 +33,8 @@
     pub(crate) cluster: ClusterState,
     pub(crate) assignments: Assignments,
     pub(crate) selection: Arc<Snapshot<Selection>>,
+    /// The speed of the selected endpoints.
+    pub(crate) speeds: ServiceSpeeds,
     /// Backlogs of items that workers report.
     pub(crate) backlogs: Arc<ReportedBacklogs>,
     pub(crate) started: mpsc::UnboundedReceiver<IncarnationKey>,
@@ -56,6 +59,7 @@
     /// Version and time of arrival of the last update of each worker.
     last_updates: IndexMap<SocketAddr, (ReportVersion, Millis)>,
     next_full_update: Millis,
+    next_speed_update: Millis,
 }
 
 impl FrontLoad {
@@ -89,6 +93,7 @@
     async fn tick(&mut self, state: &mut State) {
         let selection_changed = self.select(state);
         let now = self.cluster.clock().now();
+        self.update_speeds(state, now);
         if selection_changed || now >= state.next_full_update {
             state.next_full_update =
                 now.saturating_add_ms(FULL_UPDATE_INTERVAL_MS);
@@ -101,6 +106,16 @@
         }
     }
 
+    /// Updates the speed of the selected endpoints if it is due.
+    fn update_speeds(&self, state: &mut State, now: Millis) {
+        if now < state.next_speed_update {
+            return;
+        }
+        state.next_speed_update = now.saturating_add_ms(SPEED_INTERVAL_MS);
+        let view = self.cluster.endpoints.load();
+        refresh_selected(&view.table, &self.selection.load(), now);
+    }
+
     /// Recomputes the selection if the endpoint table or an assignment has
     /// changed, and returns whether it has.
     fn select(&self, state: &mut State) -> bool {
@@ -120,6 +135,7 @@
             assignment.uses_endpoint(e.incarnation_key())
         };
         let selection = Selection::new(self.socket.node(), &table, own);
+        let selection = selection.with_speeds(&self.speeds);
         log::info!(
             own = assignment.own_endpoints().len(),
             selected = selection.iter().count(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, path::PathBuf};
 
+use fleet::EndpointSpeed;
 use limits::Tolerance;
 use tokio::sync::watch;
 
@@ -54,6 +55,8 @@
     /// would be missing for connections to endpoints, and requests that were
     /// read could not be served.
     pub max_connections: usize,
+    /// When the speed of endpoints affects the placement of requests.
+    pub endpoint_speed: EndpointSpeed,
 }
 
 /// Maximum time in which changes must reach every node, in milliseconds, even
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -304,6 +304,7 @@
         spool_bytes: 1_000_000,
         disk_losses: 1,
         max_connections: 1_000,
+        endpoint_speed: fleet::EndpointSpeed::default(),
     }
 }
 
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -104,6 +104,8 @@
     /// Software version of the endpoint, empty if unknown.
     pub(crate) version: String,
     pub(crate) estimated_load: u32,
+    /// Class of the endpoint's speed, empty while it does not matter.
+    pub(crate) speed_class: &'static str,
     pub(crate) directory_revision: u64,
     pub(crate) offers: u32,
     /// Time from the arrival of the request to its last offer.
@@ -236,6 +238,7 @@
             resumes = self.request.resumes().unwrap_or_default(),
             offers = self.sent.offers,
             load = self.sent.estimated_load,
+            speed_class = self.sent.speed_class,
             config = self.config_version,
             directory = self.sent.directory_revision,
             waited_ms = self.sent.waited_ms,
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{Clock, Millis};
-use fleet::{Endpoint, FailureKind, LoadReport};
+use fleet::{Endpoint, EndpointSpeed, FailureKind, LoadReport};
 use http::{HeaderMap, StatusCode, header};
 use quarantine::SendPermit;
 use tokio::time;
@@ -18,6 +18,7 @@
     RunObserver,
     cause::connection_failure,
     channel::{Channel, closes_connection},
+    stream_timer::StreamTimer,
 };
 
 /// The reason why an offer of a request to an endpoint failed.
@@ -113,7 +114,8 @@
     pub(crate) names: &'a HeaderNames,
     pub(crate) pool: &'a Arc<Pool>,
     pub(crate) clock: &'a dyn Clock,
-    pub(crate) counters: &'a Counters,
+    pub(crate) counters: &'a Arc<Counters>,
+    pub(crate) speed: EndpointSpeed,
     pub(crate) observer: &'a dyn LoadObserver,
     pub(crate) runs: &'a Arc<dyn RunObserver>,
 }
@@ -209,7 +211,8 @@
         let (head, body) = response.into_parts();
         let headers = &head.headers;
         let now = self.clock.now();
-        if let Some(report) = parse_load_report(headers, self.names) {
+        let report = self.read_load_report(headers, offer);
+        if let Some(report) = report {
             offer.endpoint.record_load(report, now);
         }
         channel.record_head(headers, self.pool.options());
@@ -229,6 +232,13 @@
             now,
             reusable && failure != Some(Failure::WrongId),
         );
+        if self.speed != EndpointSpeed::Off && failure.is_none() {
+            exchange.measure_speed(StreamTimer::new(
+                self.counters.clone(),
+                offer.endpoint.estimated_load(now),
+                report.and_then(|report| report.slowdown_percent),
+            ));
+        }
         match failure {
             None => {
                 offer.endpoint.record_success();
@@ -242,6 +252,27 @@
         }
     }
 
+    /// Reads the load that the head of a response reports. Its first three
+    /// numbers are valid even if the slowdown is not.
+    fn read_load_report(
+        &self,
+        headers: &HeaderMap,
+        offer: &Offer<'_>,
+    ) -> Option<LoadReport> {
+        let text = headers.get(&self.names.load)?.to_str().ok()?;
+        let (report, slowdown) = parse_load_report(text)?;
+        let is_invalid = slowdown == Slowdown::Invalid;
+        if is_invalid && offer.endpoint.mark_slowdown_invalid() {
+            log::warn!(
+                endpoint = offer.endpoint.record().id.as_str(),
+                version = offer.endpoint.version_text(),
+                reported = shorten(text);
+                "an endpoint reports an invalid slowdown"
+            );
+        }
+        Some(report)
+    }
+
     /// Records a failure of the endpoint.
     fn record_failure(
         &self,
@@ -325,15 +356,43 @@
     (!is_valid).then_some(Failure::NotSealed(status))
 }
 
-fn parse_load_report(
-    headers: &HeaderMap,
-    names: &HeaderNames,
-) -> Option<LoadReport> {
-    let text = headers.get(&names.load)?.to_str().ok()?;
-    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
+/// Maximum length of a header in a log line, in bytes.
+const MAX_LOGGED_BYTES: usize = 64;
+
+/// Returns the beginning of a header; its text is ASCII.
+fn shorten(text: &str) -> &str {
+    text.get(..MAX_LOGGED_BYTES).unwrap_or(text)
+}
+
+/// Whether a load report states a valid slowdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Slowdown {
+    Missing,
+    Valid,
+    Invalid,
 }
+
+/// Parses the load header: three numbers and, optionally, the slowdown.
+fn parse_load_report(text: &str) -> Option<(LoadReport, Slowdown)> {
+    let mut parts = text.split(',').map(str::trim);
+    let mut number = || parts.next()?.parse().ok();
+    let (running, waiting, slots) = (number()?, number()?, number()?);
+    let stated = parts.next();
+    let slowdown_percent = stated.and_then(LoadReport::parse_slowdown);
+    let slowdown = match (stated, slowdown_percent) {
+        (None, _) => Slowdown::Missing,
+        (Some(_), Some(_)) => Slowdown::Valid,
+        (Some(_), None) => Slowdown::Invalid,
+    };
+    let report = LoadReport {
+        running,
+        waiting,
+        slots,
+        slowdown_percent,
+    };
+    Some((report, slowdown))
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/attempt.rs"]
+mod tests;
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -4,6 +4,8 @@
     time::Duration,
 };
 
+use fleet::SpeedClass;
+
 use crate::CustomerCounters;
 
 /// Upper bounds of the histogram buckets in milliseconds: about a factor of
@@ -225,9 +227,41 @@
     items_completed,
     /// Batch items that were given up.
     items_given_up,
+    /// Streams whose interval between events was used as a sample of the
+    /// speed of their endpoint.
+    speed_samples_used,
+    /// Streams that gave no sample: too few events, all events at once, or a
+    /// momentary slowdown.
+    speed_samples_unused,
+    /// Messages about the speed of endpoints that were sent to other nodes.
+    speed_updates_sent,
+    /// Bytes of the messages about the speed of endpoints sent.
+    speed_bytes_sent,
+    /// Messages about the speed of endpoints that were received.
+    speed_updates_received,
+    /// Messages about the speed of endpoints that were received and rejected.
+    speed_updates_refused,
+    /// Requests that were sent to an endpoint of the class `fast`.
+    placed_fast,
+    /// Requests that were sent to an endpoint of the class `usual`.
+    placed_usual,
+    /// Requests that were sent to an endpoint of the class `slow`.
+    placed_slow,
+    /// Requests that were sent to an endpoint of the class `very_slow`.
+    placed_very_slow,
 }
 
 impl Counters {
+    /// Counts a request that is sent to an endpoint of a class of speed.
+    pub(crate) fn count_placed(&self, class: SpeedClass) {
+        Self::add(match class {
+            SpeedClass::Fast => &self.placed_fast,
+            SpeedClass::Usual => &self.placed_usual,
+            SpeedClass::Slow => &self.placed_slow,
+            SpeedClass::VerySlow => &self.placed_very_slow,
+        });
+    }
+
     /// Increments a counter by one.
     pub fn add(counter: &AtomicU64) {
         Self::count(counter, 1);
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -13,7 +13,8 @@
 use hyper::body::Incoming;
 
 use crate::{
-    IncompleteResponse, Pool, Run, cause::connection_failure, channel::Channel,
+    IncompleteResponse, Pool, Run, cause::connection_failure,
+    channel::Channel, stream_timer::StreamTimer,
 };
 
 /// A response of an endpoint that is being read.
@@ -34,6 +35,8 @@
     check: BodyCheck,
     /// When the head arrived.
     head_at: Millis,
+    /// Measures the speed of the endpoint, if it is measured.
+    timer: Option<StreamTimer>,
 }
 
 impl Exchange {
@@ -58,6 +61,14 @@
             pool,
             head_at,
             reusable,
+            timer: None,
+        }
+    }
+
+    /// Measures the speed of the endpoint if the response is a stream.
+    pub(crate) fn measure_speed(&mut self, timer: StreamTimer) {
+        if self.is_event_stream() && self.status.is_success() {
+            self.timer = Some(timer);
         }
     }
 
@@ -110,12 +121,15 @@
         self.run.mark_interrupted(self.framing().as_str(), cause);
     }
 
+    fn now(&self) -> Millis {
+        let since_head = self.run.since_head().unwrap_or_default();
+        self.head_at
+            .saturating_add_ms(since_head.as_millis() as u64)
+    }
+
     /// Gives up a response with an event without end, and avoids its endpoint.
     fn leave_endless_event(&mut self) {
-        let since_head = self.run.since_head().unwrap_or_default();
-        let now = self
-            .head_at
-            .saturating_add_ms(since_head.as_millis() as u64);
+        let now = self.now();
         let endpoint = self.run.endpoint();
         endpoint.record_failure(FailureKind::BadResponse, now);
         self.interrupt("an event has no end");
@@ -176,6 +190,9 @@
                         continue;
                     };
                     self.check.push(&data);
+                    if let Some(timer) = &mut self.timer {
+                        timer.record_events(self.check.events());
+                    }
                     if self.check.has_endless_event() {
                         self.leave_endless_event();
                         return Poll::Ready(Some(Err(
@@ -221,6 +238,9 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.run.endpoint().end_request();
+        if let Some(timer) = self.timer.take() {
+            timer.record_sample(self.run.endpoint(), self.now());
+        }
         let Some(channel) = self.channel.take() else {
             return;
         };
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -11,7 +11,7 @@
 };
 
 use base::{Clock, Snapshot};
-use fleet::{Endpoint, EndpointTable, RouteKind, Selection};
+use fleet::{Endpoint, EndpointSpeed, EndpointTable, RouteKind, Selection};
 use framing::Framing;
 use http::Response;
 use quarantine::{Quarantine, QuarantineOptions, Quarantined, SendPermit};
@@ -44,6 +44,7 @@
     quarantine: Quarantine,
     origins: Arc<dyn StreamOrigins>,
     retry_estimator: RetryAfterEstimator,
+    speed: EndpointSpeed,
 }
 
 /// The endpoints as of a revision of the key-value service.
@@ -83,6 +84,7 @@
             runs: Arc::new(NoopObserver),
             quarantine,
             retry_estimator: RetryAfterEstimator::default(),
+            speed: EndpointSpeed::default(),
         }
     }
 
@@ -124,6 +126,13 @@
         self
     }
 
+    /// Sets whether the speed of endpoints is measured.
+    #[must_use]
+    pub fn with_endpoint_speed(mut self, speed: EndpointSpeed) -> Self {
+        self.speed = speed;
+        self
+    }
+
     /// Returns the header names.
     #[inline]
     pub fn names(&self) -> &HeaderNames {
@@ -313,6 +322,7 @@
             pool: &self.pool,
             clock: &*self.clock,
             counters: &self.counters,
+            speed: self.speed,
             observer: &*self.observer,
             runs: &self.runs,
         }
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use fleet::{Choice, ChooseError, Endpoint, FailureKind};
+use fleet::{Choice, ChooseError, Endpoint, FailureKind, SpeedClass};
 use tokio::time;
 
 use super::{Forwarder, OfferHistory, capacity::SEARCH_INTERVAL};
@@ -190,6 +190,10 @@
         sent.endpoint.clone_from(&endpoint.record().id);
         endpoint.version_text().clone_into(&mut sent.version);
         sent.estimated_load = choice.estimated_load;
+        sent.speed_class = choice.speed_class.map_or("", SpeedClass::as_str);
+        if let Some(class) = choice.speed_class {
+            self.counters.count_placed(class);
+        }
         sent.waited_ms = request.arrived().elapsed().as_millis() as u64;
         sent.offers += 1;
         if sent.offers > 1 {
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -41,6 +41,7 @@
 mod run;
 mod shared_parts;
 mod shared_stream;
+mod stream_timer;
 
 pub use crate::{
     answer::ResponseBody,
