Exchange the estimated speed of endpoints between nodes

A front knows only the endpoints that its own streams reach, and each sample of another front had to be taken again.

Once per second a front sends each worker of its selected endpoints its estimates with new samples, in a datagram of the new kind `speeds`, and the worker answers with the weighted medians of all fronts and its own samples of the last 10 s. A message without estimates asks for those of others. Combined estimates apply only to endpoints that are assigned to their sender.

--- a/crates/jobs/src/online.rs
+++ b/crates/jobs/src/online.rs
@@ -170,6 +170,13 @@
         }
     }
 
+    /// Returns the endpoints of this worker that a front uses.
+    pub fn endpoints_of(&self, front: &str) -> Vec<IncarnationKey> {
+        let inner = self.lock();
+        let known = inner.fronts.get(&FrontKey::of(front));
+        known.map_or_else(Vec::new, |front| front.endpoints.clone())
+    }
+
     /// Returns, for each front, the loads that have changed since they were
     /// last sent to it. The cost is one step for each front that uses an
     /// endpoint with a change; the size of the fleet does not matter.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -33,7 +33,7 @@
     base::NodeBase,
     intake::JobIntake,
     job_manifests::PeerManifests,
-    load::{FrontLoad, LoadNotifier},
+    load::{FrontLoad, FrontSpeeds, LoadNotifier},
     quota::QuotaClient,
 };
 
@@ -75,7 +75,7 @@
             cluster: context.cluster.clone(),
             assignments: base.assignments.clone(),
             selection: base.selection.clone(),
-            speeds: base.speeds.clone(),
+            speeds: FrontSpeeds::new(base.speeds.clone()),
             backlogs: backlogs.clone(),
             started,
         };
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -11,6 +11,7 @@
 //! the product of both.
 
 mod front;
+mod speed_wire;
 mod speeds;
 mod wire;
 mod worker;
@@ -18,13 +19,20 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::UnixMillis;
-use fleet::{Endpoint, IncarnationKey};
+use fleet::{Endpoint, IncarnationKey, SpeedEstimate};
 use jobs::ReportVersion;
 use pass::{Counters, LoadObserver};
 use tokio::{net::UdpSocket, sync::mpsc, time};
 
-use self::wire::{Kind, LoadUpdate};
-pub(crate) use self::{front::FrontLoad, worker::WorkerLoad};
+pub(crate) use self::{
+    front::FrontLoad,
+    speeds::{FrontSpeeds, WorkerSpeeds},
+    worker::WorkerLoad,
+};
+use self::{
+    speed_wire::{MAX_SENT_SPEEDS, Message, MessageError, SpeedUpdate},
+    wire::{Kind, LoadUpdate},
+};
 use crate::{ClusterState, refusals::RefusalLog};
 
 /// Interval between two checks for changed counts, in milliseconds. It bounds
@@ -68,6 +76,13 @@
     cluster: ClusterState,
 }
 
+/// What a message is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Subject {
+    Load,
+    Speeds,
+}
+
 /// Binds the socket on which a node receives load updates.
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
     UdpSocket::bind(address).await.map(Arc::new)
@@ -123,11 +138,7 @@
         is_full: bool,
         counts: &[(IncarnationKey, u32)],
     ) {
-        self.sequence += 1;
-        let report_version = ReportVersion {
-            started_at: self.started_at,
-            number: self.sequence,
-        };
+        let report_version = self.next_version();
         let update = LoadUpdate::new(
             kind,
             &self.node,
@@ -144,10 +155,39 @@
         }
     }
 
-    /// Waits for an update; returns none if an invalid one arrived.
+    fn next_version(&mut self) -> ReportVersion {
+        self.sequence += 1;
+        ReportVersion {
+            started_at: self.started_at,
+            number: self.sequence,
+        }
+    }
+
+    /// Sends estimates of the speed of endpoints in as many datagrams as
+    /// needed, at least one.
+    async fn send_speeds(
+        &mut self,
+        to: SocketAddr,
+        speeds: &[(IncarnationKey, SpeedEstimate)],
+    ) {
+        let mut chunks = speeds.chunks(MAX_SENT_SPEEDS);
+        let first = chunks.next().unwrap_or_default();
+        for chunk in std::iter::once(first).chain(chunks) {
+            let version = self.next_version();
+            let update = SpeedUpdate::new(&self.node, version, chunk);
+            let bytes = update.encode();
+            Counters::add(&self.counters.speed_updates_sent);
+            Counters::count(&self.counters.speed_bytes_sent, bytes.len());
+            if let Err(error) = self.socket.send_to(&bytes, to).await {
+                log::debug!(to:%, error:%; "cannot send speeds");
+            }
+        }
+    }
+
+    /// Waits for a message; returns none if an invalid one arrived.
     ///
-    /// This is cancel safe: dropping the future loses no update.
-    async fn receive(&mut self) -> Option<(LoadUpdate, SocketAddr)> {
+    /// This is cancel safe: dropping the future loses no message.
+    async fn receive(&mut self) -> Option<(Message, SocketAddr)> {
         let received = self.socket.recv_from(&mut self.buffer).await;
         let (length, from) = match received {
             Ok(received) => received,
@@ -158,39 +198,56 @@
                 return None;
             }
         };
-        Counters::add(&self.counters.load_updates_received);
-        match LoadUpdate::decode(&self.buffer[..length]) {
-            Ok(update) => Some((update, from)),
+        let decoded = Message::decode(&self.buffer[..length]);
+        let subject = match &decoded {
+            Ok(Message::Load(_)) | Err(MessageError::Load(_)) => Subject::Load,
+            Ok(Message::Speeds(_)) | Err(MessageError::Speeds(_)) => {
+                Subject::Speeds
+            }
+        };
+        Counters::add(match subject {
+            Subject::Load => &self.counters.load_updates_received,
+            Subject::Speeds => &self.counters.speed_updates_received,
+        });
+        match decoded {
+            Ok(message) => Some((message, from)),
             Err(error) => {
-                self.refuse(from, &error);
+                self.refuse(subject, from, &error);
                 None
             }
         }
     }
 
-    /// Reports whether an update comes from the address of the node that it
+    /// Reports whether a message comes from the address of the node that it
     /// names.
     fn is_from(
         &mut self,
-        update: &LoadUpdate,
+        subject: Subject,
+        node: &str,
         from: SocketAddr,
         address: Option<SocketAddr>,
     ) -> bool {
         let is_genuine = address == Some(from);
         if !is_genuine {
             self.refuse(
+                subject,
                 from,
-                &format!(
-                    "sender is not at the address of node {}",
-                    update.node()
-                ),
+                &format!("sender is not at the address of node {node}"),
             );
         }
         is_genuine
     }
 
-    fn refuse(&mut self, from: SocketAddr, reason: &dyn std::fmt::Display) {
-        Counters::add(&self.counters.load_updates_refused);
+    fn refuse(
+        &mut self,
+        subject: Subject,
+        from: SocketAddr,
+        reason: &dyn std::fmt::Display,
+    ) {
+        Counters::add(match subject {
+            Subject::Load => &self.counters.load_updates_refused,
+            Subject::Speeds => &self.counters.speed_updates_refused,
+        });
         self.refusals.note(from, reason, self.cluster.clock().now());
     }
 }
--- a/crates/node/src/load/front.rs
+++ b/crates/node/src/load/front.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{Millis, Snapshot};
-use fleet::{EndpointTable, IncarnationKey, Selection, ServiceSpeeds};
+use fleet::{EndpointTable, IncarnationKey, Selection};
 use indexmap::IndexMap;
 use jobs::{
     Assignment, Assignments, FRONT_LOAD_TTL_MS, JobView, ReportVersion,
@@ -15,8 +15,9 @@
 };
 
 use super::{
-    FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, TICK_INTERVAL_MS,
-    speeds::{SPEED_INTERVAL_MS, refresh_selected},
+    FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, Subject, TICK_INTERVAL_MS,
+    speed_wire::{Message, SpeedUpdate},
+    speeds::FrontSpeeds,
     wire::LoadUpdate,
 };
 use crate::ClusterState;
@@ -34,7 +35,7 @@
     pub(crate) assignments: Assignments,
     pub(crate) selection: Arc<Snapshot<Selection>>,
     /// The speed of the selected endpoints.
-    pub(crate) speeds: ServiceSpeeds,
+    pub(crate) speeds: FrontSpeeds,
     /// Backlogs of items that workers report.
     pub(crate) backlogs: Arc<ReportedBacklogs>,
     pub(crate) started: mpsc::UnboundedReceiver<IncarnationKey>,
@@ -59,7 +60,6 @@
     /// Version and time of arrival of the last update of each worker.
     last_updates: IndexMap<SocketAddr, (ReportVersion, Millis)>,
     next_full_update: Millis,
-    next_speed_update: Millis,
 }
 
 impl FrontLoad {
@@ -71,8 +71,14 @@
         loop {
             tokio::select! {
                 received = self.socket.receive() => {
-                    if let Some((update, from)) = received {
-                        self.apply_update(&mut state, &update, from);
+                    match received {
+                        Some((Message::Load(update), from)) => {
+                            self.apply_update(&mut state, &update, from);
+                        }
+                        Some((Message::Speeds(update), from)) => {
+                            self.apply_speeds(&update, from);
+                        }
+                        None => {}
                     }
                 }
                 started = self.started.recv() => {
@@ -93,7 +99,9 @@
     async fn tick(&mut self, state: &mut State) {
         let selection_changed = self.select(state);
         let now = self.cluster.clock().now();
-        self.update_speeds(state, now);
+        if self.speeds.is_due(now) {
+            self.exchange_speeds(now).await;
+        }
         if selection_changed || now >= state.next_full_update {
             state.next_full_update =
                 now.saturating_add_ms(FULL_UPDATE_INTERVAL_MS);
@@ -106,14 +114,32 @@
         }
     }
 
-    /// Updates the speed of the selected endpoints if it is due.
-    fn update_speeds(&self, state: &mut State, now: Millis) {
-        if now < state.next_speed_update {
+    /// Updates the speed of the selected endpoints and sends the estimates of
+    /// this front to their workers.
+    async fn exchange_speeds(&mut self, now: Millis) {
+        let table = self.cluster.endpoints.load().table.clone();
+        let selection = self.selection.load_full();
+        self.speeds.refresh(&table, &selection, now);
+        let workers = self.assignments.for_items();
+        let messages = self.speeds.messages(&table, &selection, &workers, now);
+        for (to, speeds) in messages {
+            self.socket.send_speeds(to, &speeds).await;
+        }
+    }
+
+    /// Applies the combined estimates of a worker.
+    fn apply_speeds(&mut self, update: &SpeedUpdate, from: SocketAddr) {
+        let roster = self.view.roster();
+        let worker = roster.workers.get(update.node());
+        let address = worker.and_then(|worker| worker.address);
+        let subject = Subject::Speeds;
+        if !self.socket.is_from(subject, update.node(), from, address) {
             return;
         }
-        state.next_speed_update = now.saturating_add_ms(SPEED_INTERVAL_MS);
+        let now = self.cluster.clock().now();
         let view = self.cluster.endpoints.load();
-        refresh_selected(&view.table, &self.selection.load(), now);
+        let workers = self.assignments.for_items();
+        self.speeds.apply(update, &view.table, &workers, now);
     }
 
     /// Recomputes the selection if the endpoint table or an assignment has
@@ -135,7 +161,7 @@
             assignment.uses_endpoint(e.incarnation_key())
         };
         let selection = Selection::new(self.socket.node(), &table, own);
-        let selection = selection.with_speeds(&self.speeds);
+        let selection = selection.with_speeds(self.speeds.services());
         log::info!(
             own = assignment.own_endpoints().len(),
             selected = selection.iter().count(),
@@ -256,7 +282,10 @@
         let worker = roster.workers.get(update.node());
         let address = worker.and_then(|worker| worker.address);
         let is_others = update.kind() == Kind::Others;
-        if !is_others || !self.socket.is_from(update, from, address) {
+        let node = update.node();
+        if !is_others
+            || !self.socket.is_from(Subject::Load, node, from, address)
+        {
             return;
         }
         let now = self.cluster.clock().now();
--- a/crates/node/src/load/worker.rs
+++ b/crates/node/src/load/worker.rs
@@ -4,11 +4,15 @@
 
 use base::Millis;
 use indexmap::IndexMap;
-use jobs::{FrontUpdate, JobView, OnlineLoad, OtherFrontsLoad, Roster};
+use jobs::{
+    Assignments, FrontUpdate, JobView, OnlineLoad, OtherFrontsLoad, Roster,
+};
 use tokio::time::{self, MissedTickBehavior};
 
 use super::{
-    FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, TICK_INTERVAL_MS,
+    FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, Subject, TICK_INTERVAL_MS,
+    speed_wire::{Message, SpeedUpdate},
+    speeds::WorkerSpeeds,
     wire::LoadUpdate,
 };
 use crate::ClusterState;
@@ -63,6 +67,9 @@
     pub(crate) view: JobView,
     pub(crate) cluster: ClusterState,
     pub(crate) online: Arc<OnlineLoad>,
+    pub(crate) assignments: Assignments,
+    /// The speed of this worker's endpoints.
+    pub(crate) speeds: WorkerSpeeds,
     /// Time of the next count of open items.
     pub(crate) next_backlog_count: Millis,
 }
@@ -76,8 +83,15 @@
         loop {
             tokio::select! {
                 received = self.socket.receive() => {
-                    if let Some((update, from)) = received {
-                        self.apply_update(&mut fronts, &update, from).await;
+                    match received {
+                        Some((Message::Load(update), from)) => {
+                            self.apply_update(&mut fronts, &update, from)
+                                .await;
+                        }
+                        Some((Message::Speeds(update), from)) => {
+                            self.apply_speeds(&mut fronts, &update, from);
+                        }
+                        None => {}
                     }
                 }
                 _ = ticks.tick() => {
@@ -89,11 +103,44 @@
                     for update in self.online.changes(now) {
                         self.report(&update, &fronts).await;
                     }
+                    self.exchange_speeds(&fronts, now).await;
                 }
             }
         }
     }
 
+    /// Records the estimates of a front.
+    fn apply_speeds(
+        &mut self,
+        fronts: &mut Fronts,
+        update: &SpeedUpdate,
+        from: SocketAddr,
+    ) {
+        let now = self.now();
+        fronts.update_roster(self.view.roster(), now);
+        let address = fronts.address_of(update.node());
+        let subject = Subject::Speeds;
+        if self.socket.is_from(subject, update.node(), from, address) {
+            let own = self.assignments.for_items();
+            self.speeds.record(update, &own, now);
+        }
+    }
+
+    /// Updates the speeds of this worker's endpoints, and answers the fronts
+    /// that have sent theirs.
+    async fn exchange_speeds(&mut self, fronts: &Fronts, now: Millis) {
+        let view = self.cluster.endpoints.load_full();
+        let own = self.assignments.for_items();
+        self.speeds.refresh(&view.table, &own, now);
+        let answers = self.speeds.answers(&self.online, &view.table, now);
+        for (front, speeds) in answers {
+            let address = fronts.address_of(&front);
+            if let (Some(to), false) = (address, speeds.is_empty()) {
+                self.socket.send_speeds(to, &speeds).await;
+            }
+        }
+    }
+
     /// Counts the open items of this node if the count is due.
     fn update_open_items(&mut self, now: Millis) {
         if now < self.next_backlog_count {
@@ -123,7 +170,9 @@
         fronts.update_roster(self.view.roster(), now);
         let address = fronts.address_of(update.node());
         let is_own = update.kind() == Kind::Own;
-        if !is_own || !self.socket.is_from(update, from, address) {
+        let node = update.node();
+        if !is_own || !self.socket.is_from(Subject::Load, node, from, address)
+        {
             return;
         }
         let own = FrontUpdate {
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -9,8 +9,11 @@
 };
 
 use crate::{
-    NodeContext, NodeError, NodeSettings, Signals, base::NodeBase,
-    load::WorkerLoad, membership::LeaseTerms, probe::LoadProbe,
+    NodeContext, NodeError, NodeSettings, Signals,
+    base::NodeBase,
+    load::{WorkerLoad, WorkerSpeeds},
+    membership::LeaseTerms,
+    probe::LoadProbe,
     vacate::VacateExecutor,
 };
 
@@ -51,6 +54,8 @@
             view: base.view.clone(),
             cluster: context.cluster.clone(),
             online: online.clone(),
+            assignments: base.assignments.clone(),
+            speeds: WorkerSpeeds::new(base.speeds.clone()),
             next_backlog_count: Millis::default(),
         };
         tokio::spawn(load.run());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -358,6 +358,20 @@
     start_with(settings, Arc::new(kv.clone()), false).await
 }
 
+/// Starts a node for which the speed of endpoints always matters.
+#[allow(dead_code)]
+pub(crate) async fn start_with_speed(
+    kv: &Memory,
+    name: &str,
+    worker: bool,
+) -> Node {
+    let settings = NodeSettings {
+        endpoint_speed: fleet::EndpointSpeed::Always,
+        ..settings(name)
+    };
+    start_with(settings, Arc::new(kv.clone()), worker).await
+}
+
 /// Starts a worker with a disk.
 pub(crate) async fn start_with_disk(
     kv: &Memory,
--- /dev/null
+++ b/crates/node/tests/speed.rs
@@ -0,0 +1,79 @@
+//! Exchange of the speed of endpoints between real nodes.
+
+mod common;
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use common::{
+    Engine, Node, call, ready, start, start_with_speed,
+    write_config_and_engine,
+};
+use kv::Memory;
+use tokio::time::{sleep, timeout};
+
+async fn until(is_true: impl Fn() -> bool) {
+    let wait = async {
+        while !is_true() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), wait)
+        .await
+        .expect("in time");
+}
+
+fn count(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
+
+async fn stream(front: &Node, id: &str) {
+    let (status, body) = call(front.front, "POST", "/chat/1", id, "6").await;
+    assert_eq!(status, 200);
+    assert_eq!(body.matches("data: ").count(), 6);
+}
+
+/// Guards against estimates that do not reach other fronts.
+#[tokio::test]
+async fn fronts_receive_the_estimates_of_others_through_a_worker() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    write_config_and_engine(&kv, &engine).await;
+    let first = start_with_speed(&kv, "front-1", false).await;
+    let second = start_with_speed(&kv, "front-2", false).await;
+    let worker = start_with_speed(&kv, "worker-1", true).await;
+    ready(&first).await;
+    ready(&second).await;
+    stream(&first, "r1").await;
+    assert_eq!(count(&first.counters.speed_samples_used), 1);
+    until(|| count(&second.counters.speed_updates_received) > 0).await;
+    for node in [&first, &second, &worker] {
+        assert!(count(&node.counters.speed_updates_sent) > 0);
+        assert_eq!(count(&node.counters.load_updates_refused), 0);
+    }
+    // Once the front knows the median, its requests count by class.
+    stream(&first, "r2").await;
+    let counters = &first.counters;
+    assert_eq!(count(&counters.placed_usual), 2);
+}
+
+/// Guards against a worker or front that exchanges anything, or counts
+/// requests by class, while the endpoints report no slowdown.
+#[tokio::test]
+async fn nothing_is_exchanged_while_no_endpoint_reports() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    write_config_and_engine(&kv, &engine).await;
+    let front = start(&kv, "front-1", false).await;
+    let worker = start(&kv, "worker-1", true).await;
+    ready(&front).await;
+    stream(&front, "r1").await;
+    sleep(Duration::from_millis(2_500)).await;
+    stream(&front, "r2").await;
+    for node in [&front, &worker] {
+        assert_eq!(count(&node.counters.speed_updates_sent), 0);
+        assert_eq!(count(&node.counters.placed_usual), 0);
+    }
+}
