--- a/crates/node/src/load/front.rs
+++ b/crates/node/src/load/front.rs
@@ -15,7 +15,9 @@
 };
 
 use super::{
-    FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, TICK_INTERVAL_MS,
+    FULL_UPDATE_INTERVAL_MS, Kind, LoadSocket, Subject, TICK_INTERVAL_MS,
+    speed_wire::{Message, SpeedUpdate},
+    speeds::FrontSpeeds,
     wire::LoadUpdate,
 };
 use crate::ClusterState;
@@ -32,6 +34,8 @@
     pub(crate) cluster: ClusterState,
     pub(crate) assignments: Assignments,
     pub(crate) selection: Arc<Snapshot<Selection>>,
+    /// The speed of the selected endpoints.
+    pub(crate) speeds: FrontSpeeds,
     /// Backlogs of items that workers report.
     pub(crate) backlogs: Arc<ReportedBacklogs>,
     pub(crate) started: mpsc::UnboundedReceiver<IncarnationKey>,
@@ -67,8 +71,14 @@
         loop {
             tokio::select! {
                 received = self.socket.receive() => {
-                    if let Some((update, from)) = received {
-                        self.apply_update(&mut state, &update, from);
+                    match received {
+                        Some((Message::Load(update), from)) => {
+                            self.apply_update(&mut state, &update, from);
+                        }
+                        Some((Message::Speeds(update), from)) => {
+                            self.apply_speeds(&update, from);
+                        }
+                        None => {}
                     }
                 }
                 started = self.started.recv() => {
@@ -89,6 +99,9 @@
     async fn tick(&mut self, state: &mut State) {
         let selection_changed = self.select(state);
         let now = self.cluster.clock().now();
+        if self.speeds.is_due(now) {
+            self.exchange_speeds(now).await;
+        }
         if selection_changed || now >= state.next_full_update {
             state.next_full_update =
                 now.saturating_add_ms(FULL_UPDATE_INTERVAL_MS);
@@ -101,6 +114,34 @@
         }
     }
 
+    /// Updates the speed of the selected endpoints and sends the estimates of
+    /// this front to their workers.
+    async fn exchange_speeds(&mut self, now: Millis) {
+        let table = self.cluster.endpoints.load().table.clone();
+        let selection = self.selection.load_full();
+        self.speeds.refresh(&table, &selection, now);
+        let workers = self.assignments.for_items();
+        let messages = self.speeds.messages(&table, &selection, &workers, now);
+        for (to, speeds) in messages {
+            self.socket.send_speeds(to, &speeds).await;
+        }
+    }
+
+    /// Applies the combined estimates of a worker.
+    fn apply_speeds(&mut self, update: &SpeedUpdate, from: SocketAddr) {
+        let roster = self.view.roster();
+        let worker = roster.workers.get(update.node());
+        let address = worker.and_then(|worker| worker.address);
+        let subject = Subject::Speeds;
+        if !self.socket.is_from(subject, update.node(), from, address) {
+            return;
+        }
+        let now = self.cluster.clock().now();
+        let view = self.cluster.endpoints.load();
+        let workers = self.assignments.for_items();
+        self.speeds.apply(update, &view.table, &workers, now);
+    }
+
     /// Recomputes the selection if the endpoint table or an assignment has
     /// changed, and returns whether it has.
     fn select(&self, state: &mut State) -> bool {
@@ -120,6 +161,7 @@
             assignment.uses_endpoint(e.incarnation_key())
         };
         let selection = Selection::new(self.socket.node(), &table, own);
+        let selection = selection.with_speeds(self.speeds.services());
         log::info!(
             own = assignment.own_endpoints().len(),
             selected = selection.iter().count(),
@@ -240,7 +282,10 @@
         let worker = roster.workers.get(update.node());
         let address = worker.and_then(|worker| worker.address);
         let is_others = update.kind() == Kind::Others;
-        if !is_others || !self.socket.is_from(update, from, address) {
+        let node = update.node();
+        if !is_others
+            || !self.socket.is_from(Subject::Load, node, from, address)
+        {
             return;
         }
         let now = self.cluster.clock().now();
