Start batch items by the speed of endpoints

A worker started the item with the least slack at whichever endpoint came first in its list, so an item near its deadline could get a slow endpoint while one with hours left took a fast one.

While speed is active for a service, items whose expected time at the slowest free endpoint is at most half of the time until their deadline start from the slowest endpoint on, after all others have started from the fastest one on. Otherwise the loop is unchanged.

Tests of jobs and node pass (cargo test -p pomeloslip-jobs -p pomeloslip-node), among them the decision at four endpoints of speeds 0.6, 1, 1 and 1.6, and a job of six items at two endpoints that runs each item once.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod error;
 mod gate;
 mod index;
+mod item_speed;
 mod ledger;
 mod manifests;
 mod members;
@@ -42,6 +43,7 @@
     bulk::{BulkCache, BulkFuture, BulkPeers, BulkValue, NoPeers},
     error::JobError,
     gate::{GateDecision, GateInput, GateOptions, decide},
+    item_speed::{FreeEndpoint, ItemFilter, start_order},
     ledger::{Ledger, NewJob, StoredManifest},
     manifests::{
         KnownManifest, ManifestFuture, ManifestSource, ViewManifests,
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -3,6 +3,7 @@
 mod checkpoint;
 mod outcome;
 mod rebalance;
+mod speed;
 mod stop;
 
 use std::{
@@ -15,7 +16,7 @@
 use error_stack::Report;
 use fleet::{
     Config, Endpoint, EndpointRecord, IncarnationKey, LoadReport, Route,
-    RouteKind,
+    RouteKind, ServiceSpeeds,
 };
 use indexmap::IndexMap;
 use pass::{Counters, DirectoryView};
@@ -119,6 +120,8 @@
     pub online_load: Arc<OnlineLoad>,
     /// The assignments of endpoints to nodes.
     pub assignments: Assignments,
+    /// The speed of this node's endpoints.
+    pub speeds: ServiceSpeeds,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// The counters of the process.
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -13,8 +13,9 @@
     route_of,
 };
 use crate::{
-    Assignment, GateDecision, GateInput, ItemRun, JobManifest, PreemptRank,
-    RemainingTime, SilenceClock, SlackPriority, decide, record::JobKey,
+    Assignment, GateDecision, GateInput, ItemFilter, ItemRun, JobManifest,
+    PreemptRank, RemainingTime, SilenceClock, SlackPriority, decide,
+    record::JobKey,
 };
 
 /// Age of a run from which on its endpoint's load report counts it, in
@@ -95,6 +96,7 @@
         let view = self.runner.parts.endpoints.load_full();
         let is_view_stale = self.runner.parts.view.age_ms(now)
             > self.runner.options.max_view_age_ms;
+        let mut free = Vec::new();
         let usable = match self.jobs.is_empty() {
             true => IndexSet::new(),
             false => usable_versions(assignment, &view.table, now),
@@ -115,12 +117,18 @@
             if self.is_paused(*incarnation) {
                 continue;
             }
+            if self.is_speed_active(endpoint, now) {
+                free.push((endpoint, decision.start));
+                continue;
+            }
             for _ in 0..decision.start {
-                if !self.start_one(config, endpoint, &usable, now) {
+                let all = ItemFilter::All;
+                if !self.start_one(config, endpoint, &usable, all, now) {
                     break;
                 }
             }
         }
+        self.start_by_speed(config, &free, &usable, now);
     }
 
     /// Reports whether all runs at an endpoint have been silent for so long
@@ -211,7 +219,7 @@
     }
 
     /// Estimates the remaining time of an item that has run for `ran_ms`.
-    fn remaining(
+    pub(super) fn remaining(
         &self,
         job: &ActiveJob,
         number: u32,
@@ -304,6 +312,7 @@
         config: &Config,
         endpoint: &Endpoint,
         usable: &IndexSet<VersionBinding>,
+        filter: ItemFilter,
         now: Millis,
     ) -> bool {
         let service = &endpoint.record().service;
@@ -329,6 +338,9 @@
                 let Some(slot_use) = item.slot_use(record, usable, now) else {
                     continue;
                 };
+                if !self.is_permitted(filter, job, number) {
+                    continue;
+                }
                 let priority = self.priority(job, number);
                 if best.as_ref().is_none_or(|(best, ..)| priority < *best) {
                     best = Some((priority, key.clone(), number, slot_use));
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -158,6 +158,7 @@
         probe: Arc::new(probe),
         online_load: online,
         assignments: base.assignments.clone(),
+        speeds: base.speeds.clone(),
         clock: context.cluster.clock().clone(),
         counters: context.counters.clone(),
     };
--- a/crates/node/tests/speed.rs
+++ b/crates/node/tests/speed.rs
@@ -8,7 +8,7 @@
 };
 
 use common::{
-    Engine, Node, call, ready, start, start_with_speed,
+    Engine, Node, call, call_until, put, ready, start, start_with_speed,
     write_config_and_engine,
 };
 use kv::Memory;
@@ -77,3 +77,32 @@
         assert_eq!(count(&node.counters.placed_usual), 0);
     }
 }
+
+/// Guards against items that are not started, or started twice, while speed
+/// determines where they start.
+#[tokio::test]
+async fn a_job_ends_with_each_item_once_while_speed_matters() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    write_config_and_engine(&kv, &engine).await;
+    let other = Engine::start().await;
+    let record = serde_json::to_vec(&other.record("e2")).expect("json");
+    put(&kv, "endpoints/e2", record).await;
+    let front = start_with_speed(&kv, "front-1", false).await;
+    let worker = start_with_speed(&kv, "worker-1", true).await;
+    ready(&front).await;
+    let job = r#"["6","6","6","6","6","6"]"#;
+    let sent = call(front.front, "POST", "/batch/1", "job-1", job).await;
+    assert_eq!(sent.0, 202);
+    let is_complete = |_, body: &str| body.starts_with("6 6\n");
+    let path = "/jobs/job-1";
+    let (_, body) = call_until(front.front, "GET", path, is_complete).await;
+    let mut lines: Vec<&str> = body.lines().skip(1).collect();
+    lines.sort_unstable();
+    lines.dedup();
+    assert_eq!(lines.len(), 6);
+    assert!(lines.iter().all(|line| line.contains(" complete ")));
+    let counters = &worker.counters;
+    assert_eq!(count(&counters.item_runs), 6);
+    assert_eq!(count(&counters.speed_samples_used), 6);
+}
