--- a/crates/node/src/load/front.rs
+++ b/crates/node/src/load/front.rs
@@ -119,7 +119,8 @@
     async fn exchange_speeds(&mut self, now: Millis) {
         let table = self.cluster.endpoints.load().table.clone();
         let selection = self.selection.load_full();
-        self.speeds.refresh(&table, &selection, now);
+        let counters = &self.socket.counters;
+        self.speeds.refresh(&table, &selection, counters, now);
         let workers = self.assignments.for_items();
         let messages = self.speeds.messages(&table, &selection, &workers, now);
         for (to, speeds) in messages {
--- a/crates/node/src/load/speeds.rs
+++ b/crates/node/src/load/speeds.rs
@@ -11,6 +11,7 @@
 };
 use indexmap::IndexMap;
 use jobs::{Assignment, FRONT_LOAD_TTL_MS, OnlineLoad, ReportVersion};
+use pass::{Counters, EndpointSpeedRow};
 
 use super::speed_wire::SpeedUpdate;
 
@@ -92,14 +93,19 @@
         &self,
         table: &EndpointTable,
         selection: &Selection,
+        counters: &Counters,
         now: Millis,
     ) {
         let mut changes = Vec::new();
+        let mut rows = Vec::new();
         for (speed, incarnations) in selection.speeds() {
             let endpoints = incarnations.filter_map(|key| table.get(key));
-            changes.extend(speed.refresh(endpoints, now));
+            let endpoints: Vec<&Endpoint> = endpoints.collect();
+            changes.extend(speed.refresh(endpoints.iter().copied(), now));
+            rows.extend(speed_rows(&endpoints, now));
         }
         log_changes(&changes, now);
+        counters.endpoint_speeds.replace(rows);
     }
 
     /// Returns the messages that are due: for each worker of a selected
@@ -261,6 +267,7 @@
         &mut self,
         table: &EndpointTable,
         own: &Assignment,
+        counters: &Counters,
         now: Millis,
     ) {
         if now < self.next_update || self.speeds.mode() == EndpointSpeed::Off {
@@ -285,11 +292,14 @@
             }
         }
         let mut changes = Vec::new();
+        let mut rows = Vec::new();
         for (service, endpoints) in &services {
             let speed = self.speeds.of(service);
             changes.extend(speed.refresh(endpoints.iter().copied(), now));
+            rows.extend(speed_rows(endpoints, now));
         }
         log_changes(&changes, now);
+        counters.endpoint_speeds.replace(rows);
         self.speeds.retain(|service| services.contains_key(service));
     }
 }
@@ -306,6 +316,20 @@
         .flatten()
 }
 
+/// Returns the metrics of those endpoints whose speed is known.
+fn speed_rows(
+    endpoints: &[&Endpoint],
+    now: Millis,
+) -> impl Iterator<Item = EndpointSpeedRow> {
+    endpoints.iter().filter_map(move |endpoint| {
+        Some(EndpointSpeedRow {
+            endpoint: endpoint.record().id.clone(),
+            interval_us: endpoint.expected_interval_us(now)?,
+            age_ms: endpoint.sample_age_ms(now),
+        })
+    })
+}
+
 fn log_changes(changes: &[SpeedChange], now: Millis) {
     for change in changes.iter().take(MAX_LOGGED_CHANGES) {
         let endpoint = &change.endpoint;
--- a/crates/node/src/load/worker.rs
+++ b/crates/node/src/load/worker.rs
@@ -131,7 +131,8 @@
     async fn exchange_speeds(&mut self, fronts: &Fronts, now: Millis) {
         let view = self.cluster.endpoints.load_full();
         let own = self.assignments.for_items();
-        self.speeds.refresh(&view.table, &own, now);
+        let counters = &self.socket.counters;
+        self.speeds.refresh(&view.table, &own, counters, now);
         let answers = self.speeds.answers(&self.online, &view.table, now);
         for (front, speeds) in answers {
             let address = fronts.address_of(&front);
--- a/crates/node/tests/unit/speeds.rs
+++ b/crates/node/tests/unit/speeds.rs
@@ -8,6 +8,7 @@
 use jobs::{
     Assignment, FrontUpdate, Members, NodeRecord, OnlineLoad, ReportVersion,
 };
+use pass::Counters;
 use yare::parameterized;
 
 use super::{
@@ -82,7 +83,9 @@
         if !self.speeds.is_due(now) {
             return None;
         }
-        self.speeds.refresh(&self.table, &self.selection, now);
+        let counters = Counters::default();
+        self.speeds
+            .refresh(&self.table, &self.selection, &counters, now);
         let workers = workers("worker", &["worker"], &self.endpoints);
         let sent =
             self.speeds
@@ -252,7 +255,7 @@
     }
     let message = other.message(NOW).expect("a message");
     worker.record(&update("1", 1, &message), &own, NOW);
-    worker.refresh(&table, &own, NOW);
+    worker.refresh(&table, &own, &Counters::default(), NOW);
     let speed = speeds.of("engines");
     let slow = &all[2];
     let ratio_permille = speed.ratio_permille(slow, 1, NOW);
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -6,7 +6,7 @@
 
 use fleet::SpeedClass;
 
-use crate::CustomerCounters;
+use crate::{CustomerCounters, EndpointSpeeds};
 
 /// Upper bounds of the histogram buckets in milliseconds: about a factor of
 /// two apart, with the objectives of interactive requests (100 to 300 ms) as
@@ -61,6 +61,8 @@
             $($(#[$doc])* pub $counter: AtomicU64,)+
             /// Requests by customer, for the largest customers.
             pub customers: CustomerCounters,
+            /// Estimated speed of endpoints.
+            pub endpoint_speeds: EndpointSpeeds,
             /// From the arrival of a request to the head of its response.
             pub first_byte_ms: Histogram,
             /// From the arrival of a request to the end of its response.
@@ -97,6 +99,7 @@
                     self.$counter.load(Ordering::Relaxed),
                 );)+
                 self.customers.render(&mut text);
+                self.endpoint_speeds.render(&mut text);
                 self.first_byte_ms
                     .render("pomeloslip_first_byte_ms", &mut text);
                 self.whole_ms.render("pomeloslip_whole_ms", &mut text);
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -23,6 +23,7 @@
 mod channel;
 mod counters;
 mod customers;
+mod endpoint_speeds;
 mod error;
 mod events;
 mod exchange;
@@ -49,6 +50,7 @@
     channel::ChannelOptions,
     counters::Counters,
     customers::{CustomerCounters, CustomerOutcome},
+    endpoint_speeds::{EndpointSpeedRow, EndpointSpeeds},
     error::{IncompleteResponse, PassError},
     events::{EventSplitter, Split},
     exchange::Exchange,
