Measure momentary slowness against what an endpoint reports usually

The lowest report of the last periods of 3 s now stands for the constant part. An endpoint without samples takes its class from it, at least 100. The new test failed before.

--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -4,6 +4,7 @@
 mod combine;
 mod endpoint;
 mod service;
+mod usual;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/speed/endpoint.rs
+++ b/crates/fleet/src/speed/endpoint.rs
@@ -10,6 +10,7 @@
 use super::{
     SpeedClass,
     average::{Average, ESTIMATE_TTL_MS, Stamped},
+    usual::UsualSlowdown,
 };
 use crate::Endpoint;
 
@@ -20,8 +21,8 @@
 /// Minimum number of events of a stream that gives a sample.
 const MIN_EVENTS: u64 = 4;
 
-/// Reported slowdown from which on a sample is not used, in percent: it shows
-/// a momentary state and not the constant speed of the endpoint.
+/// Slowdown, in percent of what the endpoint reports usually, from which on a
+/// sample is not used: it shows a momentary state and not the constant speed.
 const MAX_SAMPLE_SLOWDOWN_PERCENT: u32 = 130;
 
 /// Time for which a reported slowdown is used, in milliseconds; slowdowns
@@ -194,6 +195,7 @@
     averages: Mutex<[Average; 2]>,
     low: LevelState,
     high: LevelState,
+    usual_slowdown: UsualSlowdown,
     slowdown: AtomicU64,
     slowdown_seen: AtomicU64,
     class: ClassCell,
@@ -212,18 +214,28 @@
 
     /// Records the slowdown of a load report; none if it is not known.
     pub(crate) fn record_slowdown(&self, percent: Option<u32>, now: Millis) {
-        let stamped = match percent {
-            Some(percent) => Stamped::new(percent.max(USUAL_PERCENT), now),
-            None => Stamped::default(),
+        let Some(percent) = percent else {
+            self.slowdown.store(0, Ordering::Relaxed);
+            return;
         };
+        self.usual_slowdown.record(percent, now);
+        let momentary = self.momentary_percent(percent);
+        let stamped = Stamped::new(momentary, now);
         self.slowdown.store(stamped.to_bits(), Ordering::Relaxed);
-        if percent.is_some() {
-            self.slowdown_seen
-                .store(stamped.to_bits(), Ordering::Relaxed);
-        }
+        self.slowdown_seen
+            .store(stamped.to_bits(), Ordering::Relaxed);
+    }
+
+    /// Returns a reported slowdown in percent of what the endpoint reports
+    /// usually, at least 100.
+    fn momentary_percent(&self, reported: u32) -> u32 {
+        let usual = self.usual_slowdown.get().max(1);
+        let percent = reported.saturating_mul(USUAL_PERCENT) / usual;
+        percent.max(USUAL_PERCENT)
     }
 
-    /// Returns the slowdown that the endpoint reported a moment ago.
+    /// Returns the momentary slowdown of the last report, in percent of what
+    /// the endpoint reports usually.
     pub(super) fn slowdown_percent(&self, now: Millis) -> u32 {
         let bits = self.slowdown.load(Ordering::Relaxed);
         let recent = Stamped::from_bits(bits).within(SLOWDOWN_TTL_MS, now);
@@ -237,6 +249,12 @@
         seen.map(|(_, age_ms)| age_ms)
     }
 
+    /// Returns how slow the endpoint reports to be usually, in percent and at
+    /// least 100: a report must not make an endpoint more preferred.
+    pub(super) fn usual_slowdown_percent(&self) -> u32 {
+        self.usual_slowdown.get().max(USUAL_PERCENT)
+    }
+
     /// Returns the expected interval at a load.
     pub(super) fn interval_us(
         &self,
@@ -272,11 +290,13 @@
 impl Endpoint {
     /// Records the measurement of a stream and returns whether it is used.
     pub fn record_sample(&self, sample: SpeedSample, now: Millis) -> bool {
-        let slowdown = sample.slowdown_percent.unwrap_or(USUAL_PERCENT);
+        let state = self.speed();
+        let slowdown = sample
+            .slowdown_percent
+            .map_or(USUAL_PERCENT, |percent| state.momentary_percent(percent));
         if slowdown >= MAX_SAMPLE_SLOWDOWN_PERCENT {
             return false;
         }
-        let state = self.speed();
         let level = LoadLevel::of(sample.load, self.record().slots);
         let averages = state.averages.lock();
         let mut averages = averages.unwrap_or_else(PoisonError::into_inner);
--- a/crates/fleet/src/speed/service.rs
+++ b/crates/fleet/src/speed/service.rs
@@ -105,7 +105,8 @@
         }
         let changes = endpoints.into_iter().filter_map(|endpoint| {
             let ratio_permille = self.lasting_ratio_permille(endpoint, now);
-            let ratio_permille = ratio_permille.unwrap_or(USUAL_PERMILLE);
+            let ratio_permille =
+                ratio_permille.unwrap_or_else(|| reported_permille(endpoint));
             let (before, after) =
                 endpoint.speed().update_lasting_class(ratio_permille);
             (before != after).then(|| SpeedChange {
@@ -160,11 +161,21 @@
         now: Millis,
     ) -> SpeedClass {
         let ratio_permille = self.ratio_permille(endpoint, load, now);
-        let ratio_permille = ratio_permille.unwrap_or(USUAL_PERMILLE);
+        let ratio_permille = ratio_permille.unwrap_or_else(|| {
+            let percent = endpoint.speed().slowdown_percent(now);
+            reported_permille(endpoint) * u64::from(percent)
+                / u64::from(USUAL_PERCENT)
+        });
         endpoint.speed().update_class(ratio_permille)
     }
 }
 
+/// Returns the ratio of an endpoint of which only reports are known.
+fn reported_permille(endpoint: &Endpoint) -> u64 {
+    let percent = endpoint.speed().usual_slowdown_percent();
+    u64::from(percent) * USUAL_PERMILLE / u64::from(USUAL_PERCENT)
+}
+
 /// A ratio of 1 in permille.
 const USUAL_PERMILLE: u64 = 1_000;
 
--- a/crates/fleet/tests/speed.rs
+++ b/crates/fleet/tests/speed.rs
@@ -128,6 +128,40 @@
     assert!(one.record_sample(usual.expect("enough events"), NOW));
 }
 
+/// Guards against an endpoint that is slow at all times, says so, and is never
+/// measured because each of its reports counts as a momentary slowdown.
+#[parameterized(
+    slow = { 160, SpeedClass::Slow },
+    fast = { 60, SpeedClass::Usual },
+)]
+fn a_constant_report_is_not_momentary(percent: u32, unmeasured: SpeedClass) {
+    let (mut endpoints, speeds) = measured(&[20_000, 20_000, 20_000]);
+    let one = endpoint("new");
+    let speed = speeds.of("engines");
+    one.record_load(report(Some(percent)), NOW);
+    assert_eq!(class(&speed, &one, NOW), unmeasured);
+    let later = NOW.saturating_add_ms(3_000);
+    one.record_load(report(Some(percent)), later);
+    let interval_us = 200 * u64::from(percent);
+    let stream =
+        SpeedSample::of_stream(11, interval_us * 10, 1, Some(percent));
+    let stream = stream.expect("enough events");
+    assert!(one.record_sample(stream, later));
+    assert_eq!(one.expected_interval_us(later), Some(interval_us as u32));
+    endpoints.push(one.clone());
+    speed.refresh(&endpoints, later);
+    let measured = match percent {
+        160 => SpeedClass::Slow,
+        _ => SpeedClass::Fast,
+    };
+    assert_eq!(class(&speed, &one, later), measured);
+    let momentary = percent * 5 / 2;
+    one.record_load(report(Some(momentary)), later);
+    let stalled =
+        SpeedSample::of_stream(11, interval_us * 25, 1, Some(momentary));
+    assert!(!one.record_sample(stalled.expect("enough events"), later));
+}
+
 /// Guards against a single stalled stream that makes an endpoint very slow.
 #[test]
 fn one_sample_changes_an_estimate_by_a_factor_of_two_at_most() {
