--- a/crates/fleet/tests/speed.rs
+++ b/crates/fleet/tests/speed.rs
@@ -166,6 +166,17 @@
     assert_eq!(class(&speed, &endpoints[2], later), SpeedClass::Usual);
 }
 
+/// Guards against a log line for each response of an endpoint whose header is
+/// invalid, and against silence about its next incarnation.
+#[test]
+fn an_invalid_slowdown_is_noted_once_per_incarnation() {
+    let one = endpoint("a");
+    assert!(one.mark_slowdown_invalid());
+    let listed_again = one.with_record(one.record().clone());
+    assert!(!listed_again.mark_slowdown_invalid());
+    assert!(endpoint("a").mark_slowdown_invalid());
+}
+
 /// Guards against the speed of an earlier process at the same address.
 #[test]
 fn a_new_incarnation_is_of_unknown_speed() {
