--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -43,7 +43,7 @@
     bulk::{BulkCache, BulkFuture, BulkPeers, BulkValue, NoPeers},
     error::JobError,
     gate::{GateDecision, GateInput, GateOptions, decide},
-    item_speed::{FreeEndpoint, ItemFilter, start_order},
+    item_speed::{FreeEndpoint, start_order},
     ledger::{Ledger, NewJob, StoredManifest},
     manifests::{
         KnownManifest, ManifestFuture, ManifestSource, ViewManifests,
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -13,9 +13,8 @@
     route_of,
 };
 use crate::{
-    Assignment, GateDecision, GateInput, ItemFilter, ItemRun, JobManifest,
-    PreemptRank, RemainingTime, SilenceClock, SlackPriority, decide,
-    record::JobKey,
+    Assignment, GateDecision, GateInput, ItemRun, JobManifest, PreemptRank,
+    RemainingTime, SilenceClock, SlackPriority, decide, record::JobKey,
 };
 
 /// Age of a run from which on its endpoint's load report counts it, in
@@ -122,8 +121,7 @@
                 continue;
             }
             for _ in 0..decision.start {
-                let all = ItemFilter::All;
-                if !self.start_one(config, endpoint, &usable, all, now) {
+                if !self.start_one(config, endpoint, &usable, now) {
                     break;
                 }
             }
@@ -219,7 +217,7 @@
     }
 
     /// Estimates the remaining time of an item that has run for `ran_ms`.
-    pub(super) fn remaining(
+    fn remaining(
         &self,
         job: &ActiveJob,
         number: u32,
@@ -312,7 +310,6 @@
         config: &Config,
         endpoint: &Endpoint,
         usable: &IndexSet<VersionBinding>,
-        filter: ItemFilter,
         now: Millis,
     ) -> bool {
         let service = &endpoint.record().service;
@@ -338,9 +335,6 @@
                 let Some(slot_use) = item.slot_use(record, usable, now) else {
                     continue;
                 };
-                if !self.is_permitted(filter, job, number) {
-                    continue;
-                }
                 let priority = self.priority(job, number);
                 if best.as_ref().is_none_or(|(best, ..)| priority < *best) {
                     best = Some((priority, key.clone(), number, slot_use));
--- a/crates/jobs/src/runner/speed.rs
+++ b/crates/jobs/src/runner/speed.rs
@@ -4,8 +4,8 @@
 use fleet::{Config, Endpoint, VersionBinding};
 use indexmap::IndexSet;
 
-use super::{RunnerState, active::ActiveJob};
-use crate::{FreeEndpoint, ItemFilter, start_order};
+use super::RunnerState;
+use crate::{FreeEndpoint, start_order};
 
 impl RunnerState {
     /// Reports whether the speed of an endpoint determines which items start
@@ -30,41 +30,22 @@
     ) {
         let speeds = &self.runner.parts.speeds;
         let free = endpoints.iter().enumerate();
-        let free = free.map(|(index, (endpoint, starts))| {
+        let free = free.map(|(index, (endpoint, _))| {
             let load = endpoint.estimated_load(now).saturating_add(1);
             let speed = speeds.of(&endpoint.record().service);
             FreeEndpoint {
                 index,
-                starts: *starts,
                 ratio_permille: speed.ratio_permille(endpoint, load, now),
             }
         });
-        let mut free: Vec<FreeEndpoint> = free.collect();
-        for (index, filter) in start_order(&free) {
-            let (endpoint, _) = endpoints[index];
-            while free[index].starts > 0
-                && self.start_one(config, endpoint, usable, filter, now)
-            {
-                free[index].starts -= 1;
+        let free: Vec<FreeEndpoint> = free.collect();
+        for index in start_order(&free) {
+            let (endpoint, starts) = endpoints[index];
+            for _ in 0..starts {
+                if !self.start_one(config, endpoint, usable, now) {
+                    break;
+                }
             }
         }
     }
-
-    /// Reports whether an item may start in a step.
-    pub(super) fn is_permitted(
-        &self,
-        filter: ItemFilter,
-        job: &ActiveJob,
-        number: u32,
-    ) -> bool {
-        if filter == ItemFilter::All {
-            return true;
-        }
-        let ran_ms = job.items[number as usize].total_run_ms;
-        let remaining = self.remaining(job, number, ran_ms);
-        let unix_now = self.runner.parts.clock.unix();
-        let due_at = job.stored.manifest.due_at;
-        let left_ms = due_at.saturating_ms_since(unix_now);
-        filter.permits(remaining.expected_ms, left_ms)
-    }
 }
