Measure what the loss of token servers refuses below limits

The harness of limits had no scenario that compares the same seed with and without the loss of token servers. Callers now have random numbers of their own, so that both runs get the same requests, and may retry at the times that they are told.

--- a/crates/limits/tests/fleet/event.rs
+++ b/crates/limits/tests/fleet/event.rs
@@ -24,6 +24,12 @@
     Arrive {
         customer: usize,
     },
+    /// A refused caller sends its request again, to the same front.
+    Retry {
+        customer: usize,
+        node: usize,
+        first_ms: u64,
+    },
     Poll {
         node: usize,
     },
@@ -49,6 +55,7 @@
     Thaw {
         node: usize,
     },
+    LoseServers,
     LowerLimits,
     Repartition,
 }
--- a/crates/limits/tests/fleet/main.rs
+++ b/crates/limits/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 //! permits.
 
 mod event;
+mod losses;
 mod scenario;
 mod sim;
 
@@ -36,6 +37,7 @@
         faults: Faults::None,
         bug: InjectedBug::None,
         length_ms: 30_000,
+        patience_ms: 0,
         tolerance: ALLOWANCE,
     }
 }
--- a/crates/limits/tests/fleet/scenario.rs
+++ b/crates/limits/tests/fleet/scenario.rs
@@ -30,6 +30,9 @@
     /// Limits are lowered while many fronts are cut off from the key-value
     /// service.
     StaleLimits,
+    /// The token servers of this many replicas of the large customer lose
+    /// power at once.
+    LostServers(usize),
 }
 
 /// A bug that is injected to verify that the simulation detects it.
@@ -55,6 +58,9 @@
     pub(crate) faults: Faults,
     pub(crate) bug: InjectedBug,
     pub(crate) length_ms: u64,
+    /// Time for which a refused caller retries at the times that it is told,
+    /// in milliseconds.
+    pub(crate) patience_ms: u64,
     pub(crate) tolerance: Tolerance,
 }
 
@@ -71,6 +77,8 @@
     /// Sent and refused requests by customer.
     pub(crate) requested: Vec<u32>,
     pub(crate) refused: Vec<u32>,
+    /// Admitted requests by customer.
+    pub(crate) admitted: Vec<u32>,
     /// Mean number of messages per second that a front sends.
     pub(crate) sent_by_front: f64,
     /// Number of messages per second that the busiest node receives.
--- a/crates/limits/tests/fleet/sim.rs
+++ b/crates/limits/tests/fleet/sim.rs
@@ -7,10 +7,10 @@
     collections::{BTreeMap, BinaryHeap},
 };
 
-use base::{Customer, Millis, mix};
+use base::{Customer, Millis, mix, stable_hash};
 use pomeloslip_limits::{
-    EvenSplit, FleetLimiter, LimitNodes, RateLimit, Ticket, TokenClient,
-    TokenServer, TokenServerOptions,
+    EvenSplit, FleetLimiter, LimitNodes, RateLimit, SLOT_COUNT, Ticket,
+    TokenClient, TokenServer, TokenServerOptions,
 };
 
 use crate::{
@@ -49,9 +49,21 @@
 const FORGET_MS: u64 = 10_000;
 const MAX_CONFIG_LAG_MS: u64 = 3_000;
 
+/// When token servers of the large customer are lost at the earliest, and for
+/// how long. All processes and all buckets are older than a window by then.
+const LOSS_MS: u64 = START_MS + 6_000;
+const LOST_FOR_MS: u64 = 60_000;
+
+/// Time after which callers retry that no node could count, as fronts tell
+/// them.
+pub(crate) const UNCOUNTED_RETRY_MS: u64 = 200;
+
 struct World {
     scenario: Scenario,
     random: u64,
+    /// State of the random numbers of the callers, which are the same with and
+    /// without faults.
+    callers_random: u64,
     now_ms: u64,
     number: u64,
     events: BinaryHeap<Reverse<(u64, u64, QueuedEvent)>>,
@@ -60,7 +72,7 @@
     customers: Vec<(Customer, RateLimit)>,
     /// Limits before a change, and when they changed.
     before: Option<(u64, Vec<RateLimit>)>,
-    tickets: BTreeMap<(usize, u64), usize>,
+    tickets: BTreeMap<(usize, u64), (usize, u64)>,
     last_ticket: u64,
     counted: Vec<Vec<u64>>,
     outcome: Outcome,
@@ -83,6 +95,7 @@
         Self {
             scenario,
             random: mix(scenario.seed.wrapping_add(1)),
+            callers_random: mix(scenario.seed.wrapping_add(1 << 32)),
             now_ms: 0,
             number: 0,
             events: BinaryHeap::new(),
@@ -106,6 +119,12 @@
         mix(self.random) % max.max(1)
     }
 
+    fn caller_below(&mut self, max: u64) -> u64 {
+        self.callers_random =
+            self.callers_random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.callers_random) % max.max(1)
+    }
+
     fn chance(&mut self, percent: u64) -> bool {
         self.below(100) < percent
     }
@@ -175,6 +194,28 @@
                 }
                 self.push(START_MS + 500, Event::LowerLimits);
             }
+            Faults::LostServers(_) => {
+                let at_ms = LOSS_MS + self.below(2_000);
+                self.push(at_ms, Event::LoseServers);
+            }
+        }
+    }
+
+    /// Kills the token servers of the large customer.
+    fn lose_servers(&mut self) {
+        let Faults::LostServers(replicas) = self.scenario.faults else {
+            return;
+        };
+        let name = self.customers[0].0.as_str();
+        let shards = (SLOT_COUNT / 2) as u64;
+        let shard = (mix(stable_hash(&[name])) % shards) as usize;
+        for slot in (shard * 2..).take(replicas) {
+            let share = |node: &Node| node.server.allotted(slot);
+            let servers = 0..self.nodes.len();
+            let server = servers.max_by(|a, b| {
+                share(&self.nodes[*a]).total_cmp(&share(&self.nodes[*b]))
+            });
+            self.kill(server.expect("a node"), LOST_FOR_MS);
         }
     }
 
@@ -254,6 +295,12 @@
     fn step(&mut self, event: Event) {
         match event {
             Event::Arrive { customer } => self.arrive(customer),
+            Event::Retry {
+                customer,
+                node,
+                first_ms,
+            } => self.request(customer, node, first_ms),
+            Event::LoseServers => self.lose_servers(),
             Event::Kill { node, back_in_ms } => self.kill(node, back_in_ms),
             Event::Start { node } => self.start(node),
             Event::CutOff { node, all, for_ms } => {
@@ -430,22 +477,30 @@
         };
         let mean_ms = 1_000.0 / (rate * factor);
         let pause_ms = (mean_ms * self.exponential()).max(0.0) as u64;
-        let jitter = self.below(2);
+        let jitter = self.caller_below(2);
         let again = Event::Arrive { customer };
         self.push(now_ms + pause_ms + jitter, again);
         let fronts = self.scenario.fronts as u64;
         // Callers are spread unevenly and move to other fronts from time to
         // time.
-        let (a, b) = (self.below(fronts), self.below(fronts));
+        let (a, b) = (self.caller_below(fronts), self.caller_below(fronts));
         let moved = mix(now_ms / 5_000) % fronts;
         let node = ((a.min(b) + moved) % fronts) as usize;
         if !self.nodes[node].alive || self.nodes[node].frozen {
             return;
         }
         self.outcome.requested[customer] += 1;
+        self.request(customer, node, now_ms);
+    }
+
+    fn request(&mut self, customer: usize, node: usize, first_ms: u64) {
+        if !self.nodes[node].alive || self.nodes[node].frozen {
+            self.outcome.refused[customer] += 1;
+            return;
+        }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        self.tickets.insert((node, ticket), customer);
+        self.tickets.insert((node, ticket), (customer, first_ms));
         let now = self.local(node);
         let limit = self.limit_at(node, customer);
         let name = self.customers[customer].0.clone();
@@ -456,7 +511,8 @@
     }
 
     fn exponential(&mut self) -> f64 {
-        let uniform = (self.below(1 << 30) + 1) as f64 / (1u64 << 30) as f64;
+        let uniform =
+            (self.caller_below(1 << 30) + 1) as f64 / (1u64 << 30) as f64;
         -uniform.ln()
     }
 
@@ -471,6 +527,8 @@
     fn finish(mut self) -> Outcome {
         let tolerance = self.scenario.tolerance;
         let window_ms = tolerance.window_ms;
+        let admitted = self.counted.iter().map(|times| times.len() as u32);
+        self.outcome.admitted = admitted.collect();
         for (customer, times) in self.counted.iter().enumerate() {
             let mut first = 0;
             for (last, at_ms) in times.iter().enumerate() {
--- a/crates/limits/tests/fleet/sim/messages.rs
+++ b/crates/limits/tests/fleet/sim/messages.rs
@@ -2,7 +2,7 @@
 
 use pomeloslip_limits::{LimitAction, LimitDecision};
 
-use super::World;
+use super::{UNCOUNTED_RETRY_MS, World};
 use crate::{
     event::{Event, Message},
     scenario::InjectedBug,
@@ -24,14 +24,9 @@
                 }
                 LimitAction::Decide { ticket, decision } => {
                     let key = (at, ticket.0);
-                    let customer = self.tickets.remove(&key);
-                    let customer = customer.expect("one decision per request");
-                    match decision {
-                        LimitDecision::Admitted(_) => {
-                            self.counted[customer].push(self.now_ms);
-                        }
-                        _ => self.outcome.refused[customer] += 1,
-                    }
+                    let request = self.tickets.remove(&key);
+                    let request = request.expect("one decision per request");
+                    self.decide(at, request, decision);
                 }
             }
         }
@@ -46,6 +41,33 @@
         }
     }
 
+    fn decide(
+        &mut self,
+        node: usize,
+        (customer, first_ms): (usize, u64),
+        decision: LimitDecision,
+    ) {
+        let retry_after_ms = match decision {
+            LimitDecision::Admitted(_) => {
+                self.counted[customer].push(self.now_ms);
+                return;
+            }
+            LimitDecision::OverLimit(over) => over.retry_after_ms(),
+            LimitDecision::Unavailable => UNCOUNTED_RETRY_MS,
+        };
+        let again_ms = self.now_ms + retry_after_ms.max(1);
+        if again_ms <= first_ms + self.scenario.patience_ms {
+            let retry = Event::Retry {
+                customer,
+                node,
+                first_ms,
+            };
+            self.push(again_ms, retry);
+        } else {
+            self.outcome.refused[customer] += 1;
+        }
+    }
+
     pub(super) fn send(&mut self, from: usize, to: usize, message: Message) {
         if self.below(200) == 0 {
             return;
