Restore the counts of token servers from reports of the fronts

A server that replaced a lost one waited for leases of 1,500 ms and then started with empty buckets, since it knew nothing of earlier requests.

Leases last 500 ms at least. Fronts record the requests that they admitted in the last window and report them, in a message of its own, to the server that they newly allot a slot to. Once the fronts of all shares have reported, the server sets its buckets to the level of a single bucket that counted these requests. So that no report misses requests, a front admits only what the server that has its share admits. While a lost server's lease runs, refused callers are told when it ends. A free share is allotted at once instead of with the next renewal, and the loss of one server no longer moves the other replica of its shards.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -33,9 +33,9 @@
     fair::{FairQueue, FlowKey, PushError},
     limiter::{FleetLimiter, LimitAction, LimitDecision, LimitNodes, Ticket},
     pool::{
-        Demand, SLOT_COUNT, ServerTimestamp, TokenClient, TokenGrant,
-        TokenRefusal, TokenRequest, TokenResponse, TokenServer,
-        TokenServerOptions,
+        CustomerHistory, Demand, SLOT_COUNT, ServerTimestamp, TokenClient,
+        TokenEvent, TokenGrant, TokenRefusal, TokenRequest, TokenResponse,
+        TokenServer, TokenServerOptions,
     },
     rate_limit::{QuotaPermit, RateLimit, RateLimitError, Tolerance},
     retry::RetryBudget,
--- a/crates/limits/src/pool/allotment.rs
+++ b/crates/limits/src/pool/allotment.rs
@@ -47,6 +47,19 @@
     released_in: Option<u64>,
 }
 
+/// Node that requests of a slot are sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Target<'a> {
+    /// The server that this front's share is allotted to, or, while it is not
+    /// allotted, the one that gets it.
+    Server(&'a str),
+    /// The server of the share does not respond. Its leases end at the given
+    /// time.
+    Lost { until: Millis },
+    /// No node responds.
+    Unknown,
+}
+
 /// Shares that one message allots to its recipient.
 #[derive(Debug)]
 pub(super) struct Shares {
@@ -139,18 +152,80 @@
         self.assign_servers(now);
     }
 
-    /// Returns the server that requests of a slot are sent to.
-    pub(super) fn server_of(&self, slot: usize) -> Option<&str> {
-        self.slots[slot].server.as_deref()
+    /// Returns where requests of a slot are sent.
+    ///
+    /// While the share is allotted, only the server that counts it may admit
+    /// requests of this front: a report to that server would otherwise miss
+    /// requests that another server admitted after the report was sent.
+    pub(super) fn target_of(&self, slot: usize, now: Millis) -> Target<'_> {
+        let state = &self.slots[slot];
+        match state.counting_server(now) {
+            Some(node) if state.server.as_deref() != Some(node) => {
+                match self.is_lost(node, now) {
+                    true => Target::Lost {
+                        until: self.lost_until(slot, node),
+                    },
+                    false => Target::Server(node),
+                }
+            }
+            _ => match &state.server {
+                Some(node) => Target::Server(node),
+                None => Target::Unknown,
+            },
+        }
+    }
+
+    /// Reports whether requests that a server admits in a slot now count: it
+    /// has this front's share, or nobody has.
+    pub(super) fn may_admit(
+        &self,
+        slot: usize,
+        server: &str,
+        now: Millis,
+    ) -> bool {
+        let counting = self.slots[slot].counting_server(now);
+        counting.is_none_or(|node| node == server)
+    }
+
+    /// Reports whether a response is from the latest known process of a
+    /// server.
+    pub(super) fn is_current(
+        &self,
+        from: &str,
+        reply: &TokenResponse,
+    ) -> bool {
+        let server = self.servers.get(from);
+        let timestamp = server.and_then(|server| server.timestamp);
+        timestamp.is_none_or(|(known, _)| {
+            known.incarnation <= reply.timestamp.incarnation
+        })
+    }
+
+    fn is_lost(&self, node: &str, now: Millis) -> bool {
+        !self.servers.contains_key(node) || self.is_unresponsive(node, now)
+    }
+
+    /// Returns when no front's lease at a lost server runs any more: the
+    /// server sent no timestamp after it was lost, and it was lost before the
+    /// oldest message without a response.
+    fn lost_until(&self, slot: usize, node: &str) -> Millis {
+        let own = self.slots[slot].allotted_until;
+        let server = self.servers.get(node);
+        let since = server.and_then(|server| server.unanswered_since);
+        let all = since
+            .map(|at| at.saturating_add_ms(self.lease_ms() + LEASE_MARGIN_MS));
+        all.map_or(own, |all| own.max(all))
     }
 
     /// Reports whether the server of a slot responds in time.
     pub(super) fn is_responsive(&self, slot: usize, now: Millis) -> bool {
         let response_timeout_ms = self.options.response_timeout_ms;
-        let server = self.server_of(slot);
-        server.is_some_and(|node| {
-            !self.is_unanswered(node, response_timeout_ms, now)
-        })
+        match self.target_of(slot, now) {
+            Target::Server(node) => {
+                !self.is_unanswered(node, response_timeout_ms, now)
+            }
+            Target::Lost { .. } | Target::Unknown => false,
+        }
     }
 
     /// Returns this front's share of one replica of each limit, and since when
@@ -210,20 +285,21 @@
         }
     }
 
-    /// Updates the state of a server from its response.
+    /// Updates the state of a server from its response, and returns whether a
+    /// slot can be allotted to another server now.
     pub(super) fn on_response(
         &mut self,
         from: &str,
         reply: &TokenResponse,
         now: Millis,
-    ) {
+    ) -> bool {
         self.fronts.report(reply.fronts, now);
         let Some(server) = self.servers.get_mut(from) else {
-            return;
+            return false;
         };
         server.unanswered_since = None;
         if !reply.accepted {
-            return;
+            return false;
         }
         let before = server.timestamp.map(|(timestamp, _)| timestamp);
         let has_restarted = before.is_some_and(|before| {
@@ -236,6 +312,7 @@
         if is_newer {
             server.timestamp = Some((reply.timestamp, now));
         }
+        let mut is_free = false;
         for slot in &mut self.slots {
             // The server applied the release before it responded; a process
             // that has just started counts no earlier allotments.
@@ -245,8 +322,10 @@
             let is_over = released || has_restarted;
             if is_over && slot.allotted_to.as_deref() == Some(from) {
                 slot.allotted_until = slot.allotted_until.min(now);
+                is_free |= slot.server.as_deref() != Some(from);
             }
         }
+        is_free
     }
 
     fn lease_ms(&self) -> u64 {
@@ -297,8 +376,7 @@
         nodes
     }
 
-    /// Chooses the server of each slot: the first candidate that responds, and
-    /// for the second replica another one if there is one.
+    /// Chooses the server of each slot.
     fn assign_servers(&mut self, now: Millis) {
         for slot in 0..SLOT_COUNT {
             let choice = self.choose_server(slot, now);
@@ -308,16 +386,28 @@
         }
     }
 
+    /// Returns the candidate of the slot's replica if it responds, else the
+    /// first other one that does. The replicas of a shard have different
+    /// servers if two nodes respond, and the loss of one server moves only the
+    /// replica that it counted.
     fn choose_server(&self, slot: usize, now: Millis) -> Option<&str> {
-        let mut answering = self.candidates[slot / REPLICAS]
-            .iter()
-            .filter(|node| !self.is_unresponsive(node, now));
-        let first = answering.next()?;
-        let node = match slot % REPLICAS {
+        let candidates = &self.candidates[slot / REPLICAS];
+        let responsive = |at: &usize| {
+            let node = candidates.get(*at);
+            node.is_some_and(|node| !self.is_unresponsive(node, now))
+        };
+        let others = || REPLICAS..candidates.len();
+        let first = [0].into_iter().chain(others()).chain([1]);
+        let first = first.into_iter().find(responsive)?;
+        let chosen = match slot % REPLICAS {
             0 => first,
-            _ => answering.next().unwrap_or(first),
+            _ => {
+                let mut second = [1].into_iter().chain(others()).chain([0]);
+                let second = second.find(|at| *at != first && responsive(at));
+                second.unwrap_or(first)
+            }
         };
-        Some(node)
+        Some(&candidates[chosen])
     }
 
     fn is_due(&self, node: &str, now: Millis) -> bool {
@@ -338,7 +428,32 @@
         let has_waited = server
             .last_sent
             .is_none_or(|at| now.saturating_ms_since(at) >= pause_ms);
-        has_waited || releases
+        has_waited || releases || self.takes_over(node, now)
+    }
+
+    /// Reports whether a message would allot slots to a server that another
+    /// one has counted.
+    fn takes_over(&self, node: &str, now: Millis) -> bool {
+        let server = self.servers.get(node);
+        let timestamp = server.and_then(|server| server.timestamp);
+        let is_known = timestamp.is_some_and(|(_, received_at)| {
+            now < received_at.saturating_add_ms(self.lease_ms())
+        });
+        is_known
+            && self.is_listed
+            && self.slots.iter().any(|slot| {
+                slot.server.as_deref() == Some(node)
+                    && slot.allotted_to.as_deref() != Some(node)
+                    && slot.allotted_to.is_some()
+                    && slot.allotted_until <= now
+            })
+    }
+
+    /// Returns when the next lease ends after which a slot is allotted to
+    /// another server.
+    pub(super) fn next_takeover(&self, now: Millis) -> Option<Millis> {
+        let moved = self.slots.iter().filter(|slot| slot.needs_release(now));
+        moved.map(|slot| slot.allotted_until).min()
     }
 
     /// Records the slots that a message allots. A slot is allotted to another
@@ -387,6 +502,12 @@
 }
 
 impl Slot {
+    /// Returns the server that may count the slot now.
+    fn counting_server(&self, now: Millis) -> Option<&str> {
+        let is_counted = now < self.allotted_until;
+        self.allotted_to.as_deref().filter(|_| is_counted)
+    }
+
     fn needs_release(&self, now: Millis) -> bool {
         now < self.allotted_until
             && self.allotted_to.is_some()
--- a/crates/limits/src/pool/client.rs
+++ b/crates/limits/src/pool/client.rs
@@ -6,7 +6,10 @@
 use super::{
     Demand, REPLICAS, TokenGrant, TokenRefusal, TokenRequest, TokenResponse,
     TokenServerOptions,
-    allotment::{Allotments, RENEWAL_CHECK_MS},
+    allotment::{Allotments, RENEWAL_CHECK_MS, Shares, Target},
+    history::History,
+    message::MAX_HISTORY_COUNTS,
+    report::{ReportFields, Reports},
     slot_of,
 };
 use crate::{
@@ -62,6 +65,10 @@
     /// Customers without tokens in either replica, and until when.
     exhausted: IndexMap<Customer, Millis>,
     own_buckets: IndexMap<(Customer, usize), OwnBucket>,
+    history: History,
+    reports: Reports,
+    /// When this process was first used.
+    started_at: Option<Millis>,
     last_sequence: u64,
     next_renewal: Millis,
     actions: Vec<LimitAction>,
@@ -125,6 +132,9 @@
             sent: IndexMap::new(),
             exhausted: IndexMap::new(),
             own_buckets: IndexMap::new(),
+            history: History::new(tolerance.window_ms),
+            reports: Reports::default(),
+            started_at: None,
             last_sequence: 0,
             next_renewal: Millis::new(0),
             actions: Vec::new(),
@@ -136,13 +146,39 @@
         self.next_renewal = now.saturating_add_ms(RENEWAL_CHECK_MS);
         self.exhausted.retain(|_, until| now < *until);
         for node in self.allotments.servers_due(now) {
-            self.send(&node, Vec::new(), now);
+            match self.reports.is_waiting(&node, now) {
+                true => self.send_reports(&node, now),
+                false => {
+                    self.send(&node, Vec::new(), now);
+                }
+            }
+        }
+        if let Some(at) = self.allotments.next_takeover(now) {
+            self.next_renewal = self.next_renewal.min(at);
+        }
+        for node in self.reports.repetitions(now) {
+            self.send_reports(&node, now);
         }
     }
 
     /// Sends one message, which renews the allotment of all slots of that
     /// server.
     fn send(&mut self, to: &str, demands: Vec<Demand>, now: Millis) -> u64 {
+        let (sequence, shares) = self.allot(to, now);
+        let fields = ReportFields::default();
+        self.push_message(to, sequence, shares, demands, fields);
+        sequence
+    }
+
+    /// Sends the reports that a server is due. They are in a message of their
+    /// own, since a server of an older version drops it.
+    fn send_reports(&mut self, to: &str, now: Millis) {
+        let (sequence, shares) = self.allot(to, now);
+        let fields = self.reports.fields(to, shares.slots, sequence, now);
+        self.push_message(to, sequence, shares, Vec::new(), fields);
+    }
+
+    fn allot(&mut self, to: &str, now: Millis) -> (u64, Shares) {
         self.last_sequence += 1;
         let sequence = self.last_sequence;
         let shares = self.allotments.allot(to, sequence, now);
@@ -152,6 +188,39 @@
                 !shares.newly_allotted.contains(&slot_of(customer, *replica))
             });
         }
+        for slot in &shares.newly_allotted {
+            self.open_report(*slot, to, now);
+        }
+        (sequence, shares)
+    }
+
+    fn open_report(&mut self, slot: usize, to: &str, now: Millis) {
+        let age_ms = self.started_at.map(|at| now.saturating_ms_since(at));
+        let is_young = age_ms.is_none_or(|ms| ms <= self.tolerance.window_ms);
+        if is_young {
+            self.reports.open(slot, to, None);
+            return;
+        }
+        let customers = self.history.of_slot(slot, now);
+        let customers = customers.filter(|customers| {
+            let counts = customers.iter();
+            let counts = counts.map(|(_, it)| it.counts.counts().count());
+            counts.sum::<usize>() <= MAX_HISTORY_COUNTS
+        });
+        match customers {
+            Some(customers) => self.reports.open(slot, to, Some(customers)),
+            None => self.reports.close(slot),
+        }
+    }
+
+    fn push_message(
+        &mut self,
+        to: &str,
+        sequence: u64,
+        shares: Shares,
+        demands: Vec<Demand>,
+        fields: ReportFields,
+    ) {
         self.actions.push(LimitAction::Send {
             to: to.to_owned(),
             request: TokenRequest {
@@ -162,9 +231,30 @@
                 slots: shares.slots,
                 fronts: shares.fronts,
                 demands,
+                history: fields.history,
+                history_slots: fields.complete_slots,
+                incomplete_slots: fields.incomplete_slots,
             },
         });
-        sequence
+    }
+
+    /// Starts the client's times with its first use.
+    fn start(&mut self, now: Millis) {
+        self.started_at.get_or_insert(now);
+        self.allotments.start(now);
+    }
+
+    /// Admits a request and records it.
+    fn admit(
+        &mut self,
+        customer: &Customer,
+        replica: usize,
+        pending: PendingRequest,
+        now: Millis,
+    ) {
+        self.history.record(customer, replica, pending.limit, now);
+        let admitted = LimitDecision::Admitted(QuotaPermit::new());
+        self.decide(pending.ticket, admitted);
     }
 
     fn flush(&mut self, customer: &Customer, replica: usize, now: Millis) {
@@ -176,15 +266,25 @@
             return;
         }
         let slot = slot_of(customer, replica);
-        let server = self.allotments.server_of(slot).map(str::to_owned);
-        let Some(server) = server else {
-            let pending: Vec<PendingRequest> =
-                queue.pending.drain(..).collect();
-            self.take_own(customer, replica, pending, now);
-            return;
+        let mut requests: Vec<PendingRequest> =
+            queue.pending.drain(..).collect();
+        let server = match self.allotments.target_of(slot, now) {
+            Target::Server(server) => server.to_owned(),
+            Target::Lost { until } => {
+                let refused = TokenRefusal::lost(until, now);
+                for pending in &mut requests {
+                    pending.refused =
+                        TokenRefusal::earlier(pending.refused, Some(refused));
+                }
+                self.try_other_replica(customer, replica, requests, now);
+                return;
+            }
+            Target::Unknown => {
+                self.take_own(customer, replica, requests, now);
+                return;
+            }
         };
         queue.in_flight = true;
-        let requests: Vec<PendingRequest> = queue.pending.drain(..).collect();
         let newest = requests.iter().map(|pending| pending.limit);
         let Some(limit) = newest.max_by_key(|limit| limit.version()) else {
             return;
@@ -282,10 +382,7 @@
             bucket.at = bucket.at.max(now);
             if bucket.tokens >= 1.0 {
                 bucket.tokens -= 1.0;
-                self.decide(
-                    pending.ticket,
-                    LimitDecision::Admitted(QuotaPermit::new()),
-                );
+                self.admit(customer, replica, pending, now);
             } else {
                 left.push(pending);
             }
@@ -328,10 +425,7 @@
         if let Some(grant) = grant {
             let granted = (grant.granted as usize).min(requests.len());
             for pending in requests.drain(..granted) {
-                self.decide(
-                    pending.ticket,
-                    LimitDecision::Admitted(QuotaPermit::new()),
-                );
+                self.admit(&sent.customer, sent.replica, pending, now);
             }
             for pending in &mut requests {
                 pending.refused =
@@ -353,6 +447,17 @@
 }
 
 impl TokenRefusal {
+    /// Returns the refusal of requests whose server is lost, and whose share
+    /// is allotted to another one at the given time.
+    fn lost(until: Millis, now: Millis) -> Self {
+        let ms = until.saturating_ms_since(now).max(1);
+        Self {
+            token_in_ms: ms,
+            retry_after_ms: ms,
+            spacing_us: 0,
+        }
+    }
+
     fn earlier(a: Option<Self>, b: Option<Self>) -> Option<Self> {
         match (a, b) {
             (Some(a), Some(b)) if a.retry_after_ms <= b.retry_after_ms => {
@@ -372,7 +477,7 @@
 
 impl FleetLimiter for TokenClient {
     fn set_nodes(&mut self, nodes: &LimitNodes, now: Millis) {
-        self.allotments.start(now);
+        self.start(now);
         self.allotments.set_nodes(nodes, now);
         self.next_renewal = now;
     }
@@ -384,7 +489,7 @@
         limit: RateLimit,
         now: Millis,
     ) {
-        self.allotments.start(now);
+        self.start(now);
         if let Some(until) = self.exhausted.get(customer)
             && now < *until
         {
@@ -412,16 +517,30 @@
         if !is_for_this_process {
             return;
         }
-        self.allotments.on_response(from, reply, now);
+        let is_current = self.allotments.is_current(from, reply);
+        if self.allotments.on_response(from, reply, now) {
+            self.next_renewal = now;
+        }
+        if reply.accepted {
+            self.reports.on_response(from, reply.sequence);
+        }
         if let Some(sent) = self.sent.shift_remove(&reply.sequence) {
-            let is_same = sent.to == from;
-            let grant = reply.grants.first().copied().filter(|_| is_same);
+            let slot = slot_of(&sent.customer, sent.replica);
+            // What another server admits after this front has reported its
+            // requests would be in no report.
+            let counts = sent.to == from
+                && is_current
+                && self.allotments.may_admit(slot, from, now);
+            let grant = reply.grants.first().copied().filter(|_| counts);
             self.resolve(sent, grant, now);
         }
+        if self.reports.is_due(from, now) {
+            self.send_reports(from, now);
+        }
     }
 
     fn tick(&mut self, now: Millis) {
-        self.allotments.start(now);
+        self.start(now);
         self.expire(now);
         if now >= self.next_renewal {
             self.renew(now);
--- a/crates/limits/src/pool/fraction.rs
+++ b/crates/limits/src/pool/fraction.rs
@@ -24,6 +24,14 @@
     sum: f64,
 }
 
+impl Snapshot {
+    /// Returns the integral of the fraction between two snapshots, in
+    /// milliseconds.
+    pub(super) fn sum_since(self, earlier: Self) -> f64 {
+        self.sum - earlier.sum
+    }
+}
+
 impl Fraction {
     /// Returns the fraction that is currently allotted.
     pub(super) fn get(&self) -> f64 {
--- a/crates/limits/src/pool/message.rs
+++ b/crates/limits/src/pool/message.rs
@@ -1,6 +1,7 @@
 use base::Customer;
 use serde::{Deserialize, Serialize};
 
+use super::history::MAX_REPORT_CUSTOMERS;
 use crate::RateLimit;
 
 /// Maximum number of customers in one message.
@@ -12,6 +13,14 @@
 /// Maximum number of fronts that a message may report.
 const MAX_FRONTS: u32 = 100_000;
 
+/// Maximum number of customers, and of their counts, in one message's reports
+/// of admitted requests. Such a message has less than 50 KB.
+const MAX_HISTORIES: usize = 2 * MAX_REPORT_CUSTOMERS;
+pub(super) const MAX_HISTORY_COUNTS: usize = 1_600;
+
+/// Maximum age of admitted requests, in milliseconds: longer than any window.
+const MAX_HISTORY_AGE_MS: u64 = 3_600_000;
+
 /// A time on the clock of one process of a token server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +54,36 @@
     /// The requests to count.
     #[serde(rename = "wants")]
     pub demands: Vec<Demand>,
+    /// Requests that the front had admitted when it allotted the slots of
+    /// `history_slots`. Sent in messages without demands, since servers of
+    /// older versions refuse them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<CustomerHistory>,
+    /// Bit mask of the slots for which `history` is complete.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub history_slots: u16,
+    /// Bit mask of the newly allotted slots whose admitted requests the front
+    /// does not know, because its process is younger than the window.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub incomplete_slots: u16,
+}
+
+fn is_zero(mask: &u16) -> bool {
+    *mask == 0
+}
+
+/// Requests of a customer that a front has admitted in the last window.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerHistory {
+    /// The customer.
+    pub customer: Customer,
+    /// Index of the replica that counted the requests.
+    pub replica: u8,
+    /// Rate limit of the customer, as the front knows it.
+    pub limit: RateLimit,
+    /// Ages in milliseconds, and numbers of requests of at most these ages.
+    pub counts: Vec<(u64, u32)>,
 }
 
 /// Requests of one customer.
@@ -74,6 +113,38 @@
         (1..=MAX_FRONTS).contains(&self.fronts)
             && self.demands.len() <= MAX_DEMANDS
             && self.demands.iter().all(want_ok)
+            && self.is_history_valid()
+    }
+
+    /// Reports whether the message contains a report of admitted requests.
+    pub fn has_report(&self) -> bool {
+        !self.history.is_empty()
+            || self.history_slots != 0
+            || self.incomplete_slots != 0
+    }
+
+    fn is_history_valid(&self) -> bool {
+        let is_reported = |history: &CustomerHistory| {
+            let replica = usize::from(history.replica);
+            replica < super::REPLICAS && {
+                let slot = super::slot_of(&history.customer, replica);
+                self.history_slots & (1 << slot) != 0
+            }
+        };
+        let in_range = |history: &CustomerHistory| {
+            history.limit.is_valid()
+                && history.counts.iter().all(|(age_ms, count)| {
+                    *age_ms <= MAX_HISTORY_AGE_MS && *count <= MAX_COUNT
+                })
+        };
+        let counts = self.history.iter().map(|it| it.counts.len());
+        let reported = self.history_slots | self.incomplete_slots;
+        self.history.len() <= MAX_HISTORIES
+            && counts.sum::<usize>() <= MAX_HISTORY_COUNTS
+            && reported & !self.slots == 0
+            && self.history_slots & self.incomplete_slots == 0
+            && self.history.iter().all(is_reported)
+            && self.history.iter().all(in_range)
     }
 }
 
--- a/crates/limits/src/pool/mod.rs
+++ b/crates/limits/src/pool/mod.rs
@@ -28,15 +28,19 @@
 mod allotment;
 mod client;
 mod fraction;
+mod history;
 mod message;
+mod report;
+mod restore;
 mod server;
 
 pub use self::{
     client::TokenClient,
     message::{
-        Demand, ServerTimestamp, TokenGrant, TokenRefusal, TokenRequest,
-        TokenResponse,
+        CustomerHistory, Demand, ServerTimestamp, TokenGrant, TokenRefusal,
+        TokenRequest, TokenResponse,
     },
+    restore::TokenEvent,
     server::TokenServer,
 };
 
@@ -85,7 +89,7 @@
     /// limit. This leaves two thirds of the shortest latency objectives.
     fn default() -> Self {
         Self {
-            min_lease_ms: 1_500,
+            min_lease_ms: 500,
             lease_per_front_ms: 30,
             max_lease_ms: 10_000,
             response_timeout_ms: 40,
--- a/crates/limits/src/pool/server.rs
+++ b/crates/limits/src/pool/server.rs
@@ -7,6 +7,8 @@
     Demand, REPLICAS, SLOT_COUNT, ServerTimestamp, TokenGrant, TokenRefusal,
     TokenRequest, TokenResponse, TokenServerOptions,
     fraction::{Fraction, Snapshot},
+    history::StepCounts,
+    restore::{self, PendingLevel, Restores, TimedCount, TokenEvent},
     slot_of,
 };
 use crate::{RateLimit, Tolerance, front_count::FrontCount};
@@ -32,6 +34,9 @@
 ///     slots: 0,
 ///     fronts: 1,
 ///     demands: Vec::new(),
+///     history: Vec::new(),
+///     history_slots: 0,
+///     incomplete_slots: 0,
 /// };
 /// let reply = server.handle(&request, Millis::new(5)).expect("valid");
 /// assert_eq!((reply.sequence, reply.timestamp.at_ms), (1, 5));
@@ -49,6 +54,7 @@
     pools: [Fraction; SLOT_COUNT],
     buckets: IndexMap<(Customer, u8), Bucket>,
     fronts: FrontCount,
+    restores: Restores,
 }
 
 /// How a message relates to earlier messages of the same front.
@@ -80,6 +86,10 @@
     /// Remaining initial tokens; never refilled.
     initial_tokens: u32,
     refilled: Snapshot,
+    /// Requests that were granted while their slot could be restored.
+    granted: StepCounts,
+    /// Last restored level that was applied.
+    generation: u64,
     /// When tokens are available for all requests that were refused so far.
     backlog_end_us: u64,
 }
@@ -119,6 +129,7 @@
             pools: Default::default(),
             buckets: IndexMap::new(),
             fronts: FrontCount::default(),
+            restores: Restores::default(),
         }
     }
 
@@ -145,6 +156,10 @@
         }
         self.fronts.tick(now);
         self.fronts.report(request.fronts, now);
+        if accepted {
+            self.apply_report(request, now);
+        }
+        self.restore_slots(now);
         let demands = request.demands.iter();
         let grants = demands.map(|demand| self.grant(demand, now)).collect();
         Some(TokenResponse {
@@ -167,6 +182,12 @@
         self.pools.get(slot).map_or(0.0, Fraction::get)
     }
 
+    /// Returns what changed in the knowledge of earlier requests since the
+    /// last call.
+    pub fn take_events(&mut self) -> Vec<TokenEvent> {
+        self.restores.take_events()
+    }
+
     fn freshness_of(&self, request: &TokenRequest, now: Millis) -> Freshness {
         let Some(known) = self.allotments.get(&request.front) else {
             return Freshness::New;
@@ -210,8 +231,12 @@
         let share = 1.0 / f64::from(request.fronts) / REPLICAS as f64;
         let allotment =
             self.allotments.entry(request.front.clone()).or_default();
-        let previous =
-            (allotment.slots, allotment.share, allotment.expires_at);
+        let previous = (
+            allotment.slots,
+            allotment.share,
+            allotment.expires_at,
+            allotment.incarnation,
+        );
         allotment.incarnation = request.incarnation;
         allotment.sequence = request.sequence;
         allotment.last_seen = now;
@@ -221,9 +246,50 @@
         if slots != 0 {
             self.expiries.insert((expires_at, request.front.clone()));
         }
+        let withdrawn = match previous.3 != request.incarnation {
+            true => u16::MAX,
+            false => previous.0 & !slots,
+        };
+        self.restores.withdraw(&request.front, withdrawn);
         self.move_share((previous.0, previous.1), (slots, share), now);
     }
 
+    /// Keeps the reports of the slots that the request allots.
+    fn apply_report(&mut self, request: &TokenRequest, now: Millis) {
+        let allotment = self.allotments.get(&request.front);
+        let slots = allotment.map_or(0, |allotment| allotment.slots);
+        let complete = request.history_slots & slots;
+        let incomplete = request.incomplete_slots & slots;
+        if complete | incomplete != 0 {
+            self.restores.report(
+                &request.front,
+                &request.history,
+                (complete, incomplete),
+                now,
+            );
+        }
+    }
+
+    /// Restores the slots that all fronts have reported.
+    fn restore_slots(&mut self, now: Millis) {
+        let fronts = self.fronts.get();
+        self.restores.expire(fronts, self.tolerance.window_ms, now);
+        for slot in 0..SLOT_COUNT {
+            if !self.restores.is_ready(slot, fronts, now) {
+                continue;
+            }
+            let pool = &mut self.pools[slot];
+            let share = (pool.get(), pool.snapshot(now));
+            let buckets = &self.buckets;
+            let replica = (slot % REPLICAS) as u8;
+            let own = |customer: &Customer| {
+                let bucket = buckets.get(&(customer.clone(), replica));
+                bucket.map(|bucket| (bucket.limit, bucket.granted()))
+            };
+            self.restores.restore(slot, self.tolerance, share, own, now);
+        }
+    }
+
     fn expire_leases(&mut self, now: Millis) {
         while let Some((expires_at, _)) = self.expiries.first()
             && *expires_at <= now
@@ -236,6 +302,7 @@
             };
             let previous = (allotment.slots, allotment.share);
             allotment.slots = 0;
+            self.restores.withdraw(&front, previous.0);
             // The allotment counts until its end, even if that is noticed
             // later.
             self.move_share(previous, (0, 0.0), expires_at);
@@ -256,6 +323,7 @@
             let change = share(to) - share(from);
             if change != 0.0 {
                 pool.add(change, now);
+                self.restores.set_share(slot, pool.get(), now);
             }
         }
     }
@@ -281,9 +349,20 @@
         let entry = self.buckets.entry(key);
         let bucket =
             entry.or_insert_with(|| Bucket::new(demand.limit, first as u32));
+        let pending =
+            self.restores
+                .pending(slot, &demand.customer, bucket.generation);
+        if let Some(pending) = pending {
+            bucket.restore(pending, pool, self.tolerance);
+        }
         bucket.refill(pool, self.tolerance, now);
         bucket.set(demand.limit, pool, self.tolerance);
-        bucket.take(demand.count, pool.get(), now)
+        let grant = bucket.take(demand.count, pool.get(), now);
+        if self.restores.is_open(slot) && grant.granted > 0 {
+            bucket.granted.expire(self.tolerance.window_ms, now);
+            bucket.granted.add(grant.granted, now);
+        }
+        grant
     }
 }
 
@@ -306,6 +385,8 @@
             // Since the start of the process, as no other node counted
             // meanwhile.
             refilled: Snapshot::default(),
+            granted: StepCounts::default(),
+            generation: 0,
             backlog_end_us: 0,
         }
     }
@@ -328,6 +409,51 @@
         self.refilled = pool.snapshot(now);
     }
 
+    /// Returns the requests that were granted while the slot could be
+    /// restored.
+    fn granted(&self) -> Vec<TimedCount> {
+        let counts = self.granted.counts();
+        counts
+            .map(|(at, count)| (at.as_ms() as i64, count))
+            .collect()
+    }
+
+    /// Raises the tokens to a restored level. The bucket has not been used
+    /// since the level was computed.
+    fn restore(
+        &mut self,
+        pending: PendingLevel,
+        pool: &Fraction,
+        tolerance: Tolerance,
+    ) {
+        self.generation = pending.generation;
+        let mut granted = self.granted();
+        self.granted = StepCounts::default();
+        let (limit, tokens) = pending.reported.unwrap_or_else(|| {
+            let share = pending.share;
+            let tokens = restore::level(
+                self.limit,
+                tolerance,
+                share,
+                &mut granted,
+                pending.at,
+            );
+            (self.limit, tokens)
+        });
+        let burst_tokens = tolerance.burst_tokens(self.limit);
+        let kept = self
+            .tokens
+            .min(burst_tokens * pool.min_since(self.refilled));
+        let share_ms = pending.snapshot.sum_since(self.refilled);
+        let held = kept + self.limit.per_s() * share_ms / 1_000.0;
+        if limit.version() > self.limit.version() {
+            self.limit = limit;
+        }
+        let max_tokens = tolerance.burst_tokens(self.limit) * pending.share;
+        self.tokens = held.max(tokens).min(max_tokens);
+        self.refilled = pending.snapshot;
+    }
+
     /// Applies a limit with a later version. An older one must not raise a
     /// limit that operators have lowered.
     fn set(&mut self, new: RateLimit, pool: &Fraction, tolerance: Tolerance) {
--- a/crates/limits/tests/fleet/scenario.rs
+++ b/crates/limits/tests/fleet/scenario.rs
@@ -33,18 +33,24 @@
     /// The token servers of this many replicas of the large customer lose
     /// power at once.
     LostServers(usize),
+    /// The same again and again, with fronts that are killed, cut off or
+    /// frozen, limits that are lowered, and servers of an older version.
+    RepeatedLosses,
 }
 
 /// A bug that is injected to verify that the simulation detects it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum InjectedBug {
     None,
-    /// Fronts allot a share to the next node long before the lease ends.
+    /// Fronts allot a share to the next node 1,400 ms before the lease ends.
     AllottedTooEarly,
     /// A restarted server has the whole burst.
     StartsFull,
     /// Nodes apply the limit that they received last instead of the newest.
     OldLimitWins,
+    /// Servers get the report of a front with few requests a second time, as
+    /// that of another front.
+    ReportCountedTwice,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -79,6 +85,9 @@
     pub(crate) refused: Vec<u32>,
     /// Admitted requests by customer.
     pub(crate) admitted: Vec<u32>,
+    /// Slots that servers restored, and that started without history.
+    pub(crate) restored: u32,
+    pub(crate) not_restored: u32,
     /// Mean number of messages per second that a front sends.
     pub(crate) sent_by_front: f64,
     /// Number of messages per second that the busiest node receives.
@@ -107,6 +116,18 @@
         }
     }
 
+    pub(crate) fn server_options(self) -> TokenServerOptions {
+        match self.bug {
+            // With the shipped lease the error would be at most 400 ms, in
+            // which no limit is exceeded within 600 seeds.
+            InjectedBug::AllottedTooEarly => TokenServerOptions {
+                min_lease_ms: 1_500,
+                ..TokenServerOptions::default()
+            },
+            _ => TokenServerOptions::default(),
+        }
+    }
+
     pub(crate) fn server_tolerance(self) -> Tolerance {
         match self.bug {
             InjectedBug::StartsFull => Tolerance {
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -18,7 +18,8 @@
 use jobs::JobView;
 use limits::{
     FleetLimiter, LimitAction, LimitDecision, QuotaPermit, RateLimit, Ticket,
-    TokenClient, TokenServer, TokenServerOptions,
+    TokenClient, TokenEvent, TokenRequest, TokenResponse, TokenServer,
+    TokenServerOptions,
 };
 use pass::Counters;
 use tokio::{
@@ -234,7 +235,7 @@
         };
         match message {
             QuotaMessage::Request(request) => {
-                match self.server.handle(&request, now) {
+                match self.handle_request(&request, now) {
                     Some(response) => {
                         self.send(from, &QuotaMessage::Response(response))
                             .await;
@@ -248,6 +249,26 @@
         }
     }
 
+    /// Lets the token server handle a request, and logs what changes.
+    fn handle_request(
+        &mut self,
+        request: &TokenRequest,
+        now: Millis,
+    ) -> Option<TokenResponse> {
+        let response = self.server.handle(request, now);
+        if request.has_report() {
+            let counter = match response {
+                Some(_) => &self.counters.quota_reports_received,
+                None => &self.counters.quota_reports_refused,
+            };
+            Counters::add(counter);
+        }
+        for event in self.server.take_events() {
+            log_event(event, &self.counters);
+        }
+        response
+    }
+
     async fn perform_actions(&mut self) {
         let mut actions = VecDeque::from(self.client.take_actions());
         while let Some(action) = actions.pop_front() {
@@ -260,12 +281,16 @@
                 }
                 LimitAction::Send { to, request } if to == self.node => {
                     let now = self.now();
-                    if let Some(response) = self.server.handle(&request, now) {
+                    if let Some(response) = self.handle_request(&request, now)
+                    {
                         self.client.receive(&to, &response, now);
                         actions.extend(self.client.take_actions());
                     }
                 }
                 LimitAction::Send { to, request } => {
+                    if request.has_report() {
+                        Counters::add(&self.counters.quota_reports_sent);
+                    }
                     if let Some(address) = self.peers.address(&to) {
                         self.send(address, &QuotaMessage::Request(request))
                             .await;
@@ -289,3 +314,33 @@
         self.refusals.note(from, error, self.now());
     }
 }
+
+/// Logs and counts that a slot is restored or not: at most one line for each
+/// slot and window.
+fn log_event(event: TokenEvent, counters: &Counters) {
+    match event {
+        TokenEvent::Restored {
+            slot,
+            customers,
+            fronts,
+            tokens,
+            after_ms,
+        } => {
+            Counters::add(&counters.quota_slots_restored);
+            log::info!(slot, customers, fronts, tokens, after_ms;
+                "the counts of a slot are restored");
+        }
+        TokenEvent::NotRestored {
+            slot,
+            missing_fronts,
+            young_fronts,
+        } => {
+            Counters::add(&counters.quota_slots_not_restored);
+            log::info!(slot, missing_fronts, young_fronts;
+                "the counts of a slot start without history");
+        }
+        TokenEvent::ReportRefused { .. } => {
+            Counters::add(&counters.quota_reports_refused);
+        }
+    }
+}
--- a/crates/node/src/quota/wire.rs
+++ b/crates/node/src/quota/wire.rs
@@ -3,8 +3,9 @@
 use limits::{TokenRequest, TokenResponse};
 use serde::{Deserialize, Serialize};
 
-/// Maximum size of a received datagram.
-pub(super) const DATAGRAM_BYTES: usize = 8 * 1024;
+/// Maximum size of a received datagram: the largest possible one, since
+/// reports of admitted requests may have 50 KB.
+pub(super) const DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// Version of the message format. Other versions are refused, since the same
 /// fields may have different meanings.
@@ -76,11 +77,14 @@
         }
     }
 
-    /// Clears the slots that a front offers to pool.
+    /// Clears the slots that a front offers to pool, and its reports.
     pub(super) fn without_allotments(self) -> Self {
         match self {
             Self::Request(request) => Self::Request(TokenRequest {
                 slots: 0,
+                history: Vec::new(),
+                history_slots: 0,
+                incomplete_slots: 0,
                 ..request
             }),
             Self::Response(response) => Self::Response(response),
--- a/crates/node/tests/unit/quota_wire.rs
+++ b/crates/node/tests/unit/quota_wire.rs
@@ -16,6 +16,9 @@
         slots: 3,
         fronts: 4,
         demands: Vec::new(),
+        history: Vec::new(),
+        history_slots: 0,
+        incomplete_slots: 0,
     })
 }
 
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -199,6 +199,16 @@
     quota_messages_received,
     /// Messages about customer limits that were received and rejected.
     quota_messages_refused,
+    /// Reports of admitted requests that were sent to token servers.
+    quota_reports_sent,
+    /// Reports of admitted requests that were received.
+    quota_reports_received,
+    /// Reports of admitted requests that were received and rejected.
+    quota_reports_refused,
+    /// Slots of customer limits whose counts were restored after a move.
+    quota_slots_restored,
+    /// Slots of customer limits whose counts started without history.
+    quota_slots_not_restored,
     /// Requests that were refused for lack of a known API key.
     keys_refused,
     /// Requests that were refused because their customer is at its limit.
