Test reports and restores, and split the modules of token servers

Buckets, candidates, the messages of a front and the faults of the harness are modules now. Two faults that the new tests showed are corrected: a report took the place of a renewal, so that an old server, which drops it, got none; and callers that came within 100 ms of a refusal at a lost server were told an estimated time instead of the end of the lease.

--- a/crates/limits/src/pool/allotment.rs
+++ b/crates/limits/src/pool/allotment.rs
@@ -1,8 +1,9 @@
-use base::{Millis, mix, stable_hash};
+use base::Millis;
 use indexmap::IndexMap;
 
 use super::{
     REPLICAS, SLOT_COUNT, ServerTimestamp, TokenResponse, TokenServerOptions,
+    candidates::Candidates,
 };
 use crate::{LimitNodes, front_count::FrontCount};
 
@@ -18,8 +19,7 @@
     /// not know how many fronts share the limits, and has no share of its own.
     is_listed: bool,
     fronts: FrontCount,
-    /// Candidates for token servers per shard, in order of preference.
-    candidates: [Vec<String>; SLOT_COUNT / REPLICAS],
+    candidates: Candidates,
     servers: IndexMap<String, Server>,
     slots: [Slot; SLOT_COUNT],
 }
@@ -90,14 +90,6 @@
 /// milliseconds, since clocks are read in whole milliseconds.
 const LEASE_MARGIN_MS: u64 = 2;
 
-/// Maximum number of workers that are candidates for one shard, and of fronts
-/// after them, which also serve callers.
-///
-/// At these numbers two candidates remain if half of the nodes are lost; a
-/// process that starts waits for all of them.
-const WORKERS_PER_SHARD: usize = 6;
-const FRONTS_PER_SHARD: usize = 3;
-
 impl Allotments {
     /// Creates the state without any allotment.
     pub(super) fn new(node: &str, options: TokenServerOptions) -> Self {
@@ -107,7 +99,7 @@
             settles_at: None,
             is_listed: false,
             fronts: FrontCount::default(),
-            candidates: Default::default(),
+            candidates: Candidates::default(),
             servers: IndexMap::new(),
             slots: Default::default(),
         }
@@ -134,17 +126,7 @@
     pub(super) fn set_nodes(&mut self, nodes: &LimitNodes, now: Millis) {
         self.fronts.observe(&nodes.fronts, now);
         self.is_listed |= nodes.fronts.contains(&self.node);
-        let workers = hash_names(&nodes.workers);
-        let fronts = hash_names(&nodes.fronts);
-        for (shard, candidates) in self.candidates.iter_mut().enumerate() {
-            *candidates =
-                top_ranked(&workers, shard as u64, WORKERS_PER_SHARD);
-            candidates.extend(top_ranked(
-                &fronts,
-                shard as u64,
-                FRONTS_PER_SHARD,
-            ));
-        }
+        self.candidates.set_nodes(nodes);
         let is_listed_node = |node: &String| {
             nodes.workers.contains(node) || nodes.fronts.contains(node)
         };
@@ -250,8 +232,11 @@
                 nodes.extend(slot.allotted_to.clone());
             }
             // Nodes that would be preferred if they responded.
-            let preferred =
-                self.candidates[at / REPLICAS].iter().take(REPLICAS);
+            let preferred = self
+                .candidates
+                .of_shard(at / REPLICAS)
+                .iter()
+                .take(REPLICAS);
             let silent =
                 preferred.filter(|node| self.is_unresponsive(node, now));
             nodes.extend(silent.cloned());
@@ -352,7 +337,7 @@
     /// Reports whether no server counts slots of a shard that an earlier
     /// process allotted: every candidate has responded to this process.
     fn is_confirmed(&self, shard: usize, now: Millis) -> bool {
-        let candidates = &self.candidates[shard];
+        let candidates = self.candidates.of_shard(shard);
         self.settles_at.is_some_and(|at| now >= at)
             && !candidates.is_empty()
             && candidates.iter().all(|node| self.has_answered(node))
@@ -362,7 +347,7 @@
     /// slots that an earlier process may have allotted.
     fn unconfirmed_servers(&self, now: Millis) -> Vec<String> {
         let mut nodes = Vec::new();
-        for (shard, candidates) in self.candidates.iter().enumerate() {
+        for (shard, candidates) in self.candidates.shards().enumerate() {
             let slots = &self.slots[shard * REPLICAS..(shard + 1) * REPLICAS];
             let is_unconfirmed = |slot: &Slot| {
                 slot.allotted_to.is_none() && now < slot.allotted_until
@@ -386,28 +371,9 @@
         }
     }
 
-    /// Returns the candidate of the slot's replica if it responds, else the
-    /// first other one that does. The replicas of a shard have different
-    /// servers if two nodes respond, and the loss of one server moves only the
-    /// replica that it counted.
     fn choose_server(&self, slot: usize, now: Millis) -> Option<&str> {
-        let candidates = &self.candidates[slot / REPLICAS];
-        let responsive = |at: &usize| {
-            let node = candidates.get(*at);
-            node.is_some_and(|node| !self.is_unresponsive(node, now))
-        };
-        let others = || REPLICAS..candidates.len();
-        let first = [0].into_iter().chain(others()).chain([1]);
-        let first = first.into_iter().find(responsive)?;
-        let chosen = match slot % REPLICAS {
-            0 => first,
-            _ => {
-                let mut second = [1].into_iter().chain(others()).chain([0]);
-                let second = second.find(|at| *at != first && responsive(at));
-                second.unwrap_or(first)
-            }
-        };
-        Some(&candidates[chosen])
+        self.candidates
+            .choose(slot, |node| !self.is_unresponsive(node, now))
     }
 
     fn is_due(&self, node: &str, now: Millis) -> bool {
@@ -514,23 +480,3 @@
             && self.allotted_to != self.server
     }
 }
-
-fn hash_names(names: &[String]) -> Vec<(u64, &String)> {
-    names
-        .iter()
-        .map(|name| (stable_hash(&[name]), name))
-        .collect()
-}
-
-/// Returns the highest ranked nodes for one shard of customers, by rendezvous
-/// hashing.
-fn top_ranked(
-    nodes: &[(u64, &String)],
-    shard: u64,
-    max: usize,
-) -> Vec<String> {
-    let mut nodes = nodes.to_vec();
-    nodes.sort_unstable_by_key(|(hash, _)| mix(hash ^ mix(shard)));
-    let top = nodes.into_iter().take(max);
-    top.map(|(_, name)| name.clone()).collect()
-}
--- a/crates/limits/src/pool/client.rs
+++ b/crates/limits/src/pool/client.rs
@@ -1,15 +1,16 @@
+mod messages;
+
 use std::collections::VecDeque;
 
 use base::{Customer, Millis};
 use indexmap::IndexMap;
 
 use super::{
-    Demand, REPLICAS, TokenGrant, TokenRefusal, TokenRequest, TokenResponse,
+    Demand, REPLICAS, TokenGrant, TokenRefusal, TokenResponse,
     TokenServerOptions,
-    allotment::{Allotments, RENEWAL_CHECK_MS, Shares, Target},
+    allotment::{Allotments, Target},
     history::History,
-    message::MAX_HISTORY_COUNTS,
-    report::{ReportFields, Reports},
+    report::Reports,
     slot_of,
 };
 use crate::{
@@ -141,103 +142,6 @@
         }
     }
 
-    /// Sends a message to each node that is due one.
-    fn renew(&mut self, now: Millis) {
-        self.next_renewal = now.saturating_add_ms(RENEWAL_CHECK_MS);
-        self.exhausted.retain(|_, until| now < *until);
-        for node in self.allotments.servers_due(now) {
-            match self.reports.is_waiting(&node, now) {
-                true => self.send_reports(&node, now),
-                false => {
-                    self.send(&node, Vec::new(), now);
-                }
-            }
-        }
-        if let Some(at) = self.allotments.next_takeover(now) {
-            self.next_renewal = self.next_renewal.min(at);
-        }
-        for node in self.reports.repetitions(now) {
-            self.send_reports(&node, now);
-        }
-    }
-
-    /// Sends one message, which renews the allotment of all slots of that
-    /// server.
-    fn send(&mut self, to: &str, demands: Vec<Demand>, now: Millis) -> u64 {
-        let (sequence, shares) = self.allot(to, now);
-        let fields = ReportFields::default();
-        self.push_message(to, sequence, shares, demands, fields);
-        sequence
-    }
-
-    /// Sends the reports that a server is due. They are in a message of their
-    /// own, since a server of an older version drops it.
-    fn send_reports(&mut self, to: &str, now: Millis) {
-        let (sequence, shares) = self.allot(to, now);
-        let fields = self.reports.fields(to, shares.slots, sequence, now);
-        self.push_message(to, sequence, shares, Vec::new(), fields);
-    }
-
-    fn allot(&mut self, to: &str, now: Millis) -> (u64, Shares) {
-        self.last_sequence += 1;
-        let sequence = self.last_sequence;
-        let shares = self.allotments.allot(to, sequence, now);
-        if !shares.newly_allotted.is_empty() {
-            // The server that counts a share has the whole of it.
-            self.own_buckets.retain(|(customer, replica), _| {
-                !shares.newly_allotted.contains(&slot_of(customer, *replica))
-            });
-        }
-        for slot in &shares.newly_allotted {
-            self.open_report(*slot, to, now);
-        }
-        (sequence, shares)
-    }
-
-    fn open_report(&mut self, slot: usize, to: &str, now: Millis) {
-        let age_ms = self.started_at.map(|at| now.saturating_ms_since(at));
-        let is_young = age_ms.is_none_or(|ms| ms <= self.tolerance.window_ms);
-        if is_young {
-            self.reports.open(slot, to, None);
-            return;
-        }
-        let customers = self.history.of_slot(slot, now);
-        let customers = customers.filter(|customers| {
-            let counts = customers.iter();
-            let counts = counts.map(|(_, it)| it.counts.counts().count());
-            counts.sum::<usize>() <= MAX_HISTORY_COUNTS
-        });
-        match customers {
-            Some(customers) => self.reports.open(slot, to, Some(customers)),
-            None => self.reports.close(slot),
-        }
-    }
-
-    fn push_message(
-        &mut self,
-        to: &str,
-        sequence: u64,
-        shares: Shares,
-        demands: Vec<Demand>,
-        fields: ReportFields,
-    ) {
-        self.actions.push(LimitAction::Send {
-            to: to.to_owned(),
-            request: TokenRequest {
-                front: self.node.clone(),
-                incarnation: self.incarnation,
-                sequence,
-                lease_start: shares.from,
-                slots: shares.slots,
-                fronts: shares.fronts,
-                demands,
-                history: fields.history,
-                history_slots: fields.complete_slots,
-                incomplete_slots: fields.incomplete_slots,
-            },
-        });
-    }
-
     /// Starts the client's times with its first use.
     fn start(&mut self, now: Millis) {
         self.started_at.get_or_insert(now);
@@ -339,8 +243,13 @@
         requests: Vec<PendingRequest>,
         now: Millis,
     ) {
+        // Refusals that no server was asked for cost no message.
+        let is_lost = self.is_lost(customer, now);
         for (position, pending) in requests.into_iter().enumerate() {
             let decision = match pending.refused {
+                Some(refused) if is_lost => {
+                    LimitDecision::OverLimit(refused.retry_after(0))
+                }
                 Some(refused) => {
                     let exhausted_ms =
                         refused.token_in_ms.min(MAX_EXHAUSTED_MS);
@@ -446,35 +355,6 @@
     }
 }
 
-impl TokenRefusal {
-    /// Returns the refusal of requests whose server is lost, and whose share
-    /// is allotted to another one at the given time.
-    fn lost(until: Millis, now: Millis) -> Self {
-        let ms = until.saturating_ms_since(now).max(1);
-        Self {
-            token_in_ms: ms,
-            retry_after_ms: ms,
-            spacing_us: 0,
-        }
-    }
-
-    fn earlier(a: Option<Self>, b: Option<Self>) -> Option<Self> {
-        match (a, b) {
-            (Some(a), Some(b)) if a.retry_after_ms <= b.retry_after_ms => {
-                Some(a)
-            }
-            (Some(a), None) => Some(a),
-            (_, b) => b,
-        }
-    }
-
-    /// Returns when the refused request at the given position has a token.
-    fn retry_after(self, position: u64) -> OverLimit {
-        let behind_ms = self.spacing_us * position / 1_000;
-        OverLimit::new(self.retry_after_ms + behind_ms)
-    }
-}
-
 impl FleetLimiter for TokenClient {
     fn set_nodes(&mut self, nodes: &LimitNodes, now: Millis) {
         self.start(now);
@@ -562,6 +442,15 @@
 }
 
 impl TokenClient {
+    /// Reports whether the servers of both replicas are lost.
+    fn is_lost(&self, customer: &Customer, now: Millis) -> bool {
+        (0..REPLICAS).all(|replica| {
+            let slot = slot_of(customer, replica);
+            let target = self.allotments.target_of(slot, now);
+            matches!(target, Target::Lost { .. })
+        })
+    }
+
     /// Returns the replica that a request asks first: round robin, unless only
     /// the server of one responds in time.
     fn replica_for(
--- a/crates/limits/src/pool/message.rs
+++ b/crates/limits/src/pool/message.rs
@@ -1,8 +1,8 @@
-use base::Customer;
+use base::{Customer, Millis};
 use serde::{Deserialize, Serialize};
 
 use super::history::MAX_REPORT_CUSTOMERS;
-use crate::RateLimit;
+use crate::{OverLimit, RateLimit};
 
 /// Maximum number of customers in one message.
 const MAX_DEMANDS: usize = 8;
@@ -197,3 +197,33 @@
     #[serde(rename = "apart_us")]
     pub spacing_us: u64,
 }
+
+impl TokenRefusal {
+    /// Returns the refusal of requests whose server is lost, and whose share
+    /// is allotted to another one at the given time.
+    pub(super) fn lost(until: Millis, now: Millis) -> Self {
+        let ms = until.saturating_ms_since(now).max(1);
+        Self {
+            token_in_ms: ms,
+            retry_after_ms: ms,
+            spacing_us: 0,
+        }
+    }
+
+    /// Returns the refusal that ends earlier.
+    pub(super) fn earlier(a: Option<Self>, b: Option<Self>) -> Option<Self> {
+        match (a, b) {
+            (Some(a), Some(b)) if a.retry_after_ms <= b.retry_after_ms => {
+                Some(a)
+            }
+            (Some(a), None) => Some(a),
+            (_, b) => b,
+        }
+    }
+
+    /// Returns when the refused request at the given position has a token.
+    pub(super) fn retry_after(self, position: u64) -> OverLimit {
+        let behind_ms = self.spacing_us * position / 1_000;
+        OverLimit::new(self.retry_after_ms + behind_ms)
+    }
+}
--- a/crates/limits/src/pool/mod.rs
+++ b/crates/limits/src/pool/mod.rs
@@ -26,6 +26,8 @@
 //! whenever the service is unavailable.
 
 mod allotment;
+mod bucket;
+mod candidates;
 mod client;
 mod fraction;
 mod history;
--- a/crates/limits/src/pool/report.rs
+++ b/crates/limits/src/pool/report.rs
@@ -66,10 +66,13 @@
         })
     }
 
-    /// Reports whether the next renewal of a server contains a report.
+    /// Reports whether the next renewal of a server says that a report is not
+    /// complete. Others are not in renewals, which an old server would drop.
     pub(super) fn is_waiting(&self, to: &str, now: Millis) -> bool {
         let mut reports = self.slots.iter().flatten();
-        reports.any(|report| report.to == to && report.is_due(now))
+        reports.any(|report| {
+            report.to == to && report.customers.is_none() && report.is_due(now)
+        })
     }
 
     /// Returns the servers that are due a repetition of a report.
--- a/crates/limits/tests/fleet/event.rs
+++ b/crates/limits/tests/fleet/event.rs
@@ -56,6 +56,7 @@
         node: usize,
     },
     LoseServers {
+        customer: usize,
         replicas: usize,
         back_in_ms: u64,
     },
