Bound reports by the size of a datagram, and test them on the wire

A message could have contained more customers than its receiver accepts, and more bytes than a datagram. Reports are packed by an upper bound of their bytes now, and one slot whose report does not fit is not reported. Tests of the wire: old nodes read messages without a report, new ones read those of old nodes, the largest reports fit, altered ones are read or refused.

--- a/crates/limits/src/pool/client/messages.rs
+++ b/crates/limits/src/pool/client/messages.rs
@@ -7,7 +7,6 @@
     Demand, LimitAction, TokenRequest,
     pool::{
         allotment::{RENEWAL_CHECK_MS, Shares},
-        message::MAX_HISTORY_COUNTS,
         report::ReportFields,
         slot_of,
     },
@@ -79,13 +78,7 @@
             self.reports.open(slot, to, None);
             return;
         }
-        let customers = self.history.of_slot(slot, now);
-        let customers = customers.filter(|customers| {
-            let counts = customers.iter();
-            let counts = counts.map(|(_, it)| it.counts.counts().count());
-            counts.sum::<usize>() <= MAX_HISTORY_COUNTS
-        });
-        match customers {
+        match self.history.of_slot(slot, now) {
             Some(customers) => self.reports.open(slot, to, Some(customers)),
             None => self.reports.close(slot),
         }
--- a/crates/limits/src/pool/message.rs
+++ b/crates/limits/src/pool/message.rs
@@ -14,9 +14,9 @@
 const MAX_FRONTS: u32 = 100_000;
 
 /// Maximum number of customers, and of their counts, in one message's reports
-/// of admitted requests. Such a message has less than 50 KB.
+/// of admitted requests: as many as fit into one datagram.
 const MAX_HISTORIES: usize = 2 * MAX_REPORT_CUSTOMERS;
-pub(super) const MAX_HISTORY_COUNTS: usize = 1_600;
+const MAX_HISTORY_COUNTS: usize = 4_000;
 
 /// Maximum age of admitted requests, in milliseconds: longer than any window.
 const MAX_HISTORY_AGE_MS: u64 = 3_600_000;
--- a/crates/limits/src/pool/report.rs
+++ b/crates/limits/src/pool/report.rs
@@ -1,9 +1,15 @@
 use base::{Customer, Millis};
 
-use super::{
-    CustomerHistory, REPLICAS, SLOT_COUNT, history::Admitted,
-    message::MAX_HISTORY_COUNTS,
-};
+use super::{CustomerHistory, REPLICAS, SLOT_COUNT, history::Admitted};
+
+/// Maximum size of the reports in one message, in bytes of JSON, so that the
+/// message fits into one datagram. A larger report of one slot is not sent.
+const MAX_REPORT_BYTES: usize = 56_000;
+
+/// Size of a customer without its name, and of a count, in bytes of JSON with
+/// the longest numbers.
+const CUSTOMER_BYTES: usize = 130;
+const COUNT_BYTES: usize = 14;
 
 /// Maximum number of messages that contain the report of one allotment. An old
 /// server answers none of them.
@@ -38,19 +44,21 @@
 }
 
 impl Reports {
-    /// Starts the report of a newly allotted slot.
+    /// Starts the report of a newly allotted slot, unless it is too large.
     pub(super) fn open(
         &mut self,
         slot: usize,
         to: &str,
         customers: Option<Vec<(Customer, Admitted)>>,
     ) {
-        self.slots[slot] = Some(SlotReport {
+        let report = SlotReport {
             to: to.to_owned(),
             customers,
             sent_in: Vec::new(),
             last_sent: None,
-        });
+        };
+        let fits = report.size() <= MAX_REPORT_BYTES;
+        self.slots[slot] = fits.then_some(report);
     }
 
     /// Drops the report of a slot.
@@ -97,7 +105,7 @@
         now: Millis,
     ) -> ReportFields {
         let mut fields = ReportFields::default();
-        let mut counts = 0;
+        let mut total = 0;
         for (slot, entry) in self.slots.iter_mut().enumerate() {
             let Some(report) = entry.as_mut().filter(|at| at.to == to) else {
                 continue;
@@ -108,10 +116,10 @@
                 continue;
             }
             let size = report.size();
-            if !report.is_due(now) || counts + size > MAX_HISTORY_COUNTS {
+            if !report.is_due(now) || total + size > MAX_REPORT_BYTES {
                 continue;
             }
-            counts += size;
+            total += size;
             report.sent_in.push(sequence);
             report.last_sent = Some(now);
             match &report.customers {
@@ -153,13 +161,15 @@
             .is_none_or(|at| now.saturating_ms_since(at) >= RETRY_MS)
     }
 
-    /// Returns the number of counts, in which each customer takes the space of
-    /// several.
+    /// Returns an upper bound of the size in bytes of JSON.
     fn size(&self) -> usize {
         let customers = self.customers.iter().flatten();
-        customers
-            .map(|(_, admitted)| admitted.counts.counts().count())
-            .sum()
+        let sizes = customers.map(|(customer, admitted)| {
+            let counts = admitted.counts.counts().count();
+            let name = customer.as_str().len();
+            CUSTOMER_BYTES + name + counts * COUNT_BYTES
+        });
+        sizes.sum()
     }
 }
 
--- a/crates/limits/tests/unit/report.rs
+++ b/crates/limits/tests/unit/report.rs
@@ -2,13 +2,10 @@
 
 use base::{Customer, Millis};
 
-use super::{MAX_ATTEMPTS, RETRY_MS, Reports};
+use super::{COUNT_BYTES, MAX_ATTEMPTS, MAX_REPORT_BYTES, RETRY_MS, Reports};
 use crate::{
     RateLimit,
-    pool::{
-        history::{Admitted, StepCounts},
-        message::MAX_HISTORY_COUNTS,
-    },
+    pool::history::{Admitted, StepCounts},
 };
 
 const ALL: u16 = u16::MAX;
@@ -89,9 +86,11 @@
 #[test]
 fn large_reports_are_sent_in_several_messages() {
     let mut reports = Reports::default();
+    let half = MAX_REPORT_BYTES / COUNT_BYTES / 2 - 12;
     for slot in 0..3 {
-        reports.open(slot, "w1", Some(admitted(MAX_HISTORY_COUNTS / 2)));
+        reports.open(slot, "w1", Some(admitted(half)));
     }
+    reports.open(3, "w1", Some(admitted(3 * half)));
     let now = Millis::new(0);
     let fields = reports.fields("w1", ALL, 1, now);
     assert_eq!(fields.complete_slots, 0b011);
--- a/crates/node/tests/unit/quota_wire.rs
+++ b/crates/node/tests/unit/quota_wire.rs
@@ -1,11 +1,11 @@
 //! Validation of quota datagrams.
 
 use fuzz::{altered_bytes, altered_json, config};
-use limits::TokenRequest;
+use limits::{CustomerHistory, RateLimit, TokenRequest};
 use proptest::prelude::*;
 use yare::parameterized;
 
-use super::{QuotaMessage, VERSION};
+use super::{DATAGRAM_BYTES, QuotaMessage, VERSION};
 
 fn request() -> QuotaMessage {
     QuotaMessage::Request(TokenRequest {
@@ -22,6 +22,92 @@
     })
 }
 
+fn history(name: &str, counts: usize) -> CustomerHistory {
+    let limit = RateLimit::try_new(999_999.0, 9_999_999);
+    CustomerHistory {
+        customer: name.parse().expect("a valid name"),
+        replica: 1,
+        limit: limit.expect("a valid limit").with_version(u64::MAX),
+        counts: vec![(4_999, 9_999); counts],
+    }
+}
+
+fn report(history: Vec<CustomerHistory>) -> QuotaMessage {
+    let QuotaMessage::Request(request) = request() else {
+        panic!("another message");
+    };
+    QuotaMessage::Request(TokenRequest {
+        history,
+        history_slots: 2,
+        incomplete_slots: 1,
+        ..request
+    })
+}
+
+/// The fields of a message before there were reports.
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OldRequest {
+    front: String,
+    #[serde(rename = "incarnation")]
+    _incarnation: u64,
+    #[serde(rename = "number")]
+    _sequence: u64,
+    #[serde(rename = "lent_from")]
+    _lease_start: Option<serde_json::Value>,
+    #[serde(rename = "slots")]
+    _slots: u16,
+    #[serde(rename = "fronts")]
+    _fronts: u32,
+    #[serde(rename = "wants")]
+    _demands: Vec<serde_json::Value>,
+}
+
+fn as_old_node(message: &QuotaMessage) -> Option<OldRequest> {
+    let text = String::from_utf8(message.encode()).expect("text");
+    let all: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    serde_json::from_value(all["message"]["ask"].clone()).ok()
+}
+
+/// Guards against allotments that nodes of an older version refuse.
+#[test]
+fn old_nodes_read_messages_without_a_report() {
+    let read = as_old_node(&request()).expect("all fields are known");
+    assert_eq!(read.front, "front-1");
+    assert!(as_old_node(&report(Vec::new())).is_none(), "dropped");
+}
+
+/// Guards against messages of an older version that new nodes refuse.
+#[test]
+fn messages_without_the_new_fields_are_read() {
+    let text = r#"{"version":1,"message":{"ask":{"front":"front-1",
+        "incarnation":1,"number":2,"lent_from":null,"slots":3,"fronts":4,
+        "wants":[]}}}"#;
+    let read = QuotaMessage::decode(text.as_bytes()).expect("a message");
+    assert_eq!(read, request());
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written() {
+    let message = report(vec![history("alama", 3)]);
+    assert_eq!(
+        QuotaMessage::decode(&message.encode()).expect("read"),
+        message
+    );
+}
+
+/// Guards against a report that a node receives only in part.
+#[parameterized(
+    many_customers = { 200, 1 },
+    many_counts = { 1, 3_980 },
+)]
+fn the_largest_reports_fit_into_a_datagram(customers: usize, counts: usize) {
+    let name = "a".repeat(128);
+    let message = report(vec![history(&name, counts); customers]);
+    let bytes = message.encode().len();
+    assert!(bytes <= DATAGRAM_BYTES - 1_000, "{bytes}");
+}
+
 #[test]
 fn a_message_is_read_as_it_was_written() {
     let read = QuotaMessage::decode(&request().encode()).expect("a message");
@@ -31,10 +117,12 @@
 
 #[test]
 fn an_unverified_sender_pools_no_slots() {
-    let QuotaMessage::Request(request) = request().without_allotments() else {
+    let message = report(vec![history("alama", 1)]);
+    let QuotaMessage::Request(request) = message.without_allotments() else {
         panic!("another message");
     };
     assert_eq!((request.slots, request.sequence), (0, 2));
+    assert!(!request.has_report());
 }
 
 #[parameterized(
@@ -61,7 +149,8 @@
 }
 
 fn altered_request() -> impl Strategy<Value = Vec<u8>> {
-    let text = String::from_utf8(request().encode()).expect("text");
+    let message = report(vec![history("alama", 2)]);
+    let text = String::from_utf8(message.encode()).expect("text");
     prop_oneof![
         3 => altered_json(&text),
         1 => altered_bytes(text.as_bytes()),
