Take leases of servers of older versions for 1,500 ms

A server of an older version counts a share for 1,500 ms. A front of this version took that lease for 500 ms, so that while a fleet is updated, a share of a server that is cut off or frozen could have been counted twice for a second. A front now takes the lease for 1,500 ms until the server has answered a message with a report, which an older one drops.

Old servers of the harness have the old lease.

--- a/crates/limits/src/pool/allotment.rs
+++ b/crates/limits/src/pool/allotment.rs
@@ -1,6 +1,9 @@
+mod state;
+
 use base::Millis;
 use indexmap::IndexMap;
 
+use self::state::{Server, Slot};
 use super::{
     REPLICAS, SLOT_COUNT, ServerTimestamp, TokenResponse, TokenServerOptions,
     candidates::Candidates,
@@ -24,29 +27,6 @@
     slots: [Slot; SLOT_COUNT],
 }
 
-/// State of a node that shares are allotted to.
-#[derive(Debug, Default)]
-struct Server {
-    timestamp: Option<(ServerTimestamp, Millis)>,
-    last_sent: Option<Millis>,
-    /// When the oldest message without a response was sent.
-    unanswered_since: Option<Millis>,
-}
-
-/// State of one slot of this front.
-#[derive(Debug, Default)]
-struct Slot {
-    /// Server that requests are sent to, and that gets the slot as soon as
-    /// possible.
-    server: Option<String>,
-    /// Server that last had the slot; unknown after a start.
-    allotted_to: Option<String>,
-    /// Until when that server may count the slot.
-    allotted_until: Millis,
-    /// Sequence number of the message that released the slot.
-    released_in: Option<u64>,
-}
-
 /// Node that requests of a slot are sent to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Target<'a> {
@@ -86,6 +66,11 @@
 /// milliseconds: until all nodes that started at the same time are listed.
 const SETTLE_MS: u64 = 500;
 
+/// Minimum lease at servers of versions that read no reports, in milliseconds.
+/// A front that took it for shorter would allot a share to another server while
+/// such a server still counts it.
+const OLD_MIN_LEASE_MS: u64 = 1_500;
+
 /// Margin added to a lease before a slot is allotted to another server, in
 /// milliseconds, since clocks are read in whole milliseconds.
 const LEASE_MARGIN_MS: u64 = 2;
@@ -116,7 +101,7 @@
         }
         let settles_at = now.saturating_add_ms(SETTLE_MS);
         self.settles_at = Some(settles_at);
-        let until = settles_at.saturating_add_ms(self.lease_ms());
+        let until = settles_at.saturating_add_ms(self.longest_lease_ms());
         for slot in &mut self.slots {
             slot.allotted_until = until;
         }
@@ -249,8 +234,13 @@
 
     /// Determines the slots that a message allots to its recipient.
     pub(super) fn allot(&mut self, to: &str, seq: u64, now: Millis) -> Shares {
-        let lease_ms = self.lease_ms();
+        let (lease_ms, longest_ms) =
+            (self.lease_ms(), self.longest_lease_ms());
         let server = self.servers.entry(to.to_owned()).or_default();
+        let lease_ms = match server.is_up_to_date() {
+            true => lease_ms,
+            false => longest_ms,
+        };
         server.last_sent = Some(now);
         server.unanswered_since.get_or_insert(now);
         let timestamp = server.timestamp;
@@ -286,6 +276,11 @@
         if !reply.accepted {
             return false;
         }
+        let incarnation = reply.timestamp.incarnation;
+        let is_report = server.reported_in == Some(reply.sequence);
+        if is_report {
+            server.reads_reports = Some(incarnation);
+        }
         let before = server.timestamp.map(|(timestamp, _)| timestamp);
         let has_restarted = before.is_some_and(|before| {
             before.incarnation < reply.timestamp.incarnation
@@ -297,6 +292,9 @@
         if is_newer {
             server.timestamp = Some((reply.timestamp, now));
         }
+        if is_report {
+            self.on_report_answered(from, now);
+        }
         let mut is_free = false;
         for slot in &mut self.slots {
             // The server applied the release before it responded; a process
@@ -313,6 +311,30 @@
         is_free
     }
 
+    /// Records that a message contains a report.
+    pub(super) fn on_report(&mut self, to: &str, sequence: u64) {
+        if let Some(server) = self.servers.get_mut(to) {
+            server.reported_in = Some(sequence);
+        }
+    }
+
+    /// Shortens the leases of a server that has answered a report, and so has
+    /// the leases of this version.
+    fn on_report_answered(&mut self, from: &str, now: Millis) {
+        let lease_ms = self.lease_ms() + LEASE_MARGIN_MS;
+        let until = now.saturating_add_ms(lease_ms);
+        for slot in &mut self.slots {
+            if slot.allotted_to.as_deref() == Some(from) {
+                slot.allotted_until = slot.allotted_until.min(until);
+            }
+        }
+    }
+
+    /// Returns the lease of servers whose version is not known.
+    fn longest_lease_ms(&self) -> u64 {
+        self.lease_ms().max(OLD_MIN_LEASE_MS)
+    }
+
     fn lease_ms(&self) -> u64 {
         self.options.lease_ms(self.fronts.get())
     }
@@ -466,17 +488,3 @@
         (slots, newly_allotted)
     }
 }
-
-impl Slot {
-    /// Returns the server that may count the slot now.
-    fn counting_server(&self, now: Millis) -> Option<&str> {
-        let is_counted = now < self.allotted_until;
-        self.allotted_to.as_deref().filter(|_| is_counted)
-    }
-
-    fn needs_release(&self, now: Millis) -> bool {
-        now < self.allotted_until
-            && self.allotted_to.is_some()
-            && self.allotted_to != self.server
-    }
-}
--- a/crates/limits/src/pool/client/messages.rs
+++ b/crates/limits/src/pool/client/messages.rs
@@ -52,6 +52,9 @@
     pub(super) fn send_reports(&mut self, to: &str, now: Millis) {
         let (sequence, shares) = self.allot(to, now);
         let fields = self.reports.fields(to, shares.slots, sequence, now);
+        if fields.complete_slots | fields.incomplete_slots != 0 {
+            self.allotments.on_report(to, sequence);
+        }
         self.push_message(to, sequence, shares, Vec::new(), fields);
     }
 
--- a/crates/limits/src/pool/mod.rs
+++ b/crates/limits/src/pool/mod.rs
@@ -15,6 +15,13 @@
 //! time at which it created that timestamp, which is earlier. A counter that
 //! restarts begins without the tokens of a burst.
 //!
+//! Each front keeps a history of its admitted requests and reports it to the
+//! server that it newly allots a slot to. Once the fronts of all shares have
+//! reported, that server knows every request of the window, and sets its
+//! buckets to the level of a single bucket that counted all of them. No report
+//! misses requests, since a front admits only what the server that has its
+//! share grants, from before its report until it withdraws the share.
+//!
 //! Requests are served under such losses: the two replicas of a customer are
 //! on different nodes, so that one of them counts while the other is replaced;
 //! and a front that reaches no server uses its own share.
--- a/crates/limits/tests/fleet/scenario.rs
+++ b/crates/limits/tests/fleet/scenario.rs
@@ -150,8 +150,14 @@
         }
     }
 
-    pub(crate) fn server_options(self) -> TokenServerOptions {
+    /// Returns the options of a server; those of the version before reports
+    /// have longer leases.
+    pub(crate) fn server_options(self, is_old: bool) -> TokenServerOptions {
         match self.bug {
+            _ if is_old => TokenServerOptions {
+                min_lease_ms: 1_500,
+                ..TokenServerOptions::default()
+            },
             // With the shipped lease the error would be at most 400 ms, in
             // which no limit is exceeded within 600 seeds.
             InjectedBug::AllottedTooEarly => TokenServerOptions {
--- a/crates/limits/tests/fleet/sim.rs
+++ b/crates/limits/tests/fleet/sim.rs
@@ -146,7 +146,7 @@
                 false => format!("worker-{at}"),
             };
             self.by_name.insert(name.clone(), at);
-            let server = self.server(&name, 0);
+            let server = self.server(&name, 0, false);
             self.nodes.push(Node {
                 name,
                 is_front,
@@ -179,13 +179,13 @@
         self.schedule();
     }
 
-    fn server(&self, name: &str, process: u64) -> TokenServer {
+    fn server(&self, name: &str, process: u64, is_old: bool) -> TokenServer {
         let tolerance = self.scenario.server_tolerance();
         TokenServer::new(
             name,
             process,
             tolerance,
-            self.scenario.server_options(),
+            self.scenario.server_options(is_old),
         )
     }
 
@@ -275,7 +275,8 @@
             return;
         }
         let process = self.nodes[at].process + 1;
-        let server = self.server(&self.nodes[at].name, process);
+        let server =
+            self.server(&self.nodes[at].name, process, self.nodes[at].is_old);
         let options = self.scenario.client_options();
         let tolerance = self.scenario.tolerance;
         let node = &mut self.nodes[at];
@@ -347,34 +348,6 @@
         self.tick(at);
     }
 
-    fn lower_limits(&mut self) {
-        let before = self.customers.iter().map(|(_, limit)| *limit).collect();
-        self.before = Some((self.now_ms, before));
-        for (_, limit) in &mut self.customers {
-            let rate = limit.per_s() / 4.0;
-            let burst = limit.burst() / 4;
-            let lower =
-                RateLimit::try_new(rate, burst).expect("a valid limit");
-            *limit = lower.with_version(2);
-        }
-    }
-
-    /// Returns the limit that a front knows; changes reach it with a delay.
-    fn limit_at(&self, node: usize, customer: usize) -> RateLimit {
-        let limit = self.customers[customer].1;
-        let Some((changed_ms, before)) = &self.before else {
-            return limit;
-        };
-        let lag_ms = match self.nodes[node].cut_from_kv {
-            true => u64::MAX / 2,
-            false => mix(node as u64) % MAX_CONFIG_LAG_MS,
-        };
-        match self.now_ms < changed_ms + lag_ms {
-            true => before[customer],
-            false => limit,
-        }
-    }
-
     fn arrive(&mut self, customer: usize) {
         let rate = self.customers[customer].1.per_s();
         let now_ms = self.now_ms;
--- a/crates/limits/tests/fleet/sim/faults.rs
+++ b/crates/limits/tests/fleet/sim/faults.rs
@@ -1,9 +1,9 @@
 //! Faults of a simulated fleet.
 
 use base::{mix, stable_hash};
-use pomeloslip_limits::SLOT_COUNT;
+use pomeloslip_limits::{RateLimit, SLOT_COUNT};
 
-use super::{Node, START_MS, World};
+use super::{MAX_CONFIG_LAG_MS, Node, START_MS, World};
 use crate::{event::Event, scenario::Faults};
 
 /// When token servers of the large customer are lost at the earliest, and for
@@ -56,7 +56,7 @@
     fn schedule_repeated_losses(&mut self) {
         for node in 0..self.nodes.len() {
             self.nodes[node].is_old =
-                self.scenario.seed.is_multiple_of(4) && self.chance(20);
+                self.scenario.seed.is_multiple_of(3) && self.chance(30);
         }
         let disturbance = match self.below(6) {
             // A frozen front serves requests long after they were counted.
@@ -175,4 +175,32 @@
             self.push(at, Event::LowerLimits);
         }
     }
+
+    pub(super) fn lower_limits(&mut self) {
+        let before = self.customers.iter().map(|(_, limit)| *limit).collect();
+        self.before = Some((self.now_ms, before));
+        for (_, limit) in &mut self.customers {
+            let rate = limit.per_s() / 4.0;
+            let burst = limit.burst() / 4;
+            let lower =
+                RateLimit::try_new(rate, burst).expect("a valid limit");
+            *limit = lower.with_version(2);
+        }
+    }
+
+    /// Returns the limit that a front knows; changes reach it with a delay.
+    pub(super) fn limit_at(&self, node: usize, customer: usize) -> RateLimit {
+        let limit = self.customers[customer].1;
+        let Some((changed_ms, before)) = &self.before else {
+            return limit;
+        };
+        let lag_ms = match self.nodes[node].cut_from_kv {
+            true => u64::MAX / 2,
+            false => mix(node as u64) % MAX_CONFIG_LAG_MS,
+        };
+        match self.now_ms < changed_ms + lag_ms {
+            true => before[customer],
+            false => limit,
+        }
+    }
 }
--- a/crates/limits/tests/reports.rs
+++ b/crates/limits/tests/reports.rs
@@ -6,6 +6,7 @@
     SLOT_COUNT, Ticket, TokenClient, TokenEvent, TokenRequest, TokenServer,
     TokenServerOptions, Tolerance,
 };
+use yare::parameterized;
 
 const ALLOWANCE: Tolerance = Tolerance {
     window_ms: 5_000,
@@ -306,3 +307,29 @@
         }
     }
 }
+
+/// Guards against a share that is counted twice: a server of an older version
+/// counts it for 1,500 ms, whatever this version's leases are.
+#[parameterized(
+    at_this_version = { false, 1_000 },
+    at_an_older_version = { true, 1_800 },
+)]
+fn a_share_moves_when_its_lease_has_ended(are_old: bool, moved_ms: u64) {
+    let mut fleet = Fleet::new(4, TokenServerOptions::default());
+    fleet.are_old = are_old;
+    fleet.pass(6_000);
+    fleet.lose_servers();
+    let slots = fleet.customer_slots();
+    let is_moved = |fleet: &Fleet| {
+        let mut servers = fleet.servers.iter();
+        servers.any(|(_, server)| {
+            slots.iter().any(|slot| server.allotted(*slot) > 0.0)
+        })
+    };
+    // Renewals are sent up to 200 ms apart.
+    let earliest_ms = if are_old { 1_200 } else { 290 };
+    fleet.pass(earliest_ms);
+    assert!(!is_moved(&fleet));
+    fleet.pass(moved_ms - earliest_ms);
+    assert!(is_moved(&fleet));
+}
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -336,7 +336,12 @@
             young_fronts,
         } => {
             Counters::add(&counters.quota_slots_not_restored);
-            log::info!(slot, missing_fronts, young_fronts;
+            let reason = match (missing_fronts, young_fronts) {
+                (0, 0) => "not all shares were allotted",
+                (0, _) => "fronts are younger than the window",
+                _ => "fronts did not report",
+            };
+            log::info!(slot, reason, missing_fronts, young_fronts;
                 "the counts of a slot start without history");
         }
         TokenEvent::ReportRefused { .. } => {
