--- a/crates/limits/src/pool/allotment.rs
+++ b/crates/limits/src/pool/allotment.rs
@@ -1,8 +1,12 @@
-use base::{Millis, mix, stable_hash};
+mod state;
+
+use base::Millis;
 use indexmap::IndexMap;
 
+use self::state::{Server, Slot};
 use super::{
     REPLICAS, SLOT_COUNT, ServerTimestamp, TokenResponse, TokenServerOptions,
+    candidates::Candidates,
 };
 use crate::{LimitNodes, front_count::FrontCount};
 
@@ -18,33 +22,22 @@
     /// not know how many fronts share the limits, and has no share of its own.
     is_listed: bool,
     fronts: FrontCount,
-    /// Candidates for token servers per shard, in order of preference.
-    candidates: [Vec<String>; SLOT_COUNT / REPLICAS],
+    candidates: Candidates,
     servers: IndexMap<String, Server>,
     slots: [Slot; SLOT_COUNT],
 }
 
-/// State of a node that shares are allotted to.
-#[derive(Debug, Default)]
-struct Server {
-    timestamp: Option<(ServerTimestamp, Millis)>,
-    last_sent: Option<Millis>,
-    /// When the oldest message without a response was sent.
-    unanswered_since: Option<Millis>,
-}
-
-/// State of one slot of this front.
-#[derive(Debug, Default)]
-struct Slot {
-    /// Server that requests are sent to, and that gets the slot as soon as
-    /// possible.
-    server: Option<String>,
-    /// Server that last had the slot; unknown after a start.
-    allotted_to: Option<String>,
-    /// Until when that server may count the slot.
-    allotted_until: Millis,
-    /// Sequence number of the message that released the slot.
-    released_in: Option<u64>,
+/// Node that requests of a slot are sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Target<'a> {
+    /// The server that this front's share is allotted to, or, while it is not
+    /// allotted, the one that gets it.
+    Server(&'a str),
+    /// The server of the share does not respond. Its leases end at the given
+    /// time.
+    Lost { until: Millis },
+    /// No node responds.
+    Unknown,
 }
 
 /// Shares that one message allots to its recipient.
@@ -73,18 +66,15 @@
 /// milliseconds: until all nodes that started at the same time are listed.
 const SETTLE_MS: u64 = 500;
 
+/// Minimum lease at servers of versions that read no reports, in milliseconds.
+/// A front that took it for shorter would allot a share to another server while
+/// such a server still counts it.
+const OLD_MIN_LEASE_MS: u64 = 1_500;
+
 /// Margin added to a lease before a slot is allotted to another server, in
 /// milliseconds, since clocks are read in whole milliseconds.
 const LEASE_MARGIN_MS: u64 = 2;
 
-/// Maximum number of workers that are candidates for one shard, and of fronts
-/// after them, which also serve callers.
-///
-/// At these numbers two candidates remain if half of the nodes are lost; a
-/// process that starts waits for all of them.
-const WORKERS_PER_SHARD: usize = 6;
-const FRONTS_PER_SHARD: usize = 3;
-
 impl Allotments {
     /// Creates the state without any allotment.
     pub(super) fn new(node: &str, options: TokenServerOptions) -> Self {
@@ -94,7 +84,7 @@
             settles_at: None,
             is_listed: false,
             fronts: FrontCount::default(),
-            candidates: Default::default(),
+            candidates: Candidates::default(),
             servers: IndexMap::new(),
             slots: Default::default(),
         }
@@ -111,7 +101,7 @@
         }
         let settles_at = now.saturating_add_ms(SETTLE_MS);
         self.settles_at = Some(settles_at);
-        let until = settles_at.saturating_add_ms(self.lease_ms());
+        let until = settles_at.saturating_add_ms(self.longest_lease_ms());
         for slot in &mut self.slots {
             slot.allotted_until = until;
         }
@@ -121,17 +111,7 @@
     pub(super) fn set_nodes(&mut self, nodes: &LimitNodes, now: Millis) {
         self.fronts.observe(&nodes.fronts, now);
         self.is_listed |= nodes.fronts.contains(&self.node);
-        let workers = hash_names(&nodes.workers);
-        let fronts = hash_names(&nodes.fronts);
-        for (shard, candidates) in self.candidates.iter_mut().enumerate() {
-            *candidates =
-                top_ranked(&workers, shard as u64, WORKERS_PER_SHARD);
-            candidates.extend(top_ranked(
-                &fronts,
-                shard as u64,
-                FRONTS_PER_SHARD,
-            ));
-        }
+        self.candidates.set_nodes(nodes);
         let is_listed_node = |node: &String| {
             nodes.workers.contains(node) || nodes.fronts.contains(node)
         };
@@ -139,18 +119,80 @@
         self.assign_servers(now);
     }
 
-    /// Returns the server that requests of a slot are sent to.
-    pub(super) fn server_of(&self, slot: usize) -> Option<&str> {
-        self.slots[slot].server.as_deref()
+    /// Returns where requests of a slot are sent.
+    ///
+    /// While the share is allotted, only the server that counts it may admit
+    /// requests of this front: a report to that server would otherwise miss
+    /// requests that another server admitted after the report was sent.
+    pub(super) fn target_of(&self, slot: usize, now: Millis) -> Target<'_> {
+        let state = &self.slots[slot];
+        match state.counting_server(now) {
+            Some(node) if state.server.as_deref() != Some(node) => {
+                match self.is_lost(node, now) {
+                    true => Target::Lost {
+                        until: self.lost_until(slot, node),
+                    },
+                    false => Target::Server(node),
+                }
+            }
+            _ => match &state.server {
+                Some(node) => Target::Server(node),
+                None => Target::Unknown,
+            },
+        }
+    }
+
+    /// Reports whether requests that a server admits in a slot now count: it
+    /// has this front's share, or nobody has.
+    pub(super) fn may_admit(
+        &self,
+        slot: usize,
+        server: &str,
+        now: Millis,
+    ) -> bool {
+        let counting = self.slots[slot].counting_server(now);
+        counting.is_none_or(|node| node == server)
+    }
+
+    /// Reports whether a response is from the latest known process of a
+    /// server.
+    pub(super) fn is_current(
+        &self,
+        from: &str,
+        reply: &TokenResponse,
+    ) -> bool {
+        let server = self.servers.get(from);
+        let timestamp = server.and_then(|server| server.timestamp);
+        timestamp.is_none_or(|(known, _)| {
+            known.incarnation <= reply.timestamp.incarnation
+        })
+    }
+
+    fn is_lost(&self, node: &str, now: Millis) -> bool {
+        !self.servers.contains_key(node) || self.is_unresponsive(node, now)
+    }
+
+    /// Returns when no front's lease at a lost server runs any more: the
+    /// server sent no timestamp after it was lost, and it was lost before the
+    /// oldest message without a response.
+    fn lost_until(&self, slot: usize, node: &str) -> Millis {
+        let own = self.slots[slot].allotted_until;
+        let server = self.servers.get(node);
+        let since = server.and_then(|server| server.unanswered_since);
+        let all = since
+            .map(|at| at.saturating_add_ms(self.lease_ms() + LEASE_MARGIN_MS));
+        all.map_or(own, |all| own.max(all))
     }
 
     /// Reports whether the server of a slot responds in time.
     pub(super) fn is_responsive(&self, slot: usize, now: Millis) -> bool {
         let response_timeout_ms = self.options.response_timeout_ms;
-        let server = self.server_of(slot);
-        server.is_some_and(|node| {
-            !self.is_unanswered(node, response_timeout_ms, now)
-        })
+        match self.target_of(slot, now) {
+            Target::Server(node) => {
+                !self.is_unanswered(node, response_timeout_ms, now)
+            }
+            Target::Lost { .. } | Target::Unknown => false,
+        }
     }
 
     /// Returns this front's share of one replica of each limit, and since when
@@ -175,8 +217,11 @@
                 nodes.extend(slot.allotted_to.clone());
             }
             // Nodes that would be preferred if they responded.
-            let preferred =
-                self.candidates[at / REPLICAS].iter().take(REPLICAS);
+            let preferred = self
+                .candidates
+                .of_shard(at / REPLICAS)
+                .iter()
+                .take(REPLICAS);
             let silent =
                 preferred.filter(|node| self.is_unresponsive(node, now));
             nodes.extend(silent.cloned());
@@ -189,8 +234,13 @@
 
     /// Determines the slots that a message allots to its recipient.
     pub(super) fn allot(&mut self, to: &str, seq: u64, now: Millis) -> Shares {
-        let lease_ms = self.lease_ms();
+        let (lease_ms, longest_ms) =
+            (self.lease_ms(), self.longest_lease_ms());
         let server = self.servers.entry(to.to_owned()).or_default();
+        let lease_ms = match server.is_up_to_date() {
+            true => lease_ms,
+            false => longest_ms,
+        };
         server.last_sent = Some(now);
         server.unanswered_since.get_or_insert(now);
         let timestamp = server.timestamp;
@@ -210,20 +260,26 @@
         }
     }
 
-    /// Updates the state of a server from its response.
+    /// Updates the state of a server from its response, and returns whether a
+    /// slot can be allotted to another server now.
     pub(super) fn on_response(
         &mut self,
         from: &str,
         reply: &TokenResponse,
         now: Millis,
-    ) {
+    ) -> bool {
         self.fronts.report(reply.fronts, now);
         let Some(server) = self.servers.get_mut(from) else {
-            return;
+            return false;
         };
         server.unanswered_since = None;
         if !reply.accepted {
-            return;
+            return false;
+        }
+        let incarnation = reply.timestamp.incarnation;
+        let is_report = server.reported_in == Some(reply.sequence);
+        if is_report {
+            server.reads_reports = Some(incarnation);
         }
         let before = server.timestamp.map(|(timestamp, _)| timestamp);
         let has_restarted = before.is_some_and(|before| {
@@ -236,6 +292,10 @@
         if is_newer {
             server.timestamp = Some((reply.timestamp, now));
         }
+        if is_report {
+            self.on_report_answered(from, now);
+        }
+        let mut is_free = false;
         for slot in &mut self.slots {
             // The server applied the release before it responded; a process
             // that has just started counts no earlier allotments.
@@ -245,10 +305,36 @@
             let is_over = released || has_restarted;
             if is_over && slot.allotted_to.as_deref() == Some(from) {
                 slot.allotted_until = slot.allotted_until.min(now);
+                is_free |= slot.server.as_deref() != Some(from);
+            }
+        }
+        is_free
+    }
+
+    /// Records that a message contains a report.
+    pub(super) fn on_report(&mut self, to: &str, sequence: u64) {
+        if let Some(server) = self.servers.get_mut(to) {
+            server.reported_in = Some(sequence);
+        }
+    }
+
+    /// Shortens the leases of a server that has answered a report, and so has
+    /// the leases of this version.
+    fn on_report_answered(&mut self, from: &str, now: Millis) {
+        let lease_ms = self.lease_ms() + LEASE_MARGIN_MS;
+        let until = now.saturating_add_ms(lease_ms);
+        for slot in &mut self.slots {
+            if slot.allotted_to.as_deref() == Some(from) {
+                slot.allotted_until = slot.allotted_until.min(until);
             }
         }
     }
 
+    /// Returns the lease of servers whose version is not known.
+    fn longest_lease_ms(&self) -> u64 {
+        self.lease_ms().max(OLD_MIN_LEASE_MS)
+    }
+
     fn lease_ms(&self) -> u64 {
         self.options.lease_ms(self.fronts.get())
     }
@@ -273,7 +359,7 @@
     /// Reports whether no server counts slots of a shard that an earlier
     /// process allotted: every candidate has responded to this process.
     fn is_confirmed(&self, shard: usize, now: Millis) -> bool {
-        let candidates = &self.candidates[shard];
+        let candidates = self.candidates.of_shard(shard);
         self.settles_at.is_some_and(|at| now >= at)
             && !candidates.is_empty()
             && candidates.iter().all(|node| self.has_answered(node))
@@ -283,7 +369,7 @@
     /// slots that an earlier process may have allotted.
     fn unconfirmed_servers(&self, now: Millis) -> Vec<String> {
         let mut nodes = Vec::new();
-        for (shard, candidates) in self.candidates.iter().enumerate() {
+        for (shard, candidates) in self.candidates.shards().enumerate() {
             let slots = &self.slots[shard * REPLICAS..(shard + 1) * REPLICAS];
             let is_unconfirmed = |slot: &Slot| {
                 slot.allotted_to.is_none() && now < slot.allotted_until
@@ -297,8 +383,7 @@
         nodes
     }
 
-    /// Chooses the server of each slot: the first candidate that responds, and
-    /// for the second replica another one if there is one.
+    /// Chooses the server of each slot.
     fn assign_servers(&mut self, now: Millis) {
         for slot in 0..SLOT_COUNT {
             let choice = self.choose_server(slot, now);
@@ -309,15 +394,8 @@
     }
 
     fn choose_server(&self, slot: usize, now: Millis) -> Option<&str> {
-        let mut answering = self.candidates[slot / REPLICAS]
-            .iter()
-            .filter(|node| !self.is_unresponsive(node, now));
-        let first = answering.next()?;
-        let node = match slot % REPLICAS {
-            0 => first,
-            _ => answering.next().unwrap_or(first),
-        };
-        Some(node)
+        self.candidates
+            .choose(slot, |node| !self.is_unresponsive(node, now))
     }
 
     fn is_due(&self, node: &str, now: Millis) -> bool {
@@ -338,7 +416,32 @@
         let has_waited = server
             .last_sent
             .is_none_or(|at| now.saturating_ms_since(at) >= pause_ms);
-        has_waited || releases
+        has_waited || releases || self.takes_over(node, now)
+    }
+
+    /// Reports whether a message would allot slots to a server that another
+    /// one has counted.
+    fn takes_over(&self, node: &str, now: Millis) -> bool {
+        let server = self.servers.get(node);
+        let timestamp = server.and_then(|server| server.timestamp);
+        let is_known = timestamp.is_some_and(|(_, received_at)| {
+            now < received_at.saturating_add_ms(self.lease_ms())
+        });
+        is_known
+            && self.is_listed
+            && self.slots.iter().any(|slot| {
+                slot.server.as_deref() == Some(node)
+                    && slot.allotted_to.as_deref() != Some(node)
+                    && slot.allotted_to.is_some()
+                    && slot.allotted_until <= now
+            })
+    }
+
+    /// Returns when the next lease ends after which a slot is allotted to
+    /// another server.
+    pub(super) fn next_takeover(&self, now: Millis) -> Option<Millis> {
+        let moved = self.slots.iter().filter(|slot| slot.needs_release(now));
+        moved.map(|slot| slot.allotted_until).min()
     }
 
     /// Records the slots that a message allots. A slot is allotted to another
@@ -385,31 +488,3 @@
         (slots, newly_allotted)
     }
 }
-
-impl Slot {
-    fn needs_release(&self, now: Millis) -> bool {
-        now < self.allotted_until
-            && self.allotted_to.is_some()
-            && self.allotted_to != self.server
-    }
-}
-
-fn hash_names(names: &[String]) -> Vec<(u64, &String)> {
-    names
-        .iter()
-        .map(|name| (stable_hash(&[name]), name))
-        .collect()
-}
-
-/// Returns the highest ranked nodes for one shard of customers, by rendezvous
-/// hashing.
-fn top_ranked(
-    nodes: &[(u64, &String)],
-    shard: u64,
-    max: usize,
-) -> Vec<String> {
-    let mut nodes = nodes.to_vec();
-    nodes.sort_unstable_by_key(|(hash, _)| mix(hash ^ mix(shard)));
-    let top = nodes.into_iter().take(max);
-    top.map(|(_, name)| name.clone()).collect()
-}
--- a/crates/limits/src/pool/client.rs
+++ b/crates/limits/src/pool/client.rs
@@ -1,12 +1,16 @@
+mod messages;
+
 use std::collections::VecDeque;
 
 use base::{Customer, Millis};
 use indexmap::IndexMap;
 
 use super::{
-    Demand, REPLICAS, TokenGrant, TokenRefusal, TokenRequest, TokenResponse,
+    Demand, REPLICAS, TokenGrant, TokenRefusal, TokenResponse,
     TokenServerOptions,
-    allotment::{Allotments, RENEWAL_CHECK_MS},
+    allotment::{Allotments, Target},
+    history::History,
+    report::Reports,
     slot_of,
 };
 use crate::{
@@ -62,6 +66,10 @@
     /// Customers without tokens in either replica, and until when.
     exhausted: IndexMap<Customer, Millis>,
     own_buckets: IndexMap<(Customer, usize), OwnBucket>,
+    history: History,
+    reports: Reports,
+    /// When this process was first used.
+    started_at: Option<Millis>,
     last_sequence: u64,
     next_renewal: Millis,
     actions: Vec<LimitAction>,
@@ -125,46 +133,32 @@
             sent: IndexMap::new(),
             exhausted: IndexMap::new(),
             own_buckets: IndexMap::new(),
+            history: History::new(tolerance.window_ms),
+            reports: Reports::default(),
+            started_at: None,
             last_sequence: 0,
             next_renewal: Millis::new(0),
             actions: Vec::new(),
         }
     }
 
-    /// Sends a message to each node that is due one.
-    fn renew(&mut self, now: Millis) {
-        self.next_renewal = now.saturating_add_ms(RENEWAL_CHECK_MS);
-        self.exhausted.retain(|_, until| now < *until);
-        for node in self.allotments.servers_due(now) {
-            self.send(&node, Vec::new(), now);
-        }
+    /// Starts the client's times with its first use.
+    fn start(&mut self, now: Millis) {
+        self.started_at.get_or_insert(now);
+        self.allotments.start(now);
     }
 
-    /// Sends one message, which renews the allotment of all slots of that
-    /// server.
-    fn send(&mut self, to: &str, demands: Vec<Demand>, now: Millis) -> u64 {
-        self.last_sequence += 1;
-        let sequence = self.last_sequence;
-        let shares = self.allotments.allot(to, sequence, now);
-        if !shares.newly_allotted.is_empty() {
-            // The server that counts a share has the whole of it.
-            self.own_buckets.retain(|(customer, replica), _| {
-                !shares.newly_allotted.contains(&slot_of(customer, *replica))
-            });
-        }
-        self.actions.push(LimitAction::Send {
-            to: to.to_owned(),
-            request: TokenRequest {
-                front: self.node.clone(),
-                incarnation: self.incarnation,
-                sequence,
-                lease_start: shares.from,
-                slots: shares.slots,
-                fronts: shares.fronts,
-                demands,
-            },
-        });
-        sequence
+    /// Admits a request and records it.
+    fn admit(
+        &mut self,
+        customer: &Customer,
+        replica: usize,
+        pending: PendingRequest,
+        now: Millis,
+    ) {
+        self.history.record(customer, replica, pending.limit, now);
+        let admitted = LimitDecision::Admitted(QuotaPermit::new());
+        self.decide(pending.ticket, admitted);
     }
 
     fn flush(&mut self, customer: &Customer, replica: usize, now: Millis) {
@@ -176,15 +170,25 @@
             return;
         }
         let slot = slot_of(customer, replica);
-        let server = self.allotments.server_of(slot).map(str::to_owned);
-        let Some(server) = server else {
-            let pending: Vec<PendingRequest> =
-                queue.pending.drain(..).collect();
-            self.take_own(customer, replica, pending, now);
-            return;
+        let mut requests: Vec<PendingRequest> =
+            queue.pending.drain(..).collect();
+        let server = match self.allotments.target_of(slot, now) {
+            Target::Server(server) => server.to_owned(),
+            Target::Lost { until } => {
+                let refused = TokenRefusal::lost(until, now);
+                for pending in &mut requests {
+                    pending.refused =
+                        TokenRefusal::earlier(pending.refused, Some(refused));
+                }
+                self.try_other_replica(customer, replica, requests, now);
+                return;
+            }
+            Target::Unknown => {
+                self.take_own(customer, replica, requests, now);
+                return;
+            }
         };
         queue.in_flight = true;
-        let requests: Vec<PendingRequest> = queue.pending.drain(..).collect();
         let newest = requests.iter().map(|pending| pending.limit);
         let Some(limit) = newest.max_by_key(|limit| limit.version()) else {
             return;
@@ -239,8 +243,13 @@
         requests: Vec<PendingRequest>,
         now: Millis,
     ) {
+        // Refusals that no server was asked for cost no message.
+        let is_lost = self.is_lost(customer, now);
         for (position, pending) in requests.into_iter().enumerate() {
             let decision = match pending.refused {
+                Some(refused) if is_lost => {
+                    LimitDecision::OverLimit(refused.retry_after(0))
+                }
                 Some(refused) => {
                     let exhausted_ms =
                         refused.token_in_ms.min(MAX_EXHAUSTED_MS);
@@ -282,10 +291,7 @@
             bucket.at = bucket.at.max(now);
             if bucket.tokens >= 1.0 {
                 bucket.tokens -= 1.0;
-                self.decide(
-                    pending.ticket,
-                    LimitDecision::Admitted(QuotaPermit::new()),
-                );
+                self.admit(customer, replica, pending, now);
             } else {
                 left.push(pending);
             }
@@ -328,10 +334,7 @@
         if let Some(grant) = grant {
             let granted = (grant.granted as usize).min(requests.len());
             for pending in requests.drain(..granted) {
-                self.decide(
-                    pending.ticket,
-                    LimitDecision::Admitted(QuotaPermit::new()),
-                );
+                self.admit(&sent.customer, sent.replica, pending, now);
             }
             for pending in &mut requests {
                 pending.refused =
@@ -352,27 +355,9 @@
     }
 }
 
-impl TokenRefusal {
-    fn earlier(a: Option<Self>, b: Option<Self>) -> Option<Self> {
-        match (a, b) {
-            (Some(a), Some(b)) if a.retry_after_ms <= b.retry_after_ms => {
-                Some(a)
-            }
-            (Some(a), None) => Some(a),
-            (_, b) => b,
-        }
-    }
-
-    /// Returns when the refused request at the given position has a token.
-    fn retry_after(self, position: u64) -> OverLimit {
-        let behind_ms = self.spacing_us * position / 1_000;
-        OverLimit::new(self.retry_after_ms + behind_ms)
-    }
-}
-
 impl FleetLimiter for TokenClient {
     fn set_nodes(&mut self, nodes: &LimitNodes, now: Millis) {
-        self.allotments.start(now);
+        self.start(now);
         self.allotments.set_nodes(nodes, now);
         self.next_renewal = now;
     }
@@ -384,7 +369,7 @@
         limit: RateLimit,
         now: Millis,
     ) {
-        self.allotments.start(now);
+        self.start(now);
         if let Some(until) = self.exhausted.get(customer)
             && now < *until
         {
@@ -412,16 +397,30 @@
         if !is_for_this_process {
             return;
         }
-        self.allotments.on_response(from, reply, now);
+        let is_current = self.allotments.is_current(from, reply);
+        if self.allotments.on_response(from, reply, now) {
+            self.next_renewal = now;
+        }
+        if reply.accepted {
+            self.reports.on_response(from, reply.sequence);
+        }
         if let Some(sent) = self.sent.shift_remove(&reply.sequence) {
-            let is_same = sent.to == from;
-            let grant = reply.grants.first().copied().filter(|_| is_same);
+            let slot = slot_of(&sent.customer, sent.replica);
+            // What another server admits after this front has reported its
+            // requests would be in no report.
+            let counts = sent.to == from
+                && is_current
+                && self.allotments.may_admit(slot, from, now);
+            let grant = reply.grants.first().copied().filter(|_| counts);
             self.resolve(sent, grant, now);
         }
+        if self.reports.is_due(from, now) {
+            self.send_reports(from, now);
+        }
     }
 
     fn tick(&mut self, now: Millis) {
-        self.allotments.start(now);
+        self.start(now);
         self.expire(now);
         if now >= self.next_renewal {
             self.renew(now);
@@ -443,6 +442,15 @@
 }
 
 impl TokenClient {
+    /// Reports whether the servers of both replicas are lost.
+    fn is_lost(&self, customer: &Customer, now: Millis) -> bool {
+        (0..REPLICAS).all(|replica| {
+            let slot = slot_of(customer, replica);
+            let target = self.allotments.target_of(slot, now);
+            matches!(target, Target::Lost { .. })
+        })
+    }
+
     /// Returns the replica that a request asks first: round robin, unless only
     /// the server of one responds in time.
     fn replica_for(
--- a/crates/limits/src/pool/message.rs
+++ b/crates/limits/src/pool/message.rs
@@ -1,7 +1,8 @@
-use base::Customer;
+use base::{Customer, Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::RateLimit;
+use super::history::MAX_REPORT_CUSTOMERS;
+use crate::{OverLimit, RateLimit};
 
 /// Maximum number of customers in one message.
 const MAX_DEMANDS: usize = 8;
@@ -12,6 +13,14 @@
 /// Maximum number of fronts that a message may report.
 const MAX_FRONTS: u32 = 100_000;
 
+/// Maximum number of customers, and of their counts, in one message's reports
+/// of admitted requests: as many as fit into one datagram.
+const MAX_HISTORIES: usize = 2 * MAX_REPORT_CUSTOMERS;
+const MAX_HISTORY_COUNTS: usize = 4_000;
+
+/// Maximum age of admitted requests, in milliseconds: longer than any window.
+const MAX_HISTORY_AGE_MS: u64 = 3_600_000;
+
 /// A time on the clock of one process of a token server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +54,36 @@
     /// The requests to count.
     #[serde(rename = "wants")]
     pub demands: Vec<Demand>,
+    /// Requests that the front had admitted when it allotted the slots of
+    /// `history_slots`. Sent in messages without demands, since servers of
+    /// older versions refuse them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<CustomerHistory>,
+    /// Bit mask of the slots for which `history` is complete.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub history_slots: u16,
+    /// Bit mask of the newly allotted slots whose admitted requests the front
+    /// does not know, because its process is younger than the window.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub incomplete_slots: u16,
+}
+
+fn is_zero(mask: &u16) -> bool {
+    *mask == 0
+}
+
+/// Requests of a customer that a front has admitted in the last window.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerHistory {
+    /// The customer.
+    pub customer: Customer,
+    /// Index of the replica that counted the requests.
+    pub replica: u8,
+    /// Rate limit of the customer, as the front knows it.
+    pub limit: RateLimit,
+    /// Ages in milliseconds, and numbers of requests of at most these ages.
+    pub counts: Vec<(u64, u32)>,
 }
 
 /// Requests of one customer.
@@ -74,6 +113,38 @@
         (1..=MAX_FRONTS).contains(&self.fronts)
             && self.demands.len() <= MAX_DEMANDS
             && self.demands.iter().all(want_ok)
+            && self.is_history_valid()
+    }
+
+    /// Reports whether the message contains a report of admitted requests.
+    pub fn has_report(&self) -> bool {
+        !self.history.is_empty()
+            || self.history_slots != 0
+            || self.incomplete_slots != 0
+    }
+
+    fn is_history_valid(&self) -> bool {
+        let is_reported = |history: &CustomerHistory| {
+            let replica = usize::from(history.replica);
+            replica < super::REPLICAS && {
+                let slot = super::slot_of(&history.customer, replica);
+                self.history_slots & (1 << slot) != 0
+            }
+        };
+        let in_range = |history: &CustomerHistory| {
+            history.limit.is_valid()
+                && history.counts.iter().all(|(age_ms, count)| {
+                    *age_ms <= MAX_HISTORY_AGE_MS && *count <= MAX_COUNT
+                })
+        };
+        let counts = self.history.iter().map(|it| it.counts.len());
+        let reported = self.history_slots | self.incomplete_slots;
+        self.history.len() <= MAX_HISTORIES
+            && counts.sum::<usize>() <= MAX_HISTORY_COUNTS
+            && reported & !self.slots == 0
+            && self.history_slots & self.incomplete_slots == 0
+            && self.history.iter().all(is_reported)
+            && self.history.iter().all(in_range)
     }
 }
 
@@ -126,3 +197,33 @@
     #[serde(rename = "apart_us")]
     pub spacing_us: u64,
 }
+
+impl TokenRefusal {
+    /// Returns the refusal of requests whose server is lost, and whose share
+    /// is allotted to another one at the given time.
+    pub(super) fn lost(until: Millis, now: Millis) -> Self {
+        let ms = until.saturating_ms_since(now).max(1);
+        Self {
+            token_in_ms: ms,
+            retry_after_ms: ms,
+            spacing_us: 0,
+        }
+    }
+
+    /// Returns the refusal that ends earlier.
+    pub(super) fn earlier(a: Option<Self>, b: Option<Self>) -> Option<Self> {
+        match (a, b) {
+            (Some(a), Some(b)) if a.retry_after_ms <= b.retry_after_ms => {
+                Some(a)
+            }
+            (Some(a), None) => Some(a),
+            (_, b) => b,
+        }
+    }
+
+    /// Returns when the refused request at the given position has a token.
+    pub(super) fn retry_after(self, position: u64) -> OverLimit {
+        let behind_ms = self.spacing_us * position / 1_000;
+        OverLimit::new(self.retry_after_ms + behind_ms)
+    }
+}
--- a/crates/limits/src/pool/mod.rs
+++ b/crates/limits/src/pool/mod.rs
@@ -15,6 +15,13 @@
 //! time at which it created that timestamp, which is earlier. A counter that
 //! restarts begins without the tokens of a burst.
 //!
+//! Each front keeps a history of its admitted requests and reports it to the
+//! server that it newly allots a slot to. Once the fronts of all shares have
+//! reported, that server knows every request of the window, and sets its
+//! buckets to the level of a single bucket that counted all of them. No report
+//! misses requests, since a front admits only what the server that has its
+//! share grants, from before its report until it withdraws the share.
+//!
 //! Requests are served under such losses: the two replicas of a customer are
 //! on different nodes, so that one of them counts while the other is replaced;
 //! and a front that reaches no server uses its own share.
@@ -26,17 +33,23 @@
 //! whenever the service is unavailable.
 
 mod allotment;
+mod bucket;
+mod candidates;
 mod client;
 mod fraction;
+mod history;
 mod message;
+mod report;
+mod restore;
 mod server;
 
 pub use self::{
     client::TokenClient,
     message::{
-        Demand, ServerTimestamp, TokenGrant, TokenRefusal, TokenRequest,
-        TokenResponse,
+        CustomerHistory, Demand, ServerTimestamp, TokenGrant, TokenRefusal,
+        TokenRequest, TokenResponse,
     },
+    restore::TokenEvent,
     server::TokenServer,
 };
 
@@ -85,7 +98,7 @@
     /// limit. This leaves two thirds of the shortest latency objectives.
     fn default() -> Self {
         Self {
-            min_lease_ms: 1_500,
+            min_lease_ms: 500,
             lease_per_front_ms: 30,
             max_lease_ms: 10_000,
             response_timeout_ms: 40,
--- a/crates/limits/src/pool/server.rs
+++ b/crates/limits/src/pool/server.rs
@@ -6,10 +6,12 @@
 use super::{
     Demand, REPLICAS, SLOT_COUNT, ServerTimestamp, TokenGrant, TokenRefusal,
     TokenRequest, TokenResponse, TokenServerOptions,
-    fraction::{Fraction, Snapshot},
+    bucket::{Bucket, MAX_RETRY_AFTER_MS},
+    fraction::Fraction,
+    restore::{Restores, TokenEvent},
     slot_of,
 };
-use crate::{RateLimit, Tolerance, front_count::FrontCount};
+use crate::{Tolerance, front_count::FrontCount};
 
 /// Counts requests against the shares that fronts allot to this node.
 ///
@@ -32,6 +34,9 @@
 ///     slots: 0,
 ///     fronts: 1,
 ///     demands: Vec::new(),
+///     history: Vec::new(),
+///     history_slots: 0,
+///     incomplete_slots: 0,
 /// };
 /// let reply = server.handle(&request, Millis::new(5)).expect("valid");
 /// assert_eq!((reply.sequence, reply.timestamp.at_ms), (1, 5));
@@ -49,6 +54,7 @@
     pools: [Fraction; SLOT_COUNT],
     buckets: IndexMap<(Customer, u8), Bucket>,
     fronts: FrontCount,
+    restores: Restores,
 }
 
 /// How a message relates to earlier messages of the same front.
@@ -72,18 +78,6 @@
     last_seen: Millis,
 }
 
-/// Token bucket of one replica of a customer's limit.
-#[derive(Debug)]
-struct Bucket {
-    limit: RateLimit,
-    tokens: f64,
-    /// Remaining initial tokens; never refilled.
-    initial_tokens: u32,
-    refilled: Snapshot,
-    /// When tokens are available for all requests that were refused so far.
-    backlog_end_us: u64,
-}
-
 /// Time after the start of a process in which its new buckets get initial
 /// tokens, in milliseconds. Later, a customer without a bucket was counted by
 /// another server until now.
@@ -93,13 +87,6 @@
 /// that a node that sends invented names cannot exhaust memory.
 const MAX_BUCKETS: usize = 100_000;
 
-/// Maximum retry delay of refused requests, in milliseconds. Requests further
-/// back get the same delay: under a lasting excess their true position would
-/// be minutes away, and the callers give up earlier.
-const MAX_RETRY_AFTER_MS: u64 = 2_000;
-
-const US_PER_MS: f64 = 1_000.0;
-
 impl TokenServer {
     /// Creates a server without allotments and with empty buckets.
     /// `incarnation` differs between the processes of a node.
@@ -119,6 +106,7 @@
             pools: Default::default(),
             buckets: IndexMap::new(),
             fronts: FrontCount::default(),
+            restores: Restores::default(),
         }
     }
 
@@ -145,6 +133,10 @@
         }
         self.fronts.tick(now);
         self.fronts.report(request.fronts, now);
+        if accepted {
+            self.apply_report(request, now);
+        }
+        self.restore_slots(now);
         let demands = request.demands.iter();
         let grants = demands.map(|demand| self.grant(demand, now)).collect();
         Some(TokenResponse {
@@ -167,6 +159,12 @@
         self.pools.get(slot).map_or(0.0, Fraction::get)
     }
 
+    /// Returns what changed in the knowledge of earlier requests since the
+    /// last call.
+    pub fn take_events(&mut self) -> Vec<TokenEvent> {
+        self.restores.take_events()
+    }
+
     fn freshness_of(&self, request: &TokenRequest, now: Millis) -> Freshness {
         let Some(known) = self.allotments.get(&request.front) else {
             return Freshness::New;
@@ -210,8 +208,12 @@
         let share = 1.0 / f64::from(request.fronts) / REPLICAS as f64;
         let allotment =
             self.allotments.entry(request.front.clone()).or_default();
-        let previous =
-            (allotment.slots, allotment.share, allotment.expires_at);
+        let previous = (
+            allotment.slots,
+            allotment.share,
+            allotment.expires_at,
+            allotment.incarnation,
+        );
         allotment.incarnation = request.incarnation;
         allotment.sequence = request.sequence;
         allotment.last_seen = now;
@@ -221,9 +223,50 @@
         if slots != 0 {
             self.expiries.insert((expires_at, request.front.clone()));
         }
+        let withdrawn = match previous.3 != request.incarnation {
+            true => u16::MAX,
+            false => previous.0 & !slots,
+        };
+        self.restores.withdraw(&request.front, withdrawn);
         self.move_share((previous.0, previous.1), (slots, share), now);
     }
 
+    /// Keeps the reports of the slots that the request allots.
+    fn apply_report(&mut self, request: &TokenRequest, now: Millis) {
+        let allotment = self.allotments.get(&request.front);
+        let slots = allotment.map_or(0, |allotment| allotment.slots);
+        let complete = request.history_slots & slots;
+        let incomplete = request.incomplete_slots & slots;
+        if complete | incomplete != 0 {
+            self.restores.report(
+                &request.front,
+                &request.history,
+                (complete, incomplete),
+                now,
+            );
+        }
+    }
+
+    /// Restores the slots that all fronts have reported.
+    fn restore_slots(&mut self, now: Millis) {
+        let fronts = self.fronts.get();
+        self.restores.expire(fronts, self.tolerance.window_ms, now);
+        for slot in 0..SLOT_COUNT {
+            if !self.restores.is_ready(slot, fronts, now) {
+                continue;
+            }
+            let pool = &mut self.pools[slot];
+            let share = (pool.get(), pool.snapshot(now));
+            let buckets = &self.buckets;
+            let replica = (slot % REPLICAS) as u8;
+            let own = |customer: &Customer| {
+                let bucket = buckets.get(&(customer.clone(), replica));
+                bucket.map(|bucket| (bucket.limit(), bucket.granted()))
+            };
+            self.restores.restore(slot, self.tolerance, share, own, now);
+        }
+    }
+
     fn expire_leases(&mut self, now: Millis) {
         while let Some((expires_at, _)) = self.expiries.first()
             && *expires_at <= now
@@ -236,6 +279,7 @@
             };
             let previous = (allotment.slots, allotment.share);
             allotment.slots = 0;
+            self.restores.withdraw(&front, previous.0);
             // The allotment counts until its end, even if that is noticed
             // later.
             self.move_share(previous, (0, 0.0), expires_at);
@@ -256,6 +300,7 @@
             let change = share(to) - share(from);
             if change != 0.0 {
                 pool.add(change, now);
+                self.restores.set_share(slot, pool.get(), now);
             }
         }
     }
@@ -281,95 +326,18 @@
         let entry = self.buckets.entry(key);
         let bucket =
             entry.or_insert_with(|| Bucket::new(demand.limit, first as u32));
+        let pending =
+            self.restores
+                .pending(slot, &demand.customer, bucket.generation());
+        if let Some(pending) = pending {
+            bucket.restore(pending, pool, self.tolerance);
+        }
         bucket.refill(pool, self.tolerance, now);
         bucket.set(demand.limit, pool, self.tolerance);
-        bucket.take(demand.count, pool.get(), now)
-    }
-}
-
-impl TokenRefusal {
-    fn after(ms: u64) -> Self {
-        Self {
-            token_in_ms: ms,
-            retry_after_ms: ms,
-            spacing_us: 0,
-        }
-    }
-}
-
-impl Bucket {
-    fn new(limit: RateLimit, initial_tokens: u32) -> Self {
-        Self {
-            limit,
-            tokens: 0.0,
-            initial_tokens,
-            // Since the start of the process, as no other node counted
-            // meanwhile.
-            refilled: Snapshot::default(),
-            backlog_end_us: 0,
-        }
-    }
-
-    fn refill(
-        &mut self,
-        pool: &mut Fraction,
-        tolerance: Tolerance,
-        now: Millis,
-    ) {
-        let burst_tokens = tolerance.burst_tokens(self.limit);
-        // A share that was withdrawn may have been used elsewhere, so its
-        // burst is not available when it returns.
-        let kept = self
-            .tokens
-            .min(burst_tokens * pool.min_since(self.refilled));
-        let share_ms = pool.sum_since(self.refilled, now);
-        let tokens = kept + self.limit.per_s() * share_ms / 1_000.0;
-        self.tokens = tokens.min(burst_tokens * pool.get());
-        self.refilled = pool.snapshot(now);
-    }
-
-    /// Applies a limit with a later version. An older one must not raise a
-    /// limit that operators have lowered.
-    fn set(&mut self, new: RateLimit, pool: &Fraction, tolerance: Tolerance) {
-        if new.version() > self.limit.version() {
-            self.limit = new;
-            let max_tokens = tolerance.burst_tokens(new) * pool.get();
-            self.tokens = self.tokens.min(max_tokens);
-        }
-    }
-
-    fn take(&mut self, count: u32, share: f64, now: Millis) -> TokenGrant {
-        let whole = (self.tokens.floor() as u32).min(count);
-        self.tokens -= f64::from(whole);
-        let first = self.initial_tokens.min(count - whole);
-        self.initial_tokens -= first;
-        let granted = whole + first;
-        let refused = count - granted;
-        let refused = (refused > 0).then(|| self.refuse(refused, share, now));
-        TokenGrant { granted, refused }
-    }
-
-    /// Computes when refused requests have tokens: one after the other at the
-    /// rate of this pool, behind all requests that were refused before.
-    fn refuse(&mut self, count: u32, share: f64, now: Millis) -> TokenRefusal {
-        let per_ms = self.limit.per_s() * share / 1_000.0;
-        if per_ms <= 0.0 {
-            return TokenRefusal::after(MAX_RETRY_AFTER_MS);
-        }
-        let max_us = MAX_RETRY_AFTER_MS * US_PER_MS as u64;
-        let now_us = now.as_ms() * US_PER_MS as u64;
-        let spacing_us = (US_PER_MS / per_ms) as u64;
-        let token_ms = (1.0 - self.tokens) / per_ms;
-        let token_us = (token_ms * US_PER_MS) as u64;
-        let first = now_us.saturating_add(token_us);
-        let first = first.max(self.backlog_end_us);
-        let retry_after_us = (first - now_us).min(max_us);
-        let all = first.saturating_add(spacing_us * u64::from(count));
-        self.backlog_end_us = all.min(now_us + max_us);
-        TokenRefusal {
-            token_in_ms: token_us / US_PER_MS as u64,
-            retry_after_ms: retry_after_us / US_PER_MS as u64,
-            spacing_us: spacing_us.min(max_us),
+        let grant = bucket.take(demand.count, pool.get(), now);
+        if self.restores.is_open(slot) && grant.granted > 0 {
+            bucket.record(grant.granted, self.tolerance.window_ms, now);
         }
+        grant
     }
 }
--- a/crates/limits/tests/fleet/sim.rs
+++ b/crates/limits/tests/fleet/sim.rs
@@ -1,5 +1,6 @@
 //! A fleet on a simulated clock.
 
+mod faults;
 mod messages;
 
 use std::{
@@ -9,8 +10,8 @@
 
 use base::{Customer, Millis, mix};
 use pomeloslip_limits::{
-    EvenSplit, FleetLimiter, LimitNodes, RateLimit, Ticket, TokenClient,
-    TokenServer, TokenServerOptions,
+    CustomerHistory, EvenSplit, FleetLimiter, LimitNodes, RateLimit, Ticket,
+    TokenClient, TokenServer,
 };
 
 use crate::{
@@ -31,6 +32,9 @@
     cut_from_kv: bool,
     cut_from_all: bool,
     partition_side: bool,
+    /// Whether the node refuses messages with fields that are unknown to the
+    /// version before reports.
+    is_old: bool,
     listed_until_ms: u64,
     limiter: Option<Box<dyn FleetLimiter>>,
     server: TokenServer,
@@ -49,9 +53,16 @@
 const FORGET_MS: u64 = 10_000;
 const MAX_CONFIG_LAG_MS: u64 = 3_000;
 
+/// Time after which callers retry that no node could count, as fronts tell
+/// them.
+pub(crate) const UNCOUNTED_RETRY_MS: u64 = 200;
+
 struct World {
     scenario: Scenario,
     random: u64,
+    /// State of the random numbers of the callers, which are the same with and
+    /// without faults.
+    callers_random: u64,
     now_ms: u64,
     number: u64,
     events: BinaryHeap<Reverse<(u64, u64, QueuedEvent)>>,
@@ -60,9 +71,11 @@
     customers: Vec<(Customer, RateLimit)>,
     /// Limits before a change, and when they changed.
     before: Option<(u64, Vec<RateLimit>)>,
-    tickets: BTreeMap<(usize, u64), usize>,
+    tickets: BTreeMap<(usize, u64), (usize, u64)>,
     last_ticket: u64,
     counted: Vec<Vec<u64>>,
+    /// Least reports by server and slots, for an injected bug.
+    reports: BTreeMap<(usize, u16), Vec<CustomerHistory>>,
     outcome: Outcome,
 }
 
@@ -83,6 +96,7 @@
         Self {
             scenario,
             random: mix(scenario.seed.wrapping_add(1)),
+            callers_random: mix(scenario.seed.wrapping_add(1 << 32)),
             now_ms: 0,
             number: 0,
             events: BinaryHeap::new(),
@@ -93,6 +107,7 @@
             tickets: BTreeMap::new(),
             last_ticket: 0,
             counted,
+            reports: BTreeMap::new(),
             outcome: Outcome {
                 requested: zeros.clone(),
                 refused: zeros,
@@ -106,6 +121,12 @@
         mix(self.random) % max.max(1)
     }
 
+    fn caller_below(&mut self, max: u64) -> u64 {
+        self.callers_random =
+            self.callers_random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.callers_random) % max.max(1)
+    }
+
     fn chance(&mut self, percent: u64) -> bool {
         self.below(100) < percent
     }
@@ -125,7 +146,7 @@
                 false => format!("worker-{at}"),
             };
             self.by_name.insert(name.clone(), at);
-            let server = self.server(&name, 0);
+            let server = self.server(&name, 0, false);
             self.nodes.push(Node {
                 name,
                 is_front,
@@ -137,6 +158,7 @@
                 cut_from_kv: false,
                 cut_from_all: false,
                 partition_side: false,
+                is_old: false,
                 listed_until_ms: 0,
                 limiter: None,
                 server,
@@ -154,89 +176,16 @@
         for customer in 0..self.customers.len() {
             self.push(START_MS, Event::Arrive { customer });
         }
-        match self.scenario.faults {
-            Faults::None => {}
-            Faults::Mixed => self.schedule_faults(),
-            Faults::Partitions => {
-                for round in 0..16 {
-                    self.push(START_MS + 500 * round, Event::Repartition);
-                }
-            }
-            Faults::StaleLimits => {
-                for node in 1..self.scenario.fronts {
-                    if self.chance(40) {
-                        let cut = Event::CutOff {
-                            node,
-                            all: false,
-                            for_ms: 60_000,
-                        };
-                        self.push(START_MS, cut);
-                    }
-                }
-                self.push(START_MS + 500, Event::LowerLimits);
-            }
-        }
-    }
-
-    fn schedule_faults(&mut self) {
-        let all = self.nodes.len();
-        for _ in 0..self.below(4) + 1 {
-            let at = START_MS + self.below(10_000);
-            let share = 5 + self.below(60);
-            let kind = self.below(7);
-            let for_ms = 200 + self.below(9_000);
-            let back_in_ms = 100 + self.below(3_500);
-            let twice = self.chance(40);
-            let gap_ms = 500 + self.below(4_000);
-            for node in 0..all {
-                if !self.chance(share) {
-                    continue;
-                }
-                let event = match kind {
-                    0 | 1 => Event::Kill { node, back_in_ms },
-                    2 => Event::CutOff {
-                        node,
-                        all: true,
-                        for_ms,
-                    },
-                    3 => Event::CutOff {
-                        node,
-                        all: false,
-                        for_ms,
-                    },
-                    4 => Event::Freeze {
-                        node,
-                        for_ms: for_ms / 2,
-                    },
-                    5 => Event::Kill {
-                        node,
-                        back_in_ms: 300,
-                    },
-                    _ => Event::CutOff {
-                        node,
-                        all: true,
-                        for_ms: 1_500,
-                    },
-                };
-                self.push(at, event.clone());
-                if twice && kind != 2 && kind != 3 {
-                    self.push(at + gap_ms, event);
-                }
-            }
-        }
-        if self.chance(40) {
-            let at = START_MS + self.below(6_000);
-            self.push(at, Event::LowerLimits);
-        }
+        self.schedule();
     }
 
-    fn server(&self, name: &str, process: u64) -> TokenServer {
+    fn server(&self, name: &str, process: u64, is_old: bool) -> TokenServer {
         let tolerance = self.scenario.server_tolerance();
         TokenServer::new(
             name,
             process,
             tolerance,
-            TokenServerOptions::default(),
+            self.scenario.server_options(is_old),
         )
     }
 
@@ -254,6 +203,16 @@
     fn step(&mut self, event: Event) {
         match event {
             Event::Arrive { customer } => self.arrive(customer),
+            Event::Retry {
+                customer,
+                node,
+                first_ms,
+            } => self.request(customer, node, first_ms),
+            Event::LoseServers {
+                customer,
+                replicas,
+                back_in_ms,
+            } => self.lose_servers(customer, replicas, back_in_ms),
             Event::Kill { node, back_in_ms } => self.kill(node, back_in_ms),
             Event::Start { node } => self.start(node),
             Event::CutOff { node, all, for_ms } => {
@@ -307,7 +266,8 @@
     fn local(&self, node: usize) -> Millis {
         // The clock of a process starts at 0 with the process, so all clocks
         // differ.
-        Millis::new(self.now_ms - self.nodes[node].started_ms)
+        let age_ms = self.now_ms - self.nodes[node].started_ms;
+        Millis::new(age_ms + self.scenario.clock_offset_ms())
     }
 
     fn start(&mut self, at: usize) {
@@ -315,7 +275,8 @@
             return;
         }
         let process = self.nodes[at].process + 1;
-        let server = self.server(&self.nodes[at].name, process);
+        let server =
+            self.server(&self.nodes[at].name, process, self.nodes[at].is_old);
         let options = self.scenario.client_options();
         let tolerance = self.scenario.tolerance;
         let node = &mut self.nodes[at];
@@ -387,34 +348,6 @@
         self.tick(at);
     }
 
-    fn lower_limits(&mut self) {
-        let before = self.customers.iter().map(|(_, limit)| *limit).collect();
-        self.before = Some((self.now_ms, before));
-        for (_, limit) in &mut self.customers {
-            let rate = limit.per_s() / 4.0;
-            let burst = limit.burst() / 4;
-            let lower =
-                RateLimit::try_new(rate, burst).expect("a valid limit");
-            *limit = lower.with_version(2);
-        }
-    }
-
-    /// Returns the limit that a front knows; changes reach it with a delay.
-    fn limit_at(&self, node: usize, customer: usize) -> RateLimit {
-        let limit = self.customers[customer].1;
-        let Some((changed_ms, before)) = &self.before else {
-            return limit;
-        };
-        let lag_ms = match self.nodes[node].cut_from_kv {
-            true => u64::MAX / 2,
-            false => mix(node as u64) % MAX_CONFIG_LAG_MS,
-        };
-        match self.now_ms < changed_ms + lag_ms {
-            true => before[customer],
-            false => limit,
-        }
-    }
-
     fn arrive(&mut self, customer: usize) {
         let rate = self.customers[customer].1.per_s();
         let now_ms = self.now_ms;
@@ -430,22 +363,30 @@
         };
         let mean_ms = 1_000.0 / (rate * factor);
         let pause_ms = (mean_ms * self.exponential()).max(0.0) as u64;
-        let jitter = self.below(2);
+        let jitter = self.caller_below(2);
         let again = Event::Arrive { customer };
         self.push(now_ms + pause_ms + jitter, again);
         let fronts = self.scenario.fronts as u64;
         // Callers are spread unevenly and move to other fronts from time to
         // time.
-        let (a, b) = (self.below(fronts), self.below(fronts));
+        let (a, b) = (self.caller_below(fronts), self.caller_below(fronts));
         let moved = mix(now_ms / 5_000) % fronts;
         let node = ((a.min(b) + moved) % fronts) as usize;
         if !self.nodes[node].alive || self.nodes[node].frozen {
             return;
         }
         self.outcome.requested[customer] += 1;
+        self.request(customer, node, now_ms);
+    }
+
+    fn request(&mut self, customer: usize, node: usize, first_ms: u64) {
+        if !self.nodes[node].alive || self.nodes[node].frozen {
+            self.outcome.refused[customer] += 1;
+            return;
+        }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        self.tickets.insert((node, ticket), customer);
+        self.tickets.insert((node, ticket), (customer, first_ms));
         let now = self.local(node);
         let limit = self.limit_at(node, customer);
         let name = self.customers[customer].0.clone();
@@ -456,7 +397,8 @@
     }
 
     fn exponential(&mut self) -> f64 {
-        let uniform = (self.below(1 << 30) + 1) as f64 / (1u64 << 30) as f64;
+        let uniform =
+            (self.caller_below(1 << 30) + 1) as f64 / (1u64 << 30) as f64;
         -uniform.ln()
     }
 
@@ -471,6 +413,8 @@
     fn finish(mut self) -> Outcome {
         let tolerance = self.scenario.tolerance;
         let window_ms = tolerance.window_ms;
+        let admitted = self.counted.iter().map(|times| times.len() as u32);
+        self.outcome.admitted = admitted.collect();
         for (customer, times) in self.counted.iter().enumerate() {
             let mut first = 0;
             for (last, at_ms) in times.iter().enumerate() {
@@ -508,19 +452,20 @@
     /// it.
     fn max_requests(&self, customer: usize, at_ms: u64) -> f64 {
         let tolerance = self.scenario.tolerance;
-        let now = tolerance.max_in_window(self.customers[customer].1);
+        let max = |limit| self.scenario.max_in_window(limit);
+        let now = max(self.customers[customer].1);
         let Some((changed_ms, before)) = &self.before else {
             return now;
         };
         if self.scenario.faults == Faults::Mixed {
             // Fronts may be cut off at any time, and a lowered limit applies
             // only at those that have received it.
-            return tolerance.max_in_window(before[customer]).max(now);
+            return max(before[customer]).max(now);
         }
         let binds_ms =
             changed_ms + MAX_CONFIG_LAG_MS + 2 * tolerance.window_ms;
         match at_ms < binds_ms {
-            true => tolerance.max_in_window(before[customer]).max(now),
+            true => max(before[customer]).max(now),
             false => now,
         }
     }
--- a/crates/limits/tests/fleet/sim/messages.rs
+++ b/crates/limits/tests/fleet/sim/messages.rs
@@ -1,13 +1,21 @@
 //! Messages between the nodes of a simulated fleet.
 
-use pomeloslip_limits::{LimitAction, LimitDecision};
+use pomeloslip_limits::{
+    CustomerHistory, LimitAction, LimitDecision, TokenEvent,
+};
 
-use super::World;
+use super::{UNCOUNTED_RETRY_MS, World};
 use crate::{
     event::{Event, Message},
     scenario::InjectedBug,
 };
 
+/// Returns the number of requests in a report.
+fn total(history: &[CustomerHistory]) -> u32 {
+    let counts = history.iter().flat_map(|customer| &customer.counts);
+    counts.map(|(_, count)| count).sum()
+}
+
 impl World {
     pub(super) fn act(&mut self, at: usize) {
         let Some(limiter) = &mut self.nodes[at].limiter else {
@@ -24,19 +32,16 @@
                 }
                 LimitAction::Decide { ticket, decision } => {
                     let key = (at, ticket.0);
-                    let customer = self.tickets.remove(&key);
-                    let customer = customer.expect("one decision per request");
-                    match decision {
-                        LimitDecision::Admitted(_) => {
-                            self.counted[customer].push(self.now_ms);
-                        }
-                        _ => self.outcome.refused[customer] += 1,
-                    }
+                    let request = self.tickets.remove(&key);
+                    let request = request.expect("one decision per request");
+                    self.decide(at, request, decision);
                 }
             }
         }
         if let Some(due) = due {
-            let at_ms = self.nodes[at].started_ms + due.as_ms();
+            let due_ms = self.nodes[at].started_ms + due.as_ms();
+            let offset_ms = self.scenario.clock_offset_ms();
+            let at_ms = due_ms.saturating_sub(offset_ms);
             let at_ms = at_ms.max(self.now_ms + 1);
             if at_ms < self.nodes[at].wake_at_ms {
                 self.nodes[at].wake_at_ms = at_ms;
@@ -46,6 +51,45 @@
         }
     }
 
+    fn count_events(&mut self, node: usize) {
+        for event in self.nodes[node].server.take_events() {
+            match event {
+                TokenEvent::Restored { .. } => self.outcome.restored += 1,
+                TokenEvent::NotRestored { .. } => {
+                    self.outcome.not_restored += 1;
+                }
+                TokenEvent::ReportRefused { .. } => {}
+            }
+        }
+    }
+
+    fn decide(
+        &mut self,
+        node: usize,
+        (customer, first_ms): (usize, u64),
+        decision: LimitDecision,
+    ) {
+        let retry_after_ms = match decision {
+            LimitDecision::Admitted(_) => {
+                self.counted[customer].push(self.now_ms);
+                return;
+            }
+            LimitDecision::OverLimit(over) => over.retry_after_ms(),
+            LimitDecision::Unavailable => UNCOUNTED_RETRY_MS,
+        };
+        let again_ms = self.now_ms + retry_after_ms.max(1);
+        if again_ms <= first_ms + self.scenario.patience_ms {
+            let retry = Event::Retry {
+                customer,
+                node,
+                first_ms,
+            };
+            self.push(again_ms, retry);
+        } else {
+            self.outcome.refused[customer] += 1;
+        }
+    }
+
     pub(super) fn send(&mut self, from: usize, to: usize, message: Message) {
         if self.below(200) == 0 {
             return;
@@ -90,9 +134,25 @@
                         demand.limit = demand.limit.with_version(self.number);
                     }
                 }
-                if let Some(reply) =
-                    self.nodes[to].server.handle(&request, now)
+                let has_report = request.has_report();
+                if has_report && self.nodes[to].is_old {
+                    return;
+                }
+                if self.scenario.bug == InjectedBug::ReportCountedTwice
+                    && request.history_slots != 0
                 {
+                    let key = (to, request.history_slots);
+                    let least = self.reports.entry(key);
+                    let least =
+                        least.or_insert_with(|| request.history.clone());
+                    if total(&request.history) < total(least) {
+                        *least = request.history;
+                    }
+                    request.history = least.clone();
+                }
+                let reply = self.nodes[to].server.handle(&request, now);
+                self.count_events(to);
+                if let Some(reply) = reply {
                     self.send(to, from, Message::Response(reply));
                 }
             }
