Order waiting requests, and refuse customers over their share

Requests that wait for an endpoint were served in random order: each polled for capacity every 10 ms, whatever the priority of its customer or route, and the requests of a customer that had most of the slots waited like all others.

With fair shares, only the first waiting request of a service (by priority, then by deadline) looks for an endpoint; it wakes the next one when it leaves, and is woken when a request of this front ends. While no slot is free, a request of a customer over its share is refused at once and told when to retry. Resumed streams and requests under way elsewhere are neither ordered nor refused. The front uses its own counts and its own share of the slots; a customer without competitors and a front without own slots are not limited. The priority of a customer is passed on with the admitted request. Without shares, requests take the same path as before.

--- a/crates/access/src/request.rs
+++ b/crates/access/src/request.rs
@@ -138,6 +138,7 @@
     /// limit.
     pub fn admit(self, _: QuotaPermit) -> Admitted {
         Admitted {
+            priority: self.caller.as_ref().and_then(Caller::priority),
             customer: self.caller.map(|caller| caller.customer().clone()),
         }
     }
@@ -150,6 +151,7 @@
 #[derive(Clone, Debug)]
 pub struct Admitted {
     customer: Option<Customer>,
+    priority: Option<u32>,
 }
 
 impl Admitted {
@@ -158,7 +160,16 @@
     /// Items do not count against rate limits, and revoking a key does not end
     /// jobs that were accepted with it.
     pub fn item(customer: Option<Customer>) -> Self {
-        Self { customer }
+        Self {
+            customer,
+            priority: None,
+        }
+    }
+
+    /// Returns the priority of the customer, which overrides that of the
+    /// route; 0 is the highest.
+    pub fn priority(&self) -> Option<u32> {
+        self.priority
     }
 
     /// Returns the name of the customer.
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -134,6 +134,13 @@
         )
     }
 
+    /// Returns the node's own share of the endpoints of a service.
+    pub fn own(&self, service: &str) -> impl Iterator<Item = IncarnationKey> {
+        let selected = self.by_service.get(service);
+        let own = selected.map_or(&[][..], |selected| &selected.own);
+        own.iter().copied()
+    }
+
     /// Returns all selected endpoints.
     pub fn iter(&self) -> impl Iterator<Item = IncarnationKey> {
         let all = self.by_service.values();
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -14,8 +14,8 @@
 use tokio::time;
 
 use crate::{
-    Counters, Exchange, HeaderNames, Inbound, LoadObserver, Pool, Run,
-    RunObserver,
+    Counters, Exchange, FairShares, HeaderNames, Inbound, LoadObserver, Pool,
+    Run, RunObserver,
     cause::connection_failure,
     channel::{Channel, closes_connection},
 };
@@ -116,6 +116,7 @@
     pub(crate) counters: &'a Counters,
     pub(crate) observer: &'a dyn LoadObserver,
     pub(crate) runs: &'a Arc<dyn RunObserver>,
+    pub(crate) shares: Option<&'a Arc<FairShares>>,
 }
 
 impl Dispatcher<'_> {
@@ -133,6 +134,11 @@
             offer.resume_after,
             self.runs.clone(),
         );
+        if let Some(shares) = self.shares {
+            let service = &endpoint.record().service;
+            let customer = offer.request.admitted_customer();
+            run.hold(shares.use_slot(service, customer));
+        }
         let in_flight = InFlightGuard(Some(endpoint));
         let result = time::timeout(offer.wait, self.send(&offer)).await;
         let silent = SendError::new(Failure::Silent, "no answer in time");
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use crate::CustomerCounters;
+use crate::{CustomerCounters, ShareMetrics};
 
 /// Upper bounds of the histogram buckets in milliseconds: about a factor of
 /// two apart, with the objectives of interactive requests (100 to 300 ms) as
@@ -59,6 +59,8 @@
             $($(#[$doc])* pub $counter: AtomicU64,)+
             /// Requests by customer, for the largest customers.
             pub customers: CustomerCounters,
+            /// Shares of the largest customers.
+            pub shares: ShareMetrics,
             /// From the arrival of a request to the head of its response.
             pub first_byte_ms: Histogram,
             /// From the arrival of a request to the end of its response.
@@ -95,6 +97,7 @@
                     self.$counter.load(Ordering::Relaxed),
                 );)+
                 self.customers.render(&mut text);
+                self.shares.render(&mut text);
                 self.first_byte_ms
                     .render("pomeloslip_first_byte_ms", &mut text);
                 self.whole_ms.render("pomeloslip_whole_ms", &mut text);
@@ -203,6 +206,11 @@
     keys_refused,
     /// Requests that were refused because their customer is at its limit.
     over_limit,
+    /// Requests that were refused because their customer uses more than its
+    /// share while all endpoints are full.
+    over_share,
+    /// Requests that were refused because their customer is paused.
+    customers_paused,
     /// Requests that were refused because no node could count them against
     /// the customer's limit.
     limits_unavailable,
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -1,4 +1,5 @@
 mod capacity;
+mod fair;
 mod history;
 mod offers;
 mod options;
@@ -20,8 +21,8 @@
 pub(crate) use self::history::{Holder, OfferHistory};
 pub use self::options::ForwarderOptions;
 use crate::{
-    Counters, Exchange, Failure, HeaderNames, Inbound, LoadObserver,
-    LocalOrigins, NoopObserver, Offer, Pool, ResponseBody,
+    Counters, Exchange, Failure, FairShares, HeaderNames, Inbound,
+    LoadObserver, LocalOrigins, NoopObserver, Offer, Pool, ResponseBody,
     RetryAfterEstimator, RunObserver, StreamOrigins,
     answer::{FAILED, ForwardedBody, REFUSED, RequestLog, Sent},
     attempt::Dispatcher,
@@ -44,6 +45,8 @@
     quarantine: Quarantine,
     origins: Arc<dyn StreamOrigins>,
     retry_estimator: RetryAfterEstimator,
+    /// None if customers have no shares.
+    shares: Option<Arc<FairShares>>,
 }
 
 /// The endpoints as of a revision of the key-value service.
@@ -83,6 +86,7 @@
             runs: Arc::new(NoopObserver),
             quarantine,
             retry_estimator: RetryAfterEstimator::default(),
+            shares: None,
         }
     }
 
@@ -114,6 +118,14 @@
         self
     }
 
+    /// Limits customers to their shares while no slot is free, and serves
+    /// waiting requests in the order of their urgency.
+    #[must_use]
+    pub fn with_fair_shares(mut self, shares: Arc<FairShares>) -> Self {
+        self.shares = Some(shares);
+        self
+    }
+
     /// Sets the endpoints that requests prefer.
     #[must_use]
     pub fn with_selection(
@@ -315,6 +327,7 @@
             counters: &self.counters,
             observer: &*self.observer,
             runs: &self.runs,
+            shares: self.shares.as_ref(),
         }
     }
 }
--- a/crates/pass/src/forward/capacity.rs
+++ b/crates/pass/src/forward/capacity.rs
@@ -14,7 +14,7 @@
 const RETRY_DELAY_DIVISOR: u64 = 3;
 
 /// Interval between two checks for free capacity.
-const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Interval between two searches for another endpoint of a request that is
 /// under way.
@@ -44,14 +44,22 @@
             return Refusal::not_run("no endpoint is known")
                 .with_retry_after_ms(retry_after_ms);
         }
+        self.refuse_for_capacity("all endpoints are full", request)
+    }
+
+    /// Refuses a request that did not run, until capacity is expected.
+    pub(super) fn refuse_for_capacity(
+        &self,
+        reason: &'static str,
+        request: &Inbound,
+    ) -> Refusal {
         let remaining_ms = request.remaining().as_millis() as u64;
         let retry_after_ms = self.retry_estimator.record_refusal(
             self.clock.now(),
             spread_hash(request.id()),
             remaining_ms / RETRY_DELAY_DIVISOR,
         );
-        Refusal::not_run("all endpoints are full")
-            .with_retry_after_ms(retry_after_ms)
+        Refusal::not_run(reason).with_retry_after_ms(retry_after_ms)
     }
 
     /// Reports whether no endpoint runs the version of a stream. A node that
@@ -76,6 +84,9 @@
         sent: &mut Sent,
         history: &mut OfferHistory,
     ) -> Result<Choice, Refusal> {
+        if let Some(shares) = self.shares_for(history) {
+            return self.wait_in_order(shares, request, sent, history).await;
+        }
         let mut give_up_at = self.give_up_at(request, history);
         loop {
             if history.remove_failed_holder() {
@@ -98,7 +109,7 @@
     }
 
     /// Returns when a request that waits for capacity from now on is refused.
-    fn give_up_at(
+    pub(super) fn give_up_at(
         &self,
         request: &Inbound,
         history: &OfferHistory,
@@ -124,15 +135,47 @@
         sent: &mut Sent,
         history: &OfferHistory,
     ) -> Result<Choice, ChooseError> {
-        let route = request.route();
-        let binding = history.binding.as_deref();
-        let can_queue = request.has_waited() || binding.is_some();
-        let spread = spread_hash(request.id());
-        let service = match binding {
+        let allowance = self.queue_allowance(request, history);
+        self.choose_within(request, sent, history, allowance)
+    }
+
+    /// Returns the number of requests that may wait at an endpoint beyond its
+    /// slots when a request is sent there.
+    fn queue_allowance(
+        &self,
+        request: &Inbound,
+        history: &OfferHistory,
+    ) -> u32 {
+        let is_stream = request.route().kind().is_stream();
+        let can_queue = request.has_waited() || history.binding.is_some();
+        match (is_stream, can_queue) {
+            _ if history.needs_free_slot() => 0,
+            (true, false) => self.options.stream_queue,
+            (true, true) => self.options.retry_queue,
+            (false, _) => self.options.plain_queue,
+        }
+    }
+
+    /// Returns the service of a request.
+    pub(super) fn service<'a>(
+        &self,
+        request: &'a Inbound,
+        history: &'a OfferHistory,
+    ) -> Option<&'a str> {
+        match history.binding.as_deref() {
             Some(binding) => Some(binding.service()),
-            None => route.service(spread),
-        };
-        let Some(service) = service else {
+            None => request.route().service(spread_hash(request.id())),
+        }
+    }
+
+    pub(super) fn choose_within(
+        &self,
+        request: &Inbound,
+        sent: &mut Sent,
+        history: &OfferHistory,
+        queue_allowance: u32,
+    ) -> Result<Choice, ChooseError> {
+        let Some(service) = self.service(request, history) else {
             return Err(ChooseError::NoEndpoint);
         };
         let view = self.endpoints.load();
@@ -143,13 +186,8 @@
             affinity: request.affinity(),
             tried: &history.tried,
             under_way: &history.under_way,
-            binding,
-            queue_allowance: match (route.kind().is_stream(), can_queue) {
-                _ if history.needs_free_slot() => 0,
-                (true, false) => self.options.stream_queue,
-                (true, true) => self.options.retry_queue,
-                (false, _) => self.options.plain_queue,
-            },
+            binding: history.binding.as_deref(),
+            queue_allowance,
         };
         let selection = self.selection.load();
         view.table.choose(&selection, &need, self.clock.now())
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -224,7 +224,9 @@
         sent: &mut Sent,
         history: &mut OfferHistory,
     ) -> Option<PendingOffer<'a>> {
-        if !self.may_offer(request, history) {
+        if !self.may_offer(request, history)
+            || !self.precedes_waiting(request, history)
+        {
             return None;
         }
         let choice = self.choose(request, sent, history).ok()?;
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -41,6 +41,7 @@
 mod run;
 mod shared_parts;
 mod shared_stream;
+mod shares;
 
 pub use crate::{
     answer::ResponseBody,
@@ -65,4 +66,5 @@
     returns::RetryAfterEstimator,
     run::{Run, RunObserver},
     shared_parts::SharedParts,
+    shares::{FairShares, ShareMetrics},
 };
--- a/crates/pass/src/refusal.rs
+++ b/crates/pass/src/refusal.rs
@@ -94,6 +94,12 @@
         self.ran
     }
 
+    /// Returns the time after which the client should retry, if it is known.
+    #[inline]
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        self.retry_after_ms
+    }
+
     /// Returns the reason, for the log.
     #[inline]
     pub fn reason(&self) -> &'static str {
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -4,7 +4,7 @@
 };
 
 use access::Admitted;
-use base::{RequestContent, RequestDigest};
+use base::{Customer, RequestContent, RequestDigest};
 use bytes::{Bytes, BytesMut};
 use fleet::{MAX_REQUEST_MS, Route};
 use http::{
@@ -265,6 +265,19 @@
         self.admitted.customer().map_or("", |name| name.as_str())
     }
 
+    /// Returns the customer, if the request has one.
+    #[inline]
+    pub(crate) fn admitted_customer(&self) -> Option<&Customer> {
+        self.admitted.customer()
+    }
+
+    /// Returns the priority: that of the customer, else that of the route; 0 is
+    /// the most urgent.
+    pub fn priority(&self) -> u32 {
+        let priority = self.admitted.priority();
+        priority.unwrap_or_else(|| self.route.priority())
+    }
+
     /// Returns the route.
     #[inline]
     pub fn route(&self) -> &Route {
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -10,7 +10,7 @@
 use http::StatusCode;
 use quarantine::{EvidenceKeys, RESPONSE_BEGINNING_MS};
 
-use crate::Inbound;
+use crate::{Inbound, shares::SlotUse};
 
 /// Receives the outcomes of runs at endpoints.
 pub trait RunObserver: Send + Sync + 'static {
@@ -47,6 +47,8 @@
     reached: u64,
     has_ended: bool,
     observer: Arc<dyn RunObserver>,
+    /// Counts the slot that the run uses, if customers have shares.
+    slot: Option<SlotUse>,
 }
 
 impl Run {
@@ -68,9 +70,15 @@
             reached: resumed_after,
             has_ended: false,
             observer,
+            slot: None,
         }
     }
 
+    /// Holds a slot until the run is dropped.
+    pub(crate) fn hold(&mut self, slot: SlotUse) {
+        self.slot = Some(slot);
+    }
+
     /// Returns the digest of the request.
     pub fn digest(&self) -> RequestDigest {
         self.request.digest()
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -14,12 +14,13 @@
 use bytes::Bytes;
 use fleet::{
     Endpoint, EndpointRecord, EndpointState, EndpointTable, Route, RouteKind,
+    Selection,
 };
 use http::{HeaderName, Request, Response};
 use http_body_util::BodyExt;
 use pomeloslip_pass::{
-    Counters, DirectoryView, Forwarder, ForwarderOptions, HeaderNames,
-    Inbound, Pool, ResponseBody, RunObserver, StreamOrigins,
+    Counters, DirectoryView, FairShares, Forwarder, ForwarderOptions,
+    HeaderNames, Inbound, Pool, ResponseBody, RunObserver, StreamOrigins,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -222,6 +223,24 @@
         }
     }
 
+    /// Limits customers to their shares; all endpoints belong to the own
+    /// share of the node.
+    pub(crate) fn with_fair_shares(self) -> Self {
+        let clock = Arc::new(SystemClock::new());
+        let counters = self.counters.clone();
+        let shares = FairShares::new("n1", 1, |_| 0, clock, counters);
+        let table = self.view.load().table.clone();
+        let selection = Selection::new("n1", &table, |_| true);
+        let forwarder = Arc::into_inner(self.forwarder).expect("not shared");
+        let forwarder = forwarder
+            .with_selection(Arc::new(Snapshot::new(selection)))
+            .with_fair_shares(Arc::new(shares));
+        Self {
+            forwarder: Arc::new(forwarder),
+            ..self
+        }
+    }
+
     /// Reports the outcomes of runs to an observer.
     pub(crate) fn with_run_observer(
         self,
@@ -329,11 +348,27 @@
     inbound(id, route, &[("x-deadline", "60000")], body)
 }
 
+/// Creates a request of a customer.
+pub(crate) fn request_of(customer: &str, id: &str, route: Route) -> Inbound {
+    let body = Bytes::from_static(b"the body");
+    inbound_of(customer, id, route, &[], body)
+}
+
 fn inbound(
     id: &str,
     route: Route,
     headers: &[(&str, &str)],
     body: Bytes,
+) -> Inbound {
+    inbound_of("alama", id, route, headers, body)
+}
+
+fn inbound_of(
+    customer: &str,
+    id: &str,
+    route: Route,
+    headers: &[(&str, &str)],
+    body: Bytes,
 ) -> Inbound {
     let mut builder = Request::builder();
     for (name, value) in headers {
@@ -351,7 +386,7 @@
         .body(())
         .expect("request");
     let (parts, ()) = request.into_parts();
-    let admitted = Admitted::item("alama".parse().ok());
+    let admitted = Admitted::item(customer.parse().ok());
     let now = Instant::now();
     Inbound::new(parts, body, Arc::new(route), &names(), now, admitted)
 }
--- a/crates/share/src/counts.rs
+++ b/crates/share/src/counts.rs
@@ -207,6 +207,13 @@
         self.services.keys().map(String::as_str)
     }
 
+    /// Returns the number of slots that all customers use.
+    pub fn slots_in_use(&self) -> u64 {
+        let services = self.services.values();
+        let shards = services.flat_map(|counts| &counts.shards);
+        shards.map(|shard| u64::from(shard.slots)).sum()
+    }
+
     /// Returns the shard of a customer.
     pub fn shard_of(&self, customer: &Customer) -> usize {
         (self.shard_of)(customer) % SHARD_COUNT
--- a/crates/share/src/front.rs
+++ b/crates/share/src/front.rs
@@ -199,11 +199,14 @@
     ) -> ShareState {
         let own = self.counts.slots(service, customer);
         let weight = self.counts.weight(customer);
-        let (level, basis) = self.level(service, slots, now);
+        let (all, basis) = self.histogram(service, now);
         let others = match basis {
             ShareBasis::Fleet(_) => self.others(service, customer, now),
             ShareBasis::Own => 0,
         };
+        // A customer that is alone takes nothing from others.
+        let is_alone = all.weight() <= u64::from(weight);
+        let level = level_of(&all, basis, slots).filter(|_| !is_alone);
         ShareState {
             slots: own.saturating_add(others),
             weight,
@@ -219,6 +222,17 @@
         slots: ServiceSlots,
         now: Millis,
     ) -> (Option<ShareLevel>, ShareBasis) {
+        let (all, basis) = self.histogram(service, now);
+        (level_of(&all, basis, slots), basis)
+    }
+
+    /// Returns the customers of a service at all fronts, or at this one if it
+    /// has no recent counts of others.
+    fn histogram(
+        &self,
+        service: &str,
+        now: Millis,
+    ) -> (UseHistogram, ShareBasis) {
         let mut all = UseHistogram::default();
         let mut newest_ms = None;
         for view in self.servers.values() {
@@ -229,11 +243,8 @@
             }
         }
         match newest_ms {
-            Some(age_ms) => (all.level(slots.all), ShareBasis::Fleet(age_ms)),
-            None => {
-                let own = self.counts.histogram(service);
-                (own.level(slots.own), ShareBasis::Own)
-            }
+            Some(age_ms) => (all, ShareBasis::Fleet(age_ms)),
+            None => (self.counts.histogram(service), ShareBasis::Own),
         }
     }
 
@@ -325,3 +336,17 @@
         fresh.map_or(0, |view| view.others(service, customer))
     }
 }
+
+fn level_of(
+    all: &UseHistogram,
+    basis: ShareBasis,
+    slots: ServiceSlots,
+) -> Option<ShareLevel> {
+    match basis {
+        ShareBasis::Fleet(_) => all.level(slots.all),
+        // A front without slots of its own uses those of others, and cannot
+        // tell which part of them is its share.
+        ShareBasis::Own if slots.own == 0 => None,
+        ShareBasis::Own => all.level(slots.own),
+    }
+}
--- a/crates/share/src/histogram.rs
+++ b/crates/share/src/histogram.rs
@@ -111,11 +111,16 @@
         self.0.iter().map(|bucket| bucket.1).sum()
     }
 
+    /// Returns the sum of the weights.
+    pub fn weight(&self) -> u64 {
+        self.0.iter().map(|bucket| bucket.0).sum()
+    }
+
     /// Returns the level at which all customers together get `slots`; `None` if
     /// these suffice for all, so that nobody is over its share.
     pub fn level(&self, slots: u64) -> Option<ShareLevel> {
         let mut left = slots as f64;
-        let mut weight: u64 = self.0.iter().map(|bucket| bucket.0).sum();
+        let mut weight = self.weight();
         for bucket in self.0.iter().filter(|bucket| bucket.0 > 0) {
             let level = left / weight as f64;
             if bucket.1 as f64 / bucket.0 as f64 > level {
--- a/crates/share/tests/server.rs
+++ b/crates/share/tests/server.rs
@@ -191,6 +191,28 @@
     assert!(!old.is_over());
 }
 
+/// Guards against the refusal of all customers at a front that has no
+/// endpoints of its own.
+#[test]
+fn a_front_without_own_slots_limits_nobody() {
+    let front = front(&[("alama", 9), ("small", 1)]);
+    let slots = ServiceSlots { all: 10, own: 0 };
+    let state = front.state("llm", &name("alama"), slots, at(0));
+    assert_eq!((state.level, state.is_over()), (None, false));
+}
+
+/// Guards against a limit that serves nobody: a single customer may fill the
+/// queues of the endpoints, as without shares.
+#[test]
+fn a_customer_that_is_alone_is_not_limited() {
+    let alone = front(&[("alama", 50)]);
+    let state = alone.state("llm", &name("alama"), SLOTS, at(0));
+    assert!(!state.is_over());
+    let both = front(&[("alama", 50), ("small", 1)]);
+    let state = both.state("llm", &name("alama"), SLOTS, at(0));
+    assert!(state.is_over());
+}
+
 /// Guards against a server that sends numbers that a front cannot use.
 #[parameterized(
     too_few_totals = { |a: &mut UseTotals| a.totals.clear(), false },
