Exchange slots in use between fronts, and read weights and pauses

A front knew only its own requests, so that a customer that sends to all fronts seemed small at each; and operators could neither weight nor pause a customer without a new configuration of the platform.

Requests and new jobs of a paused customer are refused with 503; calls about its jobs are served.

--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     path::{Path, PathBuf},
+    str::FromStr,
     sync::Arc,
     time::Duration,
 };
@@ -48,10 +49,32 @@
 }
 
 /// How a process of the fleet is started.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct FleetCommand {
     pub(crate) role: FleetRole,
     pub(crate) metrics_port: Option<u16>,
+    pub(crate) fair_shares: Toggle,
+    pub(crate) customers_file: Option<PathBuf>,
+}
+
+/// The value of an option that is on or off.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Toggle {
+    On,
+    #[default]
+    Off,
+}
+
+impl FromStr for Toggle {
+    type Err = &'static str;
+
+    fn from_str(word: &str) -> Result<Self, Self::Err> {
+        match word {
+            "on" => Ok(Toggle::On),
+            "off" => Ok(Toggle::Off),
+            _ => Err("must be on or off"),
+        }
+    }
 }
 
 /// Time between two looks at the settings file, which may also change
@@ -62,7 +85,11 @@
 pub(crate) fn run(command: FleetCommand) -> Result<(), Report<DaemonError>> {
     let path = MachineSettings::path().change_context(DaemonError)?;
     let machine = MachineSettings::read(&path).change_context(DaemonError)?;
-    let settings = machine.node_settings(command.metrics_port);
+    let settings = NodeSettings {
+        fair_shares: command.fair_shares == Toggle::On,
+        customers_file: command.customers_file,
+        ..machine.node_settings(command.metrics_port)
+    };
     let logs = log_settings(&settings, command.role);
     let _logs = obs::logs::start_to(&logs, Box::new(io::stdout()))
         .change_context(DaemonError)?;
--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -12,7 +12,7 @@
 use base::{SystemClock, timer::Timer};
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
-use fleet::{FleetCommand, FleetRole};
+use fleet::{FleetCommand, FleetRole, Toggle};
 use obs::{LogSettings, Metrics, MetricsSettings};
 use pomeloslip::daemon::{Daemon, DaemonError};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -24,6 +24,7 @@
 
 Usage: pomeloslipd --settings FILE [--check]
        pomeloslipd fleet front|worker [--metrics-port PORT]
+                   [--fair-shares on|off] [--customers FILE]
        pomeloslipd --help | --version
 
   --settings FILE  the settings of this process (YAML, docs/SETTINGS.md)
@@ -31,6 +32,10 @@
   fleet ROLE       a role on the users' platform, with the settings that the
                    platform writes (docs/design/platform.md)
   --metrics-port   where the role serves its metrics as text
+  --fair-shares    whether customers are limited to their shares while a
+                   service has no free slot (default off)
+  --customers      weights and pauses of customers (YAML, docs/SETTINGS.md),
+                   read again at SIGHUP
 
 SIGTERM and SIGINT are a planned stop: nothing new is taken and what runs
 ends. A second one ends the process at once.
@@ -140,12 +145,29 @@
     let metrics_port = args
         .opt_value_from_str("--metrics-port")
         .map_err(|error| error.to_string())?;
+    let fair_shares: Option<String> = args
+        .opt_value_from_str("--fair-shares")
+        .map_err(|error| error.to_string())?;
+    let fair_shares = match fair_shares {
+        Some(word) => word.parse().map_err(|cause| {
+            format!("--fair-shares cannot be {word:?}: {cause}")
+        })?,
+        None => Toggle::default(),
+    };
+    let customers_file = args
+        .opt_value_from_str("--customers")
+        .map_err(|error| error.to_string())?;
     let rest = args.finish();
     match rest.first() {
         Some(unknown) => {
             Err(format!("{} is unknown", unknown.to_string_lossy()))
         }
-        None => Ok(FleetCommand { role, metrics_port }),
+        None => Ok(FleetCommand {
+            role,
+            metrics_port,
+            fair_shares,
+            customers_file,
+        }),
     }
 }
 
--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -145,3 +145,18 @@
     let customer = compiled.customer_by_key_digest(digest.as_bytes());
     assert_eq!(customer.unwrap().customer().as_str(), "taevakorv");
 }
+
+/// Guards against a misspelt option that leaves fair shares off without a
+/// word.
+#[parameterized(
+    value = { &["--fair-shares", "yes"], "--fair-shares cannot be \"yes\": must be on or off" },
+    no_value = { &["--fair-shares"], "--fair-shares" },
+    no_file = { &["--customers"], "--customers" },
+    misspelt = { &["--fair-share", "on"], "--fair-share is unknown" },
+)]
+fn broken_fleet_options_are_named(options: &[&str], printed: &str) {
+    let output = daemon(&[&["fleet", "front"], options].concat());
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let errors = text(&output.stderr);
+    assert!(errors.contains(printed), "{errors}");
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -35,7 +35,7 @@
     pool::{
         Demand, SLOT_COUNT, ServerTimestamp, TokenClient, TokenGrant,
         TokenRefusal, TokenRequest, TokenResponse, TokenServer,
-        TokenServerOptions,
+        TokenServerOptions, customer_shard,
     },
     rate_limit::{QuotaPermit, RateLimit, RateLimitError, Tolerance},
     retry::RetryBudget,
--- a/crates/limits/src/pool/client.rs
+++ b/crates/limits/src/pool/client.rs
@@ -56,7 +56,7 @@
     incarnation: u64,
     tolerance: Tolerance,
     options: TokenServerOptions,
-    allotments: Allotments,
+    pub(super) allotments: Allotments,
     queues: IndexMap<(Customer, usize), Queue>,
     sent: IndexMap<u64, Sent>,
     /// Customers without tokens in either replica, and until when.
--- a/crates/limits/src/pool/mod.rs
+++ b/crates/limits/src/pool/mod.rs
@@ -30,6 +30,7 @@
 mod fraction;
 mod message;
 mod server;
+mod shards;
 
 pub use self::{
     client::TokenClient,
@@ -38,6 +39,7 @@
         TokenResponse,
     },
     server::TokenServer,
+    shards::customer_shard,
 };
 
 use base::{Customer, mix, stable_hash};
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -12,8 +12,9 @@
     batch::{BatchLimits, GroupCommit},
     paths::Paths,
 };
-use pass::{Counters, Forwarder, ForwarderOptions, Pool, Relay};
+use pass::{Counters, FairShares, Forwarder, ForwarderOptions, Pool, Relay};
 use quarantine::{Quarantine, QuarantineOptions};
+use share::TermsTable;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -25,6 +26,7 @@
     commits::SharedCommits,
     crash::{CrashDetector, QUARANTINE_PREFIX, RunNotifier},
     crash_news::CrashNews,
+    customers_file,
     feed::Scope,
     feed_wire::PeerHandler,
     job_manifests::ManifestResponder,
@@ -35,7 +37,7 @@
     origins::Origins,
     peer,
     peer_bulk::{BulkResponder, PeerBulk},
-    quota::{QuotaClient, QuotaService},
+    quota::{self, QuotaClient, QuotaService, ShareExchange},
     usage,
     watch::{JOB_FEED, Watches},
     write_through::WriteThroughKv,
@@ -76,6 +78,10 @@
     quarantine: Quarantine,
     /// Counts requests against the limits of customers.
     pub(crate) quota: QuotaClient,
+    /// Shares of customers, if this node serves callers and they are on.
+    pub(crate) shares: Option<Arc<FairShares>>,
+    /// Weights and pauses of customers.
+    pub(crate) terms: watch::Receiver<Arc<TermsTable>>,
     /// Which version began each resumable stream.
     origins: Origins,
     /// Number of jobs in the spool of this node, if it has a disk.
@@ -90,6 +96,7 @@
         runs_items: bool,
         orders: Option<mpsc::UnboundedSender<VacateOrder>>,
     ) -> Result<Self, Report<NodeError>> {
+        let terms = customers_file::start(settings.customers_file.clone())?;
         let pool = Arc::new(Pool::default());
         let view = JobView::default();
         let clock = context.cluster.clock().clone();
@@ -185,11 +192,26 @@
             view.clone(),
             settings.node.clone(),
         ));
+        let shares = settings.fair_shares && !runs_items;
+        let shares = shares.then(|| {
+            Arc::new(FairShares::new(
+                &settings.node,
+                clock.unix().as_ms(),
+                quota::shard_of,
+                clock.clone(),
+                context.counters.clone(),
+            ))
+        });
+        let exchange = settings.fair_shares.then(|| {
+            let (shares, terms) = (shares.clone(), terms.clone());
+            ShareExchange::new(&settings.node, shares, terms)
+        });
         let (quota, quota_client) = QuotaService::bind(
             settings,
             view.clone(),
             context.cluster.clone(),
             context.counters.clone(),
+            exchange,
         )
         .await
         .change_context(NodeError::Listen)?;
@@ -250,6 +272,8 @@
             run_notifier: Arc::new(run_notifier),
             quarantine,
             quota: quota_client,
+            shares,
+            terms,
             origins,
             spooled_jobs,
             stopping: Arc::default(),
@@ -295,7 +319,7 @@
         settings: &NodeSettings,
         context: &NodeContext,
     ) -> Forwarder {
-        Forwarder::new(
+        let forwarder = Forwarder::new(
             context.dialect.headers(),
             ForwarderOptions::default(),
             &settings.failure_domain,
@@ -307,7 +331,11 @@
         .with_selection(self.selection.clone())
         .with_run_observer(self.run_notifier.clone())
         .with_quarantine(self.quarantine.clone())
-        .with_origins(Arc::new(self.origins.clone()))
+        .with_origins(Arc::new(self.origins.clone()));
+        match &self.shares {
+            Some(shares) => forwarder.with_fair_shares(shares.clone()),
+            None => forwarder,
+        }
     }
 
     /// Begins a planned shutdown: marks the node as not ready and removes its
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,6 +25,7 @@
     Listener, ListenerOptions, Refusal, ResponseBody, ShutdownPhase,
     read_body,
 };
+use share::TermsTable;
 use tokio::{sync::watch, time};
 
 use crate::{
@@ -111,6 +112,7 @@
             backlogs,
             view,
             quota: base.quota.clone(),
+            terms: base.terms.clone(),
             counters: context.counters,
         });
         Ok(Self {
@@ -167,6 +169,8 @@
     backlogs: Arc<ReportedBacklogs>,
     view: JobView,
     quota: QuotaClient,
+    /// Weights and pauses of customers.
+    terms: watch::Receiver<Arc<TermsTable>>,
     counters: Arc<Counters>,
 }
 
@@ -174,6 +178,10 @@
 /// key-value service, in milliseconds.
 const UNAVAILABLE_RETRY_MS: u64 = 500;
 
+/// Retry delay for requests of a paused customer, in milliseconds. Operators
+/// end a pause by hand, so that earlier retries only add load.
+const PAUSED_RETRY_MS: u64 = 5_000;
+
 /// Retry delay for requests that could not be counted, in milliseconds; the
 /// retry usually reaches another node.
 const UNCOUNTED_RETRY_MS: u64 = 200;
@@ -234,6 +242,9 @@
         };
         let customer = identified.customer().cloned();
         let name = customer.as_ref().map_or("", Customer::as_str);
+        if let Err(refusal) = self.check_pause(customer.as_ref()) {
+            return self.refuse(&parts, name, refusal);
+        }
         let max_bytes = self.limits().max_body_bytes;
         let body = match read_body(body, max_bytes).await {
             Ok(body) => body,
@@ -252,6 +263,19 @@
         self.forwarder.forward(request, version).await
     }
 
+    /// Refuses the requests of a customer that operators have paused. Calls
+    /// about its jobs are served.
+    fn check_pause(&self, customer: Option<&Customer>) -> Result<(), Refusal> {
+        let is_paused =
+            |customer| self.terms.borrow().get(customer).is_paused();
+        if !customer.is_some_and(is_paused) {
+            return Ok(());
+        }
+        Counters::add(&self.counters.customers_paused);
+        let refusal = Refusal::not_run("the customer is paused");
+        Err(refusal.with_retry_after_ms(PAUSED_RETRY_MS))
+    }
+
     /// Counts a request against its customer's limit.
     async fn admit(
         &self,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod commits;
 mod crash;
 mod crash_news;
+mod customers_file;
 mod dialect;
 mod error;
 mod feed;
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -6,6 +6,7 @@
 //! sends its messages, one per datagram: a lost message costs one timeout, and
 //! head-of-line blocking is avoided.
 
+mod shares;
 mod wire;
 
 use std::{
@@ -21,12 +22,14 @@
     TokenClient, TokenServer, TokenServerOptions,
 };
 use pass::Counters;
+use share::UseReport;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, oneshot},
     time,
 };
 
+pub(crate) use self::shares::{ShareExchange, shard_of};
 use self::wire::{QuotaMessage, WireError};
 use crate::{
     ClusterState, NodeSettings, peer_addresses::PeerAddresses,
@@ -79,6 +82,8 @@
     counters: Arc<Counters>,
     server: TokenServer,
     client: TokenClient,
+    /// None if customers have no shares.
+    shares: Option<ShareExchange>,
     peers: PeerAddresses,
     requests: mpsc::UnboundedReceiver<CountRequest>,
     pending: IndexMap<u64, oneshot::Sender<LimitDecision>>,
@@ -98,6 +103,7 @@
         view: JobView,
         cluster: ClusterState,
         counters: Arc<Counters>,
+        shares: Option<ShareExchange>,
     ) -> io::Result<(Self, QuotaClient)> {
         let socket = UdpSocket::bind(settings.limits).await?;
         let (sender, requests) = mpsc::unbounded_channel();
@@ -113,6 +119,7 @@
             counters,
             server: TokenServer::new(node, incarnation, tolerance, options),
             client: TokenClient::new(node, incarnation, tolerance, options),
+            shares,
             peers: PeerAddresses::new(|record| record.limits),
             requests,
             pending: IndexMap::new(),
@@ -129,6 +136,7 @@
         loop {
             let received = self.socket.recv_from(&mut buffer).await;
             self.update_peers();
+            self.apply_terms();
             self.handle_datagram(received, &buffer).await;
         }
     }
@@ -156,6 +164,38 @@
                 self.client.tick(self.now());
             }
             self.perform_actions().await;
+            self.apply_terms();
+            self.report_use().await;
+        }
+    }
+
+    /// Applies the terms of customers if they have changed.
+    fn apply_terms(&mut self) {
+        if let Some(shares) = &mut self.shares {
+            shares.apply_terms();
+        }
+    }
+
+    /// Sends the reports on slots in use that are due.
+    async fn report_use(&mut self) {
+        let now = self.now();
+        let Some(shares) = &mut self.shares else {
+            return;
+        };
+        for (to, report) in shares.reports_due(&self.client, now) {
+            if to == self.node {
+                self.answer_own_report(&report, now);
+            } else if let Some(address) = self.peers.address(&to) {
+                self.send(address, &QuotaMessage::Use(report)).await;
+            }
+        }
+    }
+
+    fn answer_own_report(&mut self, report: &UseReport, now: Millis) {
+        if let Some(shares) = &mut self.shares
+            && let Some(answer) = shares.handle(report, now)
+        {
+            shares.receive(&self.node, &answer);
         }
     }
 
@@ -179,8 +219,11 @@
     fn pause_ms(&self) -> u64 {
         let next_tick = self.client.next_tick().filter(|_| self.is_active());
         let pause_ms = next_tick.map(|at| at.saturating_ms_since(self.now()));
+        let shares = self.shares.as_ref();
+        let report_ms = shares.and_then(|shares| shares.pause_ms(self.now()));
         pause_ms
             .unwrap_or(ROSTER_INTERVAL_MS)
+            .min(report_ms.unwrap_or(ROSTER_INTERVAL_MS))
             .clamp(1, ROSTER_INTERVAL_MS)
     }
 
@@ -229,7 +272,9 @@
             Some(address) if address == from => message,
             // Before the first list of nodes no sender can be verified. A
             // front gets a response, but its allotments are ignored.
-            None if self.peers.is_empty() => message.without_allotments(),
+            None if self.peers.is_empty() && !message.is_about_use() => {
+                message.without_allotments()
+            }
             _ => return self.refuse(from, &WireError::Sender),
         };
         match message {
@@ -245,6 +290,26 @@
             QuotaMessage::Response(response) => {
                 self.client.receive(&response.server, &response, now);
             }
+            QuotaMessage::Use(report) => {
+                let Some(shares) = &mut self.shares else {
+                    return;
+                };
+                match shares.handle(&report, now) {
+                    Some(totals) => {
+                        self.send(from, &QuotaMessage::Totals(totals)).await;
+                    }
+                    None => self.refuse(from, &WireError::Invalid),
+                }
+            }
+            QuotaMessage::Totals(totals) => {
+                let shares = self.shares.as_ref();
+                let is_valid = shares.is_none_or(|shares| {
+                    shares.receive(&totals.server, &totals)
+                });
+                if !is_valid {
+                    self.refuse(from, &WireError::Invalid);
+                }
+            }
         }
     }
 
--- a/crates/node/src/quota/wire.rs
+++ b/crates/node/src/quota/wire.rs
@@ -2,6 +2,7 @@
 
 use limits::{TokenRequest, TokenResponse};
 use serde::{Deserialize, Serialize};
+use share::{UseReport, UseTotals};
 
 /// Maximum size of a received datagram.
 pub(super) const DATAGRAM_BYTES: usize = 8 * 1024;
@@ -20,6 +21,10 @@
     /// Response of a token server.
     #[serde(rename = "reply")]
     Response(TokenResponse),
+    /// Report of a front on the slots that customers use.
+    Use(UseReport),
+    /// Answer of a token server to such a report.
+    Totals(UseTotals),
 }
 
 #[derive(Deserialize, Serialize)]
@@ -83,15 +88,22 @@
                 slots: 0,
                 ..request
             }),
-            Self::Response(response) => Self::Response(response),
+            other => other,
         }
     }
 
+    /// Reports whether the message is about the slots that customers use.
+    pub(super) fn is_about_use(&self) -> bool {
+        matches!(self, Self::Use(_) | Self::Totals(_))
+    }
+
     /// Returns the name of the node that sent the message.
     pub(super) fn sender(&self) -> &str {
         match self {
             Self::Request(request) => &request.front,
             Self::Response(response) => &response.server,
+            Self::Use(report) => &report.front,
+            Self::Totals(totals) => &totals.server,
         }
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -54,6 +54,11 @@
     /// would be missing for connections to endpoints, and requests that were
     /// read could not be served.
     pub max_connections: usize,
+    /// Whether customers are limited to their shares of a service while it has
+    /// no free slot.
+    pub fair_shares: bool,
+    /// File with the weights and pauses of customers, if there is one.
+    pub customers_file: Option<PathBuf>,
 }
 
 /// Maximum time in which changes must reach every node, in milliseconds, even
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -303,6 +303,8 @@
         spool_bytes: 1_000_000,
         disk_losses: 1,
         max_connections: 1_000,
+        fair_shares: false,
+        customers_file: None,
     }
 }
 
@@ -356,6 +358,22 @@
     start_with(settings, Arc::new(kv.clone()), false).await
 }
 
+/// Starts a node of a fleet with fair shares.
+#[allow(dead_code)]
+pub(crate) async fn start_sharing(
+    kv: &Memory,
+    name: &str,
+    worker: bool,
+    customers_file: Option<&Path>,
+) -> Node {
+    let settings = NodeSettings {
+        fair_shares: true,
+        customers_file: customers_file.map(Path::to_owned),
+        ..settings(name)
+    };
+    start_with(settings, Arc::new(kv.clone()), worker).await
+}
+
 /// Starts a worker with a disk.
 pub(crate) async fn start_with_disk(
     kv: &Memory,
--- a/crates/node/tests/unit/quota_wire.rs
+++ b/crates/node/tests/unit/quota_wire.rs
@@ -3,9 +3,13 @@
 use fuzz::{altered_bytes, altered_json, config};
 use limits::TokenRequest;
 use proptest::prelude::*;
+use share::{
+    MAX_PAIRS, MAX_SERVICES_SENT, PairUse, RestUse, ServiceUse, UseHistogram,
+    UseReport, UseServer, UseTotals,
+};
 use yare::parameterized;
 
-use super::{QuotaMessage, VERSION};
+use super::{DATAGRAM_BYTES, QuotaMessage, VERSION};
 
 fn request() -> QuotaMessage {
     QuotaMessage::Request(TokenRequest {
@@ -57,6 +61,70 @@
     assert_eq!(error.to_string(), "unsupported version 2");
 }
 
+fn report() -> UseReport {
+    let pair = PairUse {
+        service: "s".repeat(128),
+        customer: "c".repeat(128).parse().expect("a name"),
+        slots: 1_000_000,
+        waiting: 1_000_000,
+    };
+    let rest = RestUse {
+        service: "s".repeat(128),
+        slots: 1_000_000,
+        waiting: 1_000_000,
+        customers: 1_000_000,
+    };
+    UseReport {
+        front: "f".repeat(128),
+        incarnation: u64::MAX,
+        sequence: u64::MAX,
+        in_use: vec![pair; MAX_PAIRS],
+        rest: vec![rest; MAX_SERVICES_SENT],
+    }
+}
+
+fn totals() -> UseTotals {
+    let buckets = [(1_000_000_000, 1_000_000_000); 12];
+    let text = serde_json::to_string(&buckets).expect("text");
+    let histogram: UseHistogram = serde_json::from_str(&text).expect("valid");
+    let service = ServiceUse {
+        service: "s".repeat(128),
+        histogram,
+    };
+    UseTotals {
+        server: "w".repeat(128),
+        to_incarnation: u64::MAX,
+        sequence: u64::MAX,
+        totals: vec![u32::MAX; MAX_PAIRS],
+        services: vec![service; MAX_SERVICES_SENT],
+    }
+}
+
+/// Guards against a valid message that does not fit into a datagram.
+#[test]
+fn the_largest_messages_about_use_fit() {
+    assert!(report().is_valid() && totals().is_valid());
+    for message in
+        [QuotaMessage::Use(report()), QuotaMessage::Totals(totals())]
+    {
+        let bytes = message.encode();
+        assert!(bytes.len() < DATAGRAM_BYTES, "{}", bytes.len());
+        let read = QuotaMessage::decode(&bytes).expect("a message");
+        assert_eq!(read, message);
+    }
+}
+
+fn altered_use() -> impl Strategy<Value = Vec<u8>> {
+    let report = QuotaMessage::Use(report()).encode();
+    let totals = QuotaMessage::Totals(totals()).encode();
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    prop_oneof![
+        altered_json(&text(report.clone())),
+        altered_json(&text(totals)),
+        altered_bytes(&report),
+    ]
+}
+
 fn altered_request() -> impl Strategy<Value = Vec<u8>> {
     let text = String::from_utf8(request().encode()).expect("text");
     prop_oneof![
@@ -68,6 +136,19 @@
 proptest! {
     #![proptest_config(config(3_000))]
 
+    /// Guards against a report that crashes a token server, or that is
+    /// answered with numbers that a front refuses.
+    #[test]
+    fn altered_reports_are_refused_or_answered(bytes in altered_use()) {
+        let mut server = UseServer::new("w1", Default::default());
+        let now = Default::default();
+        if let Ok(QuotaMessage::Use(altered)) = QuotaMessage::decode(&bytes)
+            && let Some(answer) = server.handle(&altered, now)
+        {
+            prop_assert!(altered.is_valid() && answer.is_valid());
+        }
+    }
+
     /// Guards against a datagram of another program that crashes a node.
     #[test]
     fn altered_messages_are_decoded_or_refused(bytes in altered_request()) {
