--- a/crates/node/tests/unit/customers_file.rs
+++ b/crates/node/tests/unit/customers_file.rs
@@ -1,12 +1,12 @@
 //! Weights and pauses of customers from a file.
 
-use std::{fs, sync::Arc};
+use std::{fs, process::Command, sync::Arc, time::Duration};
 
 use base::Customer;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout};
 use yare::parameterized;
 
-use super::{read, reload};
+use super::{read, reload, start};
 
 fn name(text: &str) -> Customer {
     text.parse().expect("a name")
@@ -99,3 +99,31 @@
     assert_eq!(weight(None), 5);
     assert_eq!(weight(Some("customers: [{name: alama, weight: 7}]")), 7);
 }
+
+/// Guards against a new file that is read only at the next start.
+#[tokio::test]
+async fn the_file_is_read_again_at_a_signal() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("customers.yaml");
+    fs::write(&path, VALID).expect("written");
+    let mut terms = start(Some(path.clone())).expect("valid");
+    fs::write(&path, "customers: [{name: alama, weight: 7}]")
+        .expect("written");
+    let process = std::process::id().to_string();
+    let sent = Command::new("kill").args(["-HUP", &process]).status();
+    assert!(sent.expect("a status").success());
+    let changed = timeout(Duration::from_secs(10), terms.changed()).await;
+    changed.expect("in time").expect("changed");
+    assert_eq!(terms.borrow().get(&name("alama")).weight(), 7);
+}
+
+/// Guards against a role that starts without the weights that it was given.
+#[tokio::test]
+async fn a_role_does_not_start_with_an_invalid_file() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("customers.yaml");
+    assert!(start(Some(path.clone())).is_err(), "no file");
+    fs::write(&path, "customers: 5").expect("written");
+    assert!(start(Some(path)).is_err());
+    assert!(start(None).expect("no terms").borrow().is_empty());
+}
--- a/crates/pass/src/shares.rs
+++ b/crates/pass/src/shares.rs
@@ -125,7 +125,7 @@
         let mut guard = self.lock();
         let state = &mut *guard;
         state.front.expire(now);
-        let (front, slots) = (&state.front, &state.slots);
+        let (front, slots) = (&state.front, &mut state.slots);
         state.changes.tick(|service, customer| {
             front.state(service, customer, slots.get(service), now)
         });
@@ -176,7 +176,8 @@
     ) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        let slots = state.slots.update(service, endpoints, selection);
+        state.slots.update(endpoints, selection);
+        let slots = state.slots.get(service);
         let share = state.front.state(service, customer, slots, now);
         if share.is_over() {
             state.changes.record_over(service, customer, &share);
--- a/crates/pass/src/shares/changes.rs
+++ b/crates/pass/src/shares/changes.rs
@@ -37,7 +37,7 @@
     /// Checks which customers have returned below their shares.
     pub(super) fn tick(
         &mut self,
-        state: impl Fn(&str, &Customer) -> ShareState,
+        mut state: impl FnMut(&str, &Customer) -> ShareState,
     ) {
         self.lines = 0;
         for (service, customer) in std::mem::take(&mut self.over) {
--- a/crates/pass/src/shares/slots.rs
+++ b/crates/pass/src/shares/slots.rs
@@ -14,18 +14,12 @@
 }
 
 impl SlotTotals {
-    /// Returns the numbers of a service as of the last update.
-    pub(super) fn get(&self, service: &str) -> ServiceSlots {
-        self.by_service.get(service).copied().unwrap_or_default()
-    }
-
-    /// Returns the numbers of a service in the given table and selection.
+    /// Sets the table and the selection that are in force.
     pub(super) fn update(
         &mut self,
-        service: &str,
         endpoints: &Arc<EndpointTable>,
         selection: &Arc<Selection>,
-    ) -> ServiceSlots {
+    ) {
         let is_same = is_same(self.endpoints.as_ref(), endpoints)
             && is_same(self.selection.as_ref(), selection);
         if !is_same {
@@ -33,9 +27,17 @@
             self.selection = Some(selection.clone());
             self.by_service.clear();
         }
+    }
+
+    /// Returns the numbers of a service, which are 0 before the first update.
+    pub(super) fn get(&mut self, service: &str) -> ServiceSlots {
         if let Some(slots) = self.by_service.get(service) {
             return *slots;
         }
+        let known = self.endpoints.as_ref().zip(self.selection.as_ref());
+        let Some((endpoints, selection)) = known else {
+            return ServiceSlots::default();
+        };
         let all = endpoints.of_service(service).iter();
         let own = selection.own(service);
         let own = own.filter_map(|incarnation| endpoints.get(incarnation));
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -348,10 +348,15 @@
     inbound(id, route, &[("x-deadline", "60000")], body)
 }
 
-/// Creates a request of a customer.
-pub(crate) fn request_of(customer: &str, id: &str, route: Route) -> Inbound {
+/// Creates a request of a customer with additional headers.
+pub(crate) fn request_of(
+    customer: &str,
+    id: &str,
+    route: Route,
+    headers: &[(&str, &str)],
+) -> Inbound {
     let body = Bytes::from_static(b"the body");
-    inbound_of(customer, id, route, &[], body)
+    inbound_of(customer, id, route, headers, body)
 }
 
 fn inbound(
--- a/crates/pass/tests/shares.rs
+++ b/crates/pass/tests/shares.rs
@@ -47,7 +47,7 @@
     id: &str,
     priority: u32,
 ) -> Answer {
-    let request = request_of(customer, id, route(priority));
+    let request = request_of(customer, id, route(priority), &[]);
     let forwarder = forwarder.clone();
     tokio::spawn(
         async move { read(forwarder.forward(request, 1).await).await },
@@ -83,7 +83,7 @@
     let small = send(&setup.forwarder, "small", "small", 0);
     sleep(Duration::from_millis(50)).await;
     let began = Instant::now();
-    let request = request_of("large", "one-more", route(0));
+    let request = request_of("large", "one-more", route(0), &[]);
     let refused = setup.forwarder.forward(request, 1).await;
     assert!(began.elapsed() < Duration::from_millis(100));
     assert!(refused.headers().contains_key("retry-after"));
@@ -134,6 +134,30 @@
     assert_eq!(ids(&endpoint)[PLACES..], ["p1", "p5", "p7", "p9"]);
 }
 
+/// Guards against a second refusal of callers that were refused before: they
+/// may queue at the endpoint while new requests wait at the front.
+#[tokio::test]
+async fn a_returning_caller_keeps_its_larger_queue() {
+    let endpoint = endpoint().await;
+    let setup = fixture(&[endpoint.address]).with_fair_shares();
+    let all = fill(&setup, "large").await;
+    let fresh = send(&setup.forwarder, "small", "fresh", 0);
+    sleep(Duration::from_millis(30)).await;
+    let headers = [("x-deadline", "3000")];
+    let request = request_of("other", "returning", route(0), &headers);
+    assert!(request.has_waited());
+    let forwarder = setup.forwarder.clone();
+    let returning = tokio::spawn(async move {
+        read(forwarder.forward(request, 1).await).await
+    });
+    until(|| setup.endpoints[0].in_flight() as usize == PLACES + 1).await;
+    assert_eq!(ids(&endpoint).len(), PLACES + 1);
+    assert_eq!(ids(&endpoint)[PLACES], "returning");
+    assert_eq!(fresh.await.expect("an answer").0, 200);
+    assert_eq!(returning.await.expect("an answer").0, 200);
+    drop(all);
+}
+
 /// Guards against places that remain after their requests gave up or their
 /// callers left: later requests would wait behind them forever.
 #[tokio::test]
--- a/crates/share/src/front.rs
+++ b/crates/share/src/front.rs
@@ -343,6 +343,8 @@
     slots: ServiceSlots,
 ) -> Option<ShareLevel> {
     match basis {
+        // The endpoints of the service are not known, or gone.
+        ShareBasis::Fleet(_) if slots.all == 0 => None,
         ShareBasis::Fleet(_) => all.level(slots.all),
         // A front without slots of its own uses those of others, and cannot
         // tell which part of them is its share.
