Test that a new request does not pass one that waits

With the check for new requests removed, all tests of waiting requests still passed: while requests of the same front end, the first one that waits is woken before a new one arrives. The new test frees a place by a load update of another front, which wakes nobody; without the check it fails.

--- a/crates/pass/tests/shares.rs
+++ b/crates/pass/tests/shares.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use base::{Clock, SystemClock};
 use common::{
     Act, Fixture, Scripted, Step, fixture, header, read, request_of, until,
     valid_response,
@@ -134,6 +135,31 @@
     assert_eq!(ids(&endpoint)[PLACES..], ["p1", "p5", "p7", "p9"]);
 }
 
+/// Guards against a new request that takes a slot before the one that waits
+/// has noticed that it is free, as after requests of other fronts.
+#[tokio::test]
+async fn a_new_request_does_not_pass_a_more_urgent_one() {
+    let endpoint = endpoint().await;
+    let setup = fixture(&[endpoint.address]).with_fair_shares();
+    let clock = SystemClock::new();
+    let report = |requests| {
+        setup.endpoints[0].record_remote_load(requests, clock.now());
+    };
+    report(PLACES as u32);
+    let urgent = send(&setup.forwarder, "urgent", "urgent", 0);
+    sleep(Duration::from_millis(35)).await;
+    assert!(ids(&endpoint).is_empty());
+    // One place is free.
+    report(PLACES as u32 - 1);
+    let usual = send(&setup.forwarder, "usual", "usual", 5);
+    until(|| setup.endpoints[0].in_flight() > 0).await;
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(setup.endpoints[0].in_flight(), 1, "the place is taken once");
+    assert_eq!(urgent.await.expect("an answer").0, 200);
+    assert_eq!(usual.await.expect("an answer").0, 200);
+    assert_eq!(ids(&endpoint), ["urgent", "usual"]);
+}
+
 /// Guards against a second refusal of callers that were refused before: they
 /// may queue at the endpoint while new requests wait at the front.
 #[tokio::test]
