--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -12,7 +12,7 @@
 use base::{SystemClock, timer::Timer};
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
-use fleet::{FleetCommand, FleetRole};
+use fleet::{FleetCommand, FleetRole, Toggle};
 use node::EndpointSpeed;
 use obs::{LogSettings, Metrics, MetricsSettings};
 use pomeloslip::daemon::{Daemon, DaemonError};
@@ -26,6 +26,7 @@
 Usage: pomeloslipd --settings FILE [--check]
        pomeloslipd fleet front|worker [--metrics-port PORT]
                    [--endpoint-speed reported|always|off]
+                   [--fair-shares on|off] [--customers FILE]
        pomeloslipd --help | --version
 
   --settings FILE  the settings of this process (YAML, docs/SETTINGS.md)
@@ -37,6 +38,10 @@
                    whether requests prefer faster endpoints: `reported` (the
                    default) for services whose endpoints report a slowdown,
                    `always`, or `off`
+  --fair-shares    whether customers are limited to their shares while a
+                   service has no free slot (default off)
+  --customers      weights and pauses of customers (YAML, docs/SETTINGS.md),
+                   read again at SIGHUP
 
 SIGTERM and SIGINT are a planned stop: nothing new is taken and what runs
 ends. A second one ends the process at once.
@@ -147,6 +152,18 @@
         .opt_value_from_str("--metrics-port")
         .map_err(|error| error.to_string())?;
     let endpoint_speed = parse_endpoint_speed(&mut args)?;
+    let fair_shares: Option<String> = args
+        .opt_value_from_str("--fair-shares")
+        .map_err(|error| error.to_string())?;
+    let fair_shares = match fair_shares {
+        Some(word) => word.parse().map_err(|cause| {
+            format!("--fair-shares cannot be {word:?}: {cause}")
+        })?,
+        None => Toggle::default(),
+    };
+    let customers_file = args
+        .opt_value_from_str("--customers")
+        .map_err(|error| error.to_string())?;
     let rest = args.finish();
     match rest.first() {
         Some(unknown) => {
@@ -156,6 +173,8 @@
             role,
             metrics_port,
             endpoint_speed,
+            fair_shares,
+            customers_file,
         }),
     }
 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -35,7 +35,7 @@
     pool::{
         CustomerHistory, Demand, SLOT_COUNT, ServerTimestamp, TokenClient,
         TokenEvent, TokenGrant, TokenRefusal, TokenRequest, TokenResponse,
-        TokenServer, TokenServerOptions,
+        TokenServer, TokenServerOptions, customer_shard,
     },
     rate_limit::{QuotaPermit, RateLimit, RateLimitError, Tolerance},
     retry::RetryBudget,
--- a/crates/limits/src/pool/mod.rs
+++ b/crates/limits/src/pool/mod.rs
@@ -42,6 +42,7 @@
 mod report;
 mod restore;
 mod server;
+mod shards;
 
 pub use self::{
     client::TokenClient,
@@ -51,6 +52,7 @@
     },
     restore::TokenEvent,
     server::TokenServer,
+    shards::customer_shard,
 };
 
 use base::{Customer, mix, stable_hash};
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -57,6 +57,11 @@
     pub max_connections: usize,
     /// When the speed of endpoints affects the placement of requests.
     pub endpoint_speed: EndpointSpeed,
+    /// Whether customers are limited to their shares of a service while it has
+    /// no free slot.
+    pub fair_shares: bool,
+    /// File with the weights and pauses of customers, if there is one.
+    pub customers_file: Option<PathBuf>,
 }
 
 /// Maximum time in which changes must reach every node, in milliseconds, even
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -305,6 +305,8 @@
         disk_losses: 1,
         max_connections: 1_000,
         endpoint_speed: fleet::EndpointSpeed::default(),
+        fair_shares: false,
+        customers_file: None,
     }
 }
 
@@ -372,6 +374,22 @@
     start_with(settings, Arc::new(kv.clone()), worker).await
 }
 
+/// Starts a node of a fleet with fair shares.
+#[allow(dead_code)]
+pub(crate) async fn start_sharing(
+    kv: &Memory,
+    name: &str,
+    worker: bool,
+    customers_file: Option<&Path>,
+) -> Node {
+    let settings = NodeSettings {
+        fair_shares: true,
+        customers_file: customers_file.map(Path::to_owned),
+        ..settings(name)
+    };
+    start_with(settings, Arc::new(kv.clone()), worker).await
+}
+
 /// Starts a worker with a disk.
 pub(crate) async fn start_with_disk(
     kv: &Memory,
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -42,6 +42,7 @@
 mod run;
 mod shared_parts;
 mod shared_stream;
+mod shares;
 mod stream_timer;
 
 pub use crate::{
@@ -68,4 +69,5 @@
     returns::RetryAfterEstimator,
     run::{Run, RunObserver},
     shared_parts::SharedParts,
+    shares::{FairShares, ShareMetrics},
 };
