--- a/crates/fleet/src/speed/usual.rs
+++ b/crates/fleet/src/speed/usual.rs
@@ -1,6 +1,9 @@
 //! The slowdown that an endpoint reports usually.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU32, Ordering},
+};
 
 use base::Millis;
 
@@ -10,14 +13,30 @@
 /// slowdowns last about 600 ms, so a period contains reports without one.
 const PERIOD_MS: u64 = 3_000;
 
+/// Lowest report that counts, in percent. An endpoint that reports less is not
+/// that fast, and its next honest report would seem to be a slowdown.
+const MIN_PERCENT: u32 = 25;
+
 /// The lowest slowdown that an endpoint reported recently, in percent.
 ///
 /// Endpoints may report their constant speed and their momentary state in one
 /// number. The lowest recent report stands for the constant part, and only
 /// what is above it is momentary. Until a first period has passed, an endpoint
 /// counts as one that reports [`USUAL_PERCENT`] usually.
-#[derive(Debug, Default)]
-pub(super) struct UsualSlowdown(Mutex<Periods>);
+#[derive(Debug)]
+pub(super) struct UsualSlowdown {
+    periods: Mutex<Periods>,
+    percent: AtomicU32,
+}
+
+impl Default for UsualSlowdown {
+    fn default() -> Self {
+        Self {
+            periods: Mutex::default(),
+            percent: AtomicU32::new(USUAL_PERCENT),
+        }
+    }
+}
 
 #[derive(Debug, Default)]
 struct Periods {
@@ -38,18 +57,19 @@
             periods.started_at = Some(now);
             periods.previous = periods.present.take();
         }
+        let percent = percent.max(MIN_PERCENT);
         let lowest = periods.present.map_or(percent, |p| p.min(percent));
         periods.present = Some(lowest);
+        let usual = lowest.min(periods.previous.unwrap_or(USUAL_PERCENT));
+        self.percent.store(usual, Ordering::Relaxed);
     }
 
     /// Returns the usual slowdown.
     pub(super) fn get(&self) -> u32 {
-        let periods = self.lock();
-        let present = periods.present.unwrap_or(USUAL_PERCENT);
-        present.min(periods.previous.unwrap_or(USUAL_PERCENT))
+        self.percent.load(Ordering::Relaxed)
     }
 
     fn lock(&self) -> MutexGuard<'_, Periods> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.periods.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/limits/src/pool/allotment.rs
+++ b/crates/limits/src/pool/allotment.rs
@@ -269,9 +269,20 @@
         now: Millis,
     ) -> bool {
         self.fronts.report(reply.fronts, now);
+        let max_lease_ms = self.options.max_lease_ms;
         let Some(server) = self.servers.get_mut(from) else {
             return false;
         };
+        // A late response of an earlier process says nothing about the shares
+        // that the present one counts. The clock that tells processes apart
+        // may have been set back, so it counts after a period of silence.
+        let is_former = server.timestamp.is_some_and(|(known, at)| {
+            known.incarnation > reply.timestamp.incarnation
+                && now.saturating_ms_since(at) < max_lease_ms
+        });
+        if is_former {
+            return false;
+        }
         server.unanswered_since = None;
         if !reply.accepted {
             return false;
--- a/crates/limits/src/pool/client.rs
+++ b/crates/limits/src/pool/client.rs
@@ -370,6 +370,7 @@
         now: Millis,
     ) {
         self.start(now);
+        self.history.record_limit(customer, limit, now);
         if let Some(until) = self.exhausted.get(customer)
             && now < *until
         {
--- a/crates/limits/src/pool/history.rs
+++ b/crates/limits/src/pool/history.rs
@@ -3,7 +3,7 @@
 use base::{Customer, Millis};
 use indexmap::IndexMap;
 
-use super::{SLOT_COUNT, slot_of};
+use super::{REPLICAS, SLOT_COUNT, slot_of};
 use crate::RateLimit;
 
 /// Length of a step in which admitted requests are counted together, in
@@ -91,6 +91,33 @@
         }
     }
 
+    /// Records the limit of a customer for the length of a window, also if
+    /// none of its requests is admitted. A front that knows a lowered limit
+    /// must report it, or a front that does not know it yet would get the
+    /// bucket of the higher one.
+    pub(super) fn record_limit(
+        &mut self,
+        customer: &Customer,
+        limit: RateLimit,
+        now: Millis,
+    ) {
+        self.expire(now);
+        for replica in 0..REPLICAS {
+            let slot = slot_of(customer, replica);
+            if let Some(known) = self.slots[slot].get_mut(customer) {
+                if limit.version() > known.limit.version() {
+                    known.limit = limit;
+                }
+                continue;
+            }
+            let counts = StepCounts::default();
+            let admitted = Admitted { limit, counts };
+            self.slots[slot].insert(customer.clone(), admitted);
+            let at = now.saturating_add_ms(self.window_ms + STEP_MS + 1);
+            self.expiries.push_back((at, slot, customer.clone()));
+        }
+    }
+
     /// Records an admitted request.
     pub(super) fn record(
         &mut self,
--- a/crates/limits/src/pool/message.rs
+++ b/crates/limits/src/pool/message.rs
@@ -82,7 +82,7 @@
     pub replica: u8,
     /// Rate limit of the customer, as the front knows it.
     pub limit: RateLimit,
-    /// Ages in milliseconds, and numbers of requests of at most these ages.
+    /// Ages in milliseconds, and numbers of requests of at least these ages.
     pub counts: Vec<(u64, u32)>,
 }
 
--- a/crates/limits/src/pool/report.rs
+++ b/crates/limits/src/pool/report.rs
@@ -11,8 +11,8 @@
 const CUSTOMER_BYTES: usize = 130;
 const COUNT_BYTES: usize = 14;
 
-/// Maximum number of messages that contain the report of one allotment. An old
-/// server answers none of them.
+/// Maximum number of messages that contain the report of one allotment: two of
+/// them may be lost, and a server of an older version answers none.
 const MAX_ATTEMPTS: usize = 3;
 
 /// Interval between these messages, in milliseconds.
--- a/crates/limits/src/pool/restore.rs
+++ b/crates/limits/src/pool/restore.rs
@@ -201,9 +201,10 @@
             });
             let report: Vec<Report> =
                 customers.map(|it| Report::new(it, now)).collect();
-            let replaced = collection.reports.get(front);
-            let replaced = replaced.map_or(0, |report| size(report));
-            let kept = self.kept_counts - replaced + size(&report);
+            // An older report lacks requests and must not stay in force.
+            let replaced = collection.reports.swap_remove(front);
+            self.kept_counts -= replaced.map_or(0, |report| size(&report));
+            let kept = self.kept_counts + size(&report);
             if kept > MAX_KEPT_COUNTS {
                 refused.push(TokenEvent::ReportRefused { slot });
                 continue;
@@ -244,7 +245,7 @@
                 SlotRestore::Restored(restored)
                     if now.saturating_ms_since(restored.at) > window_ms =>
                 {
-                    // A bucket that has not been used since is full.
+                    // Requests of this window no longer affect another one.
                     restored.levels = IndexMap::new();
                 }
                 _ => {}
--- a/crates/limits/src/pool/server.rs
+++ b/crates/limits/src/pool/server.rs
@@ -136,7 +136,7 @@
         if accepted {
             self.apply_report(request, now);
         }
-        self.restore_slots(now);
+        self.restore_slots(&request.demands, now);
         let demands = request.demands.iter();
         let grants = demands.map(|demand| self.grant(demand, now)).collect();
         Some(TokenResponse {
@@ -247,14 +247,25 @@
         }
     }
 
-    /// Restores the slots that all fronts have reported.
-    fn restore_slots(&mut self, now: Millis) {
+    /// Restores slots that all fronts have reported: those of the demands, and
+    /// one other slot. A restore merges all reports of a slot, and several at
+    /// once would delay the response.
+    fn restore_slots(&mut self, demands: &[Demand], now: Millis) {
         let fronts = self.fronts.get();
         self.restores.expire(fronts, self.tolerance.window_ms, now);
+        let slots = demands
+            .iter()
+            .map(|it| slot_of(&it.customer, usize::from(it.replica)));
+        let demanded: BTreeSet<usize> = slots.collect();
+        let mut may_restore_other = true;
         for slot in 0..SLOT_COUNT {
-            if !self.restores.is_ready(slot, fronts, now) {
+            let is_demanded = demanded.contains(&slot);
+            if !(is_demanded || may_restore_other)
+                || !self.restores.is_ready(slot, fronts, now)
+            {
                 continue;
             }
+            may_restore_other &= is_demanded;
             let pool = &mut self.pools[slot];
             let share = (pool.get(), pool.snapshot(now));
             let buckets = &self.buckets;
--- a/crates/limits/tests/fleet/main.rs
+++ b/crates/limits/tests/fleet/main.rs
@@ -80,7 +80,7 @@
     kills_cuts_and_freezes = { Faults::Mixed },
     halves_that_change = { Faults::Partitions },
     caps_that_fall_unheard = { Faults::StaleLimits },
-    servers_lost_again_and_again = { Faults::RepeatedLosses },
+    repeated_server_losses = { Faults::RepeatedLosses },
 )]
 fn no_cap_is_exceeded_whatever_fails(faults: Faults) {
     let began = Instant::now();
--- a/crates/limits/tests/reports.rs
+++ b/crates/limits/tests/reports.rs
@@ -249,6 +249,12 @@
     later.timestamp.incarnation += 1;
     later.sequence = 1;
     fleet.front.receive(to, &later, now);
+    // Another late response of the former process must not make it seem the
+    // present one.
+    let mut former = granted.clone();
+    former.sequence = 2;
+    former.grants.clear();
+    fleet.front.receive(to, &former, now);
     fleet.front.receive(to, &granted, now);
     let decided = fleet.front.take_actions();
     let admitted = decided.iter().any(|action| {
--- a/crates/limits/tests/unit/history.rs
+++ b/crates/limits/tests/unit/history.rs
@@ -32,6 +32,26 @@
     assert_eq!(counts.counts().count(), 1);
 }
 
+/// Guards against a lowered limit that is missing from reports because none of
+/// the customer's requests was admitted under it.
+#[test]
+fn a_limit_is_reported_without_admitted_requests() {
+    let mut history = History::new(WINDOW_MS);
+    let one = customer(1);
+    history.record(&one, 0, limit(1), Millis::new(1));
+    history.record_limit(&one, limit(2), Millis::new(2));
+    history.record_limit(&customer(2), limit(3), Millis::new(2));
+    for (customer, version) in [(one, 2), (customer(2), 3)] {
+        for replica in 0..2 {
+            let slot = slot_of(&customer, replica);
+            let known = history.of_slot(slot, Millis::new(3)).expect("few");
+            let known = known.iter().find(|(name, _)| *name == customer);
+            let (_, admitted) = known.expect("reported");
+            assert_eq!(admitted.limit.version(), version);
+        }
+    }
+}
+
 /// Guards against memory that grows with all customers that a front has ever
 /// served.
 #[test]
--- a/crates/node/src/quota/wire.rs
+++ b/crates/node/src/quota/wire.rs
@@ -5,7 +5,7 @@
 use share::{UseReport, UseTotals};
 
 /// Maximum size of a received datagram: the largest possible one, since
-/// reports of admitted requests may have 50 KB.
+/// reports of admitted requests may have 56 KB.
 pub(super) const DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// Version of the message format. Other versions are refused, since the same
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -118,6 +118,8 @@
     }
 
     fn interrupt(&mut self, cause: &'static str) {
+        // An endpoint that breaks off its streams must not seem fast.
+        self.timer = None;
         self.run.mark_interrupted(self.framing().as_str(), cause);
     }
 
--- a/crates/pass/src/stream_timer.rs
+++ b/crates/pass/src/stream_timer.rs
@@ -8,7 +8,8 @@
 /// Measures the mean interval between the events of one stream.
 ///
 /// Only the first and the last event count. A chunk with several events has
-/// one time, which is that of its last event.
+/// one time, which is that of its last event, so that the other events of the
+/// first chunk are left out.
 #[derive(Debug)]
 pub(crate) struct StreamTimer {
     counters: Arc<Counters>,
@@ -17,6 +18,8 @@
     /// Slowdown that the head of the response reported.
     slowdown_percent: Option<u32>,
     events: u64,
+    /// Events of the first chunk that had any.
+    first_events: u64,
     first_at: Option<Instant>,
     last_at: Option<Instant>,
 }
@@ -32,6 +35,7 @@
             load,
             slowdown_percent,
             events: 0,
+            first_events: 0,
             first_at: None,
             last_at: None,
         }
@@ -44,13 +48,16 @@
         }
         self.events = events;
         let now = Instant::now();
-        self.first_at.get_or_insert(now);
+        if self.first_at.is_none() {
+            self.first_at = Some(now);
+            self.first_events = events;
+        }
         self.last_at = Some(now);
     }
 
     /// Records the sample of the stream at its endpoint, once the stream has
-    /// ended. Streams that are cut off count as well: the slowest endpoints
-    /// would otherwise give no samples.
+    /// ended. Streams that the caller or the deadline cut off count as well:
+    /// the slowest endpoints would otherwise give no samples.
     pub(crate) fn record_sample(self, endpoint: &Endpoint, now: Millis) {
         let (Some(first_at), Some(last_at)) = (self.first_at, self.last_at)
         else {
@@ -58,7 +65,7 @@
         };
         let span_us = (last_at - first_at).as_micros() as u64;
         let sample = SpeedSample::of_stream(
-            self.events,
+            self.events - self.first_events + 1,
             span_us,
             self.load,
             self.slowdown_percent,
--- a/crates/pass/tests/speed.rs
+++ b/crates/pass/tests/speed.rs
@@ -80,6 +80,41 @@
     assert_eq!(counted, unused);
 }
 
+/// Guards against an endpoint that seems fast because it sends the beginning
+/// of its streams at once.
+#[tokio::test]
+async fn the_events_of_the_first_chunk_do_not_shorten_the_interval() {
+    let Act::Paced(mut steps) = stream(4, "1,0,4,100") else {
+        panic!("a paced response");
+    };
+    let events = "data: a\n\n".repeat(50);
+    steps.insert(1, Step::Write(chunk(&events)));
+    steps.insert(2, Step::Pause(EVENT_MS));
+    let kind = RouteKind::Stream;
+    let setup = serve(Act::Paced(steps), kind, EndpointSpeed::Reported).await;
+    let interval_ms = interval_us(&setup).expect("a sample") / 1_000;
+    assert!((30..160).contains(&interval_ms), "{interval_ms}");
+}
+
+/// Guards against an endpoint that attracts requests because it breaks off its
+/// streams after a few quick events.
+#[tokio::test]
+async fn a_stream_that_the_endpoint_breaks_off_gives_no_sample() {
+    let Act::Paced(mut steps) = stream(6, "1,0,4,100") else {
+        panic!("a paced response");
+    };
+    steps.pop();
+    steps.push(Step::Write("not a chunk\r\n".to_owned()));
+    let endpoint = Scripted::start(vec![Act::Paced(steps)]).await;
+    let setup = fixture(&[endpoint.address]);
+    let request = request("r1", route(RouteKind::Stream));
+    let response = setup.forwarder.forward(request, 1).await;
+    let (status, body) = read(response).await;
+    assert_eq!(status, 200);
+    assert!(body.is_err(), "{body:?}");
+    assert_eq!(interval_us(&setup), None);
+}
+
 /// Guards against work for a feature that is switched off.
 #[tokio::test]
 async fn nothing_is_measured_while_speed_is_off() {
