--- a/crates/pass/src/shares/metrics.rs
+++ b/crates/pass/src/shares/metrics.rs
@@ -47,11 +47,11 @@
 /// use pomeloslip_pass::ShareMetrics;
 ///
 /// let metrics = ShareMetrics::default();
-/// metrics.count_refused(&"alama".parse().expect("a name"));
+/// metrics.count_refused(&"acme".parse().expect("a name"));
 /// let mut text = String::new();
 /// metrics.render(&mut text);
 /// assert!(text.contains(
-///     "pomeloslip_customer_over_share{customer=\"alama\"} 1\n"
+///     "pomeloslip_customer_over_share{customer=\"acme\"} 1\n"
 /// ));
 /// ```
 #[derive(Debug, Default)]
--- a/crates/share/src/counts.rs
+++ b/crates/share/src/counts.rs
@@ -40,11 +40,11 @@
 /// use pomeloslip_share::{SlotCounts, TermsTable};
 ///
 /// let mut counts = SlotCounts::new(|_| 0, Arc::new(TermsTable::default()));
-/// let alama = "alama".parse().expect("a name");
-/// let key = counts.begin("llm", &alama).expect("counted");
-/// assert_eq!(counts.slots("llm", &alama), 1);
+/// let acme = "acme".parse().expect("a name");
+/// let key = counts.begin("llm", &acme).expect("counted");
+/// assert_eq!(counts.slots("llm", &acme), 1);
 /// counts.end(key);
-/// assert_eq!(counts.slots("llm", &alama), 0);
+/// assert_eq!(counts.slots("llm", &acme), 0);
 /// ```
 #[derive(Debug)]
 pub struct SlotCounts {
--- a/crates/share/src/server.rs
+++ b/crates/share/src/server.rs
@@ -50,7 +50,7 @@
 ///     sequence: 1,
 ///     in_use: vec![PairUse {
 ///         service: "llm".to_owned(),
-///         customer: "alama".parse().expect("a name"),
+///         customer: "acme".parse().expect("a name"),
 ///         slots,
 ///         waiting: 0,
 ///     }],
--- a/crates/share/src/terms.rs
+++ b/crates/share/src/terms.rs
@@ -102,10 +102,10 @@
     /// use base::Customer;
     /// use pomeloslip_share::{CustomerTerms, TermsTable};
     ///
-    /// let alama: Customer = "alama".parse().expect("a name");
+    /// let acme: Customer = "acme".parse().expect("a name");
     /// let paused = CustomerTerms::default().with_paused(true);
-    /// let table: TermsTable = [(alama.clone(), paused)].into_iter().collect();
-    /// assert!(table.get(&alama).is_paused());
+    /// let table: TermsTable = [(acme.clone(), paused)].into_iter().collect();
+    /// assert!(table.get(&acme).is_paused());
     /// ```
     pub fn get(&self, customer: &Customer) -> CustomerTerms {
         self.0.get(customer).copied().unwrap_or_default()
