Add a review case: an extra refusal is taken as the answer to another request

A replica that sends the refusal of one request a second time, late, makes the front refuse the next request on that channel, or send it elsewhere, while the replica runs it: the id of the answer is not compared.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -116,6 +116,15 @@
     spawn(run)
 
 
+def is_closed(channel):
+    try:
+        return channel.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def call(address, method, path, headers=None, body=b"", timeout_s=5.0):
     """Makes one call on a new channel; status None if there is no answer."""
     host, port = address
@@ -386,7 +395,9 @@
                 self.running -= 1
 
     def refuse(self, channel, status, id):
-        channel.sendall(self.refusal(status, id))
+        answer = self.refusal(status, id)
+        channel.sendall(answer)
+        self.answered(channel, id, answer)
         return True
 
     def refusal(self, status, id):
@@ -396,25 +407,37 @@
                 "Content-Length: 0\r\n\r\n").encode()
 
     def run(self, channel, request, id):
-        """Runs a request: a stream of events, as an engine."""
-        self.runs.append(id)
+        """Runs a request: a stream of events, as an engine. It begins with
+        its first event; a request whose channel has closed is dropped."""
         after = int(request.header("Last-Event-Id") or 0)
-        self.record("replica", self.name, "runs", request.path, id,
-                    "after", after)
-        channel.sendall(
-            (f"HTTP/1.1 200 OK\r\nX-Pomeloslip-Attempt-Id: {id}\r\n"
-             f"X-Pomeloslip-Response-Seal: seal.{id}\r\n"
-             f"X-Pomeloslip-Replica-Load: {self.load()}\r\n"
-             "Content-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n").encode())
+        head = (f"HTTP/1.1 200 OK\r\nX-Pomeloslip-Attempt-Id: {id}\r\n"
+                f"X-Pomeloslip-Response-Seal: seal.{id}\r\n"
+                f"X-Pomeloslip-Replica-Load: {self.load()}\r\n"
+                "Content-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n").encode()
+        sent = b""
         for event in range(after + 1, self.events + 1):
             time.sleep(self.gap_s)
+            if not sent:
+                if is_closed(channel):
+                    self.record("replica", self.name, "drops", id)
+                    return False
+                self.runs.append(id)
+                self.record("replica", self.name, "runs", request.path, id,
+                            "after", after)
             text = f"id: {event}\ndata: {id}-{event}\n\n".encode()
-            channel.sendall(b"%x\r\n%s\r\n" % (len(text), text))
+            part = b"%x\r\n%s\r\n" % (len(text), text)
+            part = part if sent else head + part
+            channel.sendall(part)
+            sent += part
         channel.sendall(b"0\r\n\r\n")
         self.record("replica", self.name, "finished", id)
+        self.answered(channel, id, sent + b"0\r\n\r\n")
         return True
 
+    def answered(self, channel, id, answer):
+        """Called after a complete answer."""
+
     def text(self, id):
         return "\n".join(f"{id}-{n}" for n in range(1, self.events + 1))
 
