Add a review case: results that exceed one value are never listed

While the key-value service is down the results of a large job pile up on its worker. They are written as one value, which is larger than a value may be, so that every write is rejected and no result of the job is listed any more.

The other cases move up by one.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A worker that is cut from the store gives up the items of a new route."""
+"""Results that pile up while the store is down are never listed."""
 
 import base64
 import json
@@ -11,96 +11,111 @@
                    route)
 
 HOST = "ficu95.example"
-CUT_S = 4.5
-JOBS, ITEMS = 12, 4
+DOWN_S = 4.5
+FINISH_S = 18.0
+CALM_S = 5.0
+ITEMS = 200
+# An item has 340 tokens (352 at most) of 65 bytes; 20 of them share an event.
+EVENTS, EVENT_BYTES, RUN_S = 17, 1300, 1.0
 
 
-def batch_route(name, prefix):
-    return route(name, HOST, prefix, "batch", max_attempts=3, timeout_ms=15000,
-                 run_target_ms=18000, retention_s=36)
-
-
-def submit(fleet, record, prefix, job):
-    items = [{"id": f"{job}{n:02x}", "path": f"{prefix}{n}/x", "headers": {
-        "X-Pomeloslip-Model": "m", "X-Pomeloslip-Token-Count": "350,220"},
-        "body": base64.b64encode(b"text").decode(), "token_count": 570}
-        for n in range(ITEMS)]
-    body = json.dumps({"items": items}).encode()
+def submit(fleet, record, job, items):
+    body = json.dumps({"items": [
+        {"id": f"{job}{n:02x}", "path": f"/lohu930/{n}/x", "headers": {
+            "X-Pomeloslip-Model": "m", "X-Pomeloslip-Token-Count": "350,352"},
+         "body": base64.b64encode(b"text").decode(), "token_count": 702}
+        for n in range(items)]}).encode()
     headers = {"Host": HOST, "X-Pomeloslip-Attempt-Id": job,
                "Content-Type": "application/json"}
     for attempt in range(20):
         front = fleet.fronts[attempt % len(fleet.fronts)]
-        status, _, _ = call(front.front, "POST", f"{prefix}{job}", headers,
+        status, _, _ = call(front.front, "POST", f"/lohu930/{job}", headers,
                             body, 4)
-        record("client: job", job, "to", front.name, "answered", status)
+        record("client: job", job, "of", items, "items to", front.name,
+               "answered", status)
         if status == 202:
             return True
-        time.sleep(0.1)
+        time.sleep(0.2)
     return False
 
 
-def read(fleet, job):
-    for front in fleet.fronts:
-        status, _, body = call(front.front, "GET", f"/-/lots/{job}?after=0",
-                               {"Host": HOST}, timeout_s=3)
-        if status == 200:
-            return json.loads(body)["results"]
-    return []
+def read(fleet, record, job):
+    """Reads all results of a job, page by page."""
+    results, failures = [], 0
+    while failures < 10:
+        front = fleet.fronts[failures % len(fleet.fronts)]
+        path = f"/-/lots/{job}?after={len(results)}"
+        status, _, body = call(front.front, "GET", path, {"Host": HOST},
+                               timeout_s=3)
+        if status != 200:
+            failures += 1
+            time.sleep(0.2)
+            continue
+        page = json.loads(body)
+        results += page["results"]
+        if not page["results"] or len(results) == page["total"]:
+            break
+    record("client: job", job, "has", len(results), "results listed")
+    return results
 
 
 def case(fleet, record):
-    for _ in range(6):
-        fleet.replica()
+    for _ in range(9):
+        fleet.replica(slots=8, events=EVENTS, gap_s=RUN_S / EVENTS,
+                      padding="x" * (EVENT_BYTES - 21))
     store = fleet.store
-    old = batch_route("night-summary", "/lohu930/")
-    store.put("op/config", config(100, [old]))
+    summary = route("night-summary", HOST, "/lohu930/", "batch",
+                    max_attempts=3, timeout_ms=15000, run_target_ms=18000,
+                    retention_s=60)
+    store.put("op/config", config(100, [summary]))
     fleet.start()
     time.sleep(2)
-    if not submit(fleet, record, "/lohu930/", "00000000000000aa"):
-        return NOT_RUN
-    time.sleep(2)
-    cut = fleet.workers[0]
+    jobs = [f"7c41e09b52d6a3{n:02x}" for n in range(3)]
+    for job in jobs:
+        if not submit(fleet, record, job, ITEMS):
+            return NOT_RUN
+        time.sleep(0.3)
+    ended = now()
+    record("the traffic has ended")
+    time.sleep(1)
     if TROUBLE:
-        record("link of", cut.name, "to the store is cut")
-        cut.link.cut()
-    cut_at = now()
-    time.sleep(0.2)
-    new = batch_route("day-summary", "/puxa403/")
-    store.put("op/config", config(107, [old, new]))
-    record("operator: config 107 with route day-summary is acknowledged")
-    jobs = {}
-    for number in range(JOBS):
-        job = f"00000000000001{number:02x}"
-        jobs[job] = submit(fleet, record, "/puxa403/", job)
-        time.sleep(0.1)
-    time.sleep(max(0, cut_at + CUT_S - now()))
+        store.go_down()
+        record("the store is down")
+    time.sleep(DOWN_S)
     if TROUBLE:
-        cut.link.heal()
-        record("the cut has ended")
-    until = now() + 25
-    broken = 0
-    while now() < until:
-        results = {job: read(fleet, job) for job, ok in jobs.items() if ok}
-        if all(len(found) == ITEMS for found in results.values()):
+        store.come_back()
+        record("the store is back")
+    # finish_s, and as long again, in which nothing more comes.
+    while now() < ended + 2 * FINISH_S:
+        time.sleep(2)
+        if all(len(read(fleet, record, job)) == ITEMS for job in jobs):
             break
-        time.sleep(0.5)
-    runs = {id for replica in fleet.replicas for id in replica.runs}
-    for job, found in results.items():
-        for result in found:
-            record("result: job", job, "item", result["id"], result["state"],
-                   "runs", int(result["id"] in runs))
-            text = fleet.replicas[0].text(result["id"])
-            if result["state"] == "dead_letter":
-                broken += 1
-            elif result["output"] != text:
-                record("wrong text", result["output"])
-                broken += 1
-    accepted = sum(jobs.values())
-    print(f"{accepted} jobs accepted, {broken} items given up or wrong")
-    record(accepted, "jobs accepted;", broken, "items given up or wrong")
-    if accepted < JOBS:
+    results = {job: read(fleet, record, job) for job in jobs}
+    listed = {result["id"] for found in results.values() for result in found}
+    text = {id: replica.text(id) for replica in fleet.replicas
+            for id in replica.runs}
+    wrong = [r["id"] for found in results.values() for r in found
+             if r["state"] != "complete" or r["output"] != text.get(r["id"])]
+    missing = [id for job in jobs for n in range(ITEMS)
+               if (id := f"{job}{n:02x}") not in listed]
+    running = sum(replica.running for replica in fleet.replicas)
+    last = max(replica.last_end for replica in fleet.replicas)
+    for id in missing:
+        record("broken LOST: item", id, "isn't listed; it has run",
+               sum(id in replica.runs for replica in fleet.replicas), "times")
+    for id in wrong:
+        record("item", id, "is listed, but not with its whole text")
+    text = (f"{len(missing)} of {len(jobs) * ITEMS} items aren't listed "
+            f"{now() - ended:.0f} s after the traffic, {len(wrong)} are "
+            f"wrong; {running} run, the last run ended {now() - last:.1f} s "
+            f"ago; the largest value that the store was sent has "
+            f"{store.largest} bytes, it rejected {store.rejected} calls")
+    print(text)
+    record(text)
+    calm = running == 0 and now() - last >= CALM_S
+    if missing and not calm:
         return NOT_RUN
-    return BROKEN if broken else HELD
+    return BROKEN if missing else HELD
 
 
 main(case)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,121 +1,106 @@
-"""A late extra refusal of one request is taken as the answer to the next."""
+"""A worker that is cut from the store gives up the items of a new route."""
 
-import collections
-import itertools
+import base64
+import json
 import os
-import random
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "common"))
-from fleet import (BROKEN, HELD, NOT_RUN, TROUBLE, Replica, call, config, main,
-                   now, route)
+from fleet import (BROKEN, HELD, NOT_RUN, TROUBLE, call, config, main, now,
+                   route)
 
 HOST = "ficu95.example"
-CALLERS = 24
-TRAFFIC_S = 6.0
-# The dose: a part of the answers of half of the replicas, for some seconds.
-SHARE, DISTURBED, FOR_S = 0.03, 0.5, 5.0
-
-
-class Sender(Replica):
-    """Sends some of its answers twice: the extra copy comes late, where the
-    next answer on the channel is expected."""
-
-    until = 0.0
-    answers = 0
-    extras = 0
-
-    def __init__(self, *args, **options):
-        self.late = {}
-        self.random = random.Random(args[2])
-        super().__init__(*args, **options)
-
-    def serve(self, channel):
-        super().serve(channel)
-        self.late.pop(channel, None)
-
-    def respond(self, channel, request):
-        is_call = request.path.startswith("/lohu930/")
-        extra = self.late.pop(channel, None) if is_call else None
-        if extra is not None:
-            id, answer = extra
-            self.extras += 1
-            self.record("replica", self.name, "sends the answer to", id,
-                        "once more, while", request.header(
-                            "X-Pomeloslip-Attempt-Id"), "waits")
-            channel.sendall(answer)
-        return super().respond(channel, request)
-
-    def answered(self, channel, id, answer):
-        self.answers += 1
-        if now() < self.until and self.random.random() < SHARE:
-            self.late[channel] = (id, answer)
+CUT_S = 4.5
+JOBS, ITEMS = 12, 4
+
+
+def batch_route(name, prefix):
+    return route(name, HOST, prefix, "batch", max_attempts=3, timeout_ms=15000,
+                 run_target_ms=18000, retention_s=60)
+
+
+def submit(fleet, record, prefix, job):
+    items = [{"id": f"{job}{n:02x}", "path": f"{prefix}{n}/x", "headers": {
+        "X-Pomeloslip-Model": "m", "X-Pomeloslip-Token-Count": "350,220"},
+        "body": base64.b64encode(b"text").decode(), "token_count": 570}
+        for n in range(ITEMS)]
+    body = json.dumps({"items": items}).encode()
+    headers = {"Host": HOST, "X-Pomeloslip-Attempt-Id": job,
+               "Content-Type": "application/json"}
+    for attempt in range(20):
+        front = fleet.fronts[attempt % len(fleet.fronts)]
+        status, _, _ = call(front.front, "POST", f"{prefix}{job}", headers,
+                            body, 4)
+        record("client: job", job, "to", front.name, "answered", status)
+        if status == 202:
+            return True
+        time.sleep(0.1)
+    return False
+
+
+def read(fleet, job):
+    for front in fleet.fronts:
+        status, _, body = call(front.front, "GET", f"/-/lots/{job}?after=0",
+                               {"Host": HOST}, timeout_s=3)
+        if status == 200:
+            return json.loads(body)["results"]
+    return []
 
 
 def case(fleet, record):
-    replicas = [fleet.replica(Sender, slots=4, events=8, gap_s=0.01)
-                for _ in range(4)]
-    mark_check = route("mark-check", HOST, "/lohu930/", "streaming",
-                       max_attempts=1, target_latency_ms=300,
-                       resumable=False, gap_target_ms=250)
-    fleet.store.put("op/config", config(100, [mark_check]))
+    for _ in range(6):
+        fleet.replica()
+    store = fleet.store
+    old = batch_route("night-summary", "/lohu930/")
+    store.put("op/config", config(100, [old]))
     fleet.start()
-    time.sleep(1)
-    answered = {}
-    numbers = itertools.count()
-    lock = threading.Lock()
+    time.sleep(2)
+    if not submit(fleet, record, "/lohu930/", "00000000000000aa"):
+        return NOT_RUN
+    time.sleep(2)
+    cut = fleet.workers[0]
     if TROUBLE:
-        for replica in replicas[:int(DISTURBED * len(replicas))]:
-            replica.until = now() + FOR_S
-    end = now() + TRAFFIC_S
-
-    def caller():
-        while now() < end:
-            with lock:
-                number = next(numbers)
-            id = f"{number:016x}"
-            front = fleet.fronts[number % len(fleet.fronts)]
-            headers = {"Host": HOST, "X-Pomeloslip-Attempt-Id": id,
-                       "X-Pomeloslip-Model": "m",
-                       "X-Pomeloslip-Token-Count": "450,32",
-                       "X-Pomeloslip-Deadline-Ms": "5000"}
-            status, head, _ = call(front.front, "POST", f"/lohu930/{number}",
-                                   headers, b"text", 6)
-            record("client:", id, "at", front.name, "answered", status)
-            answered[id] = status
-            if status == 503:
-                wait_s = float(head.get("Retry-After")
-                               or head.get("retry-after") or 0)
-                time.sleep(min(max(wait_s, 0.02), 1.6))
-
-    callers = [threading.Thread(target=caller) for _ in range(CALLERS)]
-    for thread in callers:
-        thread.start()
-    for thread in callers:
-        thread.join()
-    time.sleep(1)
-    runs = collections.Counter(
-        id for replica in replicas for id in replica.runs)
-    twice = [id for id, count in runs.items() if count > 1]
-    refused = [id for id in runs if answered.get(id) in (408, 421, 429, 503)]
-    for id in twice:
-        record("broken TWICE:", id, "ran", runs[id], "times")
-    for id in refused:
-        record("broken REFUSED:", id, "answered", answered[id], "and ran")
-    for replica in replicas:
-        record("replica", replica.name, replica.answers, "answers",
-               replica.extras, "extra")
-    extras = sum(replica.extras for replica in replicas)
-    counts = collections.Counter(answered.values())
-    text = (f"{len(answered)} requests {dict(counts)}, {extras} extra answers, "
-            f"{len(twice)} ran twice, {len(refused)} refused and ran")
-    print(text)
-    record(text)
-    if TROUBLE and not extras:
+        record("link of", cut.name, "to the store is cut")
+        cut.link.cut()
+    cut_at = now()
+    time.sleep(0.2)
+    new = batch_route("day-summary", "/puxa403/")
+    store.put("op/config", config(107, [old, new]))
+    record("operator: config 107 with route day-summary is acknowledged")
+    jobs = {}
+    for number in range(JOBS):
+        job = f"00000000000001{number:02x}"
+        jobs[job] = submit(fleet, record, "/puxa403/", job)
+        time.sleep(0.1)
+    time.sleep(max(0, cut_at + CUT_S - now()))
+    if TROUBLE:
+        cut.link.heal()
+        record("the cut has ended")
+    until = now() + 25
+    broken = 0
+    while now() < until:
+        results = {job: read(fleet, job) for job, ok in jobs.items() if ok}
+        if all(len(found) == ITEMS for found in results.values()):
+            break
+        time.sleep(0.5)
+    runs = {id for replica in fleet.replicas for id in replica.runs}
+    for job, found in results.items():
+        for result in found:
+            record("result: job", job, "item", result["id"], result["state"],
+                   "runs", int(result["id"] in runs))
+            text = fleet.replicas[0].text(result["id"])
+            if result["state"] == "dead_letter":
+                broken += 1
+            elif result["output"] != text:
+                record("wrong text", result["output"])
+                broken += 1
+    accepted = sum(jobs.values())
+    print(f"{accepted} jobs accepted, {broken} items given up or wrong")
+    record(accepted, "jobs accepted;", broken, "items given up or wrong")
+    if accepted < JOBS:
         return NOT_RUN
-    return BROKEN if refused else HELD
+    return BROKEN if broken else HELD
 
 
 main(case)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -141,6 +142,16 @@
 
 # ---- the platform's store --------------------------------------------------
 
+# Not a status: the call is applied or not, and its channel is reset.
+RESET = -1
+VALUE_BYTES = 1048576
+MAX_ENTRIES = 32
+
+
+def reset(channel):
+    channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                       struct.pack("ii", 1, 0))
+
 
 class Store:
     """The key-value store of the platform (PROTOCOL.md)."""
@@ -152,6 +163,9 @@
         self.history = []
         self.leases = {}
         self.next_lease = 1
+        self.is_down = False
+        self.largest = 0
+        self.rejected = 0
         self.server = listen(("127.0.0.1", 0))
         self.address = self.server.getsockname()
         accept_all(self.server, self.serve)
@@ -190,10 +204,26 @@
         self.changed.notify_all()
         return self.revision
 
+    def go_down(self):
+        """Resets each call until `come_back`; leases pause meanwhile."""
+        with self.changed:
+            self.is_down = True
+            self.down_at = time.monotonic()
+            self.changed.notify_all()
+
+    def come_back(self):
+        with self.changed:
+            away = time.monotonic() - self.down_at
+            self.leases = {lease: (ttl_ms, until + away) for lease,
+                           (ttl_ms, until) in self.leases.items()}
+            self.is_down = False
+
     def expire(self):
         while True:
             time.sleep(0.02)
             with self.changed:
+                if self.is_down:
+                    continue
                 ended = [lease for lease, (_, until) in self.leases.items()
                          if until < time.monotonic()]
                 for lease in ended:
@@ -217,7 +247,11 @@
         try:
             while (request := read_request(stream)) is not None:
                 time.sleep(0.004)
+                if self.is_down:
+                    return reset(channel)
                 status, reply = self.answer(request)
+                if status == RESET:
+                    return reset(channel)
                 body = json.dumps(reply).encode()
                 channel.sendall(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json"
@@ -289,12 +323,16 @@
                             {"key": key, "rev": rev, "tombstone": True}
                             if item is None else self.encode(item))
                 left = until - time.monotonic()
+                if self.is_down:
+                    return RESET, {}
                 if events or left <= 0:
                     return 200, {"events": events, "as_of": self.revision}
                 self.changed.wait(left)
 
     def txn(self, call):
         with self.changed:
+            if self.is_down:
+                return RESET, {}
             compared = call.get("precondition") or []
             for row in compared:
                 item = self.items.get(row["key"])
@@ -309,9 +347,18 @@
                     return 403, {}
                 if lease and lease not in self.leases:
                     return 404, {}
+            deletes = call.get("deletes") or []
+            sizes = [len(base64.b64decode(row["value"])) for row in puts]
+            self.largest = max([self.largest, *sizes])
+            if max(sizes, default=0) > VALUE_BYTES:
+                self.rejected += 1
+                return 413, {}
+            if len(compared) + len(puts) + len(deletes) > MAX_ENTRIES:
+                self.rejected += 1
+                return 400, {}
             rows = [(row["key"], base64.b64decode(row["value"]),
                      row.get("lease") or 0) for row in puts]
-            return 200, {"rev": self.apply(rows, call.get("deletes") or [])}
+            return 200, {"rev": self.apply(rows, deletes)}
 
 
 # ---- replicas --------------------------------------------------------------
@@ -321,12 +368,14 @@
     """A model replica: streams of `events` events, `slots` at a time."""
 
     def __init__(self, store, record, name, service, zone, slots=8,
-                 events=8, gap_s=0.02):
+                 events=8, gap_s=0.02, padding=""):
+        self.padding = padding
         self.store, self.record = store, record
         self.name, self.service, self.zone = name, service, zone
         self.slots, self.events, self.gap_s = slots, events, gap_s
         self.lock = threading.Lock()
         self.running = 0
+        self.last_end = 0.0
         self.runs = []
         self.server = listen(("127.0.0.1", 0))
         self.address = self.server.getsockname()
@@ -393,6 +442,7 @@
         finally:
             with self.lock:
                 self.running -= 1
+                self.last_end = now()
 
     def refuse(self, channel, status, id):
         answer = self.refusal(status, id)
@@ -425,7 +475,7 @@
                 self.runs.append(id)
                 self.record("replica", self.name, "runs", request.path, id,
                             "after", after)
-            text = f"id: {event}\ndata: {id}-{event}\n\n".encode()
+            text = f"id: {event}\ndata: {id}-{event}{self.padding}\n\n".encode()
             part = b"%x\r\n%s\r\n" % (len(text), text)
             part = part if sent else head + part
             channel.sendall(part)
@@ -439,7 +489,8 @@
         """Called after a complete answer."""
 
     def text(self, id):
-        return "\n".join(f"{id}-{n}" for n in range(1, self.events + 1))
+        return "\n".join(f"{id}-{n}{self.padding}"
+                         for n in range(1, self.events + 1))
 
 
 # ---- links -----------------------------------------------------------------
