--- a/review/2/case.py
+++ b/review/2/case.py
@@ -68,6 +68,7 @@
     new = batch_route("day-summary", "/puxa403/")
     store.put("op/config", config(107, [old, new]))
     record("operator: config 107 with route day-summary is acknowledged")
+    time.sleep(0.3)
     jobs = {}
     for number in range(JOBS):
         job = f"00000000000001{number:02x}"
