--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,17 +13,19 @@
                    now, route)
 
 HOST = "ficu95.example"
-CALLERS = 24
-TRAFFIC_S = 6.0
-# The dose: a part of the answers of half of the replicas, for some seconds.
-SHARE, DISTURBED, FOR_S = 0.03, 0.5, 5.0
+CALLERS = 40
+REPLICAS, SLOTS, QUEUE = 5, 4, 2
+# The dose: a part of the answers of some replicas, for some seconds, a few
+# times, a second apart.
+SHARE, DISTURBED, FOR_S, TIMES = 0.03, 3, 5.0, 4
+TRAFFIC_S = TIMES * (FOR_S + 1)
 
 
 class Sender(Replica):
     """Sends some of its answers twice: the extra copy comes late, where the
     next answer on the channel is expected."""
 
-    until = 0.0
+    began = None
     answers = 0
     extras = 0
 
@@ -50,13 +52,19 @@
 
     def answered(self, channel, id, answer):
         self.answers += 1
-        if now() < self.until and self.random.random() < SHARE:
+        if self.is_disturbed() and self.random.random() < SHARE:
             self.late[channel] = (id, answer)
 
+    def is_disturbed(self):
+        if self.began is None:
+            return False
+        spell, into_s = divmod(now() - self.began, FOR_S + 1)
+        return spell < TIMES and into_s < FOR_S
+
 
 def case(fleet, record):
-    replicas = [fleet.replica(Sender, slots=4, events=8, gap_s=0.01)
-                for _ in range(4)]
+    replicas = [fleet.replica(Sender, slots=SLOTS, queue=QUEUE, events=8,
+                              gap_s=0.01) for _ in range(REPLICAS)]
     mark_check = route("mark-check", HOST, "/lohu930/", "streaming",
                        max_attempts=1, target_latency_ms=300,
                        resumable=False, gap_target_ms=250)
@@ -67,8 +75,8 @@
     numbers = itertools.count()
     lock = threading.Lock()
     if TROUBLE:
-        for replica in replicas[:int(DISTURBED * len(replicas))]:
-            replica.until = now() + FOR_S
+        for replica in replicas[:DISTURBED]:
+            replica.began = now()
     end = now() + TRAFFIC_S
 
     def caller():
@@ -115,7 +123,7 @@
     record(text)
     if TROUBLE and not extras:
         return NOT_RUN
-    return BROKEN if refused else HELD
+    return BROKEN if twice or refused else HELD
 
 
 main(case)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -365,15 +365,16 @@
 
 
 class Replica:
-    """A model replica: streams of `events` events, `slots` at a time."""
+    """A model replica: streams of `events` events, `slots` at a time, and up
+    to `queue` more that wait for a slot."""
 
     def __init__(self, store, record, name, service, zone, slots=8,
-                 events=8, gap_s=0.02, padding=""):
-        self.padding = padding
+                 events=8, gap_s=0.02, padding="", queue=24):
+        self.padding, self.queue, self.waiting = padding, queue, 0
         self.store, self.record = store, record
         self.name, self.service, self.zone = name, service, zone
         self.slots, self.events, self.gap_s = slots, events, gap_s
-        self.lock = threading.Lock()
+        self.lock = threading.Condition()
         self.running = 0
         self.last_end = 0.0
         self.runs = []
@@ -395,7 +396,7 @@
             time.sleep(1.2)
 
     def load(self):
-        return f"{self.running},0,{self.slots}"
+        return f"{self.running},{self.waiting},{self.slots}"
 
     def serve(self, channel):
         stream = channel.makefile("rb")
@@ -417,7 +418,7 @@
     def report(self, channel):
         return self.plain(channel, 200, json.dumps({
             "stage": "hybrid", "models": [], "busy": False, "seq": 1,
-            "queue_depth": 0, "in_flight": self.running, "kv_used": 0,
+            "queue_depth": self.waiting, "in_flight": self.running, "kv_used": 0,
             "kv_total": 90000, "handles": 0}).encode())
 
     def respond(self, channel, request):
@@ -431,10 +432,7 @@
         if target not in (None, self.name):
             self.record("replica", self.name, "421", id)
             return self.refuse(channel, 421, id)
-        with self.lock:
-            full = self.running >= self.slots
-            self.running += not full
-        if full:
+        if not self.enter():
             self.record("replica", self.name, "503 full", id)
             return self.refuse(channel, 503, id)
         try:
@@ -443,6 +441,20 @@
             with self.lock:
                 self.running -= 1
                 self.last_end = now()
+                self.lock.notify()
+
+    def enter(self):
+        """Waits for a slot; False if the queue is full."""
+        with self.lock:
+            if self.running >= self.slots:
+                if self.waiting >= self.queue:
+                    return False
+                self.waiting += 1
+                while self.running >= self.slots:
+                    self.lock.wait()
+                self.waiting -= 1
+            self.running += 1
+            return True
 
     def refuse(self, channel, status, id):
         answer = self.refusal(status, id)
