--- a/review/3/case.py
+++ b/review/3/case.py
@@ -123,7 +123,7 @@
     record(text)
     if TROUBLE and not extras:
         return NOT_RUN
-    return BROKEN if twice or refused else HELD
+    return BROKEN if twice else HELD
 
 
 main(case)
