Decide nothing on a job by a configuration older than its acceptance

Callers saw: jobs on a batch route that had just been added were accepted with 202 and then listed as given up, all items, though no endpoint had run any of them.

Cause: a front pushes an accepted job to its worker at once, while the configuration reaches the worker through the readers. A worker that is cut off from the key-value service gets the job first. It looked for the job's route in its older configuration and took a missing route for a removed one. Neither the job nor the push said by which configuration it was accepted.

Ruled out: the deadline (over false), the clocks (used for the deadline alone), and the lookup by host and path (the other workers found the route at version 107).

Change: the inputs of a job contain the version of the configuration by which it was accepted. JobRoute says whether a worker's configuration decides on the job; an older one does not, so that nothing of the job runs and nothing is given up until a newer one arrives. The version is a fence, independent of clocks and of how configurations travel. It is stored with the inputs and not in the manifest, since earlier releases reject manifests with unknown fields and would not see such jobs during a roll-out or after a roll-back. The number of attempts after which an item is given up follows the same rule. On fronts, 413 by a configuration that is not confirmed becomes 503, like 404 and 401.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -486,7 +486,7 @@
 /// Returns the size of an item in a chunk, in bytes.
 fn item_bytes(item: &ItemInput) -> usize {
     /// Upper bound of the field names, numbers and quotes of one table row.
-    const ROW_BYTES: usize = 96;
+    const ROW_BYTES: usize = 144;
     let headers: usize = item
         .headers
         .iter()
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod gate;
 mod index;
 mod item_speed;
+mod job_route;
 mod ledger;
 mod manifests;
 mod members;
@@ -44,6 +45,7 @@
     error::JobError,
     gate::{GateDecision, GateInput, GateOptions, decide},
     item_speed::{FreeEndpoint, start_order},
+    job_route::JobRoute,
     ledger::{Ledger, NewJob, StoredManifest},
     manifests::{
         KnownManifest, ManifestFuture, ManifestSource, ViewManifests,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -61,6 +61,9 @@
     pub body: Vec<u8>,
     /// Tokens of the prompt plus the maximum output tokens.
     pub tokens: u64,
+    /// Version of the configuration by which the item was accepted; `None` if
+    /// an earlier release has stored the item.
+    pub config_version: Option<u64>,
 }
 
 /// The final state of an item.
@@ -136,7 +139,7 @@
 /// the order of the results. It is append-only, and each change is a
 /// compare-and-swap on this record, so that each position is assigned once,
 /// whichever node writes.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct JobManifest {
     /// When the job was submitted.
@@ -322,6 +325,8 @@
     path: String,
     headers: Vec<(String, String)>,
     tokens: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    config_version: Option<u64>,
     body_bytes: usize,
 }
 
@@ -348,6 +353,7 @@
             path: item.path.clone(),
             headers: item.headers.clone(),
             tokens: item.tokens,
+            config_version: item.config_version,
             body_bytes: item.body.len(),
         })
         .collect();
@@ -386,6 +392,7 @@
             headers: entry.headers,
             body,
             tokens: entry.tokens,
+            config_version: entry.config_version,
         });
     }
     Ok(items)
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -15,8 +15,8 @@
 use base::{Clock, Millis, Snapshot};
 use error_stack::Report;
 use fleet::{
-    Config, Endpoint, EndpointRecord, IncarnationKey, LoadReport, Route,
-    RouteKind, ServiceSpeeds,
+    Config, Endpoint, EndpointRecord, IncarnationKey, LoadReport,
+    ServiceSpeeds,
 };
 use indexmap::IndexMap;
 use pass::{Counters, DirectoryView};
@@ -31,9 +31,9 @@
     checkpoint::LoadedJob,
 };
 use crate::{
-    Assignment, Assignments, GateOptions, ItemForwarder, JobError,
-    JobManifest, JobView, Ledger, OnlineLoad, RunOutcome, RunTimeEstimator,
-    SilenceClock, StoredManifest,
+    Assignment, Assignments, GateOptions, ItemForwarder, JobError, JobRoute,
+    JobView, Ledger, OnlineLoad, RunOutcome, RunTimeEstimator, SilenceClock,
+    StoredManifest,
     record::{ItemResult, ItemState, JobKey},
 };
 
@@ -411,11 +411,12 @@
         }
     }
 
-    /// Gives up items whose deadline has passed or whose route does not exist
-    /// any more.
+    /// Gives up items whose deadline has passed or whose route was removed.
     fn give_up_expired(&mut self) {
         let unix_now = self.runner.parts.clock.unix();
         let config = self.runner.parts.config.load_full();
+        let config = config.as_deref();
+        let version = config.map_or(0, |config| config.version);
         let margin_ms = self.runner.options.give_up_margin_ms;
         let mut given_up = Vec::new();
         for (key, job) in &mut self.jobs {
@@ -423,12 +424,22 @@
                 continue;
             };
             let manifest = &job.stored.manifest;
+            let route = job.route(config);
+            let accepted_by = job.accepted_by();
+            let waits_for_config = matches!(route, JobRoute::Undecided);
+            if waits_for_config && !job.waits_for_config {
+                Counters::add(&self.runner.parts.counters.jobs_without_config);
+                log::info!(
+                    job = key.as_str(),
+                    config = version,
+                    accepted_by;
+                    "a job waits for a newer configuration"
+                );
+            }
+            job.waits_for_config = waits_for_config;
             let is_past_deadline =
                 unix_now > manifest.give_up_at.saturating_add_ms(margin_ms);
-            let is_route_gone = config
-                .as_ref()
-                .as_ref()
-                .is_some_and(|config| route_of(config, manifest).is_none());
+            let is_route_gone = matches!(route, JobRoute::Removed);
             if !is_past_deadline && !is_route_gone {
                 continue;
             }
@@ -443,7 +454,9 @@
                     job = key.as_str(),
                     request_id = inputs[number as usize].id.as_str(),
                     over = is_past_deadline,
-                    route_gone = is_route_gone;
+                    route_gone = is_route_gone,
+                    config = version,
+                    accepted_by;
                     "an item is given up"
                 );
             }
@@ -508,11 +521,3 @@
         }
     }
 }
-
-fn route_of<'a>(
-    config: &'a Config,
-    manifest: &JobManifest,
-) -> Option<&'a Arc<Route>> {
-    let route = config.routes.find(&manifest.host, &manifest.path)?;
-    (route.kind() == RouteKind::Batch).then_some(route)
-}
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Instant};
 
 use base::Millis;
-use fleet::{EndpointRecord, VersionBinding};
+use fleet::{Config, EndpointRecord, VersionBinding};
 use indexmap::{IndexMap, IndexSet};
 
 use super::RunId;
 use crate::{
-    Progress, StoredManifest, VersionWait,
+    JobRoute, Progress, StoredManifest, VersionWait,
     record::{
         FailedAttempts, ItemCheckpoint, ItemInput, ItemResult, ItemState,
         merge_failed_attempts,
@@ -23,6 +23,8 @@
     pub(super) failed_attempts: IndexMap<u32, FailedAttempts>,
     /// Whether another node runs the items now.
     pub(super) is_moved: bool,
+    /// Whether the configuration of this node does not decide on the job.
+    pub(super) waits_for_config: bool,
     /// When the former owner of the job has saved its checkpoints.
     pub(super) settled_at: Millis,
     pub(super) is_committing: bool,
@@ -124,6 +126,7 @@
             items: vec![Item::default(); total],
             pending: Vec::new(),
             is_moved: false,
+            waits_for_config: false,
             settled_at: Millis::default(),
             is_committing: false,
             next_commit: Millis::new(0),
@@ -195,6 +198,24 @@
         }
     }
 
+    /// Returns the version of the configuration by which the job was
+    /// accepted, if its inputs are loaded and contain it.
+    pub(super) fn accepted_by(&self) -> Option<u64> {
+        match &self.inputs {
+            Inputs::Loaded(inputs) => inputs.first()?.config_version,
+            _ => None,
+        }
+    }
+
+    /// Returns what a configuration says about the route of the job.
+    pub(super) fn route<'a>(
+        &self,
+        config: Option<&'a Config>,
+    ) -> JobRoute<'a> {
+        let manifest = &self.stored.manifest;
+        JobRoute::find(config, manifest, self.accepted_by())
+    }
+
     /// Returns the caller's id of an item, or an empty string before its input
     /// is loaded.
     pub(super) fn id_of(&self, number: u32) -> &str {
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -10,7 +10,6 @@
 use super::{
     Event, Run, RunId, RunnerState,
     active::{ActiveJob, Inputs, ItemPhase, SlotUse},
-    route_of,
 };
 use crate::{
     Assignment, GateDecision, GateInput, ItemRun, JobManifest, PreemptRank,
@@ -318,12 +317,11 @@
             if job.is_moved || !matches!(job.inputs, Inputs::Loaded(_)) {
                 continue;
             }
-            let manifest = &job.stored.manifest;
-            let route_matches =
-                route_of(config, manifest).is_some_and(|route| {
-                    let mut all = route.destinations().iter();
-                    all.any(|d| d.service == *service && d.weight > 0)
-                });
+            let route = job.route(Some(config)).known();
+            let route_matches = route.is_some_and(|route| {
+                let mut all = route.destinations().iter();
+                all.any(|d| d.service == *service && d.weight > 0)
+            });
             if !route_matches {
                 continue;
             }
@@ -392,7 +390,7 @@
         let Inputs::Loaded(inputs) = &job.inputs else {
             return false;
         };
-        let Some(route) = route_of(config, &job.stored.manifest) else {
+        let Some(route) = job.route(Some(config)).known() else {
             return false;
         };
         let id = RunId(self.next_run);
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -7,10 +7,10 @@
 use pass::Counters;
 
 use super::{
-    Event, RunId, RunnerState, active::Inputs, checkpoint::LoadedJob, route_of,
+    Event, RunId, RunnerState, active::Inputs, checkpoint::LoadedJob,
 };
 use crate::{
-    JobError, RunOutcome, StoredManifest,
+    JobError, JobRoute, RunOutcome, StoredManifest,
     record::{FailedAttempts, ItemState, JobKey},
 };
 
@@ -83,11 +83,11 @@
         let inputs = inputs.clone();
         let number = run.item;
         let config = self.runner.parts.config.load_full();
-        let max_attempts = config
-            .as_ref()
-            .as_ref()
-            .and_then(|config| route_of(config, &job.stored.manifest))
-            .map_or(1, |route| route.max_attempts());
+        let max_attempts = match job.route(config.as_deref()) {
+            JobRoute::Known(route) => route.max_attempts(),
+            JobRoute::Removed => 1,
+            JobRoute::Undecided => u32::MAX,
+        };
         let failed_attempts = job.failed_attempts.entry(number).or_default();
         match end {
             RunOutcome::Rejected => failed_attempts.rejections += 1,
--- a/crates/jobs/tests/altered.rs
+++ b/crates/jobs/tests/altered.rs
@@ -44,6 +44,7 @@
         headers: vec![("x-model".to_owned(), "m".to_owned())],
         body: body.to_vec(),
         tokens: 9,
+        config_version: Some(3),
     };
     vec![item("a", &[0, 255]), item("b", b""), item("c", b"hello")]
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -31,6 +31,7 @@
             headers: vec![("x-model".to_owned(), "m".to_owned())],
             body: vec![number as u8; body_bytes],
             tokens: 100,
+            config_version: Some(3),
         })
         .collect()
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -237,7 +237,7 @@
             }
         }
         let route_result = self.find_route(&parts, arrived);
-        let (route, version, identified) = match route_result {
+        let (route, config_version, identified) = match route_result {
             Ok(found) => found,
             Err(refusal) => return self.refuse(&parts, "", refusal),
         };
@@ -249,10 +249,21 @@
         let max_bytes = self.limits().max_body_bytes;
         let body = match read_body(body, max_bytes).await {
             Ok(body) => body,
+            Err(refusal)
+                if refusal.status() == StatusCode::PAYLOAD_TOO_LARGE =>
+            {
+                let refusal = self.reject_by_config(refusal);
+                return self.refuse(&parts, name, refusal);
+            }
             Err(refusal) => return self.refuse(&parts, name, refusal),
         };
         if route.kind() == RouteKind::Batch {
-            return self.accept_job(&parts, &body, &route, customer).await;
+            let accepted_by = AcceptedBy {
+                route: &route,
+                config_version,
+                customer,
+            };
+            return self.accept_job(&parts, &body, accepted_by).await;
         }
         let admitted = match self.admit(identified).await {
             Ok(admitted) => admitted,
@@ -261,7 +272,7 @@
         let names = self.forwarder.names();
         let request =
             Inbound::new(parts, body, route, names, arrived_at, admitted);
-        self.forwarder.forward(request, version).await
+        self.forwarder.forward(request, config_version).await
     }
 
     /// Refuses the requests of a customer that operators have paused. Calls
@@ -363,17 +374,21 @@
                 let identified = self.identify(arrived, &config, public)?;
                 Ok((route.clone(), config.version, identified))
             }
-            None if self.cluster.is_config_fresh() => Err(Refusal::rejected(
+            None => Err(self.reject_by_config(Refusal::rejected(
                 StatusCode::NOT_FOUND,
                 "no route leads there",
-            )),
-            // The route may have been added since the last confirmation.
-            None => {
-                let refusal =
-                    Refusal::not_run("the configuration may be out of date");
-                Err(refusal.with_retry_after_ms(UNAVAILABLE_RETRY_MS))
-            }
+            ))),
+        }
+    }
+
+    /// Returns the rejection of a request that the configuration does not
+    /// allow, or a temporary refusal if a newer configuration may allow it.
+    fn reject_by_config(&self, rejection: Refusal) -> Refusal {
+        if self.cluster.is_config_fresh() {
+            return rejection;
         }
+        let refusal = Refusal::not_run("the configuration may be out of date");
+        refusal.with_retry_after_ms(UNAVAILABLE_RETRY_MS)
     }
 
     fn refuse(
@@ -402,18 +417,19 @@
         &self,
         parts: &Parts,
         body: &[u8],
-        route: &Route,
-        customer: Option<Customer>,
+        accepted_by: AcceptedBy<'_>,
     ) -> Response<ResponseBody> {
+        let customer = accepted_by.customer.clone();
         let name = customer.as_ref().map_or("", Customer::as_str);
-        let new_job = match self.new_job(parts, body, route, customer.clone())
-        {
+        let target_latency_ms = accepted_by.route.target_latency_ms();
+        let config = accepted_by.config_version;
+        let new_job = match self.new_job(parts, body, accepted_by) {
             Ok(new_job) => new_job,
             Err(refusal) => return self.refuse(parts, name, refusal),
         };
         let (key, items) = (new_job.key.clone(), new_job.items.len());
         let owner = new_job.owner.clone();
-        let ledger_wait_ms = route.target_latency_ms() / LEDGER_WAIT_DIVISOR;
+        let ledger_wait_ms = target_latency_ms / LEDGER_WAIT_DIVISOR;
         match self.intake.accept(new_job, ledger_wait_ms).await {
             Ok(accepted) => {
                 Counters::add(&self.counters.jobs_accepted);
@@ -421,6 +437,7 @@
                     request_id = key.as_str(),
                     items,
                     owner = owner.as_str(),
+                    config,
                     accepted:?;
                     "a job is accepted"
                 );
@@ -439,8 +456,7 @@
         &self,
         parts: &Parts,
         body: &[u8],
-        route: &Route,
-        customer: Option<Customer>,
+        accepted_by: AcceptedBy<'_>,
     ) -> Result<NewJob, Refusal> {
         let id = parts.headers.get(&self.forwarder.names().request_id);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
@@ -450,10 +466,13 @@
                 "the id cannot name a job",
             )
         })?;
-        let items = self.dialect.decode_items(body).map_err(|error| {
+        let mut items = self.dialect.decode_items(body).map_err(|error| {
             log::info!(request_id = id, error:%; "a job is malformed");
             Refusal::rejected(StatusCode::BAD_REQUEST, "the job is malformed")
         })?;
+        for item in &mut items {
+            item.config_version = Some(accepted_by.config_version);
+        }
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok());
         let members = self.view.members();
@@ -466,8 +485,8 @@
             host: host.unwrap_or_default().to_owned(),
             path: parts.uri.path().to_owned(),
             submitted_at: self.cluster.clock().unix(),
-            terms: route.batch(),
-            customer,
+            terms: accepted_by.route.batch(),
+            customer: accepted_by.customer,
             items,
         })
     }
@@ -550,6 +569,13 @@
     }
 }
 
+/// The route, the configuration and the customer by which a job is accepted.
+struct AcceptedBy<'a> {
+    route: &'a Route,
+    config_version: u64,
+    customer: Option<Customer>,
+}
+
 fn refusal_for(error: JobError) -> Refusal {
     match error {
         JobError::TooLarge => Refusal::rejected(
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -164,6 +164,7 @@
                 headers: Vec::new(),
                 body: body.into_bytes(),
                 tokens: 10,
+                config_version: None,
             })
             .collect())
     }
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -237,6 +237,9 @@
     feed_bytes_received,
     /// Jobs that were accepted.
     jobs_accepted,
+    /// Jobs that reached a worker whose configuration was too old to decide on
+    /// them.
+    jobs_without_config,
     /// Runs of batch items that were started.
     item_runs,
     /// Runs of batch items that were preempted by online requests.
