Compare the id of a response before anything else of it is used

Callers saw: streams that may not be resumed ran at two endpoints, and some were answered 503, not run, although an endpoint ran them.

Cause: an endpoint may send a response twice, the second time where the next response on the connection is expected. check_response took every response with the 'not executed' header, and every 421, for a promise that the waiting request did not run, before it compared the id; the connection was then used again.

Ruled out: retries after lost connections (the first endpoint ran the request after the retry), and offers to further endpoints while one is silent (the route allows one attempt).

Change: the id is compared first. Nothing of a response with another id is used: no status, load, idle timeout or success of the endpoint; its connection is closed and the outcome is unknown, which is true. Related paths: a request that is offered again under its id takes a connection on which it was not the last request, since a duplicate of its first refusal bears the same id; a request without an id takes a new connection; a response with an id does not answer a node's own call on the same connections.

--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -99,7 +99,9 @@
         orders: Option<mpsc::UnboundedSender<VacateOrder>>,
     ) -> Result<Self, Report<NodeError>> {
         let terms = customers_file::start(settings.customers_file.clone())?;
-        let pool = Arc::new(Pool::default());
+        let request_id = context.dialect.headers().request_id;
+        let pool = Pool::default().with_request_id(request_id);
+        let pool = Arc::new(pool);
         let view = JobView::default();
         let clock = context.cluster.clock().clone();
         let (registered, has_registered) = watch::channel(false);
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -9,7 +9,7 @@
 
 use base::{Clock, Millis};
 use fleet::{Endpoint, EndpointSpeed, FailureKind, LoadReport};
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, StatusCode, header, response::Parts};
 use quarantine::SendPermit;
 use tokio::time;
 
@@ -161,7 +161,8 @@
     async fn send(&self, offer: &Offer<'_>) -> Result<Answered, SendError> {
         // An idle connection may close just as it is reused. The request was
         // not written then, and a new connection is opened immediately.
-        if let Some(channel) = self.pool.take(offer.endpoint) {
+        let id = offer.request.id();
+        if let Some(channel) = self.pool.take_for(offer.endpoint, id) {
             match self.send_on(channel, offer).await {
                 Err(error) if error.failure == Failure::NotSent => {}
                 result => return result,
@@ -177,14 +178,14 @@
 
     async fn send_on(
         &self,
-        channel: Channel,
+        mut channel: Channel,
         offer: &Offer<'_>,
     ) -> Result<Answered, SendError> {
         let closed = SendError::new(Failure::NotSent, "already closed");
         let id = &offer.endpoint.record().id;
         let outbound =
             offer.request.outbound(self.names, id, offer.resume_after);
-        channel.mark_busy(self.pool.options());
+        channel.mark_busy(self.pool.options(), offer.request.id());
         let mut channel = AbortOnDrop(Some(channel));
         let sender = match channel.0.as_mut() {
             Some(channel) => channel.sender(),
@@ -217,13 +218,18 @@
         let (head, body) = response.into_parts();
         let headers = &head.headers;
         let now = self.clock.now();
+        if !self.is_response_to(offer, &head) {
+            channel.abort();
+            self.record_failure(offer, Failure::WrongId, "by its id");
+            return Err(Failure::WrongId);
+        }
         let report = self.read_load_report(headers, offer);
         if let Some(report) = report {
             offer.endpoint.record_load(report, now);
         }
         channel.record_head(headers, self.pool.options());
         let reusable = !closes_connection(headers);
-        let failure = check_response(&head.status, headers, self.names, offer);
+        let failure = check_response(head.status, headers, self.names);
         run.record_head(head.status);
         // From here on, the exchange decrements the in-flight count.
         if in_flight.0.take().is_none() {
@@ -236,7 +242,7 @@
             run,
             self.pool.clone(),
             now,
-            reusable && failure != Some(Failure::WrongId),
+            reusable,
         );
         if self.speed != EndpointSpeed::Off && failure.is_none() {
             exchange.measure_speed(StreamTimer::new(
@@ -258,6 +264,33 @@
         }
     }
 
+    /// Reports whether a response belongs to the offered request.
+    ///
+    /// A late duplicate response to an earlier request may arrive in place of
+    /// the expected one; only the echoed id shows the difference. Until it is
+    /// known, the response says nothing about the request, the endpoint or the
+    /// connection.
+    fn is_response_to(&self, offer: &Offer<'_>, head: &Parts) -> bool {
+        let id = offer.request.id();
+        let echoed = head.headers.get(&self.names.request_id);
+        let is_own = match echoed {
+            Some(echoed) => echoed == id,
+            None => id.is_empty(),
+        };
+        if !is_own {
+            Counters::add(&self.counters.responses_misplaced);
+            let echoed = echoed.and_then(|echoed| echoed.to_str().ok());
+            log::info!(
+                request_id = id,
+                endpoint = offer.endpoint.record().id.as_str(),
+                responds_to = shorten(echoed.unwrap_or_default()),
+                status = head.status.as_u16();
+                "a response belongs to another request"
+            );
+        }
+        is_own
+    }
+
     /// Reads the load that the head of a response reports. Its first three
     /// numbers are valid even if the slowdown is not.
     fn read_load_report(
@@ -337,25 +370,17 @@
     }
 }
 
+/// Returns why the response to a request is not the endpoint's answer.
 fn check_response(
-    status: &StatusCode,
+    status: StatusCode,
     headers: &HeaderMap,
     names: &HeaderNames,
-    offer: &Offer<'_>,
 ) -> Option<Failure> {
-    let status = *status;
     if headers.contains_key(&names.not_executed)
         || status == StatusCode::MISDIRECTED_REQUEST
     {
         return Some(Failure::NotExecuted(status));
     }
-    // A late duplicate response to an earlier request may arrive in place of
-    // the expected one; only the echoed id shows the difference.
-    let echoed = headers.get(&names.request_id);
-    let id_matches = echoed.is_some_and(|id| id == offer.request.id());
-    if !id_matches {
-        return Some(Failure::WrongId);
-    }
     let sealed = headers.contains_key(&names.seal);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
     let is_valid = (sealed || !status.is_success()) && !encoded;
--- a/crates/pass/src/channel.rs
+++ b/crates/pass/src/channel.rs
@@ -74,6 +74,8 @@
     head_budget: HeadBudget,
     idle_since: Instant,
     max_idle: Option<Duration>,
+    /// Id of the last request, empty if it had none.
+    last_request: String,
 }
 
 /// Sets the socket options that close a silent connection.
@@ -145,6 +147,7 @@
             head_budget,
             idle_since: Instant::now(),
             max_idle: None,
+            last_request: String::new(),
         })
     }
 
@@ -174,11 +177,26 @@
     }
 
     /// Records that an endpoint gets a request on the connection.
-    pub(crate) fn mark_busy(&self, options: &ChannelOptions) {
+    pub(crate) fn mark_busy(
+        &mut self,
+        options: &ChannelOptions,
+        request_id: &str,
+    ) {
+        request_id.clone_into(&mut self.last_request);
         self.expect_head();
         self.set_silence(options.request_silence_ms);
     }
 
+    /// Reports whether the response to a request with this id can be told from
+    /// a duplicate of the previous response on this connection.
+    ///
+    /// A request is offered again under its id, so the id alone does not tell
+    /// a duplicate of the refusal of the first offer from the response to the
+    /// second.
+    pub(crate) fn can_identify(&self, request_id: &str) -> bool {
+        !request_id.is_empty() && request_id != self.last_request
+    }
+
     /// Starts the idle timer.
     pub(crate) fn mark_idle(&mut self, options: &ChannelOptions) {
         self.idle_since = Instant::now();
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -164,6 +164,9 @@
     /// Responses that ended after their head and before they were complete,
     /// while their client was there and its time was not up.
     responses_cut,
+    /// Responses that belonged to another request than the one that waited on
+    /// their connection.
+    responses_misplaced,
     /// Endpoints that were avoided because they were silent about a request.
     silences,
     /// Streams that another endpoint took because their own was silent.
--- a/crates/pass/src/pool.rs
+++ b/crates/pass/src/pool.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fleet::{Endpoint, IncarnationKey};
 use framing::{BodyCheck, Content, Framing, Truncation};
-use http::{Request, response::Parts};
+use http::{HeaderName, Request, response::Parts};
 use http_body::Body;
 use http_body_util::Full;
 use indexmap::IndexMap;
@@ -64,6 +64,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     options: ChannelOptions,
+    /// Header that contains the id of a request and of its response.
+    request_id: Option<HeaderName>,
     incarnations: Mutex<IndexMap<IncarnationKey, Connections>>,
 }
 
@@ -80,23 +82,47 @@
     pub fn new(options: ChannelOptions) -> Self {
         Self {
             options,
-            incarnations: Mutex::default(),
+            ..Self::default()
         }
     }
 
+    /// Sets the header by which endpoints name the request that a response
+    /// belongs to.
+    #[must_use]
+    pub fn with_request_id(mut self, name: HeaderName) -> Self {
+        self.request_id = Some(name);
+        self
+    }
+
     /// Returns the limits of the connections.
     #[inline]
     pub fn options(&self) -> &ChannelOptions {
         &self.options
     }
 
-    /// Takes the most recently used idle connection.
-    pub(crate) fn take(&self, endpoint: &Endpoint) -> Option<Channel> {
+    /// Takes the most recently used idle connection on which the response to
+    /// a request can be identified.
+    pub(crate) fn take_for(
+        &self,
+        endpoint: &Endpoint,
+        request_id: &str,
+    ) -> Option<Channel> {
+        self.take_if(endpoint, |channel| channel.can_identify(request_id))
+    }
+
+    /// Takes the most recently used idle connection that is suitable.
+    fn take_if(
+        &self,
+        endpoint: &Endpoint,
+        is_suitable: impl Fn(&Channel) -> bool,
+    ) -> Option<Channel> {
         let mut incarnations = self.lock();
         let idle =
             &mut incarnations.get_mut(&endpoint.incarnation_key())?.idle;
         idle.retain(|channel| !channel.is_expired());
-        let at = idle.iter().rposition(Channel::is_ready)?;
+        let at = idle
+            .iter()
+            .rposition(|channel| channel.is_ready() && is_suitable(channel))?;
         Some(idle.remove(at))
     }
 
@@ -208,7 +234,7 @@
         max_bytes: usize,
         unmarked: Unmarked,
     ) -> CallOutcome {
-        let kept = self.take(endpoint);
+        let kept = self.take_if(endpoint, |_| true);
         let channel = match kept {
             Some(channel) => Ok(channel),
             None => self.open(endpoint).await,
@@ -229,6 +255,15 @@
             }
         };
         let (head, body) = response.into_parts();
+        if self.is_response_to_request(&head) {
+            log::info!(
+                peer:% = endpoint.record().address,
+                status = head.status.as_u16();
+                "the response to a call belongs to a request"
+            );
+            channel.abort();
+            return CallOutcome::Broken;
+        }
         channel.record_head(&head.headers, &self.options);
         let length = body.size_hint().exact();
         let framing = Framing::of(head.version, &head.headers, length);
@@ -252,6 +287,14 @@
         CallOutcome::Answered(head, body)
     }
 
+    /// Reports whether a response to a call of this node is a late duplicate of
+    /// the response to a request, which has the same connections and, unlike a
+    /// call, an id.
+    fn is_response_to_request(&self, head: &Parts) -> bool {
+        let name = self.request_id.as_ref();
+        name.is_some_and(|name| head.headers.contains_key(name))
+    }
+
     /// Drops the idle connections to incarnations for which `keep` returns
     /// false. Their requests in flight continue: an endpoint that was removed
     /// from the list finishes the requests that it runs.
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -288,7 +288,8 @@
     };
     let view = Arc::new(Snapshot::new(view));
     let counters = Arc::new(Counters::default());
-    let pool = Arc::new(Pool::default());
+    let pool = Pool::default().with_request_id(names().request_id);
+    let pool = Arc::new(pool);
     let forwarder = Forwarder::new(
         names(),
         ForwarderOptions::default(),
