Send the writes of a rejected call one by one

Callers saw: results of a job that were not listed, and checkpoints that were not saved, while another job's write was too large for the key-value service.

Cause: writes of several workers share a call. A call that fails a comparison was split, a call that is rejected for the value of one writer failed for all of them, and the next one again.

Change: a rejected call is split like one whose comparison fails. Each writer then gets the answer to its own write.

--- a/crates/kv/src/batch.rs
+++ b/crates/kv/src/batch.rs
@@ -8,8 +8,9 @@
 //! transaction.
 //!
 //! The transactions remain independent: if a comparison of one of them fails,
-//! none of them is applied, and each is sent again on its own. Sending them
-//! again costs as many calls as without the batch.
+//! or the key-value service rejects the call because of one of them, none of
+//! them is applied, and each is sent again on its own. Sending them again costs
+//! as many calls as without the batch.
 
 use std::{
     sync::Arc,
@@ -296,12 +297,13 @@
 async fn send(kv: Arc<dyn Kv>, txn: Txn, batched: Vec<PendingTxn>) {
     let count = batched.len();
     let result = kv.txn(txn).await;
-    if let Ok(reply) = &result
-        && !reply.succeeded
-        && count > 1
-    {
-        // A comparison of one transaction failed, so none was applied, and
-        // each is sent again on its own.
+    let is_refused = match &result {
+        Ok(reply) => !reply.succeeded,
+        Err(report) => *report.current_context() == KvError::Invalid,
+    };
+    if is_refused && count > 1 {
+        // None was applied, because of one of them, so that each is sent again
+        // on its own.
         for PendingTxn { txn, reply, .. } in batched {
             let kv = kv.clone();
             tokio::spawn(async move {
--- a/crates/kv/tests/batch.rs
+++ b/crates/kv/tests/batch.rs
@@ -6,6 +6,7 @@
 use pomeloslip_kv::{
     Compare, Kv, KvError, Memory, Op, Txn, WriteFault,
     batch::{BatchLimits, GroupCommit},
+    mvcc::Limits,
 };
 use tokio::time::Instant;
 use yare::parameterized;
@@ -149,3 +150,21 @@
     assert_eq!(*report.current_context(), KvError::LeaseGone);
     assert!(other.expect("written").succeeded);
 }
+
+/// Guards against writers that fail because the key-value service rejects the
+/// value of another writer in the same call.
+#[tokio::test(start_paused = true)]
+async fn a_writer_with_a_rejected_value_fails_alone() {
+    let kv = Memory::with_limits(Limits {
+        value_max_bytes: 8,
+        ..Limits::default()
+    });
+    let group = group(&kv);
+    let (large, small) = tokio::join!(
+        group.commit(put("longer-than-eight-bytes", 0), MAX_WAIT_MS),
+        group.commit(put("small", 0), MAX_WAIT_MS),
+    );
+    let report = large.expect_err("rejected");
+    assert_eq!(*report.current_context(), KvError::Invalid);
+    assert!(small.expect("written").succeeded);
+}
