Let no rejected job on disk hold up the others

Callers saw: nothing yet; found while every value that the key-value service can reject was listed.

Cause: a worker writes the jobs on its disk to the ledger one after the other and stops at the first error, which is right for an outage. A job that the ledger rejects, for its size or since another customer has its id, is rejected each 200 ms, and accepted jobs behind it waited until it expired.

Change: a rejected job is tried again after 10 s, and the next one is written at once. It stays on disk until its retention is over: what was accepted is not dropped.

--- a/crates/node/src/job_spool.rs
+++ b/crates/node/src/job_spool.rs
@@ -58,6 +58,10 @@
 /// service.
 const SECONDARY_DELAY_MS: u64 = 1_500;
 
+/// Delay before a job that the ledger has rejected is written again, in
+/// milliseconds. It is kept, but not in the way of the others.
+const REJECTED_RETRY_MS: u64 = 10_000;
+
 /// Maximum size of a worker's response, which has only a status.
 const MAX_RESPONSE_BYTES: usize = 1_024;
 
@@ -232,6 +236,17 @@
     outcome
 }
 
+/// Reports whether a write of a job to the ledger would fail again for the same
+/// reason, which does not concern other jobs.
+fn is_rejection(error: JobError) -> bool {
+    match error {
+        JobError::TooLarge | JobError::Conflict => true,
+        JobError::Encoding | JobError::InvalidId => true,
+        JobError::NotDone | JobError::OutcomeUnknown => false,
+        JobError::Unknown => false,
+    }
+}
+
 /// The jobs that a worker keeps until the key-value service is available.
 pub(crate) struct JobSpool {
     node: String,
@@ -253,6 +268,8 @@
     since: Millis,
     /// Whether this node writes the job to the ledger first.
     is_primary: bool,
+    /// Time before which the job is not written again.
+    retry_at: Millis,
     /// Customer of the job; unknown if an earlier process spooled it.
     customer: Option<Option<Customer>>,
 }
@@ -284,6 +301,7 @@
         let earlier = SpooledJob {
             since,
             is_primary: true,
+            retry_at: since,
             customer: None,
         };
         let tracked = names.iter().filter_map(|name| name.parse().ok());
@@ -386,6 +404,7 @@
         let new = SpooledJob {
             since,
             is_primary: first,
+            retry_at: since,
             customer,
         };
         tracked.insert(job.key.clone(), new);
@@ -399,11 +418,18 @@
             // Wakes on a new job or after the check interval.
             let _ = time::timeout(CHECK_INTERVAL, self.wake.notified()).await;
             for key in self.due_jobs() {
-                if let Err(report) = self.write_to_ledger(&key).await {
-                    log::info!(job = key.as_str(), error:? = report;
-                        "cannot write a spooled job to the ledger; retrying");
-                    break;
+                let Err(report) = self.write_to_ledger(&key).await else {
+                    continue;
+                };
+                if is_rejection(*report.current_context()) {
+                    log::error!(job = key.as_str(), error:? = report;
+                        "a spooled job is rejected by the ledger");
+                    self.postpone(&key);
+                    continue;
                 }
+                log::info!(job = key.as_str(), error:? = report;
+                    "cannot write a spooled job to the ledger; retrying");
+                break;
             }
         }
     }
@@ -422,7 +448,8 @@
             let age_ms = now.saturating_ms_since(tracked.since);
             let is_own_turn =
                 tracked.is_primary || age_ms >= SECONDARY_DELAY_MS;
-            (is_available && is_own_turn) || self.view.get(key).is_some()
+            let may_write = is_available && now >= tracked.retry_at;
+            (may_write && is_own_turn) || self.view.get(key).is_some()
         };
         let tracked = self.lock();
         let due_jobs = tracked.iter().filter(|(key, job)| is_due(key, job));
@@ -484,6 +511,14 @@
         self.untrack(key);
     }
 
+    /// Delays the next write of a job.
+    fn postpone(&self, key: &JobKey) {
+        let retry_at = self.clock.now().saturating_add_ms(REJECTED_RETRY_MS);
+        if let Some(job) = self.lock().get_mut(key) {
+            job.retry_at = retry_at;
+        }
+    }
+
     fn untrack(&self, key: &JobKey) {
         let mut tracked = self.lock();
         tracked.swap_remove(key);
--- a/crates/node/tests/spool.rs
+++ b/crates/node/tests/spool.rs
@@ -337,6 +337,44 @@
     assert_eq!(spooled_count(disk.path()), 2);
 }
 
+/// Guards against accepted jobs that wait behind one that the ledger rejects:
+/// they would be written only after that one has expired.
+#[tokio::test]
+async fn rejected_jobs_stay_on_disk_and_delay_no_other_job() {
+    let kv = Memory::default();
+    let engine = Engine::start().await;
+    write_config_and_engine(&kv, &engine).await;
+    let disk = tempfile::tempdir().expect("a folder");
+    let spool = Spool::open(disk.path(), 4_000_000).expect("open");
+    let large = ItemInput {
+        body: vec![0; 200_000],
+        ..ItemInput::default()
+    };
+    let rejected = (0..8).map(|number| NewJob {
+        items: vec![large.clone()],
+        ..new_job(&format!("large-{number}"), "worker-1")
+    });
+    // The order in which a folder is listed depends on the file system.
+    let first = [new_job("small-0", "worker-1")].into_iter();
+    for job in first
+        .chain(rejected)
+        .chain([new_job("small-1", "worker-1")])
+    {
+        let bytes = encode_new_job(&job).expect("encoded");
+        spool.put(job.key.as_str(), &bytes).expect("kept");
+    }
+    let front = start(&kv, "front-1", false).await;
+    let _worker = start_with_disk(&kv, "worker-1", "east", disk.path()).await;
+    ready(&front).await;
+    let is_found = |status, _: &str| status == 200;
+    for path in ["/jobs/small-0", "/jobs/small-1"] {
+        call_until(front.front, "GET", path, is_found).await;
+    }
+    let names = spool.names().expect("listed");
+    assert!(names.iter().all(|name| name.starts_with("large-")));
+    assert_eq!(names.len(), 8);
+}
+
 /// Guards against assigning all jobs of an outage to one worker: spooled jobs
 /// are in no view, so the worker with the fewest open items stayed the same,
 /// and items were late although most workers were idle.
