Split results that exceed a value of the key-value service

Callers saw: after an outage of 4.5 s, 597 of 600 items of three jobs were never listed, although all had run to their end.

Cause: Ledger::list wrote all waiting results of a job as one value, however large. The key-value service rejected it, the worker took that for an outage and wrote the same results again each 0.7 s, with those that had ended since. Only the loss of the worker ended this.

The workers' error is `the job is too large`, which rules out an outage that they do not see end, a manifest changed by another worker and lost answers. The line named no size; it has the sizes now.

Change: results are split by the size of their encoding, over several values of a transaction and over several transactions; one result above a value spans several, which the manifest counts. A transaction has 24 values and 2 MiB at most and the next follows at once, so that a call does not time out. A rejected write is not repeated unchanged: the worker halves it and puts a single rejected result behind the others. A result that no transaction holds is given up, with its size and the limit in one line. Related values: inputs are split by their encoding too, since quotation marks take two bytes; a job whose manifest could outgrow a value, or that is too large, is refused before a worker is asked to keep it on disk; a checkpoint that does not fit no longer displaces those behind it. As a count of failed attempts may now be stored before its result, a worker that takes a job over gives up items whose attempts are used up instead of running them once more.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -1,3 +1,4 @@
+mod chunks;
 mod values;
 
 use std::sync::Arc;
@@ -5,6 +6,7 @@
 use base::{Customer, UnixMillis, timer::Timer};
 use error_stack::{Report, ResultExt};
 use fleet::BatchDeadlines;
+use indexmap::IndexMap;
 use kv::{
     BatchingKv, Compare, GetReply, Kv, KvError, Op, Txn, TxnReply,
     ops::{Outcome, ReadBack, Writer},
@@ -13,9 +15,9 @@
 use crate::{
     BulkCache, BulkPeers, JobError, NoPeers,
     record::{
-        ItemInput, ItemResult, JobKey, JobManifest, checkpoint_key,
-        decode_manifest, encode_inputs, encode_manifest, encode_results,
-        input_key, manifest_key, output_key,
+        FailedAttempts, ItemInput, ItemResult, JobKey, JobManifest,
+        MAX_CHUNK_PARTS, checkpoint_key, decode_manifest, encode_manifest,
+        input_key, manifest_key,
     },
 };
 
@@ -93,11 +95,13 @@
 
 /// Maximum number of values in one transaction besides the manifest; the
 /// key-value service accepts 32 operations.
-const MAX_CHUNKS_PER_TXN: usize = 24;
+const MAX_CHUNKS_PER_TXN: usize = MAX_CHUNK_PARTS as usize;
 
-/// Share of the maximum value size that a chunk uses, in percent. The table in
-/// front of the bodies needs the remaining space.
-const MAX_FILL_PERCENT: usize = 80;
+/// Size from which on results wait for the next transaction, in bytes. After an
+/// outage of the key-value service the results of several jobs are written at
+/// the same time, and a call that carries all results of a job would time out
+/// on a slow link.
+const MAX_LISTING_BYTES: usize = 2 * 1024 * 1024;
 
 impl Ledger {
     /// Creates a ledger that stores jobs in `kv`, whose values hold up to
@@ -142,25 +146,10 @@
         &self,
         job: NewJob,
     ) -> Result<StoredManifest, Report<JobError>> {
-        let chunks = self.split_into_chunks(&job.items)?;
-        let customer = job.customer.clone();
-        let manifest = JobManifest {
-            submitted_at: job.submitted_at,
-            host: job.host,
-            path: job.path,
-            total: job.items.len() as u32,
-            input_chunks: chunks.len() as u32,
-            listed: Vec::new(),
-            output_chunks: Vec::new(),
-            failed_attempts: indexmap::IndexMap::new(),
-            cancelled: false,
-            owner: job.owner,
-            due_at: job.submitted_at.saturating_add_ms(job.terms.due_in_ms),
-            give_up_at: job
-                .submitted_at
-                .saturating_add_ms(job.terms.give_up_in_ms),
-            customer: job.customer,
-        };
+        let chunks = self.encode_input_chunks(&job.items)?;
+        let manifest = new_manifest(&job, chunks.len());
+        self.check_manifest_size(&manifest)?;
+        let customer = job.customer;
         let mut success =
             vec![put(manifest_key(&job.key), encode_manifest(&manifest)?)];
         let mut bulk = Vec::new();
@@ -280,6 +269,9 @@
     /// Lists results after those that `before` contains, and stores the failed
     /// attempts.
     ///
+    /// Lists the first of the results, at least one, if one transaction does
+    /// not hold all of them; the returned manifest shows which are listed.
+    ///
     /// `before` is the manifest that the caller knows. If another writer has
     /// changed the manifest, nothing is written and the current manifest is
     /// returned in the `Err` of the inner result.
@@ -288,27 +280,35 @@
     ///
     /// [`JobError::NotDone`] and [`JobError::OutcomeUnknown`] as for all
     /// writes. After either of them the caller has to read the manifest before
-    /// it lists results again.
+    /// it lists results again. [`JobError::TooLarge`] if the first result is
+    /// larger than [`max_result_bytes`](Self::max_result_bytes), or the
+    /// key-value service rejects the write; the same write would be rejected
+    /// again.
     pub async fn list(
         &self,
         job: &JobKey,
         before: &StoredManifest,
         numbers: &[u32],
         results: &[ItemResult],
-        failed_attempts: &indexmap::IndexMap<u32, crate::FailedAttempts>,
+        failed_attempts: &IndexMap<u32, FailedAttempts>,
     ) -> Result<Result<StoredManifest, StoredManifest>, Report<JobError>> {
         let mut manifest = before.manifest.clone();
-        let first = manifest.listed.len() as u32;
-        manifest.listed.extend_from_slice(numbers);
         manifest.failed_attempts.clone_from(failed_attempts);
         let mut rows = Vec::new();
         let mut bulk = Vec::new();
-        if !results.is_empty() {
-            let key = output_key(job, &manifest, first);
+        for chunk in self.encode_output_chunks(results)? {
+            let first = manifest.listed.len() as u32;
+            manifest.listed.extend_from_slice(&numbers[chunk.results]);
             manifest.output_chunks.push(first);
-            let bytes = encode_results(results)?;
-            bulk.push((key.clone(), Arc::new(bytes.clone())));
-            rows.push(put(key, bytes));
+            if chunk.values.len() > 1 {
+                let parts = chunk.values.len() as u32;
+                manifest.output_parts.insert(first, parts);
+            }
+            let keys = manifest.output_keys(job, first);
+            for (key, value) in keys.zip(chunk.values) {
+                bulk.push((key.clone(), Arc::new(value.clone())));
+                rows.push(put(key, value));
+            }
         }
         rows.push(put(manifest_key(job), encode_manifest(&manifest)?));
         let txn = guarded_txn(manifest_key(job), before.revision, rows);
@@ -374,7 +374,8 @@
         let inputs =
             (0..manifest.input_chunks).map(|n| input_key(job, manifest, n));
         let outputs = manifest.output_chunks.iter();
-        let outputs = outputs.map(|n| output_key(job, manifest, *n));
+        let outputs =
+            outputs.flat_map(|first| manifest.output_keys(job, *first));
         let checkpoint = checkpoint_key(job, manifest.submitted_at);
         let checkpoint = std::iter::once(checkpoint);
         let bulk: Vec<String> =
@@ -403,34 +404,6 @@
         }
     }
 
-    fn split_into_chunks(
-        &self,
-        items: &[ItemInput],
-    ) -> Result<Vec<Vec<u8>>, Report<JobError>> {
-        let max_bytes = self.max_value_bytes * MAX_FILL_PERCENT / 100;
-        let mut chunks = Vec::new();
-        let mut from = 0;
-        let mut bytes = 0;
-        for (at, item) in items.iter().enumerate() {
-            let size = item_bytes(item);
-            if size > max_bytes {
-                return Err(Report::new(JobError::TooLarge));
-            }
-            if bytes + size > max_bytes {
-                chunks.push(encode_inputs(&items[from..at])?);
-                (from, bytes) = (at, 0);
-            }
-            bytes += size;
-        }
-        if from < items.len() {
-            chunks.push(encode_inputs(&items[from..])?);
-        }
-        match chunks.len() <= MAX_CHUNKS_PER_TXN {
-            true => Ok(chunks),
-            false => Err(Report::new(JobError::TooLarge)),
-        }
-    }
-
     /// Retries a write until its outcome is known or the timeout has passed.
     ///
     /// If the response is lost, the manifest is read back. Each write changes
@@ -483,16 +456,21 @@
     }
 }
 
-/// Returns the size of an item in a chunk, in bytes.
-fn item_bytes(item: &ItemInput) -> usize {
-    /// Upper bound of the field names, numbers and quotes of one table row.
-    const ROW_BYTES: usize = 144;
-    let headers: usize = item
-        .headers
-        .iter()
-        .map(|(name, value)| name.len() + value.len() + 8)
-        .sum();
-    ROW_BYTES + item.id.len() + item.path.len() + headers + item.body.len()
+/// Returns the manifest of a job that has no results yet.
+fn new_manifest(job: &NewJob, input_chunks: usize) -> JobManifest {
+    let submitted_at = job.submitted_at;
+    JobManifest {
+        submitted_at,
+        host: job.host.clone(),
+        path: job.path.clone(),
+        total: job.items.len() as u32,
+        input_chunks: input_chunks as u32,
+        owner: job.owner.clone(),
+        due_at: submitted_at.saturating_add_ms(job.terms.due_in_ms),
+        give_up_at: submitted_at.saturating_add_ms(job.terms.give_up_in_ms),
+        customer: job.customer.clone(),
+        ..JobManifest::default()
+    }
 }
 
 fn put(key: String, value: Vec<u8>) -> Op {
--- a/crates/jobs/src/ledger/values.rs
+++ b/crates/jobs/src/ledger/values.rs
@@ -1,19 +1,19 @@
 //! Inputs, results and checkpoints of items, which are stored apart from the
 //! manifests.
 
-use std::sync::Arc;
+use std::{borrow::Cow, sync::Arc};
 
 use error_stack::{Report, ResultExt};
 use kv::{Op, Txn};
 
-use super::{Ledger, MAX_CHUNKS_PER_TXN, MAX_FILL_PERCENT, WriteProof, put};
+use super::{Ledger, MAX_CHUNKS_PER_TXN, WriteProof, put};
 use crate::{
     BulkValue, JobError,
     record::{
-        BULK_PREFIX, ItemCheckpoint, ItemInput, ItemResult, JobCheckpoint,
-        JobKey, JobManifest, checkpoint_key, decode_checkpoints,
-        decode_inputs, decode_results, encode_checkpoints, input_key,
-        output_key,
+        BULK_PREFIX, EMPTY_TABLE_BYTES, ItemCheckpoint, ItemInput, ItemResult,
+        JobCheckpoint, JobKey, JobManifest, checkpoint_bytes, checkpoint_key,
+        decode_checkpoints, decode_inputs, decode_results, encode_checkpoints,
+        input_key,
     },
 };
 
@@ -52,9 +52,19 @@
         manifest: &JobManifest,
         first_position: u32,
     ) -> Result<Vec<ItemResult>, Report<JobError>> {
-        let key = output_key(job, manifest, first_position);
-        let value = self.read_bulk(job, manifest, &key).await?;
-        Ok(decode_results(&value)?)
+        let mut keys = manifest.output_keys(job, first_position);
+        let Some(key) = keys.next() else {
+            return Ok(Vec::new());
+        };
+        let first = self.read_bulk(job, manifest, &key).await?;
+        if !manifest.output_parts.contains_key(&first_position) {
+            return Ok(decode_results(&first)?);
+        }
+        let mut bytes = first.to_vec();
+        for key in keys {
+            bytes.extend(&*self.read_bulk(job, manifest, &key).await?);
+        }
+        Ok(decode_results(&bytes)?)
     }
 
     /// Reads an immutable value from the nearest source: the cache of this
@@ -134,12 +144,12 @@
         &self,
         jobs: &[JobCheckpoint],
     ) -> Result<(), Report<JobError>> {
-        let max_bytes = self.max_value_bytes * MAX_FILL_PERCENT / 100;
+        let max_bytes = self.max_value_bytes;
         let mut rows = Vec::new();
         let mut bytes = 0;
         for job in jobs {
-            let items = prefix_that_fits(&job.items, max_bytes);
-            let value = encode_checkpoints(items)?;
+            let items = checkpoints_that_fit(&job.items, max_bytes)?;
+            let value = encode_checkpoints(&items)?;
             if rows.len() == MAX_CHUNKS_PER_TXN
                 || bytes + value.len() > max_bytes
             {
@@ -186,19 +196,24 @@
     }
 }
 
-/// Returns the longest prefix of the items that fits into a value.
-fn prefix_that_fits(
+/// Returns the checkpoints that fit into a value, without those that exceed
+/// the remaining space.
+fn checkpoints_that_fit(
     items: &[ItemCheckpoint],
     max_bytes: usize,
-) -> &[ItemCheckpoint] {
-    /// Upper bound of the field names, numbers and quotes of one table row.
-    const ROW_BYTES: usize = 144;
-    let mut bytes = 0;
-    let fits = |item: &&ItemCheckpoint| {
-        let binding = &item.binding;
-        let names = binding.service().len() + binding.version().as_str().len();
-        bytes += ROW_BYTES + names + item.output.len();
-        bytes <= max_bytes
-    };
-    &items[..items.iter().take_while(fits).count()]
+) -> Result<Cow<'_, [ItemCheckpoint]>, JobError> {
+    let mut remaining = max_bytes.saturating_sub(EMPTY_TABLE_BYTES);
+    let mut fits = Vec::with_capacity(items.len());
+    for item in items {
+        let bytes = checkpoint_bytes(item)?;
+        fits.push(bytes <= remaining);
+        if bytes <= remaining {
+            remaining -= bytes;
+        }
+    }
+    if fits.iter().all(|fits| *fits) {
+        return Ok(Cow::Borrowed(items));
+    }
+    let kept = items.iter().zip(fits).filter(|(_, fits)| *fits);
+    Ok(kept.map(|(item, _)| item.clone()).collect())
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,4 +1,4 @@
-use std::{fmt, str::FromStr, sync::Arc};
+use std::{borrow::Cow, fmt, str::FromStr, sync::Arc};
 
 use base::{Customer, UnixMillis};
 use fleet::{BatchDeadlines, VersionBinding};
@@ -99,6 +99,26 @@
     pub rejections: u32,
 }
 
+impl FailedAttempts {
+    /// Reports whether an item with these attempts must not run again.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_jobs::FailedAttempts;
+    ///
+    /// let attempts = FailedAttempts {
+    ///     errors: 2,
+    ///     ..FailedAttempts::default()
+    /// };
+    /// assert!(!attempts.are_exhausted(3));
+    /// assert!(attempts.are_exhausted(2));
+    /// ```
+    pub fn are_exhausted(self, max_attempts: u32) -> bool {
+        self.rejections > 0 || self.errors >= max_attempts
+    }
+}
+
 /// Merges the failed attempts that another node has counted for items of the
 /// same job.
 ///
@@ -156,6 +176,10 @@
     pub listed: Vec<u32>,
     /// First position of each chunk of results.
     pub output_chunks: Vec<u32>,
+    /// Number of values of each chunk that one value does not hold, by first
+    /// position.
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
+    pub output_parts: IndexMap<u32, u32>,
     /// Failed attempts by item.
     #[serde(rename = "strikes")]
     pub failed_attempts: IndexMap<u32, FailedAttempts>,
@@ -194,6 +218,24 @@
         self.listed.len() <= self.total as usize
             && self.listed.iter().all(|number| *number < self.total)
             && self.output_chunks.is_sorted_by(|a, b| a < b)
+            && self.output_parts.iter().all(|(first, parts)| {
+                (1..=MAX_CHUNK_PARTS).contains(parts)
+                    && self.output_chunks.contains(first)
+            })
+    }
+
+    /// Returns the keys of the values of a chunk of results, in order.
+    pub fn output_keys(
+        &self,
+        job: &JobKey,
+        first: u32,
+    ) -> impl Iterator<Item = String> {
+        let parts = self.output_parts.get(&first).copied().unwrap_or(1);
+        let first_key = output_key(job, self, first);
+        (0..parts).map(move |part| match part {
+            0 => first_key.clone(),
+            part => format!("{first_key}/{part:02}"),
+        })
     }
 
     /// Returns the number of items that are not listed yet.
@@ -213,6 +255,9 @@
     }
 }
 
+/// Maximum number of values of one chunk of results.
+pub(crate) const MAX_CHUNK_PARTS: u32 = 24;
+
 /// Prefix of the keys that every node watches.
 pub const WATCHED_PREFIX: &str = "jobs/";
 /// Prefix of the keys of manifests.
@@ -320,10 +365,10 @@
 
 /// Table entry of an input; its body follows the table.
 #[derive(Serialize, Deserialize)]
-struct InputEntry {
-    id: String,
-    path: String,
-    headers: Vec<(String, String)>,
+struct InputEntry<'a> {
+    id: Cow<'a, str>,
+    path: Cow<'a, str>,
+    headers: Cow<'a, [(String, String)]>,
     tokens: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     config_version: Option<u64>,
@@ -332,12 +377,76 @@
 
 /// Table entry of a result; its output follows the table.
 #[derive(Serialize, Deserialize)]
-struct OutputEntry {
-    id: String,
+struct OutputEntry<'a> {
+    id: Cow<'a, str>,
     state: ItemState,
     output_bytes: usize,
 }
 
+impl<'a> From<&'a ItemInput> for InputEntry<'a> {
+    fn from(item: &'a ItemInput) -> Self {
+        Self {
+            id: Cow::Borrowed(&item.id),
+            path: Cow::Borrowed(&item.path),
+            headers: Cow::Borrowed(&item.headers),
+            tokens: item.tokens,
+            config_version: item.config_version,
+            body_bytes: item.body.len(),
+        }
+    }
+}
+
+impl<'a> From<&'a ItemResult> for OutputEntry<'a> {
+    fn from(result: &'a ItemResult) -> Self {
+        Self {
+            id: Cow::Borrowed(&result.id),
+            state: result.state,
+            output_bytes: result.output.len(),
+        }
+    }
+}
+
+impl From<&ItemCheckpoint> for CheckpointEntry {
+    fn from(item: &ItemCheckpoint) -> Self {
+        Self {
+            number: item.number,
+            last_id: item.last_id,
+            events: item.events,
+            ran_ms: item.ran_ms,
+            binding: Some(item.binding.clone()),
+            output_bytes: item.output.len(),
+        }
+    }
+}
+
+/// Size of an encoded table without rows, in bytes.
+pub(crate) const EMPTY_TABLE_BYTES: usize = LENGTH_BYTES + "[]".len();
+
+/// Returns the bytes that an input adds to an encoded table.
+pub(crate) fn input_bytes(item: &ItemInput) -> Result<usize, JobError> {
+    row_bytes(&InputEntry::from(item), item.body.len())
+}
+
+/// Returns the bytes that a result adds to an encoded table.
+pub(crate) fn result_bytes(result: &ItemResult) -> Result<usize, JobError> {
+    row_bytes(&OutputEntry::from(result), result.output.len())
+}
+
+/// Returns the bytes that a checkpoint adds to an encoded table.
+pub(crate) fn checkpoint_bytes(
+    item: &ItemCheckpoint,
+) -> Result<usize, JobError> {
+    row_bytes(&CheckpointEntry::from(item), item.output.len())
+}
+
+fn row_bytes(
+    entry: &impl Serialize,
+    blob_bytes: usize,
+) -> Result<usize, JobError> {
+    let row = serde_json::to_vec(entry).map_err(|_| JobError::Encoding)?;
+    Ok(row.len() + ",".len() + blob_bytes)
+}
+
 /// Encodes inputs: a table in JSON, followed by the bodies. Bodies inside the
 /// JSON would be escaped a second time, which takes a third more bytes in the
 /// key-value service and a third more processor time.
@@ -346,17 +455,8 @@
 ///
 /// [`JobError::Encoding`], which inputs do not cause.
 pub fn encode_inputs(items: &[ItemInput]) -> Result<Vec<u8>, JobError> {
-    let table: Vec<InputEntry> = items
-        .iter()
-        .map(|item| InputEntry {
-            id: item.id.clone(),
-            path: item.path.clone(),
-            headers: item.headers.clone(),
-            tokens: item.tokens,
-            config_version: item.config_version,
-            body_bytes: item.body.len(),
-        })
-        .collect();
+    let table: Vec<InputEntry<'_>> =
+        items.iter().map(InputEntry::from).collect();
     join(&table, items.iter().map(|item| item.body.as_slice()))
 }
 
@@ -382,14 +482,14 @@
 /// # Ok::<(), pomeloslip_jobs::JobError>(())
 /// ```
 pub fn decode_inputs(bytes: &[u8]) -> Result<Vec<ItemInput>, JobError> {
-    let (table, mut remaining) = split::<InputEntry>(bytes)?;
+    let (table, mut remaining) = split::<InputEntry<'_>>(bytes)?;
     let mut items = Vec::with_capacity(table.len());
     for entry in table {
         let body = take(&mut remaining, entry.body_bytes)?.to_vec();
         items.push(ItemInput {
-            id: entry.id,
-            path: entry.path,
-            headers: entry.headers,
+            id: entry.id.into_owned(),
+            path: entry.path.into_owned(),
+            headers: entry.headers.into_owned(),
             body,
             tokens: entry.tokens,
             config_version: entry.config_version,
@@ -457,14 +557,8 @@
 ///
 /// [`JobError::Encoding`], which results do not cause.
 pub fn encode_results(results: &[ItemResult]) -> Result<Vec<u8>, JobError> {
-    let table: Vec<OutputEntry> = results
-        .iter()
-        .map(|result| OutputEntry {
-            id: result.id.clone(),
-            state: result.state,
-            output_bytes: result.output.len(),
-        })
-        .collect();
+    let table: Vec<OutputEntry<'_>> =
+        results.iter().map(OutputEntry::from).collect();
     join(
         &table,
         results.iter().map(|result| result.output.as_bytes()),
@@ -477,11 +571,11 @@
 ///
 /// [`JobError::Encoding`] if the bytes are not valid.
 pub fn decode_results(bytes: &[u8]) -> Result<Vec<ItemResult>, JobError> {
-    let (table, mut remaining) = split::<OutputEntry>(bytes)?;
+    let (table, mut remaining) = split::<OutputEntry<'_>>(bytes)?;
     let mut results = Vec::with_capacity(table.len());
     for entry in table {
         results.push(ItemResult {
-            id: entry.id,
+            id: entry.id.into_owned(),
             state: entry.state,
             output: take_text(&mut remaining, entry.output_bytes)?,
         });
@@ -498,17 +592,8 @@
 pub fn encode_checkpoints(
     items: &[ItemCheckpoint],
 ) -> Result<Vec<u8>, JobError> {
-    let table: Vec<CheckpointEntry> = items
-        .iter()
-        .map(|item| CheckpointEntry {
-            number: item.number,
-            last_id: item.last_id,
-            events: item.events,
-            ran_ms: item.ran_ms,
-            binding: Some(item.binding.clone()),
-            output_bytes: item.output.len(),
-        })
-        .collect();
+    let table: Vec<CheckpointEntry> =
+        items.iter().map(CheckpointEntry::from).collect();
     join(&table, items.iter().map(|item| item.output.as_bytes()))
 }
 
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -27,14 +27,13 @@
 };
 
 use self::{
-    active::{ActiveJob, Inputs, ItemPhase},
+    active::{ActiveJob, Inputs},
     checkpoint::LoadedJob,
 };
 use crate::{
     Assignment, Assignments, GateOptions, ItemForwarder, JobError, JobRoute,
     JobView, Ledger, OnlineLoad, RunOutcome, RunTimeEstimator, SilenceClock,
-    StoredManifest,
-    record::{ItemResult, ItemState, JobKey},
+    StoredManifest, record::JobKey,
 };
 
 /// The response to a load probe.
@@ -314,7 +313,7 @@
             self.rebalance(&assignment);
         }
         self.load_inputs();
-        self.give_up_expired();
+        self.give_up_items();
         self.remove_expired(&assignment);
         self.commit_pending();
         self.save_checkpoints();
@@ -411,24 +410,26 @@
         }
     }
 
-    /// Gives up items whose deadline has passed or whose route was removed.
-    fn give_up_expired(&mut self) {
+    /// Gives up items whose deadline has passed, whose route was removed, or
+    /// whose attempts a former owner of the job has used up.
+    fn give_up_items(&mut self) {
         let unix_now = self.runner.parts.clock.unix();
         let config = self.runner.parts.config.load_full();
         let config = config.as_deref();
         let version = config.map_or(0, |config| config.version);
         let margin_ms = self.runner.options.give_up_margin_ms;
-        let mut given_up = Vec::new();
+        let counters = &self.runner.parts.counters;
+        let mut ended = Vec::new();
         for (key, job) in &mut self.jobs {
             let Inputs::Loaded(inputs) = &job.inputs else {
                 continue;
             };
-            let manifest = &job.stored.manifest;
-            let route = job.route(config);
+            let inputs = inputs.clone();
             let accepted_by = job.accepted_by();
+            let route = job.route(config);
             let waits_for_config = matches!(route, JobRoute::Undecided);
             if waits_for_config && !job.waits_for_config {
-                Counters::add(&self.runner.parts.counters.jobs_without_config);
+                Counters::add(&counters.jobs_without_config);
                 log::info!(
                     job = key.as_str(),
                     config = version,
@@ -437,19 +438,19 @@
                 );
             }
             job.waits_for_config = waits_for_config;
+            let give_up_at = job.stored.manifest.give_up_at;
             let is_past_deadline =
-                unix_now > manifest.give_up_at.saturating_add_ms(margin_ms);
+                unix_now > give_up_at.saturating_add_ms(margin_ms);
             let is_route_gone = matches!(route, JobRoute::Removed);
-            if !is_past_deadline && !is_route_gone {
-                continue;
-            }
-            let inputs = inputs.clone();
-            for number in 0..job.items.len() as u32 {
-                if job.items[number as usize].state == ItemPhase::Done {
-                    continue;
-                }
-                job.finish(number, &inputs, ItemState::GivenUp);
-                Counters::add(&self.runner.parts.counters.items_given_up);
+            let has_ended = is_past_deadline || is_route_gone;
+            let numbers = match route.known() {
+                _ if has_ended => job.open_items(),
+                Some(route) => job.exhausted_items(route.max_attempts()),
+                None => Vec::new(),
+            };
+            for number in numbers {
+                job.give_up(number, &inputs);
+                Counters::add(&counters.items_given_up);
                 log::info!(
                     job = key.as_str(),
                     request_id = inputs[number as usize].id.as_str(),
@@ -460,9 +461,11 @@
                     "an item is given up"
                 );
             }
-            given_up.push(key.clone());
+            if has_ended {
+                ended.push(key.clone());
+            }
         }
-        for key in given_up {
+        for key in ended {
             self.abort_runs_of(&key, "the item is given up");
         }
     }
@@ -503,14 +506,12 @@
             if !is_due || job.is_committing {
                 continue;
             }
-            job.is_committing = true;
             job.next_commit =
                 now.saturating_add_ms(self.runner.options.commit_interval_ms);
+            let (numbers, results) = job.begin_commit();
             let ledger = self.runner.parts.ledger.clone();
             let before = job.stored.clone();
             let failed_attempts = job.failed_attempts.clone();
-            let (numbers, results): (Vec<u32>, Vec<ItemResult>) =
-                job.pending.iter().cloned().unzip();
             let (key, sender) = (key.clone(), self.sender.clone());
             tokio::spawn(async move {
                 let listed = ledger
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -11,7 +11,7 @@
     JobRoute, Progress, StoredManifest, VersionWait,
     record::{
         FailedAttempts, ItemCheckpoint, ItemInput, ItemResult, ItemState,
-        merge_failed_attempts,
+        merge_failed_attempts, result_bytes,
     },
 };
 
@@ -29,6 +29,11 @@
     pub(super) settled_at: Millis,
     pub(super) is_committing: bool,
     pub(super) next_commit: Millis,
+    /// Number of results of the commit under way, or of the last one.
+    pub(super) committing: usize,
+    /// Maximum number of results of a commit; reduced while the key-value
+    /// service rejects larger ones.
+    pub(super) max_committing: usize,
 }
 
 pub(super) enum Inputs {
@@ -130,6 +135,8 @@
             settled_at: Millis::default(),
             is_committing: false,
             next_commit: Millis::new(0),
+            committing: 0,
+            max_committing: usize::MAX,
         };
         // `vec!` clones one item, and the clones would share its progress.
         for item in &mut job.items {
@@ -216,6 +223,27 @@
         JobRoute::find(config, manifest, self.accepted_by())
     }
 
+    /// Returns the items without a result.
+    pub(super) fn open_items(&self) -> Vec<u32> {
+        let items = (0..).zip(&self.items);
+        let open = items.filter(|(_, item)| item.state != ItemPhase::Done);
+        open.map(|(number, _)| number).collect()
+    }
+
+    /// Returns the waiting items that must not run again, as their attempts
+    /// are used up.
+    pub(super) fn exhausted_items(&self, max_attempts: u32) -> Vec<u32> {
+        let is_waiting = |number: u32| {
+            let item = self.items.get(number as usize);
+            item.is_some_and(|item| item.state == ItemPhase::Waiting)
+        };
+        let counted = self.failed_attempts.iter();
+        let exhausted = counted.filter(|(number, attempts)| {
+            attempts.are_exhausted(max_attempts) && is_waiting(**number)
+        });
+        exhausted.map(|(number, _)| *number).collect()
+    }
+
     /// Returns the caller's id of an item, or an empty string before its input
     /// is loaded.
     pub(super) fn id_of(&self, number: u32) -> &str {
@@ -239,6 +267,29 @@
         self.mark_listed();
     }
 
+    /// Takes the results of the next commit, which stay pending until they are
+    /// listed.
+    pub(super) fn begin_commit(&mut self) -> (Vec<u32>, Vec<ItemResult>) {
+        self.is_committing = true;
+        self.committing = self.pending.len().min(self.max_committing);
+        let results = self.pending.iter().take(self.committing);
+        results.cloned().unzip()
+    }
+
+    /// Records that the key-value service has rejected the last commit, and
+    /// returns whether a different one can be made at once.
+    ///
+    /// The next commit has half of the results, until only the one that cannot
+    /// be stored is left. That one goes to the end, so that the others are
+    /// listed.
+    pub(super) fn reject_commit(&mut self) -> bool {
+        self.max_committing = (self.committing / 2).max(1);
+        if self.committing <= 1 && !self.pending.is_empty() {
+            self.pending.rotate_left(1);
+        }
+        self.committing > 1
+    }
+
     /// Reports whether results or failed attempts have to be written to the
     /// manifest.
     ///
@@ -262,30 +313,53 @@
         self.pending.retain(|(number, _)| !listed.contains(number));
     }
 
-    /// Adds the result of an item to the results that the next commit lists.
-    pub(super) fn finish(
+    /// Adds the output of an item to the results that the next commit lists.
+    ///
+    /// An output that no commit can list is dropped, and the item is given up.
+    ///
+    /// # Errors
+    ///
+    /// The size of the result in bytes if it exceeds `max_bytes`.
+    pub(super) fn finish_complete(
         &mut self,
         number: u32,
         inputs: &[ItemInput],
-        state: ItemState,
-    ) {
-        let at = number as usize;
-        let item = &mut self.items[at];
-        item.state = ItemPhase::Done;
-        let output = match state {
-            ItemState::Complete => item.progress.output(),
-            ItemState::GivenUp => String::new(),
+        max_bytes: usize,
+    ) -> Result<(), usize> {
+        let result = ItemResult {
+            id: inputs[number as usize].id.clone(),
+            state: ItemState::Complete,
+            output: self.items[number as usize].progress.output(),
+        };
+        let bytes = result_bytes(&result).unwrap_or(usize::MAX);
+        if bytes > max_bytes {
+            self.give_up(number, inputs);
+            return Err(bytes);
+        }
+        self.finish(number, result);
+        Ok(())
+    }
+
+    /// Gives up an item: the next commit lists it without an output.
+    pub(super) fn give_up(&mut self, number: u32, inputs: &[ItemInput]) {
+        let result = ItemResult {
+            id: inputs[number as usize].id.clone(),
+            state: ItemState::GivenUp,
+            output: String::new(),
         };
+        self.finish(number, result);
+    }
+
+    fn finish(&mut self, number: u32, result: ItemResult) {
+        let item = &mut self.items[number as usize];
+        item.state = ItemPhase::Done;
         // From now on only the result holds the output.
         item.progress = Progress::default();
         let listed = self.stored.manifest.listed.contains(&number);
         let is_pending =
             self.pending.iter().any(|(known, _)| *known == number);
-        if listed || is_pending {
-            return;
+        if !listed && !is_pending {
+            self.pending.push((number, result));
         }
-        let id = inputs[at].id.clone();
-        self.pending
-            .push((number, ItemResult { id, state, output }));
     }
 }
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -11,9 +11,14 @@
 };
 use crate::{
     JobError, JobRoute, RunOutcome, StoredManifest,
-    record::{FailedAttempts, ItemState, JobKey},
+    record::{FailedAttempts, JobKey},
 };
 
+/// Retry delay for a result that the key-value service has rejected on its own,
+/// in milliseconds. It would be rejected again unless an operator raises a
+/// limit.
+const REJECTED_RETRY_MS: u64 = 10_000;
+
 impl RunnerState {
     pub(super) fn handle_event(&mut self, event: Event) {
         match event {
@@ -96,8 +101,7 @@
             RunOutcome::NotRun | RunOutcome::Held { .. } => {}
         }
         let failed_attempts = *failed_attempts;
-        let is_permanent = failed_attempts.rejections > 0
-            || failed_attempts.errors >= max_attempts;
+        let is_permanent = failed_attempts.are_exhausted(max_attempts);
         let ran_ms = run.started.elapsed().as_millis() as u64;
         let unix_now = self.runner.parts.clock.unix();
         let manifest = &job.stored.manifest;
@@ -125,8 +129,23 @@
             let total_ms = job.items[number as usize].total_run_ms;
             self.estimator
                 .record(inputs[number as usize].tokens, total_ms);
-            job.finish(number, &inputs, ItemState::Complete);
-            Counters::add(&self.runner.parts.counters.items_completed);
+            let max_bytes = self.runner.parts.ledger.max_result_bytes();
+            let counters = &self.runner.parts.counters;
+            match job.finish_complete(number, &inputs, max_bytes) {
+                Ok(()) => Counters::add(&counters.items_completed),
+                Err(bytes) => {
+                    Counters::add(&counters.results_too_large);
+                    Counters::add(&counters.items_given_up);
+                    log::error!(
+                        request_id = inputs[number as usize].id.as_str(),
+                        job = run.job.as_str(),
+                        bytes,
+                        max_bytes;
+                        "an item is given up, since its result is too large \
+                         for the key-value service"
+                    );
+                }
+            }
         } else if is_permanent {
             log::info!(
                 request_id = inputs[number as usize].id.as_str(),
@@ -136,7 +155,7 @@
                 most = max_attempts;
                 "an item is given up"
             );
-            job.finish(number, &inputs, ItemState::GivenUp);
+            job.give_up(number, &inputs);
             Counters::add(&self.runner.parts.counters.items_given_up);
         } else {
             let item = &mut job.items[number as usize];
@@ -160,6 +179,7 @@
             Report<JobError>,
         >,
     ) {
+        let now = self.now();
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -168,9 +188,13 @@
             Ok(Ok(stored)) => {
                 let unix_now = self.runner.parts.clock.unix();
                 let before = job.stored.manifest.listed.len();
+                let new = stored.manifest.listed.len().saturating_sub(before);
+                if new < job.committing {
+                    job.next_commit = Millis::new(0);
+                }
                 log::info!(
                     job = key.as_str(),
-                    new = stored.manifest.listed.len().saturating_sub(before),
+                    new,
                     late_ms = unix_now
                         .saturating_ms_since(stored.manifest.due_at),
                     listed = stored.manifest.listed.len(),
@@ -190,6 +214,21 @@
                 job.next_commit = Millis::new(0);
                 stored
             }
+            Err(report) if *report.current_context() == JobError::TooLarge => {
+                let counters = &self.runner.parts.counters;
+                Counters::add(&counters.commits_rejected);
+                log::error!(
+                    job = key.as_str(),
+                    results = job.committing,
+                    error:? = report;
+                    "the key-value service rejects results"
+                );
+                job.next_commit = match job.reject_commit() {
+                    true => Millis::new(0),
+                    false => now.saturating_add_ms(REJECTED_RETRY_MS),
+                };
+                return;
+            }
             Err(report) => {
                 log::warn!(
                     job = key.as_str(),
@@ -199,7 +238,6 @@
                 return;
             }
         };
-        let now = self.runner.parts.clock.now();
         self.runner.parts.view.update(key, &stored, now);
         job.update_manifest(stored);
     }
--- a/crates/jobs/tests/altered.rs
+++ b/crates/jobs/tests/altered.rs
@@ -27,6 +27,7 @@
         input_chunks: 1,
         listed: vec![2, 0, 4],
         output_chunks: vec![0, 2],
+        output_parts: IndexMap::from([(2, 3)]),
         failed_attempts: IndexMap::from([(1, FailedAttempts::default())]),
         cancelled: false,
         owner: "worker-1".to_owned(),
--- a/crates/jobs/tests/plan.rs
+++ b/crates/jobs/tests/plan.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use base::UnixMillis;
 use fleet::{
     Config, Endpoint, EndpointRecord, EndpointState, EndpointTable, Route,
     RouteKind, RouteTable,
@@ -45,19 +44,10 @@
 
 fn manifest(owner: &str, total: u32) -> JobManifest {
     JobManifest {
-        submitted_at: UnixMillis::new(0),
-        host: String::new(),
-        path: String::new(),
         total,
         input_chunks: 1,
-        listed: Vec::new(),
-        output_chunks: Vec::new(),
-        failed_attempts: indexmap::IndexMap::new(),
-        cancelled: false,
         owner: owner.to_owned(),
-        due_at: UnixMillis::new(0),
-        give_up_at: UnixMillis::new(0),
-        customer: None,
+        ..JobManifest::default()
     }
 }
 
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -59,6 +59,8 @@
         job: NewJob,
         ledger_wait_ms: u64,
     ) -> Result<Accepted, Report<JobError>> {
+        // A spooled job that the ledger can never store would be lost.
+        self.ledger.check_size(&job)?;
         // A separate task: a write that the key-value service applies after
         // the timeout is still processed.
         let mut write = self.start_ledger_write(job.clone());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -391,6 +391,21 @@
     start_with(settings, Arc::new(kv.clone()), worker).await
 }
 
+/// Starts a node that stores values of at most `value_bytes`.
+#[allow(dead_code)]
+pub(crate) async fn start_with_values(
+    kv: &Memory,
+    name: &str,
+    worker: bool,
+    value_bytes: usize,
+) -> Node {
+    let settings = NodeSettings {
+        value_bytes,
+        ..settings(name)
+    };
+    start_with(settings, Arc::new(kv.clone()), worker).await
+}
+
 /// Starts a worker with a disk.
 pub(crate) async fn start_with_disk(
     kv: &Memory,
--- a/crates/node/tests/unit/job_manifests.rs
+++ b/crates/node/tests/unit/job_manifests.rs
@@ -5,7 +5,6 @@
 
 use base::{Millis, SteppedClock, UnixMillis};
 use fuzz::{altered_bytes, config};
-use indexmap::IndexMap;
 use jobs::{
     JobKey, JobManifest, JobView, KnownManifest, ManifestSource, NodeRecord,
     StoredManifest,
@@ -36,12 +35,10 @@
             input_chunks: 1,
             listed: vec![2, 0],
             output_chunks: vec![0],
-            failed_attempts: IndexMap::new(),
-            cancelled: false,
             owner: owner.to_owned(),
             due_at: UnixMillis::new(19_000),
             give_up_at: UnixMillis::new(61_000),
-            customer: None,
+            ..JobManifest::default()
         },
         revision,
     }
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -254,6 +254,11 @@
     items_completed,
     /// Batch items that were given up.
     items_given_up,
+    /// Batch items that were given up because their result was too large for
+    /// the key-value service.
+    results_too_large,
+    /// Writes of results that the key-value service rejected.
+    commits_rejected,
     /// Streams whose interval between events was used as a sample of the
     /// speed of their endpoint.
     speed_samples_used,
