Resume an unnamed stream only if no other version was in service

Callers saw, on a system like ours: streams whose first part came from one software version and the rest from another, answered 200, after all fronts had been killed while two versions served or the old one had just left.

Fault, shown by a test: a client that does not name its first attempt is found by the content of its request. If the origin of its stream is lost, with its holders or their messages, and an equal request has begun at another version since, the holders know that one alone, agree, and the stream goes on there.

Cause: the holders' answers were taken for complete. They cannot be: a restarted or new holder does not know what it missed.

Evidence: an_unnamed_stream_whose_holders_are_gone_does_not_change_its_version got 200 with events of version f after those of e, now 503.

Change: a directory remembers which versions of a service were listed, and when. An unnamed stream is resumed only if no other version was listed for as long as its client may come back, and the node has watched the list that long. Named streams are as before.

A test asked for 200 from a front that was a second old; that answer was a guess. It now expects 503 from the young front, and the same 200, and all later refusals, once the front has watched the list for the lifetime of an origin.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     Endpoint, EndpointRecord, EndpointState, EndpointTable, IncarnationKey,
+    SeenVersions,
 };
 
 /// How long after a failed read of the key-value service a missing entry is
@@ -85,6 +86,7 @@
     /// Draining endpoints with the time until which they may resume streams.
     draining: IndexMap<String, Millis>,
     drain_use_ms: u64,
+    seen: SeenVersions,
 }
 
 impl Directory {
@@ -168,7 +170,7 @@
             .map(|at| at.saturating_add_ms(self.drain_use_ms));
         for record in update.records {
             self.retained.swap_remove(&record.id);
-            let before = self.remove(&record.id);
+            let before = self.remove(&record.id, now);
             let endpoint = update_endpoint(
                 before,
                 record,
@@ -176,11 +178,11 @@
                 &mut changes,
             );
             self.note_drain(&endpoint, draining_until, &changes);
-            self.insert(endpoint);
+            self.insert(endpoint, now);
         }
         let retained = std::mem::take(&mut self.retained).into_iter();
         for id in retained.chain(update.removed).collect::<IndexSet<_>>() {
-            if let Some(endpoint) = self.remove(&id) {
+            if let Some(endpoint) = self.remove(&id, now) {
                 self.draining.swap_remove(&id);
                 self.outdated.swap_remove(&id);
                 self.handle_missing(id, endpoint, now, &mut changes);
@@ -211,13 +213,15 @@
         }
     }
 
-    fn insert(&mut self, endpoint: Endpoint) {
+    fn insert(&mut self, endpoint: Endpoint, now: Millis) {
+        self.seen.add(endpoint.record(), now);
         self.incarnations.insert(endpoint.incarnation_key());
         self.known.insert(endpoint.record().id.clone(), endpoint);
     }
 
-    fn remove(&mut self, id: &str) -> Option<Endpoint> {
+    fn remove(&mut self, id: &str, now: Millis) -> Option<Endpoint> {
         let endpoint = self.known.swap_remove(id)?;
+        self.seen.remove(endpoint.record(), now);
         self.incarnations.swap_remove(&endpoint.incarnation_key());
         Some(endpoint)
     }
@@ -236,7 +240,7 @@
         if recent_failure && !draining {
             changes.push(Change::Kept(id.clone()));
             self.retained.insert(id);
-            self.insert(endpoint);
+            self.insert(endpoint, now);
         } else {
             changes.push(Change::Gone(id));
         }
@@ -251,7 +255,9 @@
         let draining = self.draining.iter().filter_map(|(id, until)| {
             Some((self.known.get(id)?.clone(), *until))
         });
-        EndpointTable::new(ready.cloned()).with_draining(draining)
+        EndpointTable::new(ready.cloned())
+            .with_draining(draining)
+            .with_seen_versions(self.seen.clone())
     }
 
     /// Reports whether any endpoint is retained although its entry is missing.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod endpoint;
 mod load;
 mod route;
+mod seen;
 mod selection;
 mod speed;
 mod suspect;
@@ -39,6 +40,7 @@
         BatchDeadlines, Config, Destination, MAX_REQUEST_MS, Route, RouteKind,
         RouteTable, ServiceSpec, TransferLimits,
     },
+    seen::SeenVersions,
     selection::{MAX_SPILL_ENDPOINTS, Selection, SelectionTier},
     speed::{
         EndpointSpeed, MAX_INTERVAL_US, MAX_MEDIAN_ENDPOINTS,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,9 +1,9 @@
-use std::ops::Range;
+use std::{ops::Range, sync::Arc};
 
 use base::Millis;
 use indexmap::IndexMap;
 
-use crate::{Endpoint, IncarnationKey, VersionBinding};
+use crate::{Endpoint, IncarnationKey, SeenVersions, VersionBinding};
 
 /// The endpoints that may be used now.
 ///
@@ -43,6 +43,8 @@
     /// Draining endpoints by version, with the time until which they may
     /// resume streams.
     draining: IndexMap<VersionBinding, Vec<(Endpoint, Millis)>>,
+    /// The versions that were listed; none if they are not tracked.
+    seen: Option<Arc<SeenVersions>>,
 }
 
 impl EndpointTable {
@@ -85,6 +87,26 @@
         self
     }
 
+    /// Sets the versions that were listed until now.
+    #[must_use]
+    pub fn with_seen_versions(mut self, seen: SeenVersions) -> Self {
+        self.seen = Some(Arc::new(seen));
+        self
+    }
+
+    /// Reports whether a service has run no other version within the last
+    /// `window_ms`; see [`SeenVersions::is_only_version`]. A table without
+    /// seen versions has one for good.
+    pub fn is_only_version(
+        &self,
+        binding: &VersionBinding,
+        window_ms: u64,
+        now: Millis,
+    ) -> bool {
+        let seen = self.seen.as_ref();
+        seen.is_none_or(|seen| seen.is_only_version(binding, window_ms, now))
+    }
+
     /// Returns the draining endpoints that may resume a stream now, at most
     /// `max`.
     pub(crate) fn draining_of_version(
--- a/crates/node/tests/versions.rs
+++ b/crates/node/tests/versions.rs
@@ -16,6 +16,10 @@
 /// Time in which all nodes know a change of the endpoints.
 const PROPAGATION: Duration = Duration::from_millis(600);
 
+/// Time for which a client may come back to a stream: the timeout of the route
+/// and a margin.
+const ORIGIN_LIFETIME: Duration = Duration::from_secs(10);
+
 async fn register(kv: &Memory, engine: &Engine, id: &str) {
     let record = serde_json::to_vec(&engine.record(id)).expect("json");
     put(kv, &format!("endpoints/{id}"), record).await;
@@ -154,6 +158,39 @@
     }
 }
 
+/// Guards against a stream that goes on at the version of an equal request: its
+/// client does not name the first attempt, the front that began it and all
+/// holders of its origin are gone, and the endpoints of its version as well.
+#[tokio::test]
+async fn an_unnamed_stream_whose_holders_are_gone_does_not_change_its_version()
+{
+    let kv = Memory::default();
+    let engines = [Engine::start().await, Engine::start_version("f").await];
+    write_config_and_engine(&kv, &engines[0]).await;
+    let start_worker = |name| start(&kv, name, true);
+    let before = [start_worker("w-1").await, start_worker("w-2").await];
+    let front = start_front(&kv, "front-1").await;
+    sleep(PROPAGATION).await;
+    let (status, _) = call(front.front, "POST", "/chat/1", "first", "4").await;
+    assert_eq!(status, 200);
+    for worker in before {
+        worker.stop.send_replace(true);
+        worker.task.await.expect("stopped");
+    }
+    register(&kv, &engines[1], "e2").await;
+    remove(&kv, "e1").await;
+    let _after = [start_worker("w-3").await, start_worker("w-4").await];
+    let front = start_front(&kv, "front-2").await;
+    sleep(PROPAGATION).await;
+    let (status, _) =
+        call(front.front, "POST", "/chat/1", "second", "4").await;
+    assert_eq!(status, 200);
+    let headers = "x-resume: 2\r\n";
+    let (status, rest) =
+        call_with(front.front, "POST", "/chat/1", "again", headers, "4").await;
+    assert_eq!(status, 503, "{rest}");
+}
+
 /// Guards against a front that resumes a stream of another front at the version
 /// of an equal request of its own: only the holders know of both.
 #[tokio::test]
@@ -174,6 +211,10 @@
         let headers = "x-resume: 2\r\n";
         call_with(front.front, "POST", "/chat/1", "again", headers, "4").await
     };
+    // A front that has just started does not know which versions were in
+    // service before.
+    assert_eq!(unnamed(&fronts[1]).await.0, 503);
+    sleep(ORIGIN_LIFETIME).await;
     let (status, _) =
         call(fronts[0].front, "POST", "/chat/1", "first", "4").await;
     assert_eq!(status, 200);
--- a/crates/pass/src/forward/origin.rs
+++ b/crates/pass/src/forward/origin.rs
@@ -53,6 +53,12 @@
             "the origin of a stream was looked up"
         );
         match verdict {
+            Verdict::Known(binding) if !self.is_certain(request, &binding) => {
+                Counters::add(&self.counters.origins_unknown);
+                Err(Refusal::not_run(
+                    "another version may have begun the stream",
+                ))
+            }
             Verdict::Known(binding) => {
                 Counters::add(&self.counters.origins_found);
                 self.check_service(request, binding)
@@ -73,6 +79,20 @@
         }
     }
 
+    /// Reports whether no other version can have begun a stream.
+    ///
+    /// A client that does not name the first attempt is found by the content of
+    /// its request. If the origin of its stream is lost, with its front, its
+    /// holders or their messages, the origin that is found may be that of an
+    /// equal request.
+    fn is_certain(&self, request: &Inbound, binding: &VersionBinding) -> bool {
+        let window_ms = request.origin_lifetime_ms();
+        let now = self.clock.now();
+        let table = &self.endpoints.load().table;
+        request.resumes().is_some()
+            || table.is_only_version(binding, window_ms, now)
+    }
+
     /// Checks that the configuration in force allows a stream to go on at the
     /// service that began it.
     fn check_service(
