Refuse to go on where the endpoint's version has changed unnoticed

Fault, shown by tests: an endpoint restarts under its id with another version. Until the next listing fronts and workers assign what it generates to its former version. The front that forwards such a stream marks its origin as uncertain when it learns better, but only while it has the stream; a client that resumed it afterwards got the rest from the former version. An item went on likewise after its run had ended.

Change: the origin of a stream names its endpoint. A front that finds it and knows another version of this endpoint by now does not go on. A worker keeps the endpoints whose runs have added to an item and begins the item anew if one of them turns out to have changed. Messages of earlier releases are read; they do not read the new ones, so that such streams are refused during a roll-out.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -38,6 +38,7 @@
     endpoints: Vec<Endpoint>,
     services: IndexMap<String, Range<usize>>,
     positions: IndexMap<IncarnationKey, usize>,
+    ids: IndexMap<String, usize>,
     /// Positions of the endpoints of each software version of a service.
     versions: IndexMap<VersionBinding, Vec<usize>>,
     /// Draining endpoints by version, with the time until which they may
@@ -65,6 +66,7 @@
             table.endpoints.iter().map(Endpoint::incarnation_key);
         table.positions = incarnations.zip(0..).collect();
         for (position, endpoint) in table.endpoints.iter().enumerate() {
+            table.ids.insert(endpoint.record().id.clone(), position);
             if let Some(binding) = VersionBinding::of(endpoint.record()) {
                 table.versions.entry(binding).or_default().push(position);
             }
@@ -129,6 +131,12 @@
             .map(|position| &self.endpoints[*position])
     }
 
+    /// Returns the endpoint with this id, unless it accepts no work any more.
+    pub fn by_id(&self, id: &str) -> Option<&Endpoint> {
+        let position = self.ids.get(id)?;
+        self.endpoints.get(*position)
+    }
+
     /// Returns the endpoints of a service.
     pub fn of_service(&self, service: &str) -> &[Endpoint] {
         let range = self.services.get(service).cloned();
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use base::Millis;
-use fleet::{Config, EndpointRecord, VersionBinding};
+use fleet::{Config, Endpoint, EndpointRecord, VersionBinding};
 use indexmap::{IndexMap, IndexSet};
 
 use super::RunId;
@@ -53,6 +53,8 @@
     pub(super) interruptions: u32,
     /// When the item began to wait for its next run.
     pub(super) waiting_since: Millis,
+    /// The endpoints whose runs here have added to the output.
+    sources: Vec<Endpoint>,
     /// Number of events in the last saved checkpoint.
     saved_events: u64,
 }
@@ -90,7 +92,7 @@
         usable: &IndexSet<VersionBinding>,
         now: Millis,
     ) -> Option<SlotUse> {
-        if !self.progress.is_resumable() {
+        if !self.progress.is_resumable() || self.has_uncertain_source() {
             return Some(SlotUse::Restart);
         }
         if self.progress.permits(record) {
@@ -105,9 +107,29 @@
         wait.is_over().then_some(SlotUse::Restart)
     }
 
+    /// Records the endpoint of a run that has ended before the item was
+    /// complete.
+    pub(super) fn add_source(&mut self, endpoint: &Endpoint) {
+        let key = endpoint.incarnation_key();
+        let mut known = self.sources.iter();
+        if self.progress.has_begun()
+            && !known.any(|source| source.incarnation_key() == key)
+        {
+            self.sources.push(endpoint.clone());
+        }
+    }
+
+    /// Reports whether the output may be that of another version than the one
+    /// that was recorded: a node learns late that an endpoint has restarted
+    /// with another version under its id.
+    fn has_uncertain_source(&self) -> bool {
+        self.sources.iter().any(Endpoint::has_changed_version)
+    }
+
     /// Drops the output of the item's runs, so that the next run begins anew.
     pub(super) fn restart(&mut self) {
         self.progress = Progress::default();
+        self.sources.clear();
         self.total_run_ms = 0;
         self.saved_events = 0;
     }
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -160,6 +160,7 @@
         } else {
             let item = &mut job.items[number as usize];
             item.wait_from(now);
+            item.add_source(&run.endpoint);
             if is_uncertain {
                 item.restart();
             }
--- a/crates/jobs/src/runner/stop.rs
+++ b/crates/jobs/src/runner/stop.rs
@@ -12,6 +12,7 @@
     /// Records at the item that the run was interrupted.
     pub(super) fn interrupt(&self, item: &mut Item, now: Millis) {
         item.interrupt(self.started, now);
+        item.add_source(&self.endpoint);
         if self.endpoint.has_changed_version() {
             item.restart();
         }
--- a/crates/node/tests/unit/origin_wire.rs
+++ b/crates/node/tests/unit/origin_wire.rs
@@ -1,5 +1,6 @@
 //! Validation of messages about origins.
 
+use fleet::{EndpointRecord, EndpointState};
 use fuzz::{altered_bytes, altered_json, config};
 use origins::{Origin, StreamKey, StreamKeys};
 use proptest::prelude::*;
@@ -22,6 +23,19 @@
     }
 }
 
+fn endpoint() -> EndpointRecord {
+    EndpointRecord {
+        id: "e1".to_owned(),
+        started_at: None,
+        version: "v1".parse().ok(),
+        address: ([127, 0, 0, 1], 80).into(),
+        service: "engines".to_owned(),
+        failure_domain: "east".to_owned(),
+        slots: 8,
+        state: EndpointState::Ready,
+    }
+}
+
 fn found(origin: Option<Origin>) -> OriginMessage {
     OriginMessage::Found {
         stream: keys().attempt,
@@ -32,6 +46,7 @@
 
 #[parameterized(
     stored = { record() },
+    at_an_endpoint = { found(Some(Origin::of(&endpoint()))) },
     uncertain = { found(Some(Origin::Uncertain)) },
     unknown = { found(None) },
 )]
@@ -44,15 +59,34 @@
 /// Guards against datagrams that do not fit one packet.
 #[test]
 fn a_record_with_the_longest_names_fits_a_packet() {
-    let version = "v".repeat(128).parse().expect("a version");
     let record = OriginMessage::Record {
         keys: keys(),
-        origin: Origin::began_at(&"s".repeat(200), version),
+        origin: Origin::of(&EndpointRecord {
+            id: "e".repeat(200),
+            version: "v".repeat(128).parse().ok(),
+            service: "s".repeat(200),
+            ..endpoint()
+        }),
         lifetime_ms: u64::MAX,
     };
     assert!(encode(&"n".repeat(200), &record).len() < 1_400);
 }
 
+/// Guards against streams that cannot be resumed during a roll-out because the
+/// messages of earlier releases name no endpoint.
+#[test]
+fn a_message_of_an_earlier_release_is_read() {
+    let text = r#"{"format":1,"node":"a","message":{"record":{"keys":
+        {"attempt":1,"content":2},"origin":{"bound":{"service":"engines",
+        "version":"v1"}},"lifetime_ms":1}}}"#;
+    let (_, message) = decode(text.as_bytes()).expect("a message");
+    let OriginMessage::Record { origin, .. } = message else {
+        panic!("{message:?}");
+    };
+    let v1 = "v1".parse().expect("a version");
+    assert_eq!(origin, Origin::began_at("engines", v1));
+}
+
 #[parameterized(
     nothing = { "" },
     no_json = { "{" },
--- a/crates/node/tests/versions.rs
+++ b/crates/node/tests/versions.rs
@@ -9,6 +9,7 @@
     Engine, Node, call, call_until, call_with, put, ready, start,
     write_config_and_engine,
 };
+use fleet::EndpointRecord;
 use jobs::{RunnerOptions, checkpoint_key, decode_manifest, manifest_key};
 use kv::{Kv, Memory, Op, Txn};
 use tokio::time::{sleep, timeout};
@@ -236,6 +237,43 @@
     }
 }
 
+/// Guards against a stream that goes on at the version that its endpoint had in
+/// the list, while the endpoint had restarted with another one under its id.
+#[tokio::test]
+async fn a_stream_whose_endpoint_changed_its_version_unnoticed_is_refused() {
+    let kv = Memory::default();
+    let engines = [Engine::start_version("f").await, Engine::start().await];
+    write_config_and_engine(&kv, &engines[0]).await;
+    let listed = EndpointRecord {
+        version: engines[1].record("e2").version,
+        ..engines[0].record("e1")
+    };
+    let listed = serde_json::to_vec(&listed).expect("json");
+    put(&kv, "endpoints/e1", listed).await;
+    let workers = [
+        start(&kv, "worker-1", true).await,
+        start(&kv, "worker-2", true).await,
+    ];
+    let fronts = [
+        start_front(&kv, "front-1").await,
+        start_front(&kv, "front-2").await,
+    ];
+    sleep(PROPAGATION).await;
+    let (status, body) =
+        call(fronts[0].front, "POST", "/chat/1", "first", "4").await;
+    assert_eq!((status, data(&body)[0]), (200, "f1"));
+    register(&kv, &engines[0], "e1").await;
+    register(&kv, &engines[1], "e2").await;
+    sleep(PROPAGATION).await;
+    for front in &fronts {
+        let (status, rest) = take_up(front, "again", "first", 2, "4").await;
+        assert_eq!(status, 503, "{rest}");
+    }
+    for worker in workers {
+        worker.stop.send_replace(true);
+    }
+}
+
 /// Guards against a stream whose first attempt is not known, and that goes on
 /// at whatever version is at hand.
 #[tokio::test]
@@ -283,6 +321,41 @@
     worker.stop.send_replace(true);
 }
 
+/// Guards against an item that goes on at the version that its endpoint had in
+/// the list, while the endpoint had restarted with another one under its id.
+#[tokio::test]
+async fn an_item_whose_endpoint_changed_its_version_unnoticed_begins_anew() {
+    let kv = Memory::default();
+    let engines = [Engine::start_version("f").await, Engine::start().await];
+    write_config_and_engine(&kv, &engines[0]).await;
+    let listed = EndpointRecord {
+        version: engines[1].record("e2").version,
+        ..engines[0].record("e1")
+    };
+    let listed = serde_json::to_vec(&listed).expect("json");
+    put(&kv, "endpoints/e1", listed).await;
+    let front = start_front(&kv, "front-1").await;
+    let worker = start(&kv, "worker-1", true).await;
+    let sent = call(front.front, "POST", "/batch/1", "job-1", r#"["400"]"#);
+    assert_eq!(sent.await.0, 202);
+    until(|| engines[0].run_count() > 0).await;
+    // The item then waits as long for an endpoint of its version.
+    sleep(Duration::from_millis(600)).await;
+    engines[0].crash();
+    register(&kv, &engines[0], "e1").await;
+    register(&kv, &engines[1], "e2").await;
+    let (_, body) =
+        call_until(front.front, "GET", "/jobs/job-1", |_, body| {
+            body.starts_with("1 1\n")
+        })
+        .await;
+    let output = body.lines().nth(1).unwrap_or_default();
+    let output = output.strip_prefix("item-0 complete ").expect("complete");
+    let versions: Vec<&str> = output.split('+').map(|e| &e[..1]).collect();
+    assert_eq!(versions, ["e"; 400]);
+    worker.stop.send_replace(true);
+}
+
 /// Guards against an item that goes on from a checkpoint that does not say
 /// which version wrote it.
 #[tokio::test]
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -42,7 +42,7 @@
 pub use crate::{
     key::{StreamId, StreamKey, StreamKeys},
     lookup::{Answer, Lookup, Verdict},
-    origin::Origin,
+    origin::{Beginning, Origin},
     ring::{HOLDERS, HolderNode, HolderRing},
     table::{MAX_LIFETIME_MS, MAX_ORIGINS, OriginTable},
 };
--- a/crates/origins/src/lookup.rs
+++ b/crates/origins/src/lookup.rs
@@ -1,8 +1,4 @@
-use std::sync::Arc;
-
-use fleet::VersionBinding;
-
-use crate::{Origin, StreamId};
+use crate::{Beginning, Origin, StreamId};
 
 /// What one holder knows of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -16,8 +12,8 @@
 /// What is known of a stream after its holders were asked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verdict {
-    /// The stream may be resumed at this version.
-    Known(Arc<VersionBinding>),
+    /// The stream may be resumed at the version that began it.
+    Known(Beginning),
     /// No holder knows the version.
     Unknown,
     /// The holders that have answered do not suffice, and some have not.
@@ -84,7 +80,9 @@
     fn add(&mut self, origin: Origin) {
         let known = self.known.take();
         self.known = match known {
-            Some(known) if known != origin => Some(Origin::Uncertain),
+            Some(known) if !known.agrees_with(&origin) => {
+                Some(Origin::Uncertain)
+            }
             _ => Some(origin),
         };
     }
@@ -94,8 +92,8 @@
         let is_over = self.answered.iter().all(|answered| *answered);
         match &self.known {
             Some(Origin::Uncertain) => Some(Verdict::Unknown),
-            Some(Origin::Bound(binding)) if is_over || !self.needs_all => {
-                Some(Verdict::Known(binding.clone()))
+            Some(Origin::Bound(beginning)) if is_over || !self.needs_all => {
+                Some(Verdict::Known(beginning.clone()))
             }
             None if is_over => Some(Verdict::Unknown),
             _ => None,
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -61,7 +61,7 @@
         let origin = self.share(origin);
         if let Some(known) = self.origins.get_mut(&stream) {
             known.expires_at = known.expires_at.max(expires_at);
-            if known.origin != origin {
+            if !known.origin.agrees_with(&origin) {
                 known.origin = Origin::Uncertain;
             }
             return;
--- a/crates/origins/tests/orders.rs
+++ b/crates/origins/tests/orders.rs
@@ -119,7 +119,7 @@
 
 fn version(verdict: &Verdict) -> Option<&str> {
     match verdict {
-        Verdict::Known(binding) => Some(binding.version().as_str()),
+        Verdict::Known(found) => Some(found.binding().version().as_str()),
         Verdict::Unknown | Verdict::Unreachable => None,
     }
 }
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -146,8 +146,8 @@
     }
     let last = lookup.receive(others.len(), last.clone());
     match (last, version) {
-        (Some(Verdict::Known(binding)), Some(version)) => {
-            assert_eq!(binding.version().as_str(), version);
+        (Some(Verdict::Known(found)), Some(version)) => {
+            assert_eq!(found.binding().version().as_str(), version);
         }
         (Some(Verdict::Unknown), None) => {}
         (verdict, _) => panic!("{verdict:?}"),
@@ -188,7 +188,9 @@
     }
     let verdict = lookup.receive(others.len(), last.clone());
     let found = match &verdict {
-        Some(Verdict::Known(binding)) => Some(binding.version().as_str()),
+        Some(Verdict::Known(found)) => {
+            Some(found.binding().version().as_str())
+        }
         _ => None,
     };
     assert_eq!(found, version);
--- a/crates/pass/src/forward/origin.rs
+++ b/crates/pass/src/forward/origin.rs
@@ -5,7 +5,7 @@
 
 use fleet::VersionBinding;
 use http::StatusCode;
-use origins::{Origin, Verdict};
+use origins::{Beginning, Origin, Verdict};
 
 use super::{Forwarder, OfferHistory};
 use crate::{Counters, Exchange, Inbound, Refusal, answer::Sent};
@@ -53,15 +53,17 @@
             "the origin of a stream was looked up"
         );
         match verdict {
-            Verdict::Known(binding) if !self.is_certain(request, &binding) => {
+            Verdict::Known(beginning)
+                if !self.is_certain(request, &beginning) =>
+            {
                 Counters::add(&self.counters.origins_unknown);
                 Err(Refusal::not_run(
                     "another version may have begun the stream",
                 ))
             }
-            Verdict::Known(binding) => {
+            Verdict::Known(beginning) => {
                 Counters::add(&self.counters.origins_found);
-                self.check_service(request, binding)
+                self.check_service(request, beginning.binding().clone())
             }
             Verdict::Unknown => {
                 Counters::add(&self.counters.origins_unknown);
@@ -81,16 +83,21 @@
 
     /// Reports whether no other version can have begun a stream.
     ///
-    /// A client that does not name the first attempt is found by the content of
-    /// its request. If the origin of its stream is lost, with its front, its
-    /// holders or their messages, the origin that is found may be that of an
-    /// equal request.
-    fn is_certain(&self, request: &Inbound, binding: &VersionBinding) -> bool {
-        let window_ms = request.origin_lifetime_ms();
-        let now = self.clock.now();
+    /// The endpoint that began it may have restarted with another version
+    /// before the node that recorded the origin knew of that. And a client that
+    /// does not name the first attempt is found by the content of its request:
+    /// if the origin of its stream is lost, with its front, its holders or
+    /// their messages, the origin that is found may be that of an equal request.
+    fn is_certain(&self, request: &Inbound, beginning: &Beginning) -> bool {
+        let binding = beginning.binding();
         let table = &self.endpoints.load().table;
+        let endpoint = beginning.endpoint().and_then(|id| table.by_id(id));
+        if endpoint.is_some_and(|now| !binding.permits(now.record())) {
+            return false;
+        }
+        let window_ms = request.origin_lifetime_ms();
         request.resumes().is_some()
-            || table.is_only_version(binding, window_ms, now)
+            || table.is_only_version(binding, window_ms, self.clock.now())
     }
 
     /// Checks that the configuration in force allows a stream to go on at the
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -92,7 +92,9 @@
         let silent_ms = gap_target_ms.saturating_mul(SILENT_GAPS);
         let silent_after = Duration::from_millis(silent_ms.max(MIN_SILENT_MS));
         Self {
-            origin: history.binding().cloned().map(Origin::Bound),
+            origin: history
+                .binding()
+                .map(|binding| Origin::Bound(binding.clone().into())),
             splitter: EventSplitter::new(request.resume_after()),
             deadline: Box::pin(sleep_until(request.ends_at())),
             silence: Box::pin(sleep_until(Instant::now() + silent_after)),
@@ -257,7 +259,9 @@
             Some(Origin::Bound(_)) if after.is_none() => {
                 return Err("its events have no ids");
             }
-            Some(Origin::Bound(binding)) => Some(binding.clone()),
+            Some(Origin::Bound(beginning)) => {
+                Some(beginning.binding().clone())
+            }
             Some(Origin::Uncertain) => {
                 return Err("the version of its events is uncertain");
             }
--- a/crates/pass/tests/versions.rs
+++ b/crates/pass/tests/versions.rs
@@ -137,9 +137,10 @@
         (two.address, "app", "v2"),
         (one.address, "app", "v1"),
     ])
-    .with_origins(Arc::new(Always(Verdict::Known(Arc::new(
-        fleet::VersionBinding::new("app", "v1".parse().expect("a version")),
-    )))));
+    .with_origins(Arc::new(Always(Verdict::Known(
+        fleet::VersionBinding::new("app", "v1".parse().expect("a version"))
+            .into(),
+    ))));
     let again = resuming("r2", resumable(), "1", "r1");
     assert_eq!(forward(&other, again).await.0, 200);
     assert_eq!((fail.seen().len(), two.seen().len()), (1, 0));
@@ -272,7 +273,7 @@
     let v1 = "v1".parse().expect("a version");
     let binding = fleet::VersionBinding::new("app", v1);
     let setup = fixture_of(&[(one.address, "app", "v1")])
-        .with_origins(Arc::new(Always(Verdict::Known(Arc::new(binding)))));
+        .with_origins(Arc::new(Always(Verdict::Known(binding.into()))));
     let listed = setup.view.load_full();
     setup.view.publish(DirectoryView::default());
     let patient = resumable().with_gap_target_ms(60_000);
@@ -294,7 +295,7 @@
     let v2 = "v2".parse().expect("a version");
     let binding = fleet::VersionBinding::new("app", v2);
     let setup = fixture_of(&[(one.address, "app", "v1")])
-        .with_origins(Arc::new(Always(Verdict::Known(Arc::new(binding)))));
+        .with_origins(Arc::new(Always(Verdict::Known(binding.into()))));
     let patient = resumable().with_gap_target_ms(60_000);
     let again = resuming("r2", patient, "1", "r1");
     let (status, body) = forward(&setup, again).await;
