--- a/crates/fleet/tests/seen.rs
+++ b/crates/fleet/tests/seen.rs
@@ -23,16 +23,19 @@
     }
 }
 
+/// Id, service and version of a listed endpoint.
+type Listed = (&'static str, &'static str, &'static str);
+
+/// Listings with the times at which they were read, in milliseconds.
+type Listings = &'static [(u64, &'static [Listed])];
+
 fn v1() -> VersionBinding {
     VersionBinding::new("llm", "v1".parse().expect("a version"))
 }
 
 /// Applies listings, each at a time in milliseconds, and reports whether only
 /// the first version has been in service at another time.
-fn is_only_version(
-    listings: &[(u64, &[(&str, &str, &str)])],
-    at_ms: u64,
-) -> bool {
+fn is_only_version(listings: Listings, at_ms: u64) -> bool {
     let mut directory = Directory::default();
     for (revision, (ms, records)) in (1..).zip(listings) {
         let records = records.iter();
@@ -48,8 +51,8 @@
     table.is_only_version(&v1(), WINDOW_MS, Millis::new(at_ms))
 }
 
-const V1: (&str, &str, &str) = ("e1", "llm", "v1");
-const V2: (&str, &str, &str) = ("e2", "llm", "v2");
+const V1: Listed = ("e1", "llm", "v1");
+const V2: Listed = ("e2", "llm", "v2");
 
 /// Guards against a stream that is taken for one of the version that is in
 /// service now, although another one was when it began.
@@ -70,7 +73,7 @@
         false },
 )]
 fn a_version_is_certain_if_no_other_one_was_listed(
-    listings: &[(u64, &[(&str, &str, &str)])],
+    listings: Listings,
     at_ms: u64,
     expected: bool,
 ) {
