Hand on no status that promises more than the evidence

Cause: an endpoint that ran a request and answered 503, 429 or 408 without stating that it did not run it had its status handed on, with its seal and Retry-After. These statuses promise the caller that the request did not run. A success with the not-executed header was taken for a refusal, and the request ran at a second endpoint. Workers counted such a status as a failed attempt of the item and gave it up after max_attempts of them.

Change: `check_response` decides by `execution::Evidence`. A response whose status and statement contradict each other is the new failure `UnprovenRefusal`: it may have run, goes elsewhere only if the route is repeatable, and ends with 502 (504 in place of 408) of the node itself. The counts of possible runs are those of `execution::PossibleRuns`; `Ran` is its type. What looks for an endpoint returns `Unserved`, which does not tell whether the request ran: only `Unserved::refuse` decides that, by the count. The status of each response of `Forwarder::forward` is checked once more (`promises_withheld`). Items are tried again after the backoff and keep their attempts.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -174,6 +174,9 @@
     WrongId,
     /// The response does not come from the endpoint itself.
     NotSealed(StatusCode),
+    /// The status promises that the item did not run, and the endpoint does
+    /// not state so; or it states so with a success.
+    UnprovenRefusal(StatusCode),
 }
 
 /// One run of one item at one endpoint.
@@ -234,7 +237,13 @@
             Err(Failure::Silent) => self.dead(),
             Err(Failure::WrongId) => BreakCause::WrongId,
             Err(Failure::NotSealed(status)) => BreakCause::NotSealed(status),
-            Err(_) => return RunOutcome::NotRun,
+            Err(Failure::UnprovenRefusal(status)) => {
+                BreakCause::UnprovenRefusal(status)
+            }
+            Err(Failure::Connect | Failure::NotSent) => {
+                return RunOutcome::NotRun;
+            }
+            Err(Failure::NotExecuted(_)) => return RunOutcome::NotRun,
         };
         RunOutcome::Broken(cause)
     }
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -10,7 +10,7 @@
     Event, RunId, RunnerState, active::Inputs, checkpoint::LoadedJob,
 };
 use crate::{
-    JobError, JobRoute, RunOutcome, StoredManifest,
+    BreakCause, JobError, JobRoute, RunOutcome, StoredManifest,
     record::{FailedAttempts, JobKey},
 };
 
@@ -165,6 +165,8 @@
                 item.restart();
             }
             item.not_before = match end {
+                // A full endpoint answers like this at once, again and again.
+                RunOutcome::Broken(BreakCause::UnprovenRefusal(_)) => retry_at,
                 RunOutcome::Broken(_) => now,
                 RunOutcome::Held { for_ms } => now.saturating_add_ms(for_ms),
                 _ => retry_at,
--- a/crates/node/tests/common/engine.rs
+++ b/crates/node/tests/common/engine.rs
@@ -17,8 +17,10 @@
 };
 
 /// An engine whose response depends on the body of the request. `N` sends N
-/// events; `reject` and `fail` return an error status; `cut N` closes the
-/// connection once after N / 2 of N events; `silent` hangs after the head;
+/// events; `reject` and `fail` return an error status, and `unproven S N`
+/// returns the status S and sends N events from the third run on; `cut N`
+/// closes the connection once after N / 2 of N events; `silent` hangs after
+/// the head;
 /// `open N` sends N events with neither a length nor chunks, and `open N B`
 /// closes the connection of the first run after B bytes of them; `pause M N`
 /// is silent for M milliseconds after N / 2 of N events of the first run,
@@ -117,6 +119,9 @@
     parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
 }
 
+/// Runs of an item that end with a status that promises that it did not run.
+const UNPROVEN_RUNS: usize = 2;
+
 /// Delay between the last event of a poison request and the crash of the
 /// engine.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
@@ -146,15 +151,18 @@
             "open" => words.next().unwrap_or("0"),
             "cut" => words.next().unwrap_or("1"),
             "pause" | "pause-head" => words.nth(1).unwrap_or("0"),
+            "unproven" => words.nth(1).unwrap_or("0"),
             "hang" | "hang-head" => words.next().unwrap_or("0"),
             "crash" if has_crashing_part(&head) => "0",
             "crash" => words.next().unwrap_or("0"),
             other => other,
         };
-        let is_first = {
+        let runs_before = {
             let runs = runs.lock().expect("lock");
-            !runs.iter().any(|run| run.starts_with(&format!("{id}:")))
+            let of_id = format!("{id}:");
+            runs.iter().filter(|run| run.starts_with(&of_id)).count()
         };
+        let is_first = runs_before == 0;
         // Load requests have no id and are not recorded as runs.
         if !id.is_empty() {
             runs.lock().expect("lock").push(format!("{id}:{after}"));
@@ -163,8 +171,15 @@
         let status = match word.as_str() {
             "reject" => "422 Never",
             "fail" => "500 Failed",
+            "unproven" if runs_before < UNPROVEN_RUNS => {
+                body.split(' ').nth(1).unwrap_or("503")
+            }
             _ => "200 OK",
         };
+        let number = match status {
+            "200 OK" => number,
+            _ => "0",
+        };
         if word == "open" {
             let last = number.parse().unwrap_or(0);
             let cut = words.next().filter(|_| is_first && after == 0);
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -1,13 +1,7 @@
-use std::{
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{io, sync::Arc, time::Duration};
 
 use base::{Clock, Millis};
+use execution::{Evidence, OfferedRun};
 use fleet::{Endpoint, EndpointSpeed, FailureKind, LoadReport};
 use http::{HeaderMap, StatusCode, header, response::Parts};
 use quarantine::SendPermit;
@@ -30,6 +24,10 @@
     NotSent,
     /// The endpoint reported that it did not run the request.
     NotExecuted(StatusCode),
+    /// The status and the statement of the endpoint contradict each other:
+    /// the status promises that the request did not run, and the endpoint
+    /// does not state so; or it states so with a success.
+    UnprovenRefusal(StatusCode),
     /// The connection broke after the request was written.
     Broken,
     /// No response arrived within the timeout of the offer.
@@ -48,22 +46,47 @@
 }
 
 impl Failure {
-    /// Returns whether the request is known not to have run.
+    /// Returns what the failure shows of the copy that was offered.
     ///
     /// # Example
     ///
     /// ```
+    /// use execution::Evidence;
     /// use pomeloslip_pass::Failure;
     ///
-    /// assert!(Failure::Connect.is_known_not_run());
-    /// assert!(!Failure::Broken.is_known_not_run());
+    /// assert_eq!(Failure::Connect.evidence(), Evidence::NotSent);
+    /// assert_eq!(Failure::Broken.evidence(), Evidence::MayHaveRun);
     /// ```
-    pub fn is_known_not_run(self) -> bool {
+    pub fn evidence(self) -> Evidence {
         match self {
-            Failure::Connect | Failure::NotSent => true,
-            Failure::NotExecuted(_) | Failure::Held { .. } => true,
-            Failure::Broken | Failure::Silent => false,
-            Failure::WrongId | Failure::NotSealed(_) => false,
+            Failure::Connect | Failure::NotSent => Evidence::NotSent,
+            Failure::Held { .. } => Evidence::NotSent,
+            Failure::NotExecuted(_) => Evidence::Declined,
+            Failure::UnprovenRefusal(_) => Evidence::MayHaveRun,
+            Failure::Broken | Failure::Silent => Evidence::MayHaveRun,
+            Failure::WrongId | Failure::NotSealed(_) => Evidence::MayHaveRun,
+        }
+    }
+
+    /// Returns the status of the endpoint's response to the request, if there
+    /// is one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use http::StatusCode;
+    /// use pomeloslip_pass::Failure;
+    ///
+    /// let failure = Failure::NotExecuted(StatusCode::TOO_MANY_REQUESTS);
+    /// assert_eq!(failure.status(), Some(StatusCode::TOO_MANY_REQUESTS));
+    /// assert_eq!(Failure::Broken.status(), None);
+    /// ```
+    pub fn status(self) -> Option<StatusCode> {
+        match self {
+            Failure::NotExecuted(status)
+            | Failure::UnprovenRefusal(status)
+            | Failure::NotSealed(status) => Some(status),
+            _ => None,
         }
     }
 
@@ -72,6 +95,10 @@
             Failure::Connect => FailureKind::Unreachable,
             Failure::Silent => FailureKind::Silent,
             Failure::NotExecuted(_) => FailureKind::Full,
+            Failure::UnprovenRefusal(
+                StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE,
+            ) => FailureKind::Full,
             _ => FailureKind::BadResponse,
         }
     }
@@ -89,8 +116,8 @@
     pub wait: Duration,
     /// Permit of the quarantine to send the request.
     pub permit: SendPermit,
-    /// Becomes true before the request is sent.
-    pub is_sent: &'a AtomicBool,
+    /// Is marked before the request is sent.
+    pub run: &'a OfferedRun,
 }
 
 /// A failure before the response head, with its cause as text for logs.
@@ -191,7 +218,7 @@
             Some(channel) => channel.sender(),
             None => return Err(closed),
         };
-        offer.is_sent.store(true, Ordering::Relaxed);
+        offer.run.mark_sent();
         match sender.try_send_request(outbound).await {
             Ok(response) => match channel.0.take() {
                 Some(channel) => Ok((channel, response)),
@@ -230,6 +257,9 @@
         channel.record_head(headers, self.pool.options());
         let reusable = !closes_connection(headers);
         let failure = check_response(head.status, headers, self.names);
+        if matches!(failure, Some(Failure::UnprovenRefusal(_))) {
+            Counters::add(&self.counters.refusals_unproven);
+        }
         run.record_head(head.status);
         // From here on, the exchange decrements the in-flight count.
         if in_flight.0.take().is_none() {
@@ -376,11 +406,17 @@
     headers: &HeaderMap,
     names: &HeaderNames,
 ) -> Option<Failure> {
-    if headers.contains_key(&names.not_executed)
-        || status == StatusCode::MISDIRECTED_REQUEST
-    {
+    // A request names the endpoint that it is for, and any other one answers
+    // with this status before it looks at the request.
+    let states_not_executed = headers.contains_key(&names.not_executed)
+        || status == StatusCode::MISDIRECTED_REQUEST;
+    let evidence = Evidence::of_response(status.as_u16(), states_not_executed);
+    if evidence == Evidence::Declined {
         return Some(Failure::NotExecuted(status));
     }
+    if states_not_executed || evidence.contradicts(status.as_u16()) {
+        return Some(Failure::UnprovenRefusal(status));
+    }
     let sealed = headers.contains_key(&names.seal);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
     let is_valid = (sealed || !status.is_success()) && !encoded;
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -167,6 +167,12 @@
     /// Responses that belonged to another request than the one that waited on
     /// their connection.
     responses_misplaced,
+    /// Responses of endpoints whose status promises that a request did not
+    /// run, without their statement, or successes with it.
+    refusals_unproven,
+    /// Responses whose status was replaced at the last moment, since a copy of
+    /// the request may have run.
+    promises_withheld,
     /// Endpoints that were avoided because they were silent about a request.
     silences,
     /// Streams that another endpoint took because their own was silent.
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -5,13 +5,10 @@
 mod options;
 mod origin;
 
-use std::{
-    fmt,
-    sync::{Arc, atomic::AtomicBool},
-    time::Duration,
-};
+use std::{fmt, sync::Arc, time::Duration};
 
 use base::{Clock, Snapshot};
+use execution::{OfferedRun, PossibleRuns, Ran};
 use fleet::{Endpoint, EndpointSpeed, EndpointTable, RouteKind, Selection};
 use framing::Framing;
 use http::Response;
@@ -22,12 +19,13 @@
 pub use self::options::ForwarderOptions;
 use crate::{
     Counters, Exchange, Failure, FairShares, HeaderNames, Inbound,
-    LoadObserver, LocalOrigins, NoopObserver, Offer, Pool, ResponseBody,
-    RetryAfterEstimator, RunObserver, StreamOrigins,
+    LoadObserver, LocalOrigins, NoopObserver, Offer, Pool, Refusal,
+    ResponseBody, RetryAfterEstimator, RunObserver, StreamOrigins,
     answer::{FAILED, ForwardedBody, REFUSED, RequestLog, Sent},
     attempt::Dispatcher,
     request::strip_hop_by_hop,
     resume::{Continuation, ResumedBody},
+    unserved::Unserved,
 };
 
 /// Selects endpoints for requests and forwards their responses.
@@ -169,15 +167,18 @@
         let run = self.begin(&request, &mut request_log.sent, &mut history);
         let result = match time::timeout_at(ends_at.into(), run).await {
             Ok(result) => result,
-            Err(_) => Err(history.timeout_refusal()),
+            Err(_) => {
+                Err(Unserved::out_of_time("the time of the request is up"))
+            }
         };
-        match result {
+        let runs = history.possible_runs();
+        match self.check_promise(&request, result, runs) {
             Ok(exchange) => self.respond(exchange, request_log, history),
             Err(refusal) => {
                 request_log.record_head(refusal.status().as_u16());
                 request_log.set_outcome(match refusal.ran() {
-                    crate::Ran::No => REFUSED,
-                    crate::Ran::Unknown => FAILED,
+                    Ran::No => REFUSED,
+                    Ran::Unknown => FAILED,
                 });
                 log::info!(
                     request_id = request.id(),
@@ -191,6 +192,36 @@
         }
     }
 
+    /// Returns the response or the refusal of a request, as far as its status
+    /// promises no more than the copies allow that were sent.
+    ///
+    /// Each offer and each refusal is checked on its own; this is the last
+    /// place that all responses pass.
+    fn check_promise(
+        &self,
+        request: &Inbound,
+        result: Result<Exchange, Unserved>,
+        runs: &PossibleRuns,
+    ) -> Result<Exchange, Refusal> {
+        let result = result.map_err(|unserved| unserved.refuse(runs));
+        let status = match &result {
+            Ok(exchange) => exchange.status(),
+            Err(refusal) => refusal.status(),
+        };
+        if runs.ran().status(status.as_u16()) == status.as_u16() {
+            return result;
+        }
+        Counters::add(&self.counters.promises_withheld);
+        log::warn!(
+            request_id = request.id(),
+            status = status.as_u16(),
+            possible_runs = runs.count();
+            "a promise that a request did not run is withheld"
+        );
+        let reason = "the request may have run";
+        Err(Unserved::lost(reason, Some(status)).refuse(runs))
+    }
+
     fn respond(
         self: &Arc<Self>,
         mut exchange: Exchange,
@@ -243,19 +274,19 @@
         resume_after: Option<u64>,
         wait: Duration,
     ) -> Result<Exchange, Failure> {
-        let is_sent = AtomicBool::new(false);
-        self.send_offer(request, endpoint, resume_after, wait, &is_sent)
+        let run = PossibleRuns::default().begin();
+        self.send_offer(request, endpoint, resume_after, wait, &run)
             .await
     }
 
-    /// Offers a request once; `is_sent` becomes true before it is sent.
+    /// Offers a request once; `run` is marked before it is sent.
     async fn send_offer(
         &self,
         request: &Arc<Inbound>,
         endpoint: &Endpoint,
         resume_after: Option<u64>,
         wait: Duration,
-        is_sent: &AtomicBool,
+        run: &OfferedRun,
     ) -> Result<Exchange, Failure> {
         let permit = self.obtain_permit(request, endpoint).await;
         let permit = permit
@@ -266,7 +297,7 @@
             resume_after,
             wait,
             permit,
-            is_sent,
+            run,
         };
         self.dispatcher().dispatch(offer).await
     }
--- a/crates/pass/src/forward/capacity.rs
+++ b/crates/pass/src/forward/capacity.rs
@@ -3,11 +3,12 @@
 
 use std::time::{Duration, Instant};
 
+use execution::Ran;
 use fleet::{Choice, ChooseError, EndpointQuery};
 use tokio::time;
 
 use super::{Forwarder, OfferHistory};
-use crate::{Inbound, Refusal, answer::Sent};
+use crate::{Inbound, answer::Sent, unserved::Unserved};
 
 /// Fraction of the remaining time of a client after which it retries at the
 /// latest: one part in this many. The remainder is for serving the request.
@@ -27,12 +28,12 @@
         verdict: ChooseError,
         request: &Inbound,
         history: &OfferHistory,
-    ) -> Refusal {
-        if history.possible_runs() > 0 {
-            return Refusal::unknown("no other endpoint is left");
+    ) -> Unserved {
+        if history.possible_runs().ran() == Ran::Unknown {
+            return Unserved::lost("no other endpoint is left", None);
         }
         if self.is_version_gone(verdict, history) {
-            return Refusal::not_run(
+            return Unserved::refused(
                 "no endpoint runs the version that began the stream",
             );
         }
@@ -41,7 +42,7 @@
                 true => self.options.startup_retry_after_ms,
                 false => self.options.retry_after_ms,
             };
-            return Refusal::not_run("no endpoint is known")
+            return Unserved::refused("no endpoint is known")
                 .with_retry_after_ms(retry_after_ms);
         }
         self.refuse_for_capacity("all endpoints are full", request)
@@ -52,14 +53,14 @@
         &self,
         reason: &'static str,
         request: &Inbound,
-    ) -> Refusal {
+    ) -> Unserved {
         let remaining_ms = request.remaining().as_millis() as u64;
         let retry_after_ms = self.retry_estimator.record_refusal(
             self.clock.now(),
             spread_hash(request.id()),
             remaining_ms / RETRY_DELAY_DIVISOR,
         );
-        Refusal::not_run(reason).with_retry_after_ms(retry_after_ms)
+        Unserved::refused(reason).with_retry_after_ms(retry_after_ms)
     }
 
     /// Reports whether no endpoint runs the version of a stream. A node that
@@ -83,7 +84,7 @@
         request: &Inbound,
         sent: &mut Sent,
         history: &mut OfferHistory,
-    ) -> Result<Choice, Refusal> {
+    ) -> Result<Choice, Unserved> {
         if let Some(shares) = self.shares_for(history) {
             return self.wait_in_order(shares, request, sent, history).await;
         }
--- a/crates/pass/src/forward/fair.rs
+++ b/crates/pass/src/forward/fair.rs
@@ -8,7 +8,8 @@
 
 use super::{Forwarder, OfferHistory, capacity::CAPACITY_POLL_INTERVAL};
 use crate::{
-    Counters, FairShares, Inbound, Refusal, answer::Sent, shares::Place,
+    Counters, FairShares, Inbound, answer::Sent, shares::Place,
+    unserved::Unserved,
 };
 
 /// Why a request is refused whose customer is over its share.
@@ -36,7 +37,7 @@
         request: &Inbound,
         sent: &mut Sent,
         history: &OfferHistory,
-    ) -> Result<Choice, Refusal> {
+    ) -> Result<Choice, Unserved> {
         let Some(service) = self.service(request, history) else {
             let verdict = ChooseError::NoEndpoint;
             return Err(self.refuse(verdict, request, history));
@@ -83,7 +84,7 @@
         service: &str,
         request: &Inbound,
         history: &OfferHistory,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), Unserved> {
         let Some(customer) = request.admitted_customer() else {
             return Ok(());
         };
@@ -141,7 +142,7 @@
     shares: &FairShares,
     service: &str,
     customer: Option<&Customer>,
-    refusal: Refusal,
+    refusal: Unserved,
 ) {
     if let Some((customer, ms)) = customer.zip(refusal.retry_after_ms()) {
         shares.record_refusal(service, customer, ms);
--- a/crates/pass/src/forward/history.rs
+++ b/crates/pass/src/forward/history.rs
@@ -1,14 +1,15 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
+use execution::{OfferedRun, PossibleRuns, Ran};
 use fleet::{Route, VersionBinding};
 
-use crate::{Failure, Refusal};
+use crate::{Failure, unserved::Unserved};
 
 /// The endpoint that holds a stream while another one is looked for.
 #[derive(Debug)]
@@ -35,33 +36,6 @@
     }
 }
 
-/// An offer that counts as a possible run, unless it is dropped before it was
-/// sent.
-pub(super) struct CountedOffer {
-    runs: Arc<AtomicU32>,
-    is_sent: AtomicBool,
-    has_outcome: bool,
-}
-
-impl CountedOffer {
-    pub(super) fn is_sent(&self) -> &AtomicBool {
-        &self.is_sent
-    }
-
-    /// Leaves it to the outcome whether the offer counts.
-    pub(super) fn end(mut self) {
-        self.has_outcome = true;
-    }
-}
-
-impl Drop for CountedOffer {
-    fn drop(&mut self) {
-        if !self.has_outcome && !self.is_sent.load(Ordering::Relaxed) {
-            self.runs.fetch_sub(1, Ordering::Relaxed);
-        }
-    }
-}
-
 /// Time for which a request that is under way at a silent endpoint waits for a
 /// free slot elsewhere before it also queues: longer than most pauses of sound
 /// endpoints, so that those add nothing to the queues of others.
@@ -81,7 +55,7 @@
     pub(super) offers: u32,
     /// Offers that ran, may have run or are under way. All searches of a
     /// request share it, since one that is cancelled may leave a run.
-    possible_runs: Arc<AtomicU32>,
+    possible_runs: PossibleRuns,
     pub(super) resume_after: Option<u64>,
     /// The service and version that generated the events that the client has;
     /// none before the first event.
@@ -123,25 +97,20 @@
 
     /// Reports whether the request may run once more.
     pub(crate) fn allows_run(&self, route: &Route) -> bool {
-        self.possible_runs() < route.max_attempts()
+        self.possible_runs.count() < route.max_attempts()
     }
 
-    /// Returns the number of offers that ran, may have run or are under way.
-    pub(super) fn possible_runs(&self) -> u32 {
-        self.possible_runs.load(Ordering::Relaxed)
+    /// Returns the count of offers that ran, may have run or are under way.
+    pub(super) fn possible_runs(&self) -> &PossibleRuns {
+        &self.possible_runs
     }
 
     /// Counts an offer that begins.
-    pub(super) fn begin_offer(&mut self, endpoint: &str) -> CountedOffer {
+    pub(super) fn begin_offer(&mut self, endpoint: &str) -> OfferedRun {
         self.tried.push(endpoint.to_owned());
         self.under_way.push(endpoint.to_owned());
         self.offers += 1;
-        self.possible_runs.fetch_add(1, Ordering::Relaxed);
-        CountedOffer {
-            runs: self.possible_runs.clone(),
-            is_sent: AtomicBool::new(false),
-            has_outcome: false,
-        }
+        self.possible_runs.begin()
     }
 
     /// Records that all endpoints that have the request are silent.
@@ -179,22 +148,15 @@
         endpoint: &str,
         failure: Failure,
         route: &Route,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), Unserved> {
         self.under_way.retain(|id| id != endpoint);
-        if failure.is_known_not_run() {
-            self.possible_runs.fetch_sub(1, Ordering::Relaxed);
+        if failure.evidence().ran() == Ran::No {
             return Ok(());
         }
         if route.kind().is_repeatable() && self.allows_run(route) {
             return Ok(());
         }
-        Err(Refusal::unknown("the endpoint's answer is lost"))
-    }
-
-    pub(super) fn timeout_refusal(&self) -> Refusal {
-        match self.possible_runs() > 0 {
-            true => Refusal::timed_out("the time of the request is up"),
-            false => Refusal::not_run("the time of the request is up"),
-        }
+        let reason = "the endpoint's answer is lost";
+        Err(Unserved::lost(reason, failure.status()))
     }
 }
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -14,11 +14,14 @@
     time::Duration,
 };
 
+use execution::Evidence;
 use fleet::{Choice, ChooseError, Endpoint, FailureKind, SpeedClass};
 use tokio::time;
 
 use super::{Forwarder, OfferHistory, capacity::SEARCH_INTERVAL};
-use crate::{Counters, Exchange, Failure, Inbound, Refusal, answer::Sent};
+use crate::{
+    Counters, Exchange, Failure, Inbound, answer::Sent, unserved::Unserved,
+};
 
 /// Added to the timeout of an offer, so that the timer of the whole request
 /// fires first.
@@ -101,7 +104,7 @@
         request: &Arc<Inbound>,
         sent: &mut Sent,
         history: &mut OfferHistory,
-    ) -> Result<Exchange, Refusal> {
+    ) -> Result<Exchange, Unserved> {
         let mut offers = PendingOffers::default();
         let mut looks_elsewhere = false;
         loop {
@@ -150,7 +153,7 @@
         request: &Inbound,
         sent: &mut Sent,
         history: &mut OfferHistory,
-    ) -> Result<Option<Exchange>, Refusal> {
+    ) -> Result<Option<Exchange>, Unserved> {
         let id = ended.endpoint.record().id.as_str();
         match ended.outcome {
             Ok(exchange) => {
@@ -168,7 +171,7 @@
                 let result = history.record(id, failure, request.route());
                 if is_last {
                     result?;
-                    refuse_held(failure, history)?;
+                    check_held(failure)?;
                 }
             }
         }
@@ -199,16 +202,18 @@
         if sent.offers > 1 {
             Counters::add(&self.counters.retried);
         }
-        let counted = history.begin_offer(&endpoint.record().id);
+        let run = history.begin_offer(&endpoint.record().id);
         let resume_after = history.resume_after;
         let wait = request.remaining() + OFFER_MARGIN;
         let offered_to = endpoint.clone();
         let outcome = async move {
-            let is_sent = counted.is_sent();
             let outcome = self
-                .send_offer(request, &offered_to, resume_after, wait, is_sent)
+                .send_offer(request, &offered_to, resume_after, wait, &run)
                 .await;
-            counted.end();
+            run.settle(match &outcome {
+                Ok(_) => Evidence::MayHaveRun,
+                Err(failure) => failure.evidence(),
+            });
             outcome
         };
         PendingOffer {
@@ -298,18 +303,12 @@
     route.kind().is_repeatable() && history.allows_run(route)
 }
 
-/// Refuses a poison request. An earlier offer of this request may itself have
+/// Ends a poison request. An earlier offer of this request may itself have
 /// run at an endpoint that crashed.
-fn refuse_held(
-    failure: Failure,
-    history: &OfferHistory,
-) -> Result<(), Refusal> {
-    const REASON: &str = "endpoints crash when they run this request";
+fn check_held(failure: Failure) -> Result<(), Unserved> {
     let Failure::Held { for_ms } = failure else {
         return Ok(());
     };
-    Err(match history.possible_runs() {
-        0 => Refusal::not_run(REASON).with_retry_after_ms(for_ms),
-        _ => Refusal::unknown(REASON),
-    })
+    let reason = "endpoints crash when they run this request";
+    Err(Unserved::refused(reason).with_retry_after_ms(for_ms))
 }
--- a/crates/pass/src/forward/origin.rs
+++ b/crates/pass/src/forward/origin.rs
@@ -8,7 +8,7 @@
 use origins::{Beginning, Origin, Verdict};
 
 use super::{Forwarder, OfferHistory};
-use crate::{Counters, Exchange, Inbound, Refusal, answer::Sent};
+use crate::{Counters, Exchange, Inbound, answer::Sent, unserved::Unserved};
 
 /// Retry delay for a client whose stream's origin could not be found, in
 /// milliseconds; the retry usually reaches another node.
@@ -22,10 +22,10 @@
         request: &Arc<Inbound>,
         sent: &mut Sent,
         history: &mut OfferHistory,
-    ) -> Result<Exchange, Refusal> {
+    ) -> Result<Exchange, Unserved> {
         if request.route().kind().is_stream() && request.is_resume_malformed()
         {
-            return Err(Refusal::rejected(
+            return Err(Unserved::rejected(
                 StatusCode::BAD_REQUEST,
                 "the id of the last event is not a number",
             ));
@@ -40,7 +40,7 @@
     async fn find_origin(
         &self,
         request: &Inbound,
-    ) -> Result<Arc<VersionBinding>, Refusal> {
+    ) -> Result<Arc<VersionBinding>, Unserved> {
         let asked_at = Instant::now();
         let verdict = self.origins.find(request.resumed_stream()).await;
         self.counters.origin_find_ms.record(asked_at.elapsed());
@@ -57,7 +57,7 @@
                 if !self.is_certain(request, &beginning) =>
             {
                 Counters::add(&self.counters.origins_unknown);
-                Err(Refusal::not_run(
+                Err(Unserved::refused(
                     "another version may have begun the stream",
                 ))
             }
@@ -67,13 +67,13 @@
             }
             Verdict::Unknown => {
                 Counters::add(&self.counters.origins_unknown);
-                Err(Refusal::not_run(
+                Err(Unserved::refused(
                     "the version that began the stream is not known",
                 ))
             }
             Verdict::Unreachable => {
                 Counters::add(&self.counters.origins_unreachable);
-                let refusal = Refusal::not_run(
+                let refusal = Unserved::refused(
                     "the version that began the stream cannot be found now",
                 );
                 Err(refusal.with_retry_after_ms(ORIGIN_RETRY_MS))
@@ -106,13 +106,13 @@
         &self,
         request: &Inbound,
         binding: Arc<VersionBinding>,
-    ) -> Result<Arc<VersionBinding>, Refusal> {
+    ) -> Result<Arc<VersionBinding>, Unserved> {
         let mut destinations = request.route().destinations().iter();
         let is_allowed = destinations
             .any(|d| d.service == binding.service() && d.weight > 0);
         match is_allowed {
             true => Ok(binding),
-            false => Err(Refusal::not_run(
+            false => Err(Unserved::refused(
                 "the route no longer leads to the service of the stream",
             )),
         }
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -44,6 +44,7 @@
 mod shared_stream;
 mod shares;
 mod stream_timer;
+mod unserved;
 
 pub use crate::{
     answer::ResponseBody,
@@ -63,7 +64,7 @@
     observe::{LoadObserver, NoopObserver},
     origins::{LocalOrigins, OriginFuture, StreamOrigins},
     pool::{CallOutcome, Pool},
-    refusal::{Ran, Refusal},
+    refusal::Refusal,
     relay::Relay,
     request::{Inbound, read_body},
     returns::RetryAfterEstimator,
@@ -71,3 +72,4 @@
     shared_parts::SharedParts,
     shares::{FairShares, ShareMetrics},
 };
+pub use execution::Ran;
--- a/crates/pass/src/refusal.rs
+++ b/crates/pass/src/refusal.rs
@@ -1,19 +1,9 @@
-use std::fmt;
-
 use bytes::Bytes;
+use execution::Ran;
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::ResponseBody;
 
-/// Whether a request ran, as far as the node knows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ran {
-    /// The request did not run and never will.
-    No,
-    /// The request may have run.
-    Unknown,
-}
-
 /// A response of the node itself in place of one of an endpoint.
 ///
 /// # Example
@@ -38,19 +28,28 @@
 }
 
 impl Refusal {
-    /// Refuses a request that did not and will not run.
+    /// Refuses a request that was never offered to an endpoint, so that it
+    /// did not and will not run.
     pub fn not_run(reason: &'static str) -> Self {
         Self::new(StatusCode::SERVICE_UNAVAILABLE, reason, Ran::No)
     }
 
     /// Ends a request that may have run and has no response.
     pub fn unknown(reason: &'static str) -> Self {
-        Self::new(StatusCode::BAD_GATEWAY, reason, Ran::Unknown)
+        Self::ended(StatusCode::BAD_GATEWAY, reason)
     }
 
     /// Ends a request that may have run when its deadline passes.
     pub fn timed_out(reason: &'static str) -> Self {
-        Self::new(StatusCode::GATEWAY_TIMEOUT, reason, Ran::Unknown)
+        Self::ended(StatusCode::GATEWAY_TIMEOUT, reason)
+    }
+
+    /// Ends a request that may have run with a status that promises nothing.
+    pub(crate) const fn ended(
+        status: StatusCode,
+        reason: &'static str,
+    ) -> Self {
+        Self::new(status, reason, Ran::Unknown)
     }
 
     /// Rejects a request that no route allows or that exceeds a limit.
@@ -131,12 +130,3 @@
         response
     }
 }
-
-impl fmt::Display for Ran {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Ran::No => "no",
-            Ran::Unknown => "unknown",
-        })
-    }
-}
