Name connection, status and source of each offer and response in the logs

A request's way could not be read from the logs by its id: the line of a failed offer had neither connection nor status, the line of a request that is not served had no status, a malformed job call and a panic had no id.

Each connection is named by its local port and the number of the request on it. Failed offers, cut runs and misplaced responses name it, with the offer's number, the status that the endpoint gave and what that says about the run. The lines of an ended or unserved request tell whose status it is, whether the request may have run and how many copies may have. An error of an endpoint that is not handed on has a line of its own. No line is added for an ordinary request, and no key or message is changed.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -12,7 +12,8 @@
 use error_stack::{Report, ResultExt};
 use fleet::{Config, Route, RouteKind, TransferLimits};
 use http::{
-    HeaderValue, Request, Response, StatusCode, header, request::Parts,
+    HeaderName, HeaderValue, Request, Response, StatusCode, header,
+    request::Parts,
 };
 use hyper::body::Incoming;
 use jobs::{
@@ -228,12 +229,16 @@
             }
             Ok(None) => {}
             Err(error) => {
-                log::info!(error:%; "malformed job call");
+                log::info!(
+                    request_id = self.request_id(&parts),
+                    error:%;
+                    "malformed job call"
+                );
                 let refusal = Refusal::rejected(
                     StatusCode::BAD_REQUEST,
                     "the call is malformed",
                 );
-                return refusal.into_response();
+                return self.refuse(&parts, "", refusal);
             }
         }
         let route_result = self.find_route(&parts, arrived);
@@ -391,19 +396,24 @@
         refusal.with_retry_after_ms(UNAVAILABLE_RETRY_MS)
     }
 
+    /// Returns the id of a request, empty if it has none.
+    fn request_id<'a>(&self, parts: &'a Parts) -> &'a str {
+        let id = parts.headers.get(&self.forwarder.names().request_id);
+        id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     fn refuse(
         &self,
         parts: &Parts,
         customer: &str,
         refusal: Refusal,
     ) -> Response<ResponseBody> {
-        let id = parts.headers.get(&self.forwarder.names().request_id);
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         log::info!(
-            request_id = id,
+            request_id = self.request_id(parts),
             path = parts.uri.path(),
             status = refusal.status().as_u16(),
             reason = refusal.reason(),
+            ran:% = refusal.ran(),
             customer,
             config_version = self.config().map_or(0, |c| c.version),
             config_age_ms = self.cluster.config_age_ms();
@@ -458,8 +468,7 @@
         body: &[u8],
         accepted_by: AcceptedBy<'_>,
     ) -> Result<NewJob, Refusal> {
-        let id = parts.headers.get(&self.forwarder.names().request_id);
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = self.request_id(parts);
         let key: JobKey = id.parse().map_err(|_| {
             Refusal::rejected(
                 StatusCode::BAD_REQUEST,
@@ -615,4 +624,8 @@
     fn limits(&self) -> TransferLimits {
         self.0.limits()
     }
+
+    fn request_id(&self) -> Option<&HeaderName> {
+        Some(&self.0.forwarder.names().request_id)
+    }
 }
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -6,12 +6,13 @@
 };
 
 use bytes::Bytes;
+use execution::PossibleRuns;
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
 
 use crate::{
     Counters, Exchange, Inbound, IncompleteResponse, caller::ResetFlag,
-    resume::ResumedBody,
+    connection_use::ConnectionUse, resume::ResumedBody,
 };
 
 /// The body of a response to a client.
@@ -122,6 +123,12 @@
     pub(crate) config_version: u64,
     pub(crate) sent: Sent,
     pub(crate) status: u16,
+    /// Whose status it is: `endpoint`, `node`, or empty before the head.
+    source: &'static str,
+    /// The copies of the request that ran or may have run.
+    runs: PossibleRuns,
+    /// The connection of the endpoint's response.
+    pub(crate) connection: ConnectionUse,
     pub(crate) first_byte_ms: u64,
     pub(crate) resumed: u32,
     /// How the end of the endpoint's response is marked.
@@ -141,6 +148,7 @@
         request: Arc<Inbound>,
         counters: Arc<Counters>,
         config_version: u64,
+        runs: PossibleRuns,
     ) -> Self {
         Self {
             request,
@@ -148,6 +156,9 @@
             config_version,
             sent: Sent::default(),
             status: 0,
+            source: "",
+            runs,
+            connection: ConnectionUse::default(),
             first_byte_ms: 0,
             resumed: 0,
             framing: "",
@@ -164,9 +175,10 @@
         self.request.arrived().elapsed().as_millis() as u64
     }
 
-    /// Records the head of the response.
-    pub(crate) fn record_head(&mut self, status: u16) {
+    /// Records the head of the response, and whose response it is.
+    pub(crate) fn record_head(&mut self, status: u16, source: &'static str) {
         self.status = status;
+        self.source = source;
         self.first_byte_ms = self.age_ms();
         let age = self.request.arrived().elapsed();
         self.counters.first_byte_ms.record(age);
@@ -208,6 +220,11 @@
     }
 }
 
+/// Source of the status of an endpoint's response.
+pub(crate) const ENDPOINT: &str = "endpoint";
+/// Source of the status of a node's own response.
+pub(crate) const NODE: &str = "node";
+
 /// Outcome of a request with a complete response of an endpoint.
 pub(crate) const ANSWERED: &str = "answered";
 /// Outcome of a request that was refused and did not run.
@@ -232,6 +249,10 @@
             customer = self.request.customer(),
             outcome,
             status = self.status,
+            source = self.source,
+            ran:% = self.runs.ran(),
+            possible_runs = self.runs.count(),
+            connection:% = self.connection,
             endpoint = self.sent.endpoint.as_str(),
             version = self.sent.version.as_str(),
             resume_after = self.request.resume_after().unwrap_or(0),
--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -12,6 +12,7 @@
     Run, RunObserver,
     cause::connection_failure,
     channel::{Channel, closes_connection},
+    connection_use::CurrentConnection,
     stream_timer::StreamTimer,
 };
 
@@ -118,6 +119,8 @@
     pub permit: SendPermit,
     /// Is marked before the request is sent.
     pub run: &'a OfferedRun,
+    /// Number of the offer among those of the request, from 1.
+    pub number: u32,
 }
 
 /// A failure before the response head, with its cause as text for logs.
@@ -169,14 +172,17 @@
             run.hold(shares.use_slot(service, customer));
         }
         let in_flight = InFlightGuard(Some(endpoint));
-        let result = time::timeout(offer.wait, self.send(&offer)).await;
+        let current = CurrentConnection::default();
+        let sending = self.send(&offer, &current);
+        let result = time::timeout(offer.wait, sending).await;
+        run.set_connection(current.get());
         let silent = SendError::new(Failure::Silent, "no answer in time");
         let result = result.unwrap_or(Err(silent));
         match result {
             Ok((channel, response)) => self
                 .evaluate_response(&offer, in_flight, run, channel, response),
             Err(SendError { failure, cause }) => {
-                self.record_failure(&offer, failure, cause);
+                self.record_failure(&offer, &run, failure, cause);
                 if failure == Failure::Broken {
                     run.mark_interrupted("", cause);
                 }
@@ -185,12 +191,16 @@
         }
     }
 
-    async fn send(&self, offer: &Offer<'_>) -> Result<Answered, SendError> {
+    async fn send(
+        &self,
+        offer: &Offer<'_>,
+        current: &CurrentConnection,
+    ) -> Result<Answered, SendError> {
         // An idle connection may close just as it is reused. The request was
         // not written then, and a new connection is opened immediately.
         let id = offer.request.id();
         if let Some(channel) = self.pool.take_for(offer.endpoint, id) {
-            match self.send_on(channel, offer).await {
+            match self.send_on(channel, offer, current).await {
                 Err(error) if error.failure == Failure::NotSent => {}
                 result => return result,
             }
@@ -200,19 +210,21 @@
         let channel = channel.map_err(|error| {
             SendError::new(Failure::Connect, connect_failure(&error))
         })?;
-        self.send_on(channel, offer).await
+        self.send_on(channel, offer, current).await
     }
 
     async fn send_on(
         &self,
         mut channel: Channel,
         offer: &Offer<'_>,
+        current: &CurrentConnection,
     ) -> Result<Answered, SendError> {
         let closed = SendError::new(Failure::NotSent, "already closed");
         let id = &offer.endpoint.record().id;
         let outbound =
             offer.request.outbound(self.names, id, offer.resume_after);
         channel.mark_busy(self.pool.options(), offer.request.id());
+        current.set(channel.current());
         let mut channel = AbortOnDrop(Some(channel));
         let sender = match channel.0.as_mut() {
             Some(channel) => channel.sender(),
@@ -245,9 +257,9 @@
         let (head, body) = response.into_parts();
         let headers = &head.headers;
         let now = self.clock.now();
-        if !self.is_response_to(offer, &head) {
+        if !self.is_response_to(offer, &run, &head) {
             channel.abort();
-            self.record_failure(offer, Failure::WrongId, "by its id");
+            self.record_failure(offer, &run, Failure::WrongId, "by its id");
             return Err(Failure::WrongId);
         }
         let report = self.read_load_report(headers, offer);
@@ -261,6 +273,9 @@
             Counters::add(&self.counters.refusals_unproven);
         }
         run.record_head(head.status);
+        if let Some(failure) = failure {
+            self.record_failure(offer, &run, failure, "by its head");
+        }
         // From here on, the exchange decrements the in-flight count.
         if in_flight.0.take().is_none() {
             return Err(Failure::Broken);
@@ -287,10 +302,7 @@
                 exchange.report_if_complete();
                 Ok(exchange)
             }
-            Some(failure) => {
-                self.record_failure(offer, failure, "by its head");
-                Err(failure)
-            }
+            Some(failure) => Err(failure),
         }
     }
 
@@ -300,7 +312,12 @@
     /// the expected one; only the echoed id shows the difference. Until it is
     /// known, the response says nothing about the request, the endpoint or the
     /// connection.
-    fn is_response_to(&self, offer: &Offer<'_>, head: &Parts) -> bool {
+    fn is_response_to(
+        &self,
+        offer: &Offer<'_>,
+        run: &Run,
+        head: &Parts,
+    ) -> bool {
         let id = offer.request.id();
         let echoed = head.headers.get(&self.names.request_id);
         let is_own = match echoed {
@@ -314,7 +331,9 @@
                 request_id = id,
                 endpoint = offer.endpoint.record().id.as_str(),
                 responds_to = shorten(echoed.unwrap_or_default()),
-                status = head.status.as_u16();
+                status = head.status.as_u16(),
+                offer = offer.number,
+                connection:% = run.connection();
                 "a response belongs to another request"
             );
         }
@@ -346,6 +365,7 @@
     fn record_failure(
         &self,
         offer: &Offer<'_>,
+        run: &Run,
         failure: Failure,
         cause: &'static str,
     ) {
@@ -361,6 +381,10 @@
             version = offer.endpoint.version_text(),
             failure:? = failure,
             cause,
+            offer = offer.number,
+            connection:% = run.connection(),
+            status = failure.status().map_or(0, |status| status.as_u16()),
+            ran:% = failure.evidence().ran(),
             resume_after = offer.resume_after.unwrap_or(0),
             age_ms = offer.request.arrived().elapsed().as_millis() as u64;
             "an offer to an endpoint failed"
--- a/crates/pass/src/channel.rs
+++ b/crates/pass/src/channel.rs
@@ -13,7 +13,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
-use crate::shared_stream::{HeadBudget, SharedStream};
+use crate::{
+    connection_use::ConnectionUse,
+    shared_stream::{HeadBudget, SharedStream},
+};
 
 /// Limits of the connections to endpoints.
 ///
@@ -76,6 +79,8 @@
     max_idle: Option<Duration>,
     /// Id of the last request, empty if it had none.
     last_request: String,
+    /// The request that it carries.
+    current: ConnectionUse,
 }
 
 /// Sets the socket options that close a silent connection.
@@ -122,6 +127,7 @@
         let stream =
             time::timeout(wait, TcpStream::connect(address)).await??;
         set_silence_timeout(&stream, options.silence_ms)?;
+        let port = stream.local_addr()?.port();
         let stream = Arc::new(stream);
         let handle = Arc::downgrade(&stream);
         let head_budget = HeadBudget::default();
@@ -148,6 +154,7 @@
             idle_since: Instant::now(),
             max_idle: None,
             last_request: String::new(),
+            current: ConnectionUse { port, request: 0 },
         })
     }
 
@@ -155,11 +162,18 @@
         &mut self.sender
     }
 
-    /// Limits the head of the next response.
-    pub(crate) fn expect_head(&self) {
+    /// Counts a request that is about to be sent, and limits the head of its
+    /// response.
+    pub(crate) fn expect_head(&mut self) {
+        self.current.request = self.current.request.saturating_add(1);
         self.head_budget.set();
     }
 
+    /// Returns the request that the connection carries.
+    pub(crate) fn current(&self) -> ConnectionUse {
+        self.current
+    }
+
     /// Records that the head of a response has arrived, and the idle timeout
     /// that it announces.
     pub(crate) fn record_head(
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     IncompleteResponse, Pool, Run, cause::connection_failure,
-    channel::Channel, stream_timer::StreamTimer,
+    channel::Channel, connection_use::ConnectionUse,
+    stream_timer::StreamTimer,
 };
 
 /// A response of an endpoint that is being read.
@@ -94,6 +95,11 @@
         self.run.endpoint()
     }
 
+    /// Returns the connection of the response.
+    pub(crate) fn connection(&self) -> ConnectionUse {
+        self.run.connection()
+    }
+
     /// Returns whether the response was read to its end.
     #[inline]
     pub fn is_complete(&self) -> bool {
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -21,7 +21,9 @@
     Counters, Exchange, Failure, FairShares, HeaderNames, Inbound,
     LoadObserver, LocalOrigins, NoopObserver, Offer, Pool, Refusal,
     ResponseBody, RetryAfterEstimator, RunObserver, StreamOrigins,
-    answer::{FAILED, ForwardedBody, REFUSED, RequestLog, Sent},
+    answer::{
+        ENDPOINT, FAILED, ForwardedBody, NODE, REFUSED, RequestLog, Sent,
+    },
     attempt::Dispatcher,
     request::strip_hop_by_hop,
     resume::{Continuation, ResumedBody},
@@ -157,12 +159,13 @@
     ) -> Response<ResponseBody> {
         let request = Arc::new(request);
         let counters = self.counters.clone();
+        let mut history = OfferHistory::new(request.resume_after());
+        let runs = history.possible_runs().clone();
         let mut request_log =
-            RequestLog::new(request.clone(), counters, config_version);
+            RequestLog::new(request.clone(), counters, config_version, runs);
         if request.resume_after().is_some() {
             Counters::add(&self.counters.resumed_by_clients);
         }
-        let mut history = OfferHistory::new(request.resume_after());
         let ends_at = request.ends_at();
         let run = self.begin(&request, &mut request_log.sent, &mut history);
         let result = match time::timeout_at(ends_at.into(), run).await {
@@ -175,7 +178,8 @@
         match self.check_promise(&request, result, runs) {
             Ok(exchange) => self.respond(exchange, request_log, history),
             Err(refusal) => {
-                request_log.record_head(refusal.status().as_u16());
+                let status = refusal.status().as_u16();
+                request_log.record_head(status, NODE);
                 request_log.set_outcome(match refusal.ran() {
                     Ran::No => REFUSED,
                     Ran::Unknown => FAILED,
@@ -184,7 +188,10 @@
                     request_id = request.id(),
                     reason = refusal.reason(),
                     offers = history.offers,
-                    ran:% = refusal.ran();
+                    ran:% = refusal.ran(),
+                    status,
+                    source = NODE,
+                    possible_runs = history.possible_runs().count();
                     "a request is not served"
                 );
                 refusal.into_response()
@@ -229,7 +236,8 @@
         history: OfferHistory,
     ) -> Response<ResponseBody> {
         let kind = request_log.request.route().kind();
-        request_log.record_head(exchange.status().as_u16());
+        request_log.record_head(exchange.status().as_u16(), ENDPOINT);
+        request_log.connection = exchange.connection();
         request_log.framing = exchange.framing().as_str();
         if exchange.framing() == Framing::UntilClose {
             Counters::add(&self.counters.responses_until_close);
@@ -275,18 +283,19 @@
         wait: Duration,
     ) -> Result<Exchange, Failure> {
         let run = PossibleRuns::default().begin();
-        self.send_offer(request, endpoint, resume_after, wait, &run)
+        self.send_offer(request, endpoint, resume_after, wait, (&run, 1))
             .await
     }
 
-    /// Offers a request once; `run` is marked before it is sent.
+    /// Offers a request once; `run` is marked before it is sent. It has a
+    /// number among the offers of the request.
     async fn send_offer(
         &self,
         request: &Arc<Inbound>,
         endpoint: &Endpoint,
         resume_after: Option<u64>,
         wait: Duration,
-        run: &OfferedRun,
+        (run, number): (&OfferedRun, u32),
     ) -> Result<Exchange, Failure> {
         let permit = self.obtain_permit(request, endpoint).await;
         let permit = permit
@@ -298,6 +307,7 @@
             wait,
             permit,
             run,
+            number,
         };
         self.dispatcher().dispatch(offer).await
     }
--- a/crates/pass/src/forward/offers.rs
+++ b/crates/pass/src/forward/offers.rs
@@ -166,6 +166,14 @@
                     sent.offers = offers;
                     return Ok(Some(exchange));
                 }
+                log::info!(
+                    request_id = request.id(),
+                    endpoint = id,
+                    status = exchange.status().as_u16(),
+                    connection:% = exchange.connection(),
+                    others = !is_last;
+                    "an endpoint's error is not handed on"
+                );
             }
             Err(failure) => {
                 let result = history.record(id, failure, request.route());
@@ -202,13 +210,15 @@
         if sent.offers > 1 {
             Counters::add(&self.counters.retried);
         }
+        let number = history.offers + 1;
         let run = history.begin_offer(&endpoint.record().id);
         let resume_after = history.resume_after;
         let wait = request.remaining() + OFFER_MARGIN;
         let offered_to = endpoint.clone();
         let outcome = async move {
+            let counted = (&run, number);
             let outcome = self
-                .send_offer(request, &offered_to, resume_after, wait, &run)
+                .send_offer(request, &offered_to, resume_after, wait, counted)
                 .await;
             run.settle(match &outcome {
                 Ok(_) => Evidence::MayHaveRun,
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -21,6 +21,7 @@
 mod caller;
 mod cause;
 mod channel;
+mod connection_use;
 mod counters;
 mod customers;
 mod endpoint_speeds;
--- a/crates/pass/src/listen.rs
+++ b/crates/pass/src/listen.rs
@@ -12,7 +12,7 @@
 
 use error_stack::{Report, ResultExt};
 use fleet::TransferLimits;
-use http::{HeaderValue, Request, Response, Version, header};
+use http::{HeaderName, HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -39,6 +39,11 @@
 
     /// Returns the limits for a new connection.
     fn limits(&self) -> TransferLimits;
+
+    /// Returns the name of the header with the id of a request, for logs.
+    fn request_id(&self) -> Option<&HeaderName> {
+        None
+    }
 }
 
 /// The phase of a graceful shutdown.
@@ -200,7 +205,9 @@
     let stream = CallerStream::new(stream, reset.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let knows_chunks = request.version() != Version::HTTP_10;
-        let pending = PanicGuard::new(handler.handle(request));
+        let id = handler.request_id();
+        let id = id.and_then(|name| request.headers().get(name)).cloned();
+        let pending = PanicGuard::new(handler.handle(request), id);
         let (phase, reset) = (phase.clone(), reset.clone());
         async move {
             let mut response = pending.await;
--- a/crates/pass/src/resume.rs
+++ b/crates/pass/src/resume.rs
@@ -312,6 +312,7 @@
             Counters::add(&counters.streams_left_silent);
         }
         self.splitter.drop_partial();
+        self.request_log.connection = continuation.exchange.connection();
         self.source = Some(Box::new(continuation.exchange));
         self.restart_timer();
         log::info!(
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -10,7 +10,7 @@
 use http::StatusCode;
 use quarantine::{EvidenceKeys, RESPONSE_BEGINNING_MS};
 
-use crate::{Inbound, shares::SlotUse};
+use crate::{Inbound, connection_use::ConnectionUse, shares::SlotUse};
 
 /// Receives the outcomes of runs at endpoints.
 pub trait RunObserver: Send + Sync + 'static {
@@ -51,6 +51,7 @@
     observer: Arc<dyn RunObserver>,
     /// Counts the slot that the run uses, if customers have shares.
     slot: Option<SlotUse>,
+    connection: ConnectionUse,
 }
 
 impl Run {
@@ -74,9 +75,19 @@
             has_ended: false,
             observer,
             slot: None,
+            connection: ConnectionUse::default(),
         }
     }
 
+    pub(crate) fn set_connection(&mut self, connection: ConnectionUse) {
+        self.connection = connection;
+    }
+
+    /// Returns the connection on which the request was sent last.
+    pub(crate) fn connection(&self) -> ConnectionUse {
+        self.connection
+    }
+
     /// Holds a slot until the run is dropped.
     pub(crate) fn hold(&mut self, slot: SlotUse) {
         self.slot = Some(slot);
@@ -194,7 +205,8 @@
             resumed_after = self.resumed_after,
             reached = self.reached,
             framing,
-            cause;
+            cause,
+            connection:% = self.connection;
             "a run is cut off"
         );
         self.observer.interrupted(self);
