--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -1,13 +1,7 @@
-use std::{
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{io, sync::Arc, time::Duration};
 
 use base::{Clock, Millis};
+use execution::{Evidence, OfferedRun};
 use fleet::{Endpoint, EndpointSpeed, FailureKind, LoadReport};
 use http::{HeaderMap, StatusCode, header, response::Parts};
 use quarantine::SendPermit;
@@ -18,6 +12,7 @@
     Run, RunObserver,
     cause::connection_failure,
     channel::{Channel, closes_connection},
+    connection_use::CurrentConnection,
     stream_timer::StreamTimer,
 };
 
@@ -30,6 +25,10 @@
     NotSent,
     /// The endpoint reported that it did not run the request.
     NotExecuted(StatusCode),
+    /// The status and the statement of the endpoint contradict each other:
+    /// the status promises that the request did not run, and the endpoint
+    /// does not state so; or it states so with a success.
+    UnprovenRefusal(StatusCode),
     /// The connection broke after the request was written.
     Broken,
     /// No response arrived within the timeout of the offer.
@@ -48,22 +47,47 @@
 }
 
 impl Failure {
-    /// Returns whether the request is known not to have run.
+    /// Returns what the failure shows of the copy that was offered.
     ///
     /// # Example
     ///
     /// ```
+    /// use execution::Evidence;
     /// use pomeloslip_pass::Failure;
     ///
-    /// assert!(Failure::Connect.is_known_not_run());
-    /// assert!(!Failure::Broken.is_known_not_run());
+    /// assert_eq!(Failure::Connect.evidence(), Evidence::NotSent);
+    /// assert_eq!(Failure::Broken.evidence(), Evidence::MayHaveRun);
     /// ```
-    pub fn is_known_not_run(self) -> bool {
+    pub fn evidence(self) -> Evidence {
         match self {
-            Failure::Connect | Failure::NotSent => true,
-            Failure::NotExecuted(_) | Failure::Held { .. } => true,
-            Failure::Broken | Failure::Silent => false,
-            Failure::WrongId | Failure::NotSealed(_) => false,
+            Failure::Connect | Failure::NotSent => Evidence::NotSent,
+            Failure::Held { .. } => Evidence::NotSent,
+            Failure::NotExecuted(_) => Evidence::Declined,
+            Failure::UnprovenRefusal(_) => Evidence::MayHaveRun,
+            Failure::Broken | Failure::Silent => Evidence::MayHaveRun,
+            Failure::WrongId | Failure::NotSealed(_) => Evidence::MayHaveRun,
+        }
+    }
+
+    /// Returns the status of the endpoint's response to the request, if there
+    /// is one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use http::StatusCode;
+    /// use pomeloslip_pass::Failure;
+    ///
+    /// let failure = Failure::NotExecuted(StatusCode::TOO_MANY_REQUESTS);
+    /// assert_eq!(failure.status(), Some(StatusCode::TOO_MANY_REQUESTS));
+    /// assert_eq!(Failure::Broken.status(), None);
+    /// ```
+    pub fn status(self) -> Option<StatusCode> {
+        match self {
+            Failure::NotExecuted(status)
+            | Failure::UnprovenRefusal(status)
+            | Failure::NotSealed(status) => Some(status),
+            _ => None,
         }
     }
 
@@ -72,6 +96,10 @@
             Failure::Connect => FailureKind::Unreachable,
             Failure::Silent => FailureKind::Silent,
             Failure::NotExecuted(_) => FailureKind::Full,
+            Failure::UnprovenRefusal(
+                StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE,
+            ) => FailureKind::Full,
             _ => FailureKind::BadResponse,
         }
     }
@@ -89,8 +117,10 @@
     pub wait: Duration,
     /// Permit of the quarantine to send the request.
     pub permit: SendPermit,
-    /// Becomes true before the request is sent.
-    pub is_sent: &'a AtomicBool,
+    /// Is marked before the request is sent.
+    pub run: &'a OfferedRun,
+    /// Number of the offer among those of the request, from 1.
+    pub number: u32,
 }
 
 /// A failure before the response head, with its cause as text for logs.
@@ -142,14 +172,17 @@
             run.hold(shares.use_slot(service, customer));
         }
         let in_flight = InFlightGuard(Some(endpoint));
-        let result = time::timeout(offer.wait, self.send(&offer)).await;
+        let current = CurrentConnection::default();
+        let sending = self.send(&offer, &current);
+        let result = time::timeout(offer.wait, sending).await;
+        run.set_connection(current.get());
         let silent = SendError::new(Failure::Silent, "no answer in time");
         let result = result.unwrap_or(Err(silent));
         match result {
             Ok((channel, response)) => self
                 .evaluate_response(&offer, in_flight, run, channel, response),
             Err(SendError { failure, cause }) => {
-                self.record_failure(&offer, failure, cause);
+                self.record_failure(&offer, &run, failure, cause);
                 if failure == Failure::Broken {
                     run.mark_interrupted("", cause);
                 }
@@ -158,12 +191,16 @@
         }
     }
 
-    async fn send(&self, offer: &Offer<'_>) -> Result<Answered, SendError> {
+    async fn send(
+        &self,
+        offer: &Offer<'_>,
+        current: &CurrentConnection,
+    ) -> Result<Answered, SendError> {
         // An idle connection may close just as it is reused. The request was
         // not written then, and a new connection is opened immediately.
         let id = offer.request.id();
         if let Some(channel) = self.pool.take_for(offer.endpoint, id) {
-            match self.send_on(channel, offer).await {
+            match self.send_on(channel, offer, current).await {
                 Err(error) if error.failure == Failure::NotSent => {}
                 result => return result,
             }
@@ -173,25 +210,27 @@
         let channel = channel.map_err(|error| {
             SendError::new(Failure::Connect, connect_failure(&error))
         })?;
-        self.send_on(channel, offer).await
+        self.send_on(channel, offer, current).await
     }
 
     async fn send_on(
         &self,
         mut channel: Channel,
         offer: &Offer<'_>,
+        current: &CurrentConnection,
     ) -> Result<Answered, SendError> {
         let closed = SendError::new(Failure::NotSent, "already closed");
         let id = &offer.endpoint.record().id;
         let outbound =
             offer.request.outbound(self.names, id, offer.resume_after);
         channel.mark_busy(self.pool.options(), offer.request.id());
+        current.set(channel.current());
         let mut channel = AbortOnDrop(Some(channel));
         let sender = match channel.0.as_mut() {
             Some(channel) => channel.sender(),
             None => return Err(closed),
         };
-        offer.is_sent.store(true, Ordering::Relaxed);
+        offer.run.mark_sent();
         match sender.try_send_request(outbound).await {
             Ok(response) => match channel.0.take() {
                 Some(channel) => Ok((channel, response)),
@@ -218,9 +257,9 @@
         let (head, body) = response.into_parts();
         let headers = &head.headers;
         let now = self.clock.now();
-        if !self.is_response_to(offer, &head) {
+        if !self.is_response_to(offer, &run, &head) {
             channel.abort();
-            self.record_failure(offer, Failure::WrongId, "by its id");
+            self.record_failure(offer, &run, Failure::WrongId, "by its id");
             return Err(Failure::WrongId);
         }
         let report = self.read_load_report(headers, offer);
@@ -230,7 +269,13 @@
         channel.record_head(headers, self.pool.options());
         let reusable = !closes_connection(headers);
         let failure = check_response(head.status, headers, self.names);
+        if matches!(failure, Some(Failure::UnprovenRefusal(_))) {
+            Counters::add(&self.counters.refusals_unproven);
+        }
         run.record_head(head.status);
+        if let Some(failure) = failure {
+            self.record_failure(offer, &run, failure, "by its head");
+        }
         // From here on, the exchange decrements the in-flight count.
         if in_flight.0.take().is_none() {
             return Err(Failure::Broken);
@@ -257,10 +302,7 @@
                 exchange.report_if_complete();
                 Ok(exchange)
             }
-            Some(failure) => {
-                self.record_failure(offer, failure, "by its head");
-                Err(failure)
-            }
+            Some(failure) => Err(failure),
         }
     }
 
@@ -270,7 +312,12 @@
     /// the expected one; only the echoed id shows the difference. Until it is
     /// known, the response says nothing about the request, the endpoint or the
     /// connection.
-    fn is_response_to(&self, offer: &Offer<'_>, head: &Parts) -> bool {
+    fn is_response_to(
+        &self,
+        offer: &Offer<'_>,
+        run: &Run,
+        head: &Parts,
+    ) -> bool {
         let id = offer.request.id();
         let echoed = head.headers.get(&self.names.request_id);
         let is_own = match echoed {
@@ -284,7 +331,9 @@
                 request_id = id,
                 endpoint = offer.endpoint.record().id.as_str(),
                 responds_to = shorten(echoed.unwrap_or_default()),
-                status = head.status.as_u16();
+                status = head.status.as_u16(),
+                offer = offer.number,
+                connection:% = run.connection();
                 "a response belongs to another request"
             );
         }
@@ -316,6 +365,7 @@
     fn record_failure(
         &self,
         offer: &Offer<'_>,
+        run: &Run,
         failure: Failure,
         cause: &'static str,
     ) {
@@ -331,6 +381,10 @@
             version = offer.endpoint.version_text(),
             failure:? = failure,
             cause,
+            offer = offer.number,
+            connection:% = run.connection(),
+            status = failure.status().map_or(0, |status| status.as_u16()),
+            ran:% = failure.evidence().ran(),
             resume_after = offer.resume_after.unwrap_or(0),
             age_ms = offer.request.arrived().elapsed().as_millis() as u64;
             "an offer to an endpoint failed"
@@ -376,11 +430,17 @@
     headers: &HeaderMap,
     names: &HeaderNames,
 ) -> Option<Failure> {
-    if headers.contains_key(&names.not_executed)
-        || status == StatusCode::MISDIRECTED_REQUEST
-    {
+    // A request names the endpoint that it is for, and any other one answers
+    // with this status before it looks at the request.
+    let states_not_executed = headers.contains_key(&names.not_executed)
+        || status == StatusCode::MISDIRECTED_REQUEST;
+    let evidence = Evidence::of_response(status.as_u16(), states_not_executed);
+    if evidence == Evidence::Declined {
         return Some(Failure::NotExecuted(status));
     }
+    if states_not_executed || evidence.contradicts(status.as_u16()) {
+        return Some(Failure::UnprovenRefusal(status));
+    }
     let sealed = headers.contains_key(&names.seal);
     let encoded = headers.contains_key(header::CONTENT_ENCODING);
     let is_valid = (sealed || !status.is_success()) && !encoded;
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -21,6 +21,7 @@
 mod caller;
 mod cause;
 mod channel;
+mod connection_use;
 mod counters;
 mod customers;
 mod endpoint_speeds;
@@ -44,6 +45,7 @@
 mod shared_stream;
 mod shares;
 mod stream_timer;
+mod unserved;
 
 pub use crate::{
     answer::ResponseBody,
@@ -63,7 +65,7 @@
     observe::{LoadObserver, NoopObserver},
     origins::{LocalOrigins, OriginFuture, StreamOrigins},
     pool::{CallOutcome, Pool},
-    refusal::{Ran, Refusal},
+    refusal::Refusal,
     relay::Relay,
     request::{Inbound, read_body},
     returns::RetryAfterEstimator,
@@ -71,3 +73,4 @@
     shared_parts::SharedParts,
     shares::{FairShares, ShareMetrics},
 };
+pub use execution::Ran;
