Give up no item for a failure that broke off

An endpoint that stopped right after the head of a 422, or of a 500, made its item fail: a 422 gave it up at once, and a 500 counted as one of the attempts after which it is given up. Another endpoint could have completed the item.

Cause: a run took its outcome from the status alone and never read the body of a failure, so that a response whose length or chunks were missing, or whose connection was reset, counted as a whole one. Successes were read to their end.

The body of a failure is now read as well, and the outcome holds once it is complete; otherwise the run broke off, and the item is tried again. A silent body counts as broken off after the time that applies to any run. A connection is reused after a whole failure.

Both cases of a_cut_failure_counts_as_broken_off failed before, e.g. "plain, length, Close, 95: left (Rejected, 0), right (Broken(Connection), 0)" where the head has 95 bytes. Heads cut before their end were Broken before, and no cut head completed an item (a_cut_head_completes_no_item passed before). Now all tests of the package pass.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -292,11 +292,11 @@
         after: Option<u64>,
     ) -> RunOutcome {
         self.record_reception();
-        match exchange.status() {
-            status if status.is_success() => {}
-            StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Rejected,
-            status => return RunOutcome::Error(status),
-        }
+        let failure = match exchange.status() {
+            status if status.is_success() => None,
+            StatusCode::UNPROCESSABLE_ENTITY => Some(RunOutcome::Rejected),
+            status => Some(RunOutcome::Error(status)),
+        };
         let mut splitter = EventSplitter::new(after);
         let limit = Duration::from_millis(DEAD_AFTER_MS);
         loop {
@@ -304,6 +304,11 @@
             let cause = match time::timeout(limit, next).await {
                 Ok(Some(Ok(chunk))) => {
                     self.record_reception();
+                    // A failure that breaks off is none: it would give up an
+                    // item that another endpoint may complete.
+                    if failure.is_some() {
+                        continue;
+                    }
                     let split = splitter.push(chunk);
                     if !split.events.is_empty() {
                         let record = self.endpoint.record();
@@ -313,7 +318,7 @@
                     exchange.advance_to(splitter.last_id().unwrap_or(0));
                     continue;
                 }
-                Ok(None) => return RunOutcome::Complete,
+                Ok(None) => return failure.unwrap_or(RunOutcome::Complete),
                 Ok(Some(Err(_))) => BreakCause::Connection,
                 Err(_) => self.dead(),
             };
--- /dev/null
+++ b/crates/jobs/tests/cut_heads.rs
@@ -0,0 +1,198 @@
+//! Responses that break off in or right after their head, as the runs of
+//! items see them.
+
+#[path = "../../pass/tests/common/cut_server.rs"]
+mod cut_server;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use access::KeyHeaders;
+use base::{Snapshot, SystemClock};
+use cut_server::{
+    BreakOff, Connection, CutResponse, CutServer, cut_responses, each_end,
+};
+use fleet::{
+    Endpoint, EndpointRecord, EndpointState, EndpointTable, Route, RouteKind,
+};
+use http::{HeaderName, StatusCode};
+use pass::{
+    Counters, DirectoryView, Forwarder, ForwarderOptions, HeaderNames, Pool,
+};
+use pomeloslip_jobs::{
+    BreakCause, ItemInput, ItemRun, Progress, RunOutcome, SilenceClock,
+};
+use yare::parameterized;
+
+const ANSWER: &str = "id: 1\ndata: sound\n\n";
+
+/// A connection that is returned to the pool may not be ready yet, so that the
+/// next run opens another one; number of times that a test tries anew.
+const MAX_TRIES: usize = 200;
+
+const BROKEN: RunOutcome = RunOutcome::Broken(BreakCause::Connection);
+
+fn names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        request_id: name("x-id"),
+        deadline_ms: name("x-deadline"),
+        resume_after: name("x-resume"),
+        resumes: name("x-resumes"),
+        seal: name("x-seal"),
+        target: name("x-target"),
+        not_executed: name("x-not-run"),
+        load: name("x-load"),
+        prompt_parts: name("x-prompt"),
+        keys: KeyHeaders {
+            credential: name("x-key"),
+            customer: name("x-customer"),
+        },
+    }
+}
+
+/// A forwarder with connections of its own, and its only endpoint.
+fn worker(address: SocketAddr) -> (Arc<Forwarder>, Endpoint) {
+    let endpoint = Endpoint::new(EndpointRecord {
+        id: "e1".to_owned(),
+        started_at: None,
+        version: "v1".parse().ok(),
+        address,
+        service: "app".to_owned(),
+        failure_domain: "near".to_owned(),
+        slots: 4,
+        state: EndpointState::Ready,
+    });
+    let view = DirectoryView {
+        table: Arc::new(EndpointTable::new(vec![endpoint.clone()])),
+        revision: 1,
+    };
+    let forwarder = Forwarder::new(
+        names(),
+        ForwarderOptions::default(),
+        "near",
+        Arc::new(Snapshot::new(view)),
+        Arc::new(Pool::default().with_request_id(names().request_id)),
+        Arc::new(SystemClock::new()),
+        Arc::new(Counters::default()),
+    );
+    (Arc::new(forwarder), endpoint)
+}
+
+/// Runs an item; returns the outcome and the number of events.
+async fn run(
+    forwarder: &Arc<Forwarder>,
+    endpoint: &Endpoint,
+    id: &str,
+) -> (RunOutcome, u64) {
+    let progress = Progress::default();
+    let route = Route::new("r", "a.example", "/", "app");
+    let run = ItemRun {
+        input: ItemInput {
+            id: id.to_owned(),
+            path: "/batch/1".to_owned(),
+            headers: Vec::new(),
+            body: b"an item".to_vec(),
+            tokens: 100,
+            config_version: None,
+        },
+        host: "a.example".to_owned(),
+        route: Arc::new(route.with_kind(RouteKind::Batch)),
+        job: "job-1".parse().expect("a key"),
+        customer: None,
+        endpoint: endpoint.clone(),
+        progress: progress.clone(),
+        silence: SilenceClock::start(),
+    };
+    let outcome = run.run(forwarder).await;
+    (outcome, progress.events())
+}
+
+/// Runs an item at an endpoint that breaks off after some bytes.
+async fn run_part(
+    server: &CutServer,
+    connection: Connection,
+    bytes: &[u8],
+    break_off: BreakOff,
+) -> (RunOutcome, u64) {
+    server.break_off(bytes, break_off);
+    for _ in 0..MAX_TRIES {
+        let (forwarder, endpoint) = worker(server.address);
+        if connection == Connection::Kept {
+            server.complete_next(format!(
+                "HTTP/1.1 200 OK\r\nx-id: r0\r\nx-seal: s\r\n\
+                 content-length: {}\r\n\r\n{ANSWER}",
+                ANSWER.len()
+            ));
+            let first = run(&forwarder, &endpoint, "r0").await;
+            assert_eq!(first, (RunOutcome::Complete, 1));
+        }
+        server.take_requests();
+        let outcome = run(&forwarder, &endpoint, "r1").await;
+        let sent = server.take_requests();
+        assert_eq!(sent.len(), 1, "sent once");
+        if (sent[0] > 1) == (connection == Connection::Kept) {
+            return outcome;
+        }
+    }
+    panic!("no connection was kept");
+}
+
+fn responses() -> Vec<CutResponse> {
+    cut_responses("x-id: r1\r\nx-seal: 3e1b.07\r\n")
+}
+
+/// Guards against an item that is listed without its output: an endpoint
+/// breaks off inside or right after the head of its response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_cut_head_completes_no_item() {
+    each_end(responses(), |response, connection, break_off| async move {
+        let server = CutServer::start().await;
+        for cut in 0..=response.head.len() {
+            let bytes = &response.head.as_bytes()[..cut];
+            let outcome =
+                run_part(&server, connection, bytes, break_off).await;
+            let name = &response.name;
+            assert_eq!(outcome, (BROKEN, 0), "{name}, {break_off:?}, {cut}");
+        }
+    })
+    .await;
+}
+
+/// Guards against an item that is given up without a whole response that says
+/// so: the endpoint breaks off inside or right after the head of its failure.
+#[parameterized(
+    rejected = { "422 Never", RunOutcome::Rejected },
+    failed = {
+        "500 Failed", RunOutcome::Error(StatusCode::INTERNAL_SERVER_ERROR)
+    },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 4))]
+async fn a_cut_failure_counts_as_broken_off(
+    status: &'static str,
+    whole: RunOutcome,
+) {
+    let responses = responses().into_iter().map(|response| CutResponse {
+        head: response.head.replace("200 OK", status),
+        ..response
+    });
+    let responses = responses.collect();
+    each_end(responses, |response, connection, break_off| async move {
+        let server = CutServer::start().await;
+        for cut in 0..=response.head.len() {
+            let bytes = &response.head.as_bytes()[..cut];
+            let outcome =
+                run_part(&server, connection, bytes, break_off).await;
+            let is_whole = response.is_whole_if_empty
+                && cut == response.head.len()
+                && break_off == BreakOff::Close;
+            let want = if is_whole { whole } else { BROKEN };
+            let name = &response.name;
+            assert_eq!(outcome, (want, 0), "{name}, {break_off:?}, {cut}");
+        }
+        let bytes = response.head.clone() + &response.body;
+        let end = BreakOff::Close;
+        let outcome = run_part(&server, connection, bytes.as_bytes(), end);
+        assert_eq!(outcome.await, (whole, 0), "{}", response.name);
+    })
+    .await;
+}
