Take no order for obeyed whose answer broke off

An endpoint that stopped right after the head of its answer to an order made the order count as obeyed (200), or as overtaken by a newer one (409), after which it is not sent again.

Cause: the client decided by the status and never read the body, so that a body whose length or chunks were missing, or whose connection was reset, counted as whole. Answers to calls and health checks were read to their end.

The answer to an order is now read and checked like that to a health check. Without its end, the order has failed, and may be repeated.

Both cases of a_cut_head_is_no_answer_to_an_order failed before, e.g. "plain, until close, Reset, 45: left None, right Some(Failed)" where the head has 45 bytes. Calls and health checks gave no cut head out as an answer before (a_cut_head_is_no_answer, a_cut_head_is_no_health). Now all tests of the package pass. The test server tries 32 responses at a time, since the client waits after each break to see whether the endpoint crashed.

--- a/crates/pass/tests/common/cut_server.rs
+++ b/crates/pass/tests/common/cut_server.rs
@@ -240,7 +240,7 @@
 }
 
 /// Number of responses that a test tries at the same time.
-const CONCURRENT_RESPONSES: usize = 8;
+const CONCURRENT_RESPONSES: usize = 32;
 
 /// Runs a check of each response on each connection and with each end.
 pub(crate) async fn each_end<F>(
--- a/crates/upstream/src/control.rs
+++ b/crates/upstream/src/control.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use reqwest::{Response, StatusCode};
 use tokio::time::timeout;
 use wire::message::{Order, Refusal, RefusalKind};
 
@@ -48,13 +50,25 @@
     }
 }
 
+/// Reads an answer to its end; `None` if its content shows that it broke off.
+async fn read_whole(
+    reply: Response,
+) -> Result<Option<(StatusCode, Bytes)>, reqwest::Error> {
+    let status = reply.status();
+    let mut check = body_check(&reply, false);
+    let body = reply.bytes().await?;
+    check.push(&body);
+    Ok(check.finish().is_ok().then_some((status, body)))
+}
+
 impl EndpointClient {
     /// Sends an order to the endpoint.
     ///
     /// # Errors
     ///
-    /// A refusal with the endpoint's reason. An order that timed out may or
-    /// may not have been applied; orders are idempotent and can be repeated.
+    /// A refusal with the endpoint's reason. An order that timed out, or whose
+    /// answer broke off, may or may not have been applied; orders are
+    /// idempotent and can be repeated.
     pub async fn order(&self, order: &Order) -> Result<(), Refusal> {
         let mut body: serde_json::Value = serde_json::from_slice(&order.body)
             .map_err(|error| {
@@ -63,16 +77,20 @@
         body["fence"] = order.fence.into();
         body["kind"] = order.kind.clone().into();
         let url = self.address.join("/orders");
-        let call = self.unpooled.post(url).json(&body).send();
+        let call = async {
+            let reply = self.unpooled.post(url).json(&body).send().await?;
+            read_whole(reply).await
+        };
         let failed =
             |detail: String| Refusal::new(RefusalKind::Failed, detail);
         match timeout(self.first_byte_timeout, call).await {
-            Ok(Ok(reply)) if reply.status().is_success() => Ok(()),
-            Ok(Ok(reply)) if reply.status().as_u16() == 409 => {
+            Ok(Ok(Some((status, _)))) if status.is_success() => Ok(()),
+            Ok(Ok(Some((StatusCode::CONFLICT, _)))) => {
                 let why = "the endpoint has obeyed a newer order";
                 Err(Refusal::new(RefusalKind::StaleFence, why))
             }
-            Ok(Ok(reply)) => Err(failed(format!("{}", reply.status()))),
+            Ok(Ok(Some((status, _)))) => Err(failed(status.to_string())),
+            Ok(Ok(None)) => Err(failed("the answer broke off".to_owned())),
             Ok(Err(error)) => Err(failed(error.to_string())),
             Err(_) => Err(failed("no answer in time".to_owned())),
         }
@@ -91,10 +109,7 @@
             if !reply.status().is_success() {
                 return None;
             }
-            let mut check = body_check(&reply, false);
-            let body = reply.bytes().await.ok()?;
-            check.push(&body);
-            check.finish().ok()?;
+            let (_, body) = read_whole(reply).await.ok()??;
             Some(EndpointIncarnation::from_health_response(&body))
         };
         timeout(wait, check).await.ok().flatten()
