Give no promising status with a problem that may have run

Cause: a problem document took the status of its kind, also where it says 'ran: unknown'. An operator whose change may have been made got 503, which promises that it was not.

Change: Ran is that of the execution crate, and the status of a problem goes through it: 503 becomes 502 where the request may have run.

Measured: the new test in web, serving, got 503 before and gets 502 now.

--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -8,8 +8,10 @@
 mod problem;
 mod status;
 
+pub use execution::Ran;
+
 pub use crate::{
     launch::{HttpServer, LaunchError, LaunchOptions, launch},
-    problem::{Problem, ProblemKind, Ran, catchers, record_problem},
+    problem::{Problem, ProblemKind, catchers, record_problem},
     status::{ActiveRequest, Phase, ServiceState, health_routes},
 };
--- a/crates/web/src/problem.rs
+++ b/crates/web/src/problem.rs
@@ -1,25 +1,15 @@
 use std::{fmt, io::Cursor};
 
+use execution::Ran;
 use rocket::{
     Catcher, Request, Response, catch, catchers,
     http::{ContentType, Header, Status},
     response::{Responder, Result as RocketResult},
 };
-use serde::Serialize;
 
 /// Prefix of the `type` URI of each problem document.
 const TYPE_PREFIX: &str = "urn:pomeloslip:problem:";
 
-/// Whether a request that failed was executed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Ran {
-    /// The request was certainly not executed.
-    No,
-    /// The request may have been executed.
-    Unknown,
-}
-
 macro_rules! kinds {
     ($($(#[$doc:meta])* $name:ident, $slug:literal, $status:literal,
         $title:literal;)*) => {
@@ -149,7 +139,18 @@
         self
     }
 
-    /// Sets whether the request was executed.
+    /// Sets whether the request was executed. A problem of a request that may
+    /// have been executed has no status that promises otherwise.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_web::{Problem, ProblemKind, Ran};
+    ///
+    /// let problem = Problem::new(ProblemKind::Overloaded, "all are busy");
+    /// assert_eq!(problem.clone().ran(Ran::No).http_status(), 503);
+    /// assert_eq!(problem.ran(Ran::Unknown).http_status(), 502);
+    /// ```
     pub fn ran(mut self, ran: Ran) -> Self {
         self.ran = Some(ran);
         self
@@ -177,6 +178,15 @@
         self.kind
     }
 
+    /// Returns the HTTP status of the response.
+    #[inline]
+    pub fn http_status(&self) -> u16 {
+        match self.ran {
+            Some(ran) => ran.status(self.status),
+            None => self.status,
+        }
+    }
+
     /// Returns whether the request was executed, if that is stated.
     #[inline]
     pub fn ran_status(&self) -> Option<Ran> {
@@ -188,7 +198,7 @@
         let mut json = serde_json::json!({
             "type": format!("{TYPE_PREFIX}{}", self.kind.slug()),
             "title": self.kind.title(),
-            "status": self.status,
+            "status": self.http_status(),
             "detail": self.detail,
         });
         if let Some(ran) = self.ran {
@@ -217,7 +227,7 @@
         let body = self.to_json().to_string();
         let mut response = Response::build();
         response
-            .status(Status::new(self.status))
+            .status(Status::new(self.http_status()))
             .header(ContentType::new("application", "problem+json"))
             .sized_body(body.len(), Cursor::new(body));
         if let Some(ms) = self.retry_after_ms {
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -18,6 +18,12 @@
         .retry_after_ms(1_200)
 }
 
+#[get("/lost")]
+fn lost() -> Problem {
+    Problem::new(ProblemKind::PlatformDown, "the change may be made")
+        .ran(Ran::Unknown)
+}
+
 #[post("/echo", data = "<body>")]
 fn echo(body: Json<String>) -> String {
     body.into_inner()
@@ -28,7 +34,7 @@
     let rocket = rocket::build()
         .manage(state.clone())
         .mount("/", health_routes())
-        .mount("/", routes![full, echo])
+        .mount("/", routes![full, lost, echo])
         .register("/", catchers());
     let options = LaunchOptions::new(listen).body_max_bytes(16);
     launch(rocket, options).await.unwrap()
@@ -55,6 +61,18 @@
     assert_eq!(state.phase(), Phase::Draining);
 }
 
+/// Guards against a caller that repeats a change since the status promises that
+/// it was not made, while the document leaves this open.
+#[tokio::test]
+async fn a_problem_that_leaves_open_whether_it_ran_promises_nothing() {
+    let served = serve(&ServiceState::default()).await;
+    let reply = get(&served, "/lost").await;
+    assert_eq!(reply.status(), StatusCode::BAD_GATEWAY);
+    let json: serde_json::Value = reply.json().await.unwrap();
+    assert_eq!(json["status"], 502);
+    assert_eq!(json["ran"], "unknown");
+}
+
 #[tokio::test]
 async fn a_problem_has_its_type_and_retry_after() {
     let served = serve(&ServiceState::default()).await;
