Do not follow redirects of endpoints

Cause: the HTTP client followed a 307 or 308 of an endpoint with the whole request, so that a call which may run only once was sent twice. If nobody listened at the new place, the call counted as not sent although the first endpoint had it: the caller got 503, 'ran: no'.

Change: a redirect is the endpoint's answer and goes to the caller.

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -5,7 +5,10 @@
 use error_stack::{Report, ResultExt};
 use framing::{BodyCheck, Content, Framing};
 use quarantine::has_crashed;
-use reqwest::{Client, ClientBuilder, Method, Response, header::HeaderMap};
+use reqwest::{
+    Client, ClientBuilder, Method, Response, header::HeaderMap,
+    redirect::Policy,
+};
 use tokio::time::{Instant, timeout};
 use wire::{
     FrameSender,
@@ -334,6 +337,8 @@
 /// probes; one whose endpoint is silent is alive to them.
 fn probed_connections() -> ClientBuilder {
     let builder = Client::builder()
+        // Following one would send a call again that may have run.
+        .redirect(Policy::none())
         .tcp_keepalive(KEEP_ALIVE_IDLE)
         .tcp_keepalive_interval(KEEP_ALIVE_INTERVAL)
         .tcp_keepalive_retries(KEEP_ALIVE_PROBES);
