Leave the outcome of a write open whose refusal broke off

A write counted as refused, so that it could be made otherwise, although it may have been applied: the gateway of the key-value service stopped after the head of a 4xx, and the status alone decided.

Cause: failed_status dropped the error of reading the body. The error counts as a lost response now, as it does for a success.

--- a/crates/kv/src/etcd/transport.rs
+++ b/crates/kv/src/etcd/transport.rs
@@ -347,7 +347,13 @@
 
 async fn failed_status(response: Response, effect: Effect) -> Failure {
     let status = response.status();
-    let body = response.bytes().await.unwrap_or_default();
+    let body = match response.bytes().await {
+        Ok(body) => body,
+        Err(error) => {
+            let reason = format!("status {status}, and its body: {error}");
+            return Failure::Lost(effect.lost_response().attach(reason));
+        }
+    };
     let excerpt: String = String::from_utf8_lossy(&body)
         .chars()
         .take(MAX_EXCERPT_CHARS)
