Hand on no promising status of an engine, and take no word of a companion that contradicts itself

An engine that ran a call and answered 408, 421, 429 or 503 had its status passed on to the caller, who repeats a call after it. Engines of this interface cannot state that they did not run a call. A companion that said 'did not run' after a head, after chunks, or with an end other than 'not sent' was believed: the call was sent to another endpoint, or refused.

Only 'not sent' before anything else says that an endpoint did not get the call.

--- a/crates/entry/src/forward/start.rs
+++ b/crates/entry/src/forward/start.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use execution::Evidence;
 use wire::{
     Run,
-    message::{Frame, Header, OutcomeKind},
+    message::{Frame, Header, Outcome, OutcomeKind, RefusalKind},
 };
 
 use super::attempt::{
-    Attempt, BufferedReply, Reply, StreamingReply, incomplete, lost,
+    Attempt, BufferedReply, Reply, StreamingReply, incomplete, lost, promised,
 };
 use crate::{body::Framing, fleet::Flight, shared::Shared};
 
@@ -32,6 +33,11 @@
         Some(Frame::End(outcome)) => return incomplete(&flight, outcome),
         _ => return lost(&flight, "the link to the companion broke"),
     };
+    // Endpoints of this interface cannot state that they did not run a call.
+    if Evidence::of_response(status, false).contradicts(status) {
+        flight.record_refusal(RefusalKind::Full);
+        return promised(status);
+    }
     flight.record_head(status);
     let mut next_seq = 0;
     let first = loop {
@@ -46,7 +52,7 @@
                 if outcome.kind == OutcomeKind::Complete {
                     break None;
                 }
-                return incomplete(&flight, outcome);
+                return incomplete(&flight, begun(outcome));
             }
             _ => {
                 let reason = "the answer broke before its first part";
@@ -80,6 +86,15 @@
     }
 }
 
+/// Returns the outcome of a call of which the head has arrived: whatever its
+/// companion says, the endpoint had it.
+fn begun(outcome: Outcome) -> Outcome {
+    Outcome {
+        ran: true,
+        ..outcome
+    }
+}
+
 /// Reports whether a chunk is a comment of an event stream, which an engine
 /// sends as a keep-alive. Forwarding it would start the response, after which
 /// the call can no longer go to another endpoint.
@@ -128,7 +143,7 @@
                 {
                     break;
                 }
-                return incomplete(&flight, outcome);
+                return incomplete(&flight, begun(outcome));
             }
             _ => return lost(&flight, "the answer broke"),
         }
