Never refuse a job that a worker may have kept

Callers saw 503, which promises that no part of the job runs, for a job of which a worker had a copy on disk or under way; the worker writes it to the ledger later and it runs.

Cause: a worker that did not respond was asked once more, and its second response replaced the first. If it was then gone, full, busy or had another job of that id, nothing recorded the first copy any more.

Change: the write to the ledger and each request to a worker are offers of one `PossibleRuns`. A copy counts until evidence of that very copy shows that it is not kept, so that a later response takes back none before it. If any may be kept, the error is OutcomeUnknown (502). A write task that panics now counts as unknown; before, its handle was awaited twice. The line 'cannot accept a job' also has `status`, `ran`, `ledger` and `workers`, which lists each worker asked with its response.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -443,10 +443,19 @@
                 );
                 json(StatusCode::ACCEPTED, b"{}".to_vec())
             }
-            Err(report) => {
+            Err(failure) => {
+                let report = failure.report;
+                let ledger = failure.ledger.map(|error| error.to_string());
                 let refusal = refusal_for(*report.current_context());
-                log::info!(request_id = key.as_str(), error:? = report;
-                    "cannot accept a job");
+                log::info!(
+                    request_id = key.as_str(),
+                    error:? = report,
+                    status = refusal.status().as_u16(),
+                    ran = failure.ran.as_str(),
+                    ledger = ledger.as_deref().unwrap_or_default(),
+                    workers:% = failure.workers;
+                    "cannot accept a job"
+                );
                 self.refuse(parts, name, refusal)
             }
         }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,14 +1,18 @@
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use error_stack::Report;
+use execution::{Evidence, OfferedRun, PossibleRuns, Ran};
 use jobs::{
     JobError, JobView, Ledger, ManifestSource, NewJob, StoredManifest,
 };
-use tokio::{task::JoinHandle, time};
+use tokio::{
+    task::{JoinError, JoinHandle},
+    time,
+};
 
 use crate::{
     job_push::JobPush,
-    job_spool::{SpoolClient, Spooled},
+    job_spool::{SpoolClient, SpoolResponse},
 };
 
 /// Storage of an accepted job.
@@ -20,6 +24,35 @@
     Spool,
 }
 
+/// A job that is not accepted.
+#[derive(Debug)]
+pub(crate) struct NotAccepted {
+    /// The error, which is [`JobError::OutcomeUnknown`] if the job may be kept
+    /// somewhere.
+    pub(crate) report: Report<JobError>,
+    /// Whether the job may be kept somewhere, and may run then.
+    pub(crate) ran: Ran,
+    /// The error of the write to the ledger; `None` if none was made.
+    pub(crate) ledger: Option<JobError>,
+    /// The responses of the workers that were asked to spool the job.
+    pub(crate) workers: WorkersAsked,
+}
+
+/// The responses of the workers that were asked to spool a job, in order.
+#[derive(Debug, Default)]
+pub(crate) struct WorkersAsked(Vec<SpoolResponse>);
+
+impl fmt::Display for WorkersAsked {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, SpoolResponse { node, outcome }) in self.0.iter().enumerate()
+        {
+            let separator = if at == 0 { "" } else { ", " };
+            write!(f, "{separator}{node} {outcome:?}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Accepts jobs on behalf of a front.
 pub(crate) struct JobIntake {
     ledger: Ledger,
@@ -52,71 +85,105 @@
     ///
     /// # Errors
     ///
-    /// As [`Ledger::accept`]; also [`JobError::OutcomeUnknown`] if a worker
-    /// may have spooled the job, since it may run then.
+    /// As [`Ledger::accept`]; also [`JobError::OutcomeUnknown`] if any place
+    /// that was asked to keep the job may do so, since it may run then.
     pub(crate) async fn accept(
         &self,
         job: NewJob,
         ledger_wait_ms: u64,
-    ) -> Result<Accepted, Report<JobError>> {
+    ) -> Result<Accepted, NotAccepted> {
         // A spooled job that the ledger can never store would be lost.
-        self.ledger.check_size(&job)?;
+        if let Err(report) = self.ledger.check_size(&job) {
+            return Err(NotAccepted {
+                report,
+                ran: Ran::No,
+                ledger: None,
+                workers: WorkersAsked::default(),
+            });
+        }
+        let kept = PossibleRuns::default();
         // A separate task: a write that the key-value service applies after
         // the timeout is still processed.
-        let mut write = self.start_ledger_write(job.clone());
+        let mut write = self.start_ledger_write(job.clone(), kept.begin());
         let timeout = Duration::from_millis(ledger_wait_ms);
-        let written = time::timeout(timeout, &mut write).await.ok();
-        if let Some(Ok(result)) = written {
-            match result {
-                Ok(stored) => return Ok(Accepted::Ledger(stored.revision)),
-                Err(report) if !may_be_spooled(*report.current_context()) => {
-                    return Err(report);
+        let pending = match time::timeout(timeout, &mut write).await {
+            Ok(ended) => Err(result_of(ended)),
+            Err(_) => Ok(write),
+        };
+        let workers = match &pending {
+            Err(Ok(stored)) => return Ok(Accepted::Ledger(stored.revision)),
+            Err(Err(report)) if !may_be_spooled(*report.current_context()) => {
+                WorkersAsked::default()
+            }
+            Err(Err(_)) | Ok(_) => {
+                let asked = self.spool.spool(&job, &self.view, &kept).await;
+                if asked.is_safe {
+                    return Ok(Accepted::Spool);
                 }
-                Err(report) => return self.spool_job(&job, Err(report)).await,
+                WorkersAsked(asked.responses)
             }
-        }
-        self.spool_job(&job, Ok(write)).await
+        };
+        let result = match pending {
+            Err(result) => result,
+            Ok(write) => result_of(write.await),
+        };
+        let report = match result {
+            Ok(stored) => return Ok(Accepted::Ledger(stored.revision)),
+            Err(report) => report,
+        };
+        let (ran, ledger) = (kept.ran(), *report.current_context());
+        Err(NotAccepted {
+            report: match ran {
+                Ran::Unknown => {
+                    report.change_context(JobError::OutcomeUnknown)
+                }
+                Ran::No => report,
+            },
+            ran,
+            ledger: Some(ledger),
+            workers,
+        })
     }
 
-    fn start_ledger_write(&self, job: NewJob) -> LedgerWrite {
+    fn start_ledger_write(
+        &self,
+        job: NewJob,
+        offered: OfferedRun,
+    ) -> LedgerWrite {
         let (ledger, manifests) =
             (self.ledger.clone(), self.manifests.clone());
         let push = self.push.clone();
         tokio::spawn(async move {
             let key = job.key.clone();
-            let stored = ledger.accept(job).await?;
+            offered.mark_sent();
+            let result = ledger.accept(job).await;
+            offered.settle(evidence_of(&result));
+            let stored = result?;
             manifests.note(&key, &stored);
             push.send(&key, &stored);
             Ok(stored)
         })
     }
+}
 
-    /// Has workers spool a job whose ledger write failed or is in progress.
-    async fn spool_job(
-        &self,
-        job: &NewJob,
-        ledger_write: Result<LedgerWrite, Report<JobError>>,
-    ) -> Result<Accepted, Report<JobError>> {
-        let spooled = self.spool.spool(job, &self.view).await;
-        if spooled == Spooled::Safe {
-            return Ok(Accepted::Spool);
-        }
-        let report = match ledger_write {
-            Err(report) => report,
-            Ok(write) => match write.await {
-                Ok(Ok(stored)) => {
-                    return Ok(Accepted::Ledger(stored.revision));
-                }
-                Ok(Err(report)) => report,
-                Err(_) => Report::new(JobError::OutcomeUnknown),
-            },
-        };
-        match spooled {
-            Spooled::Maybe => {
-                Err(report.change_context(JobError::OutcomeUnknown))
-            }
-            _ => Err(report),
+/// Returns the result of a write that has ended. It is not known how far a
+/// task got that panicked.
+fn result_of(
+    ended: Result<Result<StoredManifest, Report<JobError>>, JoinError>,
+) -> Result<StoredManifest, Report<JobError>> {
+    ended.unwrap_or_else(|error| {
+        let report = Report::new(JobError::OutcomeUnknown);
+        Err(report.attach(error.to_string()))
+    })
+}
+
+/// Returns what the result of a write tells about the job in the ledger.
+fn evidence_of(result: &Result<StoredManifest, Report<JobError>>) -> Evidence {
+    match result.as_ref().map_err(|report| *report.current_context()) {
+        Err(JobError::NotDone | JobError::TooLarge | JobError::Conflict) => {
+            Evidence::Declined
         }
+        Ok(_) | Err(_) => Evidence::MayHaveRun,
     }
 }
 
@@ -125,3 +192,7 @@
 fn may_be_spooled(error: JobError) -> bool {
     matches!(error, JobError::NotDone | JobError::OutcomeUnknown)
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/intake.rs"]
+mod tests;
--- a/crates/node/src/job_spool.rs
+++ b/crates/node/src/job_spool.rs
@@ -18,6 +18,7 @@
 use base::{Clock, Customer, Millis, mix, stable_hash};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use execution::{Evidence, OfferedRun, PossibleRuns};
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
 use jobs::{
@@ -76,6 +77,33 @@
     No,
 }
 
+impl Spooled {
+    fn evidence(self) -> Evidence {
+        match self {
+            Spooled::Safe | Spooled::Maybe => Evidence::MayHaveRun,
+            Spooled::No => Evidence::Declined,
+        }
+    }
+}
+
+/// What one worker responded to a request to spool a job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct SpoolResponse {
+    /// The worker.
+    pub(crate) node: String,
+    /// The result of the request.
+    pub(crate) outcome: Spooled,
+}
+
+/// What all workers responded to the requests to spool a job.
+#[derive(Debug, Default)]
+pub(crate) struct SpoolResponses {
+    /// Whether enough disks have the job, so that it may be accepted.
+    pub(crate) is_safe: bool,
+    /// The responses, in the order of the requests.
+    pub(crate) responses: Vec<SpoolResponse>,
+}
+
 /// Has workers spool jobs.
 #[derive(Debug)]
 pub(crate) struct SpoolClient {
@@ -103,7 +131,16 @@
     /// The owner is chosen by a hash of the job. Spooled jobs are in no view,
     /// so during an outage of the key-value service the node with the fewest
     /// open items stays the same and would get all jobs.
-    pub(crate) async fn spool(&self, job: &NewJob, view: &JobView) -> Spooled {
+    ///
+    /// `kept` counts the copies of the job that a worker may have on disk. A
+    /// later response of the same worker takes none of them back: the copy
+    /// that was sent before it may still arrive.
+    pub(crate) async fn spool(
+        &self,
+        job: &NewJob,
+        view: &JobView,
+        kept: &PossibleRuns,
+    ) -> SpoolResponses {
         let workers = order_by_preference(&view.members(), &job.key);
         let owner = workers.first().map(|worker| worker.node.clone());
         let job = &NewJob {
@@ -115,9 +152,10 @@
             Err(error) => {
                 log::warn!(request_id = job.key.as_str(), error:%;
                     "cannot encode a job for spooling");
-                return Spooled::No;
+                return SpoolResponses::default();
             }
         };
+        let mut responses = Vec::new();
         let mut remaining = workers.iter();
         let mut copies_written = 0;
         let mut uncertain: Vec<&NodeRecord> = Vec::new();
@@ -136,9 +174,12 @@
                 timeout_ms = 2 * SPOOL_TIMEOUT_MS;
             }
             let timeout = Duration::from_millis(timeout_ms);
-            let responses =
-                self.request_all(&selected, &job.key, &bytes, timeout).await;
-            for (worker, outcome) in selected.into_iter().zip(responses) {
+            let outcomes = self
+                .request_all(&selected, &job.key, &bytes, timeout, kept)
+                .await;
+            for (worker, outcome) in selected.into_iter().zip(outcomes) {
+                let node = worker.node.clone();
+                responses.push(SpoolResponse { node, outcome });
                 match outcome {
                     Spooled::Safe => copies_written += 1,
                     Spooled::Maybe => uncertain.push(worker),
@@ -146,12 +187,9 @@
                 }
             }
         }
-        match (copies_written, uncertain.len()) {
-            (copies_written, _) if copies_written >= self.copies => {
-                Spooled::Safe
-            }
-            (0, 0) => Spooled::No,
-            _ => Spooled::Maybe,
+        SpoolResponses {
+            is_safe: copies_written >= self.copies,
+            responses,
         }
     }
 
@@ -161,6 +199,7 @@
         job: &JobKey,
         bytes: &Bytes,
         timeout: Duration,
+        kept: &PossibleRuns,
     ) -> Vec<Spooled> {
         let requests = workers.iter().map(|worker| {
             let pool = self.pool.clone();
@@ -171,6 +210,7 @@
                 job,
                 bytes.clone(),
                 timeout,
+                kept.begin(),
             ))
         });
         let requests: Vec<_> = requests.collect();
@@ -204,6 +244,7 @@
     job: JobKey,
     bytes: Bytes,
     timeout: Duration,
+    offered: OfferedRun,
 ) -> Spooled {
     let Some(peer) = peer::endpoint_of(&worker) else {
         return Spooled::No;
@@ -214,6 +255,7 @@
     };
     *request.method_mut() = Method::PUT;
     *request.body_mut() = bytes;
+    offered.mark_sent();
     let call = pool.call(&peer, request, MAX_RESPONSE_BYTES);
     let outcome = match time::timeout(timeout, call).await {
         Ok(CallOutcome::Answered(head, _)) if head.status.is_success() => {
@@ -227,6 +269,7 @@
         Ok(CallOutcome::NotSent) => Spooled::No,
         Ok(_) | Err(_) => Spooled::Maybe,
     };
+    offered.settle(outcome.evidence());
     log::info!(
         request_id = job.as_str(),
         node = worker.node.as_str(),
