Take no promise of an engine for one of the system

Cause: the status of an endpoint went to the caller as it was. Endpoints of this interface cannot state that they did not run a call, so that 408, 421, 429 and 503 of one that ran it told the caller that it did not. A claim kept that answer for later callers of its key.

Change: such a response counts as lost. A call that may run only once ends with 502 (504 for 408), 'ran: unknown', without the endpoint's body; a repeatable one is tried elsewhere within its retries and the retry budget. Attempts counts the copies that may have run (PossibleRuns), and one function decides from them whether the caller may get a promise.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -4,10 +4,11 @@
 
 use base::VersionKey;
 use bytes::Bytes;
+use execution::{Evidence, OfferedRun};
 use quarantine::SendPermit;
 use router::Failure;
 use upstream::EndpointClient;
-use web::ProblemKind;
+use web::{ProblemKind, Ran};
 use wire::{
     FrameSender, LinkError, Run, RunReply,
     message::{Header, Outcome, OutcomeKind, RefusalKind, Request},
@@ -37,6 +38,14 @@
 }
 
 impl Attempt {
+    /// Returns what is known of the copy of the request that was offered.
+    pub(super) fn evidence(&self) -> Evidence {
+        match self {
+            Self::Started(_) | Self::Lost { .. } => Evidence::MayHaveRun,
+            Self::NotRun { .. } => Evidence::Declined,
+        }
+    }
+
     /// Returns the end of an attempt that the deadline cut short.
     pub(super) fn deadline_passed() -> Self {
         Self::Lost {
@@ -93,6 +102,7 @@
     exchange: &Exchange,
     mut flight: Flight,
     params: AttemptParams,
+    offered: &OfferedRun,
 ) -> Attempt {
     let AttemptParams {
         number,
@@ -113,9 +123,11 @@
             return wrong_version(&flight);
         }
         Route::Direct(client) => {
+            offered.mark_sent();
             return run_direct(shared, client, request, flight).await;
         }
     };
+    offered.mark_sent();
     match shared.links.run(address, request).await {
         Ok(RunReply::Accepted { run, load }) => {
             flight.record_load(&load);
@@ -226,6 +238,22 @@
     }
 }
 
+/// Returns the end of an attempt whose endpoint answered with a status that
+/// promises that the request did not run, which it may have.
+pub(super) fn promised(status: u16) -> Attempt {
+    let kind = match Ran::Unknown.status(status) {
+        504 => ProblemKind::TimedOut,
+        _ => ProblemKind::AnswerLost,
+    };
+    Attempt::Lost {
+        reason: format!(
+            "the endpoint answered {status}, which leaves open whether it ran \
+             the request"
+        ),
+        kind,
+    }
+}
+
 pub(super) fn incomplete(flight: &Flight, outcome: Outcome) -> Attempt {
     let reason = outcome.detail;
     if !outcome.ran {
--- a/crates/entry/src/forward/attempts.rs
+++ b/crates/entry/src/forward/attempts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use base::VersionKey;
+use execution::PossibleRuns;
 use obs::Counter;
 use quarantine::Quarantined;
 use router::{EndpointKey, Query};
@@ -32,7 +33,9 @@
     refusals: u32,
     retries: u32,
     repeatable: bool,
-    may_have_run: bool,
+    /// Copies of the request that may have run, also those of cancelled
+    /// attempts.
+    runs: PossibleRuns,
     last_reason: String,
     retry_after_ms: Option<u64>,
 }
@@ -46,7 +49,7 @@
             refusals: 0,
             retries: 0,
             repeatable: exchange.plan.repeatable,
-            may_have_run: false,
+            runs: PossibleRuns::default(),
             last_reason: "no endpoint is known".to_owned(),
             retry_after_ms: None,
         }
@@ -83,13 +86,16 @@
                     .map_err(|error| self.refuse(exchange, error))?,
             };
             let (number, name) = (params.number, flight.target().name.clone());
+            let offered = self.runs.begin();
+            let running = attempt(shared, exchange, flight, params, &offered);
             let ended = tokio::select! {
                 biased;
-                ended = attempt(shared, exchange, flight, params) => ended,
+                ended = running => ended,
                 () = exchange.until_deadline(&shared.timer) => {
                     Attempt::deadline_passed()
                 }
             };
+            offered.settle(ended.evidence());
             match ended {
                 Attempt::Started(reply) => return Ok(*reply),
                 Attempt::NotRun {
@@ -129,7 +135,6 @@
         reason: String,
         kind: ProblemKind,
     ) -> Result<(), Problem> {
-        self.may_have_run = true;
         let plan = &exchange.plan;
         let may_retry = plan.repeatable && self.retries < plan.retries;
         self.last_reason = reason;
@@ -189,34 +194,38 @@
             "a request is held"
         );
         exchange.metrics.count(Counter::Refused, exchange.class, 1);
-        if self.may_have_run {
-            return self.outcome_unknown(ProblemKind::AnswerLost);
-        }
         let reason = format!("endpoints crashed: {}", error.crashes);
-        Problem::new(ProblemKind::EndpointCrashes, reason)
-            .ran(Ran::No)
-            .retry_after_ms(error.for_ms)
+        self.refusal(ProblemKind::EndpointCrashes, reason, error.for_ms)
     }
 
     fn exhausted(&self) -> Problem {
-        if self.may_have_run {
-            return self.outcome_unknown(ProblemKind::AnswerLost);
-        }
+        let after_ms = self.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
         let last_reason = self.last_reason.clone();
-        let after = self.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
-        Problem::new(ProblemKind::NoEndpoint, last_reason)
-            .ran(Ran::No)
-            .retry_after_ms(after)
+        self.refusal(ProblemKind::NoEndpoint, last_reason, after_ms)
     }
 
     fn timed_out(&self) -> Problem {
-        if self.may_have_run {
-            return self.outcome_unknown(ProblemKind::TimedOut);
+        let reason = "the deadline has passed".to_owned();
+        self.refusal(ProblemKind::TimedOut, reason, RETRY_AFTER_MS)
+    }
+
+    /// Returns the problem of a request that is given up. Only this function
+    /// promises that a request did not run, and only if no copy may have.
+    fn refusal(
+        &self,
+        kind: ProblemKind,
+        reason: String,
+        after_ms: u64,
+    ) -> Problem {
+        match (self.runs.ran(), kind) {
+            (ran @ Ran::No, _) => {
+                Problem::new(kind, reason).ran(ran).retry_after_ms(after_ms)
+            }
+            (Ran::Unknown, ProblemKind::TimedOut) => {
+                self.outcome_unknown(kind)
+            }
+            (Ran::Unknown, _) => self.outcome_unknown(ProblemKind::AnswerLost),
         }
-        let reason = "the deadline has passed";
-        Problem::new(ProblemKind::TimedOut, reason)
-            .ran(Ran::No)
-            .retry_after_ms(RETRY_AFTER_MS)
     }
 
     /// Returns the problem of a request that may have run. Only callers of a
--- a/crates/entry/src/forward/start.rs
+++ b/crates/entry/src/forward/start.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use execution::Evidence;
 use wire::{
     Run,
-    message::{Frame, Header, OutcomeKind},
+    message::{Frame, Header, OutcomeKind, RefusalKind},
 };
 
 use super::attempt::{
-    Attempt, BufferedReply, Reply, StreamingReply, incomplete, lost,
+    Attempt, BufferedReply, Reply, StreamingReply, incomplete, lost, promised,
 };
 use crate::{body::Framing, fleet::Flight, shared::Shared};
 
@@ -32,6 +33,11 @@
         Some(Frame::End(outcome)) => return incomplete(&flight, outcome),
         _ => return lost(&flight, "the link to the companion broke"),
     };
+    // Endpoints of this interface cannot state that they did not run a call.
+    if Evidence::of_response(status, false).contradicts(status) {
+        flight.record_refusal(RefusalKind::Full);
+        return promised(status);
+    }
     flight.record_head(status);
     let mut next_seq = 0;
     let first = loop {
--- a/crates/entry/tests/forward_common/mod.rs
+++ b/crates/entry/tests/forward_common/mod.rs
@@ -1,6 +1,8 @@
 //! An entry with stand-in engines as endpoints, with or without companions.
 #![allow(dead_code)]
 
+pub(crate) mod statuses;
+
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
