Refuse no job whose superseded write cannot be read back

A read that fails after a superseded write leaves the outcome open now. No test forces the sequence; all tests of jobs pass.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -171,9 +171,12 @@
                 self.cache_written(&bulk, proof);
                 Ok(stored)
             }
-            // The job exists already: the same job was submitted before.
+            // The job exists already: the same job was submitted before, or
+            // this write was applied and the job has changed since.
             Outcome::Superseded => {
-                let stored = self.read(&job.key).await?;
+                let stored = self.read(&job.key).await;
+                let stored =
+                    stored.change_context(JobError::OutcomeUnknown)?;
                 match stored.manifest.is_visible_to(customer.as_ref()) {
                     true => Ok(stored),
                     false => Err(Report::new(JobError::Conflict)),
