--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use fleet::{Endpoint, EndpointRecord, Route, VersionBinding};
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
-use pass::{EventSplitter, Exchange, Failure, Forwarder, Inbound};
+use pass::{
+    EventSplitter, Exchange, Failure, Forwarder, Inbound, IncompleteResponse,
+};
 use tokio::time;
 
 use crate::{
@@ -328,6 +330,13 @@
                     continue;
                 }
                 Ok(None) => return failure.unwrap_or(RunOutcome::Complete),
+                // The text of a failure need not be what its type says. With
+                // a marked end it is whole all the same.
+                Ok(Some(Err(IncompleteResponse::Truncated(_))))
+                    if failure.is_some() && exchange.has_marked_end() =>
+                {
+                    return failure.unwrap_or(RunOutcome::Complete);
+                }
                 Ok(Some(Err(_))) => BreakCause::Connection,
                 Err(_) => self.dead(),
             };
--- a/crates/jobs/tests/cut_heads.rs
+++ b/crates/jobs/tests/cut_heads.rs
@@ -196,3 +196,22 @@
     })
     .await;
 }
+
+/// Guards against an item that is run again without end: the text of a whole
+/// failure is not what its type says.
+#[parameterized(
+    events = { "text/event-stream" },
+    json = { "application/json" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 4))]
+async fn a_whole_failure_with_another_type_counts(content_type: &str) {
+    let server = CutServer::start().await;
+    let bytes = format!(
+        "HTTP/1.1 422 Never\r\nx-id: r1\r\nx-seal: 3e1b.07\r\n\
+         content-type: {content_type}\r\ncontent-length: 8\r\n\r\n{{\"never\""
+    );
+    let connection = Connection::New;
+    let outcome =
+        run_part(&server, connection, bytes.as_bytes(), BreakOff::Close);
+    assert_eq!(outcome.await, (RunOutcome::Rejected, 0));
+}
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -112,6 +112,12 @@
         self.check.framing()
     }
 
+    /// Reports whether a length or chunks mark the end of the response.
+    #[inline]
+    pub fn has_marked_end(&self) -> bool {
+        self.framing() != Framing::UntilClose
+    }
+
     /// Returns whether the response is a stream of events.
     #[inline]
     pub(crate) fn is_event_stream(&self) -> bool {
