Store each failed attempt before the next one, by the process that counts

Callers saw items that fail at each run reach endpoints again and again: ten times beside kills of all workers, 16 times with outages of the key-value service before them (bound 9).

Cause: failed attempts waited in the worker's memory for the next commit while the item ran again, so that each kill lost them; the counts of two workers were merged by the larger one; a job that moved, or a worker that stopped, dropped what was not stored.

Each process now keeps a count of its own in the manifest, and the counts add up. A failed attempt is stored at once, and the item waits for that. Whoever takes up a job that another process may have run records each start before it, and assumes one unrecorded attempt; the limit counts attempts without a known outcome like failed ones. In a series of kills an item with two of them waits until the process has run for 3 s, with more for 10 s, unless the item has generated events once. Items of new jobs start as before, without a write.

Each count is in the logs by the item's id: when its start is recorded, its run ends, and the stored attempts change.

Tests of the ledger give their counts as those of a process; the test of the largest manifest also records an open attempt for each item.

--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -6,18 +6,18 @@
 use base::{Customer, UnixMillis, timer::Timer};
 use error_stack::{Report, ResultExt};
 use fleet::BatchDeadlines;
-use indexmap::IndexMap;
+use indexmap::IndexSet;
 use kv::{
     BatchingKv, Compare, GetReply, Kv, KvError, Op, Txn, TxnReply,
     ops::{Outcome, ReadBack, Writer},
 };
 
 use crate::{
-    BulkCache, BulkPeers, JobError, NoPeers,
+    BulkCache, BulkPeers, CounterId, JobError, NoPeers, ProcessAttempts,
     record::{
-        FailedAttempts, ItemInput, ItemResult, JobKey, JobManifest,
-        MAX_CHUNK_PARTS, checkpoint_key, decode_manifest, encode_manifest,
-        input_key, manifest_key,
+        ItemInput, ItemResult, JobKey, JobManifest, MAX_CHUNK_PARTS,
+        checkpoint_key, decode_manifest, encode_manifest, input_key,
+        manifest_key,
     },
 };
 
@@ -269,8 +269,8 @@
         }
     }
 
-    /// Lists results after those that `before` contains, and stores the failed
-    /// attempts.
+    /// Lists results after those that `before` contains, and stores what a
+    /// process has counted of the attempts at the other items.
     ///
     /// Lists the first of the results, at least one, if one transaction does
     /// not hold all of them; the returned manifest shows which are listed.
@@ -293,10 +293,14 @@
         before: &StoredManifest,
         numbers: &[u32],
         results: &[ItemResult],
-        failed_attempts: &IndexMap<u32, FailedAttempts>,
+        counted: (CounterId, &ProcessAttempts),
     ) -> Result<Result<StoredManifest, StoredManifest>, Report<JobError>> {
         let mut manifest = before.manifest.clone();
-        manifest.failed_attempts.clone_from(failed_attempts);
+        let (counter, attempts) = counted;
+        let counts_change =
+            manifest.attempts.of(counter).unwrap_or(&Default::default())
+                != attempts;
+        manifest.attempts.set(counter, attempts.clone());
         let mut rows = Vec::new();
         let mut bulk = Vec::new();
         for chunk in self.encode_output_chunks(results)? {
@@ -313,11 +317,18 @@
                 rows.push(put(key, value));
             }
         }
+        let listed: IndexSet<u32> = manifest.listed.iter().copied().collect();
+        manifest.attempts.retain(|item| !listed.contains(&item));
         rows.push(put(manifest_key(job), encode_manifest(&manifest)?));
         let txn = guarded_txn(manifest_key(job), before.revision, rows);
         let new = manifest.clone();
+        // Items wait until their attempts are stored.
+        let kv = match counts_change {
+            true => &self.kv,
+            false => &self.batching_kv,
+        };
         let outcome = self
-            .commit(&self.batching_kv, job, txn, move |reply| StoredManifest {
+            .commit(kv, job, txn, move |reply| StoredManifest {
                 manifest: new.clone(),
                 revision: reply.revision,
             })
@@ -347,6 +358,7 @@
     ) -> Result<StoredManifest, Report<JobError>> {
         let mut manifest = before.manifest.clone();
         owner.clone_into(&mut manifest.owner);
+        manifest.reassigned = true;
         let row = put(manifest_key(job), encode_manifest(&manifest)?);
         let txn = guarded_txn(manifest_key(job), before.revision, vec![row]);
         let outcome = self
--- a/crates/jobs/src/ledger/chunks.rs
+++ b/crates/jobs/src/ledger/chunks.rs
@@ -118,21 +118,28 @@
     }
 }
 
+/// Number of processes that count failed attempts at one item, and of those
+/// with an attempt whose outcome is not recorded. Larger numbers are possible,
+/// but not for all items of a job.
+const MAX_FAILED: usize = 4;
+const MAX_OPEN: usize = 3;
+
 /// Returns an upper bound of the bytes that an item of a job with `total` items
 /// adds to the manifest.
 fn max_item_manifest_bytes(total: usize) -> usize {
-    const ATTEMPTS: &str =
-        r#""":{"errors":4294967295,"rejections":4294967295},"#;
+    const FAILED: &str = r#""":[9,9],"#;
+    const OPEN: &str = ",";
     const POSITION: &str = ",";
     const CHUNK: &str = ",";
     const CHUNK_PARTS: &str = r#""":24,"#;
-    // Each of the four contains the number of the item or its position.
+    // Each of them contains the number of the item or its position.
     let number_bytes = total.to_string().len();
-    ATTEMPTS.len()
+    MAX_FAILED * (FAILED.len() + number_bytes)
+        + MAX_OPEN * (OPEN.len() + number_bytes)
         + POSITION.len()
         + CHUNK.len()
         + CHUNK_PARTS.len()
-        + 4 * number_bytes
+        + 3 * number_bytes
 }
 
 /// Splits rows into ranges whose sizes add up to `max_bytes` at most. A larger
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //! compare-and-swap.
 
 mod assignment;
+mod attempts;
 mod backlogs;
 mod bulk;
 mod error;
@@ -40,6 +41,10 @@
 
 pub use crate::{
     assignment::Assignment,
+    attempts::{
+        AttemptCounts, CounterId, FailedAttempts, KnownAttempts,
+        ProcessAttempts,
+    },
     backlogs::ReportedBacklogs,
     bulk::{BulkCache, BulkFuture, BulkPeers, BulkValue, NoPeers},
     error::JobError,
@@ -59,12 +64,12 @@
     page::{Page, PageReader},
     planner::{Assignments, Planner, batch_services},
     record::{
-        FailedAttempts, ItemCheckpoint, ItemInput, ItemResult, ItemState,
-        JobCheckpoint, JobKey, JobManifest, MANIFEST_PREFIX, NODE_PREFIX,
-        WATCHED_PREFIX, checkpoint_key, decode_checkpoints, decode_inputs,
-        decode_manifest, decode_new_job, decode_results, encode_checkpoints,
-        encode_inputs, encode_manifest, encode_new_job, encode_results,
-        input_key, manifest_key, merge_failed_attempts, output_key,
+        ItemCheckpoint, ItemInput, ItemResult, ItemState, JobCheckpoint,
+        JobKey, JobManifest, MANIFEST_PREFIX, NODE_PREFIX, WATCHED_PREFIX,
+        checkpoint_key, decode_checkpoints, decode_inputs, decode_manifest,
+        decode_new_job, decode_results, encode_checkpoints, encode_inputs,
+        encode_manifest, encode_new_job, encode_results, input_key,
+        manifest_key, output_key,
     },
     run::{BreakCause, ItemForwarder, ItemRun, Progress, RunOutcome},
     run_time::{RemainingTime, RunTimeEstimator},
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -5,7 +5,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{JobError, NewJob};
+use crate::{
+    JobError, NewJob,
+    attempts::{AttemptCounts, FailedAttempts},
+};
 
 /// Identifies a job. The caller chooses the id, and a job that is submitted
 /// again has the same id.
@@ -87,72 +90,6 @@
     pub output: String,
 }
 
-/// Counts of an item's failed attempts.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize,
-)]
-#[serde(default, deny_unknown_fields)]
-pub struct FailedAttempts {
-    /// Errors of endpoints while they ran the item.
-    pub errors: u32,
-    /// Responses that reject the item permanently.
-    pub rejections: u32,
-}
-
-impl FailedAttempts {
-    /// Reports whether an item with these attempts must not run again.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use pomeloslip_jobs::FailedAttempts;
-    ///
-    /// let attempts = FailedAttempts {
-    ///     errors: 2,
-    ///     ..FailedAttempts::default()
-    /// };
-    /// assert!(!attempts.are_exhausted(3));
-    /// assert!(attempts.are_exhausted(2));
-    /// ```
-    pub fn are_exhausted(self, max_attempts: u32) -> bool {
-        self.rejections > 0 || self.errors >= max_attempts
-    }
-}
-
-/// Merges the failed attempts that another node has counted for items of the
-/// same job.
-///
-/// The larger of two counts is kept: a job that moved between nodes was
-/// counted by both, and a decreasing count would let a failing item run again.
-///
-/// # Example
-///
-/// ```
-/// use indexmap::IndexMap;
-/// use pomeloslip_jobs::{FailedAttempts, merge_failed_attempts};
-///
-/// let errors = |errors| FailedAttempts {
-///     errors,
-///     ..FailedAttempts::default()
-/// };
-/// let mut own = IndexMap::from([(0, errors(1)), (1, errors(2))]);
-/// let other = IndexMap::from([(0, errors(3)), (2, errors(1))]);
-/// merge_failed_attempts(&mut own, &other);
-/// assert_eq!(own[&0], errors(3));
-/// assert_eq!(own[&1], errors(2));
-/// assert_eq!(own[&2], errors(1));
-/// ```
-pub fn merge_failed_attempts(
-    own: &mut IndexMap<u32, FailedAttempts>,
-    other: &IndexMap<u32, FailedAttempts>,
-) {
-    for (number, counted) in other {
-        let own = own.entry(*number).or_default();
-        own.errors = own.errors.max(counted.errors);
-        own.rejections = own.rejections.max(counted.rejections);
-    }
-}
-
 /// The record of a job that all nodes know; small enough to be watched.
 ///
 /// Inputs and outputs are stored under separate keys. The order of `listed` is
@@ -180,9 +117,15 @@
     /// position.
     #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     pub output_parts: IndexMap<u32, u32>,
-    /// Failed attempts by item.
+    /// Failed attempts by item that earlier releases have counted.
     #[serde(rename = "strikes")]
     pub failed_attempts: IndexMap<u32, FailedAttempts>,
+    /// Attempts that each process has counted since.
+    #[serde(default, skip_serializing_if = "AttemptCounts::is_empty")]
+    pub attempts: AttemptCounts,
+    /// Whether the job was assigned to another node after its submission.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reassigned: bool,
     /// Whether the caller cancelled the job.
     #[serde(rename = "ended")]
     pub cancelled: bool,
@@ -238,6 +181,12 @@
         })
     }
 
+    /// Returns the failed attempts at an item that are stored.
+    pub fn failed_attempts_at(&self, item: u32) -> FailedAttempts {
+        let earlier = self.failed_attempts.get(&item).copied();
+        self.attempts.failed(item).plus(earlier.unwrap_or_default())
+    }
+
     /// Returns the number of items that are not listed yet.
     #[inline]
     pub fn open_items(&self) -> u32 {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -1,5 +1,6 @@
 mod active;
 mod admit;
+mod attempts;
 mod checkpoint;
 mod outcome;
 mod rebalance;
@@ -12,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Clock, Millis, Snapshot};
+use base::{Clock, Millis, Snapshot, UnixMillis};
 use error_stack::Report;
 use fleet::{
     Config, Endpoint, EndpointRecord, IncarnationKey, LoadReport,
@@ -31,9 +32,9 @@
     checkpoint::LoadedJob,
 };
 use crate::{
-    Assignment, Assignments, GateOptions, ItemForwarder, JobError, JobRoute,
-    JobView, Ledger, OnlineLoad, RunOutcome, RunTimeEstimator, SilenceClock,
-    StoredManifest, record::JobKey,
+    Assignment, Assignments, CounterId, GateOptions, ItemForwarder, JobError,
+    JobManifest, JobRoute, JobView, Ledger, OnlineLoad, RunOutcome,
+    RunTimeEstimator, SilenceClock, StoredManifest, record::JobKey,
 };
 
 /// The response to a load probe.
@@ -57,6 +58,8 @@
     pub max_report_age_ms: u64,
     /// Minimum interval between two commits of one job.
     pub commit_interval_ms: u64,
+    /// Minimum interval between two commits of one job that store attempts.
+    pub count_interval_ms: u64,
     /// Maximum age of the view of the jobs by which items start.
     pub max_view_age_ms: u64,
     /// Interval between two checks whether jobs are distributed evenly.
@@ -88,6 +91,7 @@
             probe_interval_ms: 100,
             max_report_age_ms: 400,
             commit_interval_ms: 700,
+            count_interval_ms: 100,
             max_view_age_ms: 4_000,
             rebalance_interval_ms: 500,
             checkpoint_interval_ms: 2_000,
@@ -251,6 +255,10 @@
     next_rebalance: Millis,
     next_removal: Millis,
     next_run: u64,
+    /// Identifies this process in the counts of attempts.
+    counter: CounterId,
+    started_at: Millis,
+    started_at_unix: UnixMillis,
     /// Estimates how long items take.
     estimator: RunTimeEstimator,
 }
@@ -264,7 +272,13 @@
 
 impl RunnerState {
     fn new(runner: Runner, sender: mpsc::UnboundedSender<Event>) -> Self {
+        let clock = &runner.parts.clock;
+        let counter =
+            CounterId::of_process(&runner.parts.node, clock.as_ref());
         Self {
+            counter,
+            started_at: clock.now(),
+            started_at_unix: clock.unix(),
             front_assignment: Arc::default(),
             synced_to: None,
             pending_move: None,
@@ -284,8 +298,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        let open =
-            |job: &ActiveJob| job.is_committing || !job.pending.is_empty();
+        let open = |job: &ActiveJob| job.is_committing || job.needs_commit();
         self.runs.is_empty() && !self.jobs.values().any(open)
     }
 
@@ -314,6 +327,7 @@
         }
         self.load_inputs();
         self.give_up_items();
+        self.record_begun_items();
         self.remove_expired(&assignment);
         self.commit_pending();
         self.save_checkpoints();
@@ -358,7 +372,9 @@
                         revision = stored.revision;
                         "a job is taken up"
                     );
-                    let mut job = ActiveJob::new(stored);
+                    let may_have_run = self.may_have_run(&stored.manifest);
+                    let mut job =
+                        ActiveJob::new(stored, self.counter, may_have_run);
                     if let Some(at) = self.taken_over.swap_remove(&key) {
                         job.settled_at = at;
                     }
@@ -369,6 +385,17 @@
         self.drop_jobs(assignment);
     }
 
+    /// Reports whether a process other than this one may have run items of a
+    /// job: another node, or this node before its restart.
+    ///
+    /// If the clock of the node that accepted the job is ahead, a restart
+    /// within that time is not noticed.
+    fn may_have_run(&self, manifest: &JobManifest) -> bool {
+        manifest.owner != self.runner.parts.node
+            || manifest.reassigned
+            || manifest.submitted_at < self.started_at_unix
+    }
+
     /// Reports whether results of jobs that moved to other nodes still wait
     /// here to be listed.
     fn has_moved_jobs(&self) -> bool {
@@ -502,20 +529,37 @@
     fn commit_pending(&mut self) {
         let now = self.now();
         for (key, job) in &mut self.jobs {
-            let is_due = job.needs_commit() && now >= job.next_commit;
-            if !is_due || job.is_committing {
+            if job.is_committing || !job.needs_commit() {
+                continue;
+            }
+            // Items wait until their attempts are stored, and what is not
+            // stored is lost with this process.
+            let next_commit = match job.are_attempts_stored() {
+                true => job.next_commit,
+                false => job.next_count_commit,
+            };
+            if now < next_commit {
                 continue;
             }
+            let options = &self.runner.options;
             job.next_commit =
-                now.saturating_add_ms(self.runner.options.commit_interval_ms);
+                now.saturating_add_ms(options.commit_interval_ms);
+            job.next_count_commit =
+                now.saturating_add_ms(options.count_interval_ms);
             let (numbers, results) = job.begin_commit();
             let ledger = self.runner.parts.ledger.clone();
             let before = job.stored.clone();
-            let failed_attempts = job.failed_attempts.clone();
+            let (counter, attempts) = job.counted();
             let (key, sender) = (key.clone(), self.sender.clone());
             tokio::spawn(async move {
                 let listed = ledger
-                    .list(&key, &before, &numbers, &results, &failed_attempts)
+                    .list(
+                        &key,
+                        &before,
+                        &numbers,
+                        &results,
+                        (counter, &attempts),
+                    )
                     .await;
                 let _ = sender.send(Event::Listed(key, listed));
             });
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -4,15 +4,13 @@
 
 use base::Millis;
 use fleet::{Config, Endpoint, EndpointRecord, VersionBinding};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 
 use super::RunId;
 use crate::{
-    JobRoute, Progress, StoredManifest, VersionWait,
-    record::{
-        FailedAttempts, ItemCheckpoint, ItemInput, ItemResult, ItemState,
-        merge_failed_attempts, result_bytes,
-    },
+    CounterId, JobRoute, ProcessAttempts, Progress, StoredManifest,
+    VersionWait,
+    record::{ItemCheckpoint, ItemInput, ItemResult, ItemState, result_bytes},
 };
 
 pub(super) struct ActiveJob {
@@ -20,7 +18,11 @@
     pub(super) inputs: Inputs,
     pub(super) items: Vec<Item>,
     pub(super) pending: Vec<(u32, ItemResult)>,
-    pub(super) failed_attempts: IndexMap<u32, FailedAttempts>,
+    /// The process that counts, and what it has counted of the attempts.
+    pub(super) counter: CounterId,
+    pub(super) attempts: ProcessAttempts,
+    /// Whether another process may have run items without recording it.
+    pub(super) may_have_run: bool,
     /// Whether another node runs the items now.
     pub(super) is_moved: bool,
     /// Whether the configuration of this node does not decide on the job.
@@ -29,6 +31,8 @@
     pub(super) settled_at: Millis,
     pub(super) is_committing: bool,
     pub(super) next_commit: Millis,
+    /// When the next commit that stores attempts may be made.
+    pub(super) next_count_commit: Millis,
     /// Number of results of the commit under way, or of the last one.
     pub(super) committing: usize,
     /// Maximum number of results of a commit; reduced while the key-value
@@ -144,10 +148,18 @@
 }
 
 impl ActiveJob {
-    pub(super) fn new(stored: StoredManifest) -> Self {
+    /// Creates the state of a job that a process takes up. `may_have_run`
+    /// states whether another process may have run its items before.
+    pub(super) fn new(
+        stored: StoredManifest,
+        counter: CounterId,
+        may_have_run: bool,
+    ) -> Self {
         let total = stored.manifest.total as usize;
         let mut job = Self {
-            failed_attempts: stored.manifest.failed_attempts.clone(),
+            counter,
+            attempts: ProcessAttempts::default(),
+            may_have_run,
             stored,
             inputs: Inputs::Missing,
             items: vec![Item::default(); total],
@@ -157,6 +169,7 @@
             settled_at: Millis::default(),
             is_committing: false,
             next_commit: Millis::new(0),
+            next_count_commit: Millis::new(0),
             committing: 0,
             max_committing: usize::MAX,
         };
@@ -168,10 +181,11 @@
         job
     }
 
+    /// Reports whether an item runs, or something of this node is not stored.
     pub(super) fn is_busy(&self) -> bool {
         let running = |i: &Item| matches!(i.state, ItemPhase::Running(_));
         self.is_committing
-            || !self.pending.is_empty()
+            || self.needs_commit()
             || self.items.iter().any(running)
     }
 
@@ -255,15 +269,15 @@
     /// Returns the waiting items that must not run again, as their attempts
     /// are used up.
     pub(super) fn exhausted_items(&self, max_attempts: u32) -> Vec<u32> {
-        let is_waiting = |number: u32| {
-            let item = self.items.get(number as usize);
-            item.is_some_and(|item| item.state == ItemPhase::Waiting)
-        };
-        let counted = self.failed_attempts.iter();
-        let exhausted = counted.filter(|(number, attempts)| {
-            attempts.are_exhausted(max_attempts) && is_waiting(**number)
+        let items = (0..).zip(&self.items);
+        let waiting =
+            items.filter(|(_, item)| item.state == ItemPhase::Waiting);
+        let exhausted = waiting.filter(|(number, _)| {
+            self.known_attempts(*number)
+                .failed
+                .are_exhausted(max_attempts)
         });
-        exhausted.map(|(number, _)| *number).collect()
+        exhausted.map(|(number, _)| number).collect()
     }
 
     /// Returns the caller's id of an item, or an empty string before its input
@@ -281,10 +295,7 @@
         if stored.revision < self.stored.revision {
             return;
         }
-        merge_failed_attempts(
-            &mut self.failed_attempts,
-            &stored.manifest.failed_attempts,
-        );
+        self.log_changed_attempts(&stored);
         self.stored = stored;
         self.mark_listed();
     }
@@ -312,17 +323,15 @@
         self.committing > 1
     }
 
-    /// Reports whether results or failed attempts have to be written to the
-    /// manifest.
+    /// Reports whether results or counts of attempts have to be written to
+    /// the manifest.
     ///
-    /// Failed attempts are compared with the manifest. A flag that is cleared
-    /// when a write starts would lose a failed attempt whose write fails, and
-    /// a node that takes over the job would run a failing item more often than
+    /// Counts are compared with the manifest. A flag that is cleared when a
+    /// write starts would lose a failed attempt whose write fails, and a node
+    /// that takes over the job would run a failing item more often than
     /// allowed.
     pub(super) fn needs_commit(&self) -> bool {
-        let is_counted =
-            self.failed_attempts == self.stored.manifest.failed_attempts;
-        !self.pending.is_empty() || !is_counted
+        !self.pending.is_empty() || !self.are_attempts_stored()
     }
 
     pub(super) fn mark_listed(&mut self) {
@@ -332,6 +341,9 @@
             }
         }
         let listed = &self.stored.manifest.listed;
+        if self.attempts != ProcessAttempts::default() {
+            self.attempts.retain(|item| !listed.contains(&item));
+        }
         self.pending.retain(|(number, _)| !listed.contains(number));
     }
 
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -10,6 +10,7 @@
 use super::{
     Event, Run, RunId, RunnerState,
     active::{ActiveJob, Inputs, ItemPhase, SlotUse},
+    attempts::StartCheck,
 };
 use crate::{
     Assignment, GateDecision, GateInput, ItemRun, JobManifest, PreemptRank,
@@ -303,7 +304,8 @@
     }
 
     /// Starts the waiting item with the highest priority that can use a slot of
-    /// the endpoint, if there is one.
+    /// the endpoint, and records the start of the one that has to be recorded
+    /// first. Reports whether there is any.
     pub(super) fn start_one(
         &mut self,
         config: &Config,
@@ -312,19 +314,21 @@
         now: Millis,
     ) -> bool {
         let service = &endpoint.record().service;
+        let uptime_ms = self.uptime_ms(now);
         let mut best: Option<(SlackPriority, JobKey, u32, SlotUse)> = None;
+        let mut unrecorded: Option<(SlackPriority, JobKey, u32)> = None;
         for (key, job) in &self.jobs {
             if job.is_moved || !matches!(job.inputs, Inputs::Loaded(_)) {
                 continue;
             }
-            let route = job.route(Some(config)).known();
-            let route_matches = route.is_some_and(|route| {
-                let mut all = route.destinations().iter();
-                all.any(|d| d.service == *service && d.weight > 0)
-            });
-            if !route_matches {
+            let Some(route) = job.route(Some(config)).known() else {
+                continue;
+            };
+            let mut all = route.destinations().iter();
+            if !all.any(|d| d.service == *service && d.weight > 0) {
                 continue;
             }
+            let max_attempts = route.max_attempts();
             for (number, item) in (0..).zip(&job.items) {
                 if item.state != ItemPhase::Waiting || item.not_before > now {
                     continue;
@@ -334,13 +338,26 @@
                     continue;
                 };
                 let priority = self.priority(job, number);
+                match job.check_start(number, max_attempts, uptime_ms) {
+                    StartCheck::Permitted => {}
+                    StartCheck::Withheld => continue,
+                    StartCheck::Unrecorded => {
+                        let first = unrecorded.as_ref();
+                        if first.is_none_or(|(first, ..)| priority < *first) {
+                            unrecorded = Some((priority, key.clone(), number));
+                        }
+                        continue;
+                    }
+                }
                 if best.as_ref().is_none_or(|(best, ..)| priority < *best) {
                     best = Some((priority, key.clone(), number, slot_use));
                 }
             }
         }
+        let is_announced = unrecorded
+            .is_some_and(|(_, key, number)| self.announce(&key, number));
         let Some((_, key, number, slot_use)) = best else {
-            return false;
+            return is_announced;
         };
         if slot_use == SlotUse::Restart {
             self.restart(&key, number, endpoint, now);
--- a/crates/jobs/src/runner/checkpoint.rs
+++ b/crates/jobs/src/runner/checkpoint.rs
@@ -102,6 +102,7 @@
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
+            job.close_waiting();
             let items = job.take_unsaved_checkpoints().unwrap_or_default();
             log::info!(job = key.as_str(), runs, begun = items.len();
                 "a job is handed over to another node");
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -10,8 +10,8 @@
     Event, RunId, RunnerState, active::Inputs, checkpoint::LoadedJob,
 };
 use crate::{
-    BreakCause, JobError, JobRoute, RunOutcome, StoredManifest,
-    record::{FailedAttempts, JobKey},
+    BreakCause, FailedAttempts, JobError, JobRoute, RunOutcome,
+    StoredManifest, record::JobKey,
 };
 
 /// Retry delay for a result that the key-value service has rejected on its own,
@@ -19,6 +19,17 @@
 /// limit.
 const REJECTED_RETRY_MS: u64 = 10_000;
 
+/// Returns the failed attempts that the outcome of a run counts as.
+fn failed_attempts_of(end: RunOutcome) -> Option<FailedAttempts> {
+    let (errors, rejections) = match end {
+        RunOutcome::Rejected => (0, 1),
+        RunOutcome::Error(_) => (1, 0),
+        RunOutcome::Complete | RunOutcome::Broken(_) => return None,
+        RunOutcome::NotRun | RunOutcome::Held { .. } => return None,
+    };
+    Some(FailedAttempts { errors, rejections })
+}
+
 impl RunnerState {
     pub(super) fn handle_event(&mut self, event: Event) {
         match event {
@@ -93,14 +104,11 @@
             JobRoute::Removed => 1,
             JobRoute::Undecided => u32::MAX,
         };
-        let failed_attempts = job.failed_attempts.entry(number).or_default();
-        match end {
-            RunOutcome::Rejected => failed_attempts.rejections += 1,
-            RunOutcome::Error(_) => failed_attempts.errors += 1,
-            RunOutcome::Complete | RunOutcome::Broken(_) => {}
-            RunOutcome::NotRun | RunOutcome::Held { .. } => {}
+        if let Some(attempts) = failed_attempts_of(end) {
+            job.count_failed(number, attempts);
         }
-        let failed_attempts = *failed_attempts;
+        let known = job.known_attempts(number);
+        let failed_attempts = known.failed;
         let is_permanent = failed_attempts.are_exhausted(max_attempts);
         let ran_ms = run.started.elapsed().as_millis() as u64;
         let unix_now = self.runner.parts.clock.unix();
@@ -112,15 +120,14 @@
             end:? = end,
             ran_ms,
             errors = failed_attempts.errors,
+            rejections = failed_attempts.rejections,
+            unknown_attempts = known.unknown,
             pauses = job.items[number as usize].interruptions,
             age_ms = unix_now.saturating_ms_since(manifest.submitted_at),
             late_ms = unix_now.saturating_ms_since(manifest.due_at),
             events = job.items[number as usize].progress.events();
             "a run of an item ended"
         );
-        if failed_attempts == FailedAttempts::default() {
-            job.failed_attempts.swap_remove(&number);
-        }
         job.items[number as usize].total_run_ms += ran_ms;
         // The events of such a run may be those of either version.
         let is_uncertain = run.endpoint.has_changed_version()
@@ -215,6 +222,7 @@
                     "concurrent change of the manifest; listing results again"
                 );
                 job.next_commit = Millis::new(0);
+                job.next_count_commit = Millis::new(0);
                 stored
             }
             Err(report) if *report.current_context() == JobError::TooLarge => {
--- a/crates/jobs/tests/altered.rs
+++ b/crates/jobs/tests/altered.rs
@@ -11,10 +11,11 @@
 use fuzz::{altered_bytes, altered_json, config};
 use indexmap::IndexMap;
 use pomeloslip_jobs::{
-    FailedAttempts, ItemCheckpoint, ItemInput, ItemResult, ItemState,
-    JobManifest, NewJob, decode_checkpoints, decode_inputs, decode_manifest,
-    decode_new_job, decode_results, encode_checkpoints, encode_inputs,
-    encode_manifest, encode_new_job, encode_results,
+    AttemptCounts, CounterId, FailedAttempts, ItemCheckpoint, ItemInput,
+    ItemResult, ItemState, JobManifest, NewJob, ProcessAttempts,
+    decode_checkpoints, decode_inputs, decode_manifest, decode_new_job,
+    decode_results, encode_checkpoints, encode_inputs, encode_manifest,
+    encode_new_job, encode_results,
 };
 use proptest::prelude::*;
 
@@ -29,6 +30,8 @@
         output_chunks: vec![0, 2],
         output_parts: IndexMap::from([(2, 3)]),
         failed_attempts: IndexMap::from([(1, FailedAttempts::default())]),
+        attempts: counted(),
+        reassigned: true,
         cancelled: false,
         owner: "worker-1".to_owned(),
         due_at: UnixMillis::new(19_000),
@@ -38,6 +41,21 @@
     encode_manifest(&manifest).expect("encoded")
 }
 
+fn counted() -> AttemptCounts {
+    let mut attempts = ProcessAttempts::default();
+    attempts.add_failed(
+        3,
+        FailedAttempts {
+            errors: 2,
+            rejections: 0,
+        },
+    );
+    attempts.open(1);
+    let mut counts = AttemptCounts::default();
+    counts.set(CounterId::new(7), attempts);
+    counts
+}
+
 fn items() -> Vec<ItemInput> {
     let item = |id: &str, body: &[u8]| ItemInput {
         id: id.to_owned(),
--- a/crates/jobs/tests/large_values.rs
+++ b/crates/jobs/tests/large_values.rs
@@ -7,8 +7,8 @@
 use indexmap::IndexMap;
 use kv::{Kv, Memory, mvcc::Limits};
 use pomeloslip_jobs::{
-    FailedAttempts, ItemInput, ItemResult, ItemState, JobError, Ledger,
-    NewJob, StoredManifest,
+    CounterId, FailedAttempts, ItemInput, ItemResult, ItemState, JobError,
+    Ledger, NewJob, ProcessAttempts, StoredManifest,
 };
 
 /// Maximum number of operations of a transaction.
@@ -38,7 +38,8 @@
     mut stored: StoredManifest,
     results: &[ItemResult],
 ) -> (StoredManifest, usize) {
-    let (job, no_attempts) = (key("j"), IndexMap::new());
+    let job = key("j");
+    let no_attempts = (CounterId::new(0), &ProcessAttempts::default());
     let mut writes = 0;
     while !stored.manifest.is_closed() {
         let listed = stored.manifest.listed.len();
@@ -48,7 +49,7 @@
             &stored,
             &numbers[listed..],
             &results[listed..],
-            &no_attempts,
+            no_attempts,
         );
         let written = written.await.expect("not rejected");
         stored = written.expect("no other writer");
@@ -122,8 +123,8 @@
     let stored = ledger.accept(job("j", 1)).await.expect("accepted");
     let writes = kv.counts().writes;
     let large = result(0, ledger.max_result_bytes());
-    let none = IndexMap::new();
-    let listed = ledger.list(&key("j"), &stored, &[0], &[large], &none).await;
+    let none = (CounterId::new(0), &ProcessAttempts::default());
+    let listed = ledger.list(&key("j"), &stored, &[0], &[large], none).await;
     let report = listed.expect_err("refused");
     assert_eq!(*report.current_context(), JobError::TooLarge);
     assert!(format!("{report:?}").contains("bytes"), "{report:?}");
@@ -171,12 +172,16 @@
         errors: u32::MAX,
         rejections: u32::MAX,
     };
-    let all: IndexMap<u32, FailedAttempts> =
-        (0..total as u32).map(|number| (number, attempts)).collect();
+    let mut all = ProcessAttempts::default();
+    for number in 0..total as u32 {
+        all.add_failed(number, attempts);
+        all.open(number);
+    }
+    let counted = (CounterId::new(u32::MAX), &all);
     let job = key("j");
     for number in 0..total as u32 {
         let (numbers, results) = ([number], [result(number, 1)]);
-        let written = ledger.list(&job, &stored, &numbers, &results, &all);
+        let written = ledger.list(&job, &stored, &numbers, &results, counted);
         stored = written.await.expect("not rejected").expect("listed");
     }
     assert!(stored.manifest.is_closed());
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -7,11 +7,11 @@
 use base::UnixMillis;
 use common::{VALUE_BYTES, items, job, key, ledger, result};
 use fleet::VersionBinding;
-use indexmap::IndexMap;
 use kv::{Kv, Memory, WriteFault};
 use pomeloslip_jobs::{
-    BulkFuture, BulkPeers, FailedAttempts, ItemCheckpoint, ItemResult,
-    JobCheckpoint, JobError, JobKey, JobManifest, NewJob, encode_inputs,
+    BulkFuture, BulkPeers, CounterId, FailedAttempts, ItemCheckpoint,
+    ItemResult, JobCheckpoint, JobError, JobKey, JobManifest, NewJob,
+    ProcessAttempts, encode_inputs,
 };
 use yare::parameterized;
 
@@ -132,11 +132,11 @@
     let kv = Memory::default();
     let ledger = ledger(&kv);
     let mut stored = ledger.accept(job("j", 4)).await.expect("accepted");
-    let none = IndexMap::new();
+    let none = (CounterId::new(0), &ProcessAttempts::default());
     for numbers in [[2, 0], [3, 1]] {
         let results = numbers.map(result);
         let listed = ledger
-            .list(&key("j"), &stored, &numbers, &results, &none)
+            .list(&key("j"), &stored, &numbers, &results, none)
             .await;
         stored = listed.expect("written").expect("no other writer");
     }
@@ -159,14 +159,10 @@
     let kv = Memory::default();
     let (one, two) = (ledger(&kv), ledger(&kv));
     let before = one.accept(job("j", 2)).await.expect("accepted");
-    let none = IndexMap::new();
-    let first = one
-        .list(&key("j"), &before, &[0], &[result(0)], &none)
-        .await;
+    let none = (CounterId::new(0), &ProcessAttempts::default());
+    let first = one.list(&key("j"), &before, &[0], &[result(0)], none).await;
     first.expect("written").expect("listed");
-    let second = two
-        .list(&key("j"), &before, &[0], &[result(0)], &none)
-        .await;
+    let second = two.list(&key("j"), &before, &[0], &[result(0)], none).await;
     let now = second.expect("written").expect_err("superseded");
     assert_eq!(now.manifest.listed, [0]);
 }
@@ -180,9 +176,9 @@
     let ledger = ledger(&kv);
     let before = ledger.accept(job("j", 2)).await.expect("accepted");
     kv.script_write_faults([WriteFault::ResponseLost]);
-    let none = IndexMap::new();
+    let none = (CounterId::new(0), &ProcessAttempts::default());
     let listed = ledger
-        .list(&key("j"), &before, &[1], &[result(1)], &none)
+        .list(&key("j"), &before, &[1], &[result(1)], none)
         .await;
     let stored = listed.expect("known").expect("its own write");
     assert_eq!(stored.manifest.listed, [1]);
@@ -193,21 +189,24 @@
     let kv = Memory::default();
     let ledger = ledger(&kv);
     let before = ledger.accept(job("j", 2)).await.expect("accepted");
-    let failed_attempts: IndexMap<u32, FailedAttempts> = [(
-        1,
-        FailedAttempts {
-            errors: 2,
-            rejections: 0,
-        },
-    )]
-    .into_iter()
-    .collect();
-    let listed = ledger
-        .list(&key("j"), &before, &[], &[], &failed_attempts)
-        .await;
+    let errors = FailedAttempts {
+        errors: 2,
+        rejections: 0,
+    };
+    let mut attempts = ProcessAttempts::default();
+    attempts.add_failed(1, errors);
+    attempts.open(1);
+    let counted = (CounterId::new(1), &attempts);
+    let listed = ledger.list(&key("j"), &before, &[], &[], counted).await;
     listed.expect("written").expect("listed");
     let read = ledger.read(&key("j")).await.expect("read");
-    assert_eq!(read.manifest.failed_attempts, failed_attempts);
+    let stored = read.manifest.attempts.of(CounterId::new(1));
+    assert_eq!(stored, Some(&attempts));
+    assert_eq!(read.manifest.failed_attempts_at(1), errors);
+    assert_eq!(
+        read.manifest.failed_attempts_at(0),
+        FailedAttempts::default()
+    );
     assert!(read.manifest.output_chunks.is_empty());
 }
 
@@ -248,9 +247,9 @@
         ..job("j", 0)
     };
     let accepted = ledger.accept(new).await.expect("accepted");
-    let none = IndexMap::new();
+    let none = (CounterId::new(0), &ProcessAttempts::default());
     let listed = ledger
-        .list(&key("j"), &accepted, &[0], &[result(0)], &none)
+        .list(&key("j"), &accepted, &[0], &[result(0)], none)
         .await;
     let stored = listed.expect("written").expect("listed");
     ledger.accept(job("other", 1)).await.expect("accepted");
@@ -355,7 +354,7 @@
 async fn cached_values_of_a_removed_job_are_not_used_for_a_new_one() {
     let kv = Memory::default();
     let ledger = ledger(&kv);
-    let none = IndexMap::new();
+    let none = (CounterId::new(0), &ProcessAttempts::default());
     let mut manifests = Vec::new();
     for (submitted_ms, number) in [(1_000, 0), (200_000, 1)] {
         let new = NewJob {
@@ -365,7 +364,7 @@
         let stored = ledger.accept(new).await.expect("accepted");
         let results = [result(number)];
         let listed = ledger
-            .list(&key("j"), &stored, &[number], &results, &none)
+            .list(&key("j"), &stored, &[number], &results, none)
             .await;
         let stored = listed.expect("written").expect("listed");
         let read = ledger.results(&key("j"), &stored.manifest, 0).await;
@@ -417,7 +416,7 @@
     let (one, two) = (ledger(&kv), ledger(&kv));
     let stored = one.accept(job("j", 2)).await.expect("accepted");
     let job = key("j");
-    let none = IndexMap::new();
+    let none = (CounterId::new(0), &ProcessAttempts::default());
     let by = |node: &str| {
         let output = format!("by {node}");
         [ItemResult {
@@ -427,8 +426,8 @@
     };
     let (by_one, by_two) = (by("one"), by("two"));
     kv.script_write_faults([WriteFault::RequestLost]);
-    let lost = two.list(&job, &stored, &[0], &by_two, &none);
-    let faster = one.list(&job, &stored, &[0], &by_one, &none);
+    let lost = two.list(&job, &stored, &[0], &by_two, none);
+    let faster = one.list(&job, &stored, &[0], &by_one, none);
     let (lost, faster) = tokio::join!(lost, faster);
     let manifest = faster.expect("written").expect("the first").manifest;
     assert_eq!(lost.expect("read back").expect("found").manifest, manifest);
--- a/crates/jobs/tests/model.rs
+++ b/crates/jobs/tests/model.rs
@@ -8,9 +8,10 @@
 use std::sync::Arc;
 
 use common::{job, key, ledger, result};
-use indexmap::IndexMap;
 use kv::{Memory, WriteFault};
-use pomeloslip_jobs::{ItemResult, Ledger, NoPeers, StoredManifest};
+use pomeloslip_jobs::{
+    CounterId, ItemResult, Ledger, NoPeers, ProcessAttempts, StoredManifest,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const ITEMS: u32 = 12;
@@ -94,7 +95,7 @@
                 &writer.known,
                 &numbers,
                 &results,
-                &IndexMap::new(),
+                (CounterId::new(at as u32), &ProcessAttempts::default()),
             )
             .await;
         if let Ok(Ok(stored) | Err(stored)) = listed {
