Count a crash before the head fully as evidence against a part of prompts

Callers saw one endpoint end after the other under requests with one part of their prompts in common, and sound requests refused, since no endpoint was left.

Cause: an endpoint that ends as it begins often loses the head of its response. Such a crash weighed half, so that eight were needed for a hold; and a probe that ended so counted as one without a result, to be repeated each 3 s.

It now weighs as much as a crash after the head, and a probe that ends so is repeated after 30 s, then later. Sound parts are released by responses as before.

--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -68,7 +68,8 @@
 /// for longer shows that its prompt crashes no endpoint.
 pub const RESPONSE_BEGINNING_MS: u64 = 300;
 
-/// [`Crash::reached`] of evidence against a part if the run may not have begun.
+/// [`Crash::resumed_after`] and [`Crash::reached`] of evidence against a part
+/// if the run may not have begun.
 const REACHED_NO_HEAD: u64 = 1;
 
 /// [`Crash::reached`] of evidence against a part if the run had just begun.
@@ -125,8 +126,8 @@
     /// crash, `None` if there was no head. A part that crashes endpoints does
     /// so as they begin to respond. The positions in the responses of several
     /// requests are not comparable, so that the evidence has none: it counts
-    /// fully after a head and nothing else, and half if the run may not have
-    /// begun or had just made progress.
+    /// fully unless the run had just made progress. An endpoint that crashes
+    /// as it begins often loses the head.
     ///
     /// # Example
     ///
@@ -148,21 +149,27 @@
         &self,
         since_head_ms: Option<u64>,
     ) -> Option<Self> {
-        let reached = match since_head_ms {
-            None => REACHED_NO_HEAD,
-            Some(_) if self.progress() == 0 => 0,
+        let (resumed_after, reached) = match since_head_ms {
+            None => (REACHED_NO_HEAD, REACHED_NO_HEAD),
+            Some(_) if self.progress() == 0 => (0, 0),
             Some(since_ms) if since_ms <= RESPONSE_BEGINNING_MS => {
-                REACHED_BEGINNING
+                (0, REACHED_BEGINNING)
             }
             Some(_) => return None,
         };
         Some(Self {
-            resumed_after: 0,
+            resumed_after,
             reached,
             ..*self
         })
     }
 
+    /// Returns the rank of this evidence against a part among that of the same
+    /// crash; the lowest one counts.
+    pub(crate) fn part_rank(&self) -> (u64, u64) {
+        (self.progress(), self.reached)
+    }
+
     /// Reports whether this evidence against a part is of a run that had begun
     /// to respond.
     pub(crate) fn has_begun(&self) -> bool {
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -73,7 +73,8 @@
 pub enum ProbeOutcome {
     /// There was no probe, or it had no result.
     None,
-    /// Its endpoint crashed when the response had just begun.
+    /// Its endpoint crashed before the head of the response, or when the
+    /// response had just made progress.
     Doubtful,
     /// Its endpoint crashed after the head of the response.
     Crashed,
@@ -117,13 +118,17 @@
         let Some(probed_at) = self.probed_at else {
             return ProbeOutcome::None;
         };
-        let since =
-            |crash: &&Crash| crash.ended_at >= probed_at && crash.has_begun();
-        let crashes = self.crashes.iter().filter(since);
-        match crashes.map(Crash::score).max() {
-            None => ProbeOutcome::None,
-            Some(MAX_CRASH_SCORE) => ProbeOutcome::Crashed,
-            Some(_) => ProbeOutcome::Doubtful,
+        let since = |crash: &&Crash| crash.ended_at >= probed_at;
+        let shows_fault = |crash: &Crash| {
+            crash.has_begun() && crash.score() == MAX_CRASH_SCORE
+        };
+        let crashes: Vec<&Crash> = self.crashes.iter().filter(since).collect();
+        match crashes.as_slice() {
+            [] => ProbeOutcome::None,
+            all if all.iter().any(|crash| shows_fault(crash)) => {
+                ProbeOutcome::Crashed
+            }
+            _ => ProbeOutcome::Doubtful,
         }
     }
 
@@ -166,11 +171,10 @@
         let mut known = self.crashes.iter();
         let same = known.position(|known| self.is_same(known, &crash));
         if let Some(index) = same {
-            let (old, new) =
-                (self.crashes[index].progress(), crash.progress());
+            let old = &self.crashes[index];
             let is_known = match self.subject {
-                Subject::Request => old >= new,
-                Subject::PromptPart => old <= new,
+                Subject::Request => old.progress() >= crash.progress(),
+                Subject::PromptPart => old.part_rank() <= crash.part_rank(),
             };
             if is_known {
                 return false;
