Take no version for the only one by an outdated list of endpoints

Another operator saw streams that began at a new version go on at another one, at a front that was out of step during the release. Here this needs a stream whose client does not name its first attempt, and the origin of an equal request: the front then checks that the service ran one version alone, by its own list, however old that is. A front that was cut off, or did not run, does not know the versions that have joined.

The list now has to be confirmed within the last second; else the stream is refused. The new cases of seen.rs with an older list failed before. In the other cases of that file the list is confirmed at the time of the question.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -105,6 +105,7 @@
     /// Records the time up to which all changes are known.
     pub fn confirm(&mut self, at: Millis) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.seen.confirm(at);
     }
 
     /// Records a failed read of the key-value service.
--- a/crates/fleet/src/seen.rs
+++ b/crates/fleet/src/seen.rs
@@ -1,3 +1,8 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
 use base::Millis;
 use indexmap::IndexMap;
 
@@ -7,6 +12,11 @@
 /// milliseconds: the longest time for which a client may come back to a stream.
 const MEMORY_MS: u64 = 600_000;
 
+/// Maximum age of the list by which a version is known to be the only one, in
+/// milliseconds: longer than a change takes to reach a node that is in touch.
+/// A node that is out of touch does not know the versions that have joined.
+const MAX_LIST_AGE_MS: u64 = 1_000;
+
 /// The software versions of each service that a node has seen in the list of
 /// endpoints.
 ///
@@ -34,8 +44,10 @@
 /// let mut seen = SeenVersions::default();
 /// seen.add(&record, Millis::new(0));
 /// let v1 = VersionBinding::new("engines", "v1".parse()?);
+/// seen.confirm(Millis::new(5_000));
 /// assert!(!seen.is_only_version(&v1, 5_000, Millis::new(4_999)));
 /// assert!(seen.is_only_version(&v1, 5_000, Millis::new(5_000)));
+/// assert!(!seen.is_only_version(&v1, 5_000, Millis::new(8_000)));
 /// # Ok::<(), pomeloslip_fleet::VersionError>(())
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -45,6 +57,9 @@
     /// By service and version; endpoints of an unknown version count as one
     /// more version.
     services: IndexMap<String, IndexMap<Option<SoftwareVersion>, Sighting>>,
+    /// Time up to which all changes of the list are known, in milliseconds.
+    /// Clones share it, since it advances without a change of the list.
+    confirmed_at_ms: Arc<AtomicU64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -71,6 +86,12 @@
         sighting.changed_at = now;
     }
 
+    /// Records the time up to which all changes of the list are known.
+    pub fn confirm(&self, at: Millis) {
+        self.confirmed_at_ms
+            .fetch_max(at.as_ms(), Ordering::Relaxed);
+    }
+
     /// Records an endpoint that is not listed any more.
     pub fn remove(&mut self, record: &EndpointRecord, now: Millis) {
         let Some(versions) = self.services.get_mut(&record.service) else {
@@ -87,7 +108,7 @@
     /// last `window_ms`.
     ///
     /// A node that has watched the list for a shorter time does not know what
-    /// was there before.
+    /// was there before, and one whose list is out of date not what has joined.
     pub fn is_only_version(
         &self,
         binding: &VersionBinding,
@@ -95,7 +116,11 @@
         now: Millis,
     ) -> bool {
         let has_watched = |since| now.saturating_ms_since(since) >= window_ms;
-        if !self.since.is_some_and(has_watched) {
+        let confirmed_at =
+            Millis::new(self.confirmed_at_ms.load(Ordering::Relaxed));
+        let is_outdated =
+            now.saturating_ms_since(confirmed_at) > MAX_LIST_AGE_MS;
+        if is_outdated || !self.since.is_some_and(has_watched) {
             return false;
         }
         let versions = self.services.get(binding.service());
--- a/crates/fleet/tests/seen.rs
+++ b/crates/fleet/tests/seen.rs
@@ -34,8 +34,9 @@
 }
 
 /// Applies listings, each at a time in milliseconds, and reports whether only
-/// the first version has been in service at another time.
-fn is_only_version(listings: Listings, at_ms: u64) -> bool {
+/// the first version has been in service at another time. The list was last
+/// confirmed `age_ms` before.
+fn is_only_version(listings: Listings, at_ms: u64, age_ms: u64) -> bool {
     let mut directory = Directory::default();
     for (revision, (ms, records)) in (1..).zip(listings) {
         let records = records.iter();
@@ -48,6 +49,7 @@
         directory.reconcile(listing, Millis::new(*ms));
     }
     let table = directory.table();
+    directory.confirm(Millis::new(at_ms - age_ms));
     table.is_only_version(&v1(), WINDOW_MS, Millis::new(at_ms))
 }
 
@@ -77,5 +79,17 @@
     at_ms: u64,
     expected: bool,
 ) {
-    assert_eq!(is_only_version(listings, at_ms), expected);
+    assert_eq!(is_only_version(listings, at_ms, 0), expected);
+}
+
+/// Guards against a stream of a version that has joined while a front was cut
+/// off or did not run: the front takes it for one of the version that it knows.
+#[parameterized(
+    in_touch = { 1_000, true },
+    out_of_touch = { 1_001, false },
+    long_out_of_touch = { 15_000, false },
+)]
+fn no_version_is_certain_by_an_outdated_list(age_ms: u64, expected: bool) {
+    const LISTINGS: Listings = &[(0, &[V1])];
+    assert_eq!(is_only_version(LISTINGS, 20_000, age_ms), expected);
 }
