Refuse manifests of a size that no job has

An entry below the prefix of jobs with a number of items near 2^32 ended each worker that read it, again and again, as it allocated their states. Such a manifest is now invalid, and no job of that size is accepted.

--- a/crates/jobs/src/ledger/chunks.rs
+++ b/crates/jobs/src/ledger/chunks.rs
@@ -10,8 +10,9 @@
 use crate::{
     JobError,
     record::{
-        EMPTY_TABLE_BYTES, ItemInput, ItemResult, JobManifest, encode_inputs,
-        encode_manifest, encode_results, input_bytes, result_bytes,
+        EMPTY_TABLE_BYTES, ItemInput, ItemResult, JobManifest, MAX_ITEMS,
+        encode_inputs, encode_manifest, encode_results, input_bytes,
+        result_bytes,
     },
 };
 
@@ -55,10 +56,10 @@
         let total = manifest.total as usize;
         let items_bytes = total * max_item_manifest_bytes(total);
         let bytes = encode_manifest(manifest)?.len() + items_bytes;
-        match bytes <= self.max_value_bytes {
-            true => Ok(()),
-            false => Err(too_large("manifest", bytes, self.max_value_bytes)),
+        if bytes > self.max_value_bytes || manifest.total > MAX_ITEMS {
+            return Err(too_large("manifest", bytes, self.max_value_bytes));
         }
+        Ok(())
     }
 
     /// Encodes the inputs of a job as the values that store them.
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -155,10 +155,12 @@
         self.cancelled || self.listed.len() >= self.total as usize
     }
 
-    /// Reports whether no more items are listed than there are, and the chunks
-    /// of results follow each other.
+    /// Reports whether a job of this size is ever accepted, no more items are
+    /// listed than there are, and the chunks of results follow each other.
     fn is_consistent(&self) -> bool {
-        self.listed.len() <= self.total as usize
+        self.total <= MAX_ITEMS
+            && self.input_chunks <= MAX_INPUT_CHUNKS
+            && self.listed.len() <= self.total as usize
             && self.listed.iter().all(|number| *number < self.total)
             && self.output_chunks.is_sorted_by(|a, b| a < b)
             && self.output_parts.iter().all(|(first, parts)| {
@@ -204,6 +206,14 @@
     }
 }
 
+/// Maximum number of items of a job. The manifest of more items exceeds the
+/// largest value that key-value services hold.
+pub(crate) const MAX_ITEMS: u32 = 50_000;
+
+/// Maximum number of values that hold the inputs of a job, which are written
+/// in one transaction.
+const MAX_INPUT_CHUNKS: u32 = 32;
+
 /// Maximum number of values of one chunk of results.
 pub(crate) const MAX_CHUNK_PARTS: u32 = 24;
 
