Log what each crash weighs, when its record is stored and what a probe showed

A repeat of a request or a part of prompts could be read by its digest only, and not what a crash had counted, nor when the count was stored. The line about a run at a crashed endpoint now has the request's id as well. No line is written for a request at which nothing crashed.

--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -28,6 +28,7 @@
 /// A run whose endpoint may have crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct ExaminedRun {
+    request_id: String,
     end: RunEnd,
     keys: EvidenceKeys,
     endpoint: Endpoint,
@@ -89,6 +90,7 @@
 impl RunNotifier {
     fn examine(&self, run: &Run, end: RunEnd) {
         let examined_run = ExaminedRun {
+            request_id: run.request_id().to_owned(),
             end,
             keys: run.evidence_keys(),
             endpoint: run.endpoint().clone(),
@@ -263,6 +265,7 @@
     fn record_crashes(&self, runs: &[ExaminedRun]) {
         for run in runs {
             log::info!(
+                request_id = run.request_id.as_str(),
                 digest:% = run.keys.request(),
                 endpoint = run.endpoint.record().id.as_str(),
                 ran_ms = run.ran_ms,
--- a/crates/pass/src/run.rs
+++ b/crates/pass/src/run.rs
@@ -108,6 +108,12 @@
         self.request.route().kind()
     }
 
+    /// Returns the id of the request.
+    #[inline]
+    pub fn request_id(&self) -> &str {
+        self.request.id()
+    }
+
     /// Returns the endpoint.
     #[inline]
     pub fn endpoint(&self) -> &Endpoint {
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -277,6 +277,7 @@
             if state.records.add_crash(key, crash) {
                 state.recent.add(crash.endpoint, crash.ended_at);
                 state.unsaved.insert(key);
+                log_evidence(&state, key, &crash);
                 self.log_if_quarantined(&state, key, before);
             }
         }
@@ -492,6 +493,23 @@
     }
 }
 
+/// Logs what a crash that this process detected counts, and the sum.
+fn log_evidence(state: &State, key: RequestDigest, crash: &Crash) {
+    let Some(record) = state.records.record(key) else {
+        return;
+    };
+    log::info!(
+        digest:% = key,
+        subject:? = record.subject(),
+        weight = crash.score(),
+        score = record.score(),
+        crashes = record.crashes().len(),
+        probes = record.probes(),
+        probe:? = record.probe_outcome();
+        "a crash counts as evidence"
+    );
+}
+
 impl fmt::Debug for Quarantine {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Quarantine")
--- a/crates/quarantine/src/quarantine/parts.rs
+++ b/crates/quarantine/src/quarantine/parts.rs
@@ -4,7 +4,7 @@
 
 use base::RequestDigest;
 
-use super::{Quarantine, State};
+use super::{Quarantine, State, log_evidence};
 use crate::{Crash, Subject, sound_parts::SoundParts};
 
 /// Number of crashes from which on the record of a part is removed by a node
@@ -76,6 +76,7 @@
             state.recent.add(crash.endpoint, crash.ended_at);
             state.unsaved.insert(part);
             state.news.insert(part);
+            log_evidence(state, part, &crash);
             self.log_if_quarantined(state, part, before);
         }
     }
--- a/crates/quarantine/src/quarantine/write.rs
+++ b/crates/quarantine/src/quarantine/write.rs
@@ -212,6 +212,14 @@
         digest: RequestDigest,
         stored: StoredRecord,
     ) -> Result<(), Report<KvError>> {
+        log::info!(
+            digest:%,
+            revision = stored.revision,
+            score = stored.record.score(),
+            crashes = stored.record.crashes().len(),
+            probes = stored.record.probes();
+            "a crash record is stored"
+        );
         let mut state = self.lock();
         if state.records.contains(digest) {
             self.apply_stored(&mut state, digest, stored);
