Limit announced starts by job, and leave out items that have failed

Found by reading: items that had failed and waited for their next run counted against the limit of starts that wait to be recorded, and those of one job against that of all. Sixteen failing items of a worker would have kept the items of jobs that it takes up from starting. The line on changed counts names the processes that counted.

--- a/crates/jobs/src/attempts.rs
+++ b/crates/jobs/src/attempts.rs
@@ -198,6 +198,15 @@
         sum(self.elsewhere(own), item)
     }
 
+    /// Returns the processes that have counted attempts at an item.
+    pub fn counters_of(&self, item: u32) -> Vec<CounterId> {
+        let counted = self.0.iter().filter(|(_, attempts)| {
+            attempts.is_open(item)
+                || attempts.failed(item) != FailedAttempts::default()
+        });
+        counted.map(|(counter, _)| *counter).collect()
+    }
+
     /// Reports whether an item has generated events in any process.
     pub fn has_begun(&self, item: u32) -> bool {
         self.0.values().any(|attempts| attempts.has_begun(item))
--- a/crates/jobs/src/runner/attempts.rs
+++ b/crates/jobs/src/runner/attempts.rs
@@ -12,7 +12,7 @@
     record::JobKey,
 };
 
-/// Maximum number of items that wait until the start of their next run is
+/// Maximum number of items of a job that wait for a run whose start is
 /// recorded. If the process ends, each of them may have run.
 const MAX_ANNOUNCED: usize = 16;
 
@@ -60,12 +60,14 @@
         self.attempts.open(number);
     }
 
-    /// Returns the number of waiting items whose next attempt is recorded, or
-    /// about to be.
+    /// Returns the number of waiting items whose start is recorded, or about to
+    /// be, and that have not failed here.
     fn announced(&self) -> usize {
         let items = (0..).zip(&self.items);
         let announced = items.filter(|(number, item)| {
-            item.state == ItemPhase::Waiting && self.attempts.is_open(*number)
+            item.state == ItemPhase::Waiting
+                && self.attempts.is_open(*number)
+                && self.attempts.failed(*number) == FailedAttempts::default()
         });
         announced.count()
     }
@@ -165,6 +167,7 @@
                 open,
                 open_before,
                 may_have_run = self.may_have_run,
+                counted_by:? = newer.manifest.attempts.counters_of(number),
                 counter:? = self.counter,
                 revision = newer.revision;
                 "the stored attempts at an item have changed"
@@ -181,15 +184,13 @@
         }
     }
 
-    /// Announces the start of an item, unless many others wait for theirs.
-    /// Reports whether it does.
+    /// Announces the start of an item, unless many others of its job wait for
+    /// theirs. Reports whether it does.
     pub(super) fn announce(&mut self, key: &JobKey, number: u32) -> bool {
-        let waiting: usize =
-            self.jobs.values().map(ActiveJob::announced).sum();
         let Some(job) = self.jobs.get_mut(key) else {
             return false;
         };
-        if waiting >= MAX_ANNOUNCED {
+        if job.announced() >= MAX_ANNOUNCED {
             return false;
         }
         job.announce(number);
