Wait before a rejected write of counts is repeated, as for results

Found by reading: a write of counts that the key-value service rejects for its size was repeated each 100 ms, as only the time of the next results was moved.

--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -234,10 +234,12 @@
                     error:? = report;
                     "the key-value service rejects results"
                 );
-                job.next_commit = match job.reject_commit() {
+                let retry_at = match job.reject_commit() {
                     true => Millis::new(0),
                     false => now.saturating_add_ms(REJECTED_RETRY_MS),
                 };
+                job.next_commit = retry_at;
+                job.next_count_commit = retry_at;
                 return;
             }
             Err(report) => {
