Give the place of an unused connection to a new one, and let refusals arrive

Callers saw no answer at a front whose connections were all taken, for as long as the others stayed open, and a reset instead of the response when they were refused while they still sent.

Cause: the listener closed every connection beyond the limit unread, whatever the open ones did, and closed a connection with unread bytes as soon as the response was written, which resets it.

The listener ends only its half of a connection after a refusal and discards what arrives, up to 64 MiB or 2 s.

--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -12,7 +12,8 @@
 
 use crate::{
     Counters, Exchange, Inbound, IncompleteResponse, caller::ResetFlag,
-    connection_use::ConnectionUse, resume::ResumedBody,
+    connection::CallerConnection, connection_use::ConnectionUse,
+    resume::ResumedBody,
 };
 
 /// The body of a response to a client.
@@ -21,6 +22,8 @@
     inner: Inner,
     /// Set if the response turns out to be incomplete.
     reset: Option<ResetFlag>,
+    /// The connection that is free for the next request after the response.
+    connection: Option<CallerConnection>,
 }
 
 #[derive(Debug)]
@@ -45,7 +48,16 @@
     }
 
     fn new(inner: Inner) -> Self {
-        Self { inner, reset: None }
+        Self {
+            inner,
+            reset: None,
+            connection: None,
+        }
+    }
+
+    /// Marks the connection as free for the next request when the body ends.
+    pub(crate) fn release_at_end(&mut self, connection: CallerConnection) {
+        self.connection = Some(connection);
     }
 
     /// Resets the connection to the client if the response is incomplete.
@@ -54,6 +66,14 @@
     }
 }
 
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.waiting();
+        }
+    }
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = IncompleteResponse;
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -21,6 +21,7 @@
 mod caller;
 mod cause;
 mod channel;
+mod connection;
 mod connection_use;
 mod counters;
 mod customers;
@@ -30,6 +31,7 @@
 mod exchange;
 mod forward;
 mod guard;
+mod linger;
 mod listen;
 mod names;
 mod observe;
@@ -51,6 +53,7 @@
     answer::ResponseBody,
     attempt::{Failure, Offer},
     channel::ChannelOptions,
+    connection::ConnectionCounts,
     counters::Counters,
     customers::{CustomerCounters, CustomerOutcome},
     endpoint_speeds::{EndpointSpeedRow, EndpointSpeeds},
@@ -58,6 +61,7 @@
     events::{EventSplitter, Split},
     exchange::Exchange,
     forward::{DirectoryView, Forwarder, ForwarderOptions},
+    linger::LingerLimits,
     listen::{
         Handler, HandlerFuture, Listener, ListenerOptions, ShutdownPhase,
     },
