Bound the memory that callers make a front hold, whatever it is made of

Cause: each body had a limit, all together had none. A body could grow its buffer to twice its size, stay unfinished for ever, and was kept until the end of the response; a job had about seven copies, in a task that outlives its request.

Change: `receive_body` reserves from one `MemoryBudget` before it reads: the announced length, or each step by which the buffer grows. Jobs reserve eight times their body until the write to the ledger has ended; pages of results and bodies of items reserve theirs until they are sent.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -8,9 +8,10 @@
 
 use access::{Admitted, Arrived, Denied, Identified};
 use base::Customer;
+use budget::{BodyPace, MemoryBudget, MemoryOptions, Reservation};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use fleet::{Config, Route, RouteKind, TransferLimits};
+use fleet::{Config, MAX_REQUEST_MS, Route, RouteKind, TransferLimits};
 use http::{
     HeaderName, HeaderValue, Request, Response, StatusCode, header,
     request::Parts,
@@ -22,9 +23,9 @@
 };
 use limits::LimitDecision;
 use pass::{
-    Counters, CustomerOutcome, Forwarder, Handler, HandlerFuture, Inbound,
-    Listener, ListenerOptions, Refusal, ResponseBody, ShutdownPhase,
-    read_body,
+    BodyTerms, Counters, CustomerOutcome, Forwarder, Handler, HandlerFuture,
+    Inbound, Listener, ListenerOptions, ReceivedBody, Refusal, ResponseBody,
+    ShutdownPhase, deadline_ms, receive_body,
 };
 use share::TermsTable;
 use tokio::{sync::watch, time};
@@ -37,6 +38,7 @@
     job_manifests::PeerManifests,
     load::{FrontLoad, FrontSpeeds, LoadNotifier},
     quota::QuotaClient,
+    usage,
 };
 
 /// The role that serves callers' requests.
@@ -93,6 +95,9 @@
         let (phase, receiver) = watch::channel(ShutdownPhase::Running);
         let options = ListenerOptions {
             max_connections: settings.max_connections,
+            socket_buffer_bytes: Some(SOCKET_BUFFER_BYTES),
+            read_timeout_ms: settings.caller_limits.read_timeout_ms,
+            linger: settings.caller_limits.linger,
             ..ListenerOptions::default()
         };
         let listener = Listener::bind(address, options, receiver)
@@ -103,7 +108,19 @@
             manifests.clone(),
             settings.disk_losses,
         );
+        let memory = MemoryBudget::new(
+            MemoryOptions::new(settings.caller_limits.memory.callers_bytes),
+            context.cluster.clock().clone(),
+        );
+        tokio::spawn(usage::record_callers(
+            memory.clone(),
+            listener.unserved_connections(),
+            context.counters.clone(),
+        ));
         let gateway = Arc::new(Gateway {
+            memory,
+            body_pace: settings.caller_limits.body_pace,
+            value_bytes: settings.value_bytes,
             dialect: context.dialect,
             cluster: context.cluster,
             forwarder,
@@ -161,6 +178,11 @@
 
 /// Handles the requests of callers.
 struct Gateway {
+    /// The memory that callers may make the node hold.
+    memory: MemoryBudget,
+    body_pace: BodyPace,
+    /// Maximum size of a value in the key-value service.
+    value_bytes: usize,
     dialect: Arc<dyn Dialect>,
     cluster: ClusterState,
     forwarder: Arc<Forwarder>,
@@ -193,6 +215,17 @@
 /// enough for two workers, one after the other.
 const LEDGER_WAIT_DIVISOR: u64 = 4;
 
+/// Size of the buffers of callers' sockets.
+const SOCKET_BUFFER_BYTES: u32 = 32 * 1024;
+
+/// Copies of a job's body that exist at the same time while the job is stored:
+/// the body or its decoded items, twice, the values of the key-value service,
+/// also in the cache, and the text of the call that writes them.
+const JOB_COPIES: u64 = 8;
+
+/// Memory for a page of results until its size is known.
+const PAGE_BYTES: u64 = 64 * 1024;
+
 impl Gateway {
     fn limits(&self) -> TransferLimits {
         let config = self.cluster.config.load();
@@ -251,9 +284,11 @@
         if let Err(refusal) = self.check_pause(customer.as_ref()) {
             return self.refuse(&parts, name, refusal);
         }
-        let max_bytes = self.limits().max_body_bytes;
-        let body = match read_body(body, max_bytes).await {
-            Ok(body) => body,
+        let terms = self.body_terms(&parts, &route, arrived_at);
+        let received =
+            receive_body(body, &self.memory, terms, &parts.extensions).await;
+        let received = match received {
+            Ok(received) => received,
             Err(refusal)
                 if refusal.status() == StatusCode::PAYLOAD_TOO_LARGE =>
             {
@@ -268,18 +303,41 @@
                 config_version,
                 customer,
             };
-            return self.accept_job(&parts, &body, accepted_by).await;
+            return self.accept_job(&parts, received, accepted_by).await;
         }
         let admitted = match self.admit(identified).await {
             Ok(admitted) => admitted,
             Err(refusal) => return self.refuse(&parts, name, refusal),
         };
         let names = self.forwarder.names();
+        let ReceivedBody { bytes, reservation } = received;
         let request =
-            Inbound::new(parts, body, route, names, arrived_at, admitted);
+            Inbound::new(parts, bytes, route, names, arrived_at, admitted);
+        let request = request.with_reservation(reservation);
         self.forwarder.forward(request, config_version).await
     }
 
+    /// Returns the limits of the body of a request.
+    fn body_terms(
+        &self,
+        parts: &Parts,
+        route: &Route,
+        arrived_at: Instant,
+    ) -> BodyTerms {
+        let is_job = route.kind() == RouteKind::Batch;
+        // A job has no deadline of its route.
+        let route_ms = (!is_job).then_some(route.timeout_ms());
+        let caller_ms = deadline_ms(&parts.headers, self.forwarder.names());
+        let wait_ms = route_ms.into_iter().chain(caller_ms).min();
+        let wait_ms = wait_ms.map(|wait_ms| wait_ms.min(MAX_REQUEST_MS));
+        BodyTerms {
+            max_bytes: self.limits().max_body_bytes,
+            copies: if is_job { JOB_COPIES } else { 1 },
+            ends_at: wait_ms.map(|ms| arrived_at + Duration::from_millis(ms)),
+            pace: self.body_pace,
+        }
+    }
+
     /// Refuses the requests of a customer that operators have paused. Calls
     /// about its jobs are served.
     fn check_pause(&self, customer: Option<&Customer>) -> Result<(), Refusal> {
@@ -426,21 +484,25 @@
     async fn accept_job(
         &self,
         parts: &Parts,
-        body: &[u8],
+        received: ReceivedBody,
         accepted_by: AcceptedBy<'_>,
     ) -> Response<ResponseBody> {
+        let ReceivedBody { bytes, reservation } = received;
         let customer = accepted_by.customer.clone();
         let name = customer.as_ref().map_or("", Customer::as_str);
         let target_latency_ms = accepted_by.route.target_latency_ms();
         let config = accepted_by.config_version;
-        let new_job = match self.new_job(parts, body, accepted_by) {
+        let new_job = match self.new_job(parts, &bytes, accepted_by) {
             Ok(new_job) => new_job,
             Err(refusal) => return self.refuse(parts, name, refusal),
         };
+        drop(bytes);
         let (key, items) = (new_job.key.clone(), new_job.items.len());
         let owner = new_job.owner.clone();
         let ledger_wait_ms = target_latency_ms / LEDGER_WAIT_DIVISOR;
-        match self.intake.accept(new_job, ledger_wait_ms).await {
+        let accepted =
+            self.intake.accept(new_job, ledger_wait_ms, reservation);
+        match accepted.await {
             Ok(accepted) => {
                 Counters::add(&self.counters.jobs_accepted);
                 log::info!(
@@ -521,16 +583,20 @@
                 wait_ms,
             } => {
                 let page = self.pages.page(&job, customer, after, wait_ms);
-                let page = page.await;
-                let page = page.map(|page| {
-                    json(StatusCode::OK, self.dialect.encode_page(&page))
+                let page = page.await.and_then(|page| {
+                    let reservation = self.reserve(PAGE_BYTES)?;
+                    let bytes = self.dialect.encode_page(&page);
+                    reserve_all(&reservation, bytes.len() as u64)?;
+                    Ok(json(StatusCode::OK, bytes)
+                        .map(|body| body.with_reservation(reservation)))
                 });
                 (job, page)
             }
             JobCall::Body { job, item } => {
                 let body = self.item_body(&job, customer, &item).await;
-                let body = body.map(|body| {
-                    Response::new(ResponseBody::from_bytes(Bytes::from(body)))
+                let body = body.map(|(body, reservation)| {
+                    let body = ResponseBody::from_bytes(Bytes::from(body));
+                    Response::new(body.with_reservation(reservation))
                 });
                 (job, body)
             }
@@ -569,7 +635,7 @@
         job: &JobKey,
         customer: Option<&Customer>,
         item: &str,
-    ) -> Result<Vec<u8>, Report<JobError>> {
+    ) -> Result<(Vec<u8>, Reservation), Report<JobError>> {
         // The number of inputs never changes, so a manifest of any age works.
         let known = self.manifests.read(job, None, 0).await;
         let known = known.map(|known| known.stored);
@@ -579,11 +645,21 @@
             Some(stored) => stored,
             None => self.ledger.read_for(job, customer).await?,
         };
+        let chunks = u64::from(stored.manifest.input_chunks);
+        let inputs_bytes = chunks * self.value_bytes as u64;
+        let reservation = self.reserve(inputs_bytes)?;
         let inputs = self.ledger.inputs(job, &stored.manifest).await?;
         let input = inputs.into_iter().find(|input| input.id == item);
-        input
+        let body = input
             .map(|input| input.body)
-            .ok_or_else(|| Report::new(JobError::Unknown))
+            .ok_or_else(|| Report::new(JobError::Unknown))?;
+        reservation.shrink_to(body.len() as u64);
+        Ok((body, reservation))
+    }
+
+    fn reserve(&self, bytes: u64) -> Result<Reservation, Report<JobError>> {
+        let reservation = self.memory.reserve(bytes);
+        reservation.change_context(JobError::NotDone)
     }
 }
 
@@ -594,6 +670,13 @@
     customer: Option<Customer>,
 }
 
+fn reserve_all(
+    reservation: &Reservation,
+    bytes: u64,
+) -> Result<(), Report<JobError>> {
+    reservation.grow_to(bytes).change_context(JobError::NotDone)
+}
+
 fn refusal_for(error: JobError) -> Refusal {
     match error {
         JobError::TooLarge => Refusal::rejected(
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,5 +1,6 @@
 use std::{fmt, sync::Arc, time::Duration};
 
+use budget::Reservation;
 use error_stack::Report;
 use execution::{Evidence, OfferedRun, PossibleRuns, Ran};
 use jobs::{
@@ -91,6 +92,7 @@
         &self,
         job: NewJob,
         ledger_wait_ms: u64,
+        reservation: Reservation,
     ) -> Result<Accepted, NotAccepted> {
         // A spooled job that the ledger can never store would be lost.
         if let Err(report) = self.ledger.check_size(&job) {
@@ -104,7 +106,8 @@
         let kept = PossibleRuns::default();
         // A separate task: a write that the key-value service applies after
         // the timeout is still processed.
-        let mut write = self.start_ledger_write(job.clone(), kept.begin());
+        let mut write =
+            self.start_ledger_write(job.clone(), kept.begin(), reservation);
         let timeout = Duration::from_millis(ledger_wait_ms);
         let pending = match time::timeout(timeout, &mut write).await {
             Ok(ended) => Err(result_of(ended)),
@@ -149,11 +152,14 @@
         &self,
         job: NewJob,
         offered: OfferedRun,
+        reservation: Reservation,
     ) -> LedgerWrite {
         let (ledger, manifests) =
             (self.ledger.clone(), self.manifests.clone());
         let push = self.push.clone();
         tokio::spawn(async move {
+            // Held until the write has ended, which outlives the request.
+            let _reservation = reservation;
             let key = job.key.clone();
             offered.mark_sent();
             let result = ledger.accept(job).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod admin;
 mod base;
 mod bootstrap_list;
+mod caller_limits;
 mod cluster;
 mod commit_wire;
 mod commits;
@@ -49,11 +50,14 @@
 mod worker;
 mod write_through;
 
+pub use budget::{BodyPace, MemoryShares};
 pub use fleet::EndpointSpeed;
+pub use pass::LingerLimits;
 
 pub use crate::{
     admin::Admin,
     base::NodeContext,
+    caller_limits::CallerLimits,
     cluster::{ClusterState, ConfigBounds},
     dialect::{
         Dialect, DialectError, JobCall, OperatorOrder, VacateOrder,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,7 +4,7 @@
 use limits::Tolerance;
 use tokio::sync::watch;
 
-use crate::ConfigBounds;
+use crate::{CallerLimits, ConfigBounds};
 
 /// Settings of a node.
 #[derive(Clone, Debug)]
@@ -62,6 +62,8 @@
     pub fair_shares: bool,
     /// File with the weights and pauses of customers, if there is one.
     pub customers_file: Option<PathBuf>,
+    /// What callers may make the node hold.
+    pub caller_limits: CallerLimits,
 }
 
 /// Maximum time in which changes must reach every node, in milliseconds, even
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -308,6 +308,7 @@
         endpoint_speed: fleet::EndpointSpeed::default(),
         fair_shares: false,
         customers_file: None,
+        caller_limits: pomeloslip_node::CallerLimits::default(),
     }
 }
 
--- a/crates/node/tests/unit/intake.rs
+++ b/crates/node/tests/unit/intake.rs
@@ -3,7 +3,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{UnixMillis, timer::Timer};
+use base::{SteppedClock, UnixMillis, timer::Timer};
+use budget::{MemoryBudget, MemoryOptions, Reservation};
 use fleet::BatchDeadlines;
 use jobs::{
     ItemInput, JobError, JobView, Ledger, ManifestSource, NewJob, NodeRecord,
@@ -19,6 +20,13 @@
 use super::JobIntake;
 use crate::job_manifests::PeerManifests;
 
+/// Returns memory for a job.
+fn memory() -> Reservation {
+    let clock = Arc::new(SteppedClock::default());
+    let budget = MemoryBudget::new(MemoryOptions::new(1_000_000), clock);
+    budget.reserve(1_000).expect("free")
+}
+
 /// What a worker does with one request to spool a job.
 #[derive(Clone, Copy, Debug)]
 enum Worker {
@@ -147,7 +155,7 @@
         worker("worker-1", actions).await,
         worker("worker-2", vec![Worker::Status(404)]).await,
     ];
-    let failure = intake(&kv, workers).accept(job(), 100).await;
+    let failure = intake(&kv, workers).accept(job(), 100, memory()).await;
     let failure = failure.expect_err("not accepted");
     assert_eq!(*failure.report.current_context(), error, "{failure:?}");
 }
@@ -164,7 +172,7 @@
     kv.script_write_faults([fault]);
     let intake = intake(&kv, Vec::new());
     let accepting =
-        tokio::spawn(async move { intake.accept(job(), 100).await });
+        tokio::spawn(async move { intake.accept(job(), 100, memory()).await });
     // The first write uses up the fault, and every later call fails.
     while kv.counts().writes == 0 {
         tokio::task::yield_now().await;
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use budget::Reservation;
 use bytes::Bytes;
 use execution::PossibleRuns;
 use http_body::{Body, Frame, SizeHint};
@@ -24,6 +25,8 @@
     reset: Option<ResetFlag>,
     /// The connection that is free for the next request after the response.
     connection: Option<CallerConnection>,
+    /// The memory of a response of this node.
+    reservation: Option<Reservation>,
 }
 
 #[derive(Debug)]
@@ -52,9 +55,17 @@
             inner,
             reset: None,
             connection: None,
+            reservation: None,
         }
     }
 
+    /// Holds the memory that is reserved for the bytes until they are sent.
+    #[must_use]
+    pub fn with_reservation(mut self, reservation: Reservation) -> Self {
+        self.reservation = Some(reservation);
+        self
+    }
+
     /// Marks the connection as free for the next request when the body ends.
     pub(crate) fn release_at_end(&mut self, connection: CallerConnection) {
         self.connection = Some(connection);
--- a/crates/pass/src/counters.rs
+++ b/crates/pass/src/counters.rs
@@ -287,6 +287,16 @@
     placed_slow,
     /// Requests that were sent to an endpoint of the class `very_slow`.
     placed_very_slow,
+    /// Memory in bytes that is reserved for callers at the moment.
+    callers_memory_bytes,
+    /// Requests for which there was no memory.
+    callers_memory_refused,
+    /// Bodies that had stopped to arrive and lost their memory to others.
+    callers_memory_evicted,
+    /// Connections of callers that were closed unread.
+    connections_refused,
+    /// Connections of callers without use that were closed for new ones.
+    connections_evicted,
 }
 
 impl Counters {
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -37,6 +37,7 @@
 mod observe;
 mod origins;
 mod pool;
+mod receive;
 mod refusal;
 mod relay;
 mod request;
@@ -69,9 +70,10 @@
     observe::{LoadObserver, NoopObserver},
     origins::{LocalOrigins, OriginFuture, StreamOrigins},
     pool::{CallOutcome, Pool},
+    receive::{BodyTerms, ReceivedBody, out_of_memory, receive_body},
     refusal::Refusal,
     relay::Relay,
-    request::{Inbound, read_body},
+    request::{Inbound, deadline_ms, read_body},
     returns::RetryAfterEstimator,
     run::{Run, RunObserver},
     shared_parts::SharedParts,
--- a/crates/pass/src/refusal.rs
+++ b/crates/pass/src/refusal.rs
@@ -25,6 +25,8 @@
     reason: &'static str,
     ran: Ran,
     retry_after_ms: Option<u64>,
+    /// Whether the connection is closed after the response.
+    closes: bool,
 }
 
 impl Refusal {
@@ -63,6 +65,7 @@
             "the body of the request is too large",
             Ran::No,
         )
+        .closing()
     }
 
     const fn new(status: StatusCode, reason: &'static str, ran: Ran) -> Self {
@@ -71,9 +74,18 @@
             reason,
             ran,
             retry_after_ms: None,
+            closes: false,
         }
     }
 
+    /// Closes the connection after the response, since the rest of the request
+    /// is not read.
+    #[must_use]
+    pub(crate) const fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
     /// Sets the time after which the client should retry.
     #[must_use]
     pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
@@ -121,6 +133,10 @@
             header::CONTENT_TYPE,
             HeaderValue::from_static("application/problem+json"),
         );
+        if self.closes {
+            let close = HeaderValue::from_static("close");
+            headers.insert(header::CONNECTION, close);
+        }
         if let Some(ms) = self.retry_after_ms {
             let seconds = format!("{}", ms as f64 / 1_000.0);
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -5,6 +5,7 @@
 
 use access::Admitted;
 use base::{Customer, RequestContent, RequestDigest};
+use budget::Reservation;
 use bytes::{Bytes, BytesMut};
 use fleet::{MAX_REQUEST_MS, Route};
 use http::{
@@ -113,6 +114,8 @@
     digest: OnceLock<RequestDigest>,
     /// Id of the job of which the request is an item, if any.
     job: Option<String>,
+    /// The memory that is reserved for the request.
+    _reservation: Option<Reservation>,
 }
 
 /// Minimum remaining time of a client that has not waited yet, in percent of
@@ -150,8 +153,6 @@
         } = parts;
         let text = |name| headers.get(name).and_then(|v| v.to_str().ok());
         let id = text(&names.request_id).unwrap_or_default().to_owned();
-        let deadline_ms: Option<u64> =
-            text(&names.deadline_ms).and_then(|text| text.parse().ok());
         let resume_text = headers.get(&names.resume_after);
         let resume_after = text(&names.resume_after)
             .and_then(|text| text.trim().parse().ok());
@@ -163,7 +164,7 @@
             None => hash(&id),
         };
         let prompt = text(&names.prompt_parts).unwrap_or_default().into();
-        let wait_ms = deadline_ms
+        let wait_ms = deadline_ms(&headers, names)
             .unwrap_or(u64::MAX)
             .min(route.timeout_ms())
             .min(MAX_REQUEST_MS);
@@ -188,9 +189,17 @@
             admitted,
             digest: OnceLock::new(),
             job: None,
+            _reservation: None,
         }
     }
 
+    /// Holds the memory of the request until it has ended.
+    #[must_use]
+    pub fn with_reservation(mut self, reservation: Reservation) -> Self {
+        self._reservation = Some(reservation);
+        self
+    }
+
     /// Marks the request as an item of a job: its crash records also count
     /// for the job, and for all items of the same path.
     #[must_use]
@@ -415,6 +424,12 @@
     }
 }
 
+/// Returns how long the client of a request waits, if the request says so.
+pub fn deadline_ms(headers: &HeaderMap, names: &HeaderNames) -> Option<u64> {
+    let value = headers.get(&names.deadline_ms)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 fn origin_form(uri: &Uri) -> PathAndQuery {
     let root = || PathAndQuery::from_static("/");
     uri.path_and_query().cloned().unwrap_or_else(root)
