Bound the memory that messages of other nodes take

Cause, by reading: commits, pushed jobs, spooled jobs, crash records and calls to be relayed have a limit for one message, of up to 32 MiB, and none for all that arrive at the same time.

Change: they are read by `receive_body` from a budget of an eighth of the machine's memory at a front, and half of it at a worker. A message for which there is no memory is refused before it is read, so that nothing was done.

No test makes nodes send more than the budget.

--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -36,6 +36,7 @@
     membership::{LeaseTerms, NodeRegistration, RegistrationSignals},
     origins::Origins,
     peer,
+    peer_bodies::PeerBodies,
     peer_bulk::{BulkResponder, PeerBulk},
     quota::{self, QuotaClient, QuotaService, ShareExchange},
     usage,
@@ -162,10 +163,13 @@
         );
         tokio::spawn(usage::log_usage(context.counters.clone()));
         let spooled_jobs = spool.as_ref().map(|spool| spool.count());
+        let memory = &settings.caller_limits.memory;
+        let bodies = PeerBodies::new(memory, !runs_items, clock.clone());
         let push_receiver = PushReceiver {
             view: view.clone(),
             cache: cache.clone(),
             clock: clock.clone(),
+            bodies: bodies.clone(),
         };
         let crash_news = CrashNews::new(
             &settings.node,
@@ -175,7 +179,8 @@
         );
         tokio::spawn(crash_news.clone().run());
         let handler = PeerHandler {
-            relay: Relay::new(settings.kv),
+            relay: Relay::new(settings.kv)
+                .with_budget(bodies.budget().clone()),
             feeds,
             pages: Arc::default(),
             counters: context.counters.clone(),
@@ -186,6 +191,7 @@
             push_receiver,
             crash_news,
             clock: clock.clone(),
+            bodies,
         };
         peer::serve(settings.peer, handler)?;
         let socket = load::bind(settings.peer)
--- a/crates/node/src/commits.rs
+++ b/crates/node/src/commits.rs
@@ -25,12 +25,13 @@
     GetReply, Kv, KvError, KvFuture, LeaseId, Txn, TxnReply, Watcher,
     batch::{self, GroupCommit, TxnResult},
 };
-use pass::{CallOutcome, Counters, Pool, ResponseBody, read_body};
+use pass::{CallOutcome, Counters, Pool, ResponseBody};
 use tokio::time;
 
 use crate::{
     commit_wire::{self, WireOutcome},
     peer,
+    peer_bodies::PeerBodies,
 };
 
 /// Path prefix at which a node receives the writes of others, followed by the
@@ -264,16 +265,18 @@
 /// Commits a write of another node and responds when its outcome is known.
 pub(crate) async fn receive(
     group_commit: GroupCommit,
+    bodies: PeerBodies,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
     let max_delay = path.strip_prefix(COMMIT_PATH).unwrap_or_default();
     let max_delay_ms: Option<u64> = max_delay.parse().ok();
-    let body = match read_body(request.into_body(), MAX_REQUEST_BYTES).await {
-        Ok(body) => body,
+    let received = match bodies.receive(request, MAX_REQUEST_BYTES).await {
+        Ok(received) => received,
         Err(refusal) => return refusal.into_response(),
     };
-    let txn = commit_wire::decode(&body);
+    let body = &received.bytes;
+    let txn = commit_wire::decode(body);
     let (Some(txn), Some(max_delay_ms)) = (txn, max_delay_ms) else {
         log::warn!(bytes = body.len();
             "a malformed write of another node is rejected");
--- a/crates/node/src/crash_news.rs
+++ b/crates/node/src/crash_news.rs
@@ -13,11 +13,11 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use jobs::{JobView, Members, NodeRecord};
-use pass::{CallOutcome, Pool, ResponseBody, read_body};
+use pass::{CallOutcome, Pool, ResponseBody};
 use quarantine::{CrashRecordUpdate, Quarantine};
 use tokio::{task::JoinSet, time};
 
-use crate::peer;
+use crate::{peer, peer_bodies::PeerBodies};
 
 /// Path at which a node receives changes and returns the quarantined parts.
 pub(crate) const CRASH_NEWS_PATH: &str = "/crash-news";
@@ -175,6 +175,7 @@
     pub(crate) async fn serve(
         self,
         request: Request<Incoming>,
+        bodies: PeerBodies,
     ) -> Response<ResponseBody> {
         if request.method() != Method::POST {
             let parts = self.quarantine.quarantined_parts();
@@ -182,12 +183,11 @@
             let bytes = serde_json::to_vec(&parts).unwrap_or_default();
             return Response::new(ResponseBody::from_bytes(bytes.into()));
         }
-        let status =
-            match read_body(request.into_body(), MAX_MESSAGE_BYTES).await {
-                Ok(body) if self.apply(&body) => StatusCode::NO_CONTENT,
-                Ok(_) => StatusCode::BAD_REQUEST,
-                Err(refusal) => return refusal.into_response(),
-            };
+        let status = match bodies.receive(request, MAX_MESSAGE_BYTES).await {
+            Ok(body) if self.apply(&body.bytes) => StatusCode::NO_CONTENT,
+            Ok(_) => StatusCode::BAD_REQUEST,
+            Err(refusal) => return refusal.into_response(),
+        };
         let mut response =
             Response::new(ResponseBody::from_bytes(Bytes::new()));
         *response.status_mut() = status;
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -11,9 +11,7 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use kv::{KeyValue, LeaseId, batch::GroupCommit};
-use pass::{
-    Counters, Handler, HandlerFuture, Pool, Relay, ResponseBody, read_body,
-};
+use pass::{Counters, Handler, HandlerFuture, Pool, Relay, ResponseBody};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
@@ -25,6 +23,7 @@
     job_push::{PUSH_PATH, PushReceiver},
     job_spool::{JobSpool, SPOOL_PATH},
     peer,
+    peer_bodies::PeerBodies,
     peer_bulk::{BULK_PATH, BulkResponder},
     readers::QueryTiming,
 };
@@ -292,17 +291,21 @@
     /// Exchanges crash records.
     pub(crate) crash_news: CrashNews,
     pub(crate) clock: Arc<dyn Clock>,
+    /// Reads the messages.
+    pub(crate) bodies: PeerBodies,
 }
 
 impl Handler for PeerHandler {
     fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
         let uri = request.uri();
         if uri.path().starts_with(SPOOL_PATH) {
-            return Box::pin(spool_job(self.spool.clone(), request));
+            let bodies = self.bodies.clone();
+            return Box::pin(spool_job(self.spool.clone(), bodies, request));
         }
         if uri.path().starts_with(COMMIT_PATH) {
             return Box::pin(commits::receive(
                 self.group_commit.clone(),
+                self.bodies.clone(),
                 request,
             ));
         }
@@ -314,7 +317,8 @@
             return Box::pin(self.push_receiver.clone().receive(request));
         }
         if uri.path() == CRASH_NEWS_PATH {
-            return Box::pin(self.crash_news.clone().serve(request));
+            let news = self.crash_news.clone();
+            return Box::pin(news.serve(request, self.bodies.clone()));
         }
         if let Some(key) = uri.path().strip_prefix(BULK_PATH) {
             return Box::pin(self.bulk.clone().respond(key.to_owned()));
@@ -354,14 +358,14 @@
 
 async fn spool_job(
     spool: Option<Arc<JobSpool>>,
+    bodies: PeerBodies,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let status =
-        match (spool, read_body(request.into_body(), MAX_BODY_BYTES).await) {
-            (Some(spool), Ok(body)) => spool.spool(body).await,
-            (None, Ok(_)) => StatusCode::NOT_FOUND,
-            (_, Err(refusal)) => return refusal.into_response(),
-        };
+    let status = match (spool, bodies.receive(request, MAX_BODY_BYTES).await) {
+        (Some(spool), Ok(body)) => spool.spool(body.bytes).await,
+        (None, Ok(_)) => StatusCode::NOT_FOUND,
+        (_, Err(refusal)) => return refusal.into_response(),
+    };
     let mut response = Response::new(ResponseBody::from_bytes(Bytes::new()));
     *response.status_mut() = status;
     response
--- a/crates/node/src/job_push.rs
+++ b/crates/node/src/job_push.rs
@@ -15,10 +15,12 @@
     BulkCache, JobKey, JobView, Ledger, StoredManifest, decode_manifest_row,
 };
 use kv::Op;
-use pass::{CallOutcome, Pool, ResponseBody, read_body};
+use pass::{CallOutcome, Pool, ResponseBody};
 use tokio::time;
 
-use crate::{commit_wire, commits::MAX_REQUEST_BYTES, peer};
+use crate::{
+    commit_wire, commits::MAX_REQUEST_BYTES, peer, peer_bodies::PeerBodies,
+};
 
 /// Path prefix at which a worker receives new jobs, followed by the revision
 /// of the manifest.
@@ -96,6 +98,7 @@
     pub(crate) view: JobView,
     pub(crate) cache: Arc<BulkCache>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) bodies: PeerBodies,
 }
 
 impl PushReceiver {
@@ -108,16 +111,17 @@
         let path = request.uri().path();
         let revision = path.strip_prefix(PUSH_PATH).unwrap_or_default();
         let revision: Option<u64> = revision.parse().ok();
-        let body =
-            match read_body(request.into_body(), MAX_REQUEST_BYTES).await {
-                Ok(body) => body,
-                Err(refusal) => return refusal.into_response(),
-            };
+        let body = match self.bodies.receive(request, MAX_REQUEST_BYTES).await
+        {
+            Ok(body) => body,
+            Err(refusal) => return refusal.into_response(),
+        };
+        let bytes = &body.bytes;
         let status =
-            match revision.and_then(|revision| self.apply(&body, revision)) {
+            match revision.and_then(|revision| self.apply(bytes, revision)) {
                 Some(()) => StatusCode::NO_CONTENT,
                 None => {
-                    log::warn!(bytes = body.len();
+                    log::warn!(bytes = bytes.len();
                     "a malformed job of another node is rejected");
                     StatusCode::BAD_REQUEST
                 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 mod origins;
 mod peer;
 mod peer_addresses;
+mod peer_bodies;
 mod peer_bulk;
 mod probe;
 mod quota;
--- a/crates/node/tests/unit/job_push.rs
+++ b/crates/node/tests/unit/job_push.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use base::{SteppedClock, UnixMillis, timer::Timer};
+use budget::MemoryShares;
 use fleet::BatchDeadlines;
 use jobs::{
     BulkCache, ItemInput, JobView, Ledger, NewJob, NoPeers, StoredManifest,
@@ -10,7 +11,7 @@
 use kv::{Kv, Memory};
 
 use super::PushReceiver;
-use crate::commit_wire;
+use crate::{commit_wire, peer_bodies::PeerBodies};
 
 const VALUE_BYTES: usize = 1024 * 1024;
 
@@ -39,6 +40,11 @@
         view: JobView::default(),
         cache: Arc::default(),
         clock: Arc::new(SteppedClock::default()),
+        bodies: PeerBodies::new(
+            &MemoryShares::default(),
+            false,
+            Arc::new(SteppedClock::default()),
+        ),
     }
 }
 
--- a/crates/pass/src/relay.rs
+++ b/crates/pass/src/relay.rs
@@ -1,13 +1,15 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use budget::{BodyPace, MemoryBudget, Reservation};
+use bytes::Bytes;
 use fleet::{Endpoint, EndpointRecord, EndpointState, TransferLimits};
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{Extensions, HeaderMap, HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time;
 
 use crate::{
-    Handler, HandlerFuture, Pool, Refusal, ResponseBody, pool::CallOutcome,
-    read_body, request::strip_hop_by_hop,
+    BodyTerms, Handler, HandlerFuture, Pool, Refusal, ResponseBody,
+    pool::CallOutcome, read_body, receive_body, request::strip_hop_by_hop,
 };
 
 /// Forwards calls of other nodes to one service unchanged.
@@ -19,8 +21,14 @@
 pub struct Relay {
     target: Endpoint,
     pool: Arc<Pool>,
+    /// The memory for calls, if it is bounded.
+    budget: Option<MemoryBudget>,
 }
 
+/// Copies of a call that exist at the same time: that of the other node and
+/// that for the service.
+const COPIES: u64 = 2;
+
 /// Maximum size of a request or response body: several times the text form
 /// of the largest value of the key-value service.
 const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
@@ -44,16 +52,43 @@
                 state: EndpointState::Ready,
             }),
             pool: Arc::default(),
+            budget: None,
         }
     }
 
+    /// Bounds the memory for all calls together.
+    #[must_use]
+    pub fn with_budget(mut self, budget: MemoryBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
+    async fn receive(
+        &self,
+        body: Incoming,
+        extensions: &Extensions,
+    ) -> Result<(Bytes, Option<Reservation>), Refusal> {
+        let Some(budget) = &self.budget else {
+            return Ok((read_body(body, MAX_BODY_BYTES).await?, None));
+        };
+        let terms = BodyTerms {
+            max_bytes: MAX_BODY_BYTES,
+            copies: COPIES,
+            ends_at: None,
+            pace: BodyPace::default(),
+        };
+        let received = receive_body(body, budget, terms, extensions).await?;
+        Ok((received.bytes, Some(received.reservation)))
+    }
+
     async fn forward(
         self,
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
         let (mut head, body) = request.into_parts();
-        let body = match read_body(body, MAX_BODY_BYTES).await {
-            Ok(body) => body,
+        let received = self.receive(body, &head.extensions).await;
+        let (body, _reservation) = match received {
+            Ok(received) => received,
             Err(refusal) => return refusal.into_response(),
         };
         strip_hop_by_hop(&mut head.headers);
