Bound the memory that callers make an entry hold

Callers that were refused while they sent saw a broken connection, and a file in small chunks kept all cores busy: each chunk searched the whole line again.

Cause: as at fronts, a limit for each body and none for all. Bodies had no time either, a field of a form could fill the memory with what belongs to no file, and the parser of forms reads everything that has arrived at once.

Change: `api::receive` reads bodies from a budget of 3/8 of the new setting `limits.memory_bytes`, within `limits.body_timeout_ms` and `limits.body_min_bytes_per_s`; a body that stops gives way or gets 408, new in the table of problems. A form pauses while the parser holds 128 KiB; an upload reserves what its buffers and ids take. A caller that is refused, also for its key, may go on sending for `limits.linger_ms` and `limits.linger_bytes`. Only new bytes are searched for the end of a line.

--- a/crates/conf/src/settings/check.rs
+++ b/crates/conf/src/settings/check.rs
@@ -277,6 +277,26 @@
         findings.check_range("limits.open_jobs_max", jobs, 1, 100_000);
         let streams = self.streams_max;
         findings.check_range("limits.streams_max", streams, 1, 100_000);
+        let memory = self.memory_bytes;
+        findings.check_range("limits.memory_bytes", memory, 32 * MIB, TIB);
+        let timeout = self.body_timeout_ms;
+        findings.check_range(
+            "limits.body_timeout_ms",
+            timeout,
+            1_000,
+            10 * MINUTE_MS,
+        );
+        let rate = self.body_min_bytes_per_s;
+        findings.check_range(
+            "limits.body_min_bytes_per_s",
+            rate,
+            1,
+            1_024 * MIB,
+        );
+        let linger = self.linger_ms;
+        findings.check_range("limits.linger_ms", linger, 0, MINUTE_MS);
+        let linger = self.linger_bytes;
+        findings.check_range("limits.linger_bytes", linger, 0, TIB);
     }
 }
 
--- a/crates/conf/src/settings/parts.rs
+++ b/crates/conf/src/settings/parts.rs
@@ -270,6 +270,18 @@
     pub open_jobs_max: u32,
     /// Maximum number of requests that this process serves concurrently.
     pub streams_max: u32,
+    /// Memory of the VM for this process, in bytes. Callers may use a share.
+    pub memory_bytes: u64,
+    /// Time for the first bytes of a body, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Rate at which the bytes of a body extend that time, in bytes per
+    /// second.
+    pub body_min_bytes_per_s: u64,
+    /// Time for which a caller that is refused may go on sending, in
+    /// milliseconds.
+    pub linger_ms: u64,
+    /// Number of bytes that a caller that is refused may go on sending.
+    pub linger_bytes: u64,
 }
 
 impl Default for LimitSettings {
@@ -283,6 +295,11 @@
             item_max_bytes: MIB,
             open_jobs_max: 200,
             streams_max: 4_096,
+            memory_bytes: 512_000_000,
+            body_timeout_ms: 30_000,
+            body_min_bytes_per_s: 1_024,
+            linger_ms: 2_000,
+            linger_bytes: 64 * MIB,
         }
     }
 }
--- a/crates/entry/src/api/batches.rs
+++ b/crates/entry/src/api/batches.rs
@@ -4,18 +4,22 @@
 
 use base::{FileId, JobId, UnixMillis};
 use rocket::{
-    Route, State, get,
+    Data, Route, State, get,
     http::Status,
     post,
     request::{FromRequest, Outcome, Request},
     routes,
-    serde::json::{Error as JsonError, Json},
+    serde::json::Json,
 };
 use serde::Deserialize;
 use serde_json::{Value, json};
 use web::{Problem, ProblemKind, Ran};
 
-use super::{admin::platform_problem, guard::Authenticated};
+use super::{
+    admin::platform_problem,
+    guard::Authenticated,
+    receive::{AnnouncedLength, Received, discard_body, receive_body},
+};
 use crate::{
     batch::{
         Chunk, ERRORS_PREFIX, JOB_PREFIX, JobError, JobRecord, JobState,
@@ -68,18 +72,26 @@
     }
 }
 
-#[post("/v1/batches", data = "<body>")]
+#[post("/v1/batches", data = "<data>")]
 async fn create(
     shared: &State<Arc<Shared>>,
-    caller: Authenticated,
+    caller: Result<Authenticated, Problem>,
     key: IdempotencyKey,
-    body: Result<Json<CreateRequest>, JsonError<'_>>,
+    announced: AnnouncedLength,
+    data: Data<'_>,
 ) -> Result<Json<Value>, Problem> {
-    let body = body.map_err(|error| match error {
-        JsonError::Io(error) => too_large(&error),
-        JsonError::Parse(_, error) => invalid(error.to_string()),
-    })?;
-    let create = body.into_inner();
+    let caller = match caller {
+        Ok(caller) => caller,
+        Err(problem) => {
+            discard_body(shared, data).await;
+            return Err(problem);
+        }
+    };
+    let Received { bytes, reservation } =
+        receive_body(shared, data, announced).await?;
+    let create: CreateRequest = serde_json::from_slice(&bytes)
+        .map_err(|error| invalid(error.to_string()))?;
+    drop(bytes);
     let input: FileId =
         create.input_file_id.parse().map_err(|_| no_input())?;
     if !PATHS.contains(&create.endpoint.as_str()) {
@@ -106,19 +118,15 @@
         due,
         metadata: create.metadata,
     };
-    let record = shared.batch.create(job).await.map_err(job_problem)?;
-    Ok(Json(job_json(&record)))
+    let created = shared.batch.create(job).await;
+    drop(reservation);
+    Ok(Json(job_json(&created.map_err(job_problem)?)))
 }
 
 fn invalid(detail: String) -> Problem {
     Problem::new(ProblemKind::Invalid, detail).ran(Ran::No)
 }
 
-/// Makes the problem for a body over the limit; Rocket stops reading there.
-fn too_large(error: &std::io::Error) -> Problem {
-    Problem::new(ProblemKind::TooLarge, error.to_string()).ran(Ran::No)
-}
-
 fn no_input() -> Problem {
     let detail = "there is no such input file";
     Problem::new(ProblemKind::NotFound, detail).ran(Ran::No)
--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -2,12 +2,9 @@
 
 use std::{io::Cursor, sync::Arc};
 
-use bytes::Bytes;
 use obs::Counter;
 use rocket::{
-    Data, Request, Route,
-    data::ByteUnit,
-    get,
+    Data, Request, Route, get,
     http::{Header as HttpHeader, Method, Status},
     response::{Builder, Response},
     route::{Handler, Outcome},
@@ -18,11 +15,14 @@
 use web::{Problem, ProblemKind, Ran};
 use wire::message::Header;
 
-use super::guard::Authenticated;
+use super::{
+    guard::Authenticated,
+    receive::{AnnouncedLength, Received, discard_body, receive_body},
+};
 use crate::{
     claim::{self, BufferedResponse, Served},
     exchange::Exchange,
-    filter::{self, Incoming, Routed},
+    filter::{self, Caller, Incoming, Routed},
     forward::{self, Started},
     shared::{Admitted, Shared},
 };
@@ -117,26 +117,30 @@
     // phase and then finds nothing running must not abort a call that was
     // admitted just before and whose body is still arriving.
     let _active = shared.state.begin_request();
-    if !shared.state.is_ready() {
-        return Err(shutting_down());
-    }
-    let caller = filter::authenticate(shared, request.headers())?;
-    let headers = filter::check_headers(shared, request.headers())?;
-    let body = read_body(shared, data).await?;
+    let (caller, headers) = match check_head(shared, request) {
+        Ok(checked) => checked,
+        Err(problem) => {
+            discard_body(shared, data).await;
+            return Err(problem);
+        }
+    };
+    let announced = AnnouncedLength::of(request);
+    let Received { bytes, reservation } =
+        receive_body(shared, data, announced).await?;
     let incoming = Incoming {
         request_id: id.clone(),
         received,
         method: request.method().as_str().to_owned(),
         target: request.uri().to_string(),
         headers,
-        body,
+        body: bytes,
     };
     let in_force = caller.in_force.clone();
     let Routed { exchange, limits } = filter::route(shared, caller, incoming)?;
     let metrics = exchange.metrics.clone();
     let class = exchange.class;
     metrics.count(Counter::Arrived, class, 1);
-    let admitted = shared.admit()?;
+    let admitted = shared.admit()?.with_memory(reservation);
     let now = shared.timer.now();
     let (compiled, customer) = (&in_force.compiled, &exchange.customer);
     let slots = shared.customers.admit(compiled, customer, &limits, now);
@@ -154,6 +158,19 @@
     served
 }
 
+/// Checks what is known of a call before its body is read.
+fn check_head(
+    shared: &Shared,
+    request: &Request<'_>,
+) -> Result<(Caller, Vec<Header>), Problem> {
+    if !shared.state.is_ready() {
+        return Err(shutting_down());
+    }
+    let caller = filter::authenticate(shared, request.headers())?;
+    let headers = filter::check_headers(shared, request.headers())?;
+    Ok((caller, headers))
+}
+
 async fn send(
     shared: &Arc<Shared>,
     exchange: Exchange,
@@ -174,23 +191,6 @@
         .retry_after_ms(1_000)
 }
 
-async fn read_body(shared: &Shared, data: Data<'_>) -> Result<Bytes, Problem> {
-    let limit = shared.limits.body_max_bytes;
-    let read = data
-        .open(ByteUnit::Byte(limit))
-        .into_bytes()
-        .await
-        .map_err(|error| {
-            let detail = format!("the body broke off: {error}");
-            Problem::new(ProblemKind::BadRequest, detail).ran(Ran::No)
-        })?;
-    if !read.is_complete() {
-        let detail = format!("the body is over {limit} bytes");
-        return Err(Problem::new(ProblemKind::TooLarge, detail).ran(Ran::No));
-    }
-    Ok(read.into_inner().into())
-}
-
 fn respond<'r>(id: &str, served: Served) -> Response<'r> {
     match served {
         Served::Started(started) => respond_streamed(id, *started),
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -5,6 +5,7 @@
 mod files;
 mod gateway;
 mod guard;
+mod receive;
 mod status;
 mod vms;
 
--- a/crates/entry/src/batch/files.rs
+++ b/crates/entry/src/batch/files.rs
@@ -78,6 +78,11 @@
         Ok(())
     }
 
+    /// Returns the memory of the upload, in bytes.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        self.splitter.held_bytes()
+    }
+
     /// Stores the remainder and then the record that makes the file visible.
     pub(crate) async fn finish(
         mut self,
--- a/crates/entry/src/batch/input.rs
+++ b/crates/entry/src/batch/input.rs
@@ -81,8 +81,13 @@
     open_items: u32,
     line: u32,
     total: u32,
+    /// Memory of the ids.
+    ids_bytes: u64,
 }
 
+/// Memory of an id besides its text.
+const ID_BYTES: u64 = 64;
+
 impl<'a> InputSplitter<'a> {
     pub(crate) fn new(limits: &'a LimitSettings) -> Self {
         Self {
@@ -94,22 +99,33 @@
             open_items: 0,
             line: 0,
             total: 0,
+            ids_bytes: 0,
         }
     }
 
+    /// Returns the memory of the buffers and ids, in bytes.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        let buffers =
+            self.partial_line.capacity() + self.open_chunk.capacity();
+        buffers as u64 + self.ids_bytes
+    }
+
     /// Appends bytes of the input and returns the chunks that are full.
     pub(crate) fn push(
         &mut self,
         bytes: &[u8],
     ) -> Result<Vec<InputChunk>, InputError> {
-        self.partial_line.extend_from_slice(bytes);
         let mut full = Vec::new();
-        while let Some(end) =
-            self.partial_line.iter().position(|b| *b == b'\n')
-        {
-            let line = self.partial_line.split_to(end + 1);
+        // Only new bytes are searched: a line may arrive in many pieces.
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+            let (last, others) = rest.split_at(end + 1);
+            self.partial_line.extend_from_slice(last);
+            let line = self.partial_line.split();
             full.extend(self.push_line(&line)?);
+            rest = others;
         }
+        self.partial_line.extend_from_slice(rest);
         let limit = self.limits.item_max_bytes;
         if self.partial_line.len() as u64 > limit {
             self.line += 1;
@@ -150,6 +166,7 @@
         if self.ids.contains(&id) {
             return Err(self.error(format!("custom_id {id:?} is used before")));
         }
+        self.ids_bytes += ID_BYTES + id.len() as u64;
         self.ids.insert(id);
         if self.models.len() <= MAX_LISTED_MODELS {
             self.models.insert(item.model);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -4,6 +4,7 @@
 };
 
 use base::{Incarnation, SystemClock, timer::Timer};
+use budget::{MemoryBudget, MemoryOptions, MemoryShares};
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
 use kv::{EtcdJsonOptions, Kv};
@@ -116,6 +117,7 @@
             quarantine,
             orders,
             customers: Limits::new(Arc::new(entry_count(settings))),
+            memory: callers_memory(settings, &timer),
         });
         let handlers = Handlers {
             entry: Some(Arc::new(PeerHandler(shared.clone()))),
@@ -203,6 +205,13 @@
     AtomicU32::new(others.saturating_add(1))
 }
 
+/// Returns the memory that callers may make the process hold.
+fn callers_memory(settings: &Settings, timer: &Timer) -> MemoryBudget {
+    let shares = MemoryShares::of_machine(settings.limits.memory_bytes);
+    let options = MemoryOptions::new(shares.callers_bytes);
+    MemoryBudget::new(options, timer.clock().clone())
+}
+
 fn identity(settings: &Settings) -> Identity {
     Identity {
         role: "entry".to_owned(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use base::{Incarnation, KeyDigest, timer::Timer};
+use budget::{MemoryBudget, Reservation};
 use conf::settings::{LimitSettings, TimeoutSettings};
 use obs::Metrics;
 use quarantine::Quarantine;
@@ -37,6 +38,8 @@
     pub(crate) claims: Claims,
     pub(crate) quarantine: Quarantine,
     pub(crate) customers: Limits,
+    /// The memory that callers may make the process hold.
+    pub(crate) memory: MemoryBudget,
 }
 
 /// The admission permits of a call, held until its response has ended.
@@ -45,6 +48,7 @@
     _permit: OwnedSemaphorePermit,
     _active: ActiveRequest,
     permits: Option<LimitPermits>,
+    memory: Option<Reservation>,
 }
 
 impl Admitted {
@@ -53,6 +57,12 @@
         self.permits = Some(permits);
         self
     }
+
+    /// Adds the memory of the call.
+    pub(crate) fn with_memory(mut self, memory: Reservation) -> Self {
+        self.memory = Some(memory);
+        self
+    }
 }
 
 /// Retry-after of an entry at capacity, in milliseconds.
@@ -75,6 +85,7 @@
             _permit: permit,
             _active: self.state.begin_request(),
             permits: None,
+            memory: None,
         })
     }
 }
--- a/crates/web/src/problem.rs
+++ b/crates/web/src/problem.rs
@@ -52,6 +52,9 @@
     Unauthorized, "unauthorized", 401, "The key is missing or unknown";
     /// The customer is not permitted to do this.
     Forbidden, "forbidden", 403, "This key may not do that";
+    /// The body of the request arrives too slowly.
+    BodyTimedOut, "body-timed-out", 408,
+        "The body of the request arrives too slowly";
     /// The resource does not exist or belongs to another customer.
     NotFound, "not-found", 404, "There is no such thing";
     /// The idempotency key was already used with other content.
