--- a/crates/cli/src/bin/pomeloslipd/fleet.rs
+++ b/crates/cli/src/bin/pomeloslipd/fleet.rs
@@ -12,8 +12,8 @@
 use error_stack::{Report, ResultExt};
 use kv::paths::Paths;
 use node::{
-    ClusterState, EndpointSpeed, Front, NodeContext, NodeSettings, Signals,
-    Worker,
+    BodyPace, CallerLimits, ClusterState, EndpointSpeed, Front, LingerLimits,
+    NodeContext, NodeSettings, Signals, Worker,
 };
 use obs::LogSettings;
 use pass::Counters;
@@ -59,6 +59,8 @@
     pub(crate) endpoint_speed: EndpointSpeed,
     pub(crate) fair_shares: Toggle,
     pub(crate) customers_file: Option<PathBuf>,
+    pub(crate) body_pace: BodyPace,
+    pub(crate) linger: LingerLimits,
 }
 
 /// The value of an option that is on or off.
@@ -89,11 +91,17 @@
 pub(crate) fn run(command: FleetCommand) -> Result<(), Report<DaemonError>> {
     let path = MachineSettings::path().change_context(DaemonError)?;
     let machine = MachineSettings::read(&path).change_context(DaemonError)?;
+    let settings = machine.node_settings(command.metrics_port);
     let settings = NodeSettings {
         endpoint_speed: command.endpoint_speed,
         fair_shares: command.fair_shares == Toggle::On,
         customers_file: command.customers_file,
-        ..machine.node_settings(command.metrics_port)
+        caller_limits: CallerLimits {
+            body_pace: command.body_pace,
+            linger: command.linger,
+            ..settings.caller_limits
+        },
+        ..settings
     };
     let logs = log_settings(&settings, command.role);
     let _logs = obs::logs::start_to(&logs, Box::new(io::stdout()))
--- a/crates/cli/src/bin/pomeloslipd/main.rs
+++ b/crates/cli/src/bin/pomeloslipd/main.rs
@@ -4,6 +4,7 @@
 
 use std::{
     io::{self, Write},
+    ops::RangeInclusive,
     path::PathBuf,
     process::ExitCode,
     sync::Arc,
@@ -13,7 +14,7 @@
 use conf::settings::Settings;
 use error_stack::{Report, ResultExt};
 use fleet::{FleetCommand, FleetRole, Toggle};
-use node::EndpointSpeed;
+use node::{BodyPace, EndpointSpeed, LingerLimits};
 use obs::{LogSettings, Metrics, MetricsSettings};
 use pomeloslip::daemon::{Daemon, DaemonError};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -27,6 +28,8 @@
        pomeloslipd fleet front|worker [--metrics-port PORT]
                    [--endpoint-speed reported|always|off]
                    [--fair-shares on|off] [--customers FILE]
+                   [--body-timeout-ms MS] [--body-min-bytes-per-s BYTES]
+                   [--linger-ms MS] [--linger-bytes BYTES]
        pomeloslipd --help | --version
 
   --settings FILE  the settings of this process (YAML, docs/SETTINGS.md)
@@ -42,6 +45,12 @@
                    service has no free slot (default off)
   --customers      weights and pauses of customers (YAML, docs/SETTINGS.md),
                    read again at SIGHUP
+  --body-timeout-ms, --body-min-bytes-per-s
+                   the time for the body of a request, and the rate at which
+                   its bytes extend that time (docs/SETTINGS.md)
+  --linger-ms, --linger-bytes
+                   how long, and how much, a caller that was refused may go on
+                   sending (docs/SETTINGS.md)
 
 SIGTERM and SIGINT are a planned stop: nothing new is taken and what runs
 ends. A second one ends the process at once.
@@ -164,6 +173,7 @@
     let customers_file = args
         .opt_value_from_str("--customers")
         .map_err(|error| error.to_string())?;
+    let (body_pace, linger) = parse_caller_limits(&mut args)?;
     let rest = args.finish();
     match rest.first() {
         Some(unknown) => {
@@ -175,10 +185,68 @@
             endpoint_speed,
             fair_shares,
             customers_file,
+            body_pace,
+            linger,
         }),
     }
 }
 
+fn parse_caller_limits(
+    args: &mut pico_args::Arguments,
+) -> Result<(BodyPace, LingerLimits), String> {
+    const MINUTE_MS: u64 = 60_000;
+    let pace = BodyPace::default();
+    let pace = BodyPace {
+        timeout_ms: parse_number(
+            args,
+            "--body-timeout-ms",
+            pace.timeout_ms,
+            1_000..=10 * MINUTE_MS,
+        )?,
+        min_bytes_per_s: parse_number(
+            args,
+            "--body-min-bytes-per-s",
+            pace.min_bytes_per_s,
+            1..=1 << 30,
+        )?,
+    };
+    let linger = LingerLimits::default();
+    let linger = LingerLimits {
+        timeout_ms: parse_number(
+            args,
+            "--linger-ms",
+            linger.timeout_ms,
+            0..=MINUTE_MS,
+        )?,
+        bytes: parse_number(
+            args,
+            "--linger-bytes",
+            linger.bytes,
+            0..=1 << 40,
+        )?,
+    };
+    Ok((pace, linger))
+}
+
+/// Returns the number of an option, which has to be in a range.
+fn parse_number(
+    args: &mut pico_args::Arguments,
+    flag: &'static str,
+    default: u64,
+    range: RangeInclusive<u64>,
+) -> Result<u64, String> {
+    let number: Option<u64> = args
+        .opt_value_from_str(flag)
+        .map_err(|error| format!("{flag}: {error}"))?;
+    match number.unwrap_or(default) {
+        number if range.contains(&number) => Ok(number),
+        number => {
+            let (from, to) = range.into_inner();
+            Err(format!("{flag} is {number}, not in {from} to {to}"))
+        }
+    }
+}
+
 fn parse_endpoint_speed(
     args: &mut pico_args::Arguments,
 ) -> Result<EndpointSpeed, String> {
