Bound the memory that the inputs of accepted jobs take at a worker

Callers that send many large jobs, all of them legal, ended workers: each read the inputs of all its jobs at once, whether it could run them or not, and again after its restart.

Jobs for whose inputs there is none wait until others are done; nothing of them is lost, since they are in the key-value service. One log line tells when that begins. Messages of other nodes have what connections of callers have at a front.

--- a/crates/jobs/src/ledger/chunks.rs
+++ b/crates/jobs/src/ledger/chunks.rs
@@ -32,6 +32,11 @@
         max_bytes.saturating_sub(EMPTY_TABLE_BYTES)
     }
 
+    /// Returns the maximum size of the inputs of a job, in bytes.
+    pub(crate) fn max_inputs_bytes(&self, manifest: &JobManifest) -> u64 {
+        u64::from(manifest.input_chunks) * self.max_value_bytes as u64
+    }
+
     /// Returns the maximum size of the rows in a value, in bytes.
     fn max_rows_bytes(&self) -> usize {
         self.max_value_bytes.saturating_sub(EMPTY_TABLE_BYTES)
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -14,6 +14,7 @@
 };
 
 use base::{Clock, Millis, Snapshot, UnixMillis};
+use budget::MemoryBudget;
 use error_stack::Report;
 use fleet::{
     Config, Endpoint, EndpointRecord, IncarnationKey, LoadReport,
@@ -129,6 +130,9 @@
     pub clock: Arc<dyn Clock>,
     /// The counters of the process.
     pub counters: Arc<Counters>,
+    /// The memory for the inputs of jobs. Jobs for whose inputs there is none
+    /// wait.
+    pub memory: MemoryBudget,
 }
 
 /// Requests the shutdown of a runner and reports the handover of its jobs.
@@ -251,6 +255,8 @@
     /// checkpoints of the former owner can be read.
     taken_over: IndexMap<JobKey, Millis>,
     is_saving: bool,
+    /// Whether there was no memory for the inputs of a job in the last pass.
+    is_short_of_memory: bool,
     next_save: Millis,
     next_rebalance: Millis,
     next_removal: Millis,
@@ -284,6 +290,7 @@
             pending_move: None,
             taken_over: IndexMap::new(),
             is_saving: false,
+            is_short_of_memory: false,
             next_save: Millis::new(0),
             next_rebalance: Millis::new(0),
             next_removal: Millis::new(0),
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use base::Millis;
+use budget::Reservation;
 use fleet::{Config, Endpoint, EndpointRecord, VersionBinding};
 use indexmap::IndexSet;
 
@@ -16,6 +17,8 @@
 pub(super) struct ActiveJob {
     pub(super) stored: StoredManifest,
     pub(super) inputs: Inputs,
+    /// The memory of the inputs, unless they are missing.
+    pub(super) memory: Option<Reservation>,
     pub(super) items: Vec<Item>,
     pub(super) pending: Vec<(u32, ItemResult)>,
     /// The process that counts, and what it has counted of the attempts.
@@ -162,6 +165,7 @@
             may_have_run,
             stored,
             inputs: Inputs::Missing,
+            memory: None,
             items: vec![Item::default(); total],
             pending: Vec::new(),
             is_moved: false,
--- a/crates/jobs/src/runner/checkpoint.rs
+++ b/crates/jobs/src/runner/checkpoint.rs
@@ -11,6 +11,10 @@
     record::{ItemCheckpoint, ItemInput, JobCheckpoint, JobKey},
 };
 
+/// Copies of the inputs of a job that exist at the same time: the values and
+/// what is decoded from them, then the inputs and what is sent of them.
+pub(super) const COPIES: u64 = 2;
+
 /// The data that a node reads of a job before it runs items of the job.
 pub(super) struct LoadedJob {
     pub(super) inputs: Vec<ItemInput>,
@@ -22,6 +26,7 @@
     pub(super) fn load_inputs(&mut self) {
         let now = self.now();
         let unix_now = self.runner.parts.clock.unix();
+        let mut is_short = false;
         for (key, job) in &mut self.jobs {
             if !matches!(job.inputs, Inputs::Missing) {
                 continue;
@@ -29,8 +34,15 @@
             if now < job.settled_at {
                 continue;
             }
-            job.inputs = Inputs::Loading;
             let ledger = self.runner.parts.ledger.clone();
+            let max_bytes = ledger.max_inputs_bytes(&job.stored.manifest);
+            let memory = self.runner.parts.memory.reserve(COPIES * max_bytes);
+            let Ok(memory) = memory else {
+                is_short = true;
+                break;
+            };
+            job.memory = Some(memory);
+            job.inputs = Inputs::Loading;
             let (key, manifest) = (key.clone(), job.stored.manifest.clone());
             // A job younger than the checkpoint interval has no checkpoint
             // yet, unless another node ran it, so that the read is skipped.
@@ -44,6 +56,12 @@
                 let _ = sender.send(Event::Inputs(key, loaded));
             });
         }
+        if is_short && !self.is_short_of_memory {
+            let usage = self.runner.parts.memory.usage();
+            log::warn!(used_bytes = usage.used_bytes, jobs = self.jobs.len();
+                "jobs wait until there is memory for their inputs");
+        }
+        self.is_short_of_memory = is_short;
     }
 
     /// Saves checkpoints of unfinished items, if the checkpoint interval has
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -7,11 +7,14 @@
 use pass::Counters;
 
 use super::{
-    Event, RunId, RunnerState, active::Inputs, checkpoint::LoadedJob,
+    Event, RunId, RunnerState,
+    active::Inputs,
+    checkpoint::{COPIES, LoadedJob},
 };
 use crate::{
     BreakCause, FailedAttempts, JobError, JobRoute, RunOutcome,
-    StoredManifest, record::JobKey,
+    StoredManifest,
+    record::{ItemInput, JobKey},
 };
 
 /// Retry delay for a result that the key-value service has rejected on its own,
@@ -71,6 +74,9 @@
                     begun = checkpoints.len();
                     "a job's inputs are read"
                 );
+                if let Some(memory) = &job.memory {
+                    memory.shrink_to(loaded_bytes(&inputs));
+                }
                 job.inputs = Inputs::Loaded(Arc::new(inputs));
                 job.restore(&checkpoints, now);
             }
@@ -79,6 +85,7 @@
                     error:% = report.current_context();
                     "the inputs of a job cannot be read");
                 job.inputs = Inputs::Missing;
+                job.memory = None;
             }
         }
     }
@@ -255,3 +262,13 @@
         job.update_manifest(stored);
     }
 }
+
+/// Returns the memory of inputs, and of what is sent of them to endpoints.
+fn loaded_bytes(inputs: &[ItemInput]) -> u64 {
+    let bytes = inputs.iter().map(|input| {
+        let headers = input.headers.iter();
+        let headers = headers.map(|(name, value)| name.len() + value.len());
+        input.body.len() + input.path.len() + headers.sum::<usize>()
+    });
+    COPIES * bytes.sum::<usize>() as u64
+}
--- a/crates/node/src/peer_bodies.rs
+++ b/crates/node/src/peer_bodies.rs
@@ -17,8 +17,8 @@
 const COPIES: u64 = 2;
 
 impl PeerBodies {
-    /// Creates the reader of a node. A node that serves no callers has their
-    /// share of the memory for other nodes.
+    /// Creates the reader of a node. A node that serves no callers has the
+    /// memory of their connections for other nodes.
     pub(crate) fn new(
         shares: &MemoryShares,
         serves_callers: bool,
@@ -26,7 +26,7 @@
     ) -> Self {
         let limit_bytes = match serves_callers {
             true => shares.peers_bytes,
-            false => shares.peers_bytes + shares.callers_bytes,
+            false => shares.peers_bytes + shares.connections_bytes,
         };
         let options = MemoryOptions::new(limit_bytes);
         Self {
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -1,6 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Millis;
+use budget::{MemoryBudget, MemoryOptions};
 use error_stack::Report;
 use jobs::{OnlineLoad, Runner, RunnerOptions, RunnerParts, ShutdownSignal};
 use tokio::{
@@ -161,6 +162,10 @@
         speeds: base.speeds.clone(),
         clock: context.cluster.clock().clone(),
         counters: context.counters.clone(),
+        memory: MemoryBudget::new(
+            MemoryOptions::new(settings.caller_limits.memory.callers_bytes),
+            context.cluster.clock().clone(),
+        ),
     };
     Runner::new(options, parts)
 }
