Let the refusal of a malformed head arrive at a client that still sends

A client whose head has no end saw a reset instead of 431: the connection was closed with unread bytes, as after other refusals before. It is now read for the same time and number of bytes.

Evidence: `a_client_whose_head_has_no_end_gets_the_response` failed before with a reset and passes.

--- a/crates/pass/src/listen.rs
+++ b/crates/pass/src/listen.rs
@@ -337,7 +337,13 @@
         }
         Ok(()) if stream.is_sound() => close(stream).await,
         Ok(()) => {}
-        Err(error) => log::debug!(error:%; "a client connection failed"),
+        Err(error) => {
+            log::debug!(error:%; "a client connection failed");
+            // A malformed head was refused.
+            if error.is_parse() {
+                linger(stream, options.linger).await;
+            }
+        }
     }
 }
 
--- a/crates/pass/tests/unused_connections.rs
+++ b/crates/pass/tests/unused_connections.rs
@@ -128,6 +128,42 @@
     assert!(text.starts_with("HTTP/1.1 413 "), "{text}");
 }
 
+/// Guards against the loss of the refusal of a head that has no end.
+#[tokio::test]
+async fn a_client_whose_head_has_no_end_gets_the_response() {
+    let options = ListenerOptions::default();
+    let (address, _) = listen(options, Unread(StatusCode::OK, 2));
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    let head = format!("GET /x HTTP/1.1\r\nx: {}", "y".repeat(LARGE_BYTES));
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("all is read");
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("no reset");
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.starts_with("HTTP/1.1 431 "), "{text}");
+}
+
+/// Guards against the loss of a response whose end waits in the buffers while
+/// its client reads slowly and all places are taken.
+#[tokio::test]
+async fn a_response_that_is_being_read_keeps_its_place() {
+    let options = ListenerOptions {
+        max_connections: 1,
+        socket_buffer_bytes: Some(32 * 1024),
+        ..ListenerOptions::default()
+    };
+    let (address, _) = listen(options, Unread(StatusCode::OK, LARGE_BYTES));
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(GET).await.expect("written");
+    sleep(Duration::from_millis(800)).await;
+    assert!(call(address).await.is_empty(), "there is no place");
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("no reset");
+    assert!(bytes.len() > LARGE_BYTES);
+}
+
 /// Guards against clients that go on sending for ever after a refusal.
 #[parameterized(
     by_bytes = { LingerLimits { bytes: 1 << 20, timeout_ms: 60_000 } },
