Keep the place of a connection whose response waits in the buffers

Cause, by reading: when a response had left its source while earlier bytes still waited for a slow reader, its connection counted as waiting for a request, and could be closed for a new one half a second later.

Change: such a connection counts as blocked until its client reads.

--- a/crates/pass/src/connection.rs
+++ b/crates/pass/src/connection.rs
@@ -76,6 +76,7 @@
             key,
             evicted: token,
             is_serving: AtomicBool::new(false),
+            is_blocked: AtomicBool::new(false),
         }));
         Some(Accepted {
             connection,
@@ -109,6 +110,9 @@
     evicted: CancellationToken,
     /// Whether a request is being served whose response has not ended.
     is_serving: AtomicBool,
+    /// Whether the caller does not read. The end of a response may wait in the
+    /// buffers then.
+    is_blocked: AtomicBool,
 }
 
 impl fmt::Debug for CallerConnection {
@@ -133,11 +137,13 @@
 
     /// Records that the caller does not read.
     pub(crate) fn blocked(&self) {
+        self.0.is_blocked.store(true, Ordering::Relaxed);
         self.set_phase(ConnectionPhase::Blocked);
     }
 
     /// Records that the caller reads again.
     pub(crate) fn unblocked(&self) {
+        self.0.is_blocked.store(false, Ordering::Relaxed);
         match self.0.is_serving.load(Ordering::Relaxed) {
             true => self.set_phase(ConnectionPhase::Serving),
             false => self.set_phase(ConnectionPhase::Waiting),
@@ -147,7 +153,9 @@
     /// Records that the connection is free for the next request.
     pub(crate) fn waiting(&self) {
         self.0.is_serving.store(false, Ordering::Relaxed);
-        self.set_phase(ConnectionPhase::Waiting);
+        if !self.0.is_blocked.load(Ordering::Relaxed) {
+            self.set_phase(ConnectionPhase::Waiting);
+        }
     }
 
     /// Waits until the connection has to be closed in favour of a new one.
