Test that a caller which an entry refuses gets the response while it sends

Evidence: `a_refused_caller_gets_the_response`: with the program from before the limits two of six cases fail with a broken connection (chat and batch without a known key); all pass. Refusals of paths that do not exist still break the connection.

--- a/crates/cli/tests/crowd.rs
+++ b/crates/cli/tests/crowd.rs
@@ -213,6 +213,53 @@
     }
 }
 
+/// Runs a test apart from the others of this file.
+fn run_alone(test: impl Future<Output = ()>) {
+    static ALONE: Mutex<()> = Mutex::new(());
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("runtime");
+    runtime.block_on(test);
+}
+
+/// Size of a body that is larger than all socket buffers.
+const LONG_BYTES: usize = 20 << 20;
+
+/// Guards against refusals that callers lose which still send.
+#[parameterized(
+    upload_without_key = { "files", FORM, "other", 401 },
+    upload_of_a_long_line = { "files", FORM, KEY, 422 },
+    chat_without_key = { "chat/completions", JSON, "other", 401 },
+    chat_too_long = { "chat/completions", JSON, KEY, 413 },
+    batch_without_key = { "batches", JSON, "other", 401 },
+    batch_too_long = { "batches", JSON, KEY, 413 },
+)]
+fn a_refused_caller_gets_the_response(
+    path: &str,
+    kind: &str,
+    key: &str,
+    status: u16,
+) {
+    run_alone(async {
+        let demo = DemoProcess::start();
+        let long = vec![b'x'; LONG_BYTES];
+        let body = if kind == FORM { form(&[long]) } else { long };
+        let response = demo
+            .http
+            .post(format!("http://{}/v1/{path}", demo.address))
+            .bearer_auth(key)
+            .header("content-type", kind)
+            .body(body)
+            .send()
+            .await
+            .expect("a response");
+        assert_eq!(response.status().as_u16(), status);
+    });
+}
+
 /// Guards against callers whose bodies use up the memory of an entry.
 #[parameterized(
     whole_chats = { 100, Call::Chat, Sending::Whole { requests: 1 } },
@@ -241,14 +288,7 @@
     call: Call,
     sending: Sending,
 ) {
-    static ALONE: Mutex<()> = Mutex::new(());
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("runtime");
-    runtime.block_on(async {
+    run_alone(async {
         let mut demo = DemoProcess::start();
         let template = call.template();
         let address = demo.address;
