--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -7,6 +7,7 @@
 mod guard;
 mod receive;
 mod status;
+mod upload;
 mod vms;
 
 use rocket::Route;
