--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/pomeloslipd ] && [ -x target/review-2/sim ] || exit 2
-exec target/review-2/sim uncounted-attempts review/8
+exec target/review-2/sim accepted-and-not-found review/8
