--- a/review/sim-2/cases.rs
+++ b/review/sim-2/cases.rs
@@ -298,7 +298,7 @@
     let broken = unfinished(&fleet, &refused, Duration::from_secs(30))?;
     Ok(broken
         .into_iter()
-        .map(|text| format!("REFUSED: its end got a 503 and was done; {text}"))
+        .map(|text| format!("{text}; its end was refused with 503"))
         .collect())
 }
 
