Write the entry of a node over the revision that it replaces

Callers saw jobs answered 202 whose items never ran. A node wrote its entry without a precondition and forgot the lease if the response was lost; the late write then bound the entry to that lease, which nobody renewed. The node renewed its second lease and never looked at the entry.

A write now names the revision that it replaces, an unanswered write is repeated under its own lease, the entry in the feed is compared at each renewal, and a planned stop revokes the lease of an unanswered write too. None of it is a call more in calm.

--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -26,6 +26,10 @@
     RequestLost,
     /// The call takes effect and its response is lost: [`KvError::Unknown`].
     ResponseLost,
+    /// The response is lost, and the call takes effect later, if its
+    /// conditions still hold then: [`KvError::Unknown`]. See
+    /// [`Memory::apply_delayed`].
+    Delayed,
 }
 
 /// Number of calls that a [`Memory`] has received.
@@ -90,6 +94,8 @@
     store: Store,
     is_down: bool,
     faults: VecDeque<WriteFault>,
+    /// Transactions that take effect later.
+    delayed: Vec<Transaction>,
     counts: MemoryCounts,
 }
 
@@ -137,6 +143,18 @@
         self.state().faults.extend(faults);
     }
 
+    /// Applies the delayed transactions, in order. Delayed calls about leases
+    /// have no effect.
+    pub fn apply_delayed(&self) {
+        let mut state = self.state();
+        state.store.expire(self.0.clock.now());
+        for txn in std::mem::take(&mut state.delayed) {
+            // The response of a delayed call is lost in any case.
+            let _ = state.store.commit(&txn);
+        }
+        self.notify_watches(&state);
+    }
+
     /// Starts or ends an outage, during which every call fails without effect.
     /// The start of an outage ends all watches.
     pub fn set_down(&self, is_down: bool) {
@@ -189,6 +207,7 @@
 
     fn write<T>(
         &self,
+        delayed: Option<Transaction>,
         call: impl FnOnce(&mut Store) -> Result<T, StoreError>,
     ) -> KvResult<T> {
         let mut state = self.state();
@@ -198,6 +217,10 @@
         match fault {
             WriteFault::Refused => return Err(injected(KvError::NotDone)),
             WriteFault::RequestLost => return Err(injected(KvError::Unknown)),
+            WriteFault::Delayed => {
+                state.delayed.extend(delayed);
+                return Err(injected(KvError::Unknown));
+            }
             WriteFault::None | WriteFault::ResponseLost => {}
         }
         state.store.expire(self.0.clock.now());
@@ -212,7 +235,9 @@
     fn run_txn(&self, txn: Txn) -> KvResult<TxnReply> {
         let txn = Transaction::from(txn);
         if txn.is_write() {
-            return self.write(|store| store.commit(&txn).map(Into::into));
+            let delayed = Some(txn.clone());
+            let commit = |store: &mut Store| store.commit(&txn);
+            return self.write(delayed, commit).map(Into::into);
         }
         let mut state = self.state();
         state.counts.reads += 1;
@@ -286,16 +311,18 @@
 
     fn lease_grant(&self, ttl_s: u32) -> KvFuture<'_, LeaseId> {
         let now = self.0.clock.now();
-        ready(self.write(|store| store.grant(now, None, ttl_s)))
+        ready(self.write(None, |store| store.grant(now, None, ttl_s)))
     }
 
     fn lease_keep_alive(&self, lease: LeaseId) -> KvFuture<'_, ()> {
         let now = self.0.clock.now();
-        ready(self.write(|store| store.keep_alive(now, lease).map(|_| ())))
+        ready(
+            self.write(None, |store| store.keep_alive(now, lease).map(|_| ())),
+        )
     }
 
     fn lease_revoke(&self, lease: LeaseId) -> KvFuture<'_, ()> {
-        ready(self.write(|store| store.revoke(lease)))
+        ready(self.write(None, |store| store.revoke(lease)))
     }
 
     fn watch(
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -181,7 +181,7 @@
         let handler = PeerHandler {
             relay: Relay::new(settings.kv)
                 .with_budget(bodies.budget().clone()),
-            feeds,
+            feeds: feeds.clone(),
             pages: Arc::default(),
             counters: context.counters.clone(),
             bulk: BulkResponder::new(cache, ledger.clone()),
@@ -258,6 +258,7 @@
             record,
             terms: LeaseTerms::new(runs_items, settings.min_lease_ms),
             view: view.clone(),
+            feed: feeds[JOB_FEED].clone(),
             clock,
         };
         tokio::spawn(registration.run(RegistrationSignals {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Returns the item of a key, and the revision up to which all changes
+    /// are included.
+    pub(crate) fn find(&self, key: &str) -> (u64, Option<KeyValue>) {
+        let state = self.lock();
+        (state.revision, state.items.get(key).cloned())
+    }
+
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
     }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -3,9 +3,11 @@
 use base::{Clock, Millis};
 use error_stack::Report;
 use jobs::{JobView, NODE_PREFIX, NodeRecord};
-use kv::{KeyValue, Kv, KvError, LeaseId, Op, Txn, lease::HeldLease};
+use kv::{Compare, KeyValue, Kv, KvError, Op, Txn, lease::HeldLease};
 use tokio::{sync::watch, time};
 
+use crate::feed::Feed;
+
 /// Minimum time to live of a node's entry, in seconds: its jobs are taken over
 /// that long after the node is lost, and two renewals may fail before the
 /// entry expires.
@@ -79,6 +81,10 @@
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 250;
 
+/// Number of times that the entry is written at once after a write that found
+/// another revision than expected.
+const MAX_CONFLICTS: usize = 3;
+
 /// Signals between a node and the task that maintains its entry.
 pub(crate) struct RegistrationSignals {
     /// Set to true when the entry is written.
@@ -101,9 +107,8 @@
         Self(entries.iter().find(is_own).cloned())
     }
 
-    /// Returns the lease and the time to live of the entry if its content
-    /// equals `record`.
-    fn lease_of(&self, record: &NodeRecord) -> Option<(LeaseId, u32)> {
+    /// Returns the entry and its time to live if its content equals `record`.
+    fn matching(&self, record: &NodeRecord) -> Option<LeasedEntry> {
         let entry = self.0.as_ref()?;
         let known = serde_json::from_slice::<NodeRecord>(&entry.value).ok()?;
         let lease_s = known.lease_s;
@@ -112,26 +117,65 @@
             ..record.clone()
         };
         let is_same = known == wanted && lease_s > 0;
-        entry
-            .lease
-            .filter(|_| is_same)
-            .map(|lease| (lease, lease_s))
+        let lease = entry.lease.filter(|_| is_same)?;
+        Some(LeasedEntry {
+            lease: HeldLease::new(lease, lease_s, Millis::default()),
+            lease_s,
+            value: entry.value.clone(),
+            revision: entry.mod_revision,
+        })
     }
 }
 
 /// Maintains the entry of a node until it shuts down.
+///
+/// Each write of the entry names the revision that it replaces, so that an
+/// earlier write that takes effect late does not. A write without a response
+/// is repeated under the lease of the first attempt: whichever takes effect,
+/// the entry is under a lease that the node renews and revokes.
 pub(crate) struct NodeRegistration {
     pub(crate) kv: Arc<dyn Kv>,
     pub(crate) record: NodeRecord,
     pub(crate) terms: LeaseTerms,
     pub(crate) view: JobView,
+    /// The feed that contains the entries of all nodes.
+    pub(crate) feed: Arc<Feed>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
 /// An entry with the lease that it is written under.
+#[derive(Clone, Debug, Eq, PartialEq)]
 struct LeasedEntry {
     lease: HeldLease,
     lease_s: u32,
+    value: Vec<u8>,
+    /// Revision of the write of the entry.
+    revision: u64,
+}
+
+impl LeasedEntry {
+    /// Reports whether the entry as stored is this one.
+    fn is_stored_as(&self, found: &KeyValue) -> bool {
+        found.lease == Some(self.lease.id()) && found.value == self.value
+    }
+}
+
+/// A lease that no entry is known to be written under.
+#[derive(Clone, Copy, Debug)]
+struct UnusedLease {
+    lease: HeldLease,
+    lease_s: u32,
+}
+
+/// What a node knows of its own entry.
+#[derive(Debug, Default)]
+struct OwnEntry {
+    held: Option<LeasedEntry>,
+    /// The lease of a write that has not succeeded yet, and may still take
+    /// effect.
+    unused: Option<UnusedLease>,
+    /// Revision of the stored entry, as far as known; 0 if there is none.
+    revision: u64,
 }
 
 impl NodeRegistration {
@@ -147,24 +191,13 @@
             shutdown: mut stop,
             mut previous,
         } = signals;
-        let mut held = self.take_over(&mut previous).await;
-        if held.is_some() {
-            registered.send_replace(true);
-        }
+        let mut own = self.take_over(&mut previous).await;
         while !*stop.borrow() {
-            let result = match &mut held {
-                None => self.register().await.map(|fresh| {
-                    registered.send_replace(true);
-                    held = Some(fresh);
-                }),
-                Some(known) if self.is_mismatched(known) => {
-                    self.register().await.map(|fresh| held = Some(fresh))
-                }
-                Some(known) => self.renew(known).await,
-            };
-            if let Err(report) = result {
+            if own.held.is_some() {
+                registered.send_replace(true);
+            }
+            if let Err(report) = self.refresh(&mut own).await {
                 if *report.current_context() == KvError::LeaseGone {
-                    held = None;
                     log::warn!("this node's entry has expired");
                     continue;
                 }
@@ -174,12 +207,14 @@
                 continue;
             }
             let now: Millis = self.clock.now();
-            let next = held.as_ref().map_or(now, |held| held.lease.renew_at());
+            let held = own.held.as_ref();
+            let next = held.map_or(now, |held| held.lease.renew_at());
+            if held.is_some() {
+                registered.send_replace(true);
+            }
             wait_or_stop(next.saturating_ms_since(now), &mut stop).await;
         }
-        if let Some(held) = held {
-            self.deregister(held).await;
-        }
+        self.deregister(&own).await;
     }
 
     /// Takes over the lease of the previous process if the entry equals the
@@ -187,26 +222,38 @@
     async fn take_over(
         &self,
         previous: &mut watch::Receiver<Option<PreviousEntry>>,
-    ) -> Option<LeasedEntry> {
-        let previous =
-            previous.wait_for(Option::is_some).await.ok()?.clone()?;
-        let (lease, lease_s) = previous.lease_of(&self.record)?;
+    ) -> OwnEntry {
+        let found = previous.wait_for(Option::is_some).await;
+        let found = found.ok().and_then(|found| found.clone());
+        let Some(previous) = found else {
+            return OwnEntry::default();
+        };
+        let revision = previous.0.as_ref().map_or(0, |kv| kv.mod_revision);
+        let mut own = OwnEntry {
+            revision,
+            ..OwnEntry::default()
+        };
+        let Some(mut entry) = previous.matching(&self.record) else {
+            return own;
+        };
         let sent_at = self.clock.now();
+        let lease = entry.lease.id();
         match self.kv.lease_keep_alive(lease).await {
             Ok(()) => {
                 log::info!(lease = lease.0;
                     "this node resumes with its previous entry");
-                Some(LeasedEntry {
-                    lease: HeldLease::new(lease, lease_s, sent_at),
-                    lease_s,
-                })
+                entry.lease.record_renewal(sent_at);
+                own.held = Some(entry);
             }
             Err(report) => {
+                if *report.current_context() == KvError::LeaseGone {
+                    own.revision = 0;
+                }
                 log::info!(error:% = report.current_context();
                     "the entry of the previous process cannot be taken over");
-                None
             }
         }
+        own
     }
 
     /// Returns the number of known nodes of this kind.
@@ -228,48 +275,168 @@
             && self.terms.is_mismatched(held.lease_s, self.count())
     }
 
-    async fn renew(
+    fn key(&self) -> String {
+        format!("{NODE_PREFIX}{}", self.record.node)
+    }
+
+    /// Renews the entry, or writes it if there is none or it has changed.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError::LeaseGone`] if the lease has expired; the next call writes
+    /// the entry under a new one.
+    async fn refresh(
         &self,
-        held: &mut LeasedEntry,
+        own: &mut OwnEntry,
     ) -> Result<(), Report<KvError>> {
+        let Some(held) = own.held.clone() else {
+            return self.write(own).await;
+        };
+        if self.is_mismatched(&held) {
+            return self.write(own).await;
+        }
+        if let Some(revision) = self.replaced_at(&held) {
+            log::warn!(revision; "this node's entry was replaced or removed");
+            own.revision = revision;
+            own.held = None;
+            own.unused.get_or_insert(UnusedLease {
+                lease: held.lease,
+                lease_s: held.lease_s,
+            });
+            return self.write(own).await;
+        }
         let sent_at = self.clock.now();
-        self.kv.lease_keep_alive(held.lease.id()).await?;
-        held.lease.record_renewal(sent_at);
+        self.renew(own, held.lease).await?;
+        if let Some(held) = &mut own.held {
+            held.lease.record_renewal(sent_at);
+        }
         Ok(())
     }
 
-    async fn register(&self) -> Result<LeasedEntry, Report<KvError>> {
-        let lease_s = self.terms.lease_s(self.count());
+    /// Returns the revision of the stored entry, 0 if there is none, if
+    /// another write than the known one has determined it.
+    fn replaced_at(&self, held: &LeasedEntry) -> Option<u64> {
+        let (revision, found) = self.feed.find(&self.key());
+        match found {
+            _ if revision < held.revision => None,
+            Some(found) if held.is_stored_as(&found) => None,
+            Some(found) => Some(found.mod_revision),
+            None => Some(0),
+        }
+    }
+
+    /// Returns the lease to write the entry under: that of an earlier write
+    /// whose outcome is not known, or else a new one.
+    async fn lease_for_write(
+        &self,
+        own: &mut OwnEntry,
+    ) -> Result<UnusedLease, Report<KvError>> {
         let sent_at = self.clock.now();
-        let lease = self.kv.lease_grant(lease_s).await?;
+        let Some(mut unused) = own.unused else {
+            let lease_s = self.terms.lease_s(self.count());
+            let id = self.kv.lease_grant(lease_s).await?;
+            let lease = HeldLease::new(id, lease_s, sent_at);
+            return Ok(*own.unused.insert(UnusedLease { lease, lease_s }));
+        };
+        if sent_at >= unused.lease.renew_at() {
+            self.renew(own, unused.lease).await?;
+            unused.lease.record_renewal(sent_at);
+            own.unused = Some(unused);
+        }
+        Ok(unused)
+    }
+
+    /// Renews a lease, or forgets it if the key-value service does not know
+    /// it any more.
+    async fn renew(
+        &self,
+        own: &mut OwnEntry,
+        lease: HeldLease,
+    ) -> Result<(), Report<KvError>> {
+        let renewed = self.kv.lease_keep_alive(lease.id()).await;
+        let error = renewed.as_ref().err().map(Report::current_context);
+        if error == Some(&KvError::LeaseGone) {
+            let is_gone = |known: HeldLease| known.id() == lease.id();
+            if own.held.take_if(|held| is_gone(held.lease)).is_some() {
+                own.revision = 0;
+            }
+            own.unused.take_if(|unused| is_gone(unused.lease));
+        }
+        renewed
+    }
+
+    /// Writes the entry over the stored one.
+    async fn write(&self, own: &mut OwnEntry) -> Result<(), Report<KvError>> {
+        let UnusedLease { lease, lease_s } = self.lease_for_write(own).await?;
         let record = NodeRecord {
             lease_s,
             ..self.record.clone()
         };
         let value = serde_json::to_vec(&record)
             .map_err(|_| Report::new(KvError::Invalid))?;
-        let put = Op::Put {
-            key: format!("{NODE_PREFIX}{}", self.record.node),
+        let mut entry = LeasedEntry {
+            lease,
+            lease_s,
             value,
-            lease: Some(lease),
-        };
-        let txn = Txn {
-            success: vec![put],
-            ..Txn::default()
+            revision: 0,
         };
-        self.kv.txn(txn).await?;
-        log::info!(lease = lease.0, lease_s; "this node is registered");
-        Ok(LeasedEntry {
-            lease: HeldLease::new(lease, lease_s, sent_at),
-            lease_s,
-        })
+        for _ in 0..MAX_CONFLICTS {
+            let written = self.kv.txn(self.txn(&entry, own.revision)).await;
+            let error = written.as_ref().err().map(Report::current_context);
+            if error == Some(&KvError::LeaseGone) {
+                own.unused = None;
+            }
+            let reply = written?;
+            entry.revision = reply.revision;
+            let is_stored = reply.succeeded || {
+                let found = self.kv.get(&self.key()).await?;
+                let found = found.kvs.into_iter().next();
+                own.revision = found.as_ref().map_or(0, |kv| kv.mod_revision);
+                entry.revision = own.revision;
+                // An attempt whose response was lost has taken effect.
+                found.is_some_and(|found| entry.is_stored_as(&found))
+            };
+            if is_stored {
+                log::info!(
+                    lease = lease.id().0, lease_s, revision = entry.revision;
+                    "this node is registered"
+                );
+                own.revision = entry.revision;
+                own.unused = None;
+                own.held = Some(entry);
+                return Ok(());
+            }
+            log::info!(revision = own.revision;
+                "this node's entry has another revision than expected");
+        }
+        Err(Report::new(KvError::NotDone).attach("the entry has changed"))
     }
 
-    async fn deregister(&self, held: LeasedEntry) {
-        let ended = self.kv.lease_revoke(held.lease.id()).await;
-        if let Err(report) = ended {
-            log::info!(error:% = report.current_context();
-                "this node's lease cannot be revoked and will expire");
+    fn txn(&self, entry: &LeasedEntry, replaced_revision: u64) -> Txn {
+        Txn {
+            compares: vec![Compare::ModRevision {
+                key: self.key(),
+                equals: replaced_revision,
+            }],
+            success: vec![Op::Put {
+                key: self.key(),
+                value: entry.value.clone(),
+                lease: Some(entry.lease.id()),
+            }],
+            failure: Vec::new(),
+        }
+    }
+
+    /// Revokes the leases under which the entry is written, or may be by a
+    /// write that takes effect late.
+    async fn deregister(&self, own: &OwnEntry) {
+        let held = own.held.as_ref().map(|held| held.lease);
+        let unused = own.unused.map(|unused| unused.lease);
+        for lease in held.into_iter().chain(unused) {
+            if let Err(report) = self.kv.lease_revoke(lease.id()).await {
+                log::info!(error:% = report.current_context();
+                    "this node's lease cannot be revoked and will expire");
+            }
         }
     }
 }
--- a/crates/node/tests/unit/membership.rs
+++ b/crates/node/tests/unit/membership.rs
@@ -81,9 +81,11 @@
     };
     let entries = [entry(&other), entry(&written)];
     let found = PreviousEntry::find(&entries, "front-1");
-    assert_eq!(found.lease_of(&record()), Some((LeaseId(77), 16)));
+    let entry = found.matching(&record()).expect("the same content");
+    assert_eq!((entry.lease.id(), entry.lease_s), (LeaseId(77), 16));
+    assert_eq!(entry.revision, 3);
     let none = PreviousEntry::find(&entries, "front-3");
-    assert_eq!(none.lease_of(&record()), None);
+    assert_eq!(none.matching(&record()), None);
 }
 
 /// Guards against a node that others query at its former address.
@@ -96,8 +98,8 @@
     };
     let entries = [entry(&moved)];
     let found = PreviousEntry::find(&entries, "front-1");
-    assert_eq!(found.lease_of(&record()), None);
+    assert_eq!(found.matching(&record()), None);
     let unknown = [entry(&record())];
     let found = PreviousEntry::find(&unknown, "front-1");
-    assert_eq!(found.lease_of(&record()), None, "unknown time to live");
+    assert_eq!(found.matching(&record()), None, "unknown time to live");
 }
