Write the status of an emptied node over the revision that it replaces

An operator could see 'active' after 'complete', so that a machine that is empty is not removed: the status was written without a precondition, and a late write replaced a later one. A restarted process also wrote 'active' again over the 'complete' of the same order.

Each write names the revision that it replaces; a status with a later revision than the order is that of the order and stays once it is complete.

Faults of an in-memory service can name the key they are for.

--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -11,7 +11,7 @@
 use crate::{
     GetReply, Kv, KvError, KvFuture, LeaseId, Txn, TxnReply, WatchBatch,
     Watcher,
-    mvcc::{Change, KeyRange, Limits, Store, StoreError, Transaction},
+    mvcc::{Change, KeyRange, Limits, Step, Store, StoreError, Transaction},
 };
 
 /// Fault injected into one write call of a [`Memory`].
@@ -94,6 +94,8 @@
     store: Store,
     is_down: bool,
     faults: VecDeque<WriteFault>,
+    /// Faults of the next transactions that write a key with a prefix.
+    faults_of_keys: Vec<(String, VecDeque<WriteFault>)>,
     /// Transactions that take effect later.
     delayed: Vec<Transaction>,
     counts: MemoryCounts,
@@ -143,6 +145,19 @@
         self.state().faults.extend(faults);
     }
 
+    /// Sets the faults of the next transactions that write a key with a prefix,
+    /// in order; they go before those of
+    /// [`script_write_faults`](Self::script_write_faults).
+    pub fn script_faults_of_keys(
+        &self,
+        prefix: &str,
+        faults: impl IntoIterator<Item = WriteFault>,
+    ) {
+        let faults = faults.into_iter().collect();
+        let mut state = self.state();
+        state.faults_of_keys.push((prefix.to_owned(), faults));
+    }
+
     /// Applies the delayed transactions, in order. Delayed calls about leases
     /// have no effect.
     pub fn apply_delayed(&self) {
@@ -213,7 +228,7 @@
         let mut state = self.state();
         state.counts.writes += 1;
         state.check_available()?;
-        let fault = state.faults.pop_front().unwrap_or_default();
+        let fault = state.take_fault(delayed.as_ref());
         match fault {
             WriteFault::Refused => return Err(injected(KvError::NotDone)),
             WriteFault::RequestLost => return Err(injected(KvError::Unknown)),
@@ -288,6 +303,25 @@
 type KvResult<T> = Result<T, Report<KvError>>;
 
 impl State {
+    /// Removes the fault of the next write call, a transaction or a call about
+    /// a lease.
+    fn take_fault(&mut self, txn: Option<&Transaction>) -> WriteFault {
+        let steps = txn.iter().flat_map(|txn| &txn.success);
+        let keys = steps.filter_map(|step| match step {
+            Step::Put(put) => Some(put.key.as_slice()),
+            _ => None,
+        });
+        let keys: Vec<&[u8]> = keys.collect();
+        let is_of_key = |(prefix, _): &&mut (String, VecDeque<WriteFault>)| {
+            keys.iter().any(|key| key.starts_with(prefix.as_bytes()))
+        };
+        let of_key = self.faults_of_keys.iter_mut().find(is_of_key);
+        let fault = of_key.and_then(|(_, faults)| faults.pop_front());
+        fault
+            .or_else(|| self.faults.pop_front())
+            .unwrap_or_default()
+    }
+
     fn check_available(&self) -> KvResult<()> {
         match self.is_down {
             true => Err(injected(KvError::NotDone)),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -58,6 +58,9 @@
     pub node: String,
     /// How long draining may take, in milliseconds.
     pub within_ms: u64,
+    /// Revision of the order in the key-value service. A status with a later
+    /// revision is that of this order.
+    pub revision: u64,
 }
 
 /// The progress of draining a node.
--- a/crates/node/src/vacate.rs
+++ b/crates/node/src/vacate.rs
@@ -1,8 +1,9 @@
 use std::{sync::Arc, time::Duration};
 
 use base::stable_hash;
+use error_stack::Report;
 use jobs::{JobView, Members};
-use kv::{Compare, Kv, Op, Txn};
+use kv::{Compare, Kv, KvError, Op, Txn};
 use tokio::{
     sync::{mpsc, watch},
     time,
@@ -69,7 +70,9 @@
     }
 
     async fn vacate(&self, order: &VacateOrder) {
-        self.write(&order.node, VacateState::Active, false).await;
+        let mut status = StatusWriter::new(&*self.kv, &*self.dialect, order);
+        let replaces = Replaces::Unfinished;
+        status.write(VacateState::Active, replaces).await;
         self.shutdown.send_replace(true);
         let mut idle = self.idle.clone();
         let runs_ended = idle.wait_for(|idle| *idle);
@@ -82,7 +85,7 @@
             let _ = spooled_jobs.wait_for(|count| *count == 0).await;
         }
         log::info!(all_ended; "this node is vacated");
-        self.write(&order.node, VacateState::Complete, false).await;
+        status.write(VacateState::Complete, replaces).await;
     }
 
     fn report_for_lost(&self, order: VacateOrder) {
@@ -101,14 +104,11 @@
             {
                 return;
             }
-            write(&*kv, &*dialect, &order.node, VacateState::Complete, true)
+            StatusWriter::new(&*kv, &*dialect, &order)
+                .write(VacateState::Complete, Replaces::EarlierOrder)
                 .await;
         });
     }
-
-    async fn write(&self, node: &str, state: VacateState, only_new: bool) {
-        write(&*self.kv, &*self.dialect, node, state, only_new).await;
-    }
 }
 
 /// Reports whether a node is one of the few that report for a lost one.
@@ -120,42 +120,114 @@
     higher_ranked.take(MAX_REPORTERS).count() < MAX_REPORTERS
 }
 
-/// Writes the vacate status of a node, retrying until it succeeds.
-async fn write(
-    kv: &dyn Kv,
-    dialect: &dyn Dialect,
-    node: &str,
-    state: VacateState,
-    only_new: bool,
-) {
-    let (key, value) = dialect.encode_vacate_status(node, state);
-    let absent = Compare::ModRevision {
-        key: key.clone(),
-        equals: 0,
-    };
-    let txn = Txn {
-        compares: only_new.then_some(absent).into_iter().collect(),
-        success: vec![Op::Put {
-            key,
-            value,
-            lease: None,
-        }],
-        failure: Vec::new(),
-    };
-    loop {
-        match kv.txn(txn.clone()).await {
-            Ok(response) => {
-                log::info!(node, state:? = state, written = response.succeeded;
-                    "vacate status written");
-                return;
-            }
-            Err(report) => {
-                log::info!(node, error:% = report.current_context();
-                    "cannot write vacate status; retrying");
-                time::sleep(RETRY_INTERVAL).await;
+/// Which stored status may be replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Replaces {
+    /// Any but that of a completed order.
+    Unfinished,
+    /// That of an earlier order; if this one has a status, the node itself has
+    /// written it.
+    EarlierOrder,
+}
+
+/// Writes the status of an order to vacate a node.
+///
+/// Each write names the revision that it replaces: one whose response was lost
+/// may take effect after a later one.
+struct StatusWriter<'a> {
+    kv: &'a dyn Kv,
+    dialect: &'a dyn Dialect,
+    order: &'a VacateOrder,
+    /// Revision of the stored status, as far as known; 0 if there is none.
+    revision: u64,
+    /// Whether the order is known to be reported as completed.
+    is_complete: bool,
+}
+
+impl<'a> StatusWriter<'a> {
+    fn new(
+        kv: &'a dyn Kv,
+        dialect: &'a dyn Dialect,
+        order: &'a VacateOrder,
+    ) -> Self {
+        Self {
+            kv,
+            dialect,
+            order,
+            revision: 0,
+            is_complete: false,
+        }
+    }
+
+    /// Writes a status, retrying until it or a later one is stored.
+    async fn write(&mut self, state: VacateState, replaces: Replaces) {
+        let node = self.order.node.as_str();
+        while !self.is_complete {
+            match self.try_write(state, replaces).await {
+                Ok(Some(written)) => {
+                    log::info!(
+                        node, state:? = state, written,
+                        revision = self.revision;
+                        "vacate status written"
+                    );
+                    return;
+                }
+                Ok(None) => {}
+                Err(report) => {
+                    log::info!(node, error:% = report.current_context();
+                        "cannot write vacate status; retrying");
+                    time::sleep(RETRY_INTERVAL).await;
+                }
             }
         }
     }
+
+    /// Makes one attempt. Returns whether the status was written or need not
+    /// be; `None` if another revision than expected is stored.
+    async fn try_write(
+        &mut self,
+        state: VacateState,
+        replaces: Replaces,
+    ) -> Result<Option<bool>, Report<KvError>> {
+        let (key, value) =
+            self.dialect.encode_vacate_status(&self.order.node, state);
+        let txn = Txn {
+            compares: vec![Compare::ModRevision {
+                key: key.clone(),
+                equals: self.revision,
+            }],
+            success: vec![Op::Put {
+                key: key.clone(),
+                value: value.clone(),
+                lease: None,
+            }],
+            failure: Vec::new(),
+        };
+        let reply = self.kv.txn(txn).await?;
+        if reply.succeeded {
+            self.revision = reply.revision;
+            return Ok(Some(true));
+        }
+        let found = self.kv.get(&key).await?.kvs.into_iter().next();
+        self.revision = found.as_ref().map_or(0, |kv| kv.mod_revision);
+        let of_this_order =
+            found.filter(|kv| kv.mod_revision > self.order.revision);
+        let Some(found) = of_this_order else {
+            return Ok(None);
+        };
+        self.is_complete = found.value == self.complete();
+        let is_final = self.is_complete
+            || found.value == value
+            || replaces == Replaces::EarlierOrder;
+        Ok(is_final.then_some(false))
+    }
+
+    fn complete(&self) -> Vec<u8> {
+        let node = &self.order.node;
+        self.dialect
+            .encode_vacate_status(node, VacateState::Complete)
+            .1
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -96,6 +96,7 @@
             return Ok(OperatorOrder::Vacate(VacateOrder {
                 node: node.to_owned(),
                 within_ms: 2_000,
+                revision: kv.mod_revision,
             }));
         }
         let written: StoredConfig =
--- a/crates/node/tests/unit/vacate.rs
+++ b/crates/node/tests/unit/vacate.rs
@@ -18,6 +18,7 @@
     let order = VacateOrder {
         node: "worker-1".to_owned(),
         within_ms,
+        revision: 1,
     };
     let expected = Duration::from_millis(expected_ms);
     assert_eq!(runs_timeout(&order), expected);
