Write the bootstrap list over the revision that it replaces

A late write of an earlier list replaced a later one, and starting nodes queried nodes that were gone until the list changed again.

Evidence: a_late_bootstrap_list_does_not_replace_a_later_one (entries.rs) failed before, passes now.

--- a/crates/node/src/bootstrap_list.rs
+++ b/crates/node/src/bootstrap_list.rs
@@ -8,8 +8,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use error_stack::Report;
 use jobs::{JobView, NodeRecord, Roster};
-use kv::{KeyValue, Kv, Op, Txn};
+use kv::{Compare, KeyValue, Kv, KvError, Op, Txn};
 use tokio::time;
 
 use crate::tree;
@@ -27,10 +28,15 @@
 /// milliseconds.
 const MAX_DELAY_MS: u64 = 1_000;
 
+/// Number of times that the list is written at once after a write that found
+/// another revision than expected.
+const MAX_CONFLICTS: usize = 2;
+
 /// Maintains the list while this node is the first of the readers.
 pub(crate) async fn maintain(kv: Arc<dyn Kv>, view: JobView, node: String) {
     let mut last_roster: Option<Roster> = None;
     let mut written: Vec<NodeRecord> = Vec::new();
+    let mut revision = 0;
     loop {
         time::sleep(MIN_WRITE_INTERVAL).await;
         let roster = view.roster();
@@ -47,37 +53,66 @@
             continue;
         }
         let list = tree::bootstrap_list(&roster);
-        if list == written || write(&*kv, &list).await {
+        if list == written || write(&*kv, &list, &mut revision).await {
             written = list;
             last_roster = Some(roster);
         }
     }
 }
 
-async fn write(kv: &dyn Kv, list: &[NodeRecord]) -> bool {
+/// Writes the list over the one at `revision`, which becomes that of the
+/// stored list. Reports whether the list is stored.
+///
+/// Without the revision an earlier write that takes effect late would replace
+/// the list, and starting nodes would query nodes that are gone.
+async fn write(kv: &dyn Kv, list: &[NodeRecord], revision: &mut u64) -> bool {
     let Ok(value) = serde_json::to_vec(list) else {
         return true;
     };
+    for _ in 0..MAX_CONFLICTS {
+        match try_write(kv, &value, revision).await {
+            Ok(true) => {
+                log::info!(nodes = list.len();
+                    "the bootstrap list is written");
+                return true;
+            }
+            Ok(false) => {}
+            Err(report) => {
+                log::info!(error:% = report.current_context();
+                    "the bootstrap list is not written");
+                return false;
+            }
+        }
+    }
+    false
+}
+
+async fn try_write(
+    kv: &dyn Kv,
+    value: &[u8],
+    revision: &mut u64,
+) -> Result<bool, Report<KvError>> {
+    let key = BOOTSTRAP_KEY.to_owned();
     let txn = Txn {
+        compares: vec![Compare::ModRevision {
+            key: key.clone(),
+            equals: *revision,
+        }],
         success: vec![Op::Put {
-            key: BOOTSTRAP_KEY.to_owned(),
-            value,
+            key,
+            value: value.to_vec(),
             lease: None,
         }],
-        ..Txn::default()
+        failure: Vec::new(),
     };
-    match kv.txn_batched(txn, MAX_DELAY_MS).await {
-        Ok(_) => {
-            log::info!(nodes = list.len();
-                "the bootstrap list is written");
-            true
-        }
-        Err(report) => {
-            log::info!(error:% = report.current_context();
-                "the bootstrap list is not written");
-            false
-        }
+    let reply = kv.txn_batched(txn, MAX_DELAY_MS).await?;
+    if reply.succeeded {
+        *revision = reply.revision;
+        return Ok(true);
     }
+    let found = kv.get(BOOTSTRAP_KEY).await?.kvs.into_iter().next();
+    *revision = found.as_ref().map_or(0, |kv| kv.mod_revision);
+    Ok(found.is_some_and(|kv| kv.value == value))
 }
 
 /// Decodes the list; a malformed list counts as empty.
--- a/crates/node/tests/entries.rs
+++ b/crates/node/tests/entries.rs
@@ -139,3 +139,30 @@
         assert_eq!(entry(&kv, "node-1").await, None);
     });
 }
+
+/// Guards against starting nodes that query nodes which are gone: a late write
+/// of the bootstrap list replaced a later one.
+#[test]
+fn a_late_bootstrap_list_does_not_replace_a_later_one() {
+    block_on(async {
+        let (kv, _engine) = kv_with_config().await;
+        kv.script_faults_of_keys("start/", [WriteFault::Delayed]);
+        let _first = start_serving(&kv, "worker-1", true).await;
+        sleep(Duration::from_millis(2_500)).await;
+        let _second = start_serving(&kv, "worker-2", true).await;
+        let names_both = async || {
+            let found = kv.get("start/nodes").await.expect("read").kvs.pop();
+            let list = found.map(|kv| String::from_utf8(kv.value));
+            let list = list.and_then(Result::ok).unwrap_or_default();
+            list.contains("worker-1") && list.contains("worker-2")
+        };
+        for _ in 0..100 {
+            if names_both().await {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        kv.apply_delayed();
+        assert!(names_both().await);
+    });
+}
