Join the members again when the own key is not listed

An entry of the OpenAI interface wrote its member key without a precondition; a late write of an earlier attempt bound the key to a lease that nobody renewed. The process kept its second lease, was not listed, got no partitions, and never joined again.

A member that two consecutive reads of the members do not contain gives up its lease and joins again. The reads are made anyway.

--- a/crates/entry/src/batch/owner/calls.rs
+++ b/crates/entry/src/batch/owner/calls.rs
@@ -58,6 +58,8 @@
         };
         // An unused lease expires.
         self.kv.txn(txn).await.ok()?;
+        log::info!(member = self.member.as_str(), lease = lease.0;
+            "this entry is a member");
         Some(lease.0)
     }
 
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -41,6 +41,9 @@
     pub(crate) is_reading_membership: bool,
     pub(crate) read_membership_at: Millis,
     pub(crate) last_read_revision: u64,
+    /// Number of consecutive reads of the members, under a lease, that did
+    /// not contain this one.
+    pub(crate) absent_reads: u32,
     pub(crate) members: Vec<String>,
     /// Index in `members` of the assigned owner of each partition.
     pub(crate) assigned: Vec<usize>,
@@ -86,6 +89,7 @@
             is_reading_membership: false,
             read_membership_at: Millis::new(0),
             last_read_revision: 0,
+            absent_reads: 0,
             members: Vec::new(),
             assigned: Vec::new(),
             partitions,
--- a/crates/ledger/src/ownership.rs
+++ b/crates/ledger/src/ownership.rs
@@ -10,6 +10,10 @@
     machine::Partition,
 };
 
+/// Number of consecutive reads without this member after which it joins again.
+/// The first may have begun before it joined.
+const MAX_ABSENT_READS: u32 = 2;
+
 impl Ledger {
     pub(crate) fn maintain_lease(&mut self, now: Millis) {
         match &mut self.lease {
@@ -155,6 +159,7 @@
                 self.members.iter().map(String::as_str).collect();
             self.assigned = assign(self.options.partitions, &names);
         }
+        self.check_membership(moment.now);
         for number in 0..self.options.partitions {
             let owner = owners.iter().find(|o| o.partition == number);
             self.apply_owner(moment.now, number, revision, owner);
@@ -163,6 +168,23 @@
         self.maintain_lease(moment.now);
     }
 
+    /// Gives up a lease under which this member is not listed, and joins again.
+    ///
+    /// A write of the member's key that was not answered may take effect late
+    /// and bind the key to a lease that nobody renews.
+    fn check_membership(&mut self, now: Millis) {
+        let is_listed = self.members.contains(&self.member);
+        if is_listed || self.lease.is_none() {
+            self.absent_reads = 0;
+            return;
+        }
+        self.absent_reads += 1;
+        if self.absent_reads >= MAX_ABSENT_READS {
+            self.absent_reads = 0;
+            self.lose_lease(now);
+        }
+    }
+
     fn apply_owner(
         &mut self,
         now: Millis,
