Answer 502 when it is not known whether a job is ended

The end of a job whose write got no response was refused with 503, which promises that it was not done. A late write ended the job all the same, and its client waited for results that never came.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -616,6 +616,9 @@
                     StatusCode::NOT_FOUND,
                     "there is no such job",
                 ),
+                JobError::OutcomeUnknown => {
+                    Refusal::unknown("whether the job is ended is not known")
+                }
                 _ => Refusal::not_run("the job cannot be read now")
                     .with_retry_after_ms(UNAVAILABLE_RETRY_MS),
             };
