Answer 404 for a job only if it certainly does not exist

Fronts answered 404 for jobs that had been answered 202 while the workers that keep them had no power: a job without a manifest in the key-value service counted as one that does not exist, though it may be in a spool.

Workers state in their entries whether the ledger has all that they have spooled, and a key without a lease names each worker with a disk. A spooled job is on more disks than may be lost; a front answers 404 only if no more workers than that are missing or hold jobs, each listed entry has outlasted an interruption of the service, and the workers that would hold the job do not have it. The statement takes the place of a renewal, the key is in the call that registers the worker.

--- a/crates/bench/benches/growth/installation.rs
+++ b/crates/bench/benches/growth/installation.rs
@@ -106,6 +106,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
--- a/crates/jobs/src/assignment.rs
+++ b/crates/jobs/src/assignment.rs
@@ -47,6 +47,7 @@
     ///     limits: None,
     ///     origins: None,
     ///     lease_s: 0,
+    ///     spool: Default::default(),
     /// });
     /// let endpoints = ["1", "2", "3", "4"].map(|id| {
     ///     Endpoint::new(EndpointRecord {
--- a/crates/jobs/src/backlogs.rs
+++ b/crates/jobs/src/backlogs.rs
@@ -29,6 +29,7 @@
 ///     limits: None,
 ///     origins: None,
 ///     lease_s: 0,
+///     spool: Default::default(),
 /// }));
 /// let backlogs = ReportedBacklogs::default();
 /// let now = Millis::new(1_000);
--- a/crates/jobs/src/error.rs
+++ b/crates/jobs/src/error.rs
@@ -9,8 +9,10 @@
     Encoding,
     /// The job does not fit into one transaction of the key-value service.
     TooLarge,
-    /// The job does not exist.
+    /// The ledger does not have the job.
     Unknown,
+    /// The job has no such item.
+    UnknownItem,
     /// A job of another customer has the same id.
     Conflict,
     /// The key-value service is unavailable; the operation was not executed.
@@ -26,7 +28,8 @@
             JobError::InvalidId => "the id cannot name a job",
             JobError::Encoding => "the stored record is not valid",
             JobError::TooLarge => "the job is too large",
-            JobError::Unknown => "there is no such job",
+            JobError::Unknown => "the ledger does not have the job",
+            JobError::UnknownItem => "the job has no such item",
             JobError::Conflict => "another customer has a job with this id",
             JobError::NotDone => {
                 "the key-value service did not execute the call"
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -36,6 +36,7 @@
 mod run_time;
 mod runner;
 mod silence;
+mod spools;
 mod version_wait;
 mod view;
 
@@ -55,7 +56,7 @@
     manifests::{
         KnownManifest, ManifestFuture, ManifestSource, ViewManifests,
     },
-    members::{Backlog, Members, NodeRecord, Roster},
+    members::{Backlog, Members, NodeRecord, Roster, SpoolState},
     online::{
         FRONT_LOAD_TTL_MS, FrontUpdate, OnlineLoad, OtherFrontsLoad,
         ReportVersion,
@@ -65,11 +66,11 @@
     planner::{Assignments, Planner, batch_services},
     record::{
         ItemCheckpoint, ItemInput, ItemResult, ItemState, JobCheckpoint,
-        JobKey, JobManifest, MANIFEST_PREFIX, NODE_PREFIX, WATCHED_PREFIX,
-        checkpoint_key, decode_checkpoints, decode_inputs, decode_manifest,
-        decode_new_job, decode_results, encode_checkpoints, encode_inputs,
-        encode_manifest, encode_new_job, encode_results, input_key,
-        manifest_key, output_key,
+        JobKey, JobManifest, MANIFEST_PREFIX, NODE_PREFIX, SPOOL_PREFIX,
+        WATCHED_PREFIX, checkpoint_key, decode_checkpoints, decode_inputs,
+        decode_manifest, decode_new_job, decode_results, encode_checkpoints,
+        encode_inputs, encode_manifest, encode_new_job, encode_results,
+        input_key, manifest_key, output_key,
     },
     run::{BreakCause, ItemForwarder, ItemRun, Progress, RunOutcome},
     run_time::{RemainingTime, RunTimeEstimator},
@@ -77,6 +78,7 @@
         Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, ShutdownSignal,
     },
     silence::SilenceClock,
+    spools::MissingSpool,
     version_wait::VersionWait,
     view::{JobView, decode_manifest_row},
 };
--- a/crates/jobs/src/members.rs
+++ b/crates/jobs/src/members.rs
@@ -26,6 +26,27 @@
     /// Time to live of the entry in seconds; 0 if not specified.
     #[serde(default)]
     pub lease_s: u32,
+    /// Whether the disk of the node holds jobs that the ledger may not have.
+    #[serde(default)]
+    pub spool: SpoolState,
+}
+
+/// What a node states in its entry about the jobs that it has spooled.
+///
+/// A node renews its entry only while the statement is true, so that an entry
+/// that was written before an outage and still exists after it says nothing
+/// false for longer than its time to live.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum SpoolState {
+    /// The node may hold jobs that are nowhere else, or has lost its disk with
+    /// such jobs.
+    #[default]
+    Unknown,
+    /// The ledger has each job that the node has accepted.
+    Written,
 }
 
 /// The current nodes of one kind: nodes that run items, or nodes that serve
@@ -154,6 +175,22 @@
         })
     }
 
+    /// Returns a few different nodes that depend on the key of a job, the same
+    /// on all nodes that know the same members. The number of steps does not
+    /// depend on the number of members.
+    pub fn draw(&self, job: &JobKey) -> Vec<&NodeRecord> {
+        let hash = stable_hash(&[job.as_str()]);
+        let mut drawn: Vec<usize> = Vec::with_capacity(DRAWS);
+        for nth in 0..DRAWS as u64 {
+            let index = mix(hash ^ nth) as usize;
+            match index.checked_rem(self.nodes.len()) {
+                Some(index) if !drawn.contains(&index) => drawn.push(index),
+                _ => {}
+            }
+        }
+        drawn.into_iter().map(|index| &self.nodes[index]).collect()
+    }
+
     fn rank(&self, at: usize, hash: u64) -> u64 {
         mix(self.hashes[at] ^ hash)
     }
@@ -165,6 +202,11 @@
 /// node.
 const SAMPLE_SIZE: usize = 4;
 
+/// Number of times that a node is drawn for a job. With two copies of a job in
+/// three failure domains, all draws are of one domain once in two thousand
+/// jobs.
+const DRAWS: usize = 8;
+
 /// Open items by the node that runs them.
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -223,6 +223,8 @@
 pub const MANIFEST_PREFIX: &str = "jobs/h/";
 /// Prefix of the keys of nodes' entries.
 pub const NODE_PREFIX: &str = "jobs/n/";
+/// Prefix of the keys that name the nodes whose disks may hold spooled jobs.
+pub const SPOOL_PREFIX: &str = "jobs/s/";
 /// Prefix of the keys of inputs, results and checkpoints.
 pub(crate) const BULK_PREFIX: &str = "bulk/";
 
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -6,9 +6,13 @@
 use tokio::sync::watch;
 
 use crate::{
-    Backlog, JobManifest, Members, NodeRecord, Roster, StoredManifest,
+    Backlog, JobManifest, Members, MissingSpool, NodeRecord, Roster,
+    StoredManifest,
     index::JobIndex,
-    record::{JobKey, MANIFEST_PREFIX, NODE_PREFIX, decode_manifest},
+    record::{
+        JobKey, MANIFEST_PREFIX, NODE_PREFIX, SPOOL_PREFIX, decode_manifest,
+    },
+    spools::{Availability, SpoolSummary},
 };
 
 /// A node's view of all jobs and of all nodes.
@@ -28,6 +32,13 @@
     nodes: IndexMap<String, NodeRecord>,
     /// The nodes after their last change; `None` until it is requested.
     roster: Option<Roster>,
+    /// The nodes whose disks may hold spooled jobs, with the revisions of the
+    /// keys that name them.
+    spools: IndexMap<String, u64>,
+    /// The state of the spools after the last change of the nodes; `None`
+    /// until it is requested.
+    spool_summary: Option<SpoolSummary>,
+    availability: Availability,
     fresh_at: Option<Millis>,
 }
 
@@ -57,11 +68,12 @@
             inner.jobs.remove(&key);
         }
         inner.nodes.clear();
-        inner.roster = None;
+        inner.spools.clear();
+        inner.forget_derived();
         for kv in kvs {
             inner.put(kv, began);
         }
-        inner.fresh_at = Some(began);
+        inner.confirm(began);
         drop(inner);
         self.changed();
     }
@@ -75,7 +87,7 @@
                 Event::Delete { key, .. } => inner.delete(key),
             }
         }
-        inner.fresh_at = Some(now);
+        inner.confirm(now);
         drop(inner);
         if !events.is_empty() {
             self.changed();
@@ -106,7 +118,7 @@
         for node in nodes {
             inner.nodes.insert(node.node.clone(), node);
         }
-        inner.roster = None;
+        inner.forget_derived();
     }
 
     /// Records a manifest that this node wrote or read itself, unless the view
@@ -176,6 +188,27 @@
         roster
     }
 
+    /// Reports whether the ledger has each job that was accepted before the
+    /// last second, if a job that is spooled is on more than `disk_losses`
+    /// disks.
+    ///
+    /// That is certain once all but `disk_losses` of the nodes with disks have
+    /// stated since the last outage of the key-value service that the ledger
+    /// has the jobs that they have spooled. A node that never comes back is
+    /// one of the exceptions.
+    pub fn are_spools_written(&self, disk_losses: u32, now: Millis) -> bool {
+        let mut inner = self.lock();
+        let summary = inner.spool_summary();
+        let availability = inner.availability;
+        availability.proves_written(&summary, disk_losses as usize, now)
+    }
+
+    /// Returns the nodes whose disks may hold spooled jobs and that are not
+    /// listed.
+    pub fn missing_spools(&self) -> Arc<Vec<MissingSpool>> {
+        self.lock().spool_summary().missing
+    }
+
     /// Returns the time since the last change of a job was seen.
     pub fn unchanged_ms(&self, job: &JobKey, now: Millis) -> u64 {
         let at = self.lock().jobs.changed_at(job);
@@ -218,11 +251,36 @@
 }
 
 impl Inner {
+    /// Records a time up to which the view contains all changes.
+    fn confirm(&mut self, at: Millis) {
+        self.availability.confirm(at);
+        self.fresh_at = Some(at);
+    }
+
+    fn spool_summary(&mut self) -> SpoolSummary {
+        let (spools, nodes) = (&self.spools, &self.nodes);
+        let summary = self
+            .spool_summary
+            .get_or_insert_with(|| SpoolSummary::new(spools, nodes));
+        summary.clone()
+    }
+
+    /// Drops what is derived from the nodes.
+    fn forget_derived(&mut self) {
+        self.roster = None;
+        self.spool_summary = None;
+    }
+
     fn put(&mut self, kv: &KeyValue, now: Millis) {
         if let Some(name) = kv.key.strip_prefix(NODE_PREFIX) {
             self.put_node(name, kv);
             return;
         }
+        if let Some(name) = kv.key.strip_prefix(SPOOL_PREFIX) {
+            self.spools.insert(name.to_owned(), kv.mod_revision);
+            self.spool_summary = None;
+            return;
+        }
         let Some(key) = job_key(&kv.key) else {
             return;
         };
@@ -247,8 +305,7 @@
             // An entry that is rewritten with another lease has not changed.
             Ok(record) if self.nodes.get(name) == Some(&record) => {}
             Ok(record) => {
-                self.nodes.insert(name.to_owned(), record);
-                self.roster = None;
+                self.put_record(name, record);
             }
             Err(error) => {
                 log::warn!(key = kv.key.as_str(), error:%;
@@ -257,10 +314,27 @@
         }
     }
 
+    fn put_record(&mut self, name: &str, record: NodeRecord) {
+        let known = self.nodes.insert(name.to_owned(), record.clone());
+        self.spool_summary = None;
+        // Users of the roster compute a lot from it, and none of it from the
+        // state of a spool.
+        let is_same = known.is_some_and(|known| {
+            let spool = record.spool;
+            NodeRecord { spool, ..known } == record
+        });
+        if !is_same {
+            self.roster = None;
+        }
+    }
+
     fn delete(&mut self, key: &str) {
         if let Some(name) = key.strip_prefix(NODE_PREFIX) {
             self.nodes.swap_remove(name);
-            self.roster = None;
+            self.forget_derived();
+        } else if let Some(name) = key.strip_prefix(SPOOL_PREFIX) {
+            self.spools.swap_remove(name);
+            self.spool_summary = None;
         } else if let Some(job) = job_key(key) {
             self.jobs.remove(&job);
         }
--- a/crates/jobs/tests/plan.rs
+++ b/crates/jobs/tests/plan.rs
@@ -20,6 +20,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -6,7 +6,7 @@
 use base::{Snapshot, timer::Timer};
 use error_stack::{Report, ResultExt};
 use fleet::{Selection, ServiceSpeeds};
-use jobs::{Assignments, BulkCache, JobView, Ledger, NodeRecord};
+use jobs::{Assignments, BulkCache, JobView, Ledger, NodeRecord, SpoolState};
 use kv::{
     Kv,
     batch::{BatchLimits, GroupCommit},
@@ -39,7 +39,7 @@
     peer_bodies::PeerBodies,
     peer_bulk::{BulkResponder, PeerBulk},
     quota::{self, QuotaClient, QuotaService, ShareExchange},
-    usage,
+    spool_marks, usage,
     watch::{JOB_FEED, Watches},
     write_through::WriteThroughKv,
 };
@@ -185,7 +185,7 @@
             pages: Arc::default(),
             counters: context.counters.clone(),
             bulk: BulkResponder::new(cache, ledger.clone()),
-            spool,
+            spool: spool.clone(),
             group_commit,
             manifests: ManifestResponder::new(view.clone(), clock.clone()),
             push_receiver,
@@ -252,6 +252,7 @@
             limits: Some(settings.limits),
             origins: Some(settings.origins),
             lease_s: 0,
+            spool: SpoolState::Unknown,
         };
         let registration = NodeRegistration {
             kv: context.kv.clone(),
@@ -259,8 +260,15 @@
             terms: LeaseTerms::new(runs_items, settings.min_lease_ms),
             view: view.clone(),
             feed: feeds[JOB_FEED].clone(),
-            clock,
+            spool,
+            clock: clock.clone(),
         };
+        tokio::spawn(spool_marks::maintain(
+            context.kv.clone(),
+            view.clone(),
+            settings.clone(),
+            clock,
+        ));
         tokio::spawn(registration.run(RegistrationSignals {
             registered,
             shutdown,
--- a/crates/node/src/feed_wire.rs
+++ b/crates/node/src/feed_wire.rs
@@ -7,9 +7,10 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use fleet::{Endpoint, TransferLimits};
-use http::{Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
+use jobs::JobKey;
 use kv::{KeyValue, LeaseId, batch::GroupCommit};
 use pass::{Counters, Handler, HandlerFuture, Pool, Relay, ResponseBody};
 use serde::{Deserialize, Serialize};
@@ -298,6 +299,12 @@
 impl Handler for PeerHandler {
     fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
         let uri = request.uri();
+        if let Some(job) = uri.path().strip_prefix(SPOOL_PATH)
+            && request.method() == Method::GET
+        {
+            let response = find_spooled(self.spool.as_deref(), job);
+            return Box::pin(std::future::ready(response));
+        }
         if uri.path().starts_with(SPOOL_PATH) {
             let bodies = self.bodies.clone();
             return Box::pin(spool_job(self.spool.clone(), bodies, request));
@@ -356,6 +363,20 @@
     }
 }
 
+/// Responds whether this node keeps a job, or has kept it.
+fn find_spooled(
+    spool: Option<&JobSpool>,
+    job: &str,
+) -> Response<ResponseBody> {
+    let job: Option<JobKey> = job.parse().ok();
+    let is_found = spool.zip(job).is_some_and(|(spool, job)| spool.has(&job));
+    let mut response = Response::new(ResponseBody::from_bytes(Bytes::new()));
+    if !is_found {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
+
 async fn spool_job(
     spool: Option<Arc<JobSpool>>,
     bodies: PeerBodies,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -36,8 +36,10 @@
     base::NodeBase,
     intake::JobIntake,
     job_manifests::PeerManifests,
+    job_spool::SpoolClient,
     load::{FrontLoad, FrontSpeeds, LoadNotifier},
     quota::QuotaClient,
+    unknown_jobs::UnknownJobs,
     usage,
 };
 
@@ -102,10 +104,17 @@
         };
         let listener = Listener::bind(address, options, receiver)
             .change_context(NodeError::Listen)?;
+        let spool = Arc::new(SpoolClient::new(settings.disk_losses));
         let intake = JobIntake::new(
             ledger.clone(),
             view.clone(),
             manifests.clone(),
+            spool.clone(),
+        );
+        let unknown_jobs = UnknownJobs::new(
+            view.clone(),
+            spool,
+            context.cluster.clock().clone(),
             settings.disk_losses,
         );
         let memory = MemoryBudget::new(
@@ -125,6 +134,7 @@
             cluster: context.cluster,
             forwarder,
             intake,
+            unknown_jobs,
             ledger,
             pages,
             manifests,
@@ -188,6 +198,7 @@
     forwarder: Arc<Forwarder>,
     ledger: Ledger,
     intake: JobIntake,
+    unknown_jobs: UnknownJobs,
     pages: PageReader,
     manifests: Arc<dyn ManifestSource>,
     backlogs: Arc<ReportedBacklogs>,
@@ -576,6 +587,7 @@
         call: JobCall,
         customer: Option<&Customer>,
     ) -> Response<ResponseBody> {
+        let spools = self.unknown_jobs.spools();
         let (job, result) = match call {
             JobCall::Results {
                 job,
@@ -609,28 +621,32 @@
                 (job, cancelled)
             }
         };
-        result.unwrap_or_else(|report| {
-            let error = *report.current_context();
-            let refusal = match error {
-                JobError::Unknown => Refusal::rejected(
-                    StatusCode::NOT_FOUND,
-                    "there is no such job",
-                ),
-                JobError::OutcomeUnknown => {
-                    Refusal::unknown("whether the job is ended is not known")
-                }
-                _ => Refusal::not_run("the job cannot be read now")
-                    .with_retry_after_ms(UNAVAILABLE_RETRY_MS),
-            };
-            log::info!(
-                request_id = job.as_str(),
-                error:%,
-                status = refusal.status().as_u16(),
-                view_age_ms = self.view.age_ms(self.cluster.clock().now());
-                "job call failed"
-            );
-            refusal.into_response()
-        })
+        let report = match result {
+            Ok(response) => return response,
+            Err(report) => report,
+        };
+        let error = *report.current_context();
+        let refusal = match error {
+            JobError::UnknownItem => unknown("there is no such item"),
+            JobError::Unknown
+                if self.unknown_jobs.is_nonexistent(&job, spools).await =>
+            {
+                unknown("there is no such job")
+            }
+            JobError::OutcomeUnknown => {
+                Refusal::unknown("whether the job is ended is not known")
+            }
+            _ => Refusal::not_run("the job cannot be read now")
+                .with_retry_after_ms(UNAVAILABLE_RETRY_MS),
+        };
+        log::info!(
+            request_id = job.as_str(),
+            error:%,
+            status = refusal.status().as_u16(),
+            view_age_ms = self.view.age_ms(self.cluster.clock().now());
+            "job call failed"
+        );
+        refusal.into_response()
     }
 
     async fn item_body(
@@ -655,7 +671,7 @@
         let input = inputs.into_iter().find(|input| input.id == item);
         let body = input
             .map(|input| input.body)
-            .ok_or_else(|| Report::new(JobError::Unknown))?;
+            .ok_or_else(|| Report::new(JobError::UnknownItem))?;
         reservation.shrink_to(body.len() as u64);
         Ok((body, reservation))
     }
@@ -680,6 +696,10 @@
     reservation.grow_to(bytes).change_context(JobError::NotDone)
 }
 
+fn unknown(reason: &'static str) -> Refusal {
+    Refusal::rejected(StatusCode::NOT_FOUND, reason)
+}
+
 fn refusal_for(error: JobError) -> Refusal {
     match error {
         JobError::TooLarge => Refusal::rejected(
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -59,7 +59,7 @@
     ledger: Ledger,
     view: JobView,
     manifests: Arc<dyn ManifestSource>,
-    spool: SpoolClient,
+    spool: Arc<SpoolClient>,
     push: JobPush,
 }
 
@@ -70,14 +70,14 @@
         ledger: Ledger,
         view: JobView,
         manifests: Arc<dyn ManifestSource>,
-        disk_losses: u32,
+        spool: Arc<SpoolClient>,
     ) -> Self {
         Self {
             push: JobPush::new(ledger.clone(), view.clone()),
             ledger,
             view,
             manifests,
-            spool: SpoolClient::new(disk_losses),
+            spool,
         }
     }
 
--- a/crates/node/src/job_spool.rs
+++ b/crates/node/src/job_spool.rs
@@ -11,7 +11,10 @@
 //! results need consensus, which only the key-value service provides.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -23,7 +26,7 @@
 use indexmap::IndexMap;
 use jobs::{
     JobError, JobKey, JobView, Ledger, Members, NewJob, NodeRecord,
-    decode_new_job, encode_new_job,
+    SpoolState, decode_new_job, encode_new_job,
 };
 use pass::{CallOutcome, Pool};
 use store::{Spool, SpoolError};
@@ -193,6 +196,26 @@
         }
     }
 
+    /// Reports whether none of the workers that are the first to be asked to
+    /// keep a job has it. A worker that does not respond may have it.
+    pub(crate) async fn is_denied(
+        &self,
+        job: &JobKey,
+        view: &JobView,
+    ) -> bool {
+        let workers = likely_holders(&view.members(), job, self.copies);
+        let requests = workers.into_iter().map(|worker| {
+            let (pool, job) = (self.pool.clone(), job.clone());
+            tokio::spawn(request_holding(pool, worker, job))
+        });
+        let requests: Vec<_> = requests.collect();
+        let mut is_denied = true;
+        for request in requests {
+            is_denied &= matches!(request.await, Ok(Some(false)));
+        }
+        is_denied
+    }
+
     async fn request_all(
         &self,
         workers: &[&NodeRecord],
@@ -222,12 +245,41 @@
     }
 }
 
-/// Sorts workers by a hash with the job, then by round robin over the failure
-/// domains, so that the first ones cover as many domains as possible.
+/// Sorts workers for the copies of a job: first those that [`Members::draw`]
+/// returns, then by a hash with the job, and each time by round robin over the
+/// failure domains, so that the first ones cover as many domains as possible.
 fn order_by_preference(members: &Members, job: &JobKey) -> Vec<NodeRecord> {
+    let drawn = members.draw(job);
+    let position = |node: &NodeRecord| {
+        let position = drawn.iter().position(|drawn| drawn.node == node.node);
+        position.unwrap_or(drawn.len())
+    };
     let mut workers = members.nodes().to_vec();
     let hash = stable_hash(&[job.as_str()]);
-    workers.sort_by_key(|node| mix(stable_hash(&[&node.node]) ^ hash));
+    workers.sort_by_cached_key(|node| {
+        (position(node), mix(stable_hash(&[&node.node]) ^ hash))
+    });
+    spread_over_domains(&mut workers);
+    workers
+}
+
+/// Returns the workers that are the first to be asked to keep a job, without
+/// a step for each worker.
+fn likely_holders(
+    members: &Members,
+    job: &JobKey,
+    copies: usize,
+) -> Vec<NodeRecord> {
+    let drawn = members.draw(job).into_iter();
+    let mut drawn: Vec<NodeRecord> = drawn.cloned().collect();
+    spread_over_domains(&mut drawn);
+    drawn.truncate(copies);
+    drawn
+}
+
+/// Moves the first worker of each failure domain to the front, then the second
+/// one of each, and so on.
+fn spread_over_domains(workers: &mut [NodeRecord]) {
     let mut seen: IndexMap<String, usize> = IndexMap::new();
     workers.sort_by_cached_key(|node| {
         let rank_in_domain =
@@ -235,7 +287,30 @@
         *rank_in_domain += 1;
         *rank_in_domain
     });
-    workers
+}
+
+/// Asks a worker whether it keeps or has kept a job; `None` if it does not
+/// respond.
+async fn request_holding(
+    pool: Arc<Pool>,
+    worker: NodeRecord,
+    job: JobKey,
+) -> Option<bool> {
+    let peer = peer::endpoint_of(&worker)?;
+    let request = peer::new_request(&peer, &format!("{SPOOL_PATH}{job}"))?;
+    let call = pool.call(&peer, request, MAX_RESPONSE_BYTES);
+    let timeout = Duration::from_millis(SPOOL_TIMEOUT_MS);
+    match time::timeout(timeout, call).await {
+        Ok(CallOutcome::Answered(head, _)) if head.status.is_success() => {
+            Some(true)
+        }
+        Ok(CallOutcome::Answered(head, _))
+            if head.status == StatusCode::NOT_FOUND =>
+        {
+            Some(false)
+        }
+        _ => None,
+    }
 }
 
 async fn request_spooling(
@@ -286,7 +361,7 @@
         JobError::TooLarge | JobError::Conflict => true,
         JobError::Encoding | JobError::InvalidId => true,
         JobError::NotDone | JobError::OutcomeUnknown => false,
-        JobError::Unknown => false,
+        JobError::Unknown | JobError::UnknownItem => false,
     }
 }
 
@@ -303,6 +378,11 @@
     /// Locked while a job is written.
     write_lock: tokio::sync::Mutex<()>,
     count: watch::Sender<usize>,
+    /// Whether the disk may have held jobs that it does not hold now: it is
+    /// new, or a record cannot be read.
+    is_incomplete: AtomicBool,
+    started_at: Millis,
+    disk_losses: u32,
     wake: Notify,
 }
 
@@ -329,10 +409,10 @@
         let dir = settings.data_dir.clone()?;
         let opened = Spool::open(dir, settings.spool_bytes);
         let listed = opened.and_then(|spool| {
-            let names = spool.names()?;
-            Ok((spool, names))
+            let (names, is_in_use) = (spool.names()?, spool.is_in_use()?);
+            Ok((spool, names, is_in_use))
         });
-        let (spool, names) = match listed {
+        let (spool, names, is_in_use) = match listed {
             Ok(opened) => opened,
             Err(report) => {
                 log::error!(error:? = report;
@@ -350,7 +430,8 @@
         let tracked = names.iter().filter_map(|name| name.parse().ok());
         let tracked: IndexMap<JobKey, SpooledJob> =
             tracked.map(|key| (key, earlier.clone())).collect();
-        log::info!(jobs = tracked.len(); "the spool of this node is open");
+        log::info!(jobs = tracked.len(), is_in_use;
+            "the spool of this node is open");
         let count = watch::Sender::new(tracked.len());
         let spool = Arc::new(Self {
             node: settings.node.clone(),
@@ -362,6 +443,9 @@
             tracked: Mutex::new(tracked),
             write_lock: tokio::sync::Mutex::new(()),
             count,
+            is_incomplete: AtomicBool::new(!is_in_use),
+            started_at: since,
+            disk_losses: settings.disk_losses,
             wake: Notify::new(),
         });
         tokio::spawn(spool.clone().run());
@@ -373,6 +457,54 @@
         self.count.subscribe()
     }
 
+    /// Returns what this node may state about its spool.
+    pub(crate) fn state(&self) -> SpoolState {
+        let is_written = !self.is_incomplete() && self.lock().is_empty();
+        match is_written {
+            true => SpoolState::Written,
+            false => SpoolState::Unknown,
+        }
+    }
+
+    /// Reports whether the disk may have held jobs that it does not hold now.
+    pub(crate) fn is_incomplete(&self) -> bool {
+        self.is_incomplete.load(Ordering::Relaxed)
+    }
+
+    /// Records that each job that the disk may have held is in the ledger, or
+    /// that it has held none.
+    pub(crate) fn set_complete(&self) {
+        self.is_incomplete.store(false, Ordering::Relaxed);
+        let spool = self.spool.clone();
+        task::spawn_blocking(move || {
+            // After a failure the next process finds a new disk again.
+            if let Err(report) = spool.mark_in_use() {
+                log::warn!(error:? = report;
+                    "the disk of this node cannot be marked as used");
+            }
+        });
+    }
+
+    /// Completes the spool of a disk that was replaced once the other nodes
+    /// have written the jobs that it held, or these have expired.
+    pub(crate) fn check_replaced_disk(&self) {
+        let now = self.clock.now();
+        let age_ms = now.saturating_ms_since(self.started_at);
+        if self.is_incomplete()
+            && (age_ms > self.retention_ms
+                || self.view.are_spools_written(self.disk_losses, now))
+        {
+            log::info!(age_ms; "the jobs of the replaced disk are not needed");
+            self.set_complete();
+        }
+    }
+
+    /// Reports whether this node keeps a job, or has kept it and knows that
+    /// the ledger has it.
+    pub(crate) fn has(&self, job: &JobKey) -> bool {
+        self.lock().contains_key(job) || self.view.get(job).is_some()
+    }
+
     /// Spools a job for a front and returns the status of the response. A
     /// server error means that the job may have been spooled.
     ///
@@ -518,6 +650,7 @@
                 // copy writes the job to the ledger.
                 log::error!(job = key.as_str(), error:? = report;
                     "cannot read a spooled job");
+                self.is_incomplete.store(true, Ordering::Relaxed);
                 self.untrack(key);
                 return Ok(());
             }
@@ -525,6 +658,7 @@
         let Ok(job) = decode_new_job(&bytes) else {
             log::error!(job = key.as_str();
                 "a spooled job has an unsupported format");
+            self.is_incomplete.store(true, Ordering::Relaxed);
             self.untrack(key);
             return Ok(());
         };
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -2,11 +2,11 @@
 
 use base::{Clock, Millis};
 use error_stack::Report;
-use jobs::{JobView, NODE_PREFIX, NodeRecord};
+use jobs::{JobView, NODE_PREFIX, NodeRecord, SPOOL_PREFIX, SpoolState};
 use kv::{Compare, KeyValue, Kv, KvError, Op, Txn, lease::HeldLease};
 use tokio::{sync::watch, time};
 
-use crate::feed::Feed;
+use crate::{feed::Feed, job_spool::JobSpool};
 
 /// Minimum time to live of a node's entry, in seconds: its jobs are taken over
 /// that long after the node is lost, and two renewals may fail before the
@@ -85,6 +85,13 @@
 /// another revision than expected.
 const MAX_CONFLICTS: usize = 3;
 
+/// Remaining time to live below which a lease is renewed before an entry is
+/// written under it, in milliseconds.
+const RENEWAL_MARGIN_MS: u64 = 1_000;
+
+/// Value of the key that names a node whose disk may hold spooled jobs.
+const SPOOL_VALUE: &[u8] = b"{}";
+
 /// Signals between a node and the task that maintains its entry.
 pub(crate) struct RegistrationSignals {
     /// Set to true when the entry is written.
@@ -121,6 +128,7 @@
         Some(LeasedEntry {
             lease: HeldLease::new(lease, lease_s, Millis::default()),
             lease_s,
+            spool: record.spool,
             value: entry.value.clone(),
             revision: entry.mod_revision,
         })
@@ -140,6 +148,8 @@
     pub(crate) view: JobView,
     /// The feed that contains the entries of all nodes.
     pub(crate) feed: Arc<Feed>,
+    /// The spool of this node, if it has a disk.
+    pub(crate) spool: Option<Arc<JobSpool>>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -148,6 +158,7 @@
 struct LeasedEntry {
     lease: HeldLease,
     lease_s: u32,
+    spool: SpoolState,
     value: Vec<u8>,
     /// Revision of the write of the entry.
     revision: u64,
@@ -176,6 +187,9 @@
     unused: Option<UnusedLease>,
     /// Revision of the stored entry, as far as known; 0 if there is none.
     revision: u64,
+    /// Whether the key-value service is known to name this node among those
+    /// whose disks may hold spooled jobs.
+    is_spool_known: bool,
 }
 
 impl NodeRegistration {
@@ -233,7 +247,11 @@
             revision,
             ..OwnEntry::default()
         };
-        let Some(mut entry) = previous.matching(&self.record) else {
+        let record = NodeRecord {
+            spool: self.spool_state(),
+            ..self.record.clone()
+        };
+        let Some(mut entry) = previous.matching(&record) else {
             return own;
         };
         let sent_at = self.clock.now();
@@ -289,6 +307,9 @@
         &self,
         own: &mut OwnEntry,
     ) -> Result<(), Report<KvError>> {
+        if let Some(spool) = &self.spool {
+            spool.check_replaced_disk();
+        }
         let Some(held) = own.held.clone() else {
             return self.write(own).await;
         };
@@ -305,6 +326,9 @@
             });
             return self.write(own).await;
         }
+        if held.spool != self.spool_state() {
+            self.restate(own, &held).await?;
+        }
         let sent_at = self.clock.now();
         self.renew(own, held.lease).await?;
         if let Some(held) = &mut own.held {
@@ -313,6 +337,29 @@
         Ok(())
     }
 
+    /// Writes the entry again since what it states about the spool is not
+    /// true any more. Its lease is not renewed before.
+    async fn restate(
+        &self,
+        own: &mut OwnEntry,
+        held: &LeasedEntry,
+    ) -> Result<(), Report<KvError>> {
+        let now = self.clock.now();
+        if held.lease.is_valid_for(now, RENEWAL_MARGIN_MS) {
+            own.unused = Some(UnusedLease {
+                lease: held.lease,
+                lease_s: held.lease_s,
+            });
+        }
+        self.write(own).await
+    }
+
+    /// Returns what this node may state about its spool.
+    fn spool_state(&self) -> SpoolState {
+        let spool = self.spool.as_ref();
+        spool.map_or(SpoolState::Unknown, |spool| spool.state())
+    }
+
     /// Returns the revision of the stored entry, 0 if there is none, if
     /// another write than the known one has determined it.
     fn replaced_at(&self, held: &LeasedEntry) -> Option<u64> {
@@ -338,7 +385,7 @@
             let lease = HeldLease::new(id, lease_s, sent_at);
             return Ok(*own.unused.insert(UnusedLease { lease, lease_s }));
         };
-        if sent_at >= unused.lease.renew_at() {
+        if !unused.lease.is_valid_for(sent_at, RENEWAL_MARGIN_MS) {
             self.renew(own, unused.lease).await?;
             unused.lease.record_renewal(sent_at);
             own.unused = Some(unused);
@@ -367,43 +414,20 @@
 
     /// Writes the entry over the stored one.
     async fn write(&self, own: &mut OwnEntry) -> Result<(), Report<KvError>> {
-        let UnusedLease { lease, lease_s } = self.lease_for_write(own).await?;
-        let record = NodeRecord {
-            lease_s,
-            ..self.record.clone()
-        };
-        let value = serde_json::to_vec(&record)
-            .map_err(|_| Report::new(KvError::Invalid))?;
-        let mut entry = LeasedEntry {
-            lease,
-            lease_s,
-            value,
-            revision: 0,
-        };
+        let lease = self.lease_for_write(own).await?;
         for _ in 0..MAX_CONFLICTS {
-            let written = self.kv.txn(self.txn(&entry, own.revision)).await;
+            let mut entry = self.new_entry(own, lease)?;
+            let written = self.kv.txn(self.txn(own, &entry)).await;
             let error = written.as_ref().err().map(Report::current_context);
             if error == Some(&KvError::LeaseGone) {
                 own.unused = None;
             }
             let reply = written?;
             entry.revision = reply.revision;
-            let is_stored = reply.succeeded || {
-                let found = self.kv.get(&self.key()).await?;
-                let found = found.kvs.into_iter().next();
-                own.revision = found.as_ref().map_or(0, |kv| kv.mod_revision);
-                entry.revision = own.revision;
-                // An attempt whose response was lost has taken effect.
-                found.is_some_and(|found| entry.is_stored_as(&found))
-            };
+            let is_stored =
+                reply.succeeded || self.is_stored(own, &mut entry).await?;
             if is_stored {
-                log::info!(
-                    lease = lease.id().0, lease_s, revision = entry.revision;
-                    "this node is registered"
-                );
-                own.revision = entry.revision;
-                own.unused = None;
-                own.held = Some(entry);
+                self.record_written(own, entry);
                 return Ok(());
             }
             log::info!(revision = own.revision;
@@ -412,17 +436,106 @@
         Err(Report::new(KvError::NotDone).attach("the entry has changed"))
     }
 
-    fn txn(&self, entry: &LeasedEntry, replaced_revision: u64) -> Txn {
+    fn new_entry(
+        &self,
+        own: &OwnEntry,
+        UnusedLease { lease, lease_s }: UnusedLease,
+    ) -> Result<LeasedEntry, Report<KvError>> {
+        // The disk of a node that was never listed has held no jobs.
+        let spool = match self.has_unknown_disk(own) {
+            true => SpoolState::Written,
+            false => self.spool_state(),
+        };
+        let record = NodeRecord {
+            lease_s,
+            spool,
+            ..self.record.clone()
+        };
+        let value = serde_json::to_vec(&record)
+            .map_err(|_| Report::new(KvError::Invalid))?;
+        Ok(LeasedEntry {
+            lease,
+            lease_s,
+            spool,
+            value,
+            revision: 0,
+        })
+    }
+
+    /// Reports whether the disk of this node is new, and the key-value service
+    /// may not name the node as one that has had another disk.
+    fn has_unknown_disk(&self, own: &OwnEntry) -> bool {
+        let spool = self.spool.as_ref();
+        !own.is_spool_known && spool.is_some_and(|s| s.is_incomplete())
+    }
+
+    /// Reads the entry after a write that found another revision than
+    /// expected. Reports whether an attempt whose response was lost has
+    /// written this entry.
+    async fn is_stored(
+        &self,
+        own: &mut OwnEntry,
+        entry: &mut LeasedEntry,
+    ) -> Result<bool, Report<KvError>> {
+        let found = self.kv.get(&self.key()).await?.kvs.into_iter().next();
+        own.revision = found.as_ref().map_or(0, |kv| kv.mod_revision);
+        entry.revision = own.revision;
+        if found.is_some_and(|found| entry.is_stored_as(&found)) {
+            return Ok(true);
+        }
+        if self.has_unknown_disk(own) {
+            let known = self.kv.get(&self.spool_key()).await?;
+            own.is_spool_known = !known.kvs.is_empty();
+            log::info!(is_known = own.is_spool_known;
+                "the disk of this node is new");
+        }
+        Ok(false)
+    }
+
+    fn record_written(&self, own: &mut OwnEntry, entry: LeasedEntry) {
+        log::info!(
+            lease = entry.lease.id().0,
+            lease_s = entry.lease_s,
+            spool:? = entry.spool,
+            revision = entry.revision;
+            "this node is registered"
+        );
+        if let Some(spool) = &self.spool
+            && self.has_unknown_disk(own)
+        {
+            spool.set_complete();
+        }
+        own.is_spool_known = self.spool.is_some();
+        own.revision = entry.revision;
+        own.unused = None;
+        own.held = Some(entry);
+    }
+
+    fn spool_key(&self) -> String {
+        format!("{SPOOL_PREFIX}{}", self.record.node)
+    }
+
+    fn txn(&self, own: &OwnEntry, entry: &LeasedEntry) -> Txn {
+        let expect = |key, equals| Compare::ModRevision { key, equals };
+        let mut compares = vec![expect(self.key(), own.revision)];
+        if self.has_unknown_disk(own) {
+            compares.push(expect(self.spool_key(), 0));
+        }
+        let mut success = vec![Op::Put {
+            key: self.key(),
+            value: entry.value.clone(),
+            lease: Some(entry.lease.id()),
+        }];
+        if self.spool.is_some() {
+            success.push(Op::Put {
+                key: self.spool_key(),
+                value: SPOOL_VALUE.to_vec(),
+                lease: None,
+            });
+        }
         Txn {
-            compares: vec![Compare::ModRevision {
-                key: self.key(),
-                equals: replaced_revision,
-            }],
-            success: vec![Op::Put {
-                key: self.key(),
-                value: entry.value.clone(),
-                lease: Some(entry.lease.id()),
-            }],
+            compares,
+            success,
             failure: Vec::new(),
         }
     }
--- a/crates/node/tests/unit/commits.rs
+++ b/crates/node/tests/unit/commits.rs
@@ -15,6 +15,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }))
 }
 
--- a/crates/node/tests/unit/intake.rs
+++ b/crates/node/tests/unit/intake.rs
@@ -17,7 +17,7 @@
 };
 use yare::parameterized;
 
-use super::JobIntake;
+use super::{JobIntake, SpoolClient};
 use crate::job_manifests::PeerManifests;
 
 /// Returns memory for a job.
@@ -74,6 +74,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
@@ -102,7 +103,7 @@
     let ledger = Ledger::new(Arc::new(kv.clone()), timer, 100_000);
     let manifests: Arc<dyn ManifestSource> =
         Arc::new(PeerManifests::new(view.clone(), clock));
-    JobIntake::new(ledger, view, manifests, 1)
+    JobIntake::new(ledger, view, manifests, Arc::new(SpoolClient::new(1)))
 }
 
 /// Steps the clock of the key-value service, so that writes give up.
--- a/crates/node/tests/unit/job_manifests.rs
+++ b/crates/node/tests/unit/job_manifests.rs
@@ -22,6 +22,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
--- a/crates/node/tests/unit/membership.rs
+++ b/crates/node/tests/unit/membership.rs
@@ -55,6 +55,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
@@ -73,6 +74,7 @@
 fn the_lease_of_the_previous_process_is_found() {
     let written = NodeRecord {
         lease_s: 16,
+        spool: Default::default(),
         ..record()
     };
     let other = NodeRecord {
@@ -94,6 +96,7 @@
     let moved = NodeRecord {
         address: Some(([127, 0, 0, 1], 8).into()),
         lease_s: 16,
+        spool: Default::default(),
         ..record()
     };
     let entries = [entry(&moved)];
--- a/crates/node/tests/unit/origin_peers.rs
+++ b/crates/node/tests/unit/origin_peers.rs
@@ -13,6 +13,7 @@
         limits: None,
         origins: Some(([127, 0, 0, 1], number).into()),
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
--- a/crates/node/tests/unit/peer_addresses.rs
+++ b/crates/node/tests/unit/peer_addresses.rs
@@ -15,6 +15,7 @@
         limits: Some(address),
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     }
 }
 
--- a/crates/node/tests/unit/speeds.rs
+++ b/crates/node/tests/unit/speeds.rs
@@ -50,6 +50,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     };
     let members = Members::new(names.iter().map(record));
     Assignment::new(node, members, all)
--- a/crates/node/tests/unit/tree.rs
+++ b/crates/node/tests/unit/tree.rs
@@ -16,6 +16,7 @@
         limits: None,
         origins: None,
         lease_s: 0,
+        spool: Default::default(),
     };
     (0..nodes).map(node).collect()
 }
--- a/crates/store/src/spool.rs
+++ b/crates/store/src/spool.rs
@@ -72,6 +72,9 @@
 /// File name suffix of records that are being written.
 const TEMP_SUFFIX: &str = ".part";
 
+/// Name of the file that tells a folder that has been used from a new one.
+const IN_USE_NAME: &str = "in-use";
+
 /// Length of the checksum at the start of a file.
 const CHECKSUM_BYTES: usize = 4;
 
@@ -180,6 +183,44 @@
         }
     }
 
+    /// Reports whether the folder was marked as used, which a replaced disk is
+    /// not.
+    ///
+    /// # Errors
+    ///
+    /// [`SpoolError::Io`].
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_store::{Spool, sim::SimDisk};
+    ///
+    /// let disk = SimDisk::new(1);
+    /// let spool = Spool::with_layer(disk.clone(), 1_000);
+    /// assert!(!spool.is_in_use()?);
+    /// spool.mark_in_use()?;
+    /// disk.crash();
+    /// assert!(spool.is_in_use()?);
+    /// # Ok::<(), error_stack::Report<pomeloslip_store::SpoolError>>(())
+    /// ```
+    pub fn is_in_use(&self) -> Result<bool, Report<SpoolError>> {
+        let files = self.layer.list().change_context(SpoolError::Io)?;
+        Ok(files.iter().any(|name| name == IN_USE_NAME))
+    }
+
+    /// Marks the folder as used. Once this returns `Ok`, the mark survives a
+    /// power failure.
+    ///
+    /// # Errors
+    ///
+    /// [`SpoolError::Io`].
+    pub fn mark_in_use(&self) -> Result<(), Report<SpoolError>> {
+        let created = self.layer.create(IN_USE_NAME);
+        let synced = created.and_then(|file| file.sync());
+        let synced = synced.and_then(|()| self.layer.sync_folder());
+        synced.change_context(SpoolError::Io)
+    }
+
     fn used_bytes(&self) -> Result<u64, Report<SpoolError>> {
         let mut used = 0;
         for name in self.names()? {
