Refuse requests that cannot end before the exit of a stopping front

Requests whose bodies were complete late in the grace of a planned stop were passed on and cut without an answer when the process ended, also those that may not be repeated.

After the listener is closed a request is passed on only if its caller or route stops waiting before the exit; others get 503 before any offer, and so does a body that is not complete half a second before the exit.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -38,6 +38,7 @@
     job_manifests::PeerManifests,
     job_spool::SpoolClient,
     load::{FrontLoad, FrontSpeeds, LoadNotifier},
+    planned_stop::{ACCEPT_AFTER_STOP_MS, PlannedStop, StopNotice},
     quota::QuotaClient,
     unknown_jobs::UnknownJobs,
     usage,
@@ -49,18 +50,10 @@
     listener: Listener,
     base: NodeBase,
     phase: watch::Sender<ShutdownPhase>,
+    stop: watch::Sender<Option<PlannedStop>>,
     grace_ms: u64,
 }
 
-/// Time for which a stopping node accepts new connections, in milliseconds.
-/// The load balancer checks readiness once a second and stops sending
-/// connections after two failures.
-const ACCEPT_AFTER_STOP_MS: u64 = 2_300;
-
-/// Time before the end of the grace period at which the node exits, in
-/// milliseconds.
-const EXIT_MARGIN_MS: u64 = 300;
-
 impl Front {
     /// Starts all tasks and listens.
     ///
@@ -126,8 +119,10 @@
             listener.unserved_connections(),
             context.counters.clone(),
         ));
+        let (stop, stop_notice) = StopNotice::new();
         let gateway = Arc::new(Gateway {
             memory,
+            stop_notice,
             body_pace: settings.caller_limits.body_pace,
             value_bytes: settings.value_bytes,
             dialect: context.dialect,
@@ -149,6 +144,7 @@
             listener,
             base,
             phase,
+            stop,
             grace_ms: settings.grace_ms,
         })
     }
@@ -163,14 +159,14 @@
         let started_at = Instant::now();
         let count = open.load(Ordering::Relaxed);
         log::info!(connections = count; "a planned stop begins");
+        let stop = PlannedStop::new(started_at, self.grace_ms);
+        self.stop.send_replace(Some(stop));
         self.base.begin_shutdown();
         self.phase.send_replace(ShutdownPhase::Closing);
         time::sleep(Duration::from_millis(ACCEPT_AFTER_STOP_MS)).await;
         self.phase.send_replace(ShutdownPhase::Closed);
         let _ = serving.await;
-        let timeout_ms = self.grace_ms.saturating_sub(EXIT_MARGIN_MS);
-        let deadline = started_at + Duration::from_millis(timeout_ms);
-        wait_for_no_connections(&open, deadline).await;
+        wait_for_no_connections(&open, stop.exits_at()).await;
         log::info!(
             connections = open.load(Ordering::Relaxed),
             after_ms = started_at.elapsed().as_millis() as u64;
@@ -190,6 +186,7 @@
 struct Gateway {
     /// The memory that callers may make the node hold.
     memory: MemoryBudget,
+    stop_notice: StopNotice,
     body_pace: BodyPace,
     /// Maximum size of a value in the key-value service.
     value_bytes: usize,
@@ -296,8 +293,16 @@
             return self.refuse(&parts, name, refusal);
         }
         let terms = self.body_terms(&parts, &route, arrived_at);
-        let received =
-            receive_body(body, &self.memory, terms, &parts.extensions).await;
+        let receiving =
+            receive_body(body, &self.memory, terms, &parts.extensions);
+        let received = tokio::select! {
+            received = receiving => received,
+            refusal = self.stop_notice.last_refusal() => Err(refusal),
+        };
+        let ends_at = terms.ends_at.or_else(|| job_end(&route));
+        let received = received.and_then(|received| {
+            self.stop_notice.check(ends_at).map(|()| received)
+        });
         let received = match received {
             Ok(received) => received,
             Err(refusal)
@@ -689,6 +694,12 @@
     customer: Option<Customer>,
 }
 
+/// Returns when the response to a job that is submitted now is due.
+fn job_end(route: &Route) -> Option<Instant> {
+    let wait = Duration::from_millis(route.target_latency_ms());
+    (route.kind() == RouteKind::Batch).then(|| Instant::now() + wait)
+}
+
 fn reserve_all(
     reservation: &Reservation,
     bytes: u64,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,6 +38,7 @@
 mod peer_addresses;
 mod peer_bodies;
 mod peer_bulk;
+mod planned_stop;
 mod probe;
 mod quota;
 mod readers;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -497,6 +497,14 @@
             .with_batch(terms)
             .with_max_attempts(2),
         route("open", "/open/").with_public(true),
+        route("slow", "/slow/").with_times(20_000, 1_000),
+        route("slow-stream", "/slow-stream/")
+            .with_kind(RouteKind::Stream)
+            .with_times(20_000, 1_000),
+        route("slow-chat", "/slow-chat/")
+            .with_kind(RouteKind::ResumableStream)
+            .with_times(20_000, 1_000)
+            .with_max_attempts(2),
     ]
 }
 
