Bound the memory of the responses to calls of a node

Responses that a node relays, up to 32 MiB each, and those to its own calls (load reports, manifests, inputs and results, feeds) had a bound each and none together: a faulty server fills the memory of a node that calls it.

They share the memory of other nodes' messages, which is reserved before a response is read and free when its bytes are dropped.

--- a/crates/node/src/base.rs
+++ b/crates/node/src/base.rs
@@ -4,6 +4,7 @@
 };
 
 use base::{Snapshot, timer::Timer};
+use budget::MemoryBudget;
 use error_stack::{Report, ResultExt};
 use fleet::{Selection, ServiceSpeeds};
 use jobs::{Assignments, BulkCache, JobView, Ledger, NodeRecord, SpoolState};
@@ -65,6 +66,8 @@
 /// other nodes, keeping the node's entry alive and reporting readiness.
 pub(crate) struct NodeBase {
     pub(crate) pool: Arc<Pool>,
+    /// The memory for calls and responses of other nodes.
+    pub(crate) peer_memory: MemoryBudget,
     pub(crate) view: JobView,
     pub(crate) ledger: Ledger,
     /// Assignment of endpoints to nodes.
@@ -101,10 +104,15 @@
     ) -> Result<Self, Report<NodeError>> {
         let terms = customers_file::start(settings.customers_file.clone())?;
         let request_id = context.dialect.headers().request_id;
-        let pool = Pool::default().with_request_id(request_id);
+        let memory = &settings.caller_limits.memory;
+        let clock = context.cluster.clock().clone();
+        let bodies = PeerBodies::new(memory, !runs_items, clock.clone());
+        let peer_memory = bodies.budget().clone();
+        let pool = Pool::default()
+            .with_request_id(request_id)
+            .with_memory(peer_memory.clone());
         let pool = Arc::new(pool);
         let view = JobView::default();
-        let clock = context.cluster.clock().clone();
         let (registered, has_registered) = watch::channel(false);
         let (previous, has_previous) = watch::channel(None);
         let crash_record_writes = WriteThroughKv::new(context.kv.clone());
@@ -122,6 +130,7 @@
             view: view.clone(),
             quarantine: quarantine.clone(),
             pool: pool.clone(),
+            peer_memory: peer_memory.clone(),
             registered: has_registered,
             previous,
             counters: context.counters.clone(),
@@ -134,8 +143,12 @@
         let feeds = watches.start(settings);
         crash_record_writes.set_feed(feeds[JOB_FEED].clone());
         let cache: Arc<BulkCache> = Arc::default();
-        let peer_bulk =
-            PeerBulk::new(&settings.node, view.clone(), clock.clone());
+        let peer_bulk = PeerBulk::new(
+            &settings.node,
+            view.clone(),
+            clock.clone(),
+            peer_memory.clone(),
+        );
         let group_commit =
             GroupCommit::start(context.kv.clone(), BatchLimits::default());
         let commits = SharedCommits::new(
@@ -163,8 +176,6 @@
         );
         tokio::spawn(usage::log_usage(context.counters.clone()));
         let spooled_jobs = spool.as_ref().map(|spool| spool.count());
-        let memory = &settings.caller_limits.memory;
-        let bodies = PeerBodies::new(memory, !runs_items, clock.clone());
         let push_receiver = PushReceiver {
             view: view.clone(),
             cache: cache.clone(),
@@ -282,6 +293,7 @@
         );
         let base = Self {
             pool,
+            peer_memory,
             view,
             ledger,
             assignments,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -84,8 +84,11 @@
         let view = base.view.clone();
         let ledger = base.ledger.clone();
         let clock = context.cluster.clock().clone();
-        let manifests: Arc<dyn ManifestSource> =
-            Arc::new(PeerManifests::new(view.clone(), clock.clone()));
+        let manifests: Arc<dyn ManifestSource> = Arc::new(PeerManifests::new(
+            view.clone(),
+            clock.clone(),
+            base.peer_memory.clone(),
+        ));
         let pages = PageReader::new(ledger.clone(), manifests.clone(), clock);
         let (phase, receiver) = watch::channel(ShutdownPhase::Running);
         let options = ListenerOptions {
--- a/crates/node/src/job_manifests.rs
+++ b/crates/node/src/job_manifests.rs
@@ -12,6 +12,7 @@
 };
 
 use base::{Clock, Millis, mix, stable_hash};
+use budget::MemoryBudget;
 use bytes::Bytes;
 use http::{Response, StatusCode, Uri};
 use indexmap::IndexMap;
@@ -132,10 +133,14 @@
 }
 
 impl PeerManifests {
-    pub(crate) fn new(view: JobView, clock: Arc<dyn Clock>) -> Self {
+    pub(crate) fn new(
+        view: JobView,
+        clock: Arc<dyn Clock>,
+        memory: MemoryBudget,
+    ) -> Self {
         Self {
             view,
-            pool: Pool::default(),
+            pool: Pool::default().with_memory(memory),
             clock,
             state: Mutex::default(),
         }
--- a/crates/node/src/peer_bulk.rs
+++ b/crates/node/src/peer_bulk.rs
@@ -6,6 +6,7 @@
 };
 
 use base::{Clock, Millis};
+use budget::MemoryBudget;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use indexmap::IndexMap;
@@ -52,11 +53,12 @@
         node: &str,
         view: JobView,
         clock: Arc<dyn Clock>,
+        memory: MemoryBudget,
     ) -> Self {
         Self {
             node: node.to_owned(),
             view,
-            pool: Arc::default(),
+            pool: Arc::new(Pool::default().with_memory(memory)),
             clock,
             silent: Arc::default(),
         }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use budget::MemoryBudget;
 use fleet::{
     Change, Directory, Endpoint, IncarnationKey, Listing, ListingUpdate,
 };
@@ -53,6 +54,8 @@
     pub(crate) quarantine: Quarantine,
     /// Connections to endpoints; those of removed ones are dropped.
     pub(crate) pool: Arc<Pool>,
+    /// The memory for responses of other nodes.
+    pub(crate) peer_memory: MemoryBudget,
     pub(crate) counters: Arc<Counters>,
     /// Becomes true when the entry of this node is written.
     pub(crate) registered: watch::Receiver<bool>,
@@ -123,7 +126,8 @@
         tokio::spawn(
             async move { seeder.seed(&*kv, registered, previous).await },
         );
-        let pool = Arc::new(Pool::default());
+        let pool = Pool::default().with_memory(self.peer_memory.clone());
+        let pool = Arc::new(pool);
         let timing = QueryTiming::new(settings.propagation_ms());
         let mut feeds = Vec::new();
         for (feed_number, (feed, read_mode)) in
--- a/crates/node/tests/unit/intake.rs
+++ b/crates/node/tests/unit/intake.rs
@@ -101,8 +101,10 @@
     let timer = Timer::new(clock.clone());
     step_steadily(kv, &timer);
     let ledger = Ledger::new(Arc::new(kv.clone()), timer, 100_000);
+    let options = budget::MemoryOptions::new(1_000_000);
+    let memory = budget::MemoryBudget::new(options, clock.clone());
     let manifests: Arc<dyn ManifestSource> =
-        Arc::new(PeerManifests::new(view.clone(), clock));
+        Arc::new(PeerManifests::new(view.clone(), clock, memory));
     JobIntake::new(ledger, view, manifests, Arc::new(SpoolClient::new(1)))
 }
 
--- a/crates/node/tests/unit/job_manifests.rs
+++ b/crates/node/tests/unit/job_manifests.rs
@@ -48,7 +48,10 @@
 fn manifests(workers: usize) -> PeerManifests {
     let view = JobView::default();
     view.seed_records((0..workers).map(worker).collect());
-    PeerManifests::new(view, Arc::new(SteppedClock::default()))
+    let clock = Arc::new(SteppedClock::default());
+    let options = budget::MemoryOptions::new(1_000_000);
+    let memory = budget::MemoryBudget::new(options, clock.clone());
+    PeerManifests::new(view, clock, memory)
 }
 
 fn job() -> JobKey {
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -37,6 +37,7 @@
 mod observe;
 mod origins;
 mod pool;
+mod read_response;
 mod receive;
 mod refusal;
 mod relay;
--- a/crates/pass/src/pool.rs
+++ b/crates/pass/src/pool.rs
@@ -3,6 +3,7 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
+use budget::MemoryBudget;
 use bytes::Bytes;
 use fleet::{Endpoint, IncarnationKey};
 use framing::{BodyCheck, Content, Framing, Truncation};
@@ -15,7 +16,7 @@
 use crate::{
     ChannelOptions,
     channel::{Channel, closes_connection},
-    read_body,
+    read_response::read_response,
 };
 
 /// Maximum number of idle connections to one endpoint: more than one node
@@ -66,6 +67,8 @@
     options: ChannelOptions,
     /// Header that contains the id of a request and of its response.
     request_id: Option<HeaderName>,
+    /// The memory for responses to calls, if it is bounded.
+    memory: Option<MemoryBudget>,
     incarnations: Mutex<IndexMap<IncarnationKey, Connections>>,
 }
 
@@ -94,6 +97,30 @@
         self
     }
 
+    /// Bounds the memory of the responses to calls of this node together. The
+    /// memory of a response is free again when its bytes are dropped.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use base::SystemClock;
+    /// use budget::{MemoryBudget, MemoryOptions};
+    /// use pomeloslip_pass::Pool;
+    ///
+    /// let clock = Arc::new(SystemClock::new());
+    /// let memory = MemoryBudget::new(MemoryOptions::new(1_000_000), clock);
+    /// let pool = Pool::default().with_memory(memory.clone());
+    /// assert_eq!(memory.used_bytes(), 0);
+    /// # drop(pool);
+    /// ```
+    #[must_use]
+    pub fn with_memory(mut self, memory: MemoryBudget) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// Returns the limits of the connections.
     #[inline]
     pub fn options(&self) -> &ChannelOptions {
@@ -267,8 +294,15 @@
         channel.record_head(&head.headers, &self.options);
         let length = body.size_hint().exact();
         let framing = Framing::of(head.version, &head.headers, length);
-        let Ok(body) = read_body(body, max_bytes).await else {
-            return CallOutcome::Broken;
+        let memory = self.memory.as_ref();
+        let body = match read_response(body, max_bytes, memory).await {
+            Ok(body) => body,
+            Err(error) => {
+                log::info!(peer:% = endpoint.record().address, error:%;
+                    "a response to a call is not read");
+                channel.abort();
+                return CallOutcome::Broken;
+            }
         };
         if let Err(cause) = check_end(&head, &body, framing, unmarked) {
             log::info!(
--- a/crates/pass/src/relay.rs
+++ b/crates/pass/src/relay.rs
@@ -56,9 +56,10 @@
         }
     }
 
-    /// Bounds the memory for all calls together.
+    /// Bounds the memory for all calls and their responses together.
     #[must_use]
     pub fn with_budget(mut self, budget: MemoryBudget) -> Self {
+        self.pool = Arc::new(Pool::default().with_memory(budget.clone()));
         self.budget = Some(budget);
         self
     }
--- a/crates/pass/tests/endless.rs
+++ b/crates/pass/tests/endless.rs
@@ -11,15 +11,22 @@
     time::{Duration, Instant},
 };
 
+use base::SystemClock;
+use budget::{MemoryBudget, MemoryOptions};
+use bytes::Bytes;
 use common::{
     Act, Fixture, Scripted, chunk, fixture, read, request, request_with,
     route, valid_response,
 };
-use fleet::RouteKind;
+use fleet::{Endpoint, EndpointRecord, EndpointState, RouteKind};
 use framing::MAX_EVENT_BYTES;
+use pomeloslip_pass::{
+    CallOutcome, Listener, ListenerOptions, Pool, Relay, ShutdownPhase,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::sleep,
 };
 use yare::parameterized;
@@ -100,6 +107,19 @@
     }
 }
 
+fn endpoint_at(address: SocketAddr) -> Endpoint {
+    Endpoint::new(EndpointRecord {
+        id: "e1".to_owned(),
+        started_at: None,
+        version: None,
+        address,
+        service: "app".to_owned(),
+        failure_domain: "near".to_owned(),
+        slots: 4,
+        state: EndpointState::Ready,
+    })
+}
+
 async fn sound() -> Scripted {
     Scripted::start(vec![Act::Respond(valid_response("hello"))]).await
 }
@@ -191,3 +211,83 @@
     assert!(body.is_err(), "an incomplete body looks complete");
     endless.wait_until_closed().await;
 }
+
+/// Number of calls at the same time.
+const CALLS: usize = 20;
+
+/// Memory for all calls and responses together.
+const CALL_MEMORY_BYTES: u64 = 1_000_000;
+
+/// Bytes that the buffers of the sockets of all calls hold, and one response.
+const MAX_CALL_BYTES: usize = CALLS * 12 * 1024 * 1024;
+
+/// Guards against a node whose memory is filled by the responses that it
+/// relays for others, each of which may be large.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_responses_without_end_share_their_memory() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    let endless = Endless::start(head, &"a".repeat(1_024)).await;
+    let clock = Arc::new(SystemClock::new());
+    let options = MemoryOptions::new(CALL_MEMORY_BYTES);
+    let memory = MemoryBudget::new(options, clock);
+    let relay = Relay::new(endless.address).with_budget(memory.clone());
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let (_phase, phase) = watch::channel(ShutdownPhase::Running);
+    let listener =
+        Listener::bind(any, ListenerOptions::default(), phase).expect("bound");
+    let address = listener.address().expect("an address");
+    tokio::spawn(listener.serve(Arc::new(relay)));
+    let calls = (0..CALLS).map(|_| {
+        tokio::spawn(async move {
+            let mut stream =
+                TcpStream::connect(address).await.expect("connected");
+            let call = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n";
+            stream.write_all(call).await.expect("written");
+            let mut status = [0; 12];
+            stream.read_exact(&mut status).await.expect("a response");
+            String::from_utf8_lossy(&status).into_owned()
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        assert_eq!(call.await.expect("ended"), "HTTP/1.1 502");
+    }
+    endless.wait_until_closed().await;
+    assert!(endless.sent() < MAX_CALL_BYTES, "{} bytes", endless.sent());
+    assert_eq!(memory.used_bytes(), 0);
+}
+
+/// Guards against reports of endpoints that never end, and against the memory
+/// of responses that is never free again.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_without_end_leave_memory_for_others() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    let endless = Endless::start(head, &"a".repeat(1_024)).await;
+    let clock = Arc::new(SystemClock::new());
+    let options = MemoryOptions::new(CALL_MEMORY_BYTES);
+    let memory = MemoryBudget::new(options, clock);
+    let pool = Arc::new(Pool::default().with_memory(memory.clone()));
+    let call = |address, max_bytes| {
+        let pool = pool.clone();
+        tokio::spawn(async move {
+            let endpoint = endpoint_at(address);
+            let request = http::Request::new(Bytes::new());
+            pool.call_server(&endpoint, request, max_bytes).await
+        })
+    };
+    let calls: Vec<_> = (0..CALLS)
+        .map(|_| call(endless.address, usize::MAX))
+        .collect();
+    for call in calls {
+        let outcome = call.await.expect("ended");
+        assert!(matches!(outcome, CallOutcome::Broken), "{outcome:?}");
+    }
+    let other = sound().await;
+    let outcome = call(other.address, 1_000).await.expect("ended");
+    let CallOutcome::Answered(_, body) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(body, "hello");
+    assert!(memory.used_bytes() > 0);
+    drop(body);
+    assert_eq!(memory.used_bytes(), 0);
+}
