Bound the memory of the outputs of unfinished items

An endpoint that sends events without end filled the memory of a worker, and one that sends the text of a failure without end held a slot for good.

The memory of an output is reserved before it grows. A run whose output is twice the largest storable result counts as a failed attempt, one without memory is tried again; the output is dropped. A failure is left after 1 MiB.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -72,7 +72,9 @@
         encode_inputs, encode_manifest, encode_new_job, encode_results,
         input_key, manifest_key, output_key,
     },
-    run::{BreakCause, ItemForwarder, ItemRun, Progress, RunOutcome},
+    run::{
+        BreakCause, ItemForwarder, ItemRun, OutputLimits, Progress, RunOutcome,
+    },
     run_time::{RemainingTime, RunTimeEstimator},
     runner::{
         Probe, ProbeFuture, Runner, RunnerOptions, RunnerParts, ShutdownSignal,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -6,6 +6,7 @@
 
 use access::Admitted;
 use base::Customer;
+use budget::{MemoryBudget, Reservation};
 use bytes::Bytes;
 use fleet::{Endpoint, EndpointRecord, Route, VersionBinding};
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
@@ -24,9 +25,41 @@
 #[derive(Clone, Debug, Default)]
 pub struct Progress(Arc<Mutex<Produced>>);
 
+/// What the output of an item may take.
+#[derive(Clone, Debug)]
+pub struct OutputLimits {
+    /// The memory of all outputs together.
+    pub memory: MemoryBudget,
+    /// Maximum size of the output of one item, in bytes.
+    pub max_bytes: usize,
+}
+
+/// Why the output of an item cannot grow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OutputError {
+    /// It would exceed the size that can be stored.
+    TooLarge,
+    /// The memory for outputs is in use.
+    NoMemory,
+}
+
+/// Copies of an output that exist at the same time: the output, and that in a
+/// checkpoint or a result.
+const OUTPUT_COPIES: u64 = 2;
+
+/// Ratio of the size at which the output of a run is dropped to the largest
+/// result that can be stored. One in between is whole, and its item is given
+/// up for its size.
+pub(crate) const DROPPED_PER_STORED: usize = 2;
+
+/// Smallest capacity of an output, in bytes.
+const MIN_OUTPUT_CAPACITY: usize = 1_024;
+
 #[derive(Debug, Default)]
 struct Produced {
     output: String,
+    /// The memory of the output; none before it grows here.
+    memory: Option<Reservation>,
     events: u64,
     last_id: Option<u64>,
     /// The service and version of the events; none before the first event, or
@@ -35,6 +68,39 @@
 }
 
 impl Produced {
+    /// Makes room for more of the output.
+    fn reserve(
+        &mut self,
+        more: usize,
+        limits: &OutputLimits,
+    ) -> Result<(), OutputError> {
+        let length = self.output.len() + more;
+        if length > limits.max_bytes {
+            return Err(OutputError::TooLarge);
+        }
+        let old = self.output.capacity();
+        if length <= old && self.memory.is_some() {
+            return Ok(());
+        }
+        let new = length.next_power_of_two().max(MIN_OUTPUT_CAPACITY);
+        let bytes = OUTPUT_COPIES * new as u64;
+        let no_memory = |_| OutputError::NoMemory;
+        // A reservation may be smaller than requested if it is the only one.
+        if bytes + old as u64 > limits.memory.max_bytes() {
+            return Err(OutputError::NoMemory);
+        }
+        let memory = match self.memory.take() {
+            Some(memory) => memory,
+            None => limits.memory.reserve(bytes).map_err(no_memory)?,
+        };
+        let memory = self.memory.insert(memory);
+        // The old text exists until it is copied.
+        memory.grow_to(bytes + old as u64).map_err(no_memory)?;
+        self.output.reserve_exact(new - self.output.len());
+        memory.shrink_to(bytes);
+        Ok(())
+    }
+
     /// Reports whether the item has an event, which may be one without data.
     fn has_begun(&self) -> bool {
         self.events > 0 || self.last_id.is_some()
@@ -49,6 +115,7 @@
             events: saved.events,
             last_id: Some(saved.last_id),
             binding: Some(saved.binding.clone()),
+            memory: None,
         })))
     }
 
@@ -113,12 +180,18 @@
             || binding.is_some_and(|binding| binding.permits(record))
     }
 
+    /// Drops the output, so that the next run begins anew.
+    fn clear(&self) {
+        *self.lock() = Produced::default();
+    }
+
     fn add(
         &self,
         events: &[u8],
         last_id: Option<u64>,
         record: &EndpointRecord,
-    ) {
+        limits: &OutputLimits,
+    ) -> Result<(), OutputError> {
         let mut produced = self.lock();
         if !produced.has_begun() {
             produced.binding = VersionBinding::of(record).map(Arc::new);
@@ -128,13 +201,16 @@
                 continue;
             };
             let data = data.strip_prefix(b" ").unwrap_or(data);
+            let data = String::from_utf8_lossy(data);
+            produced.reserve(data.len() + 1, limits)?;
             if produced.events > 0 {
                 produced.output.push('\n');
             }
-            produced.output.push_str(&String::from_utf8_lossy(data));
+            produced.output.push_str(&data);
             produced.events += 1;
         }
         produced.last_id = last_id;
+        Ok(())
     }
 
     fn lock(&self) -> MutexGuard<'_, Produced> {
@@ -151,6 +227,9 @@
     Rejected,
     /// The endpoint failed while it ran the item.
     Error(StatusCode),
+    /// The output, which is dropped, exceeds by far what can be stored. This
+    /// counts as an error: another endpoint may complete the item.
+    TooLarge,
     /// The endpoint did not run the item.
     NotRun,
     /// The item was not sent, since it is quarantined as a poison request.
@@ -179,6 +258,10 @@
     /// The status promises that the item did not run, and the endpoint does
     /// not state so; or it states so with a success.
     UnprovenRefusal(StatusCode),
+    /// There was no memory for the output, which is dropped.
+    NoMemory,
+    /// A failure has a body without end.
+    EndlessFailure,
 }
 
 /// One run of one item at one endpoint.
@@ -199,8 +282,13 @@
     pub progress: Progress,
     /// When the endpoint last sent something.
     pub silence: SilenceClock,
+    /// What the output may take.
+    pub limits: OutputLimits,
 }
 
+/// Maximum size of the body of a failure, in bytes, which is not kept.
+const MAX_FAILURE_BYTES: usize = 1024 * 1024;
+
 /// Sends items to endpoints.
 pub type ItemForwarder = Arc<Forwarder>;
 
@@ -250,6 +338,25 @@
         RunOutcome::Broken(cause)
     }
 
+    /// Ends the run of an item whose output cannot grow. An endpoint may send
+    /// events without end, so that the output is not resumed.
+    fn drop_output(&self, error: OutputError) -> RunOutcome {
+        log::warn!(
+            request_id = self.input.id.as_str(),
+            job = self.job.as_str(),
+            endpoint = self.endpoint.record().id.as_str(),
+            events = self.progress.events(),
+            max_bytes = self.limits.max_bytes,
+            error:?;
+            "the output of an item cannot grow and is dropped"
+        );
+        self.progress.clear();
+        match error {
+            OutputError::TooLarge => RunOutcome::TooLarge,
+            OutputError::NoMemory => RunOutcome::Broken(BreakCause::NoMemory),
+        }
+    }
+
     fn dead(&self) -> BreakCause {
         BreakCause::Silent {
             for_ms: self.silence.silent_ms(),
@@ -309,6 +416,7 @@
             status => Some(RunOutcome::Error(status)),
         };
         let mut splitter = EventSplitter::new(after);
+        let mut failure_bytes = 0;
         let limit = Duration::from_millis(DEAD_AFTER_MS);
         loop {
             let next = poll_fn(|cx| exchange.poll_data(cx));
@@ -318,13 +426,24 @@
                     // A failure that breaks off is none: it would give up an
                     // item that another endpoint may complete.
                     if failure.is_some() {
+                        failure_bytes += chunk.len();
+                        if failure_bytes > MAX_FAILURE_BYTES {
+                            let cause = BreakCause::EndlessFailure;
+                            return RunOutcome::Broken(cause);
+                        }
                         continue;
                     }
                     let split = splitter.push(chunk);
                     if !split.events.is_empty() {
                         let record = self.endpoint.record();
                         let last_id = splitter.last_id();
-                        self.progress.add(&split.events, last_id, record);
+                        let events = &split.events;
+                        let limits = &self.limits;
+                        let added =
+                            self.progress.add(events, last_id, record, limits);
+                        if let Err(error) = added {
+                            return self.drop_output(error);
+                        }
                     }
                     exchange.advance_to(splitter.last_id().unwrap_or(0));
                     continue;
--- a/crates/jobs/src/runner/admit.rs
+++ b/crates/jobs/src/runner/admit.rs
@@ -13,8 +13,9 @@
     attempts::StartCheck,
 };
 use crate::{
-    Assignment, GateDecision, GateInput, ItemRun, JobManifest, PreemptRank,
-    RemainingTime, SilenceClock, SlackPriority, decide, record::JobKey,
+    Assignment, GateDecision, GateInput, ItemRun, JobManifest, OutputLimits,
+    PreemptRank, RemainingTime, SilenceClock, SlackPriority, decide,
+    record::JobKey, run::DROPPED_PER_STORED,
 };
 
 /// Age of a run from which on its endpoint's load report counts it, in
@@ -422,6 +423,11 @@
             endpoint: endpoint.clone(),
             progress: item.progress.clone(),
             silence: SilenceClock::start(),
+            limits: OutputLimits {
+                memory: self.runner.parts.memory.clone(),
+                max_bytes: DROPPED_PER_STORED
+                    * self.runner.parts.ledger.max_result_bytes(),
+            },
         };
         log::info!(
             request_id = run.input.id.as_str(),
--- a/crates/jobs/src/runner/outcome.rs
+++ b/crates/jobs/src/runner/outcome.rs
@@ -26,7 +26,7 @@
 fn failed_attempts_of(end: RunOutcome) -> Option<FailedAttempts> {
     let (errors, rejections) = match end {
         RunOutcome::Rejected => (0, 1),
-        RunOutcome::Error(_) => (1, 0),
+        RunOutcome::Error(_) | RunOutcome::TooLarge => (1, 0),
         RunOutcome::Complete | RunOutcome::Broken(_) => return None,
         RunOutcome::NotRun | RunOutcome::Held { .. } => return None,
     };
@@ -170,7 +170,11 @@
                 "an item is given up"
             );
             job.give_up(number, &inputs);
-            Counters::add(&self.runner.parts.counters.items_given_up);
+            let counters = &self.runner.parts.counters;
+            Counters::add(&counters.items_given_up);
+            if end == RunOutcome::TooLarge {
+                Counters::add(&counters.results_too_large);
+            }
         } else {
             let item = &mut job.items[number as usize];
             item.wait_from(now);
@@ -180,7 +184,9 @@
             }
             item.not_before = match end {
                 // A full endpoint answers like this at once, again and again.
-                RunOutcome::Broken(BreakCause::UnprovenRefusal(_)) => retry_at,
+                RunOutcome::Broken(
+                    BreakCause::UnprovenRefusal(_) | BreakCause::NoMemory,
+                ) => retry_at,
                 RunOutcome::Broken(_) => now,
                 RunOutcome::Held { for_ms } => now.saturating_add_ms(for_ms),
                 _ => retry_at,
--- a/crates/jobs/tests/cut_heads.rs
+++ b/crates/jobs/tests/cut_heads.rs
@@ -3,24 +3,21 @@
 
 #[path = "../../pass/tests/common/cut_server.rs"]
 mod cut_server;
+#[path = "common/item.rs"]
+mod item;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
-use access::KeyHeaders;
-use base::{Snapshot, SystemClock};
+use base::SystemClock;
+use budget::{MemoryBudget, MemoryOptions};
 use cut_server::{
     BreakOff, Connection, CutResponse, CutServer, cut_responses, each_end,
 };
-use fleet::{
-    Endpoint, EndpointRecord, EndpointState, EndpointTable, Route, RouteKind,
-};
-use http::{HeaderName, StatusCode};
-use pass::{
-    Counters, DirectoryView, Forwarder, ForwarderOptions, HeaderNames, Pool,
-};
-use pomeloslip_jobs::{
-    BreakCause, ItemInput, ItemRun, Progress, RunOutcome, SilenceClock,
-};
+use fleet::Endpoint;
+use http::StatusCode;
+use item::{run_item, worker};
+use pass::Forwarder;
+use pomeloslip_jobs::{BreakCause, OutputLimits, Progress, RunOutcome};
 use yare::parameterized;
 
 const ANSWER: &str = "id: 1\ndata: sound\n\n";
@@ -31,53 +28,6 @@
 
 const BROKEN: RunOutcome = RunOutcome::Broken(BreakCause::Connection);
 
-fn names() -> HeaderNames {
-    let name = HeaderName::from_static;
-    HeaderNames {
-        request_id: name("x-id"),
-        deadline_ms: name("x-deadline"),
-        resume_after: name("x-resume"),
-        resumes: name("x-resumes"),
-        seal: name("x-seal"),
-        target: name("x-target"),
-        not_executed: name("x-not-run"),
-        load: name("x-load"),
-        prompt_parts: name("x-prompt"),
-        keys: KeyHeaders {
-            credential: name("x-key"),
-            customer: name("x-customer"),
-        },
-    }
-}
-
-/// A forwarder with connections of its own, and its only endpoint.
-fn worker(address: SocketAddr) -> (Arc<Forwarder>, Endpoint) {
-    let endpoint = Endpoint::new(EndpointRecord {
-        id: "e1".to_owned(),
-        started_at: None,
-        version: "v1".parse().ok(),
-        address,
-        service: "app".to_owned(),
-        failure_domain: "near".to_owned(),
-        slots: 4,
-        state: EndpointState::Ready,
-    });
-    let view = DirectoryView {
-        table: Arc::new(EndpointTable::new(vec![endpoint.clone()])),
-        revision: 1,
-    };
-    let forwarder = Forwarder::new(
-        names(),
-        ForwarderOptions::default(),
-        "near",
-        Arc::new(Snapshot::new(view)),
-        Arc::new(Pool::default().with_request_id(names().request_id)),
-        Arc::new(SystemClock::new()),
-        Arc::new(Counters::default()),
-    );
-    (Arc::new(forwarder), endpoint)
-}
-
 /// Runs an item; returns the outcome and the number of events.
 async fn run(
     forwarder: &Arc<Forwarder>,
@@ -85,24 +35,12 @@
     id: &str,
 ) -> (RunOutcome, u64) {
     let progress = Progress::default();
-    let route = Route::new("r", "a.example", "/", "app");
-    let run = ItemRun {
-        input: ItemInput {
-            id: id.to_owned(),
-            path: "/batch/1".to_owned(),
-            headers: Vec::new(),
-            body: b"an item".to_vec(),
-            tokens: 100,
-            config_version: None,
-        },
-        host: "a.example".to_owned(),
-        route: Arc::new(route.with_kind(RouteKind::Batch)),
-        job: "job-1".parse().expect("a key"),
-        customer: None,
-        endpoint: endpoint.clone(),
-        progress: progress.clone(),
-        silence: SilenceClock::start(),
+    let clock = Arc::new(SystemClock::new());
+    let limits = OutputLimits {
+        memory: MemoryBudget::new(MemoryOptions::new(1_000_000), clock),
+        max_bytes: 100_000,
     };
+    let run = run_item(endpoint, id, &progress, limits);
     let outcome = run.run(forwarder).await;
     (outcome, progress.events())
 }
