--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -36,10 +36,10 @@
     base::NodeBase,
     intake::JobIntake,
     job_manifests::PeerManifests,
-    job_spool::SpoolClient,
     load::{FrontLoad, FrontSpeeds, LoadNotifier},
     planned_stop::{ACCEPT_AFTER_STOP_MS, PlannedStop, StopNotice},
     quota::QuotaClient,
+    spool_client::SpoolClient,
     unknown_jobs::UnknownJobs,
     usage,
 };
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     job_push::JobPush,
-    job_spool::{SpoolClient, SpoolResponse},
+    spool_client::{SpoolClient, SpoolResponse},
 };
 
 /// Storage of an accepted job.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,6 +44,7 @@
 mod readers;
 mod refusals;
 mod settings;
+mod spool_client;
 mod spool_marks;
 mod tree;
 mod turns;
--- a/crates/node/src/unknown_jobs.rs
+++ b/crates/node/src/unknown_jobs.rs
@@ -6,7 +6,7 @@
 use base::Clock;
 use jobs::{JobKey, JobView};
 
-use crate::job_spool::SpoolClient;
+use crate::spool_client::SpoolClient;
 
 /// Knows whether workers may hold jobs that the ledger does not have.
 pub(crate) struct UnknownJobs {
