Forget the entry with a lease that is gone, and renew the one just written

By reading the diff: an entry whose state changes is written under its own lease. If the key-value service did not know that lease any more, the write was tried again at once until the lease had run out locally. After a state was written under a new lease, the old one was renewed. A new disk of a node that was never listed counts as written only if it holds no job.

The wait for the removal of expired entries is 250 ms: the entries' time to live is what it waits for. Examples for the new public functions.

No test forces the repeated write.

--- a/crates/jobs/src/members.rs
+++ b/crates/jobs/src/members.rs
@@ -178,6 +178,16 @@
     /// Returns a few different nodes that depend on the key of a job, the same
     /// on all nodes that know the same members. The number of steps does not
     /// depend on the number of members.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_jobs::{JobKey, Members};
+    ///
+    /// let job: JobKey = "job-1".parse()?;
+    /// assert!(Members::default().draw(&job).is_empty());
+    /// # Ok::<(), pomeloslip_jobs::JobError>(())
+    /// ```
     pub fn draw(&self, job: &JobKey) -> Vec<&NodeRecord> {
         let hash = stable_hash(&[job.as_str()]);
         let mut drawn: Vec<usize> = Vec::with_capacity(DRAWS);
--- a/crates/jobs/src/spools.rs
+++ b/crates/jobs/src/spools.rs
@@ -11,7 +11,7 @@
 
 /// Time for the removal of an expired entry to reach all nodes, in
 /// milliseconds.
-const PROPAGATION_MS: u64 = 500;
+const PROPAGATION_MS: u64 = 250;
 
 const MS_PER_S: u64 = 1_000;
 
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -196,6 +196,20 @@
     /// stated since the last outage of the key-value service that the ledger
     /// has the jobs that they have spooled. A node that never comes back is
     /// one of the exceptions.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use base::Millis;
+    /// use pomeloslip_jobs::JobView;
+    ///
+    /// let view = JobView::default();
+    /// // Nothing is known yet.
+    /// assert!(!view.are_spools_written(1, Millis::new(0)));
+    /// view.replace(&[], Millis::new(0));
+    /// // No node has a disk.
+    /// assert!(view.are_spools_written(1, Millis::new(0)));
+    /// ```
     pub fn are_spools_written(&self, disk_losses: u32, now: Millis) -> bool {
         let mut inner = self.lock();
         let summary = inner.spool_summary();
--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -148,6 +148,32 @@
     /// Sets the faults of the next transactions that write a key with a prefix,
     /// in order; they go before those of
     /// [`script_write_faults`](Self::script_write_faults).
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use pomeloslip_kv::{Kv, Memory, Op, Txn, WriteFault};
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+    /// let kv = Memory::default();
+    /// kv.script_faults_of_keys("a/", [WriteFault::Delayed]);
+    /// let put = Op::Put {
+    ///     key: "a/1".into(),
+    ///     value: b"late".to_vec(),
+    ///     lease: None,
+    /// };
+    /// let txn = Txn {
+    ///     success: vec![put],
+    ///     ..Txn::default()
+    /// };
+    /// assert!(kv.txn(txn).await.is_err());
+    /// assert!(kv.get("a/1").await?.kvs.is_empty());
+    /// kv.apply_delayed();
+    /// assert_eq!(kv.get("a/1").await?.kvs[0].value, b"late");
+    /// # Ok::<(), error_stack::Report<pomeloslip_kv::KvError>>(())
+    /// # })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     pub fn script_faults_of_keys(
         &self,
         prefix: &str,
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -192,6 +192,26 @@
     is_spool_known: bool,
 }
 
+impl OwnEntry {
+    /// Forgets a lease that the key-value service does not know any more, and
+    /// the entry that was under it.
+    fn forget_if_gone<T>(
+        &mut self,
+        lease: HeldLease,
+        result: &Result<T, Report<KvError>>,
+    ) {
+        let error = result.as_ref().err().map(Report::current_context);
+        if error != Some(&KvError::LeaseGone) {
+            return;
+        }
+        let is_gone = |known: HeldLease| known.id() == lease.id();
+        if self.held.take_if(|held| is_gone(held.lease)).is_some() {
+            self.revision = 0;
+        }
+        self.unused.take_if(|unused| is_gone(unused.lease));
+    }
+}
+
 impl NodeRegistration {
     /// Runs until the node shuts down.
     ///
@@ -330,7 +350,8 @@
             self.restate(own, &held).await?;
         }
         let sent_at = self.clock.now();
-        self.renew(own, held.lease).await?;
+        let lease = own.held.as_ref().map_or(held.lease, |held| held.lease);
+        self.renew(own, lease).await?;
         if let Some(held) = &mut own.held {
             held.lease.record_renewal(sent_at);
         }
@@ -401,14 +422,7 @@
         lease: HeldLease,
     ) -> Result<(), Report<KvError>> {
         let renewed = self.kv.lease_keep_alive(lease.id()).await;
-        let error = renewed.as_ref().err().map(Report::current_context);
-        if error == Some(&KvError::LeaseGone) {
-            let is_gone = |known: HeldLease| known.id() == lease.id();
-            if own.held.take_if(|held| is_gone(held.lease)).is_some() {
-                own.revision = 0;
-            }
-            own.unused.take_if(|unused| is_gone(unused.lease));
-        }
+        own.forget_if_gone(lease, &renewed);
         renewed
     }
 
@@ -418,10 +432,7 @@
         for _ in 0..MAX_CONFLICTS {
             let mut entry = self.new_entry(own, lease)?;
             let written = self.kv.txn(self.txn(own, &entry)).await;
-            let error = written.as_ref().err().map(Report::current_context);
-            if error == Some(&KvError::LeaseGone) {
-                own.unused = None;
-            }
+            own.forget_if_gone(lease.lease, &written);
             let reply = written?;
             entry.revision = reply.revision;
             let is_stored =
@@ -441,8 +452,10 @@
         own: &OwnEntry,
         UnusedLease { lease, lease_s }: UnusedLease,
     ) -> Result<LeasedEntry, Report<KvError>> {
-        // The disk of a node that was never listed has held no jobs.
-        let spool = match self.has_unknown_disk(own) {
+        // The disk of a node that was never listed has held no other jobs than
+        // those that it holds.
+        let is_empty = self.spool.as_ref().is_some_and(|s| s.is_empty());
+        let spool = match self.has_unknown_disk(own) && is_empty {
             true => SpoolState::Written,
             false => self.spool_state(),
         };
