Report a lost worker as empty only if the ledger has its spooled jobs

Two workers without power were reported as empty after their leases and removed with accepted jobs on their disks. A reporter now waits until the ledger is sure to have each accepted job, by the knowledge that decides between 404 and 503.

Evidence: dark_workers_with_jobs_are_not_reported_as_empty failed with the wait left out, passes now.

--- a/crates/node/src/vacate.rs
+++ b/crates/node/src/vacate.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use base::stable_hash;
+use base::{Clock, stable_hash};
 use error_stack::Report;
 use jobs::{JobView, Members};
 use kv::{Compare, Kv, KvError, Op, Txn};
@@ -44,6 +44,9 @@
     pub(crate) spooled_jobs: Option<watch::Receiver<usize>>,
     /// Lease terms of a worker's entry.
     pub(crate) terms: LeaseTerms,
+    /// Number of disks that may be lost at the same time.
+    pub(crate) disk_losses: u32,
+    pub(crate) clock: Arc<dyn Clock>,
 }
 
 /// Returns how long the runs of a vacated node may go on.
@@ -96,8 +99,13 @@
         let workers = view.members().len();
         let lease_ms = u64::from(self.terms.lease_s(workers)) * 1_000;
         let wait = Duration::from_millis(lease_ms + LEASE_MARGIN_MS);
+        let (clock, disk_losses) = (self.clock.clone(), self.disk_losses);
         tokio::spawn(async move {
             time::sleep(wait).await;
+            // Jobs on the disk of the lost node may be nowhere else.
+            while !view.are_spools_written(disk_losses, clock.now()) {
+                time::sleep(RETRY_INTERVAL).await;
+            }
             let members = view.members();
             if members.has(&order.node)
                 || !is_reporter(&members, &order.node, &own_name)
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -90,6 +90,8 @@
             idle: idle.clone(),
             spooled_jobs: base.spooled_jobs.clone(),
             terms: LeaseTerms::new(true, settings.min_lease_ms),
+            disk_losses: settings.disk_losses,
+            clock: context.cluster.clock().clone(),
         };
         tokio::spawn(vacating.run(received));
         Ok(Self {
--- a/crates/node/tests/unknown_jobs.rs
+++ b/crates/node/tests/unknown_jobs.rs
@@ -9,9 +9,10 @@
 };
 
 use common::{
-    Engine, Node, call, ready, start, start_with_disk, write_config_and_engine,
+    Engine, Node, call, put, ready, start, start_with_disk,
+    write_config_and_engine,
 };
-use kv::Memory;
+use kv::{Kv, Memory};
 use tempfile::TempDir;
 use tokio::{
     runtime::{Builder, Runtime},
@@ -248,3 +249,22 @@
         assert_eq!(fleet.kv.revision(), before, "written in calm");
     });
 }
+
+/// Guards against workers without power that are reported as empty, and
+/// removed with accepted jobs on their disks.
+#[test]
+fn dark_workers_with_jobs_are_not_reported_as_empty() {
+    block_on(async {
+        let mut fleet = Fleet::start().await;
+        fleet.spool_jobs().await;
+        fleet.workers[..2].iter_mut().for_each(Worker::kill);
+        fleet.kv.set_down(false);
+        for worker in ["worker-0", "worker-1"] {
+            let order = format!("orders/empty/{worker}");
+            put(&fleet.kv, &order, b"{}".to_vec()).await;
+        }
+        sleep(Duration::from_millis(9_000)).await;
+        let reported = fleet.kv.get_prefix("emptied/", 0).await;
+        assert!(reported.expect("read").kvs.is_empty());
+    });
+}
