Keep the memory of outputs reserved until their results are listed

Results that wait for the key-value service had no bound in total: the memory of an output was free as soon as its item had ended.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -180,6 +180,11 @@
             || binding.is_some_and(|binding| binding.permits(record))
     }
 
+    /// Takes the memory of the output, for what is made of it.
+    pub(crate) fn take_memory(&self) -> Option<Reservation> {
+        self.lock().memory.take()
+    }
+
     /// Drops the output, so that the next run begins anew.
     fn clear(&self) {
         *self.lock() = Produced::default();
--- a/crates/jobs/src/runner/active.rs
+++ b/crates/jobs/src/runner/active.rs
@@ -5,7 +5,7 @@
 use base::Millis;
 use budget::Reservation;
 use fleet::{Config, Endpoint, EndpointRecord, VersionBinding};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::RunId;
 use crate::{
@@ -21,6 +21,8 @@
     pub(super) memory: Option<Reservation>,
     pub(super) items: Vec<Item>,
     pub(super) pending: Vec<(u32, ItemResult)>,
+    /// The memory of the pending results.
+    pending_memory: IndexMap<u32, Reservation>,
     /// The process that counts, and what it has counted of the attempts.
     pub(super) counter: CounterId,
     pub(super) attempts: ProcessAttempts,
@@ -168,6 +170,7 @@
             memory: None,
             items: vec![Item::default(); total],
             pending: Vec::new(),
+            pending_memory: IndexMap::new(),
             is_moved: false,
             waits_for_config: false,
             settled_at: Millis::default(),
@@ -349,6 +352,8 @@
             self.attempts.retain(|item| !listed.contains(&item));
         }
         self.pending.retain(|(number, _)| !listed.contains(number));
+        self.pending_memory
+            .retain(|number, _| !listed.contains(number));
     }
 
     /// Adds the output of an item to the results that the next commit lists.
@@ -392,12 +397,15 @@
         let item = &mut self.items[number as usize];
         item.state = ItemPhase::Done;
         // From now on only the result holds the output.
+        let memory = item.progress.take_memory();
         item.progress = Progress::default();
         let listed = self.stored.manifest.listed.contains(&number);
         let is_pending =
             self.pending.iter().any(|(known, _)| *known == number);
         if !listed && !is_pending {
             self.pending.push((number, result));
+            let memory = memory.map(|memory| (number, memory));
+            self.pending_memory.extend(memory);
         }
     }
 }
