--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod job_manifests;
 mod job_push;
 mod job_spool;
+mod lease_terms;
 mod load;
 mod membership;
 mod origins;
--- a/crates/node/src/vacate.rs
+++ b/crates/node/src/vacate.rs
@@ -9,7 +9,7 @@
     time,
 };
 
-use crate::{Dialect, VacateOrder, VacateState, membership::LeaseTerms};
+use crate::{Dialect, VacateOrder, VacateState, lease_terms::LeaseTerms};
 
 /// Percentage of the time for vacating a node in which its runs may end; the
 /// remainder is for writing the status.
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -12,8 +12,8 @@
 use crate::{
     NodeContext, NodeError, NodeSettings, Signals,
     base::NodeBase,
+    lease_terms::LeaseTerms,
     load::{WorkerLoad, WorkerSpeeds},
-    membership::LeaseTerms,
     probe::LoadProbe,
     vacate::VacateExecutor,
 };
