Count no probe of a part as failed that had no result

Callers saw: valid requests refused for minutes with 503 ("endpoints crash when they run this request"), all that share a part of their prompts with one that crashes endpoints.

Cause: a probe of a held part that has no result is to be repeated after 3 s. That held for the last probe only. Each earlier one counted as failed, whatever it had shown, so that two in a row without a result held the part for 300 s, three for 3,000 s.

Change: a probe of a part takes the place of one without a result. Those that crashed their endpoints, or whose runs were cut off doubtfully, count as before, and so do probes of requests.

--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -135,7 +135,8 @@
     /// Returns the number of probes of a part that count as failed: all but a
     /// last one that did not crash its endpoint before anything but the head
     /// of its response. Its node may have ended, or another request may have
-    /// crashed the endpoint.
+    /// crashed the endpoint. Those without a result are not counted, see
+    /// [`Self::begin_probe`].
     pub fn failed_probes(&self) -> u32 {
         match self.probe_outcome() {
             ProbeOutcome::Crashed => self.probes,
@@ -205,12 +206,24 @@
         *self != before
     }
 
-    /// Records the start of a probe.
+    /// Records the start of a probe. Of a part, it takes the place of one
+    /// without a result, which shows nothing: its node or caller may have
+    /// ended, or its write to the key-value service took effect when the
+    /// request had already been refused.
     pub fn begin_probe(&mut self, now: UnixMillis) {
-        self.probes += 1;
+        let is_repeated = self.subject == Subject::PromptPart
+            && self.probed_at.is_some()
+            && self.probe_outcome() == ProbeOutcome::None;
+        self.probes += u32::from(!is_repeated);
         self.probed_at = Some(now);
     }
 
+    /// Takes over the probes of another record of the same request.
+    pub(crate) fn set_probes_of(&mut self, other: &CrashRecord) {
+        self.probes = other.probes;
+        self.probed_at = other.probed_at;
+    }
+
     /// Removes the crashes that a complete response refutes, and reports
     /// whether none is left. The response was resumed after `resumed_after`;
     /// a crash before that point is not refuted, since that part of the
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -288,7 +288,9 @@
     pub fn begin_probe(&mut self, digest: RequestDigest, now: UnixMillis) {
         if self.records.contains_key(&digest) {
             self.change(digest, |entry| {
-                entry.unsaved.begin_probe(now);
+                let mut record = entry.record.clone();
+                record.begin_probe(now);
+                entry.unsaved.set_probes_of(&record);
                 entry.touch(now);
             });
         }
