Send a probe of which the record is found after a lost response

Callers saw: a held part of prompts, or a held request, stays held although its time is up, since its probe is recorded and never sent.

Cause: a node records a probe in the key-value service before it sends it. If the write got no response it read the record, found its own probe there, took it for that of another node, and refused the request.

Change: a write without a response is told apart from one that came too late. After the former a probe of the same time is the own one, and is sent. All attempts of one probe bear the same time.

A late copy replaces no newer record, but it did count as a probe that had been sent.

--- a/crates/quarantine/src/quarantine/probe.rs
+++ b/crates/quarantine/src/quarantine/probe.rs
@@ -21,6 +21,8 @@
             Some(store) if terms != HoldTerms::Item => store,
             _ => return self.begin_local_probe(digest, terms),
         };
+        let now = self.now();
+        let mut may_be_recorded = false;
         for _ in 0..MAX_WRITE_ATTEMPTS {
             let (before, mut record) = {
                 if self.verdict(digest, terms).0 != Verdict::ProbeDue {
@@ -32,8 +34,11 @@
                     None => return false,
                 }
             };
-            record.begin_probe(self.now());
-            match store.put(digest, before, &record).await {
+            record.begin_probe(now);
+            let (current, revision) = match store
+                .put(digest, before, &record)
+                .await
+            {
                 Ok(WriteResult::Done(revision)) => {
                     let stored = StoredRecord { record, revision };
                     let now = self.now();
@@ -41,13 +46,26 @@
                     return true;
                 }
                 Ok(WriteResult::Conflict(current, revision)) => {
-                    self.apply_read(digest, current, revision);
+                    (current, revision)
+                }
+                Ok(WriteResult::Unknown(current, revision)) => {
+                    may_be_recorded = true;
+                    (current, revision)
                 }
                 Err(report) => {
                     log::info!(digest:%, error:% = report.current_context();
                         "cannot record the probe of a quarantined request");
                     return false;
                 }
+            };
+            // Another node may record a probe in the same millisecond.
+            let is_recorded = may_be_recorded
+                && current.as_ref().is_some_and(|stored| {
+                    stored.record.probed_at() == Some(now)
+                });
+            self.apply_read(digest, current, revision);
+            if is_recorded {
+                return true;
             }
         }
         false
--- a/crates/quarantine/src/quarantine/write.rs
+++ b/crates/quarantine/src/quarantine/write.rs
@@ -68,7 +68,8 @@
             WriteResult::Done(revision) => {
                 return Ok(is_empty.then_some(revision));
             }
-            WriteResult::Conflict(current, _) => current,
+            WriteResult::Conflict(current, _)
+            | WriteResult::Unknown(current, _) => current,
         };
     }
     Err(Report::new(KvError::NotDone).attach("too many conflicting writes"))
@@ -180,7 +181,8 @@
                         StoredRecord { record, revision },
                     );
                 }
-                WriteResult::Conflict(current, revision) => {
+                WriteResult::Conflict(current, revision)
+                | WriteResult::Unknown(current, revision) => {
                     self.apply_read(digest, current, revision);
                 }
             }
--- a/crates/quarantine/src/store.rs
+++ b/crates/quarantine/src/store.rs
@@ -15,9 +15,12 @@
 pub(crate) enum WriteResult {
     /// The write succeeded, at this revision.
     Done(u64),
-    /// Another write came first, or the outcome is unknown. Holds the stored
-    /// record, if there is one, and the revision at which it was read.
+    /// Another write came first. Holds the stored record, if there is one, and
+    /// the revision at which it was read.
     Conflict(Option<StoredRecord>, u64),
+    /// There was no response: the write may have been executed, or may still
+    /// be. Holds the same as a conflict.
+    Unknown(Option<StoredRecord>, u64),
 }
 
 /// Stores crash records in the key-value service.
@@ -101,27 +104,31 @@
         });
         match written {
             Ok(reply) if reply.succeeded => {
-                return Ok(WriteResult::Done(reply.revision));
+                Ok(WriteResult::Done(reply.revision))
             }
-            Ok(_) => {}
-            Err(report) if *report.current_context() == KvError::Unknown => {}
-            Err(report) => return Err(report),
+            Ok(_) => {
+                let (stored, revision) = self.read(digest).await?;
+                Ok(WriteResult::Conflict(stored, revision))
+            }
+            Err(report) if *report.current_context() == KvError::Unknown => {
+                let (stored, revision) = self.read(digest).await?;
+                Ok(WriteResult::Unknown(stored, revision))
+            }
+            Err(report) => Err(report),
         }
-        self.read(digest).await
     }
 
-    /// Reads the stored record of a request.
-    pub(crate) async fn read(
+    /// Reads the stored record of a request, and the revision of the read.
+    async fn read(
         &self,
         digest: RequestDigest,
-    ) -> Result<WriteResult, Report<KvError>> {
+    ) -> Result<(Option<StoredRecord>, u64), Report<KvError>> {
         let key = self.key(digest);
         let reply = timeout(CALL_TIMEOUT, self.kv.get(&key)).await;
         let reply = reply.unwrap_or_else(|_| {
             Err(Report::new(KvError::NotDone).attach("no response in time"))
         })?;
-        let stored = reply.kvs.first().map(decode);
-        Ok(WriteResult::Conflict(stored, reply.revision))
+        Ok((reply.kvs.first().map(decode), reply.revision))
     }
 
     fn key(&self, digest: RequestDigest) -> String {
--- a/crates/quarantine/tests/lost_probes.rs
+++ b/crates/quarantine/tests/lost_probes.rs
@@ -11,6 +11,7 @@
 use pomeloslip_quarantine::{
     Crash, CrashedEndpoint, EvidenceKeys, Quarantine, QuarantineOptions,
 };
+use yare::parameterized;
 
 const PREFIX: &str = "t/";
 
@@ -142,6 +143,34 @@
     assert!(fleet.admits(0, with_part()).await);
 }
 
+/// Guards against counting a probe that is never sent: the service records it
+/// and its response is lost, or it is recorded during the next attempt.
+#[parameterized(
+    part_without_response = { with_part(), WriteFault::ResponseLost },
+    request_without_response = { request().into(), WriteFault::ResponseLost },
+    part_after_lost_request = { with_part(), WriteFault::RequestLost },
+)]
+#[test_macro(tokio::test)]
+async fn a_recorded_probe_is_sent(keys: EvidenceKeys, fault: WriteFault) {
+    let fleet = held();
+    fleet.advance_ms(600_000);
+    fleet.kv.script_write_faults([fault]);
+    assert!(fleet.admits(0, keys.clone()).await);
+    assert!(!fleet.admits(0, keys.clone()).await, "once");
+    assert!(!fleet.admits(1, keys).await, "once");
+}
+
+/// Guards against two nodes that send one probe each, since one takes the
+/// other's record for its own.
+#[tokio::test]
+async fn a_probe_of_another_node_is_not_taken_for_the_own() {
+    let fleet = held();
+    fleet.advance_ms(TRIAL_MS);
+    assert!(fleet.nodes[0].admit(with_part).await.is_ok());
+    // Node 1 has not read the record, which is of the same millisecond.
+    assert!(fleet.nodes[1].admit(with_part).await.is_err());
+}
+
 /// Guards against repeating a poison part's probe after seconds: a probe
 /// without a result changes nothing about those that crashed their endpoints.
 #[tokio::test]
