Offer a probe elsewhere that was certainly not run

Callers saw: a valid request refused with 503 ("endpoints crash when they run this request") although its part of a prompt, or its content, was due to be tried again and another endpoint was free.

Cause: the first offer of a probe used its permission up, whatever became of it. If the endpoint refused the connection, as one does that has just crashed, or stated that it did not run the request, the next offer of the same request was held back because of its own probe. Where endpoints crash, most probes were lost so.

Change: a permission names its probes. One whose offer certainly did not run is withdrawn, and its probes are left to the next request at this node, as long as they are the last of their records and no endpoint has crashed since. So are the probes of a request of which another key is held meanwhile.

Tests of both crates pass.

--- a/crates/pass/src/attempt.rs
+++ b/crates/pass/src/attempt.rs
@@ -116,7 +116,7 @@
     /// Maximum time until the response head arrives.
     pub wait: Duration,
     /// Permit of the quarantine to send the request.
-    pub permit: SendPermit,
+    pub permit: &'a SendPermit,
     /// Is marked before the request is sent.
     pub run: &'a OfferedRun,
     /// Number of the offer among those of the request, from 1.
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -8,7 +8,7 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 use base::{Clock, Snapshot};
-use execution::{OfferedRun, PossibleRuns, Ran};
+use execution::{Evidence, OfferedRun, PossibleRuns, Ran};
 use fleet::{Endpoint, EndpointSpeed, EndpointTable, RouteKind, Selection};
 use framing::Framing;
 use http::Response;
@@ -305,11 +305,17 @@
             endpoint,
             resume_after,
             wait,
-            permit,
+            permit: &permit,
             run,
             number,
         };
-        self.dispatcher().dispatch(offer).await
+        let outcome = self.dispatcher().dispatch(offer).await;
+        if let Err(failure) = &outcome
+            && failure.evidence() != Evidence::MayHaveRun
+        {
+            self.quarantine.withdraw(&permit);
+        }
+        outcome
     }
 
     /// Obtains a send permit, unless the request is quarantined.
--- a/crates/pass/tests/common/mod.rs
+++ b/crates/pass/tests/common/mod.rs
@@ -22,6 +22,7 @@
     Counters, DirectoryView, FairShares, Forwarder, ForwarderOptions,
     HeaderNames, Inbound, Pool, ResponseBody, RunObserver, StreamOrigins,
 };
+use quarantine::Quarantine;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -241,6 +242,15 @@
         }
     }
 
+    /// Holds requests back that crash endpoints.
+    pub(crate) fn with_quarantine(self, quarantine: Quarantine) -> Self {
+        let forwarder = Arc::into_inner(self.forwarder).expect("not shared");
+        Self {
+            forwarder: Arc::new(forwarder.with_quarantine(quarantine)),
+            ..self
+        }
+    }
+
     /// Reports the outcomes of runs to an observer.
     pub(crate) fn with_run_observer(
         self,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -18,7 +18,10 @@
 use tokio::sync::Notify;
 
 pub use self::updates::CrashRecordUpdate;
-use self::updates::{MAX_UPDATES, Release};
+use self::{
+    probe::Probe,
+    updates::{MAX_UPDATES, Release},
+};
 use crate::{
     Crash, CrashRecordTable, EvidenceKeys, QuarantineOptions, StoredRecord,
     Subject, Verdict,
@@ -28,8 +31,11 @@
 };
 
 /// Permission to send a request to an endpoint once.
-#[derive(Debug)]
-pub struct SendPermit(());
+#[derive(Debug, Default)]
+pub struct SendPermit {
+    /// Probes that the request makes.
+    probes: Vec<Probe>,
+}
 
 /// For how long a request is held.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -92,6 +98,8 @@
     expired: IndexMap<RequestDigest, u64>,
     /// Requests that were recently released.
     released: IndexMap<RequestDigest, Release>,
+    /// Probes whose requests were not run. This node may send them once.
+    unsent_probes: IndexMap<RequestDigest, UnixMillis>,
     /// Parts of prompts whose records have changed here and that other nodes
     /// must learn of directly.
     news: IndexSet<RequestDigest>,
@@ -170,6 +178,7 @@
                 refutations: IndexMap::new(),
                 expired: IndexMap::new(),
                 released: IndexMap::new(),
+                unsent_probes: IndexMap::new(),
                 news: IndexSet::new(),
                 part_releases: IndexMap::new(),
             }),
@@ -205,7 +214,7 @@
         keys: impl FnOnce() -> K,
     ) -> Result<SendPermit, Quarantined> {
         if self.is_empty() {
-            return Ok(SendPermit(()));
+            return Ok(SendPermit::default());
         }
         let keys = keys().into();
         let terms = self.terms(&keys);
@@ -215,12 +224,20 @@
         if let Some(longest) = quarantined.max_by_key(|q| q.for_ms) {
             return Err(longest);
         }
+        let mut permit = SendPermit::default();
         for key in keys.held_by() {
-            if self.verdict(key, terms).0 == Verdict::ProbeDue {
-                self.probe(key, terms).await?;
+            if self.verdict(key, terms).0 != Verdict::ProbeDue {
+                continue;
+            }
+            match self.probe(key, terms).await {
+                Ok(probe) => permit.probes.push(probe),
+                Err(quarantined) => {
+                    self.withdraw(&permit);
+                    return Err(quarantined);
+                }
             }
         }
-        Ok(SendPermit(()))
+        Ok(permit)
     }
 
     fn terms(&self, keys: &EvidenceKeys) -> HoldTerms {
@@ -255,12 +272,12 @@
         &self,
         digest: RequestDigest,
         terms: HoldTerms,
-    ) -> Result<(), Quarantined> {
+    ) -> Result<Probe, Quarantined> {
         let crashes = self.verdict(digest, terms).1;
-        if self.begin_probe(digest, terms).await {
+        if let Some(probe) = self.begin_probe(digest, terms).await {
             log::info!(digest:%, crashes, terms:?;
                 "a held request is tried again");
-            return Ok(());
+            return Ok(probe);
         }
         let for_ms = match self.verdict(digest, terms).0 {
             Verdict::Quarantined { for_ms } => for_ms,
@@ -385,7 +402,12 @@
             }
             _ => records.verdict_at(digest, now),
         };
-        (verdict, crashes)
+        match verdict {
+            Verdict::Quarantined { .. } if state.has_unsent_probe(digest) => {
+                (Verdict::ProbeDue, crashes)
+            }
+            verdict => (verdict, crashes),
+        }
     }
 
     /// Applies the stored record of a request as read at a revision.
--- a/crates/quarantine/src/quarantine/probe.rs
+++ b/crates/quarantine/src/quarantine/probe.rs
@@ -1,11 +1,59 @@
 //! Admits a quarantined request once as a probe.
 
-use base::RequestDigest;
+use base::{RequestDigest, UnixMillis};
 
-use super::{HoldTerms, MAX_WRITE_ATTEMPTS, Quarantine};
-use crate::{StoredRecord, Verdict, store::WriteResult};
+use super::{HoldTerms, MAX_WRITE_ATTEMPTS, Quarantine, SendPermit, State};
+use crate::{ProbeOutcome, StoredRecord, Verdict, store::WriteResult};
+
+/// A probe that has begun.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Probe {
+    digest: RequestDigest,
+    began_at: UnixMillis,
+}
 
 impl Quarantine {
+    /// Withdraws a permit whose request was certainly not run. Its probes are
+    /// left to the next request at this node, such as the next attempt at the
+    /// same request.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use base::{RequestDigest, SystemClock};
+    /// use pomeloslip_quarantine::{Quarantine, QuarantineOptions};
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+    /// let clock = Arc::new(SystemClock::new());
+    /// let quarantine =
+    ///     Quarantine::local(clock, QuarantineOptions::default());
+    /// let request = || RequestDigest::of_group("request", &["1"]);
+    /// let permit = quarantine.admit(request).await.expect("not held");
+    /// // The endpoint refuses the connection.
+    /// quarantine.withdraw(&permit);
+    /// assert!(quarantine.admit(request).await.is_ok());
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn withdraw(&self, permit: &SendPermit) {
+        if permit.probes.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        for probe in &permit.probes {
+            state.unsent_probes.insert(probe.digest, probe.began_at);
+        }
+        let State {
+            unsent_probes,
+            records,
+            ..
+        } = &mut *state;
+        unsent_probes.retain(|digest, _| records.contains(*digest));
+    }
+
     /// Records the start of a probe, so that no other node probes the request
     /// at the same time.
     ///
@@ -16,22 +64,29 @@
         &self,
         digest: RequestDigest,
         terms: HoldTerms,
-    ) -> bool {
+    ) -> Option<Probe> {
+        if let Some(probe) = self.lock().take_unsent_probe(digest) {
+            return Some(probe);
+        }
         let store = match &self.0.store {
             Some(store) if terms != HoldTerms::Item => store,
             _ => return self.begin_local_probe(digest, terms),
         };
         let now = self.now();
+        let probe = Probe {
+            digest,
+            began_at: now,
+        };
         let mut may_be_recorded = false;
         for _ in 0..MAX_WRITE_ATTEMPTS {
             let (before, mut record) = {
                 if self.verdict(digest, terms).0 != Verdict::ProbeDue {
-                    return false;
+                    return None;
                 }
                 let state = self.lock();
                 match state.records.revision_and_record(digest) {
                     Some(revision_and_record) => revision_and_record,
-                    None => return false,
+                    None => return None,
                 }
             };
             record.begin_probe(now);
@@ -43,7 +98,7 @@
                     let stored = StoredRecord { record, revision };
                     let now = self.now();
                     self.lock().records.apply_stored(digest, stored, now);
-                    return true;
+                    return Some(probe);
                 }
                 Ok(WriteResult::Conflict(current, revision)) => {
                     (current, revision)
@@ -55,7 +110,7 @@
                 Err(report) => {
                     log::info!(digest:%, error:% = report.current_context();
                         "cannot record the probe of a quarantined request");
-                    return false;
+                    return None;
                 }
             };
             // Another node may record a probe in the same millisecond.
@@ -65,22 +120,42 @@
                 });
             self.apply_read(digest, current, revision);
             if is_recorded {
-                return true;
+                return Some(probe);
             }
         }
-        false
+        None
     }
 
     fn begin_local_probe(
         &self,
         digest: RequestDigest,
         terms: HoldTerms,
-    ) -> bool {
-        let is_due = self.verdict(digest, terms).0 == Verdict::ProbeDue;
-        if is_due {
-            let now = self.now();
-            self.lock().records.begin_probe(digest, now);
+    ) -> Option<Probe> {
+        if self.verdict(digest, terms).0 != Verdict::ProbeDue {
+            return None;
         }
-        is_due
+        let began_at = self.now();
+        self.lock().records.begin_probe(digest, began_at);
+        Some(Probe { digest, began_at })
+    }
+}
+
+impl State {
+    /// Reports whether this node may send the last probe of a record, because
+    /// its request was not run.
+    pub(super) fn has_unsent_probe(&self, digest: RequestDigest) -> bool {
+        let began_at = self.unsent_probes.get(&digest);
+        let record = self.records.record(digest);
+        began_at.is_some()
+            && record.is_some_and(|record| {
+                record.probed_at().as_ref() == began_at
+                    && record.probe_outcome() == ProbeOutcome::None
+            })
+    }
+
+    fn take_unsent_probe(&mut self, digest: RequestDigest) -> Option<Probe> {
+        let is_usable = self.has_unsent_probe(digest);
+        let began_at = self.unsent_probes.swap_remove(&digest)?;
+        is_usable.then_some(Probe { digest, began_at })
     }
 }
--- a/crates/quarantine/tests/lost_probes.rs
+++ b/crates/quarantine/tests/lost_probes.rs
@@ -160,6 +160,42 @@
     assert!(!fleet.admits(1, keys).await, "once");
 }
 
+/// Guards against a probe that is lost because its request was not run, and
+/// against one that is sent twice: it is left to the next request at its node.
+#[parameterized(
+    of_a_part = { with_part() },
+    of_a_request = { request().into() },
+    of_an_item = { EvidenceKeys::from(request()).of_item() },
+)]
+#[test_macro(tokio::test)]
+async fn a_withdrawn_probe_is_left_to_one_request(keys: EvidenceKeys) {
+    let fleet = held();
+    fleet.advance_ms(600_000);
+    let node = &fleet.nodes[0];
+    for _ in 0..3 {
+        let permit = node.admit(|| keys.clone()).await.expect("a probe");
+        node.withdraw(&permit);
+    }
+    assert!(node.admit(|| keys.clone()).await.is_ok(), "sent");
+    assert!(node.admit(|| keys).await.is_err(), "once");
+}
+
+/// Guards against a withdrawn probe that is sent although a later one crashed
+/// its endpoint.
+#[tokio::test]
+async fn a_withdrawn_probe_is_void_after_a_crash() {
+    let fleet = held();
+    fleet.advance_ms(TRIAL_MS);
+    let permit = fleet.nodes[0].admit(with_part).await.expect("a probe");
+    fleet.nodes[0].withdraw(&permit);
+    fleet.advance_ms(TRIAL_MS);
+    fleet.read().await;
+    assert!(fleet.admits(1, with_part()).await, "the next probe");
+    assert!(!fleet.admits(0, with_part()).await, "the later one counts");
+    fleet.crash(90);
+    assert!(!fleet.admits(0, with_part()).await);
+}
+
 /// Guards against two nodes that send one probe each, since one takes the
 /// other's record for its own.
 #[tokio::test]
