Let requests at a start wait for the crash records as well

Callers saw: endpoints crash when a front starts again, by a request that all nodes hold; valid requests that share a part of its prompt are then refused for five minutes.

Cause: a request that arrives in the first second of a process waits for up to 200 ms for the configuration and the endpoints. The crash records come with another feed, mostly a little later. A request in between was sent though it was held, and its crash counted as the failed probe of the parts of its prompt.

Change: such requests wait until the process is ready, which includes the records, for 200 ms at most as before. A process that runs for longer than a second, or whose requests have waited for 200 ms, serves without the records as before.

Result: requests_at_the_start_wait_for_the_quarantine failed before; requests_wait_briefly_without_the_service passed before and guards the bound.

--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -37,16 +37,16 @@
     pub revoke_ms: Option<u64>,
 }
 
-/// Age of a process up to which requests wait for the first configuration and
-/// endpoints, in milliseconds. Later requests are refused immediately if the
-/// key-value service is unavailable.
+/// Age of a process up to which requests wait until it is ready, in
+/// milliseconds. Later requests are refused immediately if the key-value
+/// service is unavailable.
 const STARTUP_PERIOD_MS: u64 = 1_000;
 
 /// Maximum wait of such a request, in milliseconds. A longer wait would make
 /// requests miss their latency target.
 const MAX_STARTUP_WAIT_MS: u64 = 200;
 
-/// Interval between two checks for the configuration and endpoints.
+/// Interval between two checks whether the process is ready.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Default for the time in which a configuration must be in force.
@@ -154,8 +154,8 @@
         self.config.load().is_some() && !self.endpoints.load().table.is_empty()
     }
 
-    /// Waits briefly for the first configuration and endpoints in a process
-    /// that has just started.
+    /// Waits briefly for the first configuration and endpoints, and for the
+    /// quarantined requests, in a process that has just started.
     ///
     /// After a restart of all nodes they arrive some tenths of a second after
     /// the first requests. A caller that is refused in that time retries too
@@ -163,7 +163,7 @@
     pub async fn wait_for_start(&self) {
         let started_at = self.clock.now();
         let deadline = started_at.saturating_add_ms(MAX_STARTUP_WAIT_MS);
-        while !self.can_route()
+        while !self.is_ready()
             && self.clock.now() < deadline
             && started_at < Millis::new(STARTUP_PERIOD_MS)
         {
@@ -171,3 +171,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/cluster.rs"]
+mod tests;
