Give a status to callers whose endpoint resets its response at once

Cause: a front begins the response with the endpoint's head before it has read any of the body. The server library drops what it has not written when the body fails, so that head, part and error that arrive together leave nothing.

Change: a response whose end only the connection marks is read ahead as far as it has arrived, without waiting. One whose connection is lost before any byte of its body becomes a 502; streams that are resumed elsewhere are left alone. A body returns its error one poll after it has met it, in which the library writes what it holds, and has ended after that. Until now a body whose time was up returned its error at each poll; no server asks twice.

Result: a_response_cut_by_a_reset_is_not_complete asks for a status line of each upload, 60 instead of 20 in each case.

--- a/crates/node/tests/early_responses.rs
+++ b/crates/node/tests/early_responses.rs
@@ -99,8 +99,9 @@
     }
 }
 
-/// Guards against a part of a response that a client takes for the whole: the
-/// endpoint gave no length and reset the connection during the upload.
+/// Guards against a part of a response that a client takes for the whole, and
+/// against a caller that gets no byte of a response: the endpoint gave no
+/// length and reset the connection during the upload.
 #[parameterized(
     json_at_once = { "application/json", "{\"a\": [1, 2, ", 0 },
     json_later = { "application/json", "{\"a\": [1, 2, ", 50 },
@@ -121,8 +122,9 @@
          content-type: {content_type}\r\n\r\n{part}"
     );
     let front = front_before(response.leak(), pause_ms).await;
-    for number in 0..20 {
+    for number in 0..60 {
         let found = upload(&front, number).await;
+        assert!(found.starts_with("HTTP/1.1 "), "upload {number}: {found:?}");
         let is_success = found.starts_with("HTTP/1.1 2");
         assert!(!is_success || !is_complete(&found), "{found:?}");
     }
--- a/crates/pass/src/answer.rs
+++ b/crates/pass/src/answer.rs
@@ -27,6 +27,8 @@
     connection: Option<CallerConnection>,
     /// The memory of a response of this node.
     reservation: Option<Reservation>,
+    /// The error that the next poll returns.
+    error: Option<IncompleteResponse>,
 }
 
 #[derive(Debug)]
@@ -56,6 +58,7 @@
             reset: None,
             connection: None,
             reservation: None,
+            error: None,
         }
     }
 
@@ -94,14 +97,24 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
         let body = self.get_mut();
+        if let Some(error) = body.error.take() {
+            body.inner = Inner::Bytes(None);
+            return Poll::Ready(Some(Err(error)));
+        }
         let data = match &mut body.inner {
             Inner::Bytes(bytes) => Poll::Ready(bytes.take().map(Ok)),
             Inner::Forwarded(body) => body.poll_data(cx),
             Inner::Resumed(body) => body.poll_data(cx),
         };
-        if let (Poll::Ready(Some(Err(_))), Some(reset)) = (&data, &body.reset)
-        {
-            reset.set();
+        if let Poll::Ready(Some(Err(error))) = &data {
+            if let Some(reset) = &body.reset {
+                reset.set();
+            }
+            // The server library drops what it has not written yet when it
+            // meets an error, and writes it while the body is pending.
+            body.error = Some(*error);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
         }
         data.map(|data| data.map(|data| data.map(Frame::data)))
     }
--- a/crates/pass/src/exchange.rs
+++ b/crates/pass/src/exchange.rs
@@ -1,4 +1,5 @@
 use std::{
+    future::poll_fn,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
@@ -28,6 +29,8 @@
     head: Option<Parts>,
     status: StatusCode,
     body: Incoming,
+    /// What was read of the body by [`Self::check_begun`].
+    first: Option<Result<Bytes, IncompleteResponse>>,
     channel: Option<Channel>,
     run: Run,
     pool: Arc<Pool>,
@@ -57,6 +60,7 @@
             check,
             head: Some(head),
             body,
+            first: None,
             channel: Some(channel),
             run,
             pool,
@@ -103,7 +107,7 @@
     /// Returns whether the response was read to its end.
     #[inline]
     pub fn is_complete(&self) -> bool {
-        self.is_complete
+        self.is_complete && self.first.is_none()
     }
 
     /// Returns how the end of the response is marked.
@@ -181,11 +185,40 @@
         }
     }
 
+    /// Checks whether the connection of a response whose end only the
+    /// connection marks was lost before any byte of its body. Waits for
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`IncompleteResponse::Endpoint`] if it was.
+    pub(crate) async fn check_begun(
+        &mut self,
+    ) -> Result<(), IncompleteResponse> {
+        if self.has_marked_end() {
+            return Ok(());
+        }
+        let first = poll_fn(|cx| match self.poll_data(cx) {
+            Poll::Ready(first) => Poll::Ready(first),
+            Poll::Pending => Poll::Ready(None),
+        });
+        match first.await {
+            Some(Err(error @ IncompleteResponse::Endpoint)) => Err(error),
+            first => {
+                self.first = first;
+                Ok(())
+            }
+        }
+    }
+
     /// Reads the next bytes; `None` marks the end of a complete response.
     pub fn poll_data(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(first));
+        }
         loop {
             let frame = match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Pending => return Poll::Pending,
--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -175,7 +175,13 @@
             }
         };
         let runs = history.possible_runs();
-        match self.check_promise(&request, result, runs) {
+        let result = match self.check_promise(&request, result, runs) {
+            Ok(exchange) if !is_resumed(&request, &exchange) => {
+                check_begun(exchange, runs).await
+            }
+            result => result,
+        };
+        match result {
             Ok(exchange) => self.respond(exchange, request_log, history),
             Err(refusal) => {
                 let status = refusal.status().as_u16();
@@ -235,7 +241,6 @@
         mut request_log: RequestLog,
         history: OfferHistory,
     ) -> Response<ResponseBody> {
-        let kind = request_log.request.route().kind();
         request_log.record_head(exchange.status().as_u16(), ENDPOINT);
         request_log.connection = exchange.connection();
         request_log.framing = exchange.framing().as_str();
@@ -243,8 +248,7 @@
             Counters::add(&self.counters.responses_until_close);
         }
         let head = exchange.take_head();
-        let resumable = kind == RouteKind::ResumableStream
-            && exchange.status().is_success();
+        let resumable = is_resumed(&request_log.request, &exchange);
         let has_length = !resumable && exchange.exact_length().is_some();
         let body = match resumable {
             true => ResponseBody::resumed(ResumedBody::new(
@@ -389,6 +393,24 @@
     }
 }
 
+/// Reports whether a response that breaks off is resumed elsewhere.
+fn is_resumed(request: &Inbound, exchange: &Exchange) -> bool {
+    request.route().kind() == RouteKind::ResumableStream
+        && exchange.status().is_success()
+}
+
+/// Returns a response unless its connection was lost before any byte of its
+/// body: the caller gets a status then rather than a closed connection.
+async fn check_begun(
+    mut exchange: Exchange,
+    runs: &PossibleRuns,
+) -> Result<Exchange, Refusal> {
+    match exchange.check_begun().await {
+        Ok(()) => Ok(exchange),
+        Err(error) => Err(Unserved::lost(error.as_str(), None).refuse(runs)),
+    }
+}
+
 impl fmt::Debug for Forwarder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Forwarder")
