--- a/crates/pass/src/forward.rs
+++ b/crates/pass/src/forward.rs
@@ -176,7 +176,7 @@
         };
         let runs = history.possible_runs();
         let result = match self.check_promise(&request, result, runs) {
-            Ok(exchange) if !is_resumed(&request, &exchange) => {
+            Ok(exchange) if !is_resumable(&request, &exchange) => {
                 check_begun(exchange, runs).await
             }
             result => result,
@@ -248,7 +248,7 @@
             Counters::add(&self.counters.responses_until_close);
         }
         let head = exchange.take_head();
-        let resumable = is_resumed(&request_log.request, &exchange);
+        let resumable = is_resumable(&request_log.request, &exchange);
         let has_length = !resumable && exchange.exact_length().is_some();
         let body = match resumable {
             true => ResponseBody::resumed(ResumedBody::new(
@@ -394,7 +394,7 @@
 }
 
 /// Reports whether a response that breaks off is resumed elsewhere.
-fn is_resumed(request: &Inbound, exchange: &Exchange) -> bool {
+fn is_resumable(request: &Inbound, exchange: &Exchange) -> bool {
     request.route().kind() == RouteKind::ResumableStream
         && exchange.status().is_success()
 }
