Leave a withdrawn probe to a request that is held on the same terms

Callers saw: nothing yet; found by reading the own change.

Cause: a probe of a part that was certainly not run is left to the next request at its node. That may be a request with another suspected part, which is no probe of the first part before 30 s: it crashes its endpoint by the other part, and the first one is held for five minutes.

Change: a withdrawn probe keeps the terms on which it began, and is left to requests on the same terms alone.

Result: a_withdrawn_probe_is_left_to_a_request_without_other_suspects failed before; all tests of the crate pass, and pass probes.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -99,7 +99,7 @@
     /// Requests that were recently released.
     released: IndexMap<RequestDigest, Release>,
     /// Probes whose requests were not run. This node may send them once.
-    unsent_probes: IndexMap<RequestDigest, UnixMillis>,
+    unsent_probes: IndexMap<RequestDigest, Probe>,
     /// Parts of prompts whose records have changed here and that other nodes
     /// must learn of directly.
     news: IndexSet<RequestDigest>,
@@ -403,7 +403,9 @@
             _ => records.verdict_at(digest, now),
         };
         match verdict {
-            Verdict::Quarantined { .. } if state.has_unsent_probe(digest) => {
+            Verdict::Quarantined { .. }
+                if state.has_unsent_probe(digest, terms) =>
+            {
                 (Verdict::ProbeDue, crashes)
             }
             verdict => (verdict, crashes),
--- a/crates/quarantine/src/quarantine/probe.rs
+++ b/crates/quarantine/src/quarantine/probe.rs
@@ -10,12 +10,13 @@
 pub(super) struct Probe {
     digest: RequestDigest,
     began_at: UnixMillis,
+    terms: HoldTerms,
 }
 
 impl Quarantine {
     /// Withdraws a permit whose request was certainly not run. Its probes are
-    /// left to the next request at this node, such as the next attempt at the
-    /// same request.
+    /// left to the next request at this node that is held on the same terms,
+    /// such as the next attempt at the same request.
     ///
     /// # Example
     ///
@@ -44,7 +45,7 @@
         }
         let mut state = self.lock();
         for probe in &permit.probes {
-            state.unsent_probes.insert(probe.digest, probe.began_at);
+            state.unsent_probes.insert(probe.digest, *probe);
         }
         let State {
             unsent_probes,
@@ -65,7 +66,7 @@
         digest: RequestDigest,
         terms: HoldTerms,
     ) -> Option<Probe> {
-        if let Some(probe) = self.lock().take_unsent_probe(digest) {
+        if let Some(probe) = self.lock().take_unsent_probe(digest, terms) {
             return Some(probe);
         }
         let store = match &self.0.store {
@@ -76,6 +77,7 @@
         let probe = Probe {
             digest,
             began_at: now,
+            terms,
         };
         let mut may_be_recorded = false;
         for _ in 0..MAX_WRITE_ATTEMPTS {
@@ -136,26 +138,40 @@
         }
         let began_at = self.now();
         self.lock().records.begin_probe(digest, began_at);
-        Some(Probe { digest, began_at })
+        Some(Probe {
+            digest,
+            began_at,
+            terms,
+        })
     }
 }
 
 impl State {
-    /// Reports whether this node may send the last probe of a record, because
-    /// its request was not run.
-    pub(super) fn has_unsent_probe(&self, digest: RequestDigest) -> bool {
-        let began_at = self.unsent_probes.get(&digest);
-        let record = self.records.record(digest);
-        began_at.is_some()
-            && record.is_some_and(|record| {
-                record.probed_at().as_ref() == began_at
-                    && record.probe_outcome() == ProbeOutcome::None
-            })
+    /// Reports whether this node may send the last probe of a record on these
+    /// terms, because its request was not run.
+    pub(super) fn has_unsent_probe(
+        &self,
+        digest: RequestDigest,
+        terms: HoldTerms,
+    ) -> bool {
+        let probe = self.unsent_probes.get(&digest);
+        let Some((probe, record)) = probe.zip(self.records.record(digest))
+        else {
+            return false;
+        };
+        probe.terms == terms
+            && record.probed_at() == Some(probe.began_at)
+            && record.probe_outcome() == ProbeOutcome::None
     }
 
-    fn take_unsent_probe(&mut self, digest: RequestDigest) -> Option<Probe> {
-        let is_usable = self.has_unsent_probe(digest);
-        let began_at = self.unsent_probes.swap_remove(&digest)?;
-        is_usable.then_some(Probe { digest, began_at })
+    fn take_unsent_probe(
+        &mut self,
+        digest: RequestDigest,
+        terms: HoldTerms,
+    ) -> Option<Probe> {
+        match self.has_unsent_probe(digest, terms) {
+            true => self.unsent_probes.swap_remove(&digest),
+            false => None,
+        }
     }
 }
--- a/crates/quarantine/tests/lost_probes.rs
+++ b/crates/quarantine/tests/lost_probes.rs
@@ -196,6 +196,29 @@
     assert!(!fleet.admits(0, with_part()).await);
 }
 
+/// Guards against a withdrawn probe that a request with another suspected part
+/// uses up: it crashes its endpoint by that one.
+#[tokio::test]
+async fn a_withdrawn_probe_is_left_to_a_request_without_other_suspects() {
+    let fleet = held();
+    let bad = RequestDigest::of_group("prompt part", &["llm", "bad"]);
+    let ended_at = fleet.clock.unix();
+    let crash = Crash {
+        endpoint: CrashedEndpoint::new(80),
+        began_at: ended_at.saturating_sub_ms(100),
+        ended_at,
+        resumed_after: 0,
+        reached: 0,
+    };
+    fleet.nodes[0].record_part_crash(&[bad], &crash, Some(50));
+    fleet.advance_ms(TRIAL_MS);
+    let permit = fleet.nodes[0].admit(with_part).await.expect("a probe");
+    fleet.nodes[0].withdraw(&permit);
+    let with_both = with_part().with_part(bad);
+    assert!(fleet.nodes[0].admit(|| with_both).await.is_err());
+    assert!(fleet.nodes[0].admit(with_part).await.is_ok());
+}
+
 /// Guards against two nodes that send one probe each, since one takes the
 /// other's record for its own.
 #[tokio::test]
